--- /dev/null
+++ b/crates/staircross-cluster/src/agreement/voters.rs
@@ -0,0 +1,60 @@
+//! Which nodes should vote: kept up by the leader, one step at a time.
+//!
+//! Inputs: the present voters and the members. Three voters per zone where there are so many
+//! nodes, so that a zone and one more machine can go and a majority of the region is left.
+
+use crate::member::{Member, MemberState};
+use crate::ownership::rendezvous_weight;
+use crate::quorum::{Voter, VoterSet};
+use staircross_types::NodeId;
+use std::collections::BTreeMap;
+
+/// Voters per zone, where the zone has so many nodes.
+pub const VOTERS_PER_ZONE: usize = 3;
+
+/// The next voter set on the way to the wanted one; `None` when nothing is to be changed.
+pub fn next_voters(voters: &VoterSet, members: &BTreeMap<NodeId, Member>) -> Option<VoterSet> {
+    if let Some(gone) = find_gone(voters, members) {
+        return Some(voters.without(gone));
+    }
+    if let Some(member) = find_wanted(voters, members) {
+        return Some(voters.with(member.node, voter_of(member)));
+    }
+    // Whoever leaves as planned goes after its replacement has come.
+    find_leaving(voters, members).map(|leaving| voters.without(leaving))
+}
+
+/// The record of a member as a voter.
+pub fn voter_of(member: &Member) -> Voter {
+    Voter { region: member.region.clone(), zone: member.zone.clone(), address: member.peer_address }
+}
+
+fn is_last_of_region(voters: &VoterSet, node: NodeId) -> bool {
+    let Some(voter) = voters.voters.get(&node) else {
+        return false;
+    };
+    voters.in_region(&voter.region).count() == 1
+}
+
+fn find_gone(voters: &VoterSet, members: &BTreeMap<NodeId, Member>) -> Option<NodeId> {
+    let is_gone = |node: &NodeId| members.get(node).is_none_or(Member::is_gone);
+    voters.voters.keys().copied().find(|node| is_gone(node) && !is_last_of_region(voters, *node))
+}
+
+fn find_leaving(voters: &VoterSet, members: &BTreeMap<NodeId, Member>) -> Option<NodeId> {
+    let is_leaving = |node: &NodeId| members.get(node).is_some_and(|member| member.state == MemberState::Leaving);
+    voters.voters.keys().copied().find(|node| is_leaving(node) && !is_last_of_region(voters, *node))
+}
+
+fn find_wanted<'a>(voters: &VoterSet, members: &'a BTreeMap<NodeId, Member>) -> Option<&'a Member> {
+    let is_staying = |node: &NodeId| members.get(node).is_some_and(|member| member.state != MemberState::Leaving);
+    let staying_in_zone = |member: &Member| {
+        let in_zone = voters.in_region(&member.region).filter(|(_, voter)| voter.zone == member.zone);
+        in_zone.filter(|(node, _)| is_staying(node)).count()
+    };
+    let candidates = members.values().filter(|member| {
+        member.state == MemberState::Alive && !voters.contains(member.node) && staying_in_zone(member) < VOTERS_PER_ZONE
+    });
+    // Zones with the fewest voters first; a fixed order among equals keeps two leaders from disagreeing.
+    candidates.min_by_key(|member| (staying_in_zone(member), rendezvous_weight(b"voter", 0, member.node)))
+}
--- /dev/null
+++ b/crates/staircross-cluster/src/engine/fanout.rs
@@ -0,0 +1,140 @@
+//! How the engine passes peers' messages to its parts, and sessions' copies to peers.
+
+use super::{ClusterAction, ClusterEngine};
+use crate::message::{ClusterMessage, Envelope, ProposalReply};
+use crate::replicas::{ASKED, COPIES, ReplicaMessage, SessionCopy};
+use staircross_types::{BootTime, NodeId, SessionToken};
+use std::net::SocketAddr;
+
+impl ClusterEngine {
+    pub(super) fn on_envelope(&mut self, now: BootTime, envelope: Envelope, actions: &mut Vec<ClusterAction>) {
+        // Meant for the run that was at this address before.
+        if envelope.to.is_some_and(|to| to != self.me) || envelope.from == self.me {
+            return;
+        }
+        let Envelope { from, from_address, message, .. } = envelope;
+        match message {
+            ClusterMessage::Membership(message) => {
+                let mut out = Vec::new();
+                self.membership.on_message(now, from, from_address, message, &mut out);
+                self.do_membership(out, actions);
+            }
+            ClusterMessage::Agreement(message) => {
+                let mut out = Vec::new();
+                self.agreement.note_address(from, from_address);
+                self.agreement.on_message(now, from, message, &mut self.random, &mut out);
+                self.do_agreement(now, out, actions);
+            }
+            ClusterMessage::Genesis(message) => {
+                let mut out = Vec::new();
+                self.genesis.on_message(now, from, from_address, message, &mut out);
+                self.do_genesis(now, out, actions);
+            }
+            ClusterMessage::Lease(message) => self.on_lease_message(now, from, from_address, message, actions),
+            ClusterMessage::Views(message) => {
+                let mut out = Vec::new();
+                self.views.on_message(from, from_address, message, &mut out);
+                self.do_views(out, actions);
+            }
+            ClusterMessage::Replica(message) => self.on_replica_message(from, from_address, message, actions),
+            ClusterMessage::Propose(change) => {
+                let mut out = Vec::new();
+                self.agreement.propose(now, from, change, &mut out);
+                self.do_agreement(now, out, actions);
+            }
+            ClusterMessage::Proposed(reply) => actions.push(ClusterAction::Proposed(reply)),
+        }
+    }
+
+    fn on_replica_message(
+        &mut self,
+        from: NodeId,
+        from_address: SocketAddr,
+        message: ReplicaMessage,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        match message {
+            ReplicaMessage::Store { token, copy } => {
+                let version = copy.version;
+                let is_overtaken = self.copies.store(token, copy);
+                let reply = ReplicaMessage::Stored { token, version, is_overtaken };
+                self.send(Some(from), from_address, ClusterMessage::Replica(reply), actions);
+            }
+            ReplicaMessage::Stored { token, version, is_overtaken } => {
+                actions.push(ClusterAction::SessionStored { token, version, is_overtaken });
+            }
+            ReplicaMessage::Fetch { token, ask } => {
+                let copy = self.copies.get(token).cloned();
+                let reply = ReplicaMessage::Fetched { token, ask, copy };
+                self.send(Some(from), from_address, ClusterMessage::Replica(reply), actions);
+            }
+            ReplicaMessage::Fetched { token, ask, copy } => {
+                actions.push(ClusterAction::SessionFetched { token, ask, copy });
+            }
+            ReplicaMessage::Forget { token } => self.copies.forget(token),
+            ReplicaMessage::Moved { token } => actions.push(ClusterAction::SessionMoved { token }),
+        }
+    }
+
+    /// Members that keep copies of a session held here, best first: other zones before the own.
+    fn keepers(&self, token: SessionToken) -> Vec<(NodeId, SocketAddr)> {
+        let own_zone = self.membership.own().zone.clone();
+        let ranked = self.membership.ranked_for(&token.0.to_be_bytes(), Some(&own_zone));
+        let others = ranked.into_iter().filter(|member| member.node != self.me);
+        others.take(COPIES).map(|member| (member.node, member.peer_address)).collect()
+    }
+
+    /// Number of copies that a session held here should have.
+    pub fn wanted_copies(&self) -> usize {
+        self.membership.others().filter(|member| member.takes_work()).count().min(COPIES)
+    }
+
+    pub(super) fn store_session(
+        &mut self,
+        token: SessionToken,
+        version: u64,
+        state: Vec<u8>,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        let copy = SessionCopy { version, holder: self.me, state };
+        for (node, address) in self.keepers(token) {
+            let message = ReplicaMessage::Store { token, copy: copy.clone() };
+            self.send(Some(node), address, ClusterMessage::Replica(message), actions);
+        }
+    }
+
+    pub(super) fn fetch_session(&mut self, token: SessionToken, ask: u64, actions: &mut Vec<ClusterAction>) {
+        // The holder chose by its own zone, which isn't known here; a copy in this node counts too.
+        if let Some(copy) = self.copies.get(token) {
+            actions.push(ClusterAction::SessionFetched { token, ask, copy: Some(copy.clone()) });
+        }
+        for (node, address) in self.likely_keepers(token) {
+            let message = ReplicaMessage::Fetch { token, ask };
+            self.send(Some(node), address, ClusterMessage::Replica(message), actions);
+        }
+    }
+
+    fn likely_keepers(&self, token: SessionToken) -> Vec<(NodeId, SocketAddr)> {
+        let ranked = self.membership.ranked_for(&token.0.to_be_bytes(), None);
+        let others = ranked.into_iter().filter(|member| member.node != self.me);
+        others.take(ASKED).map(|member| (member.node, member.peer_address)).collect()
+    }
+
+    /// Number of members asked for a session that isn't here.
+    pub fn asked_for_session(&self, token: SessionToken) -> usize {
+        self.likely_keepers(token).len() + usize::from(self.copies.get(token).is_some())
+    }
+
+    pub(super) fn forget_session(&mut self, token: SessionToken, actions: &mut Vec<ClusterAction>) {
+        self.copies.forget(token);
+        for (node, address) in self.likely_keepers(token) {
+            let message = ReplicaMessage::Forget { token };
+            self.send(Some(node), address, ClusterMessage::Replica(message), actions);
+        }
+    }
+
+    /// The reply to a change that nobody answered for.
+    pub fn unanswered(&self, id: crate::config_state::ChangeId) -> ProposalReply {
+        self.change_reply(id).unwrap_or(ProposalReply::Pending { id })
+    }
+}
--- /dev/null
+++ b/crates/staircross-cluster/src/views.rs
@@ -0,0 +1,256 @@
+//! What owners know of searchers, spread to all nodes.
+//!
+//! Each record carries a version that rises with every change anywhere; the highest wins.
+//! News is pushed to a few random members and told a bounded number of times; now and then two
+//! nodes compare fingerprints and fill each other's gaps.
+
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use staircross_types::{BootTime, NodeId, SearcherId, SearcherIncarnation, Snapshot};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time between pushes while there is news.
+const PUSH_EVERY: Duration = Duration::from_millis(200);
+/// Members that a push goes to.
+const PUSH_FANOUT: usize = 2;
+/// Records in one push.
+const PUSH_RECORDS: usize = 12;
+/// Times each record is pushed by each node, per doubling of the fleet.
+const TELLINGS_PER_DOUBLING: u32 = 1;
+/// Time between comparisons with a random member.
+const COMPARE_EVERY: Duration = Duration::from_secs(5);
+/// Buckets of a comparison: only those that differ are listed.
+const BUCKETS: usize = 64;
+
+/// What a searcher last said.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpreadEvidence {
+    /// Run of the searcher.
+    #[serde(rename = "i")]
+    pub incarnation: SearcherIncarnation,
+    /// Snapshots held.
+    #[serde(rename = "s")]
+    pub snapshots: Vec<Snapshot>,
+}
+
+/// One searcher's record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewRecord {
+    /// The searcher.
+    #[serde(rename = "r")]
+    pub searcher: SearcherId,
+    /// What it last said; `None` when it doesn't answer.
+    #[serde(rename = "e")]
+    pub evidence: Option<SpreadEvidence>,
+    /// Whether it is leaving, by any source.
+    #[serde(rename = "l")]
+    pub leaving: bool,
+    /// Version of the record.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// The owner that made it; settles equal versions.
+    #[serde(rename = "o")]
+    pub origin: NodeId,
+}
+
+/// Version of one searcher's record, for a comparison.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewVersion {
+    /// The searcher.
+    pub searcher: SearcherId,
+    /// Version held.
+    pub version: u64,
+}
+
+/// Messages about views.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ViewMessage {
+    /// Records that may be news.
+    News { records: Vec<ViewRecord> },
+    /// Fingerprints of all records, by bucket.
+    Compare { fingerprints: Vec<u64> },
+    /// Versions held in the buckets that differ. The receiver sends what is newer.
+    Versions { buckets: Vec<u8>, versions: Vec<ViewVersion> },
+}
+
+/// What the views want done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ViewAction {
+    /// Send a message.
+    Send { to: NodeId, address: SocketAddr, message: ViewMessage },
+    /// A record changed.
+    Changed(ViewRecord),
+}
+
+/// The view logic of one node.
+pub struct Views {
+    me: NodeId,
+    records: BTreeMap<SearcherId, ViewRecord>,
+    rumors: Vec<(SearcherId, u32)>,
+    next_push: BootTime,
+    next_compare: BootTime,
+}
+
+impl Views {
+    /// Knows nothing.
+    pub fn new(me: NodeId) -> Self {
+        Views {
+            me,
+            records: BTreeMap::new(),
+            rumors: Vec::new(),
+            next_push: BootTime::default(),
+            next_compare: BootTime::default(),
+        }
+    }
+
+    /// All records.
+    pub fn records(&self) -> impl Iterator<Item = &ViewRecord> {
+        self.records.values()
+    }
+
+    /// Takes what this node, an owner, found out itself.
+    pub fn observe(
+        &mut self,
+        searcher: SearcherId,
+        evidence: Option<SpreadEvidence>,
+        leaving: bool,
+        actions: &mut Vec<ViewAction>,
+    ) {
+        let version = self.records.get(&searcher).map_or(0, |record| record.version) + 1;
+        let record = ViewRecord { searcher, evidence, leaving, version, origin: self.me };
+        self.take(record, actions);
+    }
+
+    fn take(&mut self, record: ViewRecord, actions: &mut Vec<ViewAction>) {
+        let is_news = self
+            .records
+            .get(&record.searcher)
+            .is_none_or(|known| (record.version, record.origin) > (known.version, known.origin));
+        if !is_news {
+            return;
+        }
+        self.rumors.retain(|(searcher, _)| *searcher != record.searcher);
+        self.rumors.push((record.searcher, 0));
+        self.records.insert(record.searcher, record.clone());
+        actions.push(ViewAction::Changed(record));
+    }
+
+    /// Takes a message from a peer.
+    pub fn on_message(
+        &mut self,
+        from: NodeId,
+        from_address: SocketAddr,
+        message: ViewMessage,
+        actions: &mut Vec<ViewAction>,
+    ) {
+        match message {
+            ViewMessage::News { records } => {
+                for record in records {
+                    self.take(record, actions);
+                }
+            }
+            ViewMessage::Compare { fingerprints } => {
+                let own = self.fingerprints();
+                let differs = |bucket: &u8| fingerprints.get(usize::from(*bucket)) != own.get(usize::from(*bucket));
+                let buckets: Vec<u8> = (0..BUCKETS as u8).filter(differs).collect();
+                if !buckets.is_empty() {
+                    let versions = self.versions_in(&buckets);
+                    let message = ViewMessage::Versions { buckets, versions };
+                    actions.push(ViewAction::Send { to: from, address: from_address, message });
+                }
+            }
+            ViewMessage::Versions { buckets, versions } => {
+                self.answer_versions(from, from_address, &buckets, &versions, actions);
+            }
+        }
+    }
+
+    /// Sends what the other lacks, and asks for what this node lacks.
+    fn answer_versions(
+        &self,
+        from: NodeId,
+        from_address: SocketAddr,
+        buckets: &[u8],
+        versions: &[ViewVersion],
+        actions: &mut Vec<ViewAction>,
+    ) {
+        let theirs: BTreeMap<SearcherId, u64> =
+            versions.iter().map(|version| (version.searcher, version.version)).collect();
+        let in_buckets = |record: &&ViewRecord| buckets.contains(&bucket_of(record.searcher));
+        let is_newer = |record: &&ViewRecord| theirs.get(&record.searcher).is_none_or(|held| record.version > *held);
+        let records: Vec<ViewRecord> = self.records.values().filter(in_buckets).filter(is_newer).cloned().collect();
+        if !records.is_empty() {
+            let message = ViewMessage::News { records };
+            actions.push(ViewAction::Send { to: from, address: from_address, message });
+        }
+        let is_behind = theirs
+            .iter()
+            .any(|(searcher, version)| self.records.get(searcher).is_none_or(|record| record.version < *version));
+        if is_behind {
+            let versions = self.versions_in(buckets);
+            let message = ViewMessage::Versions { buckets: buckets.to_vec(), versions };
+            actions.push(ViewAction::Send { to: from, address: from_address, message });
+        }
+    }
+
+    fn versions_in(&self, buckets: &[u8]) -> Vec<ViewVersion> {
+        let records = self.records.values().filter(|record| buckets.contains(&bucket_of(record.searcher)));
+        records.map(|record| ViewVersion { searcher: record.searcher, version: record.version }).collect()
+    }
+
+    fn fingerprints(&self) -> Vec<u64> {
+        let mut fingerprints = vec![0_u64; BUCKETS];
+        for record in self.records.values() {
+            let mut bytes = [0_u8; 28];
+            bytes[..4].copy_from_slice(&record.searcher.0.to_be_bytes());
+            bytes[4..12].copy_from_slice(&record.version.to_be_bytes());
+            bytes[12..].copy_from_slice(&record.origin.0.to_be_bytes());
+            fingerprints[usize::from(bucket_of(record.searcher))] ^= xxh3_64(&bytes);
+        }
+        fingerprints
+    }
+
+    /// Lets time pass; `others` are the live members.
+    pub fn on_tick(
+        &mut self,
+        now: BootTime,
+        others: &[(NodeId, SocketAddr)],
+        random: &mut ChaCha8Rng,
+        actions: &mut Vec<ViewAction>,
+    ) {
+        if now >= self.next_push && !self.rumors.is_empty() {
+            self.next_push = now + PUSH_EVERY;
+            self.push(others, random, actions);
+        }
+        if now >= self.next_compare {
+            self.next_compare = now + COMPARE_EVERY;
+            if let Some((node, address)) = others.choose(random) {
+                let message = ViewMessage::Compare { fingerprints: self.fingerprints() };
+                actions.push(ViewAction::Send { to: *node, address: *address, message });
+            }
+        }
+    }
+
+    fn push(&mut self, others: &[(NodeId, SocketAddr)], random: &mut ChaCha8Rng, actions: &mut Vec<ViewAction>) {
+        let most_tellings = TELLINGS_PER_DOUBLING * (others.len() as u32 + 1).ilog2() + 2;
+        self.rumors.sort_by_key(|(_, told)| *told);
+        let mut records = Vec::new();
+        for (searcher, told) in self.rumors.iter_mut().take(PUSH_RECORDS) {
+            *told += 1;
+            records.extend(self.records.get(searcher).cloned());
+        }
+        self.rumors.retain(|(_, told)| *told < most_tellings);
+        for (node, address) in others.choose_multiple(random, PUSH_FANOUT) {
+            let message = ViewMessage::News { records: records.clone() };
+            actions.push(ViewAction::Send { to: *node, address: *address, message });
+        }
+    }
+}
+
+fn bucket_of(searcher: SearcherId) -> u8 {
+    (searcher.0 as usize % BUCKETS) as u8
+}
--- a/crates/staircross-node/src/lib.rs
+++ b/crates/staircross-node/src/lib.rs
@@ -1,1 +1,25 @@
-//! placeholder
+//! The runtime of a node: threads, sockets and clocks around the sans-IO engines.
+//!
+//! | module | job |
+//! | --- | --- |
+//! | [`node`] | starts and stops all of it |
+//! | [`core`] | one thread that owns the engines and carries events and actions between them |
+//! | [`front`] | HTTP for callers and operators |
+//! | [`searchers`] | connections to searchers |
+//! | [`peers`] | connections to other nodes |
+//! | [`platform`] | reads the platform |
+//! | [`api`] | typed JSON answers |
+//! | [`clock`], [`logs`], [`metrics`] | the boot clock, structured logs, Prometheus metrics |
+
+pub mod api;
+pub mod clock;
+pub mod core;
+pub mod front;
+pub mod logs;
+pub mod metrics;
+pub mod node;
+pub mod peers;
+pub mod platform;
+pub mod searchers;
+
+pub use node::{Node, NodeError};
--- /dev/null
+++ b/crates/staircross-node/src/logs.rs
@@ -0,0 +1,96 @@
+//! Structured logs: one `key=value` line per event, a level per module.
+
+use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger};
+use staircross_config::InvalidSetting;
+use std::sync::Arc;
+
+/// Modules with a level of their own.
+pub const MODULES: &[&str] = &["front", "search", "cluster", "peers", "searchers", "platform"];
+
+/// One logger per module.
+#[derive(Clone)]
+pub struct Logs {
+    /// Callers and operators.
+    pub front: Arc<Logger>,
+    /// Requests: plans, hedges, answers.
+    pub search: Arc<Logger>,
+    /// Members, leases, configuration.
+    pub cluster: Arc<Logger>,
+    /// Connections to other nodes.
+    pub peers: Arc<Logger>,
+    /// Connections to searchers.
+    pub searchers: Arc<Logger>,
+    /// Reads of the platform.
+    pub platform: Arc<Logger>,
+}
+
+impl Logs {
+    /// Builds loggers by a filter such as `info` or `warn,search=debug`, writing to standard error.
+    pub fn from_filter(filter: &str) -> Result<Self, InvalidSetting> {
+        let levels = Levels::parse(filter)?;
+        let sink = StdStreamSink::builder().std_stream(StdStream::Stderr).build_arc();
+        let sink: Arc<dyn Sink> = sink.map_err(|error| InvalidSetting::value("node.log", filter, error.to_string()))?;
+        let logger = |module: &str| {
+            let built = Logger::builder()
+                .name(module)
+                .sink(sink.clone())
+                .level_filter(levels.filter_of(module))
+                .build_arc();
+            built.map_err(|error| InvalidSetting::value("node.log", module, error.to_string()))
+        };
+        Ok(Logs {
+            front: logger("front")?,
+            search: logger("search")?,
+            cluster: logger("cluster")?,
+            peers: logger("peers")?,
+            searchers: logger("searchers")?,
+            platform: logger("platform")?,
+        })
+    }
+}
+
+struct Levels {
+    usual: LevelFilter,
+    by_module: Vec<(String, LevelFilter)>,
+}
+
+impl Levels {
+    fn parse(filter: &str) -> Result<Self, InvalidSetting> {
+        let mut levels = Levels { usual: LevelFilter::MoreSevereEqual(Level::Info), by_module: Vec::new() };
+        for part in filter.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+            match part.split_once('=') {
+                None => levels.usual = parse_level(part)?,
+                Some((module, level)) if MODULES.contains(&module) => {
+                    levels.by_module.push((module.to_owned(), parse_level(level)?));
+                }
+                Some((module, _)) => {
+                    return Err(InvalidSetting::value("node.log", module, MODULES.join(", ")));
+                }
+            }
+        }
+        Ok(levels)
+    }
+
+    fn filter_of(&self, module: &str) -> LevelFilter {
+        let own = self.by_module.iter().find(|(name, _)| name == module);
+        own.map_or(self.usual, |(_, filter)| *filter)
+    }
+}
+
+fn parse_level(text: &str) -> Result<LevelFilter, InvalidSetting> {
+    match text {
+        "off" => Ok(LevelFilter::Off),
+        "error" => Ok(LevelFilter::MoreSevereEqual(Level::Error)),
+        "warn" => Ok(LevelFilter::MoreSevereEqual(Level::Warn)),
+        "info" => Ok(LevelFilter::MoreSevereEqual(Level::Info)),
+        "debug" => Ok(LevelFilter::MoreSevereEqual(Level::Debug)),
+        "trace" => Ok(LevelFilter::All),
+        other => Err(InvalidSetting::value("node.log", other, "off, error, warn, info, debug, trace")),
+    }
+}
+
+/// Checks a filter without building loggers.
+pub fn check_filter(filter: &str) -> Result<(), InvalidSetting> {
+    Levels::parse(filter).map(|_| ())
+}
--- /dev/null
+++ b/crates/staircross-node/src/peers.rs
@@ -0,0 +1,277 @@
+//! Connections to other nodes.
+//!
+//! Small control messages go over one UDP socket. Everything else goes over TCP: each node writes
+//! on the connections it opened and reads on those it accepted. Queues are bounded; a peer that
+//! doesn't keep up loses messages, not this node its memory. A malformed frame ends its connection only.
+
+use crate::core::CoreEvent;
+use crate::logs::Logs;
+use crate::metrics::Metrics;
+use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use spdlog::{debug, info, warn};
+use staircross_cluster::ClusterMessage;
+use staircross_types::NodeId;
+use staircross_wire::frame::MAX_FRAME;
+use staircross_wire::{ClusterKey, PeerMessage, datagram, read_frame, write_frame};
+use std::collections::HashMap;
+use std::io::{BufReader, BufWriter, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Messages that may wait for one peer.
+const QUEUE_LENGTH: usize = 8192;
+/// Longest wait for a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a peer to take what is written, or to end its handshake.
+const IO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which an idle connection is closed.
+const IDLE_LIFE: Duration = Duration::from_secs(60);
+/// Longest silence of a peer on a connection that it opened.
+const READ_TIMEOUT: Duration = Duration::from_secs(90);
+
+/// The way to all other nodes.
+pub struct PeerTransport {
+    queues: HashMap<SocketAddr, Sender<PeerMessage>>,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    node: NodeId,
+    key: ClusterKey,
+    udp: UdpSocket,
+    events: Sender<CoreEvent>,
+    logs: Logs,
+    metrics: Metrics,
+    stop: Arc<AtomicBool>,
+}
+
+/// What the transport is started with.
+pub struct PeerTransportParts {
+    /// This run.
+    pub node: NodeId,
+    /// Where to listen, TCP and UDP.
+    pub listen: SocketAddr,
+    /// The fleet's key.
+    pub key: ClusterKey,
+    /// Where received messages go.
+    pub events: Sender<CoreEvent>,
+    /// Loggers.
+    pub logs: Logs,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Set when the node ends.
+    pub stop: Arc<AtomicBool>,
+}
+
+impl PeerTransport {
+    /// Listens and starts the receiving threads.
+    pub fn start(parts: PeerTransportParts) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(parts.listen)?;
+        let udp = UdpSocket::bind(parts.listen)?;
+        udp.set_read_timeout(Some(Duration::from_millis(500)))?;
+        let shared = Arc::new(Shared {
+            node: parts.node,
+            key: parts.key,
+            udp,
+            events: parts.events,
+            logs: parts.logs,
+            metrics: parts.metrics,
+            stop: parts.stop,
+        });
+        let acceptor = shared.clone();
+        std::thread::Builder::new().name("peer accept".to_owned()).spawn(move || acceptor.accept_all(&listener))?;
+        let receiver = shared.clone();
+        std::thread::Builder::new().name("peer datagrams".to_owned()).spawn(move || receiver.receive_datagrams())?;
+        Ok(PeerTransport { queues: HashMap::new(), shared })
+    }
+
+    /// Sends a message, or drops it when the peer doesn't keep up.
+    pub fn send(&mut self, to: SocketAddr, message: PeerMessage) {
+        if is_datagram(&message) && self.shared.send_datagram(to, &message) {
+            return;
+        }
+        let message = match self.queues.get(&to) {
+            None => message,
+            Some(queue) => match queue.try_send(message) {
+                Ok(()) => return,
+                Err(TrySendError::Full(message)) => {
+                    self.shared.undelivered(message, false);
+                    return;
+                }
+                Err(TrySendError::Disconnected(message)) => message,
+            },
+        };
+        let (queue, source) = bounded(QUEUE_LENGTH);
+        // The queue is fresh, so there is room.
+        let _room_for_one = queue.try_send(message);
+        self.queues.insert(to, queue);
+        let writer = self.shared.clone();
+        let started =
+            std::thread::Builder::new().name(format!("peer {to}")).spawn(move || writer.write_all(to, &source));
+        if let Err(error) = started {
+            warn!(logger: self.shared.logs.peers, "event=no_thread peer={to} error={error:?}");
+        }
+    }
+}
+
+/// Messages of protocols that expect loss.
+fn is_datagram(message: &PeerMessage) -> bool {
+    let PeerMessage::Cluster(envelope) = message else {
+        return false;
+    };
+    matches!(
+        envelope.message,
+        ClusterMessage::Membership(_)
+            | ClusterMessage::Lease(_)
+            | ClusterMessage::Views(_)
+            | ClusterMessage::Genesis(_)
+    )
+}
+
+impl Shared {
+    fn tell(&self, event: CoreEvent) {
+        // The core is gone only while the node stops.
+        let _ignored_while_stopping = self.events.send(event);
+    }
+
+    fn drop_one(&self, what: &str) {
+        self.metrics.dropped.with_label_values(&[what]).inc();
+    }
+
+    /// Returns whether the message went out as a datagram.
+    fn send_datagram(&self, to: SocketAddr, message: &PeerMessage) -> bool {
+        let sealed = match datagram::seal(&self.key, message) {
+            Ok(Some(sealed)) => sealed,
+            Ok(None) => return false,
+            Err(error) => {
+                warn!(logger: self.logs.peers, "event=unsendable peer={to} error={error:?}");
+                return true;
+            }
+        };
+        match self.udp.send_to(&sealed, to) {
+            Ok(count) => self.metrics.peer_bytes.with_label_values(&["udp"]).inc_by(count as u64),
+            Err(error) => debug!(logger: self.logs.peers, "event=datagram_lost peer={to} error={error:?}"),
+        }
+        true
+    }
+
+    fn receive_datagrams(&self) {
+        let mut buffer = vec![0_u8; 64 * 1024];
+        while !self.stop.load(Ordering::Relaxed) {
+            let Ok((length, from)) = self.udp.recv_from(&mut buffer) else {
+                continue;
+            };
+            match datagram::open(&self.key, &buffer[..length]) {
+                Ok(message) => self.tell(CoreEvent::Peer(message)),
+                Err(error) => {
+                    self.drop_one("datagram");
+                    debug!(logger: self.logs.peers, "event=bad_datagram peer={from} error={error:?}");
+                }
+            }
+        }
+    }
+
+    fn accept_all(self: &Arc<Self>, listener: &TcpListener) {
+        for stream in listener.incoming() {
+            if self.stop.load(Ordering::Relaxed) {
+                return;
+            }
+            let Ok(stream) = stream else {
+                continue;
+            };
+            let reader = self.clone();
+            let started = std::thread::Builder::new().name("peer read".to_owned()).spawn(move || reader.read_all(stream));
+            if let Err(error) = started {
+                warn!(logger: self.logs.peers, "event=no_thread error={error:?}");
+            }
+        }
+    }
+
+    fn read_all(&self, mut stream: TcpStream) {
+        let peer = stream.peer_addr().map_or("unknown".to_owned(), |address| address.to_string());
+        if let Err(error) = self.accept_handshake(&mut stream) {
+            self.drop_one("connection");
+            warn!(logger: self.logs.peers, "event=turned_away peer={peer} error={error:?}");
+            return;
+        }
+        let mut reader = BufReader::new(stream);
+        loop {
+            match read_frame::<PeerMessage>(&mut reader, MAX_FRAME) {
+                Ok(message) => self.tell(CoreEvent::Peer(message)),
+                Err(staircross_wire::WireError::Io(error)) => {
+                    debug!(logger: self.logs.peers, "event=closed peer={peer} error={error:?}");
+                    return;
+                }
+                Err(error) => {
+                    self.drop_one("frame");
+                    warn!(logger: self.logs.peers, "event=bad_frame peer={peer} error={error:?}");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn accept_handshake(&self, stream: &mut TcpStream) -> Result<(), staircross_wire::WireError> {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(IO_TIMEOUT))?;
+        stream.set_write_timeout(Some(IO_TIMEOUT))?;
+        staircross_wire::accept(stream, &self.key, rand::random())?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        Ok(())
+    }
+
+    fn write_all(&self, to: SocketAddr, source: &Receiver<PeerMessage>) {
+        let mut stream = match self.open(to) {
+            Ok(stream) => BufWriter::new(stream),
+            Err(error) => {
+                info!(logger: self.logs.peers, "event=unreachable peer={to} error={error:?}");
+                // Nothing was written: whatever waits was certainly not delivered.
+                while let Ok(message) = source.try_recv() {
+                    self.undelivered(message, false);
+                }
+                return;
+            }
+        };
+        while let Ok(message) = source.recv_timeout(IDLE_LIFE) {
+            let written = write_frame(&mut stream, &message);
+            let flushed = match written {
+                Ok(count) => {
+                    self.metrics.peer_bytes.with_label_values(&["tcp"]).inc_by(count as u64);
+                    // A batch goes out in one write when more is waiting.
+                    if source.is_empty() { stream.flush() } else { Ok(()) }
+                }
+                Err(error) => {
+                    debug!(logger: self.logs.peers, "event=write_failed peer={to} error={error:?}");
+                    Err(std::io::ErrorKind::BrokenPipe.into())
+                }
+            };
+            if flushed.is_err() {
+                self.undelivered(message, true);
+                self.tell(CoreEvent::PeerBroken(to));
+                while let Ok(message) = source.try_recv() {
+                    self.undelivered(message, false);
+                }
+                return;
+            }
+        }
+    }
+
+    fn open(&self, to: SocketAddr) -> Result<TcpStream, staircross_wire::WireError> {
+        let mut stream = TcpStream::connect_timeout(&to, CONNECT_TIMEOUT)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(IO_TIMEOUT))?;
+        stream.set_write_timeout(Some(IO_TIMEOUT))?;
+        staircross_wire::connect(&mut stream, &self.key, self.node, rand::random())?;
+        Ok(stream)
+    }
+
+    /// Reports a sub-request that wasn't delivered, or of which some bytes may have been.
+    fn undelivered(&self, message: PeerMessage, partly_written: bool) {
+        self.drop_one("peer_message");
+        if let PeerMessage::Request { request, .. } = message {
+            self.tell(CoreEvent::Undelivered { request, partly_written });
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-node/src/platform.rs
@@ -0,0 +1,97 @@
+//! Reads the platform: the service document and the machine list.
+//!
+//! A failed or malformed read changes nothing: what is in force stays in force.
+
+use crate::core::CoreEvent;
+use crate::logs::Logs;
+use crossbeam::channel::Sender;
+use spdlog::warn;
+use staircross_config::{MachineList, PlatformDocument, PlatformSettings};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Longest document, in bytes.
+const MAX_DOCUMENT: u64 = 64 * 1024 * 1024;
+/// Longest wait for the platform.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often the reader looks whether it should stop.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Starts the thread that reads the platform.
+pub fn start_reader(
+    settings: &PlatformSettings,
+    events: Sender<CoreEvent>,
+    logs: Logs,
+    stop: Arc<AtomicBool>,
+) -> std::io::Result<JoinHandle<()>> {
+    let reader = PlatformReader {
+        agent: new_agent(),
+        document_url: format!("http://{}/v1/document", settings.address),
+        machines_url: format!("http://{}/v1/machines", settings.address),
+        poll: Duration::from_millis(settings.poll_ms),
+        events,
+        logs,
+        stop,
+    };
+    std::thread::Builder::new().name("platform".to_owned()).spawn(move || reader.run())
+}
+
+fn new_agent() -> ureq::Agent {
+    ureq::Agent::config_builder().proxy(None).timeout_global(Some(READ_TIMEOUT)).build().into()
+}
+
+struct PlatformReader {
+    agent: ureq::Agent,
+    document_url: String,
+    machines_url: String,
+    poll: Duration,
+    events: Sender<CoreEvent>,
+    logs: Logs,
+    stop: Arc<AtomicBool>,
+}
+
+impl PlatformReader {
+    fn run(self) {
+        while !self.stop.load(Ordering::Relaxed) {
+            self.read_once();
+            self.wait();
+        }
+    }
+
+    fn wait(&self) {
+        let mut waited = Duration::ZERO;
+        while waited < self.poll && !self.stop.load(Ordering::Relaxed) {
+            std::thread::sleep(STOP_CHECK);
+            waited += STOP_CHECK;
+        }
+    }
+
+    fn read_once(&self) {
+        match self.read(&self.document_url) {
+            Ok(text) => match PlatformDocument::from_json("platform document", &text) {
+                Ok(document) => self.tell(CoreEvent::Platform(Arc::new(document))),
+                Err(error) => warn!(logger: self.logs.platform, "event=bad_document error={error:?}"),
+            },
+            Err(error) => warn!(logger: self.logs.platform, "event=unreadable what=document error={error:?}"),
+        }
+        match self.read(&self.machines_url) {
+            Ok(text) => match serde_json::from_str::<MachineList>(&text) {
+                Ok(machines) => self.tell(CoreEvent::Machines(machines)),
+                Err(error) => warn!(logger: self.logs.platform, "event=bad_machine_list error={error:?}"),
+            },
+            Err(error) => warn!(logger: self.logs.platform, "event=unreadable what=machines error={error:?}"),
+        }
+    }
+
+    fn tell(&self, event: CoreEvent) {
+        // The core is gone only while the node stops.
+        let _ignored_while_stopping = self.events.send(event);
+    }
+
+    fn read(&self, url: &str) -> Result<String, ureq::Error> {
+        let mut response = self.agent.get(url).call()?;
+        response.body_mut().with_config().limit(MAX_DOCUMENT).read_to_string()
+    }
+}
--- /dev/null
+++ b/crates/staircross-node/src/searchers/call.rs
@@ -0,0 +1,204 @@
+//! One call to a searcher over HTTP, and what its end means.
+
+use crate::logs::Logs;
+use spdlog::{debug, warn};
+use staircross_search::leaf::not_run;
+use staircross_search::{
+    ActionReceipt, Evidence, NotRunReason, SubOutcome, SubReply, SubRequest, UnknownReason, Work,
+};
+use staircross_types::searcher_api::{
+    ACT_PATH, ActCall, CANCEL_PATH, CallReply, CallStatus, CancelCall, DIGEST_HEADER, SEARCH_PATH, STATE_PATH,
+    SearchCall, StateReply,
+};
+use staircross_types::{AttemptId, SearcherId, ShardId, body_digest};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a probe or a cancellation.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Extra time for a reply that the searcher sent at its deadline.
+const REPLY_GRACE: Duration = Duration::from_millis(50);
+
+/// Calls one searcher. Each caller keeps one connection alive.
+pub(super) struct SearcherCaller {
+    searcher: SearcherId,
+    base: String,
+    kept: ureq::Agent,
+    fresh: ureq::Agent,
+    reply_limit: u64,
+    logs: Logs,
+}
+
+/// Why a call brought no reply.
+enum CallFailure {
+    /// No connection was made; no byte left.
+    NotConnected,
+    /// Anything after that.
+    Broken(String),
+    /// The time passed.
+    TimedOut,
+}
+
+impl SearcherCaller {
+    pub fn new(searcher: SearcherId, address: SocketAddr, reply_limit: u64, logs: Logs) -> Self {
+        SearcherCaller {
+            searcher,
+            base: format!("http://{address}"),
+            kept: new_agent(1),
+            fresh: new_agent(0),
+            reply_limit,
+            logs,
+        }
+    }
+
+    pub fn searcher(&self) -> SearcherId {
+        self.searcher
+    }
+
+    /// Carries out a sub-request.
+    pub fn call(&self, request: &SubRequest) -> SubReply {
+        let reply = match &request.work {
+            Work::Search(query) => {
+                let call = SearchCall {
+                    attempt: request.attempt,
+                    snapshot: request.snapshot,
+                    shards: request.shards.clone(),
+                    query: query.clone(),
+                    remaining_ms: request.remaining.as_millis() as u64,
+                };
+                self.post(&self.kept, SEARCH_PATH, &call, request.remaining + REPLY_GRACE)
+            }
+            Work::Act(command) => {
+                let call = ActCall {
+                    attempt: request.attempt,
+                    snapshot: request.snapshot,
+                    shard: request.shards.first().copied().unwrap_or(ShardId(u32::MAX)),
+                    command: command.clone(),
+                    remaining_ms: request.remaining.as_millis() as u64,
+                };
+                self.post(&self.fresh, ACT_PATH, &call, request.remaining + REPLY_GRACE)
+            }
+        };
+        match reply {
+            Ok(reply) => self.judge(request, reply),
+            Err(CallFailure::NotConnected) => not_run(request, NotRunReason::Unconnected),
+            Err(CallFailure::TimedOut) => unknown(request, UnknownReason::Late),
+            Err(CallFailure::Broken(reason)) => {
+                debug!(logger: self.logs.searchers,
+                    "event=broken_reply searcher={} attempt={} reason={reason:?}", self.searcher, request.attempt);
+                unknown(request, UnknownReason::Broken)
+            }
+        }
+    }
+
+    /// Checks that a reply is for this request before anything of it is used.
+    fn judge(&self, request: &SubRequest, reply: CallReply) -> SubReply {
+        if reply.attempt != request.attempt {
+            warn!(logger: self.logs.searchers,
+                "event=foreign_reply searcher={} asked={} got={}", self.searcher, request.attempt, reply.attempt);
+            return unknown(request, UnknownReason::Broken);
+        }
+        let outcome = match reply.status {
+            CallStatus::Found { shards } => SubOutcome::Found(shards),
+            CallStatus::Acted { entry, message } => SubOutcome::Acted(ActionReceipt { entry, message }),
+            CallStatus::Shed => SubOutcome::NotRun(NotRunReason::Shed),
+            CallStatus::SnapshotGone => SubOutcome::NotRun(NotRunReason::SnapshotGone),
+            CallStatus::Draining => SubOutcome::NotRun(NotRunReason::Draining),
+            CallStatus::Stopped => SubOutcome::Unknown(UnknownReason::Late),
+        };
+        SubReply { attempt: request.attempt, searcher: request.searcher, snapshot: reply.snapshot, outcome }
+    }
+
+    fn post(
+        &self,
+        agent: &ureq::Agent,
+        path: &str,
+        call: &impl serde::Serialize,
+        wait: Duration,
+    ) -> Result<CallReply, CallFailure> {
+        let body = serde_json::to_vec(call).map_err(|error| CallFailure::Broken(error.to_string()))?;
+        let request = agent.post(format!("{}{path}", self.base)).config().timeout_global(Some(wait)).build();
+        let response = request.header("content-type", "application/json").send(&body[..]).map_err(classify)?;
+        let bytes = self.read_checked(response)?;
+        serde_json::from_slice(&bytes).map_err(|error| CallFailure::Broken(error.to_string()))
+    }
+
+    fn read_checked(&self, mut response: ureq::http::Response<ureq::Body>) -> Result<Vec<u8>, CallFailure> {
+        let digest = response.headers().get(DIGEST_HEADER).and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let body = response.body_mut().with_config().limit(self.reply_limit);
+        // A reply that has begun has left the searcher: whatever fails now, it may have run.
+        let bytes = body.read_to_vec().map_err(after_connecting)?;
+        match digest {
+            Some(digest) if digest == body_digest(&bytes) => Ok(bytes),
+            Some(_) => Err(CallFailure::Broken("the body doesn't match its digest".to_owned())),
+            None => Err(CallFailure::Broken("the reply has no digest".to_owned())),
+        }
+    }
+
+    /// Asks for the searcher's state; `None` when it doesn't answer as itself.
+    pub fn probe(&self) -> Option<Evidence> {
+        let request = self.kept.get(format!("{}{STATE_PATH}", self.base));
+        let response = request.config().timeout_global(Some(CONTROL_TIMEOUT)).build().call().ok()?;
+        let bytes = self.read_checked(response).ok()?;
+        let state: StateReply = serde_json::from_slice(&bytes).ok()?;
+        if state.searcher != self.searcher {
+            warn!(logger: self.logs.searchers,
+                "event=wrong_searcher expected={} got={}", self.searcher, state.searcher);
+            return None;
+        }
+        Some(Evidence { incarnation: state.incarnation, snapshots: state.snapshots, draining: state.draining })
+    }
+
+    /// Tells the searcher that an attempt is no longer wanted. A hint: failure doesn't matter.
+    pub fn cancel(&self, attempt: AttemptId) {
+        let Ok(body) = serde_json::to_vec(&CancelCall { attempt }) else {
+            return;
+        };
+        let request = self.kept.post(format!("{}{CANCEL_PATH}", self.base));
+        let sent = request.config().timeout_global(Some(CONTROL_TIMEOUT)).build().send(&body[..]);
+        match sent.and_then(|mut response| response.body_mut().read_to_vec()) {
+            Ok(_) => {}
+            Err(error) => debug!(logger: self.logs.searchers, "event=cancel_failed attempt={attempt} error={error:?}"),
+        }
+    }
+}
+
+fn new_agent(kept_connections: usize) -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .proxy(None)
+        .max_redirects(0)
+        .max_idle_connections(kept_connections)
+        .max_idle_connections_per_host(kept_connections)
+        .max_idle_age(Duration::from_secs(30))
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .build()
+        .into()
+}
+
+/// What a failed call means. Only what certainly happened before the first byte left counts as not connected.
+fn classify(error: ureq::Error) -> CallFailure {
+    match &error {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => CallFailure::NotConnected,
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => CallFailure::NotConnected,
+        ureq::Error::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => CallFailure::NotConnected,
+        _ => after_connecting(error),
+    }
+}
+
+fn after_connecting(error: ureq::Error) -> CallFailure {
+    match error {
+        ureq::Error::Timeout(_) => CallFailure::TimedOut,
+        other => CallFailure::Broken(other.to_string()),
+    }
+}
+
+fn unknown(request: &SubRequest, reason: UnknownReason) -> SubReply {
+    SubReply {
+        attempt: request.attempt,
+        searcher: request.searcher,
+        snapshot: request.snapshot,
+        outcome: SubOutcome::Unknown(reason),
+    }
+}
--- a/crates/staircross-search/src/leaf.rs
+++ b/crates/staircross-search/src/leaf.rs
@@ -8,8 +8,8 @@
 use crate::message::{NotRunReason, SubOutcome, SubReply, SubRequest};
 use crate::view::{Evidence, SearcherView};
 use hashbrown::HashMap;
-use staircross_types::{AttemptId, BootTime, NodeId, SearcherId};
-use std::collections::{BTreeMap, VecDeque};
+use staircross_types::{AttemptId, BootTime, NodeId, SearcherId, SearcherIncarnation};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Bounds of a leaf.
@@ -49,10 +49,10 @@
     Reply(SubReply),
     /// A searcher answered a probe (`None`: it doesn't answer).
     Probed { searcher: SearcherId, asked_at: BootTime, evidence: Option<Evidence> },
-    /// A platform list, peer or operator says that a searcher is leaving.
-    Leaving(SearcherId),
-    /// The platform no longer lists these as leaving. Lifts only marks of the platform.
-    PlatformLeaving(Vec<SearcherId>),
+    /// A peer says that a run of a searcher is leaving.
+    PeerSaysLeaving { searcher: SearcherId, incarnation: SearcherIncarnation },
+    /// Searchers that the platform lists as leaving, or operators drain: whatever their run.
+    Listed(BTreeSet<SearcherId>),
     /// This leaf is stopping: take nothing new.
     Stop,
     /// Time has passed.
@@ -93,7 +93,7 @@
     first_seen: BootTime,
     ramped_from_cold: bool,
     left: bool,
-    platform_leaving: bool,
+    listed: bool,
     probe_outstanding: Option<BootTime>,
     next_probe: BootTime,
     in_flight: HashMap<AttemptId, InFlight>,
@@ -123,8 +123,10 @@
             LeafEvent::Probed { searcher, asked_at, evidence } => {
                 self.on_probed(now, searcher, asked_at, evidence, actions);
             }
-            LeafEvent::Leaving(searcher) => self.mark_leaving(now, searcher, actions),
-            LeafEvent::PlatformLeaving(listed) => self.set_platform_leaving(now, &listed, actions),
+            LeafEvent::PeerSaysLeaving { searcher, incarnation } => {
+                self.mark_leaving(searcher, incarnation, actions);
+            }
+            LeafEvent::Listed(listed) => self.set_listed(&listed, actions),
             LeafEvent::Stop => self.stopping = true,
             LeafEvent::Tick => self.on_tick(now, actions),
         }
@@ -249,25 +251,33 @@
         searcher.dispatch(now, id, &self.settings, actions);
     }
 
-    fn mark_leaving(&mut self, _now: BootTime, id: SearcherId, actions: &mut Vec<LeafAction>) {
-        if let Some(searcher) = self.searchers.get_mut(&id) {
+    fn mark_leaving(&mut self, id: SearcherId, incarnation: SearcherIncarnation, actions: &mut Vec<LeafAction>) {
+        let Some(searcher) = self.searchers.get_mut(&id) else {
+            return;
+        };
+        if searcher.evidence.as_ref().is_some_and(|evidence| evidence.incarnation == incarnation) {
             searcher.leave(id, actions);
             searcher.refuse_queue(NotRunReason::Draining, actions);
         }
     }
 
-    fn set_platform_leaving(&mut self, now: BootTime, listed: &[SearcherId], actions: &mut Vec<LeafAction>) {
+    fn set_listed(&mut self, listed: &BTreeSet<SearcherId>, actions: &mut Vec<LeafAction>) {
         for (id, searcher) in &mut self.searchers {
-            let leaving = listed.contains(id);
-            if searcher.platform_leaving == leaving {
+            let is_listed = listed.contains(id);
+            if searcher.listed == is_listed {
                 continue;
             }
-            searcher.platform_leaving = leaving;
-            actions.push(LeafAction::Spread(searcher.view(*id)));
-            if leaving {
+            let before = searcher.view(*id);
+            searcher.listed = is_listed;
+            // Sticky for the run that was listed: a list that flickers doesn't bring it back.
+            searcher.left |= is_listed && searcher.evidence.is_some();
+            let after = searcher.view(*id);
+            if after != before {
+                actions.push(LeafAction::Spread(after));
+            }
+            if searcher.is_leaving() {
                 searcher.refuse_queue(NotRunReason::Draining, actions);
             }
-            searcher.dispatch(now, *id, &self.settings, actions);
         }
     }
 
@@ -291,7 +301,7 @@
 
 impl OwnedSearcher {
     fn is_leaving(&self) -> bool {
-        self.left || self.platform_leaving
+        self.left || self.listed
     }
 
     fn view(&self, searcher: SearcherId) -> SearcherView {
--- /dev/null
+++ b/crates/staircross-wire/src/handshake.rs
@@ -0,0 +1,115 @@
+//! Who may speak on a connection: version, fleet name, and a proof of the shared key by both sides.
+
+use crate::frame::{WireError, read_frame, write_frame};
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use staircross_types::NodeId;
+use std::io::{Read, Write};
+
+/// Version of the protocol between nodes. Nodes of another version are turned away.
+pub const PROTOCOL_VERSION: u32 = 1;
+/// Longest handshake frame, in bytes.
+const MAX_HANDSHAKE: usize = 1024;
+
+/// The fleet's name and shared secret.
+#[derive(Clone)]
+pub struct ClusterKey {
+    cluster: String,
+    secret: Vec<u8>,
+}
+
+impl ClusterKey {
+    /// Builds the key of a fleet.
+    pub fn new(cluster: &str, secret: &str) -> Self {
+        ClusterKey { cluster: cluster.to_owned(), secret: secret.as_bytes().to_vec() }
+    }
+
+    /// A keyed digest over parts; each part's length is included, so parts can't be shifted.
+    pub fn sign(&self, parts: &[&[u8]]) -> [u8; 32] {
+        let mut mac = match Hmac::<Sha256>::new_from_slice(&self.secret) {
+            Ok(mac) => mac,
+            Err(_) => unreachable!("HMAC takes keys of any length"),
+        };
+        for part in std::iter::once(&self.cluster.as_bytes()).chain(parts) {
+            mac.update(&(part.len() as u64).to_be_bytes());
+            mac.update(part);
+        }
+        mac.finalize().into_bytes().into()
+    }
+
+    /// Compares a digest in constant time.
+    pub fn verify(&self, parts: &[&[u8]], digest: &[u8]) -> bool {
+        let expected = self.sign(parts);
+        if digest.is_empty() || digest.len() > expected.len() {
+            return false;
+        }
+        let difference = expected.iter().zip(digest).fold(0, |difference, (left, right)| difference | (left ^ right));
+        difference == 0
+    }
+}
+
+/// First frame, from whoever connects.
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    version: u32,
+    cluster: String,
+    node: NodeId,
+    nonce: u128,
+}
+
+/// Second frame, from whoever accepts.
+#[derive(Debug, Serialize, Deserialize)]
+struct Challenge {
+    nonce: u128,
+    proof: [u8; 32],
+}
+
+/// Third frame, from whoever connects.
+#[derive(Debug, Serialize, Deserialize)]
+struct Response {
+    proof: [u8; 32],
+}
+
+const ACCEPTOR: &[u8] = b"acceptor";
+const CONNECTOR: &[u8] = b"connector";
+
+/// Proves to the acceptor that `node` is of the fleet, and has it prove the same. `nonce` is fresh and random.
+pub fn connect(stream: &mut (impl Read + Write), key: &ClusterKey, node: NodeId, nonce: u128) -> Result<(), WireError> {
+    let hello = Hello { version: PROTOCOL_VERSION, cluster: key.cluster.clone(), node, nonce };
+    write_frame(stream, &hello)?;
+    stream.flush()?;
+    let challenge: Challenge = read_frame(stream, MAX_HANDSHAKE)?;
+    let node_bytes = node.0.to_be_bytes();
+    let ours = nonce.to_be_bytes();
+    let theirs = challenge.nonce.to_be_bytes();
+    if !key.verify(&[ACCEPTOR, &ours, &theirs, &node_bytes], &challenge.proof) {
+        return Err(WireError::Stranger { reason: "the acceptor doesn't know the key" });
+    }
+    let proof = key.sign(&[CONNECTOR, &theirs, &ours, &node_bytes]);
+    write_frame(stream, &Response { proof })?;
+    stream.flush()?;
+    Ok(())
+}
+
+/// Checks whoever connects and returns its run. `nonce` is fresh and random.
+pub fn accept(stream: &mut (impl Read + Write), key: &ClusterKey, nonce: u128) -> Result<NodeId, WireError> {
+    let hello: Hello = read_frame(stream, MAX_HANDSHAKE)?;
+    if hello.version != PROTOCOL_VERSION {
+        return Err(WireError::Stranger { reason: "another protocol version" });
+    }
+    if hello.cluster != key.cluster {
+        return Err(WireError::Stranger { reason: "another fleet" });
+    }
+    let node_bytes = hello.node.0.to_be_bytes();
+    let theirs = hello.nonce.to_be_bytes();
+    let ours = nonce.to_be_bytes();
+    let proof = key.sign(&[ACCEPTOR, &theirs, &ours, &node_bytes]);
+    write_frame(stream, &Challenge { nonce, proof })?;
+    stream.flush()?;
+    let response: Response = read_frame(stream, MAX_HANDSHAKE)?;
+    if !key.verify(&[CONNECTOR, &ours, &theirs, &node_bytes], &response.proof) {
+        return Err(WireError::Stranger { reason: "the connector doesn't know the key" });
+    }
+    Ok(hello.node)
+}
