--- /dev/null
+++ b/crates/staircross-node/src/core.rs
@@ -0,0 +1,340 @@
+//! The thread that owns the engines.
+//!
+//! All decisions of a node are made here, one event at a time, by the sans-IO engines. This
+//! module only carries events to them and actions from them; it decides nothing about requests
+//! or configuration itself.
+
+mod callers;
+mod config;
+mod requests;
+mod sessions;
+mod show;
+
+pub use callers::{CallerCommand, CallerReply};
+
+use crate::clock;
+use crate::logs::Logs;
+use crate::metrics::Metrics;
+use crate::peers::PeerTransport;
+use crate::searchers::SearcherConnections;
+use callers::PendingRequest;
+use config::PendingChange;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use hashbrown::HashMap;
+use sessions::{HeldReply, PendingResume};
+use staircross_cluster::{ChangeId, ClusterEngine, ClusterEvent, ClusterSettings, Member, MemberState};
+use staircross_config::{MachineList, MachineState, PlatformDocument, Settings};
+use staircross_search::root::RootCounters;
+use staircross_search::{Evidence, LeafEngine, LeafEvent, LeafSettings, RootEngine, RootEvent, RootSettings};
+use staircross_search::{SubReply, SubRequest};
+use staircross_types::{AttemptId, BootTime, NodeId, SearcherId, SessionToken};
+use staircross_wire::PeerMessage;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// What happens to a node.
+pub enum CoreEvent {
+    /// A caller or operator asks.
+    Caller {
+        /// What.
+        command: CallerCommand,
+        /// Where the reply goes.
+        reply: Sender<CallerReply>,
+    },
+    /// Another node says something.
+    Peer(PeerMessage),
+    /// A connection to another node broke after something was written.
+    PeerBroken(SocketAddr),
+    /// A sub-request didn't reach its leaf, or perhaps not.
+    Undelivered {
+        /// The sub-request.
+        request: SubRequest,
+        /// Whether some of its bytes may have left.
+        partly_written: bool,
+    },
+    /// A call to a searcher ended.
+    SearcherReplied(SubReply),
+    /// A probe of a searcher ended.
+    Probed {
+        /// The searcher.
+        searcher: SearcherId,
+        /// When it was asked.
+        asked_at: BootTime,
+        /// What it said.
+        evidence: Option<Evidence>,
+    },
+    /// The platform's document was read.
+    Platform(Arc<PlatformDocument>),
+    /// The platform's machine list was read.
+    Machines(MachineList),
+    /// A planned stop begins.
+    Stop,
+}
+
+/// Time between ticks of the engines.
+const TICK: Duration = Duration::from_millis(20);
+/// Events handled before time is looked at again.
+const EVENTS_PER_TURN: usize = 256;
+/// Time during which a stopping node goes on taking requests of its sessions, so that callers learn where to go.
+const STOP_LINGER: Duration = Duration::from_millis(1500);
+/// Time after the last request during which replies can still leave.
+const LAST_REPLY: Duration = Duration::from_millis(100);
+
+/// A node's engines and what connects them.
+pub struct Core {
+    node: NodeId,
+    settings: Settings,
+    logs: Logs,
+    metrics: Metrics,
+    events: Receiver<CoreEvent>,
+    peers: PeerTransport,
+    searchers: SearcherConnections,
+    root: RootEngine,
+    leaf: LeafEngine,
+    cluster: ClusterEngine,
+    next_sequence: u64,
+    pending: HashMap<u64, PendingRequest>,
+    held: Vec<HeldReply>,
+    resumes: HashMap<SessionToken, PendingResume>,
+    session_versions: HashMap<SessionToken, u64>,
+    next_ask: u64,
+    changes: HashMap<ChangeId, PendingChange>,
+    routes: HashMap<AttemptId, SocketAddr>,
+    machines: MachineList,
+    next_tick: BootTime,
+    stopping_since: Option<BootTime>,
+    idle_since: Option<BootTime>,
+    last_counters: RootCounters,
+    /// Callers being served by the HTTP front.
+    serving: Arc<AtomicUsize>,
+    stop: Arc<AtomicBool>,
+}
+
+/// What a core is started with.
+pub struct CoreParts {
+    /// This run.
+    pub node: NodeId,
+    /// Settings.
+    pub settings: Settings,
+    /// Loggers.
+    pub logs: Logs,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Events to handle.
+    pub events: Receiver<CoreEvent>,
+    /// The way to other nodes.
+    pub peers: PeerTransport,
+    /// The way to searchers.
+    pub searchers: SearcherConnections,
+    /// Callers being served by the HTTP front.
+    pub serving: Arc<AtomicUsize>,
+    /// Set when the core has ended.
+    pub stop: Arc<AtomicBool>,
+}
+
+impl Core {
+    /// Builds the engines.
+    pub fn new(parts: CoreParts) -> Self {
+        let me = Member {
+            node: parts.node,
+            peer_address: parts.settings.node.peer_listen,
+            caller_address: parts.settings.node.listen,
+            region: parts.settings.node.region.clone(),
+            zone: parts.settings.node.zone.clone(),
+            state: MemberState::Alive,
+            version: 1,
+        };
+        let seeds = match parts.settings.node.seeds.as_slice() {
+            [] => vec![parts.settings.node.peer_listen],
+            seeds => seeds.to_vec(),
+        };
+        let root_settings = RootSettings { sessions: parts.settings.limits.sessions, ..RootSettings::default() };
+        Core {
+            node: parts.node,
+            root: RootEngine::new(parts.node, root_settings, rand::random()),
+            leaf: LeafEngine::new(LeafSettings::default()),
+            cluster: ClusterEngine::new(ClusterSettings::new(me, seeds), rand::random()),
+            settings: parts.settings,
+            logs: parts.logs,
+            metrics: parts.metrics,
+            events: parts.events,
+            peers: parts.peers,
+            searchers: parts.searchers,
+            next_sequence: 1,
+            pending: HashMap::new(),
+            held: Vec::new(),
+            resumes: HashMap::new(),
+            session_versions: HashMap::new(),
+            next_ask: 1,
+            changes: HashMap::new(),
+            routes: HashMap::new(),
+            machines: MachineList::default(),
+            next_tick: BootTime::default(),
+            stopping_since: None,
+            idle_since: None,
+            last_counters: RootCounters::default(),
+            serving: parts.serving,
+            stop: parts.stop,
+        }
+    }
+
+    /// Handles events until a planned stop is done.
+    pub fn run(mut self) {
+        while !self.is_done() {
+            let wait = self.time_to_wait();
+            match self.events.recv_timeout(wait) {
+                Ok(event) => {
+                    self.on_event(event);
+                    self.drain_events();
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            self.on_time();
+        }
+        let mut actions = Vec::new();
+        self.cluster.on_event(clock::now(), ClusterEvent::Left, &mut actions);
+        self.do_cluster(actions);
+        self.stop.store(true, Ordering::Release);
+    }
+
+    fn drain_events(&mut self) {
+        for _ in 0..EVENTS_PER_TURN {
+            let Ok(event) = self.events.try_recv() else {
+                return;
+            };
+            self.on_event(event);
+        }
+    }
+
+    fn time_to_wait(&self) -> Duration {
+        let now = clock::now();
+        let tick = now.until(self.next_tick);
+        self.root.next_wake().map_or(tick, |wake| now.until(wake).min(tick))
+    }
+
+    fn on_event(&mut self, event: CoreEvent) {
+        // Read anew for each event: a pause may lie between two.
+        let now = clock::now();
+        match event {
+            CoreEvent::Caller { command, reply } => self.on_caller(now, command, reply),
+            CoreEvent::Peer(message) => self.on_peer(now, message),
+            CoreEvent::PeerBroken(address) => self.on_peer_broken(now, address),
+            CoreEvent::Undelivered { request, partly_written } => self.on_undelivered(now, &request, partly_written),
+            CoreEvent::SearcherReplied(reply) => self.leaf_event(now, LeafEvent::Reply(reply)),
+            CoreEvent::Probed { searcher, asked_at, evidence } => {
+                self.leaf_event(now, LeafEvent::Probed { searcher, asked_at, evidence });
+            }
+            CoreEvent::Platform(document) => self.cluster_event(now, ClusterEvent::Platform(document)),
+            CoreEvent::Machines(machines) => {
+                self.machines = machines;
+                self.update_listed(now);
+            }
+            CoreEvent::Stop => self.begin_stop(now),
+        }
+    }
+
+    fn on_time(&mut self) {
+        let now = clock::now();
+        self.root_event(now, RootEvent::Tick);
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now + TICK;
+        self.cluster_event(now, ClusterEvent::Tick);
+        self.leaf_event(now, LeafEvent::Tick);
+        self.expire_held(now);
+        self.expire_resumes(now);
+        self.expire_changes(now);
+        self.update_metrics(now);
+    }
+
+    fn root_event(&mut self, now: BootTime, event: RootEvent) {
+        let mut actions = Vec::new();
+        self.root.on_event(now, event, &mut actions);
+        self.do_root(now, actions);
+    }
+
+    fn leaf_event(&mut self, now: BootTime, event: LeafEvent) {
+        let mut actions = Vec::new();
+        self.leaf.on_event(now, event, &mut actions);
+        self.do_leaf(now, actions);
+    }
+
+    fn cluster_event(&mut self, now: BootTime, event: ClusterEvent) {
+        let mut actions = Vec::new();
+        self.cluster.on_event(now, event, &mut actions);
+        self.do_cluster(actions);
+    }
+
+    fn begin_stop(&mut self, now: BootTime) {
+        if self.stopping_since.is_some() {
+            spdlog::info!(logger: self.logs.cluster, "event=stop_again in_flight={}", self.root.in_flight());
+            return;
+        }
+        spdlog::info!(logger: self.logs.cluster, "event=stop_begins in_flight={}", self.root.in_flight());
+        self.stopping_since = Some(now);
+        self.cluster_event(now, ClusterEvent::Leave);
+        self.leaf_event(now, LeafEvent::Stop);
+    }
+
+    fn is_lingering_over(&self, now: BootTime) -> bool {
+        self.stopping_since.is_some_and(|since| now.since(since) >= STOP_LINGER)
+    }
+
+    /// Whether a planned stop has nothing left to wait for.
+    fn is_done(&mut self) -> bool {
+        let now = clock::now();
+        let Some(since) = self.stopping_since else {
+            return false;
+        };
+        let is_over_bound = now.since(since) >= Duration::from_millis(self.settings.limits.stop_ms);
+        let is_busy = self.root.in_flight() > 0
+            || self.leaf.in_flight() > 0
+            || !self.held.is_empty()
+            || !self.resumes.is_empty()
+            || self.serving.load(Ordering::Acquire) > 0;
+        if is_busy || !self.is_lingering_over(now) {
+            self.idle_since = None;
+            // Requests have wait bounds of their own, so this ends; only the wait for voters is cut.
+            return false;
+        }
+        if !self.cluster.is_free_to_leave() && !is_over_bound {
+            return false;
+        }
+        let idle_since = *self.idle_since.get_or_insert(now);
+        now.since(idle_since) >= LAST_REPLY
+    }
+
+    /// Searchers that the platform lists as leaving or that operators drain.
+    fn update_listed(&mut self, now: BootTime) {
+        let leaving: BTreeSet<SocketAddr> = self
+            .machines
+            .machines
+            .iter()
+            .filter(|machine| machine.state == MachineState::Leaving)
+            .map(|machine| machine.address)
+            .collect();
+        let mut listed = self.cluster.config().drained.clone();
+        for service in self.cluster.config().services() {
+            let on_leaving = service.searchers.iter().filter(|searcher| leaving.contains(&searcher.address));
+            listed.extend(on_leaving.map(|searcher| searcher.id));
+        }
+        self.leaf_event(now, LeafEvent::Listed(listed));
+    }
+
+    fn update_metrics(&mut self, now: BootTime) {
+        let counters = self.root.counters;
+        self.metrics.add_root_counters(self.last_counters, counters);
+        self.last_counters = counters;
+        self.metrics.sessions.set(self.root.sessions.len() as i64);
+        self.metrics.in_flight.set(self.root.in_flight() as i64);
+        self.metrics.revision.set(self.cluster.config().revision as i64);
+        self.metrics.lease_ms.set(self.cluster.lease_remaining(now).as_millis() as i64);
+        let members = self.cluster.members().filter(|member| member.takes_work()).count();
+        self.metrics.members.set(members as i64);
+    }
+}
--- /dev/null
+++ b/crates/staircross-node/src/core/callers.rs
@@ -0,0 +1,280 @@
+//! What callers and operators ask.
+
+use super::Core;
+use super::sessions::{send_reply, session_tag};
+use crate::api::{Cursor, MemberStatus, ReplyBody, SessionReply, StatementReply, StatusReply, TicketReply};
+use crossbeam::channel::Sender;
+use staircross_cluster::{ClusterEvent, MemberState};
+use staircross_language::{PullStatement, RunStatement, SearchStatement, Statement};
+use staircross_search::{Refusal, RootEvent, SessionState, Submission, Work};
+use staircross_types::query::PagePosition;
+use staircross_types::{
+    ActionCommand, BootTime, ErrorKind, RequestId, SearchQuery, ServiceName, SessionToken, ShardId, Ticket,
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a caller or operator asks.
+#[derive(Clone, Debug)]
+pub enum CallerCommand {
+    /// Open a session.
+    OpenSession,
+    /// Close one.
+    CloseSession(SessionToken),
+    /// Mint a ticket for a non-repeatable request.
+    MintTicket(SessionToken),
+    /// Execute a caller's statement.
+    Execute {
+        /// The session.
+        token: SessionToken,
+        /// The statement.
+        statement: Statement,
+    },
+    /// Execute an operator's statement.
+    Operate(Statement),
+    /// Tell the node's state.
+    Status,
+}
+
+/// The reply.
+#[derive(Clone, Debug)]
+pub enum CallerReply {
+    /// To [`CallerCommand::OpenSession`].
+    Session(SessionReply),
+    /// To [`CallerCommand::CloseSession`].
+    Closed,
+    /// To [`CallerCommand::MintTicket`].
+    Ticket(TicketReply),
+    /// To a statement.
+    Statement(StatementReply),
+    /// To [`CallerCommand::Status`].
+    Status(Box<StatusReply>),
+    /// Refused.
+    Refused(Refusal),
+}
+
+/// A request that the root has and a caller waits for.
+pub(super) struct PendingRequest {
+    pub session: SessionToken,
+    pub session_tag: String,
+    pub session_before: Option<SessionState>,
+    pub service: ServiceName,
+    pub started: BootTime,
+    pub reply: Sender<CallerReply>,
+}
+
+/// What a statement asks of the root.
+struct RootWork {
+    service: ServiceName,
+    work: Work,
+    wait_ms: Option<u64>,
+    least_per_mille: Option<u32>,
+    pinned: Option<staircross_types::Snapshot>,
+    ticket: Option<Ticket>,
+}
+
+impl Core {
+    pub(super) fn on_caller(&mut self, now: BootTime, command: CallerCommand, reply: Sender<CallerReply>) {
+        match command {
+            CallerCommand::OpenSession => self.open_session(now, reply),
+            CallerCommand::Operate(statement) => self.operate(now, statement, reply),
+            CallerCommand::Status => send_reply(&reply, CallerReply::Status(Box::new(self.status(now)))),
+            CallerCommand::CloseSession(token)
+            | CallerCommand::MintTicket(token)
+            | CallerCommand::Execute { token, .. }
+                if self.root.sessions.get(token).is_none() =>
+            {
+                self.resume_then(now, token, command, reply);
+            }
+            CallerCommand::CloseSession(token) => {
+                self.drop_session(token);
+                self.cluster_event(now, ClusterEvent::ForgetSession { token });
+                send_reply(&reply, CallerReply::Closed);
+            }
+            CallerCommand::MintTicket(token) => self.mint_ticket(now, token, reply),
+            CallerCommand::Execute { token, statement } => self.execute(now, token, statement, reply),
+        }
+    }
+
+    fn open_session(&mut self, now: BootTime, reply: Sender<CallerReply>) {
+        if self.stopping_since.is_some() {
+            let detail = self.successor().map_or("this node is stopping".to_owned(), |to| format!("ask {to}"));
+            send_reply(&reply, CallerReply::Refused(Refusal::new(ErrorKind::Leaving, detail)));
+            return;
+        }
+        let token = SessionToken(rand::random());
+        if !self.root.sessions.open(now, token) {
+            let detail = format!("{} sessions are open here", self.root.sessions.len());
+            send_reply(&reply, CallerReply::Refused(Refusal::new(ErrorKind::TooManySessions, detail)));
+            return;
+        }
+        let content = CallerReply::Session(SessionReply { session: token, node: self.node });
+        self.copy_then_reply(now, token, reply, content);
+    }
+
+    fn mint_ticket(&mut self, now: BootTime, token: SessionToken, reply: Sender<CallerReply>) {
+        let ticket = Ticket { node: self.node, serial: rand::random() };
+        if let Some(session) = self.root.sessions.touch(now, token) {
+            session.add_ticket(ticket);
+        }
+        self.copy_then_reply(now, token, reply, CallerReply::Ticket(ticket.into()));
+    }
+
+    fn execute(&mut self, now: BootTime, token: SessionToken, statement: Statement, reply: Sender<CallerReply>) {
+        let prepared = match statement {
+            Statement::Search(search) => Ok(prepare_search(search)),
+            Statement::Pull(pull) => prepare_pull(pull),
+            Statement::Run(run) => prepare_run(run),
+            Statement::Show(show) => {
+                let body = self.show(now, &show);
+                self.reply_body(&reply, body);
+                return;
+            }
+            Statement::Config(_) => {
+                let detail = "changes of configuration go to /v1/command, not into a session";
+                Err(Refusal::new(ErrorKind::BadRequest, detail))
+            }
+        };
+        match prepared.and_then(|work| self.check_may_act(now).map(|()| work)) {
+            Ok(work) => self.submit(now, token, work, reply),
+            Err(refusal) => self.reply_body(&reply, ReplyBody::Refusal((&refusal).into())),
+        }
+    }
+
+    fn check_may_act(&self, now: BootTime) -> Result<(), Refusal> {
+        if self.is_lingering_over(now) {
+            return Err(Refusal::new(ErrorKind::Leaving, "this node is stopping; the session lives on at the others"));
+        }
+        if !self.cluster.may_act(now) {
+            let detail = "the node's configuration lease has lapsed; the session stays open";
+            return Err(Refusal::new(ErrorKind::NoConfigLease, detail));
+        }
+        Ok(())
+    }
+
+    fn submit(&mut self, now: BootTime, token: SessionToken, work: RootWork, reply: Sender<CallerReply>) {
+        let request = RequestId { node: self.node, sequence: self.next_sequence };
+        self.next_sequence += 1;
+        let pending = PendingRequest {
+            session: token,
+            session_tag: session_tag(token),
+            session_before: self.root.sessions.get(token).cloned(),
+            service: work.service.clone(),
+            started: now,
+            reply,
+        };
+        self.pending.insert(request.sequence, pending);
+        let submission = Submission {
+            request,
+            session: token,
+            service: work.service,
+            work: work.work,
+            wait: work.wait_ms.map(Duration::from_millis),
+            least_per_mille: work.least_per_mille,
+            pinned: work.pinned,
+            ticket: work.ticket,
+        };
+        self.root_event(now, RootEvent::Submit(submission));
+    }
+
+    fn operate(&mut self, now: BootTime, statement: Statement, reply: Sender<CallerReply>) {
+        match statement {
+            Statement::Show(show) => {
+                let body = self.show(now, &show);
+                self.reply_body(&reply, body);
+            }
+            Statement::Config(change) => self.change_config(now, change, reply),
+            Statement::Search(_) | Statement::Pull(_) | Statement::Run(_) => {
+                let refusal = Refusal::new(ErrorKind::BadRequest, "reading and acting need a session");
+                self.reply_body(&reply, ReplyBody::Refusal((&refusal).into()));
+            }
+        }
+    }
+
+    pub(super) fn reply_body(&self, reply: &Sender<CallerReply>, body: ReplyBody) {
+        let moved_to = self.successor();
+        send_reply(reply, CallerReply::Statement(StatementReply { request: String::new(), body, moved_to }));
+    }
+
+    /// While stopping: the node that callers should turn to, the same zone before others.
+    pub(super) fn successor(&self) -> Option<SocketAddr> {
+        self.stopping_since?;
+        let own_zone = &self.settings.node.zone;
+        let staying =
+            self.cluster.members().filter(|member| member.node != self.node && member.state == MemberState::Alive);
+        staying.min_by_key(|member| (&member.zone != own_zone, member.node)).map(|member| member.caller_address)
+    }
+
+    fn status(&self, now: BootTime) -> StatusReply {
+        let config = self.cluster.config();
+        let members = self.cluster.members().map(|member| MemberStatus {
+            node: member.node,
+            address: member.caller_address,
+            region: member.region.clone(),
+            zone: member.zone.to_string(),
+            state: format!("{:?}", member.state).to_lowercase(),
+            is_voter: config.voters.contains(member.node),
+        });
+        StatusReply {
+            node: self.node,
+            leaving: self.stopping_since.is_some(),
+            may_act: self.cluster.may_act(now),
+            lease_ms: self.cluster.lease_remaining(now).as_millis() as u64,
+            revision: config.revision,
+            platform_revision: config.platform_revision(),
+            is_voter: self.cluster.is_voter(),
+            leader: self.cluster.leader(),
+            sessions: self.root.sessions.len(),
+            requests_in_flight: self.root.in_flight(),
+            owned_searchers: self.leaf.views().len(),
+            members: members.collect(),
+        }
+    }
+}
+
+fn prepare_search(search: SearchStatement) -> RootWork {
+    RootWork {
+        service: search.service,
+        work: Work::Search(SearchQuery { terms: search.terms, limit: search.limit, after: None }),
+        wait_ms: search.wait_ms,
+        least_per_mille: search.coverage_per_mille,
+        pinned: None,
+        ticket: None,
+    }
+}
+
+fn prepare_pull(pull: PullStatement) -> Result<RootWork, Refusal> {
+    let cursor = match &pull.after {
+        None => None,
+        Some(text) => Some(Cursor::decode(text).ok_or_else(|| {
+            Refusal::new(ErrorKind::BadRequest, format!("AFTER '{text}' is not a cursor of an earlier page"))
+        })?),
+    };
+    let start = PagePosition { shard: ShardId(0), document: String::new() };
+    let after = cursor.as_ref().map_or(start, |cursor| cursor.position.clone());
+    Ok(RootWork {
+        service: pull.service,
+        work: Work::Search(SearchQuery { terms: pull.terms, limit: pull.limit, after: Some(after) }),
+        wait_ms: pull.wait_ms,
+        least_per_mille: None,
+        pinned: cursor.map(|cursor| cursor.snapshot),
+        ticket: None,
+    })
+}
+
+fn prepare_run(run: RunStatement) -> Result<RootWork, Refusal> {
+    let Some(text) = run.ticket else {
+        let detail = "RUN needs TICKET '…', so that it runs at most once; get one from the session's tickets";
+        return Err(Refusal::new(ErrorKind::NotRepeatable, detail));
+    };
+    let ticket =
+        text.parse().map_err(|error| Refusal::new(ErrorKind::BadTicket, format!("TICKET '{text}': {error}")))?;
+    Ok(RootWork {
+        service: run.service,
+        work: Work::Act(ActionCommand { verb: run.verb, target: run.target, note: run.note }),
+        wait_ms: run.wait_ms,
+        least_per_mille: None,
+        pinned: None,
+        ticket: Some(ticket),
+    })
+}
--- /dev/null
+++ b/crates/staircross-node/src/core/requests.rs
@@ -0,0 +1,162 @@
+//! From root to leaf to searcher and back.
+
+use super::Core;
+use crate::clock;
+use spdlog::{debug, info};
+use staircross_search::leaf::not_run;
+use staircross_search::{
+    LeafAction, LeafEvent, NotRunReason, Outcome, RootAction, RootEvent, SubOutcome, SubReply, SubRequest,
+    UnknownReason,
+};
+use staircross_types::{AttemptId, BootTime, NodeId, RequestId, SearcherId};
+use staircross_wire::PeerMessage;
+use std::net::SocketAddr;
+
+impl Core {
+    pub(super) fn do_root(&mut self, now: BootTime, actions: Vec<RootAction>) {
+        for action in actions {
+            match action {
+                RootAction::Send(request) => self.route(now, request),
+                RootAction::Cancel { attempt, searcher } => self.route_cancel(now, attempt, searcher),
+                RootAction::Finish { request, outcome } => self.on_finished(now, request, outcome),
+            }
+        }
+    }
+
+    /// Sends a sub-request through one of the searcher's owners.
+    fn route(&mut self, now: BootTime, request: SubRequest) {
+        let owners = self.cluster.ownership().owners(request.searcher).to_vec();
+        // Attempts spread over all owners, because each has only its share of the slots.
+        let start = request.attempt.request.sequence as usize + request.attempt.attempt as usize;
+        let owner = (0..owners.len()).map(|step| owners[(start + step) % owners.len()]).find_map(|owner| {
+            let member = self.cluster.member(owner).filter(|member| member.takes_work() || owner == self.node)?;
+            Some((owner, member.peer_address))
+        });
+        debug!(logger: self.logs.search, "event=sub_request attempt={} searcher={} snapshot={} shards={} owner={:?}",
+            request.attempt, request.searcher, request.snapshot, request.shards.len(), owner.map(|(node, _)| node));
+        match owner {
+            Some((owner, _)) if owner == self.node => {
+                self.leaf_event(now, LeafEvent::Request { from: self.node, request });
+            }
+            Some((owner, address)) => {
+                self.routes.insert(request.attempt, address);
+                self.peers.send(address, PeerMessage::Request { from: self.node, to: owner, request });
+            }
+            None => {
+                let reply = not_run(&request, NotRunReason::NotOwner);
+                self.root_event(now, RootEvent::Reply(reply));
+            }
+        }
+    }
+
+    fn route_cancel(&mut self, now: BootTime, attempt: AttemptId, searcher: SearcherId) {
+        match self.routes.remove(&attempt) {
+            Some(address) => self.peers.send(address, PeerMessage::Cancel { from: self.node, attempt }),
+            None => {
+                debug!(logger: self.logs.search, "event=cancel attempt={attempt} searcher={searcher}");
+                self.leaf_event(now, LeafEvent::Cancel { from: self.node, attempt });
+            }
+        }
+    }
+
+    pub(super) fn do_leaf(&mut self, now: BootTime, actions: Vec<LeafAction>) {
+        for action in actions {
+            match action {
+                LeafAction::Send { request, send_before } => self.searchers.send(request, send_before),
+                LeafAction::CancelAtSearcher { searcher, attempt } => self.searchers.cancel(searcher, attempt),
+                LeafAction::Probe { searcher } => self.searchers.probe(searcher),
+                LeafAction::Reply { to, reply } => self.reply_to_root(now, to, reply),
+                LeafAction::Spread(view) => self.spread_view(now, &view),
+            }
+        }
+    }
+
+    fn reply_to_root(&mut self, now: BootTime, to: NodeId, reply: SubReply) {
+        if to == self.node {
+            self.root_event(now, RootEvent::Reply(reply));
+            return;
+        }
+        if let Some(address) = self.cluster.member(to).map(|member| member.peer_address) {
+            self.peers.send(address, PeerMessage::Reply { to, reply });
+        }
+    }
+
+    pub(super) fn on_peer(&mut self, now: BootTime, message: PeerMessage) {
+        match message {
+            PeerMessage::Cluster(envelope) => {
+                self.cluster_event(now, staircross_cluster::ClusterEvent::Message(envelope));
+            }
+            PeerMessage::Request { from, to, request } => {
+                if to == self.node {
+                    self.leaf_event(now, LeafEvent::Request { from, request });
+                } else if let Some(address) = self.cluster.member(from).map(|member| member.peer_address) {
+                    // Meant for the run before this one.
+                    let reply = not_run(&request, NotRunReason::NotOwner);
+                    self.peers.send(address, PeerMessage::Reply { to: from, reply });
+                }
+            }
+            PeerMessage::Reply { to, reply } => {
+                if to == self.node {
+                    self.routes.remove(&reply.attempt);
+                    self.root_event(now, RootEvent::Reply(reply));
+                }
+            }
+            PeerMessage::Cancel { from, attempt } => self.leaf_event(now, LeafEvent::Cancel { from, attempt }),
+        }
+    }
+
+    /// A leaf that can't be reached any more may have run what it was sent.
+    pub(super) fn on_peer_broken(&mut self, now: BootTime, address: SocketAddr) {
+        let lost: Vec<AttemptId> =
+            self.routes.iter().filter(|(_, route)| **route == address).map(|(attempt, _)| *attempt).collect();
+        for attempt in lost {
+            self.routes.remove(&attempt);
+            if let Some((searcher, snapshot)) = self.root.attempt_target(attempt) {
+                let outcome = SubOutcome::Unknown(UnknownReason::Broken);
+                self.root_event(now, RootEvent::Reply(SubReply { attempt, searcher, snapshot, outcome }));
+            }
+        }
+    }
+
+    pub(super) fn on_undelivered(&mut self, now: BootTime, request: &SubRequest, partly_written: bool) {
+        self.routes.remove(&request.attempt);
+        let mut reply = not_run(request, NotRunReason::NotOwner);
+        if partly_written {
+            reply.outcome = SubOutcome::Unknown(UnknownReason::Broken);
+        }
+        self.root_event(now, RootEvent::Reply(reply));
+    }
+
+    fn on_finished(&mut self, now: BootTime, request: RequestId, outcome: Outcome) {
+        self.routes.retain(|attempt, _| attempt.request != request);
+        let Some(pending) = self.pending.remove(&request.sequence) else {
+            return;
+        };
+        let elapsed = clock::now().since(pending.started);
+        match &outcome {
+            Outcome::Answer(answer) => {
+                info!(logger: self.logs.search,
+                    "event=answer request={request} session={} service={} snapshot={} shards={}/{} sent={} needed={} ms={:.1}",
+                    pending.session_tag, pending.service, answer.snapshot, answer.coverage.included.len(),
+                    answer.coverage.total(), answer.sent, answer.needed, elapsed.as_secs_f64() * 1000.0);
+                self.metrics.requests.with_label_values(&["answer"]).inc();
+                self.metrics.answer_seconds.observe(elapsed.as_secs_f64());
+                for missing in &answer.coverage.missing {
+                    self.metrics.missing_shards.with_label_values(&[missing.cause.name()]).inc();
+                }
+            }
+            Outcome::Acted(receipt) => {
+                info!(logger: self.logs.search, "event=acted request={request} session={} service={} entry={}",
+                    pending.session_tag, pending.service, receipt.entry);
+                self.metrics.requests.with_label_values(&["acted"]).inc();
+            }
+            Outcome::Refusal(refusal) => {
+                info!(logger: self.logs.search,
+                    "event=refusal request={request} session={} service={} kind={} detail={:?}",
+                    pending.session_tag, pending.service, refusal.kind, refusal.detail);
+                self.metrics.requests.with_label_values(&[refusal.kind.name()]).inc();
+            }
+        }
+        self.reply_after_copies(now, request, pending, outcome);
+    }
+}
--- /dev/null
+++ b/crates/staircross-node/src/core/sessions.rs
@@ -0,0 +1,228 @@
+//! Sessions across nodes: copies before replies, and taking over by token.
+
+use super::callers::{CallerReply, PendingRequest};
+use super::{CallerCommand, Core};
+use crate::api::{ReplyBody, StatementReply};
+use crossbeam::channel::Sender;
+use spdlog::{info, warn};
+use staircross_cluster::ClusterEvent;
+use staircross_cluster::replicas::SessionCopy;
+use staircross_search::{Outcome, Refusal, SessionState};
+use staircross_types::{BootTime, ErrorKind, RequestId, SessionToken};
+use std::time::Duration;
+
+/// Longest time a reply is held for its session's copies. After it the session is at risk, not the reply.
+const COPY_WAIT: Duration = Duration::from_millis(150);
+/// Longest wait for other nodes' copies of a session.
+const RESUME_WAIT: Duration = Duration::from_millis(400);
+/// Commands that may wait for one session to be found.
+const MAX_WAITING: usize = 64;
+
+/// A reply that waits until its session's state is copied.
+pub(super) struct HeldReply {
+    token: SessionToken,
+    version: u64,
+    missing: usize,
+    due: BootTime,
+    reply: Sender<CallerReply>,
+    content: CallerReply,
+}
+
+/// A session that is being looked for at other nodes.
+pub(super) struct PendingResume {
+    ask: u64,
+    answers_left: usize,
+    best: Option<SessionCopy>,
+    due: BootTime,
+    waiting: Vec<(CallerCommand, Sender<CallerReply>)>,
+}
+
+impl Core {
+    /// Copies a session's state to other nodes and sends `content` when that is done.
+    pub(super) fn copy_then_reply(
+        &mut self,
+        now: BootTime,
+        token: SessionToken,
+        reply: Sender<CallerReply>,
+        content: CallerReply,
+    ) {
+        let missing = self.cluster.wanted_copies();
+        let encoded = self.root.sessions.get(token).and_then(encode_session);
+        let (Some(state), true) = (encoded, missing > 0) else {
+            send_reply(&reply, content);
+            return;
+        };
+        let version = self.session_versions.entry(token).or_insert(0);
+        *version += 1;
+        let version = *version;
+        self.held.push(HeldReply { token, version, missing, due: now + COPY_WAIT, reply, content });
+        self.cluster_event(now, ClusterEvent::StoreSession { token, version, state });
+    }
+
+    pub(super) fn reply_after_copies(
+        &mut self,
+        now: BootTime,
+        request: RequestId,
+        pending: PendingRequest,
+        outcome: Outcome,
+    ) {
+        let body = ReplyBody::from(outcome);
+        let moved_to = self.successor();
+        let content = CallerReply::Statement(StatementReply { request: request.to_string(), body, moved_to });
+        let after = self.root.sessions.get(pending.session);
+        // Only what changed needs a copy; most searches see the snapshot seen before.
+        if after.is_some() && after != pending.session_before.as_ref() {
+            self.copy_then_reply(now, pending.session, pending.reply, content);
+        } else {
+            send_reply(&pending.reply, content);
+        }
+    }
+
+    pub(super) fn on_session_stored(&mut self, token: SessionToken, version: u64, is_overtaken: bool) {
+        if is_overtaken {
+            info!(logger: self.logs.front, "event=session_overtaken session={}", session_tag(token));
+            self.drop_session(token);
+        }
+        for held in &mut self.held {
+            if held.token == token && held.version <= version {
+                held.missing = held.missing.saturating_sub(1);
+            }
+        }
+        self.release_held(|held| held.missing == 0);
+    }
+
+    pub(super) fn expire_held(&mut self, now: BootTime) {
+        let late = self.held.iter().filter(|held| now >= held.due).count();
+        if late > 0 {
+            warn!(logger: self.logs.front, "event=session_copy_late replies={late}");
+            self.metrics.dropped.with_label_values(&["session_copy"]).inc_by(late as u64);
+        }
+        self.release_held(|held| now >= held.due);
+    }
+
+    fn release_held(&mut self, is_ready: impl Fn(&HeldReply) -> bool) {
+        let (ready, waiting): (Vec<HeldReply>, Vec<HeldReply>) = self.held.drain(..).partition(is_ready);
+        self.held = waiting;
+        for held in ready {
+            send_reply(&held.reply, held.content);
+        }
+    }
+
+    /// Looks for a session at other nodes; the command goes on when it is found.
+    pub(super) fn resume_then(
+        &mut self,
+        now: BootTime,
+        token: SessionToken,
+        command: CallerCommand,
+        reply: Sender<CallerReply>,
+    ) {
+        if let Some(resume) = self.resumes.get_mut(&token) {
+            if resume.waiting.len() < MAX_WAITING {
+                resume.waiting.push((command, reply));
+            } else {
+                send_reply(&reply, CallerReply::Refused(unknown_session()));
+            }
+            return;
+        }
+        let answers_left = self.cluster.asked_for_session(token);
+        if answers_left == 0 {
+            send_reply(&reply, CallerReply::Refused(unknown_session()));
+            return;
+        }
+        let ask = self.next_ask;
+        self.next_ask += 1;
+        let waiting = vec![(command, reply)];
+        let resume = PendingResume { ask, answers_left, best: None, due: now + RESUME_WAIT, waiting };
+        self.resumes.insert(token, resume);
+        self.cluster_event(now, ClusterEvent::FetchSession { token, ask });
+    }
+
+    pub(super) fn on_session_fetched(
+        &mut self,
+        now: BootTime,
+        token: SessionToken,
+        ask: u64,
+        copy: Option<SessionCopy>,
+    ) {
+        let Some(resume) = self.resumes.get_mut(&token).filter(|resume| resume.ask == ask) else {
+            return;
+        };
+        resume.answers_left = resume.answers_left.saturating_sub(1);
+        let best_version = resume.best.as_ref().map_or(0, |best| best.version);
+        if let Some(copy) = copy.filter(|copy| copy.version > best_version) {
+            resume.best = Some(copy);
+        }
+        if resume.answers_left == 0 {
+            self.finish_resume(now, token);
+        }
+    }
+
+    pub(super) fn expire_resumes(&mut self, now: BootTime) {
+        let due: Vec<SessionToken> =
+            self.resumes.iter().filter(|(_, resume)| now >= resume.due).map(|(token, _)| *token).collect();
+        for token in due {
+            self.finish_resume(now, token);
+        }
+    }
+
+    fn finish_resume(&mut self, now: BootTime, token: SessionToken) {
+        let Some(resume) = self.resumes.remove(&token) else {
+            return;
+        };
+        let adopted = resume.best.is_some_and(|copy| self.adopt(now, token, &copy));
+        for (command, reply) in resume.waiting {
+            if adopted {
+                self.on_caller(now, command, reply);
+            } else {
+                send_reply(&reply, CallerReply::Refused(unknown_session()));
+            }
+        }
+    }
+
+    fn adopt(&mut self, now: BootTime, token: SessionToken, copy: &SessionCopy) -> bool {
+        let Some(state) = decode_session(&copy.state) else {
+            return false;
+        };
+        if !self.root.sessions.adopt(now, token, state) {
+            return false;
+        }
+        info!(logger: self.logs.front, "event=session_adopted session={} from={}", session_tag(token), copy.holder);
+        let version = copy.version + 1;
+        self.session_versions.insert(token, version);
+        if let Some(state) = self.root.sessions.get(token).and_then(encode_session) {
+            self.cluster_event(now, ClusterEvent::StoreSession { token, version, state });
+        }
+        self.cluster_event(now, ClusterEvent::TakeOver { token, holder: copy.holder });
+        true
+    }
+
+    /// Another node holds the session now: the next request here looks for it anew.
+    pub(super) fn drop_session(&mut self, token: SessionToken) {
+        self.root.sessions.close(token);
+        self.session_versions.remove(&token);
+    }
+}
+
+/// What logs call a session: the token itself is a secret.
+pub(super) fn session_tag(token: SessionToken) -> String {
+    staircross_types::body_digest(&token.0.to_be_bytes())[..8].to_owned()
+}
+
+fn encode_session(state: &SessionState) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(state, &mut bytes).ok()?;
+    Some(bytes)
+}
+
+fn decode_session(bytes: &[u8]) -> Option<SessionState> {
+    ciborium::from_reader(bytes).ok()
+}
+
+pub(super) fn unknown_session() -> Refusal {
+    Refusal::new(ErrorKind::UnknownSession, "no session has this token here or at the nodes that would hold a copy")
+}
+
+pub(super) fn send_reply(reply: &Sender<CallerReply>, content: CallerReply) {
+    // The caller may have gone; then nobody wants the reply.
+    let _caller_may_be_gone = reply.send(content);
+}
--- /dev/null
+++ b/crates/staircross-node/src/core/show.rs
@@ -0,0 +1,137 @@
+//! `SHOW` statements.
+
+use super::Core;
+use super::config::change_body;
+use crate::api::{Listing, ReplyBody, config_listing};
+use staircross_cluster::{ChangeId, ChangeOutcome};
+use staircross_language::ShowStatement;
+use staircross_search::Refusal;
+use staircross_types::{BootTime, ErrorKind, ServiceName};
+
+impl Core {
+    pub(super) fn show(&mut self, now: BootTime, what: &ShowStatement) -> ReplyBody {
+        let listing = match what {
+            ShowStatement::Services | ShowStatement::Config => Ok(config_listing(self.cluster.config())),
+            ShowStatement::Searchers => Ok(self.show_searchers()),
+            ShowStatement::Members => Ok(self.show_members(now)),
+            ShowStatement::ConfigHistory => Ok(self.show_history()),
+            ShowStatement::ConfigExport => self.show_export(),
+            ShowStatement::Shards(service) => self.show_shards(service),
+            ShowStatement::Change(id) => return self.show_change(id),
+        };
+        match listing {
+            Ok(listing) => ReplyBody::Listing(listing),
+            Err(refusal) => ReplyBody::Refusal((&refusal).into()),
+        }
+    }
+
+    fn show_searchers(&mut self) -> Listing {
+        let mut listing = Listing::new(&["searcher", "service", "zone", "address", "state", "snapshots", "owners"]);
+        let config = self.cluster.config().clone();
+        for service in config.services() {
+            for searcher in &service.searchers {
+                let record = self.cluster.view_records().find(|record| record.searcher == searcher.id);
+                let evidence = record.and_then(|record| record.evidence.as_ref());
+                let state = match (record, evidence) {
+                    (Some(record), _) if record.leaving => "leaving",
+                    (_, Some(evidence)) if !evidence.snapshots.is_empty() => "serving",
+                    (Some(_), _) => "unreachable",
+                    (None, _) => "unknown",
+                };
+                let snapshots: Vec<String> =
+                    evidence.iter().flat_map(|evidence| &evidence.snapshots).map(ToString::to_string).collect();
+                let owners: Vec<String> = self
+                    .cluster
+                    .ownership()
+                    .owners(searcher.id)
+                    .iter()
+                    .map(|owner| owner.to_string()[..8].to_owned())
+                    .collect();
+                listing.rows.push(vec![
+                    searcher.id.to_string(),
+                    service.name.to_string(),
+                    searcher.zone.to_string(),
+                    searcher.address.to_string(),
+                    state.to_owned(),
+                    snapshots.join(" "),
+                    owners.join(" "),
+                ]);
+            }
+        }
+        listing
+    }
+
+    fn show_members(&self, _now: BootTime) -> Listing {
+        let mut listing = Listing::new(&["node", "region", "zone", "callers", "peers", "state", "voter", "leader"]);
+        let config = self.cluster.config();
+        let yes = |condition: bool| if condition { "yes" } else { "" }.to_owned();
+        for member in self.cluster.members() {
+            listing.rows.push(vec![
+                member.node.to_string(),
+                member.region.clone(),
+                member.zone.to_string(),
+                member.caller_address.to_string(),
+                member.peer_address.to_string(),
+                format!("{:?}", member.state).to_lowercase(),
+                yes(config.voters.contains(member.node)),
+                yes(self.cluster.leader() == Some(member.node)),
+            ]);
+        }
+        listing
+    }
+
+    fn show_history(&self) -> Listing {
+        let mut listing = Listing::new(&["revision", "change", "what", "outcome"]);
+        for entry in &self.cluster.config().history {
+            let outcome = match entry.outcome {
+                ChangeOutcome::Applied { .. } => "applied".to_owned(),
+                ChangeOutcome::Refused { kind } => format!("refused: {kind}"),
+            };
+            listing.rows.push(vec![entry.revision.to_string(), entry.id.to_string(), entry.summary.clone(), outcome]);
+        }
+        listing
+    }
+
+    fn show_export(&self) -> Result<Listing, Refusal> {
+        let document = serde_json::to_string_pretty(&self.cluster.config().export())
+            .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
+        let mut listing = Listing::new(&["document"]);
+        listing.rows.push(vec![document]);
+        Ok(listing)
+    }
+
+    fn show_shards(&mut self, service: &ServiceName) -> Result<Listing, Refusal> {
+        let Some(definition) = self.root.service(service).cloned() else {
+            return Err(Refusal::new(ErrorKind::UnknownService, format!("no service is named {service}")));
+        };
+        let current = self.root.current_snapshot(service);
+        let mut listing = Listing::new(&["snapshot", "served", "shard", "replicas"]);
+        for map in &definition.shard_maps {
+            for placement in &map.shards {
+                let replicas: Vec<String> = placement.replicas.iter().map(ToString::to_string).collect();
+                listing.rows.push(vec![
+                    map.snapshot.to_string(),
+                    if current == Some(map.snapshot) { "yes" } else { "" }.to_owned(),
+                    placement.shard.to_string(),
+                    replicas.join(" "),
+                ]);
+            }
+        }
+        Ok(listing)
+    }
+
+    fn show_change(&self, text: &str) -> ReplyBody {
+        let Ok(number) = u64::from_str_radix(text, 16) else {
+            let detail = format!("'{text}' is not the id of a change: 16 hexadecimal digits");
+            return ReplyBody::Refusal((&Refusal::new(ErrorKind::BadRequest, detail)).into());
+        };
+        match self.cluster.change_reply(ChangeId(number)) {
+            Some(reply) => change_body(&reply),
+            None => {
+                let detail =
+                    format!("change {text} isn't known here: it was not taken, or is not known yet, or is old");
+                ReplyBody::Refusal((&Refusal::new(ErrorKind::ChangePending, detail)).into())
+            }
+        }
+    }
+}
--- a/crates/staircross-node/src/lib.rs
+++ b/crates/staircross-node/src/lib.rs
@@ -9,9 +9,11 @@
 //! | [`peers`] | connections to other nodes |
 //! | [`platform`] | reads the platform |
 //! | [`api`] | typed JSON answers |
+//! | [`client`] | a caller's client, for the command line and the lab |
 //! | [`clock`], [`logs`], [`metrics`] | the boot clock, structured logs, Prometheus metrics |
 
 pub mod api;
+pub mod client;
 pub mod clock;
 pub mod core;
 pub mod front;
@@ -22,4 +24,5 @@
 pub mod platform;
 pub mod searchers;
 
+pub use client::{ClientError, NodeClient};
 pub use node::{Node, NodeError};
--- a/crates/staircross-node/src/logs.rs
+++ b/crates/staircross-node/src/logs.rs
@@ -32,11 +32,8 @@
         let sink = StdStreamSink::builder().std_stream(StdStream::Stderr).build_arc();
         let sink: Arc<dyn Sink> = sink.map_err(|error| InvalidSetting::value("node.log", filter, error.to_string()))?;
         let logger = |module: &str| {
-            let built = Logger::builder()
-                .name(module)
-                .sink(sink.clone())
-                .level_filter(levels.filter_of(module))
-                .build_arc();
+            let built =
+                Logger::builder().name(module).sink(sink.clone()).level_filter(levels.filter_of(module)).build_arc();
             built.map_err(|error| InvalidSetting::value("node.log", module, error.to_string()))
         };
         Ok(Logs {
--- a/crates/staircross-node/src/metrics.rs
+++ b/crates/staircross-node/src/metrics.rs
@@ -50,8 +50,8 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
-        let options = HistogramOpts::new("staircross_answer_seconds", "Time to an answer")
-            .buckets(ANSWER_BUCKETS.to_vec());
+        let options =
+            HistogramOpts::new("staircross_answer_seconds", "Time to an answer").buckets(ANSWER_BUCKETS.to_vec());
         let answer_seconds = Histogram::with_opts(options)?;
         registry.register(Box::new(answer_seconds.clone()))?;
         Ok(Metrics {
--- /dev/null
+++ b/crates/staircross-node/src/node.rs
@@ -0,0 +1,122 @@
+//! Starts and stops a node.
+
+use crate::core::{Core, CoreEvent, CoreParts};
+use crate::front;
+use crate::logs::Logs;
+use crate::metrics::Metrics;
+use crate::peers::{PeerTransport, PeerTransportParts};
+use crate::platform;
+use crate::searchers::SearcherConnections;
+use crossbeam::channel::{Sender, unbounded};
+use quick_error::quick_error;
+use spdlog::info;
+use staircross_config::{InvalidSetting, Settings};
+use staircross_types::NodeId;
+use staircross_wire::ClusterKey;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+
+quick_error! {
+    /// Why a node can't start.
+    #[derive(Debug)]
+    pub enum NodeError {
+        /// A setting is invalid.
+        Setting(error: InvalidSetting) {
+            from()
+            display("{error}")
+        }
+        /// An address can't be listened on, or a thread not be started.
+        Io { what: String, error: std::io::Error } {
+            display("{what}: {error}")
+        }
+        /// The metrics can't be registered.
+        Metrics(error: prometheus::Error) {
+            from()
+            display("metrics: {error}")
+        }
+    }
+}
+
+/// A running node.
+pub struct Node {
+    id: NodeId,
+    events: Sender<CoreEvent>,
+    leaving: Arc<AtomicBool>,
+    core: JoinHandle<()>,
+}
+
+impl Node {
+    /// Starts a node with checked settings.
+    pub fn start(settings: Settings) -> Result<Node, NodeError> {
+        settings.check()?;
+        let logs = Logs::from_filter(&settings.node.log)?;
+        let metrics = Metrics::new()?;
+        let id = NodeId(rand::random());
+        let (events, event_source) = unbounded();
+        let stop = Arc::new(AtomicBool::new(false));
+        let leaving = Arc::new(AtomicBool::new(false));
+        let serving = Arc::new(AtomicUsize::new(0));
+
+        let peers = PeerTransport::start(PeerTransportParts {
+            node: id,
+            listen: settings.node.peer_listen,
+            key: ClusterKey::new(&settings.node.cluster, &settings.node.cluster_key),
+            events: events.clone(),
+            logs: logs.clone(),
+            metrics: metrics.clone(),
+            stop: stop.clone(),
+        })
+        .map_err(|error| io_error(format!("node.peer_listen {}", settings.node.peer_listen), error))?;
+        let searchers = SearcherConnections::new(events.clone(), logs.clone(), settings.limits.reply_bytes);
+        let core = Core::new(CoreParts {
+            node: id,
+            settings: settings.clone(),
+            logs: logs.clone(),
+            metrics: metrics.clone(),
+            events: event_source,
+            peers,
+            searchers,
+            serving: serving.clone(),
+            stop: stop.clone(),
+        });
+        let core = std::thread::Builder::new()
+            .name("core".to_owned())
+            .spawn(move || core.run())
+            .map_err(|error| io_error("core thread".to_owned(), error))?;
+        platform::start_reader(&settings.platform, events.clone(), logs.clone(), stop)
+            .map_err(|error| io_error("platform thread".to_owned(), error))?;
+        front::start(&settings, events.clone(), metrics, serving, leaving.clone())
+            .map_err(|error| io_error(format!("node.listen {}", settings.node.listen), error))?;
+        info!(logger: logs.front, "event=started node={id} callers={} peers={}",
+            settings.node.listen, settings.node.peer_listen);
+        Ok(Node { id, events, leaving, core })
+    }
+
+    /// This run.
+    pub fn id(&self) -> NodeId {
+        self.id
+    }
+
+    /// Begins a planned stop; may be called again.
+    pub fn begin_stop(&self) {
+        self.leaving.store(true, Ordering::Release);
+        // The core is gone only when the stop is done.
+        let _already_done = self.events.send(CoreEvent::Stop);
+    }
+
+    /// Whether the planned stop is done.
+    pub fn is_done(&self) -> bool {
+        self.core.is_finished()
+    }
+
+    /// Waits until a planned stop is done.
+    pub fn wait(self) {
+        // A panic of the core has been printed by its thread.
+        let _core_result = self.core.join();
+    }
+}
+
+fn io_error(what: String, error: std::io::Error) -> NodeError {
+    NodeError::Io { what, error }
+}
--- a/crates/staircross-node/src/peers.rs
+++ b/crates/staircross-node/src/peers.rs
@@ -182,7 +182,8 @@
                 continue;
             };
             let reader = self.clone();
-            let started = std::thread::Builder::new().name("peer read".to_owned()).spawn(move || reader.read_all(stream));
+            let started =
+                std::thread::Builder::new().name("peer read".to_owned()).spawn(move || reader.read_all(stream));
             if let Err(error) = started {
                 warn!(logger: self.logs.peers, "event=no_thread error={error:?}");
             }
--- a/crates/staircross-node/src/searchers.rs
+++ b/crates/staircross-node/src/searchers.rs
@@ -92,7 +92,8 @@
         let caller = self.caller(owned.searcher, owned.address);
         let events = self.events.clone();
         let name = format!("control {}", owned.searcher);
-        let started = std::thread::Builder::new().name(name).spawn(move || run_control(&caller, &control_source, &events));
+        let started =
+            std::thread::Builder::new().name(name).spawn(move || run_control(&caller, &control_source, &events));
         if let Err(error) = started {
             spdlog::error!(logger: self.logs.searchers, "event=no_thread searcher={} error={error:?}", owned.searcher);
         }
--- a/crates/staircross-node/src/searchers/call.rs
+++ b/crates/staircross-node/src/searchers/call.rs
@@ -3,9 +3,7 @@
 use crate::logs::Logs;
 use spdlog::{debug, warn};
 use staircross_search::leaf::not_run;
-use staircross_search::{
-    ActionReceipt, Evidence, NotRunReason, SubOutcome, SubReply, SubRequest, UnknownReason, Work,
-};
+use staircross_search::{ActionReceipt, Evidence, NotRunReason, SubOutcome, SubReply, SubRequest, UnknownReason, Work};
 use staircross_types::searcher_api::{
     ACT_PATH, ActCall, CANCEL_PATH, CallReply, CallStatus, CancelCall, DIGEST_HEADER, SEARCH_PATH, STATE_PATH,
     SearchCall, StateReply,
--- a/crates/staircross-search/src/root.rs
+++ b/crates/staircross-search/src/root.rs
@@ -193,6 +193,14 @@
         self.views.values()
     }
 
+    /// Searcher and snapshot that an open attempt was sent for.
+    pub fn attempt_target(&self, id: AttemptId) -> Option<(SearcherId, Snapshot)> {
+        let request = self.requests.get(&id.request.sequence).filter(|_| id.request.node == self.node)?;
+        let index = (id.attempt as usize).checked_sub(1)?;
+        let attempt = request.attempts.get(index).filter(|attempt| attempt.open)?;
+        Some((attempt.searcher, request.map.snapshot))
+    }
+
     fn set_services(&mut self, definitions: Vec<Arc<ServiceDefinition>>) {
         let mut kept = std::mem::take(&mut self.services);
         for definition in definitions {
--- /dev/null
+++ b/crates/staircross/src/flags.rs
@@ -0,0 +1,58 @@
+//! Arguments.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// A query tier over many shards.
+    cmd staircross {
+        /// Run a node.
+        cmd node {
+            /// Settings file (TOML).
+            required --settings settings: PathBuf
+            /// Address for callers, instead of the file's.
+            optional --listen listen: String
+            /// Address for other nodes, instead of the file's.
+            optional --peer-listen peer_listen: String
+            /// Zone, instead of the file's.
+            optional --zone zone: String
+            /// Region, instead of the file's.
+            optional --region region: String
+            /// Log filter, instead of the file's.
+            optional --log log: String
+        }
+        /// Ask for data: one statement, or interactively when none is given.
+        cmd query {
+            /// Caller address of a node.
+            required --node node: String
+            /// Resume this session instead of opening one.
+            optional --session session: String
+            /// Print JSON, one object a line.
+            optional --json
+            /// The statement.
+            optional statement: String
+        }
+        /// Look at or change configuration.
+        cmd command {
+            /// Caller address of a node.
+            required --node node: String
+            /// Print JSON.
+            optional --json
+            /// The statement.
+            required statement: String
+        }
+        /// Show a node and the fleet as it sees it.
+        cmd status {
+            /// Caller address of a node.
+            required --node node: String
+            /// Print JSON.
+            optional --json
+        }
+        /// Check settings and service documents before they are used.
+        cmd check {
+            /// Settings file (TOML).
+            optional --settings settings: PathBuf
+            /// Service document (JSON).
+            optional --document document: PathBuf
+        }
+    }
+}
--- a/crates/staircross/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! placeholder
--- /dev/null
+++ b/crates/staircross/src/run_node.rs
@@ -0,0 +1,53 @@
+//! `staircross node`: runs a node until it is told to stop.
+
+use crate::Verdict;
+use crate::check::read_settings;
+use crate::flags;
+use crate::query::parse_address;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use staircross_config::Settings;
+use staircross_node::Node;
+use staircross_types::ZoneName;
+use std::time::Duration;
+
+/// How often a stopping node looks whether it is done.
+const DONE_CHECK: Duration = Duration::from_millis(20);
+
+/// Runs `node`.
+pub fn run(command: &flags::Node) -> Result<Verdict, String> {
+    let settings = settings_of(command)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|error| format!("signals: {error}"))?;
+    let node = Node::start(settings).map_err(|error| error.to_string())?;
+    println!("node {}", node.id());
+    while !node.is_done() {
+        if signals.pending().next().is_some() {
+            // A second signal changes nothing: what is in flight still finishes.
+            node.begin_stop();
+        }
+        std::thread::sleep(DONE_CHECK);
+    }
+    node.wait();
+    Ok(Verdict::Done)
+}
+
+fn settings_of(command: &flags::Node) -> Result<Settings, String> {
+    let mut settings = read_settings(&command.settings)?;
+    if let Some(listen) = &command.listen {
+        settings.node.listen = parse_address("--listen", listen)?;
+    }
+    if let Some(listen) = &command.peer_listen {
+        settings.node.peer_listen = parse_address("--peer-listen", listen)?;
+    }
+    if let Some(zone) = &command.zone {
+        settings.node.zone = ZoneName::new(zone);
+    }
+    if let Some(region) = &command.region {
+        settings.node.region = region.clone();
+    }
+    if let Some(log) = &command.log {
+        settings.node.log = log.clone();
+    }
+    settings.check().map_err(|error| error.to_string())?;
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/staircross/src/status.rs
@@ -0,0 +1,47 @@
+//! `staircross status`.
+
+use crate::Verdict;
+use crate::flags;
+use crate::query::parse_address;
+use crate::table;
+use staircross_node::NodeClient;
+
+/// Runs `status`.
+pub fn run(command: &flags::Status) -> Result<Verdict, String> {
+    let client = NodeClient::new(parse_address("--node", &command.node)?);
+    let status = client.status().map_err(|error| error.to_string())?;
+    if command.json {
+        println!("{}", serde_json::to_string(&status).map_err(|error| error.to_string())?);
+        return Ok(Verdict::Done);
+    }
+    println!("node {}{}", status.node, if status.leaving { " (leaving)" } else { "" });
+    println!(
+        "configuration revision {} (platform {}), lease {} ms, {}",
+        status.revision,
+        status.platform_revision,
+        status.lease_ms,
+        if status.may_act { "may act" } else { "may not act" }
+    );
+    println!(
+        "{} sessions, {} requests in flight, {} searchers owned",
+        status.sessions, status.requests_in_flight, status.owned_searchers
+    );
+    let columns = ["node", "region", "zone", "callers", "state", "voter", "leader"].map(str::to_owned);
+    let rows: Vec<Vec<String>> = status
+        .members
+        .iter()
+        .map(|member| {
+            vec![
+                member.node.to_string(),
+                member.region.clone(),
+                member.zone.clone(),
+                member.address.to_string(),
+                member.state.clone(),
+                if member.is_voter { "yes" } else { "" }.to_owned(),
+                if status.leader == Some(member.node) { "yes" } else { "" }.to_owned(),
+            ]
+        })
+        .collect();
+    print!("{}", table::render(&columns, &rows));
+    Ok(Verdict::Done)
+}
