--- /dev/null
+++ b/crates/staircross-lab/src/demo.rs
@@ -0,0 +1,304 @@
+//! The guided tour: one process, a whole fleet over loopback, and what goes wrong with it.
+
+use crate::fleet::{FIRST_SNAPSHOT, Fleet, FleetError, FleetPlan, ServicePlan, action_policy, search_policy};
+use crate::report::Reporter;
+use quick_error::quick_error;
+use staircross_config::Priority;
+use staircross_node::api::{ReplyBody, StatementReply};
+use staircross_node::{ClientError, NodeClient};
+use staircross_standin::searcher::ControlCommand;
+use staircross_standin::{Corpus, Fault};
+use staircross_types::{SearcherId, SessionToken, Snapshot};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+quick_error! {
+    /// Why the demo ended early.
+    #[derive(Debug)]
+    pub enum DemoError {
+        /// The fleet didn't start.
+        Fleet(error: FleetError) {
+            from()
+            display("{error}")
+        }
+        /// A call failed.
+        Client(error: ClientError) {
+            from()
+            display("{error}")
+        }
+        /// The corpus can't be read.
+        Corpus(error: staircross_standin::corpus::CorpusError) {
+            from()
+            display("{error}")
+        }
+        /// Something that the demo shows didn't happen.
+        NotShown { what: &'static str } {
+            display("the demo expected: {what}")
+        }
+    }
+}
+
+/// The shipped clauses.
+pub const CLAUSES: &str = include_str!("../corpus/clauses.jsonl");
+/// The shipped campsite pitches.
+pub const PITCHES: &str = include_str!("../corpus/pitches.jsonl");
+
+/// How the demo is run.
+pub struct DemoOptions {
+    /// Print JSON.
+    pub json: bool,
+    /// Documents for the clause service instead of the shipped ones.
+    pub corpus: Option<PathBuf>,
+    /// The nodes' log filter.
+    pub log: String,
+}
+
+struct Demo {
+    fleet: Fleet,
+    reporter: Reporter,
+    client: NodeClient,
+    session: SessionToken,
+    clauses: Corpus,
+}
+
+const CLAUSE_SHARDS: u32 = 8;
+
+/// Runs the demo.
+pub fn run(options: &DemoOptions) -> Result<(), DemoError> {
+    let reporter = Reporter { json: options.json };
+    let clauses = match &options.corpus {
+        Some(path) => Corpus::read(path)?,
+        None => Corpus::parse("clauses", CLAUSES)?,
+    };
+    reporter.chapter("Starting a platform, 15 searchers in 3 zones and 3 nodes on loopback");
+    let fleet = Fleet::start(plan(&clauses, &options.log)?)?;
+    let client = fleet.client(0);
+    let session = client.open_session()?;
+    reporter.note("a session is open at the first node; it stays open through all that follows");
+    let mut demo = Demo { fleet, reporter, client, session, clauses };
+    demo.search()?;
+    demo.roll_over()?;
+    demo.straggler()?;
+    demo.lost_replica()?;
+    demo.confirm_twice()?;
+    demo.drain()?;
+    demo.change_policy()?;
+    demo.planned_stop()?;
+    reporter.chapter("Done: one session, open from beginning to end");
+    Ok(())
+}
+
+fn plan(clauses: &Corpus, log: &str) -> Result<FleetPlan, DemoError> {
+    let pitches = Corpus::parse("pitches", PITCHES)?;
+    let clause_service = ServicePlan {
+        name: "clauses",
+        policy: search_policy(1500, 500, Priority::Coverage),
+        searchers: 6,
+        shards: CLAUSE_SHARDS,
+        replicas: 3,
+        corpus: clauses.clone(),
+        work: Duration::from_millis(4),
+    };
+    let pitch_service = ServicePlan {
+        name: "pitches",
+        policy: search_policy(400, 700, Priority::Latency),
+        corpus: pitches.clone(),
+        ..clause_service.clone()
+    };
+    let booking_service = ServicePlan {
+        name: "bookings",
+        policy: action_policy(1000),
+        searchers: 3,
+        shards: 3,
+        corpus: pitches,
+        ..clause_service.clone()
+    };
+    Ok(FleetPlan {
+        services: vec![clause_service, pitch_service, booking_service],
+        zones: vec!["hobart", "launceston", "burnie"],
+        nodes: 3,
+        log: log.to_owned(),
+    })
+}
+
+impl Demo {
+    fn ask(&self, chapter: &str, statement: &str) -> Result<StatementReply, DemoError> {
+        let reply = self.client.query(self.session, statement)?;
+        self.reporter.reply(chapter, statement, &reply);
+        Ok(reply)
+    }
+
+    fn search(&self) -> Result<(), DemoError> {
+        self.reporter.chapter("Clause search and pitch search over 8 shards each");
+        self.ask("search", "SEARCH 'audit notice' IN SERVICE clauses LIMIT 3")?;
+        self.ask("search", "SEARCH 'caravan electricity' IN SERVICE pitches WAIT 200 MS LIMIT 3")?;
+        self.ask("search", "PULL '' IN SERVICE clauses LIMIT 5")?;
+        self.ask("search", "SEARCH 'audit' IN clauses WAIT soon")?;
+        Ok(())
+    }
+
+    fn roll_over(&mut self) -> Result<(), DemoError> {
+        self.reporter.chapter("A new index version arrives while queries run");
+        let snapshot = Snapshot { version: 2, ..FIRST_SNAPSHOT };
+        let newer = amend(&self.clauses);
+        let map = self.fleet.make_map("clauses", snapshot, CLAUSE_SHARDS);
+        let mut maps = self.fleet.maps_of("clauses");
+        maps.push(map.clone());
+        let searchers = self.fleet.searchers_of("clauses");
+        self.fleet.publish_maps("clauses", maps);
+        for (done, id) in searchers.iter().enumerate() {
+            if done == 1 {
+                self.reporter.note("one searcher of six has version 2; answers still come from version 1 as a whole");
+            }
+            self.ask("roll-over", "SEARCH 'audit notice' IN SERVICE clauses LIMIT 1")?;
+            self.fleet.publish_at(*id, "clauses", &newer, &map);
+            std::thread::sleep(Duration::from_millis(150));
+        }
+        let reached = self.wait_for_snapshot("2.1.1")?;
+        self.reporter.note("every shard of version 2 is covered now, so the service has moved to it:");
+        self.reporter.reply("roll-over", "SEARCH 'audit notice' IN SERVICE clauses LIMIT 1", &reached);
+        for id in &searchers {
+            if let Some(searcher) = self.fleet.searchers.get(id) {
+                searcher.control(ControlCommand::Retire { snapshot: FIRST_SNAPSHOT });
+            }
+        }
+        self.fleet.publish_maps("clauses", vec![map]);
+        self.ask("roll-over", "SEARCH 'audit notice' IN SERVICE clauses LIMIT 1")?;
+        Ok(())
+    }
+
+    fn wait_for_snapshot(&self, wanted: &str) -> Result<StatementReply, DemoError> {
+        let deadline = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < deadline {
+            let reply = self.client.query(self.session, "SEARCH 'audit notice' IN SERVICE clauses LIMIT 1")?;
+            if matches!(&reply.body, ReplyBody::Answer(answer) if answer.snapshot == wanted) {
+                return Ok(reply);
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        Err(DemoError::NotShown { what: "the service moves to the new version" })
+    }
+
+    fn straggler(&self) -> Result<(), DemoError> {
+        self.reporter.chapter("One searcher becomes very slow");
+        let id = SearcherId(1);
+        // Enough quick answers first, so that the nodes know what is normal.
+        for _ in 0..40 {
+            self.client.query(self.session, "SEARCH 'insurance' IN SERVICE clauses LIMIT 1")?;
+        }
+        self.control(id, ControlCommand::AddFault { fault: Fault::Slow { delay_ms: 600 }, calls: None });
+        self.reporter.note("its shards are asked of other replicas too, within the hedge budget, then it is avoided");
+        for _ in 0..4 {
+            self.ask("straggler", "SEARCH 'insurance certificates' IN SERVICE clauses LIMIT 1")?;
+        }
+        self.control(id, ControlCommand::ClearFaults);
+        Ok(())
+    }
+
+    fn lost_replica(&self) -> Result<(), DemoError> {
+        self.reporter.chapter("A replica is lost, then every replica of one shard");
+        self.control(SearcherId(2), ControlCommand::AddFault { fault: Fault::Dead, calls: None });
+        self.ask("lost replica", "SEARCH 'privacy breach' IN SERVICE clauses LIMIT 1")?;
+        for id in [3, 4] {
+            self.control(SearcherId(id), ControlCommand::AddFault { fault: Fault::Dead, calls: None });
+        }
+        std::thread::sleep(Duration::from_millis(1500));
+        self.reporter.note("shards that lived only on the three lost searchers are listed as missing:");
+        self.ask("lost replica", "SEARCH 'privacy breach' IN SERVICE clauses LIMIT 1")?;
+        self.ask("lost replica", "SEARCH 'privacy breach' IN SERVICE clauses COVERAGE 100% LIMIT 1")?;
+        for id in [2, 3, 4] {
+            self.control(SearcherId(id), ControlCommand::ClearFaults);
+        }
+        std::thread::sleep(Duration::from_millis(1500));
+        self.ask("lost replica", "SEARCH 'privacy breach' IN SERVICE clauses COVERAGE 100% LIMIT 1")?;
+        Ok(())
+    }
+
+    fn confirm_twice(&self) -> Result<(), DemoError> {
+        self.reporter.chapter("A booking is confirmed, and the confirmation is sent again");
+        let ticket = self.client.mint_ticket(self.session)?;
+        let statement = format!("RUN confirm ON 'pitch-017' IN SERVICE bookings NOTE 'stay-4711' TICKET '{ticket}'");
+        self.ask("confirm", &statement)?;
+        self.ask("confirm", &statement)?;
+        let ran: usize =
+            self.fleet.searchers.values().map(|searcher| searcher.ledger().count_actions("stay-4711")).sum();
+        self.reporter.note(&format!("the searchers' ledgers show that it ran {ran} time"));
+        if ran != 1 {
+            return Err(DemoError::NotShown { what: "the confirmation runs once" });
+        }
+        self.ask("confirm", "RUN confirm ON 'pitch-018' IN SERVICE bookings")?;
+        Ok(())
+    }
+
+    fn drain(&self) -> Result<(), DemoError> {
+        self.reporter.chapter("A searcher is drained");
+        let id = SearcherId(7);
+        self.control(id, ControlCommand::Drain);
+        self.ask("drain", "SEARCH 'scout meadow' IN SERVICE pitches LIMIT 1")?;
+        std::thread::sleep(Duration::from_millis(1200));
+        let before = self.ledger_length(id);
+        for _ in 0..5 {
+            self.ask("drain", "SEARCH 'scout meadow' IN SERVICE pitches LIMIT 1")?;
+        }
+        let new_work = self.ledger_length(id) - before;
+        self.reporter.note(&format!("pieces of work at searcher {id} after the drain: {new_work}"));
+        if new_work != 0 {
+            return Err(DemoError::NotShown { what: "a drained searcher gets no new work" });
+        }
+        Ok(())
+    }
+
+    fn change_policy(&self) -> Result<(), DemoError> {
+        self.reporter.chapter("An operator changes a policy; the answer comes when it is in force everywhere");
+        for statement in ["ALTER SERVICE pitches SET WAIT 300 MS", "ALTER SERVICE pitches SET WAIT 9000000 MS"] {
+            let reply = self.client.command(statement)?;
+            self.reporter.reply("change", statement, &reply);
+        }
+        Ok(())
+    }
+
+    fn planned_stop(&mut self) -> Result<(), DemoError> {
+        self.reporter.chapter("The node that holds the session stops as planned, with a request in flight");
+        for id in self.fleet.searchers_of("clauses") {
+            self.control(id, ControlCommand::AddFault { fault: Fault::Slow { delay_ms: 300 }, calls: Some(1) });
+        }
+        let client = self.client.clone();
+        let session = self.session;
+        let statement = "SEARCH 'warranty' IN SERVICE clauses LIMIT 1";
+        let in_flight = std::thread::spawn(move || client.query(session, statement));
+        std::thread::sleep(Duration::from_millis(60));
+        let node = self.fleet.nodes[0].take().ok_or(DemoError::NotShown { what: "a node to stop" })?;
+        node.begin_stop();
+        let reply = in_flight.join().map_err(|_| DemoError::NotShown { what: "the request in flight ends" })??;
+        self.reporter.reply("planned stop", statement, &reply);
+        let Some(next) = reply.moved_to else {
+            return Err(DemoError::NotShown { what: "the reply names the node to turn to" });
+        };
+        self.reporter.note(&format!("the reply names {next}; the same session goes on there:"));
+        self.client = NodeClient::new(next);
+        self.ask("planned stop", "SEARCH 'warranty defects' IN SERVICE clauses LIMIT 1")?;
+        node.wait();
+        self.reporter.note("the stopped node has ended; nothing in flight was cut");
+        self.ask("planned stop", "SEARCH 'warranty defects' IN SERVICE clauses LIMIT 1")?;
+        Ok(())
+    }
+
+    fn control(&self, id: SearcherId, command: ControlCommand) {
+        if let Some(searcher) = self.fleet.searchers.get(&id) {
+            searcher.control(command);
+        }
+    }
+
+    fn ledger_length(&self, id: SearcherId) -> usize {
+        self.fleet.searchers.get(&id).map_or(0, |searcher| searcher.ledger().entries.len())
+    }
+}
+
+/// The documents of the next version: every wording is marked as amended.
+fn amend(corpus: &Corpus) -> Corpus {
+    let mut amended = corpus.clone();
+    for document in &mut amended.documents {
+        document.title.push_str(" [version 2]");
+    }
+    amended
+}
--- /dev/null
+++ b/crates/staircross-lab/src/fleet.rs
@@ -0,0 +1,313 @@
+//! A whole fleet in one process over loopback TCP: platform, searchers, nodes.
+
+use quick_error::quick_error;
+use staircross_config::{
+    LimitSettings, NodeSettings, PlatformDocument, PlatformSettings, Priority, SearcherDefinition, ServiceDefinition,
+    ServicePolicy, Settings,
+};
+use staircross_node::{Node, NodeClient, NodeError};
+use staircross_standin::{Corpus, PlatformStandin, SearcherSettings, SearcherStandin};
+use staircross_types::{GroupId, SearcherId, ServiceName, ShardId, ShardMap, ShardPlacement, Snapshot, ZoneName};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::time::{Duration, Instant};
+
+quick_error! {
+    /// Why a fleet can't be started.
+    #[derive(Debug)]
+    pub enum FleetError {
+        /// No port, or a listener can't be started.
+        Io(error: std::io::Error) {
+            from()
+            display("{error}")
+        }
+        /// A node can't be started.
+        Node(error: NodeError) {
+            from()
+            display("{error}")
+        }
+        /// The fleet didn't become ready.
+        NotReady { what: String } {
+            display("not ready in time: {what}")
+        }
+    }
+}
+
+/// One service of a planned fleet.
+#[derive(Clone, Debug)]
+pub struct ServicePlan {
+    /// Its name.
+    pub name: &'static str,
+    /// How its requests are treated.
+    pub policy: ServicePolicy,
+    /// Its searchers.
+    pub searchers: u32,
+    /// Its shards.
+    pub shards: u32,
+    /// Replicas of each shard.
+    pub replicas: u32,
+    /// Its documents.
+    pub corpus: Corpus,
+    /// Time that each call takes at a searcher.
+    pub work: Duration,
+}
+
+/// A planned fleet.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Its services.
+    pub services: Vec<ServicePlan>,
+    /// Its zones; searchers and nodes are spread over them in turn.
+    pub zones: Vec<&'static str>,
+    /// Its nodes.
+    pub nodes: u32,
+    /// The nodes' log filter.
+    pub log: String,
+}
+
+/// A running fleet. Its processes' parts run until the process ends.
+pub struct Fleet {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// The searchers.
+    pub searchers: BTreeMap<SearcherId, SearcherStandin>,
+    /// The nodes, until they are taken out for a stop.
+    pub nodes: Vec<Option<Node>>,
+    /// Caller addresses of the nodes.
+    pub callers: Vec<SocketAddr>,
+    /// The document last published.
+    pub document: PlatformDocument,
+    /// Settings of the nodes, to start replacements with.
+    pub settings: Vec<Settings>,
+    plan: FleetPlan,
+}
+
+/// Slots and connections of the searchers, as at the users' drafting and guest search services.
+const SLOTS: u32 = 5;
+const CONNECTIONS: u32 = 70;
+/// Longest wait for a fleet to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The first snapshot of every service.
+pub const FIRST_SNAPSHOT: Snapshot = Snapshot { version: 1, epoch: 1, build: 1 };
+
+/// Finds a loopback address that is free for TCP and UDP.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        if UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+}
+
+/// A policy for searches.
+pub fn search_policy(wait_ms: u64, least_per_mille: u32, priority: Priority) -> ServicePolicy {
+    ServicePolicy { wait_ms, least_coverage_per_mille: least_per_mille, priority, ..ServicePolicy::default() }
+}
+
+/// A policy for actions.
+pub fn action_policy(wait_ms: u64) -> ServicePolicy {
+    ServicePolicy { wait_ms, repeatable: false, hedge_per_mille: 0, retry_per_mille: 0, ..ServicePolicy::default() }
+}
+
+impl Fleet {
+    /// Starts everything and waits until every node answers for every service.
+    pub fn start(plan: FleetPlan) -> Result<Fleet, FleetError> {
+        let document = make_document(&plan)?;
+        let platform_address = free_address()?;
+        let platform = PlatformStandin::start(platform_address, document.clone())?;
+        let searchers = start_searchers(&plan, &document)?;
+        let settings = make_settings(&plan, platform_address)?;
+        let mut fleet = Fleet {
+            platform,
+            searchers,
+            nodes: Vec::new(),
+            callers: settings.iter().map(|settings| settings.node.listen).collect(),
+            document,
+            settings,
+            plan,
+        };
+        for settings in fleet.settings.clone() {
+            fleet.nodes.push(Some(Node::start(settings)?));
+        }
+        fleet.wait_ready()?;
+        Ok(fleet)
+    }
+
+    /// A client of the node at `index`.
+    pub fn client(&self, index: usize) -> NodeClient {
+        NodeClient::new(self.callers[index])
+    }
+
+    /// Waits until every node may act and sees every searcher serving.
+    pub fn wait_ready(&self) -> Result<(), FleetError> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for index in 0..self.callers.len() {
+            while !self.is_ready(index) {
+                if Instant::now() >= deadline {
+                    return Err(FleetError::NotReady { what: format!("node {index}") });
+                }
+                std::thread::sleep(Duration::from_millis(30));
+            }
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self, index: usize) -> bool {
+        let client = self.client(index);
+        let Ok(status) = client.status() else {
+            return false;
+        };
+        let alive = status.members.iter().filter(|member| member.state == "alive").count();
+        if !status.may_act || alive < self.nodes.len() {
+            return false;
+        }
+        let Ok(reply) = client.command("SHOW SEARCHERS") else {
+            return false;
+        };
+        match reply.body {
+            staircross_node::api::ReplyBody::Listing(listing) => {
+                listing.rows.len() == self.searchers.len() && listing.rows.iter().all(|row| row[4] == "serving")
+            }
+            _ => false,
+        }
+    }
+
+    /// Lets one searcher take up a snapshot.
+    pub fn publish_at(&self, id: SearcherId, service: &str, corpus: &Corpus, map: &ShardMap) {
+        let Some(searcher) = self.searchers.get(&id) else {
+            return;
+        };
+        let is_listed = self.document.services.iter().any(|definition| {
+            definition.name.0 == service && definition.searchers.iter().any(|searcher| searcher.id == id)
+        });
+        if is_listed {
+            searcher.publish(map.snapshot, corpus, &held_shards(map, id), map.shards.len());
+        }
+    }
+
+    /// Searchers of a service.
+    pub fn searchers_of(&self, service: &str) -> Vec<SearcherId> {
+        let definition = self.document.services.iter().find(|definition| definition.name.0 == service);
+        definition.map_or(Vec::new(), |definition| definition.searchers.iter().map(|searcher| searcher.id).collect())
+    }
+
+    /// A shard map like the service's first, for another snapshot and number of shards.
+    pub fn make_map(&self, service: &str, snapshot: Snapshot, shards: u32) -> ShardMap {
+        let replicas = self.plan.services.iter().find(|plan| plan.name == service).map_or(1, |plan| plan.replicas);
+        place_shards(snapshot, shards, replicas, &self.searchers_of(service))
+    }
+
+    /// Publishes a document in which `service` has these shard maps.
+    pub fn publish_maps(&mut self, service: &str, maps: Vec<ShardMap>) {
+        self.document.revision += 1;
+        for definition in &mut self.document.services {
+            if definition.name.0 == service {
+                definition.shard_maps = maps.clone();
+            }
+        }
+        self.platform.publish(self.document.clone());
+    }
+
+    /// Shard maps of a service in the document last published.
+    pub fn maps_of(&self, service: &str) -> Vec<ShardMap> {
+        let definition = self.document.services.iter().find(|definition| definition.name.0 == service);
+        definition.map_or(Vec::new(), |definition| definition.shard_maps.clone())
+    }
+}
+
+/// Shards of a map that a searcher holds.
+pub fn held_shards(map: &ShardMap, id: SearcherId) -> Vec<ShardId> {
+    let held = map.shards.iter().filter(|placement| placement.replicas.contains(&id));
+    held.map(|placement| placement.shard).collect()
+}
+
+/// Places each shard's replicas on consecutive searchers.
+pub fn place_shards(snapshot: Snapshot, shards: u32, replicas: u32, searchers: &[SearcherId]) -> ShardMap {
+    let place = |shard: u32| {
+        let replicas = replicas.min(searchers.len() as u32);
+        let start = shard as usize;
+        let chosen = (0..replicas as usize).map(|step| searchers[(start + step) % searchers.len()]).collect();
+        ShardPlacement { shard: ShardId(shard), replicas: chosen }
+    };
+    ShardMap { snapshot, shards: (0..shards).map(place).collect() }
+}
+
+fn make_document(plan: &FleetPlan) -> std::io::Result<PlatformDocument> {
+    let mut services = Vec::new();
+    let mut next_id = 1;
+    for (number, service) in plan.services.iter().enumerate() {
+        let mut searchers = Vec::new();
+        for index in 0..service.searchers {
+            searchers.push(SearcherDefinition {
+                id: SearcherId(next_id),
+                address: free_address()?,
+                zone: ZoneName::new(plan.zones[index as usize % plan.zones.len()]),
+                group: GroupId((number as u32) * 100 + index % plan.zones.len() as u32),
+                slots: SLOTS,
+                connections: CONNECTIONS,
+            });
+            next_id += 1;
+        }
+        let ids: Vec<SearcherId> = searchers.iter().map(|searcher| searcher.id).collect();
+        let map = place_shards(FIRST_SNAPSHOT, service.shards, service.replicas, &ids);
+        services.push(ServiceDefinition {
+            name: ServiceName::new(service.name),
+            policy: service.policy.clone(),
+            searchers,
+            shard_maps: vec![map],
+        });
+    }
+    Ok(PlatformDocument { revision: 1, services })
+}
+
+fn start_searchers(
+    plan: &FleetPlan,
+    document: &PlatformDocument,
+) -> std::io::Result<BTreeMap<SearcherId, SearcherStandin>> {
+    let mut running = BTreeMap::new();
+    for (service, definition) in plan.services.iter().zip(&document.services) {
+        for searcher in &definition.searchers {
+            let settings = SearcherSettings {
+                id: searcher.id,
+                listen: searcher.address,
+                slots: searcher.slots,
+                queue: searcher.slots,
+                connections: searcher.connections,
+                work: service.work,
+                cold: Duration::ZERO,
+            };
+            let standin = SearcherStandin::start(settings)?;
+            for map in &definition.shard_maps {
+                standin.publish(map.snapshot, &service.corpus, &held_shards(map, searcher.id), map.shards.len());
+            }
+            running.insert(searcher.id, standin);
+        }
+    }
+    Ok(running)
+}
+
+fn make_settings(plan: &FleetPlan, platform: SocketAddr) -> std::io::Result<Vec<Settings>> {
+    let mut settings = Vec::new();
+    for index in 0..plan.nodes {
+        settings.push(Settings {
+            node: NodeSettings {
+                region: "home".to_owned(),
+                zone: ZoneName::new(plan.zones[index as usize % plan.zones.len()]),
+                listen: free_address()?,
+                peer_listen: free_address()?,
+                seeds: Vec::new(),
+                cluster: "lab".to_owned(),
+                cluster_key: "a key for trying things out".to_owned(),
+                log: plan.log.clone(),
+            },
+            platform: PlatformSettings { address: platform, poll_ms: 100 },
+            limits: LimitSettings::default(),
+        });
+    }
+    let seeds: Vec<SocketAddr> = settings.iter().map(|settings| settings.node.peer_listen).collect();
+    settings.iter_mut().for_each(|settings| settings.node.seeds = seeds.clone());
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/staircross-lab/src/main.rs
@@ -0,0 +1,44 @@
+//! The lab's command line. Exit codes: 0 done, 1 failed or a violation found, 2 wrong usage.
+
+use staircross_lab::demo::{self, DemoOptions};
+use std::process::ExitCode;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Tries staircross out.
+        cmd staircross-lab {
+            /// The guided tour: a whole fleet in one process, and what goes wrong with it.
+            cmd demo {
+                /// Print JSON, one object a line.
+                optional --json
+                /// Documents (JSON lines) for the clause service.
+                optional --corpus corpus: PathBuf
+                /// The nodes' log filter.
+                optional --log log: String
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::StaircrossLab::from_env_or_exit();
+    let result = match flags.subcommand {
+        flags::StaircrossLabCmd::Demo(command) => run_demo(command),
+    };
+    match result {
+        Ok(code) => code,
+        Err(message) => {
+            eprintln!("staircross-lab: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_demo(command: flags::Demo) -> Result<ExitCode, String> {
+    let log = command.log.unwrap_or_else(|| "off".to_owned());
+    let options = DemoOptions { json: command.json, corpus: command.corpus, log };
+    demo::run(&options).map_err(|error| error.to_string())?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/staircross-lab/src/report.rs
@@ -0,0 +1,78 @@
+//! One line per request, for people or as JSON.
+
+use serde::Serialize;
+use staircross_node::api::{ReplyBody, StatementReply};
+
+/// Prints what happens, in one of two ways.
+#[derive(Clone, Copy, Debug)]
+pub struct Reporter {
+    /// JSON, one object a line, instead of text.
+    pub json: bool,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    chapter: &'a str,
+    statement: &'a str,
+    #[serde(flatten)]
+    reply: &'a StatementReply,
+}
+
+impl Reporter {
+    /// Announces a chapter; says nothing in JSON.
+    pub fn chapter(&self, title: &str) {
+        if !self.json {
+            println!("\n== {title}");
+        }
+    }
+
+    /// Says something to people; says nothing in JSON.
+    pub fn note(&self, text: &str) {
+        if !self.json {
+            println!("   {text}");
+        }
+    }
+
+    /// Reports a request and its reply.
+    pub fn reply(&self, chapter: &str, statement: &str, reply: &StatementReply) {
+        if !self.json {
+            println!("{statement}\n   {}", describe(reply));
+            return;
+        }
+        match serde_json::to_string(&Line { chapter, statement, reply }) {
+            Ok(line) => println!("{line}"),
+            Err(error) => eprintln!("unprintable reply: {error}"),
+        }
+    }
+}
+
+/// One line about a reply.
+pub fn describe(reply: &StatementReply) -> String {
+    match &reply.body {
+        ReplyBody::Answer(answer) => {
+            let missing: Vec<String> = answer
+                .shards_missing
+                .iter()
+                .map(|missing| format!("shard {} {}", missing.shard, missing.cause))
+                .collect();
+            let lacking = if missing.is_empty() { String::new() } else { format!(", lacking {}", missing.join(", ")) };
+            let extra = answer.sub_requests as i64 - i64::from(answer.sub_requests_needed);
+            let best = answer.hits.first().map_or("no hit".to_owned(), |hit| format!("best: {}", hit.title));
+            format!(
+                "answer: {} matching, {best}; snapshot {}; {} of {} shards{lacking}; {} sub-requests ({extra} extra); {:.1} ms",
+                answer.matched,
+                answer.snapshot,
+                answer.shards_included,
+                answer.shards_total,
+                answer.sub_requests,
+                answer.elapsed_ms,
+            )
+        }
+        ReplyBody::Acted { entry, message } => format!("acted: {message} (audit entry {entry})"),
+        ReplyBody::Changed { change, revision } => format!("changed: {change} in force since revision {revision}"),
+        ReplyBody::Listing(listing) => format!("listing: {} rows", listing.rows.len()),
+        ReplyBody::Refusal(refusal) => {
+            format!("refusal: {} ({}), ran: {:?}", refusal.error, refusal.detail, refusal.executed)
+        }
+    }
+}
