Simulate and fuzz the cluster logic; mend what it found

Found and mended: - a node took a single voter's word, meant to be counted towards a majority, for a passed-on lease: asks now say which of the two they want (fuzz: old revision acted under after a newer was accepted); - changes of voters and of the platform document had ids derived from their content, so once refused as not taken they were refused for good, and the fleet stopped replacing voters: ids are fresh now; - a voter that doesn't lead refused an operator's change instead of passing it on.

--- a/crates/staircross-cluster/src/agreement/proposals.rs
+++ b/crates/staircross-cluster/src/agreement/proposals.rs
@@ -51,6 +51,15 @@
         is_established && self.latest_voters().has_majority(hears)
     }
 
+    /// Whether a platform document of this revision or a later one is in the log, committed or not.
+    pub fn has_platform_revision(&self, revision: u64) -> bool {
+        let in_log = self.log.iter().filter_map(|entry| match &entry.change.body {
+            ChangeBody::Platform(document) => Some(document.revision),
+            _ => None,
+        });
+        self.state.platform_revision() >= revision || in_log.max().is_some_and(|newest| newest >= revision)
+    }
+
     fn index_of(&self, id: ChangeId) -> Option<u64> {
         self.log.iter().find(|entry| entry.change.id == id).map(|entry| entry.index)
     }
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -17,6 +17,7 @@
 use crate::ownership::OwnershipMap;
 use crate::replicas::{ReplicaMessage, ReplicaStore, SessionCopy};
 use crate::views::{SpreadEvidence, ViewAction, ViewRecord, Views};
+use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use staircross_config::PlatformDocument;
@@ -24,7 +25,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// How the cluster logic of a node is set up.
 #[derive(Clone, Debug)]
@@ -308,8 +308,9 @@
         }
         let is_overdue = self.unseen.as_ref().is_some_and(|unseen| now.since(unseen.since) >= FORWARD_PLATFORM_AFTER);
         // The leader reads the platform itself; others step in only if it seems unable to.
-        if self.agreement.is_leader() || is_overdue {
-            let id = platform_change_id(document.revision);
+        let is_under_way = self.agreement.has_platform_revision(document.revision);
+        if (self.agreement.is_leader() || is_overdue) && !is_under_way {
+            let id = self.fresh_change_id();
             self.propose(now, Change { id, body: ChangeBody::Platform(document) }, actions);
         }
     }
@@ -323,13 +324,14 @@
         }
         match self.leader_address() {
             Some((leader, address)) => {
-                self.send(Some(leader), address, ClusterMessage::Propose(change), actions);
+                let message = ClusterMessage::Propose { origin: self.me, is_passed_on: false, change };
+                self.send(Some(leader), address, message, actions);
             }
             None => actions.push(ClusterAction::Proposed(ProposalReply::NotTaken { id: change.id })),
         }
     }
 
-    /// The leader if this node hears it, else any voter: that one passes the change on or refuses it.
+    /// The leader if this node hears it, else any voter: that one passes the change on, once, or refuses it.
     fn leader_address(&self) -> Option<(NodeId, SocketAddr)> {
         let leader = self.agreement.leader().filter(|leader| *leader != self.me);
         if let Some(member) = leader.and_then(|leader| self.membership.get(leader)) {
@@ -367,6 +369,11 @@
         self.look_after_voters(now, actions);
     }
 
+    /// An id that was never used: a change once refused as not taken stays so under its id.
+    fn fresh_change_id(&mut self) -> ChangeId {
+        ChangeId(self.random.random())
+    }
+
     fn look_after_voters(&mut self, now: BootTime, actions: &mut Vec<ClusterAction>) {
         if now < self.next_voter_look || !self.agreement.may_propose(now) {
             return;
@@ -375,9 +382,10 @@
         let Some(voters) = next_voters(self.agreement.latest_voters(), self.membership.members()) else {
             return;
         };
-        let id = voters_change_id(self.agreement.term(), self.agreement.commit_index());
+        let id = self.fresh_change_id();
         let mut out = Vec::new();
-        self.agreement.propose(now, self.me, Change { id, body: ChangeBody::Voters(voters) }, &mut out);
+        let change = Change { id, body: ChangeBody::Voters(voters) };
+        self.agreement.propose(now, self.me, change, &mut out);
         // Nobody waits for the answer to the leader's own upkeep.
         out.retain(|action| !matches!(action, AgreementAction::Proposed { .. }));
         self.do_agreement(now, out, actions);
@@ -458,12 +466,3 @@
 
 /// Members told at once of a planned stop.
 const LEAVE_FANOUT: usize = 8;
-
-/// Identity of the change that brings a platform revision: the same whoever proposes it.
-pub fn platform_change_id(revision: u64) -> ChangeId {
-    ChangeId(xxh3_64(format!("platform {revision}").as_bytes()))
-}
-
-fn voters_change_id(term: u64, index: u64) -> ChangeId {
-    ChangeId(xxh3_64(format!("voters {term} {index}").as_bytes()))
-}
--- a/crates/staircross-cluster/src/engine/fanout.rs
+++ b/crates/staircross-cluster/src/engine/fanout.rs
@@ -1,6 +1,7 @@
 //! How the engine passes peers' messages to its parts, and sessions' copies to peers.
 
 use super::{ClusterAction, ClusterEngine};
+use crate::config_state::Change;
 use crate::message::{ClusterMessage, Envelope, ProposalReply};
 use crate::replicas::{ASKED, COPIES, ReplicaMessage, SessionCopy};
 use staircross_types::{BootTime, NodeId, SessionToken};
@@ -37,15 +38,33 @@
                 self.do_views(out, actions);
             }
             ClusterMessage::Replica(message) => self.on_replica_message(from, from_address, message, actions),
-            ClusterMessage::Propose(change) => {
-                let mut out = Vec::new();
-                self.agreement.propose(now, from, change, &mut out);
-                self.do_agreement(now, out, actions);
+            ClusterMessage::Propose { origin, is_passed_on, change } => {
+                self.on_proposal(now, origin, is_passed_on, change, actions);
             }
             ClusterMessage::Proposed(reply) => actions.push(ClusterAction::Proposed(reply)),
         }
     }
 
+    fn on_proposal(
+        &mut self,
+        now: BootTime,
+        origin: NodeId,
+        is_passed_on: bool,
+        change: Change,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        let leader = self.agreement.leader().filter(|leader| *leader != self.me && !is_passed_on);
+        let address = leader.and_then(|leader| self.membership.get(leader)).map(|member| member.peer_address);
+        if let Some(address) = address {
+            let message = ClusterMessage::Propose { origin, is_passed_on: true, change };
+            self.send(leader, address, message, actions);
+            return;
+        }
+        let mut out = Vec::new();
+        self.agreement.propose(now, origin, change, &mut out);
+        self.do_agreement(now, out, actions);
+    }
+
     fn on_replica_message(
         &mut self,
         from: NodeId,
--- a/crates/staircross-cluster/src/engine/leasing.rs
+++ b/crates/staircross-cluster/src/engine/leasing.rs
@@ -1,13 +1,14 @@
 //! How the engine renews its lease and grants leases to others.
 
 use super::{ClusterAction, ClusterEngine};
-use crate::lease::{ConfigUpdate, LeaseMessage, LeaseSource, choose_source};
+use crate::lease::{ConfigUpdate, LeaseMessage, LeaseSource, LeaseWord, choose_source};
 use crate::message::ClusterMessage;
 use crate::ownership::rendezvous_weight;
 use rand::seq::IndexedRandom;
 use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 impl ClusterEngine {
     pub(super) fn renew_lease(&mut self, now: BootTime, actions: &mut Vec<ClusterAction>) {
@@ -17,8 +18,7 @@
         let Some(source) = self.lease_source() else {
             return;
         };
-        let is_voter = self.is_voter();
-        let message = self.lease.ask(now, source.clone(), is_voter);
+        let message = self.lease.ask(now, source.clone());
         match source {
             LeaseSource::Parent(node, address) => {
                 self.send(Some(node), address, ClusterMessage::Lease(message), actions);
@@ -38,9 +38,8 @@
             let LeaseMessage::Ask { ask, revision, .. } = message else {
                 continue;
             };
-            if let Some(grant) = self.grant_as_voter(ask, revision) {
-                self.take_grant(now, node, grant, actions);
-            }
+            let grant = self.grant_as_voter(ask, revision);
+            self.take_grant(now, node, grant, actions);
         }
     }
 
@@ -75,20 +74,21 @@
         actions: &mut Vec<ClusterAction>,
     ) {
         match message {
-            LeaseMessage::Ask { ask, revision, .. } => {
-                let grant = self.grant_as_voter(ask, revision).unwrap_or_else(|| self.pass_on(now, ask, revision));
+            LeaseMessage::Ask { ask, revision, wants } => {
+                let grant = match wants {
+                    LeaseWord::Vote => self.grant_as_voter(ask, revision),
+                    LeaseWord::Lease => self.pass_on(now, ask, revision),
+                };
                 self.send(Some(from), from_address, ClusterMessage::Lease(grant), actions);
             }
             LeaseMessage::Grant { .. } => self.take_grant(now, from, message, actions),
         }
     }
 
-    /// A voter's own word. It grants nothing once it knows that it was removed.
-    fn grant_as_voter(&self, ask: u64, revision: u64) -> Option<LeaseMessage> {
+    /// A voter's own word. It is worth nothing once the voter knows that it was removed.
+    fn grant_as_voter(&self, ask: u64, revision: u64) -> LeaseMessage {
         let state = self.agreement.committed_state();
-        if !state.voters.contains(self.me) {
-            return None;
-        }
+        let is_voter = state.voters.contains(self.me);
         let update = if revision >= state.revision {
             ConfigUpdate::None
         } else {
@@ -97,8 +97,8 @@
                 _ => ConfigUpdate::Full(Arc::new(state.clone())),
             }
         };
-        let remaining = self.lease_settings.life;
-        Some(LeaseMessage::Grant { ask, revision: state.revision, is_voter: true, remaining, update })
+        let remaining = if is_voter { self.lease_settings.life } else { Duration::ZERO };
+        LeaseMessage::Grant { ask, revision: state.revision, word: LeaseWord::Vote, remaining, update }
     }
 
     /// Passes on what is left of this node's own lease.
@@ -106,7 +106,7 @@
         LeaseMessage::Grant {
             ask,
             revision: self.lease.state().revision,
-            is_voter: false,
+            word: LeaseWord::Lease,
             remaining: self.lease.remaining(now),
             update: self.lease.update_for(revision),
         }
--- a/crates/staircross-cluster/src/lease.rs
+++ b/crates/staircross-cluster/src/lease.rs
@@ -52,13 +52,22 @@
     Full(Arc<ConfigState>),
 }
 
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseWord {
+    /// A voter's own word. Alone it is worth nothing: a majority of a region is needed.
+    Vote,
+    /// What is left of the asked node's own lease. Voter or not, it has no other to give.
+    Lease,
+}
+
 /// Messages of the lease tree.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LeaseMessage {
-    /// Please grant me a lease; I hold this revision.
-    Ask { ask: u64, revision: u64, from_voter: bool },
+    /// Please give me your word; I hold this revision.
+    Ask { ask: u64, revision: u64, wants: LeaseWord },
     /// The revision that the sender holds, and how long its word is good for (zero: no word).
-    Grant { ask: u64, revision: u64, is_voter: bool, remaining: Duration, update: ConfigUpdate },
+    Grant { ask: u64, revision: u64, word: LeaseWord, remaining: Duration, update: ConfigUpdate },
 }
 
 /// Whom to ask for a lease.
@@ -134,7 +143,11 @@
     }
 
     /// Starts a renewal from `source`; returns the message to send there.
-    pub fn ask(&mut self, now: BootTime, source: LeaseSource, is_voter: bool) -> LeaseMessage {
+    pub fn ask(&mut self, now: BootTime, source: LeaseSource) -> LeaseMessage {
+        let wants = match source {
+            LeaseSource::Voters(_) => LeaseWord::Vote,
+            LeaseSource::Parent(..) => LeaseWord::Lease,
+        };
         let ask = self.next_ask;
         self.next_ask += 1;
         self.next_renewal = now + self.settings.renew_every;
@@ -144,12 +157,12 @@
         while self.asks.len() > MAX_ASKS {
             self.asks.pop_first();
         }
-        LeaseMessage::Ask { ask, revision: self.state.revision, from_voter: is_voter }
+        LeaseMessage::Ask { ask, revision: self.state.revision, wants }
     }
 
     /// Takes a grant; returns whether the configuration changed.
     pub fn on_grant(&mut self, now: BootTime, from: NodeId, grant: LeaseMessage) -> bool {
-        let LeaseMessage::Grant { ask, revision, is_voter, remaining, update } = grant else {
+        let LeaseMessage::Grant { ask, revision, word, remaining, update } = grant else {
             return false;
         };
         let changed = self.take_update(update);
@@ -160,12 +173,12 @@
         match &outstanding.source {
             LeaseSource::Parent(parent, _) => {
                 let is_current = *parent == from && revision == self.state.revision;
-                if is_current && !remaining.is_zero() {
+                if is_current && word == LeaseWord::Lease && !remaining.is_zero() {
                     self.extend(now, asked_at + remaining);
                 }
             }
             LeaseSource::Voters(region) => {
-                if !is_voter || remaining.is_zero() {
+                if word != LeaseWord::Vote || remaining.is_zero() {
                     return changed;
                 }
                 let region = region.clone();
--- a/crates/staircross-cluster/src/message.rs
+++ b/crates/staircross-cluster/src/message.rs
@@ -27,7 +27,14 @@
     /// Session copies.
     Replica(ReplicaMessage),
     /// A change to be proposed by the leader.
-    Propose(Change),
+    Propose {
+        /// The node that waits for the answer.
+        origin: NodeId,
+        /// Whether a voter that doesn't lead has passed it on already.
+        is_passed_on: bool,
+        /// The change.
+        change: Change,
+    },
     /// What became of a change that the receiver had proposed.
     Proposed(ProposalReply),
 }
--- a/crates/staircross-lab/src/fuzz/runner.rs
+++ b/crates/staircross-lab/src/fuzz/runner.rs
@@ -1,5 +1,6 @@
 //! Runs a fuzz model over many cases on all cores and shrinks what it finds.
 
+use super::cluster_model::{self, ClusterModel, ClusterRun};
 use super::request_model::{Operation, RequestModel, RequestRun};
 use super::summary::{FoundViolation, FuzzSummary, texts};
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
@@ -47,6 +48,23 @@
     }
 }
 
+/// The cluster logic's model.
+pub struct Cluster;
+
+impl Model for Cluster {
+    type Operation = cluster_model::Operation;
+    type Machine = ClusterModel;
+
+    fn run_case(seed: u64, operations: &[cluster_model::Operation]) -> (FuzzSummary, Vec<String>) {
+        let mut run = ClusterRun::new(seed);
+        for operation in operations {
+            run.apply(operation);
+        }
+        let violations = run.finish();
+        (run.summary, violations)
+    }
+}
+
 /// Runs a model on all cores. Each part has its own seed, so the result doesn't depend on timing.
 pub fn run<M: Model>(options: FuzzOptions) -> FuzzSummary {
     let parts = std::thread::available_parallelism().map_or(1, |count| count.get() as u32).min(options.cases.max(1));
--- a/crates/staircross-lab/src/lib.rs
+++ b/crates/staircross-lab/src/lib.rs
@@ -6,8 +6,10 @@
 //! | [`demo`] | the guided tour |
 //! | [`fuzz`] | stateful fuzz models, as tests and from the command line |
 //! | [`sim`] | a simulated fleet and the oracle |
+//! | [`cluster_sim`] | a simulated fleet of the cluster logic |
 //! | [`report`] | one line per request, for people or as JSON |
 
+pub mod cluster_sim;
 pub mod demo;
 pub mod fleet;
 pub mod fuzz;
--- a/crates/staircross-lab/src/main.rs
+++ b/crates/staircross-lab/src/main.rs
@@ -66,6 +66,7 @@
     };
     let summary = match command.model.as_deref().unwrap_or("requests") {
         "requests" => runner::run::<runner::Requests>(options),
+        "cluster" => runner::run::<runner::Cluster>(options),
         other => return Err(format!("--model {other}: allowed are requests, cluster")),
     };
     if command.json {
