Compact control messages, keep voters replaceable, keep counted entries

Change: short field names and no target address on the wire; leases every 400 ms from a majority and one voter more, with a quick retry; heartbeats every 400 ms; whoever gets no answer itself reminds the suspect, others wait twice as long; voters change as soon as a majority has learned of the last change; crowded regions drop leaving voters first; a leaving voter leads only as a stopgap; a late whole state no longer drops entries that the leader had counted. Ruled out: growth of the sets by lost votes (the voters shown were alive and all leaving).

--- a/crates/staircross-cluster/src/agreement.rs
+++ b/crates/staircross-cluster/src/agreement.rs
@@ -7,8 +7,8 @@
 //! lapsed ([`crate::lease`]).
 //!
 //! Inputs: messages, proposals, time. Invariants: at most one leader per term; a committed entry
-//! never changes; revisions only rise; a voter set follows another by one step, and only after the
-//! one before has settled.
+//! never changes; revisions only rise; a voter set follows another by one step, and only after a
+//! majority of the one before has learned of it.
 
 mod election;
 mod proposals;
@@ -42,8 +42,8 @@
 impl Default for AgreementSettings {
     fn default() -> Self {
         AgreementSettings {
-            heartbeat_every: Duration::from_millis(200),
-            election_timeout: Duration::from_millis(800),
+            heartbeat_every: Duration::from_millis(400),
+            election_timeout: Duration::from_millis(1200),
             lease: Duration::from_millis(2000),
             kept_entries: 128,
         }
@@ -53,6 +53,11 @@
 /// Boot clocks of two machines run at rates that differ by no more than one part in this many.
 const CLOCK_DRIFT: u32 = 100;
 
+/// Election timeouts that a leaving voter waits longer than others.
+const RELUCTANCE: u32 = 3;
+/// Time after which a leaving voter that had to lead gives others another chance.
+const STOPGAP_LEAD: Duration = Duration::from_secs(6);
+
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LogEntry {
@@ -75,9 +80,33 @@
     /// Yes or no.
     VoteReply { term: u64, granted: bool, is_poll: bool },
     /// Entries after a position, and how far the log is committed and settled.
-    Append { term: u64, previous_index: u64, previous_term: u64, entries: Vec<LogEntry>, commit: u64, settled: u64 },
+    #[serde(rename = "a")]
+    Append {
+        #[serde(rename = "t")]
+        term: u64,
+        #[serde(rename = "i")]
+        previous_index: u64,
+        #[serde(rename = "p")]
+        previous_term: u64,
+        #[serde(rename = "e")]
+        entries: Vec<LogEntry>,
+        #[serde(rename = "c")]
+        commit: u64,
+        #[serde(rename = "s")]
+        settled: u64,
+    },
     /// How far the receiver's log matches and what it has learned to be committed.
-    AppendReply { term: u64, matches: bool, last_match: u64, learned: u64 },
+    #[serde(rename = "r")]
+    AppendReply {
+        #[serde(rename = "t")]
+        term: u64,
+        #[serde(rename = "m")]
+        matches: bool,
+        #[serde(rename = "i")]
+        last_match: u64,
+        #[serde(rename = "l")]
+        learned: u64,
+    },
     /// The whole state, for a voter that lags too far.
     Install { term: u64, last_term: u64, state: Box<ConfigState>, settled: u64 },
 }
@@ -280,7 +309,8 @@
     fn reset_election(&mut self, now: BootTime, random: &mut ChaCha8Rng) {
         let shortest = self.settings.election_timeout;
         let jitter = shortest.mul_f64(random.random::<f64>());
-        self.election_due = now + shortest + jitter;
+        let reluctance = if self.is_resigned { shortest * RELUCTANCE } else { Duration::ZERO };
+        self.election_due = now + shortest + jitter + reluctance;
     }
 
     fn send(&self, to: NodeId, message: AgreementMessage, actions: &mut Vec<AgreementAction>) {
@@ -293,7 +323,8 @@
         self.latest_voters().voters.keys().copied().filter(|node| *node != self.me).collect()
     }
 
-    /// Leads no more and stands for no election: the node is about to stop. It still votes.
+    /// Gives up the lead and leaves elections to others: the node is about to stop. It still votes,
+    /// and stands when nobody else does: if all voters were leaving, none could be replaced otherwise.
     pub fn resign(&mut self) {
         self.is_resigned = true;
         if self.role != Role::Follower {
@@ -348,9 +379,13 @@
             // This process was paused: the leader's messages may be waiting in its inbox.
             self.reset_election(now, random);
         }
-        if self.role == Role::Leader {
+        let is_stopgap = self.is_resigned && now.since(self.leader_heard) >= STOPGAP_LEAD;
+        if self.role == Role::Leader && is_stopgap {
+            self.step_down(self.term);
+            self.reset_election(now, random);
+        } else if self.role == Role::Leader {
             self.lead(now, actions);
-        } else if now >= self.election_due && self.is_voter() && !self.is_resigned {
+        } else if now >= self.election_due && self.is_voter() {
             self.start_poll(now, random, actions);
         }
     }
--- a/crates/staircross-cluster/src/agreement/election.rs
+++ b/crates/staircross-cluster/src/agreement/election.rs
@@ -122,6 +122,7 @@
     fn become_leader(&mut self, now: BootTime, actions: &mut Vec<AgreementAction>) {
         self.role = Role::Leader;
         self.leader = Some(self.me);
+        self.leader_heard = now;
         self.progress = BTreeMap::new();
         self.learned_at.clear();
         self.refresh_progress(now);
--- a/crates/staircross-cluster/src/agreement/proposals.rs
+++ b/crates/staircross-cluster/src/agreement/proposals.rs
@@ -69,7 +69,7 @@
             return true;
         };
         let is_one_step = voters.is_one_step_from(self.latest_voters());
-        is_one_step && !voters.voters.is_empty() && !self.has_unsettled_voters()
+        is_one_step && !voters.voters.is_empty() && !self.has_unlearned_voters()
     }
 
     fn refuse(&mut self, id: ChangeId) {
--- a/crates/staircross-cluster/src/agreement/replication.rs
+++ b/crates/staircross-cluster/src/agreement/replication.rs
@@ -134,7 +134,11 @@
         settled: u64,
         actions: &mut Vec<AgreementAction>,
     ) {
-        if state.revision > self.commit {
+        if self.term_at(state.revision) == Some(last_term) {
+            // A late copy of what the log holds already. Entries after it may have been counted by the
+            // leader, so they must stay.
+            self.commit_up_to(state.revision, actions);
+        } else if state.revision > self.commit {
             self.base_index = state.revision;
             self.base_term = last_term;
             self.commit = state.revision;
@@ -217,10 +221,8 @@
         if self.role != Role::Leader {
             return;
         }
-        let is_known = |index: u64, node: NodeId| {
-            node == self.me || self.progress.get(&node).is_some_and(|progress| progress.learned >= index)
-        };
-        if self.state.voters.has_majority(|node| is_known(self.commit, node)) && self.commit > self.settled {
+        let is_learned = self.state.voters.has_majority(|node| self.has_learned(self.commit, node));
+        if is_learned && self.commit > self.settled {
             self.learned_at.entry(self.commit).or_insert(now);
         }
         let wait = self.settings.lease + self.settings.lease / CLOCK_DRIFT;
@@ -264,8 +266,20 @@
         self.log.drain(..surplus);
     }
 
-    /// Whether a change of voters is under way, committed or not, that hasn't settled.
-    pub(super) fn has_unsettled_voters(&self) -> bool {
-        self.log.iter().any(|entry| entry.index > self.settled && matches!(entry.change.body, ChangeBody::Voters(_)))
+    /// Whether a change of voters is under way that a majority of the new set hasn't learned to be
+    /// committed.
+    ///
+    /// Once it has, every majority of the set before holds somebody who knows of the new one, since
+    /// majorities of sets one step apart overlap. So whoever asks by the old set hears of the new.
+    pub(super) fn has_unlearned_voters(&self) -> bool {
+        let last = self.log.iter().rev().find(|entry| matches!(entry.change.body, ChangeBody::Voters(_)));
+        let Some(index) = last.map(|entry| entry.index) else {
+            return false;
+        };
+        index > self.commit || !self.latest_voters().has_majority(|node| self.has_learned(index, node))
+    }
+
+    fn has_learned(&self, index: u64, node: NodeId) -> bool {
+        node == self.me || self.progress.get(&node).is_some_and(|progress| progress.learned >= index)
     }
 }
--- a/crates/staircross-cluster/src/agreement/voters.rs
+++ b/crates/staircross-cluster/src/agreement/voters.rs
@@ -6,22 +6,39 @@
 use crate::member::{Member, MemberState};
 use crate::ownership::rendezvous_weight;
 use crate::quorum::{Voter, VoterSet};
-use staircross_types::NodeId;
-use std::collections::BTreeMap;
+use staircross_types::{NodeId, ZoneName};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Voters per zone, where the zone has so many nodes.
 pub const VOTERS_PER_ZONE: usize = 3;
 
 /// The next voter set on the way to the wanted one; `None` when nothing is to be changed.
-pub fn next_voters(voters: &VoterSet, members: &BTreeMap<NodeId, Member>) -> Option<VoterSet> {
+///
+/// The leader, `me`, never removes itself: it gives up the lead first.
+pub fn next_voters(voters: &VoterSet, members: &BTreeMap<NodeId, Member>, me: NodeId) -> Option<VoterSet> {
     if let Some(gone) = find_gone(voters, members) {
         return Some(voters.without(gone));
     }
+    // Whoever leaves as planned goes after its replacement has come; but while many leave at once
+    // the set must not grow: its size is what every majority is counted by.
+    let leaving = find_leaving(voters, members, me);
+    if let Some(node) = leaving.filter(|node| is_crowded(voters, *node, members)) {
+        return Some(voters.without(node));
+    }
     if let Some(member) = find_wanted(voters, members) {
         return Some(voters.with(member.node, voter_of(member)));
     }
-    // Whoever leaves as planned goes after its replacement has come.
-    find_leaving(voters, members).map(|leaving| voters.without(leaving))
+    leaving.map(|node| voters.without(node))
+}
+
+/// Whether the node's region has more voters than its zones should have.
+fn is_crowded(voters: &VoterSet, node: NodeId, members: &BTreeMap<NodeId, Member>) -> bool {
+    let Some(region) = voters.voters.get(&node).map(|voter| &voter.region) else {
+        return false;
+    };
+    let in_region = members.values().filter(|member| member.region == *region && !member.is_gone());
+    let zones: BTreeSet<&ZoneName> = in_region.map(|member| &member.zone).collect();
+    voters.in_region(region).count() > zones.len() * VOTERS_PER_ZONE
 }
 
 /// The record of a member as a voter.
@@ -41,9 +58,10 @@
     voters.voters.keys().copied().find(|node| is_gone(node) && !is_last_of_region(voters, *node))
 }
 
-fn find_leaving(voters: &VoterSet, members: &BTreeMap<NodeId, Member>) -> Option<NodeId> {
+fn find_leaving(voters: &VoterSet, members: &BTreeMap<NodeId, Member>, me: NodeId) -> Option<NodeId> {
     let is_leaving = |node: &NodeId| members.get(node).is_some_and(|member| member.state == MemberState::Leaving);
-    voters.voters.keys().copied().find(|node| is_leaving(node) && !is_last_of_region(voters, *node))
+    let mut others = voters.voters.keys().copied().filter(|node| *node != me);
+    others.find(|node| is_leaving(node) && !is_last_of_region(voters, *node))
 }
 
 fn find_wanted<'a>(voters: &VoterSet, members: &'a BTreeMap<NodeId, Member>) -> Option<&'a Member> {
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -106,7 +106,7 @@
 }
 
 /// Time between looks at the voter set by the leader.
-const VOTERS_EVERY: Duration = Duration::from_millis(500);
+const VOTERS_EVERY: Duration = Duration::from_millis(200);
 /// Age at which a platform document that the leader hasn't taken is brought to it by another node.
 const FORWARD_PLATFORM_AFTER: Duration = Duration::from_secs(2);
 
@@ -379,7 +379,7 @@
             return;
         }
         self.next_voter_look = now + VOTERS_EVERY;
-        let Some(voters) = next_voters(self.agreement.latest_voters(), self.membership.members()) else {
+        let Some(voters) = next_voters(self.agreement.latest_voters(), self.membership.members(), self.me) else {
             return;
         };
         let id = self.fresh_change_id();
--- a/crates/staircross-cluster/src/engine/leasing.rs
+++ b/crates/staircross-cluster/src/engine/leasing.rs
@@ -4,7 +4,7 @@
 use crate::lease::{ConfigUpdate, LeaseMessage, LeaseSource, LeaseWord, choose_source};
 use crate::message::ClusterMessage;
 use crate::ownership::rendezvous_weight;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,8 +28,13 @@
     }
 
     fn ask_voters(&mut self, now: BootTime, region: &str, message: LeaseMessage, actions: &mut Vec<ClusterAction>) {
-        let voters: Vec<(NodeId, SocketAddr)> =
+        let mut voters: Vec<(NodeId, SocketAddr)> =
             self.config().voters.in_region(region).map(|(node, voter)| (node, voter.address)).collect();
+        // A majority and one to spare are enough, unless the last try brought nothing; others the next time.
+        voters.shuffle(&mut self.random);
+        if self.lease.failures() <= 1 {
+            voters.truncate(voters.len() / 2 + 2);
+        }
         for (node, address) in voters {
             if node != self.me {
                 self.send(Some(node), address, ClusterMessage::Lease(message.clone()), actions);
--- a/crates/staircross-cluster/src/lease.rs
+++ b/crates/staircross-cluster/src/lease.rs
@@ -24,6 +24,8 @@
     pub life: Duration,
     /// Time between renewals.
     pub renew_every: Duration,
+    /// Time after which a renewal that brought nothing is tried again.
+    pub retry_after: Duration,
     /// Nodes per region that ask the voters directly, besides the voters themselves.
     pub direct: usize,
     /// Children of each node in the tree.
@@ -34,7 +36,8 @@
     fn default() -> Self {
         LeaseSettings {
             life: Duration::from_millis(2000),
-            renew_every: Duration::from_millis(250),
+            renew_every: Duration::from_millis(400),
+            retry_after: Duration::from_millis(150),
             direct: 6,
             degree: 8,
         }
@@ -65,9 +68,29 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LeaseMessage {
     /// Please give me your word; I hold this revision.
-    Ask { ask: u64, revision: u64, wants: LeaseWord },
+    #[serde(rename = "a")]
+    Ask {
+        #[serde(rename = "a")]
+        ask: u64,
+        #[serde(rename = "r")]
+        revision: u64,
+        #[serde(rename = "w")]
+        wants: LeaseWord,
+    },
     /// The revision that the sender holds, and how long its word is good for (zero: no word).
-    Grant { ask: u64, revision: u64, word: LeaseWord, remaining: Duration, update: ConfigUpdate },
+    #[serde(rename = "g")]
+    Grant {
+        #[serde(rename = "a")]
+        ask: u64,
+        #[serde(rename = "r")]
+        revision: u64,
+        #[serde(rename = "w")]
+        word: LeaseWord,
+        #[serde(rename = "l")]
+        remaining: Duration,
+        #[serde(rename = "u")]
+        update: ConfigUpdate,
+    },
 }
 
 /// Whom to ask for a lease.
@@ -93,6 +116,7 @@
     asks: BTreeMap<u64, OutstandingAsk>,
     next_ask: u64,
     next_renewal: BootTime,
+    last_asked: BootTime,
     failures: u32,
     recent: Vec<LogEntry>,
 }
@@ -112,6 +136,7 @@
             asks: BTreeMap::new(),
             next_ask: 1,
             next_renewal: BootTime::default(),
+            last_asked: BootTime::default(),
             failures: 0,
             recent: Vec::new(),
         }
@@ -139,7 +164,8 @@
 
     /// Whether a renewal is due.
     pub fn is_due(&self, now: BootTime) -> bool {
-        now >= self.next_renewal
+        let is_unanswered = self.failures > 0 && now.since(self.last_asked) >= self.settings.retry_after;
+        now >= self.next_renewal || is_unanswered
     }
 
     /// Starts a renewal from `source`; returns the message to send there.
@@ -151,6 +177,7 @@
         let ask = self.next_ask;
         self.next_ask += 1;
         self.next_renewal = now + self.settings.renew_every;
+        self.last_asked = now;
         // Counted as failed until something comes; a success resets it.
         self.failures = self.failures.saturating_add(1);
         self.asks.insert(ask, OutstandingAsk { asked_at: now, source, grants: BTreeMap::new() });
--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -56,10 +56,22 @@
 /// Probes and gossip.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MembershipMessage {
-    /// Are you there? News besides. The sender's own record comes first.
-    Probe { number: u64, news: Vec<Member> },
+    /// Are you there? News besides.
+    #[serde(rename = "p")]
+    Probe {
+        #[serde(rename = "n")]
+        number: u64,
+        #[serde(rename = "w")]
+        news: Vec<Member>,
+    },
     /// I am.
-    ProbeAnswer { number: u64, news: Vec<Member> },
+    #[serde(rename = "q")]
+    ProbeAnswer {
+        #[serde(rename = "n")]
+        number: u64,
+        #[serde(rename = "w")]
+        news: Vec<Member>,
+    },
     /// Please probe a third on my behalf.
     ProbeFor { number: u64, target: NodeId, target_address: SocketAddr },
     /// I have come up; tell me of everyone.
@@ -92,6 +104,15 @@
     sent_at: BootTime,
 }
 
+/// A suspicion that this node holds.
+struct Suspicion {
+    since: BootTime,
+    /// Whether this node itself got no answer. Those who only heard of it wait twice as long, so
+    /// that a refutation heard by the first can reach them.
+    is_first_hand: bool,
+    next_reminder: BootTime,
+}
+
 struct Rumor {
     node: NodeId,
     times_told: u32,
@@ -102,7 +123,7 @@
     settings: MembershipSettings,
     me: NodeId,
     members: BTreeMap<NodeId, Member>,
-    suspected_at: BTreeMap<NodeId, BootTime>,
+    suspicions: BTreeMap<NodeId, Suspicion>,
     gone_at: BTreeMap<NodeId, BootTime>,
     rumors: Vec<Rumor>,
     probe: Option<OutstandingProbe>,
@@ -121,6 +142,8 @@
 /// Time between contacts to seed addresses at which no member is known.
 const SEED_CONTACT_EVERY: Duration = Duration::from_secs(1);
 
+/// Time between reminders to a suspect.
+const REMINDER_EVERY: Duration = Duration::from_millis(400);
 /// Time between probes of members declared dead.
 const DEAD_CONTACT_EVERY: Duration = Duration::from_secs(2);
 
@@ -128,13 +151,14 @@
     /// A fleet of one.
     pub fn new(settings: MembershipSettings, me: Member, seeds: Vec<SocketAddr>) -> Self {
         let node = me.node;
+        let own_start = Rumor { node, times_told: 0 };
         Membership {
             settings,
             me: node,
             members: BTreeMap::from([(node, me)]),
-            suspected_at: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
             gone_at: BTreeMap::new(),
-            rumors: Vec::new(),
+            rumors: vec![own_start],
             probe: None,
             helped: Vec::new(),
             round: Vec::new(),
@@ -243,6 +267,7 @@
             self.excuse_all(now);
         }
         self.check_probe(now, random, actions);
+        self.remind_suspects(now, actions);
         self.expire_suspects(now, actions);
         self.forget_gone(now);
         self.contact_seeds(now, actions);
@@ -256,7 +281,7 @@
     /// After a pause of this process, silence of others proves nothing.
     fn excuse_all(&mut self, now: BootTime) {
         self.probe = None;
-        self.suspected_at.values_mut().for_each(|since| *since = now);
+        self.suspicions.values_mut().for_each(|suspicion| suspicion.since = now);
     }
 
     fn start_probe(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
@@ -366,14 +391,46 @@
         let mut record = member.clone();
         record.state = MemberState::Suspect;
         self.take(now, record, actions);
+        if let Some(suspicion) = self.suspicions.get_mut(&node) {
+            suspicion.is_first_hand = true;
+        }
+    }
+
+    /// Tells suspects that they are suspected, so that whoever was only paused refutes at once.
+    fn remind_suspects(&mut self, now: BootTime, actions: &mut Vec<MembershipAction>) {
+        let mut due = Vec::new();
+        for (node, suspicion) in &mut self.suspicions {
+            if suspicion.is_first_hand && now >= suspicion.next_reminder {
+                suspicion.next_reminder = now + REMINDER_EVERY;
+                due.push(*node);
+            }
+        }
+        for node in due {
+            self.tell_its_record(node, actions);
+        }
+    }
+
+    /// Probes a member with what is thought of it; if it is alive, it refutes.
+    fn tell_its_record(&mut self, node: NodeId, actions: &mut Vec<MembershipAction>) {
+        let Some(member) = self.members.get(&node).cloned() else {
+            return;
+        };
+        let number = self.take_number();
+        let news = vec![self.own().clone(), member.clone()];
+        let message = MembershipMessage::Probe { number, news };
+        actions.push(MembershipAction::Send { to: Some(node), address: member.peer_address, message });
     }
 
     fn expire_suspects(&mut self, now: BootTime, actions: &mut Vec<MembershipAction>) {
         let span = self.settings.suspicion;
+        let is_expired = |suspicion: &Suspicion| {
+            let patience = if suspicion.is_first_hand { span } else { span * 2 };
+            now.since(suspicion.since) >= patience
+        };
         let expired: Vec<NodeId> =
-            self.suspected_at.iter().filter(|(_, since)| now.since(**since) >= span).map(|(node, _)| *node).collect();
+            self.suspicions.iter().filter(|(_, suspicion)| is_expired(suspicion)).map(|(node, _)| *node).collect();
         for node in expired {
-            self.suspected_at.remove(&node);
+            self.suspicions.remove(&node);
             let Some(member) = self.members.get(&node) else {
                 continue;
             };
@@ -417,13 +474,9 @@
         self.next_dead_contact = now + DEAD_CONTACT_EVERY;
         let dead: Vec<Member> =
             self.members.values().filter(|member| member.state == MemberState::Dead).cloned().collect();
-        let Some(member) = dead.choose(random) else {
-            return;
-        };
-        let number = self.take_number();
-        let news = vec![self.own().clone(), member.clone()];
-        let message = MembershipMessage::Probe { number, news };
-        actions.push(MembershipAction::Send { to: Some(member.node), address: member.peer_address, message });
+        if let Some(member) = dead.choose(random) {
+            self.tell_its_record(member.node, actions);
+        }
     }
 
     fn take_all(&mut self, now: BootTime, records: Vec<Member>, actions: &mut Vec<MembershipAction>) {
@@ -449,14 +502,15 @@
         }
         match record.state {
             MemberState::Suspect => {
-                self.suspected_at.insert(node, now);
+                let suspicion = Suspicion { since: now, is_first_hand: false, next_reminder: now };
+                self.suspicions.insert(node, suspicion);
             }
             MemberState::Dead | MemberState::Left => {
-                self.suspected_at.remove(&node);
+                self.suspicions.remove(&node);
                 self.gone_at.insert(node, now);
             }
             MemberState::Alive | MemberState::Leaving => {
-                self.suspected_at.remove(&node);
+                self.suspicions.remove(&node);
                 self.gone_at.remove(&node);
             }
         }
@@ -482,16 +536,13 @@
         self.rumors.push(Rumor { node, times_told: 0 });
     }
 
-    /// Own record and the news told least often; each is told a few times the logarithm of the fleet's size.
+    /// The news told least often; each is told a few times the logarithm of the fleet's size.
     fn take_news(&mut self) -> Vec<Member> {
         let most_tellings = 4 * (self.members.len() as u32 + 1).ilog2() + 4;
         self.rumors.sort_by_key(|rumor| rumor.times_told);
-        let mut news = vec![self.own().clone()];
+        let mut news = Vec::new();
         for rumor in self.rumors.iter_mut().take(self.settings.news_per_message) {
             rumor.times_told += 1;
-            if rumor.node == self.me {
-                continue;
-            }
             if let Some(member) = self.members.get(&rumor.node) {
                 news.push(member.clone());
             }
--- a/crates/staircross-cluster/src/message.rs
+++ b/crates/staircross-cluster/src/message.rs
@@ -15,14 +15,18 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ClusterMessage {
     /// Probes and gossip.
+    #[serde(rename = "m")]
     Membership(MembershipMessage),
     /// The configuration log.
+    #[serde(rename = "a")]
     Agreement(AgreementMessage),
     /// The first voter set.
     Genesis(GenesisMessage),
     /// Configuration leases.
+    #[serde(rename = "l")]
     Lease(LeaseMessage),
     /// Searcher views.
+    #[serde(rename = "v")]
     Views(ViewMessage),
     /// Session copies.
     Replica(ReplicaMessage),
@@ -63,13 +67,22 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Envelope {
     /// The run that sends.
+    #[serde(rename = "f")]
     pub from: NodeId,
     /// Where it can be answered.
+    #[serde(rename = "a")]
     pub from_address: SocketAddr,
     /// The run it is for; `None` for whoever listens at the address.
+    #[serde(rename = "t")]
     pub to: Option<NodeId>,
-    /// Where it goes.
+    /// Where it goes. Not sent: whoever receives it is there.
+    #[serde(skip, default = "unspecified_address")]
     pub to_address: SocketAddr,
     /// What it says.
+    #[serde(rename = "m")]
     pub message: ClusterMessage,
 }
+
+fn unspecified_address() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
--- a/crates/staircross-lab/src/cluster_sim/fleet.rs
+++ b/crates/staircross-lab/src/cluster_sim/fleet.rs
@@ -40,6 +40,8 @@
     pub measure_bytes: bool,
     /// Services in the platform's document.
     pub services: usize,
+    /// Log entries kept for voters that lag; few of them make whole states travel often.
+    pub kept_entries: usize,
 }
 
 /// One hollow node.
@@ -192,8 +194,10 @@
                 1_000_000 - most + self.random.random_range(0..=2 * most)
             }
         };
+        let mut cluster = ClusterSettings::new(me, seeds);
+        cluster.agreement.kept_entries = self.settings.kept_entries;
         HollowNode {
-            engine: ClusterEngine::new(ClusterSettings::new(me, seeds), self.random.random()),
+            engine: ClusterEngine::new(cluster, self.random.random()),
             address,
             region,
             zone,
@@ -545,6 +549,17 @@
         self.nodes[node].is_up && self.nodes[node].engine.is_leader()
     }
 
+    /// Voters as one node sees them: index, whether that run is up, whether it is leaving.
+    pub fn voters_seen_by(&self, node: usize) -> Vec<(Option<usize>, bool, bool)> {
+        let voters = &self.nodes[node].engine.config().voters.voters;
+        let find = |id: &NodeId| self.nodes.iter().position(|node| node.engine.node() == *id);
+        let row = |index: Option<usize>| match index {
+            Some(index) => (Some(index), self.nodes[index].is_up, self.nodes[index].is_leaving),
+            None => (None, false, false),
+        };
+        voters.keys().map(|id| row(find(id))).collect()
+    }
+
     /// Zone of a node.
     pub fn zone(&self, node: usize) -> usize {
         self.nodes[node].zone
--- a/crates/staircross-lab/src/experiment/config_spread.rs
+++ b/crates/staircross-lab/src/experiment/config_spread.rs
@@ -56,6 +56,8 @@
     pub memory_bytes_per_node: f64,
     /// Revisions that fell back, or old ones acted under after a newer was accepted.
     pub reverts: usize,
+    /// What they were.
+    pub violations: Vec<String>,
     /// Members declared dead for pauses under a second.
     pub false_evictions: u64,
     /// Time until a node sees that another has died, 99 in 100.
@@ -98,6 +100,7 @@
         repeat_per_mille: 0,
         measure_bytes: true,
         services: 4,
+        kept_entries: 128,
     };
     let fleet = ClusterFleet::new(settings, options.seed);
     let mut experiment = Experiment {
@@ -274,6 +277,7 @@
         self.report.in_force_ms_max = millis(in_force.max());
         self.report.detect_ms_p99 = self.detect.value_at_quantile(0.99) as f64;
         self.report.reverts = self.fleet.oracle.violations.len();
+        self.report.violations = self.fleet.oracle.violations.iter().map(ToString::to_string).collect();
         self.report.simulated_s = self.fleet.now().as_secs_f64();
         self.report.wall_s = started.elapsed().as_secs_f64();
         self.report
--- a/crates/staircross-lab/src/fuzz/cluster_model.rs
+++ b/crates/staircross-lab/src/fuzz/cluster_model.rs
@@ -105,9 +105,10 @@
         seeds: 4,
         drift: 200,
         loss_per_mille: 10,
-        repeat_per_mille: 10,
+        repeat_per_mille: 30,
         measure_bytes: false,
         services: 2,
+        kept_entries: 2,
     }
 }
 
--- a/crates/staircross-node/src/core.rs
+++ b/crates/staircross-node/src/core.rs
@@ -310,6 +310,7 @@
             || self.leaf.in_flight() > 0
             || !self.held.is_empty()
             || !self.resumes.is_empty()
+            || !self.changes.is_empty()
             || self.serving.load(Ordering::Acquire) > 0;
         !is_busy && self.is_lingering_over(now) && (self.cluster.is_free_to_leave() || is_over_bound)
     }
