Plan capacity from measured slopes

Change: staircross-lab slopes measures each slope three times and prints the data file; staircross plan works out any size from the committed file, names the mechanism that carries each row, whether it is built, and the limit that comes first. Found: resident memory can't be compared between measurements in one process, so allocations are counted.

--- a/crates/staircross-lab/src/experiment.rs
+++ b/crates/staircross-lab/src/experiment.rs
@@ -5,9 +5,12 @@
 //! | [`tail`] | latency, coverage and extra load of policies side by side |
 //! | [`overload`] | goodput under twice the capacity, and recovery |
 //! | [`config_spread`] | how fast configuration is in force everywhere, and what control costs |
+//! | [`slopes`], [`http_cost`] | what capacity is planned from |
 //! | [`process`] | memory and processor time of this process |
 
 pub mod config_spread;
+pub mod http_cost;
 pub mod overload;
 pub mod process;
+pub mod slopes;
 pub mod tail;
--- a/crates/staircross-lab/src/experiment/config_spread.rs
+++ b/crates/staircross-lab/src/experiment/config_spread.rs
@@ -4,7 +4,7 @@
 //! sizes. Processor time is that of engine and codec, without system calls; memory is this
 //! process's growth per node. The ordinary day's failures are compressed into minutes.
 
-use super::process::resident_bytes;
+use super::process::allocated_bytes;
 use crate::cluster_sim::{ClusterFleet, FleetSettings};
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -89,7 +89,7 @@
 /// Runs the experiment.
 pub fn run(options: SpreadOptions) -> SpreadReport {
     let started = std::time::Instant::now();
-    let memory_before = resident_bytes();
+    let memory_before = allocated_bytes();
     let settings = FleetSettings {
         nodes: options.nodes,
         regions: options.regions,
@@ -110,7 +110,7 @@
         next_node: 0,
     };
     experiment.found(options.searchers);
-    let memory = resident_bytes().saturating_sub(memory_before);
+    let memory = allocated_bytes().saturating_sub(memory_before);
     experiment.report.memory_bytes_per_node = memory as f64 / options.nodes as f64;
     experiment.steady();
     experiment.day_pace();
--- a/crates/staircross-lab/src/experiment/process.rs
+++ b/crates/staircross-lab/src/experiment/process.rs
@@ -1,12 +1,16 @@
-//! Memory and processor time of this process, as the kernel counts them.
+//! Memory and processor time of this process.
 
+use cap::Cap;
+use std::alloc::System;
 use std::time::Duration;
 
-/// Resident memory in bytes; zero where the kernel doesn't tell.
-pub fn resident_bytes() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages: u64 = text.split_whitespace().nth(1).and_then(|field| field.parse().ok()).unwrap_or(0);
-    pages * rustix::param::page_size() as u64
+/// Counts what is allocated. Resident memory wouldn't do: what one measurement frees the next reuses.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
+/// Bytes allocated and not freed, without the allocator's own overhead.
+pub fn allocated_bytes() -> u64 {
+    ALLOCATOR.allocated() as u64
 }
 
 /// Processor time used by this process so far.
--- a/crates/staircross-lab/src/main.rs
+++ b/crates/staircross-lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use staircross_lab::demo::{self, DemoOptions};
 use staircross_lab::experiment::config_spread::{self, SpreadOptions};
-use staircross_lab::experiment::{overload, tail};
+use staircross_lab::experiment::{overload, slopes, tail};
 use staircross_lab::fuzz::runner::{self, FuzzOptions};
 use std::process::ExitCode;
 
@@ -38,6 +38,11 @@
                 /// Print JSON.
                 optional --json
             }
+            /// Measure the slopes that capacity is planned from, and print the data file.
+            cmd slopes {
+                /// Only compare hollow fleets of these sizes (e.g. 100,300,530) with each other.
+                optional --fleets fleets: String
+            }
             /// Stateful fuzzing of the engines against a plain oracle.
             cmd fuzz {
                 /// What to fuzz: `requests` (default) or `cluster`.
@@ -61,6 +66,7 @@
         flags::StaircrossLabCmd::Demo(command) => run_demo(command),
         flags::StaircrossLabCmd::Fuzz(command) => run_fuzz(&command),
         flags::StaircrossLabCmd::Experiment(command) => run_experiment(&command),
+        flags::StaircrossLabCmd::Slopes(command) => run_slopes(&command),
     };
     match result {
         Ok(code) => code,
@@ -124,3 +130,15 @@
     }
     Ok(ExitCode::SUCCESS)
 }
+
+fn run_slopes(command: &flags::Slopes) -> Result<ExitCode, String> {
+    let Some(fleets) = &command.fleets else {
+        let text = toml::to_string(&slopes::run()).map_err(|error| error.to_string())?;
+        print!("{text}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let sizes: Result<Vec<usize>, _> = fleets.split(',').map(|text| text.trim().parse::<usize>()).collect();
+    let sizes = sizes.map_err(|error| format!("--fleets {fleets}: {error}"))?;
+    let rows: Vec<_> = sizes.into_iter().map(|nodes| slopes::steady_fleet(nodes, 0, 1)).collect();
+    print_rows(&rows, true)
+}
--- a/crates/staircross/src/flags.rs
+++ b/crates/staircross/src/flags.rs
@@ -47,6 +47,15 @@
             /// Print JSON.
             optional --json
         }
+        /// Work out what a size needs, from measured slopes, and which limit comes first.
+        cmd plan {
+            /// Size (TOML); see examples/target.toml.
+            required --sizes sizes: PathBuf
+            /// Slopes (TOML) instead of the committed ones.
+            optional --slopes slopes: PathBuf
+            /// Print JSON.
+            optional --json
+        }
         /// Check settings and service documents before they are used.
         cmd check {
             /// Settings file (TOML).
--- a/crates/staircross/src/main.rs
+++ b/crates/staircross/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod flags;
+mod plan;
 mod query;
 mod run_node;
 mod status;
@@ -27,6 +28,7 @@
         flags::StaircrossCmd::Command(command) => query::run_command(&command),
         flags::StaircrossCmd::Status(command) => status::run(&command),
         flags::StaircrossCmd::Check(command) => check::run(&command),
+        flags::StaircrossCmd::Plan(command) => plan::run(&command),
     };
     match result {
         Ok(Verdict::Done) => ExitCode::SUCCESS,
