Test a fleet of real processes through stops, a kill and a pause

Cause: the engines are proved in simulation; sockets, signals and threads need the real thing. Change: six node processes over loopback with six sessions under load: rolling replacement of all with a second signal to every other one, a kill, a pause of 3.5 s, an action sent twice.

--- /dev/null
+++ b/crates/staircross/tests/processes.rs
@@ -0,0 +1,322 @@
+//! Real node processes over loopback with sessions under load: rolling stop of all, a kill, a pause.
+//!
+//! Platform and searchers are stand-ins in the test's own process. What is asserted doesn't depend
+//! on timing: answers are right, coverage adds up, no session is lost, no planned stop cuts a
+//! request, nothing that must run once runs twice.
+
+use rustix::process::{Pid, Signal, kill_process};
+use staircross_config::{PlatformDocument, SearcherDefinition, ServiceDefinition, ServicePolicy};
+use staircross_node::api::ReplyBody;
+use staircross_node::{ClientError, NodeClient};
+use staircross_standin::{Corpus, Document, PlatformStandin, SearcherSettings, SearcherStandin};
+use staircross_types::{
+    ErrorKind, GroupId, SearcherId, ServiceName, SessionToken, ShardId, ShardMap, ShardPlacement, Snapshot, ZoneName,
+};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const NODES: usize = 6;
+const SEARCHERS: u32 = 4;
+const SHARDS: u32 = 8;
+const DOCUMENTS: u64 = 64;
+const ZONES: [&str; 3] = ["z0", "z1", "z2"];
+const SNAPSHOT: Snapshot = Snapshot { version: 1, epoch: 1, build: 1 };
+/// Far longer than anything takes; a test that hangs must end.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn free_address() -> SocketAddr {
+    loop {
+        let address = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port");
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn corpus() -> Corpus {
+    let document = |number: u64| Document {
+        id: format!("doc-{number:03}"),
+        title: format!("clause {number}"),
+        body: "common wording".to_owned(),
+    };
+    Corpus { documents: (0..DOCUMENTS).map(document).collect() }
+}
+
+fn service(name: &str, first: u32, policy: ServicePolicy) -> ServiceDefinition {
+    let ids: Vec<u32> = (first..first + SEARCHERS).collect();
+    let searchers = ids.iter().map(|id| SearcherDefinition {
+        id: SearcherId(*id),
+        address: free_address(),
+        zone: ZoneName::new(ZONES[*id as usize % ZONES.len()]),
+        group: GroupId(*id / 2),
+        slots: 4,
+        connections: 70,
+    });
+    let place = |shard: u32| ShardPlacement {
+        shard: ShardId(shard),
+        replicas: (0..3).map(|step| SearcherId(first + (shard + step) % SEARCHERS)).collect(),
+    };
+    ServiceDefinition {
+        name: ServiceName::new(name),
+        policy,
+        searchers: searchers.collect(),
+        shard_maps: vec![ShardMap { snapshot: SNAPSHOT, shards: (0..SHARDS).map(place).collect() }],
+    }
+}
+
+/// Stand-ins and node processes. Processes are killed when dropped.
+struct Fleet {
+    searchers: Vec<SearcherStandin>,
+    settings: Vec<PathBuf>,
+    callers: Vec<SocketAddr>,
+    nodes: Vec<Child>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for node in &mut self.nodes {
+            // It may have ended already.
+            let _may_have_ended = node.kill();
+            let _reaped = node.wait();
+        }
+    }
+}
+
+impl Fleet {
+    fn start(folder: &Path) -> Fleet {
+        let search = ServicePolicy { wait_ms: 3000, least_coverage_per_mille: 1, ..ServicePolicy::default() };
+        let act = ServicePolicy {
+            repeatable: false,
+            hedge_per_mille: 0,
+            retry_per_mille: 0,
+            wait_ms: 3000,
+            ..ServicePolicy::default()
+        };
+        let services = vec![service("clauses", 0, search), service("bookings", 100, act)];
+        let searchers = services.iter().flat_map(start_searchers).collect();
+        let platform = free_address();
+        PlatformStandin::start(platform, PlatformDocument { revision: 1, services }).expect("the platform starts");
+        let addresses: Vec<(SocketAddr, SocketAddr)> = (0..NODES).map(|_| (free_address(), free_address())).collect();
+        let settings = write_settings(folder, platform, &addresses);
+        let nodes = settings.iter().map(|path| start_node(path)).collect();
+        let callers = addresses.iter().map(|(callers, _)| *callers).collect();
+        let fleet = Fleet { searchers, settings, callers, nodes };
+        (0..NODES).for_each(|index| fleet.wait_ready(index));
+        fleet
+    }
+
+    fn client(&self, index: usize) -> NodeClient {
+        NodeClient::new(self.callers[index % NODES])
+    }
+
+    fn is_ready(&self, index: usize) -> bool {
+        let client = self.client(index);
+        let alive = client.status().is_ok_and(|status| {
+            status.may_act && status.members.iter().filter(|member| member.state == "alive").count() == NODES
+        });
+        let serving = |reply: ReplyBody| match reply {
+            ReplyBody::Listing(listing) => {
+                listing.rows.len() == 2 * SEARCHERS as usize && listing.rows.iter().all(|row| row[4] == "serving")
+            }
+            _ => false,
+        };
+        alive && client.command("SHOW SEARCHERS").is_ok_and(|reply| serving(reply.body))
+    }
+
+    fn wait_ready(&self, index: usize) {
+        let started = Instant::now();
+        while !self.is_ready(index) {
+            assert!(started.elapsed() < PATIENCE, "node {index} isn't ready");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn signal(&self, index: usize, signal: Signal) {
+        let pid = Pid::from_child(&self.nodes[index]);
+        kill_process(pid, signal).expect("the node can be signalled");
+    }
+
+    fn replace(&mut self, index: usize) {
+        self.nodes[index] = start_node(&self.settings[index]);
+        self.wait_ready(index);
+    }
+}
+
+fn start_searchers(service: &ServiceDefinition) -> Vec<SearcherStandin> {
+    let start = |definition: &SearcherDefinition| {
+        let searcher = SearcherStandin::start(SearcherSettings {
+            id: definition.id,
+            listen: definition.address,
+            slots: definition.slots,
+            queue: 16,
+            connections: definition.connections,
+            work: Duration::from_millis(3),
+            cold: Duration::ZERO,
+        })
+        .expect("a searcher starts");
+        let map = &service.shard_maps[0];
+        let held = map.shards.iter().filter(|placement| placement.replicas.contains(&definition.id));
+        let held: Vec<ShardId> = held.map(|placement| placement.shard).collect();
+        searcher.publish(SNAPSHOT, &corpus(), &held, SHARDS as usize);
+        searcher
+    };
+    service.searchers.iter().map(start).collect()
+}
+
+fn write_settings(folder: &Path, platform: SocketAddr, addresses: &[(SocketAddr, SocketAddr)]) -> Vec<PathBuf> {
+    let seeds: Vec<String> = addresses.iter().map(|(_, peers)| format!("\"{peers}\"")).collect();
+    let write = |(index, (callers, peers)): (usize, &(SocketAddr, SocketAddr))| {
+        let text = format!(
+            "[node]\nregion = \"home\"\nzone = \"{}\"\nlisten = \"{callers}\"\npeer_listen = \"{peers}\"\n\
+             cluster = \"test\"\ncluster_key = \"a key for this test only\"\nlog = \"off\"\nseeds = [{}]\n\
+             [platform]\naddress = \"{platform}\"\npoll_ms = 100\n",
+            ZONES[index % ZONES.len()],
+            seeds.join(", ")
+        );
+        let path = folder.join(format!("node{index}.toml"));
+        std::fs::write(&path, text).expect("settings are written");
+        path
+    };
+    addresses.iter().enumerate().map(write).collect()
+}
+
+fn start_node(settings: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_staircross"))
+        .args(["node", "--settings"])
+        .arg(settings)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("a node starts")
+}
+
+/// What went wrong, gathered from all callers.
+#[derive(Clone, Default)]
+struct Findings {
+    wrong: Arc<Mutex<Vec<String>>>,
+    /// Whether a broken connection is a fault: not while nodes are killed.
+    is_cut_a_fault: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Findings {
+    fn add(&self, what: String) {
+        self.wrong.lock().expect("no caller panics").push(what);
+    }
+}
+
+/// One caller: a session, queries one after the other, going where replies send it.
+fn run_caller(number: usize, session: SessionToken, callers: Vec<SocketAddr>, findings: &Findings) -> usize {
+    let mut at = number;
+    let mut client = NodeClient::new(callers[at % callers.len()]);
+    let mut answers = 0;
+    while !findings.stop.load(Ordering::Acquire) {
+        match client.query(session, "SEARCH 'common' IN SERVICE clauses LIMIT 100") {
+            Ok(reply) => {
+                match &reply.body {
+                    ReplyBody::Answer(answer) => {
+                        answers += 1;
+                        let told = answer.shards_included + answer.shards_missing.len();
+                        let is_whole = answer.shards_missing.is_empty();
+                        if told != SHARDS as usize || answer.snapshot != SNAPSHOT.to_string() {
+                            findings.add(format!("coverage or snapshot is wrong: {answer:?}"));
+                        }
+                        if is_whole && (answer.matched != DOCUMENTS || answer.hits.len() as u64 != DOCUMENTS) {
+                            findings.add(format!("{} of {DOCUMENTS} documents in a whole answer", answer.matched));
+                        }
+                    }
+                    ReplyBody::Refusal(refusal) if refusal.error == ErrorKind::UnknownSession => {
+                        findings.add(format!("session {number} was lost: {}", refusal.detail));
+                    }
+                    ReplyBody::Refusal(refusal) if refusal.error == ErrorKind::Leaving => at += 1,
+                    _ => {}
+                }
+                if let Some(next) = reply.moved_to {
+                    client = NodeClient::new(next);
+                }
+            }
+            Err(error) => {
+                if findings.is_cut_a_fault.load(Ordering::Acquire) {
+                    findings.add(format!("caller {number} was cut off: {error}"));
+                }
+                at += 1;
+                client = NodeClient::new(callers[at % callers.len()]);
+            }
+        }
+    }
+    answers
+}
+
+fn wait_for_exit(node: &mut Child) -> Option<i32> {
+    let started = Instant::now();
+    loop {
+        if let Some(status) = node.try_wait().expect("the node can be waited for") {
+            return status.code();
+        }
+        assert!(started.elapsed() < PATIENCE, "a stopping node ends");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn confirm(client: &NodeClient, note: &str) -> Result<String, ClientError> {
+    let session = client.open_session()?;
+    let ticket = client.mint_ticket(session)?;
+    let statement = format!("RUN confirm ON 'doc-001' IN SERVICE bookings NOTE '{note}' TICKET '{ticket}'");
+    client.query(session, &statement)?;
+    client.query(session, &statement)?;
+    Ok(ticket)
+}
+
+#[test]
+fn fleet_of_processes_keeps_its_promises_through_stops_kills_and_pauses() {
+    let folder = std::env::temp_dir().join(format!("staircross-processes-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for settings");
+    let mut fleet = Fleet::start(&folder);
+    let findings = Findings::default();
+    findings.is_cut_a_fault.store(true, Ordering::Release);
+    let load: Vec<_> = (0..6)
+        .map(|number| {
+            let callers = fleet.callers.clone();
+            let findings = findings.clone();
+            // Before any node stops: a stopping node opens no new session.
+            let session = fleet.client(number).open_session().expect("a session opens");
+            std::thread::spawn(move || run_caller(number, session, callers, &findings))
+        })
+        .collect();
+
+    // Rolling replacement of the whole fleet cuts nothing; a second signal changes nothing.
+    for index in 0..NODES {
+        fleet.signal(index, Signal::TERM);
+        if index % 2 == 0 {
+            fleet.signal(index, Signal::TERM);
+        }
+        assert_eq!(wait_for_exit(&mut fleet.nodes[index]), Some(0), "node {index} ends well");
+        fleet.replace(index);
+    }
+
+    // A killed node loses its connections, not its sessions; a paused one wakes late.
+    findings.is_cut_a_fault.store(false, Ordering::Release);
+    fleet.signal(0, Signal::KILL);
+    wait_for_exit(&mut fleet.nodes[0]);
+    fleet.signal(1, Signal::STOP);
+    std::thread::sleep(Duration::from_millis(3500));
+    fleet.signal(1, Signal::CONT);
+    fleet.replace(0);
+    fleet.wait_ready(1);
+
+    // An action sent twice with one ticket ran once.
+    confirm(&fleet.client(2), "once").expect("the action is answered");
+    let ran: usize = fleet.searchers.iter().map(|searcher| searcher.ledger().count_actions("once")).sum();
+    assert_eq!(ran, 1);
+
+    findings.stop.store(true, Ordering::Release);
+    let answers: usize = load.into_iter().map(|caller| caller.join().expect("a caller ends")).sum();
+    let wrong = findings.wrong.lock().expect("no caller panics").clone();
+    assert!(wrong.is_empty(), "{} findings, the first: {:?}", wrong.len(), &wrong[..wrong.len().min(5)]);
+    assert!(answers > 0, "the load was answered");
+    drop(fleet);
+    let _leftover = std::fs::remove_dir_all(&folder);
+}
