Keep a refused change refused when its message is repeated

A voter refused it, learned of a leader, and passed the repeated message on. Change: a voter passes a change on once, never one that it has refused; a leader remembers what it took and answers pending, whatever became of it. Conclusion: not taken means not taken.

--- a/crates/staircross-cluster/src/agreement.rs
+++ b/crates/staircross-cluster/src/agreement.rs
@@ -173,6 +173,8 @@
     settled: u64,
     /// Changes answered as not taken. A repeated message must not bring one in after all.
     refused: VecDeque<ChangeId>,
+    /// Changes that this node appended as a leader. Whatever became of them, they were taken.
+    taken: VecDeque<ChangeId>,
     is_active: bool,
     is_resigned: bool,
     addresses: HashMap<NodeId, SocketAddr>,
@@ -202,6 +204,7 @@
             learned_at: BTreeMap::new(),
             settled: 0,
             refused: VecDeque::new(),
+            taken: VecDeque::new(),
             is_active: false,
             is_resigned: false,
             addresses: HashMap::new(),
--- a/crates/staircross-cluster/src/agreement/proposals.rs
+++ b/crates/staircross-cluster/src/agreement/proposals.rs
@@ -5,8 +5,8 @@
 use crate::message::ProposalReply;
 use staircross_types::{BootTime, NodeId};
 
-/// Refused changes remembered.
-const MAX_REFUSED: usize = 1024;
+/// Refused and taken changes remembered.
+const MAX_REMEMBERED: usize = 1024;
 
 impl Agreement {
     /// Takes a change to be proposed for `from`; every change gets an answer, now or later.
@@ -23,7 +23,7 @@
             self.waiting.push(Waiting { id, from, index });
             return;
         }
-        if self.index_of(id).is_some() {
+        if self.index_of(id).is_some() || self.taken.contains(&id) {
             actions.push(AgreementAction::Proposed { to: from, reply: ProposalReply::Pending { id } });
             return;
         }
@@ -32,6 +32,10 @@
             actions.push(AgreementAction::Proposed { to: from, reply: ProposalReply::NotTaken { id } });
             return;
         }
+        if self.taken.len() >= MAX_REMEMBERED {
+            self.taken.pop_front();
+        }
+        self.taken.push_back(id);
         let index = self.append_own(change);
         self.waiting.push(Waiting { id, from, index });
         self.refresh_progress(now);
@@ -72,8 +76,13 @@
         is_one_step && !voters.voters.is_empty() && !self.has_unlearned_voters()
     }
 
+    /// Whether this node has answered a change as not taken.
+    pub fn has_refused(&self, id: ChangeId) -> bool {
+        self.refused.contains(&id)
+    }
+
     fn refuse(&mut self, id: ChangeId) {
-        if self.refused.len() >= MAX_REFUSED {
+        if self.refused.len() >= MAX_REMEMBERED {
             self.refused.pop_front();
         }
         self.refused.push_back(id);
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -22,6 +22,7 @@
 use rand_chacha::rand_core::SeedableRng;
 use staircross_config::PlatformDocument;
 use staircross_types::{BootTime, NodeId, SearcherId, SessionToken};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,6 +134,8 @@
     next_voter_look: BootTime,
     unseen: Option<UnseenDocument>,
     is_leaving: bool,
+    /// Changes that were passed on to a leader. A repeated message must not reach another one.
+    passed_on: VecDeque<ChangeId>,
 }
 
 impl ClusterEngine {
@@ -157,6 +160,7 @@
             next_voter_look: BootTime::default(),
             unseen: None,
             is_leaving: false,
+            passed_on: VecDeque::new(),
         }
     }
 
--- a/crates/staircross-cluster/tests/agreement.rs
+++ b/crates/staircross-cluster/tests/agreement.rs
@@ -179,6 +179,55 @@
 
 /// Found by the spread experiment: with every voter leaving at once the set only grew, and in the
 /// end nobody was left to lead.
+/// Found by the fuzz model: a change refused as not taken came in after all by a repeated message.
+#[test]
+fn repeated_proposal_does_not_bring_in_what_was_refused() {
+    use staircross_cluster::membership::MembershipMessage;
+    use staircross_cluster::{ClusterAction, ClusterEngine, ClusterEvent, ClusterMessage, ClusterSettings, Envelope};
+    let now = BootTime::from_millis(1000);
+    let me = member(2, "a1", MemberState::Alive);
+    let mut engine = ClusterEngine::new(ClusterSettings::new(me.clone(), Vec::new()), 1);
+    let from = |node: u128, message: ClusterMessage| {
+        ClusterEvent::Message(Envelope {
+            from: NodeId(node),
+            from_address: member(node, "a1", MemberState::Alive).peer_address,
+            to: Some(NodeId(2)),
+            to_address: me.peer_address,
+            message,
+        })
+    };
+    let tell = |engine: &mut ClusterEngine, event: ClusterEvent| -> Vec<ClusterMessage> {
+        let mut actions = Vec::new();
+        engine.on_event(now, event, &mut actions);
+        let messages = actions.into_iter().filter_map(|action| match action {
+            ClusterAction::Send(envelope) => Some(envelope.message),
+            _ => None,
+        });
+        messages.collect()
+    };
+    for node in [1, 9] {
+        let join = MembershipMessage::Join { member: member(node, "a1", MemberState::Alive) };
+        tell(&mut engine, from(node, ClusterMessage::Membership(join)));
+    }
+    let proposal = || {
+        let change = Change { id: ChangeId(77), body: ChangeBody::Noop };
+        from(9, ClusterMessage::Propose { origin: NodeId(9), is_passed_on: false, change })
+    };
+    let answer = tell(&mut engine, proposal());
+    assert!(matches!(answer[..], [ClusterMessage::Proposed(_)]), "no leader is known: {answer:?}");
+    let append = AgreementMessage::Append {
+        term: 1,
+        previous_index: 0,
+        previous_term: 0,
+        entries: Vec::new(),
+        commit: 0,
+        settled: 0,
+    };
+    tell(&mut engine, from(1, ClusterMessage::Agreement(append)));
+    let again = tell(&mut engine, proposal());
+    assert!(!again.iter().any(|message| matches!(message, ClusterMessage::Propose { .. })), "{again:?}");
+}
+
 #[test]
 fn leaving_voters_are_replaced_one_by_one_without_the_set_growing() {
     let mut members = BTreeMap::new();
