--- a/crates/staircross-cluster/src/agreement/proposals.rs
+++ b/crates/staircross-cluster/src/agreement/proposals.rs
@@ -47,12 +47,14 @@
     /// of every region. Without that, a change would most likely hang: better to refuse it as not taken.
     pub fn may_propose(&self, now: BootTime) -> bool {
         let is_established = self.role == Role::Leader && self.commit_term() == self.term;
+        is_established && self.latest_voters().has_majority(|node| self.hears(now, node))
+    }
+
+    /// Whether a voter has just answered this leader.
+    pub fn hears(&self, now: BootTime, node: NodeId) -> bool {
         let recent = self.settings.election_timeout;
-        let hears = |node: NodeId| {
-            let heard = self.progress.get(&node).is_some_and(|progress| now.since(progress.last_heard) < recent);
-            node == self.me || heard
-        };
-        is_established && self.latest_voters().has_majority(hears)
+        let heard = self.progress.get(&node).is_some_and(|progress| now.since(progress.last_heard) < recent);
+        node == self.me || heard
     }
 
     /// Whether a platform document of this revision or a later one is in the log, committed or not.
--- a/crates/staircross-cluster/src/agreement/voters.rs
+++ b/crates/staircross-cluster/src/agreement/voters.rs
@@ -14,9 +14,15 @@
 
 /// The next voter set on the way to the wanted one; `None` when nothing is to be changed.
 ///
-/// The leader, `me`, never removes itself: it gives up the lead first.
-pub fn next_voters(voters: &VoterSet, members: &BTreeMap<NodeId, Member>, me: NodeId) -> Option<VoterSet> {
-    if let Some(gone) = find_gone(voters, members) {
+/// The leader, `me`, never removes itself: it gives up the lead first. `answers` tells who has just
+/// answered the leader: just after a cut has healed, members still take each other for dead.
+pub fn next_voters(
+    voters: &VoterSet,
+    members: &BTreeMap<NodeId, Member>,
+    me: NodeId,
+    answers: impl Fn(NodeId) -> bool,
+) -> Option<VoterSet> {
+    if let Some(gone) = find_gone(voters, members, answers) {
         return Some(voters.without(gone));
     }
     // Whoever leaves as planned goes after its replacement has come; but while many leave at once
@@ -53,8 +59,12 @@
     voters.in_region(&voter.region).count() == 1
 }
 
-fn find_gone(voters: &VoterSet, members: &BTreeMap<NodeId, Member>) -> Option<NodeId> {
-    let is_gone = |node: &NodeId| members.get(node).is_none_or(Member::is_gone);
+fn find_gone(
+    voters: &VoterSet,
+    members: &BTreeMap<NodeId, Member>,
+    answers: impl Fn(NodeId) -> bool,
+) -> Option<NodeId> {
+    let is_gone = |node: &NodeId| members.get(node).is_none_or(Member::is_gone) && !answers(*node);
     voters.voters.keys().copied().find(|node| is_gone(node) && !is_last_of_region(voters, *node))
 }
 
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -383,7 +383,9 @@
             return;
         }
         self.next_voter_look = now + VOTERS_EVERY;
-        let Some(voters) = next_voters(self.agreement.latest_voters(), self.membership.members(), self.me) else {
+        let answers = |node: NodeId| self.agreement.hears(now, node);
+        let wanted = next_voters(self.agreement.latest_voters(), self.membership.members(), self.me, answers);
+        let Some(voters) = wanted else {
             return;
         };
         let id = self.fresh_change_id();
--- a/crates/staircross-cluster/tests/agreement.rs
+++ b/crates/staircross-cluster/tests/agreement.rs
@@ -239,7 +239,7 @@
     }
     let mut set = (1..=3).fold(VoterSet::default(), |set, node| set.with(NodeId(node), voter("a", "a1")));
     let mut steps = 0;
-    while let Some(next) = next_voters(&set, &members, NodeId(1)) {
+    while let Some(next) = next_voters(&set, &members, NodeId(1), |_| false) {
         assert!(next.is_one_step_from(&set));
         assert!(next.voters.len() <= 4, "{next:?}");
         set = next;
@@ -250,11 +250,22 @@
     assert_eq!(staying, vec![1, 11, 12, 13], "the leader gives up the lead before it is removed");
 }
 
+#[test]
+fn voter_that_answers_the_leader_is_not_removed_however_dead_it_is_thought() {
+    let set = VoterSet::default().with(NodeId(1), voter("a", "a1")).with(NodeId(2), voter("a", "a1"));
+    let members = BTreeMap::from([
+        (NodeId(1), member(1, "a1", MemberState::Alive)),
+        (NodeId(2), member(2, "a1", MemberState::Dead)),
+    ]);
+    assert_eq!(next_voters(&set, &members, NodeId(1), |node| node == NodeId(2)), None);
+    assert_eq!(next_voters(&set, &members, NodeId(1), |_| false), Some(set.without(NodeId(2))));
+}
+
 #[test]
 fn last_voter_of_a_region_is_never_removed() {
     let set = VoterSet::default().with(NodeId(1), voter("a", "a1")).with(NodeId(2), voter("b", "b1"));
     let members = BTreeMap::from([(NodeId(1), member(1, "a1", MemberState::Alive))]);
-    assert_eq!(next_voters(&set, &members, NodeId(1)), None);
+    assert_eq!(next_voters(&set, &members, NodeId(1), |_| false), None);
 }
 
 fn service(searchers: u32, slots: u32) -> ServiceDefinition {
