--- a/crates/staircross-lab/src/experiment/overload.rs
+++ b/crates/staircross-lab/src/experiment/overload.rs
@@ -9,7 +9,7 @@
 use rand_chacha::rand_core::SeedableRng;
 use serde::Serialize;
 use staircross_config::{Priority, ServicePolicy};
-use staircross_search::Outcome;
+use staircross_search::{Outcome, RootSettings};
 use staircross_types::{BootTime, ServiceName};
 use std::time::Duration;
 
@@ -68,7 +68,7 @@
 
 impl Driver {
     fn new(seed: u64, limit_admission: bool) -> Self {
-        let mut world = tail::world(policy(), seed, limit_admission);
+        let mut world = tail::world(policy(), RootSettings { limit_admission, ..RootSettings::default() }, seed);
         let sessions = (0..SESSIONS).map(|node| world.open_session(node)).collect();
         Driver { world, arrivals: ChaCha8Rng::seed_from_u64(seed), sessions, next: 0 }
     }
--- a/crates/staircross-lab/src/experiment/tail.rs
+++ b/crates/staircross-lab/src/experiment/tail.rs
@@ -48,6 +48,8 @@
 const WORK_MEDIAN: Duration = Duration::from_millis(20);
 const WORK_SIGMA: f64 = 0.25;
 const SLOW_FACTOR: f64 = 10.0;
+/// Delay of the row with a fixed one: about the usual 99 % point.
+const FIXED_HEDGE_DELAY: Duration = Duration::from_millis(45);
 const REQUESTS: usize = 6000;
 /// Mean time between requests: about a third of the slots are busy.
 const BETWEEN: Duration = Duration::from_millis(12);
@@ -56,6 +58,7 @@
 struct Setup {
     name: &'static str,
     policy: ServicePolicy,
+    root: RootSettings,
     has_stragglers: bool,
 }
 
@@ -72,13 +75,23 @@
     let wait = ServicePolicy { hedge_per_mille: 0, retry_per_mille: 0, ..base.clone() };
     let latency = ServicePolicy { priority: Priority::Latency, ..base.clone() };
     let unbounded = ServicePolicy { hedge_per_mille: 1000, ..base.clone() };
+    let plain = RootSettings { avoid_slow_copies: false, ..RootSettings::default() };
+    let fixed = RootSettings { fixed_hedge_delay: Some(FIXED_HEDGE_DELAY), ..plain.clone() };
+    let ours = RootSettings::default();
+    let setup = |name, policy: &ServicePolicy, root: &RootSettings, has_stragglers| Setup {
+        name,
+        policy: policy.clone(),
+        root: root.clone(),
+        has_stragglers,
+    };
     let setups = [
-        Setup { name: "wait-for-all", policy: wait.clone(), has_stragglers: true },
-        Setup { name: "unbounded-hedge", policy: unbounded, has_stragglers: true },
-        Setup { name: "staircross coverage-first", policy: base.clone(), has_stragglers: true },
-        Setup { name: "staircross latency-first", policy: latency, has_stragglers: true },
-        Setup { name: "wait-for-all, no stragglers", policy: wait, has_stragglers: false },
-        Setup { name: "staircross, no stragglers", policy: base, has_stragglers: false },
+        setup("wait-for-all", &wait, &plain, true),
+        setup("fixed-hedge", &unbounded, &fixed, true),
+        setup("avoid slow copies only", &wait, &ours, true),
+        setup("staircross coverage-first", &base, &ours, true),
+        setup("staircross latency-first", &latency, &ours, true),
+        setup("wait-for-all, no stragglers", &wait, &plain, false),
+        setup("staircross, no stragglers", &base, &ours, false),
     ];
     std::thread::scope(|scope| {
         let handles: Vec<_> = setups.iter().map(|setup| scope.spawn(move || run_one(setup, seed))).collect();
@@ -87,7 +100,7 @@
 }
 
 /// A fleet of one service at today's size of the drafting and guest search services.
-pub fn world(policy: ServicePolicy, seed: u64, limit_admission: bool) -> World {
+pub fn world(policy: ServicePolicy, root: RootSettings, seed: u64) -> World {
     let work_time = WorkTime { median: WORK_MEDIAN, sigma: WORK_SIGMA, slow_copies: BTreeMap::new() };
     let service = SimService {
         name: ServiceName::new(SERVICE),
@@ -103,7 +116,7 @@
         zones: ZONES,
         services: vec![service],
         delays: Delays::default(),
-        root: RootSettings { limit_admission, ..RootSettings::default() },
+        root,
         leaf: LeafSettings::default(),
         news_delay: Duration::from_millis(100),
     };
@@ -111,7 +124,7 @@
 }
 
 fn run_one(setup: &Setup, seed: u64) -> TailRow {
-    let mut world = world(setup.policy.clone(), seed, true);
+    let mut world = world(setup.policy.clone(), setup.root.clone(), seed);
     if setup.has_stragglers {
         world.slow_one_copy_in(100, SLOW_FACTOR, seed);
         world.crash_searcher(SEARCHERS - 1);
--- a/crates/staircross-search/src/latency.rs
+++ b/crates/staircross-search/src/latency.rs
@@ -22,12 +22,14 @@
     previous: Histogram<u32>,
     median: Duration,
     hedge_delay: Duration,
+    fixed: Option<Duration>,
 }
 
 impl LatencyTracker {
-    /// Starts with `guess` as every quantile until there are samples.
-    pub fn new(guess: Duration) -> Self {
-        LatencyTracker { current: new_histogram(), previous: new_histogram(), median: guess, hedge_delay: guess }
+    /// Starts with `guess` as every quantile until there are samples. `fixed` is the late point of an
+    /// experiment that doesn't follow the live one.
+    pub fn new(guess: Duration, fixed: Option<Duration>) -> Self {
+        LatencyTracker { current: new_histogram(), previous: new_histogram(), median: guess, hedge_delay: guess, fixed }
     }
 
     /// Adds one sample.
@@ -59,7 +61,7 @@
 
     /// Time after which an unanswered sub-request counts as late.
     pub fn hedge_delay(&self) -> Duration {
-        self.hedge_delay
+        self.fixed.unwrap_or(self.hedge_delay)
     }
 }
 
--- a/crates/staircross-search/src/root.rs
+++ b/crates/staircross-search/src/root.rs
@@ -44,6 +44,10 @@
     pub attempts_per_shard: usize,
     /// Most plans per request, the first included.
     pub plans_per_request: usize,
+    /// Late point that doesn't follow the live latency. Only for experiments that show why it should.
+    pub fixed_hedge_delay: Option<Duration>,
+    /// Whether slow copies are avoided. Off only in experiments that show why it is on.
+    pub avoid_slow_copies: bool,
     /// Whether admission is limited. Off only in experiments that show why it is on.
     pub limit_admission: bool,
 }
@@ -56,6 +60,8 @@
             attempts_per_shard: 4,
             plans_per_request: 3,
             limit_admission: true,
+            fixed_hedge_delay: None,
+            avoid_slow_copies: true,
         }
     }
 }
@@ -150,7 +156,7 @@
             services: BTreeMap::new(),
             views: HashMap::new(),
             replicas: ReplicaTable::default(),
-            copies: CopyHealth::default(),
+            copies: CopyHealth::new(settings.avoid_slow_copies),
             requests: HashMap::new(),
             wakes: BinaryHeap::new(),
             unknown_actions: HashMap::new(),
@@ -211,7 +217,7 @@
         for definition in definitions {
             let state = match kept.remove(&definition.name) {
                 Some(state) => state.with_definition(definition),
-                None => ServiceState::new(definition, self.settings.latency_guess),
+                None => ServiceState::new(definition, &self.settings),
             };
             self.services.insert(state.definition.name.clone(), state);
         }
@@ -241,7 +247,7 @@
 }
 
 impl ServiceState {
-    fn new(definition: Arc<ServiceDefinition>, latency_guess: Duration) -> Self {
+    fn new(definition: Arc<ServiceDefinition>, settings: &RootSettings) -> Self {
         let policy = &definition.policy;
         ServiceState {
             hedges: ExtraWorkBudget::new(policy.hedge_per_mille),
@@ -251,8 +257,8 @@
             candidates: Vec::new(),
             current: None,
             stale: true,
-            latency: LatencyTracker::new(latency_guess),
-            work: LatencyTracker::new(latency_guess),
+            latency: LatencyTracker::new(settings.latency_guess, settings.fixed_hedge_delay),
+            work: LatencyTracker::new(settings.latency_guess, None),
             limiter: ConcurrencyLimiter::default(),
             definition,
         }
