Test wrong replies over real connections

Change: a node with searchers of one replica per shard; each fault must leave exactly the spoilt shards missing, with a true cause and no foreign hit; an action whose reply is lost runs once and isn't repeated by node or HTTP client.

--- /dev/null
+++ b/crates/staircross-lab/tests/replies.rs
@@ -0,0 +1,126 @@
+//! Wrong replies over real connections: coverage is stated truly, nothing foreign is in the answer,
+//! and the HTTP client repeats nothing.
+
+use staircross_config::Priority;
+use staircross_lab::demo::{CLAUSES, PITCHES};
+use staircross_lab::fleet::{Fleet, FleetPlan, ServicePlan, action_policy, search_policy};
+use staircross_node::NodeClient;
+use staircross_node::api::{AnswerBody, ReplyBody};
+use staircross_standin::searcher::ControlCommand;
+use staircross_standin::{Corpus, Fault};
+use staircross_types::{ErrorKind, Executed, MissingCause, SearcherId, SessionToken, ShardId};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// One replica per shard, so that whatever a searcher spoils is missing.
+const FAULTY: SearcherId = SearcherId(1);
+const SHARDS: usize = 6;
+
+struct Bench {
+    fleet: Fleet,
+    client: NodeClient,
+    session: SessionToken,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let clauses = ServicePlan {
+            name: "clauses",
+            policy: search_policy(700, 1, Priority::Coverage),
+            searchers: 3,
+            shards: SHARDS as u32,
+            replicas: 1,
+            corpus: Corpus::parse("clauses", CLAUSES).expect("well-formed"),
+            work: Duration::ZERO,
+        };
+        let bookings = ServicePlan {
+            name: "bookings",
+            policy: action_policy(700),
+            replicas: 3,
+            corpus: Corpus::parse("pitches", PITCHES).expect("well-formed"),
+            ..clauses.clone()
+        };
+        let plan = FleetPlan { services: vec![clauses, bookings], zones: vec!["z0"], nodes: 1, log: "off".into() };
+        let fleet = Fleet::start(plan).expect("the fleet starts");
+        let client = fleet.client(0);
+        let session = client.open_session().expect("a session opens");
+        Bench { fleet, client, session }
+    }
+
+    fn break_searcher(&self, id: SearcherId, fault: Fault) {
+        self.fleet.searchers[&id].control(ControlCommand::AddFault { fault, calls: None });
+    }
+
+    fn mend(&self) {
+        self.fleet.searchers.values().for_each(|searcher| searcher.control(ControlCommand::ClearFaults));
+    }
+
+    fn ask(&self) -> AnswerBody {
+        let reply = self.client.query(self.session, "SEARCH 'notice' IN SERVICE clauses LIMIT 1000");
+        match reply.expect("the node replies").body {
+            ReplyBody::Answer(answer) => answer,
+            other => panic!("expected an answer, got {other:?}"),
+        }
+    }
+
+    fn shards_of(&self, id: SearcherId) -> BTreeSet<ShardId> {
+        let map = &self.fleet.maps_of("clauses")[0];
+        map.shards
+            .iter()
+            .filter(|placement| placement.replicas.contains(&id))
+            .map(|placement| placement.shard)
+            .collect()
+    }
+
+    /// Asks while one searcher misbehaves and checks what is claimed against what is true.
+    fn assert_only_faulty_is_missing(&self, whole: &AnswerBody, fault: Fault, cause: MissingCause) {
+        self.break_searcher(FAULTY, fault.clone());
+        let answer = self.ask();
+        self.mend();
+        let lost = self.shards_of(FAULTY);
+        let missing: BTreeSet<ShardId> = answer.shards_missing.iter().map(|missing| missing.shard).collect();
+        assert_eq!(missing, lost, "{fault:?}");
+        assert!(answer.shards_missing.iter().all(|missing| missing.cause == cause), "{fault:?}: {answer:?}");
+        assert_eq!(answer.shards_included + missing.len(), answer.shards_total, "{fault:?}");
+        let expected: BTreeSet<&str> =
+            whole.hits.iter().filter(|hit| !lost.contains(&hit.shard)).map(|hit| hit.document.as_str()).collect();
+        let got: BTreeSet<&str> = answer.hits.iter().map(|hit| hit.document.as_str()).collect();
+        assert_eq!(got, expected, "{fault:?}: exactly the documents of the included shards");
+        // A searcher that failed several times is left alone for a while; let that pass.
+        std::thread::sleep(Duration::from_millis(300));
+    }
+}
+
+#[test]
+fn wrong_replies_are_stated_as_missing_and_never_merged() {
+    let bench = Bench::new();
+    let whole = bench.ask();
+    assert_eq!((whole.shards_included, whole.shards_missing.len()), (SHARDS, 0));
+    bench.assert_only_faulty_is_missing(&whole, Fault::CrossReply, MissingCause::Unreachable);
+    bench.assert_only_faulty_is_missing(&whole, Fault::TruncateReply, MissingCause::Unreachable);
+    bench.assert_only_faulty_is_missing(&whole, Fault::WrongSnapshot, MissingCause::Unreachable);
+    bench.assert_only_faulty_is_missing(&whole, Fault::DamageReply, MissingCause::Unreachable);
+    bench.assert_only_faulty_is_missing(&whole, Fault::Slow { delay_ms: 1500 }, MissingCause::Late);
+    assert_eq!(bench.ask().shards_included, SHARDS, "mended, the answer is whole again");
+}
+
+#[test]
+fn action_whose_reply_is_lost_is_not_sent_again() {
+    let bench = Bench::new();
+    for id in bench.fleet.searchers_of("bookings") {
+        bench.break_searcher(id, Fault::LoseReply);
+    }
+    let ticket = bench.client.mint_ticket(bench.session).expect("a ticket");
+    let statement = format!("RUN confirm ON 'pitch-001' IN SERVICE bookings NOTE 'n1' TICKET '{ticket}'");
+    for _ in 0..2 {
+        let reply = bench.client.query(bench.session, &statement).expect("the node replies");
+        match reply.body {
+            ReplyBody::Refusal(refusal) => {
+                assert_eq!((refusal.error, refusal.executed), (ErrorKind::OutcomeUnknown, Executed::Maybe));
+            }
+            other => panic!("expected a refusal, got {other:?}"),
+        }
+    }
+    let ran: usize = bench.fleet.searchers.values().map(|searcher| searcher.ledger().count_actions("n1")).sum();
+    assert_eq!(ran, 1, "it ran once, and neither node nor HTTP client sent it again");
+}
