Split leaf and membership by job

Change: what a leaf keeps of one searcher is leaf/owned; suspicion, refutation and death are membership/suspicion. No behaviour changed.

--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -5,6 +5,8 @@
 //! probes and their answers, gossip, time. Invariants: only a node itself clears a suspicion of
 //! it; a node that was paused doesn't judge others by answers it slept through.
 
+mod suspicion;
+
 use crate::member::{Member, MemberState};
 use crate::ownership::rendezvous_weight;
 use rand::Rng;
@@ -15,6 +17,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use suspicion::Suspicion;
 
 /// Times and sizes of the membership protocol.
 #[derive(Clone, Debug)]
@@ -104,15 +107,6 @@
     sent_at: BootTime,
 }
 
-/// A suspicion that this node holds.
-struct Suspicion {
-    since: BootTime,
-    /// Whether this node itself got no answer. Those who only heard of it wait twice as long, so
-    /// that a refutation heard by the first can reach them.
-    is_first_hand: bool,
-    next_reminder: BootTime,
-}
-
 struct Rumor {
     node: NodeId,
     times_told: u32,
@@ -142,11 +136,6 @@
 /// Time between contacts to seed addresses at which no member is known.
 const SEED_CONTACT_EVERY: Duration = Duration::from_secs(1);
 
-/// Time between reminders to a suspect.
-const REMINDER_EVERY: Duration = Duration::from_millis(400);
-/// Time between probes of members declared dead.
-const DEAD_CONTACT_EVERY: Duration = Duration::from_secs(2);
-
 impl Membership {
     /// A fleet of one.
     pub fn new(settings: MembershipSettings, me: Member, seeds: Vec<SocketAddr>) -> Self {
@@ -384,73 +373,6 @@
         actions.push(MembershipAction::Send { to: Some(helped.for_node), address: helped.for_address, message });
     }
 
-    fn suspect(&mut self, now: BootTime, node: NodeId, actions: &mut Vec<MembershipAction>) {
-        let Some(member) = self.members.get(&node).filter(|member| !member.is_gone()) else {
-            return;
-        };
-        let mut record = member.clone();
-        record.state = MemberState::Suspect;
-        self.take(now, record, actions);
-        if let Some(suspicion) = self.suspicions.get_mut(&node) {
-            suspicion.is_first_hand = true;
-        }
-    }
-
-    /// Tells suspects that they are suspected, so that whoever was only paused refutes at once.
-    fn remind_suspects(&mut self, now: BootTime, actions: &mut Vec<MembershipAction>) {
-        let mut due = Vec::new();
-        for (node, suspicion) in &mut self.suspicions {
-            if suspicion.is_first_hand && now >= suspicion.next_reminder {
-                suspicion.next_reminder = now + REMINDER_EVERY;
-                due.push(*node);
-            }
-        }
-        for node in due {
-            self.tell_its_record(node, actions);
-        }
-    }
-
-    /// Probes a member with what is thought of it; if it is alive, it refutes.
-    fn tell_its_record(&mut self, node: NodeId, actions: &mut Vec<MembershipAction>) {
-        let Some(member) = self.members.get(&node).cloned() else {
-            return;
-        };
-        let number = self.take_number();
-        let news = vec![self.own().clone(), member.clone()];
-        let message = MembershipMessage::Probe { number, news };
-        actions.push(MembershipAction::Send { to: Some(node), address: member.peer_address, message });
-    }
-
-    fn expire_suspects(&mut self, now: BootTime, actions: &mut Vec<MembershipAction>) {
-        let span = self.settings.suspicion;
-        let is_expired = |suspicion: &Suspicion| {
-            let patience = if suspicion.is_first_hand { span } else { span * 2 };
-            now.since(suspicion.since) >= patience
-        };
-        let expired: Vec<NodeId> =
-            self.suspicions.iter().filter(|(_, suspicion)| is_expired(suspicion)).map(|(node, _)| *node).collect();
-        for node in expired {
-            self.suspicions.remove(&node);
-            let Some(member) = self.members.get(&node) else {
-                continue;
-            };
-            let mut record = member.clone();
-            record.state = MemberState::Dead;
-            self.declared_dead += 1;
-            self.take(now, record, actions);
-        }
-    }
-
-    fn forget_gone(&mut self, now: BootTime) {
-        let span = self.settings.forget_after;
-        let forgotten: Vec<NodeId> =
-            self.gone_at.iter().filter(|(_, since)| now.since(**since) >= span).map(|(node, _)| *node).collect();
-        for node in forgotten {
-            self.gone_at.remove(&node);
-            self.members.remove(&node);
-        }
-    }
-
     /// Joins through seeds, and keeps telling seeds that have restarted that there is a fleet.
     fn contact_seeds(&mut self, now: BootTime, actions: &mut Vec<MembershipAction>) {
         if now < self.next_seed_contact {
@@ -466,19 +388,6 @@
         }
     }
 
-    /// Probes somebody who was declared dead: after a cut has healed, this brings the sides together.
-    fn contact_dead(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
-        if now < self.next_dead_contact {
-            return;
-        }
-        self.next_dead_contact = now + DEAD_CONTACT_EVERY;
-        let dead: Vec<Member> =
-            self.members.values().filter(|member| member.state == MemberState::Dead).cloned().collect();
-        if let Some(member) = dead.choose(random) {
-            self.tell_its_record(member.node, actions);
-        }
-    }
-
     fn take_all(&mut self, now: BootTime, records: Vec<Member>, actions: &mut Vec<MembershipAction>) {
         for record in records {
             self.take(now, record, actions);
@@ -519,18 +428,6 @@
         actions.push(MembershipAction::Changed(node));
     }
 
-    fn refute(&mut self, record: Member, actions: &mut Vec<MembershipAction>) {
-        let Some(own) = self.members.get_mut(&self.me) else {
-            return;
-        };
-        let is_slander = record.state > own.state && record.version >= own.version;
-        if is_slander {
-            own.version = record.version + 1;
-            self.spread(self.me);
-            actions.push(MembershipAction::Changed(self.me));
-        }
-    }
-
     fn spread(&mut self, node: NodeId) {
         self.rumors.retain(|rumor| rumor.node != node);
         self.rumors.push(Rumor { node, times_told: 0 });
--- /dev/null
+++ b/crates/staircross-cluster/src/membership/suspicion.rs
@@ -0,0 +1,116 @@
+//! Suspicion, refutation and death: how a member that doesn't answer is judged, and comes back.
+
+use super::{Membership, MembershipAction, MembershipMessage};
+use crate::member::{Member, MemberState};
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use staircross_types::{BootTime, NodeId};
+use std::time::Duration;
+
+/// Time between reminders to a suspect.
+const REMINDER_EVERY: Duration = Duration::from_millis(400);
+/// Time between probes of members declared dead.
+const DEAD_CONTACT_EVERY: Duration = Duration::from_secs(2);
+
+/// A suspicion that this node holds.
+pub(super) struct Suspicion {
+    pub(super) since: BootTime,
+    /// Whether this node itself got no answer. Those who only heard of it wait twice as long, so
+    /// that a refutation heard by the first can reach them.
+    pub(super) is_first_hand: bool,
+    pub(super) next_reminder: BootTime,
+}
+
+impl Membership {
+    pub(super) fn suspect(&mut self, now: BootTime, node: NodeId, actions: &mut Vec<MembershipAction>) {
+        let Some(member) = self.members.get(&node).filter(|member| !member.is_gone()) else {
+            return;
+        };
+        let mut record = member.clone();
+        record.state = MemberState::Suspect;
+        self.take(now, record, actions);
+        if let Some(suspicion) = self.suspicions.get_mut(&node) {
+            suspicion.is_first_hand = true;
+        }
+    }
+
+    /// Tells suspects that they are suspected, so that whoever was only paused refutes at once.
+    pub(super) fn remind_suspects(&mut self, now: BootTime, actions: &mut Vec<MembershipAction>) {
+        let mut due = Vec::new();
+        for (node, suspicion) in &mut self.suspicions {
+            if suspicion.is_first_hand && now >= suspicion.next_reminder {
+                suspicion.next_reminder = now + REMINDER_EVERY;
+                due.push(*node);
+            }
+        }
+        for node in due {
+            self.tell_its_record(node, actions);
+        }
+    }
+
+    /// Probes a member with what is thought of it; if it is alive, it refutes.
+    pub(super) fn tell_its_record(&mut self, node: NodeId, actions: &mut Vec<MembershipAction>) {
+        let Some(member) = self.members.get(&node).cloned() else {
+            return;
+        };
+        let number = self.take_number();
+        let news = vec![self.own().clone(), member.clone()];
+        let message = MembershipMessage::Probe { number, news };
+        actions.push(MembershipAction::Send { to: Some(node), address: member.peer_address, message });
+    }
+
+    pub(super) fn expire_suspects(&mut self, now: BootTime, actions: &mut Vec<MembershipAction>) {
+        let span = self.settings.suspicion;
+        let is_expired = |suspicion: &Suspicion| {
+            let patience = if suspicion.is_first_hand { span } else { span * 2 };
+            now.since(suspicion.since) >= patience
+        };
+        let expired: Vec<NodeId> =
+            self.suspicions.iter().filter(|(_, suspicion)| is_expired(suspicion)).map(|(node, _)| *node).collect();
+        for node in expired {
+            self.suspicions.remove(&node);
+            let Some(member) = self.members.get(&node) else {
+                continue;
+            };
+            let mut record = member.clone();
+            record.state = MemberState::Dead;
+            self.declared_dead += 1;
+            self.take(now, record, actions);
+        }
+    }
+
+    pub(super) fn forget_gone(&mut self, now: BootTime) {
+        let span = self.settings.forget_after;
+        let forgotten: Vec<NodeId> =
+            self.gone_at.iter().filter(|(_, since)| now.since(**since) >= span).map(|(node, _)| *node).collect();
+        for node in forgotten {
+            self.gone_at.remove(&node);
+            self.members.remove(&node);
+        }
+    }
+
+    /// Probes somebody who was declared dead: after a cut has healed, this brings the sides together.
+    pub(super) fn contact_dead(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
+        if now < self.next_dead_contact {
+            return;
+        }
+        self.next_dead_contact = now + DEAD_CONTACT_EVERY;
+        let dead: Vec<Member> =
+            self.members.values().filter(|member| member.state == MemberState::Dead).cloned().collect();
+        if let Some(member) = dead.choose(random) {
+            self.tell_its_record(member.node, actions);
+        }
+    }
+
+    pub(super) fn refute(&mut self, record: Member, actions: &mut Vec<MembershipAction>) {
+        let Some(own) = self.members.get_mut(&self.me) else {
+            return;
+        };
+        let is_slander = record.state > own.state && record.version >= own.version;
+        if is_slander {
+            own.version = record.version + 1;
+            self.spread(self.me);
+            actions.push(MembershipAction::Changed(self.me));
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-search/src/leaf/owned.rs
@@ -0,0 +1,161 @@
+//! What a leaf keeps of one searcher that it owns, and when work may go to it.
+
+use super::{LeafAction, LeafSettings, not_run};
+use crate::message::{NotRunReason, SubRequest};
+use crate::view::{Evidence, SearcherView};
+use hashbrown::HashMap;
+use staircross_types::{AttemptId, BootTime, NodeId, SearcherId, SearcherIncarnation};
+use std::collections::VecDeque;
+
+/// A sub-request that waits for a slot.
+pub(super) struct Queued {
+    pub(super) from: NodeId,
+    pub(super) request: SubRequest,
+    pub(super) deadline: BootTime,
+}
+
+/// A call that has no end yet.
+pub(super) struct InFlight {
+    pub(super) from: NodeId,
+    pub(super) sent_at: BootTime,
+    pub(super) deadline: BootTime,
+}
+
+/// One owned searcher.
+#[derive(Default)]
+pub(super) struct OwnedSearcher {
+    pub(super) share: u32,
+    pub(super) evidence: Option<Evidence>,
+    pub(super) serving_asked_at: Option<BootTime>,
+    pub(super) first_seen: BootTime,
+    pub(super) ramped_from_cold: bool,
+    pub(super) left: bool,
+    pub(super) listed: bool,
+    pub(super) probe_outstanding: Option<BootTime>,
+    pub(super) next_probe: BootTime,
+    pub(super) in_flight: HashMap<AttemptId, InFlight>,
+    pub(super) queue: VecDeque<Queued>,
+}
+
+impl OwnedSearcher {
+    pub(super) fn is_leaving(&self) -> bool {
+        self.left || self.listed
+    }
+
+    pub(super) fn view(&self, searcher: SearcherId) -> SearcherView {
+        SearcherView { searcher, evidence: self.evidence.clone(), leaving: self.is_leaving() }
+    }
+
+    pub(super) fn leave(&mut self, id: SearcherId, actions: &mut Vec<LeafAction>) {
+        if !self.left {
+            self.left = true;
+            actions.push(LeafAction::Spread(self.view(id)));
+        }
+    }
+
+    /// A refusal speaks for the run that gave it, which may be newer than the one last probed.
+    pub(super) fn refused_leaving(
+        &mut self,
+        id: SearcherId,
+        run: Option<SearcherIncarnation>,
+        actions: &mut Vec<LeafAction>,
+    ) {
+        let known = self.evidence.as_ref().map(|evidence| evidence.incarnation);
+        if run.is_none() || run == known {
+            self.leave(id, actions);
+        } else {
+            self.serving_asked_at = None;
+        }
+    }
+
+    pub(super) fn take_evidence(&mut self, now: BootTime, asked_at: BootTime, evidence: Evidence, told_leaving: bool) {
+        let same_run = self.evidence.as_ref().is_some_and(|known| known.incarnation == evidence.incarnation);
+        if !same_run {
+            // A searcher seen for the first time may be warm; one that was restarted is cold.
+            self.ramped_from_cold = self.evidence.is_some();
+            self.first_seen = now;
+            self.left = false;
+        }
+        // "Serving" never cancels "leaving" of the same run.
+        self.left |= evidence.draining || told_leaving;
+        self.serving_asked_at = Some(asked_at);
+        self.evidence = Some(evidence);
+    }
+
+    pub(super) fn lose_evidence(&mut self) {
+        self.serving_asked_at = None;
+        // The run is kept for comparison while work is in flight, but serves nothing.
+        if let Some(evidence) = &mut self.evidence {
+            evidence.snapshots.clear();
+        }
+    }
+
+    pub(super) fn probe(
+        &mut self,
+        now: BootTime,
+        id: SearcherId,
+        settings: &LeafSettings,
+        actions: &mut Vec<LeafAction>,
+    ) {
+        if self.probe_outstanding.is_some() || self.share == 0 {
+            return;
+        }
+        self.probe_outstanding = Some(now);
+        self.next_probe = now + settings.probe_every;
+        actions.push(LeafAction::Probe { searcher: id });
+    }
+
+    pub(super) fn capacity(&self, now: BootTime, settings: &LeafSettings) -> usize {
+        let age = now.since(self.first_seen);
+        if !self.ramped_from_cold || age >= settings.ramp {
+            return self.share as usize;
+        }
+        let fraction = age.as_secs_f64() / settings.ramp.as_secs_f64();
+        ((f64::from(self.share) * fraction) as usize).max(1)
+    }
+
+    pub(super) fn dispatch(
+        &mut self,
+        now: BootTime,
+        id: SearcherId,
+        settings: &LeafSettings,
+        actions: &mut Vec<LeafAction>,
+    ) {
+        self.expire_queue(now, actions);
+        if self.queue.is_empty() || self.is_leaving() {
+            return;
+        }
+        let fresh_until = self.serving_asked_at.map(|asked| asked + settings.evidence_bound);
+        let Some(send_before) = fresh_until.filter(|until| now < *until) else {
+            self.probe(now, id, settings, actions);
+            return;
+        };
+        while self.in_flight.len() < self.capacity(now, settings) {
+            let Some(queued) = self.queue.pop_front() else {
+                return;
+            };
+            let mut request = queued.request;
+            request.remaining = now.until(queued.deadline);
+            self.in_flight
+                .insert(request.attempt, InFlight { from: queued.from, sent_at: now, deadline: queued.deadline });
+            actions.push(LeafAction::Send { request, send_before });
+        }
+    }
+
+    pub(super) fn expire_queue(&mut self, now: BootTime, actions: &mut Vec<LeafAction>) {
+        self.queue.retain(|queued| {
+            let in_time = now < queued.deadline;
+            if !in_time {
+                let reply = not_run(&queued.request, NotRunReason::Shed);
+                actions.push(LeafAction::Reply { to: queued.from, reply });
+            }
+            in_time
+        });
+    }
+
+    pub(super) fn refuse_queue(&mut self, reason: NotRunReason, actions: &mut Vec<LeafAction>) {
+        for queued in self.queue.drain(..) {
+            actions.push(LeafAction::Reply { to: queued.from, reply: not_run(&queued.request, reason) });
+        }
+    }
+}
