--- /dev/null
+++ b/crates/staircross-config/src/settings.rs
@@ -0,0 +1,130 @@
+//! A node's own settings (TOML). Unknown keys are refused.
+
+use crate::invalid::{InvalidSetting, check_range};
+use serde::{Deserialize, Serialize};
+use staircross_types::ZoneName;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// All settings of one node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Who and where the node is.
+    pub node: NodeSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// Bounds.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Who and where the node is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Region of the machine.
+    pub region: String,
+    /// Zone of the machine.
+    pub zone: ZoneName,
+    /// Address for callers and operators (HTTP).
+    pub listen: SocketAddr,
+    /// Address for other nodes (framed CBOR over TCP).
+    pub peer_listen: SocketAddr,
+    /// Peer addresses to join through; they also found the fleet at its first start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Name of the fleet; nodes of another name are turned away.
+    pub cluster: String,
+    /// Secret that all nodes of the fleet share.
+    pub cluster_key: String,
+    /// Log filter: one level for all (`info`) or per module (`info,search=debug`).
+    #[serde(default = "default_log")]
+    pub log: String,
+}
+
+fn default_log() -> String {
+    "info".to_owned()
+}
+
+/// Where the platform is and how often it is read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Address of its HTTP service.
+    pub address: SocketAddr,
+    /// Milliseconds between reads.
+    #[serde(default = "default_poll_ms")]
+    pub poll_ms: u64,
+}
+
+fn default_poll_ms() -> u64 {
+    1000
+}
+
+/// Bounds on what callers may use up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Sessions held at most.
+    pub sessions: usize,
+    /// Caller connections held at most.
+    pub caller_connections: usize,
+    /// Longest request body, in bytes.
+    pub request_bytes: usize,
+    /// Longest searcher reply, in bytes.
+    pub reply_bytes: usize,
+    /// Time for a caller to send a whole request, in milliseconds.
+    pub caller_timeout_ms: u64,
+    /// Longest time a planned stop waits for requests in flight, in milliseconds.
+    pub stop_ms: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        LimitSettings {
+            sessions: 10_000,
+            caller_connections: 1024,
+            request_bytes: 64 * 1024,
+            reply_bytes: 8 * 1024 * 1024,
+            caller_timeout_ms: 30_000,
+            stop_ms: 30_000,
+        }
+    }
+}
+
+/// Least length of the shared secret.
+const MIN_KEY_LENGTH: usize = 16;
+
+impl Settings {
+    /// Reads settings from TOML and checks them; `origin` names the source in errors.
+    pub fn from_toml(origin: &str, text: &str) -> Result<Self, InvalidSetting> {
+        let settings: Settings = toml::from_str(text)
+            .map_err(|error| InvalidSetting::Unreadable { origin: origin.to_owned(), reason: error.to_string() })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks every value.
+    pub fn check(&self) -> Result<(), InvalidSetting> {
+        if self.node.cluster_key.len() < MIN_KEY_LENGTH {
+            let allowed = format!("{MIN_KEY_LENGTH} bytes or more");
+            return Err(InvalidSetting::value("node.cluster_key", "(hidden)", allowed));
+        }
+        if self.node.listen == self.node.peer_listen {
+            return Err(InvalidSetting::value("node.peer_listen", self.node.peer_listen, "another than node.listen"));
+        }
+        check_range("platform.poll_ms", self.platform.poll_ms, 50..=3_600_000)?;
+        check_range("limits.sessions", self.limits.sessions, 1..=10_000_000)?;
+        check_range("limits.caller_connections", self.limits.caller_connections, 1..=65_535)?;
+        check_range("limits.request_bytes", self.limits.request_bytes, 64..=16 * 1024 * 1024)?;
+        check_range("limits.reply_bytes", self.limits.reply_bytes, 1024..=1024 * 1024 * 1024)?;
+        check_range("limits.caller_timeout_ms", self.limits.caller_timeout_ms, 10..=600_000)?;
+        check_range("limits.stop_ms", self.limits.stop_ms, 10..=600_000)
+    }
+
+    /// Time between reads of the platform.
+    pub fn platform_poll(&self) -> Duration {
+        Duration::from_millis(self.platform.poll_ms)
+    }
+}
--- /dev/null
+++ b/crates/staircross-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/staircross-search/src/leaf.rs
@@ -0,0 +1,395 @@
+//! Whether work may be sent to a searcher now.
+//!
+//! Inputs: sub-requests from roots, replies and probe replies from searchers, leaving marks from
+//! any source. Invariants: at most the owner's share of a searcher's slots is in use; nothing is
+//! sent without evidence of "serving" that was asked for less than the bound ago; leaving is
+//! sticky for a searcher's run; a sub-request that was queued and never sent is answered `NotRun`.
+
+use crate::message::{NotRunReason, SubOutcome, SubReply, SubRequest};
+use crate::view::{Evidence, SearcherView};
+use hashbrown::HashMap;
+use staircross_types::{AttemptId, BootTime, NodeId, SearcherId};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Bounds of a leaf.
+#[derive(Clone, Debug)]
+pub struct LeafSettings {
+    /// Oldest evidence of "serving" on which work is sent.
+    pub evidence_bound: Duration,
+    /// Time between probes of a searcher.
+    pub probe_every: Duration,
+    /// Time over which a freshly started searcher is ramped up.
+    pub ramp: Duration,
+    /// Queue length per slot of the share.
+    pub queue_per_slot: usize,
+}
+
+impl Default for LeafSettings {
+    fn default() -> Self {
+        LeafSettings {
+            evidence_bound: Duration::from_secs(2),
+            probe_every: Duration::from_millis(500),
+            ramp: Duration::from_secs(3),
+            queue_per_slot: 4,
+        }
+    }
+}
+
+/// What a leaf is told.
+#[derive(Clone, Debug)]
+pub enum LeafEvent {
+    /// The searchers it owns, with its share of each one's slots.
+    Owned(BTreeMap<SearcherId, u32>),
+    /// A root asks for work.
+    Request { from: NodeId, request: SubRequest },
+    /// A root no longer wants an attempt.
+    Cancel { from: NodeId, attempt: AttemptId },
+    /// A searcher replied, or its connection failed.
+    Reply(SubReply),
+    /// A searcher answered a probe (`None`: it doesn't answer).
+    Probed { searcher: SearcherId, asked_at: BootTime, evidence: Option<Evidence> },
+    /// A platform list, peer or operator says that a searcher is leaving.
+    Leaving(SearcherId),
+    /// The platform no longer lists these as leaving. Lifts only marks of the platform.
+    PlatformLeaving(Vec<SearcherId>),
+    /// This leaf is stopping: take nothing new.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// What a leaf wants done.
+#[derive(Clone, Debug)]
+pub enum LeafAction {
+    /// Send to the searcher, not after `send_before`.
+    Send { request: SubRequest, send_before: BootTime },
+    /// Tell the searcher that an attempt is no longer wanted.
+    CancelAtSearcher { searcher: SearcherId, attempt: AttemptId },
+    /// Reply to a root.
+    Reply { to: NodeId, reply: SubReply },
+    /// Ask the searcher for its state.
+    Probe { searcher: SearcherId },
+    /// The view of a searcher has changed: spread it.
+    Spread(SearcherView),
+}
+
+struct Queued {
+    from: NodeId,
+    request: SubRequest,
+    deadline: BootTime,
+}
+
+struct InFlight {
+    from: NodeId,
+    deadline: BootTime,
+}
+
+#[derive(Default)]
+struct OwnedSearcher {
+    share: u32,
+    evidence: Option<Evidence>,
+    serving_asked_at: Option<BootTime>,
+    first_seen: BootTime,
+    ramped_from_cold: bool,
+    left: bool,
+    platform_leaving: bool,
+    probe_outstanding: Option<BootTime>,
+    next_probe: BootTime,
+    in_flight: HashMap<AttemptId, InFlight>,
+    queue: VecDeque<Queued>,
+}
+
+/// The leaf's decisions for all searchers it owns.
+pub struct LeafEngine {
+    settings: LeafSettings,
+    searchers: BTreeMap<SearcherId, OwnedSearcher>,
+    stopping: bool,
+}
+
+impl LeafEngine {
+    /// A leaf that owns nothing yet.
+    pub fn new(settings: LeafSettings) -> Self {
+        LeafEngine { settings, searchers: BTreeMap::new(), stopping: false }
+    }
+
+    /// Takes one event; appends what is to be done.
+    pub fn on_event(&mut self, now: BootTime, event: LeafEvent, actions: &mut Vec<LeafAction>) {
+        match event {
+            LeafEvent::Owned(shares) => self.set_owned(now, shares, actions),
+            LeafEvent::Request { from, request } => self.on_request(now, from, request, actions),
+            LeafEvent::Cancel { from, attempt } => self.on_cancel(now, from, attempt, actions),
+            LeafEvent::Reply(reply) => self.on_reply(now, reply, actions),
+            LeafEvent::Probed { searcher, asked_at, evidence } => {
+                self.on_probed(now, searcher, asked_at, evidence, actions);
+            }
+            LeafEvent::Leaving(searcher) => self.mark_leaving(now, searcher, actions),
+            LeafEvent::PlatformLeaving(listed) => self.set_platform_leaving(now, &listed, actions),
+            LeafEvent::Stop => self.stopping = true,
+            LeafEvent::Tick => self.on_tick(now, actions),
+        }
+    }
+
+    /// Sub-requests queued or sent and not answered yet.
+    pub fn in_flight(&self) -> usize {
+        self.searchers.values().map(|searcher| searcher.in_flight.len() + searcher.queue.len()).sum()
+    }
+
+    /// Views of all owned searchers.
+    pub fn views(&self) -> Vec<SearcherView> {
+        self.searchers.iter().map(|(id, searcher)| searcher.view(*id)).collect()
+    }
+
+    fn set_owned(&mut self, now: BootTime, shares: BTreeMap<SearcherId, u32>, actions: &mut Vec<LeafAction>) {
+        for (id, searcher) in &mut self.searchers {
+            if shares.contains_key(id) {
+                continue;
+            }
+            // Work in flight finishes here; what is queued was never sent and goes to another owner.
+            searcher.share = 0;
+            searcher.refuse_queue(NotRunReason::NotOwner, actions);
+        }
+        self.searchers.retain(|id, searcher| shares.contains_key(id) || !searcher.in_flight.is_empty());
+        for (id, share) in shares {
+            let searcher = self.searchers.entry(id).or_default();
+            searcher.share = share;
+            if searcher.evidence.is_none() {
+                searcher.probe(now, id, &self.settings, actions);
+            }
+        }
+    }
+
+    fn on_request(&mut self, now: BootTime, from: NodeId, request: SubRequest, actions: &mut Vec<LeafAction>) {
+        let id = request.searcher;
+        let refuse = |reason| LeafAction::Reply { to: from, reply: not_run(&request, reason) };
+        if self.stopping {
+            actions.push(refuse(NotRunReason::LeafLeaving));
+            return;
+        }
+        let Some(searcher) = self.searchers.get_mut(&id).filter(|searcher| searcher.share > 0) else {
+            actions.push(refuse(NotRunReason::NotOwner));
+            return;
+        };
+        if searcher.is_leaving() {
+            actions.push(refuse(NotRunReason::Draining));
+            return;
+        }
+        let queue_bound = searcher.share as usize * self.settings.queue_per_slot;
+        if searcher.queue.len() >= queue_bound {
+            actions.push(refuse(NotRunReason::Shed));
+            return;
+        }
+        let deadline = now + request.remaining;
+        searcher.queue.push_back(Queued { from, request, deadline });
+        searcher.dispatch(now, id, &self.settings, actions);
+    }
+
+    fn on_cancel(&mut self, now: BootTime, from: NodeId, attempt: AttemptId, actions: &mut Vec<LeafAction>) {
+        for (id, searcher) in &mut self.searchers {
+            let queued = searcher.queue.iter().position(|queued| queued.request.attempt == attempt);
+            if let Some(index) = queued.filter(|index| searcher.queue[*index].from == from) {
+                searcher.queue.remove(index);
+                return;
+            }
+            if searcher.in_flight.get(&attempt).is_some_and(|in_flight| in_flight.from == from) {
+                actions.push(LeafAction::CancelAtSearcher { searcher: *id, attempt });
+                searcher.dispatch(now, *id, &self.settings, actions);
+                return;
+            }
+        }
+    }
+
+    fn on_reply(&mut self, now: BootTime, reply: SubReply, actions: &mut Vec<LeafAction>) {
+        let id = reply.searcher;
+        let Some(searcher) = self.searchers.get_mut(&id) else {
+            return;
+        };
+        // An attempt that isn't in flight was answered already, or belongs to somebody else.
+        let Some(in_flight) = searcher.in_flight.remove(&reply.attempt) else {
+            return;
+        };
+        match reply.outcome {
+            SubOutcome::NotRun(NotRunReason::Draining) => searcher.leave(id, actions),
+            SubOutcome::NotRun(NotRunReason::Unconnected) => searcher.serving_asked_at = None,
+            _ => {}
+        }
+        actions.push(LeafAction::Reply { to: in_flight.from, reply });
+        if searcher.is_leaving() {
+            searcher.refuse_queue(NotRunReason::Draining, actions);
+        }
+        searcher.dispatch(now, id, &self.settings, actions);
+    }
+
+    fn on_probed(
+        &mut self,
+        now: BootTime,
+        id: SearcherId,
+        asked_at: BootTime,
+        evidence: Option<Evidence>,
+        actions: &mut Vec<LeafAction>,
+    ) {
+        let Some(searcher) = self.searchers.get_mut(&id) else {
+            return;
+        };
+        searcher.probe_outstanding = None;
+        let before = searcher.view(id);
+        match evidence {
+            Some(evidence) => searcher.take_evidence(now, asked_at, evidence),
+            None => searcher.lose_evidence(),
+        }
+        let after = searcher.view(id);
+        if after != before {
+            actions.push(LeafAction::Spread(after));
+        }
+        if searcher.is_leaving() {
+            searcher.refuse_queue(NotRunReason::Draining, actions);
+        } else if searcher.serving_asked_at.is_none() {
+            searcher.refuse_queue(NotRunReason::Unconnected, actions);
+        }
+        searcher.dispatch(now, id, &self.settings, actions);
+    }
+
+    fn mark_leaving(&mut self, _now: BootTime, id: SearcherId, actions: &mut Vec<LeafAction>) {
+        if let Some(searcher) = self.searchers.get_mut(&id) {
+            searcher.leave(id, actions);
+            searcher.refuse_queue(NotRunReason::Draining, actions);
+        }
+    }
+
+    fn set_platform_leaving(&mut self, now: BootTime, listed: &[SearcherId], actions: &mut Vec<LeafAction>) {
+        for (id, searcher) in &mut self.searchers {
+            let leaving = listed.contains(id);
+            if searcher.platform_leaving == leaving {
+                continue;
+            }
+            searcher.platform_leaving = leaving;
+            actions.push(LeafAction::Spread(searcher.view(*id)));
+            if leaving {
+                searcher.refuse_queue(NotRunReason::Draining, actions);
+            }
+            searcher.dispatch(now, *id, &self.settings, actions);
+        }
+    }
+
+    fn on_tick(&mut self, now: BootTime, actions: &mut Vec<LeafAction>) {
+        for (id, searcher) in &mut self.searchers {
+            searcher.expire_queue(now, actions);
+            // A reply this late is of no use to anyone; the searcher was given the same deadline.
+            let grace = self.settings.evidence_bound;
+            searcher.in_flight.retain(|_, in_flight| now < in_flight.deadline + grace);
+            let unanswered = searcher.probe_outstanding.is_some_and(|asked| now.since(asked) > grace);
+            if unanswered {
+                searcher.probe_outstanding = None;
+            }
+            if now >= searcher.next_probe {
+                searcher.probe(now, *id, &self.settings, actions);
+            }
+            searcher.dispatch(now, *id, &self.settings, actions);
+        }
+    }
+}
+
+impl OwnedSearcher {
+    fn is_leaving(&self) -> bool {
+        self.left || self.platform_leaving
+    }
+
+    fn view(&self, searcher: SearcherId) -> SearcherView {
+        SearcherView { searcher, evidence: self.evidence.clone(), leaving: self.is_leaving() }
+    }
+
+    fn leave(&mut self, id: SearcherId, actions: &mut Vec<LeafAction>) {
+        if !self.left {
+            self.left = true;
+            actions.push(LeafAction::Spread(self.view(id)));
+        }
+    }
+
+    fn take_evidence(&mut self, now: BootTime, asked_at: BootTime, evidence: Evidence) {
+        let same_run = self.evidence.as_ref().is_some_and(|known| known.incarnation == evidence.incarnation);
+        if !same_run {
+            // A searcher seen for the first time may be warm; one that was restarted is cold.
+            self.ramped_from_cold = self.evidence.is_some();
+            self.first_seen = now;
+            self.left = false;
+        }
+        // "Serving" never cancels "leaving" of the same run.
+        self.left |= evidence.draining;
+        self.serving_asked_at = Some(asked_at);
+        self.evidence = Some(evidence);
+    }
+
+    fn lose_evidence(&mut self) {
+        self.serving_asked_at = None;
+        // The run is kept for comparison while work is in flight, but serves nothing.
+        if let Some(evidence) = &mut self.evidence {
+            evidence.snapshots.clear();
+        }
+    }
+
+    fn probe(&mut self, now: BootTime, id: SearcherId, settings: &LeafSettings, actions: &mut Vec<LeafAction>) {
+        if self.probe_outstanding.is_some() || self.share == 0 {
+            return;
+        }
+        self.probe_outstanding = Some(now);
+        self.next_probe = now + settings.probe_every;
+        actions.push(LeafAction::Probe { searcher: id });
+    }
+
+    fn capacity(&self, now: BootTime, settings: &LeafSettings) -> usize {
+        let age = now.since(self.first_seen);
+        if !self.ramped_from_cold || age >= settings.ramp {
+            return self.share as usize;
+        }
+        let fraction = age.as_secs_f64() / settings.ramp.as_secs_f64();
+        ((f64::from(self.share) * fraction) as usize).max(1)
+    }
+
+    fn dispatch(&mut self, now: BootTime, id: SearcherId, settings: &LeafSettings, actions: &mut Vec<LeafAction>) {
+        self.expire_queue(now, actions);
+        if self.queue.is_empty() || self.is_leaving() {
+            return;
+        }
+        let fresh_until = self.serving_asked_at.map(|asked| asked + settings.evidence_bound);
+        let Some(send_before) = fresh_until.filter(|until| now < *until) else {
+            self.probe(now, id, settings, actions);
+            return;
+        };
+        while self.in_flight.len() < self.capacity(now, settings) {
+            let Some(queued) = self.queue.pop_front() else {
+                return;
+            };
+            let mut request = queued.request;
+            request.remaining = now.until(queued.deadline);
+            self.in_flight.insert(request.attempt, InFlight { from: queued.from, deadline: queued.deadline });
+            actions.push(LeafAction::Send { request, send_before });
+        }
+    }
+
+    fn expire_queue(&mut self, now: BootTime, actions: &mut Vec<LeafAction>) {
+        self.queue.retain(|queued| {
+            let in_time = now < queued.deadline;
+            if !in_time {
+                let reply = not_run(&queued.request, NotRunReason::Shed);
+                actions.push(LeafAction::Reply { to: queued.from, reply });
+            }
+            in_time
+        });
+    }
+
+    fn refuse_queue(&mut self, reason: NotRunReason, actions: &mut Vec<LeafAction>) {
+        for queued in self.queue.drain(..) {
+            actions.push(LeafAction::Reply { to: queued.from, reply: not_run(&queued.request, reason) });
+        }
+    }
+}
+
+/// The reply to a request that was not and will not be sent.
+pub fn not_run(request: &SubRequest, reason: NotRunReason) -> SubReply {
+    SubReply {
+        attempt: request.attempt,
+        searcher: request.searcher,
+        snapshot: request.snapshot,
+        outcome: SubOutcome::NotRun(reason),
+    }
+}
--- /dev/null
+++ b/crates/staircross-search/src/root.rs
@@ -0,0 +1,262 @@
+//! Decisions of the root for all its requests.
+//!
+//! Inputs: services in force, searcher views, submissions, replies, time. For each request it
+//! picks a snapshot, plans shards onto searchers, hedges and retries within budgets, merges, and
+//! answers or refuses. Invariants: see [`crate::request`]; a refusal is of a never-run kind only
+//! if nothing was sent, or whatever was sent was answered "not run".
+
+mod deadline;
+mod finish;
+mod plan;
+mod reply;
+mod submit;
+
+pub use submit::Submission;
+
+use crate::budget::ExtraWorkBudget;
+use crate::latency::LatencyTracker;
+use crate::limiter::ConcurrencyLimiter;
+use crate::message::{Outcome, SubReply, SubRequest};
+use crate::replica::ReplicaTable;
+use crate::request::Request;
+use crate::session::SessionTable;
+use crate::snapshot_choice::{Candidate, choose_current, judge_candidates};
+use crate::view::SearcherView;
+use hashbrown::HashMap;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use staircross_config::ServiceDefinition;
+use staircross_types::{AttemptId, BootTime, NodeId, RequestId, SearcherId, ServiceName, ShardMap, Snapshot};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bounds of a root.
+#[derive(Clone, Debug)]
+pub struct RootSettings {
+    /// Most sessions held.
+    pub sessions: usize,
+    /// Latency assumed before there are measurements.
+    pub latency_guess: Duration,
+    /// Most attempts per shard, the first included.
+    pub attempts_per_shard: usize,
+    /// Most plans per request, the first included.
+    pub plans_per_request: usize,
+    /// Whether admission is limited. Off only in experiments that show why it is on.
+    pub limit_admission: bool,
+}
+
+impl Default for RootSettings {
+    fn default() -> Self {
+        RootSettings {
+            sessions: 10_000,
+            latency_guess: Duration::from_millis(20),
+            attempts_per_shard: 4,
+            plans_per_request: 3,
+            limit_admission: true,
+        }
+    }
+}
+
+/// What a root is told.
+#[derive(Clone, Debug)]
+pub enum RootEvent {
+    /// The services in force.
+    Services(Vec<Arc<ServiceDefinition>>),
+    /// A searcher's view has changed.
+    View(SearcherView),
+    /// A caller asks.
+    Submit(Submission),
+    /// A leaf replied.
+    Reply(SubReply),
+    /// The caller is gone.
+    CallerGone(RequestId),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a root wants done.
+#[derive(Clone, Debug)]
+pub enum RootAction {
+    /// Send to a leaf that owns the searcher.
+    Send(SubRequest),
+    /// Tell the leaf that an attempt is no longer wanted.
+    Cancel { attempt: AttemptId, searcher: SearcherId },
+    /// The final word on a request.
+    Finish { request: RequestId, outcome: Outcome },
+}
+
+/// What the root keeps per service.
+pub(crate) struct ServiceState {
+    pub definition: Arc<ServiceDefinition>,
+    pub maps: Vec<Arc<ShardMap>>,
+    pub peers: Vec<SearcherId>,
+    pub candidates: Vec<Candidate>,
+    pub current: Option<Snapshot>,
+    pub stale: bool,
+    pub latency: LatencyTracker,
+    pub hedges: ExtraWorkBudget,
+    pub retries: ExtraWorkBudget,
+    pub limiter: ConcurrencyLimiter,
+}
+
+/// Counters of a root, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RootCounters {
+    /// Sub-requests sent as a first attempt.
+    pub primaries: u64,
+    /// Sub-requests sent as hedges.
+    pub hedges: u64,
+    /// Sub-requests sent as retries.
+    pub retries: u64,
+    /// Sub-requests sent another way after a leaf refused without asking the searcher.
+    pub reroutes: u64,
+    /// Plans thrown away because their snapshot had gone.
+    pub replans: u64,
+    /// Replies dropped because they matched nothing that was asked.
+    pub foreign_replies: u64,
+    /// Replies that came after the final word.
+    pub late_replies: u64,
+}
+
+/// The root's decisions.
+pub struct RootEngine {
+    pub(crate) node: NodeId,
+    pub(crate) settings: RootSettings,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) services: BTreeMap<ServiceName, ServiceState>,
+    pub(crate) views: HashMap<SearcherId, SearcherView>,
+    pub(crate) replicas: ReplicaTable,
+    pub(crate) requests: HashMap<u64, Request>,
+    pub(crate) wakes: BinaryHeap<Reverse<(BootTime, u64)>>,
+    pub(crate) unknown_actions: HashMap<AttemptId, submit::PendingTicket>,
+    /// Sessions held by this node.
+    pub sessions: SessionTable,
+    /// Counters for metrics.
+    pub counters: RootCounters,
+}
+
+impl RootEngine {
+    /// A root of `node` without services; `seed` feeds its random choices.
+    pub fn new(node: NodeId, settings: RootSettings, seed: u64) -> Self {
+        RootEngine {
+            node,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            services: BTreeMap::new(),
+            views: HashMap::new(),
+            replicas: ReplicaTable::default(),
+            requests: HashMap::new(),
+            wakes: BinaryHeap::new(),
+            unknown_actions: HashMap::new(),
+            sessions: SessionTable::new(settings.sessions),
+            counters: RootCounters::default(),
+            settings,
+        }
+    }
+
+    /// Takes one event; appends what is to be done.
+    pub fn on_event(&mut self, now: BootTime, event: RootEvent, actions: &mut Vec<RootAction>) {
+        match event {
+            RootEvent::Services(definitions) => self.set_services(definitions),
+            RootEvent::View(view) => self.set_view(view),
+            RootEvent::Submit(submission) => self.submit(now, submission, actions),
+            RootEvent::Reply(reply) => self.on_reply(now, reply, actions),
+            RootEvent::CallerGone(request) => self.on_caller_gone(now, request, actions),
+            RootEvent::Tick => self.on_tick(now, actions),
+        }
+    }
+
+    /// When `Tick` is due next.
+    pub fn next_wake(&self) -> Option<BootTime> {
+        self.wakes.peek().map(|Reverse((time, _))| *time)
+    }
+
+    /// Requests without a final word.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The definition of a service in force.
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<ServiceDefinition>> {
+        self.services.get(name).map(|service| &service.definition)
+    }
+
+    /// The snapshot that a service is served from now.
+    pub fn current_snapshot(&mut self, name: &ServiceName) -> Option<Snapshot> {
+        self.refresh_service(name);
+        self.services.get(name).and_then(|service| service.current)
+    }
+
+    /// All views, for display.
+    pub fn views(&self) -> impl Iterator<Item = &SearcherView> {
+        self.views.values()
+    }
+
+    fn set_services(&mut self, definitions: Vec<Arc<ServiceDefinition>>) {
+        let mut kept = std::mem::take(&mut self.services);
+        for definition in definitions {
+            let state = match kept.remove(&definition.name) {
+                Some(state) => state.with_definition(definition),
+                None => ServiceState::new(definition, self.settings.latency_guess),
+            };
+            self.services.insert(state.definition.name.clone(), state);
+        }
+    }
+
+    fn set_view(&mut self, view: SearcherView) {
+        let run = |view: &SearcherView| view.evidence.as_ref().map(|evidence| evidence.incarnation);
+        let restarted = self.views.get(&view.searcher).is_some_and(|known| run(known) != run(&view));
+        if restarted {
+            self.replicas.forget(view.searcher);
+        }
+        let affected = self.services.values_mut().filter(|service| service.peers.contains(&view.searcher));
+        affected.for_each(|service| service.stale = true);
+        self.views.insert(view.searcher, view);
+    }
+
+    /// Recomputes which snapshot a service is served from, if anything changed.
+    pub(crate) fn refresh_service(&mut self, name: &ServiceName) {
+        let Some(service) = self.services.get_mut(name).filter(|service| service.stale) else {
+            return;
+        };
+        service.stale = false;
+        service.candidates = judge_candidates(&service.maps, &self.views);
+        service.current = choose_current(&service.candidates, service.current);
+    }
+}
+
+impl ServiceState {
+    fn new(definition: Arc<ServiceDefinition>, latency_guess: Duration) -> Self {
+        let policy = &definition.policy;
+        ServiceState {
+            hedges: ExtraWorkBudget::new(policy.hedge_per_mille),
+            retries: ExtraWorkBudget::new(policy.retry_per_mille),
+            maps: shared_maps(&definition),
+            peers: definition.searchers.iter().map(|searcher| searcher.id).collect(),
+            candidates: Vec::new(),
+            current: None,
+            stale: true,
+            latency: LatencyTracker::new(latency_guess),
+            limiter: ConcurrencyLimiter::default(),
+            definition,
+        }
+    }
+
+    fn with_definition(mut self, definition: Arc<ServiceDefinition>) -> Self {
+        if Arc::ptr_eq(&self.definition, &definition) {
+            return self;
+        }
+        self.hedges.set_per_mille(definition.policy.hedge_per_mille);
+        self.retries.set_per_mille(definition.policy.retry_per_mille);
+        self.maps = shared_maps(&definition);
+        self.peers = definition.searchers.iter().map(|searcher| searcher.id).collect();
+        self.stale = true;
+        self.definition = definition;
+        self
+    }
+}
+
+fn shared_maps(definition: &ServiceDefinition) -> Vec<Arc<ShardMap>> {
+    definition.shard_maps.iter().cloned().map(Arc::new).collect()
+}
--- /dev/null
+++ b/crates/staircross-search/src/root/deadline.rs
@@ -0,0 +1,95 @@
+//! What time does to requests: hedges, patience and deadlines.
+
+use super::plan::SendReason;
+use super::{RootAction, RootEngine, ServiceState};
+use crate::message::Work;
+use crate::request::Request;
+use staircross_config::Priority;
+use staircross_types::{BootTime, RequestId};
+use std::cmp::Reverse;
+
+/// Latency-first services wait this many hedge delays for the last shards.
+const PATIENCE: u32 = 2;
+
+/// When a latency-first request stops waiting for the rest; `None` for coverage-first ones.
+pub(super) fn patience_end(request: &Request, service: &ServiceState) -> Option<BootTime> {
+    let is_search = matches!(request.work, Work::Search(_));
+    if !is_search || request.priority == Priority::Coverage {
+        return None;
+    }
+    Some(request.admitted_at + service.latency.hedge_delay() * PATIENCE)
+}
+
+impl RootEngine {
+    pub(super) fn on_tick(&mut self, now: BootTime, actions: &mut Vec<RootAction>) {
+        while let Some(Reverse((due, sequence))) = self.wakes.peek().copied() {
+            if due > now {
+                break;
+            }
+            self.wakes.pop();
+            self.wake(now, sequence, actions);
+        }
+        self.unknown_actions.retain(|_, pending| now < pending.forget_at);
+    }
+
+    fn wake(&mut self, now: BootTime, sequence: u64, actions: &mut Vec<RootAction>) {
+        let Some(request) = self.requests.get(&sequence) else {
+            return;
+        };
+        if now >= request.deadline {
+            self.stop_waiting(now, sequence, actions);
+            return;
+        }
+        if self.is_out_of_patience(now, request) {
+            self.stop_waiting(now, sequence, actions);
+            return;
+        }
+        self.hedge_late_attempts(now, sequence, actions);
+        self.schedule(now, sequence);
+    }
+
+    /// Whether a latency-first request has enough shards and has waited long enough for the rest.
+    pub(super) fn is_out_of_patience(&self, now: BootTime, request: &Request) -> bool {
+        if !request.is_enough(request.shards.included()) {
+            return false;
+        }
+        let service = self.services.get(&request.service);
+        service.and_then(|service| patience_end(request, service)).is_some_and(|end| now >= end)
+    }
+
+    fn hedge_late_attempts(&mut self, now: BootTime, sequence: u64, actions: &mut Vec<RootAction>) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        // An action is never sent twice, however late it is.
+        if matches!(request.work, Work::Act(_)) {
+            return;
+        }
+        let Some(service) = self.services.get(&request.service) else {
+            return;
+        };
+        let delay = service.latency.hedge_delay();
+        let mut late_shards = Vec::new();
+        for attempt in &mut request.attempts {
+            if attempt.open && !attempt.hedged && now >= attempt.sent_at + delay {
+                attempt.hedged = true;
+                late_shards.extend(attempt.shards.iter().copied());
+                self.replicas.lagging(attempt.searcher, now.since(attempt.sent_at));
+            }
+        }
+        late_shards.retain(|position| request.shards.is_open(*position));
+        if !late_shards.is_empty() {
+            self.send_extra(now, sequence, &late_shards, SendReason::Hedge, actions);
+        }
+    }
+
+    pub(super) fn on_caller_gone(&mut self, now: BootTime, id: RequestId, actions: &mut Vec<RootAction>) {
+        let Some(request) = self.requests.get(&id.sequence) else {
+            return;
+        };
+        // An action goes on: its ticket must learn the outcome.
+        if matches!(request.work, Work::Search(_)) {
+            self.stop_waiting(now, id.sequence, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-search/src/root/finish.rs
@@ -0,0 +1,205 @@
+//! The final word on a request.
+
+use super::submit::{PendingTicket, refused};
+use super::{RootAction, RootEngine};
+use crate::message::{Answer, Outcome, Work};
+use crate::request::{Request, ShardProgress};
+use crate::snapshot_choice::choose_for_request;
+use staircross_types::query::PagePosition;
+use staircross_types::{AttemptId, BootTime, ErrorKind, MissingCause, RequestId};
+use std::time::Duration;
+
+/// How long a late receipt can still settle a ticket whose outcome was unknown.
+const LATE_RECEIPT_WINDOW: Duration = Duration::from_secs(60);
+/// A request with less time left than this isn't planned anew.
+const LEAST_TIME_TO_REPLAN: Duration = Duration::from_millis(5);
+
+impl RootEngine {
+    /// Ends the request if nothing more can come, or too little.
+    pub(super) fn settle(&mut self, now: BootTime, sequence: u64, actions: &mut Vec<RootAction>) {
+        let Some(request) = self.requests.get(&sequence) else {
+            return;
+        };
+        let hopeless = !request.is_enough(request.shards.reachable());
+        if self.is_out_of_patience(now, request) {
+            self.stop_waiting(now, sequence, actions);
+            return;
+        }
+        if !request.shards.is_settled() && !hopeless {
+            return;
+        }
+        if self.replan(now, sequence, actions) {
+            return;
+        }
+        self.stop_waiting(now, sequence, actions);
+    }
+
+    /// Starts over at another snapshot when the present one has gone. All partials are dropped.
+    fn replan(&mut self, now: BootTime, sequence: u64, actions: &mut Vec<RootAction>) -> bool {
+        let Some(request) = self.requests.get(&sequence) else {
+            return false;
+        };
+        let snapshot_gone =
+            request.shards.iter().any(|shard| matches!(shard, ShardProgress::Missing(MissingCause::SnapshotGone)));
+        let is_search = matches!(request.work, Work::Search(_));
+        let is_page = request.page_start().is_some();
+        let plans = request.excluded.len() + 1;
+        let in_time = now.until(request.deadline) > LEAST_TIME_TO_REPLAN;
+        if !snapshot_gone || !is_search || is_page || !in_time || plans >= self.settings.plans_per_request {
+            return false;
+        }
+        let name = request.service.clone();
+        let floor = request.floor;
+        let mut excluded = request.excluded.clone();
+        excluded.push(request.map.snapshot);
+        self.refresh_service(&name);
+        let Some(service) = self.services.get(&name) else {
+            return false;
+        };
+        let Some(candidate) = choose_for_request(&service.candidates, service.current, floor, &excluded) else {
+            return false;
+        };
+        let map = candidate.map.clone();
+        self.cancel_open_attempts(sequence, actions);
+        if let Some(request) = self.requests.get_mut(&sequence) {
+            let next_attempt = request.attempts.len() as u32 + 1;
+            request.restart(map, next_attempt);
+        }
+        self.counters.replans += 1;
+        self.plan(now, sequence, actions);
+        true
+    }
+
+    /// Answers with what is there, or refuses.
+    pub(super) fn stop_waiting(&mut self, now: BootTime, sequence: u64, actions: &mut Vec<RootAction>) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        let outcome = match request.work {
+            Work::Search(_) => request.conclude_search(now),
+            Work::Act(_) => request.conclude_action(),
+        };
+        self.finish(now, sequence, outcome, actions);
+    }
+
+    pub(super) fn finish(&mut self, now: BootTime, sequence: u64, outcome: Outcome, actions: &mut Vec<RootAction>) {
+        let id = RequestId { node: self.node, sequence };
+        self.remember_unknown_action(now, sequence);
+        self.cancel_open_attempts(sequence, actions);
+        let Some(request) = self.requests.remove(&sequence) else {
+            return;
+        };
+        let late = matches!(&outcome, Outcome::Refusal(_));
+        if let Some(service) = self.services.get_mut(&request.service) {
+            service.limiter.finish(now, request.troubled || late);
+        }
+        self.give_ticket_back(&request, &outcome);
+        if let (Outcome::Answer(answer), Some(session)) = (&outcome, self.sessions.touch(now, request.session)) {
+            session.raise_floor(&request.service, answer.snapshot);
+        }
+        actions.push(RootAction::Finish { request: id, outcome });
+    }
+
+    fn cancel_open_attempts(&mut self, sequence: u64, actions: &mut Vec<RootAction>) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        let is_search = matches!(request.work, Work::Search(_));
+        for (index, attempt) in request.attempts.iter_mut().enumerate() {
+            if !attempt.open {
+                continue;
+            }
+            attempt.open = false;
+            self.replicas.ended(attempt.searcher);
+            // A cancelled action might stop half-way; its outcome is wanted, however late.
+            if is_search {
+                let request = RequestId { node: self.node, sequence };
+                let id = AttemptId { request, attempt: index as u32 + 1 };
+                actions.push(RootAction::Cancel { attempt: id, searcher: attempt.searcher });
+            }
+        }
+    }
+
+    fn remember_unknown_action(&mut self, now: BootTime, sequence: u64) {
+        let Some(request) = self.requests.get(&sequence) else {
+            return;
+        };
+        let Some(ticket) = request.ticket else {
+            return;
+        };
+        for number in 1..=request.attempts.len() as u32 {
+            let id = AttemptId { request: RequestId { node: self.node, sequence }, attempt: number };
+            let forget_at = now + LATE_RECEIPT_WINDOW;
+            self.unknown_actions.insert(id, PendingTicket { session: request.session, ticket, forget_at });
+        }
+    }
+}
+
+impl Request {
+    fn conclude_search(&mut self, now: BootTime) -> Outcome {
+        let coverage = self.coverage(MissingCause::Late);
+        if !self.is_enough(coverage.included.len()) {
+            return self.refuse_search(&coverage);
+        }
+        if self.page_start().is_some() && !coverage.missing.is_empty() {
+            return refused(ErrorKind::CoverageTooLow, "a page of a pull needs every shard; ask for it again");
+        }
+        self.keep_best();
+        let next = self.next_page();
+        Outcome::Answer(Answer {
+            snapshot: self.map.snapshot,
+            coverage,
+            matched: self.matched,
+            next,
+            hits: std::mem::take(&mut self.hits),
+            sent: self.attempts.len() as u32,
+            needed: self.needed,
+            elapsed: now.since(self.admitted_at),
+        })
+    }
+
+    fn next_page(&self) -> Option<PagePosition> {
+        self.page_start()?;
+        let Work::Search(query) = &self.work else {
+            return None;
+        };
+        let is_full = self.hits.len() >= query.limit as usize;
+        let last = self.hits.last().filter(|_| is_full)?;
+        Some(PagePosition { shard: last.shard, document: last.document.clone() })
+    }
+
+    fn refuse_search(&self, coverage: &staircross_types::Coverage) -> Outcome {
+        let detail = format!(
+            "{} of {} shards answered, {} per thousand are needed; missing: {}",
+            coverage.included.len(),
+            coverage.total(),
+            self.least_per_mille,
+            summarize_causes(coverage)
+        );
+        let any_late = coverage.missing.iter().any(|missing| missing.cause == MissingCause::Late);
+        let any_open = self.attempts.iter().any(|attempt| attempt.open);
+        let kind = match (self.may_have_run || any_open, any_late) {
+            (false, _) => ErrorKind::NotDelivered,
+            (true, true) => ErrorKind::TimedOut,
+            (true, false) => ErrorKind::CoverageTooLow,
+        };
+        refused(kind, detail)
+    }
+
+    fn conclude_action(&self) -> Outcome {
+        let any_open = self.attempts.iter().any(|attempt| attempt.open);
+        if self.may_have_run || any_open {
+            return refused(ErrorKind::OutcomeUnknown, "the action was sent and no receipt came back");
+        }
+        refused(ErrorKind::NotDelivered, "no back end took the action")
+    }
+}
+
+fn summarize_causes(coverage: &staircross_types::Coverage) -> String {
+    let mut counts = std::collections::BTreeMap::new();
+    for missing in &coverage.missing {
+        *counts.entry(missing.cause).or_insert(0) += 1;
+    }
+    let parts: Vec<String> = counts.iter().map(|(cause, count)| format!("{count} {cause}")).collect();
+    parts.join(", ")
+}
--- /dev/null
+++ b/crates/staircross-search/src/root/plan.rs
@@ -0,0 +1,224 @@
+//! Planning: which searcher is asked for which shards, and sending it.
+
+use super::{RootAction, RootEngine};
+use crate::message::{SubRequest, Work};
+use crate::request::{Attempt, ShardProgress};
+use hashbrown::HashMap;
+use staircross_types::{AttemptId, BootTime, MissingCause, RequestId, SearcherId};
+use std::cmp::Reverse;
+
+/// Why a sub-request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SendReason {
+    /// First attempt for its shards.
+    Primary,
+    /// Another attempt while the first is late.
+    Hedge,
+    /// Another attempt after the one before failed.
+    Retry,
+    /// Another way to a searcher after a leaf refused without asking it: no load for back ends.
+    Reroute,
+}
+
+/// Shards that one searcher is to be asked for.
+struct Batch {
+    searcher: SearcherId,
+    shards: Vec<u32>,
+}
+
+impl RootEngine {
+    /// Sends first attempts for every open shard of a fresh plan.
+    pub(super) fn plan(&mut self, now: BootTime, sequence: u64, actions: &mut Vec<RootAction>) {
+        let Some(request) = self.requests.get(&sequence) else {
+            return;
+        };
+        let open = request.shards.open_positions();
+        let batches = self.choose_batches(now, sequence, &open);
+        let count = batches.len();
+        if let Some(request) = self.requests.get_mut(&sequence) {
+            // Whatever a later plan sends is work beyond the strictly needed.
+            if !request.planned {
+                request.planned = true;
+                request.needed = count as u32;
+            }
+            if let Some(service) = self.services.get_mut(&request.service) {
+                service.hedges.earn(count);
+                service.retries.earn(count);
+            }
+        }
+        for batch in batches {
+            self.send(now, sequence, batch.searcher, batch.shards, SendReason::Primary, actions);
+        }
+        self.give_up_idle_shards(sequence, &open);
+        self.schedule(now, sequence);
+        self.settle(now, sequence, actions);
+    }
+
+    /// Gives up the shards of a plan that nobody could be asked for.
+    fn give_up_idle_shards(&mut self, sequence: u64, planned: &[u32]) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        for position in planned {
+            let cause = match request.shards.get(*position) {
+                Some(ShardProgress::Open { last_failure: Some(cause), .. }) => *cause,
+                _ => MissingCause::Lost,
+            };
+            request.shards.give_up_idle(*position, cause);
+        }
+    }
+
+    /// Sends further attempts for shards, as far as the budget goes. Returns the shards not sent.
+    pub(super) fn send_extra(
+        &mut self,
+        now: BootTime,
+        sequence: u64,
+        shards: &[u32],
+        reason: SendReason,
+        actions: &mut Vec<RootAction>,
+    ) -> Vec<u32> {
+        let mut unsent: Vec<u32> = shards.to_vec();
+        for batch in self.choose_batches(now, sequence, shards) {
+            if !self.spend(now, sequence, reason) {
+                break;
+            }
+            unsent.retain(|position| !batch.shards.contains(position));
+            self.send(now, sequence, batch.searcher, batch.shards, reason, actions);
+        }
+        unsent
+    }
+
+    fn spend(&mut self, now: BootTime, sequence: u64, reason: SendReason) -> bool {
+        let Some(request) = self.requests.get(&sequence) else {
+            return false;
+        };
+        let Some(service) = self.services.get_mut(&request.service) else {
+            return false;
+        };
+        match reason {
+            SendReason::Primary | SendReason::Reroute => true,
+            // An action is only sent again when it certainly didn't run: no repetition, so no budget.
+            SendReason::Retry if matches!(request.work, Work::Act(_)) => true,
+            SendReason::Hedge => service.hedges.try_spend(now),
+            SendReason::Retry => service.retries.try_spend(now),
+        }
+    }
+
+    /// Chooses a replica not tried yet for each shard; shards without one are left out.
+    fn choose_batches(&mut self, now: BootTime, sequence: u64, shards: &[u32]) -> Vec<Batch> {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return Vec::new();
+        };
+        let typical = match self.services.get(&request.service) {
+            Some(service) => service.latency.median(),
+            None => self.settings.latency_guess,
+        };
+        let snapshot = request.map.snapshot;
+        let mut batches: Vec<Batch> = Vec::new();
+        let mut used: HashMap<SearcherId, usize> = HashMap::new();
+        let mut eligible: Vec<SearcherId> = Vec::new();
+        for position in shards {
+            let placement = &request.map.shards[*position as usize];
+            let Some(ShardProgress::Open { tried, outstanding, last_failure, .. }) =
+                request.shards.get_open_mut(*position)
+            else {
+                continue;
+            };
+            eligible.clear();
+            eligible.extend(placement.replicas.iter().copied().filter(|replica| {
+                let serves = self.views.get(replica).is_some_and(|view| view.serves(snapshot));
+                serves && !tried.contains(replica)
+            }));
+            let chosen = self.replicas.choose(now, &eligible, &used, typical, &mut self.random);
+            let Some(searcher) = chosen else {
+                if *outstanding == 0 && last_failure.is_none() {
+                    *last_failure = Some(absence_cause(&placement.replicas, &self.views));
+                }
+                continue;
+            };
+            match used.get(&searcher) {
+                Some(index) => batches[*index].shards.push(*position),
+                None => {
+                    used.insert(searcher, batches.len());
+                    batches.push(Batch { searcher, shards: vec![*position] });
+                }
+            }
+        }
+        batches
+    }
+
+    fn send(
+        &mut self,
+        now: BootTime,
+        sequence: u64,
+        searcher: SearcherId,
+        shards: Vec<u32>,
+        reason: SendReason,
+        actions: &mut Vec<RootAction>,
+    ) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        for position in &shards {
+            if let Some(ShardProgress::Open { outstanding, sends, tried, .. }) = request.shards.get_open_mut(*position)
+            {
+                *outstanding += 1;
+                *sends += 1;
+                tried.push(searcher);
+            }
+        }
+        let shard_ids = shards.iter().map(|position| request.map.shards[*position as usize].shard).collect();
+        request.attempts.push(Attempt { searcher, shards, sent_at: now, open: true, hedged: false });
+        let request_id = RequestId { node: self.node, sequence };
+        let attempt = AttemptId { request: request_id, attempt: request.attempts.len() as u32 };
+        self.replicas.sent(searcher);
+        match reason {
+            SendReason::Primary => self.counters.primaries += 1,
+            SendReason::Hedge => self.counters.hedges += 1,
+            SendReason::Retry => self.counters.retries += 1,
+            SendReason::Reroute => self.counters.reroutes += 1,
+        }
+        actions.push(RootAction::Send(SubRequest {
+            attempt,
+            searcher,
+            snapshot: request.map.snapshot,
+            shards: shard_ids,
+            work: request.work.clone(),
+            remaining: now.until(request.deadline),
+        }));
+    }
+
+    /// Sets the time at which the request needs attention next.
+    pub(super) fn schedule(&mut self, now: BootTime, sequence: u64) {
+        let Some(request) = self.requests.get(&sequence) else {
+            return;
+        };
+        let mut due = request.deadline;
+        if let (Some(service), Work::Search(_)) = (self.services.get(&request.service), &request.work) {
+            let delay = service.latency.hedge_delay();
+            let late = request.attempts.iter().filter(|attempt| attempt.open && !attempt.hedged);
+            if let Some(first) = late.map(|attempt| attempt.sent_at + delay).min() {
+                due = due.min(first.max(now));
+            }
+            if let Some(patience) = super::deadline::patience_end(request, service).filter(|end| *end > now) {
+                due = due.min(patience);
+            }
+        }
+        self.wakes.push(Reverse((due, sequence)));
+    }
+}
+
+/// Why a shard has no replica to ask.
+fn absence_cause(replicas: &[SearcherId], views: &HashMap<SearcherId, crate::view::SearcherView>) -> MissingCause {
+    let known: Vec<_> = replicas.iter().filter_map(|replica| views.get(replica)).collect();
+    if known.iter().any(|view| view.leaving) {
+        return MissingCause::Draining;
+    }
+    let holds_other = |view: &&crate::view::SearcherView| {
+        view.evidence.as_ref().is_some_and(|evidence| !evidence.snapshots.is_empty())
+    };
+    if known.iter().any(holds_other) {
+        return MissingCause::SnapshotGone;
+    }
+    MissingCause::Lost
+}
--- /dev/null
+++ b/crates/staircross-search/src/root/reply.rs
@@ -0,0 +1,225 @@
+//! What a leaf's reply means for its request.
+
+use super::plan::SendReason;
+use super::{RootAction, RootEngine};
+use crate::message::{NotRunReason, Outcome, SubOutcome, SubReply, Work};
+use crate::request::{Attempt, Request, reply_matches};
+use staircross_types::{AttemptId, BootTime, MissingCause, RequestId, SearcherId, ShardHits};
+
+impl RootEngine {
+    pub(super) fn on_reply(&mut self, now: BootTime, reply: SubReply, actions: &mut Vec<RootAction>) {
+        if reply.attempt.request.node != self.node {
+            self.counters.foreign_replies += 1;
+            return;
+        }
+        let sequence = reply.attempt.request.sequence;
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            self.note_late_reply(reply);
+            return;
+        };
+        let index = (reply.attempt.attempt as usize).wrapping_sub(1);
+        let abandoned = reply.attempt.attempt < request.first_valid_attempt;
+        let Some(entry) = request.attempts.get_mut(index).filter(|attempt| attempt.open) else {
+            self.counters.late_replies += 1;
+            return;
+        };
+        let attempt = entry.close();
+        let matches = reply_matches(request, &attempt, &reply);
+        if abandoned {
+            self.replicas.ended(attempt.searcher);
+            return;
+        }
+        request.shards.release(&attempt.shards);
+        if matches {
+            self.apply(now, sequence, &attempt, reply, actions);
+        } else {
+            self.counters.foreign_replies += 1;
+            self.apply_failure(now, sequence, &attempt, MissingCause::Unreachable, true, actions);
+        }
+        self.settle(now, sequence, actions);
+    }
+
+    fn apply(
+        &mut self,
+        now: BootTime,
+        sequence: u64,
+        attempt: &Attempt,
+        reply: SubReply,
+        actions: &mut Vec<RootAction>,
+    ) {
+        match reply.outcome {
+            SubOutcome::Found(found) => self.apply_found(now, sequence, attempt, found, actions),
+            SubOutcome::Acted(receipt) => {
+                self.replicas.succeeded(attempt.searcher, now.since(attempt.sent_at));
+                self.finish(now, sequence, Outcome::Acted(receipt), actions);
+            }
+            SubOutcome::NotRun(reason) => self.apply_not_run(now, sequence, attempt, reason, actions),
+            SubOutcome::Unknown(reason) => {
+                self.apply_failure(now, sequence, attempt, reason.missing_cause(), true, actions);
+            }
+        }
+    }
+
+    fn apply_found(
+        &mut self,
+        now: BootTime,
+        sequence: u64,
+        attempt: &Attempt,
+        found: Vec<ShardHits>,
+        actions: &mut Vec<RootAction>,
+    ) {
+        let latency = now.since(attempt.sent_at);
+        self.replicas.succeeded(attempt.searcher, latency);
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        request.may_have_run = true;
+        let merged = request.merge(&attempt.shards, found);
+        let needless = if merged.contested { request.take_needless_attempts() } else { Vec::new() };
+        if let Some(service) = self.services.get_mut(&request.service) {
+            service.latency.record(latency);
+        }
+        for NeedlessAttempt { number, searcher } in needless {
+            self.replicas.ended(searcher);
+            let attempt = AttemptId { request: RequestId { node: self.node, sequence }, attempt: number };
+            actions.push(RootAction::Cancel { attempt, searcher });
+        }
+        if !merged.unanswered.is_empty() {
+            let cause = MissingCause::Unreachable;
+            self.retry(now, sequence, &merged.unanswered, cause, SendReason::Retry, actions);
+        }
+    }
+
+    fn apply_not_run(
+        &mut self,
+        now: BootTime,
+        sequence: u64,
+        attempt: &Attempt,
+        reason: NotRunReason,
+        actions: &mut Vec<RootAction>,
+    ) {
+        if reason == NotRunReason::Unconnected {
+            self.apply_failure(now, sequence, attempt, reason.missing_cause(), false, actions);
+            return;
+        }
+        self.replicas.ended(attempt.searcher);
+        let mut send_reason = SendReason::Retry;
+        match reason {
+            NotRunReason::Shed => self.note_shed(now, sequence),
+            NotRunReason::NotOwner | NotRunReason::LeafLeaving => {
+                send_reason = SendReason::Reroute;
+                self.forget_try(sequence, attempt);
+            }
+            _ => {}
+        }
+        self.retry(now, sequence, &attempt.shards, reason.missing_cause(), send_reason, actions);
+    }
+
+    fn forget_try(&mut self, sequence: u64, attempt: &Attempt) {
+        if let Some(request) = self.requests.get_mut(&sequence) {
+            request.shards.forget_try(&attempt.shards, attempt.searcher);
+        }
+    }
+
+    /// A shed reply says that the back ends are full: spend nothing extra, admit less.
+    fn note_shed(&mut self, now: BootTime, sequence: u64) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        request.troubled = true;
+        if let Some(service) = self.services.get_mut(&request.service) {
+            service.hedges.pause_after_shed(now);
+            service.retries.pause_after_shed(now);
+            service.limiter.back_off(now);
+        }
+    }
+
+    fn apply_failure(
+        &mut self,
+        now: BootTime,
+        sequence: u64,
+        attempt: &Attempt,
+        cause: MissingCause,
+        may_have_run: bool,
+        actions: &mut Vec<RootAction>,
+    ) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        request.may_have_run |= may_have_run;
+        let peers = self.services.get(&request.service).map_or(&[][..], |service| &service.peers);
+        self.replicas.failed(now, attempt.searcher, peers);
+        let is_action = matches!(request.work, Work::Act(_));
+        if is_action && may_have_run {
+            // At most once: whoever may have run it is the only one ever asked.
+            request.give_up(&attempt.shards, cause);
+            return;
+        }
+        self.retry(now, sequence, &attempt.shards, cause, SendReason::Retry, actions);
+    }
+
+    /// Asks other replicas for shards that an attempt failed to bring; gives up what can't be asked.
+    fn retry(
+        &mut self,
+        now: BootTime,
+        sequence: u64,
+        shards: &[u32],
+        cause: MissingCause,
+        reason: SendReason,
+        actions: &mut Vec<RootAction>,
+    ) {
+        let Some(request) = self.requests.get_mut(&sequence) else {
+            return;
+        };
+        let most_attempts = self.settings.attempts_per_shard;
+        let idle = request.shards.note_failure(shards, cause);
+        let (again, exhausted): (Vec<u32>, Vec<u32>) =
+            idle.into_iter().partition(|position| request.shards.sends(*position) < most_attempts);
+        request.give_up(&exhausted, cause);
+        let unsent = self.send_extra(now, sequence, &again, reason, actions);
+        if let Some(request) = self.requests.get_mut(&sequence) {
+            request.give_up(&unsent, cause);
+        }
+        self.schedule(now, sequence);
+    }
+
+    /// A reply to a finished request is dropped, but an action's late receipt settles its ticket.
+    fn note_late_reply(&mut self, reply: SubReply) {
+        self.counters.late_replies += 1;
+        let SubOutcome::Acted(receipt) = reply.outcome else {
+            return;
+        };
+        let Some(pending) = self.unknown_actions.remove(&reply.attempt) else {
+            return;
+        };
+        if let Some(session) = self.sessions.touch(BootTime::default(), pending.session) {
+            session.end_ticket(pending.ticket, &Outcome::Acted(receipt));
+        }
+    }
+}
+
+impl Request {
+    fn give_up(&mut self, shards: &[u32], cause: MissingCause) {
+        for position in shards {
+            self.shards.give_up_idle(*position, cause);
+        }
+    }
+
+    /// Closes and returns attempts none of whose shards is open any more.
+    fn take_needless_attempts(&mut self) -> Vec<NeedlessAttempt> {
+        let mut needless = Vec::new();
+        for (index, attempt) in self.attempts.iter_mut().enumerate() {
+            if attempt.open && !attempt.shards.iter().any(|position| self.shards.is_open(*position)) {
+                attempt.open = false;
+                needless.push(NeedlessAttempt { number: index as u32 + 1, searcher: attempt.searcher });
+            }
+        }
+        needless
+    }
+}
+
+/// An attempt whose reply can add nothing any more.
+struct NeedlessAttempt {
+    number: u32,
+    searcher: SearcherId,
+}
--- /dev/null
+++ b/crates/staircross-search/src/root/submit.rs
@@ -0,0 +1,183 @@
+//! Admission: from a caller's submission to the first plan.
+
+use super::{RootAction, RootEngine};
+use crate::message::{Outcome, Refusal, Work};
+use crate::request::{Request, ShardLedger};
+use crate::session::TicketRefusal;
+use crate::snapshot_choice::{Candidate, choose_for_request};
+use staircross_types::{BootTime, ErrorKind, RequestId, ServiceName, SessionToken, Snapshot, Ticket};
+use std::time::Duration;
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Fresh id, minted by this node.
+    pub request: RequestId,
+    /// The caller's session.
+    pub session: SessionToken,
+    /// The service asked.
+    pub service: ServiceName,
+    /// What to do.
+    pub work: Work,
+    /// The caller's own wait bound; the service's applies too.
+    pub wait: Option<Duration>,
+    /// The caller's own least coverage per thousand; the service's applies too.
+    pub least_per_mille: Option<u32>,
+    /// For a page of a pull after the first: the snapshot that all its pages come from.
+    pub pinned: Option<Snapshot>,
+    /// For an action: its ticket.
+    pub ticket: Option<Ticket>,
+}
+
+/// A ticket whose action's outcome is unknown and may still become known.
+#[derive(Clone, Debug)]
+pub(crate) struct PendingTicket {
+    pub session: SessionToken,
+    pub ticket: Ticket,
+    pub forget_at: BootTime,
+}
+
+impl RootEngine {
+    pub(super) fn submit(&mut self, now: BootTime, submission: Submission, actions: &mut Vec<RootAction>) {
+        let request = submission.request;
+        if let Err(outcome) = self.admit(now, submission, actions) {
+            actions.push(RootAction::Finish { request, outcome });
+        }
+    }
+
+    fn admit(&mut self, now: BootTime, submission: Submission, actions: &mut Vec<RootAction>) -> Result<(), Outcome> {
+        let name = submission.service.clone();
+        let Some(session) = self.sessions.touch(now, submission.session) else {
+            return Err(refused(ErrorKind::UnknownSession, "no session has this token"));
+        };
+        let floor = session.floors.get(&name).copied();
+        self.refresh_service(&name);
+        let Some(service) = self.services.get_mut(&name) else {
+            return Err(refused(ErrorKind::UnknownService, format!("no service is named {name}")));
+        };
+        let policy = service.definition.policy.clone();
+        check_kind(&submission, policy.repeatable)?;
+        let candidate = pick_candidate(&service.candidates, service.current, floor, submission.pinned)?;
+        let map = candidate.map.clone();
+        self.use_ticket(&submission)?;
+
+        let shards = ShardLedger::open(&map, page_start(&submission.work));
+        let wait = submission.wait.map_or(policy.wait(), |wait| wait.min(policy.wait()));
+        let least = submission.least_per_mille.unwrap_or(0).max(policy.least_coverage_per_mille);
+        let mut request = Request {
+            session: submission.session,
+            service: name.clone(),
+            work: submission.work,
+            ticket: submission.ticket,
+            shards,
+            map,
+            attempts: Vec::new(),
+            admitted_at: now,
+            deadline: now + wait,
+            least_per_mille: least,
+            priority: policy.priority,
+            floor,
+            excluded: Vec::new(),
+            hits: Vec::new(),
+            matched: 0,
+            needed: 0,
+            troubled: false,
+            planned: false,
+            may_have_run: false,
+            first_valid_attempt: 1,
+        };
+        if request.ticket.is_some() {
+            self.narrow_to_target(&mut request);
+        }
+        let admitted = self.services.get_mut(&name).is_some_and(|service| service.limiter.try_admit());
+        if !admitted && self.settings.limit_admission {
+            let outcome = refused(ErrorKind::Overloaded, format!("service {name} has no room for another request"));
+            self.give_ticket_back(&request, &outcome);
+            return Err(outcome);
+        }
+        self.requests.insert(submission.request.sequence, request);
+        self.plan(now, submission.request.sequence, actions);
+        Ok(())
+    }
+
+    fn use_ticket(&mut self, submission: &Submission) -> Result<(), Outcome> {
+        let Some(ticket) = submission.ticket else {
+            return Ok(());
+        };
+        let node = self.node;
+        let Some(session) = self.sessions.touch(BootTime::default(), submission.session) else {
+            return Err(refused(ErrorKind::UnknownSession, "no session has this token"));
+        };
+        session.use_ticket(ticket, node).map_err(|refusal| match refusal {
+            TicketRefusal::Ended(outcome) => *outcome,
+            TicketRefusal::Running => {
+                refused(ErrorKind::OutcomeUnknown, "the ticket's request is in flight; it was not sent again")
+            }
+            TicketRefusal::Foreign => {
+                refused(ErrorKind::OutcomeUnknown, "the node that minted the ticket is gone; it was not sent again")
+            }
+            TicketRefusal::Unknown => refused(ErrorKind::BadTicket, "the ticket isn't of this session"),
+        })
+    }
+
+    /// An action touches one shard only: the one that holds its target.
+    fn narrow_to_target(&mut self, request: &mut Request) {
+        let Work::Act(command) = &request.work else {
+            return;
+        };
+        let target = staircross_types::query::shard_of(&command.target, request.map.shards.len());
+        for (position, placement) in request.map.shards.iter().enumerate() {
+            if placement.shard != target {
+                request.shards.include(position as u32);
+            }
+        }
+    }
+
+    pub(super) fn give_ticket_back(&mut self, request: &Request, outcome: &Outcome) {
+        let Some(ticket) = request.ticket else {
+            return;
+        };
+        if let Some(session) = self.sessions.touch(request.admitted_at, request.session) {
+            session.end_ticket(ticket, outcome);
+        }
+    }
+}
+
+fn page_start(work: &Work) -> Option<&staircross_types::query::PagePosition> {
+    match work {
+        Work::Search(query) => query.after.as_ref(),
+        Work::Act(_) => None,
+    }
+}
+
+fn check_kind(submission: &Submission, repeatable: bool) -> Result<(), Outcome> {
+    let is_action = matches!(submission.work, Work::Act(_));
+    if is_action && submission.ticket.is_none() {
+        return Err(refused(ErrorKind::NotRepeatable, "an action needs a ticket"));
+    }
+    if is_action == repeatable {
+        let taken = if repeatable { "searches" } else { "actions" };
+        return Err(refused(ErrorKind::NotRepeatable, format!("the service takes {taken} only")));
+    }
+    Ok(())
+}
+
+fn pick_candidate(
+    candidates: &[Candidate],
+    current: Option<Snapshot>,
+    floor: Option<Snapshot>,
+    pinned: Option<Snapshot>,
+) -> Result<&Candidate, Outcome> {
+    if let Some(pinned) = pinned {
+        let found = candidates.iter().find(|candidate| candidate.map.snapshot == pinned && candidate.covered > 0);
+        return found.ok_or_else(|| {
+            refused(ErrorKind::PullInterrupted, format!("snapshot {pinned} is no longer served; start the pull anew"))
+        });
+    }
+    choose_for_request(candidates, current, floor, &[])
+        .ok_or_else(|| refused(ErrorKind::NoSnapshot, "no snapshot at or above the session's floor has a live replica"))
+}
+
+pub(super) fn refused(kind: ErrorKind, detail: impl Into<String>) -> Outcome {
+    Outcome::Refusal(Refusal::new(kind, detail))
+}
--- /dev/null
+++ b/crates/staircross-search/src/snapshot_choice.rs
@@ -0,0 +1,75 @@
+//! Which snapshot of a service is served.
+//!
+//! Inputs: the service's shard maps and the searchers' views. Invariants: a session never goes
+//! back behind its floor, and a root moves to a newer snapshot only when that is covered at
+//! least as well as the one it serves.
+
+use crate::view::SearcherView;
+use hashbrown::HashMap;
+use staircross_types::{SearcherId, ShardMap, Snapshot};
+use std::sync::Arc;
+
+/// A snapshot that could be served and how many of its shards have a serving replica.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The snapshot's shard map.
+    pub map: Arc<ShardMap>,
+    /// Shards with a serving replica.
+    pub covered: usize,
+}
+
+/// Judges every shard map against the views, newest first.
+pub fn judge_candidates(maps: &[Arc<ShardMap>], views: &HashMap<SearcherId, SearcherView>) -> Vec<Candidate> {
+    let mut candidates: Vec<Candidate> =
+        maps.iter().map(|map| Candidate { map: map.clone(), covered: covered_shards(map, views) }).collect();
+    candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.map.snapshot));
+    candidates
+}
+
+fn covered_shards(map: &ShardMap, views: &HashMap<SearcherId, SearcherView>) -> usize {
+    let serves = |searcher: &SearcherId| views.get(searcher).is_some_and(|view| view.serves(map.snapshot));
+    map.shards.iter().filter(|placement| placement.replicas.iter().any(serves)).count()
+}
+
+/// Picks the snapshot to serve next, given the one served now.
+pub fn choose_current(candidates: &[Candidate], current: Option<Snapshot>) -> Option<Snapshot> {
+    let serving = candidates.iter().find(|candidate| Some(candidate.map.snapshot) == current);
+    let Some(serving) = serving.filter(|candidate| candidate.covered > 0) else {
+        return best(candidates.iter());
+    };
+    let newer = candidates.iter().filter(|candidate| candidate.map.snapshot > serving.map.snapshot);
+    // Compared as fractions: after a repartition the two maps have different numbers of shards.
+    let at_least_as_good = newer.filter(|candidate| {
+        candidate.covered * serving.map.shards.len() >= serving.covered * candidate.map.shards.len()
+    });
+    best(at_least_as_good).or(current)
+}
+
+/// Picks the snapshot for one request: the service's current one, unless the floor is above it.
+pub fn choose_for_request<'a>(
+    candidates: &'a [Candidate],
+    current: Option<Snapshot>,
+    floor: Option<Snapshot>,
+    excluded: &[Snapshot],
+) -> Option<&'a Candidate> {
+    let allowed = |candidate: &&Candidate| {
+        let snapshot = candidate.map.snapshot;
+        floor.is_none_or(|floor| snapshot >= floor) && !excluded.contains(&snapshot)
+    };
+    let preferred = candidates.iter().filter(allowed).find(|candidate| Some(candidate.map.snapshot) == current);
+    if let Some(preferred) = preferred.filter(|candidate| candidate.covered > 0) {
+        return Some(preferred);
+    }
+    let wanted = best(candidates.iter().filter(allowed))?;
+    candidates.iter().find(|candidate| candidate.map.snapshot == wanted)
+}
+
+/// Best covered candidate; among equals the newest. None when nothing is covered.
+fn best<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Option<Snapshot> {
+    let best = candidates.filter(|candidate| candidate.covered > 0).max_by(|left, right| {
+        let left_share = left.covered * right.map.shards.len();
+        let right_share = right.covered * left.map.shards.len();
+        left_share.cmp(&right_share).then(left.map.snapshot.cmp(&right.map.snapshot))
+    });
+    best.map(|candidate| candidate.map.snapshot)
+}
--- /dev/null
+++ b/crates/staircross-standin/src/corpus.rs
@@ -0,0 +1,66 @@
+//! Documents, one JSON object a line.
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// One document of a corpus.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Unique id.
+    pub id: String,
+    /// Text to show.
+    pub title: String,
+    /// Text to search, besides the title.
+    pub body: String,
+}
+
+/// All documents of one index version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Corpus {
+    /// The documents.
+    pub documents: Vec<Document>,
+}
+
+quick_error! {
+    /// Why a corpus can't be read.
+    #[derive(Debug)]
+    pub enum CorpusError {
+        /// The file can't be read.
+        Unreadable { path: String, error: std::io::Error } {
+            display("{path}: {error}")
+        }
+        /// A line is no document.
+        BadLine { origin: String, line: usize, reason: String } {
+            display("{origin}, line {line}: {reason}")
+        }
+    }
+}
+
+impl Corpus {
+    /// Reads a file of JSON lines.
+    pub fn read(path: &Path) -> Result<Self, CorpusError> {
+        let origin = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|error| CorpusError::Unreadable { path: origin.clone(), error })?;
+        Self::parse(&origin, &text)
+    }
+
+    /// Reads JSON lines; empty lines are skipped.
+    pub fn parse(origin: &str, text: &str) -> Result<Self, CorpusError> {
+        let mut documents = Vec::new();
+        for (index, line) in text.lines().enumerate() {
+            if line.trim().is_empty() {
+                continue;
+            }
+            let document = serde_json::from_str(line).map_err(|error| CorpusError::BadLine {
+                origin: origin.to_owned(),
+                line: index + 1,
+                reason: error.to_string(),
+            })?;
+            documents.push(document);
+        }
+        Ok(Corpus { documents })
+    }
+}
--- /dev/null
+++ b/crates/staircross-standin/src/index.rs
@@ -0,0 +1,123 @@
+//! An inverted index of one snapshot's shards, with term search and a score.
+
+use crate::corpus::{Corpus, Document};
+use staircross_types::query::shard_of;
+use staircross_types::{Hit, SearchQuery, ShardHits, ShardId};
+use std::collections::{BTreeMap, HashMap};
+
+/// One occurrence list entry.
+#[derive(Clone, Copy, Debug)]
+struct Posting {
+    document: u32,
+    count: u32,
+}
+
+/// One shard.
+#[derive(Default)]
+pub struct ShardIndex {
+    documents: Vec<Document>,
+    lengths: Vec<u32>,
+    postings: HashMap<String, Vec<Posting>>,
+}
+
+/// All shards of one snapshot that a searcher holds.
+#[derive(Default)]
+pub struct SnapshotIndex {
+    shards: BTreeMap<ShardId, ShardIndex>,
+}
+
+/// Splits a text into lower-case terms.
+pub fn tokenize(text: &str) -> impl Iterator<Item = String> + '_ {
+    text.split(|character: char| !character.is_alphanumeric()).filter(|term| !term.is_empty()).map(str::to_lowercase)
+}
+
+impl SnapshotIndex {
+    /// Indexes those documents of `corpus` that fall into `held`, of `shard_count` shards.
+    pub fn build(corpus: &Corpus, held: &[ShardId], shard_count: usize) -> Self {
+        let mut shards: BTreeMap<ShardId, ShardIndex> =
+            held.iter().map(|shard| (*shard, ShardIndex::default())).collect();
+        for document in &corpus.documents {
+            let shard = shard_of(&document.id, shard_count);
+            if let Some(index) = shards.get_mut(&shard) {
+                index.add(document.clone());
+            }
+        }
+        shards.values_mut().for_each(ShardIndex::sort);
+        SnapshotIndex { shards }
+    }
+
+    /// Searches one shard; `None` when it isn't held.
+    pub fn search(&self, shard: ShardId, query: &SearchQuery) -> Option<ShardHits> {
+        self.shards.get(&shard).map(|index| index.search(shard, query))
+    }
+
+    /// Whether the shard is held.
+    pub fn holds(&self, shard: ShardId) -> bool {
+        self.shards.contains_key(&shard)
+    }
+}
+
+impl ShardIndex {
+    fn add(&mut self, document: Document) {
+        self.documents.push(document);
+    }
+
+    /// Orders documents by id, as pulls need them, and builds the lists.
+    fn sort(&mut self) {
+        self.documents.sort_by(|left, right| left.id.cmp(&right.id));
+        for (number, document) in self.documents.iter().enumerate() {
+            let mut counts: HashMap<String, u32> = HashMap::new();
+            let text = format!("{} {}", document.title, document.body);
+            let mut length = 0;
+            for term in tokenize(&text) {
+                *counts.entry(term).or_default() += 1;
+                length += 1;
+            }
+            self.lengths.push(length);
+            for (term, count) in counts {
+                self.postings.entry(term).or_default().push(Posting { document: number as u32, count });
+            }
+        }
+    }
+
+    fn search(&self, shard: ShardId, query: &SearchQuery) -> ShardHits {
+        let mut scores: Vec<(u32, f32)> = match query.terms.split_first() {
+            None => (0..self.documents.len() as u32).map(|number| (number, 0.0)).collect(),
+            Some((first, rest)) => {
+                let start = self.term_scores(first).collect();
+                rest.iter().fold(start, |kept, term| self.intersect(kept, term))
+            }
+        };
+        let matched = scores.len() as u64;
+        match &query.after {
+            Some(after) => scores.retain(|(number, _)| {
+                (shard, self.documents[*number as usize].id.as_str()) > (after.shard, after.document.as_str())
+            }),
+            None => scores.sort_by(|left, right| right.1.total_cmp(&left.1).then(left.0.cmp(&right.0))),
+        }
+        scores.truncate(query.limit as usize);
+        let hits = scores.into_iter().map(|(number, score)| self.hit(shard, number, score)).collect();
+        ShardHits { shard, matched, hits }
+    }
+
+    /// Scores of documents with a term: term frequency, dampened, over length; rare terms weigh more.
+    fn term_scores<'a>(&'a self, term: &str) -> impl Iterator<Item = (u32, f32)> + 'a {
+        let postings = self.postings.get(term).map_or(&[][..], Vec::as_slice);
+        let rarity = (1.0 + self.documents.len() as f32 / (1.0 + postings.len() as f32)).ln();
+        postings.iter().map(move |posting| {
+            let length = self.lengths[posting.document as usize] as f32;
+            let frequency = posting.count as f32 / (posting.count as f32 + 0.5 + length / 100.0);
+            (posting.document, rarity * frequency)
+        })
+    }
+
+    fn intersect(&self, kept: Vec<(u32, f32)>, term: &str) -> Vec<(u32, f32)> {
+        let scores: HashMap<u32, f32> = self.term_scores(term).collect();
+        kept.into_iter().filter_map(|(number, score)| scores.get(&number).map(|more| (number, score + more))).collect()
+    }
+
+    fn hit(&self, shard: ShardId, number: u32, score: f32) -> Hit {
+        let document = &self.documents[number as usize];
+        Hit { document: document.id.clone(), shard, score, title: document.title.clone() }
+    }
+}
--- /dev/null
+++ b/crates/staircross-standin/src/lib.rs
@@ -0,0 +1,25 @@
+//! Stand-ins for what surrounds staircross: searchers and the platform.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`corpus`] | documents from JSON lines |
+//! | [`index`] | a real inverted index per shard |
+//! | [`faults`] | scripted faults |
+//! | [`ledger`] | what truly ran |
+//! | [`searcher`] | the searcher stand-in (HTTP) |
+//! | [`platform`] | the platform stand-in (HTTP) |
+//! | [`http`] | helpers for both servers |
+
+pub mod corpus;
+pub mod faults;
+pub mod http;
+pub mod index;
+pub mod ledger;
+pub mod platform;
+pub mod searcher;
+
+pub use corpus::{Corpus, Document};
+pub use faults::{Fault, FaultScript};
+pub use ledger::{Ledger, LedgerEntry};
+pub use platform::{PlatformMode, PlatformStandin};
+pub use searcher::{SearcherSettings, SearcherStandin};
--- /dev/null
+++ b/crates/staircross-standin/src/searcher.rs
@@ -0,0 +1,398 @@
+//! The searcher stand-in: real term search over HTTP, with slots, drain, cold start and faults.
+
+use crate::corpus::Corpus;
+use crate::faults::{Fault, FaultScript};
+use crate::http::{bytes_response, close_without_reply, json_response, read_json, text_response};
+use crate::index::SnapshotIndex;
+use crate::ledger::{Ledger, LedgerEntry};
+use oxhttp::Server;
+use oxhttp::model::{Body, Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use staircross_types::searcher_api::{
+    ACT_PATH, ActCall, CANCEL_PATH, CallReply, CallStatus, CancelCall, SEARCH_PATH, STATE_PATH, SearchCall, StateReply,
+};
+use staircross_types::{
+    ActionCommand, AttemptId, SearchQuery, SearcherId, SearcherIncarnation, ShardHits, ShardId, Snapshot, body_digest,
+};
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How a searcher is set up.
+#[derive(Clone, Debug)]
+pub struct SearcherSettings {
+    /// Its number.
+    pub id: SearcherId,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Calls it runs at once.
+    pub slots: u32,
+    /// Calls that may wait for a slot before it sheds.
+    pub queue: u32,
+    /// Connections it accepts.
+    pub connections: u32,
+    /// Time that each call takes besides the search itself.
+    pub work: Duration,
+    /// Time after its start during which calls take [`COLD_FACTOR`] times as long.
+    pub cold: Duration,
+}
+
+/// How much slower a cold searcher is.
+const COLD_FACTOR: u32 = 4;
+/// How often a waiting call looks whether it was cancelled.
+const CANCEL_CHECK: Duration = Duration::from_millis(2);
+/// Cancelled attempts remembered.
+const MAX_CANCELLED: usize = 10_000;
+
+/// Commands of the control endpoint.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "command", rename_all = "snake_case")]
+pub enum ControlCommand {
+    /// Stop taking new work.
+    Drain,
+    /// Add a fault.
+    AddFault {
+        /// The fault.
+        fault: Fault,
+        /// For so many calls only.
+        calls: Option<u32>,
+    },
+    /// Remove all faults.
+    ClearFaults,
+    /// Forget a snapshot.
+    Retire {
+        /// The snapshot.
+        snapshot: Snapshot,
+    },
+}
+
+#[derive(Default)]
+struct State {
+    indexes: BTreeMap<Snapshot, Arc<SnapshotIndex>>,
+    faults: FaultScript,
+    ledger: Ledger,
+    draining: bool,
+    active: u32,
+    waiting: u32,
+    cancelled: HashSet<AttemptId>,
+}
+
+struct Shared {
+    settings: SearcherSettings,
+    incarnation: SearcherIncarnation,
+    started: Instant,
+    state: Mutex<State>,
+    slot_freed: Condvar,
+}
+
+/// A running searcher stand-in. It runs until its process ends.
+#[derive(Clone)]
+pub struct SearcherStandin {
+    shared: Arc<Shared>,
+}
+
+impl SearcherStandin {
+    /// Starts a searcher without any snapshot.
+    pub fn start(settings: SearcherSettings) -> std::io::Result<Self> {
+        let shared = Arc::new(Shared {
+            incarnation: SearcherIncarnation(rand::random()),
+            started: Instant::now(),
+            state: Mutex::new(State::default()),
+            slot_freed: Condvar::new(),
+            settings: settings.clone(),
+        });
+        let handler = shared.clone();
+        let server = Server::new(move |request| handler.handle(request))
+            .bind(settings.listen)
+            .with_max_concurrent_connections(settings.connections as usize)
+            .with_global_timeout(Duration::from_secs(60));
+        server.spawn()?;
+        Ok(SearcherStandin { shared })
+    }
+
+    /// Takes up a snapshot: indexes the documents of `held`, of `shard_count` shards.
+    pub fn publish(&self, snapshot: Snapshot, corpus: &Corpus, held: &[ShardId], shard_count: usize) {
+        let index = Arc::new(SnapshotIndex::build(corpus, held, shard_count));
+        self.shared.lock().indexes.insert(snapshot, index);
+    }
+
+    /// Carries out a control command.
+    pub fn control(&self, command: ControlCommand) {
+        self.shared.control(command);
+    }
+
+    /// A copy of the ledger.
+    pub fn ledger(&self) -> Ledger {
+        self.shared.lock().ledger.clone()
+    }
+
+    /// The searcher's number.
+    pub fn id(&self) -> SearcherId {
+        self.shared.settings.id
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // A scripted fault may end a connection's thread; the state itself stays sound.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(&self, request: &mut Request<Body>) -> Response<Body> {
+        if self.lock().faults.contains(&Fault::Dead) && request.uri().path() != "/v1/control" {
+            close_without_reply();
+        }
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        match (method, path.as_str()) {
+            (Method::POST, SEARCH_PATH) => match read_json::<SearchCall>(request) {
+                Ok(call) => self.search(call),
+                Err(response) => response,
+            },
+            (Method::POST, ACT_PATH) => match read_json::<ActCall>(request) {
+                Ok(call) => self.act(call),
+                Err(response) => response,
+            },
+            (Method::POST, CANCEL_PATH) => match read_json::<CancelCall>(request) {
+                Ok(call) => self.cancel(call),
+                Err(response) => response,
+            },
+            (Method::POST, "/v1/control") => match read_json::<ControlCommand>(request) {
+                Ok(command) => {
+                    self.control(command);
+                    text_response(StatusCode::OK, "done\n")
+                }
+                Err(response) => response,
+            },
+            (Method::GET, STATE_PATH) => json_response(&self.state_reply()),
+            (Method::GET, "/v1/ledger") => json_response(&self.lock().ledger),
+            (Method::GET, "/v1/health") => text_response(StatusCode::OK, "ok\n"),
+            _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+
+    fn control(&self, command: ControlCommand) {
+        let mut state = self.lock();
+        match command {
+            ControlCommand::Drain => state.draining = true,
+            ControlCommand::AddFault { fault, calls } => state.faults.add(fault, calls),
+            ControlCommand::ClearFaults => state.faults.clear(),
+            ControlCommand::Retire { snapshot } => {
+                state.indexes.remove(&snapshot);
+            }
+        }
+    }
+
+    fn state_reply(&self) -> StateReply {
+        let state = self.lock();
+        let misleading = state.faults.contains(&Fault::MisleadingState);
+        let load = f64::from(state.active) / f64::from(self.settings.slots);
+        StateReply {
+            searcher: self.settings.id,
+            incarnation: self.incarnation,
+            snapshots: state.indexes.keys().copied().collect(),
+            draining: state.draining && !misleading,
+            load: if misleading { 0.0 } else { load },
+        }
+    }
+
+    fn cancel(&self, call: CancelCall) -> Response<Body> {
+        let mut state = self.lock();
+        if state.cancelled.len() >= MAX_CANCELLED {
+            state.cancelled.clear();
+        }
+        state.cancelled.insert(call.attempt);
+        text_response(StatusCode::OK, "cancelled\n")
+    }
+
+    fn search(&self, call: SearchCall) -> Response<Body> {
+        let deadline = Instant::now() + Duration::from_millis(call.remaining_ms);
+        let faults = self.lock().faults.take_for_call();
+        let slot = match self.enter(&faults, call.snapshot, call.attempt, deadline) {
+            Ok(slot) => slot,
+            Err(status) => return reply(&faults, call.attempt, call.snapshot, status),
+        };
+        let status = self.run_search(&slot, &call, &faults, deadline);
+        drop(slot);
+        reply(&faults, call.attempt, call.snapshot, status)
+    }
+
+    fn run_search(&self, slot: &Slot<'_>, call: &SearchCall, faults: &[Fault], deadline: Instant) -> CallStatus {
+        self.record(call.attempt, call.snapshot, call.shards.clone(), None);
+        if !self.work(call.attempt, &call.shards, faults, deadline) {
+            return CallStatus::Stopped;
+        }
+        let found = call.shards.iter().filter_map(|shard| slot.index.search(*shard, &call.query)).collect();
+        CallStatus::Found { shards: distort(found, faults, &call.query) }
+    }
+
+    fn act(&self, call: ActCall) -> Response<Body> {
+        let deadline = Instant::now() + Duration::from_millis(call.remaining_ms);
+        let faults = self.lock().faults.take_for_call();
+        let slot = match self.enter(&faults, call.snapshot, call.attempt, deadline) {
+            Ok(slot) => slot,
+            Err(status) => return reply(&faults, call.attempt, call.snapshot, status),
+        };
+        let status = if slot.index.holds(call.shard) {
+            let message = format!("{} {}", call.command.verb, call.command.target);
+            let entry = self.record(call.attempt, call.snapshot, vec![call.shard], Some(call.command));
+            // Once entered in the audit trail an action is finished, cancelled or not.
+            let _finished_in_time = self.work(call.attempt, &[call.shard], &faults, deadline);
+            CallStatus::Acted { entry, message }
+        } else {
+            CallStatus::SnapshotGone
+        };
+        drop(slot);
+        reply(&faults, call.attempt, call.snapshot, status)
+    }
+
+    /// Waits for a slot; the error is the "not run" answer.
+    fn enter(
+        &self,
+        faults: &[Fault],
+        snapshot: Snapshot,
+        attempt: AttemptId,
+        deadline: Instant,
+    ) -> Result<Slot<'_>, CallStatus> {
+        let mut state = self.lock();
+        if state.draining {
+            return Err(CallStatus::Draining);
+        }
+        let Some(index) = state.indexes.get(&snapshot).cloned() else {
+            return Err(CallStatus::SnapshotGone);
+        };
+        let is_full = state.active >= self.settings.slots && state.waiting >= self.settings.queue;
+        if is_full || faults.contains(&Fault::Shed) {
+            return Err(CallStatus::Shed);
+        }
+        state.waiting += 1;
+        while state.active >= self.settings.slots {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() || state.cancelled.contains(&attempt) {
+                state.waiting -= 1;
+                return Err(CallStatus::Shed);
+            }
+            let waited = self.slot_freed.wait_timeout(state, left.min(CANCEL_CHECK * 5));
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        state.waiting -= 1;
+        state.active += 1;
+        Ok(Slot { shared: self, index })
+    }
+
+    fn record(
+        &self,
+        attempt: AttemptId,
+        snapshot: Snapshot,
+        shards: Vec<ShardId>,
+        action: Option<ActionCommand>,
+    ) -> u64 {
+        let searcher = self.settings.id;
+        let mut state = self.lock();
+        let while_draining = state.draining;
+        state.ledger.add(LedgerEntry { searcher, attempt, snapshot, shards, action, while_draining })
+    }
+
+    /// Spends the time that a call takes; `false` when it was cancelled or its deadline passed.
+    fn work(&self, attempt: AttemptId, shards: &[ShardId], faults: &[Fault], deadline: Instant) -> bool {
+        let mut span = self.settings.work;
+        if self.started.elapsed() < self.settings.cold {
+            span *= COLD_FACTOR;
+        }
+        for fault in faults {
+            match fault {
+                Fault::Slow { delay_ms } => span += Duration::from_millis(*delay_ms),
+                Fault::SlowShard { shard, delay_ms } if shards.contains(shard) => {
+                    span += Duration::from_millis(*delay_ms);
+                }
+                _ => {}
+            }
+        }
+        let end = Instant::now() + span;
+        loop {
+            let now = Instant::now();
+            if now >= end {
+                return true;
+            }
+            if now >= deadline || self.lock().cancelled.contains(&attempt) {
+                return false;
+            }
+            std::thread::sleep((end - now).min(CANCEL_CHECK));
+        }
+    }
+}
+
+/// A slot in use; freed when dropped.
+struct Slot<'a> {
+    shared: &'a Shared,
+    index: Arc<SnapshotIndex>,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.shared.lock().active -= 1;
+        self.shared.slot_freed.notify_one();
+    }
+}
+
+fn distort(mut found: Vec<ShardHits>, faults: &[Fault], query: &SearchQuery) -> Vec<ShardHits> {
+    if faults.contains(&Fault::OmitShard) {
+        found.pop();
+    }
+    if faults.contains(&Fault::AddShard) {
+        let matched = u64::from(query.limit);
+        found.push(ShardHits { shard: ShardId(u32::MAX), matched, hits: Vec::new() });
+    }
+    found
+}
+
+fn reply(faults: &[Fault], attempt: AttemptId, snapshot: Snapshot, status: CallStatus) -> Response<Body> {
+    if faults.contains(&Fault::LoseReply) {
+        close_without_reply();
+    }
+    let mut reply = CallReply { attempt, snapshot, status };
+    if faults.contains(&Fault::CrossReply) {
+        reply.attempt.request.sequence = reply.attempt.request.sequence.wrapping_add(1);
+    }
+    if faults.contains(&Fault::WrongSnapshot) {
+        reply.snapshot.version += 1;
+    }
+    let Ok(mut bytes) = serde_json::to_vec(&reply) else {
+        return text_response(StatusCode::INTERNAL_SERVER_ERROR, "unserializable reply");
+    };
+    let digest = body_digest(&bytes);
+    if faults.contains(&Fault::DamageReply) {
+        bytes.reverse();
+    }
+    if faults.contains(&Fault::TruncateReply) {
+        return truncated_response(&digest, bytes);
+    }
+    bytes_response(&digest, bytes)
+}
+
+/// A response that breaks off half-way through `bytes`: its connection closes in mid-chunk.
+fn truncated_response(digest: &str, bytes: Vec<u8>) -> Response<Body> {
+    let half = bytes[..bytes.len() / 2].to_vec();
+    let mut response = bytes_response(digest, Vec::new());
+    *response.body_mut() = Body::from_read(std::io::Cursor::new(half).chain_error());
+    response
+}
+
+trait ChainError: std::io::Read + Sized {
+    /// Reads on into an error, where a file would end.
+    fn chain_error(self) -> std::io::Chain<Self, BrokenOff> {
+        self.chain(BrokenOff)
+    }
+}
+
+impl<T: std::io::Read> ChainError for T {}
+
+/// A reader that always fails.
+struct BrokenOff;
+
+impl std::io::Read for BrokenOff {
+    fn read(&mut self, _: &mut [u8]) -> std::io::Result<usize> {
+        Err(std::io::Error::new(std::io::ErrorKind::ConnectionAborted, "broken off by a scripted fault"))
+    }
+}
--- /dev/null
+++ b/crates/staircross-types/src/errors.rs
@@ -0,0 +1,110 @@
+//! The closed list of error kinds and the table from kind to answer.
+//!
+//! Every refusal that a caller sees is one of these kinds. Whether a refused request may have run
+//! is a property of the kind, so it can't be stated differently in two places.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Whether a refused request may have run somewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Executed {
+    /// It ran nowhere and never will.
+    Never,
+    /// It may have run, may be running, or may yet run.
+    Maybe,
+}
+
+macro_rules! error_kinds {
+    ($($variant:ident, $name:literal, $status:literal, $executed:ident, $retry:expr, $meaning:literal;)*) => {
+        /// Every way in which a request can be refused.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum ErrorKind {
+            $(#[doc = $meaning] $variant,)*
+        }
+
+        impl ErrorKind {
+            /// All kinds, in the order of the table.
+            pub const ALL: &'static [ErrorKind] = &[$(ErrorKind::$variant,)*];
+
+            /// The name in answers, metrics and logs.
+            pub fn name(self) -> &'static str {
+                match self { $(ErrorKind::$variant => $name,)* }
+            }
+
+            /// HTTP status of the answer.
+            pub fn http_status(self) -> u16 {
+                match self { $(ErrorKind::$variant => $status,)* }
+            }
+
+            /// Whether the request may have run.
+            pub fn executed(self) -> Executed {
+                match self { $(ErrorKind::$variant => Executed::$executed,)* }
+            }
+
+            /// Milliseconds after which sending the same request again may help; `None` means it won't.
+            pub fn retry_after_ms(self) -> Option<u64> {
+                match self { $(ErrorKind::$variant => $retry,)* }
+            }
+
+            /// One line for people.
+            pub fn meaning(self) -> &'static str {
+                match self { $(ErrorKind::$variant => $meaning,)* }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    BadSyntax, "bad_syntax", 400, Never, None, "The statement isn't in the language.";
+    BadRequest, "bad_request", 400, Never, None, "The request is malformed: body, header, id or value.";
+    TooLarge, "too_large", 413, Never, None, "The request is longer than the node accepts.";
+    NotFound, "not_found", 404, Never, None, "No such resource.";
+    UnknownSession, "unknown_session", 404, Never, None, "No session has this token; it was closed or its copies are lost.";
+    UnknownService, "unknown_service", 404, Never, None, "No service has this name under the configuration in force.";
+    NotRepeatable, "not_repeatable", 409, Never, None, "The service takes actions only with RUN and a ticket, or searches only with SEARCH.";
+    BadTicket, "bad_ticket", 409, Never, None, "The ticket wasn't minted for this session.";
+    PullInterrupted, "pull_interrupted", 409, Never, None, "The snapshot that the pages come from is gone; start the pull anew.";
+    RevisionConflict, "revision_conflict", 409, Never, None, "The configuration changed since the revision that the change was based on.";
+    InvalidConfiguration, "invalid_configuration", 422, Never, None, "The change would make the configuration invalid.";
+    Overloaded, "overloaded", 503, Never, Some(250), "Refused early: the service has no room now.";
+    TooManySessions, "too_many_sessions", 503, Never, Some(1000), "The node holds as many sessions as it may.";
+    NoSnapshot, "no_snapshot", 503, Never, Some(500), "No snapshot of the service can be served at the least coverage.";
+    NoConfigLease, "no_config_lease", 503, Never, Some(500), "The node can't prove that its configuration is in force.";
+    NoQuorum, "no_quorum", 503, Never, Some(1000), "No majority of voters in every region can be reached; nothing was changed.";
+    Leaving, "leaving", 503, Never, Some(100), "The node is stopping; ask another.";
+    NotDelivered, "not_delivered", 503, Never, Some(250), "Every back end asked said that it did not run the request.";
+    CoverageTooLow, "coverage_too_low", 503, Maybe, Some(500), "Some shards answered, but fewer than the service accepts.";
+    TimedOut, "timed_out", 504, Maybe, Some(250), "The wait bound passed before enough shards answered.";
+    OutcomeUnknown, "outcome_unknown", 502, Maybe, None, "The request may have run; ask for its outcome before doing it again.";
+    ChangePending, "change_pending", 202, Maybe, None, "The change isn't known to be accepted or refused yet; ask for it by its id.";
+    Internal, "internal", 500, Maybe, None, "A fault of staircross itself.";
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
+
+/// The table from kind to answer as Markdown, for the documentation.
+pub fn error_table_markdown() -> String {
+    let mut table =
+        String::from("| kind | HTTP | executed | retry after | meaning |\n| --- | --- | --- | --- | --- |\n");
+    for kind in ErrorKind::ALL {
+        let executed = match kind.executed() {
+            Executed::Never => "never",
+            Executed::Maybe => "maybe",
+        };
+        let retry = kind.retry_after_ms().map_or("-".to_owned(), |delay| format!("{delay} ms"));
+        table.push_str(&format!(
+            "| `{}` | {} | {executed} | {retry} | {} |\n",
+            kind.name(),
+            kind.http_status(),
+            kind.meaning()
+        ));
+    }
+    table
+}
--- /dev/null
+++ b/crates/staircross-types/src/lib.rs
@@ -0,0 +1,32 @@
+//! Shared vocabulary of staircross.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`ids`] | identities of nodes, sessions, requests, searchers and shards |
+//! | [`time`] | [`BootTime`], the only clock that decisions may use |
+//! | [`snapshot`] | [`Snapshot`] and [`ShardMap`] |
+//! | [`coverage`] | [`Coverage`] and the causes of missing shards |
+//! | [`errors`] | the closed list of error kinds and the table from kind to answer |
+//! | [`query`] | search requests, hits and per-shard results |
+//! | [`searcher_api`] | messages between leaf and searcher |
+//! | [`digest`] | content digests for bodies |
+
+pub mod coverage;
+pub mod digest;
+pub mod errors;
+pub mod ids;
+pub mod query;
+pub mod searcher_api;
+pub mod snapshot;
+pub mod time;
+
+pub use coverage::{Coverage, MissingCause, MissingShard};
+pub use digest::body_digest;
+pub use errors::{ErrorKind, Executed};
+pub use ids::{
+    AttemptId, GroupId, NodeId, RequestId, SearcherId, SearcherIncarnation, ServiceName, SessionToken, ShardId, Ticket,
+    ZoneName,
+};
+pub use query::{ActionCommand, Hit, SearchQuery, ShardHits};
+pub use snapshot::{ShardMap, ShardPlacement, Snapshot};
+pub use time::BootTime;
