--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -12,7 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use staircross_types::{BootTime, NodeId};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -102,8 +102,8 @@
     settings: MembershipSettings,
     me: NodeId,
     members: BTreeMap<NodeId, Member>,
-    suspected_at: HashMap<NodeId, BootTime>,
-    gone_at: HashMap<NodeId, BootTime>,
+    suspected_at: BTreeMap<NodeId, BootTime>,
+    gone_at: BTreeMap<NodeId, BootTime>,
     rumors: Vec<Rumor>,
     probe: Option<OutstandingProbe>,
     helped: Vec<HelpedProbe>,
@@ -132,8 +132,8 @@
             settings,
             me: node,
             members: BTreeMap::from([(node, me)]),
-            suspected_at: HashMap::new(),
-            gone_at: HashMap::new(),
+            suspected_at: BTreeMap::new(),
+            gone_at: BTreeMap::new(),
             rumors: Vec::new(),
             probe: None,
             helped: Vec::new(),
--- a/crates/staircross-cluster/src/views.rs
+++ b/crates/staircross-cluster/src/views.rs
@@ -23,6 +23,8 @@
 const TELLINGS_PER_DOUBLING: u32 = 1;
 /// Time between comparisons with a random member.
 const COMPARE_EVERY: Duration = Duration::from_secs(5);
+/// Time between comparisons while no record is known.
+const NEWCOMER_COMPARE_EVERY: Duration = Duration::from_millis(200);
 /// Buckets of a comparison: only those that differ are listed.
 const BUCKETS: usize = 64;
 
@@ -227,8 +229,10 @@
             self.push(others, random, actions);
         }
         if now >= self.next_compare {
-            self.next_compare = now + COMPARE_EVERY;
             if let Some((node, address)) = others.choose(random) {
+                // A newcomer asks again soon: it must not act long on what it doesn't know.
+                let is_newcomer = self.records.is_empty();
+                self.next_compare = now + if is_newcomer { NEWCOMER_COMPARE_EVERY } else { COMPARE_EVERY };
                 let message = ViewMessage::Compare { fingerprints: self.fingerprints() };
                 actions.push(ViewAction::Send { to: *node, address: *address, message });
             }
--- /dev/null
+++ b/crates/staircross-lab/src/fuzz/request_model.rs
@@ -0,0 +1,339 @@
+//! The fuzz model of the request engine.
+//!
+//! An operation is a request, a fault or a change; any may come at any moment, together or twice.
+//! All numbers in operations are taken modulo what there is, so every sequence is valid and
+//! shrinking can leave out any operation.
+
+use super::summary::FuzzSummary;
+use crate::sim::network::Delays;
+use crate::sim::world::SimService;
+use crate::sim::{Place, ReplyFault, Violation, WorkTime, World, WorldSettings, check_history};
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
+use serde::{Deserialize, Serialize};
+use staircross_config::{Priority, ServicePolicy};
+use staircross_search::{LeafSettings, RootSettings};
+use staircross_types::ServiceName;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One operation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Operation {
+    /// A caller searches.
+    Search { session: u8, latency_first: bool },
+    /// A caller acts once.
+    Act { session: u8 },
+    /// A caller sends an action again, with its ticket.
+    Repeat { intent: u8 },
+    /// A new index version.
+    Publish { latency_first: bool },
+    /// A new partition.
+    Repartition { shards: u8 },
+    /// A searcher takes up all listed snapshots.
+    TakeUp { searcher: u8 },
+    /// Every searcher does.
+    TakeUpEverywhere,
+    /// A searcher drops its oldest snapshot.
+    Retire { searcher: u8 },
+    /// The oldest snapshot is listed no more.
+    Unlist { latency_first: bool },
+    /// A searcher begins to leave.
+    Drain { searcher: u8, misleads: bool },
+    /// The platform lists a searcher as leaving.
+    ListLeaving { searcher: u8 },
+    /// A searcher dies.
+    CrashSearcher { searcher: u8 },
+    /// A searcher comes back.
+    RestartSearcher { searcher: u8 },
+    /// A searcher is paused.
+    PauseSearcher { searcher: u8, millis: u16 },
+    /// A searcher's next replies are wrong.
+    WrongReplies { searcher: u8, fault: u8, count: u8 },
+    /// A shard copy becomes slow, or all are quick again.
+    SlowCopy { searcher: u8, factor: u8 },
+    /// A node is paused.
+    PauseNode { node: u8, millis: u16 },
+    /// A node dies.
+    CrashNode { node: u8 },
+    /// A node comes back as a new run.
+    StartNode { node: u8 },
+    /// A node stops as planned.
+    StopNode { node: u8 },
+    /// Two nodes are cut off from each other, in one direction or both.
+    CutNodes { from: u8, to: u8, both: bool },
+    /// A node and a searcher are cut off from each other.
+    CutSearcher { node: u8, searcher: u8, both: bool, to_node: bool },
+    /// All cuts heal.
+    Heal,
+    /// A caller goes away.
+    CallerLeaves { node: u8 },
+    /// Time passes.
+    Wait { millis: u16 },
+}
+
+impl Operation {
+    /// The kind of fault, for counting; `None` for requests and time.
+    pub fn fault_kind(&self) -> Option<&'static str> {
+        Some(match self {
+            Operation::Search { .. } | Operation::Act { .. } | Operation::Wait { .. } => return None,
+            Operation::Repeat { .. } => "repeated_action",
+            Operation::Publish { .. } => "publish",
+            Operation::Repartition { .. } => "repartition",
+            Operation::TakeUp { .. } | Operation::TakeUpEverywhere => "take_up",
+            Operation::Retire { .. } => "retire",
+            Operation::Unlist { .. } => "unlist",
+            Operation::Drain { .. } => "drain",
+            Operation::ListLeaving { .. } => "list_leaving",
+            Operation::CrashSearcher { .. } => "crash_searcher",
+            Operation::RestartSearcher { .. } => "restart_searcher",
+            Operation::PauseSearcher { .. } => "pause_searcher",
+            Operation::WrongReplies { fault, .. } => match reply_fault(*fault) {
+                ReplyFault::Lost => "reply_lost",
+                ReplyFault::Late => "reply_late",
+                ReplyFault::Doubled => "reply_doubled",
+                ReplyFault::Crossed => "reply_crossed",
+                ReplyFault::Truncated => "reply_truncated",
+                ReplyFault::WrongSnapshot => "reply_wrong_snapshot",
+                ReplyFault::OmittedShard => "reply_omitted_shard",
+                ReplyFault::ForeignShard => "reply_foreign_shard",
+            },
+            Operation::SlowCopy { .. } => "slow_copy",
+            Operation::PauseNode { .. } => "pause_node",
+            Operation::CrashNode { .. } => "crash_node",
+            Operation::StartNode { .. } => "start_node",
+            Operation::StopNode { .. } => "planned_stop",
+            Operation::CutNodes { .. } => "cut_nodes",
+            Operation::CutSearcher { .. } => "cut_searcher",
+            Operation::Heal => "heal",
+            Operation::CallerLeaves { .. } => "caller_leaves",
+        })
+    }
+}
+
+fn reply_fault(number: u8) -> ReplyFault {
+    const FAULTS: [ReplyFault; 8] = [
+        ReplyFault::Lost,
+        ReplyFault::Late,
+        ReplyFault::Doubled,
+        ReplyFault::Crossed,
+        ReplyFault::Truncated,
+        ReplyFault::WrongSnapshot,
+        ReplyFault::OmittedShard,
+        ReplyFault::ForeignShard,
+    ];
+    FAULTS[usize::from(number) % FAULTS.len()]
+}
+
+/// Generates one operation.
+pub fn operation() -> BoxedStrategy<Operation> {
+    let requests = prop_oneof![
+        6 => (any::<u8>(), any::<bool>()).prop_map(|(session, latency_first)| Operation::Search { session, latency_first }),
+        3 => any::<u8>().prop_map(|session| Operation::Act { session }),
+        2 => any::<u8>().prop_map(|intent| Operation::Repeat { intent }),
+        1 => any::<u8>().prop_map(|node| Operation::CallerLeaves { node }),
+    ];
+    let index_changes = prop_oneof![
+        any::<bool>().prop_map(|latency_first| Operation::Publish { latency_first }),
+        (1_u8..9).prop_map(|shards| Operation::Repartition { shards }),
+        any::<u8>().prop_map(|searcher| Operation::TakeUp { searcher }),
+        Just(Operation::TakeUpEverywhere),
+        any::<u8>().prop_map(|searcher| Operation::Retire { searcher }),
+        any::<bool>().prop_map(|latency_first| Operation::Unlist { latency_first }),
+    ];
+    let searcher_faults = prop_oneof![
+        (any::<u8>(), any::<bool>()).prop_map(|(searcher, misleads)| Operation::Drain { searcher, misleads }),
+        any::<u8>().prop_map(|searcher| Operation::ListLeaving { searcher }),
+        any::<u8>().prop_map(|searcher| Operation::CrashSearcher { searcher }),
+        any::<u8>().prop_map(|searcher| Operation::RestartSearcher { searcher }),
+        any::<u8>().prop_map(|searcher| Operation::RestartSearcher { searcher }),
+        (any::<u8>(), 10_u16..4000).prop_map(|(searcher, millis)| Operation::PauseSearcher { searcher, millis }),
+        (any::<u8>(), any::<u8>(), 1_u8..4).prop_map(|(searcher, fault, count)| Operation::WrongReplies {
+            searcher,
+            fault,
+            count
+        }),
+        (any::<u8>(), any::<u8>(), 1_u8..4).prop_map(|(searcher, fault, count)| Operation::WrongReplies {
+            searcher,
+            fault,
+            count
+        }),
+        (any::<u8>(), 1_u8..40).prop_map(|(searcher, factor)| Operation::SlowCopy { searcher, factor }),
+    ];
+    let node_faults = prop_oneof![
+        (any::<u8>(), 10_u16..6000).prop_map(|(node, millis)| Operation::PauseNode { node, millis }),
+        any::<u8>().prop_map(|node| Operation::CrashNode { node }),
+        any::<u8>().prop_map(|node| Operation::StartNode { node }),
+        any::<u8>().prop_map(|node| Operation::StartNode { node }),
+        any::<u8>().prop_map(|node| Operation::StopNode { node }),
+        (any::<u8>(), any::<u8>(), any::<bool>()).prop_map(|(from, to, both)| Operation::CutNodes { from, to, both }),
+        (any::<u8>(), any::<u8>(), any::<bool>(), any::<bool>())
+            .prop_map(|(node, searcher, both, to_node)| Operation::CutSearcher { node, searcher, both, to_node }),
+        Just(Operation::Heal),
+        Just(Operation::Heal),
+    ];
+    let time = prop_oneof![
+        4 => (0_u16..20).prop_map(|millis| Operation::Wait { millis }),
+        2 => (20_u16..400).prop_map(|millis| Operation::Wait { millis }),
+        1 => (400_u16..5000).prop_map(|millis| Operation::Wait { millis }),
+    ];
+    prop_oneof![8 => requests, 3 => index_changes, 3 => searcher_faults, 2 => node_faults, 5 => time].boxed()
+}
+
+/// The reference: it knows nothing but the seed, since the oracle judges the whole history.
+pub struct RequestModel;
+
+impl ReferenceStateMachine for RequestModel {
+    type State = u64;
+    type Transition = Operation;
+
+    fn init_state() -> BoxedStrategy<u64> {
+        any::<u64>().boxed()
+    }
+
+    fn transitions(_state: &u64) -> BoxedStrategy<Operation> {
+        operation()
+    }
+
+    fn apply(state: u64, _transition: &Operation) -> u64 {
+        state
+    }
+}
+
+/// The system under test: a simulated fleet with a few sessions.
+pub struct RequestRun {
+    /// The fleet.
+    pub world: World,
+    sessions: Vec<usize>,
+    /// Counts so far.
+    pub summary: FuzzSummary,
+}
+
+const COVERAGE_SERVICE: &str = "clauses";
+const LATENCY_SERVICE: &str = "pitches";
+const ACTION_SERVICE: &str = "bookings";
+const SESSIONS: usize = 4;
+/// Time at the end for everything to finish: the longest wait bound, pause and probe together.
+const FINISH: Duration = Duration::from_secs(8);
+
+/// The small fleet of the model: three nodes in three zones, three services.
+pub fn settings() -> WorldSettings {
+    let work_time = WorkTime { median: Duration::from_millis(8), sigma: 0.4, slow_copies: BTreeMap::new() };
+    let search = ServicePolicy {
+        wait_ms: 400,
+        least_coverage_per_mille: 500,
+        hedge_per_mille: 300,
+        retry_per_mille: 300,
+        ..ServicePolicy::default()
+    };
+    let service = |name: &str, policy: ServicePolicy, searchers: usize| SimService {
+        name: ServiceName::new(name),
+        policy,
+        searchers,
+        slots: 2,
+        shards: 6,
+        replicas: 2,
+        work_time: work_time.clone(),
+    };
+    let latency = ServicePolicy { priority: Priority::Latency, ..search.clone() };
+    let action =
+        ServicePolicy { repeatable: false, hedge_per_mille: 0, retry_per_mille: 0, wait_ms: 300, ..search.clone() };
+    WorldSettings {
+        nodes: 3,
+        zones: 3,
+        services: vec![
+            service(COVERAGE_SERVICE, search, 4),
+            service(LATENCY_SERVICE, latency, 4),
+            service(ACTION_SERVICE, action, 3),
+        ],
+        delays: Delays::default(),
+        root: RootSettings::default(),
+        leaf: LeafSettings::default(),
+        news_delay: Duration::from_millis(400),
+    }
+}
+
+impl RequestRun {
+    /// A fresh fleet.
+    pub fn new(seed: u64) -> Self {
+        let mut world = World::new(settings(), seed);
+        let sessions = (0..SESSIONS).map(|index| world.open_session(index % 3)).collect();
+        RequestRun { world, sessions, summary: FuzzSummary::default() }
+    }
+
+    /// Applies one operation.
+    pub fn apply(&mut self, operation: &Operation) {
+        self.summary.steps += 1;
+        if let Some(kind) = operation.fault_kind() {
+            self.summary.count(kind);
+        }
+        self.do_operation(operation);
+        self.world.run_for(Duration::from_micros(300));
+    }
+
+    fn do_operation(&mut self, operation: &Operation) {
+        let world = &mut self.world;
+        let millis = |millis: &u16| Duration::from_millis(u64::from(*millis));
+        let service_number = |latency_first: &bool| usize::from(*latency_first);
+        match operation {
+            Operation::Search { session, latency_first } => {
+                let name = if *latency_first { LATENCY_SERVICE } else { COVERAGE_SERVICE };
+                world.search(self.sessions[usize::from(*session) % SESSIONS], &ServiceName::new(name));
+            }
+            Operation::Act { session } => {
+                world.act(self.sessions[usize::from(*session) % SESSIONS], &ServiceName::new(ACTION_SERVICE));
+            }
+            Operation::Repeat { intent } => {
+                if world.intents() > 0 {
+                    world.send_intent(usize::from(*intent) % world.intents());
+                }
+            }
+            Operation::Publish { latency_first } => world.publish(service_number(latency_first), None),
+            Operation::Repartition { shards } => world.publish(0, Some(u32::from(*shards))),
+            Operation::TakeUp { searcher } => world.take_up(usize::from(*searcher)),
+            Operation::TakeUpEverywhere => (0..world.searcher_count()).for_each(|index| world.take_up(index)),
+            Operation::Retire { searcher } => world.retire(usize::from(*searcher)),
+            Operation::Unlist { latency_first } => world.unlist(service_number(latency_first)),
+            Operation::Drain { searcher, misleads } => world.drain(usize::from(*searcher), *misleads),
+            Operation::ListLeaving { searcher } => world.list_leaving(usize::from(*searcher)),
+            Operation::CrashSearcher { searcher } => world.crash_searcher(usize::from(*searcher)),
+            Operation::RestartSearcher { searcher } => world.restart_searcher(usize::from(*searcher)),
+            Operation::PauseSearcher { searcher, millis: span } => {
+                world.pause_searcher(usize::from(*searcher), millis(span));
+            }
+            Operation::WrongReplies { searcher, fault, count } => {
+                world.add_reply_faults(usize::from(*searcher), reply_fault(*fault), usize::from(*count));
+            }
+            Operation::SlowCopy { searcher, factor } => world.slow_copy(usize::from(*searcher), f64::from(*factor)),
+            Operation::PauseNode { node, millis: span } => world.pause_node(usize::from(*node), millis(span)),
+            Operation::CrashNode { node } => world.crash_node(usize::from(*node)),
+            Operation::StartNode { node } => world.start_node(usize::from(*node)),
+            Operation::StopNode { node } => world.stop_node(usize::from(*node)),
+            Operation::CutNodes { from, to, both } => {
+                let count = world.node_count();
+                let (from, to) = (usize::from(*from) % count, usize::from(*to) % count);
+                if from != to {
+                    world.cut(Place::Node(from), Place::Node(to), *both);
+                }
+            }
+            Operation::CutSearcher { node, searcher, both, to_node } => {
+                let node = Place::Node(usize::from(*node) % world.node_count());
+                let searcher = Place::Searcher(usize::from(*searcher) % world.searcher_count());
+                let (from, to) = if *to_node { (searcher, node) } else { (node, searcher) };
+                world.cut(from, to, *both);
+            }
+            Operation::Heal => world.heal(),
+            Operation::CallerLeaves { node } => world.caller_leaves(usize::from(*node)),
+            Operation::Wait { millis: span } => world.run_for(millis(span)),
+        }
+    }
+
+    /// Lets everything finish and judges the history.
+    pub fn finish(&mut self) -> Vec<Violation> {
+        self.world.heal();
+        self.world.run_for(FINISH);
+        self.summary.cases += 1;
+        self.summary.add_history(&self.world.history);
+        check_history(&self.world.history)
+    }
+}
--- /dev/null
+++ b/crates/staircross-lab/src/fuzz/runner.rs
@@ -0,0 +1,110 @@
+//! Runs a fuzz model over many cases on all cores and shrinks what it finds.
+
+use super::request_model::{Operation, RequestModel, RequestRun};
+use super::summary::{FoundViolation, FuzzSummary, texts};
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
+use proptest_state_machine::ReferenceStateMachine;
+use staircross_types::body_digest;
+use std::cell::RefCell;
+use std::sync::atomic::Ordering;
+
+/// How much to run.
+#[derive(Clone, Copy, Debug)]
+pub struct FuzzOptions {
+    /// Seed of all cases.
+    pub seed: u64,
+    /// Cases.
+    pub cases: u32,
+    /// Operations per case.
+    pub steps: usize,
+}
+
+/// A model that the runner can run: operations from a seed, judged at the end.
+pub trait Model {
+    /// Operations.
+    type Operation: Clone + std::fmt::Debug;
+    /// The generator of operations.
+    type Machine: ReferenceStateMachine<State = u64, Transition = Self::Operation>;
+
+    /// Runs one case and returns its counts and what was broken.
+    fn run_case(seed: u64, operations: &[Self::Operation]) -> (FuzzSummary, Vec<String>);
+}
+
+/// The request engine's model.
+pub struct Requests;
+
+impl Model for Requests {
+    type Operation = Operation;
+    type Machine = RequestModel;
+
+    fn run_case(seed: u64, operations: &[Operation]) -> (FuzzSummary, Vec<String>) {
+        let mut run = RequestRun::new(seed);
+        for operation in operations {
+            run.apply(operation);
+        }
+        let violations = run.finish();
+        (run.summary, texts(&violations))
+    }
+}
+
+/// Runs a model on all cores. Each part has its own seed, so the result doesn't depend on timing.
+pub fn run<M: Model>(options: FuzzOptions) -> FuzzSummary {
+    let parts = std::thread::available_parallelism().map_or(1, |count| count.get() as u32).min(options.cases.max(1));
+    let mut total = FuzzSummary::default();
+    let results: Vec<FuzzSummary> = std::thread::scope(|scope| {
+        let handles: Vec<_> = (0..parts)
+            .map(|part| {
+                let cases = options.cases / parts + u32::from(part < options.cases % parts);
+                scope.spawn(move || run_part::<M>(options, part, cases))
+            })
+            .collect();
+        handles.into_iter().filter_map(|handle| handle.join().ok()).collect()
+    });
+    let finished = results.len() as u32;
+    results.into_iter().for_each(|summary| total.add(summary));
+    if finished < parts {
+        let what = vec![format!("{} of {parts} workers ended in a panic", parts - finished)];
+        total.violations.push(FoundViolation { what, world_seed: 0, operations: Vec::new() });
+    }
+    total
+}
+
+fn run_part<M: Model>(options: FuzzOptions, part: u32, cases: u32) -> FuzzSummary {
+    let summary = RefCell::new(FuzzSummary::default());
+    let config = Config { cases, failure_persistence: None, max_shrink_iters: 4000, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed_bytes(options.seed, part));
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let strategy = M::Machine::sequential_strategy(options.steps..options.steps + 1);
+    let result = runner.run(&strategy, |(seed, operations, seen)| {
+        // The strategy first drops what was never reached; here every operation is.
+        if let Some(seen) = seen {
+            seen.store(operations.len(), Ordering::SeqCst);
+        }
+        let (counts, violations) = M::run_case(seed, &operations);
+        summary.borrow_mut().add(counts);
+        if violations.is_empty() { Ok(()) } else { Err(TestCaseError::fail(violations.join("; "))) }
+    });
+    let mut summary = summary.into_inner();
+    match result {
+        Ok(()) => {}
+        Err(TestError::Fail(_, (world_seed, operations, _))) => {
+            let (_, what) = M::run_case(world_seed, &operations);
+            let operations = operations.iter().map(|operation| format!("{operation:?}")).collect();
+            summary.violations.push(FoundViolation { what, world_seed, operations });
+        }
+        Err(TestError::Abort(reason)) => {
+            let what = vec![format!("aborted: {reason}")];
+            summary.violations.push(FoundViolation { what, world_seed: 0, operations: Vec::new() });
+        }
+    }
+    summary
+}
+
+fn seed_bytes(seed: u64, part: u32) -> [u8; 32] {
+    let mut bytes = [0_u8; 32];
+    bytes[..8].copy_from_slice(&seed.to_be_bytes());
+    bytes[8..12].copy_from_slice(&part.to_be_bytes());
+    let digest = body_digest(&bytes[..12]);
+    bytes[16..32].copy_from_slice(digest.as_bytes());
+    bytes
+}
--- a/crates/staircross-lab/src/lib.rs
+++ b/crates/staircross-lab/src/lib.rs
@@ -4,8 +4,12 @@
 //! | --- | --- |
 //! | [`fleet`] | a whole fleet over loopback in one process |
 //! | [`demo`] | the guided tour |
+//! | [`fuzz`] | stateful fuzz models, as tests and from the command line |
+//! | [`sim`] | a simulated fleet and the oracle |
 //! | [`report`] | one line per request, for people or as JSON |
 
 pub mod demo;
 pub mod fleet;
+pub mod fuzz;
 pub mod report;
+pub mod sim;
--- a/crates/staircross-lab/src/main.rs
+++ b/crates/staircross-lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The lab's command line. Exit codes: 0 done, 1 failed or a violation found, 2 wrong usage.
 
 use staircross_lab::demo::{self, DemoOptions};
+use staircross_lab::fuzz::runner::{self, FuzzOptions};
 use std::process::ExitCode;
 
 mod flags {
@@ -18,6 +19,19 @@
                 /// The nodes' log filter.
                 optional --log log: String
             }
+            /// Stateful fuzzing of the engines against a plain oracle.
+            cmd fuzz {
+                /// What to fuzz: `requests` (default) or `cluster`.
+                optional --model model: String
+                /// Seed of all cases (default 1).
+                optional --seed seed: u64
+                /// Cases (default 100).
+                optional --cases cases: u32
+                /// Operations per case (default 200).
+                optional --steps steps: usize
+                /// Print JSON.
+                optional --json
+            }
         }
     }
 }
@@ -26,6 +40,7 @@
     let flags = flags::StaircrossLab::from_env_or_exit();
     let result = match flags.subcommand {
         flags::StaircrossLabCmd::Demo(command) => run_demo(command),
+        flags::StaircrossLabCmd::Fuzz(command) => run_fuzz(&command),
     };
     match result {
         Ok(code) => code,
@@ -42,3 +57,21 @@
     demo::run(&options).map_err(|error| error.to_string())?;
     Ok(ExitCode::SUCCESS)
 }
+
+fn run_fuzz(command: &flags::Fuzz) -> Result<ExitCode, String> {
+    let options = FuzzOptions {
+        seed: command.seed.unwrap_or(1),
+        cases: command.cases.unwrap_or(100),
+        steps: command.steps.unwrap_or(200),
+    };
+    let summary = match command.model.as_deref().unwrap_or("requests") {
+        "requests" => runner::run::<runner::Requests>(options),
+        other => return Err(format!("--model {other}: allowed are requests, cluster")),
+    };
+    if command.json {
+        println!("{}", serde_json::to_string(&summary).map_err(|error| error.to_string())?);
+    } else {
+        println!("{summary:#?}");
+    }
+    Ok(if summary.violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/crates/staircross-lab/src/sim/oracle.rs
@@ -0,0 +1,203 @@
+//! The oracle: compares every answer with what truly ran. Plain on purpose; read it top to bottom.
+//!
+//! Simulated documents say where they come from: a hit's id is `snapshot/shard/term`, every shard
+//! matches exactly one document, and the first term of a search and the note of an action are
+//! unique. So each promise is a comparison.
+
+use super::records::{History, RequestRecord};
+use staircross_search::{Answer, Outcome, Work};
+use staircross_types::{Executed, Hit, RequestId, ShardId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// A broken promise. The numbers are those of the brief's list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Violation {
+    /// Which promise; 0 for what every system must do.
+    pub promise: u8,
+    /// What was seen.
+    pub what: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "promise {}: {}", self.promise, self.what)
+    }
+}
+
+/// A leaving searcher may get new work this long after it began to leave.
+pub const LEAVING_GRACE_MS: u64 = 4000;
+
+/// Checks a whole history.
+pub fn check_history(history: &History) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for record in history.requests.values() {
+        check_one_final_word(history, record, &mut found);
+        for (_, outcome) in &record.outcomes {
+            match outcome {
+                Outcome::Answer(answer) => check_answer(history, record, answer, &mut found),
+                Outcome::Acted(_) => check_acted(history, record, &mut found),
+                Outcome::Refusal(refusal) if refusal.kind.executed() == Executed::Never => {
+                    check_never_ran(history, record, &mut found);
+                }
+                Outcome::Refusal(_) => {}
+            }
+        }
+    }
+    check_at_most_once(history, &mut found);
+    check_floors(history, &mut found);
+    for arrival in history.late_arrivals.iter().filter(|arrival| arrival.after_ms > LEAVING_GRACE_MS) {
+        let what =
+            format!("searcher {} got new work {} ms after it began to leave", arrival.searcher, arrival.after_ms);
+        found.push(Violation { promise: 6, what });
+    }
+    for cut in &history.cut_offs {
+        let what = format!("a planned stop cut off {} requests, {} sub-requests", cut.requests, cut.sub_requests);
+        found.push(Violation { promise: 7, what });
+    }
+    if history.unknown_outcomes > 0 {
+        let what = format!("{} final words to requests that nobody made", history.unknown_outcomes);
+        found.push(Violation { promise: 3, what });
+    }
+    found
+}
+
+fn check_one_final_word(history: &History, record: &RequestRecord, found: &mut Vec<Violation>) {
+    let request = record.request;
+    if record.outcomes.len() > 1 {
+        found.push(Violation {
+            promise: 3,
+            what: format!("request {request} got {} final words", record.outcomes.len()),
+        });
+    }
+    let is_overdue = record.outcomes.is_empty() && !record.holder_crashed && history.ended > record.due;
+    if is_overdue {
+        found.push(Violation { promise: 0, what: format!("request {request} never got a final word") });
+    }
+}
+
+fn check_answer(history: &History, record: &RequestRecord, answer: &Answer, found: &mut Vec<Violation>) {
+    let request = record.request;
+    let mut flag =
+        |promise: u8, what: String| found.push(Violation { promise, what: format!("request {request}: {what}") });
+    let Work::Search(query) = &record.work else {
+        flag(3, "an action got a search answer".to_owned());
+        return;
+    };
+
+    // Promise 2: included and missing together are the snapshot's own shards, each once.
+    let Some(map) = history.maps.get(&(record.service.clone(), answer.snapshot)) else {
+        flag(1, format!("snapshot {} was never published", answer.snapshot));
+        return;
+    };
+    let expected: Vec<ShardId> = map.shards.iter().map(|placement| placement.shard).collect();
+    let mut told: Vec<ShardId> = answer.coverage.included.clone();
+    told.extend(answer.coverage.missing.iter().map(|missing| missing.shard));
+    told.sort_unstable();
+    if told != expected {
+        flag(2, format!("coverage lists {told:?}, the snapshot has {expected:?}"));
+    }
+    if answer.matched != answer.coverage.included.len() as u64 {
+        flag(2, format!("{} documents counted in {} shards", answer.matched, answer.coverage.included.len()));
+    }
+
+    // Promises 1 and 3: every hit is of the snapshot, of an included shard, and of this request.
+    let own_term = query.terms.first().cloned().unwrap_or_default();
+    let mut seen = BTreeSet::new();
+    for hit in &answer.hits {
+        let expected = document_id(&answer.snapshot.to_string(), hit.shard, &own_term);
+        if hit.document != expected {
+            let (promise, kind) =
+                if hit.document.ends_with(&format!("/{own_term}")) { (1, "snapshot") } else { (3, "request") };
+            flag(promise, format!("hit {} is of another {kind}, expected {expected}", hit.document));
+        }
+        if !seen.insert(hit.shard) || !answer.coverage.included.contains(&hit.shard) {
+            flag(2, format!("a hit of shard {} is double or of a shard not included", hit.shard));
+        }
+    }
+    if seen.len() != answer.coverage.included.len() {
+        flag(2, format!("{} shards are included, hits come from {}", answer.coverage.included.len(), seen.len()));
+    }
+
+    // Promise 1 against the ledger: each included shard truly ran for this request at that snapshot.
+    let ran: BTreeSet<ShardId> = runs_of(history, request)
+        .filter(|run| run.snapshot == answer.snapshot)
+        .flat_map(|run| run.shards.iter().copied())
+        .collect();
+    for shard in answer.coverage.included.iter().filter(|shard| !ran.contains(shard)) {
+        flag(1, format!("shard {shard} is included and never ran at snapshot {}", answer.snapshot));
+    }
+}
+
+fn check_acted(history: &History, record: &RequestRecord, found: &mut Vec<Violation>) {
+    let Work::Act(command) = &record.work else {
+        found.push(Violation { promise: 3, what: format!("request {}: a search got a receipt", record.request) });
+        return;
+    };
+    let ran = history.runs.iter().any(|run| run.note.as_ref() == Some(&command.note));
+    if !ran {
+        found.push(Violation {
+            promise: 3,
+            what: format!("request {}: receipt for an action that never ran", record.request),
+        });
+    }
+}
+
+fn check_never_ran(history: &History, record: &RequestRecord, found: &mut Vec<Violation>) {
+    if let Some(run) = runs_of(history, record.request).next() {
+        let what = format!("request {} was refused as not run, and ran at searcher {}", record.request, run.searcher);
+        found.push(Violation { promise: 4, what });
+    }
+}
+
+fn check_at_most_once(history: &History, found: &mut Vec<Violation>) {
+    let mut counts: BTreeMap<&String, usize> = BTreeMap::new();
+    for note in history.runs.iter().filter_map(|run| run.note.as_ref()) {
+        *counts.entry(note).or_default() += 1;
+    }
+    for (note, count) in counts.into_iter().filter(|(_, count)| *count > 1) {
+        found.push(Violation { promise: 5, what: format!("action {note} ran {count} times") });
+    }
+}
+
+/// A request made after an answer was given never sees an older snapshot, within a session.
+fn check_floors(history: &History, found: &mut Vec<Violation>) {
+    let answers: Vec<(&RequestRecord, staircross_types::BootTime, &Answer)> = history
+        .requests
+        .values()
+        .flat_map(|record| {
+            record.outcomes.iter().filter_map(move |(at, outcome)| match outcome {
+                Outcome::Answer(answer) => Some((record, *at, answer)),
+                _ => None,
+            })
+        })
+        .collect();
+    for (later, _, newer) in &answers {
+        let before = answers.iter().filter(|(earlier, at, _)| {
+            earlier.session == later.session && earlier.service == later.service && *at < later.submitted
+        });
+        for (earlier, _, older) in before {
+            if newer.snapshot < older.snapshot {
+                let what = format!(
+                    "request {} saw snapshot {} after {} had seen {}",
+                    later.request, newer.snapshot, earlier.request, older.snapshot
+                );
+                found.push(Violation { promise: 1, what });
+            }
+        }
+    }
+}
+
+fn runs_of(history: &History, request: RequestId) -> impl Iterator<Item = &super::records::RunRecord> {
+    history.runs.iter().filter(move |run| run.attempt.request == request)
+}
+
+/// Id of the one document that a simulated shard matches.
+pub fn document_id(snapshot: &str, shard: ShardId, term: &str) -> String {
+    format!("{snapshot}/{shard}/{term}")
+}
+
+/// The one hit of a simulated shard.
+pub fn simulated_hit(snapshot: &str, shard: ShardId, term: &str) -> Hit {
+    Hit { document: document_id(snapshot, shard, term), shard, score: 1.0, title: String::new() }
+}
--- a/crates/staircross-node/src/core.rs
+++ b/crates/staircross-node/src/core.rs
@@ -27,7 +27,7 @@
 use staircross_search::root::RootCounters;
 use staircross_search::{Evidence, LeafEngine, LeafEvent, LeafSettings, RootEngine, RootEvent, RootSettings};
 use staircross_search::{SubReply, SubRequest};
-use staircross_types::{AttemptId, BootTime, NodeId, SearcherId, SessionToken};
+use staircross_types::{AttemptId, BootTime, NodeId, SearcherId, SearcherIncarnation, SessionToken};
 use staircross_wire::PeerMessage;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -56,7 +56,12 @@
         partly_written: bool,
     },
     /// A call to a searcher ended.
-    SearcherReplied(SubReply),
+    SearcherReplied {
+        /// The reply, true or made up for one that didn't come.
+        reply: SubReply,
+        /// The run of the searcher that replied, if one did.
+        run: Option<SearcherIncarnation>,
+    },
     /// A probe of a searcher ended.
     Probed {
         /// The searcher.
@@ -80,8 +85,9 @@
 const EVENTS_PER_TURN: usize = 256;
 /// Time during which a stopping node goes on taking requests of its sessions, so that callers learn where to go.
 const STOP_LINGER: Duration = Duration::from_millis(1500);
-/// Time after the last request during which replies can still leave.
-const LAST_REPLY: Duration = Duration::from_millis(100);
+/// Ticks in a row without anything in flight before a stopping node ends. Ticks and not time: after
+/// a pause of this process, requests may wait in its sockets that it has not even read.
+const IDLE_TICKS_TO_END: u32 = 6;
 
 /// A node's engines and what connects them.
 pub struct Core {
@@ -106,7 +112,7 @@
     machines: MachineList,
     next_tick: BootTime,
     stopping_since: Option<BootTime>,
-    idle_since: Option<BootTime>,
+    idle_ticks: u32,
     last_counters: RootCounters,
     /// Callers being served by the HTTP front.
     serving: Arc<AtomicUsize>,
@@ -174,7 +180,7 @@
             machines: MachineList::default(),
             next_tick: BootTime::default(),
             stopping_since: None,
-            idle_since: None,
+            idle_ticks: 0,
             last_counters: RootCounters::default(),
             serving: parts.serving,
             stop: parts.stop,
@@ -224,7 +230,7 @@
             CoreEvent::Peer(message) => self.on_peer(now, message),
             CoreEvent::PeerBroken(address) => self.on_peer_broken(now, address),
             CoreEvent::Undelivered { request, partly_written } => self.on_undelivered(now, &request, partly_written),
-            CoreEvent::SearcherReplied(reply) => self.leaf_event(now, LeafEvent::Reply(reply)),
+            CoreEvent::SearcherReplied { reply, run } => self.leaf_event(now, LeafEvent::Reply { reply, run }),
             CoreEvent::Probed { searcher, asked_at, evidence } => {
                 self.leaf_event(now, LeafEvent::Probed { searcher, asked_at, evidence });
             }
@@ -250,6 +256,7 @@
         self.expire_resumes(now);
         self.expire_changes(now);
         self.update_metrics(now);
+        self.idle_ticks = if self.is_idle(now) { self.idle_ticks + 1 } else { 0 };
     }
 
     fn root_event(&mut self, now: BootTime, event: RootEvent) {
@@ -285,9 +292,16 @@
         self.stopping_since.is_some_and(|since| now.since(since) >= STOP_LINGER)
     }
 
-    /// Whether a planned stop has nothing left to wait for.
-    fn is_done(&mut self) -> bool {
-        let now = clock::now();
+    /// Whether a planned stop is done.
+    fn is_done(&self) -> bool {
+        self.idle_ticks >= IDLE_TICKS_TO_END
+    }
+
+    /// Whether a planned stop has nothing to wait for at this moment.
+    ///
+    /// Requests have wait bounds of their own, so waiting for them ends; only the wait for other
+    /// voters to take over is cut by the bound on stops.
+    fn is_idle(&self, now: BootTime) -> bool {
         let Some(since) = self.stopping_since else {
             return false;
         };
@@ -297,16 +311,7 @@
             || !self.held.is_empty()
             || !self.resumes.is_empty()
             || self.serving.load(Ordering::Acquire) > 0;
-        if is_busy || !self.is_lingering_over(now) {
-            self.idle_since = None;
-            // Requests have wait bounds of their own, so this ends; only the wait for voters is cut.
-            return false;
-        }
-        if !self.cluster.is_free_to_leave() && !is_over_bound {
-            return false;
-        }
-        let idle_since = *self.idle_since.get_or_insert(now);
-        now.since(idle_since) >= LAST_REPLY
+        !is_busy && self.is_lingering_over(now) && (self.cluster.is_free_to_leave() || is_over_bound)
     }
 
     /// Searchers that the platform lists as leaving or that operators drain.
--- a/crates/staircross-node/src/core/config.rs
+++ b/crates/staircross-node/src/core/config.rs
@@ -97,11 +97,9 @@
             snapshots: evidence.snapshots,
             draining: record.leaving,
         });
-        if let (true, Some(evidence)) = (record.leaving, &evidence) {
-            let incarnation = evidence.incarnation;
-            self.leaf_event(now, LeafEvent::PeerSaysLeaving { searcher, incarnation });
-        }
-        self.root_event(now, RootEvent::View(SearcherView { searcher, evidence, leaving: record.leaving }));
+        let view = SearcherView { searcher, evidence, leaving: record.leaving };
+        self.root_event(now, RootEvent::View(view.clone()));
+        self.leaf_event(now, LeafEvent::PeerView(view));
     }
 
     pub(super) fn change_config(&mut self, now: BootTime, statement: ConfigStatement, reply: Sender<CallerReply>) {
--- a/crates/staircross-node/src/searchers.rs
+++ b/crates/staircross-node/src/searchers.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::core::CoreEvent;
 use crate::logs::Logs;
-use call::SearcherCaller;
+use call::{CallEnd, SearcherCaller};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use staircross_search::leaf::not_run;
 use staircross_search::{NotRunReason, SubRequest};
@@ -111,7 +111,8 @@
     /// Sends work to a searcher.
     pub fn send(&self, request: SubRequest, send_before: BootTime) {
         let Some(pool) = self.pools.get(&request.searcher) else {
-            self.tell(CoreEvent::SearcherReplied(not_run(&request, NotRunReason::NotOwner)));
+            let reply = not_run(&request, NotRunReason::NotOwner);
+            self.tell(CoreEvent::SearcherReplied { reply, run: None });
             return;
         };
         let waiting = pool.job_source.len();
@@ -121,7 +122,8 @@
         }
         if let Err(refused) = pool.jobs.send(Job { request, send_before }) {
             let request = refused.into_inner().request;
-            self.tell(CoreEvent::SearcherReplied(not_run(&request, NotRunReason::Unconnected)));
+            let reply = not_run(&request, NotRunReason::Unconnected);
+            self.tell(CoreEvent::SearcherReplied { reply, run: None });
         }
     }
 
@@ -188,12 +190,12 @@
             return;
         };
         // The evidence on which the leaf decided may have grown old while this thread was paused.
-        let reply = if clock::now() >= job.send_before {
-            not_run(&job.request, NotRunReason::Unconnected)
+        let CallEnd { reply, run } = if clock::now() >= job.send_before {
+            CallEnd::without_run(not_run(&job.request, NotRunReason::Unconnected))
         } else {
             caller.call(&job.request)
         };
-        if events.send(CoreEvent::SearcherReplied(reply)).is_err() {
+        if events.send(CoreEvent::SearcherReplied { reply, run }).is_err() {
             return;
         }
     }
--- a/crates/staircross-node/src/searchers/call.rs
+++ b/crates/staircross-node/src/searchers/call.rs
@@ -8,7 +8,7 @@
     ACT_PATH, ActCall, CANCEL_PATH, CallReply, CallStatus, CancelCall, DIGEST_HEADER, SEARCH_PATH, STATE_PATH,
     SearchCall, StateReply,
 };
-use staircross_types::{AttemptId, SearcherId, ShardId, body_digest};
+use staircross_types::{AttemptId, SearcherId, SearcherIncarnation, ShardId, body_digest};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +29,21 @@
     logs: Logs,
 }
 
+/// How a call ended.
+pub(super) struct CallEnd {
+    /// The reply, true or made up for one that didn't come.
+    pub reply: SubReply,
+    /// The run of the searcher that replied, if one did.
+    pub run: Option<SearcherIncarnation>,
+}
+
+impl CallEnd {
+    /// An end without a reply.
+    pub fn without_run(reply: SubReply) -> Self {
+        CallEnd { reply, run: None }
+    }
+}
+
 /// Why a call brought no reply.
 enum CallFailure {
     /// No connection was made; no byte left.
@@ -56,7 +71,7 @@
     }
 
     /// Carries out a sub-request.
-    pub fn call(&self, request: &SubRequest) -> SubReply {
+    pub fn call(&self, request: &SubRequest) -> CallEnd {
         let reply = match &request.work {
             Work::Search(query) => {
                 let call = SearchCall {
@@ -80,13 +95,16 @@
             }
         };
         match reply {
-            Ok(reply) => self.judge(request, reply),
-            Err(CallFailure::NotConnected) => not_run(request, NotRunReason::Unconnected),
-            Err(CallFailure::TimedOut) => unknown(request, UnknownReason::Late),
+            Ok(reply) => {
+                let run = Some(reply.incarnation);
+                CallEnd { reply: self.judge(request, reply), run }
+            }
+            Err(CallFailure::NotConnected) => CallEnd::without_run(not_run(request, NotRunReason::Unconnected)),
+            Err(CallFailure::TimedOut) => CallEnd::without_run(unknown(request, UnknownReason::Late)),
             Err(CallFailure::Broken(reason)) => {
                 debug!(logger: self.logs.searchers,
                     "event=broken_reply searcher={} attempt={} reason={reason:?}", self.searcher, request.attempt);
-                unknown(request, UnknownReason::Broken)
+                CallEnd::without_run(unknown(request, UnknownReason::Broken))
             }
         }
     }
--- a/crates/staircross-search/src/leaf.rs
+++ b/crates/staircross-search/src/leaf.rs
@@ -23,6 +23,9 @@
     pub ramp: Duration,
     /// Queue length per slot of the share.
     pub queue_per_slot: usize,
+    /// Time after its first ownership during which a leaf takes no work: it must hear first which
+    /// searchers its peers know to be leaving.
+    pub newcomer_wait: Duration,
 }
 
 impl Default for LeafSettings {
@@ -32,10 +35,14 @@
             probe_every: Duration::from_millis(500),
             ramp: Duration::from_secs(3),
             queue_per_slot: 4,
+            newcomer_wait: Duration::from_millis(1000),
         }
     }
 }
 
+/// Time after its deadline at which a call that never ended is given up.
+const LOST_CALL_LIFE: Duration = Duration::from_secs(60);
+
 /// What a leaf is told.
 #[derive(Clone, Debug)]
 pub enum LeafEvent {
@@ -45,12 +52,12 @@
     Request { from: NodeId, request: SubRequest },
     /// A root no longer wants an attempt.
     Cancel { from: NodeId, attempt: AttemptId },
-    /// A searcher replied, or its connection failed.
-    Reply(SubReply),
+    /// A searcher replied, or its connection failed. `run` is the run that replied, if one did.
+    Reply { reply: SubReply, run: Option<SearcherIncarnation> },
     /// A searcher answered a probe (`None`: it doesn't answer).
     Probed { searcher: SearcherId, asked_at: BootTime, evidence: Option<Evidence> },
-    /// A peer says that a run of a searcher is leaving.
-    PeerSaysLeaving { searcher: SearcherId, incarnation: SearcherIncarnation },
+    /// A peer's view of a searcher.
+    PeerView(SearcherView),
     /// Searchers that the platform lists as leaving, or operators drain: whatever their run.
     Listed(BTreeSet<SearcherId>),
     /// This leaf is stopping: take nothing new.
@@ -104,13 +111,23 @@
 pub struct LeafEngine {
     settings: LeafSettings,
     searchers: BTreeMap<SearcherId, OwnedSearcher>,
+    /// Runs that peers have said are leaving, of searchers owned or not: a peer may know of a run
+    /// before this leaf has met it, or before it owns the searcher.
+    leaving_runs: BTreeMap<SearcherId, SearcherIncarnation>,
+    first_owned_at: Option<BootTime>,
     stopping: bool,
 }
 
 impl LeafEngine {
     /// A leaf that owns nothing yet.
     pub fn new(settings: LeafSettings) -> Self {
-        LeafEngine { settings, searchers: BTreeMap::new(), stopping: false }
+        LeafEngine {
+            settings,
+            searchers: BTreeMap::new(),
+            leaving_runs: BTreeMap::new(),
+            first_owned_at: None,
+            stopping: false,
+        }
     }
 
     /// Takes one event; appends what is to be done.
@@ -119,13 +136,11 @@
             LeafEvent::Owned(shares) => self.set_owned(now, shares, actions),
             LeafEvent::Request { from, request } => self.on_request(now, from, request, actions),
             LeafEvent::Cancel { from, attempt } => self.on_cancel(now, from, attempt, actions),
-            LeafEvent::Reply(reply) => self.on_reply(now, reply, actions),
+            LeafEvent::Reply { reply, run } => self.on_reply(now, reply, run, actions),
             LeafEvent::Probed { searcher, asked_at, evidence } => {
                 self.on_probed(now, searcher, asked_at, evidence, actions);
             }
-            LeafEvent::PeerSaysLeaving { searcher, incarnation } => {
-                self.mark_leaving(searcher, incarnation, actions);
-            }
+            LeafEvent::PeerView(view) => self.on_peer_view(view, actions),
             LeafEvent::Listed(listed) => self.set_listed(&listed, actions),
             LeafEvent::Stop => self.stopping = true,
             LeafEvent::Tick => self.on_tick(now, actions),
@@ -143,6 +158,9 @@
     }
 
     fn set_owned(&mut self, now: BootTime, shares: BTreeMap<SearcherId, u32>, actions: &mut Vec<LeafAction>) {
+        if !shares.is_empty() {
+            self.first_owned_at.get_or_insert(now);
+        }
         for (id, searcher) in &mut self.searchers {
             if shares.contains_key(id) {
                 continue;
@@ -168,7 +186,9 @@
             actions.push(refuse(NotRunReason::LeafLeaving));
             return;
         }
-        let Some(searcher) = self.searchers.get_mut(&id).filter(|searcher| searcher.share > 0) else {
+        let is_newcomer = self.first_owned_at.is_none_or(|since| now.since(since) < self.settings.newcomer_wait);
+        let owned = self.searchers.get_mut(&id).filter(|searcher| searcher.share > 0);
+        let Some(searcher) = owned.filter(|_| !is_newcomer) else {
             actions.push(refuse(NotRunReason::NotOwner));
             return;
         };
@@ -201,8 +221,17 @@
         }
     }
 
-    fn on_reply(&mut self, now: BootTime, reply: SubReply, actions: &mut Vec<LeafAction>) {
+    fn on_reply(
+        &mut self,
+        now: BootTime,
+        reply: SubReply,
+        run: Option<SearcherIncarnation>,
+        actions: &mut Vec<LeafAction>,
+    ) {
         let id = reply.searcher;
+        if let (SubOutcome::NotRun(NotRunReason::Draining), Some(run)) = (&reply.outcome, run) {
+            self.leaving_runs.insert(id, run);
+        }
         let Some(searcher) = self.searchers.get_mut(&id) else {
             return;
         };
@@ -211,7 +240,7 @@
             return;
         };
         match reply.outcome {
-            SubOutcome::NotRun(NotRunReason::Draining) => searcher.leave(id, actions),
+            SubOutcome::NotRun(NotRunReason::Draining) => searcher.refused_leaving(id, run, actions),
             SubOutcome::NotRun(NotRunReason::Unconnected) => searcher.serving_asked_at = None,
             _ => {}
         }
@@ -222,6 +251,16 @@
         searcher.dispatch(now, id, &self.settings, actions);
     }
 
+    /// Remembers which run is leaving, so that it isn't forgotten when ownership changes.
+    fn remember_leaving(&mut self, id: SearcherId) {
+        let Some(searcher) = self.searchers.get(&id).filter(|searcher| searcher.left) else {
+            return;
+        };
+        if let Some(evidence) = &searcher.evidence {
+            self.leaving_runs.insert(id, evidence.incarnation);
+        }
+    }
+
     fn on_probed(
         &mut self,
         now: BootTime,
@@ -236,7 +275,10 @@
         searcher.probe_outstanding = None;
         let before = searcher.view(id);
         match evidence {
-            Some(evidence) => searcher.take_evidence(now, asked_at, evidence),
+            Some(evidence) => {
+                let told_leaving = self.leaving_runs.get(&id) == Some(&evidence.incarnation);
+                searcher.take_evidence(now, asked_at, evidence, told_leaving);
+            }
             None => searcher.lose_evidence(),
         }
         let after = searcher.view(id);
@@ -249,9 +291,23 @@
             searcher.refuse_queue(NotRunReason::Unconnected, actions);
         }
         searcher.dispatch(now, id, &self.settings, actions);
+        self.remember_leaving(id);
+    }
+
+    /// Takes a peer's word that a run is leaving; contradicts a peer who hasn't heard of it yet.
+    fn on_peer_view(&mut self, view: SearcherView, actions: &mut Vec<LeafAction>) {
+        let Some(incarnation) = view.evidence.as_ref().map(|evidence| evidence.incarnation) else {
+            return;
+        };
+        if view.leaving {
+            self.mark_leaving(view.searcher, incarnation, actions);
+        } else if self.leaving_runs.get(&view.searcher) == Some(&incarnation) {
+            actions.push(LeafAction::Spread(SearcherView { leaving: true, ..view }));
+        }
     }
 
     fn mark_leaving(&mut self, id: SearcherId, incarnation: SearcherIncarnation, actions: &mut Vec<LeafAction>) {
+        self.leaving_runs.insert(id, incarnation);
         let Some(searcher) = self.searchers.get_mut(&id) else {
             return;
         };
@@ -284,10 +340,11 @@
     fn on_tick(&mut self, now: BootTime, actions: &mut Vec<LeafAction>) {
         for (id, searcher) in &mut self.searchers {
             searcher.expire_queue(now, actions);
-            // A reply this late is of no use to anyone; the searcher was given the same deadline.
-            let grace = self.settings.evidence_bound;
-            searcher.in_flight.retain(|_, in_flight| now < in_flight.deadline + grace);
-            let unanswered = searcher.probe_outstanding.is_some_and(|asked| now.since(asked) > grace);
+            // Every call ends at its deadline, with or without a reply. Forgetting one sooner would let
+            // a planned stop think that it has ended; this only guards against a lost worker.
+            searcher.in_flight.retain(|_, in_flight| now < in_flight.deadline + LOST_CALL_LIFE);
+            let patience = self.settings.evidence_bound;
+            let unanswered = searcher.probe_outstanding.is_some_and(|asked| now.since(asked) > patience);
             if unanswered {
                 searcher.probe_outstanding = None;
             }
@@ -315,7 +372,17 @@
         }
     }
 
-    fn take_evidence(&mut self, now: BootTime, asked_at: BootTime, evidence: Evidence) {
+    /// A refusal speaks for the run that gave it, which may be newer than the one last probed.
+    fn refused_leaving(&mut self, id: SearcherId, run: Option<SearcherIncarnation>, actions: &mut Vec<LeafAction>) {
+        let known = self.evidence.as_ref().map(|evidence| evidence.incarnation);
+        if run.is_none() || run == known {
+            self.leave(id, actions);
+        } else {
+            self.serving_asked_at = None;
+        }
+    }
+
+    fn take_evidence(&mut self, now: BootTime, asked_at: BootTime, evidence: Evidence, told_leaving: bool) {
         let same_run = self.evidence.as_ref().is_some_and(|known| known.incarnation == evidence.incarnation);
         if !same_run {
             // A searcher seen for the first time may be warm; one that was restarted is cold.
@@ -324,7 +391,7 @@
             self.left = false;
         }
         // "Serving" never cancels "leaving" of the same run.
-        self.left |= evidence.draining;
+        self.left |= evidence.draining || told_leaving;
         self.serving_asked_at = Some(asked_at);
         self.evidence = Some(evidence);
     }
--- a/crates/staircross-search/src/replica.rs
+++ b/crates/staircross-search/src/replica.rs
@@ -9,8 +9,10 @@
 use staircross_types::{BootTime, SearcherId};
 use std::time::Duration;
 
-/// Weight of a new latency sample, as one part in this many.
+/// Weight of a latency sample below the estimate, as one part in this many.
 const LATENCY_WINDOW: f64 = 16.0;
+/// Time over which an old estimate loses most of its weight: whoever is avoided must be tried again.
+const ESTIMATE_LIFE: Duration = Duration::from_secs(3);
 /// Failures in a row after which a searcher is ejected.
 const EJECT_AFTER: u32 = 3;
 /// First ejection; doubles with each further one in a row.
@@ -27,6 +29,7 @@
 pub struct ReplicaStats {
     in_flight: u32,
     latency_micros: Option<f64>,
+    measured_at: BootTime,
     failures: u32,
     ejections: u32,
     ejected_until: BootTime,
@@ -51,17 +54,21 @@
     }
 
     /// Notes a good reply.
-    pub fn succeeded(&mut self, searcher: SearcherId, latency: Duration) {
+    pub fn succeeded(&mut self, now: BootTime, searcher: SearcherId, latency: Duration) {
         self.ended(searcher);
         let stats = self.stats.entry(searcher).or_default();
         stats.failures = 0;
         stats.ejections = 0;
-        stats.note_latency(latency);
+        stats.note_latency(now, latency);
     }
 
     /// Notes that a sub-request outlived `age` without a reply: the searcher is at least this slow.
-    pub fn lagging(&mut self, searcher: SearcherId, age: Duration) {
-        self.stats.entry(searcher).or_default().note_latency(age);
+    pub fn lagging(&mut self, now: BootTime, searcher: SearcherId, age: Duration) {
+        let stats = self.stats.entry(searcher).or_default();
+        let sample = age.as_micros() as f64;
+        if sample > stats.estimate(now, 0.0) {
+            stats.note_latency(now, age);
+        }
     }
 
     /// Notes a failure; may eject the searcher unless too many of `peers` are ejected already.
@@ -95,7 +102,7 @@
         let Some(stats) = self.stats.get(&searcher) else {
             return typical_micros;
         };
-        let latency = stats.latency_micros.unwrap_or(typical_micros);
+        let latency = stats.estimate(now, typical_micros);
         let cost = latency * f64::from(stats.in_flight + 1);
         if now < stats.ejected_until { cost * 1e6 } else { cost }
     }
@@ -129,10 +136,21 @@
 }
 
 impl ReplicaStats {
-    fn note_latency(&mut self, latency: Duration) {
+    /// Rises at once and falls slowly: one slow reply is reason enough to look elsewhere for a while.
+    fn note_latency(&mut self, now: BootTime, latency: Duration) {
         let sample = latency.as_micros() as f64;
-        let average = self.latency_micros.unwrap_or(sample);
-        self.latency_micros = Some(average + (sample - average) / LATENCY_WINDOW);
+        let known = self.estimate(now, sample);
+        self.latency_micros = Some(sample.max(known + (sample - known) / LATENCY_WINDOW));
+        self.measured_at = now;
+    }
+
+    /// The estimate, drawn towards what is typical as it ages.
+    fn estimate(&self, now: BootTime, typical: f64) -> f64 {
+        let Some(measured) = self.latency_micros else {
+            return typical;
+        };
+        let age = now.since(self.measured_at).as_secs_f64() / ESTIMATE_LIFE.as_secs_f64();
+        typical + (measured - typical) * (-age).exp()
     }
 }
 
--- a/crates/staircross-search/src/root/finish.rs
+++ b/crates/staircross-search/src/root/finish.rs
@@ -4,7 +4,7 @@
 use super::{RootAction, RootEngine};
 use crate::message::{Answer, Outcome, Work};
 use crate::request::{Request, ShardProgress};
-use crate::snapshot_choice::choose_for_request;
+use crate::snapshot_choice::{SnapshotNeeds, choose_for_request};
 use staircross_types::query::PagePosition;
 use staircross_types::{AttemptId, BootTime, ErrorKind, MissingCause, RequestId};
 use std::time::Duration;
@@ -50,13 +50,15 @@
         }
         let name = request.service.clone();
         let floor = request.floor;
+        let least_per_mille = request.least_per_mille;
         let mut excluded = request.excluded.clone();
         excluded.push(request.map.snapshot);
         self.refresh_service(&name);
         let Some(service) = self.services.get(&name) else {
             return false;
         };
-        let Some(candidate) = choose_for_request(&service.candidates, service.current, floor, &excluded) else {
+        let needs = SnapshotNeeds { floor, least_per_mille, excluded: &excluded };
+        let Some(candidate) = choose_for_request(&service.candidates, service.current, needs) else {
             return false;
         };
         let map = candidate.map.clone();
@@ -110,6 +112,8 @@
                 continue;
             }
             attempt.open = false;
+            // Nothing more will be heard of it here, so it must count as run.
+            request.may_have_run = true;
             self.replicas.ended(attempt.searcher);
             // A cancelled action might stop half-way; its outcome is wanted, however late.
             if is_search {
@@ -139,7 +143,7 @@
     fn conclude_search(&mut self, now: BootTime) -> Outcome {
         let coverage = self.coverage(MissingCause::Late);
         if !self.is_enough(coverage.included.len()) {
-            return self.refuse_search(&coverage);
+            return self.refuse_search(now, &coverage);
         }
         if self.page_start().is_some() && !coverage.missing.is_empty() {
             return refused(ErrorKind::CoverageTooLow, "a page of a pull needs every shard; ask for it again");
@@ -168,7 +172,7 @@
         Some(PagePosition { shard: last.shard, document: last.document.clone() })
     }
 
-    fn refuse_search(&self, coverage: &staircross_types::Coverage) -> Outcome {
+    fn refuse_search(&self, now: BootTime, coverage: &staircross_types::Coverage) -> Outcome {
         let detail = format!(
             "{} of {} shards answered, {} per thousand are needed; missing: {}",
             coverage.included.len(),
@@ -176,9 +180,9 @@
             self.least_per_mille,
             summarize_causes(coverage)
         );
-        let any_late = coverage.missing.iter().any(|missing| missing.cause == MissingCause::Late);
         let any_open = self.attempts.iter().any(|attempt| attempt.open);
-        let kind = match (self.may_have_run || any_open, any_late) {
+        let kind = match (self.may_have_run || any_open, now >= self.deadline) {
+            (false, _) if self.attempts.is_empty() => ErrorKind::NoSnapshot,
             (false, _) => ErrorKind::NotDelivered,
             (true, true) => ErrorKind::TimedOut,
             (true, false) => ErrorKind::CoverageTooLow,
--- a/crates/staircross-search/src/root/plan.rs
+++ b/crates/staircross-search/src/root/plan.rs
@@ -3,7 +3,7 @@
 use super::{RootAction, RootEngine};
 use crate::message::{SubRequest, Work};
 use crate::request::{Attempt, ShardProgress};
-use hashbrown::HashMap;
+use hashbrown::{HashMap, HashSet};
 use staircross_types::{AttemptId, BootTime, MissingCause, RequestId, SearcherId};
 use std::cmp::Reverse;
 
@@ -34,6 +34,12 @@
         };
         let open = request.shards.open_positions();
         let batches = self.choose_batches(now, sequence, &open);
+        self.give_up_unplaced(sequence, &open, &batches);
+        if self.is_hopeless(sequence) {
+            // Refused before anything is sent: no back end works in vain, and "not run" is certain.
+            self.settle(now, sequence, actions);
+            return;
+        }
         let count = batches.len();
         if let Some(request) = self.requests.get_mut(&sequence) {
             // Whatever a later plan sends is work beyond the strictly needed.
@@ -49,17 +55,25 @@
         for batch in batches {
             self.send(now, sequence, batch.searcher, batch.shards, SendReason::Primary, actions);
         }
-        self.give_up_idle_shards(sequence, &open);
         self.schedule(now, sequence);
         self.settle(now, sequence, actions);
     }
 
-    /// Gives up the shards of a plan that nobody could be asked for.
-    fn give_up_idle_shards(&mut self, sequence: u64, planned: &[u32]) {
+    fn is_hopeless(&self, sequence: u64) -> bool {
+        self.requests.get(&sequence).is_some_and(|request| !request.is_enough(request.shards.reachable()))
+    }
+
+    /// Gives up the shards of a plan that nobody can be asked for.
+    fn give_up_unplaced(&mut self, sequence: u64, planned: &[u32], batches: &[Batch]) {
         let Some(request) = self.requests.get_mut(&sequence) else {
             return;
         };
-        for position in planned {
+        let placed_count: usize = batches.iter().map(|batch| batch.shards.len()).sum();
+        if placed_count == planned.len() {
+            return;
+        }
+        let placed: HashSet<u32> = batches.iter().flat_map(|batch| batch.shards.iter().copied()).collect();
+        for position in planned.iter().filter(|position| !placed.contains(*position)) {
             let cause = match request.shards.get(*position) {
                 Some(ShardProgress::Open { last_failure: Some(cause), .. }) => *cause,
                 _ => MissingCause::Lost,
--- a/crates/staircross-search/src/root/reply.rs
+++ b/crates/staircross-search/src/root/reply.rs
@@ -50,7 +50,7 @@
         match reply.outcome {
             SubOutcome::Found(found) => self.apply_found(now, sequence, attempt, found, actions),
             SubOutcome::Acted(receipt) => {
-                self.replicas.succeeded(attempt.searcher, now.since(attempt.sent_at));
+                self.replicas.succeeded(now, attempt.searcher, now.since(attempt.sent_at));
                 self.finish(now, sequence, Outcome::Acted(receipt), actions);
             }
             SubOutcome::NotRun(reason) => self.apply_not_run(now, sequence, attempt, reason, actions),
@@ -69,7 +69,7 @@
         actions: &mut Vec<RootAction>,
     ) {
         let latency = now.since(attempt.sent_at);
-        self.replicas.succeeded(attempt.searcher, latency);
+        self.replicas.succeeded(now, attempt.searcher, latency);
         let Some(request) = self.requests.get_mut(&sequence) else {
             return;
         };
@@ -79,8 +79,9 @@
         if let Some(service) = self.services.get_mut(&request.service) {
             service.latency.record(latency);
         }
-        for NeedlessAttempt { number, searcher } in needless {
+        for NeedlessAttempt { number, searcher, sent_at } in needless {
             self.replicas.ended(searcher);
+            self.replicas.lagging(now, searcher, now.since(sent_at));
             let attempt = AttemptId { request: RequestId { node: self.node, sequence }, attempt: number };
             actions.push(RootAction::Cancel { attempt, searcher });
         }
@@ -211,7 +212,11 @@
         for (index, attempt) in self.attempts.iter_mut().enumerate() {
             if attempt.open && !attempt.shards.iter().any(|position| self.shards.is_open(*position)) {
                 attempt.open = false;
-                needless.push(NeedlessAttempt { number: index as u32 + 1, searcher: attempt.searcher });
+                needless.push(NeedlessAttempt {
+                    number: index as u32 + 1,
+                    searcher: attempt.searcher,
+                    sent_at: attempt.sent_at,
+                });
             }
         }
         needless
@@ -222,4 +227,5 @@
 struct NeedlessAttempt {
     number: u32,
     searcher: SearcherId,
+    sent_at: BootTime,
 }
--- a/crates/staircross-search/src/root/submit.rs
+++ b/crates/staircross-search/src/root/submit.rs
@@ -4,7 +4,7 @@
 use crate::message::{Outcome, Refusal, Work};
 use crate::request::{Request, ShardLedger};
 use crate::session::TicketRefusal;
-use crate::snapshot_choice::{Candidate, choose_for_request};
+use crate::snapshot_choice::{Candidate, SnapshotNeeds, choose_for_request};
 use staircross_types::{BootTime, ErrorKind, RequestId, ServiceName, SessionToken, Snapshot, Ticket};
 use std::time::Duration;
 
@@ -57,13 +57,14 @@
         };
         let policy = service.definition.policy.clone();
         check_kind(&submission, policy.repeatable)?;
-        let candidate = pick_candidate(&service.candidates, service.current, floor, submission.pinned)?;
+        let least = submission.least_per_mille.unwrap_or(0).max(policy.least_coverage_per_mille);
+        let needs = SnapshotNeeds { floor, least_per_mille: least, excluded: &[] };
+        let candidate = pick_candidate(&service.candidates, service.current, needs, submission.pinned)?;
         let map = candidate.map.clone();
         self.use_ticket(&submission)?;
 
         let shards = ShardLedger::open(&map, page_start(&submission.work));
         let wait = submission.wait.map_or(policy.wait(), |wait| wait.min(policy.wait()));
-        let least = submission.least_per_mille.unwrap_or(0).max(policy.least_coverage_per_mille);
         let mut request = Request {
             session: submission.session,
             service: name.clone(),
@@ -162,19 +163,19 @@
     Ok(())
 }
 
-fn pick_candidate(
-    candidates: &[Candidate],
+fn pick_candidate<'a>(
+    candidates: &'a [Candidate],
     current: Option<Snapshot>,
-    floor: Option<Snapshot>,
+    needs: SnapshotNeeds<'_>,
     pinned: Option<Snapshot>,
-) -> Result<&Candidate, Outcome> {
+) -> Result<&'a Candidate, Outcome> {
     if let Some(pinned) = pinned {
         let found = candidates.iter().find(|candidate| candidate.map.snapshot == pinned && candidate.covered > 0);
         return found.ok_or_else(|| {
             refused(ErrorKind::PullInterrupted, format!("snapshot {pinned} is no longer served; start the pull anew"))
         });
     }
-    choose_for_request(candidates, current, floor, &[])
+    choose_for_request(candidates, current, needs)
         .ok_or_else(|| refused(ErrorKind::NoSnapshot, "no snapshot at or above the session's floor has a live replica"))
 }
 
--- a/crates/staircross-search/src/snapshot_choice.rs
+++ b/crates/staircross-search/src/snapshot_choice.rs
@@ -45,19 +45,33 @@
     best(at_least_as_good).or(current)
 }
 
-/// Picks the snapshot for one request: the service's current one, unless the floor is above it.
+/// What one request needs of a snapshot.
+#[derive(Clone, Copy, Debug)]
+pub struct SnapshotNeeds<'a> {
+    /// Nothing older than this, which the session has seen.
+    pub floor: Option<Snapshot>,
+    /// Least coverage, in shards per thousand.
+    pub least_per_mille: u32,
+    /// Snapshots that were tried in vain.
+    pub excluded: &'a [Snapshot],
+}
+
+/// Picks the snapshot for one request: the service's current one if that can be covered well
+/// enough, else the one that is covered best.
 pub fn choose_for_request<'a>(
     candidates: &'a [Candidate],
     current: Option<Snapshot>,
-    floor: Option<Snapshot>,
-    excluded: &[Snapshot],
+    needs: SnapshotNeeds<'_>,
 ) -> Option<&'a Candidate> {
     let allowed = |candidate: &&Candidate| {
         let snapshot = candidate.map.snapshot;
-        floor.is_none_or(|floor| snapshot >= floor) && !excluded.contains(&snapshot)
+        needs.floor.is_none_or(|floor| snapshot >= floor) && !needs.excluded.contains(&snapshot)
+    };
+    let is_enough = |candidate: &&Candidate| {
+        candidate.covered > 0 && candidate.covered * 1000 >= candidate.map.shards.len() * needs.least_per_mille as usize
     };
     let preferred = candidates.iter().filter(allowed).find(|candidate| Some(candidate.map.snapshot) == current);
-    if let Some(preferred) = preferred.filter(|candidate| candidate.covered > 0) {
+    if let Some(preferred) = preferred.filter(is_enough) {
         return Some(preferred);
     }
     let wanted = best(candidates.iter().filter(allowed))?;
--- a/crates/staircross-standin/src/searcher.rs
+++ b/crates/staircross-standin/src/searcher.rs
@@ -211,11 +211,11 @@
         let faults = self.lock().faults.take_for_call();
         let slot = match self.enter(&faults, call.snapshot, call.attempt, deadline) {
             Ok(slot) => slot,
-            Err(status) => return reply(&faults, call.attempt, call.snapshot, status),
+            Err(status) => return self.reply(&faults, call.attempt, call.snapshot, status),
         };
         let status = self.run_search(&slot, &call, &faults, deadline);
         drop(slot);
-        reply(&faults, call.attempt, call.snapshot, status)
+        self.reply(&faults, call.attempt, call.snapshot, status)
     }
 
     fn run_search(&self, slot: &Slot<'_>, call: &SearchCall, faults: &[Fault], deadline: Instant) -> CallStatus {
@@ -232,7 +232,7 @@
         let faults = self.lock().faults.take_for_call();
         let slot = match self.enter(&faults, call.snapshot, call.attempt, deadline) {
             Ok(slot) => slot,
-            Err(status) => return reply(&faults, call.attempt, call.snapshot, status),
+            Err(status) => return self.reply(&faults, call.attempt, call.snapshot, status),
         };
         let status = if slot.index.holds(call.shard) {
             let message = format!("{} {}", call.command.verb, call.command.target);
@@ -244,7 +244,7 @@
             CallStatus::SnapshotGone
         };
         drop(slot);
-        reply(&faults, call.attempt, call.snapshot, status)
+        self.reply(&faults, call.attempt, call.snapshot, status)
     }
 
     /// Waits for a slot; the error is the "not run" answer.
@@ -347,28 +347,30 @@
     found
 }
 
-fn reply(faults: &[Fault], attempt: AttemptId, snapshot: Snapshot, status: CallStatus) -> Response<Body> {
-    if faults.contains(&Fault::LoseReply) {
-        close_without_reply();
-    }
-    let mut reply = CallReply { attempt, snapshot, status };
-    if faults.contains(&Fault::CrossReply) {
-        reply.attempt.request.sequence = reply.attempt.request.sequence.wrapping_add(1);
-    }
-    if faults.contains(&Fault::WrongSnapshot) {
-        reply.snapshot.version += 1;
-    }
-    let Ok(mut bytes) = serde_json::to_vec(&reply) else {
-        return text_response(StatusCode::INTERNAL_SERVER_ERROR, "unserializable reply");
-    };
-    let digest = body_digest(&bytes);
-    if faults.contains(&Fault::DamageReply) {
-        bytes.reverse();
-    }
-    if faults.contains(&Fault::TruncateReply) {
-        return truncated_response(&digest, bytes);
+impl Shared {
+    fn reply(&self, faults: &[Fault], attempt: AttemptId, snapshot: Snapshot, status: CallStatus) -> Response<Body> {
+        if faults.contains(&Fault::LoseReply) {
+            close_without_reply();
+        }
+        let mut reply = CallReply { attempt, snapshot, incarnation: self.incarnation, status };
+        if faults.contains(&Fault::CrossReply) {
+            reply.attempt.request.sequence = reply.attempt.request.sequence.wrapping_add(1);
+        }
+        if faults.contains(&Fault::WrongSnapshot) {
+            reply.snapshot.version += 1;
+        }
+        let Ok(mut bytes) = serde_json::to_vec(&reply) else {
+            return text_response(StatusCode::INTERNAL_SERVER_ERROR, "unserializable reply");
+        };
+        let digest = body_digest(&bytes);
+        if faults.contains(&Fault::DamageReply) {
+            bytes.reverse();
+        }
+        if faults.contains(&Fault::TruncateReply) {
+            return truncated_response(&digest, bytes);
+        }
+        bytes_response(&digest, bytes)
     }
-    bytes_response(&digest, bytes)
 }
 
 /// A response that breaks off half-way through `bytes`: its connection closes in mid-chunk.
--- a/crates/staircross-types/src/searcher_api.rs
+++ b/crates/staircross-types/src/searcher_api.rs
@@ -86,6 +86,8 @@
     pub attempt: AttemptId,
     /// The snapshot that the reply comes from.
     pub snapshot: Snapshot,
+    /// The run of the searcher that replies.
+    pub incarnation: SearcherIncarnation,
     /// How it ended.
     #[serde(flatten)]
     pub status: CallStatus,
