--- a/crates/staircross-cluster/src/lease.rs
+++ b/crates/staircross-cluster/src/lease.rs
@@ -262,12 +262,13 @@
     let position = ordered.iter().position(|(node, _)| *node == me);
     let is_direct = is_voter || position.is_none_or(|position| position < settings.direct);
     let escalation = failures / FAILURES_PER_STEP;
-    if !is_direct && escalation < PARENT_STEPS {
-        if let Some((node, address)) = parent_of(settings, ordered, position.unwrap_or(0), escalation as usize) {
-            return LeaseSource::Parent(node, address);
-        }
+    if !is_direct
+        && escalation < PARENT_STEPS
+        && let Some((node, address)) = parent_of(settings, ordered, position.unwrap_or(0), escalation as usize)
+    {
+        return LeaseSource::Parent(node, address);
     }
-    let own_region_first = is_direct && escalation < PARENT_STEPS || escalation % 2 == 0;
+    let own_region_first = is_direct && escalation < PARENT_STEPS || escalation.is_multiple_of(2);
     if has_own_voters && own_region_first {
         return LeaseSource::Voters(own_region.to_owned());
     }
--- a/crates/staircross-cluster/src/views.rs
+++ b/crates/staircross-cluster/src/views.rs
@@ -228,14 +228,14 @@
             self.next_push = now + PUSH_EVERY;
             self.push(others, random, actions);
         }
-        if now >= self.next_compare {
-            if let Some((node, address)) = others.choose(random) {
-                // A newcomer asks again soon: it must not act long on what it doesn't know.
-                let is_newcomer = self.records.is_empty();
-                self.next_compare = now + if is_newcomer { NEWCOMER_COMPARE_EVERY } else { COMPARE_EVERY };
-                let message = ViewMessage::Compare { fingerprints: self.fingerprints() };
-                actions.push(ViewAction::Send { to: *node, address: *address, message });
-            }
+        if now >= self.next_compare
+            && let Some((node, address)) = others.choose(random)
+        {
+            // A newcomer asks again soon: it must not act long on what it doesn't know.
+            let is_newcomer = self.records.is_empty();
+            self.next_compare = now + if is_newcomer { NEWCOMER_COMPARE_EVERY } else { COMPARE_EVERY };
+            let message = ViewMessage::Compare { fingerprints: self.fingerprints() };
+            actions.push(ViewAction::Send { to: *node, address: *address, message });
         }
     }
 
--- a/crates/staircross-config/src/service.rs
+++ b/crates/staircross-config/src/service.rs
@@ -193,11 +193,12 @@
             if !snapshots.insert(map.snapshot) {
                 return Err(InvalidSetting::value(&key, map.snapshot, "each snapshot once"));
             }
-            let mut shards = BTreeSet::new();
+            let mut before = None;
             for placement in &map.shards {
-                if !shards.insert(placement.shard) {
-                    return Err(InvalidSetting::value(&key, placement.shard, "each shard once"));
+                if before.is_some_and(|before| placement.shard <= before) {
+                    return Err(InvalidSetting::value(&key, placement.shard, "each shard once, in rising order"));
                 }
+                before = Some(placement.shard);
                 if let Some(stranger) = placement.replicas.iter().find(|id| !known.contains(id)) {
                     let allowed = "searchers that the service lists";
                     return Err(InvalidSetting::value(format!("{key}.{}", placement.shard), stranger, allowed));
--- a/crates/staircross-lab/src/sim/oracle.rs
+++ b/crates/staircross-lab/src/sim/oracle.rs
@@ -167,7 +167,7 @@
         .values()
         .flat_map(|record| {
             record.outcomes.iter().filter_map(move |(at, outcome)| match outcome {
-                Outcome::Answer(answer) => Some((record, *at, answer)),
+                Outcome::Answer(answer) => Some((record, *at, &**answer)),
                 _ => None,
             })
         })
--- a/crates/staircross-node/src/api.rs
+++ b/crates/staircross-node/src/api.rs
@@ -209,7 +209,7 @@
 impl From<Outcome> for ReplyBody {
     fn from(outcome: Outcome) -> Self {
         match outcome {
-            Outcome::Answer(answer) => ReplyBody::Answer(answer.into()),
+            Outcome::Answer(answer) => ReplyBody::Answer((*answer).into()),
             Outcome::Acted(receipt) => ReplyBody::Acted { entry: receipt.entry, message: receipt.message },
             Outcome::Refusal(refusal) => ReplyBody::Refusal((&refusal).into()),
         }
--- a/crates/staircross-search/src/message.rs
+++ b/crates/staircross-search/src/message.rs
@@ -160,7 +160,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Outcome {
     /// An answer, whole or partial.
-    Answer(Answer),
+    Answer(Box<Answer>),
     /// The action ran.
     Acted(ActionReceipt),
     /// Refused.
--- a/crates/staircross-search/src/root/finish.rs
+++ b/crates/staircross-search/src/root/finish.rs
@@ -150,7 +150,7 @@
         }
         self.keep_best();
         let next = self.next_page();
-        Outcome::Answer(Answer {
+        Outcome::Answer(Box::new(Answer {
             snapshot: self.map.snapshot,
             coverage,
             matched: self.matched,
@@ -159,7 +159,7 @@
             sent: self.attempts.len() as u32,
             needed: self.needed,
             elapsed: now.since(self.admitted_at),
-        })
+        }))
     }
 
     fn next_page(&self) -> Option<PagePosition> {
