--- a/crates/staircross-cluster/src/ownership.rs
+++ b/crates/staircross-cluster/src/ownership.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Owners of a group, unless its searchers have fewer slots.
-pub const OWNERS_PER_GROUP: usize = 3;
+pub const OWNERS_PER_GROUP: usize = 2;
 
 /// Owners of every searcher, as seen with one view of the members.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -58,6 +58,22 @@
         self.owners.get(&searcher).map_or(&[], Vec::as_slice)
     }
 
+    /// Owners in the order in which to try them for one sub-request; `turn` counts up.
+    ///
+    /// Owners come first as often as their share of the slots: turns spread evenly would queue at
+    /// an owner with a small share while others have slots free.
+    pub fn owners_in_turn(&self, searcher: SearcherId, turn: u64) -> Vec<NodeId> {
+        let owners = self.owners(searcher);
+        let slots = self.slots.get(&searcher).copied().unwrap_or(0);
+        if owners.is_empty() || slots == 0 {
+            return owners.to_vec();
+        }
+        let slot = (turn % u64::from(slots)) as u32;
+        // Slot n belongs to owner n modulo the number of owners: exactly each one's share.
+        let first = slot as usize % owners.len();
+        (0..owners.len()).map(|step| owners[(first + step) % owners.len()]).collect()
+    }
+
     /// Searchers that `node` owns, with its share of each one's slots.
     pub fn shares_of(&self, node: NodeId) -> BTreeMap<SearcherId, u32> {
         let mut shares = BTreeMap::new();
--- /dev/null
+++ b/crates/staircross-lab/src/experiment.rs
@@ -0,0 +1,13 @@
+//! Experiments: simulated fleets at the users' sizes, measured.
+//!
+//! | module | measures |
+//! | --- | --- |
+//! | [`tail`] | latency, coverage and extra load of policies side by side |
+//! | [`overload`] | goodput under twice the capacity, and recovery |
+//! | [`config_spread`] | how fast configuration is in force everywhere, and what control costs |
+//! | [`process`] | memory and processor time of this process |
+
+pub mod config_spread;
+pub mod overload;
+pub mod process;
+pub mod tail;
--- /dev/null
+++ b/crates/staircross-lab/src/experiment/tail.rs
@@ -0,0 +1,166 @@
+//! Latency, coverage and extra load of policies side by side, at the users' sizes of today.
+//!
+//! One shard copy in a hundred is ten times slower than the others and one replica is lost. Every policy sees the same
+//! fleet, the same seed and the same arrivals; the last row is the same fleet without stragglers.
+
+use crate::sim::network::Delays;
+use crate::sim::world::SimService;
+use crate::sim::{WorkTime, World, WorldSettings};
+use hdrhistogram::Histogram;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use serde::Serialize;
+use staircross_config::{Priority, ServicePolicy};
+use staircross_search::{LeafSettings, Outcome, RootSettings};
+use staircross_types::ServiceName;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One policy's figures.
+#[derive(Clone, Debug, Serialize)]
+pub struct TailRow {
+    /// The policy.
+    pub policy: &'static str,
+    /// Median latency of answers.
+    pub p50_ms: f64,
+    /// 99 in 100.
+    pub p99_ms: f64,
+    /// 999 in 1000.
+    pub p999_ms: f64,
+    /// Shards included, of all shards of all answers.
+    pub coverage: f64,
+    /// Sub-requests sent beyond those strictly needed, as a fraction.
+    pub extra_load: f64,
+    /// Requests refused, as a fraction.
+    pub refused: f64,
+    /// Requests.
+    pub requests: usize,
+}
+
+const SEARCHERS: usize = 16;
+const SLOTS: usize = 5;
+const SHARDS: u32 = 64;
+const REPLICAS: usize = 3;
+const NODES: usize = 6;
+const ZONES: usize = 3;
+/// Median time of one sub-request; the spread gives a tail of its own.
+const WORK_MEDIAN: Duration = Duration::from_millis(20);
+const WORK_SIGMA: f64 = 0.25;
+const SLOW_FACTOR: f64 = 10.0;
+const REQUESTS: usize = 6000;
+/// Mean time between requests: about a third of the slots are busy.
+const BETWEEN: Duration = Duration::from_millis(12);
+const SERVICE: &str = "drafting";
+
+struct Setup {
+    name: &'static str,
+    policy: ServicePolicy,
+    has_stragglers: bool,
+}
+
+/// Runs all policies.
+pub fn run(seed: u64) -> Vec<TailRow> {
+    let base = ServicePolicy {
+        wait_ms: 2000,
+        least_coverage_per_mille: 950,
+        priority: Priority::Coverage,
+        repeatable: true,
+        hedge_per_mille: 20,
+        retry_per_mille: 20,
+    };
+    let wait = ServicePolicy { hedge_per_mille: 0, retry_per_mille: 0, ..base.clone() };
+    let latency = ServicePolicy { priority: Priority::Latency, ..base.clone() };
+    let unbounded = ServicePolicy { hedge_per_mille: 1000, ..base.clone() };
+    let setups = [
+        Setup { name: "wait-for-all", policy: wait.clone(), has_stragglers: true },
+        Setup { name: "unbounded-hedge", policy: unbounded, has_stragglers: true },
+        Setup { name: "staircross coverage-first", policy: base.clone(), has_stragglers: true },
+        Setup { name: "staircross latency-first", policy: latency, has_stragglers: true },
+        Setup { name: "wait-for-all, no stragglers", policy: wait, has_stragglers: false },
+        Setup { name: "staircross, no stragglers", policy: base, has_stragglers: false },
+    ];
+    std::thread::scope(|scope| {
+        let handles: Vec<_> = setups.iter().map(|setup| scope.spawn(move || run_one(setup, seed))).collect();
+        handles.into_iter().filter_map(|handle| handle.join().ok()).collect()
+    })
+}
+
+/// A fleet of one service at today's size of the drafting and guest search services.
+pub fn world(policy: ServicePolicy, seed: u64, limit_admission: bool) -> World {
+    let work_time = WorkTime { median: WORK_MEDIAN, sigma: WORK_SIGMA, slow_copies: BTreeMap::new() };
+    let service = SimService {
+        name: ServiceName::new(SERVICE),
+        policy,
+        searchers: SEARCHERS,
+        slots: SLOTS,
+        shards: SHARDS,
+        replicas: REPLICAS,
+        work_time,
+    };
+    let settings = WorldSettings {
+        nodes: NODES,
+        zones: ZONES,
+        services: vec![service],
+        delays: Delays::default(),
+        root: RootSettings { limit_admission, ..RootSettings::default() },
+        leaf: LeafSettings::default(),
+        news_delay: Duration::from_millis(100),
+    };
+    World::new(settings, seed)
+}
+
+fn run_one(setup: &Setup, seed: u64) -> TailRow {
+    let mut world = world(setup.policy.clone(), seed, true);
+    if setup.has_stragglers {
+        world.slow_one_copy_in(100, SLOW_FACTOR, seed);
+        world.crash_searcher(SEARCHERS - 1);
+        world.run_for(Duration::from_secs(2));
+    }
+    let mut arrivals = ChaCha8Rng::seed_from_u64(seed);
+    let sessions: Vec<usize> = (0..NODES).map(|node| world.open_session(node)).collect();
+    let service = ServiceName::new(SERVICE);
+    for number in 0..REQUESTS {
+        world.search(sessions[number % sessions.len()], &service);
+        let gap = BETWEEN.mul_f64(-(1.0 - arrivals.random::<f64>()).ln());
+        world.run_for(gap);
+    }
+    world.run_for(Duration::from_secs(5));
+    summarize(setup.name, &world)
+}
+
+fn summarize(policy: &'static str, world: &World) -> TailRow {
+    let mut latency = new_histogram();
+    let (mut included, mut total, mut sent, mut needed, mut refused) = (0_usize, 0_usize, 0_u64, 0_u64, 0_usize);
+    for record in world.history.requests.values() {
+        match record.outcomes.first() {
+            Some((_, Outcome::Answer(answer))) => {
+                latency.saturating_record((answer.elapsed.as_micros() as u64).max(1));
+                included += answer.coverage.included.len();
+                total += answer.coverage.total();
+                sent += u64::from(answer.sent);
+                needed += u64::from(answer.needed);
+            }
+            _ => refused += 1,
+        }
+    }
+    let requests = world.history.requests.len();
+    let millis = |quantile: f64| latency.value_at_quantile(quantile) as f64 / 1000.0;
+    TailRow {
+        policy,
+        p50_ms: millis(0.5),
+        p99_ms: millis(0.99),
+        p999_ms: millis(0.999),
+        coverage: included as f64 / total.max(1) as f64,
+        extra_load: sent as f64 / needed.max(1) as f64 - 1.0,
+        refused: refused as f64 / requests.max(1) as f64,
+        requests,
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    match Histogram::new_with_bounds(1, 600_000_000, 3) {
+        Ok(histogram) => histogram,
+        Err(error) => unreachable!("constant bounds are valid: {error:?}"),
+    }
+}
--- a/crates/staircross-lab/src/lib.rs
+++ b/crates/staircross-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`fleet`] | a whole fleet over loopback in one process |
 //! | [`demo`] | the guided tour |
+//! | [`experiment`] | simulated fleets at the users' sizes, measured |
 //! | [`fuzz`] | stateful fuzz models, as tests and from the command line |
 //! | [`sim`] | a simulated fleet and the oracle |
 //! | [`cluster_sim`] | a simulated fleet of the cluster logic |
@@ -11,6 +12,7 @@
 
 pub mod cluster_sim;
 pub mod demo;
+pub mod experiment;
 pub mod fleet;
 pub mod fuzz;
 pub mod report;
--- a/crates/staircross-lab/src/main.rs
+++ b/crates/staircross-lab/src/main.rs
@@ -1,6 +1,8 @@
 //! The lab's command line. Exit codes: 0 done, 1 failed or a violation found, 2 wrong usage.
 
 use staircross_lab::demo::{self, DemoOptions};
+use staircross_lab::experiment::config_spread::{self, SpreadOptions};
+use staircross_lab::experiment::{overload, tail};
 use staircross_lab::fuzz::runner::{self, FuzzOptions};
 use std::process::ExitCode;
 
@@ -19,6 +21,23 @@
                 /// The nodes' log filter.
                 optional --log log: String
             }
+            /// Measure a simulated fleet.
+            cmd experiment {
+                /// `tail`, `overload` or `config-spread`.
+                required name: String
+                /// Seed (default 1).
+                optional --seed seed: u64
+                /// Nodes, for config-spread (default 530).
+                optional --nodes nodes: usize
+                /// Regions, for config-spread (default 2).
+                optional --regions regions: usize
+                /// Zones in all, for config-spread (default 6).
+                optional --zones zones: usize
+                /// Searchers, for config-spread (default 2200).
+                optional --searchers searchers: usize
+                /// Print JSON.
+                optional --json
+            }
             /// Stateful fuzzing of the engines against a plain oracle.
             cmd fuzz {
                 /// What to fuzz: `requests` (default) or `cluster`.
@@ -41,6 +60,7 @@
     let result = match flags.subcommand {
         flags::StaircrossLabCmd::Demo(command) => run_demo(command),
         flags::StaircrossLabCmd::Fuzz(command) => run_fuzz(&command),
+        flags::StaircrossLabCmd::Experiment(command) => run_experiment(&command),
     };
     match result {
         Ok(code) => code,
@@ -76,3 +96,31 @@
     }
     Ok(if summary.violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
+
+fn run_experiment(command: &flags::Experiment) -> Result<ExitCode, String> {
+    let seed = command.seed.unwrap_or(1);
+    match command.name.as_str() {
+        "tail" => print_rows(&tail::run(seed), command.json),
+        "overload" => print_rows(&overload::run(seed), command.json),
+        "config-spread" => {
+            let options = SpreadOptions {
+                nodes: command.nodes.unwrap_or(530),
+                regions: command.regions.unwrap_or(2),
+                zones: command.zones.unwrap_or(6),
+                seed,
+                searchers: command.searchers.unwrap_or(2200),
+            };
+            print_rows(&[config_spread::run(options)], command.json)
+        }
+        other => Err(format!("experiment {other}: allowed are tail, overload, config-spread")),
+    }
+}
+
+/// Prints rows as JSON, one a line, or as indented text.
+fn print_rows<T: serde::Serialize>(rows: &[T], json: bool) -> Result<ExitCode, String> {
+    for row in rows {
+        let text = if json { serde_json::to_string(row) } else { serde_json::to_string_pretty(row) };
+        println!("{}", text.map_err(|error| error.to_string())?);
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/staircross-node/src/core/requests.rs
+++ b/crates/staircross-node/src/core/requests.rs
@@ -25,10 +25,9 @@
 
     /// Sends a sub-request through one of the searcher's owners.
     fn route(&mut self, now: BootTime, request: SubRequest) {
-        let owners = self.cluster.ownership().owners(request.searcher).to_vec();
-        // Attempts spread over all owners, because each has only its share of the slots.
-        let start = request.attempt.request.sequence as usize + request.attempt.attempt as usize;
-        let owner = (0..owners.len()).map(|step| owners[(start + step) % owners.len()]).find_map(|owner| {
+        let turn = request.attempt.request.sequence + u64::from(request.attempt.attempt);
+        let owners = self.cluster.ownership().owners_in_turn(request.searcher, turn);
+        let owner = owners.into_iter().find_map(|owner| {
             let member = self.cluster.member(owner).filter(|member| member.takes_work() || owner == self.node)?;
             Some((owner, member.peer_address))
         });
--- a/crates/staircross-search/src/lib.rs
+++ b/crates/staircross-search/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`session`] | which sessions exist, what they have seen, which tickets are used |
 //! | [`snapshot_choice`] | which snapshot of a service is served |
 //! | [`replica`] | which replica of a shard is asked |
+//! | [`copies`] | which copies of shards are slow and avoided |
 //! | [`budget`], [`limiter`], [`latency`] | how much extra work, how many requests, how long is normal |
 //! | [`request`] | state of one request in flight |
 //! | [`message`] | typed sub-requests, replies and outcomes |
@@ -15,6 +16,7 @@
 //! fuzz tests run the same code.
 
 pub mod budget;
+pub mod copies;
 pub mod latency;
 pub mod leaf;
 pub mod limiter;
--- a/crates/staircross-search/src/root.rs
+++ b/crates/staircross-search/src/root.rs
@@ -14,6 +14,7 @@
 pub use submit::Submission;
 
 use crate::budget::ExtraWorkBudget;
+use crate::copies::CopyHealth;
 use crate::latency::LatencyTracker;
 use crate::limiter::ConcurrencyLimiter;
 use crate::message::{Outcome, SubReply, SubRequest};
@@ -128,6 +129,7 @@
     pub(crate) services: BTreeMap<ServiceName, ServiceState>,
     pub(crate) views: HashMap<SearcherId, SearcherView>,
     pub(crate) replicas: ReplicaTable,
+    pub(crate) copies: CopyHealth,
     pub(crate) requests: HashMap<u64, Request>,
     pub(crate) wakes: BinaryHeap<Reverse<(BootTime, u64)>>,
     pub(crate) unknown_actions: HashMap<AttemptId, submit::PendingTicket>,
@@ -146,6 +148,7 @@
             services: BTreeMap::new(),
             views: HashMap::new(),
             replicas: ReplicaTable::default(),
+            copies: CopyHealth::default(),
             requests: HashMap::new(),
             wakes: BinaryHeap::new(),
             unknown_actions: HashMap::new(),
@@ -217,6 +220,7 @@
         let restarted = self.views.get(&view.searcher).is_some_and(|known| run(known) != run(&view));
         if restarted {
             self.replicas.forget(view.searcher);
+            self.copies.forget(view.searcher);
         }
         let affected = self.services.values_mut().filter(|service| service.peers.contains(&view.searcher));
         affected.for_each(|service| service.stale = true);
--- a/crates/staircross-search/src/root/plan.rs
+++ b/crates/staircross-search/src/root/plan.rs
@@ -143,7 +143,15 @@
                 let serves = self.views.get(replica).is_some_and(|view| view.serves(snapshot));
                 serves && !tried.contains(replica)
             }));
+            let is_quick = |replica: &SearcherId| !self.copies.is_avoided(now, *replica, placement.shard);
+            // A slow copy is better than none.
+            if !self.copies.is_empty() && eligible.iter().any(is_quick) {
+                eligible.retain(is_quick);
+            }
             let chosen = self.replicas.choose(now, &eligible, &used, typical, &mut self.random);
+            if let Some(searcher) = chosen {
+                self.copies.note_asked(now, searcher, placement.shard);
+            }
             let Some(searcher) = chosen else {
                 if *outstanding == 0 && last_failure.is_none() {
                     *last_failure = Some(absence_cause(&placement.replicas, &self.views));
--- a/crates/staircross-search/src/root/reply.rs
+++ b/crates/staircross-search/src/root/reply.rs
@@ -74,6 +74,11 @@
             return;
         };
         request.may_have_run = true;
+        if let Some(service) = self.services.get(&request.service) {
+            let tail = service.latency.hedge_delay();
+            let shards = attempt.shards.iter().map(|position| request.map.shards[*position as usize].shard);
+            self.copies.note_reply(now, attempt.searcher, shards, latency, tail);
+        }
         let merged = request.merge(&attempt.shards, found);
         let needless = if merged.contested { request.take_needless_attempts() } else { Vec::new() };
         if let Some(service) = self.services.get_mut(&request.service) {
@@ -82,6 +87,7 @@
         for NeedlessAttempt { number, searcher, sent_at } in needless {
             self.replicas.ended(searcher);
             self.replicas.lagging(now, searcher, now.since(sent_at));
+            self.note_overtaken(now, sequence, number);
             let attempt = AttemptId { request: RequestId { node: self.node, sequence }, attempt: number };
             actions.push(RootAction::Cancel { attempt, searcher });
         }
@@ -91,6 +97,23 @@
         }
     }
 
+    /// An attempt that was overtaken by another is as slow as the time it was out.
+    fn note_overtaken(&mut self, now: BootTime, sequence: u64, number: u32) {
+        let Some(request) = self.requests.get(&sequence) else {
+            return;
+        };
+        let Some(service) = self.services.get(&request.service) else {
+            return;
+        };
+        let Some(attempt) = request.attempts.get(number as usize - 1) else {
+            return;
+        };
+        if now.since(attempt.sent_at) > service.latency.hedge_delay() {
+            let shards = attempt.shards.iter().map(|position| request.map.shards[*position as usize].shard);
+            self.copies.note_overtaken(now, attempt.searcher, shards);
+        }
+    }
+
     fn apply_not_run(
         &mut self,
         now: BootTime,
