--- a/crates/staircross-lab/src/experiment/config_spread.rs
+++ b/crates/staircross-lab/src/experiment/config_spread.rs
@@ -109,10 +109,11 @@
         detect: new_histogram(),
         next_node: 0,
     };
-    experiment.found(options.searchers);
+    experiment.fleet.run_for(FOUNDING);
+    experiment.steady();
+    experiment.spread_views(options.searchers);
     let memory = allocated_bytes().saturating_sub(memory_before);
     experiment.report.memory_bytes_per_node = memory as f64 / options.nodes as f64;
-    experiment.steady();
     experiment.day_pace();
     experiment.burst();
     experiment.short_pauses();
@@ -127,9 +128,8 @@
 const STEADY: Duration = Duration::from_secs(15);
 
 impl Experiment {
-    fn found(&mut self, searchers: usize) {
-        self.fleet.run_for(FOUNDING);
-        // Each searcher's first view comes from one of its owners.
+    /// Every searcher's first view at once, as after a start of the whole fleet.
+    fn spread_views(&mut self, searchers: usize) {
         for searcher in 0..searchers {
             self.fleet.observe_searcher(searcher % self.fleet.len(), searcher as u32);
         }
--- a/crates/staircross-lab/src/experiment/slopes.rs
+++ b/crates/staircross-lab/src/experiment/slopes.rs
@@ -86,7 +86,13 @@
     let hits =
         |shard: &ShardId| ShardHits { shard: *shard, matched: 1, hits: vec![simulated_hit("1.1.1", *shard, "term")] };
     let outcome = SubOutcome::Found(request.shards.iter().map(hits).collect());
-    SubReply { attempt: request.attempt, searcher: request.searcher, snapshot: request.snapshot, outcome }
+    SubReply {
+        attempt: request.attempt,
+        searcher: request.searcher,
+        snapshot: request.snapshot,
+        outcome,
+        worked: Default::default(),
+    }
 }
 
 /// A root over `shards` shards, each on two searchers of its own, with a session.
--- a/crates/staircross-lab/src/sim/searcher.rs
+++ b/crates/staircross-lab/src/sim/searcher.rs
@@ -208,7 +208,13 @@
                 SubOutcome::Found(request.shards.iter().map(search).collect())
             }
         };
-        SubReply { attempt: request.attempt, searcher: self.id, snapshot: request.snapshot, outcome }
+        SubReply {
+            attempt: request.attempt,
+            searcher: self.id,
+            snapshot: request.snapshot,
+            outcome,
+            worked: Default::default(),
+        }
     }
 }
 
--- a/crates/staircross-lab/src/sim/world/faults.rs
+++ b/crates/staircross-lab/src/sim/world/faults.rs
@@ -240,7 +240,7 @@
                 // Some connections break at once; over others nothing is ever heard again.
                 if self.random.random_bool(0.7) {
                     let outcome = SubOutcome::Unknown(UnknownReason::Broken);
-                    let reply = SubReply { attempt, searcher, snapshot, outcome };
+                    let reply = SubReply { attempt, searcher, snapshot, outcome, worked: Default::default() };
                     let run = self.nodes[node].runs;
                     let delay = self.random_up_to(Duration::from_millis(5));
                     self.schedule(delay, SimEvent::RootReply { node, run, reply });
--- a/crates/staircross-lab/src/sim/world/requests.rs
+++ b/crates/staircross-lab/src/sim/world/requests.rs
@@ -517,7 +517,8 @@
         };
         let searcher = SearcherId(pending.searcher as u32);
         let outcome = SubOutcome::Unknown(UnknownReason::Late);
-        let reply = SubReply { attempt, searcher, snapshot: pending.request.snapshot, outcome };
+        let reply =
+            SubReply { attempt, searcher, snapshot: pending.request.snapshot, outcome, worked: Default::default() };
         self.leaf_event(node, LeafEvent::Reply { reply, run: None });
     }
 
--- a/crates/staircross-node/src/api.rs
+++ b/crates/staircross-node/src/api.rs
@@ -140,6 +140,8 @@
     pub leaving: bool,
     /// Whether it may act under its configuration.
     pub may_act: bool,
+    /// Whether it should get traffic: it may act, isn't leaving and takes work for its searchers.
+    pub ready: bool,
     /// What is left of its configuration lease, in milliseconds.
     pub lease_ms: u64,
     /// Revision of the configuration held.
--- a/crates/staircross-node/src/core/callers.rs
+++ b/crates/staircross-node/src/core/callers.rs
@@ -219,6 +219,7 @@
             node: self.node,
             leaving: self.stopping_since.is_some(),
             may_act: self.cluster.may_act(now),
+            ready: self.stopping_since.is_none() && self.cluster.may_act(now) && self.leaf.is_settled(now),
             lease_ms: self.cluster.lease_remaining(now).as_millis() as u64,
             revision: config.revision,
             platform_revision: config.platform_revision(),
--- a/crates/staircross-node/src/core/requests.rs
+++ b/crates/staircross-node/src/core/requests.rs
@@ -112,7 +112,10 @@
             self.routes.remove(&attempt);
             if let Some((searcher, snapshot)) = self.root.attempt_target(attempt) {
                 let outcome = SubOutcome::Unknown(UnknownReason::Broken);
-                self.root_event(now, RootEvent::Reply(SubReply { attempt, searcher, snapshot, outcome }));
+                self.root_event(
+                    now,
+                    RootEvent::Reply(SubReply { attempt, searcher, snapshot, outcome, worked: Default::default() }),
+                );
             }
         }
     }
--- a/crates/staircross-node/src/front.rs
+++ b/crates/staircross-node/src/front.rs
@@ -125,10 +125,11 @@
         let CallerReply::Status(status) = self.ask(CallerCommand::Status)? else {
             return Err(Refusal::new(ErrorKind::Internal, "unexpected reply"));
         };
-        let (code, text) = match (status.leaving, status.may_act) {
-            (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
-            (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration lease\n"),
-            (false, true) => (StatusCode::OK, "ready\n"),
+        let (code, text) = match (status.ready, status.leaving, status.may_act) {
+            (true, ..) => (StatusCode::OK, "ready\n"),
+            (false, true, _) => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+            (false, false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration lease\n"),
+            (false, false, true) => (StatusCode::SERVICE_UNAVAILABLE, "listening to its peers\n"),
         };
         Ok(text_response(code, text.to_owned()))
     }
--- a/crates/staircross-node/src/searchers/call.rs
+++ b/crates/staircross-node/src/searchers/call.rs
@@ -124,7 +124,13 @@
             CallStatus::Draining => SubOutcome::NotRun(NotRunReason::Draining),
             CallStatus::Stopped => SubOutcome::Unknown(UnknownReason::Late),
         };
-        SubReply { attempt: request.attempt, searcher: request.searcher, snapshot: reply.snapshot, outcome }
+        SubReply {
+            attempt: request.attempt,
+            searcher: request.searcher,
+            snapshot: reply.snapshot,
+            outcome,
+            worked: Default::default(),
+        }
     }
 
     fn post(
@@ -216,5 +222,6 @@
         searcher: request.searcher,
         snapshot: request.snapshot,
         outcome: SubOutcome::Unknown(reason),
+        worked: Default::default(),
     }
 }
--- a/crates/staircross-search/src/copies.rs
+++ b/crates/staircross-search/src/copies.rs
@@ -3,7 +3,8 @@
 //! A searcher may be quick for all its shards but one. A slow reply puts every shard that it was
 //! asked for under suspicion; a quick one clears its shards. Copies that were in slow replies
 //! twice in a row are avoided for a while, ever longer, and tried again by one request at a time.
-//! So the innocent come free at their first quick reply and the slow one is tried ever more seldom.
+//! Suspects are asked one by one. So the innocent come free at their first quick reply and the slow
+//! one is tried ever more seldom.
 
 use hashbrown::HashMap;
 use staircross_types::{BootTime, SearcherId, ShardId};
@@ -87,6 +88,17 @@
         self.suspicions.get(&Copy { searcher, shard }).is_some_and(|suspicion| now < suspicion.avoid_until)
     }
 
+    /// Strikes against a copy; zero when it isn't suspected.
+    ///
+    /// A suspected copy is asked in a sub-request of its own, so that the reply tells about it alone:
+    /// shards asked together are suspected together, and would never come free of a slow one.
+    pub fn strikes(&self, searcher: SearcherId, shard: ShardId) -> u8 {
+        if self.suspicions.is_empty() {
+            return 0;
+        }
+        self.suspicions.get(&Copy { searcher, shard }).map_or(0, |suspicion| suspicion.strikes)
+    }
+
     /// Notes that a copy is asked; one that was avoided isn't asked again until this trial has told.
     pub fn note_asked(&mut self, now: BootTime, searcher: SearcherId, shard: ShardId) {
         if self.suspicions.is_empty() {
--- a/crates/staircross-search/src/latency.rs
+++ b/crates/staircross-search/src/latency.rs
@@ -7,6 +7,8 @@
 const REFRESH_EVERY: u64 = 64;
 /// Samples after which an old window is dropped.
 const WINDOW: u64 = 4096;
+/// The late point is never more than this many medians.
+const MOST_MEDIANS: u32 = 4;
 /// Samples from which a window's tail quantile is used.
 const ENOUGH_SAMPLES: u64 = 512;
 /// Largest latency told apart, in microseconds.
@@ -45,7 +47,9 @@
         let current_is_enough = self.current.len() >= ENOUGH_SAMPLES || self.previous.is_empty();
         let source = if current_is_enough { &self.current } else { &self.previous };
         self.median = Duration::from_micros(source.value_at_quantile(0.5));
-        self.hedge_delay = Duration::from_micros(source.value_at_quantile(HEDGE_QUANTILE));
+        let tail = Duration::from_micros(source.value_at_quantile(HEDGE_QUANTILE));
+        // Once more than a few in a hundred are slow, the tail is theirs and would excuse them all.
+        self.hedge_delay = tail.min(self.median * MOST_MEDIANS);
     }
 
     /// Latency that half of the sub-requests stay under.
--- a/crates/staircross-search/src/leaf.rs
+++ b/crates/staircross-search/src/leaf.rs
@@ -89,6 +89,7 @@
 
 struct InFlight {
     from: NodeId,
+    sent_at: BootTime,
     deadline: BootTime,
 }
 
@@ -152,6 +153,11 @@
         self.searchers.values().map(|searcher| searcher.in_flight.len() + searcher.queue.len()).sum()
     }
 
+    /// Whether the leaf has listened to its peers long enough to take work, or owns nothing yet.
+    pub fn is_settled(&self, now: BootTime) -> bool {
+        self.first_owned_at.is_none_or(|since| now.since(since) >= self.settings.newcomer_wait)
+    }
+
     /// Views of all owned searchers.
     pub fn views(&self) -> Vec<SearcherView> {
         self.searchers.iter().map(|(id, searcher)| searcher.view(*id)).collect()
@@ -186,7 +192,7 @@
             actions.push(refuse(NotRunReason::LeafLeaving));
             return;
         }
-        let is_newcomer = self.first_owned_at.is_none_or(|since| now.since(since) < self.settings.newcomer_wait);
+        let is_newcomer = !self.is_settled(now);
         let owned = self.searchers.get_mut(&id).filter(|searcher| searcher.share > 0);
         let Some(searcher) = owned.filter(|_| !is_newcomer) else {
             actions.push(refuse(NotRunReason::NotOwner));
@@ -244,6 +250,7 @@
             SubOutcome::NotRun(NotRunReason::Unconnected) => searcher.serving_asked_at = None,
             _ => {}
         }
+        let reply = SubReply { worked: now.since(in_flight.sent_at), ..reply };
         actions.push(LeafAction::Reply { to: in_flight.from, reply });
         if searcher.is_leaving() {
             searcher.refuse_queue(NotRunReason::Draining, actions);
@@ -438,7 +445,8 @@
             };
             let mut request = queued.request;
             request.remaining = now.until(queued.deadline);
-            self.in_flight.insert(request.attempt, InFlight { from: queued.from, deadline: queued.deadline });
+            self.in_flight
+                .insert(request.attempt, InFlight { from: queued.from, sent_at: now, deadline: queued.deadline });
             actions.push(LeafAction::Send { request, send_before });
         }
     }
@@ -468,5 +476,6 @@
         searcher: request.searcher,
         snapshot: request.snapshot,
         outcome: SubOutcome::NotRun(reason),
+        worked: Default::default(),
     }
 }
--- a/crates/staircross-search/src/message.rs
+++ b/crates/staircross-search/src/message.rs
@@ -117,6 +117,8 @@
     pub snapshot: Snapshot,
     /// What became of it.
     pub outcome: SubOutcome,
+    /// Time from sending to reply as the leaf measured it, without the wait for a slot.
+    pub worked: Duration,
 }
 
 /// A merged answer.
--- a/crates/staircross-search/src/root.rs
+++ b/crates/staircross-search/src/root.rs
@@ -97,6 +97,8 @@
     pub current: Option<Snapshot>,
     pub stale: bool,
     pub latency: LatencyTracker,
+    /// The same without waits for slots.
+    pub work: LatencyTracker,
     pub hedges: ExtraWorkBudget,
     pub retries: ExtraWorkBudget,
     pub limiter: ConcurrencyLimiter,
@@ -250,6 +252,7 @@
             current: None,
             stale: true,
             latency: LatencyTracker::new(latency_guess),
+            work: LatencyTracker::new(latency_guess),
             limiter: ConcurrencyLimiter::default(),
             definition,
         }
--- a/crates/staircross-search/src/root/plan.rs
+++ b/crates/staircross-search/src/root/plan.rs
@@ -144,9 +144,13 @@
                 serves && !tried.contains(replica)
             }));
             let is_quick = |replica: &SearcherId| !self.copies.is_avoided(now, *replica, placement.shard);
-            // A slow copy is better than none.
+            // A slow copy is better than none; the least suspected is better than another.
             if !self.copies.is_empty() && eligible.iter().any(is_quick) {
                 eligible.retain(is_quick);
+            } else if !self.copies.is_empty() {
+                let strikes = |replica: &SearcherId| self.copies.strikes(*replica, placement.shard);
+                let fewest = eligible.iter().map(strikes).min().unwrap_or(0);
+                eligible.retain(|replica| strikes(replica) == fewest);
             }
             let chosen = self.replicas.choose(now, &eligible, &used, typical, &mut self.random);
             if let Some(searcher) = chosen {
@@ -158,6 +162,10 @@
                 }
                 continue;
             };
+            if self.copies.strikes(searcher, placement.shard) > 0 {
+                batches.push(Batch { searcher, shards: vec![*position] });
+                continue;
+            }
             match used.get(&searcher) {
                 Some(index) => batches[*index].shards.push(*position),
                 None => {
--- a/crates/staircross-search/src/root/reply.rs
+++ b/crates/staircross-search/src/root/reply.rs
@@ -5,6 +5,7 @@
 use crate::message::{NotRunReason, Outcome, SubOutcome, SubReply, Work};
 use crate::request::{Attempt, Request, reply_matches};
 use staircross_types::{AttemptId, BootTime, MissingCause, RequestId, SearcherId, ShardHits};
+use std::time::Duration;
 
 impl RootEngine {
     pub(super) fn on_reply(&mut self, now: BootTime, reply: SubReply, actions: &mut Vec<RootAction>) {
@@ -34,7 +35,7 @@
             self.apply(now, sequence, &attempt, reply, actions);
         } else {
             self.counters.foreign_replies += 1;
-            self.apply_failure(now, sequence, &attempt, MissingCause::Unreachable, true, actions);
+            self.apply_unknown(now, sequence, &attempt, MissingCause::Unreachable, actions);
         }
         self.settle(now, sequence, actions);
     }
@@ -48,14 +49,14 @@
         actions: &mut Vec<RootAction>,
     ) {
         match reply.outcome {
-            SubOutcome::Found(found) => self.apply_found(now, sequence, attempt, found, actions),
+            SubOutcome::Found(found) => self.apply_found(now, sequence, attempt, found, reply.worked, actions),
             SubOutcome::Acted(receipt) => {
                 self.replicas.succeeded(now, attempt.searcher, now.since(attempt.sent_at));
                 self.finish(now, sequence, Outcome::Acted(receipt), actions);
             }
             SubOutcome::NotRun(reason) => self.apply_not_run(now, sequence, attempt, reason, actions),
             SubOutcome::Unknown(reason) => {
-                self.apply_failure(now, sequence, attempt, reason.missing_cause(), true, actions);
+                self.apply_unknown(now, sequence, attempt, reason.missing_cause(), actions);
             }
         }
     }
@@ -66,6 +67,7 @@
         sequence: u64,
         attempt: &Attempt,
         found: Vec<ShardHits>,
+        worked: Duration,
         actions: &mut Vec<RootAction>,
     ) {
         let latency = now.since(attempt.sent_at);
@@ -75,14 +77,16 @@
         };
         request.may_have_run = true;
         if let Some(service) = self.services.get(&request.service) {
-            let tail = service.latency.hedge_delay();
+            let tail = service.work.hedge_delay();
             let shards = attempt.shards.iter().map(|position| request.map.shards[*position as usize].shard);
-            self.copies.note_reply(now, attempt.searcher, shards, latency, tail);
+            // Waits for a slot are left out: they say nothing about the copy.
+            self.copies.note_reply(now, attempt.searcher, shards, worked, tail);
         }
         let merged = request.merge(&attempt.shards, found);
         let needless = if merged.contested { request.take_needless_attempts() } else { Vec::new() };
         if let Some(service) = self.services.get_mut(&request.service) {
             service.latency.record(latency);
+            service.work.record(worked);
         }
         for NeedlessAttempt { number, searcher, sent_at } in needless {
             self.replicas.ended(searcher);
@@ -123,18 +127,20 @@
         actions: &mut Vec<RootAction>,
     ) {
         if reason == NotRunReason::Unconnected {
-            self.apply_failure(now, sequence, attempt, reason.missing_cause(), false, actions);
-            return;
+            self.note_failed(now, sequence, attempt.searcher);
+        } else {
+            self.replicas.ended(attempt.searcher);
         }
-        self.replicas.ended(attempt.searcher);
-        let mut send_reason = SendReason::Retry;
+        // What certainly didn't run may go elsewhere without being extra load, except that back ends
+        // which shed must not be asked for more.
+        let mut send_reason = SendReason::Reroute;
         match reason {
-            NotRunReason::Shed => self.note_shed(now, sequence),
-            NotRunReason::NotOwner | NotRunReason::LeafLeaving => {
-                send_reason = SendReason::Reroute;
-                self.forget_try(sequence, attempt);
+            NotRunReason::Shed => {
+                send_reason = SendReason::Retry;
+                self.note_shed(now, sequence);
             }
-            _ => {}
+            NotRunReason::NotOwner | NotRunReason::LeafLeaving => self.forget_try(sequence, attempt),
+            NotRunReason::Draining | NotRunReason::SnapshotGone | NotRunReason::Unconnected => {}
         }
         self.retry(now, sequence, &attempt.shards, reason.missing_cause(), send_reason, actions);
     }
@@ -158,23 +164,27 @@
         }
     }
 
-    fn apply_failure(
+    /// Notes a failure of a searcher, which may eject it.
+    fn note_failed(&mut self, now: BootTime, sequence: u64, searcher: SearcherId) {
+        let service = self.requests.get(&sequence).and_then(|request| self.services.get(&request.service));
+        let peers = service.map_or(&[][..], |service| &service.peers);
+        self.replicas.failed(now, searcher, peers);
+    }
+
+    fn apply_unknown(
         &mut self,
         now: BootTime,
         sequence: u64,
         attempt: &Attempt,
         cause: MissingCause,
-        may_have_run: bool,
         actions: &mut Vec<RootAction>,
     ) {
+        self.note_failed(now, sequence, attempt.searcher);
         let Some(request) = self.requests.get_mut(&sequence) else {
             return;
         };
-        request.may_have_run |= may_have_run;
-        let peers = self.services.get(&request.service).map_or(&[][..], |service| &service.peers);
-        self.replicas.failed(now, attempt.searcher, peers);
-        let is_action = matches!(request.work, Work::Act(_));
-        if is_action && may_have_run {
+        request.may_have_run = true;
+        if matches!(request.work, Work::Act(_)) {
             // At most once: whoever may have run it is the only one ever asked.
             request.give_up(&attempt.shards, cause);
             return;
