--- a/crates/staircross-cluster/src/agreement.rs
+++ b/crates/staircross-cluster/src/agreement.rs
@@ -359,7 +359,7 @@
                 }
             }
             AgreementMessage::AppendReply { term, matches, last_match, learned } => {
-                self.on_append_reply(now, from, term, matches, last_match, learned, random, actions);
+                self.on_append_reply(now, from, term, matches, last_match, learned, actions);
             }
             AgreementMessage::Install { term, last_term, state, settled } => {
                 if self.follow(now, from, term, random) {
--- a/crates/staircross-cluster/src/agreement/replication.rs
+++ b/crates/staircross-cluster/src/agreement/replication.rs
@@ -2,7 +2,6 @@
 
 use super::{Agreement, AgreementAction, AgreementMessage, CLOCK_DRIFT, LogEntry, Role};
 use crate::config_state::{Change, ChangeBody, ConfigState};
-use rand_chacha::ChaCha8Rng;
 use staircross_types::{BootTime, NodeId};
 
 /// Most entries in one message.
@@ -159,7 +158,6 @@
         matches: bool,
         last_match: u64,
         learned: u64,
-        _random: &mut ChaCha8Rng,
         actions: &mut Vec<AgreementAction>,
     ) {
         if term > self.term {
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -323,7 +323,7 @@
         if self.agreement.is_leader() {
             let mut out = Vec::new();
             self.agreement.propose(now, self.me, change, &mut out);
-            self.do_agreement(now, out, actions);
+            self.do_agreement(out, actions);
             return;
         }
         match self.leader_address() {
@@ -361,7 +361,7 @@
 
         let mut out = Vec::new();
         self.agreement.on_tick(now, &mut self.random, &mut out);
-        self.do_agreement(now, out, actions);
+        self.do_agreement(out, actions);
 
         let others: Vec<(NodeId, SocketAddr)> =
             self.membership.others().map(|member| (member.node, member.peer_address)).collect();
@@ -394,7 +394,7 @@
         self.agreement.propose(now, self.me, change, &mut out);
         // Nobody waits for the answer to the leader's own upkeep.
         out.retain(|action| !matches!(action, AgreementAction::Proposed { .. }));
-        self.do_agreement(now, out, actions);
+        self.do_agreement(out, actions);
     }
 
     fn do_membership(&mut self, out: Vec<MembershipAction>, actions: &mut Vec<ClusterAction>) {
@@ -430,19 +430,19 @@
         }
     }
 
-    fn do_agreement(&mut self, now: BootTime, out: Vec<AgreementAction>, actions: &mut Vec<ClusterAction>) {
+    fn do_agreement(&mut self, out: Vec<AgreementAction>, actions: &mut Vec<ClusterAction>) {
         for action in out {
             match action {
                 AgreementAction::Send { to, address, message } => {
                     self.send(Some(to), address, ClusterMessage::Agreement(message), actions);
                 }
                 AgreementAction::Committed => self.take_committed(actions),
-                AgreementAction::Proposed { to, reply } => self.answer_proposal(now, to, reply, actions),
+                AgreementAction::Proposed { to, reply } => self.answer_proposal(to, reply, actions),
             }
         }
     }
 
-    fn answer_proposal(&mut self, _now: BootTime, to: NodeId, reply: ProposalReply, actions: &mut Vec<ClusterAction>) {
+    fn answer_proposal(&mut self, to: NodeId, reply: ProposalReply, actions: &mut Vec<ClusterAction>) {
         if to == self.me {
             actions.push(ClusterAction::Proposed(reply));
             return;
--- a/crates/staircross-cluster/src/engine/fanout.rs
+++ b/crates/staircross-cluster/src/engine/fanout.rs
@@ -27,7 +27,7 @@
                 let mut out = Vec::new();
                 self.agreement.note_address(from, from_address);
                 self.agreement.on_message(now, from, message, &mut self.random, &mut out);
-                self.do_agreement(now, out, actions);
+                self.do_agreement(out, actions);
             }
             ClusterMessage::Genesis(message) => {
                 let mut out = Vec::new();
@@ -74,7 +74,7 @@
         }
         let mut out = Vec::new();
         self.agreement.propose(now, origin, change, &mut out);
-        self.do_agreement(now, out, actions);
+        self.do_agreement(out, actions);
     }
 
     fn on_replica_message(
--- a/crates/staircross-cluster/src/engine/leasing.rs
+++ b/crates/staircross-cluster/src/engine/leasing.rs
@@ -23,11 +23,11 @@
             LeaseSource::Parent(node, address) => {
                 self.send(Some(node), address, ClusterMessage::Lease(message), actions);
             }
-            LeaseSource::Voters(region) => self.ask_voters(now, &region, message, actions),
+            LeaseSource::Voters(region) => self.ask_voters(&region, message, actions),
         }
     }
 
-    fn ask_voters(&mut self, now: BootTime, region: &str, message: LeaseMessage, actions: &mut Vec<ClusterAction>) {
+    fn ask_voters(&mut self, region: &str, message: LeaseMessage, actions: &mut Vec<ClusterAction>) {
         let mut voters: Vec<(NodeId, SocketAddr)> =
             self.config().voters.in_region(region).map(|(node, voter)| (node, voter.address)).collect();
         // A majority and one to spare are enough, unless the last try brought nothing; others the next time.
@@ -44,7 +44,7 @@
                 continue;
             };
             let grant = self.grant_as_voter(ask, revision);
-            self.take_grant(now, node, grant, actions);
+            self.take_grant(node, grant, actions);
         }
     }
 
@@ -86,7 +86,7 @@
                 };
                 self.send(Some(from), from_address, ClusterMessage::Lease(grant), actions);
             }
-            LeaseMessage::Grant { .. } => self.take_grant(now, from, message, actions),
+            LeaseMessage::Grant { .. } => self.take_grant(from, message, actions),
         }
     }
 
@@ -117,8 +117,8 @@
         }
     }
 
-    fn take_grant(&mut self, now: BootTime, from: NodeId, grant: LeaseMessage, actions: &mut Vec<ClusterAction>) {
-        if self.lease.on_grant(now, from, grant) {
+    fn take_grant(&mut self, from: NodeId, grant: LeaseMessage, actions: &mut Vec<ClusterAction>) {
+        if self.lease.on_grant(from, grant) {
             self.config_changed(actions);
         }
     }
--- a/crates/staircross-cluster/src/lease.rs
+++ b/crates/staircross-cluster/src/lease.rs
@@ -188,7 +188,7 @@
     }
 
     /// Takes a grant; returns whether the configuration changed.
-    pub fn on_grant(&mut self, now: BootTime, from: NodeId, grant: LeaseMessage) -> bool {
+    pub fn on_grant(&mut self, from: NodeId, grant: LeaseMessage) -> bool {
         let LeaseMessage::Grant { ask, revision, word, remaining, update } = grant else {
             return false;
         };
@@ -201,7 +201,7 @@
             LeaseSource::Parent(parent, _) => {
                 let is_current = *parent == from && revision == self.state.revision;
                 if is_current && word == LeaseWord::Lease && !remaining.is_zero() {
-                    self.extend(now, asked_at + remaining);
+                    self.extend(asked_at + remaining);
                 }
             }
             LeaseSource::Voters(region) => {
@@ -212,7 +212,7 @@
                 outstanding.grants.insert(from, revision);
                 let grants = outstanding.grants.clone();
                 if self.is_majority(&region, &grants) {
-                    self.extend(now, asked_at + self.settings.life);
+                    self.extend(asked_at + self.settings.life);
                 }
             }
         }
@@ -229,7 +229,7 @@
         self.state.voters.has_region_majority(region, |node| grants.contains_key(&node))
     }
 
-    fn extend(&mut self, _now: BootTime, until: BootTime) {
+    fn extend(&mut self, until: BootTime) {
         if until > self.expires {
             self.expires = until;
             self.failures = 0;
--- a/crates/staircross-lab/src/lib.rs
+++ b/crates/staircross-lab/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`fuzz`] | stateful fuzz models, as tests and from the command line |
 //! | [`sim`] | a simulated fleet and the oracle |
 //! | [`cluster_sim`] | a simulated fleet of the cluster logic |
+//! | [`timed_queue`] | events by time, for both simulators |
 //! | [`report`] | one line per request, for people or as JSON |
 
 pub mod cluster_sim;
@@ -17,3 +18,4 @@
 pub mod fuzz;
 pub mod report;
 pub mod sim;
+pub mod timed_queue;
--- a/crates/staircross-search/src/root/finish.rs
+++ b/crates/staircross-search/src/root/finish.rs
@@ -95,7 +95,7 @@
         if let Some(service) = self.services.get_mut(&request.service) {
             service.limiter.finish(now, request.troubled || late);
         }
-        self.give_ticket_back(&request, &outcome);
+        self.give_ticket_back(now, &request, &outcome);
         if let (Outcome::Answer(answer), Some(session)) = (&outcome, self.sessions.touch(now, request.session)) {
             session.raise_floor(&request.service, answer.snapshot);
         }
--- a/crates/staircross-search/src/root/reply.rs
+++ b/crates/staircross-search/src/root/reply.rs
@@ -15,7 +15,7 @@
         }
         let sequence = reply.attempt.request.sequence;
         let Some(request) = self.requests.get_mut(&sequence) else {
-            self.note_late_reply(reply);
+            self.note_late_reply(now, reply);
             return;
         };
         let index = (reply.attempt.attempt as usize).wrapping_sub(1);
@@ -218,7 +218,7 @@
     }
 
     /// A reply to a finished request is dropped, but an action's late receipt settles its ticket.
-    fn note_late_reply(&mut self, reply: SubReply) {
+    fn note_late_reply(&mut self, now: BootTime, reply: SubReply) {
         self.counters.late_replies += 1;
         let SubOutcome::Acted(receipt) = reply.outcome else {
             return;
@@ -226,7 +226,7 @@
         let Some(pending) = self.unknown_actions.remove(&reply.attempt) else {
             return;
         };
-        if let Some(session) = self.sessions.touch(BootTime::default(), pending.session) {
+        if let Some(session) = self.sessions.touch(now, pending.session) {
             session.end_ticket(pending.ticket, &Outcome::Acted(receipt));
         }
     }
--- a/crates/staircross-search/src/root/submit.rs
+++ b/crates/staircross-search/src/root/submit.rs
@@ -61,7 +61,7 @@
         let needs = SnapshotNeeds { floor, least_per_mille: least, excluded: &[] };
         let candidate = pick_candidate(&service.candidates, service.current, needs, submission.pinned)?;
         let map = candidate.map.clone();
-        self.use_ticket(&submission)?;
+        self.use_ticket(now, &submission)?;
 
         let shards = ShardLedger::open(&map, page_start(&submission.work));
         let wait = submission.wait.map_or(policy.wait(), |wait| wait.min(policy.wait()));
@@ -93,7 +93,7 @@
         let admitted = self.services.get_mut(&name).is_some_and(|service| service.limiter.try_admit());
         if !admitted && self.settings.limit_admission {
             let outcome = refused(ErrorKind::Overloaded, format!("service {name} has no room for another request"));
-            self.give_ticket_back(&request, &outcome);
+            self.give_ticket_back(now, &request, &outcome);
             return Err(outcome);
         }
         self.requests.insert(submission.request.sequence, request);
@@ -101,12 +101,12 @@
         Ok(())
     }
 
-    fn use_ticket(&mut self, submission: &Submission) -> Result<(), Outcome> {
+    fn use_ticket(&mut self, now: BootTime, submission: &Submission) -> Result<(), Outcome> {
         let Some(ticket) = submission.ticket else {
             return Ok(());
         };
         let node = self.node;
-        let Some(session) = self.sessions.touch(BootTime::default(), submission.session) else {
+        let Some(session) = self.sessions.touch(now, submission.session) else {
             return Err(refused(ErrorKind::UnknownSession, "no session has this token"));
         };
         session.use_ticket(ticket, node).map_err(|refusal| match refusal {
@@ -134,11 +134,11 @@
         }
     }
 
-    pub(super) fn give_ticket_back(&mut self, request: &Request, outcome: &Outcome) {
+    pub(super) fn give_ticket_back(&mut self, now: BootTime, request: &Request, outcome: &Outcome) {
         let Some(ticket) = request.ticket else {
             return;
         };
-        if let Some(session) = self.sessions.touch(request.admitted_at, request.session) {
+        if let Some(session) = self.sessions.touch(now, request.session) {
             session.end_ticket(ticket, outcome);
         }
     }
--- a/crates/staircross-search/src/session.rs
+++ b/crates/staircross-search/src/session.rs
@@ -8,7 +8,10 @@
 use serde::{Deserialize, Serialize};
 use staircross_types::{BootTime, Executed, ServiceName, SessionToken, Snapshot, Ticket};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+/// A session unused for so long may be dropped, but only when a full table needs the room.
+const ABANDONED_AFTER: Duration = Duration::from_secs(3600);
 /// Tickets remembered per session; the oldest used ones are forgotten first.
 const MAX_TICKETS: usize = 256;
 
@@ -105,9 +108,9 @@
         SessionTable { sessions: HashMap::new(), capacity }
     }
 
-    /// Opens a session; `false` when the table is full.
+    /// Opens a session; `false` when the table is full of sessions in use.
     pub fn open(&mut self, now: BootTime, token: SessionToken) -> bool {
-        if self.sessions.len() >= self.capacity {
+        if !self.make_room(now) {
             return false;
         }
         let state = SessionState { floors: BTreeMap::new(), tickets: Vec::new(), last_used: now };
@@ -115,9 +118,23 @@
         true
     }
 
-    /// Takes over a session from a replica; `false` when the table is full.
+    /// Whether there is room for one more, after dropping the longest idle session if it is abandoned.
+    fn make_room(&mut self, now: BootTime) -> bool {
+        if self.sessions.len() < self.capacity {
+            return true;
+        }
+        let oldest = self.sessions.iter().min_by_key(|(token, session)| (session.last_used, **token));
+        let abandoned = oldest.filter(|(_, session)| now.since(session.last_used) >= ABANDONED_AFTER);
+        let Some(token) = abandoned.map(|(token, _)| *token) else {
+            return false;
+        };
+        self.sessions.remove(&token);
+        true
+    }
+
+    /// Takes over a session from a replica; `false` when the table is full of sessions in use.
     pub fn adopt(&mut self, now: BootTime, token: SessionToken, mut state: SessionState) -> bool {
-        if self.sessions.len() >= self.capacity {
+        if !self.make_room(now) {
             return false;
         }
         state.last_used = now;
