--- a/crates/staircross-cluster/src/agreement.rs
+++ b/crates/staircross-cluster/src/agreement.rs
@@ -18,11 +18,12 @@
 use crate::config_state::{Change, ChangeId, ConfigState};
 use crate::message::ProposalReply;
 use crate::quorum::VoterSet;
+use crate::recent_ids::RecentIds;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use staircross_types::{BootTime, NodeId};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -172,9 +173,9 @@
     learned_at: BTreeMap<u64, BootTime>,
     settled: u64,
     /// Changes answered as not taken. A repeated message must not bring one in after all.
-    refused: VecDeque<ChangeId>,
+    refused: RecentIds,
     /// Changes that this node appended as a leader. Whatever became of them, they were taken.
-    taken: VecDeque<ChangeId>,
+    taken: RecentIds,
     is_active: bool,
     is_resigned: bool,
     addresses: HashMap<NodeId, SocketAddr>,
@@ -203,8 +204,8 @@
             waiting: Vec::new(),
             learned_at: BTreeMap::new(),
             settled: 0,
-            refused: VecDeque::new(),
-            taken: VecDeque::new(),
+            refused: RecentIds::default(),
+            taken: RecentIds::default(),
             is_active: false,
             is_resigned: false,
             addresses: HashMap::new(),
--- a/crates/staircross-cluster/src/agreement/proposals.rs
+++ b/crates/staircross-cluster/src/agreement/proposals.rs
@@ -5,9 +5,6 @@
 use crate::message::ProposalReply;
 use staircross_types::{BootTime, NodeId};
 
-/// Refused and taken changes remembered.
-const MAX_REMEMBERED: usize = 1024;
-
 impl Agreement {
     /// Takes a change to be proposed for `from`; every change gets an answer, now or later.
     pub fn propose(&mut self, now: BootTime, from: NodeId, change: Change, actions: &mut Vec<AgreementAction>) {
@@ -23,19 +20,16 @@
             self.waiting.push(Waiting { id, from, index });
             return;
         }
-        if self.index_of(id).is_some() || self.taken.contains(&id) {
+        if self.index_of(id).is_some() || self.taken.contains(id) {
             actions.push(AgreementAction::Proposed { to: from, reply: ProposalReply::Pending { id } });
             return;
         }
-        if self.refused.contains(&id) || !self.may_propose(now) || !self.is_voter_step_allowed(&change) {
-            self.refuse(id);
+        if self.refused.contains(id) || !self.may_propose(now) || !self.is_voter_step_allowed(&change) {
+            self.refused.remember(id);
             actions.push(AgreementAction::Proposed { to: from, reply: ProposalReply::NotTaken { id } });
             return;
         }
-        if self.taken.len() >= MAX_REMEMBERED {
-            self.taken.pop_front();
-        }
-        self.taken.push_back(id);
+        self.taken.remember(id);
         let index = self.append_own(change);
         self.waiting.push(Waiting { id, from, index });
         self.refresh_progress(now);
@@ -80,14 +74,7 @@
 
     /// Whether this node has answered a change as not taken.
     pub fn has_refused(&self, id: ChangeId) -> bool {
-        self.refused.contains(&id)
-    }
-
-    fn refuse(&mut self, id: ChangeId) {
-        if self.refused.len() >= MAX_REMEMBERED {
-            self.refused.pop_front();
-        }
-        self.refused.push_back(id);
+        self.refused.contains(id)
     }
 
     /// What became of a change that is in force everywhere, or was refused when applied.
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -15,6 +15,7 @@
 use crate::membership::{Membership, MembershipAction, MembershipSettings};
 use crate::message::{ClusterMessage, Envelope, ProposalReply};
 use crate::ownership::OwnershipMap;
+use crate::recent_ids::RecentIds;
 use crate::replicas::{ReplicaMessage, ReplicaStore, SessionCopy};
 use crate::views::{SpreadEvidence, ViewAction, ViewRecord, Views};
 use rand::Rng;
@@ -22,7 +23,6 @@
 use rand_chacha::rand_core::SeedableRng;
 use staircross_config::PlatformDocument;
 use staircross_types::{BootTime, NodeId, SearcherId, SessionToken};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,9 +133,8 @@
     ownership_is_stale: bool,
     next_voter_look: BootTime,
     unseen: Option<UnseenDocument>,
-    is_leaving: bool,
     /// Changes that were passed on to a leader. A repeated message must not reach another one.
-    passed_on: VecDeque<ChangeId>,
+    passed_on: RecentIds,
 }
 
 impl ClusterEngine {
@@ -159,8 +158,7 @@
             ownership_is_stale: true,
             next_voter_look: BootTime::default(),
             unseen: None,
-            is_leaving: false,
-            passed_on: VecDeque::new(),
+            passed_on: RecentIds::default(),
         }
     }
 
@@ -293,7 +291,6 @@
     }
 
     fn leave(&mut self, state: MemberState, actions: &mut Vec<ClusterAction>) {
-        self.is_leaving = true;
         self.agreement.resign();
         let mut out = Vec::new();
         self.membership.leave(state, &mut out);
--- a/crates/staircross-cluster/src/engine/fanout.rs
+++ b/crates/staircross-cluster/src/engine/fanout.rs
@@ -7,9 +7,6 @@
 use staircross_types::{BootTime, NodeId, SessionToken};
 use std::net::SocketAddr;
 
-/// Changes passed on that are remembered.
-const MAX_PASSED_ON: usize = 1024;
-
 impl ClusterEngine {
     pub(super) fn on_envelope(&mut self, now: BootTime, envelope: Envelope, actions: &mut Vec<ClusterAction>) {
         // Meant for the run that was at this address before.
@@ -56,7 +53,7 @@
         change: Change,
         actions: &mut Vec<ClusterAction>,
     ) {
-        if self.passed_on.contains(&change.id) {
+        if self.passed_on.contains(change.id) {
             return;
         }
         // What was refused here as not taken must stay so: the refusal has been sent.
@@ -64,10 +61,7 @@
         let leader = self.agreement.leader().filter(|leader| *leader != self.me && !is_passed_on && !is_refused);
         let address = leader.and_then(|leader| self.membership.get(leader)).map(|member| member.peer_address);
         if let Some(address) = address {
-            if self.passed_on.len() >= MAX_PASSED_ON {
-                self.passed_on.pop_front();
-            }
-            self.passed_on.push_back(change.id);
+            self.passed_on.remember(change.id);
             let message = ClusterMessage::Propose { origin, is_passed_on: true, change };
             self.send(leader, address, message, actions);
             return;
--- a/crates/staircross-cluster/src/lib.rs
+++ b/crates/staircross-cluster/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod message;
 pub mod ownership;
 pub mod quorum;
+mod recent_ids;
 pub mod replicas;
 pub mod views;
 
--- a/crates/staircross-lab/src/cluster_sim/fleet.rs
+++ b/crates/staircross-lab/src/cluster_sim/fleet.rs
@@ -44,6 +44,25 @@
     pub kept_entries: usize,
 }
 
+impl FleetSettings {
+    /// A fleet to be measured: a seed per zone, clocks one part in a thousand apart, one message in
+    /// a thousand lost.
+    pub fn measured(nodes: usize, regions: usize, zones: usize) -> Self {
+        FleetSettings {
+            nodes,
+            regions,
+            zones,
+            seeds: zones.min(nodes),
+            drift: 1000,
+            loss_per_mille: 1,
+            repeat_per_mille: 0,
+            measure_bytes: true,
+            services: 4,
+            kept_entries: 128,
+        }
+    }
+}
+
 /// One hollow node.
 pub(crate) struct HollowNode {
     pub engine: ClusterEngine,
--- a/crates/staircross-lab/src/experiment.rs
+++ b/crates/staircross-lab/src/experiment.rs
@@ -6,6 +6,7 @@
 //! | [`overload`] | goodput under twice the capacity, and recovery |
 //! | [`config_spread`] | how fast configuration is in force everywhere, and what control costs |
 //! | [`slopes`], [`http_cost`] | what capacity is planned from |
+//! | [`statistics`] | histograms that they share |
 //! | [`process`] | memory and processor time of this process |
 
 pub mod config_spread;
@@ -13,4 +14,5 @@
 pub mod overload;
 pub mod process;
 pub mod slopes;
+pub mod statistics;
 pub mod tail;
--- a/crates/staircross-search/src/message.rs
+++ b/crates/staircross-search/src/message.rs
@@ -17,6 +17,16 @@
     Act(ActionCommand),
 }
 
+impl Work {
+    /// For a page of a pull, where it starts.
+    pub fn page_start(&self) -> Option<&PagePosition> {
+        match self {
+            Work::Search(query) => query.after.as_ref(),
+            Work::Act(_) => None,
+        }
+    }
+}
+
 /// One sub-request, from a root through a leaf to one searcher.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SubRequest {
--- a/crates/staircross-search/src/request.rs
+++ b/crates/staircross-search/src/request.rs
@@ -84,10 +84,7 @@
 impl Request {
     /// Whether the request is a paged pull.
     pub fn page_start(&self) -> Option<&PagePosition> {
-        match &self.work {
-            Work::Search(query) => query.after.as_ref(),
-            Work::Act(_) => None,
-        }
+        self.work.page_start()
     }
 
     /// Whether `count` shards are enough for an answer.
--- a/crates/staircross-search/src/root.rs
+++ b/crates/staircross-search/src/root.rs
@@ -119,7 +119,7 @@
     pub hedges: u64,
     /// Sub-requests sent as retries.
     pub retries: u64,
-    /// Sub-requests sent another way after a leaf refused without asking the searcher.
+    /// Sub-requests sent another way after an explicit "not run" that wasn't a shed.
     pub reroutes: u64,
     /// Plans thrown away because their snapshot had gone.
     pub replans: u64,
--- a/crates/staircross-search/src/root/finish.rs
+++ b/crates/staircross-search/src/root/finish.rs
@@ -20,12 +20,11 @@
         let Some(request) = self.requests.get(&sequence) else {
             return;
         };
-        let hopeless = !request.is_enough(request.shards.reachable());
         if self.is_out_of_patience(now, request) {
             self.stop_waiting(now, sequence, actions);
             return;
         }
-        if !request.shards.is_settled() && !hopeless {
+        if !request.shards.is_settled() && !self.is_hopeless(sequence) {
             return;
         }
         if self.replan(now, sequence, actions) {
--- a/crates/staircross-search/src/root/plan.rs
+++ b/crates/staircross-search/src/root/plan.rs
@@ -16,7 +16,7 @@
     Hedge,
     /// Another attempt after the one before failed.
     Retry,
-    /// Another way to a searcher after a leaf refused without asking it: no load for back ends.
+    /// Another way after an explicit "not run" that wasn't a shed: nothing runs twice, so no extra load.
     Reroute,
 }
 
@@ -59,7 +59,8 @@
         self.settle(now, sequence, actions);
     }
 
-    fn is_hopeless(&self, sequence: u64) -> bool {
+    /// Whether too few shards are left for an answer.
+    pub(super) fn is_hopeless(&self, sequence: u64) -> bool {
         self.requests.get(&sequence).is_some_and(|request| !request.is_enough(request.shards.reachable()))
     }
 
--- a/crates/staircross-search/src/root/submit.rs
+++ b/crates/staircross-search/src/root/submit.rs
@@ -63,7 +63,7 @@
         let map = candidate.map.clone();
         self.use_ticket(now, &submission)?;
 
-        let shards = ShardLedger::open(&map, page_start(&submission.work));
+        let shards = ShardLedger::open(&map, submission.work.page_start());
         let wait = submission.wait.map_or(policy.wait(), |wait| wait.min(policy.wait()));
         let mut request = Request {
             session: submission.session,
@@ -144,13 +144,6 @@
     }
 }
 
-fn page_start(work: &Work) -> Option<&staircross_types::query::PagePosition> {
-    match work {
-        Work::Search(query) => query.after.as_ref(),
-        Work::Act(_) => None,
-    }
-}
-
 fn check_kind(submission: &Submission, repeatable: bool) -> Result<(), Outcome> {
     let is_action = matches!(submission.work, Work::Act(_));
     if is_action && submission.ticket.is_none() {
