--- a/crates/staircross-cluster/src/member.rs
+++ b/crates/staircross-cluster/src/member.rs
@@ -49,6 +49,17 @@
     /// Raised by the node itself.
     #[serde(rename = "v")]
     pub version: u64,
+    /// Whether callers may be sent to it; a node that knows no configuration yet is alive but not ready.
+    #[serde(rename = "k", default = "ready_by_default", skip_serializing_if = "is_true")]
+    pub is_ready: bool,
+}
+
+fn ready_by_default() -> bool {
+    true
+}
+
+fn is_true(value: &bool) -> bool {
+    *value
 }
 
 impl Member {
--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -200,6 +200,17 @@
         actions.push(MembershipAction::Changed(self.me));
     }
 
+    /// Says whether callers may be sent to this node.
+    pub fn set_ready(&mut self, is_ready: bool, actions: &mut Vec<MembershipAction>) {
+        let Some(own) = self.members.get_mut(&self.me).filter(|own| own.is_ready != is_ready) else {
+            return;
+        };
+        own.is_ready = is_ready;
+        own.version += 1;
+        self.spread(self.me);
+        actions.push(MembershipAction::Changed(self.me));
+    }
+
     /// Tells some members the present news at once, without waiting for the next probe.
     pub fn push_news(&mut self, random: &mut ChaCha8Rng, count: usize, actions: &mut Vec<MembershipAction>) {
         let others: Vec<(NodeId, SocketAddr)> =
--- a/crates/staircross-cluster/tests/agreement.rs
+++ b/crates/staircross-cluster/tests/agreement.rs
@@ -33,6 +33,7 @@
         zone: ZoneName::new(zone),
         state,
         version: 1,
+        is_ready: true,
     }
 }
 
--- /dev/null
+++ b/crates/staircross-gateway/src/clock.rs
@@ -0,0 +1,10 @@
+//! The boot clock.
+
+use rustix::time::{ClockId, clock_gettime};
+use staircross_types::BootTime;
+
+/// Time since this machine booted, including time that it was suspended.
+pub fn now() -> BootTime {
+    let time = clock_gettime(ClockId::Boottime);
+    BootTime(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1000)
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/event_log.rs
@@ -0,0 +1,156 @@
+//! Structured lines on standard output, bounded and never blocking.
+//!
+//! Each line is `event=NAME key=value …`. Lines are collected and written in pieces; when whoever
+//! reads them is slow, lines are dropped and counted, and the count is said as soon as there is room.
+//! Each kind of line has its own rate, so that a flood of one doesn't drown the others.
+
+use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
+use staircross_types::BootTime;
+use std::fmt::Arguments;
+use std::io::Write;
+use std::time::Duration;
+
+/// Bytes kept for a slow reader.
+const MAX_PENDING: usize = 64 * 1024;
+/// Bytes from which a piece is written at once.
+const WRITE_AT: usize = 4 * 1024;
+/// Longest time that a line waits for company.
+const WRITE_AFTER: Duration = Duration::from_millis(500);
+
+/// Kinds of lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineKind {
+    /// Start, stop, reload, dependencies, beliefs: rare and always wanted.
+    Belief,
+    /// Final word on a request.
+    Request,
+    /// A decision within a request that isn't the usual one.
+    Decision,
+    /// What was dropped and why.
+    Drop,
+}
+
+impl LineKind {
+    const ALL: [LineKind; 4] = [LineKind::Belief, LineKind::Request, LineKind::Decision, LineKind::Drop];
+
+    /// Lines a second; as many may come at once.
+    fn rate(self) -> u32 {
+        match self {
+            LineKind::Belief => 400,
+            LineKind::Request => 150,
+            LineKind::Decision => 150,
+            LineKind::Drop => 50,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            LineKind::Belief => "belief",
+            LineKind::Request => "request",
+            LineKind::Decision => "decision",
+            LineKind::Drop => "drop",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Allowance {
+    tokens: u32,
+    refilled_at: BootTime,
+    held_back: u64,
+}
+
+/// Where lines go.
+pub struct EventLog {
+    node: String,
+    pending: Vec<u8>,
+    oldest: Option<BootTime>,
+    allowances: [Allowance; 4],
+    dropped: u64,
+    is_enabled: bool,
+}
+
+impl EventLog {
+    /// A log whose lines name `node`.
+    pub fn new(node: &str, is_enabled: bool) -> Self {
+        make_non_blocking();
+        let full = |kind: LineKind| Allowance { tokens: kind.rate(), refilled_at: BootTime::default(), held_back: 0 };
+        EventLog {
+            node: node.to_owned(),
+            pending: Vec::new(),
+            oldest: None,
+            allowances: LineKind::ALL.map(full),
+            dropped: 0,
+            is_enabled,
+        }
+    }
+
+    /// Adds a line if its kind's rate allows.
+    pub fn line(&mut self, now: BootTime, kind: LineKind, text: Arguments<'_>) {
+        if !self.is_enabled || !self.take_token(now, kind) {
+            return;
+        }
+        self.push(now, text);
+    }
+
+    fn take_token(&mut self, now: BootTime, kind: LineKind) -> bool {
+        let allowance = &mut self.allowances[kind as usize];
+        if now.since(allowance.refilled_at) >= Duration::from_secs(1) {
+            allowance.tokens = kind.rate();
+            allowance.refilled_at = now;
+            let held_back = std::mem::take(&mut allowance.held_back);
+            if held_back > 0 {
+                self.push(now, format_args!("event=lines_held_back kind={} count={held_back}", kind.name()));
+            }
+        }
+        let allowance = &mut self.allowances[kind as usize];
+        if allowance.tokens == 0 {
+            allowance.held_back += 1;
+            return false;
+        }
+        allowance.tokens -= 1;
+        true
+    }
+
+    fn push(&mut self, now: BootTime, text: Arguments<'_>) {
+        if self.pending.len() >= MAX_PENDING {
+            self.dropped += 1;
+            return;
+        }
+        // Writing to a vector can't fail.
+        let _infallible = writeln!(self.pending, "t={:.3} node={} {text}", now.0 as f64 / 1e6, self.node);
+        self.oldest.get_or_insert(now);
+    }
+
+    /// Writes what is due.
+    pub fn on_tick(&mut self, now: BootTime) {
+        let is_due = self.oldest.is_some_and(|oldest| now.since(oldest) >= WRITE_AFTER);
+        if is_due || self.pending.len() >= WRITE_AT {
+            self.flush(now);
+        }
+    }
+
+    /// Writes as much as the reader takes.
+    pub fn flush(&mut self, now: BootTime) {
+        while !self.pending.is_empty() {
+            match rustix::io::write(rustix::stdio::stdout(), &self.pending) {
+                Ok(0) | Err(_) => break,
+                Ok(count) => {
+                    self.pending.drain(..count);
+                }
+            }
+        }
+        self.oldest = if self.pending.is_empty() { None } else { Some(now) };
+        if self.pending.len() < MAX_PENDING / 2 && self.dropped > 0 {
+            let dropped = std::mem::take(&mut self.dropped);
+            self.push(now, format_args!("event=lines_dropped count={dropped} reason=slow_reader"));
+        }
+    }
+}
+
+/// A full pipe must never hold up requests. Where the flag can't be set, output is a file or a terminal.
+fn make_non_blocking() {
+    if let Ok(flags) = fcntl_getfl(rustix::stdio::stdout()) {
+        let _best_effort = fcntl_setfl(rustix::stdio::stdout(), flags | OFlags::NONBLOCK);
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! The runtime for routed requests: one thread, sockets and clocks around the sans-IO engines.
+//!
+//! | module | job |
+//! | --- | --- |
+//! | [`settings`] | a node's settings, checked at load |
+//! | [`dialect`] | what the surroundings call things: header names, paths, store calls |
+//! | [`socket`] | one non-blocking stream with its outgoing bytes |
+//! | [`server`] | connections that requests come in on |
+//! | [`pool`] | connections to searchers |
+//! | [`http_call`] | one outgoing call at a time, to the store or a peer |
+//! | [`outbound`] | what of a request is sent on, and how answers are written |
+//! | [`fleet`] | members, announcements, and which nodes callers are sent to |
+//! | [`node`] | the event loop that carries events and actions between all of these |
+//! | [`event_log`], [`metrics`], [`clock`] | structured lines, counters, the boot clock |
+
+pub mod clock;
+pub mod dialect;
+pub mod event_log;
+pub mod fleet;
+pub mod http_call;
+pub mod metrics;
+pub mod node;
+pub mod outbound;
+pub mod pool;
+pub mod server;
+pub mod settings;
+pub mod socket;
+
+pub use dialect::{Dialect, DirectoryQuery, HeaderNames, RenderedBody};
+pub use node::{GatewayError, GatewayNode};
+pub use settings::GatewaySettings;
--- /dev/null
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -0,0 +1,162 @@
+//! Counters and latency histograms, as Prometheus text.
+
+use hashbrown::HashMap;
+use staircross_routing::engine::RoutingCounters;
+use staircross_types::ErrorKind;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Upper bounds of the answer histogram, in milliseconds.
+const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 75, 100, 150, 250, 500, 1000, 2500, 10_000];
+/// Routes that have a histogram of their own; further ones share one.
+const MAX_ROUTES: usize = 64;
+const OTHER_ROUTES: &str = "other";
+
+#[derive(Clone, Debug, Default)]
+struct RouteHistogram {
+    buckets: [u64; BUCKETS_MS.len()],
+    count: u64,
+    sum_ms: f64,
+}
+
+/// Gauges read when the text is made.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// Connections of callers and others.
+    pub server_connections: usize,
+    /// Connections to searchers.
+    pub searcher_connections: usize,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Revision of the store up to which searchers are known.
+    pub store_revision: u64,
+    /// Whether the store answers.
+    pub store_reachable: bool,
+    /// Live nodes known.
+    pub members: usize,
+    /// Searchers that may be asked.
+    pub searchers: usize,
+    /// Whether the node takes requests.
+    pub ready: bool,
+    /// Connections begun to searchers.
+    pub connects: u64,
+    /// Answers to other requests that were skipped.
+    pub skipped: u64,
+    /// Connections to searchers that broke.
+    pub broken: u64,
+    /// Datagrams to peers.
+    pub datagrams: u64,
+    /// Bytes of datagrams to peers.
+    pub datagram_bytes: u64,
+}
+
+/// All counters of a node.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    routes: HashMap<Arc<str>, RouteHistogram>,
+    refusals: HashMap<ErrorKind, u64>,
+    answers: u64,
+    callers_gone: u64,
+    /// Calls to the store.
+    pub store_calls: u64,
+    /// Questions to the directory.
+    pub directory_questions: u64,
+}
+
+impl Metrics {
+    /// Counts an answer.
+    pub fn answered(&mut self, route: Option<&Arc<str>>, took: Duration) {
+        self.answers += 1;
+        let is_known = route.is_some_and(|name| self.routes.contains_key(name));
+        let name = match route {
+            Some(name) if is_known || self.routes.len() < MAX_ROUTES => name.clone(),
+            _ => Arc::from(OTHER_ROUTES),
+        };
+        let histogram = self.routes.entry(name).or_default();
+        let millis = took.as_secs_f64() * 1000.0;
+        for (bucket, bound) in histogram.buckets.iter_mut().zip(BUCKETS_MS) {
+            if millis <= bound as f64 {
+                *bucket += 1;
+            }
+        }
+        histogram.count += 1;
+        histogram.sum_ms += millis;
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&mut self, kind: ErrorKind) {
+        *self.refusals.entry(kind).or_default() += 1;
+    }
+
+    /// Counts a caller that left.
+    pub fn caller_gone(&mut self) {
+        self.callers_gone += 1;
+    }
+
+    /// All metrics as text.
+    pub fn render(&self, counters: RoutingCounters, gauges: Gauges) -> String {
+        let mut text = String::with_capacity(4096);
+        let mut line = |name: &str, kind: &str, value: u64| {
+            // Writing to a string can't fail.
+            let _infallible = writeln!(text, "# TYPE staircross_{name} {kind}\nstaircross_{name} {value}");
+        };
+        line("answers_total", "counter", self.answers);
+        line("callers_gone_total", "counter", self.callers_gone);
+        line("attempts_first_total", "counter", counters.firsts);
+        line("attempts_hedge_total", "counter", counters.hedges);
+        line("attempts_retry_total", "counter", counters.retries);
+        line("attempts_reroute_total", "counter", counters.reroutes);
+        line("attempts_over_budget_total", "counter", counters.over_budget);
+        line("answers_partial_total", "counter", counters.partial_answers);
+        line("searcher_connects_total", "counter", gauges.connects);
+        line("searcher_answers_skipped_total", "counter", gauges.skipped);
+        line("searcher_connections_broken_total", "counter", gauges.broken);
+        line("store_calls_total", "counter", self.store_calls);
+        line("peer_datagrams_total", "counter", gauges.datagrams);
+        line("peer_datagram_bytes_total", "counter", gauges.datagram_bytes);
+        line("directory_questions_total", "counter", self.directory_questions);
+        line("requests_in_flight", "gauge", gauges.in_flight as u64);
+        line("server_connections", "gauge", gauges.server_connections as u64);
+        line("searcher_connections", "gauge", gauges.searcher_connections as u64);
+        line("config_version", "gauge", gauges.config_version);
+        line("store_revision", "gauge", gauges.store_revision);
+        line("store_reachable", "gauge", u64::from(gauges.store_reachable));
+        line("members", "gauge", gauges.members as u64);
+        line("searchers", "gauge", gauges.searchers as u64);
+        line("ready", "gauge", u64::from(gauges.ready));
+        self.render_refusals(&mut text);
+        self.render_histograms(&mut text);
+        text
+    }
+
+    fn render_refusals(&self, text: &mut String) {
+        text.push_str("# TYPE staircross_refusals_total counter\n");
+        for (kind, count) in &self.refusals {
+            let _infallible = writeln!(text, "staircross_refusals_total{{kind=\"{kind}\"}} {count}");
+        }
+    }
+
+    fn render_histograms(&self, text: &mut String) {
+        text.push_str("# TYPE staircross_answer_seconds histogram\n");
+        for (route, histogram) in &self.routes {
+            for (count, bound) in histogram.buckets.iter().zip(BUCKETS_MS) {
+                let seconds = bound as f64 / 1000.0;
+                let _infallible = writeln!(
+                    text,
+                    "staircross_answer_seconds_bucket{{route=\"{route}\",le=\"{seconds}\"}} {count}"
+                );
+            }
+            let count = histogram.count;
+            let sum = histogram.sum_ms / 1000.0;
+            let _infallible = write!(
+                text,
+                "staircross_answer_seconds_bucket{{route=\"{route}\",le=\"+Inf\"}} {count}\n\
+                 staircross_answer_seconds_sum{{route=\"{route}\"}} {sum}\n\
+                 staircross_answer_seconds_count{{route=\"{route}\"}} {count}\n"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/node.rs
@@ -0,0 +1,348 @@
+//! The event loop that carries events and actions between sockets and engines.
+//!
+//! One thread, one poll. In each turn, what the store and peers say is taken in before answers of
+//! searchers, and these before new requests: a process that wakes late learns first what has changed.
+
+mod endpoints;
+mod knowledge;
+mod requests;
+mod stop;
+
+use crate::clock;
+use crate::dialect::Dialect;
+use crate::event_log::{EventLog, LineKind};
+use crate::fleet::{Fleet, FleetIdentity};
+use crate::http_call::HttpCaller;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::server::{Endpoint, Server, ServerTimes};
+use crate::settings::{GatewaySettings, SettingsError};
+use crate::socket::{IoContext, READ_CHUNK, SocketId};
+use hashbrown::HashMap;
+use mio::event::Event;
+use mio::net::UdpSocket;
+use mio::{Events, Interest, Poll};
+use quick_error::quick_error;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use requests::CallerRequest;
+use staircross_http::ServerLimits;
+use staircross_routing::engine::{RoutingEngine, RoutingEvent, RoutingSettings};
+use staircross_routing::store_reader::{ReaderSettings, StoreCall, StoreReader};
+use staircross_routing::window::ExtraBound;
+use staircross_routing::{Mirror, RequestKey};
+use staircross_types::{BootTime, NodeId};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use stop::StopState;
+
+/// Kinds of tokens.
+const LISTENERS: u8 = 1;
+const SERVER: u8 = 2;
+const POOL: u8 = 3;
+const STORE: u8 = 4;
+const PEER: u8 = 5;
+const DATAGRAMS: u8 = 6;
+
+/// Events taken from the poll at once.
+const EVENTS: usize = 256;
+/// Time between looks at what has no exact time of its own.
+const TICK: Duration = Duration::from_millis(50);
+/// Longest answer of a searcher, in bytes.
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
+
+quick_error! {
+    /// Why a gateway node can't start.
+    #[derive(Debug)]
+    pub enum GatewayError {
+        /// A setting is invalid.
+        Settings(error: SettingsError) {
+            from()
+            display("{error}")
+        }
+        /// An address can't be listened on, or the system lacks something.
+        Io { what: String, error: io::Error } {
+            display("{what}: {error}")
+        }
+    }
+}
+
+fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> GatewayError {
+    let what = what.into();
+    move |error| GatewayError::Io { what, error }
+}
+
+/// Where settings are read again from when they change.
+pub type SettingsSource = Box<dyn FnMut() -> Result<GatewaySettings, SettingsError>>;
+
+/// What the outside asks of a running node.
+#[derive(Clone, Debug, Default)]
+pub struct Signals {
+    /// Stop as planned.
+    pub stop: Arc<AtomicBool>,
+    /// Read the settings again.
+    pub reload: Arc<AtomicBool>,
+}
+
+/// A node.
+pub struct GatewayNode<D: Dialect> {
+    dialect: D,
+    settings: GatewaySettings,
+    signals: Signals,
+    reload_source: SettingsSource,
+    poll: Poll,
+    buffer: Box<[u8; READ_CHUNK]>,
+    now: BootTime,
+    server: Server,
+    pool: Pool,
+    fleet: Fleet,
+    store: [HttpCaller; 2],
+    store_calls: [Option<StoreCall>; 2],
+    peer: HttpCaller,
+    reader: StoreReader,
+    mirror: Mirror,
+    engine: RoutingEngine,
+    callers: HashMap<RequestKey, CallerRequest>,
+    by_connection: HashMap<SocketId, RequestKey>,
+    next_request: u64,
+    next_tick: BootTime,
+    last_turn: BootTime,
+    is_ready: bool,
+    stop: Option<StopState>,
+    log: EventLog,
+    metrics: Metrics,
+    random: ChaCha8Rng,
+}
+
+impl<D: Dialect> GatewayNode<D> {
+    /// Binds all addresses. `signals` and `reload_source` are asked while the node runs.
+    pub fn start(
+        settings: GatewaySettings,
+        dialect: D,
+        signals: Signals,
+        reload_source: SettingsSource,
+    ) -> Result<Self, GatewayError> {
+        settings.check()?;
+        let now = clock::now();
+        let poll = Poll::new().map_err(io_error("poll"))?;
+        let mut server = Server::new(LISTENERS, SERVER, settings.caller_connections());
+        for (endpoint, name, address) in listeners(&settings) {
+            server.listen(endpoint, address, poll.registry()).map_err(io_error(format!("{name} {address}")))?;
+        }
+        let peers = settings.listen.peers;
+        let mut socket = UdpSocket::bind(peers).map_err(io_error(format!("listen.peers {peers} (datagrams)")))?;
+        let id = SocketId { kind: DATAGRAMS, generation: 0, slot: 0 };
+        poll.registry().register(&mut socket, id.token(), Interest::READABLE).map_err(io_error("datagrams"))?;
+        let node = NodeId(rand::rng().random());
+        let identity = FleetIdentity {
+            node,
+            peers,
+            callers: settings.listen.callers,
+            region: settings.node.region.clone(),
+            zone: settings.node.zone.clone(),
+        };
+        let store = settings.store.address;
+        let mut log = EventLog::new(&settings.node.name, settings.node.log);
+        log.line(
+            now,
+            LineKind::Belief,
+            format_args!(
+                "event=start run={node} zone={} callers={} peers={peers} store={store}",
+                settings.node.zone, settings.listen.callers
+            ),
+        );
+        Ok(GatewayNode {
+            pool: Pool::new(POOL, *dialect.headers(), MAX_ANSWER),
+            fleet: Fleet::new(identity, settings.node.seeds.clone(), socket, now),
+            store: [HttpCaller::new(STORE, 0, store), HttpCaller::new(STORE, 1, store)],
+            store_calls: [None, None],
+            peer: HttpCaller::new(PEER, 0, peers),
+            reader: StoreReader::new(ReaderSettings::default()),
+            mirror: Mirror::default(),
+            engine: RoutingEngine::new(routing_settings(&settings)),
+            callers: HashMap::new(),
+            by_connection: HashMap::new(),
+            next_request: 1,
+            next_tick: now,
+            last_turn: now,
+            is_ready: false,
+            stop: None,
+            metrics: Metrics::default(),
+            random: ChaCha8Rng::seed_from_u64(rand::rng().random()),
+            buffer: Box::new([0; READ_CHUNK]),
+            log,
+            now,
+            server,
+            poll,
+            dialect,
+            signals,
+            reload_source,
+            settings,
+        })
+    }
+
+    /// Runs until a planned stop is done.
+    pub fn run(mut self) -> Result<(), GatewayError> {
+        let mut events = Events::with_capacity(EVENTS);
+        while !self.is_stopped() {
+            match self.poll.poll(&mut events, Some(self.time_to_wait())) {
+                Ok(()) => {}
+                // A signal; whatever it asks for is looked at below.
+                Err(error) if error.kind() == ErrorKind::Interrupted => events.clear(),
+                Err(error) => return Err(io_error("poll")(error)),
+            }
+            self.now = clock::now();
+            self.note_pause();
+            self.take_signals();
+            for kinds in [&[STORE, PEER, DATAGRAMS][..], &[POOL][..], &[LISTENERS, SERVER][..]] {
+                for event in &events {
+                    let id = SocketId::from_token(event.token());
+                    if kinds.contains(&id.kind) {
+                        self.on_socket(id, event);
+                    }
+                }
+            }
+            self.on_time();
+        }
+        self.log.line(self.now, LineKind::Belief, format_args!("event=stopped in_flight={}", self.engine.in_flight()));
+        self.log.flush(self.now);
+        Ok(())
+    }
+
+    fn time_to_wait(&self) -> Duration {
+        let wakes = [self.engine.next_wake(), self.reader.next_wake(), self.store[0].next_wake()];
+        let more = [self.store[1].next_wake(), self.peer.next_wake(), Some(self.next_tick)];
+        let due = wakes.into_iter().chain(more).flatten().min();
+        let now = clock::now();
+        due.map_or(TICK, |due| now.until(due))
+    }
+
+    /// A gap between turns says that the process, not the others, stood still.
+    fn note_pause(&mut self) {
+        let gap = self.now.since(self.last_turn);
+        if gap >= Duration::from_millis(1000) {
+            self.log.line(self.now, LineKind::Belief, format_args!("event=woke_late gap_ms={}", gap.as_millis()));
+        }
+        self.last_turn = self.now;
+    }
+
+    fn on_socket(&mut self, id: SocketId, event: &Event) {
+        match id.kind {
+            LISTENERS => self.server.on_acceptable(self.now, id, self.poll.registry()),
+            SERVER => self.on_server_socket(id, event.is_writable()),
+            POOL => self.on_pool_socket(id, event.is_writable()),
+            STORE => self.on_store_socket(id, event.is_writable()),
+            PEER => self.on_peer_socket(id, event.is_writable()),
+            DATAGRAMS => self.on_datagrams(),
+            _ => {}
+        }
+    }
+
+    fn on_time(&mut self) {
+        self.now = clock::now();
+        self.engine_event(RoutingEvent::Tick);
+        self.on_store_time();
+        if self.now >= self.next_tick {
+            self.next_tick = self.now + TICK;
+            self.on_coarse_tick();
+        }
+    }
+
+    fn on_coarse_tick(&mut self) {
+        self.sweep_server();
+        self.sweep_pool();
+        self.on_fleet_tick();
+        self.ask_better_informed();
+        self.update_readiness();
+        self.on_stop_tick();
+        self.log.on_tick(self.now);
+    }
+
+    /// Sockets' context for one call.
+    fn io<'a>(
+        now: BootTime,
+        poll: &'a Poll,
+        buffer: &'a mut [u8; READ_CHUNK],
+        engine: &RoutingEngine,
+    ) -> IoContext<'a> {
+        let limits = engine.table().map(|table| table.definition().limits.clone()).unwrap_or_default();
+        let limits = ServerLimits { head_bytes: limits.head_bytes, body_bytes: limits.body_bytes };
+        IoContext { now, registry: poll.registry(), buffer, limits }
+    }
+
+    fn server_times(&self) -> ServerTimes {
+        let limits = self.engine.table().map(|table| table.definition().limits.clone()).unwrap_or_default();
+        ServerTimes {
+            head: Duration::from_millis(limits.head_timeout_ms),
+            idle: Duration::from_millis(limits.idle_timeout_ms),
+        }
+    }
+
+    fn take_signals(&mut self) {
+        if self.signals.stop.swap(false, Ordering::AcqRel) {
+            self.begin_stop();
+        }
+        if self.signals.reload.swap(false, Ordering::AcqRel) {
+            self.reload();
+        }
+    }
+
+    /// Takes changed settings; bad ones are refused and everything stays as it is.
+    fn reload(&mut self) {
+        match (self.reload_source)() {
+            Ok(settings) => {
+                let is_same_place = settings.listen == self.settings.listen && settings.node.zone == self.settings.node.zone;
+                self.log.line(
+                    self.now,
+                    LineKind::Belief,
+                    format_args!("event=reload outcome=taken addresses_kept={is_same_place}"),
+                );
+                // Addresses that are in use can't be moved without cutting somebody off.
+                let settings = GatewaySettings { listen: self.settings.listen.clone(), ..settings };
+                self.engine.set_extra_bound(extra_bound(&settings));
+                for caller in &mut self.store {
+                    caller.set_address(settings.store.address);
+                }
+                self.settings = settings;
+            }
+            Err(error) => {
+                self.log.line(self.now, LineKind::Belief, format_args!("event=reload outcome=refused reason={error:?}"));
+            }
+        }
+    }
+}
+
+fn listeners(settings: &GatewaySettings) -> Vec<(Endpoint, &'static str, SocketAddr)> {
+    let listen = &settings.listen;
+    let mut all = vec![
+        (Endpoint::Callers, "listen.callers", listen.callers),
+        (Endpoint::Readiness, "listen.readiness", listen.readiness),
+        (Endpoint::Directory, "listen.directory", listen.directory),
+        (Endpoint::Peers, "listen.peers", listen.peers),
+    ];
+    all.extend(listen.metrics.map(|address| (Endpoint::Metrics, "listen.metrics", address)));
+    all
+}
+
+fn extra_bound(settings: &GatewaySettings) -> ExtraBound {
+    ExtraBound {
+        ratio: settings.bounds.extra_ratio,
+        window: Duration::from_secs_f64(settings.bounds.extra_window_s),
+        slack: settings.bounds.extra_slack,
+    }
+}
+
+fn routing_settings(settings: &GatewaySettings) -> RoutingSettings {
+    let regions = settings.zones.iter();
+    RoutingSettings {
+        extra: extra_bound(settings),
+        zone: Arc::from(settings.node.zone.as_str()),
+        regions: regions.map(|(zone, region)| (Arc::from(zone.as_str()), Arc::from(region.as_str()))).collect(),
+        max_requests: settings.max_requests(),
+        seed: rand::rng().random(),
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -0,0 +1,111 @@
+//! The node's own endpoints: readiness, directory, peers, metrics.
+
+use super::GatewayNode;
+use super::knowledge::CHANGES_TARGET;
+use crate::dialect::Dialect;
+use crate::event_log::LineKind;
+use crate::metrics::Gauges;
+use crate::outbound::AnswerContext;
+use crate::server::Endpoint;
+use crate::socket::SocketId;
+use staircross_http::Request;
+use staircross_wire::frame::encode;
+use std::time::Duration;
+
+/// How long callers may keep an answer of the directory. Short, so that callers leave a dead node soon.
+const DIRECTORY_TTL: Duration = Duration::from_millis(1000);
+
+impl<D: Dialect> GatewayNode<D> {
+    pub(super) fn on_own_endpoint(&mut self, connection: SocketId, endpoint: Endpoint, request: &Request) {
+        let closes = !request.head.keeps_alive();
+        let context = AnswerContext {
+            names: self.dialect.headers(),
+            id: None,
+            closes,
+            is_head: request.head.method == "HEAD",
+        };
+        let answer = match endpoint {
+            Endpoint::Readiness => self.readiness(&context, request),
+            Endpoint::Directory => self.directory(request),
+            Endpoint::Peers => self.changes(&context, request),
+            Endpoint::Metrics => context.plain(200, "text/plain; version=0.0.4", self.render_metrics().as_bytes()),
+            Endpoint::Callers => context.plain(404, "text/plain", b""),
+        };
+        self.respond(connection, answer, closes);
+    }
+
+    fn readiness(&self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
+        if request.head.path() != self.dialect.readiness_path() {
+            return context.plain(404, "text/plain", b"");
+        }
+        let status = if self.is_ready && self.stop.is_none() { 200 } else { 503 };
+        context.plain(status, "text/plain", b"")
+    }
+
+    fn directory(&mut self, request: &Request) -> Vec<u8> {
+        let closes = !request.head.keeps_alive();
+        let Some(query) = self.dialect.directory_query(&request.head.target) else {
+            let context = AnswerContext { names: self.dialect.headers(), id: None, closes, is_head: false };
+            return context.plain(404, "text/plain", b"");
+        };
+        self.metrics.directory_questions += 1;
+        let addresses = self.fleet.addresses_for(&query);
+        let context = AnswerContext { names: self.dialect.headers(), id: None, closes, is_head: false };
+        if addresses.is_empty() {
+            return context.plain(503, "text/plain", b"no node is ready\n");
+        }
+        let body = self.dialect.directory_answer(&addresses, self.directory_ttl());
+        context.plain(200, body.content_type, &body.bytes)
+    }
+
+    pub(super) fn directory_ttl(&self) -> Duration {
+        DIRECTORY_TTL.min(Duration::from_secs_f64(self.settings.bounds.directory_ttl_s))
+    }
+
+    /// Tells a peer what changed after the revision that it knows.
+    fn changes(&self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
+        let revision = request.head.target.strip_prefix(CHANGES_TARGET).and_then(|text| text.parse::<u64>().ok());
+        let Some(revision) = revision else {
+            return context.plain(404, "text/plain", b"");
+        };
+        match encode(&self.mirror.changes_after(revision)) {
+            Ok(body) => context.plain(200, "application/cbor", &body),
+            Err(error) => context.plain(500, "text/plain", error.to_string().as_bytes()),
+        }
+    }
+
+    fn render_metrics(&self) -> String {
+        let gauges = Gauges {
+            in_flight: self.engine.in_flight(),
+            server_connections: self.server.connection_count(),
+            searcher_connections: self.pool.connection_count(),
+            config_version: self.mirror.version(),
+            store_revision: self.mirror.newest_revision(),
+            store_reachable: self.reader.is_reachable(),
+            members: self.fleet.live_count(),
+            searchers: self.engine.serving_searchers(),
+            ready: self.is_ready,
+            connects: self.pool.counters.connects,
+            skipped: self.pool.counters.skipped,
+            broken: self.pool.counters.broken,
+            datagrams: self.fleet.counters.datagrams,
+            datagram_bytes: self.fleet.counters.bytes,
+        };
+        self.metrics.render(self.engine.counters, gauges)
+    }
+
+    /// Ready when there is something to serve by.
+    pub(super) fn update_readiness(&mut self) {
+        let knows_enough = self.engine.table().is_some() && self.mirror.searchers().next().is_some();
+        let is_ready = knows_enough && self.stop.is_none();
+        if is_ready == self.is_ready {
+            return;
+        }
+        self.is_ready = is_ready;
+        let line = format_args!("event=ready ready={is_ready} version={}", self.mirror.version());
+        self.log.line(self.now, LineKind::Belief, line);
+        let mut events = Vec::new();
+        self.fleet.set_ready(is_ready, &mut events);
+        self.take_fleet_events(events);
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -0,0 +1,208 @@
+//! What the node knows: store, peers, members.
+
+use super::GatewayNode;
+use crate::dialect::Dialect;
+use crate::event_log::LineKind;
+use crate::fleet::{Announcement, FleetEvent};
+use crate::http_call::CallOutcome;
+use crate::socket::SocketId;
+use staircross_routing::engine::RoutingEvent;
+use staircross_routing::store_reader::{Lane, ReaderAction, StoreReply};
+use staircross_routing::{MirrorUpdate, RouteTable};
+use staircross_wire::frame::decode;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest wait for a peer's answer.
+const PEER_PATIENCE: Duration = Duration::from_millis(900);
+/// Target at which peers are asked for what changed after a revision.
+pub(super) const CHANGES_TARGET: &str = "/changes?after=";
+
+impl<D: Dialect> GatewayNode<D> {
+    pub(super) fn on_store_time(&mut self) {
+        for (index, lane) in Lane::ALL.into_iter().enumerate() {
+            if let Some(outcome) = self.store[index].on_tick(self.now) {
+                self.on_store_outcome(lane, outcome);
+            }
+        }
+        if let Some(outcome) = self.peer.on_tick(self.now) {
+            self.on_peer_outcome(outcome);
+        }
+        let mut actions = Vec::new();
+        self.reader.on_tick(self.now, &mut actions);
+        self.take_reader_actions(actions);
+    }
+
+    fn take_reader_actions(&mut self, actions: Vec<ReaderAction>) {
+        for action in actions {
+            match action {
+                ReaderAction::Call { lane, call, patience } => {
+                    let index = lane as usize;
+                    let target = self.dialect.store_target(&call);
+                    self.store_calls[index] = Some(call);
+                    self.metrics.store_calls += 1;
+                    let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+                    if let Some(outcome) = self.store[index].get(&target, patience, &mut io) {
+                        self.on_store_outcome(lane, outcome);
+                    }
+                }
+                ReaderAction::Learned { lane, update } => self.learn(update, lane.name()),
+                ReaderAction::Reachable { lane, is_reachable } => self.log.line(
+                    self.now,
+                    LineKind::Belief,
+                    format_args!("event=store lane={} reachable={is_reachable}", lane.name()),
+                ),
+            }
+        }
+    }
+
+    pub(super) fn on_store_socket(&mut self, id: SocketId, is_writable: bool) {
+        let index = id.slot as usize;
+        let lane = Lane::ALL[index];
+        let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+        if let Some(outcome) = self.store[index].on_ready(id, is_writable, &mut io) {
+            self.on_store_outcome(lane, outcome);
+        }
+    }
+
+    fn on_store_outcome(&mut self, lane: Lane, outcome: CallOutcome) {
+        let call = self.store_calls[lane as usize].take();
+        let reply = match (outcome, &call) {
+            (CallOutcome::Answered(answer), Some(call)) => {
+                Some(self.dialect.store_reply(call, answer.head.status, &answer.body))
+            }
+            _ => None,
+        };
+        let mut actions = Vec::new();
+        match reply {
+            Some(reply) => {
+                if let StoreReply::Refused { status } = reply {
+                    let line = format_args!("event=store_refused lane={} status={status}", lane.name());
+                    self.log.line(self.now, LineKind::Drop, line);
+                }
+                self.reader.on_reply(self.now, lane, reply, &mut self.random, &mut actions);
+            }
+            None => self.reader.on_failed(self.now, lane, &mut self.random, &mut actions),
+        }
+        self.take_reader_actions(actions);
+    }
+
+    /// Merges what was learned and puts news in force at once.
+    fn learn(&mut self, update: MirrorUpdate, source: &str) {
+        let changes = self.mirror.merge(update);
+        if let Some(definition) = changes.configuration {
+            self.log.line(
+                self.now,
+                LineKind::Belief,
+                format_args!(
+                    "event=configuration version={} routes={} services={} source={source}",
+                    definition.version,
+                    definition.routes.len(),
+                    definition.services.len()
+                ),
+            );
+            self.engine_event(RoutingEvent::Configuration(Arc::new(RouteTable::new(definition))));
+        }
+        for entry in &changes.searchers {
+            self.log.line(
+                self.now,
+                LineKind::Belief,
+                format_args!(
+                    "event=searcher instance={} service={} address={} draining={} cold_ms={} source={source}",
+                    entry.instance, entry.service, entry.address, entry.is_draining, entry.cold_ms
+                ),
+            );
+        }
+        for instance in &changes.gone {
+            let line = format_args!("event=searcher_gone instance={instance} source={source}");
+            self.log.line(self.now, LineKind::Belief, line);
+        }
+        if !changes.searchers.is_empty() {
+            self.engine_event(RoutingEvent::Searchers(changes.searchers));
+        }
+        if !changes.gone.is_empty() {
+            self.engine_event(RoutingEvent::SearchersGone(changes.gone));
+        }
+        let own = Announcement { version: self.mirror.version(), revision: self.mirror.newest_revision() };
+        self.fleet.set_announcement(own);
+    }
+
+    pub(super) fn on_datagrams(&mut self) {
+        let mut events = Vec::new();
+        self.fleet.on_readable(self.now, &mut events);
+        self.take_fleet_events(events);
+    }
+
+    pub(super) fn on_fleet_tick(&mut self) {
+        let mut events = Vec::new();
+        self.fleet.on_tick(self.now, &mut events);
+        self.take_fleet_events(events);
+    }
+
+    pub(super) fn take_fleet_events(&mut self, events: Vec<FleetEvent>) {
+        if events.is_empty() {
+            return;
+        }
+        for FleetEvent::Member { member } in &events {
+            self.log.line(
+                self.now,
+                LineKind::Belief,
+                format_args!(
+                    "event=member run={} address={} zone={} state={:?} ready={} record={}",
+                    member.node,
+                    member.caller_address,
+                    member.zone,
+                    member.state,
+                    member.is_ready,
+                    member.version
+                ),
+            );
+        }
+        let (nodes_by_zone, fleet) = self.fleet.sizes();
+        self.engine_event(RoutingEvent::Fleet { nodes_by_zone, fleet });
+    }
+
+    /// A node that the store doesn't serve takes what it lacks from a peer.
+    pub(super) fn ask_better_informed(&mut self) {
+        if self.peer.is_calling() {
+            return;
+        }
+        let Some(address) = self.fleet.better_informed(self.now) else {
+            return;
+        };
+        self.fleet.note_asked(self.now);
+        self.peer.set_address(address);
+        let target = format!("{CHANGES_TARGET}{}", self.mirror.newest_revision());
+        let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+        if let Some(outcome) = self.peer.get(&target, PEER_PATIENCE, &mut io) {
+            self.on_peer_outcome(outcome);
+        }
+    }
+
+    pub(super) fn on_peer_socket(&mut self, id: SocketId, is_writable: bool) {
+        let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+        if let Some(outcome) = self.peer.on_ready(id, is_writable, &mut io) {
+            self.on_peer_outcome(outcome);
+        }
+    }
+
+    fn on_peer_outcome(&mut self, outcome: CallOutcome) {
+        let peer = self.peer.address();
+        let update = match &outcome {
+            CallOutcome::Answered(answer) if answer.head.status == 200 => decode::<MirrorUpdate>(&answer.body).ok(),
+            CallOutcome::Answered(_) | CallOutcome::Failed => None,
+        };
+        let is_understood = update.is_some();
+        self.log.line(
+            self.now,
+            LineKind::Belief,
+            format_args!("event=asked_peer peer={peer} understood={is_understood}"),
+        );
+        let Some(update) = update else {
+            return;
+        };
+        self.learn(update, "peer");
+        self.reader.on_told(Lane::Configuration, self.mirror.configuration_revision());
+        self.reader.on_told(Lane::Searchers, self.mirror.newest_revision());
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -0,0 +1,304 @@
+//! Callers' requests: from their connection through the engine to searchers and back.
+
+use super::GatewayNode;
+use crate::dialect::Dialect;
+use crate::event_log::LineKind;
+use crate::outbound::{AnswerContext, OutboundRequest};
+use crate::pool::PoolEvent;
+use crate::server::{Endpoint, ServerEvent};
+use crate::socket::SocketId;
+use staircross_http::{Request, ServerFault};
+use staircross_routing::engine::{RoutingAction, RoutingEvent, SendOrder, SendReason};
+use staircross_routing::{Arrival, AttemptOutcome, RequestKey, Verdict};
+use staircross_types::{BootTime, ErrorKind};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A request whose caller waits.
+pub(super) struct CallerRequest {
+    connection: SocketId,
+    outbound: OutboundRequest,
+    route: Option<Arc<str>>,
+    version: u64,
+    arrived: BootTime,
+    keeps_alive: bool,
+    /// Attempts besides the first of each shard.
+    extras: u32,
+}
+
+impl<D: Dialect> GatewayNode<D> {
+    pub(super) fn on_server_socket(&mut self, id: SocketId, is_writable: bool) {
+        let mut events = Vec::new();
+        let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+        self.server.on_ready(id, is_writable, &mut io, &mut events);
+        self.take_server_events(events);
+    }
+
+    pub(super) fn sweep_server(&mut self) {
+        let mut events = Vec::new();
+        let times = self.server_times();
+        self.server.sweep(self.now, times, &mut events);
+        self.take_server_events(events);
+    }
+
+    fn take_server_events(&mut self, events: Vec<ServerEvent>) {
+        for event in events {
+            match event {
+                ServerEvent::Request { connection, endpoint: Endpoint::Callers, request } => {
+                    self.on_request(connection, *request);
+                }
+                ServerEvent::Request { connection, endpoint, request } => {
+                    self.on_own_endpoint(connection, endpoint, &request);
+                }
+                ServerEvent::Fault { connection, fault } => self.on_fault(connection, fault),
+                ServerEvent::Late { connection } => self.refuse_connection(connection, ErrorKind::CallerTooSlow),
+                ServerEvent::Gone { connection } => self.on_caller_gone(connection),
+            }
+        }
+    }
+
+    fn on_request(&mut self, connection: SocketId, request: Request) {
+        let names = self.dialect.headers();
+        let outbound = OutboundRequest::new(&request, names);
+        if outbound.id.is_none() {
+            return self.refuse_connection(connection, ErrorKind::BadRequest);
+        }
+        let key = RequestKey(self.next_request);
+        self.next_request += 1;
+        let head = &request.head;
+        let patience = head.headers.text(names.deadline_ms).and_then(|text| text.parse::<u64>().ok());
+        let arrival = Arrival {
+            key,
+            host: head.headers.text("host").unwrap_or_default().to_owned(),
+            path: head.path().to_owned(),
+            patience: patience.map(Duration::from_millis),
+        };
+        let table = self.engine.table();
+        let route = table.and_then(|table| {
+            let index = table.find_index(&arrival.host, &arrival.path)?;
+            Some(table.definition().routes[index].name.clone())
+        });
+        let version = table.map_or(0, |table| table.version());
+        let keeps_alive = head.keeps_alive();
+        let pending = CallerRequest { connection, outbound, route, version, arrived: self.now, keeps_alive, extras: 0 };
+        self.callers.insert(key, pending);
+        self.by_connection.insert(connection, key);
+        self.engine_event(RoutingEvent::Arrived(arrival));
+    }
+
+    fn on_caller_gone(&mut self, connection: SocketId) {
+        let Some(key) = self.by_connection.remove(&connection) else {
+            return;
+        };
+        self.metrics.caller_gone();
+        if let Some(pending) = self.callers.remove(&key) {
+            let took = self.now.since(pending.arrived).as_millis();
+            self.log.line(
+                self.now,
+                LineKind::Request,
+                format_args!(
+                    "event=caller_gone request={} route={} version={} ms={took}",
+                    pending.id(),
+                    pending.route_name(),
+                    pending.version
+                ),
+            );
+        }
+        self.engine_event(RoutingEvent::CallerGone(key));
+    }
+
+    fn on_fault(&mut self, connection: SocketId, fault: ServerFault) {
+        let kind = match fault {
+            ServerFault::BadRequest => ErrorKind::BadRequest,
+            ServerFault::BodyTooLong => ErrorKind::TooLarge,
+            ServerFault::HeadTooLong => ErrorKind::HeadTooLarge,
+        };
+        self.refuse_connection(connection, kind);
+    }
+
+    /// Refuses what never became a request, and ends the connection.
+    fn refuse_connection(&mut self, connection: SocketId, kind: ErrorKind) {
+        self.metrics.refused(kind);
+        self.log.line(self.now, LineKind::Drop, format_args!("event=refused_unread kind={kind}"));
+        let context = AnswerContext { names: self.dialect.headers(), id: None, closes: true, is_head: false };
+        let answer = context.refused(kind, kind.meaning());
+        self.respond(connection, answer, true);
+    }
+
+    pub(super) fn respond(&mut self, connection: SocketId, answer: Vec<u8>, closes: bool) {
+        let mut events = Vec::new();
+        let io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+        self.server.respond(connection, answer, closes, &io, &mut events);
+        self.take_server_events(events);
+    }
+
+    pub(super) fn engine_event(&mut self, event: RoutingEvent) {
+        let mut actions = Vec::new();
+        self.engine.on_event(self.now, event, &mut actions);
+        for action in actions {
+            self.take_action(action);
+        }
+    }
+
+    fn take_action(&mut self, action: RoutingAction) {
+        match action {
+            RoutingAction::Send(order) => self.send(order),
+            RoutingAction::Abandon { attempt, patience, cause } => {
+                let mut events = Vec::new();
+                self.pool.abandon(self.now, attempt, patience, cause, &mut events);
+                self.take_pool_events(events);
+            }
+            RoutingAction::Finish { request, verdict } => self.finish(request, verdict),
+        }
+    }
+
+    fn send(&mut self, order: SendOrder) {
+        let Some(pending) = self.callers.get_mut(&order.attempt.request) else {
+            return;
+        };
+        if order.reason != SendReason::First {
+            pending.extras += 1;
+            let after = self.now.since(pending.arrived).as_millis();
+            self.log.line(
+                self.now,
+                LineKind::Decision,
+                format_args!(
+                    "event=send request={} attempt={} reason={} searcher={} after_ms={after}",
+                    pending.id(),
+                    order.attempt.number,
+                    order.reason.name(),
+                    order.instance
+                ),
+            );
+        }
+        let outbound = pending.outbound.clone();
+        let mut events = Vec::new();
+        let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+        self.pool.send(order, outbound, &mut io, &mut events);
+        self.take_pool_events(events);
+    }
+
+    pub(super) fn on_pool_socket(&mut self, id: SocketId, is_writable: bool) {
+        let mut events = Vec::new();
+        let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+        self.pool.on_ready(id, is_writable, &mut io, &mut events);
+        self.take_pool_events(events);
+    }
+
+    pub(super) fn sweep_pool(&mut self) {
+        let mut events = Vec::new();
+        self.pool.sweep(self.now, &mut events);
+        self.take_pool_events(events);
+    }
+
+    fn take_pool_events(&mut self, events: Vec<PoolEvent>) {
+        for event in events {
+            match event {
+                PoolEvent::Connected { searcher, took } => {
+                    self.engine_event(RoutingEvent::Connected { searcher, took });
+                }
+                PoolEvent::Skipped { searcher } => {
+                    let line = format_args!("event=answer_skipped searcher={} reason=other_id", searcher.0);
+                    self.log.line(self.now, LineKind::Drop, line);
+                }
+                PoolEvent::Ended { attempt, outcome } => {
+                    if let Some(pending) = self.callers.get(&attempt.request) {
+                        pending.log_end(&mut self.log, self.now, attempt.number, &outcome);
+                    }
+                    self.engine_event(RoutingEvent::Ended { attempt, outcome });
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, key: RequestKey, verdict: Verdict) {
+        let Some(pending) = self.callers.remove(&key) else {
+            return;
+        };
+        self.by_connection.remove(&pending.connection);
+        let closes = !pending.keeps_alive || self.stop.is_some();
+        let context = AnswerContext {
+            names: self.dialect.headers(),
+            id: pending.outbound.id.as_deref(),
+            closes,
+            is_head: &*pending.outbound.method == "HEAD",
+        };
+        let answer = match &verdict {
+            Verdict::Merged(merged) => context.merged(merged),
+            Verdict::Passed(passed) => context.passed(passed),
+            Verdict::Refused { kind, detail } => context.refused(*kind, detail),
+        };
+        self.note_finished(&pending, &verdict);
+        self.respond(pending.connection, answer, closes);
+    }
+
+    fn note_finished(&mut self, pending: &CallerRequest, verdict: &Verdict) {
+        let took = self.now.since(pending.arrived);
+        let (outcome, parts, missing) = match verdict {
+            Verdict::Merged(merged) => ("merged", merged.stamps.len(), merged.missing),
+            Verdict::Passed(_) => ("passed", 1, 0),
+            Verdict::Refused { kind, .. } => (kind.name(), 0, 0),
+        };
+        match verdict {
+            Verdict::Refused { kind, .. } => self.metrics.refused(*kind),
+            Verdict::Merged(_) | Verdict::Passed(_) => self.metrics.answered(pending.route.as_ref(), took),
+        }
+        let status = match verdict {
+            Verdict::Merged(_) => 200,
+            Verdict::Passed(answer) => answer.status,
+            Verdict::Refused { kind, .. } => kind.http_status(),
+        };
+        self.log.line(
+            self.now,
+            LineKind::Request,
+            format_args!(
+                "event=finish request={} route={} version={} outcome={outcome} status={status} parts={parts} \
+                 missing={missing} extras={} ms={:.1}",
+                pending.id(),
+                pending.route_name(),
+                pending.version,
+                pending.extras,
+                took.as_secs_f64() * 1000.0
+            ),
+        );
+    }
+}
+
+impl CallerRequest {
+    fn id(&self) -> &str {
+        self.outbound.id.as_deref().and_then(|id| std::str::from_utf8(id).ok()).unwrap_or("-")
+    }
+
+    fn route_name(&self) -> &str {
+        self.route.as_deref().unwrap_or("-")
+    }
+
+    fn log_end(
+        &self,
+        log: &mut crate::event_log::EventLog,
+        now: BootTime,
+        attempt: u16,
+        outcome: &AttemptOutcome,
+    ) {
+        let what = match outcome {
+            AttemptOutcome::Answered(answer) if answer.status < 300 => return,
+            AttemptOutcome::Answered(_) => "failed",
+            AttemptOutcome::NotRun(reason) => reason.name(),
+            AttemptOutcome::Unknown(reason) => reason.name(),
+            AttemptOutcome::Withdrawn => "withdrawn",
+        };
+        let status = match outcome {
+            AttemptOutcome::Answered(answer) => answer.status,
+            _ => 0,
+        };
+        let after = now.since(self.arrived).as_millis();
+        log.line(
+            now,
+            LineKind::Decision,
+            format_args!(
+                "event=attempt_ended request={} attempt={attempt} outcome={what} status={status} after_ms={after}",
+                self.id()
+            ),
+        );
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/outbound.rs
@@ -0,0 +1,148 @@
+//! What of a request is sent on, and how answers are written.
+
+use crate::dialect::HeaderNames;
+use staircross_http::{Request, RequestHead, write};
+use staircross_routing::{MergedAnswer, SearcherAnswer};
+use staircross_types::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A request as searchers get it, but for what differs between attempts.
+#[derive(Clone, Debug)]
+pub struct OutboundRequest {
+    /// First line and passed fields.
+    prefix: Rc<[u8]>,
+    body: Rc<[u8]>,
+    /// Method; answers to `HEAD` have no body.
+    pub method: Rc<str>,
+    /// Id that answers must repeat.
+    pub id: Option<Rc<[u8]>>,
+}
+
+impl OutboundRequest {
+    /// Copies what is passed on: everything but what concerns one connection and what is set per attempt.
+    pub fn new(request: &Request, names: &HeaderNames) -> Self {
+        let head = &request.head;
+        let mut prefix = Vec::with_capacity(256);
+        write::request_line(&mut prefix, &head.method, &head.target);
+        for (name, value) in head.headers.iter().filter(|(name, _)| is_passed_on(head, name, names)) {
+            write::field(&mut prefix, name, value);
+        }
+        let has_body = !request.body.is_empty() || head.headers.first("content-length").is_some();
+        if has_body || head.headers.first("transfer-encoding").is_some() {
+            write::field_display(&mut prefix, "Content-Length", request.body.len());
+        }
+        OutboundRequest {
+            prefix: prefix.into(),
+            body: request.body.as_slice().into(),
+            method: head.method.as_str().into(),
+            id: head.headers.first(names.request_id).map(|value| value.trim_ascii().into()),
+        }
+    }
+
+    /// The bytes of one attempt.
+    pub fn attempt(&self, names: &HeaderNames, instance: &str, remaining: Duration) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.prefix.len() + self.body.len() + 128);
+        bytes.extend_from_slice(&self.prefix);
+        write::field_display(&mut bytes, names.deadline_ms, remaining.as_millis().max(1));
+        write::field(&mut bytes, names.expect_instance, instance.as_bytes());
+        write::end_head(&mut bytes);
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+fn is_passed_on(head: &RequestHead, name: &str, names: &HeaderNames) -> bool {
+    let is_set_here = [names.deadline_ms, names.expect_instance, "content-length", "expect"]
+        .iter()
+        .any(|own| own.eq_ignore_ascii_case(name));
+    !is_set_here && !head.headers.is_hop_by_hop(name)
+}
+
+/// How an answer relates to its connection and request.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerContext<'a> {
+    /// Header names.
+    pub names: &'a HeaderNames,
+    /// Id of the request, repeated where the answer is this node's own.
+    pub id: Option<&'a [u8]>,
+    /// Whether the connection ends after the answer.
+    pub closes: bool,
+    /// Whether the request was `HEAD`: no body is written.
+    pub is_head: bool,
+}
+
+impl AnswerContext<'_> {
+    fn finish(&self, mut bytes: Vec<u8>, body: &[u8]) -> Vec<u8> {
+        write::field_display(&mut bytes, "Content-Length", body.len());
+        if self.closes {
+            write::field(&mut bytes, "Connection", b"close");
+        }
+        write::end_head(&mut bytes);
+        if !self.is_head {
+            bytes.extend_from_slice(body);
+        }
+        bytes
+    }
+
+    fn begin(&self, status: u16) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512);
+        write::status_line(&mut bytes, status);
+        if let Some(id) = self.id {
+            write::field(&mut bytes, self.names.request_id, id);
+        }
+        bytes
+    }
+
+    /// A merged answer.
+    pub fn merged(&self, answer: &MergedAnswer) -> Vec<u8> {
+        let mut bytes = self.begin(200);
+        write::field(&mut bytes, self.names.part_stamps, &answer.stamps.join(&b", "[..]));
+        write::field_display(&mut bytes, self.names.missing_parts, answer.missing);
+        self.finish(bytes, &answer.body)
+    }
+
+    /// A searcher's answer: status, fields and body as they are, but for what concerns one connection.
+    pub fn passed(&self, answer: &SearcherAnswer) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512 + answer.body.len());
+        write::status_line(&mut bytes, answer.status);
+        for (name, value) in answer.headers.iter() {
+            if !name.eq_ignore_ascii_case("content-length") && !answer.headers.is_hop_by_hop(name) {
+                write::field(&mut bytes, name, value);
+            }
+        }
+        let may_have_body = answer.status >= 200 && answer.status != 204 && answer.status != 304;
+        if self.is_head {
+            if let Some(length) = answer.headers.first("content-length") {
+                write::field(&mut bytes, "Content-Length", length);
+            }
+        } else if may_have_body {
+            return self.finish(bytes, &answer.body);
+        }
+        if self.closes {
+            write::field(&mut bytes, "Connection", b"close");
+        }
+        write::end_head(&mut bytes);
+        bytes
+    }
+
+    /// A refusal of this node's own.
+    pub fn refused(&self, kind: ErrorKind, detail: &str) -> Vec<u8> {
+        let mut bytes = self.begin(kind.http_status());
+        if let Some(delay) = kind.retry_after_ms() {
+            let seconds = Duration::from_millis(delay).as_secs_f64();
+            write::field_display(&mut bytes, self.names.retry_after, format_args!("{seconds:.3}"));
+        }
+        write::field(&mut bytes, "Content-Type", b"text/plain");
+        self.finish(bytes, format!("{kind}: {detail}\n").as_bytes())
+    }
+
+    /// A plain body of this node's own.
+    pub fn plain(&self, status: u16, content_type: &str, body: &[u8]) -> Vec<u8> {
+        let mut bytes = self.begin(status);
+        if !body.is_empty() {
+            write::field(&mut bytes, "Content-Type", content_type.as_bytes());
+        }
+        self.finish(bytes, body)
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/settings.rs
@@ -0,0 +1,189 @@
+//! A gateway node's settings (TOML). Unknown keys are refused.
+
+use quick_error::quick_error;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+quick_error! {
+    /// Why settings can't be accepted.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum SettingsError {
+        /// The text is no settings file.
+        Unreadable { origin: String, reason: String } {
+            display("{origin}: {reason}")
+        }
+        /// A value is outside what is allowed.
+        Value { key: &'static str, value: String, allowed: &'static str } {
+            display("{key}: {value} is not allowed; allowed: {allowed}")
+        }
+    }
+}
+
+/// All settings of one node.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Who and where the node is.
+    pub node: NodeSettings,
+    /// Addresses that it listens on.
+    pub listen: ListenSettings,
+    /// Regions by zone.
+    pub zones: BTreeMap<String, String>,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// Bounds that all nodes keep together.
+    pub bounds: BoundSettings,
+    /// Room on the machine.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Who and where the node is.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name in logs.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// Peer addresses to join through; any of them may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Whether lines are written to standard output.
+    #[serde(default = "default_true")]
+    pub log: bool,
+}
+
+fn default_true() -> bool {
+    true
+}
+
+/// Addresses that the node listens on.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Questions for readiness.
+    pub readiness: SocketAddr,
+    /// Questions where to go.
+    pub directory: SocketAddr,
+    /// Other nodes, TCP and UDP.
+    pub peers: SocketAddr,
+    /// Metrics; none when absent.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Address of its HTTP service.
+    pub address: SocketAddr,
+}
+
+/// Bounds that all nodes keep together.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BoundSettings {
+    /// Extra sends per request.
+    pub extra_ratio: f64,
+    /// Window over which extra sends are counted, in seconds.
+    pub extra_window_s: f64,
+    /// Extra sends per window besides.
+    pub extra_slack: f64,
+    /// Time from a stop signal until the process is killed, in seconds.
+    pub stop_s: f64,
+    /// Longest time that callers keep an answer of the directory, in seconds.
+    pub directory_ttl_s: f64,
+}
+
+/// Room on the machine.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Memory of the process, in megabytes.
+    pub memory_mb: u64,
+    /// Descriptors of the process.
+    pub descriptors: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        LimitSettings { memory_mb: 256, descriptors: 1024 }
+    }
+}
+
+/// Descriptors kept for files, listeners and calls to the store and peers.
+const RESERVED_DESCRIPTORS: usize = 264;
+/// Memory that one request in flight is taken to need at most on average, in bytes.
+const REQUEST_MEMORY: u64 = 64 * 1024;
+
+impl GatewaySettings {
+    /// Reads settings from TOML and checks them; `origin` names the source in errors.
+    pub fn from_toml(origin: &str, text: &str) -> Result<Self, SettingsError> {
+        let settings: GatewaySettings = toml::from_str(text)
+            .map_err(|error| SettingsError::Unreadable { origin: origin.to_owned(), reason: error.to_string() })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks every value.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        check_number("bounds.extra_ratio", self.bounds.extra_ratio, 0.0, 10.0, "0 to 10")?;
+        check_number("bounds.extra_window_s", self.bounds.extra_window_s, 0.1, 3600.0, "0.1 to 3600")?;
+        check_number("bounds.extra_slack", self.bounds.extra_slack, 0.0, 1e6, "0 to 1000000")?;
+        check_number("bounds.stop_s", self.bounds.stop_s, 0.5, 3600.0, "0.5 to 3600")?;
+        check_number("bounds.directory_ttl_s", self.bounds.directory_ttl_s, 0.1, 3600.0, "0.1 to 3600")?;
+        let addresses =
+            [self.listen.callers, self.listen.readiness, self.listen.directory, self.listen.peers];
+        for (index, address) in addresses.iter().enumerate() {
+            if addresses[..index].contains(address) {
+                let allowed = "an address of its own for each listener";
+                return Err(SettingsError::Value { key: "listen", value: address.to_string(), allowed });
+            }
+        }
+        if !self.zones.contains_key(&self.node.zone) {
+            let allowed = "a zone listed under zones";
+            return Err(SettingsError::Value { key: "node.zone", value: self.node.zone.clone(), allowed });
+        }
+        if self.limits.memory_mb < 16 {
+            let value = self.limits.memory_mb.to_string();
+            return Err(SettingsError::Value { key: "limits.memory_mb", value, allowed: "16 or more" });
+        }
+        if self.limits.descriptors <= RESERVED_DESCRIPTORS {
+            let value = self.limits.descriptors.to_string();
+            return Err(SettingsError::Value { key: "limits.descriptors", value, allowed: "more than 264" });
+        }
+        Ok(())
+    }
+
+    /// Connections that callers may hold together.
+    pub fn caller_connections(&self) -> usize {
+        (self.limits.descriptors - RESERVED_DESCRIPTORS) / 2
+    }
+
+    /// Requests that may be in flight together.
+    pub fn max_requests(&self) -> usize {
+        let half = self.limits.memory_mb * 1024 * 1024 / 2;
+        (half / REQUEST_MEMORY) as usize
+    }
+}
+
+fn check_number(
+    key: &'static str,
+    value: f64,
+    least: f64,
+    most: f64,
+    allowed: &'static str,
+) -> Result<(), SettingsError> {
+    // Written so that a value that is no number fails too.
+    if value >= least && value <= most {
+        return Ok(());
+    }
+    Err(SettingsError::Value { key, value: value.to_string(), allowed })
+}
--- /dev/null
+++ b/crates/staircross-http/src/framing.rs
@@ -0,0 +1,203 @@
+//! Where a body ends, and decoding it.
+
+use crate::head::{HeadError, RequestHead, ResponseHead};
+use crate::headers::HeaderBlock;
+
+/// Longest line of a chunk's size or a trailer.
+const MAX_CHUNK_LINE: usize = 4096;
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// There is none.
+    Empty,
+    /// After so many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// When the peer closes.
+    UntilClose,
+}
+
+impl Framing {
+    /// Framing of a request's body. Anything that two parsers could read in two ways is refused.
+    pub fn of_request(head: &RequestHead) -> Result<Framing, HeadError> {
+        let has_encoding = head.headers.first("transfer-encoding").is_some();
+        let length = content_length(&head.headers)?;
+        if has_encoding {
+            if length.is_some() || head.minor_version == 0 || !is_exactly_chunked(&head.headers) {
+                return Err(HeadError::AmbiguousFraming);
+            }
+            return Ok(Framing::Chunked);
+        }
+        Ok(match length {
+            None | Some(0) => Framing::Empty,
+            Some(length) => Framing::Length(length),
+        })
+    }
+
+    /// Framing of the body of a response to a request with `method`.
+    pub fn of_response(head: &ResponseHead, method: &str) -> Result<Framing, HeadError> {
+        let is_bodiless = method == "HEAD" || head.status < 200 || head.status == 204 || head.status == 304;
+        if is_bodiless {
+            return Ok(Framing::Empty);
+        }
+        if head.headers.first("transfer-encoding").is_some() {
+            if !is_exactly_chunked(&head.headers) {
+                return Err(HeadError::AmbiguousFraming);
+            }
+            return Ok(Framing::Chunked);
+        }
+        Ok(match content_length(&head.headers)? {
+            Some(0) => Framing::Empty,
+            Some(length) => Framing::Length(length),
+            None => Framing::UntilClose,
+        })
+    }
+}
+
+fn is_exactly_chunked(headers: &HeaderBlock) -> bool {
+    let mut values = headers.values("transfer-encoding");
+    let first = values.next();
+    first.is_some_and(|value| value.trim_ascii().eq_ignore_ascii_case(b"chunked")) && values.next().is_none()
+}
+
+/// The one length that all `Content-Length` fields state.
+fn content_length(headers: &HeaderBlock) -> Result<Option<u64>, HeadError> {
+    let mut length = None;
+    for value in headers.values("content-length") {
+        let text = value.trim_ascii();
+        let is_number = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
+        let number = std::str::from_utf8(text).ok().filter(|_| is_number).and_then(|text| text.parse::<u64>().ok());
+        let Some(number) = number else {
+            return Err(HeadError::AmbiguousFraming);
+        };
+        if length.is_some_and(|known| known != number) {
+            return Err(HeadError::AmbiguousFraming);
+        }
+        length = Some(number);
+    }
+    Ok(length)
+}
+
+#[derive(Clone, Debug)]
+enum DecoderState {
+    Done,
+    Remaining(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+}
+
+/// Decodes one body, however its bytes are cut into pieces.
+#[derive(Clone, Debug)]
+pub struct BodyDecoder {
+    state: DecoderState,
+    max_length: usize,
+}
+
+impl BodyDecoder {
+    /// A decoder for `framing` that refuses bodies longer than `max_length` bytes.
+    pub fn new(framing: Framing, max_length: usize) -> Result<Self, HeadError> {
+        let state = match framing {
+            Framing::Empty => DecoderState::Done,
+            Framing::Length(length) if length > max_length as u64 => return Err(HeadError::BodyTooLong),
+            Framing::Length(length) => DecoderState::Remaining(length),
+            Framing::Chunked => DecoderState::ChunkSize,
+            Framing::UntilClose => DecoderState::UntilClose,
+        };
+        Ok(BodyDecoder { state, max_length })
+    }
+
+    /// Whether the whole body is in.
+    pub fn is_done(&self) -> bool {
+        matches!(self.state, DecoderState::Done)
+    }
+
+    /// Whether a clean close by the peer completes the body.
+    pub fn ends_at_close(&self) -> bool {
+        matches!(self.state, DecoderState::UntilClose | DecoderState::Done)
+    }
+
+    /// Appends decoded bytes to `body`; returns how many bytes of `input` were used.
+    pub fn decode(&mut self, input: &[u8], body: &mut Vec<u8>) -> Result<usize, HeadError> {
+        let mut used = 0;
+        while !self.is_done() {
+            let rest = &input[used..];
+            let step = self.step(rest, body)?;
+            if step == 0 {
+                break;
+            }
+            used += step;
+        }
+        Ok(used)
+    }
+
+    /// Takes one element of the framing; zero means that more input is needed.
+    fn step(&mut self, rest: &[u8], body: &mut Vec<u8>) -> Result<usize, HeadError> {
+        match self.state {
+            DecoderState::Done => Ok(0),
+            DecoderState::Remaining(left) => {
+                let taken = self.take(rest, left, body)?;
+                let left = left - taken as u64;
+                self.state = if left == 0 { DecoderState::Done } else { DecoderState::Remaining(left) };
+                Ok(taken)
+            }
+            DecoderState::UntilClose => self.take(rest, u64::MAX, body),
+            DecoderState::ChunkSize => self.chunk_size(rest),
+            DecoderState::ChunkData(left) => {
+                let taken = self.take(rest, left, body)?;
+                let left = left - taken as u64;
+                self.state = if left == 0 { DecoderState::ChunkEnd } else { DecoderState::ChunkData(left) };
+                Ok(taken)
+            }
+            DecoderState::ChunkEnd => self.chunk_end(rest),
+            DecoderState::Trailer => self.trailer_line(rest),
+        }
+    }
+
+    fn take(&self, rest: &[u8], most: u64, body: &mut Vec<u8>) -> Result<usize, HeadError> {
+        let count = (rest.len() as u64).min(most) as usize;
+        if body.len() + count > self.max_length {
+            return Err(HeadError::BodyTooLong);
+        }
+        body.extend_from_slice(&rest[..count]);
+        Ok(count)
+    }
+
+    fn chunk_size(&mut self, rest: &[u8]) -> Result<usize, HeadError> {
+        match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete((length, size))) => {
+                self.state = if size == 0 { DecoderState::Trailer } else { DecoderState::ChunkData(size) };
+                Ok(length)
+            }
+            Ok(httparse::Status::Partial) if rest.len() <= MAX_CHUNK_LINE => Ok(0),
+            Ok(httparse::Status::Partial) => Err(HeadError::TooLong),
+            Err(_) => Err(HeadError::Malformed),
+        }
+    }
+
+    fn chunk_end(&mut self, rest: &[u8]) -> Result<usize, HeadError> {
+        if rest.len() < 2 {
+            return Ok(0);
+        }
+        if &rest[..2] != b"\r\n" {
+            return Err(HeadError::Malformed);
+        }
+        self.state = DecoderState::ChunkSize;
+        Ok(2)
+    }
+
+    /// Trailers are read and dropped: they concern nobody further on.
+    fn trailer_line(&mut self, rest: &[u8]) -> Result<usize, HeadError> {
+        let Some(end) = rest.windows(2).position(|pair| pair == b"\r\n") else {
+            return if rest.len() > MAX_CHUNK_LINE { Err(HeadError::TooLong) } else { Ok(0) };
+        };
+        if end == 0 {
+            self.state = DecoderState::Done;
+        }
+        Ok(end + 2)
+    }
+}
--- /dev/null
+++ b/crates/staircross-http/src/head.rs
@@ -0,0 +1,119 @@
+//! First line and header fields of requests and responses.
+
+use crate::headers::HeaderBlock;
+use quick_error::quick_error;
+
+/// Most header fields of one message.
+pub const MAX_FIELDS: usize = 96;
+
+quick_error! {
+    /// Why bytes are no acceptable message head.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum HeadError {
+        /// Not HTTP/1.x.
+        Malformed {
+            display("the bytes are no HTTP/1.1 message")
+        }
+        /// More fields than [`MAX_FIELDS`], or more bytes than allowed.
+        TooLong {
+            display("the message head is too long")
+        }
+        /// Contradicting or unknown framing, which could hide a second message.
+        AmbiguousFraming {
+            display("the length of the body is ambiguous")
+        }
+        /// The body is longer than allowed.
+        BodyTooLong {
+            display("the body is too long")
+        }
+    }
+}
+
+/// Head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method, as it arrived.
+    pub method: String,
+    /// Target, as it arrived: path and query.
+    pub target: String,
+    /// Minor version: 0 or 1.
+    pub minor_version: u8,
+    /// Fields.
+    pub headers: HeaderBlock,
+}
+
+/// Head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: u16,
+    /// Minor version: 0 or 1.
+    pub minor_version: u8,
+    /// Fields.
+    pub headers: HeaderBlock,
+}
+
+/// A head and the number of bytes it took, or `None` while bytes are lacking.
+pub type Parsed<T> = Result<Option<(T, usize)>, HeadError>;
+
+impl RequestHead {
+    /// Parses a head at the start of `bytes`.
+    pub fn parse(bytes: &[u8]) -> Parsed<RequestHead> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut request = httparse::Request::new(&mut fields);
+        let length = match request.parse(bytes).map_err(head_error)? {
+            httparse::Status::Partial => return Ok(None),
+            httparse::Status::Complete(length) => length,
+        };
+        let head = RequestHead {
+            method: request.method.unwrap_or_default().to_owned(),
+            target: request.path.unwrap_or_default().to_owned(),
+            minor_version: request.version.unwrap_or(1),
+            headers: HeaderBlock::from_parsed(request.headers),
+        };
+        Ok(Some((head, length)))
+    }
+
+    /// Whether the connection stays open after this request.
+    pub fn keeps_alive(&self) -> bool {
+        if self.minor_version == 0 {
+            return self.headers.has_token("connection", "keep-alive");
+        }
+        !self.headers.asks_to_close()
+    }
+
+    /// Path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+}
+
+impl ResponseHead {
+    /// Parses a head at the start of `bytes`.
+    pub fn parse(bytes: &[u8]) -> Parsed<ResponseHead> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut response = httparse::Response::new(&mut fields);
+        let length = match response.parse(bytes).map_err(head_error)? {
+            httparse::Status::Partial => return Ok(None),
+            httparse::Status::Complete(length) => length,
+        };
+        let head = ResponseHead {
+            status: response.code.unwrap_or_default(),
+            minor_version: response.version.unwrap_or(1),
+            headers: HeaderBlock::from_parsed(response.headers),
+        };
+        Ok(Some((head, length)))
+    }
+
+    /// Whether the connection stays open after this response.
+    pub fn keeps_alive(&self) -> bool {
+        self.minor_version == 1 && !self.headers.asks_to_close()
+    }
+}
+
+fn head_error(error: httparse::Error) -> HeadError {
+    match error {
+        httparse::Error::TooManyHeaders => HeadError::TooLong,
+        _ => HeadError::Malformed,
+    }
+}
--- /dev/null
+++ b/crates/staircross-http/src/server.rs
@@ -0,0 +1,139 @@
+//! One connection that requests come in on.
+//!
+//! Invariant: a request is handed out only when the one before it has been answered, so nothing is
+//! ever written where no request waits.
+
+use crate::framing::{BodyDecoder, Framing};
+use crate::head::{HeadError, RequestHead};
+
+/// What a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLimits {
+    /// Longest head, in bytes.
+    pub head_bytes: usize,
+    /// Longest body, in bytes.
+    pub body_bytes: usize,
+}
+
+/// A whole request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Head.
+    pub head: RequestHead,
+    /// Body, decoded.
+    pub body: Vec<u8>,
+}
+
+/// Why a request can't be taken; the connection must be closed after the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerFault {
+    /// Answer 400.
+    BadRequest,
+    /// Answer 413.
+    BodyTooLong,
+    /// Answer 431.
+    HeadTooLong,
+}
+
+/// What the bytes so far amount to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ServerProgress {
+    /// More bytes are needed; `continue_expected` once when the caller waits for leave to send its body.
+    NeedMore { continue_expected: bool },
+    /// A request is whole.
+    Ready(Box<Request>),
+    /// The bytes are no acceptable request.
+    Fault(ServerFault),
+}
+
+#[derive(Debug)]
+struct PendingBody {
+    head: RequestHead,
+    decoder: BodyDecoder,
+    body: Vec<u8>,
+}
+
+/// Reads requests from one connection.
+#[derive(Debug, Default)]
+pub struct ServerConnection {
+    input: Vec<u8>,
+    pending: Option<Box<PendingBody>>,
+}
+
+impl ServerConnection {
+    /// Adds received bytes.
+    pub fn receive(&mut self, bytes: &[u8]) {
+        self.input.extend_from_slice(bytes);
+    }
+
+    /// Whether part of a request has arrived.
+    pub fn has_partial_request(&self) -> bool {
+        !self.input.is_empty() || self.pending.is_some()
+    }
+
+    /// Looks for the next whole request.
+    pub fn advance(&mut self, limits: ServerLimits) -> ServerProgress {
+        let mut continue_expected = false;
+        if self.pending.is_none() {
+            match self.read_head(limits) {
+                Ok(true) => continue_expected = self.expects_continue(),
+                Ok(false) => return ServerProgress::NeedMore { continue_expected: false },
+                Err(fault) => return ServerProgress::Fault(fault),
+            }
+        }
+        self.read_body(continue_expected)
+    }
+
+    fn read_head(&mut self, limits: ServerLimits) -> Result<bool, ServerFault> {
+        let blank = self.input.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+        self.consume(blank);
+        let (head, length) = match RequestHead::parse(&self.input) {
+            Ok(Some(parsed)) => parsed,
+            Ok(None) if self.input.len() > limits.head_bytes => return Err(ServerFault::HeadTooLong),
+            Ok(None) => return Ok(false),
+            Err(HeadError::TooLong) => return Err(ServerFault::HeadTooLong),
+            Err(_) => return Err(ServerFault::BadRequest),
+        };
+        if length > limits.head_bytes {
+            return Err(ServerFault::HeadTooLong);
+        }
+        let framing = Framing::of_request(&head).map_err(|_| ServerFault::BadRequest)?;
+        let decoder = BodyDecoder::new(framing, limits.body_bytes).map_err(|_| ServerFault::BodyTooLong)?;
+        self.consume(length);
+        self.pending = Some(Box::new(PendingBody { head, decoder, body: Vec::new() }));
+        Ok(true)
+    }
+
+    fn expects_continue(&self) -> bool {
+        let waits = |pending: &PendingBody| {
+            !pending.decoder.is_done() && pending.head.headers.has_token("expect", "100-continue")
+        };
+        self.input.is_empty() && self.pending.as_deref().is_some_and(waits)
+    }
+
+    fn read_body(&mut self, continue_expected: bool) -> ServerProgress {
+        let Some(mut pending) = self.pending.take() else {
+            return ServerProgress::NeedMore { continue_expected };
+        };
+        let used = match pending.decoder.decode(&self.input, &mut pending.body) {
+            Ok(used) => used,
+            Err(HeadError::BodyTooLong) => return ServerProgress::Fault(ServerFault::BodyTooLong),
+            Err(_) => return ServerProgress::Fault(ServerFault::BadRequest),
+        };
+        self.consume(used);
+        if !pending.decoder.is_done() {
+            self.pending = Some(pending);
+            return ServerProgress::NeedMore { continue_expected };
+        }
+        ServerProgress::Ready(Box::new(Request { head: pending.head, body: pending.body }))
+    }
+
+    fn consume(&mut self, count: usize) {
+        if count == self.input.len() {
+            // Idle connections keep no buffer.
+            self.input = Vec::new();
+        } else {
+            self.input.drain(..count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-http/src/write.rs
@@ -0,0 +1,59 @@
+//! Serialising messages.
+
+use std::io::Write;
+
+/// Appends `text` and a line end.
+fn push_line(out: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
+    // Writing to a vector can't fail.
+    let _infallible = out.write_fmt(text);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Starts a request.
+pub fn request_line(out: &mut Vec<u8>, method: &str, target: &str) {
+    push_line(out, format_args!("{method} {target} HTTP/1.1"));
+}
+
+/// Starts a response.
+pub fn status_line(out: &mut Vec<u8>, status: u16) {
+    push_line(out, format_args!("HTTP/1.1 {status} {}", reason(status)));
+}
+
+/// Adds a field.
+pub fn field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Adds a field with a displayed value.
+pub fn field_display(out: &mut Vec<u8>, name: &str, value: impl std::fmt::Display) {
+    push_line(out, format_args!("{name}: {value}"));
+}
+
+/// Ends the head.
+pub fn end_head(out: &mut Vec<u8>) {
+    out.extend_from_slice(b"\r\n");
+}
+
+/// The usual phrase for a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- a/crates/staircross-lab/src/cluster_sim/fleet.rs
+++ b/crates/staircross-lab/src/cluster_sim/fleet.rs
@@ -175,6 +175,7 @@
             zone: ZoneName::new(format!("zone-{zone}")),
             state: MemberState::Alive,
             version: 1,
+            is_ready: true,
         };
         let seeds = (0..self.settings.seeds.min(self.settings.nodes)).map(address_of).collect();
         let drift = self.settings.drift;
--- a/crates/staircross-lab/src/sim/world.rs
+++ b/crates/staircross-lab/src/sim/world.rs
@@ -351,6 +351,7 @@
                 zone: ZoneName::new(format!("zone-{}", node.zone)),
                 state: if node.is_stopping { MemberState::Leaving } else { MemberState::Alive },
                 version: 1,
+                is_ready: true,
             })
             .collect();
         for node in 0..self.nodes.len() {
--- a/crates/staircross-node/src/core.rs
+++ b/crates/staircross-node/src/core.rs
@@ -152,6 +152,7 @@
             zone: parts.settings.node.zone.clone(),
             state: MemberState::Alive,
             version: 1,
+            is_ready: true,
         };
         let seeds = match parts.settings.node.seeds.as_slice() {
             [] => vec![parts.settings.node.peer_listen],
--- /dev/null
+++ b/crates/staircross-routing/src/definition.rs
@@ -0,0 +1,113 @@
+//! What one version of the configuration says.
+
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// One whole version of the configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RoutingDefinition {
+    /// Rises with every change, by uneven steps.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<RouteDefinition>,
+    /// Services that the routes name.
+    pub services: Vec<ServiceEntry>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RouteDefinition {
+    /// Name; keeps its statistics over versions.
+    pub name: Arc<str>,
+    /// Host that requests name.
+    pub host: Arc<str>,
+    /// Start of the paths that take this route; the longest wins.
+    pub path_prefix: Arc<str>,
+    /// Where requests go.
+    pub target: RouteTarget,
+    /// Whether a request may run more than once.
+    pub is_idempotent: bool,
+    /// Longest time that a request is held, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub goal_ms: u64,
+    /// Most searchers that one request is sent to (per shard).
+    pub max_attempts: u32,
+    /// Rank; 0 is the highest.
+    pub priority: u32,
+}
+
+/// Where the requests of a route go.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RouteTarget {
+    /// To one searcher of one service.
+    Service(Arc<str>),
+    /// To one searcher of one of several services, by weight.
+    Weighted(Vec<WeightedService>),
+    /// To one searcher of each service; the answers are merged.
+    Gather(GatherTarget),
+}
+
+/// A service and its share of the requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WeightedService {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its weight.
+    pub weight: u32,
+}
+
+/// A query over many shards.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GatherTarget {
+    /// The shards, each a service.
+    pub shards: Vec<Arc<str>>,
+    /// Records of the merged answer.
+    pub top_k: usize,
+    /// Least share of the shards that makes an answer, 0 to 1.
+    pub min_coverage: f64,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceEntry {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Connections that each of its searchers accepts from all callers together.
+    pub max_connections: u32,
+}
+
+/// What callers may send and how long they may take.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Longest request head, in bytes.
+    pub head_bytes: usize,
+    /// Longest request body, in bytes.
+    pub body_bytes: usize,
+    /// Time to send a whole head, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// Time that a connection may rest, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        CallerLimits {
+            head_bytes: 16 * 1024,
+            body_bytes: 256 * 1024,
+            head_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+impl GatherTarget {
+    /// Least number of shards that makes an answer; at least one.
+    pub fn least_shards(&self) -> usize {
+        let exact = self.min_coverage * self.shards.len() as f64;
+        // Shares such as 0.7 of 10 must not be rounded up by the last bit of the product.
+        ((exact - 1e-9).ceil() as usize).max(1)
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/engine.rs
@@ -0,0 +1,361 @@
+//! One request from arrival to its final answer.
+//!
+//! Inputs: configurations, searcher entries, the fleet, arrivals, outcomes of attempts, time.
+//! Invariants: a request keeps the configuration it began with; a request that can't be repeated is
+//! sent again only after "not run"; a refusal of a never-run kind is given only if nothing was sent,
+//! or whatever was sent was answered "not run"; every request ends by its deadline.
+
+mod dispatch;
+mod outcome;
+mod settle;
+
+use crate::mirror::SearcherEntry;
+use crate::request::{Arrival, AttemptKey, AttemptOutcome, Request, RequestKey, Verdict};
+use crate::searcher::Searcher;
+use crate::selection::{Place, SearcherKey};
+use crate::table::RouteTable;
+use crate::turns::WeightedTurns;
+use crate::window::{ExtraBound, ExtraWindow};
+use hashbrown::HashMap;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use staircross_search::latency::LatencyTracker;
+use staircross_types::BootTime;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Connections that a searcher of an unlisted service is taken to accept.
+const DEFAULT_MAX_CONNECTIONS: u32 = 32;
+/// Part of a route's goal that its usual work is taken to be before there are measurements.
+const WORK_PART_OF_GOAL: u32 = 8;
+
+/// Bounds and place of a node's engine.
+#[derive(Clone, Debug)]
+pub struct RoutingSettings {
+    /// Bound on extra sends, for all nodes together.
+    pub extra: ExtraBound,
+    /// Zone of this node.
+    pub zone: Arc<str>,
+    /// Regions by zone.
+    pub regions: HashMap<Arc<str>, Arc<str>>,
+    /// Requests held at once.
+    pub max_requests: usize,
+    /// Feeds random choices.
+    pub seed: u64,
+}
+
+/// What the engine is told.
+#[derive(Clone, Debug)]
+pub enum RoutingEvent {
+    /// A newer configuration is in force.
+    Configuration(Arc<RouteTable>),
+    /// New or changed entries.
+    Searchers(Vec<SearcherEntry>),
+    /// Runs whose entries have gone.
+    SearchersGone(Vec<Arc<str>>),
+    /// The live nodes have changed.
+    Fleet {
+        /// Live nodes by zone, this one included.
+        nodes_by_zone: HashMap<Arc<str>, usize>,
+        /// Most live nodes seen lately.
+        fleet: usize,
+    },
+    /// A request has arrived.
+    Arrived(Arrival),
+    /// Its caller has left.
+    CallerGone(RequestKey),
+    /// A connection came up.
+    Connected {
+        /// To whom.
+        searcher: SearcherKey,
+        /// How long it took.
+        took: Duration,
+    },
+    /// An attempt has ended and holds no connection any more.
+    Ended {
+        /// Which.
+        attempt: AttemptKey,
+        /// How.
+        outcome: AttemptOutcome,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the engine wants done.
+#[derive(Clone, Debug)]
+pub enum RoutingAction {
+    /// Send the request to a searcher.
+    Send(SendOrder),
+    /// The attempt's answer is no longer wanted: read it out, or close the connection when it takes
+    /// longer than `patience`.
+    Abandon {
+        /// Which.
+        attempt: AttemptKey,
+        /// How long to wait for its end.
+        patience: Duration,
+        /// Why.
+        cause: AbandonCause,
+    },
+    /// The final word on a request.
+    Finish {
+        /// Which.
+        request: RequestKey,
+        /// The word.
+        verdict: Verdict,
+    },
+}
+
+/// Why an attempt's answer is no longer wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AbandonCause {
+    /// The request has its answer, or was given up.
+    Superseded,
+    /// The caller left.
+    CallerGone,
+}
+
+/// Why an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendReason {
+    /// The first for its shard.
+    First,
+    /// Besides one that is late.
+    Hedge,
+    /// After one that failed or was turned away.
+    Retry,
+    /// After a connection that didn't come up: nothing was sent.
+    Reroute,
+}
+
+impl SendReason {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            SendReason::First => "first",
+            SendReason::Hedge => "hedge",
+            SendReason::Retry => "retry",
+            SendReason::Reroute => "reroute",
+        }
+    }
+}
+
+/// One sending.
+#[derive(Clone, Debug)]
+pub struct SendOrder {
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// The searcher.
+    pub searcher: SearcherKey,
+    /// Its run.
+    pub instance: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When the request must have its final answer; what is left is told to the searcher.
+    pub deadline: BootTime,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Longest wait for a connection.
+    pub connect_patience: Duration,
+    /// Why.
+    pub reason: SendReason,
+}
+
+/// What is measured per route.
+pub(crate) struct RouteStatistics {
+    /// Time of answered attempts, without the way there.
+    pub work: LatencyTracker,
+    pub turns: WeightedTurns,
+}
+
+/// What must be remembered of an attempt until it holds no connection any more.
+pub(crate) struct SentAttempt {
+    pub searcher: SearcherKey,
+    pub route: Arc<str>,
+    pub sent_at: BootTime,
+}
+
+/// Counters, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoutingCounters {
+    /// First attempts.
+    pub firsts: u64,
+    /// Hedges.
+    pub hedges: u64,
+    /// Retries.
+    pub retries: u64,
+    /// Attempts made elsewhere because no connection came up.
+    pub reroutes: u64,
+    /// Hedges and retries that the budget refused.
+    pub over_budget: u64,
+    /// Answers with fewer than all parts.
+    pub partial_answers: u64,
+}
+
+/// The decisions of one node.
+pub struct RoutingEngine {
+    pub(crate) settings: RoutingSettings,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) place: Place,
+    pub(crate) table: Option<Arc<RouteTable>>,
+    pub(crate) searchers: Vec<Searcher>,
+    by_instance: HashMap<Arc<str>, SearcherKey>,
+    pub(crate) by_service: HashMap<Arc<str>, Vec<SearcherKey>>,
+    max_connections: HashMap<Arc<str>, u32>,
+    pub(crate) windows: HashMap<Arc<str>, ExtraWindow>,
+    pub(crate) routes: HashMap<Arc<str>, RouteStatistics>,
+    pub(crate) requests: HashMap<RequestKey, Request>,
+    pub(crate) sent: HashMap<AttemptKey, SentAttempt>,
+    pub(crate) waiting: VecDeque<(RequestKey, u32)>,
+    pub(crate) wakes: BinaryHeap<Reverse<(BootTime, RequestKey)>>,
+    /// Counters for metrics.
+    pub counters: RoutingCounters,
+}
+
+impl RoutingEngine {
+    /// An engine that knows no configuration yet.
+    pub fn new(settings: RoutingSettings) -> Self {
+        let place = Place {
+            zone: settings.zone.clone(),
+            regions: settings.regions.clone(),
+            nodes_by_zone: HashMap::from([(settings.zone.clone(), 1)]),
+            fleet: 1,
+            ways: HashMap::new(),
+        };
+        RoutingEngine {
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            place,
+            settings,
+            table: None,
+            searchers: Vec::new(),
+            by_instance: HashMap::new(),
+            by_service: HashMap::new(),
+            max_connections: HashMap::new(),
+            windows: HashMap::new(),
+            routes: HashMap::new(),
+            requests: HashMap::new(),
+            sent: HashMap::new(),
+            waiting: VecDeque::new(),
+            wakes: BinaryHeap::new(),
+            counters: RoutingCounters::default(),
+        }
+    }
+
+    /// Takes one event; appends what is to be done.
+    pub fn on_event(&mut self, now: BootTime, event: RoutingEvent, actions: &mut Vec<RoutingAction>) {
+        match event {
+            RoutingEvent::Configuration(table) => self.set_table(table),
+            RoutingEvent::Searchers(entries) => entries.into_iter().for_each(|entry| self.set_searcher(now, entry)),
+            RoutingEvent::SearchersGone(instances) => instances.iter().for_each(|instance| self.set_gone(instance)),
+            RoutingEvent::Fleet { nodes_by_zone, fleet } => {
+                self.place.nodes_by_zone = nodes_by_zone;
+                self.place.fleet = fleet;
+            }
+            RoutingEvent::Arrived(arrival) => self.admit(now, arrival, actions),
+            RoutingEvent::CallerGone(request) => self.on_caller_gone(request, actions),
+            RoutingEvent::Connected { searcher, took } => {
+                let zone = self.searchers[searcher.0 as usize].entry.zone.clone();
+                self.place.note_connected(&zone, took);
+            }
+            RoutingEvent::Ended { attempt, outcome } => self.on_ended(now, attempt, outcome, actions),
+            RoutingEvent::Tick => self.on_tick(now, actions),
+        }
+    }
+
+    /// Changes the bound on extra sends.
+    pub fn set_extra_bound(&mut self, bound: ExtraBound) {
+        self.settings.extra = bound;
+    }
+
+    /// When `Tick` is due next.
+    pub fn next_wake(&self) -> Option<BootTime> {
+        self.wakes.peek().map(|Reverse((time, _))| *time)
+    }
+
+    /// Requests without a final word.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Searchers that may be asked.
+    pub fn serving_searchers(&self) -> usize {
+        self.searchers.iter().filter(|searcher| searcher.is_serving()).count()
+    }
+
+    fn set_table(&mut self, table: Arc<RouteTable>) {
+        let services = &table.definition().services;
+        self.max_connections = services.iter().map(|entry| (entry.name.clone(), entry.max_connections)).collect();
+        for searcher in &mut self.searchers {
+            if let Some(max) = self.max_connections.get(&searcher.entry.service) {
+                searcher.max_connections = *max;
+            }
+        }
+        let routes = &table.definition().routes;
+        self.routes.retain(|name, _| routes.iter().any(|route| route.name == *name));
+        self.table = Some(table);
+    }
+
+    fn set_searcher(&mut self, now: BootTime, entry: SearcherEntry) {
+        let service = entry.service.clone();
+        let key = match self.by_instance.get(&entry.instance) {
+            Some(key) => {
+                self.searchers[key.0 as usize].update(now, entry);
+                *key
+            }
+            None => {
+                let key = SearcherKey(self.searchers.len() as u32);
+                let most = self.max_connections.get(&service).copied().unwrap_or(DEFAULT_MAX_CONNECTIONS);
+                self.by_instance.insert(entry.instance.clone(), key);
+                self.searchers.push(Searcher::new(now, entry, most));
+                key
+            }
+        };
+        let peers = self.by_service.entry(service).or_default();
+        let is_serving = self.searchers[key.0 as usize].is_serving();
+        peers.retain(|known| *known != key);
+        if is_serving {
+            peers.push(key);
+        }
+    }
+
+    fn set_gone(&mut self, instance: &Arc<str>) {
+        let Some(key) = self.by_instance.get(instance).copied() else {
+            return;
+        };
+        self.forget_serving(key);
+    }
+
+    /// The run at an address is no longer the one that was asked for, or its entry has gone.
+    pub(crate) fn forget_serving(&mut self, key: SearcherKey) {
+        let searcher = &mut self.searchers[key.0 as usize];
+        searcher.mark_gone();
+        if let Some(peers) = self.by_service.get_mut(&searcher.entry.service) {
+            peers.retain(|known| *known != key);
+        }
+    }
+
+    pub(crate) fn statistics(&mut self, route: &Arc<str>, goal: Duration) -> &mut RouteStatistics {
+        self.routes.entry(route.clone()).or_insert_with(|| RouteStatistics {
+            work: LatencyTracker::new(goal / WORK_PART_OF_GOAL, None),
+            turns: WeightedTurns::default(),
+        })
+    }
+
+    fn on_tick(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
+        while let Some(Reverse((due, key))) = self.wakes.peek().copied() {
+            if due > now {
+                break;
+            }
+            self.wakes.pop();
+            self.on_due(now, key, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -0,0 +1,280 @@
+//! Admission, and sending attempts.
+
+use super::{RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt};
+use crate::definition::{RouteDefinition, RouteTarget};
+use crate::request::{Arrival, Attempt, AttemptKey, Request, RequestKey, Shard, ShardState, Verdict};
+use crate::searcher::OpenAttempt;
+use crate::selection::{SearcherKey, choose};
+use staircross_types::{BootTime, ErrorKind};
+use std::cmp::Reverse;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An attempt is overdue after the way and so many times the usual work.
+const OVERDUE_FACTOR: f64 = 2.2;
+/// A hedge isn't sent before the way and so many times the usual work.
+const LEAST_HEDGE_FACTOR: f64 = 1.5;
+/// Times the usual work that a hedge is taken to need.
+const HEDGE_WORK_FACTOR: f64 = 2.0;
+/// What is kept free before the goal for the way back to the caller: a part of the goal and a constant.
+const GUARD_PART: f64 = 0.04;
+const GUARD_LEAST: Duration = Duration::from_millis(8);
+/// The final answer goes out so long before the deadline.
+const DEADLINE_GUARD: Duration = Duration::from_millis(10);
+/// Wait for a connection: a constant and so many times the way.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(100);
+const CONNECT_WAYS: u32 = 4;
+/// Shards that wait for a searcher with room.
+const MAX_WAITING: usize = 4096;
+
+impl RoutingEngine {
+    pub(super) fn admit(&mut self, now: BootTime, arrival: Arrival, actions: &mut Vec<RoutingAction>) {
+        let key = arrival.key;
+        match self.begin(now, &arrival) {
+            Ok(request) => {
+                self.requests.insert(key, request);
+                self.send_all(now, key, actions);
+            }
+            Err(verdict) => actions.push(RoutingAction::Finish { request: key, verdict }),
+        }
+    }
+
+    fn begin(&mut self, now: BootTime, arrival: &Arrival) -> Result<Request, Verdict> {
+        let Some(table) = self.table.clone() else {
+            return Err(refused(ErrorKind::NoConfiguration, "no configuration is known yet"));
+        };
+        let Some(route_index) = table.find_index(&arrival.host, &arrival.path) else {
+            return Err(refused(ErrorKind::NoRoute, "no route has this host and path"));
+        };
+        if self.requests.len() >= self.settings.max_requests {
+            return Err(refused(ErrorKind::Overloaded, "the node holds as many requests as it may"));
+        }
+        let route = &table.definition().routes[route_index];
+        let services = self.services_of(route);
+        for service in &services {
+            let window = self.windows.entry(service.clone()).or_default();
+            window.count_request(now, &self.settings.extra);
+        }
+        let timeout = Duration::from_millis(route.timeout_ms);
+        let hold = arrival.patience.map_or(timeout, |patience| patience.min(timeout));
+        let deadline = now + hold.saturating_sub(DEADLINE_GUARD);
+        let shard = |service| Shard { service, state: ShardState::Open, sends: 0, tried: Vec::new(), outstanding: 0 };
+        Ok(Request {
+            route_index,
+            shards: services.into_iter().map(shard).collect(),
+            attempts: Vec::new(),
+            answer_by: (now + usable_goal(route)).min(deadline),
+            deadline,
+            may_have_run: false,
+            is_past_goal: false,
+            table: table.clone(),
+        })
+    }
+
+    fn services_of(&mut self, route: &RouteDefinition) -> Vec<Arc<str>> {
+        match &route.target {
+            RouteTarget::Service(service) => vec![service.clone()],
+            RouteTarget::Gather(gather) => gather.shards.clone(),
+            RouteTarget::Weighted(set) => {
+                let goal = Duration::from_millis(route.goal_ms);
+                self.statistics(&route.name, goal).turns.next(set).into_iter().collect()
+            }
+        }
+    }
+
+    /// Sends the first attempt of each shard, unless too few have anybody to ask: then nothing runs.
+    fn send_all(&mut self, now: BootTime, key: RequestKey, actions: &mut Vec<RoutingAction>) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let least = request.least_shards();
+        let count = request.shards.len();
+        let served = request.shards.iter().filter(|shard| self.has_candidate(now, &shard.service)).count();
+        if served < least {
+            self.requests.remove(&key);
+            let verdict = refused(ErrorKind::NoReplica, "too few shards have a searcher that can be asked");
+            actions.push(RoutingAction::Finish { request: key, verdict });
+            return;
+        }
+        for shard in 0..count {
+            self.dispatch(now, key, shard, SendReason::First, actions);
+        }
+        self.settle(now, key, actions);
+        self.schedule(key);
+    }
+
+    fn has_candidate(&self, now: BootTime, service: &Arc<str>) -> bool {
+        let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        peers.iter().any(|key| !self.searchers[key.0 as usize].is_avoided(now))
+    }
+
+    /// Sends one more attempt for a shard. Returns whether one went out.
+    pub(super) fn dispatch(
+        &mut self,
+        now: BootTime,
+        key: RequestKey,
+        shard_index: usize,
+        reason: SendReason,
+        actions: &mut Vec<RoutingAction>,
+    ) -> bool {
+        let Some(request) = self.requests.get(&key) else {
+            return false;
+        };
+        let route = request.route();
+        let (name, goal) = (route.name.clone(), Duration::from_millis(route.goal_ms));
+        let service = request.shards[shard_index].service.clone();
+        let tried = request.shards[shard_index].tried.clone();
+        let usual_work = self.statistics(&name, goal).work.median();
+        let candidates = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
+        let chosen =
+            choose(now, candidates, &self.searchers, &tried, &self.place, usual_work, &mut self.random);
+        let Some(searcher) = chosen else {
+            self.note_unplaced(now, key, shard_index, &service, &tried);
+            return false;
+        };
+        let is_extra = matches!(reason, SendReason::Hedge | SendReason::Retry);
+        if is_extra && !self.spend(now, &service) {
+            return false;
+        }
+        self.send(now, key, shard_index, searcher, reason, actions);
+        true
+    }
+
+    fn spend(&mut self, now: BootTime, service: &Arc<str>) -> bool {
+        let window = self.windows.entry(service.clone()).or_default();
+        let has_leave = window.try_spend(now, &self.settings.extra, self.place.fleet);
+        if !has_leave {
+            self.counters.over_budget += 1;
+        }
+        has_leave
+    }
+
+    /// Nobody can be asked now: wait for room if there is somebody without, else give the shard up.
+    fn note_unplaced(
+        &mut self,
+        now: BootTime,
+        key: RequestKey,
+        shard_index: usize,
+        service: &Arc<str>,
+        tried: &[SearcherKey],
+    ) {
+        let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let is_only_full =
+            peers.iter().any(|peer| !tried.contains(peer) && !self.searchers[peer.0 as usize].is_avoided(now));
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let shard = &mut request.shards[shard_index];
+        if shard.outstanding > 0 || !matches!(shard.state, ShardState::Open) {
+            return;
+        }
+        if is_only_full && self.waiting.len() < MAX_WAITING {
+            self.waiting.push_back((key, shard_index as u32));
+        } else {
+            shard.state = ShardState::Failed(None);
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: BootTime,
+        key: RequestKey,
+        shard_index: usize,
+        searcher_key: SearcherKey,
+        reason: SendReason,
+        actions: &mut Vec<RoutingAction>,
+    ) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let route = &request.table.definition().routes[request.route_index];
+        let searcher = &mut self.searchers[searcher_key.0 as usize];
+        let way = self.place.way(&searcher.entry.zone);
+        let (usual, late) = match self.routes.get(&route.name) {
+            Some(statistics) => (statistics.work.median(), statistics.work.hedge_delay()),
+            None => (Duration::ZERO, Duration::ZERO),
+        };
+        let attempt = AttemptKey { request: key, number: request.attempts.len() as u16 };
+        let work = usual.mul_f64(searcher.slowness(now));
+        let due_at = now + way + work.mul_f64(OVERDUE_FACTOR);
+        searcher.sent(now, OpenAttempt { attempt, sent_at: now, due_at });
+        let shard = &mut request.shards[shard_index];
+        shard.sends += 1;
+        shard.outstanding += 1;
+        shard.tried.push(searcher_key);
+        // As late as still leaves time for another searcher's answer, but not later than is unusual.
+        let needed = way + usual.mul_f64(HEDGE_WORK_FACTOR);
+        let last_moment = request.answer_by - needed;
+        let unusual = now + way + late;
+        let least = now + way + usual.mul_f64(LEAST_HEDGE_FACTOR);
+        let hedge_at = unusual.min(last_moment).max(least);
+        request.attempts.push(Attempt {
+            shard: shard_index as u32,
+            hedge_at,
+            is_open: true,
+            is_resolved: false,
+        });
+        self.sent.insert(
+            attempt,
+            SentAttempt { searcher: searcher_key, route: route.name.clone(), sent_at: now },
+        );
+        match reason {
+            SendReason::First => self.counters.firsts += 1,
+            SendReason::Hedge => self.counters.hedges += 1,
+            SendReason::Retry => self.counters.retries += 1,
+            SendReason::Reroute => self.counters.reroutes += 1,
+        }
+        actions.push(RoutingAction::Send(SendOrder {
+            attempt,
+            searcher: searcher_key,
+            instance: searcher.entry.instance.clone(),
+            address: searcher.entry.address,
+            deadline: request.deadline + DEADLINE_GUARD,
+            is_idempotent: route.is_idempotent,
+            connect_patience: CONNECT_PATIENCE + way * CONNECT_WAYS,
+            reason,
+        }));
+    }
+
+    /// Gives shards that wait another chance, after a connection has become free.
+    pub(super) fn serve_waiting(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
+        for _ in 0..self.waiting.len() {
+            let Some((key, shard_index)) = self.waiting.pop_front() else {
+                return;
+            };
+            let still_waits = self.requests.get(&key).is_some_and(|request| {
+                let shard = &request.shards[shard_index as usize];
+                shard.outstanding == 0 && matches!(shard.state, ShardState::Open)
+            });
+            if !still_waits {
+                continue;
+            }
+            if !self.dispatch(now, key, shard_index as usize, SendReason::First, actions) {
+                // Put back at the end, or given up; whoever is behind may want another service.
+                self.settle(now, key, actions);
+            }
+            self.schedule(key);
+        }
+    }
+
+    /// Sets the time at which the request needs attention next.
+    pub(super) fn schedule(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let hedges = request.attempts.iter().filter(|attempt| attempt.is_open).map(|attempt| attempt.hedge_at);
+        let answer_by = (!request.is_past_goal).then_some(request.answer_by);
+        let due = hedges.chain(answer_by).min().unwrap_or(request.deadline).min(request.deadline);
+        self.wakes.push(Reverse((due, key)));
+    }
+}
+
+/// Time from arrival until an answer must be on its way to be worth most.
+fn usable_goal(route: &RouteDefinition) -> Duration {
+    let goal = Duration::from_millis(route.goal_ms);
+    goal.saturating_sub(goal.mul_f64(GUARD_PART) + GUARD_LEAST)
+}
+
+pub(super) fn refused(kind: ErrorKind, detail: &'static str) -> Verdict {
+    Verdict::Refused { kind, detail }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -0,0 +1,120 @@
+//! When a request ends, and how.
+
+use super::dispatch::refused;
+use super::outcome::promises_not_run;
+use super::{AbandonCause, RoutingAction, RoutingEngine, SendReason};
+use crate::merge::greatest_records;
+use crate::request::{MergedAnswer, Request, RequestKey, ShardState, Verdict};
+use staircross_types::{BootTime, ErrorKind};
+use std::time::Duration;
+
+/// How long a searcher may go on with work whose caller has left.
+const DEPARTED_PATIENCE: Duration = Duration::from_millis(350);
+/// Time until a hedge that the budget refused, or that had nobody to go to, is thought of again.
+const HEDGE_PAUSE: Duration = Duration::from_millis(25);
+
+impl RoutingEngine {
+    /// A request needs attention: a hedge is due, its goal is near, or its time is over.
+    pub(super) fn on_due(&mut self, now: BootTime, key: RequestKey, actions: &mut Vec<RoutingAction>) {
+        if !self.requests.contains_key(&key) {
+            return;
+        }
+        self.hedge(now, key, actions);
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.is_past_goal |= now >= request.answer_by;
+        }
+        self.settle(now, key, actions);
+        self.schedule(key);
+    }
+
+    fn hedge(&mut self, now: BootTime, key: RequestKey, actions: &mut Vec<RoutingAction>) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let is_idempotent = request.route().is_idempotent;
+        let most = request.route().max_attempts;
+        let mut late = Vec::new();
+        for attempt in request.attempts.iter_mut().filter(|attempt| attempt.is_open && attempt.hedge_at <= now) {
+            let shard = &request.shards[attempt.shard as usize];
+            if is_idempotent && shard.sends < most && shard.outstanding == 1 {
+                attempt.hedge_at = now + HEDGE_PAUSE;
+                late.push(attempt.shard as usize);
+            } else {
+                attempt.hedge_at = BootTime::FAR_FUTURE;
+            }
+        }
+        for shard in late {
+            self.dispatch(now, key, shard, SendReason::Hedge, actions);
+        }
+    }
+
+    /// Ends the request if nothing more can come, too little can, or it is time.
+    pub(super) fn settle(&mut self, now: BootTime, key: RequestKey, actions: &mut Vec<RoutingAction>) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let parts = request.parts_in();
+        let open = request.open_shards();
+        let least = request.least_shards();
+        let is_enough = parts >= least;
+        let is_hopeless = parts + open < least;
+        let is_time = now >= request.deadline || (now >= request.answer_by && is_enough);
+        if open > 0 && !is_hopeless && !is_time {
+            return;
+        }
+        self.abandon_all(key, Self::read_out_patience(), AbandonCause::Superseded, actions);
+        let Some(mut request) = self.requests.remove(&key) else {
+            return;
+        };
+        if is_enough && request.gather().is_some() && parts < request.shards.len() {
+            self.counters.partial_answers += 1;
+        }
+        let verdict = if is_enough { success(&mut request) } else { failure(now, &mut request) };
+        actions.push(RoutingAction::Finish { request: key, verdict });
+    }
+
+    pub(super) fn on_caller_gone(&mut self, key: RequestKey, actions: &mut Vec<RoutingAction>) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        // Work that may not be repeated is left to end; the caller may ask what became of it.
+        let is_idempotent = request.route().is_idempotent;
+        let patience = if is_idempotent { DEPARTED_PATIENCE } else { Duration::from_secs(600) };
+        self.abandon_all(key, patience, AbandonCause::CallerGone, actions);
+        self.requests.remove(&key);
+    }
+}
+
+fn success(request: &mut Request) -> Verdict {
+    let Some(gather) = request.gather() else {
+        return match request.shards.pop().map(|shard| shard.state) {
+            Some(ShardState::In(answer)) => Verdict::Passed(answer),
+            _ => refused(ErrorKind::Internal, "a request without a part was taken as answered"),
+        };
+    };
+    let parts = request.shards.iter().filter_map(|shard| match &shard.state {
+        ShardState::In(answer) => Some(answer),
+        _ => None,
+    });
+    let body = greatest_records(parts.clone().map(|answer| answer.body.as_slice()), gather.top_k);
+    let stamps: Vec<Vec<u8>> = parts.filter_map(|answer| answer.stamp.clone()).collect();
+    let missing = request.shards.len() - stamps.len();
+    Verdict::Merged(MergedAnswer { stamps, missing, body })
+}
+
+fn failure(now: BootTime, request: &mut Request) -> Verdict {
+    if request.gather().is_none()
+        && let Some(ShardState::Failed(Some(answer))) = request.shards.first().map(|shard| &shard.state)
+        && !promises_not_run(answer.status)
+    {
+        return Verdict::Passed(answer.clone());
+    }
+    let may_have_run = request.may_have_run || !request.attempts.iter().all(|attempt| attempt.is_resolved);
+    let is_over = now >= request.deadline;
+    match (may_have_run, is_over) {
+        (true, true) => refused(ErrorKind::TimedOut, "the time was over before enough shards had answered"),
+        (true, false) => refused(ErrorKind::BackEndsFailed, "too few shards are left to answer"),
+        (false, true) => refused(ErrorKind::Overloaded, "no searcher had room in time"),
+        (false, false) => refused(ErrorKind::NotDelivered, "every searcher asked turned the request away"),
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decisions for routed requests, without input or output of their own.
+//!
+//! | module | decides |
+//! | --- | --- |
+//! | [`definition`] | what one version of the configuration says |
+//! | [`table`] | which route a request takes |
+//! | [`mirror`] | what this node knows of the platform's store, by revision |
+//! | [`store_reader`] | when the store is read, watched, or left alone |
+//! | [`searcher`] | what is known of one searcher: entry, load, speed, failures |
+//! | [`selection`] | which searcher of a service is asked |
+//! | [`window`] | how much work beyond the strictly needed may be sent |
+//! | [`turns`] | whose turn it is in a weighted set |
+//! | [`request`] | state of one request in flight |
+//! | [`merge`] | the best records of several parts |
+//! | [`engine`] | one request from arrival to its final answer |
+//!
+//! Everything is driven by `on_event(now, event, &mut actions)`.
+
+pub mod definition;
+pub mod engine;
+pub mod merge;
+pub mod mirror;
+pub mod request;
+pub mod searcher;
+pub mod selection;
+pub mod store_reader;
+pub mod table;
+pub mod turns;
+pub mod window;
+
+pub use definition::{CallerLimits, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
+pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
+pub use mirror::{Mirror, MirrorItem, MirrorUpdate, SearcherEntry};
+pub use request::{Arrival, AttemptKey, AttemptOutcome, MergedAnswer, NotRun, RequestKey, SearcherAnswer, Verdict};
+pub use table::RouteTable;
--- /dev/null
+++ b/crates/staircross-routing/src/mirror.rs
@@ -0,0 +1,227 @@
+//! What this node knows of the platform's store.
+//!
+//! Each item carries the revision of its last change. Items are merged by revision, never by the
+//! order in which they arrive, so it doesn't matter whether they come from the store or from a peer.
+
+use crate::definition::RoutingDefinition;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Most items that are remembered as gone.
+const MAX_TOMBSTONES: usize = 4096;
+
+/// What a searcher says of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SearcherEntry {
+    /// The run of the searcher.
+    pub instance: Arc<str>,
+    /// Service that it serves.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// Milliseconds that it stays slow after it wrote the entry.
+    pub cold_ms: u64,
+}
+
+/// One item of the store with its revision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum MirrorItem {
+    /// The configuration.
+    Configuration {
+        /// Its content.
+        definition: Arc<RoutingDefinition>,
+    },
+    /// A searcher.
+    Searcher {
+        /// Its entry.
+        entry: SearcherEntry,
+    },
+    /// A searcher's entry has gone.
+    SearcherGone {
+        /// The run whose entry it was.
+        instance: Arc<str>,
+    },
+}
+
+/// Items that changed, and up to which revision that is all.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MirrorUpdate {
+    /// Items with the revision of their last change.
+    pub items: Vec<(u64, MirrorItem)>,
+    /// Whether searchers that aren't listed are gone.
+    pub is_complete_for_searchers: bool,
+    /// Revision up to which the update tells all changes; 0 when it doesn't.
+    pub up_to: u64,
+}
+
+/// What a merge changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct MirrorChanges {
+    /// A newer configuration.
+    pub configuration: Option<Arc<RoutingDefinition>>,
+    /// New or changed searchers.
+    pub searchers: Vec<SearcherEntry>,
+    /// Searchers whose entry has gone.
+    pub gone: Vec<Arc<str>>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    revision: u64,
+    entry: Option<SearcherEntry>,
+}
+
+/// A copy of what the store holds, as far as it is known.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    configuration: Option<(u64, Arc<RoutingDefinition>)>,
+    searchers: BTreeMap<Arc<str>, Held>,
+    up_to: u64,
+    newest: u64,
+    tombstones_from: u64,
+}
+
+impl Mirror {
+    /// The configuration, if one is known.
+    pub fn configuration(&self) -> Option<&Arc<RoutingDefinition>> {
+        self.configuration.as_ref().map(|(_, definition)| definition)
+    }
+
+    /// Version of the configuration; 0 when none is known.
+    pub fn version(&self) -> u64 {
+        self.configuration().map_or(0, |definition| definition.version)
+    }
+
+    /// Revision up to which all changes of searchers are known.
+    pub fn up_to(&self) -> u64 {
+        self.up_to
+    }
+
+    /// Revision of the configuration; 0 when none is known.
+    pub fn configuration_revision(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |(revision, _)| *revision)
+    }
+
+    /// Newest revision of a searcher's entry or of its end.
+    pub fn newest_revision(&self) -> u64 {
+        self.newest
+    }
+
+    /// Searchers with an entry.
+    pub fn searchers(&self) -> impl Iterator<Item = &SearcherEntry> {
+        self.searchers.values().filter_map(|held| held.entry.as_ref())
+    }
+
+    /// Merges an update and tells what was news.
+    pub fn merge(&mut self, update: MirrorUpdate) -> MirrorChanges {
+        let mut changes = MirrorChanges::default();
+        let mut listed: Vec<Arc<str>> = Vec::new();
+        for (revision, item) in update.items {
+            match item {
+                MirrorItem::Configuration { definition } => self.take_configuration(revision, definition, &mut changes),
+                MirrorItem::Searcher { entry } => {
+                    if update.is_complete_for_searchers {
+                        listed.push(entry.instance.clone());
+                    }
+                    self.take_searcher(revision, entry, &mut changes);
+                }
+                MirrorItem::SearcherGone { instance } => self.take_gone(revision, instance, &mut changes),
+            }
+        }
+        if update.is_complete_for_searchers {
+            listed.sort();
+            self.drop_unlisted(update.up_to, &listed, &mut changes);
+        }
+        self.up_to = self.up_to.max(update.up_to);
+        self.forget_old_tombstones();
+        changes
+    }
+
+    /// Everything that changed after `revision`, for a peer that knows the store up to there.
+    pub fn changes_after(&self, revision: u64) -> MirrorUpdate {
+        let is_complete = revision < self.tombstones_from || revision == 0;
+        let mut items = Vec::new();
+        if let Some((at, definition)) = &self.configuration {
+            items.push((*at, MirrorItem::Configuration { definition: definition.clone() }));
+        }
+        for (instance, held) in &self.searchers {
+            let is_news = is_complete || held.revision > revision;
+            match &held.entry {
+                Some(entry) if is_news => {
+                    items.push((held.revision, MirrorItem::Searcher { entry: entry.clone() }));
+                }
+                None if is_news && !is_complete => {
+                    items.push((held.revision, MirrorItem::SearcherGone { instance: instance.clone() }));
+                }
+                Some(_) | None => {}
+            }
+        }
+        MirrorUpdate { items, is_complete_for_searchers: is_complete, up_to: self.up_to }
+    }
+
+    /// Versions only rise, whatever the revisions say.
+    fn take_configuration(&mut self, revision: u64, definition: Arc<RoutingDefinition>, changes: &mut MirrorChanges) {
+        if definition.version <= self.version() && self.configuration.is_some() {
+            return;
+        }
+        self.configuration = Some((revision, definition.clone()));
+        changes.configuration = Some(definition);
+    }
+
+    fn take_searcher(&mut self, revision: u64, entry: SearcherEntry, changes: &mut MirrorChanges) {
+        if self.searchers.get(&entry.instance).is_some_and(|held| held.revision >= revision) {
+            return;
+        }
+        self.newest = self.newest.max(revision);
+        changes.searchers.push(entry.clone());
+        self.searchers.insert(entry.instance.clone(), Held { revision, entry: Some(entry) });
+    }
+
+    fn take_gone(&mut self, revision: u64, instance: Arc<str>, changes: &mut MirrorChanges) {
+        let known = self.searchers.get(&instance);
+        if known.is_some_and(|held| held.revision >= revision) {
+            return;
+        }
+        if known.is_some_and(|held| held.entry.is_some()) {
+            changes.gone.push(instance.clone());
+        }
+        self.newest = self.newest.max(revision);
+        self.searchers.insert(instance, Held { revision, entry: None });
+    }
+
+    /// A whole listing at a revision leaves out what had gone by then.
+    fn drop_unlisted(&mut self, at: u64, listed: &[Arc<str>], changes: &mut MirrorChanges) {
+        for (instance, held) in &mut self.searchers {
+            let is_listed = listed.binary_search(instance).is_ok();
+            if is_listed || held.entry.is_none() || held.revision > at {
+                continue;
+            }
+            held.entry = None;
+            held.revision = at;
+            self.newest = self.newest.max(at);
+            changes.gone.push(instance.clone());
+        }
+        self.tombstones_from = self.tombstones_from.max(at.saturating_sub(1));
+    }
+
+    fn forget_old_tombstones(&mut self) {
+        let count = self.searchers.values().filter(|held| held.entry.is_none()).count();
+        if count <= MAX_TOMBSTONES {
+            return;
+        }
+        let mut revisions: Vec<u64> =
+            self.searchers.values().filter(|held| held.entry.is_none()).map(|held| held.revision).collect();
+        revisions.sort_unstable();
+        let horizon = revisions[count / 2];
+        self.searchers.retain(|_, held| held.entry.is_some() || held.revision > horizon);
+        self.tombstones_from = self.tombstones_from.max(horizon);
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/request.rs
@@ -0,0 +1,206 @@
+//! State of one request in flight.
+
+use crate::definition::{GatherTarget, RouteDefinition};
+use crate::selection::SearcherKey;
+use crate::table::RouteTable;
+use staircross_http::HeaderBlock;
+use staircross_types::{BootTime, ErrorKind};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Number of a request, unique within the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestKey(pub u64);
+
+/// One sending of a request to one searcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptKey {
+    /// The request.
+    pub request: RequestKey,
+    /// Counts up within the request.
+    pub number: u16,
+}
+
+/// A request that has arrived whole.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its number.
+    pub key: RequestKey,
+    /// Host that it names.
+    pub host: String,
+    /// Path, without the query.
+    pub path: String,
+    /// Time that the caller will wait, if it says so.
+    pub patience: Option<Duration>,
+}
+
+/// A searcher's whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SearcherAnswer {
+    /// Status.
+    pub status: u16,
+    /// The searcher's signature, if it gave one.
+    pub stamp: Option<Vec<u8>>,
+    /// All fields.
+    pub headers: HeaderBlock,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Why an attempt certainly didn't run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotRun {
+    /// No connection came up; nothing was sent.
+    Unconnected,
+    /// The searcher says that it didn't run it: no room, no time, or leaving.
+    Shed,
+    /// Another searcher has the address.
+    OtherInstance,
+}
+
+/// Why it isn't known whether an attempt ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unknown {
+    /// The connection broke, or what came was no answer.
+    Broken,
+    /// The answer is longer than this node takes.
+    TooLong,
+}
+
+impl NotRun {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            NotRun::Unconnected => "unconnected",
+            NotRun::Shed => "shed",
+            NotRun::OtherInstance => "other_instance",
+        }
+    }
+}
+
+impl Unknown {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Unknown::Broken => "broken",
+            Unknown::TooLong => "too_long",
+        }
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// Answered.
+    Answered(Box<SearcherAnswer>),
+    /// Ran nowhere.
+    NotRun(NotRun),
+    /// May have run.
+    Unknown(Unknown),
+    /// Nobody waited for it any more, and it was ended for that alone.
+    Withdrawn,
+}
+
+/// A merged answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MergedAnswer {
+    /// Signatures of the parts that are in.
+    pub stamps: Vec<Vec<u8>>,
+    /// Shards that are left out.
+    pub missing: usize,
+    /// The greatest records of these parts.
+    pub body: Vec<u8>,
+}
+
+/// The final word on a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Parts, merged.
+    Merged(MergedAnswer),
+    /// A searcher's answer as it is.
+    Passed(Box<SearcherAnswer>),
+    /// Refused or given up.
+    Refused {
+        /// One of the closed list.
+        kind: ErrorKind,
+        /// What exactly, for people.
+        detail: &'static str,
+    },
+}
+
+/// What is known about one shard of a request. A request to one service has one shard.
+#[derive(Debug)]
+pub(crate) struct Shard {
+    pub service: Arc<str>,
+    pub state: ShardState,
+    /// Searchers that it was sent to.
+    pub sends: u32,
+    /// Searchers that aren't to be asked again.
+    pub tried: Vec<SearcherKey>,
+    /// Attempts out for it.
+    pub outstanding: u32,
+}
+
+#[derive(Debug)]
+pub(crate) enum ShardState {
+    /// Asked, or waiting for a searcher with room.
+    Open,
+    /// Its part is in.
+    In(Box<SearcherAnswer>),
+    /// Given up, with the searcher's own failure if there was one.
+    Failed(Option<Box<SearcherAnswer>>),
+}
+
+/// One attempt of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub shard: u32,
+    /// When another searcher may be asked besides.
+    pub hedge_at: BootTime,
+    pub is_open: bool,
+    /// Whether its end is known; one that was abandoned may have run.
+    pub is_resolved: bool,
+}
+
+/// One request.
+#[derive(Debug)]
+pub(crate) struct Request {
+    /// The configuration that the request began with; all its parts come from there.
+    pub table: Arc<RouteTable>,
+    pub route_index: usize,
+    pub shards: Vec<Shard>,
+    pub attempts: Vec<Attempt>,
+    /// When a partial answer goes out rather than none in time.
+    pub answer_by: BootTime,
+    pub deadline: BootTime,
+    /// Whether any attempt ran or may have run.
+    pub may_have_run: bool,
+    /// Whether the time for the best answer is over.
+    pub is_past_goal: bool,
+}
+
+impl Request {
+    pub fn route(&self) -> &RouteDefinition {
+        &self.table.definition().routes[self.route_index]
+    }
+
+    pub fn gather(&self) -> Option<&GatherTarget> {
+        match &self.route().target {
+            crate::definition::RouteTarget::Gather(gather) => Some(gather),
+            _ => None,
+        }
+    }
+
+    /// Shards that make an answer.
+    pub fn least_shards(&self) -> usize {
+        self.gather().map_or(1, GatherTarget::least_shards)
+    }
+
+    pub fn parts_in(&self) -> usize {
+        self.shards.iter().filter(|shard| matches!(shard.state, ShardState::In(_))).count()
+    }
+
+    pub fn open_shards(&self) -> usize {
+        self.shards.iter().filter(|shard| matches!(shard.state, ShardState::Open)).count()
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/searcher.rs
@@ -0,0 +1,171 @@
+//! What is known of one searcher: its entry, its load as seen from here, its speed, its failures.
+//!
+//! Only own measurements count. A searcher that has gone or is leaving is never asked again.
+
+use crate::mirror::SearcherEntry;
+use crate::request::AttemptKey;
+use staircross_types::BootTime;
+use std::time::Duration;
+
+/// Weight of a new sample in the estimate of slowness.
+const SLOWNESS_GAIN: f64 = 0.25;
+/// Time in which an unconfirmed estimate of slowness halves its distance to normal.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_millis(2500);
+/// Bounds of the estimate.
+const SLOWNESS_RANGE: (f64, f64) = (0.3, 30.0);
+/// How many times slower a searcher is taken to be while it is cold.
+const COLD_FACTOR: f64 = 2.0;
+/// First time of avoidance after failures in a row; doubles with each further one.
+const AVOID_BASE: Duration = Duration::from_millis(400);
+/// Doublings at the most.
+const MAX_DOUBLINGS: u32 = 4;
+/// Time during which a searcher that turned work away is left alone.
+const SHED_PAUSE: Duration = Duration::from_millis(60);
+/// Time between trials of a searcher that has failed.
+const TRIAL_SPACING: Duration = Duration::from_millis(300);
+
+/// An attempt that holds a connection of the searcher.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OpenAttempt {
+    /// Which.
+    pub attempt: AttemptKey,
+    /// When it was sent.
+    pub sent_at: BootTime,
+    /// When it should have been answered.
+    pub due_at: BootTime,
+}
+
+/// Whether a searcher may be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Its entry says that it serves.
+    Serving,
+    /// It said that it leaves; never asked again.
+    Draining,
+    /// Its entry has gone.
+    Gone,
+}
+
+/// One run of a searcher.
+#[derive(Debug)]
+pub struct Searcher {
+    /// Its entry, as last known.
+    pub entry: SearcherEntry,
+    /// Whether it may be asked.
+    pub standing: Standing,
+    /// Attempts that hold a connection.
+    pub open: Vec<OpenAttempt>,
+    /// Connections that it accepts from all callers together.
+    pub max_connections: u32,
+    cold_until: BootTime,
+    slowness: f64,
+    measured_at: BootTime,
+    failures: u32,
+    avoid_until: BootTime,
+}
+
+impl Searcher {
+    /// A searcher that was just learned of.
+    pub fn new(now: BootTime, entry: SearcherEntry, max_connections: u32) -> Self {
+        let standing = if entry.is_draining { Standing::Draining } else { Standing::Serving };
+        let cold_until = now + Duration::from_millis(entry.cold_ms);
+        Searcher {
+            entry,
+            standing,
+            open: Vec::new(),
+            max_connections,
+            cold_until,
+            slowness: 1.0,
+            measured_at: now,
+            failures: 0,
+            avoid_until: BootTime::default(),
+        }
+    }
+
+    /// Takes a newer entry of the same run. Leaving is final; coming back after a lapse isn't.
+    pub fn update(&mut self, now: BootTime, entry: SearcherEntry) {
+        let was_draining = self.standing == Standing::Draining;
+        self.standing = if was_draining || entry.is_draining { Standing::Draining } else { Standing::Serving };
+        self.cold_until = now + Duration::from_millis(entry.cold_ms);
+        self.entry = entry;
+    }
+
+    /// Its entry has gone from the store.
+    pub fn mark_gone(&mut self) {
+        if self.standing == Standing::Serving {
+            self.standing = Standing::Gone;
+        }
+    }
+
+    /// Whether new work may be sent, room and trials aside.
+    pub fn is_serving(&self) -> bool {
+        self.standing == Standing::Serving
+    }
+
+    /// Whether it has failed lately and must be left alone for now.
+    pub fn is_avoided(&self, now: BootTime) -> bool {
+        now < self.avoid_until
+    }
+
+    /// How many times slower than usual it is taken to be.
+    pub fn slowness(&self, now: BootTime) -> f64 {
+        let age = now.since(self.measured_at).as_secs_f64();
+        let kept = 0.5_f64.powf(age / SLOWNESS_HALF_LIFE.as_secs_f64());
+        let present = 1.0 + (self.slowness - 1.0) * kept;
+        if now < self.cold_until { present.max(COLD_FACTOR) } else { present }
+    }
+
+    /// Longest time by which an open attempt is overdue.
+    pub fn overdue(&self, now: BootTime) -> Duration {
+        self.open.iter().map(|open| now.since(open.due_at)).max().unwrap_or_default()
+    }
+
+    /// Notes that an attempt was sent.
+    pub fn sent(&mut self, now: BootTime, open: OpenAttempt) {
+        if self.failures > 1 {
+            // The one trial; nobody else is sent until it has told.
+            self.avoid_until = now + TRIAL_SPACING;
+        }
+        self.open.push(open);
+    }
+
+    /// Notes that an attempt no longer holds a connection.
+    pub fn released(&mut self, attempt: AttemptKey) {
+        self.open.retain(|open| open.attempt != attempt);
+    }
+
+    /// Notes an answer that took `ratio` times as long as usual.
+    pub fn answered(&mut self, now: BootTime, ratio: f64) {
+        self.failures = 0;
+        self.avoid_until = BootTime::default();
+        let sample = ratio.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+        let before = 1.0 + (self.slowness - 1.0) * self.kept_since_measured(now);
+        self.slowness = before + (sample - before) * SLOWNESS_GAIN;
+        self.measured_at = now;
+    }
+
+    fn kept_since_measured(&self, now: BootTime) -> f64 {
+        0.5_f64.powf(now.since(self.measured_at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Notes an answer that was lost or spoiled. One alone may be chance.
+    pub fn faltered(&mut self, now: BootTime) {
+        if self.failures == 0 {
+            self.failures = 1;
+        } else {
+            self.failed(now);
+        }
+    }
+
+    /// Notes that it turned work away.
+    pub fn shed(&mut self, now: BootTime) {
+        self.avoid_until = self.avoid_until.max(now + SHED_PAUSE);
+    }
+
+    /// Notes that it couldn't be reached; failures in a row keep work away ever longer.
+    pub fn failed(&mut self, now: BootTime) {
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        self.failures = self.failures.saturating_add(1);
+        self.avoid_until = now + AVOID_BASE * (1 << doublings);
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/selection.rs
@@ -0,0 +1,168 @@
+//! Which searcher of a service is asked.
+//!
+//! The one that should answer first: way there, usual work, its slowness, its queue as far as it is
+//! known here, and how long its open attempts are overdue. A searcher with an overdue attempt is
+//! probably in a pause, so whoever comes next goes elsewhere. Distance counts a little more than its
+//! time, because bytes between zones cost.
+
+use crate::searcher::Searcher;
+use hashbrown::HashMap;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use staircross_types::BootTime;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Index of a searcher in the engine's table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SearcherKey(pub u32);
+
+/// Added to the way to another zone of the region, and to another region.
+const ZONE_BIAS: Duration = Duration::from_millis(4);
+const REGION_BIAS: Duration = Duration::from_millis(25);
+/// Ways assumed until they have been measured.
+const OWN_ZONE_WAY: Duration = Duration::from_millis(1);
+const OTHER_ZONE_WAY: Duration = Duration::from_millis(2);
+const OTHER_REGION_WAY: Duration = Duration::from_millis(24);
+/// Candidates within this factor of the best share the work.
+const AS_GOOD: f64 = 1.1;
+/// Parts of a searcher's connections that nodes of its own zone and of others use.
+const OWN_ZONE_PART: f64 = 0.6;
+const OTHER_ZONE_PART: f64 = 0.3;
+
+/// Where this node stands among zones and nodes.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Zone of this node.
+    pub zone: Arc<str>,
+    /// Regions by zone.
+    pub regions: HashMap<Arc<str>, Arc<str>>,
+    /// Live nodes by zone, this one included.
+    pub nodes_by_zone: HashMap<Arc<str>, usize>,
+    /// Most live nodes seen lately.
+    pub fleet: usize,
+    /// Least times to connect, by zone.
+    pub ways: HashMap<Arc<str>, Duration>,
+}
+
+/// How far a zone is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// The same zone.
+    OwnZone,
+    /// Another zone of the region.
+    OwnRegion,
+    /// Another region.
+    Far,
+}
+
+impl Place {
+    /// How far `zone` is.
+    pub fn distance(&self, zone: &str) -> Distance {
+        if zone == &*self.zone {
+            return Distance::OwnZone;
+        }
+        let is_same_region = match (self.regions.get(zone), self.regions.get(&self.zone)) {
+            (Some(theirs), Some(ours)) => theirs == ours,
+            _ => false,
+        };
+        if is_same_region { Distance::OwnRegion } else { Distance::Far }
+    }
+
+    /// Time to a zone and back.
+    pub fn way(&self, zone: &str) -> Duration {
+        let assumed = match self.distance(zone) {
+            Distance::OwnZone => OWN_ZONE_WAY,
+            Distance::OwnRegion => OTHER_ZONE_WAY,
+            Distance::Far => OTHER_REGION_WAY,
+        };
+        self.ways.get(zone).copied().unwrap_or(assumed)
+    }
+
+    /// Notes how long a connection took to come up.
+    pub fn note_connected(&mut self, zone: &Arc<str>, took: Duration) {
+        let known = self.ways.entry(zone.clone()).or_insert(took);
+        *known = took.min(*known);
+    }
+
+    /// Connections that this node may hold to a searcher, so that all nodes together stay below its bound.
+    pub fn connection_share(&self, searcher: &Searcher) -> usize {
+        let most = f64::from(searcher.max_connections);
+        let fleet = self.fleet.max(1);
+        let near = self.nodes_by_zone.get(&searcher.entry.zone).copied().unwrap_or(0).min(fleet);
+        let share = if near == 0 {
+            most * (OWN_ZONE_PART + OTHER_ZONE_PART) / fleet as f64
+        } else if near == fleet {
+            most * (OWN_ZONE_PART + OTHER_ZONE_PART) / near as f64
+        } else if *searcher.entry.zone == *self.zone {
+            most * OWN_ZONE_PART / near as f64
+        } else {
+            most * OTHER_ZONE_PART / (fleet - near) as f64
+        };
+        (share as usize).max(1)
+    }
+
+    /// Other callers that probably send as much to the searcher as this node does, this one included.
+    fn sharers(&self, searcher: &Searcher) -> f64 {
+        if *searcher.entry.zone == *self.zone {
+            return self.nodes_by_zone.get(&self.zone).copied().unwrap_or(1).max(1) as f64;
+        }
+        1.0
+    }
+}
+
+/// Time after which a searcher is expected to answer.
+pub fn expected_time(now: BootTime, searcher: &Searcher, place: &Place, usual_work: Duration) -> Duration {
+    let zone = &searcher.entry.zone;
+    let bias = match place.distance(zone) {
+        Distance::OwnZone => Duration::ZERO,
+        Distance::OwnRegion => ZONE_BIAS,
+        Distance::Far => REGION_BIAS,
+    };
+    let work = usual_work.mul_f64(searcher.slowness(now));
+    let slots = f64::from(searcher.entry.slots.max(1));
+    let at_work = searcher.open.len() as f64 * place.sharers(searcher);
+    let queue = work.mul_f64(((at_work + 1.0 - slots) / slots).max(0.0));
+    // Whoever is overdue will probably be so for as long again.
+    let pause = searcher.overdue(now) * 2;
+    place.way(zone) + bias + work + queue + pause
+}
+
+/// Chooses among `candidates`; those in `tried`, without room, not serving or avoided are left out.
+pub fn choose(
+    now: BootTime,
+    candidates: &[SearcherKey],
+    table: &[Searcher],
+    tried: &[SearcherKey],
+    place: &Place,
+    usual_work: Duration,
+    random: &mut ChaCha8Rng,
+) -> Option<SearcherKey> {
+    let mut best: Option<(SearcherKey, Duration)> = None;
+    let mut as_good = 0_u32;
+    for key in candidates {
+        let searcher = &table[key.0 as usize];
+        if tried.contains(key) || !may_take(now, searcher, place) {
+            continue;
+        }
+        let expected = expected_time(now, searcher, place, usual_work);
+        match best {
+            Some((_, least)) if expected > least.mul_f64(AS_GOOD) => {}
+            Some((_, least)) if expected.mul_f64(AS_GOOD) >= least => {
+                as_good += 1;
+                if random.random_range(0..as_good) == 0 {
+                    best = Some((*key, expected.min(least)));
+                }
+            }
+            _ => {
+                best = Some((*key, expected));
+                as_good = 1;
+            }
+        }
+    }
+    best.map(|(key, _)| key)
+}
+
+fn may_take(now: BootTime, searcher: &Searcher, place: &Place) -> bool {
+    searcher.is_serving() && !searcher.is_avoided(now) && searcher.open.len() < place.connection_share(searcher)
+}
--- /dev/null
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -0,0 +1,341 @@
+//! When the store is read, watched, or left alone.
+//!
+//! Two lanes, one for the configuration and one for the searchers. Each reads once, then watches
+//! from the revision it has reached, and reads again only when the store has forgotten the history
+//! in between. Every call costs, so after news a lane rests for a moment: a storm of changes is then
+//! a few calls. A lane that fails backs off and goes on trying for ever.
+
+use crate::mirror::MirrorUpdate;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use staircross_types::BootTime;
+use std::time::Duration;
+
+/// What a lane reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Lane {
+    /// The configuration.
+    Configuration,
+    /// The searchers' entries.
+    Searchers,
+}
+
+impl Lane {
+    /// Both lanes.
+    pub const ALL: [Lane; 2] = [Lane::Configuration, Lane::Searchers];
+
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Lane::Configuration => "configuration",
+            Lane::Searchers => "searchers",
+        }
+    }
+}
+
+/// One call to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// The configuration as it is now.
+    ReadConfiguration,
+    /// A page of searchers' entries, after a key.
+    ListSearchers {
+        /// Last key of the page before.
+        after: Option<String>,
+    },
+    /// What changes after a revision.
+    Watch {
+        /// Of what.
+        lane: Lane,
+        /// The revision.
+        after: u64,
+        /// How long the store may hold the call.
+        wait: Duration,
+    },
+}
+
+/// What the store said.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreReply {
+    /// Items, and the store's revision. `next` is the key to go on after when there are more.
+    Items {
+        /// The items.
+        update: MirrorUpdate,
+        /// The store's revision.
+        at: u64,
+        /// Where the next page begins.
+        next: Option<String>,
+    },
+    /// Changes up to a revision.
+    Changes {
+        /// The changes.
+        update: MirrorUpdate,
+        /// The revision.
+        at: u64,
+    },
+    /// The history after the revision asked for is gone.
+    HistoryGone,
+    /// Refused, or no proper answer; nothing is known.
+    Refused {
+        /// HTTP status.
+        status: u16,
+    },
+}
+
+/// What the reader wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReaderAction {
+    /// Make a call; give up on it and its connection after `patience`.
+    Call {
+        /// The lane that waits for the reply.
+        lane: Lane,
+        /// The call.
+        call: StoreCall,
+        /// Longest wait.
+        patience: Duration,
+    },
+    /// Merge what was learned.
+    Learned {
+        /// From which lane.
+        lane: Lane,
+        /// What.
+        update: MirrorUpdate,
+    },
+    /// The store answers on this lane again, or no longer.
+    Reachable {
+        /// The lane.
+        lane: Lane,
+        /// Whether it answers.
+        is_reachable: bool,
+    },
+}
+
+/// Times of the reader.
+#[derive(Clone, Debug)]
+pub struct ReaderSettings {
+    /// How long the store may hold a watch.
+    pub watch: Duration,
+    /// Longest wait for any other call, and beyond a watch's end.
+    pub patience: Duration,
+    /// Rest after news.
+    pub rest: Duration,
+    /// First and longest wait after a failure.
+    pub back_off: (Duration, Duration),
+}
+
+impl Default for ReaderSettings {
+    fn default() -> Self {
+        ReaderSettings {
+            watch: Duration::from_secs(20),
+            patience: Duration::from_millis(1200),
+            rest: Duration::from_millis(250),
+            back_off: (Duration::from_millis(150), Duration::from_millis(1000)),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum LaneState {
+    /// The next call is due at a time.
+    Resting { until: BootTime },
+    /// A call is out.
+    Calling,
+}
+
+#[derive(Debug)]
+struct LaneReader {
+    lane: Lane,
+    state: LaneState,
+    /// Revision that changes are known up to; `None` before the first read.
+    after: Option<u64>,
+    /// Pages of a listing that isn't whole yet, its revision and where it goes on.
+    partial: Option<(MirrorUpdate, u64, String)>,
+    failures: u32,
+    is_reachable: bool,
+}
+
+/// Decides about calls to the store.
+#[derive(Debug)]
+pub struct StoreReader {
+    settings: ReaderSettings,
+    lanes: [LaneReader; 2],
+}
+
+impl StoreReader {
+    /// A reader that begins at once.
+    pub fn new(settings: ReaderSettings) -> Self {
+        let lanes = Lane::ALL.map(|lane| LaneReader {
+            lane,
+            state: LaneState::Resting { until: BootTime::default() },
+            after: None,
+            partial: None,
+            failures: 0,
+            is_reachable: false,
+        });
+        StoreReader { settings, lanes }
+    }
+
+    /// When a call is due next.
+    pub fn next_wake(&self) -> Option<BootTime> {
+        let due = self.lanes.iter().filter_map(|lane| match lane.state {
+            LaneState::Resting { until } => Some(until),
+            LaneState::Calling => None,
+        });
+        due.min()
+    }
+
+    /// Whether the store answered last on both lanes.
+    pub fn is_reachable(&self) -> bool {
+        self.lanes.iter().all(|lane| lane.is_reachable)
+    }
+
+    /// Makes the calls that are due.
+    pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
+        for lane in &mut self.lanes {
+            if matches!(lane.state, LaneState::Resting { until } if until <= now) {
+                lane.state = LaneState::Calling;
+                actions.push(lane.next_call(&self.settings));
+            }
+        }
+    }
+
+    /// Takes a reply.
+    pub fn on_reply(
+        &mut self,
+        now: BootTime,
+        lane: Lane,
+        reply: StoreReply,
+        random: &mut ChaCha8Rng,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        let settings = self.settings.clone();
+        let reader = self.lane_mut(lane);
+        match reply {
+            StoreReply::Refused { .. } => return reader.fail(now, &settings, random, actions),
+            StoreReply::HistoryGone => {
+                reader.after = None;
+                reader.partial = None;
+                reader.state = LaneState::Resting { until: now };
+            }
+            StoreReply::Items { update, at, next } => reader.take_page(now, update, at, next, actions),
+            StoreReply::Changes { update, at } => reader.take_changes(now, update, at, &settings, actions),
+        }
+        reader.failures = 0;
+        reader.set_reachable(true, actions);
+    }
+
+    /// A call brought no reply: its connection broke, or its time was over.
+    pub fn on_failed(
+        &mut self,
+        now: BootTime,
+        lane: Lane,
+        random: &mut ChaCha8Rng,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        let settings = self.settings.clone();
+        self.lane_mut(lane).fail(now, &settings, random, actions);
+    }
+
+    /// A peer told everything up to `revision`; a lane that has read nothing yet can watch from there.
+    pub fn on_told(&mut self, lane: Lane, revision: u64) {
+        let reader = self.lane_mut(lane);
+        if reader.after.is_none_or(|after| after < revision) {
+            reader.after = Some(revision);
+            reader.partial = None;
+        }
+    }
+
+    fn lane_mut(&mut self, lane: Lane) -> &mut LaneReader {
+        match lane {
+            Lane::Configuration => &mut self.lanes[0],
+            Lane::Searchers => &mut self.lanes[1],
+        }
+    }
+}
+
+impl LaneReader {
+    fn next_call(&self, settings: &ReaderSettings) -> ReaderAction {
+        let (call, patience) = match (self.after, &self.partial, self.lane) {
+            (Some(after), _, lane) => {
+                let call = StoreCall::Watch { lane, after, wait: settings.watch };
+                (call, settings.watch + settings.patience)
+            }
+            (None, Some((_, _, key)), _) => {
+                (StoreCall::ListSearchers { after: Some(key.clone()) }, settings.patience)
+            }
+            (None, None, Lane::Configuration) => (StoreCall::ReadConfiguration, settings.patience),
+            (None, None, Lane::Searchers) => (StoreCall::ListSearchers { after: None }, settings.patience),
+        };
+        ReaderAction::Call { lane: self.lane, call, patience }
+    }
+
+    fn take_page(
+        &mut self,
+        now: BootTime,
+        update: MirrorUpdate,
+        at: u64,
+        next: Option<String>,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        self.state = LaneState::Resting { until: now };
+        let (mut whole, first_at) = match self.partial.take() {
+            Some((before, first_at, _)) => (before, first_at),
+            None => (MirrorUpdate::default(), at),
+        };
+        whole.items.extend(update.items);
+        if let Some(key) = next {
+            self.partial = Some((whole, first_at, key));
+            return;
+        }
+        // Pages are no snapshot: only what holds since the first page is known, the watch tells the rest.
+        if self.lane == Lane::Searchers {
+            whole.is_complete_for_searchers = true;
+            whole.up_to = first_at;
+        }
+        self.after = Some(first_at);
+        actions.push(ReaderAction::Learned { lane: self.lane, update: whole });
+    }
+
+    fn take_changes(
+        &mut self,
+        now: BootTime,
+        mut update: MirrorUpdate,
+        at: u64,
+        settings: &ReaderSettings,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        self.after = Some(self.after.map_or(at, |after| after.max(at)));
+        if update.items.is_empty() {
+            self.state = LaneState::Resting { until: now };
+        } else {
+            self.state = LaneState::Resting { until: now + settings.rest };
+        }
+        if self.lane == Lane::Searchers {
+            update.up_to = at;
+        }
+        actions.push(ReaderAction::Learned { lane: self.lane, update });
+    }
+
+    fn fail(
+        &mut self,
+        now: BootTime,
+        settings: &ReaderSettings,
+        random: &mut ChaCha8Rng,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        let (first, longest) = settings.back_off;
+        let wait = (first * (1 << self.failures.min(6))).min(longest);
+        self.failures = self.failures.saturating_add(1);
+        // Spread, so that nodes that failed together don't come back together.
+        let spread = random.random_range(0.5..1.0);
+        self.state = LaneState::Resting { until: now + wait.mul_f64(spread) };
+        self.set_reachable(false, actions);
+    }
+
+    fn set_reachable(&mut self, is_reachable: bool, actions: &mut Vec<ReaderAction>) {
+        if self.is_reachable != is_reachable {
+            self.is_reachable = is_reachable;
+            actions.push(ReaderAction::Reachable { lane: self.lane, is_reachable });
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/turns.rs
@@ -0,0 +1,43 @@
+//! Whose turn it is in a weighted set.
+
+use crate::definition::WeightedService;
+use std::sync::Arc;
+
+/// Smooth weighted turns: over any stretch each service is picked as often as its weight says,
+/// give or take one, without luck.
+#[derive(Debug, Default)]
+pub struct WeightedTurns {
+    credits: Vec<Credit>,
+}
+
+#[derive(Debug)]
+struct Credit {
+    service: Arc<str>,
+    weight: u32,
+    credit: i64,
+}
+
+impl WeightedTurns {
+    /// The next service; `None` when no weight is above zero.
+    pub fn next(&mut self, set: &[WeightedService]) -> Option<Arc<str>> {
+        self.follow(set);
+        let total: i64 = self.credits.iter().map(|entry| i64::from(entry.weight)).sum();
+        for entry in &mut self.credits {
+            entry.credit += i64::from(entry.weight);
+        }
+        let chosen = self.credits.iter_mut().filter(|entry| entry.weight > 0).max_by_key(|entry| entry.credit)?;
+        chosen.credit -= total;
+        Some(chosen.service.clone())
+    }
+
+    /// Starts over when the set has changed.
+    fn follow(&mut self, set: &[WeightedService]) {
+        let is_same = self.credits.len() == set.len()
+            && self.credits.iter().zip(set).all(|(known, new)| known.service == new.service && known.weight == new.weight);
+        if is_same {
+            return;
+        }
+        let fresh = |entry: &WeightedService| Credit { service: entry.service.clone(), weight: entry.weight, credit: 0 };
+        self.credits = set.iter().map(fresh).collect();
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/src/window.rs
@@ -0,0 +1,75 @@
+//! How much work beyond the strictly needed may be sent to one service.
+//!
+//! The bound holds for all nodes together in every sliding window. Each node spends a fraction of
+//! its own requests, and its part of the slack, so that the sum stays below the bound whoever is
+//! cut off from whom.
+
+use staircross_types::BootTime;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Steps that a window is cut into.
+const STEPS: u64 = 20;
+/// Part of the allowed ratio that is used: the rest is for what others see differently.
+const RATIO_USED: f64 = 0.7;
+/// Part of the slack that is used; a restarted node has forgotten what it spent.
+const SLACK_USED: f64 = 0.4;
+
+/// The bound for all nodes together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExtraBound {
+    /// Extra sends per request.
+    pub ratio: f64,
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Extra sends per window besides.
+    pub slack: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Step {
+    number: u64,
+    requests: u32,
+    extras: u32,
+}
+
+/// Counts of one service in the current window.
+#[derive(Debug, Default)]
+pub struct ExtraWindow {
+    steps: VecDeque<Step>,
+}
+
+impl ExtraWindow {
+    /// Counts one request.
+    pub fn count_request(&mut self, now: BootTime, bound: &ExtraBound) {
+        self.current(now, bound).requests += 1;
+    }
+
+    /// Takes leave for one extra send, if there is any.
+    pub fn try_spend(&mut self, now: BootTime, bound: &ExtraBound, fleet: usize) -> bool {
+        self.current(now, bound);
+        let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
+        let extras: u32 = self.steps.iter().map(|step| step.extras).sum();
+        let own_slack = bound.slack * SLACK_USED / fleet.max(1) as f64;
+        let allowed = f64::from(requests) * bound.ratio * RATIO_USED + own_slack;
+        if f64::from(extras + 1) > allowed {
+            return false;
+        }
+        self.current(now, bound).extras += 1;
+        true
+    }
+
+    /// The present step; steps that have left the window are dropped.
+    fn current(&mut self, now: BootTime, bound: &ExtraBound) -> &mut Step {
+        let step_length = (bound.window.as_micros() as u64 / STEPS).max(1);
+        let number = now.0 / step_length;
+        while self.steps.front().is_some_and(|step| step.number + STEPS < number) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|step| step.number != number) {
+            self.steps.push_back(Step { number, ..Step::default() });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
