Keep a slow node's callers: measure load, send them elsewhere, refuse late reads; tell slow from paused

Ruled out: back ends (idle), the connection caps (resets were a consequence). Change: the loop measures its turns; time waited is taken off a request's time, and new requests are refused as not run when it is long; busy nodes announce it and the directory shares their callers with farther nodes. A searcher is slow only when an attempt sent after a slow answer is slow too; shards that wait for room are kept by service; the guard before the goal covers the caller's own way; store lanes rest by the bounds.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -4,6 +4,7 @@
 //! that the store doesn't serve sees that it is behind, and asks a peer for what it lacks.
 
 use crate::dialect::DirectoryQuery;
+use crate::load::is_pressed;
 use hashbrown::HashMap;
 use mio::net::UdpSocket;
 use rand::Rng;
@@ -32,6 +33,8 @@
 const MAX_ADDRESSES: usize = 64;
 /// How long this node lets its own watch tell what a peer knows already.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(400);
+/// Farther nodes that stand in for each near one that is pressed.
+const FARTHER_PER_PRESSED: usize = 2;
 /// Peers that are told news at once.
 const PUSH_COUNT: usize = 12;
 
@@ -44,6 +47,9 @@
     /// Newest revision of a searcher's entry.
     #[serde(rename = "r")]
     pub revision: u64,
+    /// Busy share of the process, in percent.
+    #[serde(rename = "l", default)]
+    pub load: u8,
 }
 
 impl Announcement {
@@ -209,8 +215,20 @@
     }
 
     /// Notes what this node knows now.
-    pub fn set_announcement(&mut self, own: Announcement) {
-        self.own = own;
+    pub fn set_knowledge(&mut self, version: u64, revision: u64) {
+        self.own.version = version;
+        self.own.revision = revision;
+    }
+
+    /// Notes how busy this node is, in percent. A change that matters to callers is told at once.
+    pub fn set_load(&mut self, percent: u8, events: &mut Vec<FleetEvent>) {
+        let matters = is_pressed(percent) != is_pressed(self.own.load);
+        self.own.load = percent;
+        if matters {
+            let mut actions = Vec::new();
+            self.membership.push_news(&mut self.random, PUSH_COUNT, &mut actions);
+            self.carry_out(actions, events);
+        }
     }
 
     /// A peer that knows more, once this node has been behind for a while.
@@ -289,6 +307,13 @@
         self.live().count()
     }
 
+    fn load_of(&self, node: NodeId) -> u8 {
+        if node == self.node {
+            return self.own.load;
+        }
+        self.announced.get(&node).map_or(0, |announced| announced.load)
+    }
+
     /// Addresses for a caller: ready nodes of its zone, else of its region, else all. Suspects only if
     /// there is nobody else.
     pub fn addresses_for(&mut self, query: &DirectoryQuery) -> Vec<SocketAddr> {
@@ -300,16 +325,19 @@
             () => 2,
         };
         let choose = |state: MemberState| {
-            let ready: Vec<&Member> =
-                self.live().filter(|member| member.state == state && member.is_ready).collect();
-            let nearest = ready.iter().map(|member| rank(member)).min();
-            let near = ready.iter().filter(|member| Some(rank(member)) == nearest);
-            near.map(|member| member.caller_address).collect::<Vec<_>>()
+            let ready = self.live().filter(|member| member.state == state && member.is_ready);
+            let candidate = |member: &Member| Candidate {
+                address: member.caller_address,
+                rank: rank(member),
+                is_pressed: is_pressed(self.load_of(member.node)),
+            };
+            ready.map(candidate).collect::<Vec<_>>()
         };
-        let mut addresses = choose(MemberState::Alive);
-        if addresses.is_empty() {
-            addresses = choose(MemberState::Suspect);
+        let mut candidates = choose(MemberState::Alive);
+        if candidates.is_empty() {
+            candidates = choose(MemberState::Suspect);
         }
+        let mut addresses = nearest_with_room(&candidates, &mut self.random);
         addresses.sort_unstable();
         addresses.dedup();
         if addresses.len() > MAX_ADDRESSES {
@@ -320,6 +348,38 @@
     }
 }
 
+/// A node that callers may be sent to.
+struct Candidate {
+    address: SocketAddr,
+    /// Lower is nearer.
+    rank: u8,
+    is_pressed: bool,
+}
+
+/// The nearest nodes. Pressed ones are left out where others are as near; where all are pressed, as
+/// many of the farther ones with room take a part of their callers.
+fn nearest_with_room(candidates: &[Candidate], random: &mut ChaCha8Rng) -> Vec<SocketAddr> {
+    let Some(nearest) = candidates.iter().map(|candidate| candidate.rank).min() else {
+        return Vec::new();
+    };
+    let near: Vec<&Candidate> = candidates.iter().filter(|candidate| candidate.rank == nearest).collect();
+    let with_room: Vec<SocketAddr> =
+        near.iter().filter(|candidate| !candidate.is_pressed).map(|candidate| candidate.address).collect();
+    if !with_room.is_empty() {
+        return with_room;
+    }
+    let mut addresses: Vec<SocketAddr> = near.iter().map(|candidate| candidate.address).collect();
+    let mut farther: Vec<SocketAddr> = candidates
+        .iter()
+        .filter(|candidate| candidate.rank != nearest && !candidate.is_pressed)
+        .map(|candidate| candidate.address)
+        .collect();
+    farther.shuffle(random);
+    farther.truncate(addresses.len() * FARTHER_PER_PRESSED);
+    addresses.extend(farther);
+    addresses
+}
+
 /// Callers lose a request with each second that a dead node stays in the directory, and only lose a
 /// node for a moment when it is suspected wrongly.
 fn membership_settings() -> MembershipSettings {
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`http_call`] | one outgoing call at a time, to the store or a peer |
 //! | [`outbound`] | what of a request is sent on, and how answers are written |
 //! | [`fleet`] | members, announcements, and which nodes callers are sent to |
+//! | [`load`] | how busy this process is, and how late it comes to its work |
 //! | [`node`] | the event loop that carries events and actions between all of these |
 //! | [`event_log`], [`metrics`], [`clock`] | structured lines, counters, the boot clock |
 
@@ -18,6 +19,7 @@
 pub mod event_log;
 pub mod fleet;
 pub mod http_call;
+pub mod load;
 pub mod metrics;
 pub mod node;
 pub mod outbound;
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -13,6 +13,7 @@
 use crate::event_log::{EventLog, LineKind};
 use crate::fleet::{Fleet, FleetIdentity};
 use crate::http_call::HttpCaller;
+use crate::load::LoadMeter;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::server::{Endpoint, Server, ServerTimes};
@@ -29,7 +30,7 @@
 use requests::CallerRequest;
 use staircross_http::ServerLimits;
 use staircross_routing::engine::{RoutingEngine, RoutingEvent, RoutingSettings};
-use staircross_routing::store_reader::{ReaderSettings, StoreCall, StoreReader};
+use staircross_routing::store_reader::{StoreCall, StoreReader};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{Mirror, RequestKey};
 use staircross_types::{BootTime, NodeId};
@@ -49,7 +50,9 @@
 const DATAGRAMS: u8 = 6;
 
 /// Events taken from the poll at once.
-const EVENTS: usize = 256;
+const EVENTS: usize = 1024;
+/// Events handled before the clock is read again.
+const EVENTS_PER_CLOCK: usize = 16;
 /// Time between looks at what has no exact time of its own.
 const TICK: Duration = Duration::from_millis(50);
 /// Longest answer of a searcher, in bytes.
@@ -110,8 +113,9 @@
     by_connection: HashMap<SocketId, RequestKey>,
     next_request: u64,
     next_tick: BootTime,
-    last_turn: BootTime,
+    load: LoadMeter,
     is_ready: bool,
+    is_pressed: bool,
     stop: Option<StopState>,
     log: EventLog,
     metrics: Metrics,
@@ -161,15 +165,16 @@
             store: [HttpCaller::new(STORE, 0, store), HttpCaller::new(STORE, 1, store)],
             store_calls: [None, None],
             peer: HttpCaller::new(PEER, 0, peers),
-            reader: StoreReader::new(ReaderSettings::default()),
+            reader: StoreReader::new(settings.reader()),
             mirror: Mirror::default(),
             engine: RoutingEngine::new(routing_settings(&settings)),
             callers: HashMap::new(),
             by_connection: HashMap::new(),
             next_request: 1,
             next_tick: now,
-            last_turn: now,
+            load: LoadMeter::new(now),
             is_ready: false,
+            is_pressed: false,
             stop: None,
             metrics: Metrics::default(),
             random: ChaCha8Rng::seed_from_u64(rand::rng().random()),
@@ -196,17 +201,20 @@
                 Err(error) => return Err(io_error("poll")(error)),
             }
             self.now = clock::now();
+            self.load.begin_turn(self.now);
             self.note_pause();
             self.take_signals();
             for kinds in [&[STORE, PEER, DATAGRAMS][..], &[POOL][..], &[LISTENERS, SERVER][..]] {
-                for event in &events {
-                    let id = SocketId::from_token(event.token());
-                    if kinds.contains(&id.kind) {
-                        self.on_socket(id, event);
+                let ours = events.iter().filter(|event| kinds.contains(&SocketId::from_token(event.token()).kind));
+                for (count, event) in ours.enumerate() {
+                    if count % EVENTS_PER_CLOCK == EVENTS_PER_CLOCK - 1 {
+                        self.now = clock::now();
                     }
+                    self.on_socket(SocketId::from_token(event.token()), event);
                 }
             }
             self.on_time();
+            self.load.end_turn(clock::now());
         }
         self.log.line(self.now, LineKind::Belief, format_args!("event=stopped in_flight={}", self.engine.in_flight()));
         self.log.flush(self.now);
@@ -223,11 +231,10 @@
 
     /// A gap between turns says that the process, not the others, stood still.
     fn note_pause(&mut self) {
-        let gap = self.now.since(self.last_turn);
+        let gap = self.load.gap();
         if gap >= Duration::from_millis(1000) {
             self.log.line(self.now, LineKind::Belief, format_args!("event=woke_late gap_ms={}", gap.as_millis()));
         }
-        self.last_turn = self.now;
     }
 
     fn on_socket(&mut self, id: SocketId, event: &Event) {
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// How long callers may keep an answer of the directory. Short, so that callers leave a dead node soon.
-const DIRECTORY_TTL: Duration = Duration::from_millis(1000);
+const DIRECTORY_TTL: Duration = Duration::from_millis(2000);
 
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_own_endpoint(&mut self, connection: SocketId, endpoint: Endpoint, request: &Request) {
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -3,7 +3,7 @@
 use super::GatewayNode;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
-use crate::fleet::{Announcement, FleetEvent};
+use crate::fleet::FleetEvent;
 use crate::http_call::CallOutcome;
 use crate::socket::SocketId;
 use staircross_routing::engine::RoutingEvent;
@@ -123,8 +123,7 @@
         if !changes.gone.is_empty() {
             self.engine_event(RoutingEvent::SearchersGone(changes.gone));
         }
-        let own = Announcement { version: self.mirror.version(), revision: self.mirror.newest_revision() };
-        self.fleet.set_announcement(own);
+        self.fleet.set_knowledge(self.mirror.version(), self.mirror.newest_revision());
     }
 
     pub(super) fn on_datagrams(&mut self) {
@@ -135,6 +134,13 @@
 
     pub(super) fn on_fleet_tick(&mut self) {
         let mut events = Vec::new();
+        let was_pressed = self.is_pressed;
+        self.is_pressed = self.load.is_pressed();
+        if was_pressed != self.is_pressed {
+            let line = format_args!("event=pressed pressed={} busy_percent={}", self.is_pressed, self.load.percent());
+            self.log.line(self.now, LineKind::Belief, line);
+        }
+        self.fleet.set_load(self.load.percent(), &mut events);
         self.fleet.on_tick(self.now, &mut events);
         self.take_fleet_events(events);
     }
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -67,11 +67,14 @@
         self.next_request += 1;
         let head = &request.head;
         let patience = head.headers.text(names.deadline_ms).and_then(|text| text.parse::<u64>().ok());
+        let waited = self.load.longest_wait(self.now);
         let arrival = Arrival {
             key,
             host: head.headers.text("host").unwrap_or_default().to_owned(),
             path: head.path().to_owned(),
             patience: patience.map(Duration::from_millis),
+            waited,
+            is_overloaded: self.load.is_overloaded(self.now),
         };
         let table = self.engine.table();
         let route = table.and_then(|table| {
@@ -148,6 +151,21 @@
                 self.pool.abandon(self.now, attempt, patience, cause, &mut events);
                 self.take_pool_events(events);
             }
+            RoutingAction::Unsent { request, service, reason, cause } => {
+                if let Some(pending) = self.callers.get(&request) {
+                    let after = self.now.since(pending.arrived).as_millis();
+                    self.log.line(
+                        self.now,
+                        LineKind::Decision,
+                        format_args!(
+                            "event=unsent request={} service={service} reason={} cause={} after_ms={after}",
+                            pending.id(),
+                            reason.name(),
+                            cause.name()
+                        ),
+                    );
+                }
+            }
             RoutingAction::Finish { request, verdict } => self.finish(request, verdict),
         }
     }
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -2,8 +2,10 @@
 
 use quick_error::quick_error;
 use serde::Deserialize;
+use staircross_routing::store_reader::ReaderSettings;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 quick_error! {
     /// Why settings can't be accepted.
@@ -96,6 +98,10 @@
     pub extra_window_s: f64,
     /// Extra sends per window besides.
     pub extra_slack: f64,
+    /// Time within which a leaving searcher must get no more work, in milliseconds.
+    pub drain_ms: u64,
+    /// Time within which a configuration must be in force, in milliseconds.
+    pub config_ms: u64,
     /// Time from a stop signal until the process is killed, in seconds.
     pub stop_s: f64,
     /// Longest time that callers keep an answer of the directory, in seconds.
@@ -120,6 +126,9 @@
 
 /// Descriptors kept for files, listeners and calls to the store and peers.
 const RESERVED_DESCRIPTORS: usize = 264;
+/// Parts of the bounds on news that a rest between calls to the store may take.
+const CONFIG_REST_PART: f64 = 0.17;
+const DRAIN_REST_PART: f64 = 0.3;
 /// Memory that one request in flight is taken to need at most on average, in bytes.
 const REQUEST_MEMORY: u64 = 64 * 1024;
 
@@ -137,6 +146,8 @@
         check_number("bounds.extra_ratio", self.bounds.extra_ratio, 0.0, 10.0, "0 to 10")?;
         check_number("bounds.extra_window_s", self.bounds.extra_window_s, 0.1, 3600.0, "0.1 to 3600")?;
         check_number("bounds.extra_slack", self.bounds.extra_slack, 0.0, 1e6, "0 to 1000000")?;
+        check_number("bounds.drain_ms", self.bounds.drain_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
+        check_number("bounds.config_ms", self.bounds.config_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
         check_number("bounds.stop_s", self.bounds.stop_s, 0.5, 3600.0, "0.5 to 3600")?;
         check_number("bounds.directory_ttl_s", self.bounds.directory_ttl_s, 0.1, 3600.0, "0.1 to 3600")?;
         let addresses =
@@ -162,6 +173,17 @@
         Ok(())
     }
 
+    /// When the store is called: a rest after news is a small part of the time that news may take.
+    pub fn reader(&self) -> ReaderSettings {
+        let usual = ReaderSettings::default();
+        let part = |bound_ms: u64, part: f64| Duration::from_millis(bound_ms).mul_f64(part);
+        ReaderSettings {
+            configuration_rest: usual.configuration_rest.min(part(self.bounds.config_ms, CONFIG_REST_PART)),
+            searcher_rest: usual.searcher_rest.min(part(self.bounds.drain_ms, DRAIN_REST_PART)),
+            ..usual
+        }
+    }
+
     /// Connections that callers may hold together.
     pub fn caller_connections(&self) -> usize {
         (self.limits.descriptors - RESERVED_DESCRIPTORS) / 2
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -100,6 +100,17 @@
         /// Why.
         cause: AbandonCause,
     },
+    /// An attempt that was wanted isn't made; told for the log alone.
+    Unsent {
+        /// For which request.
+        request: RequestKey,
+        /// For which service.
+        service: Arc<str>,
+        /// Why it was wanted.
+        reason: SendReason,
+        /// Why it isn't made.
+        cause: UnsentCause,
+    },
     /// The final word on a request.
     Finish {
         /// Which.
@@ -118,6 +129,28 @@
     CallerGone,
 }
 
+/// Why an attempt isn't made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnsentCause {
+    /// The budget for extra sends is spent.
+    OverBudget,
+    /// Every searcher that could be asked holds as many attempts as it may; the shard waits.
+    NoRoom,
+    /// No searcher is left that could be asked.
+    NobodyLeft,
+}
+
+impl UnsentCause {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            UnsentCause::OverBudget => "over_budget",
+            UnsentCause::NoRoom => "no_room",
+            UnsentCause::NobodyLeft => "nobody_left",
+        }
+    }
+}
+
 /// Why an attempt is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendReason {
@@ -209,7 +242,8 @@
     pub(crate) routes: HashMap<Arc<str>, RouteStatistics>,
     pub(crate) requests: HashMap<RequestKey, Request>,
     pub(crate) sent: HashMap<AttemptKey, SentAttempt>,
-    pub(crate) waiting: VecDeque<(RequestKey, u32)>,
+    /// Shards that wait for a searcher with room, by service.
+    pub(crate) waiting: HashMap<Arc<str>, VecDeque<(RequestKey, u32)>>,
     pub(crate) wakes: BinaryHeap<Reverse<(BootTime, RequestKey)>>,
     /// Counters for metrics.
     pub counters: RoutingCounters,
@@ -238,7 +272,7 @@
             routes: HashMap::new(),
             requests: HashMap::new(),
             sent: HashMap::new(),
-            waiting: VecDeque::new(),
+            waiting: HashMap::new(),
             wakes: BinaryHeap::new(),
             counters: RoutingCounters::default(),
         }
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -1,12 +1,13 @@
 //! Admission, and sending attempts.
 
-use super::{RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt};
+use super::{RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
 use crate::definition::{RouteDefinition, RouteTarget};
 use crate::request::{Arrival, Attempt, AttemptKey, Request, RequestKey, Shard, ShardState, Verdict};
 use crate::searcher::OpenAttempt;
 use crate::selection::{SearcherKey, choose};
 use staircross_types::{BootTime, ErrorKind};
 use std::cmp::Reverse;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,16 +17,17 @@
 const LEAST_HEDGE_FACTOR: f64 = 1.5;
 /// Times the usual work that a hedge is taken to need.
 const HEDGE_WORK_FACTOR: f64 = 2.0;
-/// What is kept free before the goal for the way back to the caller: a part of the goal and a constant.
-const GUARD_PART: f64 = 0.04;
-const GUARD_LEAST: Duration = Duration::from_millis(8);
+/// What is kept free before the goal for the caller's own way: asking the directory, connecting, sending
+/// and reading take it about this long, which this node can't see. Never more than a part of the goal.
+const GUARD: Duration = Duration::from_millis(22);
+const MOST_GUARD_PART: f64 = 0.3;
 /// The final answer goes out so long before the deadline.
 const DEADLINE_GUARD: Duration = Duration::from_millis(10);
 /// Wait for a connection: a constant and so many times the way.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(100);
 const CONNECT_WAYS: u32 = 4;
-/// Shards that wait for a searcher with room.
-const MAX_WAITING: usize = 4096;
+/// Shards of one service that wait for a searcher with room.
+const MAX_WAITING: usize = 1024;
 
 impl RoutingEngine {
     pub(super) fn admit(&mut self, now: BootTime, arrival: Arrival, actions: &mut Vec<RoutingAction>) {
@@ -46,6 +48,9 @@
         let Some(route_index) = table.find_index(&arrival.host, &arrival.path) else {
             return Err(refused(ErrorKind::NoRoute, "no route has this host and path"));
         };
+        if arrival.is_overloaded {
+            return Err(refused(ErrorKind::Overloaded, "the node comes too late to its work"));
+        }
         if self.requests.len() >= self.settings.max_requests {
             return Err(refused(ErrorKind::Overloaded, "the node holds as many requests as it may"));
         }
@@ -57,13 +62,18 @@
         }
         let timeout = Duration::from_millis(route.timeout_ms);
         let hold = arrival.patience.map_or(timeout, |patience| patience.min(timeout));
-        let deadline = now + hold.saturating_sub(DEADLINE_GUARD);
+        // What was read late has less time than it says.
+        let left = hold.saturating_sub(arrival.waited);
+        if left <= DEADLINE_GUARD {
+            return Err(refused(ErrorKind::Overloaded, "the request's time was over when it was read"));
+        }
+        let deadline = now + (left - DEADLINE_GUARD);
         let shard = |service| Shard { service, state: ShardState::Open, sends: 0, tried: Vec::new(), outstanding: 0 };
         Ok(Request {
             route_index,
             shards: services.into_iter().map(shard).collect(),
             attempts: Vec::new(),
-            answer_by: (now + usable_goal(route)).min(deadline),
+            answer_by: (now + usable_goal(route).saturating_sub(arrival.waited)).min(deadline),
             deadline,
             may_have_run: false,
             is_past_goal: false,
@@ -129,11 +139,14 @@
         let chosen =
             choose(now, candidates, &self.searchers, &tried, &self.place, usual_work, &mut self.random);
         let Some(searcher) = chosen else {
-            self.note_unplaced(now, key, shard_index, &service, &tried);
+            let cause = self.note_unplaced(now, key, shard_index, &service, &tried);
+            actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
             return false;
         };
         let is_extra = matches!(reason, SendReason::Hedge | SendReason::Retry);
         if is_extra && !self.spend(now, &service) {
+            let cause = UnsentCause::OverBudget;
+            actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
             return false;
         }
         self.send(now, key, shard_index, searcher, reason, actions);
@@ -157,22 +170,25 @@
         shard_index: usize,
         service: &Arc<str>,
         tried: &[SearcherKey],
-    ) {
+    ) -> UnsentCause {
         let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let is_only_full =
             peers.iter().any(|peer| !tried.contains(peer) && !self.searchers[peer.0 as usize].is_avoided(now));
+        let cause = if is_only_full { UnsentCause::NoRoom } else { UnsentCause::NobodyLeft };
         let Some(request) = self.requests.get_mut(&key) else {
-            return;
+            return cause;
         };
         let shard = &mut request.shards[shard_index];
         if shard.outstanding > 0 || !matches!(shard.state, ShardState::Open) {
-            return;
+            return cause;
         }
-        if is_only_full && self.waiting.len() < MAX_WAITING {
-            self.waiting.push_back((key, shard_index as u32));
+        let waiting = self.waiting.entry(service.clone()).or_default();
+        if is_only_full && waiting.len() < MAX_WAITING {
+            waiting.push_back((key, shard_index as u32));
         } else {
             shard.state = ShardState::Failed(None);
         }
+        cause
     }
 
     fn send(
@@ -184,6 +200,7 @@
         reason: SendReason,
         actions: &mut Vec<RoutingAction>,
     ) {
+        let other_way = self.longest_other_way(searcher_key);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
@@ -203,7 +220,7 @@
         shard.outstanding += 1;
         shard.tried.push(searcher_key);
         // As late as still leaves time for another searcher's answer, but not later than is unusual.
-        let needed = way + usual.mul_f64(HEDGE_WORK_FACTOR);
+        let needed = other_way + usual.mul_f64(HEDGE_WORK_FACTOR);
         let last_moment = request.answer_by - needed;
         let unusual = now + way + late;
         let least = now + way + usual.mul_f64(LEAST_HEDGE_FACTOR);
@@ -236,12 +253,17 @@
         }));
     }
 
-    /// Gives shards that wait another chance, after a connection has become free.
-    pub(super) fn serve_waiting(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
-        for _ in 0..self.waiting.len() {
-            let Some((key, shard_index)) = self.waiting.pop_front() else {
-                return;
-            };
+    /// The way to the farthest other searcher of the same service: a hedge may have to go there.
+    fn longest_other_way(&self, key: SearcherKey) -> Duration {
+        let service = &self.searchers[key.0 as usize].entry.service;
+        let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let others = peers.iter().filter(|peer| **peer != key);
+        others.map(|peer| self.place.way(&self.searchers[peer.0 as usize].entry.zone)).max().unwrap_or_default()
+    }
+
+    /// Gives the shard that has waited longest another chance, after a connection has become free.
+    pub(super) fn serve_waiting(&mut self, now: BootTime, service: &Arc<str>, actions: &mut Vec<RoutingAction>) {
+        while let Some((key, shard_index)) = self.waiting.get_mut(service).and_then(VecDeque::pop_front) {
             let still_waits = self.requests.get(&key).is_some_and(|request| {
                 let shard = &request.shards[shard_index as usize];
                 shard.outstanding == 0 && matches!(shard.state, ShardState::Open)
@@ -250,10 +272,11 @@
                 continue;
             }
             if !self.dispatch(now, key, shard_index as usize, SendReason::First, actions) {
-                // Put back at the end, or given up; whoever is behind may want another service.
+                // Put back at the end, or given up.
                 self.settle(now, key, actions);
             }
             self.schedule(key);
+            return;
         }
     }
 
@@ -272,7 +295,7 @@
 /// Time from arrival until an answer must be on its way to be worth most.
 fn usable_goal(route: &RouteDefinition) -> Duration {
     let goal = Duration::from_millis(route.goal_ms);
-    goal.saturating_sub(goal.mul_f64(GUARD_PART) + GUARD_LEAST)
+    goal - GUARD.min(goal.mul_f64(MOST_GUARD_PART))
 }
 
 pub(super) fn refused(kind: ErrorKind, detail: &'static str) -> Verdict {
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -28,7 +28,8 @@
             self.settle(now, attempt.request, actions);
             self.schedule(attempt.request);
         }
-        self.serve_waiting(now, actions);
+        let service = self.searchers[sent.searcher.0 as usize].entry.service.clone();
+        self.serve_waiting(now, &service, actions);
     }
 
     /// Closes the attempt within its request; `None` when nobody waits for it.
@@ -55,7 +56,7 @@
                     return;
                 };
                 let usual = statistics.work.median().max(Duration::from_micros(100));
-                searcher.answered(now, worked.as_secs_f64() / usual.as_secs_f64());
+                searcher.answered(now, sent.sent_at, worked.as_secs_f64() / usual.as_secs_f64());
                 statistics.work.record(worked);
             }
             AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_) => searcher.faltered(now),
@@ -171,7 +172,11 @@
     }
 
     fn is_waiting(&self, key: RequestKey, shard: usize) -> bool {
-        self.waiting.contains(&(key, shard as u32))
+        let Some(request) = self.requests.get(&key) else {
+            return false;
+        };
+        let waiting = self.waiting.get(&request.shards[shard].service);
+        waiting.is_some_and(|waiting| waiting.contains(&(key, shard as u32)))
     }
 
     fn give_up(&mut self, key: RequestKey, shard: usize, failure: Option<Box<SearcherAnswer>>) {
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -32,6 +32,10 @@
     pub path: String,
     /// Time that the caller will wait, if it says so.
     pub patience: Option<Duration>,
+    /// Longest time that the request may have waited to be read.
+    pub waited: Duration,
+    /// Whether this node is too busy to take more.
+    pub is_overloaded: bool,
 }
 
 /// A searcher's whole answer.
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -7,10 +7,16 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Weight of a new sample in the estimate of slowness.
-const SLOWNESS_GAIN: f64 = 0.25;
+/// Weight of a usual sample in the estimate of slowness.
+const USUAL_GAIN: f64 = 0.3;
+/// Weight of a slow sample that may come of one pause.
+const PAUSE_GAIN: f64 = 0.08;
+/// Weight of a slow sample of an attempt sent after a slow answer: a pause would have been over.
+const SLOW_GAIN: f64 = 0.6;
 /// Time in which an unconfirmed estimate of slowness halves its distance to normal.
-const SLOWNESS_HALF_LIFE: Duration = Duration::from_millis(2500);
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_millis(4000);
+/// A sample so many times the estimate is no usual spread of work.
+const NOTABLY_SLOWER: f64 = 3.0;
 /// Bounds of the estimate.
 const SLOWNESS_RANGE: (f64, f64) = (0.3, 30.0);
 /// How many times slower a searcher is taken to be while it is cold.
@@ -60,6 +66,8 @@
     cold_until: BootTime,
     slowness: f64,
     measured_at: BootTime,
+    /// When the first of the slow answers that came without a usual one in between was seen.
+    slow_answer_at: Option<BootTime>,
     failures: u32,
     avoid_until: BootTime,
 }
@@ -77,6 +85,7 @@
             cold_until,
             slowness: 1.0,
             measured_at: now,
+            slow_answer_at: None,
             failures: 0,
             avoid_until: BootTime::default(),
         }
@@ -134,14 +143,26 @@
         self.open.retain(|open| open.attempt != attempt);
     }
 
-    /// Notes an answer that took `ratio` times as long as usual.
-    pub fn answered(&mut self, now: BootTime, ratio: f64) {
+    /// Notes an answer to an attempt sent at `sent_at` that took `ratio` times as long as usual.
+    pub fn answered(&mut self, now: BootTime, sent_at: BootTime, ratio: f64) {
         self.failures = 0;
         self.avoid_until = BootTime::default();
         let sample = ratio.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
         let before = 1.0 + (self.slowness - 1.0) * self.kept_since_measured(now);
-        self.slowness = before + (sample - before) * SLOWNESS_GAIN;
+        let is_slow = sample > before.max(1.0) * NOTABLY_SLOWER;
+        let is_still_slow = sample > NOTABLY_SLOWER && self.slow_answer_at.is_some_and(|seen| sent_at >= seen);
+        let gain = match (is_still_slow, is_slow) {
+            (true, _) => SLOW_GAIN,
+            (false, true) => PAUSE_GAIN,
+            (false, false) => USUAL_GAIN,
+        };
+        self.slowness = before + (sample - before) * gain;
         self.measured_at = now;
+        if sample > NOTABLY_SLOWER {
+            self.slow_answer_at.get_or_insert(now);
+        } else {
+            self.slow_answer_at = None;
+        }
     }
 
     fn kept_since_measured(&self, now: BootTime) -> f64 {
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -27,8 +27,8 @@
 /// Candidates within this factor of the best share the work.
 const AS_GOOD: f64 = 1.1;
 /// Parts of a searcher's connections that nodes of its own zone and of others use.
-const OWN_ZONE_PART: f64 = 0.6;
-const OTHER_ZONE_PART: f64 = 0.3;
+const OWN_ZONE_PART: f64 = 0.45;
+const OTHER_ZONE_PART: f64 = 0.45;
 
 /// Where this node stands among zones and nodes.
 #[derive(Clone, Debug)]
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -117,8 +117,10 @@
     pub watch: Duration,
     /// Longest wait for any other call, and beyond a watch's end.
     pub patience: Duration,
-    /// Rest after news.
-    pub rest: Duration,
+    /// Rest after news of the configuration.
+    pub configuration_rest: Duration,
+    /// Rest after news of searchers.
+    pub searcher_rest: Duration,
     /// First and longest wait after a failure.
     pub back_off: (Duration, Duration),
 }
@@ -128,7 +130,8 @@
         ReaderSettings {
             watch: Duration::from_secs(20),
             patience: Duration::from_millis(1200),
-            rest: Duration::from_millis(250),
+            configuration_rest: Duration::from_millis(500),
+            searcher_rest: Duration::from_millis(900),
             back_off: (Duration::from_millis(150), Duration::from_millis(1000)),
         }
     }
@@ -308,7 +311,11 @@
         if update.items.is_empty() {
             self.state = LaneState::Resting { until: now };
         } else {
-            self.state = LaneState::Resting { until: now + settings.rest };
+            let rest = match self.lane {
+                Lane::Configuration => settings.configuration_rest,
+                Lane::Searchers => settings.searcher_rest,
+            };
+            self.state = LaneState::Resting { until: now + rest };
         }
         if self.lane == Lane::Searchers {
             update.up_to = at;
--- a/crates/staircross-routing/src/window.rs
+++ b/crates/staircross-routing/src/window.rs
@@ -11,7 +11,7 @@
 /// Steps that a window is cut into.
 const STEPS: u64 = 20;
 /// Part of the allowed ratio that is used: the rest is for what others see differently.
-const RATIO_USED: f64 = 0.7;
+const RATIO_USED: f64 = 0.85;
 /// Part of the slack that is used; a restarted node has forgotten what it spent.
 const SLACK_USED: f64 = 0.4;
 
