Test framing, routing decisions and knowledge; let lost answers slow a searcher rather than bar it

Cause: the new crates had no tests; the first of them showed that three living searchers that each lose every other answer were all avoided, so that requests were refused as having nobody to ask. Ruled out: the budget (it had room). Change: a lost, spoiled or failed answer counts as a slow one; only a connection that doesn't come up keeps work away. A single slow answer weighs less, so that a pause doesn't send callers of one zone to the next.

--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -144,10 +144,8 @@
         for (route, histogram) in &self.routes {
             for (count, bound) in histogram.buckets.iter().zip(BUCKETS_MS) {
                 let seconds = bound as f64 / 1000.0;
-                let _infallible = writeln!(
-                    text,
-                    "staircross_answer_seconds_bucket{{route=\"{route}\",le=\"{seconds}\"}} {count}"
-                );
+                let _infallible =
+                    writeln!(text, "staircross_answer_seconds_bucket{{route=\"{route}\",le=\"{seconds}\"}} {count}");
             }
             let count = histogram.count;
             let sum = histogram.sum_ms / 1000.0;
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -302,7 +302,8 @@
     fn reload(&mut self) {
         match (self.reload_source)() {
             Ok(settings) => {
-                let is_same_place = settings.listen == self.settings.listen && settings.node.zone == self.settings.node.zone;
+                let is_same_place =
+                    settings.listen == self.settings.listen && settings.node.zone == self.settings.node.zone;
                 self.log.line(
                     self.now,
                     LineKind::Belief,
@@ -317,7 +318,11 @@
                 self.settings = settings;
             }
             Err(error) => {
-                self.log.line(self.now, LineKind::Belief, format_args!("event=reload outcome=refused reason={error:?}"));
+                self.log.line(
+                    self.now,
+                    LineKind::Belief,
+                    format_args!("event=reload outcome=refused reason={error:?}"),
+                );
             }
         }
     }
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -18,12 +18,8 @@
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_own_endpoint(&mut self, connection: SocketId, endpoint: Endpoint, request: &Request) {
         let closes = !request.head.keeps_alive();
-        let context = AnswerContext {
-            names: self.dialect.headers(),
-            id: None,
-            closes,
-            is_head: request.head.method == "HEAD",
-        };
+        let context =
+            AnswerContext { names: self.dialect.headers(), id: None, closes, is_head: request.head.method == "HEAD" };
         let answer = match endpoint {
             Endpoint::Readiness => self.readiness(&context, request),
             Endpoint::Directory => self.directory(request),
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -155,12 +155,7 @@
                 LineKind::Belief,
                 format_args!(
                     "event=member run={} address={} zone={} state={:?} ready={} record={}",
-                    member.node,
-                    member.caller_address,
-                    member.zone,
-                    member.state,
-                    member.is_ready,
-                    member.version
+                    member.node, member.caller_address, member.zone, member.state, member.is_ready, member.version
                 ),
             );
         }
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -291,13 +291,7 @@
         self.route.as_deref().unwrap_or("-")
     }
 
-    fn log_end(
-        &self,
-        log: &mut crate::event_log::EventLog,
-        now: BootTime,
-        attempt: u16,
-        outcome: &AttemptOutcome,
-    ) {
+    fn log_end(&self, log: &mut crate::event_log::EventLog, now: BootTime, attempt: u16, outcome: &AttemptOutcome) {
         let what = match outcome {
             AttemptOutcome::Answered(answer) if answer.status < 300 => return,
             AttemptOutcome::Answered(_) => "failed",
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -174,13 +174,7 @@
     }
 
     /// Writes an attempt on a connection that is up and free.
-    fn start(
-        &mut self,
-        slot: usize,
-        assignment: Box<Assignment>,
-        io: &mut IoContext<'_>,
-        events: &mut Vec<PoolEvent>,
-    ) {
+    fn start(&mut self, slot: usize, assignment: Box<Assignment>, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
         let connection = &mut self.connections[slot];
         let remaining = io.now.until(assignment.order.deadline);
         let bytes = assignment.request.attempt(&self.names, &assignment.order.instance, remaining);
@@ -222,13 +216,7 @@
     }
 
     /// Takes readiness of a connection.
-    pub fn on_ready(
-        &mut self,
-        id: SocketId,
-        is_writable: bool,
-        io: &mut IoContext<'_>,
-        events: &mut Vec<PoolEvent>,
-    ) {
+    pub fn on_ready(&mut self, id: SocketId, is_writable: bool, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
         let slot = id.slot as usize;
         let is_known = self.connections.get(slot).is_some_and(|connection| connection.generation == id.generation);
         if !is_known {
--- a/crates/staircross-gateway/src/server.rs
+++ b/crates/staircross-gateway/src/server.rs
@@ -189,13 +189,7 @@
     }
 
     /// Takes readiness of a connection.
-    pub fn on_ready(
-        &mut self,
-        id: SocketId,
-        is_writable: bool,
-        io: &mut IoContext<'_>,
-        events: &mut Vec<ServerEvent>,
-    ) {
+    pub fn on_ready(&mut self, id: SocketId, is_writable: bool, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent>) {
         let Some(connection) = self.get(id) else {
             return;
         };
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -150,8 +150,7 @@
         check_number("bounds.config_ms", self.bounds.config_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
         check_number("bounds.stop_s", self.bounds.stop_s, 0.5, 3600.0, "0.5 to 3600")?;
         check_number("bounds.directory_ttl_s", self.bounds.directory_ttl_s, 0.1, 3600.0, "0.1 to 3600")?;
-        let addresses =
-            [self.listen.callers, self.listen.readiness, self.listen.directory, self.listen.peers];
+        let addresses = [self.listen.callers, self.listen.readiness, self.listen.directory, self.listen.peers];
         for (index, address) in addresses.iter().enumerate() {
             if addresses[..index].contains(address) {
                 let allowed = "an address of its own for each listener";
--- a/crates/staircross-routing/src/definition.rs
+++ b/crates/staircross-routing/src/definition.rs
@@ -94,12 +94,7 @@
 
 impl Default for CallerLimits {
     fn default() -> Self {
-        CallerLimits {
-            head_bytes: 16 * 1024,
-            body_bytes: 256 * 1024,
-            head_timeout_ms: 3000,
-            idle_timeout_ms: 15_000,
-        }
+        CallerLimits { head_bytes: 16 * 1024, body_bytes: 256 * 1024, head_timeout_ms: 3000, idle_timeout_ms: 15_000 }
     }
 }
 
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -136,8 +136,7 @@
         let tried = request.shards[shard_index].tried.clone();
         let usual_work = self.statistics(&name, goal).work.median();
         let candidates = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
-        let chosen =
-            choose(now, candidates, &self.searchers, &tried, &self.place, usual_work, &mut self.random);
+        let chosen = choose(now, candidates, &self.searchers, &tried, &self.place, usual_work, &mut self.random);
         let Some(searcher) = chosen else {
             let cause = self.note_unplaced(now, key, shard_index, &service, &tried);
             actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
@@ -225,16 +224,8 @@
         let unusual = now + way + late;
         let least = now + way + usual.mul_f64(LEAST_HEDGE_FACTOR);
         let hedge_at = unusual.min(last_moment).max(least);
-        request.attempts.push(Attempt {
-            shard: shard_index as u32,
-            hedge_at,
-            is_open: true,
-            is_resolved: false,
-        });
-        self.sent.insert(
-            attempt,
-            SentAttempt { searcher: searcher_key, route: route.name.clone(), sent_at: now },
-        );
+        request.attempts.push(Attempt { shard: shard_index as u32, hedge_at, is_open: true, is_resolved: false });
+        self.sent.insert(attempt, SentAttempt { searcher: searcher_key, route: route.name.clone(), sent_at: now });
         match reason {
             SendReason::First => self.counters.firsts += 1,
             SendReason::Hedge => self.counters.hedges += 1,
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -10,11 +10,14 @@
 /// Weight of a usual sample in the estimate of slowness.
 const USUAL_GAIN: f64 = 0.3;
 /// Weight of a slow sample that may come of one pause.
-const PAUSE_GAIN: f64 = 0.08;
+const PAUSE_GAIN: f64 = 0.02;
 /// Weight of a slow sample of an attempt sent after a slow answer: a pause would have been over.
 const SLOW_GAIN: f64 = 0.6;
 /// Time in which an unconfirmed estimate of slowness halves its distance to normal.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_millis(4000);
+/// What a lost or spoiled answer counts as, and its weight.
+const FALTER_SAMPLE: f64 = 10.0;
+const FALTER_GAIN: f64 = 0.25;
 /// A sample so many times the estimate is no usual spread of work.
 const NOTABLY_SLOWER: f64 = 3.0;
 /// Bounds of the estimate.
@@ -131,7 +134,7 @@
 
     /// Notes that an attempt was sent.
     pub fn sent(&mut self, now: BootTime, open: OpenAttempt) {
-        if self.failures > 1 {
+        if self.failures > 0 {
             // The one trial; nobody else is sent until it has told.
             self.avoid_until = now + TRIAL_SPACING;
         }
@@ -169,13 +172,12 @@
         0.5_f64.powf(now.since(self.measured_at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64())
     }
 
-    /// Notes an answer that was lost or spoiled. One alone may be chance.
+    /// Notes an answer that was lost, spoiled or a failure. It counts as a slow one: others are preferred
+    /// for a while, but where all do so, all go on being asked.
     pub fn faltered(&mut self, now: BootTime) {
-        if self.failures == 0 {
-            self.failures = 1;
-        } else {
-            self.failed(now);
-        }
+        let before = 1.0 + (self.slowness - 1.0) * self.kept_since_measured(now);
+        self.slowness = before + (FALTER_SAMPLE - before).max(0.0) * FALTER_GAIN;
+        self.measured_at = now;
     }
 
     /// Notes that it turned work away.
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -228,13 +228,7 @@
     }
 
     /// A call brought no reply: its connection broke, or its time was over.
-    pub fn on_failed(
-        &mut self,
-        now: BootTime,
-        lane: Lane,
-        random: &mut ChaCha8Rng,
-        actions: &mut Vec<ReaderAction>,
-    ) {
+    pub fn on_failed(&mut self, now: BootTime, lane: Lane, random: &mut ChaCha8Rng, actions: &mut Vec<ReaderAction>) {
         let settings = self.settings.clone();
         self.lane_mut(lane).fail(now, &settings, random, actions);
     }
@@ -263,9 +257,7 @@
                 let call = StoreCall::Watch { lane, after, wait: settings.watch };
                 (call, settings.watch + settings.patience)
             }
-            (None, Some((_, _, key)), _) => {
-                (StoreCall::ListSearchers { after: Some(key.clone()) }, settings.patience)
-            }
+            (None, Some((_, _, key)), _) => (StoreCall::ListSearchers { after: Some(key.clone()) }, settings.patience),
             (None, None, Lane::Configuration) => (StoreCall::ReadConfiguration, settings.patience),
             (None, None, Lane::Searchers) => (StoreCall::ListSearchers { after: None }, settings.patience),
         };
--- a/crates/staircross-routing/src/turns.rs
+++ b/crates/staircross-routing/src/turns.rs
@@ -33,11 +33,16 @@
     /// Starts over when the set has changed.
     fn follow(&mut self, set: &[WeightedService]) {
         let is_same = self.credits.len() == set.len()
-            && self.credits.iter().zip(set).all(|(known, new)| known.service == new.service && known.weight == new.weight);
+            && self
+                .credits
+                .iter()
+                .zip(set)
+                .all(|(known, new)| known.service == new.service && known.weight == new.weight);
         if is_same {
             return;
         }
-        let fresh = |entry: &WeightedService| Credit { service: entry.service.clone(), weight: entry.weight, credit: 0 };
+        let fresh =
+            |entry: &WeightedService| Credit { service: entry.service.clone(), weight: entry.weight, credit: 0 };
         self.credits = set.iter().map(fresh).collect();
     }
 }
--- /dev/null
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -0,0 +1,202 @@
+//! A small driver around the routing engine.
+#![allow(dead_code)]
+
+use hashbrown::HashMap;
+use staircross_http::HeaderBlock;
+use staircross_routing::definition::{GatherTarget, WeightedService};
+use staircross_routing::engine::{AbandonCause, SendOrder, SendReason, UnsentCause};
+use staircross_routing::window::ExtraBound;
+use staircross_routing::{
+    Arrival, AttemptKey, AttemptOutcome, CallerLimits, RequestKey, RouteDefinition, RouteTable, RouteTarget,
+    RoutingAction, RoutingDefinition, RoutingEngine, RoutingEvent, RoutingSettings, SearcherAnswer, SearcherEntry,
+    ServiceEntry, Verdict,
+};
+use staircross_types::BootTime;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const HOST: &str = "shop.example";
+
+/// One engine and everything that it wanted done.
+pub struct Driver {
+    pub engine: RoutingEngine,
+    pub now: BootTime,
+    pub sends: Vec<SendOrder>,
+    pub abandoned: Vec<(AttemptKey, AbandonCause)>,
+    pub unsent: Vec<(RequestKey, UnsentCause)>,
+    pub finished: Vec<(RequestKey, Verdict)>,
+    next_request: u64,
+}
+
+pub fn settings() -> RoutingSettings {
+    let regions = [("a", "north"), ("b", "north"), ("c", "south")];
+    RoutingSettings {
+        extra: ExtraBound { ratio: 0.2, window: Duration::from_secs(10), slack: 50.0 },
+        zone: Arc::from("a"),
+        regions: regions.into_iter().map(|(zone, region)| (Arc::from(zone), Arc::from(region))).collect(),
+        max_requests: 1000,
+        seed: 7,
+    }
+}
+
+pub fn searcher(instance: &str, service: &str, zone: &str) -> SearcherEntry {
+    SearcherEntry {
+        instance: Arc::from(instance),
+        service: Arc::from(service),
+        address: "127.0.0.1:9000".parse().expect("a valid address"),
+        zone: Arc::from(zone),
+        slots: 5,
+        is_draining: false,
+        cold_ms: 0,
+    }
+}
+
+pub fn route(name: &str, target: RouteTarget) -> RouteDefinition {
+    RouteDefinition {
+        name: Arc::from(name),
+        host: Arc::from(HOST),
+        path_prefix: Arc::from(format!("/{name}/")),
+        target,
+        is_idempotent: true,
+        timeout_ms: 4000,
+        goal_ms: 250,
+        max_attempts: 2,
+        priority: 1,
+    }
+}
+
+pub fn gather(shards: &[&str], top_k: usize, min_coverage: f64) -> RouteTarget {
+    RouteTarget::Gather(GatherTarget {
+        shards: shards.iter().map(|name| Arc::from(*name)).collect(),
+        top_k,
+        min_coverage,
+    })
+}
+
+pub fn weighted(set: &[(&str, u32)]) -> RouteTarget {
+    let entry = |(service, weight): &(&str, u32)| WeightedService { service: Arc::from(*service), weight: *weight };
+    RouteTarget::Weighted(set.iter().map(entry).collect())
+}
+
+pub fn definition(version: u64, routes: Vec<RouteDefinition>, services: &[&str]) -> RoutingDefinition {
+    let service = |name: &&str| ServiceEntry { name: Arc::from(*name), max_connections: 40 };
+    RoutingDefinition {
+        version,
+        routes,
+        services: services.iter().map(service).collect(),
+        limits: CallerLimits::default(),
+    }
+}
+
+/// A body of records, each filled with one byte.
+pub fn records(bytes: &[u8]) -> Vec<u8> {
+    bytes.iter().flat_map(|byte| [*byte; 16]).collect()
+}
+
+pub fn answer(status: u16, stamp: &str, body: Vec<u8>) -> AttemptOutcome {
+    let stamp = (!stamp.is_empty()).then(|| stamp.as_bytes().to_vec());
+    AttemptOutcome::Answered(Box::new(SearcherAnswer { status, stamp, headers: HeaderBlock::default(), body }))
+}
+
+impl Driver {
+    pub fn new() -> Self {
+        Driver {
+            engine: RoutingEngine::new(settings()),
+            now: BootTime::from_millis(1_000_000),
+            sends: Vec::new(),
+            abandoned: Vec::new(),
+            unsent: Vec::new(),
+            finished: Vec::new(),
+            next_request: 1,
+        }
+    }
+
+    /// An engine with a configuration and searchers.
+    pub fn with(definition: RoutingDefinition, searchers: Vec<SearcherEntry>) -> Self {
+        let mut driver = Driver::new();
+        driver.event(RoutingEvent::Configuration(Arc::new(RouteTable::new(Arc::new(definition)))));
+        driver.event(RoutingEvent::Searchers(searchers));
+        driver
+    }
+
+    pub fn event(&mut self, event: RoutingEvent) {
+        let mut actions = Vec::new();
+        self.engine.on_event(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                RoutingAction::Send(order) => self.sends.push(order),
+                RoutingAction::Abandon { attempt, cause, .. } => self.abandoned.push((attempt, cause)),
+                RoutingAction::Unsent { request, cause, .. } => self.unsent.push((request, cause)),
+                RoutingAction::Finish { request, verdict } => self.finished.push((request, verdict)),
+            }
+        }
+    }
+
+    pub fn arrival(&mut self, path: &str) -> Arrival {
+        let key = RequestKey(self.next_request);
+        self.next_request += 1;
+        Arrival {
+            key,
+            host: HOST.to_owned(),
+            path: path.to_owned(),
+            patience: None,
+            waited: Duration::ZERO,
+            is_overloaded: false,
+        }
+    }
+
+    pub fn request(&mut self, path: &str) -> RequestKey {
+        let arrival = self.arrival(path);
+        let key = arrival.key;
+        self.event(RoutingEvent::Arrived(arrival));
+        key
+    }
+
+    pub fn end(&mut self, attempt: AttemptKey, outcome: AttemptOutcome) {
+        self.event(RoutingEvent::Ended { attempt, outcome });
+    }
+
+    /// Lets time pass, waking the engine whenever it wants.
+    pub fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(wake) = self.engine.next_wake().filter(|wake| *wake <= end) {
+            self.now = self.now.max(wake);
+            self.event(RoutingEvent::Tick);
+        }
+        self.now = end;
+        self.event(RoutingEvent::Tick);
+    }
+
+    pub fn pass_ms(&mut self, millis: u64) {
+        self.pass(Duration::from_millis(millis));
+    }
+
+    pub fn verdict(&self, request: RequestKey) -> Option<&Verdict> {
+        self.finished.iter().find(|(key, _)| *key == request).map(|(_, verdict)| verdict)
+    }
+
+    pub fn refusal(&self, request: RequestKey) -> Option<staircross_types::ErrorKind> {
+        match self.verdict(request) {
+            Some(Verdict::Refused { kind, .. }) => Some(*kind),
+            _ => None,
+        }
+    }
+
+    pub fn sent_for(&self, request: RequestKey) -> Vec<&SendOrder> {
+        self.sends.iter().filter(|order| order.attempt.request == request).collect()
+    }
+
+    pub fn instances(&self, request: RequestKey) -> Vec<String> {
+        self.sent_for(request).iter().map(|order| order.instance.to_string()).collect()
+    }
+
+    pub fn reasons(&self, request: RequestKey) -> Vec<SendReason> {
+        self.sent_for(request).iter().map(|order| order.reason).collect()
+    }
+
+    pub fn fleet(&mut self, zones: &[(&str, usize)], fleet: usize) {
+        let nodes_by_zone: HashMap<Arc<str>, usize> =
+            zones.iter().map(|(zone, count)| (Arc::from(*zone), *count)).collect();
+        self.event(RoutingEvent::Fleet { nodes_by_zone, fleet });
+    }
+}
--- /dev/null
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -0,0 +1,330 @@
+//! What a node knows: merging by revision, and when the store is called.
+
+use proptest::prelude::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use staircross_routing::store_reader::{Lane, ReaderAction, ReaderSettings, StoreCall, StoreReader, StoreReply};
+use staircross_routing::{CallerLimits, Mirror, MirrorItem, MirrorUpdate, RoutingDefinition, SearcherEntry};
+use staircross_types::BootTime;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn entry(instance: &str, is_draining: bool) -> SearcherEntry {
+    SearcherEntry {
+        instance: Arc::from(instance),
+        service: Arc::from("books"),
+        address: "127.0.0.1:9000".parse().expect("a valid address"),
+        zone: Arc::from("a"),
+        slots: 5,
+        is_draining,
+        cold_ms: 0,
+    }
+}
+
+fn searcher(instance: &str, is_draining: bool) -> MirrorItem {
+    MirrorItem::Searcher { entry: entry(instance, is_draining) }
+}
+
+fn gone(instance: &str) -> MirrorItem {
+    MirrorItem::SearcherGone { instance: Arc::from(instance) }
+}
+
+fn configuration(version: u64) -> MirrorItem {
+    let definition =
+        RoutingDefinition { version, routes: Vec::new(), services: Vec::new(), limits: CallerLimits::default() };
+    MirrorItem::Configuration { definition: Arc::new(definition) }
+}
+
+fn changes(items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
+    MirrorUpdate { items, is_complete_for_searchers: false, up_to: 0 }
+}
+
+fn listing(at: u64, items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
+    MirrorUpdate { items, is_complete_for_searchers: true, up_to: at }
+}
+
+fn names(mirror: &Mirror) -> Vec<String> {
+    mirror.searchers().map(|entry| entry.instance.to_string()).collect()
+}
+
+#[test]
+fn older_news_changes_nothing_whenever_it_comes() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(10, searcher("s", true))]));
+    let late = mirror.merge(changes(vec![(9, searcher("s", false)), (8, gone("s"))]));
+    assert!(late.searchers.is_empty() && late.gone.is_empty());
+    assert!(mirror.searchers().all(|entry| entry.is_draining));
+}
+
+#[test]
+fn an_end_is_remembered_so_that_older_entries_do_not_bring_it_back() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(5, searcher("s", false)), (7, gone("s"))]));
+    mirror.merge(changes(vec![(6, searcher("s", false))]));
+    assert!(names(&mirror).is_empty());
+    let back = mirror.merge(changes(vec![(8, searcher("s", false))]));
+    assert_eq!(back.searchers.len(), 1);
+}
+
+#[test]
+fn a_whole_listing_ends_what_it_leaves_out_but_not_what_is_newer() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(5, searcher("old", false)), (20, searcher("new", false))]));
+    let told = mirror.merge(listing(15, vec![(3, searcher("kept", false))]));
+    assert_eq!(told.gone, [Arc::<str>::from("old")]);
+    assert_eq!(names(&mirror), ["kept", "new"]);
+}
+
+#[test]
+fn versions_of_the_configuration_only_rise() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(10, configuration(7))]));
+    let older = mirror.merge(changes(vec![(12, configuration(6))]));
+    assert!(older.configuration.is_none());
+    assert_eq!(mirror.version(), 7);
+    assert!(mirror.merge(changes(vec![(11, configuration(9))])).configuration.is_some());
+}
+
+#[test]
+fn a_peer_that_pulls_changes_knows_what_the_other_knows() {
+    let mut informed = Mirror::default();
+    informed.merge(listing(10, vec![(3, searcher("a", false)), (9, searcher("b", false))]));
+    informed.merge(changes(vec![(11, configuration(4)), (12, gone("a")), (13, searcher("c", true))]));
+    let mut behind = Mirror::default();
+    behind.merge(listing(10, vec![(3, searcher("a", false)), (9, searcher("b", false))]));
+    behind.merge(informed.changes_after(behind.newest_revision()));
+    assert_eq!(names(&behind), names(&informed));
+    assert_eq!(behind.version(), 4);
+    let mut newcomer = Mirror::default();
+    newcomer.merge(informed.changes_after(0));
+    assert_eq!(names(&newcomer), names(&informed));
+}
+
+#[derive(Clone, Debug)]
+enum Change {
+    Write(u8, bool),
+    Remove(u8),
+}
+
+fn any_change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        (0..6_u8, any::<bool>()).prop_map(|(key, draining)| Change::Write(key, draining)),
+        (0..6_u8).prop_map(Change::Remove),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// However changes are ordered, repeated or mixed with pulls from peers, mirrors agree with the store.
+    #[test]
+    fn mirrors_agree_whatever_the_order(
+        history in prop::collection::vec(any_change(), 1..40),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 1..80),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let mut store: std::collections::BTreeMap<String, bool> = Default::default();
+        let mut events = Vec::new();
+        for (index, change) in history.iter().enumerate() {
+            let revision = index as u64 + 1;
+            match change {
+                Change::Write(key, draining) => {
+                    store.insert(format!("s{key}"), *draining);
+                    events.push((revision, searcher(&format!("s{key}"), *draining)));
+                }
+                Change::Remove(key) => {
+                    store.remove(&format!("s{key}"));
+                    events.push((revision, gone(&format!("s{key}"))));
+                }
+            }
+        }
+        let truth: Vec<(String, bool)> = store.into_iter().collect();
+        let told = |mirror: &Mirror| -> Vec<(String, bool)> {
+            mirror.searchers().map(|entry| (entry.instance.to_string(), entry.is_draining)).collect()
+        };
+
+        let mut shuffled = Mirror::default();
+        for index in &order {
+            let event = events[index.index(events.len())].clone();
+            shuffled.merge(changes(vec![event]));
+        }
+        shuffled.merge(changes(events.clone()));
+        prop_assert_eq!(&told(&shuffled), &truth);
+
+        // One that has followed the store in order up to some point pulls the rest from a peer.
+        let reached = cut.index(events.len());
+        let mut follower = Mirror::default();
+        follower.merge(changes(events[..reached].to_vec()));
+        follower.merge(shuffled.changes_after(follower.newest_revision()));
+        prop_assert_eq!(&told(&follower), &truth);
+    }
+}
+
+struct Store {
+    reader: StoreReader,
+    random: ChaCha8Rng,
+    now: BootTime,
+    calls: Vec<(Lane, StoreCall)>,
+    learned: Vec<(Lane, MirrorUpdate)>,
+    reachable: Vec<bool>,
+}
+
+impl Store {
+    fn new() -> Self {
+        Store {
+            reader: StoreReader::new(ReaderSettings::default()),
+            random: ChaCha8Rng::seed_from_u64(1),
+            now: BootTime::from_millis(1000),
+            calls: Vec::new(),
+            learned: Vec::new(),
+            reachable: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, actions: Vec<ReaderAction>) {
+        for action in actions {
+            match action {
+                ReaderAction::Call { lane, call, .. } => self.calls.push((lane, call)),
+                ReaderAction::Learned { lane, update } => self.learned.push((lane, update)),
+                ReaderAction::Reachable { is_reachable, .. } => self.reachable.push(is_reachable),
+            }
+        }
+    }
+
+    /// Lets time pass and returns the calls made for a lane since the last time.
+    fn calls(&mut self, millis: u64, lane: Lane) -> Vec<StoreCall> {
+        let end = self.now + Duration::from_millis(millis);
+        loop {
+            let mut actions = Vec::new();
+            self.reader.on_tick(self.now, &mut actions);
+            self.take(actions);
+            match self.reader.next_wake().filter(|wake| *wake <= end) {
+                Some(wake) => self.now = self.now.max(wake),
+                None => break,
+            }
+        }
+        self.now = end;
+        let (ours, others) = std::mem::take(&mut self.calls).into_iter().partition(|(of, _)| *of == lane);
+        self.calls = others;
+        let ours: Vec<(Lane, StoreCall)> = ours;
+        ours.into_iter().map(|(_, call)| call).collect()
+    }
+
+    fn reply(&mut self, lane: Lane, reply: StoreReply) {
+        let mut actions = Vec::new();
+        self.reader.on_reply(self.now, lane, reply, &mut self.random, &mut actions);
+        self.take(actions);
+    }
+
+    fn fail(&mut self, lane: Lane) {
+        let mut actions = Vec::new();
+        self.reader.on_failed(self.now, lane, &mut self.random, &mut actions);
+        self.take(actions);
+    }
+}
+
+fn is_watch_after(call: &StoreCall, revision: u64) -> bool {
+    matches!(call, StoreCall::Watch { after, .. } if *after == revision)
+}
+
+#[test]
+fn a_lane_reads_once_then_watches_from_there() {
+    let mut store = Store::new();
+    assert_eq!(store.calls(0, Lane::Configuration), [StoreCall::ReadConfiguration]);
+    let update = changes(vec![(5, configuration(1))]);
+    store.reply(Lane::Configuration, StoreReply::Items { update, at: 9, next: None });
+    let calls = store.calls(0, Lane::Configuration);
+    assert!(is_watch_after(&calls[0], 9), "{calls:?}");
+    store.reply(Lane::Configuration, StoreReply::Changes { update: MirrorUpdate::default(), at: 12 });
+    let calls = store.calls(0, Lane::Configuration);
+    assert!(is_watch_after(&calls[0], 12), "without news it watches on at once: {calls:?}");
+}
+
+#[test]
+fn a_listing_of_several_pages_is_whole_only_with_the_last() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Searchers);
+    let first = changes(vec![(3, searcher("a", false))]);
+    let next = Some("servers/a".to_owned());
+    store.reply(Lane::Searchers, StoreReply::Items { update: first, at: 20, next: next.clone() });
+    assert!(store.learned.is_empty());
+    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::ListSearchers { after: next }]);
+    let second = changes(vec![(22, searcher("b", false))]);
+    store.reply(Lane::Searchers, StoreReply::Items { update: second, at: 25, next: None });
+    let (_, whole) = &store.learned[0];
+    assert!(whole.is_complete_for_searchers);
+    assert_eq!((whole.items.len(), whole.up_to), (2, 20), "known only up to the first page's revision");
+    let calls = store.calls(0, Lane::Searchers);
+    assert!(is_watch_after(&calls[0], 20), "{calls:?}");
+}
+
+#[test]
+fn after_news_a_lane_rests_so_that_a_storm_is_few_calls() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Configuration);
+    store.reply(
+        Lane::Configuration,
+        StoreReply::Items { update: changes(vec![(1, configuration(1))]), at: 1, next: None },
+    );
+    let mut is_watching = !store.calls(0, Lane::Configuration).is_empty();
+    let mut calls = 0;
+    for step in 0..30 {
+        // A change each 100 ms: whoever watches hears of it at once.
+        if is_watching {
+            let revision = step + 2;
+            let update = changes(vec![(revision, configuration(revision))]);
+            store.reply(Lane::Configuration, StoreReply::Changes { update, at: revision });
+            is_watching = false;
+        }
+        let made = store.calls(100, Lane::Configuration).len();
+        calls += made;
+        is_watching |= made > 0;
+    }
+    assert!(calls <= 8, "{calls} calls in 3 s of a storm");
+    assert!(calls >= 4, "{calls} calls: news must not wait for seconds");
+}
+
+#[test]
+fn a_forgotten_history_is_read_anew() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Searchers);
+    store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+    store.calls(0, Lane::Searchers);
+    store.reply(Lane::Searchers, StoreReply::HistoryGone);
+    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::ListSearchers { after: None }]);
+}
+
+#[test]
+fn a_broken_watch_goes_on_where_it_was() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Searchers);
+    store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+    store.calls(0, Lane::Searchers);
+    store.fail(Lane::Searchers);
+    let calls = store.calls(200, Lane::Searchers);
+    assert!(is_watch_after(&calls[0], 4), "{calls:?}");
+}
+
+#[test]
+fn a_store_that_refuses_is_asked_ever_more_seldom_but_for_ever() {
+    let mut store = Store::new();
+    let mut calls = 0;
+    for _ in 0..600 {
+        for _ in store.calls(100, Lane::Configuration) {
+            calls += 1;
+            store.reply(Lane::Configuration, StoreReply::Refused { status: 429 });
+        }
+    }
+    assert!((55..130).contains(&calls), "{calls} calls in a minute");
+    assert_eq!(store.reachable, Vec::<bool>::new(), "it was never reachable");
+}
+
+#[test]
+fn what_a_peer_told_is_watched_from_there() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Configuration);
+    store.fail(Lane::Configuration);
+    store.reader.on_told(Lane::Configuration, 33);
+    let calls = store.calls(2000, Lane::Configuration);
+    assert!(is_watch_after(&calls[0], 33), "{calls:?}");
+}
