--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -17,7 +17,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::server::{Endpoint, Server, ServerTimes};
-use crate::settings::{GatewaySettings, SettingsError};
+use crate::settings::{GatewaySettings, SettingsError, SettingsFile};
 use crate::socket::{IoContext, READ_CHUNK, SocketId};
 use hashbrown::HashMap;
 use mio::event::Event;
@@ -55,6 +55,8 @@
 const EVENTS_PER_CLOCK: usize = 16;
 /// Time between looks at what has no exact time of its own.
 const TICK: Duration = Duration::from_millis(50);
+/// Time between looks at the settings file.
+const FILE_LOOK: Duration = Duration::from_secs(1);
 /// Longest answer of a searcher, in bytes.
 const MAX_ANSWER: usize = 8 * 1024 * 1024;
 
@@ -79,9 +81,6 @@
     move |error| GatewayError::Io { what, error }
 }
 
-/// Where settings are read again from when they change.
-pub type SettingsSource = Box<dyn FnMut() -> Result<GatewaySettings, SettingsError>>;
-
 /// What the outside asks of a running node.
 #[derive(Clone, Debug, Default)]
 pub struct Signals {
@@ -96,7 +95,8 @@
     dialect: D,
     settings: GatewaySettings,
     signals: Signals,
-    reload_source: SettingsSource,
+    settings_file: SettingsFile,
+    next_file_look: BootTime,
     poll: Poll,
     buffer: Box<[u8; READ_CHUNK]>,
     now: BootTime,
@@ -123,14 +123,9 @@
 }
 
 impl<D: Dialect> GatewayNode<D> {
-    /// Binds all addresses. `signals` and `reload_source` are asked while the node runs.
-    pub fn start(
-        settings: GatewaySettings,
-        dialect: D,
-        signals: Signals,
-        reload_source: SettingsSource,
-    ) -> Result<Self, GatewayError> {
-        settings.check()?;
+    /// Reads the settings and binds all addresses. `signals` are looked at while the node runs.
+    pub fn start(mut settings_file: SettingsFile, dialect: D, signals: Signals) -> Result<Self, GatewayError> {
+        let settings = settings_file.load()?;
         let now = clock::now();
         let poll = Poll::new().map_err(io_error("poll"))?;
         let mut server = Server::new(LISTENERS, SERVER, settings.caller_connections());
@@ -185,7 +180,8 @@
             poll,
             dialect,
             signals,
-            reload_source,
+            settings_file,
+            next_file_look: now,
             settings,
         })
     }
@@ -266,6 +262,7 @@
         self.ask_better_informed();
         self.update_readiness();
         self.on_stop_tick();
+        self.look_at_settings();
         self.log.on_tick(self.now);
     }
 
@@ -298,33 +295,44 @@
         }
     }
 
+    /// Settings may change without any signal.
+    fn look_at_settings(&mut self) {
+        if self.now < self.next_file_look {
+            return;
+        }
+        self.next_file_look = self.now + FILE_LOOK;
+        if self.settings_file.has_changed() {
+            self.reload();
+        }
+    }
+
     /// Takes changed settings; bad ones are refused and everything stays as it is.
     fn reload(&mut self) {
-        match (self.reload_source)() {
-            Ok(settings) => {
-                let is_same_place =
-                    settings.listen == self.settings.listen && settings.node.zone == self.settings.node.zone;
-                self.log.line(
-                    self.now,
-                    LineKind::Belief,
-                    format_args!("event=reload outcome=taken addresses_kept={is_same_place}"),
-                );
-                // Addresses that are in use can't be moved without cutting somebody off.
-                let settings = GatewaySettings { listen: self.settings.listen.clone(), ..settings };
-                self.engine.set_extra_bound(extra_bound(&settings));
-                for caller in &mut self.store {
-                    caller.set_address(settings.store.address);
-                }
-                self.settings = settings;
-            }
+        let settings = match self.settings_file.load() {
+            Ok(settings) => settings,
             Err(error) => {
-                self.log.line(
-                    self.now,
-                    LineKind::Belief,
-                    format_args!("event=reload outcome=refused reason={error:?}"),
-                );
+                let line = format_args!("event=reload outcome=refused reason={:?}", error.to_string());
+                return self.log.line(self.now, LineKind::Belief, line);
             }
+        };
+        // Addresses that are in use can't be moved without cutting somebody off.
+        let keeps_addresses = settings.listen == self.settings.listen;
+        let line = format_args!("event=reload outcome=taken addresses_unchanged={keeps_addresses}");
+        self.log.line(self.now, LineKind::Belief, line);
+        self.engine.set_extra_bound(extra_bound(&settings));
+        if settings.store != self.settings.store {
+            self.follow_store(settings.store.address);
+        }
+        self.settings = GatewaySettings { listen: self.settings.listen.clone(), ..settings };
+    }
+
+    /// The store has moved: everything is read anew there.
+    fn follow_store(&mut self, address: SocketAddr) {
+        for caller in &mut self.store {
+            caller.set_address(address);
         }
+        self.store_calls = [None, None];
+        self.reader = StoreReader::new(self.settings.reader());
     }
 }
 
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -5,7 +5,8 @@
 use staircross_routing::store_reader::ReaderSettings;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime};
 
 quick_error! {
     /// Why settings can't be accepted.
@@ -195,6 +196,47 @@
     }
 }
 
+/// A settings file that is read again when it changes.
+#[derive(Debug)]
+pub struct SettingsFile {
+    path: PathBuf,
+    seen: Option<FileMark>,
+}
+
+/// What tells one content of a file from the next without reading it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FileMark {
+    modified: SystemTime,
+    length: u64,
+}
+
+impl SettingsFile {
+    /// The file at a path.
+    pub fn new(path: impl Into<PathBuf>) -> Self {
+        SettingsFile { path: path.into(), seen: None }
+    }
+
+    /// Reads and checks the file.
+    pub fn load(&mut self) -> Result<GatewaySettings, SettingsError> {
+        self.seen = self.mark();
+        let origin = self.path.display().to_string();
+        let text = std::fs::read_to_string(&self.path)
+            .map_err(|error| SettingsError::Unreadable { origin: origin.clone(), reason: error.to_string() })?;
+        GatewaySettings::from_toml(&origin, &text)
+    }
+
+    /// Whether the file has changed since it was read; one that can't be looked at hasn't.
+    pub fn has_changed(&self) -> bool {
+        let present = self.mark();
+        present.is_some() && present != self.seen
+    }
+
+    fn mark(&self) -> Option<FileMark> {
+        let metadata = std::fs::metadata(&self.path).ok()?;
+        Some(FileMark { modified: metadata.modified().ok()?, length: metadata.len() })
+    }
+}
+
 fn check_number(
     key: &'static str,
     value: f64,
--- /dev/null
+++ b/crates/staircross-gateway/tests/settings.rs
@@ -0,0 +1,63 @@
+//! Settings: what is refused, and how the error names it.
+
+use staircross_gateway::GatewaySettings;
+
+const GOOD: &str = r#"
+[node]
+name = "n1"
+zone = "hall"
+region = "north"
+[listen]
+callers = "127.0.0.1:7001"
+readiness = "127.0.0.1:7002"
+directory = "127.0.0.1:7003"
+peers = "127.0.0.1:7004"
+[zones]
+hall = "north"
+[store]
+address = "127.0.0.1:7010"
+[bounds]
+extra_ratio = 0.2
+extra_window_s = 10
+extra_slack = 58
+drain_ms = 3000
+config_ms = 3000
+stop_s = 6
+directory_ttl_s = 5
+"#;
+
+fn error(text: &str) -> String {
+    GatewaySettings::from_toml("node.toml", text).expect_err("the settings are bad").to_string()
+}
+
+#[test]
+fn good_settings_are_taken() {
+    GatewaySettings::from_toml("node.toml", GOOD).expect("the settings are good");
+}
+
+#[test]
+fn each_bad_value_is_named_with_its_place_and_what_is_allowed() {
+    let cases = [
+        ("extra_ratio = 0.2", "extra_ratio = -0.1", "bounds.extra_ratio"),
+        ("extra_ratio = 0.2", "extra_ratio = nan", "bounds.extra_ratio"),
+        ("stop_s = 6", "stop_s = 0.1", "bounds.stop_s"),
+        ("drain_ms = 3000", "drain_ms = 1", "bounds.drain_ms"),
+        ("config_ms = 3000", "config_ms = 0", "bounds.config_ms"),
+        ("peers = \"127.0.0.1:7004\"", "peers = \"127.0.0.1:7001\"", "listen"),
+        ("zone = \"hall\"", "zone = \"attic\"", "node.zone"),
+        ("[node]", "[limits]\nmemory_mb = 4\n[node]", "limits.memory_mb"),
+        ("[node]", "[limits]\ndescriptors = 100\n[node]", "limits.descriptors"),
+    ];
+    for (good, bad, key) in cases {
+        let message = error(&GOOD.replace(good, bad));
+        assert!(message.starts_with(key) && message.contains("allowed:"), "{bad}: {message}");
+    }
+}
+
+#[test]
+fn unknown_keys_and_broken_text_name_the_file() {
+    for text in [GOOD.replace("[store]", "[store]\ncolour = 1"), GOOD.replace("[store]", "[store")] {
+        let message = error(&text);
+        assert!(message.starts_with("node.toml:"), "{message}");
+    }
+}
