Refuse as not run what a stopping node could not finish

Ruled out: a lost answer (the searchers were at work). Change: what callers are told follows from the time until the kill, and for the last 1.5 s of it new requests are refused as not run (leaving).

--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -10,10 +10,6 @@
 use crate::socket::SocketId;
 use staircross_http::Request;
 use staircross_wire::frame::encode;
-use std::time::Duration;
-
-/// How long callers may keep an answer of the directory. Short, so that callers leave a dead node soon.
-const DIRECTORY_TTL: Duration = Duration::from_millis(2000);
 
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_own_endpoint(&mut self, connection: SocketId, endpoint: Endpoint, request: &Request) {
@@ -54,10 +50,6 @@
         context.plain(200, body.content_type, &body.bytes)
     }
 
-    pub(super) fn directory_ttl(&self) -> Duration {
-        DIRECTORY_TTL.min(Duration::from_secs_f64(self.settings.bounds.directory_ttl_s))
-    }
-
     /// Tells a peer what changed after the revision that it knows.
     fn changes(&self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
         let revision = request.head.target.strip_prefix(CHANGES_TARGET).and_then(|text| text.parse::<u64>().ok());
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -63,6 +63,9 @@
         if outbound.id.is_none() {
             return self.refuse_connection(connection, ErrorKind::BadRequest);
         }
+        if self.is_closed_to_requests() {
+            return self.refuse_connection(connection, ErrorKind::Leaving);
+        }
         let key = RequestKey(self.next_request);
         self.next_request += 1;
         let head = &request.head;
--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -9,16 +9,21 @@
 
 /// Callers keep an answer of the directory up to so many times as long as they were told.
 const DIRECTORY_KEPT: u32 = 3;
+/// Bounds of what callers are told. Short, so that they leave a dead node soon.
+const LEAST_DIRECTORY_TTL: Duration = Duration::from_millis(250);
+const MOST_DIRECTORY_TTL: Duration = Duration::from_secs(2);
 /// Kept free before the process would be killed.
 const KILL_GUARD: Duration = Duration::from_millis(500);
+/// Kept free besides for requests that were taken last.
+const LAST_REQUESTS: Duration = Duration::from_millis(1500);
 /// Looks in a row that find nothing to do before the node ends. Looks and not time: after a pause of
 /// this process, requests may wait in its sockets that it hasn't read.
 const IDLE_LOOKS: u32 = 3;
 
 /// A planned stop in progress.
 pub(super) struct StopState {
-    /// Until when callers may still come.
-    linger_until: BootTime,
+    /// Until when requests are still taken from callers who hold this node's address.
+    takes_until: BootTime,
     /// When the node ends whatever is in flight.
     latest: BootTime,
     idle_looks: u32,
@@ -35,8 +40,9 @@
         self.log.line(self.now, LineKind::Belief, format_args!("event=stop_begins in_flight={in_flight}"));
         let grace = Duration::from_secs_f64(self.settings.bounds.stop_s);
         let latest = self.now + grace.saturating_sub(KILL_GUARD);
-        let linger_until = (self.now + self.directory_ttl() * DIRECTORY_KEPT + KILL_GUARD).min(latest);
-        self.stop = Some(StopState { linger_until, latest, idle_looks: 0, is_done: false });
+        let has_left = self.now + self.directory_ttl() * DIRECTORY_KEPT + KILL_GUARD;
+        let takes_until = has_left.min(latest - LAST_REQUESTS).max(self.now);
+        self.stop = Some(StopState { takes_until, latest, idle_looks: 0, is_done: false });
         self.update_readiness();
         let mut events = Vec::new();
         self.fleet.leave(MemberState::Leaving, &mut events);
@@ -49,7 +55,7 @@
         let Some(stop) = &mut self.stop else {
             return;
         };
-        let is_idle = !is_busy && now >= stop.linger_until;
+        let is_idle = !is_busy && now >= stop.takes_until;
         stop.idle_looks = if is_idle { stop.idle_looks + 1 } else { 0 };
         stop.is_done = stop.idle_looks >= IDLE_LOOKS || now >= stop.latest;
         if stop.is_done {
@@ -59,6 +65,21 @@
         }
     }
 
+    /// Whether what comes now is refused as not run: its end could not be waited for.
+    pub(super) fn is_closed_to_requests(&self) -> bool {
+        self.stop.as_ref().is_some_and(|stop| self.now >= stop.takes_until)
+    }
+
+    /// How long callers may be told to keep an answer of the directory, so that they have left a
+    /// stopping node while it can still finish what it took from them.
+    pub(super) fn directory_ttl(&self) -> Duration {
+        let bounds = &self.settings.bounds;
+        let grace = Duration::from_secs_f64(bounds.stop_s);
+        let lingering = grace.saturating_sub(KILL_GUARD + KILL_GUARD + LAST_REQUESTS);
+        let longest = Duration::from_secs_f64(bounds.directory_ttl_s).min(MOST_DIRECTORY_TTL);
+        (lingering / DIRECTORY_KEPT).clamp(LEAST_DIRECTORY_TTL, longest.max(LEAST_DIRECTORY_TTL))
+    }
+
     pub(super) fn is_stopped(&self) -> bool {
         self.stop.as_ref().is_some_and(|stop| stop.is_done)
     }
