--- /dev/null
+++ b/bench/kinds.py
@@ -0,0 +1,163 @@
+#!/usr/bin/env python3
+"""Plays a day of its own for every kind of trouble on a site, and prints a table.
+
+usage: bench/kinds.py BENCH SITE [--pair KIND] [--jobs N] [--why TEXT] [--only KIND,...]
+
+Writes each day to bench/days/ and runs it with BENCH. A row holds the kind, broken rules, faults, the share of
+requests served and the score's worth. The days are written from the lists below, so they can be played again.
+"""
+import argparse
+import concurrent.futures
+import pathlib
+import re
+import subprocess
+
+# kind, where it stands, and its variants: each is a list of entries besides "at".
+PLAN = "plan"
+FAULT = "faults"
+KINDS = [
+    ("burst", FAULT, "x = 1.9, for_s = 4.0"),
+    ("give_up", FAULT, "share = 0.3, for_s = 6.0"),
+    ("retry_abuse", FAULT, "share = 0.4, x = 3, for_s = 6.0"),
+    ("srv_crash", FAULT, "share = 0.15, for_s = 5.0"),
+    ("srv_crash-dark", FAULT, "share = 0.15, for_s = 5.0, how = \"dark\""),
+    ("srv_crash-gone", FAULT, "share = 0.15, how = \"gone\""),
+    ("srv_crash-across", FAULT, "share = 0.2, for_s = 5.0, how = \"across\""),
+    ("srv_slow", FAULT, "share = 0.2, x = 8.0, for_s = 8.0"),
+    ("srv_slow-across", FAULT, "share = 0.2, x = 12.0, for_s = 8.0, how = \"across\""),
+    ("srv_grey-errors", FAULT, "share = 0.15, x = 0.4, for_s = 6.0, how = \"errors\""),
+    ("srv_grey-shed", FAULT, "share = 0.15, x = 0.4, for_s = 6.0, how = \"shed\""),
+    ("srv_grey-busy", FAULT, "share = 0.15, x = 0.4, for_s = 6.0, how = \"busy\""),
+    ("srv_grey-hang", FAULT, "share = 0.15, x = 0.4, for_s = 6.0, how = \"hang\""),
+    ("srv_grey-reset", FAULT, "share = 0.15, x = 0.4, for_s = 6.0, how = \"reset\""),
+    ("srv_grey-mute", FAULT, "share = 0.15, x = 0.4, for_s = 6.0, how = \"mute\""),
+    ("srv_grey-slow", FAULT, "share = 0.15, x = 8, for_s = 6.0, how = \"slow\""),
+    ("answer_lost", FAULT, "share = 0.5, x = 0.05, for_s = 6.0"),
+    ("answer_lost-reset", FAULT, "share = 0.5, x = 0.05, for_s = 6.0, how = \"reset\""),
+    ("garble", FAULT, "share = 0.5, x = 0.04, for_s = 6.0"),
+    ("garble-extra", FAULT, "share = 0.5, x = 0.04, for_s = 6.0, how = \"extra\""),
+    ("garble-extra-late", FAULT, "share = 0.6, x = 0.04, for_s = 6.0, how = \"extra late\""),
+    ("garble-unframed", FAULT, "share = 0.5, x = 0.05, for_s = 6.0, how = \"unframed\""),
+    ("garble-early", FAULT, "share = 0.5, x = 0.05, for_s = 6.0, how = \"early\""),
+    ("node_kill", FAULT, "share = 0.3"),
+    ("node_kill-power", FAULT, "share = 0.3, for_s = 5.0, how = \"power\""),
+    ("node_kill-leader", FAULT, "on = \"core\", count = 1, for_s = 3.5, how = \"power leader meet\""),
+    ("node_freeze", FAULT, "share = 0.3, for_s = 4.0"),
+    ("node_slow", FAULT, "share = 0.4, x = 5, for_s = 8.0"),
+    ("roll_term", PLAN, "share = 1.0, x = 1.0, gap_s = 1.5"),
+    ("roll_term-busy", PLAN, "share = 0.6, x = 1.0, gap_s = 1.2, how = \"busy\""),
+    ("roll_term-remove", PLAN, "share = 0.3, x = 1.0, gap_s = 1.5, how = \"remove\""),
+    ("herd_kill", FAULT, "share = 0.6"),
+    ("herd_kill-power", FAULT, "share = 0.6, for_s = 4.0, how = \"power\""),
+    ("herd_kill-core-off", FAULT, "on = \"core\", how = \"off\", for_s = 2.0"),
+    ("add_nodes", PLAN, "share = 1.0"),
+    ("after_ack_kill", FAULT, "for_s = 3.0"),
+    ("after_ack_kill-timed", FAULT, "for_s = 3.0, how = \"timed\""),
+    ("clock_step-back", FAULT, "share = 0.5, x = 3000, for_s = 6.0, how = \"back\""),
+    ("clock_step-ahead", FAULT, "share = 0.5, x = 3000, for_s = 6.0, how = \"ahead\""),
+    ("hup", PLAN, "share = 1.0, gap_s = 2.0"),
+    ("core_cut", FAULT, "count = 1, for_s = 6.0"),
+    ("core_cut-leader-refuse", FAULT, "count = 2, for_s = 6.0, how = \"leader refuse\""),
+    ("core_cut-all", FAULT, "count = 1, for_s = 6.0, how = \"all\""),
+    ("core_cut-one_way", FAULT, "count = 1, for_s = 6.0, how = \"one_way\""),
+    ("node_cut", FAULT, "share = 0.2, for_s = 6.0"),
+    ("node_cut-all", FAULT, "share = 0.2, for_s = 6.0, how = \"all\""),
+    ("node_cut-servers", FAULT, "share = 0.2, for_s = 6.0, how = \"servers\""),
+    ("lossy", FAULT, "x = 0.05, for_s = 6.0"),
+    ("reset_conns", FAULT, "share = 0.4, x = 0.5"),
+    ("platform_down-silent", FAULT, "for_s = 6.0, how = \"silent\""),
+    ("platform_down-busy", FAULT, "for_s = 6.0, how = \"busy\""),
+    ("platform_down-reset", FAULT, "for_s = 6.0, how = \"reset\""),
+    ("platform_slow", FAULT, "x = 60.0, for_s = 6.0"),
+    ("platform_lost", FAULT, "x = 0.35, for_s = 6.0"),
+    ("platform_lost-late", FAULT, "x = 0.35, for_s = 6.0, how = \"late\""),
+    ("platform_compact", FAULT, "x = 5.0, for_s = 10.0"),
+    ("platform_compact-drain", FAULT, "x = 5.0, for_s = 10.0, how = \"drain\""),
+    ("config_change-route", PLAN, "how = \"route\""),
+    ("config_change-weights", PLAN, "how = \"weights\""),
+    ("config_change-timeout", PLAN, "how = \"timeout\""),
+    ("config_change-idle", PLAN, "how = \"idle\""),
+    ("config_storm", PLAN, "for_s = 4.0, gap_s = 0.15"),
+    ("big_config", PLAN, "count = 400"),
+    ("reshard", PLAN, "x = 3.0"),
+    ("release", PLAN, "share = 0.5, x = 1.0, gap_s = 1.0"),
+    ("replace_with_reuse", FAULT, "share = 0.2"),
+    ("replace_with_reuse-drain", FAULT, "share = 0.2, how = \"drain\""),
+    ("replace_with_reuse-dark", FAULT, "share = 0.2, how = \"dark\""),
+    ("scale_out", PLAN, "share = 0.3, gap_s = 3.0"),
+    ("scale_in", PLAN, "share = 0.15"),
+    ("scale_in-spot", PLAN, "share = 0.15, how = \"spot\""),
+]
+# When each trouble comes: early, in the middle, and once more in the last seconds.
+TIMES = [1.0, 12.0, 26.0]
+
+
+def entry(label, fields, at):
+    kind = label.split("-")[0]
+    return f'{{ kind = "{kind}", at = {at}, {fields} }}'
+
+
+def day(label, where, fields, pair, seed):
+    entries = {PLAN: [], FAULT: []}
+    # Adding machines, cutting the index again and a big configuration happen once a day.
+    times = TIMES[1:2] if label.split("-")[0] in ("add_nodes", "reshard", "big_config", "herd_kill") else TIMES
+    for at in times:
+        entries[where].append(entry(label, fields, at))
+    if pair:
+        pair_label, pair_where, pair_fields = next(kind for kind in KINDS if kind[0] == pair)
+        entries[pair_where].append(entry(pair_label, pair_fields, 11.5))
+    lines = ["[[day]]", f'name = "{label}"', 'slot = "trouble"', f"seed = {seed}"]
+    for name, rows in entries.items():
+        lines.append(f"{name} = [")
+        lines += [f"  {row}," for row in rows]
+        lines.append("]")
+    return "\n".join(lines) + "\n"
+
+
+def play(bench, site, path, why):
+    command = [bench, "run", site, str(path), "--why", why]
+    output = subprocess.run(command, capture_output=True, text=True, check=False).stdout
+    return output
+
+
+def read(output, label):
+    row = re.search(r"^(\S.*?)\s+\d+/\d+\s+(\S+)\s+(\S+)\s+(\S+)\s+(\S+)\s+(\S+)(.*)$", output, re.M)
+    if not row:
+        return "not played: " + " ".join(output.split()[:30])
+    broken = re.search(r"BROKEN: (.*)", row[7])
+    fault = re.search(r"FAULT[^\n]*", output)
+    verdict = broken[1] if broken else (fault[0] if fault else "kept")
+    return f"{verdict} | {row[4]} | {row[3]}"
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("bench")
+    parser.add_argument("site")
+    parser.add_argument("--pair", default="")
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--why", default="table of kinds")
+    parser.add_argument("--only", default="")
+    parser.add_argument("--seed", type=int, default=20261202)
+    arguments = parser.parse_args()
+    folder = pathlib.Path(__file__).parent / "days"
+    folder.mkdir(exist_ok=True)
+    site_name = pathlib.Path(arguments.site).stem
+    wanted = [kind for kind in KINDS if not arguments.only or kind[0] in arguments.only.split(",")]
+
+    def one(kind):
+        label, where, fields = kind
+        suffix = f"+{arguments.pair}" if arguments.pair else ""
+        path = folder / f"{label}{suffix}.toml"
+        path.write_text(day(label, where, fields, arguments.pair, arguments.seed))
+        why = f"{arguments.why}: {label}{suffix} on {site_name}"
+        return label + suffix, read(play(arguments.bench, arguments.site, path, why), label)
+
+    print(f"| kind on {site_name} | rules | served | worth |\n| --- | --- | ---: | ---: |")
+    with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
+        for label, row in pool.map(one, wanted):
+            print(f"| `{label}` | {row} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
