Renew watches after the store was away: ask for signs of life

Cause: mix of tgcto refused 27 in 100 as no_replica for 12 s: while the store was silent all nine nodes' watches of searchers died untold; the configuration then named services whose searchers nobody knew. Ruled out: keep-alive probes (the store's host answers them), peers (nobody knew). Change: a third lane asks every 2 s for a stale read of a key that nobody writes (a tenth of a call's price); after a miss and a return both watches go on from where they were.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -103,8 +103,8 @@
     server: Server,
     pool: Pool,
     fleet: Fleet,
-    store: [HttpCaller; 2],
-    store_calls: [Option<StoreCall>; 2],
+    store: [HttpCaller; 3],
+    store_calls: [Option<StoreCall>; 3],
     peer: HttpCaller,
     reader: StoreReader,
     mirror: Mirror,
@@ -157,8 +157,8 @@
         Ok(GatewayNode {
             pool: Pool::new(POOL, *dialect.headers(), MAX_ANSWER),
             fleet: Fleet::new(identity, settings.node.seeds.clone(), socket, now),
-            store: [HttpCaller::new(STORE, 0, store), HttpCaller::new(STORE, 1, store)],
-            store_calls: [None, None],
+            store: [0, 1, 2].map(|slot| HttpCaller::new(STORE, slot, store)),
+            store_calls: [const { None }; 3],
             peer: HttpCaller::new(PEER, 0, peers),
             reader: StoreReader::new(settings.reader()),
             mirror: Mirror::default(),
@@ -218,9 +218,9 @@
     }
 
     fn time_to_wait(&self) -> Duration {
-        let wakes = [self.engine.next_wake(), self.reader.next_wake(), self.store[0].next_wake()];
-        let more = [self.store[1].next_wake(), self.peer.next_wake(), Some(self.next_tick)];
-        let due = wakes.into_iter().chain(more).flatten().min();
+        let wakes = [self.engine.next_wake(), self.reader.next_wake(), self.peer.next_wake(), Some(self.next_tick)];
+        let calls = self.store.iter().map(HttpCaller::next_wake);
+        let due = wakes.into_iter().chain(calls).flatten().min();
         let now = clock::now();
         due.map_or(TICK, |due| now.until(due))
     }
@@ -331,7 +331,7 @@
         for caller in &mut self.store {
             caller.set_address(address);
         }
-        self.store_calls = [None, None];
+        self.store_calls = [const { None }; 3];
         self.reader = StoreReader::new(self.settings.reader());
     }
 }
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -46,6 +46,10 @@
                         self.on_store_outcome(lane, outcome);
                     }
                 }
+                ReaderAction::Cancel { lane } => {
+                    self.store[lane as usize].cancel();
+                    self.store_calls[lane as usize] = None;
+                }
                 ReaderAction::Learned { lane, update } => self.learn(update, lane.name()),
                 ReaderAction::Reachable { lane, is_reachable } => self.log.line(
                     self.now,
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -1,9 +1,13 @@
 //! When the store is read, watched, or left alone.
 //!
-//! Two lanes, one for the configuration and one for the searchers. Each reads once, then watches
-//! from the revision it has reached, and reads again only when the store has forgotten the history
-//! in between. Every call costs, so after news a lane rests for a moment: a storm of changes is then
-//! a few calls. A lane that fails backs off and goes on trying for ever.
+//! Two lanes read, one the configuration and one the searchers. Each reads once, then watches from
+//! the revision it has reached, and reads again only when the store has forgotten the history in
+//! between. Every call costs, so after news a lane rests for a moment: a storm of changes is then a
+//! few calls. A lane that fails backs off and goes on trying for ever.
+//!
+//! A store that was away may have forgotten a watch without a word, and a watch that waits looks the
+//! same as one that is dead. So a third lane asks now and then for a cheap sign of life; once the
+//! store has missed one, both watches are renewed when it is back.
 
 use crate::mirror::MirrorUpdate;
 use rand::Rng;
@@ -18,17 +22,20 @@
     Configuration,
     /// The searchers' entries.
     Searchers,
+    /// Nothing: only whether the store answers.
+    Probe,
 }
 
 impl Lane {
-    /// Both lanes.
-    pub const ALL: [Lane; 2] = [Lane::Configuration, Lane::Searchers];
+    /// All lanes.
+    pub const ALL: [Lane; 3] = [Lane::Configuration, Lane::Searchers, Lane::Probe];
 
     /// Name in logs.
     pub fn name(self) -> &'static str {
         match self {
             Lane::Configuration => "configuration",
             Lane::Searchers => "searchers",
+            Lane::Probe => "probe",
         }
     }
 }
@@ -52,6 +59,8 @@
         /// How long the store may hold the call.
         wait: Duration,
     },
+    /// A sign of life, as cheap as there is.
+    Probe,
 }
 
 /// What the store said.
@@ -73,6 +82,8 @@
         /// The revision.
         at: u64,
     },
+    /// It lives.
+    Alive,
     /// The history after the revision asked for is gone.
     HistoryGone,
     /// Refused, or no proper answer; nothing is known.
@@ -94,6 +105,11 @@
         /// Longest wait.
         patience: Duration,
     },
+    /// Give up the call that is out on a lane; its end isn't to be told.
+    Cancel {
+        /// The lane.
+        lane: Lane,
+    },
     /// Merge what was learned.
     Learned {
         /// From which lane.
@@ -121,6 +137,10 @@
     pub configuration_rest: Duration,
     /// Rest after news of searchers.
     pub searcher_rest: Duration,
+    /// Time between signs of life, and while the store is away.
+    pub probe: (Duration, Duration),
+    /// Longest wait for a sign of life.
+    pub probe_patience: Duration,
     /// First and longest wait after a failure.
     pub back_off: (Duration, Duration),
 }
@@ -128,10 +148,12 @@
 impl Default for ReaderSettings {
     fn default() -> Self {
         ReaderSettings {
-            watch: Duration::from_secs(20),
+            watch: Duration::from_secs(25),
             patience: Duration::from_millis(1200),
             configuration_rest: Duration::from_millis(500),
             searcher_rest: Duration::from_millis(900),
+            probe: (Duration::from_millis(2000), Duration::from_millis(400)),
+            probe_patience: Duration::from_millis(800),
             back_off: (Duration::from_millis(150), Duration::from_millis(1000)),
         }
     }
@@ -161,7 +183,9 @@
 #[derive(Debug)]
 pub struct StoreReader {
     settings: ReaderSettings,
-    lanes: [LaneReader; 2],
+    lanes: [LaneReader; 3],
+    /// Whether the store has missed a sign of life since the watches began.
+    was_away: bool,
 }
 
 impl StoreReader {
@@ -175,7 +199,7 @@
             failures: 0,
             is_reachable: false,
         });
-        StoreReader { settings, lanes }
+        StoreReader { settings, lanes, was_away: false }
     }
 
     /// When a call is due next.
@@ -189,7 +213,7 @@
 
     /// Whether the store answered last on both lanes.
     pub fn is_reachable(&self) -> bool {
-        self.lanes.iter().all(|lane| lane.is_reachable)
+        self.lanes.iter().all(|lane| lane.is_reachable || lane.lane == Lane::Probe)
     }
 
     /// Makes the calls that are due.
@@ -212,8 +236,12 @@
         actions: &mut Vec<ReaderAction>,
     ) {
         let settings = self.settings.clone();
+        if lane == Lane::Probe {
+            return self.on_sign_of_life(now, matches!(reply, StoreReply::Alive), actions);
+        }
         let reader = self.lane_mut(lane);
         match reply {
+            StoreReply::Alive => reader.state = LaneState::Resting { until: now },
             StoreReply::Refused { .. } => return reader.fail(now, &settings, random, actions),
             StoreReply::HistoryGone => {
                 reader.after = None;
@@ -230,9 +258,34 @@
     /// A call brought no reply: its connection broke, or its time was over.
     pub fn on_failed(&mut self, now: BootTime, lane: Lane, random: &mut ChaCha8Rng, actions: &mut Vec<ReaderAction>) {
         let settings = self.settings.clone();
+        if lane == Lane::Probe {
+            return self.on_sign_of_life(now, false, actions);
+        }
         self.lane_mut(lane).fail(now, &settings, random, actions);
     }
 
+    fn on_sign_of_life(&mut self, now: BootTime, is_alive: bool, actions: &mut Vec<ReaderAction>) {
+        let (usual, while_away) = self.settings.probe;
+        let wait = if is_alive { usual } else { while_away };
+        let probe = self.lane_mut(Lane::Probe);
+        probe.state = LaneState::Resting { until: now + wait };
+        probe.set_reachable(is_alive, actions);
+        let is_back = is_alive && self.was_away;
+        self.was_away = !is_alive;
+        if is_back {
+            self.renew_watches(now, actions);
+        }
+    }
+
+    fn renew_watches(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
+        for lane in &mut self.lanes {
+            if lane.lane != Lane::Probe && lane.state == LaneState::Calling {
+                actions.push(ReaderAction::Cancel { lane: lane.lane });
+                lane.state = LaneState::Resting { until: now };
+            }
+        }
+    }
+
     /// A peer told everything up to `revision`; a lane that has read nothing yet can watch from there.
     pub fn on_told(&mut self, lane: Lane, revision: u64) {
         let reader = self.lane_mut(lane);
@@ -246,12 +299,16 @@
         match lane {
             Lane::Configuration => &mut self.lanes[0],
             Lane::Searchers => &mut self.lanes[1],
+            Lane::Probe => &mut self.lanes[2],
         }
     }
 }
 
 impl LaneReader {
     fn next_call(&self, settings: &ReaderSettings) -> ReaderAction {
+        if self.lane == Lane::Probe {
+            return ReaderAction::Call { lane: self.lane, call: StoreCall::Probe, patience: settings.probe_patience };
+        }
         let (call, patience) = match (self.after, &self.partial, self.lane) {
             (Some(after), _, lane) => {
                 let call = StoreCall::Watch { lane, after, wait: settings.watch };
@@ -259,7 +316,9 @@
             }
             (None, Some((_, _, key)), _) => (StoreCall::ListSearchers { after: Some(key.clone()) }, settings.patience),
             (None, None, Lane::Configuration) => (StoreCall::ReadConfiguration, settings.patience),
-            (None, None, Lane::Searchers) => (StoreCall::ListSearchers { after: None }, settings.patience),
+            (None, None, Lane::Searchers | Lane::Probe) => {
+                (StoreCall::ListSearchers { after: None }, settings.patience)
+            }
         };
         ReaderAction::Call { lane: self.lane, call, patience }
     }
@@ -305,7 +364,7 @@
         } else {
             let rest = match self.lane {
                 Lane::Configuration => settings.configuration_rest,
-                Lane::Searchers => settings.searcher_rest,
+                Lane::Searchers | Lane::Probe => settings.searcher_rest,
             };
             self.state = LaneState::Resting { until: now + rest };
         }
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -167,6 +167,7 @@
     calls: Vec<(Lane, StoreCall)>,
     learned: Vec<(Lane, MirrorUpdate)>,
     reachable: Vec<bool>,
+    cancelled: Vec<Lane>,
 }
 
 impl Store {
@@ -178,6 +179,7 @@
             calls: Vec::new(),
             learned: Vec::new(),
             reachable: Vec::new(),
+            cancelled: Vec::new(),
         }
     }
 
@@ -186,6 +188,7 @@
             match action {
                 ReaderAction::Call { lane, call, .. } => self.calls.push((lane, call)),
                 ReaderAction::Learned { lane, update } => self.learned.push((lane, update)),
+                ReaderAction::Cancel { lane } => self.cancelled.push(lane),
                 ReaderAction::Reachable { is_reachable, .. } => self.reachable.push(is_reachable),
             }
         }
@@ -328,3 +331,41 @@
     let calls = store.calls(2000, Lane::Configuration);
     assert!(is_watch_after(&calls[0], 33), "{calls:?}");
 }
+
+#[test]
+fn a_store_that_was_away_has_its_watches_renewed_when_it_is_back() {
+    let mut store = Store::new();
+    for lane in [Lane::Configuration, Lane::Searchers] {
+        store.calls(0, lane);
+        store.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        let calls = store.calls(0, lane);
+        assert!(is_watch_after(&calls[0], 4), "{calls:?}");
+    }
+    let probes = store.calls(4000, Lane::Probe);
+    assert_eq!(probes, [StoreCall::Probe], "one at a time");
+    store.fail(Lane::Probe);
+    assert!(store.calls(600, Lane::Probe).contains(&StoreCall::Probe), "while it is away it is asked often");
+    store.reply(Lane::Probe, StoreReply::Alive);
+    for lane in [Lane::Configuration, Lane::Searchers] {
+        let calls = store.calls(0, lane);
+        assert!(is_watch_after(&calls[0], 4), "{calls:?}");
+        assert!(store.cancelled.contains(&lane), "the call that hung is given up");
+    }
+}
+
+#[test]
+fn a_store_that_answers_is_probed_seldom_and_its_watches_are_left_alone() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Searchers);
+    store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+    store.calls(0, Lane::Searchers);
+    let mut probes = 0;
+    for _ in 0..100 {
+        for _ in store.calls(100, Lane::Probe) {
+            probes += 1;
+            store.reply(Lane::Probe, StoreReply::Alive);
+        }
+    }
+    assert!((3..=8).contains(&probes), "{probes} probes in 10 s");
+    assert!(store.calls(0, Lane::Searchers).is_empty() && store.cancelled.is_empty());
+}
