--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -187,6 +187,10 @@
     pub fn on_tick(&mut self, now: BootTime, events: &mut Vec<FleetEvent>) {
         let mut actions = Vec::new();
         self.membership.on_tick(now, &mut self.random, &mut actions);
+        // Each moment that a dead node stays in somebody's directory costs callers.
+        if actions.iter().any(|action| matches!(action, MembershipAction::Changed(_))) {
+            self.membership.push_news(&mut self.random, PUSH_COUNT, &mut actions);
+        }
         self.carry_out(actions, events);
         self.announced.retain(|node, _| !self.membership.is_gone(*node));
         let live = self.live().count();
@@ -384,9 +388,9 @@
 /// node for a moment when it is suspected wrongly.
 fn membership_settings() -> MembershipSettings {
     MembershipSettings {
-        probe_every: Duration::from_millis(300),
-        direct_timeout: Duration::from_millis(150),
-        probe_timeout: Duration::from_millis(400),
+        probe_every: Duration::from_millis(200),
+        direct_timeout: Duration::from_millis(100),
+        probe_timeout: Duration::from_millis(250),
         suspicion: Duration::from_millis(2500),
         pause_gap: Duration::from_millis(400),
         helpers: 2,
