--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -36,6 +36,10 @@
     pub helpers: usize,
     /// News items on one message.
     pub news_per_message: usize,
+    /// How often each item is told: so many times the logarithm of the fleet's size, and so many more.
+    pub tellings: Tellings,
+    /// Whether a joiner asks one seed at a time instead of all: each answers with the whole fleet.
+    pub asks_one_seed: bool,
     /// Time after which a gone member is forgotten.
     pub forget_after: Duration,
 }
@@ -51,11 +55,28 @@
             pause_gap: Duration::from_millis(400),
             helpers: 3,
             news_per_message: 6,
+            tellings: Tellings { per_doubling: 4, besides: 4 },
+            asks_one_seed: false,
             forget_after: Duration::from_secs(120),
         }
     }
 }
 
+/// How often one node tells one item of news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tellings {
+    /// For each doubling of the fleet's size.
+    pub per_doubling: u32,
+    /// Besides.
+    pub besides: u32,
+}
+
+impl Tellings {
+    fn for_fleet(self, members: usize) -> u32 {
+        self.per_doubling * (members as u32 + 1).ilog2() + self.besides
+    }
+}
+
 /// Probes and gossip.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MembershipMessage {
@@ -270,7 +291,7 @@
         self.remind_suspects(now, actions);
         self.expire_suspects(now, actions);
         self.forget_gone(now);
-        self.contact_seeds(now, actions);
+        self.contact_seeds(now, random, actions);
         self.contact_dead(now, random, actions);
         self.helped.retain(|helped| now.since(helped.sent_at) < self.settings.probe_timeout);
         if now >= self.next_probe && self.probe.is_none() {
@@ -385,7 +406,7 @@
     }
 
     /// Joins through seeds, and keeps telling seeds that have restarted that there is a fleet.
-    fn contact_seeds(&mut self, now: BootTime, actions: &mut Vec<MembershipAction>) {
+    fn contact_seeds(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
         if now < self.next_seed_contact {
             return;
         }
@@ -393,9 +414,14 @@
         let known =
             |seed: &SocketAddr| self.members.values().any(|member| !member.is_gone() && member.peer_address == *seed);
         let own_record = self.own().clone();
-        for seed in self.seeds.iter().filter(|seed| !known(seed)) {
+        let mut unknown: Vec<SocketAddr> = self.seeds.iter().copied().filter(|seed| !known(seed)).collect();
+        if self.settings.asks_one_seed {
+            shuffle(&mut unknown, random);
+            unknown.truncate(1);
+        }
+        for seed in unknown {
             let message = MembershipMessage::Join { member: own_record.clone() };
-            actions.push(MembershipAction::Send { to: None, address: *seed, message });
+            actions.push(MembershipAction::Send { to: None, address: seed, message });
         }
     }
 
@@ -446,7 +472,7 @@
 
     /// The news told least often; each is told a few times the logarithm of the fleet's size.
     fn take_news(&mut self) -> Vec<Member> {
-        let most_tellings = 4 * (self.members.len() as u32 + 1).ilog2() + 4;
+        let most_tellings = self.settings.tellings.for_fleet(self.members.len());
         self.rumors.sort_by_key(|rumor| rumor.times_told);
         let mut news = Vec::new();
         for rumor in self.rumors.iter_mut().take(self.settings.news_per_message) {
@@ -475,8 +501,8 @@
     }
 }
 
-fn shuffle(nodes: &mut [NodeId], random: &mut ChaCha8Rng) {
-    for end in (1..nodes.len()).rev() {
-        nodes.swap(end, random.random_range(0..=end));
+fn shuffle<T>(items: &mut [T], random: &mut ChaCha8Rng) {
+    for end in (1..items.len()).rev() {
+        items.swap(end, random.random_range(0..=end));
     }
 }
--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -12,7 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use serde::{Deserialize, Serialize};
-use staircross_cluster::membership::{Membership, MembershipAction, MembershipMessage, MembershipSettings};
+use staircross_cluster::membership::{Membership, MembershipAction, MembershipMessage, MembershipSettings, Tellings};
 use staircross_cluster::{Member, MemberState};
 use staircross_types::{BootTime, NodeId, ZoneName};
 use staircross_wire::frame::{decode, encode};
@@ -395,6 +395,8 @@
         pause_gap: Duration::from_millis(400),
         helpers: 2,
         news_per_message: 5,
+        tellings: Tellings { per_doubling: 1, besides: 3 },
+        asks_one_seed: true,
         forget_after: Duration::from_secs(60),
     }
 }
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -155,44 +155,42 @@
                 self.take_pool_events(events);
             }
             RoutingAction::Unsent { request, service, reason, cause } => {
-                if let Some(pending) = self.callers.get(&request) {
-                    let after = self.now.since(pending.arrived).as_millis();
-                    self.log.line(
-                        self.now,
-                        LineKind::Decision,
-                        format_args!(
-                            "event=unsent request={} service={service} reason={} cause={} after_ms={after}",
-                            pending.id(),
-                            reason.name(),
-                            cause.name()
-                        ),
-                    );
-                }
+                let (reason, cause) = (reason.name(), cause.name());
+                self.log_decision(
+                    request,
+                    format_args!("event=unsent service={service} reason={reason} cause={cause}"),
+                );
+            }
+            RoutingAction::LeftOut { request, service, asked, cause } => {
+                let (asked, cause) = (asked.join(","), cause.name());
+                let text = format_args!("event=left_out service={service} asked={asked} cause={cause}");
+                self.log_decision(request, text);
             }
             RoutingAction::Finish { request, verdict } => self.finish(request, verdict),
         }
     }
 
+    /// One line for a decision within a request: what, for which request, how long after its arrival.
+    fn log_decision(&mut self, request: RequestKey, text: std::fmt::Arguments<'_>) {
+        let Some(pending) = self.callers.get(&request) else {
+            return;
+        };
+        let after = self.now.since(pending.arrived).as_millis();
+        let line = format_args!("{text} request={} after_ms={after}", pending.id());
+        self.log.line(self.now, LineKind::Decision, line);
+    }
+
     fn send(&mut self, order: SendOrder) {
         let Some(pending) = self.callers.get_mut(&order.attempt.request) else {
             return;
         };
+        let outbound = pending.outbound.clone();
         if order.reason != SendReason::First {
             pending.extras += 1;
-            let after = self.now.since(pending.arrived).as_millis();
-            self.log.line(
-                self.now,
-                LineKind::Decision,
-                format_args!(
-                    "event=send request={} attempt={} reason={} searcher={} after_ms={after}",
-                    pending.id(),
-                    order.attempt.number,
-                    order.reason.name(),
-                    order.instance
-                ),
-            );
+            let (attempt, reason, instance) = (order.attempt.number, order.reason.name(), &order.instance);
+            let text = format_args!("event=send attempt={attempt} reason={reason} searcher={instance}");
+            self.log_decision(order.attempt.request, text);
         }
-        let outbound = pending.outbound.clone();
         let mut events = Vec::new();
         let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
         self.pool.send(order, outbound, &mut io, &mut events);
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -111,6 +111,17 @@
         /// Why it isn't made.
         cause: UnsentCause,
     },
+    /// A request ends without a part of this shard; told for the log alone.
+    LeftOut {
+        /// Which request.
+        request: RequestKey,
+        /// The shard.
+        service: Arc<str>,
+        /// Searchers that were asked, in order.
+        asked: Vec<Arc<str>>,
+        /// Why there is no part.
+        cause: LeftOutCause,
+    },
     /// The final word on a request.
     Finish {
         /// Which.
@@ -129,6 +140,31 @@
     CallerGone,
 }
 
+/// Why a shard has no part in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeftOutCause {
+    /// Whoever was asked hadn't answered when the request ended.
+    Late,
+    /// Nobody had room to be asked.
+    NoRoom,
+    /// Whoever was asked failed, and no other could be asked.
+    Failed,
+    /// There was nobody to ask.
+    Nobody,
+}
+
+impl LeftOutCause {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            LeftOutCause::Late => "late",
+            LeftOutCause::NoRoom => "no_room",
+            LeftOutCause::Failed => "failed",
+            LeftOutCause::Nobody => "nobody",
+        }
+    }
+}
+
 /// Why an attempt isn't made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnsentCause {
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -2,9 +2,10 @@
 
 use super::dispatch::refused;
 use super::outcome::promises_not_run;
-use super::{AbandonCause, RoutingAction, RoutingEngine, SendReason};
+use super::{AbandonCause, LeftOutCause, RoutingAction, RoutingEngine, SendReason};
 use crate::merge::greatest_records;
 use crate::request::{MergedAnswer, Request, RequestKey, ShardState, Verdict};
+use crate::selection::SearcherKey;
 use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
 
@@ -62,6 +63,7 @@
         if open > 0 && !is_hopeless && !is_time {
             return;
         }
+        self.tell_left_out(key, actions);
         self.abandon_all(key, Self::read_out_patience(), AbandonCause::Superseded, actions);
         let Some(mut request) = self.requests.remove(&key) else {
             return;
@@ -73,6 +75,25 @@
         actions.push(RoutingAction::Finish { request: key, verdict });
     }
 
+    fn tell_left_out(&self, key: RequestKey, actions: &mut Vec<RoutingAction>) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        for shard in &request.shards {
+            let cause = match (&shard.state, shard.outstanding > 0, shard.tried.is_empty()) {
+                (ShardState::In(_), _, _) => continue,
+                (ShardState::Open, true, _) => LeftOutCause::Late,
+                (ShardState::Open, false, _) => LeftOutCause::NoRoom,
+                (ShardState::Failed(_), _, false) => LeftOutCause::Failed,
+                (ShardState::Failed(_), _, true) => LeftOutCause::Nobody,
+            };
+            let instance = |searcher: &SearcherKey| self.searchers[searcher.0 as usize].entry.instance.clone();
+            let asked = shard.tried.iter().map(instance).collect();
+            let service = shard.service.clone();
+            actions.push(RoutingAction::LeftOut { request: key, service, asked, cause });
+        }
+    }
+
     pub(super) fn on_caller_gone(&mut self, key: RequestKey, actions: &mut Vec<RoutingAction>) {
         let Some(request) = self.requests.get(&key) else {
             return;
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use hashbrown::HashMap;
 use staircross_http::HeaderBlock;
 use staircross_routing::definition::{GatherTarget, WeightedService};
-use staircross_routing::engine::{AbandonCause, SendOrder, SendReason, UnsentCause};
+use staircross_routing::engine::{AbandonCause, LeftOutCause, SendOrder, SendReason, UnsentCause};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{
     Arrival, AttemptKey, AttemptOutcome, CallerLimits, RequestKey, RouteDefinition, RouteTable, RouteTarget,
@@ -24,6 +24,7 @@
     pub sends: Vec<SendOrder>,
     pub abandoned: Vec<(AttemptKey, AbandonCause)>,
     pub unsent: Vec<(RequestKey, UnsentCause)>,
+    pub left_out: Vec<(String, LeftOutCause)>,
     pub finished: Vec<(RequestKey, Verdict)>,
     next_request: u64,
 }
@@ -106,6 +107,7 @@
             sends: Vec::new(),
             abandoned: Vec::new(),
             unsent: Vec::new(),
+            left_out: Vec::new(),
             finished: Vec::new(),
             next_request: 1,
         }
@@ -127,6 +129,7 @@
                 RoutingAction::Send(order) => self.sends.push(order),
                 RoutingAction::Abandon { attempt, cause, .. } => self.abandoned.push((attempt, cause)),
                 RoutingAction::Unsent { request, cause, .. } => self.unsent.push((request, cause)),
+                RoutingAction::LeftOut { service, cause, .. } => self.left_out.push((service.to_string(), cause)),
                 RoutingAction::Finish { request, verdict } => self.finished.push((request, verdict)),
             }
         }
--- a/crates/staircross-routing/tests/gather.rs
+++ b/crates/staircross-routing/tests/gather.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Driver, answer, definition, gather, records, route, searcher};
-use staircross_routing::engine::{RoutingEvent, SendReason};
+use staircross_routing::engine::{LeftOutCause, RoutingEvent, SendReason};
 use staircross_routing::request::Unknown;
 use staircross_routing::{
     AttemptKey, AttemptOutcome, MergedAnswer, NotRun, RequestKey, RouteTable, SearcherEntry, Verdict,
@@ -100,6 +100,7 @@
     assert!((150..250).contains(&took), "answered after {took} ms, the goal is 250 ms");
     let answer = merged(&driver, request);
     assert_eq!((answer.stamps.len(), answer.missing), (3, 1));
+    assert_eq!(driver.left_out, [("z".to_owned(), LeftOutCause::Late)], "and the log is told which and why");
 }
 
 #[test]
--- a/crates/staircross/src/flags.rs
+++ b/crates/staircross/src/flags.rs
@@ -56,6 +56,13 @@
             /// Print JSON.
             optional --json
         }
+        /// Tell one request's way through the log of gateway nodes, with what they believed then.
+        cmd explain {
+            /// File with lines of one or several nodes.
+            required --file file: PathBuf
+            /// Id of the request.
+            required --request request: String
+        }
         /// Check settings and service documents before they are used.
         cmd check {
             /// Settings file (TOML).
--- a/crates/staircross/src/main.rs
+++ b/crates/staircross/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 done, 1 failed or refused, 2 wrong usage.
 
 mod check;
+mod explain;
 mod flags;
 mod plan;
 mod query;
@@ -27,6 +28,7 @@
         flags::StaircrossCmd::Query(command) => query::run_query(&command),
         flags::StaircrossCmd::Command(command) => query::run_command(&command),
         flags::StaircrossCmd::Status(command) => status::run(&command),
+        flags::StaircrossCmd::Explain(command) => explain::run(&command),
         flags::StaircrossCmd::Check(command) => check::run(&command),
         flags::StaircrossCmd::Plan(command) => plan::run(&command),
     };
--- /dev/null
+++ b/crates/staircross/tests/explain.rs
@@ -0,0 +1,60 @@
+//! `staircross explain` on a log with lines of several nodes.
+
+use std::process::Command;
+
+const LOG: &str = "\
+   0.1 front-1 t=100.000 node=front-1 event=start run=abc zone=a
+t=100.200 node=front-1 event=store lane=searchers reachable=true
+t=100.300 node=front-1 event=configuration version=4 routes=3 services=2 source=configuration
+t=100.400 node=front-1 event=searcher instance=i-9 service=left address=127.0.0.1:1 draining=false cold_ms=0 source=searchers
+t=101.000 node=front-2 event=finish request=beef route=r version=4 outcome=merged status=200 parts=2 missing=0 extras=0 ms=9.0
+t=120.080 node=front-1 event=send attempt=2 reason=hedge searcher=i-9 request=cafe after_ms=80
+cut off t=1
+t=120.228 node=front-1 event=left_out service=left asked=i-8,i-9 cause=late request=cafe after_ms=228
+t=120.228 node=front-1 event=finish request=cafe route=r version=4 outcome=merged status=200 parts=1 missing=1 extras=1 ms=228.0
+t=130.000 node=front-1 event=configuration version=5 routes=3 services=2 source=peer
+";
+
+fn explain(request: &str) -> (bool, String) {
+    let file = std::env::temp_dir().join(format!("staircross-explain-{}-{request}.log", std::process::id()));
+    std::fs::write(&file, LOG).expect("a log file");
+    let output = Command::new(env!("CARGO_BIN_EXE_staircross"))
+        .args(["explain", "--file"])
+        .arg(&file)
+        .args(["--request", request])
+        .output()
+        .expect("it runs");
+    std::fs::remove_file(&file).expect("the file is there");
+    (output.status.success(), String::from_utf8(output.stdout).expect("text"))
+}
+
+#[test]
+fn a_request_is_told_with_what_was_believed_and_known() {
+    let (found, report) = explain("cafe");
+    assert!(found);
+    let order = [
+        "request cafe at front-1",
+        "what the node believed",
+        "configuration  version=4",
+        "what it decided",
+        "+80.0 ms  send",
+        "left_out  service=left asked=i-8,i-9 cause=late",
+        "+228.0 ms  finish",
+        "no entry of i-8 in this log",
+        "searcher  instance=i-9",
+    ];
+    let mut rest = report.as_str();
+    for part in order {
+        let at = rest.find(part).unwrap_or_else(|| panic!("{part:?} is missing, or too early, in\n{report}"));
+        rest = &rest[at..];
+    }
+    assert!(!report.contains("version=5"), "what came later is not shown:\n{report}");
+    assert!(!report.contains("beef"), "nor what isn't its own:\n{report}");
+}
+
+#[test]
+fn a_request_that_no_line_names_is_said_so_with_what_to_look_for() {
+    let (found, report) = explain("none");
+    assert!(!found);
+    assert!(report.contains("no line names request none") && report.contains("lines_held_back"), "{report}");
+}
