Prove fresh connections after a restart; tell whole traces of requests that failed

Ruled out: dead searchers (they answered others), the retry budget. Change: a process that isn't the fleet's first sends nothing on a fresh connection until it has held for the time it took to come up and 3 ms; a reset by then is not run, costs no budget, and the searcher gets no new connection for 0.8 s while it goes on with those it has. Decisions are kept with their request and told whole when it fails.

--- a/crates/staircross-gateway/src/event_log.rs
+++ b/crates/staircross-gateway/src/event_log.rs
@@ -24,21 +24,27 @@
     Belief,
     /// Final word on a request.
     Request,
-    /// A decision within a request that isn't the usual one.
-    Decision,
+    /// All decisions within one request that failed or lacks a part, told together when it has ended: so
+    /// that what is told is whole.
+    Trace,
+    /// The same of a request that was answered in full, though not straight away.
+    AnsweredTrace,
     /// What was dropped and why.
     Drop,
 }
 
 impl LineKind {
-    const ALL: [LineKind; 4] = [LineKind::Belief, LineKind::Request, LineKind::Decision, LineKind::Drop];
+    const ALL: [LineKind; 5] =
+        [LineKind::Belief, LineKind::Request, LineKind::Trace, LineKind::AnsweredTrace, LineKind::Drop];
 
     /// Lines a second; as many may come at once.
     fn rate(self) -> u32 {
         match self {
             LineKind::Belief => 400,
             LineKind::Request => 150,
-            LineKind::Decision => 150,
+            // Requests, not lines.
+            LineKind::Trace => 60,
+            LineKind::AnsweredTrace => 10,
             LineKind::Drop => 50,
         }
     }
@@ -47,7 +53,8 @@
         match self {
             LineKind::Belief => "belief",
             LineKind::Request => "request",
-            LineKind::Decision => "decision",
+            LineKind::Trace => "trace",
+            LineKind::AnsweredTrace => "answered_trace",
             LineKind::Drop => "drop",
         }
     }
@@ -65,7 +72,7 @@
     node: String,
     pending: Vec<u8>,
     oldest: Option<BootTime>,
-    allowances: [Allowance; 4],
+    allowances: [Allowance; LineKind::ALL.len()],
     dropped: u64,
     is_enabled: bool,
 }
@@ -93,6 +100,16 @@
         self.push(now, text);
     }
 
+    /// Adds the lines of a request's trace, each with the time of its decision, if the rate of traces allows.
+    pub fn trace<'a>(&mut self, now: BootTime, kind: LineKind, lines: impl Iterator<Item = (BootTime, &'a str)>) {
+        if !self.is_enabled || !self.take_token(now, kind) {
+            return;
+        }
+        for (time, text) in lines {
+            self.push(time, format_args!("{text}"));
+        }
+    }
+
     fn take_token(&mut self, now: BootTime, kind: LineKind) -> bool {
         let allowance = &mut self.allowances[kind as usize];
         if now.since(allowance.refilled_at) >= Duration::from_secs(1) {
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub skipped: u64,
     /// Connections to searchers that broke.
     pub broken: u64,
+    /// Connections that searchers reset before anything was sent.
+    pub turned_away: u64,
     /// Datagrams to peers.
     pub datagrams: u64,
     /// Bytes of datagrams to peers.
@@ -114,6 +116,7 @@
         line("searcher_connects_total", "counter", gauges.connects);
         line("searcher_answers_skipped_total", "counter", gauges.skipped);
         line("searcher_connections_broken_total", "counter", gauges.broken);
+        line("searcher_connections_turned_away_total", "counter", gauges.turned_away);
         line("store_calls_total", "counter", self.store_calls);
         line("peer_datagrams_total", "counter", gauges.datagrams);
         line("peer_datagram_bytes_total", "counter", gauges.datagram_bytes);
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -57,6 +57,9 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Time between looks at the settings file.
 const FILE_LOOK: Duration = Duration::from_secs(1);
+/// Life of a process that isn't the fleet's first during which fresh connections to searchers are proved:
+/// its machine may have lost power, and searchers still hold the connections of its run before.
+const YOUNG: Duration = Duration::from_secs(20);
 /// Longest answer of a searcher, in bytes.
 const MAX_ANSWER: usize = 8 * 1024 * 1024;
 
@@ -144,6 +147,7 @@
             region: settings.node.region.clone(),
             zone: settings.node.zone.clone(),
         };
+        let proves_until = if settings.node.first_start { now } else { now + YOUNG };
         let store = settings.store.address;
         let mut log = EventLog::new(&settings.node.name, settings.node.log);
         log.line(
@@ -155,7 +159,7 @@
             ),
         );
         Ok(GatewayNode {
-            pool: Pool::new(POOL, *dialect.headers(), MAX_ANSWER),
+            pool: Pool::new(POOL, *dialect.headers(), MAX_ANSWER, proves_until),
             fleet: Fleet::new(identity, settings.node.seeds.clone(), socket, now),
             store: [0, 1, 2].map(|slot| HttpCaller::new(STORE, slot, store)),
             store_calls: [const { None }; 3],
@@ -218,11 +222,10 @@
     }
 
     fn time_to_wait(&self) -> Duration {
-        let wakes = [self.engine.next_wake(), self.reader.next_wake(), self.peer.next_wake(), Some(self.next_tick)];
+        let wakes = [self.engine.next_wake(), self.reader.next_wake(), self.peer.next_wake(), self.pool.next_wake()];
         let calls = self.store.iter().map(HttpCaller::next_wake);
         let due = wakes.into_iter().chain(calls).flatten().min();
-        let now = clock::now();
-        due.map_or(TICK, |due| now.until(due))
+        clock::now().until(due.map_or(self.next_tick, |due| due.min(self.next_tick)))
     }
 
     /// A gap between turns says that the process, not the others, stood still.
@@ -248,6 +251,7 @@
     fn on_time(&mut self) {
         self.now = clock::now();
         self.engine_event(RoutingEvent::Tick);
+        self.on_pool_time();
         self.on_store_time();
         if self.now >= self.next_tick {
             self.next_tick = self.now + TICK;
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -76,6 +76,7 @@
             connects: self.pool.counters.connects,
             skipped: self.pool.counters.skipped,
             broken: self.pool.counters.broken,
+            turned_away: self.pool.counters.turned_away,
             datagrams: self.fleet.counters.datagrams,
             datagram_bytes: self.fleet.counters.bytes,
         };
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -24,6 +24,28 @@
     keeps_alive: bool,
     /// Attempts besides the first of each shard.
     extras: u32,
+    trace: Trace,
+}
+
+/// Decisions within a request, kept until it ends.
+#[derive(Default)]
+struct Trace {
+    lines: Vec<(BootTime, String)>,
+}
+
+/// Decisions kept for one request.
+const MAX_TRACE: usize = 96;
+
+impl Trace {
+    fn add(&mut self, now: BootTime, text: String) {
+        if self.lines.len() < MAX_TRACE {
+            self.lines.push((now, text));
+        }
+    }
+
+    fn lines(&self) -> impl Iterator<Item = (BootTime, &str)> {
+        self.lines.iter().map(|(time, text)| (*time, text.as_str()))
+    }
 }
 
 impl<D: Dialect> GatewayNode<D> {
@@ -86,7 +108,16 @@
         });
         let version = table.map_or(0, |table| table.version());
         let keeps_alive = head.keeps_alive();
-        let pending = CallerRequest { connection, outbound, route, version, arrived: self.now, keeps_alive, extras: 0 };
+        let pending = CallerRequest {
+            connection,
+            outbound,
+            route,
+            version,
+            arrived: self.now,
+            keeps_alive,
+            extras: 0,
+            trace: Trace::default(),
+        };
         self.callers.insert(key, pending);
         self.by_connection.insert(connection, key);
         self.engine_event(RoutingEvent::Arrived(arrival));
@@ -98,6 +129,7 @@
         };
         self.metrics.caller_gone();
         if let Some(pending) = self.callers.remove(&key) {
+            self.tell_trace(&pending, LineKind::AnsweredTrace);
             let took = self.now.since(pending.arrived).as_millis();
             self.log.line(
                 self.now,
@@ -156,7 +188,7 @@
             }
             RoutingAction::Unsent { request, service, reason, cause } => {
                 let (reason, cause) = (reason.name(), cause.name());
-                self.log_decision(
+                self.note_decision(
                     request,
                     format_args!("event=unsent service={service} reason={reason} cause={cause}"),
                 );
@@ -164,20 +196,20 @@
             RoutingAction::LeftOut { request, service, asked, cause } => {
                 let (asked, cause) = (asked.join(","), cause.name());
                 let text = format_args!("event=left_out service={service} asked={asked} cause={cause}");
-                self.log_decision(request, text);
+                self.note_decision(request, text);
             }
             RoutingAction::Finish { request, verdict } => self.finish(request, verdict),
         }
     }
 
     /// One line for a decision within a request: what, for which request, how long after its arrival.
-    fn log_decision(&mut self, request: RequestKey, text: std::fmt::Arguments<'_>) {
-        let Some(pending) = self.callers.get(&request) else {
+    fn note_decision(&mut self, request: RequestKey, text: std::fmt::Arguments<'_>) {
+        let Some(pending) = self.callers.get_mut(&request) else {
             return;
         };
         let after = self.now.since(pending.arrived).as_millis();
-        let line = format_args!("{text} request={} after_ms={after}", pending.id());
-        self.log.line(self.now, LineKind::Decision, line);
+        let line = format!("{text} request={} after_ms={after}", pending.id());
+        pending.trace.add(self.now, line);
     }
 
     fn send(&mut self, order: SendOrder) {
@@ -189,7 +221,7 @@
             pending.extras += 1;
             let (attempt, reason, instance) = (order.attempt.number, order.reason.name(), &order.instance);
             let text = format_args!("event=send attempt={attempt} reason={reason} searcher={instance}");
-            self.log_decision(order.attempt.request, text);
+            self.note_decision(order.attempt.request, text);
         }
         let mut events = Vec::new();
         let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
@@ -204,6 +236,13 @@
         self.take_pool_events(events);
     }
 
+    pub(super) fn on_pool_time(&mut self) {
+        let mut events = Vec::new();
+        let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
+        self.pool.on_tick(&mut io, &mut events);
+        self.take_pool_events(events);
+    }
+
     pub(super) fn sweep_pool(&mut self) {
         let mut events = Vec::new();
         self.pool.sweep(self.now, &mut events);
@@ -221,8 +260,10 @@
                     self.log.line(self.now, LineKind::Drop, line);
                 }
                 PoolEvent::Ended { attempt, outcome } => {
-                    if let Some(pending) = self.callers.get(&attempt.request) {
-                        pending.log_end(&mut self.log, self.now, attempt.number, &outcome);
+                    if let Some(what) = notable_end(&outcome) {
+                        let number = attempt.number;
+                        let text = format_args!("event=attempt_ended attempt={number} {what}");
+                        self.note_decision(attempt.request, text);
                     }
                     self.engine_event(RoutingEvent::Ended { attempt, outcome });
                 }
@@ -251,7 +292,19 @@
         self.respond(pending.connection, answer, closes);
     }
 
+    fn tell_trace(&mut self, pending: &CallerRequest, kind: LineKind) {
+        if !pending.trace.lines.is_empty() {
+            self.log.trace(self.now, kind, pending.trace.lines());
+        }
+    }
+
     fn note_finished(&mut self, pending: &CallerRequest, verdict: &Verdict) {
+        let is_whole = match verdict {
+            Verdict::Merged(merged) => merged.missing == 0,
+            Verdict::Passed(answer) => answer.status < 500,
+            Verdict::Refused { .. } => false,
+        };
+        self.tell_trace(pending, if is_whole { LineKind::AnsweredTrace } else { LineKind::Trace });
         let took = self.now.since(pending.arrived);
         let (outcome, parts, missing) = match verdict {
             Verdict::Merged(merged) => ("merged", merged.stamps.len(), merged.missing),
@@ -291,27 +344,15 @@
     fn route_name(&self) -> &str {
         self.route.as_deref().unwrap_or("-")
     }
+}
 
-    fn log_end(&self, log: &mut crate::event_log::EventLog, now: BootTime, attempt: u16, outcome: &AttemptOutcome) {
-        let what = match outcome {
-            AttemptOutcome::Answered(answer) if answer.status < 300 => return,
-            AttemptOutcome::Answered(_) => "failed",
-            AttemptOutcome::NotRun(reason) => reason.name(),
-            AttemptOutcome::Unknown(reason) => reason.name(),
-            AttemptOutcome::Withdrawn => "withdrawn",
-        };
-        let status = match outcome {
-            AttemptOutcome::Answered(answer) => answer.status,
-            _ => 0,
-        };
-        let after = now.since(self.arrived).as_millis();
-        log.line(
-            now,
-            LineKind::Decision,
-            format_args!(
-                "event=attempt_ended request={} attempt={attempt} outcome={what} status={status} after_ms={after}",
-                self.id()
-            ),
-        );
+/// What is told of an attempt's end; an answer that counts is told by the request's own end.
+fn notable_end(outcome: &AttemptOutcome) -> Option<String> {
+    match outcome {
+        AttemptOutcome::Answered(answer) if answer.status < 300 => None,
+        AttemptOutcome::Answered(answer) => Some(format!("outcome=failed status={}", answer.status)),
+        AttemptOutcome::NotRun(reason) => Some(format!("outcome={}", reason.name())),
+        AttemptOutcome::Unknown(reason) => Some(format!("outcome={}", reason.name())),
+        AttemptOutcome::Withdrawn => Some("outcome=withdrawn".to_owned()),
     }
 }
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -15,6 +15,8 @@
 use staircross_routing::selection::SearcherKey;
 use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, SearcherAnswer};
 use staircross_types::BootTime;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 /// Rest of a connection whose searcher doesn't say how long it keeps it.
@@ -23,6 +25,11 @@
 const REST_GUARD: Duration = Duration::from_millis(1200);
 /// A request that can't be repeated uses a connection only if it has been used this lately.
 const FRESH_ENOUGH: Duration = Duration::from_millis(800);
+/// A fresh connection is proved for the time that it took to come up and this, but not longer than that.
+const PROVING: Duration = Duration::from_millis(3);
+const MOST_PROVING: Duration = Duration::from_millis(50);
+/// Time after the reset of a fresh connection during which those to its searcher are proved.
+const RESET_MEMORY: Duration = Duration::from_secs(5);
 /// Status of a searcher that isn't the run asked for.
 const MISDIRECTED: u16 = 421;
 
@@ -58,7 +65,13 @@
 }
 
 enum State {
-    Connecting { assignment: Option<Box<Assignment>> },
+    Connecting {
+        assignment: Option<Box<Assignment>>,
+    },
+    /// Up, but nothing is sent until it has held for a moment.
+    Proving {
+        assignment: Option<Box<Assignment>>,
+    },
     Busy(Box<Assignment>),
     Idle,
 }
@@ -71,6 +84,8 @@
     since: BootTime,
     rest: Duration,
     state: State,
+    /// Whether nothing has been answered on it yet.
+    is_fresh: bool,
 }
 
 /// Counters of the pool, for metrics.
@@ -82,6 +97,8 @@
     pub skipped: u64,
     /// Connections closed because of what came on them.
     pub broken: u64,
+    /// Connections that were reset before anything was sent.
+    pub turned_away: u64,
 }
 
 /// All connections to searchers.
@@ -94,13 +111,19 @@
     /// Connections at rest, the one used last at the end.
     resting: HashMap<SearcherKey, Vec<usize>>,
     by_attempt: HashMap<AttemptKey, usize>,
+    /// When fresh connections that are being proved may be used, by slot and generation.
+    proving: BinaryHeap<Reverse<(BootTime, usize, u32)>>,
+    /// Searchers that have reset a fresh connection lately.
+    resets: HashMap<SearcherKey, BootTime>,
+    proves_until: BootTime,
     /// Counters for metrics.
     pub counters: PoolCounters,
 }
 
 impl Pool {
-    /// A pool without connections; `max_answer` bounds answers, in bytes.
-    pub fn new(kind: u8, names: HeaderNames, max_answer: usize) -> Self {
+    /// A pool without connections; `max_answer` bounds answers, in bytes. Fresh connections are proved
+    /// until `proves_until`, and later where one has been reset.
+    pub fn new(kind: u8, names: HeaderNames, max_answer: usize, proves_until: BootTime) -> Self {
         Pool {
             kind,
             names,
@@ -109,6 +132,9 @@
             next_generation: 1,
             resting: HashMap::new(),
             by_attempt: HashMap::new(),
+            proving: BinaryHeap::new(),
+            resets: HashMap::new(),
+            proves_until,
             counters: PoolCounters::default(),
         }
     }
@@ -166,6 +192,7 @@
                     since: io.now,
                     rest: USUAL_REST,
                     state: State::Connecting { assignment: Some(assignment) },
+                    is_fresh: true,
                 });
                 self.by_attempt.insert(attempt, slot);
             }
@@ -205,7 +232,7 @@
         let connection = &mut self.connections[slot];
         match &mut connection.state {
             State::Busy(assignment) => assignment.abandoned = Some((now + patience, cause)),
-            State::Connecting { assignment } => {
+            State::Connecting { assignment } | State::Proving { assignment } => {
                 // Nothing was sent. Once it is up, the connection rests until somebody needs it.
                 *assignment = None;
                 self.by_attempt.remove(&attempt);
@@ -244,9 +271,60 @@
         }
         let state = std::mem::replace(&mut connection.state, State::Idle);
         connection.since = io.now;
-        match state {
-            State::Connecting { assignment: Some(assignment) } => self.start(slot, assignment, io, events),
-            _ => self.rest(slot, io.now),
+        let State::Connecting { assignment } = state else {
+            return;
+        };
+        if self.must_prove(slot, io.now) {
+            let until = io.now + (took + PROVING).min(MOST_PROVING);
+            let connection = &mut self.connections[slot];
+            connection.state = State::Proving { assignment };
+            self.proving.push(Reverse((until, slot, connection.generation)));
+            return;
+        }
+        self.begin_use(slot, assignment, io, events);
+    }
+
+    /// A searcher that has all the connections it may have accepts one more and resets it at once. What
+    /// was sent by then may have run, so where that is likely, nothing is sent until it would have come.
+    fn must_prove(&self, slot: usize, now: BootTime) -> bool {
+        let is_young = now < self.proves_until;
+        let reset_at = self.resets.get(&self.connections[slot].searcher);
+        is_young || reset_at.is_some_and(|at| now.since(*at) < RESET_MEMORY)
+    }
+
+    fn begin_use(
+        &mut self,
+        slot: usize,
+        assignment: Option<Box<Assignment>>,
+        io: &mut IoContext<'_>,
+        events: &mut Vec<PoolEvent>,
+    ) {
+        match assignment {
+            Some(assignment) => self.start(slot, assignment, io, events),
+            None => self.rest(slot, io.now),
+        }
+    }
+
+    /// When a connection that is being proved may be used.
+    pub fn next_wake(&self) -> Option<BootTime> {
+        self.proving.peek().map(|Reverse((due, _, _))| *due)
+    }
+
+    /// Uses connections that have held.
+    pub fn on_tick(&mut self, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+        while let Some(Reverse((due, slot, generation))) = self.proving.peek().copied() {
+            if due > io.now {
+                return;
+            }
+            self.proving.pop();
+            let same = self.connections.get_mut(slot).filter(|connection| connection.generation == generation);
+            let Some(connection) = same else {
+                continue;
+            };
+            match std::mem::replace(&mut connection.state, State::Idle) {
+                State::Proving { assignment } => self.begin_use(slot, assignment, io, events),
+                other => connection.state = other,
+            }
         }
     }
 
@@ -318,6 +396,7 @@
 
     fn answered(&mut self, slot: usize, answer: Answer, now: BootTime, events: &mut Vec<PoolEvent>) {
         let connection = &mut self.connections[slot];
+        connection.is_fresh = false;
         if let Some(seconds) = answer.head.headers.keep_alive_seconds() {
             connection.rest = Duration::from_secs(seconds).saturating_sub(REST_GUARD);
         }
@@ -373,7 +452,20 @@
                 let outcome = AttemptOutcome::NotRun(NotRun::Unconnected);
                 events.push(PoolEvent::Ended { attempt, outcome });
             }
+            State::Proving { assignment } => {
+                self.counters.turned_away += 1;
+                let Some(assignment) = assignment else {
+                    return;
+                };
+                let attempt = assignment.order.attempt;
+                self.by_attempt.remove(&attempt);
+                let outcome = AttemptOutcome::NotRun(NotRun::TurnedAway);
+                events.push(PoolEvent::Ended { attempt, outcome });
+            }
             State::Busy(assignment) => {
+                if connection.is_fresh {
+                    self.resets.insert(connection.searcher, connection.since);
+                }
                 self.counters.broken += 1;
                 let attempt = assignment.order.attempt;
                 self.by_attempt.remove(&attempt);
@@ -398,6 +490,7 @@
                 State::Idle => age >= connection.rest,
                 State::Connecting { assignment: Some(assignment) } => age >= assignment.order.connect_patience,
                 State::Connecting { assignment: None } => age >= Duration::from_secs(1),
+                State::Proving { .. } => false,
                 State::Busy(assignment) => assignment.abandoned.is_some_and(|(until, _)| now >= until),
             };
             if is_over {
@@ -415,7 +508,7 @@
                 let is_departed = matches!(assignment.abandoned, Some((_, AbandonCause::CallerGone)));
                 is_departed.then_some(assignment.order.attempt)
             }
-            State::Idle | State::Connecting { .. } => None,
+            State::Idle | State::Connecting { .. } | State::Proving { .. } => None,
         };
         let Some(attempt) = departed else {
             return self.fail(slot, ClientFault::Reset, events);
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -55,6 +55,9 @@
     /// Peer addresses to join through; any of them may be stale.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether this is the first start of the whole fleet: nobody holds connections of a run before.
+    #[serde(default)]
+    pub first_start: bool,
     /// Whether lines are written to standard output.
     #[serde(default = "default_true")]
     pub log: bool,
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -62,6 +62,7 @@
             AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_) => searcher.faltered(now),
             AttemptOutcome::Withdrawn => {}
             AttemptOutcome::NotRun(NotRun::Unconnected) => searcher.failed(now),
+            AttemptOutcome::NotRun(NotRun::TurnedAway) => searcher.turned_away(now),
             AttemptOutcome::NotRun(NotRun::Shed) => searcher.shed(now),
             AttemptOutcome::NotRun(NotRun::OtherInstance) => self.forget_serving(sent.searcher),
         }
@@ -78,7 +79,7 @@
         match outcome {
             AttemptOutcome::Answered(answer) => self.apply_answer(now, key, shard, answer, actions),
             AttemptOutcome::Withdrawn => {}
-            AttemptOutcome::NotRun(NotRun::Unconnected) => {
+            AttemptOutcome::NotRun(NotRun::Unconnected | NotRun::TurnedAway) => {
                 self.forget_send(key, shard);
                 self.try_again(now, key, shard, SendReason::Reroute, None, actions);
             }
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -56,6 +56,8 @@
 pub enum NotRun {
     /// No connection came up; nothing was sent.
     Unconnected,
+    /// The connection came up and was reset before anything was sent: the searcher has enough of them.
+    TurnedAway,
     /// The searcher says that it didn't run it: no room, no time, or leaving.
     Shed,
     /// Another searcher has the address.
@@ -76,6 +78,7 @@
     pub fn name(self) -> &'static str {
         match self {
             NotRun::Unconnected => "unconnected",
+            NotRun::TurnedAway => "turned_away",
             NotRun::Shed => "shed",
             NotRun::OtherInstance => "other_instance",
         }
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -21,13 +21,15 @@
 /// A sample so many times the estimate is no usual spread of work.
 const NOTABLY_SLOWER: f64 = 3.0;
 /// Bounds of the estimate.
-const SLOWNESS_RANGE: (f64, f64) = (0.3, 30.0);
+const SLOWNESS_RANGE: (f64, f64) = (0.6, 30.0);
 /// How many times slower a searcher is taken to be while it is cold.
 const COLD_FACTOR: f64 = 2.0;
 /// First time of avoidance after failures in a row; doubles with each further one.
 const AVOID_BASE: Duration = Duration::from_millis(400);
 /// Doublings at the most.
 const MAX_DOUBLINGS: u32 = 4;
+/// Time during which a searcher that accepts no further connection isn't asked for one.
+const FULL_PAUSE: Duration = Duration::from_millis(800);
 /// Time during which a searcher that turned work away is left alone.
 const SHED_PAUSE: Duration = Duration::from_millis(60);
 /// Time between trials of a searcher that has failed.
@@ -73,6 +75,9 @@
     slow_answer_at: Option<BootTime>,
     failures: u32,
     avoid_until: BootTime,
+    /// Attempts that it takes at once while it accepts no further connection, and until when.
+    full_at: usize,
+    full_until: BootTime,
 }
 
 impl Searcher {
@@ -91,6 +96,8 @@
             slow_answer_at: None,
             failures: 0,
             avoid_until: BootTime::default(),
+            full_at: 0,
+            full_until: BootTime::default(),
         }
     }
 
@@ -180,6 +187,20 @@
         self.measured_at = now;
     }
 
+    /// Notes that it accepts no further connection. Those that it has accepted go on being used.
+    pub fn turned_away(&mut self, now: BootTime) {
+        if self.open.is_empty() {
+            return self.failed(now);
+        }
+        self.full_at = self.open.len();
+        self.full_until = now + FULL_PAUSE;
+    }
+
+    /// Whether it takes no more attempts at once than it has now.
+    pub fn is_full(&self, now: BootTime) -> bool {
+        now < self.full_until && self.open.len() >= self.full_at
+    }
+
     /// Notes that it turned work away.
     pub fn shed(&mut self, now: BootTime) {
         self.avoid_until = self.avoid_until.max(now + SHED_PAUSE);
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -164,5 +164,6 @@
 }
 
 fn may_take(now: BootTime, searcher: &Searcher, place: &Place) -> bool {
-    searcher.is_serving() && !searcher.is_avoided(now) && searcher.open.len() < place.connection_share(searcher)
+    let has_room = searcher.open.len() < place.connection_share(searcher) && !searcher.is_full(now);
+    searcher.is_serving() && !searcher.is_avoided(now) && has_room
 }
