--- a/crates/staircross-routing/tests/fuzz.rs
+++ b/crates/staircross-routing/tests/fuzz.rs
@@ -64,7 +64,7 @@
 const PATHS: [&str; 4] = ["/query/1", "/solo/1", "/once/1", "/split/1"];
 
 fn configuration(version: u64) -> RoutingDefinition {
-    definition(version, routes(version % 2 == 0), &SERVICES)
+    definition(version, routes(version.is_multiple_of(2)), &SERVICES)
 }
 
 /// How one sending ended.
