Be ready only with a whole listing; leave a full searcher alone for a moment only

Change: only a mirror with a whole listing passes one on; readiness waits for one (3 s at most); a searcher that accepts no connection is left alone for 0.12 s; explain keeps to the run of the node that the request came to. The test of listings fails without the change.

--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -10,6 +10,10 @@
 use crate::socket::SocketId;
 use staircross_http::Request;
 use staircross_wire::frame::encode;
+use std::time::Duration;
+
+/// Time that a node waits for a whole listing of the searchers before it serves by a part.
+const LISTING_PATIENCE: Duration = Duration::from_secs(3);
 
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_own_endpoint(&mut self, connection: SocketId, endpoint: Endpoint, request: &Request) {
@@ -85,7 +89,10 @@
 
     /// Ready when there is something to serve by.
     pub(super) fn update_readiness(&mut self) {
-        let knows_enough = self.engine.table().is_some() && self.mirror.searchers().next().is_some();
+        // Half a listing answers half the requests; but a part is better than nothing for long.
+        let knows_all = self.mirror.has_listing();
+        let knows_some = self.mirror.searchers().next().is_some() && self.now.since(self.started) >= LISTING_PATIENCE;
+        let knows_enough = self.engine.table().is_some() && (knows_all || knows_some);
         let is_ready = knows_enough && self.stop.is_none();
         if is_ready == self.is_ready {
             return;
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -87,6 +87,7 @@
     up_to: u64,
     newest: u64,
     tombstones_from: u64,
+    has_listing: bool,
 }
 
 impl Mirror {
@@ -115,6 +116,11 @@
         self.newest
     }
 
+    /// Whether all searchers are known, by a listing of the store's own or of a peer that had one.
+    pub fn has_listing(&self) -> bool {
+        self.has_listing
+    }
+
     /// Searchers with an entry.
     pub fn searchers(&self) -> impl Iterator<Item = &SearcherEntry> {
         self.searchers.values().filter_map(|held| held.entry.as_ref())
@@ -139,6 +145,7 @@
         if update.is_complete_for_searchers {
             listed.sort();
             self.drop_unlisted(update.up_to, &listed, &mut changes);
+            self.has_listing = true;
         }
         self.up_to = self.up_to.max(update.up_to);
         self.forget_old_tombstones();
@@ -147,7 +154,7 @@
 
     /// Everything that changed after `revision`, for a peer that knows the store up to there.
     pub fn changes_after(&self, revision: u64) -> MirrorUpdate {
-        let is_complete = revision < self.tombstones_from || revision == 0;
+        let is_complete = self.has_listing && (revision < self.tombstones_from || revision == 0);
         let mut items = Vec::new();
         if let Some((at, definition)) = &self.configuration {
             items.push((*at, MirrorItem::Configuration { definition: definition.clone() }));
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -28,6 +28,8 @@
 const AVOID_BASE: Duration = Duration::from_millis(400);
 /// Doublings at the most.
 const MAX_DOUBLINGS: u32 = 4;
+/// Time during which a searcher that accepts no connection at all is left alone.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(120);
 /// Time during which a searcher that accepts no further connection isn't asked for one.
 const FULL_PAUSE: Duration = Duration::from_millis(800);
 /// Time during which a searcher that turned work away is left alone.
@@ -190,7 +192,9 @@
     /// Notes that it accepts no further connection. Those that it has accepted go on being used.
     pub fn turned_away(&mut self, now: BootTime) {
         if self.open.is_empty() {
-            return self.failed(now);
+            // It lives, and may have room for another at any moment.
+            self.avoid_until = self.avoid_until.max(now + TURNED_AWAY_PAUSE);
+            return;
         }
         self.full_at = self.open.len();
         self.full_until = now + FULL_PAUSE;
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -369,3 +369,19 @@
     assert!((3..=8).contains(&probes), "{probes} probes in 10 s");
     assert!(store.calls(0, Lane::Searchers).is_empty() && store.cancelled.is_empty());
 }
+
+#[test]
+fn only_a_mirror_that_has_a_whole_listing_passes_on_a_whole_one() {
+    let mut partial = Mirror::default();
+    partial.merge(changes(vec![(9, searcher("b", false))]));
+    assert!(!partial.has_listing());
+    let update = partial.changes_after(0);
+    assert!(!update.is_complete_for_searchers);
+    let mut newcomer = Mirror::default();
+    newcomer.merge(update);
+    assert_eq!(names(&newcomer), ["b"]);
+    assert!(!newcomer.has_listing(), "a node that knows a part isn't ready by it");
+    partial.merge(listing(12, vec![(3, searcher("a", false)), (9, searcher("b", false))]));
+    newcomer.merge(partial.changes_after(0));
+    assert!(partial.has_listing() && newcomer.has_listing());
+}
--- a/crates/staircross/src/explain.rs
+++ b/crates/staircross/src/explain.rs
@@ -89,7 +89,7 @@
 }
 
 fn explain_at(lines: &[LogLine], node: &str, request: &str) -> String {
-    let here: Vec<&LogLine> = lines.iter().filter(|line| line.node == node).collect();
+    let here = lines_of_run(lines, node, request);
     let own: Vec<&LogLine> = here.iter().copied().filter(|line| line.get("request") == Some(request)).collect();
     let arrived = own.iter().map(|line| arrival_of(line)).fold(f64::INFINITY, f64::min);
     let ended = own.iter().map(|line| line.time).fold(arrived, f64::max);
@@ -115,6 +115,23 @@
     report
 }
 
+/// Lines of the one run of the node that the request came to: clocks of two runs can't be compared.
+fn lines_of_run<'a>(lines: &'a [LogLine], node: &str, request: &str) -> Vec<&'a LogLine> {
+    let mut run: Vec<&LogLine> = Vec::new();
+    let mut is_found = false;
+    for line in lines.iter().filter(|line| line.node == node) {
+        if line.event == "start" {
+            if is_found {
+                break;
+            }
+            run.clear();
+        }
+        is_found |= line.get("request") == Some(request);
+        run.push(line);
+    }
+    run
+}
+
 /// When the request arrived, as a line of it tells: its own time less what it says has passed.
 fn arrival_of(line: &LogLine) -> f64 {
     let passed = line.get("after_ms").or_else(|| line.get("ms")).and_then(|text| text.parse::<f64>().ok());
--- a/crates/staircross/tests/explain.rs
+++ b/crates/staircross/tests/explain.rs
@@ -3,6 +3,8 @@
 use std::process::Command;
 
 const LOG: &str = "\
+t=900.000 node=front-1 event=start run=old zone=a
+t=900.500 node=front-1 event=pressed pressed=true busy_percent=80
    0.1 front-1 t=100.000 node=front-1 event=start run=abc zone=a
 t=100.200 node=front-1 event=store lane=searchers reachable=true
 t=100.300 node=front-1 event=configuration version=4 routes=3 services=2 source=configuration
@@ -49,6 +51,7 @@
         rest = &rest[at..];
     }
     assert!(!report.contains("version=5"), "what came later is not shown:\n{report}");
+    assert!(!report.contains("pressed"), "nor what another run of the node believed:\n{report}");
     assert!(!report.contains("beef"), "nor what isn't its own:\n{report}");
 }
 
