--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -3,17 +3,19 @@
 //! A connection belongs to one run of a searcher and carries one attempt at a time. It goes back to
 //! rest only when the attempt's whole answer has been read and all bytes were written.
 
+mod endings;
+mod establish;
+
 use crate::dialect::HeaderNames;
 use crate::outbound::OutboundRequest;
 use crate::socket::{IoContext, ReadOutcome, Socket, SocketId, WriteOutcome};
 use hashbrown::HashMap;
 use slab::Slab;
 use staircross_http::client::{Expected, ExpectedId};
-use staircross_http::{Answer, ClientConnection, ClientFault, ClientProgress};
+use staircross_http::{ClientConnection, ClientFault, ClientProgress};
 use staircross_routing::engine::{AbandonCause, SendOrder};
-use staircross_routing::request::Unknown;
 use staircross_routing::selection::SearcherKey;
-use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, SearcherAnswer};
+use staircross_routing::{AttemptKey, AttemptOutcome};
 use staircross_types::BootTime;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -25,11 +27,6 @@
 const REST_GUARD: Duration = Duration::from_millis(1200);
 /// A request that can't be repeated uses a connection only if it has been used this lately.
 const FRESH_ENOUGH: Duration = Duration::from_millis(800);
-/// A fresh connection is proved for the time that it took to come up and this, but not longer than that.
-const PROVING: Duration = Duration::from_millis(3);
-const MOST_PROVING: Duration = Duration::from_millis(50);
-/// Time after the reset of a fresh connection during which those to its searcher are proved.
-const RESET_MEMORY: Duration = Duration::from_secs(5);
 /// Status of a searcher that isn't the run asked for.
 const MISDIRECTED: u16 = 421;
 
@@ -173,33 +170,6 @@
         resting.pop()
     }
 
-    fn connect(&mut self, assignment: Box<Assignment>, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
-        let attempt = assignment.order.attempt;
-        let searcher = assignment.order.searcher;
-        self.counters.connects += 1;
-        let generation = self.next_generation;
-        self.next_generation = self.next_generation.wrapping_add(1).max(1);
-        let entry = self.connections.vacant_entry();
-        let slot = entry.key();
-        let id = SocketId { kind: self.kind, generation, slot: slot as u32 };
-        match Socket::connecting(assignment.order.address, id.token(), io.registry) {
-            Ok(socket) => {
-                entry.insert(Connection {
-                    socket,
-                    http: ClientConnection::new(self.max_answer),
-                    searcher,
-                    generation,
-                    since: io.now,
-                    rest: USUAL_REST,
-                    state: State::Connecting { assignment: Some(assignment) },
-                    is_fresh: true,
-                });
-                self.by_attempt.insert(attempt, slot);
-            }
-            Err(_) => events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::NotRun(NotRun::Unconnected) }),
-        }
-    }
-
     /// Writes an attempt on a connection that is up and free.
     fn start(&mut self, slot: usize, assignment: Box<Assignment>, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
         let connection = &mut self.connections[slot];
@@ -257,77 +227,6 @@
         self.read(slot, id.generation, io, events);
     }
 
-    fn on_connecting(&mut self, slot: usize, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
-        let connection = &mut self.connections[slot];
-        match connection.socket.is_up() {
-            None => return,
-            Some(false) => return self.fail(slot, ClientFault::Reset, events),
-            Some(true) => {}
-        }
-        let took = io.now.since(connection.since);
-        events.push(PoolEvent::Connected { searcher: connection.searcher, took });
-        if connection.socket.flush(io.registry) == WriteOutcome::Broken {
-            return self.fail(slot, ClientFault::Reset, events);
-        }
-        let state = std::mem::replace(&mut connection.state, State::Idle);
-        connection.since = io.now;
-        let State::Connecting { assignment } = state else {
-            return;
-        };
-        if self.must_prove(slot, io.now) {
-            let until = io.now + (took + PROVING).min(MOST_PROVING);
-            let connection = &mut self.connections[slot];
-            connection.state = State::Proving { assignment };
-            self.proving.push(Reverse((until, slot, connection.generation)));
-            return;
-        }
-        self.begin_use(slot, assignment, io, events);
-    }
-
-    /// A searcher that has all the connections it may have accepts one more and resets it at once. What
-    /// was sent by then may have run, so where that is likely, nothing is sent until it would have come.
-    fn must_prove(&self, slot: usize, now: BootTime) -> bool {
-        let is_young = now < self.proves_until;
-        let reset_at = self.resets.get(&self.connections[slot].searcher);
-        is_young || reset_at.is_some_and(|at| now.since(*at) < RESET_MEMORY)
-    }
-
-    fn begin_use(
-        &mut self,
-        slot: usize,
-        assignment: Option<Box<Assignment>>,
-        io: &mut IoContext<'_>,
-        events: &mut Vec<PoolEvent>,
-    ) {
-        match assignment {
-            Some(assignment) => self.start(slot, assignment, io, events),
-            None => self.rest(slot, io.now),
-        }
-    }
-
-    /// When a connection that is being proved may be used.
-    pub fn next_wake(&self) -> Option<BootTime> {
-        self.proving.peek().map(|Reverse((due, _, _))| *due)
-    }
-
-    /// Uses connections that have held.
-    pub fn on_tick(&mut self, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
-        while let Some(Reverse((due, slot, generation))) = self.proving.peek().copied() {
-            if due > io.now {
-                return;
-            }
-            self.proving.pop();
-            let same = self.connections.get_mut(slot).filter(|connection| connection.generation == generation);
-            let Some(connection) = same else {
-                continue;
-            };
-            match std::mem::replace(&mut connection.state, State::Idle) {
-                State::Proving { assignment } => self.begin_use(slot, assignment, io, events),
-                other => connection.state = other,
-            }
-        }
-    }
-
     fn rest(&mut self, slot: usize, now: BootTime) {
         let connection = &mut self.connections[slot];
         connection.state = State::Idle;
@@ -393,129 +292,4 @@
             ClientProgress::Answered(answer) => self.answered(slot, *answer, now, events),
         }
     }
-
-    fn answered(&mut self, slot: usize, answer: Answer, now: BootTime, events: &mut Vec<PoolEvent>) {
-        let connection = &mut self.connections[slot];
-        connection.is_fresh = false;
-        if let Some(seconds) = answer.head.headers.keep_alive_seconds() {
-            connection.rest = Duration::from_secs(seconds).saturating_sub(REST_GUARD);
-        }
-        let state = std::mem::replace(&mut connection.state, State::Idle);
-        let is_reusable = answer.is_reusable && connection.socket.is_flushed() && !connection.rest.is_zero();
-        if let State::Busy(assignment) = state {
-            let attempt = assignment.order.attempt;
-            self.by_attempt.remove(&attempt);
-            events.push(PoolEvent::Ended { attempt, outcome: self.outcome_of(answer) });
-        }
-        if is_reusable {
-            self.rest(slot, now);
-        } else {
-            // What is left of a long request may not be followed by anything else, so it ends here.
-            self.connections.remove(slot);
-        }
-    }
-
-    fn outcome_of(&self, answer: Answer) -> AttemptOutcome {
-        let headers = &answer.head.headers;
-        if answer.head.status == MISDIRECTED {
-            return AttemptOutcome::NotRun(NotRun::OtherInstance);
-        }
-        if headers.first(self.names.not_executed).is_some() {
-            return AttemptOutcome::NotRun(NotRun::Shed);
-        }
-        let stamp = headers.first(self.names.stamp).map(<[u8]>::to_vec);
-        AttemptOutcome::Answered(Box::new(SearcherAnswer {
-            status: answer.head.status,
-            stamp,
-            headers: answer.head.headers,
-            body: answer.body,
-        }))
-    }
-
-    /// Ends a connection; its attempt, if any, may have run if anything was sent.
-    fn fail(&mut self, slot: usize, fault: ClientFault, events: &mut Vec<PoolEvent>) {
-        let Some(connection) = self.connections.try_remove(slot) else {
-            return;
-        };
-        match connection.state {
-            State::Idle => {
-                if let Some(resting) = self.resting.get_mut(&connection.searcher) {
-                    resting.retain(|known| *known != slot);
-                }
-            }
-            State::Connecting { assignment } => {
-                let Some(assignment) = assignment else {
-                    return;
-                };
-                let attempt = assignment.order.attempt;
-                self.by_attempt.remove(&attempt);
-                let outcome = AttemptOutcome::NotRun(NotRun::Unconnected);
-                events.push(PoolEvent::Ended { attempt, outcome });
-            }
-            State::Proving { assignment } => {
-                self.counters.turned_away += 1;
-                let Some(assignment) = assignment else {
-                    return;
-                };
-                let attempt = assignment.order.attempt;
-                self.by_attempt.remove(&attempt);
-                let outcome = AttemptOutcome::NotRun(NotRun::TurnedAway);
-                events.push(PoolEvent::Ended { attempt, outcome });
-            }
-            State::Busy(assignment) => {
-                if connection.is_fresh {
-                    self.resets.insert(connection.searcher, connection.since);
-                }
-                self.counters.broken += 1;
-                let attempt = assignment.order.attempt;
-                self.by_attempt.remove(&attempt);
-                let reason = match fault {
-                    ClientFault::TooLong => Unknown::TooLong,
-                    ClientFault::Malformed
-                    | ClientFault::Truncated
-                    | ClientFault::ClosedUnanswered
-                    | ClientFault::Reset => Unknown::Broken,
-                };
-                events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::Unknown(reason) });
-            }
-        }
-    }
-
-    /// Ends connections that don't come up, whose answers nobody waits for, or that rest too long.
-    pub fn sweep(&mut self, now: BootTime, events: &mut Vec<PoolEvent>) {
-        let mut over = Vec::new();
-        for (slot, connection) in &self.connections {
-            let age = now.since(connection.since);
-            let is_over = match &connection.state {
-                State::Idle => age >= connection.rest,
-                State::Connecting { assignment: Some(assignment) } => age >= assignment.order.connect_patience,
-                State::Connecting { assignment: None } => age >= Duration::from_secs(1),
-                State::Proving { .. } => false,
-                State::Busy(assignment) => assignment.abandoned.is_some_and(|(until, _)| now >= until),
-            };
-            if is_over {
-                over.push(slot);
-            }
-        }
-        for slot in over {
-            self.end(slot, events);
-        }
-    }
-
-    fn end(&mut self, slot: usize, events: &mut Vec<PoolEvent>) {
-        let departed = match &self.connections[slot].state {
-            State::Busy(assignment) => {
-                let is_departed = matches!(assignment.abandoned, Some((_, AbandonCause::CallerGone)));
-                is_departed.then_some(assignment.order.attempt)
-            }
-            State::Idle | State::Connecting { .. } | State::Proving { .. } => None,
-        };
-        let Some(attempt) = departed else {
-            return self.fail(slot, ClientFault::Reset, events);
-        };
-        // The caller left, so the searcher isn't to blame.
-        self.connections.remove(slot);
-        self.by_attempt.remove(&attempt);
-        events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::Withdrawn });
-    }
 }
--- /dev/null
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -0,0 +1,135 @@
+//! How attempts and connections end.
+
+use super::{AbandonCause, MISDIRECTED, Pool, PoolEvent, REST_GUARD, State};
+use staircross_http::{Answer, ClientFault};
+use staircross_routing::request::Unknown;
+use staircross_routing::{AttemptOutcome, NotRun, SearcherAnswer};
+use staircross_types::BootTime;
+use std::time::Duration;
+
+impl Pool {
+    pub(super) fn answered(&mut self, slot: usize, answer: Answer, now: BootTime, events: &mut Vec<PoolEvent>) {
+        let connection = &mut self.connections[slot];
+        connection.is_fresh = false;
+        if let Some(seconds) = answer.head.headers.keep_alive_seconds() {
+            connection.rest = Duration::from_secs(seconds).saturating_sub(REST_GUARD);
+        }
+        let state = std::mem::replace(&mut connection.state, State::Idle);
+        let is_reusable = answer.is_reusable && connection.socket.is_flushed() && !connection.rest.is_zero();
+        if let State::Busy(assignment) = state {
+            let attempt = assignment.order.attempt;
+            self.by_attempt.remove(&attempt);
+            events.push(PoolEvent::Ended { attempt, outcome: self.outcome_of(answer) });
+        }
+        if is_reusable {
+            self.rest(slot, now);
+        } else {
+            // What is left of a long request may not be followed by anything else, so it ends here.
+            self.connections.remove(slot);
+        }
+    }
+
+    fn outcome_of(&self, answer: Answer) -> AttemptOutcome {
+        let headers = &answer.head.headers;
+        if answer.head.status == MISDIRECTED {
+            return AttemptOutcome::NotRun(NotRun::OtherInstance);
+        }
+        if headers.first(self.names.not_executed).is_some() {
+            return AttemptOutcome::NotRun(NotRun::Shed);
+        }
+        let stamp = headers.first(self.names.stamp).map(<[u8]>::to_vec);
+        AttemptOutcome::Answered(Box::new(SearcherAnswer {
+            status: answer.head.status,
+            stamp,
+            headers: answer.head.headers,
+            body: answer.body,
+        }))
+    }
+
+    /// Ends a connection; its attempt, if any, may have run if anything was sent.
+    pub(super) fn fail(&mut self, slot: usize, fault: ClientFault, events: &mut Vec<PoolEvent>) {
+        let Some(connection) = self.connections.try_remove(slot) else {
+            return;
+        };
+        match connection.state {
+            State::Idle => {
+                if let Some(resting) = self.resting.get_mut(&connection.searcher) {
+                    resting.retain(|known| *known != slot);
+                }
+            }
+            State::Connecting { assignment } => {
+                let Some(assignment) = assignment else {
+                    return;
+                };
+                let attempt = assignment.order.attempt;
+                self.by_attempt.remove(&attempt);
+                let outcome = AttemptOutcome::NotRun(NotRun::Unconnected);
+                events.push(PoolEvent::Ended { attempt, outcome });
+            }
+            State::Proving { assignment } => {
+                self.counters.turned_away += 1;
+                let Some(assignment) = assignment else {
+                    return;
+                };
+                let attempt = assignment.order.attempt;
+                self.by_attempt.remove(&attempt);
+                let outcome = AttemptOutcome::NotRun(NotRun::TurnedAway);
+                events.push(PoolEvent::Ended { attempt, outcome });
+            }
+            State::Busy(assignment) => {
+                if connection.is_fresh {
+                    self.resets.insert(connection.searcher, connection.since);
+                }
+                self.counters.broken += 1;
+                let attempt = assignment.order.attempt;
+                self.by_attempt.remove(&attempt);
+                let reason = match fault {
+                    ClientFault::TooLong => Unknown::TooLong,
+                    ClientFault::Malformed
+                    | ClientFault::Truncated
+                    | ClientFault::ClosedUnanswered
+                    | ClientFault::Reset => Unknown::Broken,
+                };
+                events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::Unknown(reason) });
+            }
+        }
+    }
+
+    /// Ends connections that don't come up, whose answers nobody waits for, or that rest too long.
+    pub fn sweep(&mut self, now: BootTime, events: &mut Vec<PoolEvent>) {
+        let mut over = Vec::new();
+        for (slot, connection) in &self.connections {
+            let age = now.since(connection.since);
+            let is_over = match &connection.state {
+                State::Idle => age >= connection.rest,
+                State::Connecting { assignment: Some(assignment) } => age >= assignment.order.connect_patience,
+                State::Connecting { assignment: None } => age >= Duration::from_secs(1),
+                State::Proving { .. } => false,
+                State::Busy(assignment) => assignment.abandoned.is_some_and(|(until, _)| now >= until),
+            };
+            if is_over {
+                over.push(slot);
+            }
+        }
+        for slot in over {
+            self.end(slot, events);
+        }
+    }
+
+    fn end(&mut self, slot: usize, events: &mut Vec<PoolEvent>) {
+        let departed = match &self.connections[slot].state {
+            State::Busy(assignment) => {
+                let is_departed = matches!(assignment.abandoned, Some((_, AbandonCause::CallerGone)));
+                is_departed.then_some(assignment.order.attempt)
+            }
+            State::Idle | State::Connecting { .. } | State::Proving { .. } => None,
+        };
+        let Some(attempt) = departed else {
+            return self.fail(slot, ClientFault::Reset, events);
+        };
+        // The caller left, so the searcher isn't to blame.
+        self.connections.remove(slot);
+        self.by_attempt.remove(&attempt);
+        events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::Withdrawn });
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -0,0 +1,115 @@
+//! Connections from their beginning until they carry something, and proving fresh ones.
+
+use super::{Assignment, Connection, Pool, PoolEvent, State, USUAL_REST};
+use crate::socket::{IoContext, Socket, SocketId, WriteOutcome};
+use staircross_http::{ClientConnection, ClientFault};
+use staircross_routing::{AttemptOutcome, NotRun};
+use staircross_types::BootTime;
+use std::cmp::Reverse;
+use std::time::Duration;
+
+/// A fresh connection is proved for the time that it took to come up and this, but not longer than that.
+const PROVING: Duration = Duration::from_millis(3);
+const MOST_PROVING: Duration = Duration::from_millis(50);
+/// Time after the reset of a fresh connection during which those to its searcher are proved.
+const RESET_MEMORY: Duration = Duration::from_secs(5);
+
+impl Pool {
+    pub(super) fn connect(&mut self, assignment: Box<Assignment>, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+        let attempt = assignment.order.attempt;
+        let searcher = assignment.order.searcher;
+        self.counters.connects += 1;
+        let generation = self.next_generation;
+        self.next_generation = self.next_generation.wrapping_add(1).max(1);
+        let entry = self.connections.vacant_entry();
+        let slot = entry.key();
+        let id = SocketId { kind: self.kind, generation, slot: slot as u32 };
+        match Socket::connecting(assignment.order.address, id.token(), io.registry) {
+            Ok(socket) => {
+                entry.insert(Connection {
+                    socket,
+                    http: ClientConnection::new(self.max_answer),
+                    searcher,
+                    generation,
+                    since: io.now,
+                    rest: USUAL_REST,
+                    state: State::Connecting { assignment: Some(assignment) },
+                    is_fresh: true,
+                });
+                self.by_attempt.insert(attempt, slot);
+            }
+            Err(_) => events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::NotRun(NotRun::Unconnected) }),
+        }
+    }
+
+    pub(super) fn on_connecting(&mut self, slot: usize, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+        let connection = &mut self.connections[slot];
+        match connection.socket.is_up() {
+            None => return,
+            Some(false) => return self.fail(slot, ClientFault::Reset, events),
+            Some(true) => {}
+        }
+        let took = io.now.since(connection.since);
+        events.push(PoolEvent::Connected { searcher: connection.searcher, took });
+        if connection.socket.flush(io.registry) == WriteOutcome::Broken {
+            return self.fail(slot, ClientFault::Reset, events);
+        }
+        let state = std::mem::replace(&mut connection.state, State::Idle);
+        connection.since = io.now;
+        let State::Connecting { assignment } = state else {
+            return;
+        };
+        if self.must_prove(slot, io.now) {
+            let until = io.now + (took + PROVING).min(MOST_PROVING);
+            let connection = &mut self.connections[slot];
+            connection.state = State::Proving { assignment };
+            self.proving.push(Reverse((until, slot, connection.generation)));
+            return;
+        }
+        self.begin_use(slot, assignment, io, events);
+    }
+
+    /// A searcher that has all the connections it may have accepts one more and resets it at once. What
+    /// was sent by then may have run, so where that is likely, nothing is sent until it would have come.
+    fn must_prove(&self, slot: usize, now: BootTime) -> bool {
+        let is_young = now < self.proves_until;
+        let reset_at = self.resets.get(&self.connections[slot].searcher);
+        is_young || reset_at.is_some_and(|at| now.since(*at) < RESET_MEMORY)
+    }
+
+    fn begin_use(
+        &mut self,
+        slot: usize,
+        assignment: Option<Box<Assignment>>,
+        io: &mut IoContext<'_>,
+        events: &mut Vec<PoolEvent>,
+    ) {
+        match assignment {
+            Some(assignment) => self.start(slot, assignment, io, events),
+            None => self.rest(slot, io.now),
+        }
+    }
+
+    /// When a connection that is being proved may be used.
+    pub fn next_wake(&self) -> Option<BootTime> {
+        self.proving.peek().map(|Reverse((due, _, _))| *due)
+    }
+
+    /// Uses connections that have held.
+    pub fn on_tick(&mut self, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+        while let Some(Reverse((due, slot, generation))) = self.proving.peek().copied() {
+            if due > io.now {
+                return;
+            }
+            self.proving.pop();
+            let same = self.connections.get_mut(slot).filter(|connection| connection.generation == generation);
+            let Some(connection) = same else {
+                continue;
+            };
+            match std::mem::replace(&mut connection.state, State::Idle) {
+                State::Proving { assignment } => self.begin_use(slot, assignment, io, events),
+                other => connection.state = other,
+            }
+        }
+    }
+}
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -107,7 +107,7 @@
             return;
         }
         for shard in 0..count {
-            self.dispatch(now, key, shard, waiting.reason, actions);
+            self.dispatch(now, key, shard, SendReason::First, actions);
         }
         self.settle(now, key, actions);
         self.schedule(key);
@@ -219,12 +219,8 @@
         shard.sends += 1;
         shard.outstanding += 1;
         shard.tried.push(searcher_key);
-        // As late as still leaves time for another searcher's answer, but not later than is unusual.
-        let needed = other_way + usual.mul_f64(HEDGE_WORK_FACTOR);
-        let last_moment = request.answer_by - needed;
-        let unusual = now + way + late;
-        let least = now + way + usual.mul_f64(LEAST_HEDGE_FACTOR);
-        let hedge_at = unusual.min(last_moment).max(least);
+        let times = HedgeTimes { way, other_way, usual, late };
+        let hedge_at = times.hedge_at(now, request.answer_by);
         request.attempts.push(Attempt { shard: shard_index as u32, hedge_at, is_open: true, is_resolved: false });
         self.sent.insert(attempt, SentAttempt { searcher: searcher_key, route: route.name.clone(), sent_at: now });
         match reason {
@@ -287,6 +283,27 @@
     }
 }
 
+/// What the time of a hedge follows from.
+struct HedgeTimes {
+    /// To the searcher asked, and to the farthest other.
+    way: Duration,
+    other_way: Duration,
+    /// Median of the route's work, and what is unusually long.
+    usual: Duration,
+    late: Duration,
+}
+
+impl HedgeTimes {
+    /// As late as still leaves time for another searcher's answer, but not later than is unusual.
+    fn hedge_at(&self, now: BootTime, answer_by: BootTime) -> BootTime {
+        let needed = self.other_way + self.usual.mul_f64(HEDGE_WORK_FACTOR);
+        let last_moment = answer_by - needed;
+        let unusual = now + self.way + self.late;
+        let least = now + self.way + self.usual.mul_f64(LEAST_HEDGE_FACTOR);
+        unusual.min(last_moment).max(least)
+    }
+}
+
 /// Time from arrival until an answer must be on its way to be worth most.
 fn usable_goal(route: &RouteDefinition) -> Duration {
     let goal = Duration::from_millis(route.goal_ms);
--- a/crates/staircross-routing/tests/requests.rs
+++ b/crates/staircross-routing/tests/requests.rs
@@ -374,8 +374,10 @@
 #[test]
 fn a_repeat_that_had_to_wait_for_room_still_counts_as_one() {
     let both = vec![searcher("s1", "books", "a"), searcher("s2", "books", "a")];
-    let mut driver = Driver::with(definition(1, vec![service_route("r", "books")], &["books"]), both);
-    driver.fleet(&[("a", 40)], 40);
+    let mut few_connections = definition(1, vec![service_route("r", "books")], &["books"]);
+    few_connections.services[0].max_connections = 3;
+    let mut driver = Driver::with(few_connections, both);
+    driver.fleet(&[("a", 3)], 3);
     let first = driver.request("/r/1");
     let second = driver.request("/r/2");
     driver.end(driver.sends[0].attempt, AttemptOutcome::NotRun(NotRun::Shed));
