Refuse rather than deny what a newer configuration may have; split engine messages off

Cause: a node that is behind a peer answered 404 for a route that it could not know yet; engine.rs held types and logic. Ruled out: waiting for the newer version before answering (a request would be held).

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -251,6 +251,11 @@
         (knows_nothing || now.since(since) >= BEHIND_PATIENCE).then_some(address)
     }
 
+    /// Whether a live peer has a newer configuration than this node.
+    pub fn is_version_behind(&self) -> bool {
+        self.announced.values().any(|known| known.version > self.own.version)
+    }
+
     /// A question to a peer was answered or failed; wait again before the next.
     pub fn note_asked(&mut self, now: BootTime) {
         self.behind_since = Some(now);
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -100,6 +100,7 @@
             patience: patience.map(Duration::from_millis),
             waited,
             is_overloaded: self.load.is_overloaded(self.now),
+            is_behind: self.fleet.is_version_behind(),
         };
         let table = self.engine.table();
         let route = table.and_then(|table| {
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -46,6 +46,9 @@
             return Err(refused(ErrorKind::NoConfiguration, "no configuration is known yet"));
         };
         let Some(route_index) = table.find_index(&arrival.host, &arrival.path) else {
+            if arrival.is_behind {
+                return Err(refused(ErrorKind::NoConfiguration, "a newer configuration may have this route"));
+            }
             return Err(refused(ErrorKind::NoRoute, "no route has this host and path"));
         };
         if arrival.is_overloaded {
--- /dev/null
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -0,0 +1,197 @@
+//! What the engine is told, and what it wants done.
+
+use crate::mirror::SearcherEntry;
+use crate::request::{Arrival, AttemptKey, AttemptOutcome, RequestKey, Verdict};
+use crate::selection::SearcherKey;
+use crate::table::RouteTable;
+use hashbrown::HashMap;
+use staircross_types::BootTime;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What the engine is told.
+#[derive(Clone, Debug)]
+pub enum RoutingEvent {
+    /// A newer configuration is in force.
+    Configuration(Arc<RouteTable>),
+    /// New or changed entries.
+    Searchers(Vec<SearcherEntry>),
+    /// Runs whose entries have gone.
+    SearchersGone(Vec<Arc<str>>),
+    /// The live nodes have changed.
+    Fleet {
+        /// Live nodes by zone, this one included.
+        nodes_by_zone: HashMap<Arc<str>, usize>,
+        /// Most live nodes seen lately.
+        fleet: usize,
+    },
+    /// A request has arrived.
+    Arrived(Arrival),
+    /// Its caller has left.
+    CallerGone(RequestKey),
+    /// A connection came up.
+    Connected {
+        /// To whom.
+        searcher: SearcherKey,
+        /// How long it took.
+        took: Duration,
+    },
+    /// An attempt has ended and holds no connection any more.
+    Ended {
+        /// Which.
+        attempt: AttemptKey,
+        /// How.
+        outcome: AttemptOutcome,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the engine wants done.
+#[derive(Clone, Debug)]
+pub enum RoutingAction {
+    /// Send the request to a searcher.
+    Send(SendOrder),
+    /// The attempt's answer is no longer wanted: read it out, or close the connection when it takes
+    /// longer than `patience`.
+    Abandon {
+        /// Which.
+        attempt: AttemptKey,
+        /// How long to wait for its end.
+        patience: Duration,
+        /// Why.
+        cause: AbandonCause,
+    },
+    /// An attempt that was wanted isn't made; told for the log alone.
+    Unsent {
+        /// For which request.
+        request: RequestKey,
+        /// For which service.
+        service: Arc<str>,
+        /// Why it was wanted.
+        reason: SendReason,
+        /// Why it isn't made.
+        cause: UnsentCause,
+    },
+    /// A request ends without a part of this shard; told for the log alone.
+    LeftOut {
+        /// Which request.
+        request: RequestKey,
+        /// The shard.
+        service: Arc<str>,
+        /// Searchers that were asked, in order.
+        asked: Vec<Arc<str>>,
+        /// Why there is no part.
+        cause: LeftOutCause,
+    },
+    /// The final word on a request.
+    Finish {
+        /// Which.
+        request: RequestKey,
+        /// The word.
+        verdict: Verdict,
+    },
+}
+
+/// Why an attempt's answer is no longer wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AbandonCause {
+    /// The request has its answer, or was given up.
+    Superseded,
+    /// The caller left.
+    CallerGone,
+}
+
+/// Why a shard has no part in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeftOutCause {
+    /// Whoever was asked hadn't answered when the request ended.
+    Late,
+    /// Nobody had room to be asked.
+    NoRoom,
+    /// Whoever was asked failed, and no other could be asked.
+    Failed,
+    /// There was nobody to ask.
+    Nobody,
+}
+
+impl LeftOutCause {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            LeftOutCause::Late => "late",
+            LeftOutCause::NoRoom => "no_room",
+            LeftOutCause::Failed => "failed",
+            LeftOutCause::Nobody => "nobody",
+        }
+    }
+}
+
+/// Why an attempt isn't made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnsentCause {
+    /// The budget for extra sends is spent.
+    OverBudget,
+    /// Every searcher that could be asked holds as many attempts as it may; the shard waits.
+    NoRoom,
+    /// No searcher is left that could be asked.
+    NobodyLeft,
+}
+
+impl UnsentCause {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            UnsentCause::OverBudget => "over_budget",
+            UnsentCause::NoRoom => "no_room",
+            UnsentCause::NobodyLeft => "nobody_left",
+        }
+    }
+}
+
+/// Why an attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendReason {
+    /// The first for its shard.
+    First,
+    /// Besides one that is late.
+    Hedge,
+    /// After one that failed or was turned away.
+    Retry,
+    /// After a connection that didn't come up: nothing was sent.
+    Reroute,
+}
+
+impl SendReason {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            SendReason::First => "first",
+            SendReason::Hedge => "hedge",
+            SendReason::Retry => "retry",
+            SendReason::Reroute => "reroute",
+        }
+    }
+}
+
+/// One sending.
+#[derive(Clone, Debug)]
+pub struct SendOrder {
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// The searcher.
+    pub searcher: SearcherKey,
+    /// Its run.
+    pub instance: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When the request must have its final answer; what is left is told to the searcher.
+    pub deadline: BootTime,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Longest wait for a connection.
+    pub connect_patience: Duration,
+    /// Why.
+    pub reason: SendReason,
+}
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -12,12 +12,14 @@
 //! | [`turns`] | whose turn it is in a weighted set |
 //! | [`request`] | state of one request in flight |
 //! | [`merge`] | the best records of several parts |
+//! | [`engine_message`] | what the engine is told, and what it wants done |
 //! | [`engine`] | one request from arrival to its final answer |
 //!
 //! Everything is driven by `on_event(now, event, &mut actions)`.
 
 pub mod definition;
 pub mod engine;
+pub mod engine_message;
 pub mod merge;
 pub mod mirror;
 pub mod request;
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -36,6 +36,8 @@
     pub waited: Duration,
     /// Whether this node is too busy to take more.
     pub is_overloaded: bool,
+    /// Whether a peer knows a newer configuration: what isn't known here may be there.
+    pub is_behind: bool,
 }
 
 /// A searcher's whole answer.
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -155,6 +155,7 @@
             patience: None,
             waited: Duration::ZERO,
             is_overloaded: false,
+            is_behind: false,
         }
     }
 
--- a/crates/staircross-routing/tests/requests.rs
+++ b/crates/staircross-routing/tests/requests.rs
@@ -386,3 +386,13 @@
     assert!(driver.verdict(second).is_some());
     assert_eq!(driver.reasons(first), [SendReason::First, SendReason::Retry]);
 }
+
+#[test]
+fn a_route_that_a_newer_configuration_may_have_is_not_denied() {
+    let mut driver = repeatable();
+    let mut arrival = driver.arrival("/added/1");
+    arrival.is_behind = true;
+    let key = arrival.key;
+    driver.event(RoutingEvent::Arrived(arrival));
+    assert_eq!(driver.refusal(key), Some(ErrorKind::NoConfiguration));
+}
