Read the boot clock in one place; drop what the closing read found written twice or dead

Cause: the closing read of the whole change. The boot clock stood in two crates; the directory built its answer's context anew where the caller had made one; four places in the fleet pushed news by hand; an unused look at a connection's buffer and a self-assignment were left in the HTTP client. Ruled out: behaviour changes, but for HEAD at the directory, which no longer gets a body.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -189,9 +189,10 @@
         self.membership.on_tick(now, &mut self.random, &mut actions);
         // Each moment that a dead node stays in somebody's directory costs callers.
         if actions.iter().any(|action| matches!(action, MembershipAction::Changed(_))) {
-            self.membership.push_news(&mut self.random, PUSH_COUNT, &mut actions);
+            self.push_and_carry_out(actions, events);
+        } else {
+            self.carry_out(actions, events);
         }
-        self.carry_out(actions, events);
         self.announced.retain(|node, _| !self.membership.is_gone(*node));
         let live = self.live().count();
         if live >= self.peak || now.since(self.peak_at) >= PEAK_LIFE {
@@ -205,17 +206,15 @@
         let mut actions = Vec::new();
         self.membership.set_ready(is_ready, &mut actions);
         if !actions.is_empty() {
-            self.membership.push_news(&mut self.random, PUSH_COUNT, &mut actions);
+            self.push_and_carry_out(actions, events);
         }
-        self.carry_out(actions, events);
     }
 
     /// Announces a planned stop, or its end.
     pub fn leave(&mut self, state: MemberState, events: &mut Vec<FleetEvent>) {
         let mut actions = Vec::new();
         self.membership.leave(state, &mut actions);
-        self.membership.push_news(&mut self.random, PUSH_COUNT, &mut actions);
-        self.carry_out(actions, events);
+        self.push_and_carry_out(actions, events);
     }
 
     /// Notes what this node knows now.
@@ -229,9 +228,7 @@
         let matters = is_pressed(percent) != is_pressed(self.own.load);
         self.own.load = percent;
         if matters {
-            let mut actions = Vec::new();
-            self.membership.push_news(&mut self.random, PUSH_COUNT, &mut actions);
-            self.carry_out(actions, events);
+            self.push_and_carry_out(Vec::new(), events);
         }
     }
 
@@ -261,6 +258,12 @@
         self.behind_since = Some(now);
     }
 
+    /// Tells peers the present news at once, after what `actions` ask for.
+    fn push_and_carry_out(&mut self, mut actions: Vec<MembershipAction>, events: &mut Vec<FleetEvent>) {
+        self.membership.push_news(&mut self.random, PUSH_COUNT, &mut actions);
+        self.carry_out(actions, events);
+    }
+
     fn carry_out(&mut self, actions: Vec<MembershipAction>, events: &mut Vec<FleetEvent>) {
         for action in actions {
             match action {
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -12,9 +12,8 @@
 //! | [`fleet`] | members, announcements, and which nodes callers are sent to |
 //! | [`load`] | how busy this process is, and how late it comes to its work |
 //! | [`node`] | the event loop that carries events and actions between all of these |
-//! | [`event_log`], [`metrics`], [`clock`] | structured lines, counters, the boot clock |
+//! | [`event_log`], [`metrics`] | structured lines, counters |
 
-pub mod clock;
 pub mod dialect;
 pub mod event_log;
 pub mod fleet;
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -8,7 +8,6 @@
 mod requests;
 mod stop;
 
-use crate::clock;
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LineKind};
 use crate::fleet::{Fleet, FleetIdentity};
@@ -33,6 +32,7 @@
 use staircross_routing::store_reader::{StoreCall, StoreReader};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{Mirror, RequestKey};
+use staircross_types::boot_clock as clock;
 use staircross_types::{BootTime, NodeId};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -18,11 +18,11 @@
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_own_endpoint(&mut self, connection: SocketId, endpoint: Endpoint, request: &Request) {
         let closes = !request.head.keeps_alive();
-        let context =
-            AnswerContext { names: self.dialect.headers(), id: None, closes, is_head: request.head.method == "HEAD" };
+        let names = *self.dialect.headers();
+        let context = AnswerContext { names: &names, id: None, closes, is_head: request.head.method == "HEAD" };
         let answer = match endpoint {
             Endpoint::Readiness => self.readiness(&context, request),
-            Endpoint::Directory => self.directory(request),
+            Endpoint::Directory => self.directory(&context, request),
             Endpoint::Peers => self.changes(&context, request),
             Endpoint::Metrics => context.plain(200, "text/plain; version=0.0.4", self.render_metrics().as_bytes()),
             Endpoint::Callers => context.plain(404, "text/plain", b""),
@@ -38,15 +38,12 @@
         context.plain(status, "text/plain", b"")
     }
 
-    fn directory(&mut self, request: &Request) -> Vec<u8> {
-        let closes = !request.head.keeps_alive();
+    fn directory(&mut self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
         let Some(query) = self.dialect.directory_query(&request.head.target) else {
-            let context = AnswerContext { names: self.dialect.headers(), id: None, closes, is_head: false };
             return context.plain(404, "text/plain", b"");
         };
         self.metrics.directory_questions += 1;
         let addresses = self.fleet.addresses_for(&query);
-        let context = AnswerContext { names: self.dialect.headers(), id: None, closes, is_head: false };
         if addresses.is_empty() {
             return context.plain(503, "text/plain", b"no node is ready\n");
         }
--- a/crates/staircross-http/src/client.rs
+++ b/crates/staircross-http/src/client.rs
@@ -6,10 +6,11 @@
 
 use crate::framing::{BodyDecoder, Framing};
 use crate::head::{HeadError, ResponseHead};
-use std::mem;
 
 /// Longest head of an answer, in bytes.
 const MAX_ANSWER_HEAD: usize = 64 * 1024;
+/// Largest buffer that is kept between answers, in bytes.
+const KEPT_BUFFER: usize = 4096;
 
 /// A whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -103,11 +104,6 @@
         self.expected.is_some()
     }
 
-    /// Whether bytes of an unasked answer lie between requests.
-    pub fn is_mid_answer(&self) -> bool {
-        self.pending.is_some() || !self.input.is_empty()
-    }
-
     /// Adds received bytes.
     pub fn receive(&mut self, bytes: &[u8]) {
         self.input.extend_from_slice(bytes);
@@ -201,9 +197,9 @@
 
     fn consume(&mut self, count: usize) {
         if count == self.input.len() {
-            self.input = mem::take(&mut self.input);
             self.input.clear();
-            if self.input.capacity() > 4096 {
+            // A buffer that one long answer made large isn't kept for the short ones.
+            if self.input.capacity() > KEPT_BUFFER {
                 self.input = Vec::new();
             }
         } else {
--- a/crates/staircross-node/src/core.rs
+++ b/crates/staircross-node/src/core.rs
@@ -12,7 +12,6 @@
 
 pub use callers::{CallerCommand, CallerReply};
 
-use crate::clock;
 use crate::logs::Logs;
 use crate::metrics::Metrics;
 use crate::peers::PeerTransport;
@@ -27,6 +26,7 @@
 use staircross_search::root::RootCounters;
 use staircross_search::{Evidence, LeafEngine, LeafEvent, LeafSettings, RootEngine, RootEvent, RootSettings};
 use staircross_search::{SubReply, SubRequest};
+use staircross_types::boot_clock as clock;
 use staircross_types::{AttemptId, BootTime, NodeId, SearcherId, SearcherIncarnation, SessionToken};
 use staircross_wire::PeerMessage;
 use std::collections::BTreeSet;
--- a/crates/staircross-node/src/core/config.rs
+++ b/crates/staircross-node/src/core/config.rs
@@ -3,7 +3,6 @@
 use super::Core;
 use super::callers::CallerReply;
 use crate::api::ReplyBody;
-use crate::clock;
 use crate::searchers::OwnedAddress;
 use crossbeam::channel::Sender;
 use spdlog::info;
@@ -15,6 +14,7 @@
 use staircross_language::ConfigStatement;
 use staircross_language::statement::ConfigEdit;
 use staircross_search::{Evidence, LeafEvent, Refusal, RootEvent, SearcherView};
+use staircross_types::boot_clock as clock;
 use staircross_types::{BootTime, ErrorKind};
 use staircross_wire::PeerMessage;
 use std::sync::Arc;
--- a/crates/staircross-node/src/core/requests.rs
+++ b/crates/staircross-node/src/core/requests.rs
@@ -1,13 +1,13 @@
 //! From root to leaf to searcher and back.
 
 use super::Core;
-use crate::clock;
 use spdlog::{debug, info};
 use staircross_search::leaf::not_run;
 use staircross_search::{
     LeafAction, LeafEvent, NotRunReason, Outcome, RootAction, RootEvent, SubOutcome, SubReply, SubRequest,
     UnknownReason,
 };
+use staircross_types::boot_clock as clock;
 use staircross_types::{AttemptId, BootTime, NodeId, RequestId, SearcherId};
 use staircross_wire::PeerMessage;
 use std::net::SocketAddr;
--- a/crates/staircross-node/src/lib.rs
+++ b/crates/staircross-node/src/lib.rs
@@ -10,11 +10,10 @@
 //! | [`platform`] | reads the platform |
 //! | [`api`] | typed JSON answers |
 //! | [`client`] | a caller's client, for the command line and the lab |
-//! | [`clock`], [`logs`], [`metrics`] | the boot clock, structured logs, Prometheus metrics |
+//! | [`logs`], [`metrics`] | structured logs, Prometheus metrics |
 
 pub mod api;
 pub mod client;
-pub mod clock;
 pub mod core;
 pub mod front;
 pub mod logs;
--- a/crates/staircross-node/src/searchers.rs
+++ b/crates/staircross-node/src/searchers.rs
@@ -9,13 +9,13 @@
 
 mod call;
 
-use crate::clock;
 use crate::core::CoreEvent;
 use crate::logs::Logs;
 use call::{CallEnd, SearcherCaller};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use staircross_search::leaf::not_run;
 use staircross_search::{NotRunReason, SubRequest};
+use staircross_types::boot_clock as clock;
 use staircross_types::{AttemptId, BootTime, SearcherId};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/staircross-gateway/src/clock.rs
+++ b/crates/staircross-types/src/boot_clock.rs
@@ -1,7 +1,7 @@
 //! The boot clock.
 
+use crate::time::BootTime;
 use rustix::time::{ClockId, clock_gettime};
-use staircross_types::BootTime;
 
 /// Time since this machine booted, including time that it was suspended.
 pub fn now() -> BootTime {
--- a/crates/staircross-types/src/lib.rs
+++ b/crates/staircross-types/src/lib.rs
@@ -5,12 +5,14 @@
 //! | [`ids`] | identities of nodes, sessions, requests, searchers and shards |
 //! | [`time`] | [`BootTime`], the only clock that decisions may use |
 //! | [`snapshot`] | [`Snapshot`] and [`ShardMap`] |
+//! | [`boot_clock`] | reading the boot clock |
 //! | [`coverage`] | [`Coverage`] and the causes of missing shards |
 //! | [`errors`] | the closed list of error kinds and the table from kind to answer |
 //! | [`query`] | search requests, hits and per-shard results |
 //! | [`searcher_api`] | messages between leaf and searcher |
 //! | [`digest`] | content digests for bodies |
 
+pub mod boot_clock;
 pub mod coverage;
 pub mod digest;
 pub mod errors;
