Say "not run" of what no byte was written of; prove the rule with the clock in the test's hands

Found on the way: where the reset had arrived but was first noticed by writing, the attempt counted as "may have run" although no byte had been written (test failed first: Unknown(Broken)). Change: an attempt whose connection breaks with no byte written is not run: turned away on a fresh connection, stale on a kept one; a stale one bars its searcher neither from the request nor from others (unit test).

--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -76,6 +76,13 @@
                 let outcome = AttemptOutcome::NotRun(NotRun::TurnedAway);
                 events.push(PoolEvent::Ended { attempt, outcome });
             }
+            State::Busy(assignment) if connection.socket.is_unbegun() => {
+                let attempt = assignment.order.attempt;
+                self.by_attempt.remove(&attempt);
+                let cause = if connection.is_fresh { NotRun::TurnedAway } else { NotRun::Stale };
+                self.counters.turned_away += u64::from(connection.is_fresh);
+                events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::NotRun(cause) });
+            }
             State::Busy(assignment) => {
                 if connection.is_fresh {
                     self.resets.insert(connection.searcher, connection.since);
--- a/crates/staircross-gateway/src/socket.rs
+++ b/crates/staircross-gateway/src/socket.rs
@@ -142,6 +142,11 @@
         self.outgoing.is_empty()
     }
 
+    /// Whether bytes are waiting to be written and none of them has been.
+    pub fn is_unbegun(&self) -> bool {
+        !self.outgoing.is_empty() && self.written == 0
+    }
+
     fn watch_writable(&mut self, wanted: bool, registry: &Registry, outcome: WriteOutcome) -> WriteOutcome {
         if wanted == self.wants_writable {
             return outcome;
--- /dev/null
+++ b/crates/staircross-gateway/tests/pool.rs
@@ -0,0 +1,194 @@
+//! Connections to searchers over real loopback sockets, with the clock in the test's hands.
+
+use mio::{Events, Poll};
+use rustix::net::sockopt::set_socket_linger;
+use staircross_gateway::HeaderNames;
+use staircross_gateway::outbound::OutboundRequest;
+use staircross_gateway::pool::{Pool, PoolEvent};
+use staircross_gateway::socket::{IoContext, READ_CHUNK, SocketId};
+use staircross_http::{Request, RequestHead, ServerLimits};
+use staircross_routing::engine::{SendOrder, SendReason};
+use staircross_routing::request::Unknown;
+use staircross_routing::selection::SearcherKey;
+use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey};
+use staircross_types::BootTime;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const KIND: u8 = 1;
+const LONG: Duration = Duration::from_secs(20);
+const START: BootTime = BootTime(1_000_000);
+const NAMES: HeaderNames = HeaderNames {
+    request_id: "Id",
+    deadline_ms: "Deadline",
+    stamp: "Stamp",
+    expect_instance: "Expect",
+    not_executed: "Not-Executed",
+    retry_after: "Retry-After",
+    part_stamps: "Part-Stamps",
+    missing_parts: "Missing-Parts",
+};
+
+/// A pool whose time stands still unless the test moves it.
+struct Fixture {
+    poll: Poll,
+    pool: Pool,
+    now: BootTime,
+    buf: Box<[u8; READ_CHUNK]>,
+    events: Vec<PoolEvent>,
+}
+
+impl Fixture {
+    /// Fresh connections are proved for ever.
+    fn new() -> Self {
+        Fixture {
+            poll: Poll::new().expect("a poll"),
+            pool: Pool::new(KIND, NAMES, 1 << 20, BootTime::FAR_FUTURE),
+            now: START,
+            buf: Box::new([0; READ_CHUNK]),
+            events: Vec::new(),
+        }
+    }
+
+    fn with_io(&mut self, work: impl FnOnce(&mut Pool, &mut IoContext<'_>, &mut Vec<PoolEvent>)) {
+        let limits = ServerLimits { head_bytes: 1 << 16, body_bytes: 1 << 20 };
+        let mut io = IoContext { now: self.now, registry: self.poll.registry(), buffer: &mut self.buf, limits };
+        work(&mut self.pool, &mut io, &mut self.events);
+    }
+
+    fn send(&mut self, address: SocketAddr) {
+        let order = order(address);
+        let request = request();
+        self.with_io(|pool, io, events| pool.send(order, request, io, events));
+    }
+
+    /// Takes readiness until `is_done` holds of the events so far.
+    fn until(&mut self, what: &str, is_done: impl Fn(&[PoolEvent]) -> bool) {
+        let end = Instant::now() + LONG;
+        let mut ready = Events::with_capacity(16);
+        while !is_done(&self.events) {
+            assert!(Instant::now() < end, "{what}: {:?}", self.events);
+            self.poll.poll(&mut ready, Some(Duration::from_millis(20))).expect("polling");
+            for event in &ready {
+                let id = SocketId::from_token(event.token());
+                let is_writable = event.is_writable();
+                self.with_io(|pool, io, events| pool.on_ready(id, is_writable, io, events));
+            }
+        }
+    }
+
+    fn outcome(&self) -> Option<&AttemptOutcome> {
+        self.events.iter().find_map(|event| match event {
+            PoolEvent::Ended { outcome, .. } => Some(outcome),
+            _ => None,
+        })
+    }
+}
+
+fn order(address: SocketAddr) -> SendOrder {
+    SendOrder {
+        attempt: AttemptKey { request: RequestKey(1), number: 0 },
+        searcher: SearcherKey(0),
+        instance: "i-1".into(),
+        address,
+        deadline: START + Duration::from_secs(5),
+        is_idempotent: false,
+        connect_patience: Duration::from_secs(1),
+        reason: SendReason::First,
+    }
+}
+
+fn request() -> OutboundRequest {
+    let parsed = RequestHead::parse(b"GET /one HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n").expect("a head");
+    let (head, _) = parsed.expect("a whole head");
+    OutboundRequest::new(&Request { head, body: Vec::new() }, &NAMES)
+}
+
+fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("its address");
+    (listener, address)
+}
+
+fn reset(stream: TcpStream) {
+    set_socket_linger(&stream, Some(Duration::ZERO)).expect("lingering set");
+    drop(stream);
+}
+
+fn is_connected(events: &[PoolEvent]) -> bool {
+    events.iter().any(|event| matches!(event, PoolEvent::Connected { .. }))
+}
+
+fn is_ended(events: &[PoolEvent]) -> bool {
+    events.iter().any(|event| matches!(event, PoolEvent::Ended { .. }))
+}
+
+#[test]
+fn a_reset_while_a_connection_is_proved_means_that_nothing_ran() {
+    let (listener, address) = listener();
+    let mut fixture = Fixture::new();
+    fixture.send(address);
+    fixture.until("it comes up", is_connected);
+    let (stream, _) = listener.accept().expect("a connection");
+    assert!(fixture.pool.next_wake().is_some_and(|due| due > fixture.now), "it is being proved");
+    reset(stream);
+    // Time stands still, so however late the reset comes, nothing has been sent.
+    fixture.until("the reset", is_ended);
+    assert!(matches!(fixture.outcome(), Some(AttemptOutcome::NotRun(NotRun::TurnedAway))), "{:?}", fixture.events);
+    assert_eq!(fixture.pool.connection_count(), 0);
+    assert_eq!(fixture.pool.counters.turned_away, 1);
+}
+
+#[test]
+fn a_reset_after_the_request_was_sent_is_never_called_not_run() {
+    let (listener, address) = listener();
+    let mut fixture = Fixture::new();
+    fixture.send(address);
+    fixture.until("it comes up", is_connected);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let due = fixture.pool.next_wake().expect("it is being proved");
+    fixture.now = due;
+    fixture.with_io(|pool, io, events| pool.on_tick(io, events));
+    let mut buf = [0; 512];
+    let count = stream.read(&mut buf).expect("the request");
+    assert!(buf[..count].starts_with(b"GET /one HTTP/1.1\r\n"));
+    assert!(fixture.outcome().is_none());
+    reset(stream);
+    fixture.until("the reset", is_ended);
+    assert!(matches!(fixture.outcome(), Some(AttemptOutcome::Unknown(Unknown::Broken))), "{:?}", fixture.events);
+    assert_eq!(fixture.pool.counters.turned_away, 0);
+}
+
+#[test]
+fn a_proved_connection_that_holds_carries_the_request_no_earlier_than_it_was_due() {
+    let (listener, address) = listener();
+    let mut fixture = Fixture::new();
+    fixture.send(address);
+    fixture.until("it comes up", is_connected);
+    let (stream, _) = listener.accept().expect("a connection");
+    stream.set_nonblocking(true).expect("no blocking");
+    let due = fixture.pool.next_wake().expect("it is being proved");
+    fixture.now = due - Duration::from_micros(1);
+    fixture.with_io(|pool, io, events| pool.on_tick(io, events));
+    assert_eq!(fixture.pool.next_wake(), Some(due), "still being proved");
+    let waiting = stream.peek(&mut [0; 1]).map_err(|error| error.kind());
+    assert_eq!(waiting, Err(std::io::ErrorKind::WouldBlock), "nothing was sent");
+}
+
+#[test]
+fn a_reset_that_is_first_noticed_by_writing_means_that_nothing_ran() {
+    let (listener, address) = listener();
+    let mut fixture = Fixture::new();
+    fixture.send(address);
+    fixture.until("it comes up", is_connected);
+    let (stream, _) = listener.accept().expect("a connection");
+    reset(stream);
+    // The reset has arrived, and the pool hasn't been told when it begins to use the connection.
+    let mut ready = Events::with_capacity(16);
+    fixture.poll.poll(&mut ready, Some(LONG)).expect("polling");
+    assert!(ready.iter().any(|event| event.is_readable()), "the reset has arrived");
+    fixture.now = fixture.pool.next_wake().expect("it is being proved");
+    fixture.with_io(|pool, io, events| pool.on_tick(io, events));
+    assert!(matches!(fixture.outcome(), Some(AttemptOutcome::NotRun(NotRun::TurnedAway))), "{:?}", fixture.events);
+}
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -2,6 +2,7 @@
 
 use super::{AbandonCause, RoutingAction, RoutingEngine, SendReason, SentAttempt};
 use crate::request::{AttemptKey, AttemptOutcome, NotRun, RequestKey, SearcherAnswer, ShardState, Unknown};
+use crate::selection::SearcherKey;
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -24,6 +25,9 @@
         self.searchers[sent.searcher.0 as usize].released(attempt);
         self.note_searcher(now, &sent, &outcome);
         if let Some(shard) = self.close_attempt(attempt) {
+            if outcome == AttemptOutcome::NotRun(NotRun::Stale) {
+                self.allow_again(attempt.request, shard, sent.searcher);
+            }
             self.apply(now, attempt.request, shard, outcome, actions);
             self.settle(now, attempt.request, actions);
             self.schedule(attempt.request);
@@ -60,7 +64,8 @@
                 statistics.work.record(worked);
             }
             AttemptOutcome::Answered(_) | AttemptOutcome::Unknown(_) => searcher.faltered(now),
-            AttemptOutcome::Withdrawn => {}
+            // A kept connection that has ended says nothing of how the searcher works.
+            AttemptOutcome::Withdrawn | AttemptOutcome::NotRun(NotRun::Stale) => {}
             AttemptOutcome::NotRun(NotRun::Unconnected) => searcher.failed(now),
             AttemptOutcome::NotRun(NotRun::TurnedAway) => searcher.turned_away(now),
             AttemptOutcome::NotRun(NotRun::Shed) => searcher.shed(now),
@@ -79,7 +84,7 @@
         match outcome {
             AttemptOutcome::Answered(answer) => self.apply_answer(now, key, shard, answer, actions),
             AttemptOutcome::Withdrawn => {}
-            AttemptOutcome::NotRun(NotRun::Unconnected | NotRun::TurnedAway) => {
+            AttemptOutcome::NotRun(NotRun::Unconnected | NotRun::TurnedAway | NotRun::Stale) => {
                 self.forget_send(key, shard);
                 self.try_again(now, key, shard, SendReason::Reroute, None, actions);
             }
@@ -130,6 +135,14 @@
         }
     }
 
+    /// Lets a searcher be asked again for a shard that it was asked for on an ended connection. Finding
+    /// such a connection uses it up, so this can't go on for ever.
+    fn allow_again(&mut self, key: RequestKey, shard: usize, searcher: SearcherKey) {
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.shards[shard].tried.retain(|tried| *tried != searcher);
+        }
+    }
+
     fn try_again_if_repeatable(
         &mut self,
         now: BootTime,
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -60,6 +60,8 @@
     Unconnected,
     /// The connection came up and was reset before anything was sent: the searcher has enough of them.
     TurnedAway,
+    /// A kept connection had been closed by its searcher before anything was sent on it again.
+    Stale,
     /// The searcher says that it didn't run it: no room, no time, or leaving.
     Shed,
     /// Another searcher has the address.
@@ -81,6 +83,7 @@
         match self {
             NotRun::Unconnected => "unconnected",
             NotRun::TurnedAway => "turned_away",
+            NotRun::Stale => "stale",
             NotRun::Shed => "shed",
             NotRun::OtherInstance => "other_instance",
         }
--- a/crates/staircross-routing/tests/requests.rs
+++ b/crates/staircross-routing/tests/requests.rs
@@ -125,6 +125,20 @@
     assert!(matches!(driver.verdict(request), Some(Verdict::Passed(_))));
 }
 
+#[test]
+fn a_kept_connection_that_had_ended_costs_nothing_and_bars_nobody() {
+    let only = vec![searcher("i-1", "one", "a")];
+    let mut once = service_route("r", "one");
+    once.is_idempotent = false;
+    let mut driver = Driver::with(definition(1, vec![once], &["one"]), only);
+    let request = driver.request("/r/1");
+    driver.end(driver.sends[0].attempt, AttemptOutcome::NotRun(NotRun::Stale));
+    driver.end(driver.sends[1].attempt, AttemptOutcome::NotRun(NotRun::Stale));
+    assert_eq!(driver.reasons(request), [SendReason::First, SendReason::Reroute, SendReason::Reroute]);
+    driver.end(driver.sends[2].attempt, answer(200, "stamp", Vec::new()));
+    assert!(matches!(driver.verdict(request), Some(Verdict::Passed(_))));
+}
+
 #[test]
 fn a_searchers_failure_is_tried_elsewhere_then_passed_on_with_its_own_status() {
     let mut driver = repeatable();
