Tell how things stand after a merge: an entry that lapsed and came back in one update is there

Cause: a store that is away lets searchers' entries lapse; when it is back, one answer of a watch holds both the end and the new entry of a run. The mirror merged both rightly, but told them as two lists, of which the node applied the ends last: runs that serve were taken for gone until their entries changed again. Ruled out: the store's watch leaving events out (the log shows both at the same moment), relays that skip revisions, avoided searchers (no attempt failed), connections over their cap (they came half a minute later). Change: a merge tells the net state of each run it touched; a run that said it leaves within the update goes on leaving. The fuzz model compared mirrors only; it listens to what is told now, in both orders. The search was held up by logs that the reader cut: a write of more than 4 KB lost its end. The event log writes whole lines, at most 4 KB at once, which a pipe takes whole or not at all.

--- a/crates/staircross-gateway/src/event_log.rs
+++ b/crates/staircross-gateway/src/event_log.rs
@@ -12,7 +12,8 @@
 
 /// Bytes kept for a slow reader.
 const MAX_PENDING: usize = 64 * 1024;
-/// Bytes from which a piece is written at once.
+/// Bytes from which a piece is written at once, and most in one write. A pipe takes so much whole or not
+/// at all (`PIPE_BUF`), so that no line is cut.
 const WRITE_AT: usize = 4 * 1024;
 /// Longest time that a line waits for company.
 const WRITE_AFTER: Duration = Duration::from_millis(500);
@@ -150,7 +151,8 @@
     /// Writes as much as the reader takes.
     pub fn flush(&mut self, now: BootTime) {
         while !self.pending.is_empty() {
-            match rustix::io::write(rustix::stdio::stdout(), &self.pending) {
+            let piece = &self.pending[..whole_lines(&self.pending, WRITE_AT)];
+            match rustix::io::write(rustix::stdio::stdout(), piece) {
                 Ok(0) | Err(_) => break,
                 Ok(count) => {
                     self.pending.drain(..count);
@@ -165,6 +167,16 @@
     }
 }
 
+/// Length of the lines that fit into `most` bytes; a longer line stands alone.
+fn whole_lines(buf: &[u8], most: usize) -> usize {
+    if buf.len() <= most {
+        return buf.len();
+    }
+    let end = |byte: &u8| *byte == b'\n';
+    let fitting = buf[..most].iter().rposition(end);
+    fitting.or_else(|| buf.iter().position(end)).map_or(buf.len(), |last| last + 1)
+}
+
 /// A full pipe must never hold up requests. Where the flag can't be set, output is a file or a terminal.
 fn make_non_blocking() {
     if let Ok(flags) = fcntl_getfl(rustix::stdio::stdout()) {
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -62,7 +62,8 @@
     pub up_to: u64,
 }
 
-/// What a merge changed.
+/// What a merge changed: how things stand after it. No run is both among the searchers and among those
+/// that are gone, whatever happened to it on the way.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MirrorChanges {
     /// A newer configuration.
@@ -73,6 +74,43 @@
     pub gone: Vec<Arc<str>>,
 }
 
+/// Changes while a merge goes on. An update may tell several of one run; the last counts, but for that a
+/// run which once said that it leaves goes on leaving.
+#[derive(Default)]
+struct Touched {
+    configuration: Option<Arc<RoutingDefinition>>,
+    searchers: BTreeMap<Arc<str>, TouchedSearcher>,
+}
+
+#[derive(Default)]
+struct TouchedSearcher {
+    entry: Option<SearcherEntry>,
+    has_drained: bool,
+}
+
+impl Touched {
+    fn note_searcher(&mut self, entry: SearcherEntry) {
+        let touched = self.searchers.entry(entry.instance.clone()).or_default();
+        touched.has_drained |= entry.is_draining;
+        touched.entry = Some(SearcherEntry { is_draining: touched.has_drained, ..entry });
+    }
+
+    fn note_gone(&mut self, instance: Arc<str>) {
+        self.searchers.entry(instance).or_default().entry = None;
+    }
+
+    fn into_changes(self) -> MirrorChanges {
+        let mut changes = MirrorChanges { configuration: self.configuration, ..MirrorChanges::default() };
+        for (instance, touched) in self.searchers {
+            match touched.entry {
+                Some(entry) => changes.searchers.push(entry),
+                None => changes.gone.push(instance),
+            }
+        }
+        changes
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Held {
     revision: u64,
@@ -128,28 +166,28 @@
 
     /// Merges an update and tells what was news.
     pub fn merge(&mut self, update: MirrorUpdate) -> MirrorChanges {
-        let mut changes = MirrorChanges::default();
+        let mut touched = Touched::default();
         let mut listed: Vec<Arc<str>> = Vec::new();
         for (revision, item) in update.items {
             match item {
-                MirrorItem::Configuration { definition } => self.take_configuration(revision, definition, &mut changes),
+                MirrorItem::Configuration { definition } => self.take_configuration(revision, definition, &mut touched),
                 MirrorItem::Searcher { entry } => {
                     if update.is_complete_for_searchers {
                         listed.push(entry.instance.clone());
                     }
-                    self.take_searcher(revision, entry, &mut changes);
+                    self.take_searcher(revision, entry, &mut touched);
                 }
-                MirrorItem::SearcherGone { instance } => self.take_gone(revision, instance, &mut changes),
+                MirrorItem::SearcherGone { instance } => self.take_gone(revision, instance, &mut touched),
             }
         }
         if update.is_complete_for_searchers {
             listed.sort();
-            self.drop_unlisted(update.up_to, &listed, &mut changes);
+            self.drop_unlisted(update.up_to, &listed, &mut touched);
             self.has_listing = true;
         }
         self.up_to = self.up_to.max(update.up_to);
         self.forget_old_tombstones();
-        changes
+        touched.into_changes()
     }
 
     /// Everything that changed after `revision`, for a peer that knows the store up to there.
@@ -175,37 +213,37 @@
     }
 
     /// Versions only rise, whatever the revisions say.
-    fn take_configuration(&mut self, revision: u64, definition: Arc<RoutingDefinition>, changes: &mut MirrorChanges) {
+    fn take_configuration(&mut self, revision: u64, definition: Arc<RoutingDefinition>, touched: &mut Touched) {
         if definition.version <= self.version() && self.configuration.is_some() {
             return;
         }
         self.configuration = Some((revision, definition.clone()));
-        changes.configuration = Some(definition);
+        touched.configuration = Some(definition);
     }
 
-    fn take_searcher(&mut self, revision: u64, entry: SearcherEntry, changes: &mut MirrorChanges) {
+    fn take_searcher(&mut self, revision: u64, entry: SearcherEntry, touched: &mut Touched) {
         if self.searchers.get(&entry.instance).is_some_and(|held| held.revision >= revision) {
             return;
         }
         self.newest = self.newest.max(revision);
-        changes.searchers.push(entry.clone());
+        touched.note_searcher(entry.clone());
         self.searchers.insert(entry.instance.clone(), Held { revision, entry: Some(entry) });
     }
 
-    fn take_gone(&mut self, revision: u64, instance: Arc<str>, changes: &mut MirrorChanges) {
+    fn take_gone(&mut self, revision: u64, instance: Arc<str>, touched: &mut Touched) {
         let known = self.searchers.get(&instance);
         if known.is_some_and(|held| held.revision >= revision) {
             return;
         }
         if known.is_some_and(|held| held.entry.is_some()) {
-            changes.gone.push(instance.clone());
+            touched.note_gone(instance.clone());
         }
         self.newest = self.newest.max(revision);
         self.searchers.insert(instance, Held { revision, entry: None });
     }
 
     /// A whole listing at a revision leaves out what had gone by then.
-    fn drop_unlisted(&mut self, at: u64, listed: &[Arc<str>], changes: &mut MirrorChanges) {
+    fn drop_unlisted(&mut self, at: u64, listed: &[Arc<str>], touched: &mut Touched) {
         for (instance, held) in &mut self.searchers {
             let is_listed = listed.binary_search(instance).is_ok();
             if is_listed || held.entry.is_none() || held.revision > at {
@@ -214,7 +252,7 @@
             held.entry = None;
             held.revision = at;
             self.newest = self.newest.max(at);
-            changes.gone.push(instance.clone());
+            touched.note_gone(instance.clone());
         }
         self.tombstones_from = self.tombstones_from.max(at.saturating_sub(1));
     }
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use staircross_routing::mirror::MirrorChanges;
 use staircross_routing::store_reader::{Lane, ReaderAction, ReaderSettings, StoreCall, StoreReader, StoreReply};
 use staircross_routing::{CallerLimits, Mirror, MirrorItem, MirrorUpdate, RoutingDefinition, SearcherEntry};
 use staircross_types::BootTime;
@@ -66,6 +67,64 @@
     assert_eq!(back.searchers.len(), 1);
 }
 
+/// What a listener believes that only hears of changes; within one merge their order must not matter.
+#[derive(Default)]
+struct Listener {
+    ends_last: bool,
+    known: std::collections::BTreeMap<String, bool>,
+}
+
+impl Listener {
+    fn with_ends_last(ends_last: bool) -> Self {
+        Listener { ends_last, ..Listener::default() }
+    }
+
+    fn hear(&mut self, told: &MirrorChanges) {
+        if self.ends_last {
+            self.hear_entries(told);
+            self.hear_ends(told);
+        } else {
+            self.hear_ends(told);
+            self.hear_entries(told);
+        }
+    }
+
+    fn hear_entries(&mut self, told: &MirrorChanges) {
+        self.known.extend(told.searchers.iter().map(|entry| (entry.instance.to_string(), entry.is_draining)));
+    }
+
+    fn hear_ends(&mut self, told: &MirrorChanges) {
+        told.gone.iter().for_each(|instance| drop(self.known.remove(&**instance)));
+    }
+}
+
+#[test]
+fn an_entry_that_lapsed_and_came_back_in_one_update_is_there() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(5, searcher("s", false))]));
+    let told = mirror.merge(changes(vec![(7, gone("s")), (8, searcher("s", false))]));
+    assert!(told.gone.is_empty(), "it is there: {told:?}");
+    assert_eq!(told.searchers.len(), 1);
+}
+
+#[test]
+fn a_run_that_said_it_leaves_goes_on_leaving_whatever_the_same_update_says_later() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(5, searcher("s", false))]));
+    let told = mirror.merge(changes(vec![(6, searcher("s", true)), (7, gone("s")), (8, searcher("s", false))]));
+    assert!(told.gone.is_empty());
+    assert!(told.searchers.iter().all(|entry| entry.is_draining), "{told:?}");
+}
+
+#[test]
+fn an_entry_that_came_and_went_in_one_update_is_gone() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(5, searcher("s", false))]));
+    let told = mirror.merge(changes(vec![(7, searcher("s", true)), (8, gone("s"))]));
+    assert!(told.searchers.is_empty(), "it has gone: {told:?}");
+    assert_eq!(told.gone, [Arc::<str>::from("s")]);
+}
+
 #[test]
 fn a_whole_listing_ends_what_it_leaves_out_but_not_what_is_newer() {
     let mut mirror = Mirror::default();
@@ -144,12 +203,23 @@
         };
 
         let mut shuffled = Mirror::default();
+        let mut listeners = [Listener::with_ends_last(true), Listener::with_ends_last(false)];
         for index in &order {
             let event = events[index.index(events.len())].clone();
-            shuffled.merge(changes(vec![event]));
+            let news = shuffled.merge(changes(vec![event]));
+            listeners.iter_mut().for_each(|listener| listener.hear(&news));
         }
-        shuffled.merge(changes(events.clone()));
+        let news = shuffled.merge(changes(events.clone()));
+        listeners.iter_mut().for_each(|listener| listener.hear(&news));
         prop_assert_eq!(&told(&shuffled), &truth);
+        for listener in listeners {
+            prop_assert_eq!(listener.known.len(), truth.len());
+            for (instance, is_draining) in &truth {
+                // Whoever once said that it leaves may go on being taken for leaving.
+                let heard = listener.known.get(instance);
+                prop_assert!(heard.is_some_and(|heard| *heard || !is_draining), "{}: {:?}", instance, heard);
+            }
+        }
 
         // One that has followed the store in order up to some point pulls the rest from a peer.
         let reached = cut.index(events.len());
