Serve callers on a part of a large fleet

Change: the directory sends callers to as many nodes as the searchers' connections allow (three each), in each zone those with the lowest ids, at least two, and more when their load asks for it. The others are a reserve that follows everything, serves whoever asks, and takes over at once. Serving nodes share four fifths of the slack for extra sends. A fleet that is small enough, or whose routes ask no shards, serves with all its nodes.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -4,11 +4,11 @@
 //! that the store doesn't serve sees that it is behind, and asks a peer for what it lacks.
 
 use crate::dialect::DirectoryQuery;
+use crate::directory::{Candidate, Directory};
 use crate::load::is_pressed;
 use hashbrown::HashMap;
 use mio::net::UdpSocket;
 use rand::Rng;
-use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use serde::{Deserialize, Serialize};
@@ -29,12 +29,12 @@
 const PEAK_LIFE: Duration = Duration::from_secs(30);
 /// Fleet assumed at the start, until it has been seen.
 const ASSUMED_FLEET: usize = 8;
-/// Addresses in one answer of the directory.
-const MAX_ADDRESSES: usize = 64;
+/// Age at which the directory is made anew even if no member has changed: loads have.
+const DIRECTORY_LIFE: Duration = Duration::from_secs(1);
+/// Part of the slack for extra sends that serving nodes share; reserves share the rest.
+const SERVING_SLACK: f64 = 0.8;
 /// How long this node lets its own watch tell what a peer knows already.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(400);
-/// Farther nodes that stand in for each near one that is pressed.
-const FARTHER_PER_PRESSED: usize = 2;
 /// Peers that are told news at once.
 const PUSH_COUNT: usize = 12;
 
@@ -92,6 +92,36 @@
     pub unreadable: u64,
 }
 
+/// A count's largest value seen lately.
+#[derive(Clone, Copy, Debug)]
+struct Peak {
+    count: usize,
+    at: BootTime,
+}
+
+impl Peak {
+    fn new(count: usize, now: BootTime) -> Self {
+        Peak { count, at: now }
+    }
+
+    fn note(&mut self, now: BootTime, count: usize) {
+        if count >= self.count || now.since(self.at) >= PEAK_LIFE {
+            *self = Peak::new(count, now);
+        }
+    }
+}
+
+/// How many nodes there are, and what this one may spend of what they share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetShape {
+    /// Nodes that serve callers, by zone; this node counts.
+    pub nodes_by_zone: HashMap<Arc<str>, usize>,
+    /// Most nodes that served lately.
+    pub serving: usize,
+    /// This node's part of the slack for extra sends, 0 to 1.
+    pub slack_part: f64,
+}
+
 /// The fleet as this node sees it.
 pub struct Fleet {
     node: NodeId,
@@ -101,8 +131,13 @@
     own: Announcement,
     announced: HashMap<NodeId, Announcement>,
     behind_since: Option<BootTime>,
-    peak: usize,
-    peak_at: BootTime,
+    directory: Directory,
+    /// When the directory was made; `None` when it must be made anew.
+    directory_at: Option<BootTime>,
+    /// What the searcher of a shard with the lowest bound accepts from all nodes.
+    connections: Option<u32>,
+    live_peak: Peak,
+    serving_peak: Peak,
     /// Counters for metrics.
     pub counters: FleetCounters,
 }
@@ -144,8 +179,11 @@
             own: Announcement::default(),
             announced: HashMap::new(),
             behind_since: None,
-            peak: ASSUMED_FLEET,
-            peak_at: now,
+            directory: Directory::default(),
+            directory_at: None,
+            connections: None,
+            live_peak: Peak::new(ASSUMED_FLEET, now),
+            serving_peak: Peak::new(ASSUMED_FLEET, now),
             counters: FleetCounters::default(),
         }
     }
@@ -177,7 +215,11 @@
         if datagram.to.is_some_and(|to| to != self.node) || datagram.from == self.node {
             return;
         }
-        self.announced.insert(datagram.from, datagram.announcement);
+        let before = self.announced.insert(datagram.from, datagram.announcement);
+        let was_pressed = before.is_some_and(|known| is_pressed(known.load));
+        if was_pressed != is_pressed(datagram.announcement.load) {
+            self.directory_at = None;
+        }
         let mut actions = Vec::new();
         self.membership.on_message(now, datagram.from, from, datagram.message, &mut actions);
         self.carry_out(actions, events);
@@ -194,10 +236,14 @@
             self.carry_out(actions, events);
         }
         self.announced.retain(|node, _| !self.membership.is_gone(*node));
-        let live = self.live().count();
-        if live >= self.peak || now.since(self.peak_at) >= PEAK_LIFE {
-            self.peak = live;
-            self.peak_at = now;
+        self.live_peak.note(now, self.live().count());
+    }
+
+    /// Notes what the searcher of a shard with the lowest bound accepts from all nodes.
+    pub fn set_connections(&mut self, connections: Option<u32>) {
+        if self.connections != connections {
+            self.connections = connections;
+            self.directory_at = None;
         }
     }
 
@@ -269,6 +315,7 @@
             match action {
                 MembershipAction::Send { to, address, message } => self.send(to, address, message),
                 MembershipAction::Changed(node) => {
+                    self.directory_at = None;
                     if let Some(member) = self.membership.get(node) {
                         events.push(FleetEvent::Member { member: Box::new(member.clone()) });
                     }
@@ -305,15 +352,6 @@
         self.membership.members().values().filter(|member| !member.is_gone())
     }
 
-    /// Live nodes by zone, and the largest fleet seen lately.
-    pub fn sizes(&self) -> (HashMap<Arc<str>, usize>, usize) {
-        let mut by_zone: HashMap<Arc<str>, usize> = HashMap::new();
-        for member in self.live().filter(|member| member.takes_work()) {
-            *by_zone.entry(Arc::from(member.zone.0.as_str())).or_default() += 1;
-        }
-        (by_zone, self.peak)
-    }
-
     /// Live nodes known, this one included.
     pub fn live_count(&self) -> usize {
         self.live().count()
@@ -326,70 +364,67 @@
         self.announced.get(&node).map_or(0, |announced| announced.load)
     }
 
-    /// Addresses for a caller: ready nodes of its zone, else of its region, else all. Suspects only if
-    /// there is nobody else.
-    pub fn addresses_for(&mut self, query: &DirectoryQuery) -> Vec<SocketAddr> {
-        let own_zone = self.membership.own().zone.0.clone();
-        let zone = query.zone.clone().unwrap_or(own_zone);
-        let rank = |member: &Member| match () {
-            () if member.zone.0 == zone => 0_u8,
-            () if query.region.as_ref().is_some_and(|region| *region == member.region) => 1,
-            () => 2,
-        };
-        let choose = |state: MemberState| {
-            let ready = self.live().filter(|member| member.state == state && member.is_ready);
-            let candidate = |member: &Member| Candidate {
-                address: member.caller_address,
-                rank: rank(member),
-                is_pressed: is_pressed(self.load_of(member.node)),
-            };
-            ready.map(candidate).collect::<Vec<_>>()
+    /// Addresses for a caller. Suspects only if there is nobody else.
+    pub fn addresses_for(&mut self, now: BootTime, query: &DirectoryQuery) -> Vec<SocketAddr> {
+        let own_zone = || self.membership.own().zone.0.clone();
+        let query = DirectoryQuery { zone: query.zone.clone().or_else(|| Some(own_zone())), ..query.clone() };
+        self.refresh_directory(now);
+        self.directory.addresses_for(&query, &mut self.random)
+    }
+
+    /// How many nodes there are, and what this one may spend of what they share.
+    pub fn shape(&mut self, now: BootTime) -> FleetShape {
+        self.refresh_directory(now);
+        let counts = self.directory.serving_by_zone();
+        let mut nodes_by_zone: HashMap<Arc<str>, usize> =
+            counts.map(|(zone, count)| (Arc::from(zone), count)).collect();
+        let is_serving = self.is_serving();
+        if !is_serving {
+            let own_zone = self.membership.own().zone.0.as_str();
+            *nodes_by_zone.entry(Arc::from(own_zone)).or_default() += 1;
+        }
+        self.serving_peak.note(now, nodes_by_zone.values().sum());
+        let slack_part = match (self.directory.reserve_count() > 0, is_serving) {
+            (false, _) => 1.0 / self.live_peak.count.max(1) as f64,
+            (true, true) => SERVING_SLACK / self.serving_peak.count.max(1) as f64,
+            (true, false) => (1.0 - SERVING_SLACK) / self.live_peak.count.max(1) as f64,
         };
-        let mut candidates = choose(MemberState::Alive);
-        if candidates.is_empty() {
-            candidates = choose(MemberState::Suspect);
+        FleetShape { nodes_by_zone, serving: self.serving_peak.count, slack_part }
+    }
+
+    /// Whether callers are sent to this node.
+    pub fn is_serving(&self) -> bool {
+        self.directory.is_serving(self.node)
+    }
+
+    /// Whether members or their loads may have changed since the directory was made.
+    pub fn is_directory_stale(&self, now: BootTime) -> bool {
+        self.directory_at.is_none_or(|made| now.since(made) >= DIRECTORY_LIFE)
+    }
+
+    fn refresh_directory(&mut self, now: BootTime) {
+        if !self.is_directory_stale(now) {
+            return;
         }
-        let mut addresses = nearest_with_room(&candidates, &mut self.random);
-        addresses.sort_unstable();
-        addresses.dedup();
-        if addresses.len() > MAX_ADDRESSES {
-            addresses.shuffle(&mut self.random);
-            addresses.truncate(MAX_ADDRESSES);
+        let mut candidates = self.candidates(MemberState::Alive);
+        if candidates.is_empty() {
+            candidates = self.candidates(MemberState::Suspect);
         }
-        addresses
+        self.directory = Directory::new(candidates, self.connections);
+        self.directory_at = Some(now);
     }
-}
-
-/// A node that callers may be sent to.
-struct Candidate {
-    address: SocketAddr,
-    /// Lower is nearer.
-    rank: u8,
-    is_pressed: bool,
-}
 
-/// The nearest nodes. Pressed ones are left out where others are as near; where all are pressed, as
-/// many of the farther ones with room take a part of their callers.
-fn nearest_with_room(candidates: &[Candidate], random: &mut ChaCha8Rng) -> Vec<SocketAddr> {
-    let Some(nearest) = candidates.iter().map(|candidate| candidate.rank).min() else {
-        return Vec::new();
-    };
-    let near: Vec<&Candidate> = candidates.iter().filter(|candidate| candidate.rank == nearest).collect();
-    let with_room: Vec<SocketAddr> =
-        near.iter().filter(|candidate| !candidate.is_pressed).map(|candidate| candidate.address).collect();
-    if !with_room.is_empty() {
-        return with_room;
+    fn candidates(&self, state: MemberState) -> Vec<Candidate> {
+        let ready = self.live().filter(|member| member.state == state && member.is_ready);
+        let candidate = |member: &Member| Candidate {
+            node: member.node,
+            addr: member.caller_address,
+            zone: member.zone.0.clone(),
+            region: member.region.clone(),
+            load: self.load_of(member.node),
+        };
+        ready.map(candidate).collect()
     }
-    let mut addresses: Vec<SocketAddr> = near.iter().map(|candidate| candidate.address).collect();
-    let mut farther: Vec<SocketAddr> = candidates
-        .iter()
-        .filter(|candidate| candidate.rank != nearest && !candidate.is_pressed)
-        .map(|candidate| candidate.address)
-        .collect();
-    farther.shuffle(random);
-    farther.truncate(addresses.len() * FARTHER_PER_PRESSED);
-    addresses.extend(farther);
-    addresses
 }
 
 /// Callers lose a request with each second that a dead node stays in the directory, and only lose a
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -9,12 +9,14 @@
 //! | [`pool`] | connections to searchers |
 //! | [`http_call`] | one outgoing call at a time, to the store or a peer |
 //! | [`outbound`] | what of a request is sent on, and how answers are written |
-//! | [`fleet`] | members, announcements, and which nodes callers are sent to |
+//! | [`fleet`] | members, announcements, what this node may spend of what they share |
+//! | [`directory`] | which nodes callers are sent to |
 //! | [`load`] | how busy this process is, and how late it comes to its work |
 //! | [`node`] | the event loop that carries events and actions between all of these |
 //! | [`event_log`], [`metrics`] | structured lines, counters |
 
 pub mod dialect;
+pub mod directory;
 pub mod event_log;
 pub mod fleet;
 pub mod http_call;
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -43,7 +43,7 @@
             return context.plain(404, "text/plain", b"");
         };
         self.metrics.directory_questions += 1;
-        let addresses = self.fleet.addresses_for(&query);
+        let addresses = self.fleet.addresses_for(self.now, &query);
         if addresses.is_empty() {
             return context.plain(503, "text/plain", b"no node is ready\n");
         }
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -3,7 +3,7 @@
 use super::GatewayNode;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
-use crate::fleet::FleetEvent;
+use crate::fleet::{FleetEvent, FleetShape};
 use crate::http_call::CallOutcome;
 use crate::socket::SocketId;
 use staircross_routing::engine::RoutingEvent;
@@ -106,6 +106,8 @@
                 ),
             );
             self.engine_event(RoutingEvent::Configuration(Arc::new(RouteTable::new(definition))));
+            self.fleet.set_connections(self.engine.tightest_connections());
+            self.tell_fleet_shape();
         }
         for entry in &changes.searchers {
             self.log.line(
@@ -147,6 +149,9 @@
         self.fleet.set_load(self.load.percent(), &mut events);
         self.fleet.on_tick(self.now, &mut events);
         self.take_fleet_events(events);
+        if self.fleet.is_directory_stale(self.now) {
+            self.tell_fleet_shape();
+        }
     }
 
     pub(super) fn take_fleet_events(&mut self, events: Vec<FleetEvent>) {
@@ -163,8 +168,17 @@
                 ),
             );
         }
-        let (nodes_by_zone, fleet) = self.fleet.sizes();
-        self.engine_event(RoutingEvent::Fleet { nodes_by_zone, fleet });
+        self.tell_fleet_shape();
+    }
+
+    fn tell_fleet_shape(&mut self) {
+        let FleetShape { nodes_by_zone, serving, slack_part } = self.fleet.shape(self.now);
+        self.engine_event(RoutingEvent::Fleet { nodes_by_zone, serving, slack_part });
+        let is_serving = self.fleet.is_serving();
+        if is_serving != self.is_serving {
+            self.is_serving = is_serving;
+            self.log.line(self.now, LineKind::Belief, format_args!("event=serving serving={is_serving}"));
+        }
     }
 
     /// A node that the store doesn't serve takes what it lacks from a peer.
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -35,6 +35,8 @@
 
 /// Decisions kept for one request.
 const MAX_TRACE: usize = 96;
+/// Rest of connections to searchers at a node that serves no callers: others need them.
+const RESERVE_REST: Duration = Duration::from_secs(2);
 
 impl Trace {
     fn add(&mut self, now: BootTime, text: String) {
@@ -246,7 +248,8 @@
 
     pub(super) fn sweep_pool(&mut self) {
         let mut events = Vec::new();
-        self.pool.sweep(self.now, &mut events);
+        let most_rest = if self.is_serving { Duration::MAX } else { RESERVE_REST };
+        self.pool.sweep(self.now, most_rest, &mut events);
         self.take_pool_events(events);
     }
 
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -102,13 +102,14 @@
         }
     }
 
-    /// Ends connections that don't come up, whose answers nobody waits for, or that rest too long.
-    pub fn sweep(&mut self, now: BootTime, events: &mut Vec<PoolEvent>) {
+    /// Ends connections that don't come up, whose answers nobody waits for, or that rest too long: longer than
+    /// their searcher keeps them, or than `most_rest`.
+    pub fn sweep(&mut self, now: BootTime, most_rest: Duration, events: &mut Vec<PoolEvent>) {
         let mut over = Vec::new();
         for (slot, connection) in &self.connections {
             let age = now.since(connection.since);
             let is_over = match &connection.state {
-                State::Idle => age >= connection.rest,
+                State::Idle => age >= connection.rest.min(most_rest),
                 State::Connecting { assignment: Some(assignment) } => age >= assignment.order.connect_patience,
                 State::Connecting { assignment: None } => age >= Duration::from_secs(1),
                 State::Proving { .. } => false,
--- /dev/null
+++ b/crates/staircross-gateway/tests/directory.rs
@@ -0,0 +1,152 @@
+//! Which nodes callers are sent to, whichever node is asked.
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use staircross_gateway::DirectoryQuery;
+use staircross_gateway::directory::{Candidate, Directory};
+use staircross_types::NodeId;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+fn addr(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 80))
+}
+
+fn candidate(number: u16, zone: &str, region: &str) -> Candidate {
+    // Ids are random in life; here their order isn't that of the numbers.
+    let node = NodeId(u128::from(number.wrapping_mul(40_503)));
+    Candidate { node, addr: addr(number), zone: zone.to_owned(), region: region.to_owned(), load: 1 }
+}
+
+/// Six zones in three regions, `per_zone` nodes each.
+fn fleet(per_zone: u16) -> Vec<Candidate> {
+    let zones = [("a", "n"), ("b", "m"), ("c", "s"), ("d", "n"), ("e", "m"), ("f", "s")];
+    let node = |i: u16| {
+        let (zone, region) = zones[usize::from(i % 6)];
+        candidate(i, zone, region)
+    };
+    (0..per_zone * 6).map(node).collect()
+}
+
+fn query(zone: &str, region: &str) -> DirectoryQuery {
+    DirectoryQuery { zone: Some(zone.to_owned()), region: Some(region.to_owned()) }
+}
+
+fn ask(directory: &Directory, zone: &str, region: &str) -> BTreeSet<SocketAddr> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    directory.addresses_for(&query(zone, region), &mut rng).into_iter().collect()
+}
+
+fn of_zone<'a>(nodes: &'a [Candidate], zone: &'a str) -> impl Iterator<Item = &'a Candidate> {
+    nodes.iter().filter(move |node| node.zone == zone)
+}
+
+#[test]
+fn a_small_fleet_serves_with_all_its_nodes() {
+    let nodes = fleet(2);
+    let directory = Directory::new(nodes.clone(), Some(40));
+    assert_eq!(ask(&directory, "a", "n"), of_zone(&nodes, "a").map(|node| node.addr).collect());
+    assert_eq!(directory.reserve_count(), 0);
+}
+
+#[test]
+fn a_fleet_without_shards_serves_with_all_its_nodes() {
+    let directory = Directory::new(fleet(50), None);
+    assert_eq!(directory.reserve_count(), 0);
+    assert_eq!(ask(&directory, "a", "n").len(), 50);
+}
+
+#[test]
+fn a_large_fleet_serves_with_as_many_as_the_searchers_connections_allow() {
+    for per_zone in [12, 50, 120] {
+        let directory = Directory::new(fleet(per_zone), Some(67));
+        let serving: usize = directory.serving_by_zone().map(|(_, count)| count).sum();
+        assert!((12..=26).contains(&serving), "{serving} of {}", per_zone * 6);
+    }
+}
+
+#[test]
+fn all_nodes_send_callers_to_the_same_ones_in_whatever_order_they_learned_of_them() {
+    let nodes = fleet(12);
+    let mut reversed = nodes.clone();
+    reversed.reverse();
+    let (one, other) = (Directory::new(nodes, Some(67)), Directory::new(reversed, Some(67)));
+    assert_eq!(ask(&one, "c", "s"), ask(&other, "c", "s"));
+}
+
+#[test]
+fn a_serving_node_that_goes_is_replaced_and_the_others_stay() {
+    let nodes = fleet(12);
+    let before = ask(&Directory::new(nodes.clone(), Some(67)), "b", "m");
+    let gone = *before.first().expect("somebody serves");
+    let left: Vec<Candidate> = nodes.into_iter().filter(|node| node.addr != gone).collect();
+    let after = ask(&Directory::new(left, Some(67)), "b", "m");
+    assert_eq!(after.len(), before.len());
+    assert!(!after.contains(&gone));
+    assert_eq!(before.intersection(&after).count(), before.len() - 1);
+}
+
+#[test]
+fn a_zone_with_a_serving_node_may_lose_it() {
+    let mut nodes = fleet(60);
+    nodes.push(candidate(900, "small", "n"));
+    nodes.push(candidate(901, "small", "n"));
+    assert_eq!(ask(&Directory::new(nodes, Some(10)), "small", "n").len(), 2);
+}
+
+#[test]
+fn a_load_that_few_can_not_carry_is_spread_over_more() {
+    let mut nodes = fleet(12);
+    nodes.iter_mut().for_each(|node| node.load = 30);
+    let directory = Directory::new(nodes, Some(67));
+    assert_eq!(ask(&directory, "a", "n").len(), 9, "12 nodes of 30 in 100 are 9 of 40 in 100");
+}
+
+#[test]
+fn a_pressed_node_gets_no_callers_while_others_are_as_near() {
+    let mut nodes = fleet(2);
+    nodes[0].load = 90;
+    let pressed = nodes[0].addr;
+    let directory = Directory::new(nodes, Some(40));
+    assert!(!ask(&directory, "a", "n").contains(&pressed));
+}
+
+#[test]
+fn reserves_join_where_all_serving_nodes_are_pressed() {
+    let mut nodes = fleet(12);
+    let serving = ask(&Directory::new(nodes.clone(), Some(67)), "a", "n");
+    nodes.iter_mut().filter(|node| serving.contains(&node.addr)).for_each(|node| node.load = 80);
+    let directory = Directory::new(nodes.clone(), Some(67));
+    let now = ask(&directory, "a", "n");
+    assert!(!now.is_empty() && now.is_disjoint(&serving), "{now:?}");
+    assert!(now.iter().all(|addr| of_zone(&nodes, "a").any(|node| node.addr == *addr)));
+}
+
+#[test]
+fn farther_nodes_with_room_share_the_callers_of_a_zone_that_is_pressed_as_a_whole() {
+    let mut nodes = fleet(1);
+    nodes[0].load = 90;
+    let addresses = ask(&Directory::new(nodes.clone(), Some(40)), "a", "n");
+    assert!(addresses.contains(&nodes[0].addr));
+    assert_eq!(addresses.len(), 3);
+}
+
+#[test]
+fn callers_of_a_zone_without_nodes_are_sent_to_their_region() {
+    let nodes: Vec<Candidate> = fleet(12).into_iter().filter(|node| node.zone != "a").collect();
+    let directory = Directory::new(nodes.clone(), Some(67));
+    let addresses = ask(&directory, "a", "n");
+    assert!(!addresses.is_empty());
+    assert!(addresses.iter().all(|addr| of_zone(&nodes, "d").any(|node| node.addr == *addr)));
+}
+
+#[test]
+fn an_answer_never_has_more_addresses_than_callers_take() {
+    let directory = Directory::new((0..200).map(|i| candidate(i, "a", "n")).collect(), None);
+    assert_eq!(ask(&directory, "a", "n").len(), 64);
+}
+
+#[test]
+fn nobody_ready_is_no_address() {
+    assert!(ask(&Directory::new(Vec::new(), Some(40)), "a", "n").is_empty());
+}
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod settle;
 
+use crate::definition::RouteTarget;
 pub use crate::engine_message::{
     AbandonCause, LeftOutCause, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
 };
@@ -94,6 +95,8 @@
     pub(crate) settings: RoutingSettings,
     pub(crate) random: ChaCha8Rng,
     pub(crate) place: Place,
+    /// Part of the slack for extra sends that this node may spend.
+    pub(crate) slack_part: f64,
     pub(crate) table: Option<Arc<RouteTable>>,
     pub(crate) searchers: Vec<Searcher>,
     by_instance: HashMap<Arc<str>, SearcherKey>,
@@ -117,12 +120,13 @@
             zone: settings.zone.clone(),
             regions: settings.regions.clone(),
             nodes_by_zone: HashMap::from([(settings.zone.clone(), 1)]),
-            fleet: 1,
+            serving: 1,
             ways: HashMap::new(),
         };
         RoutingEngine {
             random: ChaCha8Rng::seed_from_u64(settings.seed),
             place,
+            slack_part: 1.0,
             settings,
             table: None,
             searchers: Vec::new(),
@@ -145,9 +149,10 @@
             RoutingEvent::Configuration(table) => self.set_table(table),
             RoutingEvent::Searchers(entries) => entries.into_iter().for_each(|entry| self.set_searcher(now, entry)),
             RoutingEvent::SearchersGone(instances) => instances.iter().for_each(|instance| self.set_gone(instance)),
-            RoutingEvent::Fleet { nodes_by_zone, fleet } => {
+            RoutingEvent::Fleet { nodes_by_zone, serving, slack_part } => {
                 self.place.nodes_by_zone = nodes_by_zone;
-                self.place.fleet = fleet;
+                self.place.serving = serving;
+                self.slack_part = slack_part;
             }
             RoutingEvent::Arrived(arrival) => self.admit(now, arrival, actions),
             RoutingEvent::CallerGone(request) => self.on_caller_gone(request, actions),
@@ -185,6 +190,17 @@
         self.searchers.iter().filter(|searcher| searcher.is_serving()).count()
     }
 
+    /// What the searcher of a shard with the lowest bound accepts from all nodes together; `None` when no
+    /// route asks shards.
+    pub fn tightest_connections(&self) -> Option<u32> {
+        let routes = &self.table.as_ref()?.definition().routes;
+        let shards = routes.iter().filter_map(|route| match &route.target {
+            RouteTarget::Gather(gather) => Some(&gather.shards),
+            RouteTarget::Service(_) | RouteTarget::Weighted(_) => None,
+        });
+        shards.flatten().filter_map(|shard| self.max_connections.get(shard).copied()).min()
+    }
+
     fn set_table(&mut self, table: Arc<RouteTable>) {
         let services = &table.definition().services;
         self.max_connections = services.iter().map(|entry| (entry.name.clone(), entry.max_connections)).collect();
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -157,7 +157,7 @@
 
     fn spend(&mut self, now: BootTime, service: &Arc<str>) -> bool {
         let window = self.windows.entry(service.clone()).or_default();
-        let has_leave = window.try_spend(now, &self.settings.extra, self.place.fleet);
+        let has_leave = window.try_spend(now, &self.settings.extra, self.slack_part);
         if !has_leave {
             self.counters.over_budget += 1;
         }
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -21,10 +21,12 @@
     SearchersGone(Vec<Arc<str>>),
     /// The live nodes have changed.
     Fleet {
-        /// Live nodes by zone, this one included.
+        /// Nodes that serve callers, by zone; this one counts.
         nodes_by_zone: HashMap<Arc<str>, usize>,
-        /// Most live nodes seen lately.
-        fleet: usize,
+        /// Most nodes that served lately.
+        serving: usize,
+        /// This node's part of the slack for extra sends, 0 to 1.
+        slack_part: f64,
     },
     /// A request has arrived.
     Arrived(Arrival),
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -37,10 +37,10 @@
     pub zone: Arc<str>,
     /// Regions by zone.
     pub regions: HashMap<Arc<str>, Arc<str>>,
-    /// Live nodes by zone, this one included.
+    /// Nodes that serve callers, by zone; this one counts.
     pub nodes_by_zone: HashMap<Arc<str>, usize>,
-    /// Most live nodes seen lately.
-    pub fleet: usize,
+    /// Most nodes that served lately.
+    pub serving: usize,
     /// Least times to connect, by zone.
     pub ways: HashMap<Arc<str>, Duration>,
 }
@@ -88,7 +88,7 @@
     /// Connections that this node may hold to a searcher, so that all nodes together stay below its bound.
     pub fn connection_share(&self, searcher: &Searcher) -> usize {
         let most = f64::from(searcher.max_connections);
-        let fleet = self.fleet.max(1);
+        let fleet = self.serving.max(1);
         let near = self.nodes_by_zone.get(&searcher.entry.zone).copied().unwrap_or(0).min(fleet);
         let share = if near == 0 {
             most * (OWN_ZONE_PART + OTHER_ZONE_PART) / fleet as f64
--- a/crates/staircross-routing/src/window.rs
+++ b/crates/staircross-routing/src/window.rs
@@ -45,12 +45,12 @@
         self.current(now, bound).requests += 1;
     }
 
-    /// Takes leave for one extra send, if there is any.
-    pub fn try_spend(&mut self, now: BootTime, bound: &ExtraBound, fleet: usize) -> bool {
+    /// Takes leave for one extra send, if there is any. `slack_part` of the slack is this node's, 0 to 1.
+    pub fn try_spend(&mut self, now: BootTime, bound: &ExtraBound, slack_part: f64) -> bool {
         self.current(now, bound);
         let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
         let extras: u32 = self.steps.iter().map(|step| step.extras).sum();
-        let own_slack = bound.slack * SLACK_USED / fleet.max(1) as f64;
+        let own_slack = bound.slack * SLACK_USED * slack_part;
         let allowed = f64::from(requests) * bound.ratio * RATIO_USED + own_slack;
         if f64::from(extras + 1) > allowed {
             return false;
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -211,6 +211,7 @@
     pub fn fleet(&mut self, zones: &[(&str, usize)], fleet: usize) {
         let nodes_by_zone: HashMap<Arc<str>, usize> =
             zones.iter().map(|(zone, count)| (Arc::from(*zone), *count)).collect();
-        self.event(RoutingEvent::Fleet { nodes_by_zone, fleet });
+        let slack_part = 1.0 / fleet as f64;
+        self.event(RoutingEvent::Fleet { nodes_by_zone, serving: fleet, slack_part });
     }
 }
