--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -94,7 +94,9 @@
     }
 
     fn hear_ends(&mut self, told: &MirrorChanges) {
-        told.gone.iter().for_each(|instance| drop(self.known.remove(&**instance)));
+        for instance in &told.gone {
+            self.known.remove(&**instance);
+        }
     }
 }
 
