--- a/crates/staircross-capacity/src/plan.rs
+++ b/crates/staircross-capacity/src/plan.rs
@@ -44,8 +44,6 @@
 
 /// Owners of each group of searchers, as the cluster logic chooses them.
 const OWNERS_PER_GROUP: f64 = 2.0;
-/// Voters per zone, as the agreement keeps them.
-const VOTERS_PER_ZONE: f64 = 3.0;
 /// Copies of each session besides the holder's.
 const SESSION_COPIES: f64 = 2.0;
 /// Microseconds in a second.
@@ -57,7 +55,6 @@
     request_rows(sizes, slopes, &mut rows);
     searcher_rows(sizes, &mut rows);
     session_rows(sizes, slopes, &mut rows);
-    control_rows(sizes, slopes, &mut rows);
     Plan { name: sizes.name.clone(), rows }
 }
 
@@ -193,60 +190,6 @@
     });
 }
 
-fn control_rows(sizes: &Sizes, slopes: &Slopes, rows: &mut Vec<PlanRow>) {
-    let line = |base: f64, per_member: f64| base + per_member * sizes.nodes;
-    let bytes = line(slopes.control_bytes_per_s_base.median, slopes.control_bytes_per_s_per_member.median);
-    let micros = line(slopes.control_us_per_s_base.median, slopes.control_us_per_s_per_member.median);
-    let changes = sizes.changes_per_day / 86_400.0 * slopes.change_bytes.median;
-    let memory = sizes.nodes * slopes.control_bytes_per_member.median
-        + sizes.searchers * slopes.control_bytes_per_searcher.median;
-    rows.push(PlanRow {
-        role: "control member",
-        quantity: "bytes sent",
-        needed: bytes + changes,
-        allowed: Some(sizes.limits.control_bytes_per_s),
-        unit: "B/s",
-        mechanism: "probes one at a time, gossip of news only, lease tree",
-        built: true,
-    });
-    rows.push(PlanRow {
-        role: "voter",
-        quantity: "bytes sent by the busiest",
-        needed: slopes.voter_bytes_per_s.median + changes * sizes.zones * VOTERS_PER_ZONE,
-        allowed: Some(sizes.limits.control_bytes_per_s),
-        unit: "B/s",
-        mechanism: "three voters a zone; only voters and six nodes a region ask them",
-        built: true,
-    });
-    rows.push(PlanRow {
-        role: "control member",
-        quantity: "processor",
-        needed: micros / MICROS * 100.0,
-        allowed: Some(sizes.limits.control_core_share * 100.0),
-        unit: "% of a core",
-        mechanism: "no all-to-all; system calls not counted",
-        built: true,
-    });
-    rows.push(PlanRow {
-        role: "control member",
-        quantity: "memory",
-        needed: memory / 1e6,
-        allowed: Some(sizes.limits.control_bytes / 1e6),
-        unit: "MB",
-        mechanism: "one record per member and searcher",
-        built: true,
-    });
-    rows.push(PlanRow {
-        role: "control member",
-        quantity: "change in force everywhere",
-        needed: slopes.in_force_ms.median + 4.0 * sizes.farthest_ms,
-        allowed: Some(sizes.limits.in_force_ms),
-        unit: "ms",
-        mechanism: "majority in every region, learned, then the longest lease waited out",
-        built: true,
-    });
-}
-
 impl Plan {
     /// The row that is nearest to its limit or farthest beyond it, among what is done.
     pub fn first_limit(&self) -> Option<&PlanRow> {
--- a/crates/staircross-capacity/src/sizes.rs
+++ b/crates/staircross-capacity/src/sizes.rs
@@ -11,10 +11,6 @@
     pub name: String,
     /// Nodes.
     pub nodes: f64,
-    /// Regions.
-    pub regions: f64,
-    /// Zones in all.
-    pub zones: f64,
     /// Searchers.
     pub searchers: f64,
     /// Slots of a searcher.
@@ -27,28 +23,8 @@
     pub fan_out: f64,
     /// Sessions over the whole fleet.
     pub sessions: f64,
-    /// Changes of configuration a day.
-    pub changes_per_day: f64,
-    /// One-way delay between the farthest nodes, in milliseconds.
-    pub farthest_ms: f64,
     /// Cores of a node that requests may use.
     pub cores: f64,
-    /// What the users allow.
-    pub limits: Limits,
-}
-
-/// What the users allow.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Limits {
-    /// Share of a core that control may take on a node.
-    pub control_core_share: f64,
-    /// Memory that control may take on a node, in bytes.
-    pub control_bytes: f64,
-    /// Bytes a second that control may send from a node.
-    pub control_bytes_per_s: f64,
-    /// Time until a change is in force everywhere, in milliseconds.
-    pub in_force_ms: f64,
 }
 
 impl Sizes {
@@ -63,21 +39,13 @@
     fn check(&self) -> Result<(), InvalidSetting> {
         let counts = [
             ("nodes", self.nodes),
-            ("regions", self.regions),
-            ("zones", self.zones),
             ("searchers", self.searchers),
             ("slots", self.slots),
             ("connections", self.connections),
             ("queries_per_s", self.queries_per_s),
             ("fan_out", self.fan_out),
             ("sessions", self.sessions),
-            ("changes_per_day", self.changes_per_day),
-            ("farthest_ms", self.farthest_ms),
             ("cores", self.cores),
-            ("limits.control_core_share", self.limits.control_core_share),
-            ("limits.control_bytes", self.limits.control_bytes),
-            ("limits.control_bytes_per_s", self.limits.control_bytes_per_s),
-            ("limits.in_force_ms", self.limits.in_force_ms),
         ];
         for (key, value) in counts {
             if !value.is_finite() || value <= 0.0 {
--- a/crates/staircross-capacity/src/slopes.rs
+++ b/crates/staircross-capacity/src/slopes.rs
@@ -44,24 +44,6 @@
     pub session_copy_bytes: Slope,
     /// Bytes of memory per session that a node holds.
     pub session_bytes: Slope,
-    /// Bytes a second that control sends from a node, at no members (intercept).
-    pub control_bytes_per_s_base: Slope,
-    /// The same, more per member.
-    pub control_bytes_per_s_per_member: Slope,
-    /// Bytes a second that the busiest voter sends.
-    pub voter_bytes_per_s: Slope,
-    /// Microseconds of processor a second that control takes on a node, at no members (intercept).
-    pub control_us_per_s_base: Slope,
-    /// The same, more per member.
-    pub control_us_per_s_per_member: Slope,
-    /// Bytes of memory that control takes per member known.
-    pub control_bytes_per_member: Slope,
-    /// Bytes of memory per searcher record known.
-    pub control_bytes_per_searcher: Slope,
-    /// Bytes of one change of a policy in the log.
-    pub change_bytes: Slope,
-    /// Milliseconds from a proposal until in force everywhere, 99 in 100, at 150 hollow nodes.
-    pub in_force_ms: Slope,
 }
 
 /// The figures committed with this version.
--- a/crates/staircross-cluster/src/engine/fanout.rs
+++ b/crates/staircross-cluster/src/engine/sessions.rs
@@ -1,77 +1,13 @@
-//! How the engine passes peers' messages to its parts, and sessions' copies to peers.
+//! Copies of sessions: which peers keep them, and what is asked of them.
 
 use super::{ClusterAction, ClusterEngine};
-use crate::config_state::Change;
-use crate::message::{ClusterMessage, Envelope, ProposalReply};
+use crate::message::ClusterMessage;
 use crate::replicas::{ASKED, COPIES, ReplicaMessage, SessionCopy};
-use staircross_types::{BootTime, NodeId, SessionToken};
+use staircross_types::{NodeId, SessionToken};
 use std::net::SocketAddr;
 
 impl ClusterEngine {
-    pub(super) fn on_envelope(&mut self, now: BootTime, envelope: Envelope, actions: &mut Vec<ClusterAction>) {
-        // Meant for the run that was at this address before.
-        if envelope.to.is_some_and(|to| to != self.me) || envelope.from == self.me {
-            return;
-        }
-        let Envelope { from, from_address, message, .. } = envelope;
-        match message {
-            ClusterMessage::Membership(message) => {
-                let mut out = Vec::new();
-                self.membership.on_message(now, from, from_address, message, &mut out);
-                self.do_membership(out, actions);
-            }
-            ClusterMessage::Agreement(message) => {
-                let mut out = Vec::new();
-                self.agreement.note_address(from, from_address);
-                self.agreement.on_message(now, from, message, &mut self.random, &mut out);
-                self.do_agreement(out, actions);
-            }
-            ClusterMessage::Genesis(message) => {
-                let mut out = Vec::new();
-                self.genesis.on_message(now, from, from_address, message, &mut out);
-                self.do_genesis(now, out, actions);
-            }
-            ClusterMessage::Lease(message) => self.on_lease_message(now, from, from_address, message, actions),
-            ClusterMessage::Views(message) => {
-                let mut out = Vec::new();
-                self.views.on_message(from, from_address, message, &mut out);
-                self.do_views(out, actions);
-            }
-            ClusterMessage::Replica(message) => self.on_replica_message(from, from_address, message, actions),
-            ClusterMessage::Propose { origin, is_passed_on, change } => {
-                self.on_proposal(now, origin, is_passed_on, change, actions);
-            }
-            ClusterMessage::Proposed(reply) => actions.push(ClusterAction::Proposed(reply)),
-        }
-    }
-
-    fn on_proposal(
-        &mut self,
-        now: BootTime,
-        origin: NodeId,
-        is_passed_on: bool,
-        change: Change,
-        actions: &mut Vec<ClusterAction>,
-    ) {
-        if self.passed_on.contains(change.id) {
-            return;
-        }
-        // What was refused here as not taken must stay so: the refusal has been sent.
-        let is_refused = self.agreement.has_refused(change.id);
-        let leader = self.agreement.leader().filter(|leader| *leader != self.me && !is_passed_on && !is_refused);
-        let address = leader.and_then(|leader| self.membership.get(leader)).map(|member| member.peer_address);
-        if let Some(address) = address {
-            self.passed_on.remember(change.id);
-            let message = ClusterMessage::Propose { origin, is_passed_on: true, change };
-            self.send(leader, address, message, actions);
-            return;
-        }
-        let mut out = Vec::new();
-        self.agreement.propose(now, origin, change, &mut out);
-        self.do_agreement(out, actions);
-    }
-
-    fn on_replica_message(
+    pub(super) fn on_replica_message(
         &mut self,
         from: NodeId,
         from_address: SocketAddr,
@@ -157,9 +93,4 @@
             self.send(Some(node), address, ClusterMessage::Replica(message), actions);
         }
     }
-
-    /// The reply to a change that nobody answered for.
-    pub fn unanswered(&self, id: crate::config_state::ChangeId) -> ProposalReply {
-        self.change_reply(id).unwrap_or(ProposalReply::Pending { id })
-    }
 }
--- /dev/null
+++ b/crates/staircross-cluster/tests/common/mod.rs
@@ -0,0 +1,248 @@
+//! A few nodes of the cluster logic on a simulated network, with a platform that some of them can read.
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use staircross_cluster::{ClusterAction, ClusterEngine, ClusterEvent, ClusterSettings, Envelope, Member, MemberState};
+use staircross_config::{PlatformDocument, ServiceDefinition, ServicePolicy};
+use staircross_types::{BootTime, NodeId, ServiceName, ZoneName};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(20);
+const POLL: Duration = Duration::from_millis(500);
+const DELAY: Duration = Duration::from_millis(5);
+
+/// One process: its engine, and what was ever wrong with what it held.
+struct Node {
+    engine: ClusterEngine,
+    paused_until: BootTime,
+    next_poll: BootTime,
+    held: u64,
+}
+
+/// A message that arrives at a time.
+struct Arrival {
+    due: BootTime,
+    to: SocketAddr,
+    from: SocketAddr,
+    envelope: Envelope,
+}
+
+/// The simulated fleet.
+pub struct Fleet {
+    pub now: BootTime,
+    nodes: Vec<Option<Node>>,
+    arrivals: Vec<Arrival>,
+    rng: ChaCha8Rng,
+    next_run: u128,
+    /// Messages lost, per thousand.
+    pub loss_per_mille: u32,
+    /// Pairs of sides between which nothing passes: nodes in the set and the others.
+    pub cut_off: BTreeSet<usize>,
+    /// Nodes that the platform serves.
+    pub served: BTreeSet<usize>,
+    /// All documents ever published; the platform shows the one at `shown`.
+    pub documents: Vec<Arc<PlatformDocument>>,
+    pub shown: usize,
+    pub violations: Vec<String>,
+}
+
+pub fn document(revision: u64) -> Arc<PlatformDocument> {
+    let service = ServiceDefinition {
+        name: ServiceName::new("s"),
+        policy: ServicePolicy { wait_ms: 100 + revision, ..ServicePolicy::default() },
+        searchers: Vec::new(),
+        shard_maps: Vec::new(),
+    };
+    Arc::new(PlatformDocument::new(revision, vec![service]))
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8 + 1], 1))
+}
+
+impl Fleet {
+    /// `count` nodes that have just started, all served by a platform with one document.
+    pub fn new(count: usize, seed: u64) -> Self {
+        let mut fleet = Fleet {
+            now: BootTime::from_millis(1000),
+            nodes: (0..count).map(|_| None).collect(),
+            arrivals: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next_run: 1,
+            loss_per_mille: 0,
+            cut_off: BTreeSet::new(),
+            served: (0..count).collect(),
+            documents: vec![document(1)],
+            shown: 0,
+            violations: Vec::new(),
+        };
+        (0..count).for_each(|index| fleet.start(index));
+        fleet
+    }
+
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Starts a node, as a new run without memory.
+    pub fn start(&mut self, index: usize) {
+        let me = Member {
+            node: NodeId(self.next_run),
+            peer_address: address(index),
+            caller_address: address(index),
+            region: "r".to_owned(),
+            zone: ZoneName::new(format!("z{}", index % 3)),
+            state: MemberState::Alive,
+            version: 1,
+            is_ready: true,
+        };
+        self.next_run += 1;
+        let seeds = vec![address(0), address(1), address(2)];
+        let engine = ClusterEngine::new(ClusterSettings::new(me, seeds), self.rng.random());
+        let next_poll = self.now;
+        self.nodes[index] = Some(Node { engine, paused_until: BootTime::default(), next_poll, held: 0 });
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index] = None;
+    }
+
+    pub fn pause(&mut self, index: usize, span: Duration) {
+        let until = self.now + span;
+        if let Some(node) = &mut self.nodes[index] {
+            node.paused_until = until;
+        }
+    }
+
+    /// Publishes the next document.
+    pub fn publish(&mut self) {
+        self.documents.push(document(self.documents.len() as u64 + 1));
+        self.shown = self.documents.len() - 1;
+    }
+
+    pub fn newest(&self) -> u64 {
+        self.documents.len() as u64
+    }
+
+    pub fn revision(&self, index: usize) -> Option<u64> {
+        self.nodes[index].as_ref().map(|node| node.engine.revision())
+    }
+
+    pub fn all_hold(&self, revision: u64) -> bool {
+        (0..self.len()).filter_map(|index| self.revision(index)).all(|held| held == revision)
+    }
+
+    pub fn deaths_declared(&self) -> u64 {
+        self.nodes.iter().flatten().map(|node| node.engine.declared_dead()).sum()
+    }
+
+    /// Whether `one` takes the present run of `other` for alive.
+    pub fn sees_alive(&self, one: usize, other: usize) -> bool {
+        let (Some(one), Some(other)) = (&self.nodes[one], &self.nodes[other]) else {
+            return false;
+        };
+        one.engine.member(other.engine.node()).is_some_and(|member| member.state == MemberState::Alive)
+    }
+
+    pub fn all_see_all(&self) -> bool {
+        let up = || (0..self.len()).filter(|index| self.nodes[*index].is_some());
+        up().all(|one| up().all(|other| self.sees_alive(one, other)))
+    }
+
+    pub fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.deliver();
+            for index in 0..self.nodes.len() {
+                self.turn(index);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.arrivals).into_iter().partition(|arrival| arrival.due <= now);
+        self.arrivals = later;
+        let due: Vec<Arrival> = due;
+        for arrival in due {
+            self.receive(arrival);
+        }
+    }
+
+    fn receive(&mut self, arrival: Arrival) {
+        let Some(index) = (0..self.len()).find(|index| address(*index) == arrival.to) else {
+            return;
+        };
+        let is_paused = self.nodes[index].as_ref().is_some_and(|node| node.paused_until > self.now);
+        if is_paused {
+            // It waits in the socket.
+            self.arrivals.push(Arrival { due: self.now + TICK, ..arrival });
+            return;
+        }
+        let from = (0..self.len()).find(|index| address(*index) == arrival.from);
+        let is_cut = from.is_some_and(|from| self.cut_off.contains(&from) != self.cut_off.contains(&index));
+        if is_cut || self.rng.random_range(0..1000) < self.loss_per_mille {
+            return;
+        }
+        self.tell(index, ClusterEvent::Message(Box::new(arrival.envelope)));
+    }
+
+    fn turn(&mut self, index: usize) {
+        let Some(node) = &mut self.nodes[index] else {
+            return;
+        };
+        if node.paused_until > self.now {
+            return;
+        }
+        let polls = node.next_poll <= self.now;
+        if polls {
+            node.next_poll = self.now + POLL;
+        }
+        if polls && self.served.contains(&index) {
+            let shown = self.documents[self.shown].clone();
+            self.tell(index, ClusterEvent::Platform(shown));
+        }
+        self.tell(index, ClusterEvent::Tick);
+        self.judge(index);
+    }
+
+    fn tell(&mut self, index: usize, event: ClusterEvent) {
+        let Some(node) = &mut self.nodes[index] else {
+            return;
+        };
+        let mut actions = Vec::new();
+        node.engine.on_event(self.now, event, &mut actions);
+        let due = self.now + DELAY;
+        for action in actions {
+            if let ClusterAction::Send(envelope) = action {
+                self.arrivals.push(Arrival { due, to: envelope.to_address, from: address(index), envelope });
+            }
+        }
+    }
+
+    /// What must hold at every moment: only what was published, and never an older one.
+    fn judge(&mut self, index: usize) {
+        let Some(node) = &mut self.nodes[index] else {
+            return;
+        };
+        let revision = node.engine.revision();
+        if revision < node.held {
+            self.violations.push(format!("node {index} fell back from {} to {revision}", node.held));
+        }
+        node.held = revision;
+        let published = revision.checked_sub(1).map(|before| self.documents.get(before as usize));
+        let is_as_published = match (published, node.engine.config()) {
+            (None, None) => true,
+            (Some(Some(published)), Some(held)) => published == held,
+            _ => false,
+        };
+        if !is_as_published {
+            self.violations.push(format!("node {index} holds something never published as {revision}"));
+        }
+    }
+}
--- a/crates/staircross-config/src/document.rs
+++ b/crates/staircross-config/src/document.rs
@@ -1,9 +1,10 @@
 //! What the platform publishes: a revisioned service document and a lagging machine list.
 
 use crate::invalid::InvalidSetting;
-use crate::service::ServiceDefinition;
+use crate::service::{SearcherDefinition, ServiceDefinition};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use staircross_types::SearcherId;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// The platform's service document.
@@ -14,9 +15,17 @@
     pub revision: u64,
     /// All services.
     pub services: Vec<ServiceDefinition>,
+    /// Searchers that get no new work.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub drained: BTreeSet<SearcherId>,
 }
 
 impl PlatformDocument {
+    /// A document with these services, none of whose searchers is drained.
+    pub fn new(revision: u64, services: Vec<ServiceDefinition>) -> Self {
+        PlatformDocument { revision, services, drained: BTreeSet::new() }
+    }
+
     /// Reads a document from JSON and checks it; `origin` names the source in errors.
     pub fn from_json(origin: &str, text: &str) -> Result<Self, InvalidSetting> {
         let document: PlatformDocument = serde_json::from_str(text)
@@ -25,19 +34,21 @@
         Ok(document)
     }
 
-    /// Checks every service, and that names and searcher ids occur once.
+    /// Checks every service, that names occur once, and that a searcher is the same wherever it is listed.
     pub fn check(&self) -> Result<(), InvalidSetting> {
         let mut names = BTreeSet::new();
-        let mut searchers = BTreeSet::new();
+        let mut searchers: BTreeMap<SearcherId, &SearcherDefinition> = BTreeMap::new();
         for service in &self.services {
             service.check()?;
             if !names.insert(&service.name) {
                 return Err(InvalidSetting::value("services.name", &service.name, "each name once"));
             }
             for searcher in &service.searchers {
-                if !searchers.insert(searcher.id) {
+                let known = searchers.entry(searcher.id).or_insert(searcher);
+                if *known != searcher {
                     let key = format!("services.{}.searchers.id", service.name);
-                    return Err(InvalidSetting::value(key, searcher.id, "each id once over all services"));
+                    let allowed = "one address, zone, group and size for each id over all services";
+                    return Err(InvalidSetting::value(key, searcher.id, allowed));
                 }
             }
         }
--- a/crates/staircross-config/src/settings.rs
+++ b/crates/staircross-config/src/settings.rs
@@ -76,8 +76,6 @@
     pub reply_bytes: usize,
     /// Time for a caller to send a whole request, in milliseconds.
     pub caller_timeout_ms: u64,
-    /// Longest time a planned stop waits for requests in flight, in milliseconds.
-    pub stop_ms: u64,
 }
 
 impl Default for LimitSettings {
@@ -88,7 +86,6 @@
             request_bytes: 64 * 1024,
             reply_bytes: 8 * 1024 * 1024,
             caller_timeout_ms: 30_000,
-            stop_ms: 30_000,
         }
     }
 }
@@ -119,8 +116,7 @@
         check_range("limits.caller_connections", self.limits.caller_connections, 1..=65_535)?;
         check_range("limits.request_bytes", self.limits.request_bytes, 64..=16 * 1024 * 1024)?;
         check_range("limits.reply_bytes", self.limits.reply_bytes, 1024..=1024 * 1024 * 1024)?;
-        check_range("limits.caller_timeout_ms", self.limits.caller_timeout_ms, 10..=600_000)?;
-        check_range("limits.stop_ms", self.limits.stop_ms, 10..=600_000)
+        check_range("limits.caller_timeout_ms", self.limits.caller_timeout_ms, 10..=600_000)
     }
 
     /// Time between reads of the platform.
--- a/crates/staircross-lab/src/fleet.rs
+++ b/crates/staircross-lab/src/fleet.rs
@@ -200,6 +200,12 @@
         place_shards(snapshot, shards, replicas, &self.searchers_of(service))
     }
 
+    /// Publishes an edited document, as an operator does.
+    pub fn publish(&mut self, document: PlatformDocument) {
+        self.document = document;
+        self.platform.publish(self.document.clone());
+    }
+
     /// Publishes a document in which `service` has these shard maps.
     pub fn publish_maps(&mut self, service: &str, maps: Vec<ShardMap>) {
         self.document.revision += 1;
@@ -260,7 +266,7 @@
             shard_maps: vec![map],
         });
     }
-    Ok(PlatformDocument { revision: 1, services })
+    Ok(PlatformDocument::new(1, services))
 }
 
 fn start_searchers(
--- a/crates/staircross-lab/src/fuzz/reference.rs
+++ b/crates/staircross-lab/src/fuzz/reference.rs
@@ -1,4 +1,4 @@
-//! The reference that both models share: it knows nothing but the seed, because the oracles judge
+//! The reference of the model: it knows nothing but the seed, because the oracle judges
 //! what happened and every operation is valid at any moment.
 
 use proptest::prelude::*;
--- a/crates/staircross-lab/src/lib.rs
+++ b/crates/staircross-lab/src/lib.rs
@@ -7,11 +7,9 @@
 //! | [`experiment`] | simulated fleets at the users' sizes, measured |
 //! | [`fuzz`] | stateful fuzz models, as tests and from the command line |
 //! | [`sim`] | a simulated fleet and the oracle |
-//! | [`cluster_sim`] | a simulated fleet of the cluster logic |
-//! | [`timed_queue`] | events by time, for both simulators |
+//! | [`timed_queue`] | events by time |
 //! | [`report`] | one line per request, for people or as JSON |
 
-pub mod cluster_sim;
 pub mod demo;
 pub mod experiment;
 pub mod fleet;
--- a/crates/staircross-lab/src/report.rs
+++ b/crates/staircross-lab/src/report.rs
@@ -69,7 +69,7 @@
             )
         }
         ReplyBody::Acted { entry, message } => format!("acted: {message} (audit entry {entry})"),
-        ReplyBody::Changed { change, revision } => format!("changed: {change} in force since revision {revision}"),
+        ReplyBody::Planned { document } => format!("planned: revision {}, to be published", document.revision),
         ReplyBody::Listing(listing) => format!("listing: {} rows", listing.rows.len()),
         ReplyBody::Refusal(refusal) => {
             format!("refusal: {} ({}), ran: {:?}", refusal.error, refusal.detail, refusal.executed)
--- a/crates/staircross-language/src/parse.rs
+++ b/crates/staircross-language/src/parse.rs
@@ -4,14 +4,13 @@
 
 use crate::error::LanguageError;
 use crate::statement::{
-    ConfigEdit, ConfigStatement, DEFAULT_LIMIT, MAX_LIMIT, PullStatement, RunStatement, SearchStatement, ShowStatement,
-    Statement,
+    ConfigStatement, DEFAULT_LIMIT, MAX_LIMIT, PullStatement, RunStatement, SearchStatement, ShowStatement, Statement,
 };
 use pest::Parser;
 use pest::error::{ErrorVariant, LineColLocation};
 use pest::iterators::Pair;
 use pest_derive::Parser;
-use staircross_config::{PolicyChange, Priority};
+use staircross_config::{PolicyChange, Priority, ServiceEdit};
 use staircross_types::{SearcherId, ServiceName};
 
 #[derive(Parser)]
@@ -78,7 +77,7 @@
         Rule::search => "SEARCH 'terms' IN SERVICE name",
         Rule::pull => "PULL 'terms' IN SERVICE name",
         Rule::run => "RUN verb ON 'target' IN SERVICE name TICKET 'ticket'",
-        Rule::show => "SHOW SERVICES, SEARCHERS, MEMBERS, CONFIG, SHARDS or CHANGE",
+        Rule::show => "SHOW SERVICES, SEARCHERS, MEMBERS, CONFIG or SHARDS",
         Rule::create => "CREATE SERVICE name LIKE name",
         Rule::alter => "ALTER SERVICE name SET …",
         Rule::drop => "DROP SERVICE name",
@@ -105,9 +104,8 @@
         Rule::services => "SERVICES",
         Rule::searchers => "SEARCHERS",
         Rule::members => "MEMBERS",
-        Rule::config | Rule::config_export | Rule::config_history => "CONFIG [HISTORY | EXPORT]",
+        Rule::config | Rule::config_export => "CONFIG [EXPORT]",
         Rule::shards => "SHARDS IN SERVICE name",
-        Rule::change => "CHANGE 'id'",
         Rule::EOI => "end of text",
         _ => "a statement",
     }
@@ -179,10 +177,8 @@
         Rule::services => ShowStatement::Services,
         Rule::searchers => ShowStatement::Searchers,
         Rule::members => ShowStatement::Members,
-        Rule::config_history => ShowStatement::ConfigHistory,
         Rule::config_export => ShowStatement::ConfigExport,
         Rule::shards => ShowStatement::Shards(service_name(what.into_inner().next())),
-        Rule::change => ShowStatement::Change(inner_text(what)),
         _ => ShowStatement::Config,
     })
 }
@@ -192,7 +188,7 @@
     let service = service_name(parts.next());
     let like = service_name(parts.next());
     let tail = config_tail(parts)?;
-    let change = ConfigEdit::Create { service, like, policy: tail.policy };
+    let change = ServiceEdit::Create { service, like, policy: tail.policy };
     Ok(ConfigStatement { change, based_on: tail.based_on })
 }
 
@@ -200,7 +196,7 @@
     let mut parts = node.into_inner();
     let service = service_name(parts.next());
     let tail = config_tail(parts)?;
-    let change = ConfigEdit::Alter { service, policy: tail.policy };
+    let change = ServiceEdit::Alter { service, policy: tail.policy };
     Ok(ConfigStatement { change, based_on: tail.based_on })
 }
 
@@ -208,7 +204,7 @@
     let mut parts = node.into_inner();
     let service = service_name(parts.next());
     let tail = config_tail(parts)?;
-    Ok(ConfigStatement { change: ConfigEdit::Drop { service }, based_on: tail.based_on })
+    Ok(ConfigStatement { change: ServiceEdit::Drop { service }, based_on: tail.based_on })
 }
 
 fn drain(node: Node<'_>) -> Result<ConfigStatement, LanguageError> {
@@ -218,7 +214,7 @@
     };
     let searcher = SearcherId(bounded_number(first, u64::from(u32::MAX))? as u32);
     let tail = config_tail(parts)?;
-    Ok(ConfigStatement { change: ConfigEdit::Drain { searcher }, based_on: tail.based_on })
+    Ok(ConfigStatement { change: ServiceEdit::Drain { searcher }, based_on: tail.based_on })
 }
 
 /// What may stand at the end of each configuration statement.
--- a/crates/staircross-language/src/statement.rs
+++ b/crates/staircross-language/src/statement.rs
@@ -1,7 +1,7 @@
 //! Typed statements.
 
-use staircross_config::PolicyChange;
-use staircross_types::{SearcherId, ServiceName};
+use staircross_config::ServiceEdit;
+use staircross_types::ServiceName;
 
 /// One statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -76,38 +76,21 @@
     Members,
     /// Configuration in force.
     Config,
-    /// Latest configuration changes.
-    ConfigHistory,
-    /// A platform document that makes the changes permanent.
+    /// The document in force.
     ConfigExport,
     /// Shard map that a service is served from.
     Shards(ServiceName),
-    /// Outcome of one change.
-    Change(String),
 }
 
-/// A change of configuration, with the revision it is based on.
+/// An edit of the configuration, with the revision it is based on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigStatement {
     /// What to change.
-    pub change: ConfigEdit,
+    pub change: ServiceEdit,
     /// Refuse unless this revision is in force.
     pub based_on: Option<u64>,
 }
 
-/// What a configuration statement changes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ConfigEdit {
-    /// A new service over the searchers and shards of another.
-    Create { service: ServiceName, like: ServiceName, policy: PolicyChange },
-    /// New policy values.
-    Alter { service: ServiceName, policy: PolicyChange },
-    /// Remove a service.
-    Drop { service: ServiceName },
-    /// Give a searcher no new work.
-    Drain { searcher: SearcherId },
-}
-
 /// Hits returned when a statement names no limit.
 pub const DEFAULT_LIMIT: u32 = 10;
 /// Most hits a statement may ask for.
--- a/crates/staircross-node/src/api.rs
+++ b/crates/staircross-node/src/api.rs
@@ -1,7 +1,7 @@
 //! Typed JSON answers to callers and operators; see `docs/PROTOCOLS.md`.
 
 use serde::{Deserialize, Serialize};
-use staircross_cluster::ConfigState;
+use staircross_config::{PlatformDocument, ServiceDefinition};
 use staircross_search::{Answer, Outcome, Refusal};
 use staircross_types::{ErrorKind, Executed, Hit, MissingShard, NodeId, SessionToken, Ticket};
 use std::net::SocketAddr;
@@ -66,12 +66,10 @@
     Refusal(RefusalBody),
     /// Rows of a `SHOW` statement.
     Listing(Listing),
-    /// The change is in force everywhere.
-    Changed {
-        /// Its id.
-        change: String,
-        /// Its revision.
-        revision: u64,
+    /// What an edit makes of the document in force. It is in force once the platform publishes it.
+    Planned {
+        /// The new document.
+        document: Box<PlatformDocument>,
     },
 }
 
@@ -138,20 +136,12 @@
     pub node: NodeId,
     /// Whether it is stopping.
     pub leaving: bool,
-    /// Whether it may act under its configuration.
-    pub may_act: bool,
-    /// Whether it should get traffic: it may act, isn't leaving and takes work for its searchers.
+    /// Whether it knows a document of the platform.
+    pub has_config: bool,
+    /// Whether it should get traffic: it knows a document, isn't leaving and takes work for its searchers.
     pub ready: bool,
-    /// What is left of its configuration lease, in milliseconds.
-    pub lease_ms: u64,
-    /// Revision of the configuration held.
+    /// Revision of the document in force here; 0 when none is known.
     pub revision: u64,
-    /// Revision of the platform document in it.
-    pub platform_revision: u64,
-    /// Whether it votes on configuration.
-    pub is_voter: bool,
-    /// The leader of the voters, if known here.
-    pub leader: Option<NodeId>,
     /// Sessions held.
     pub sessions: usize,
     /// Requests in flight.
@@ -175,8 +165,8 @@
     pub zone: String,
     /// Its state.
     pub state: String,
-    /// Whether it votes.
-    pub is_voter: bool,
+    /// Revision that it holds, as far as it said so.
+    pub revision: Option<u64>,
 }
 
 impl From<&Refusal> for RefusalBody {
@@ -263,10 +253,10 @@
 }
 
 /// The configuration in force as a listing.
-pub fn config_listing(state: &ConfigState) -> Listing {
+pub fn config_listing(services: &[ServiceDefinition]) -> Listing {
     let mut listing =
         Listing::new(&["service", "wait_ms", "coverage", "priority", "repeatable", "hedge", "retry", "searchers"]);
-    for service in state.services() {
+    for service in services {
         let policy = &service.policy;
         let percent = |per_mille: u32| format!("{}.{}%", per_mille / 10, per_mille % 10);
         listing.rows.push(vec![
--- a/crates/staircross-node/src/core.rs
+++ b/crates/staircross-node/src/core.rs
@@ -17,11 +17,10 @@
 use crate::peers::PeerTransport;
 use crate::searchers::SearcherConnections;
 use callers::PendingRequest;
-use config::PendingChange;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use hashbrown::HashMap;
 use sessions::{HeldReply, PendingResume};
-use staircross_cluster::{ChangeId, ClusterEngine, ClusterEvent, ClusterSettings, Member, MemberState};
+use staircross_cluster::{ClusterEngine, ClusterEvent, ClusterSettings, Member, MemberState};
 use staircross_config::{MachineList, MachineState, PlatformDocument, Settings};
 use staircross_search::root::RootCounters;
 use staircross_search::{Evidence, LeafEngine, LeafEvent, LeafSettings, RootEngine, RootEvent, RootSettings};
@@ -107,7 +106,6 @@
     resumes: HashMap<SessionToken, PendingResume>,
     session_versions: HashMap<SessionToken, u64>,
     next_ask: u64,
-    changes: HashMap<ChangeId, PendingChange>,
     routes: HashMap<AttemptId, SocketAddr>,
     machines: MachineList,
     next_tick: BootTime,
@@ -176,7 +174,6 @@
             resumes: HashMap::new(),
             session_versions: HashMap::new(),
             next_ask: 1,
-            changes: HashMap::new(),
             routes: HashMap::new(),
             machines: MachineList::default(),
             next_tick: BootTime::default(),
@@ -255,8 +252,7 @@
         self.leaf_event(now, LeafEvent::Tick);
         self.expire_held(now);
         self.expire_resumes(now);
-        self.expire_changes(now);
-        self.update_metrics(now);
+        self.update_metrics();
         self.idle_ticks = if self.is_idle(now) { self.idle_ticks + 1 } else { 0 };
     }
 
@@ -300,20 +296,17 @@
 
     /// Whether a planned stop has nothing to wait for at this moment.
     ///
-    /// Requests have wait bounds of their own, so waiting for them ends; only the wait for other
-    /// voters to take over is cut by the bound on stops.
+    /// Requests have wait bounds of their own, so waiting for them ends.
     fn is_idle(&self, now: BootTime) -> bool {
-        let Some(since) = self.stopping_since else {
+        if self.stopping_since.is_none() {
             return false;
-        };
-        let is_over_bound = now.since(since) >= Duration::from_millis(self.settings.limits.stop_ms);
+        }
         let is_busy = self.root.in_flight() > 0
             || self.leaf.in_flight() > 0
             || !self.held.is_empty()
             || !self.resumes.is_empty()
-            || !self.changes.is_empty()
             || self.serving.load(Ordering::Acquire) > 0;
-        !is_busy && self.is_lingering_over(now) && (self.cluster.is_free_to_leave() || is_over_bound)
+        !is_busy && self.is_lingering_over(now)
     }
 
     /// Searchers that the platform lists as leaving or that operators drain.
@@ -325,22 +318,23 @@
             .filter(|machine| machine.state == MachineState::Leaving)
             .map(|machine| machine.address)
             .collect();
-        let mut listed = self.cluster.config().drained.clone();
-        for service in self.cluster.config().services() {
-            let on_leaving = service.searchers.iter().filter(|searcher| leaving.contains(&searcher.address));
-            listed.extend(on_leaving.map(|searcher| searcher.id));
-        }
+        let Some(document) = self.cluster.config() else {
+            return;
+        };
+        let mut listed = document.drained.clone();
+        let searchers = document.services.iter().flat_map(|service| &service.searchers);
+        let on_leaving = searchers.filter(|searcher| leaving.contains(&searcher.address));
+        listed.extend(on_leaving.map(|searcher| searcher.id));
         self.leaf_event(now, LeafEvent::Listed(listed));
     }
 
-    fn update_metrics(&mut self, now: BootTime) {
+    fn update_metrics(&mut self) {
         let counters = self.root.counters;
         self.metrics.add_root_counters(self.last_counters, counters);
         self.last_counters = counters;
         self.metrics.sessions.set(self.root.sessions.len() as i64);
         self.metrics.in_flight.set(self.root.in_flight() as i64);
-        self.metrics.revision.set(self.cluster.config().revision as i64);
-        self.metrics.lease_ms.set(self.cluster.lease_remaining(now).as_millis() as i64);
+        self.metrics.revision.set(self.cluster.revision() as i64);
         let members = self.cluster.members().filter(|member| member.takes_work()).count();
         self.metrics.members.set(members as i64);
     }
--- a/crates/staircross-node/src/core/callers.rs
+++ b/crates/staircross-node/src/core/callers.rs
@@ -77,7 +77,7 @@
     pub(super) fn on_caller(&mut self, now: BootTime, command: CallerCommand, reply: Sender<CallerReply>) {
         match command {
             CallerCommand::OpenSession => self.open_session(now, reply),
-            CallerCommand::Operate(statement) => self.operate(now, statement, reply),
+            CallerCommand::Operate(statement) => self.operate(statement, reply),
             CallerCommand::Status => send_reply(&reply, CallerReply::Status(Box::new(self.status(now)))),
             CallerCommand::CloseSession(token)
             | CallerCommand::MintTicket(token)
@@ -126,7 +126,7 @@
             Statement::Pull(pull) => prepare_pull(pull),
             Statement::Run(run) => prepare_run(run),
             Statement::Show(show) => {
-                let body = self.show(now, &show);
+                let body = self.show(&show);
                 self.reply_body(&reply, body);
                 return;
             }
@@ -145,9 +145,9 @@
         if self.is_lingering_over(now) {
             return Err(Refusal::new(ErrorKind::Leaving, "this node is stopping; the session lives on at the others"));
         }
-        if !self.cluster.may_act(now) {
-            let detail = "the node's configuration lease has lapsed; the session stays open";
-            return Err(Refusal::new(ErrorKind::NoConfigLease, detail));
+        if self.cluster.config().is_none() {
+            let detail = "no document of the platform is known yet; the session stays open";
+            return Err(Refusal::new(ErrorKind::NoConfiguration, detail));
         }
         Ok(())
     }
@@ -177,13 +177,16 @@
         self.root_event(now, RootEvent::Submit(submission));
     }
 
-    fn operate(&mut self, now: BootTime, statement: Statement, reply: Sender<CallerReply>) {
+    fn operate(&mut self, statement: Statement, reply: Sender<CallerReply>) {
         match statement {
             Statement::Show(show) => {
-                let body = self.show(now, &show);
+                let body = self.show(&show);
+                self.reply_body(&reply, body);
+            }
+            Statement::Config(change) => {
+                let body = self.plan_edit(&change);
                 self.reply_body(&reply, body);
             }
-            Statement::Config(change) => self.change_config(now, change, reply),
             Statement::Search(_) | Statement::Pull(_) | Statement::Run(_) => {
                 let refusal = Refusal::new(ErrorKind::BadRequest, "reading and acting need a session");
                 self.reply_body(&reply, ReplyBody::Refusal((&refusal).into()));
@@ -206,25 +209,21 @@
     }
 
     fn status(&self, now: BootTime) -> StatusReply {
-        let config = self.cluster.config();
+        let has_config = self.cluster.config().is_some();
         let members = self.cluster.members().map(|member| MemberStatus {
             node: member.node,
             address: member.caller_address,
             region: member.region.clone(),
             zone: member.zone.to_string(),
             state: format!("{:?}", member.state).to_lowercase(),
-            is_voter: config.voters.contains(member.node),
+            revision: self.cluster.revision_of(member.node),
         });
         StatusReply {
             node: self.node,
             leaving: self.stopping_since.is_some(),
-            may_act: self.cluster.may_act(now),
-            ready: self.stopping_since.is_none() && self.cluster.may_act(now) && self.leaf.is_settled(now),
-            lease_ms: self.cluster.lease_remaining(now).as_millis() as u64,
-            revision: config.revision,
-            platform_revision: config.platform_revision(),
-            is_voter: self.cluster.is_voter(),
-            leader: self.cluster.leader(),
+            has_config,
+            ready: self.stopping_since.is_none() && has_config && self.leaf.is_settled(now),
+            revision: self.cluster.revision(),
             sessions: self.root.sessions.len(),
             requests_in_flight: self.root.in_flight(),
             owned_searchers: self.leaf.views().len(),
--- a/crates/staircross-node/src/core/config.rs
+++ b/crates/staircross-node/src/core/config.rs
@@ -1,33 +1,18 @@
-//! Configuration: from agreed changes to engines, and from operators to proposals.
+//! Configuration: from the platform's documents to the engines, and operators' edits of it.
 
 use super::Core;
-use super::callers::CallerReply;
 use crate::api::ReplyBody;
 use crate::searchers::OwnedAddress;
-use crossbeam::channel::Sender;
 use spdlog::info;
-use staircross_cluster::message::ProposalReply;
 use staircross_cluster::views::{SpreadEvidence, ViewRecord};
-use staircross_cluster::{
-    Change, ChangeBody, ChangeId, ChangeOutcome, ClusterAction, ClusterEvent, ConfigState, ServiceEdit,
-};
+use staircross_cluster::{ClusterAction, ClusterEvent};
+use staircross_config::{EditError, PlatformDocument};
 use staircross_language::ConfigStatement;
-use staircross_language::statement::ConfigEdit;
 use staircross_search::{Evidence, LeafEvent, Refusal, RootEvent, SearcherView};
 use staircross_types::boot_clock as clock;
 use staircross_types::{BootTime, ErrorKind};
 use staircross_wire::PeerMessage;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// Longest wait for a change to be in force everywhere before it is reported as pending.
-const CHANGE_WAIT: Duration = Duration::from_secs(8);
-
-/// A change that an operator waits for.
-pub(super) struct PendingChange {
-    due: BootTime,
-    reply: Sender<CallerReply>,
-}
 
 impl Core {
     pub(super) fn do_cluster(&mut self, actions: Vec<ClusterAction>) {
@@ -36,12 +21,11 @@
             let now = clock::now();
             match action {
                 ClusterAction::Send(envelope) => self.peers.send(envelope.to_address, PeerMessage::Cluster(envelope)),
-                ClusterAction::ConfigChanged(state) => {
-                    self.take_config(now, &state);
+                ClusterAction::ConfigChanged(document) => {
+                    self.take_config(now, &document);
                     members_changed = true;
                 }
                 ClusterAction::MembersChanged => members_changed = true,
-                ClusterAction::Proposed(reply) => self.on_proposed(reply),
                 ClusterAction::ViewChanged(record) => self.take_view(now, record),
                 ClusterAction::SessionStored { token, version, is_overtaken } => {
                     self.on_session_stored(token, version, is_overtaken);
@@ -55,10 +39,10 @@
         }
     }
 
-    fn take_config(&mut self, now: BootTime, state: &Arc<ConfigState>) {
-        info!(logger: self.logs.cluster, "event=config revision={} platform_revision={} services={} voters={}",
-            state.revision, state.platform_revision(), state.services().len(), state.voters.voters.len());
-        let definitions = state.services().into_iter().map(Arc::new).collect();
+    fn take_config(&mut self, now: BootTime, document: &PlatformDocument) {
+        info!(logger: self.logs.cluster, "event=config revision={} services={} drained={}",
+            document.revision, document.services.len(), document.drained.len());
+        let definitions = document.services.iter().cloned().map(Arc::new).collect();
         self.root_event(now, RootEvent::Services(definitions));
         self.update_listed(now);
     }
@@ -67,7 +51,7 @@
         let node = self.node;
         let shares = self.cluster.ownership().shares_of(node);
         self.metrics.owned_searchers.set(shares.len() as i64);
-        let services = self.cluster.config().services();
+        let services = self.cluster.config().map_or(&[][..], |document| &document.services);
         let searchers = services.iter().flat_map(|service| &service.searchers);
         let owned: Vec<OwnedAddress> = searchers
             .filter_map(|searcher| {
@@ -102,56 +86,26 @@
         self.leaf_event(now, LeafEvent::PeerView(view));
     }
 
-    pub(super) fn change_config(&mut self, now: BootTime, statement: ConfigStatement, reply: Sender<CallerReply>) {
-        let edit = match statement.change {
-            ConfigEdit::Create { service, like, policy } => ServiceEdit::Create { service, like, policy },
-            ConfigEdit::Alter { service, policy } => ServiceEdit::Alter { service, policy },
-            ConfigEdit::Drop { service } => ServiceEdit::Drop { service },
-            ConfigEdit::Drain { searcher } => ServiceEdit::Drain { searcher },
+    /// The document that an edit would make of the one in force. Only the platform puts it in force.
+    pub(super) fn plan_edit(&self, statement: &ConfigStatement) -> ReplyBody {
+        let Some(document) = self.cluster.config() else {
+            let refusal = Refusal::new(ErrorKind::NoConfiguration, "there is no document to edit yet");
+            return ReplyBody::Refusal((&refusal).into());
         };
-        let id = ChangeId(rand::random());
-        let body = ChangeBody::Edit { edit, based_on: statement.based_on };
-        info!(logger: self.logs.cluster, "event=change_proposed change={id} what={:?}", body.summary());
-        self.changes.insert(id, PendingChange { due: now + CHANGE_WAIT, reply });
-        self.cluster_event(now, ClusterEvent::Propose(Change { id, body }));
-    }
-
-    fn on_proposed(&mut self, reply: ProposalReply) {
-        let id = reply.id();
-        let Some(pending) = self.changes.remove(&id) else {
-            return;
-        };
-        info!(logger: self.logs.cluster, "event=change_answered change={id} reply={reply:?}");
-        self.reply_body(&pending.reply, change_body(&reply));
-    }
-
-    pub(super) fn expire_changes(&mut self, now: BootTime) {
-        let due: Vec<ChangeId> =
-            self.changes.iter().filter(|(_, pending)| now >= pending.due).map(|(id, _)| *id).collect();
-        for id in due {
-            if let Some(pending) = self.changes.remove(&id) {
-                let reply = self.cluster.unanswered(id);
-                self.reply_body(&pending.reply, change_body(&reply));
+        match document.edited(&statement.change, statement.based_on) {
+            Ok(next) => ReplyBody::Planned { document: Box::new(next) },
+            Err(error) => {
+                let refusal = Refusal::new(kind_of(&error), error.to_string());
+                ReplyBody::Refusal((&refusal).into())
             }
         }
     }
 }
 
-/// The answer to an operator.
-pub(super) fn change_body(reply: &ProposalReply) -> ReplyBody {
-    let refusal = match reply {
-        ProposalReply::Settled { id, outcome: ChangeOutcome::Applied { revision } } => {
-            return ReplyBody::Changed { change: id.to_string(), revision: *revision };
-        }
-        ProposalReply::Settled { id, outcome: ChangeOutcome::Refused { kind } } => {
-            Refusal::new(*kind, format!("change {id} was refused: {}", kind.meaning()))
-        }
-        ProposalReply::NotTaken { id } => {
-            Refusal::new(ErrorKind::NoQuorum, format!("change {id} was not taken; the configuration is as it was"))
-        }
-        ProposalReply::Pending { id } => {
-            Refusal::new(ErrorKind::ChangePending, format!("ask for it with SHOW CHANGE '{id}'"))
-        }
-    };
-    ReplyBody::Refusal((&refusal).into())
+fn kind_of(error: &EditError) -> ErrorKind {
+    match error {
+        EditError::Conflict { .. } => ErrorKind::RevisionConflict,
+        EditError::UnknownService { .. } => ErrorKind::UnknownService,
+        EditError::UnknownSearcher { .. } | EditError::Invalid(_) => ErrorKind::InvalidConfiguration,
+    }
 }
--- a/crates/staircross-node/src/core/requests.rs
+++ b/crates/staircross-node/src/core/requests.rs
@@ -83,7 +83,7 @@
     pub(super) fn on_peer(&mut self, now: BootTime, message: PeerMessage) {
         match message {
             PeerMessage::Cluster(envelope) => {
-                self.cluster_event(now, staircross_cluster::ClusterEvent::Message(envelope));
+                self.cluster_event(now, staircross_cluster::ClusterEvent::Message(Box::new(envelope)));
             }
             PeerMessage::Request { from, to, request } => {
                 if to == self.node {
--- a/crates/staircross-node/src/core/show.rs
+++ b/crates/staircross-node/src/core/show.rs
@@ -1,23 +1,21 @@
 //! `SHOW` statements.
 
 use super::Core;
-use super::config::change_body;
 use crate::api::{Listing, ReplyBody, config_listing};
-use staircross_cluster::{ChangeId, ChangeOutcome};
 use staircross_language::ShowStatement;
 use staircross_search::Refusal;
-use staircross_types::{BootTime, ErrorKind, ServiceName};
+use staircross_types::{ErrorKind, ServiceName};
 
 impl Core {
-    pub(super) fn show(&mut self, now: BootTime, what: &ShowStatement) -> ReplyBody {
+    pub(super) fn show(&mut self, what: &ShowStatement) -> ReplyBody {
         let listing = match what {
-            ShowStatement::Services | ShowStatement::Config => Ok(config_listing(self.cluster.config())),
+            ShowStatement::Services | ShowStatement::Config => {
+                Ok(config_listing(self.cluster.config().map_or(&[][..], |document| &document.services)))
+            }
             ShowStatement::Searchers => Ok(self.show_searchers()),
-            ShowStatement::Members => Ok(self.show_members(now)),
-            ShowStatement::ConfigHistory => Ok(self.show_history()),
+            ShowStatement::Members => Ok(self.show_members()),
             ShowStatement::ConfigExport => self.show_export(),
             ShowStatement::Shards(service) => self.show_shards(service),
-            ShowStatement::Change(id) => return self.show_change(id),
         };
         match listing {
             Ok(listing) => ReplyBody::Listing(listing),
@@ -27,8 +25,8 @@
 
     fn show_searchers(&mut self) -> Listing {
         let mut listing = Listing::new(&["searcher", "service", "zone", "address", "state", "snapshots", "owners"]);
-        let config = self.cluster.config().clone();
-        for service in config.services() {
+        let services = self.cluster.config().map_or_else(Vec::new, |document| document.services.clone());
+        for service in &services {
             for searcher in &service.searchers {
                 let record = self.cluster.view_records().find(|record| record.searcher == searcher.id);
                 let evidence = record.and_then(|record| record.evidence.as_ref());
@@ -61,10 +59,8 @@
         listing
     }
 
-    fn show_members(&self, _now: BootTime) -> Listing {
-        let mut listing = Listing::new(&["node", "region", "zone", "callers", "peers", "state", "voter", "leader"]);
-        let config = self.cluster.config();
-        let yes = |condition: bool| if condition { "yes" } else { "" }.to_owned();
+    fn show_members(&self) -> Listing {
+        let mut listing = Listing::new(&["node", "region", "zone", "callers", "peers", "state", "revision"]);
         for member in self.cluster.members() {
             listing.rows.push(vec![
                 member.node.to_string(),
@@ -73,27 +69,16 @@
                 member.caller_address.to_string(),
                 member.peer_address.to_string(),
                 format!("{:?}", member.state).to_lowercase(),
-                yes(config.voters.contains(member.node)),
-                yes(self.cluster.leader() == Some(member.node)),
+                self.cluster.revision_of(member.node).map_or_else(String::new, |revision| revision.to_string()),
             ]);
         }
         listing
     }
 
-    fn show_history(&self) -> Listing {
-        let mut listing = Listing::new(&["revision", "change", "what", "outcome"]);
-        for entry in &self.cluster.config().history {
-            let outcome = match entry.outcome {
-                ChangeOutcome::Applied { .. } => "applied".to_owned(),
-                ChangeOutcome::Refused { kind } => format!("refused: {kind}"),
-            };
-            listing.rows.push(vec![entry.revision.to_string(), entry.id.to_string(), entry.summary.clone(), outcome]);
-        }
-        listing
-    }
-
     fn show_export(&self) -> Result<Listing, Refusal> {
-        let document = serde_json::to_string_pretty(&self.cluster.config().export())
+        let document = self.cluster.config();
+        let document = document.ok_or_else(|| Refusal::new(ErrorKind::NoConfiguration, "no document is known yet"))?;
+        let document = serde_json::to_string_pretty(&**document)
             .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
         let mut listing = Listing::new(&["document"]);
         listing.rows.push(vec![document]);
@@ -119,19 +104,4 @@
         }
         Ok(listing)
     }
-
-    fn show_change(&self, text: &str) -> ReplyBody {
-        let Ok(number) = u64::from_str_radix(text, 16) else {
-            let detail = format!("'{text}' is not the id of a change: 16 hexadecimal digits");
-            return ReplyBody::Refusal((&Refusal::new(ErrorKind::BadRequest, detail)).into());
-        };
-        match self.cluster.change_reply(ChangeId(number)) {
-            Some(reply) => change_body(&reply),
-            None => {
-                let detail =
-                    format!("change {text} isn't known here: it was not taken, or is not known yet, or is old");
-                ReplyBody::Refusal((&Refusal::new(ErrorKind::ChangePending, detail)).into())
-            }
-        }
-    }
 }
--- a/crates/staircross-node/src/front.rs
+++ b/crates/staircross-node/src/front.rs
@@ -125,10 +125,10 @@
         let CallerReply::Status(status) = self.ask(CallerCommand::Status)? else {
             return Err(Refusal::new(ErrorKind::Internal, "unexpected reply"));
         };
-        let (code, text) = match (status.ready, status.leaving, status.may_act) {
+        let (code, text) = match (status.ready, status.leaving, status.has_config) {
             (true, ..) => (StatusCode::OK, "ready\n"),
             (false, true, _) => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
-            (false, false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration lease\n"),
+            (false, false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no document of the platform yet\n"),
             (false, false, true) => (StatusCode::SERVICE_UNAVAILABLE, "listening to its peers\n"),
         };
         Ok(text_response(code, text.to_owned()))
--- a/crates/staircross-node/src/metrics.rs
+++ b/crates/staircross-node/src/metrics.rs
@@ -27,8 +27,6 @@
     pub owned_searchers: IntGauge,
     /// Revision of the configuration held.
     pub revision: IntGauge,
-    /// Milliseconds left of the configuration lease.
-    pub lease_ms: IntGauge,
     /// Bytes sent to other nodes, by transport.
     pub peer_bytes: IntCounterVec,
 }
@@ -64,7 +62,6 @@
             members: gauge("staircross_members", "Members that take work")?,
             owned_searchers: gauge("staircross_owned_searchers", "Searchers owned")?,
             revision: gauge("staircross_config_revision", "Revision of the configuration held")?,
-            lease_ms: gauge("staircross_config_lease_milliseconds", "What is left of the configuration lease")?,
             peer_bytes: counter("staircross_peer_bytes_total", "Bytes sent to other nodes", "transport")?,
             answer_seconds,
             registry,
--- a/crates/staircross-node/src/peers.rs
+++ b/crates/staircross-node/src/peers.rs
@@ -10,6 +10,7 @@
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use spdlog::{debug, info, warn};
 use staircross_cluster::ClusterMessage;
+use staircross_cluster::published::PublishedMessage;
 use staircross_types::NodeId;
 use staircross_wire::frame::MAX_FRAME;
 use staircross_wire::{ClusterKey, PeerMessage, datagram, read_frame, write_frame};
@@ -124,9 +125,8 @@
     matches!(
         envelope.message,
         ClusterMessage::Membership(_)
-            | ClusterMessage::Lease(_)
             | ClusterMessage::Views(_)
-            | ClusterMessage::Genesis(_)
+            | ClusterMessage::Published(PublishedMessage::Holds { .. })
     )
 }
 
--- a/crates/staircross-types/src/errors.rs
+++ b/crates/staircross-types/src/errors.rs
@@ -77,15 +77,12 @@
     NoSnapshot, "no_snapshot", 503, Never, Some(500), "No snapshot of the service can be served at the least coverage.";
     NoConfiguration, "no_configuration", 503, Never, Some(200), "The node has started and knows no configuration yet.";
     NoReplica, "no_replica", 503, Never, Some(300), "Too few shards have a back end that can be asked; nothing was sent.";
-    NoConfigLease, "no_config_lease", 503, Never, Some(500), "The node can't prove that its configuration is in force.";
-    NoQuorum, "no_quorum", 503, Never, Some(1000), "No majority of voters in every region can be reached; nothing was changed.";
     Leaving, "leaving", 503, Never, Some(100), "The node is stopping; ask another.";
     NotDelivered, "not_delivered", 503, Never, Some(250), "Every back end asked said that it did not run the request.";
     CoverageTooLow, "coverage_too_low", 503, Maybe, Some(500), "Some shards answered, but fewer than the service accepts.";
     TimedOut, "timed_out", 504, Maybe, Some(250), "The wait bound passed before enough shards answered.";
     BackEndsFailed, "back_ends_failed", 502, Maybe, None, "Back ends that may have run the request failed, and no other may be asked.";
     OutcomeUnknown, "outcome_unknown", 502, Maybe, None, "The request may have run; ask for its outcome before doing it again.";
-    ChangePending, "change_pending", 202, Maybe, None, "The change isn't known to be accepted or refused yet; ask for it by its id.";
     Internal, "internal", 500, Maybe, None, "A fault of staircross itself.";
 }
 
--- a/crates/staircross/src/query.rs
+++ b/crates/staircross/src/query.rs
@@ -93,9 +93,10 @@
     match &reply.body {
         ReplyBody::Answer(answer) => describe_answer(answer),
         ReplyBody::Acted { entry, message } => format!("done: {message} (audit entry {entry})\n"),
-        ReplyBody::Changed { change, revision } => {
-            format!("change {change} is in force everywhere since revision {revision}\n")
-        }
+        ReplyBody::Planned { document } => match serde_json::to_string_pretty(document) {
+            Ok(text) => format!("{text}\n"),
+            Err(error) => format!("the new document can't be written: {error}\n"),
+        },
         ReplyBody::Listing(listing) if listing.columns == ["document"] => {
             listing.rows.iter().flatten().map(|text| format!("{text}\n")).collect()
         }
--- a/crates/staircross/src/status.rs
+++ b/crates/staircross/src/status.rs
@@ -15,18 +15,12 @@
         return Ok(Verdict::Done);
     }
     println!("node {}{}", status.node, if status.leaving { " (leaving)" } else { "" });
-    println!(
-        "configuration revision {} (platform {}), lease {} ms, {}",
-        status.revision,
-        status.platform_revision,
-        status.lease_ms,
-        if status.may_act { "may act" } else { "may not act" }
-    );
+    println!("configuration revision {}", status.revision);
     println!(
         "{} sessions, {} requests in flight, {} searchers owned",
         status.sessions, status.requests_in_flight, status.owned_searchers
     );
-    let columns = ["node", "region", "zone", "callers", "state", "voter", "leader"].map(str::to_owned);
+    let columns = ["node", "region", "zone", "callers", "state", "revision"].map(str::to_owned);
     let rows: Vec<Vec<String>> = status
         .members
         .iter()
@@ -37,8 +31,7 @@
                 member.zone.clone(),
                 member.address.to_string(),
                 member.state.clone(),
-                if member.is_voter { "yes" } else { "" }.to_owned(),
-                if status.leader == Some(member.node) { "yes" } else { "" }.to_owned(),
+                member.revision.map_or_else(String::new, |revision| revision.to_string()),
             ]
         })
         .collect();
