Let go of connections that others will need: those besides the one used last rest for 1.5 s

Ruled out: hedge budgets (few sends refused), the serving part (nine machines: all serve). Change: of the connections that rest to one searcher, all but the one used last are closed after 1.5 s. The test fails with the old rest (checked). Left: requests whose searchers are all full still fail for some seconds.

--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -3,10 +3,15 @@
 use super::{AbandonCause, MISDIRECTED, Pool, PoolEvent, REST_GUARD, State};
 use staircross_http::{Answer, ClientFault};
 use staircross_routing::request::Unknown;
+use staircross_routing::selection::SearcherKey;
 use staircross_routing::{AttemptOutcome, NotRun, SearcherAnswer};
 use staircross_types::BootTime;
 use std::time::Duration;
 
+/// Rest of a connection besides the one used last. A searcher goes on counting the connections of a machine
+/// that lost power, so that those which nobody needs are in the way of the machines that replace it.
+const SURPLUS_REST: Duration = Duration::from_millis(1500);
+
 impl Pool {
     pub(super) fn answered(&mut self, slot: usize, answer: Answer, now: BootTime, events: &mut Vec<PoolEvent>) {
         let connection = &mut self.connections[slot];
@@ -109,6 +114,9 @@
         for (slot, connection) in &self.connections {
             let age = now.since(connection.since);
             let is_over = match &connection.state {
+                State::Idle if self.is_surplus(slot, connection.searcher) => {
+                    age >= connection.rest.min(most_rest).min(SURPLUS_REST)
+                }
                 State::Idle => age >= connection.rest.min(most_rest),
                 State::Connecting { assignment: Some(assignment) } => age >= assignment.order.connect_patience,
                 State::Connecting { assignment: None } => age >= Duration::from_secs(1),
@@ -124,6 +132,11 @@
         }
     }
 
+    /// Whether another connection to the same searcher has rested for less long.
+    fn is_surplus(&self, slot: usize, searcher: SearcherKey) -> bool {
+        self.resting.get(&searcher).and_then(|resting| resting.last()).is_some_and(|last| *last != slot)
+    }
+
     fn end(&mut self, slot: usize, events: &mut Vec<PoolEvent>) {
         let departed = match &self.connections[slot].state {
             State::Busy(assignment) => {
--- a/crates/staircross-gateway/tests/pool.rs
+++ b/crates/staircross-gateway/tests/pool.rs
@@ -12,7 +12,7 @@
 use staircross_routing::selection::SearcherKey;
 use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey};
 use staircross_types::BootTime;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -42,9 +42,14 @@
 impl Fixture {
     /// Fresh connections are proved for ever.
     fn new() -> Self {
+        Fixture::with_proving_until(BootTime::FAR_FUTURE)
+    }
+
+    /// Fresh connections are proved until then.
+    fn with_proving_until(until: BootTime) -> Self {
         Fixture {
             poll: Poll::new().expect("a poll"),
-            pool: Pool::new(KIND, NAMES, 1 << 20, BootTime::FAR_FUTURE),
+            pool: Pool::new(KIND, NAMES, 1 << 20, until),
             now: START,
             buf: Box::new([0; READ_CHUNK]),
             events: Vec::new(),
@@ -58,7 +63,12 @@
     }
 
     fn send(&mut self, address: SocketAddr) {
-        let order = order(address);
+        self.send_numbered(address, 0);
+    }
+
+    fn send_numbered(&mut self, address: SocketAddr, number: u16) {
+        let mut order = order(address);
+        order.attempt.number = number;
         let request = request();
         self.with_io(|pool, io, events| pool.send(order, request, io, events));
     }
@@ -78,6 +88,10 @@
         }
     }
 
+    fn sweep(&mut self, most_rest: Duration) {
+        self.pool.sweep(self.now, most_rest, &mut self.events);
+    }
+
     fn outcome(&self) -> Option<&AttemptOutcome> {
         self.events.iter().find_map(|event| match event {
             PoolEvent::Ended { outcome, .. } => Some(outcome),
@@ -192,3 +206,53 @@
     fixture.with_io(|pool, io, events| pool.on_tick(io, events));
     assert!(matches!(fixture.outcome(), Some(AttemptOutcome::NotRun(NotRun::TurnedAway))), "{:?}", fixture.events);
 }
+
+/// Two requests at once, both answered: two connections rest.
+fn two_at_rest() -> (Fixture, TcpListener) {
+    let (listener, address) = listener();
+    let mut fixture = Fixture::with_proving_until(BootTime::default());
+    for number in 0..2 {
+        fixture.send_numbered(address, number);
+    }
+    let connected =
+        |events: &[PoolEvent]| events.iter().filter(|event| matches!(event, PoolEvent::Connected { .. })).count() == 2;
+    fixture.until("both come up", connected);
+    for _ in 0..2 {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buf = [0; 512];
+        let _count = stream.read(&mut buf).expect("the request");
+        stream.write_all(b"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n").expect("answered");
+        // Whoever ends first would close; the sockets live as long as the listener's test.
+        std::mem::forget(stream);
+    }
+    fixture.until("both are answered", |events| {
+        events.iter().filter(|event| matches!(event, PoolEvent::Ended { .. })).count() == 2
+    });
+    assert_eq!(fixture.pool.connection_count(), 2);
+    (fixture, listener)
+}
+
+#[test]
+fn a_connection_besides_the_one_used_last_does_not_rest_for_long() {
+    let (mut fixture, _listener) = two_at_rest();
+    fixture.now = START + Duration::from_millis(1400);
+    fixture.sweep(Duration::MAX);
+    assert_eq!(fixture.pool.connection_count(), 2);
+    fixture.now = START + Duration::from_millis(1600);
+    fixture.sweep(Duration::MAX);
+    assert_eq!(fixture.pool.connection_count(), 1, "the one used last stays");
+    fixture.now = START + Duration::from_secs(20);
+    fixture.sweep(Duration::MAX);
+    assert_eq!(fixture.pool.connection_count(), 1);
+    fixture.now = START + Duration::from_secs(31);
+    fixture.sweep(Duration::MAX);
+    assert_eq!(fixture.pool.connection_count(), 0);
+}
+
+#[test]
+fn a_node_that_serves_no_callers_lets_go_of_resting_connections() {
+    let (mut fixture, _listener) = two_at_rest();
+    fixture.now = START + Duration::from_millis(1100);
+    fixture.sweep(Duration::from_secs(1));
+    assert_eq!(fixture.pool.connection_count(), 0);
+}
