Let two nodes of each zone read the store, and the others follow them

Change: readers by id in each zone, signs of life and news told to the zone at once, followers pull; whoever hears no sign for 0.4 of the bound on news reads by itself. A pull no longer carries a configuration that the asker has. Found by its process test: signs came too late at first, followers went back to reading for 10 s (unit test: the_first_sign_for_others_comes_at_once). Small sites have two or three machines a zone; where it is three, one follows.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 use crate::dialect::DirectoryQuery;
 use crate::directory::{Candidate, Directory};
 use crate::load::is_pressed;
+use crate::store_role::{READERS_PER_ZONE, StoreRole};
 use hashbrown::HashMap;
 use mio::net::UdpSocket;
 use rand::Rng;
@@ -50,6 +51,9 @@
     /// Busy share of the process, in percent.
     #[serde(rename = "l", default)]
     pub load: u8,
+    /// Time since the store last answered the sender, in milliseconds, if it reads the store.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub store_age_ms: Option<u32>,
 }
 
 impl Announcement {
@@ -67,8 +71,9 @@
     to: Option<NodeId>,
     #[serde(rename = "a")]
     announcement: Announcement,
-    #[serde(rename = "m")]
-    message: MembershipMessage,
+    /// None when only the announcement is told.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    message: Option<MembershipMessage>,
 }
 
 /// What changed in the fleet.
@@ -138,6 +143,9 @@
     connections: Option<u32>,
     live_peak: Peak,
     serving_peak: Peak,
+    /// When the store last answered this node, and a reader of the zone as far as it was heard.
+    store_contact: Option<BootTime>,
+    sign: Option<BootTime>,
     /// Counters for metrics.
     pub counters: FleetCounters,
 }
@@ -184,6 +192,8 @@
             connections: None,
             live_peak: Peak::new(ASSUMED_FLEET, now),
             serving_peak: Peak::new(ASSUMED_FLEET, now),
+            store_contact: None,
+            sign: None,
             counters: FleetCounters::default(),
         }
     }
@@ -220,13 +230,78 @@
         if was_pressed != is_pressed(datagram.announcement.load) {
             self.directory_at = None;
         }
+        self.take_sign(now, datagram.from, &datagram.announcement);
+        let Some(message) = datagram.message else {
+            return;
+        };
         let mut actions = Vec::new();
-        self.membership.on_message(now, datagram.from, from, datagram.message, &mut actions);
+        self.membership.on_message(now, datagram.from, from, message, &mut actions);
         self.carry_out(actions, events);
     }
 
+    /// A reader of the zone says when the store last answered it.
+    fn take_sign(&mut self, now: BootTime, from: NodeId, announcement: &Announcement) {
+        let own_zone = &self.membership.own().zone;
+        let is_near = self.membership.get(from).is_some_and(|member| member.zone == *own_zone);
+        let Some(age) = announcement.store_age_ms.filter(|_| is_near) else {
+            return;
+        };
+        let at = now - Duration::from_millis(u64::from(age));
+        self.sign = Some(self.sign.map_or(at, |known| known.max(at)));
+    }
+
+    /// When the store last answered a reader of the zone, as far as it was heard here.
+    pub fn newest_sign(&self) -> Option<BootTime> {
+        self.sign
+    }
+
+    /// Whether this node is one of the readers of its zone.
+    pub fn is_designated_reader(&self) -> bool {
+        self.zone_mates().take(READERS_PER_ZONE).any(|member| member.node == self.node)
+    }
+
+    /// Live members of the zone that aren't its readers.
+    fn followers(&self) -> impl Iterator<Item = &Member> {
+        self.zone_mates().skip(READERS_PER_ZONE)
+    }
+
+    /// Whether the zone has members that follow its readers.
+    pub fn has_followers(&self) -> bool {
+        self.followers().next().is_some()
+    }
+
+    /// Live members of the zone in the order of their ids, this node included.
+    fn zone_mates(&self) -> impl Iterator<Item = &Member> {
+        let own = self.membership.own();
+        self.membership
+            .members()
+            .values()
+            .filter(|member| member.state == MemberState::Alive && member.zone == own.zone)
+    }
+
+    /// Notes when the store last answered this node; `None` when it doesn't read.
+    pub fn set_store_contact(&mut self, at: Option<BootTime>) {
+        self.store_contact = at;
+    }
+
+    /// Tells the zone's followers at once what this node, a reader, knows.
+    pub fn tell_followers(&mut self, now: BootTime) {
+        self.refresh_own_sign(now);
+        let followers: Vec<(NodeId, SocketAddr)> =
+            self.followers().map(|member| (member.node, member.peer_address)).collect();
+        for (node, address) in followers {
+            self.send_datagram(Some(node), address, None);
+        }
+    }
+
+    fn refresh_own_sign(&mut self, now: BootTime) {
+        let age = self.store_contact.map(|at| now.since(at).as_millis());
+        self.own.store_age_ms = age.and_then(|millis| u32::try_from(millis).ok());
+    }
+
     /// Lets time pass.
     pub fn on_tick(&mut self, now: BootTime, events: &mut Vec<FleetEvent>) {
+        self.refresh_own_sign(now);
         let mut actions = Vec::new();
         self.membership.on_tick(now, &mut self.random, &mut actions);
         // Each moment that a dead node stays in somebody's directory costs callers.
@@ -263,10 +338,11 @@
         self.push_and_carry_out(actions, events);
     }
 
-    /// Notes what this node knows now.
-    pub fn set_knowledge(&mut self, version: u64, revision: u64) {
-        self.own.version = version;
-        self.own.revision = revision;
+    /// Notes what this node knows now. Returns whether that is more than before.
+    pub fn set_knowledge(&mut self, version: u64, revision: u64) -> bool {
+        let before = (self.own.version, self.own.revision);
+        (self.own.version, self.own.revision) = (version, revision);
+        before != (version, revision)
     }
 
     /// Notes how busy this node is, in percent. A change that matters to callers is told at once.
@@ -279,7 +355,8 @@
     }
 
     /// A peer that knows more, once this node has been behind for a while.
-    pub fn better_informed(&mut self, now: BootTime) -> Option<SocketAddr> {
+    /// A follower doesn't wait.
+    pub fn better_informed(&mut self, now: BootTime, role: StoreRole) -> Option<SocketAddr> {
         let own_zone = self.membership.own().zone.clone();
         let ahead = self
             .live()
@@ -291,7 +368,11 @@
         };
         let knows_nothing = self.own.version == 0;
         let since = *self.behind_since.get_or_insert(now);
-        (knows_nothing || now.since(since) >= BEHIND_PATIENCE).then_some(address)
+        let patience = match role {
+            StoreRole::Reader => BEHIND_PATIENCE,
+            StoreRole::Follower => Duration::ZERO,
+        };
+        (knows_nothing || now.since(since) >= patience).then_some(address)
     }
 
     /// Whether a live peer has a newer configuration than this node.
@@ -336,6 +417,10 @@
     }
 
     fn send_one(&mut self, to: Option<NodeId>, address: SocketAddr, message: MembershipMessage) {
+        self.send_datagram(to, address, Some(message));
+    }
+
+    fn send_datagram(&mut self, to: Option<NodeId>, address: SocketAddr, message: Option<MembershipMessage>) {
         let datagram = PeerDatagram { from: self.node, to, announcement: self.own, message };
         let Ok(bytes) = encode(&datagram) else {
             self.counters.unreadable += 1;
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`outbound`] | what of a request is sent on, and how answers are written |
 //! | [`fleet`] | members, announcements, what this node may spend of what they share |
 //! | [`directory`] | which nodes callers are sent to |
+//! | [`store_role`] | whether this node reads the store or follows a peer that does |
 //! | [`load`] | how busy this process is, and how late it comes to its work |
 //! | [`node`] | the event loop that carries events and actions between all of these |
 //! | [`event_log`], [`metrics`] | structured lines, counters |
@@ -28,6 +29,7 @@
 pub mod server;
 pub mod settings;
 pub mod socket;
+pub mod store_role;
 
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, RenderedBody};
 pub use node::{GatewayError, GatewayNode};
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -35,6 +35,10 @@
     pub store_revision: u64,
     /// Whether the store answers.
     pub store_reachable: bool,
+    /// Whether this node reads the store itself.
+    pub reads_store: bool,
+    /// Whether callers are sent to this node.
+    pub serving: bool,
     /// Live nodes known.
     pub members: usize,
     /// Searchers that may be asked.
@@ -127,6 +131,8 @@
         line("config_version", "gauge", gauges.config_version);
         line("store_revision", "gauge", gauges.store_revision);
         line("store_reachable", "gauge", u64::from(gauges.store_reachable));
+        line("reads_store", "gauge", u64::from(gauges.reads_store));
+        line("serving", "gauge", u64::from(gauges.serving));
         line("members", "gauge", gauges.members as u64);
         line("searchers", "gauge", gauges.searchers as u64);
         line("ready", "gauge", u64::from(gauges.ready));
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -18,6 +18,7 @@
 use crate::server::{Endpoint, Server, ServerTimes};
 use crate::settings::{GatewaySettings, SettingsError, SettingsFile};
 use crate::socket::{IoContext, READ_CHUNK, SocketId};
+use crate::store_role::RoleKeeper;
 use hashbrown::HashMap;
 use mio::event::Event;
 use mio::net::UdpSocket;
@@ -111,6 +112,7 @@
     store_calls: [Option<StoreCall>; 3],
     peer: HttpCaller,
     reader: StoreReader,
+    role: RoleKeeper,
     mirror: Mirror,
     engine: RoutingEngine,
     callers: HashMap<RequestKey, CallerRequest>,
@@ -167,6 +169,7 @@
             store_calls: [const { None }; 3],
             peer: HttpCaller::new(PEER, 0, peers),
             reader: StoreReader::new(settings.reader()),
+            role: RoleKeeper::new(settings.longest_silence()),
             mirror: Mirror::default(),
             engine: RoutingEngine::new(routing_settings(&settings)),
             callers: HashMap::new(),
@@ -267,6 +270,7 @@
         self.sweep_server();
         self.sweep_pool();
         self.on_fleet_tick();
+        self.decide_store_role();
         self.ask_better_informed();
         self.update_readiness();
         self.on_stop_tick();
@@ -328,6 +332,7 @@
         let line = format_args!("event=reload outcome=taken addresses_unchanged={keeps_addresses}");
         self.log.line(self.now, LineKind::Belief, line);
         self.engine.set_extra_bound(extra_bound(&settings));
+        self.role.set_longest_silence(settings.longest_silence());
         if settings.store != self.settings.store {
             self.follow_store(settings.store.address);
         }
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -1,13 +1,14 @@
 //! The node's own endpoints: readiness, directory, peers, metrics.
 
 use super::GatewayNode;
-use super::knowledge::CHANGES_TARGET;
+use super::knowledge::{CHANGES_TARGET, VERSION_FIELD};
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::metrics::Gauges;
 use crate::outbound::AnswerContext;
 use crate::server::Endpoint;
 use crate::socket::SocketId;
+use crate::store_role::StoreRole;
 use staircross_http::Request;
 use staircross_wire::frame::encode;
 use std::time::Duration;
@@ -51,13 +52,12 @@
         context.plain(200, body.content_type, &body.bytes)
     }
 
-    /// Tells a peer what changed after the revision that it knows.
+    /// Tells a peer what changed after the revision and version that it knows.
     fn changes(&self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
-        let revision = request.head.target.strip_prefix(CHANGES_TARGET).and_then(|text| text.parse::<u64>().ok());
-        let Some(revision) = revision else {
+        let Some((revision, version)) = known_by_peer(&request.head.target) else {
             return context.plain(404, "text/plain", b"");
         };
-        match encode(&self.mirror.changes_after(revision)) {
+        match encode(&self.mirror.changes_after(revision, version)) {
             Ok(body) => context.plain(200, "application/cbor", &body),
             Err(error) => context.plain(500, "text/plain", error.to_string().as_bytes()),
         }
@@ -71,6 +71,8 @@
             config_version: self.mirror.version(),
             store_revision: self.mirror.newest_revision(),
             store_reachable: self.reader.is_reachable(),
+            reads_store: self.role.role() == StoreRole::Reader,
+            serving: self.is_serving,
             members: self.fleet.live_count(),
             searchers: self.engine.serving_searchers(),
             ready: self.is_ready,
@@ -102,3 +104,9 @@
         self.take_fleet_events(events);
     }
 }
+
+/// Revision and version of the configuration that a peer's question names.
+fn known_by_peer(target: &str) -> Option<(u64, u64)> {
+    let (revision, version) = target.strip_prefix(CHANGES_TARGET)?.split_once(VERSION_FIELD)?;
+    Some((revision.parse().ok()?, version.parse().ok()?))
+}
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -6,6 +6,7 @@
 use crate::fleet::{FleetEvent, FleetShape};
 use crate::http_call::CallOutcome;
 use crate::socket::SocketId;
+use crate::store_role::StoreRole;
 use staircross_routing::engine::RoutingEvent;
 use staircross_routing::store_reader::{Lane, ReaderAction, StoreReply};
 use staircross_routing::{MirrorUpdate, RouteTable};
@@ -17,6 +18,8 @@
 const PEER_PATIENCE: Duration = Duration::from_millis(900);
 /// Target at which peers are asked for what changed after a revision.
 pub(super) const CHANGES_TARGET: &str = "/changes?after=";
+/// Names the version of the configuration that the asker has, after the revision.
+pub(super) const VERSION_FIELD: &str = "&version=";
 
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_store_time(&mut self) {
@@ -77,6 +80,7 @@
             }
             _ => None,
         };
+        let is_alive = reply == Some(StoreReply::Alive);
         let mut actions = Vec::new();
         match reply {
             Some(reply) => {
@@ -88,6 +92,10 @@
             }
             None => self.reader.on_failed(self.now, lane, &mut self.random, &mut actions),
         }
+        if is_alive && self.reader.is_reachable() && self.fleet.is_designated_reader() {
+            self.fleet.set_store_contact(Some(self.now));
+            self.fleet.tell_followers(self.now);
+        }
         self.take_reader_actions(actions);
     }
 
@@ -129,7 +137,10 @@
         if !changes.gone.is_empty() {
             self.engine_event(RoutingEvent::SearchersGone(changes.gone));
         }
-        self.fleet.set_knowledge(self.mirror.version(), self.mirror.newest_revision());
+        let is_news = self.fleet.set_knowledge(self.mirror.version(), self.mirror.newest_revision());
+        if is_news && self.fleet.is_designated_reader() {
+            self.fleet.tell_followers(self.now);
+        }
     }
 
     pub(super) fn on_datagrams(&mut self) {
@@ -181,17 +192,36 @@
         }
     }
 
+    /// Reads the store, or follows a reader of the zone.
+    pub(super) fn decide_store_role(&mut self) {
+        if let Some(sign) = self.fleet.newest_sign() {
+            self.role.note_sign(sign);
+        }
+        self.reader.set_has_followers(self.now, self.fleet.has_followers());
+        let before = self.role.role();
+        let role = self.role.decide(self.now, self.fleet.is_designated_reader());
+        if role == before {
+            return;
+        }
+        self.log.line(self.now, LineKind::Belief, format_args!("event=store_role role={}", role.name()));
+        self.fleet.set_store_contact(None);
+        let mut actions = Vec::new();
+        self.reader.set_following(self.now, role == StoreRole::Follower, &mut actions);
+        self.take_reader_actions(actions);
+    }
+
     /// A node that the store doesn't serve takes what it lacks from a peer.
     pub(super) fn ask_better_informed(&mut self) {
         if self.peer.is_calling() {
             return;
         }
-        let Some(address) = self.fleet.better_informed(self.now) else {
+        let Some(address) = self.fleet.better_informed(self.now, self.role.role()) else {
             return;
         };
         self.fleet.note_asked(self.now);
         self.peer.set_address(address);
-        let target = format!("{CHANGES_TARGET}{}", self.mirror.newest_revision());
+        let (revision, version) = (self.mirror.newest_revision(), self.mirror.version());
+        let target = format!("{CHANGES_TARGET}{revision}{VERSION_FIELD}{version}");
         let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
         if let Some(outcome) = self.peer.get(&target, PEER_PATIENCE, &mut io) {
             self.on_peer_outcome(outcome);
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -133,6 +133,8 @@
 /// Parts of the bounds on news that a rest between calls to the store may take.
 const CONFIG_REST_PART: f64 = 0.17;
 const DRAIN_REST_PART: f64 = 0.3;
+/// Part of the shorter bound on news that a follower bears without hearing of its readers.
+const SILENCE_PART: f64 = 0.4;
 /// Memory that one request in flight is taken to need at most on average, in bytes.
 const REQUEST_MEMORY: u64 = 64 * 1024;
 
@@ -187,6 +189,11 @@
         }
     }
 
+    /// Longest silence of its readers that a follower bears: a part of the time that news may take.
+    pub fn longest_silence(&self) -> Duration {
+        Duration::from_millis(self.bounds.config_ms.min(self.bounds.drain_ms)).mul_f64(SILENCE_PART)
+    }
+
     /// Connections that callers may hold together.
     pub fn caller_connections(&self) -> usize {
         (self.limits.descriptors - RESERVED_DESCRIPTORS) / 2
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -190,11 +190,12 @@
         touched.into_changes()
     }
 
-    /// Everything that changed after `revision`, for a peer that knows the store up to there.
-    pub fn changes_after(&self, revision: u64) -> MirrorUpdate {
+    /// Everything that changed after `revision`, for a peer that knows the store up to there and has a
+    /// `version` of the configuration.
+    pub fn changes_after(&self, revision: u64, version: u64) -> MirrorUpdate {
         let is_complete = self.has_listing && (revision < self.tombstones_from || revision == 0);
         let mut items = Vec::new();
-        if let Some((at, definition)) = &self.configuration {
+        if let Some((at, definition)) = self.configuration.as_ref().filter(|_| self.version() > version) {
             items.push((*at, MirrorItem::Configuration { definition: definition.clone() }));
         }
         for (instance, held) in &self.searchers {
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -139,6 +139,8 @@
     pub searcher_rest: Duration,
     /// Time between signs of life, and while the store is away.
     pub probe: (Duration, Duration),
+    /// Time between signs of life while others rely on them.
+    pub probe_for_others: Duration,
     /// Longest wait for a sign of life.
     pub probe_patience: Duration,
     /// First and longest wait after a failure.
@@ -153,6 +155,7 @@
             configuration_rest: Duration::from_millis(500),
             searcher_rest: Duration::from_millis(900),
             probe: (Duration::from_millis(2000), Duration::from_millis(400)),
+            probe_for_others: Duration::from_millis(500),
             probe_patience: Duration::from_millis(800),
             back_off: (Duration::from_millis(150), Duration::from_millis(1000)),
         }
@@ -165,6 +168,8 @@
     Resting { until: BootTime },
     /// A call is out.
     Calling,
+    /// Nothing is asked: a peer tells what is new.
+    Suspended,
 }
 
 #[derive(Debug)]
@@ -186,6 +191,8 @@
     lanes: [LaneReader; 3],
     /// Whether the store has missed a sign of life since the watches began.
     was_away: bool,
+    /// Whether others rely on this node's signs of life.
+    has_followers: bool,
 }
 
 impl StoreReader {
@@ -199,14 +206,14 @@
             failures: 0,
             is_reachable: false,
         });
-        StoreReader { settings, lanes, was_away: false }
+        StoreReader { settings, lanes, was_away: false, has_followers: false }
     }
 
     /// When a call is due next.
     pub fn next_wake(&self) -> Option<BootTime> {
         let due = self.lanes.iter().filter_map(|lane| match lane.state {
             LaneState::Resting { until } => Some(until),
-            LaneState::Calling => None,
+            LaneState::Calling | LaneState::Suspended => None,
         });
         due.min()
     }
@@ -216,6 +223,35 @@
         self.lanes.iter().all(|lane| lane.is_reachable || lane.lane == Lane::Probe)
     }
 
+    /// Stops asking because a peer tells what is new, or begins again where the peer's word has led.
+    pub fn set_following(&mut self, now: BootTime, is_following: bool, actions: &mut Vec<ReaderAction>) {
+        for lane in &mut self.lanes {
+            if is_following && lane.state == LaneState::Calling {
+                actions.push(ReaderAction::Cancel { lane: lane.lane });
+            }
+            if is_following {
+                lane.state = LaneState::Suspended;
+                lane.partial = None;
+            } else if lane.state == LaneState::Suspended {
+                lane.failures = 0;
+                lane.state = LaneState::Resting { until: now };
+            }
+        }
+        if is_following {
+            self.was_away = false;
+        }
+    }
+
+    /// Notes whether others rely on this node's signs of life; they come more often then, the first at once.
+    pub fn set_has_followers(&mut self, now: BootTime, has_followers: bool) {
+        let begins = has_followers && !self.has_followers;
+        self.has_followers = has_followers;
+        let probe = self.lane_mut(Lane::Probe);
+        if begins && matches!(probe.state, LaneState::Resting { .. }) {
+            probe.state = LaneState::Resting { until: now };
+        }
+    }
+
     /// Makes the calls that are due.
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         for lane in &mut self.lanes {
@@ -266,7 +302,11 @@
 
     fn on_sign_of_life(&mut self, now: BootTime, is_alive: bool, actions: &mut Vec<ReaderAction>) {
         let (usual, while_away) = self.settings.probe;
-        let wait = if is_alive { usual } else { while_away };
+        let wait = match (is_alive, self.has_followers) {
+            (true, true) => self.settings.probe_for_others,
+            (true, false) => usual,
+            (false, _) => while_away,
+        };
         let probe = self.lane_mut(Lane::Probe);
         probe.state = LaneState::Resting { until: now + wait };
         probe.set_reachable(is_alive, actions);
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -153,11 +153,11 @@
     informed.merge(changes(vec![(11, configuration(4)), (12, gone("a")), (13, searcher("c", true))]));
     let mut behind = Mirror::default();
     behind.merge(listing(10, vec![(3, searcher("a", false)), (9, searcher("b", false))]));
-    behind.merge(informed.changes_after(behind.newest_revision()));
+    behind.merge(informed.changes_after(behind.newest_revision(), behind.version()));
     assert_eq!(names(&behind), names(&informed));
     assert_eq!(behind.version(), 4);
     let mut newcomer = Mirror::default();
-    newcomer.merge(informed.changes_after(0));
+    newcomer.merge(informed.changes_after(0, 0));
     assert_eq!(names(&newcomer), names(&informed));
 }
 
@@ -227,7 +227,7 @@
         let reached = cut.index(events.len());
         let mut follower = Mirror::default();
         follower.merge(changes(events[..reached].to_vec()));
-        follower.merge(shuffled.changes_after(follower.newest_revision()));
+        follower.merge(shuffled.changes_after(follower.newest_revision(), follower.version()));
         prop_assert_eq!(&told(&follower), &truth);
     }
 }
@@ -442,18 +442,84 @@
     assert!(store.calls(0, Lane::Searchers).is_empty() && store.cancelled.is_empty());
 }
 
+fn set_following(store: &mut Store, is_following: bool) {
+    let mut actions = Vec::new();
+    store.reader.set_following(store.now, is_following, &mut actions);
+    store.take(actions);
+}
+
+#[test]
+fn a_follower_asks_nothing_and_goes_on_from_what_its_peer_told() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Searchers);
+    store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+    assert_eq!(store.calls(0, Lane::Searchers).len(), 1, "it watches");
+    set_following(&mut store, true);
+    store.calls.clear();
+    assert!(store.cancelled.contains(&Lane::Searchers) && store.cancelled.contains(&Lane::Probe));
+    for lane in Lane::ALL {
+        assert_eq!(store.calls(60_000, lane), []);
+    }
+    store.reader.on_told(Lane::Searchers, 25);
+    set_following(&mut store, false);
+    let calls = store.calls(0, Lane::Searchers);
+    assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 25)), "{calls:?}");
+}
+
+#[test]
+fn a_reader_whose_signs_others_rely_on_gives_them_more_often() {
+    let mut store = Store::new();
+    let mut signs = |has_followers| {
+        store.reader.set_has_followers(store.now, has_followers);
+        let mut count = 0;
+        for _ in 0..200 {
+            for _ in store.calls(50, Lane::Probe) {
+                count += 1;
+                store.reply(Lane::Probe, StoreReply::Alive);
+            }
+        }
+        count
+    };
+    let (alone, relied_on) = (signs(false), signs(true));
+    assert!((4..=7).contains(&alone), "{alone} in ten seconds");
+    assert!((16..=22).contains(&relied_on), "{relied_on} in ten seconds");
+}
+
+#[test]
+fn the_first_sign_for_others_comes_at_once() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Probe);
+    store.reply(Lane::Probe, StoreReply::Alive);
+    assert_eq!(store.calls(300, Lane::Probe), [], "the usual rest is longer");
+    store.reader.set_has_followers(store.now, true);
+    assert_eq!(store.calls(0, Lane::Probe).len(), 1);
+}
+
+#[test]
+fn a_peer_that_has_the_configuration_is_not_sent_it_again() {
+    let mut mirror = Mirror::default();
+    mirror.merge(listing(10, vec![(3, searcher("a", false))]));
+    mirror.merge(changes(vec![(11, configuration(4)), (12, gone("a"))]));
+    let has_configuration = |version| {
+        let items = mirror.changes_after(10, version).items;
+        items.iter().any(|(_, item)| matches!(item, MirrorItem::Configuration { .. }))
+    };
+    assert!(has_configuration(3));
+    assert!(!has_configuration(4));
+}
+
 #[test]
 fn only_a_mirror_that_has_a_whole_listing_passes_on_a_whole_one() {
     let mut partial = Mirror::default();
     partial.merge(changes(vec![(9, searcher("b", false))]));
     assert!(!partial.has_listing());
-    let update = partial.changes_after(0);
+    let update = partial.changes_after(0, 0);
     assert!(!update.is_complete_for_searchers);
     let mut newcomer = Mirror::default();
     newcomer.merge(update);
     assert_eq!(names(&newcomer), ["b"]);
     assert!(!newcomer.has_listing(), "a node that knows a part isn't ready by it");
     partial.merge(listing(12, vec![(3, searcher("a", false)), (9, searcher("b", false))]));
-    newcomer.merge(partial.changes_after(0));
+    newcomer.merge(partial.changes_after(0, 0));
     assert!(partial.has_listing() && newcomer.has_listing());
 }
