Ask searchers whose entries have just gone where nobody else can be asked; look again sooner while they come back

Cause: entries lapse while the store is away. A process that starts anew in that moment lists only what is back. Ruled out: relays (no node knew more), avoided searchers. Change: an entry that goes without a word leaves its searcher a last resort for a quarter of the bound on drains; one that said it drains is never asked, one whose address another run has is not either. After ends of entries, and in the first three seconds of a process that isn't the fleet's first, the lane rests for 150 ms instead of 900.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -18,7 +18,7 @@
 use crate::server::{Endpoint, Server, ServerTimes};
 use crate::settings::{GatewaySettings, SettingsError, SettingsFile};
 use crate::socket::{IoContext, READ_CHUNK, SocketId};
-use crate::store_role::{RoleKeeper, StoreRole};
+use crate::store_role::RoleKeeper;
 use hashbrown::HashMap;
 use mio::event::Event;
 use mio::net::UdpSocket;
@@ -61,6 +61,8 @@
 /// Life of a process that isn't the fleet's first during which fresh connections to searchers are proved:
 /// its machine may have lost power, and searchers still hold the connections of its run before.
 const YOUNG: Duration = Duration::from_secs(20);
+/// Life of such a process during which it looks for searchers again soon after each news of them.
+const YOUNG_READER: Duration = Duration::from_secs(3);
 /// Longest answer of a searcher, in bytes.
 const MAX_ANSWER: usize = 8 * 1024 * 1024;
 
@@ -154,8 +156,12 @@
         let proves_until = if settings.node.first_start { now } else { now + YOUNG };
         let store = settings.store.address;
         let mut role = RoleKeeper::new(settings.longest_silence());
+        let mut reader = StoreReader::new(settings.reader());
         if settings.node.first_start {
             role = role.with_first_start(now);
+            reader = reader.with_following(true);
+        } else {
+            reader = reader.with_young_until(now + YOUNG_READER);
         }
         let mut log = EventLog::new(&settings.node.name, settings.node.log);
         log.line(
@@ -172,7 +178,7 @@
             store: [0, 1, 2].map(|slot| HttpCaller::new(STORE, slot, store)),
             store_calls: [const { None }; 3],
             peer: HttpCaller::new(PEER, 0, peers),
-            reader: StoreReader::new(settings.reader()).with_following(role.role() == StoreRole::Follower),
+            reader,
             role,
             mirror: Mirror::default(),
             engine: RoutingEngine::new(routing_settings(&settings)),
@@ -379,6 +385,7 @@
         extra: extra_bound(settings),
         zone: Arc::from(settings.node.zone.as_str()),
         regions: regions.map(|(zone, region)| (Arc::from(zone.as_str()), Arc::from(region.as_str()))).collect(),
+        lapse_grace: settings.lapse_grace(),
         max_requests: settings.max_requests(),
         seed: rand::rng().random(),
     }
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -133,6 +133,9 @@
 /// Parts of the bounds on news that a rest between calls to the store may take.
 const CONFIG_REST_PART: f64 = 0.17;
 const DRAIN_REST_PART: f64 = 0.3;
+/// Part of the bound on drains during which a searcher whose entry has gone is a last resort. With the rest
+/// after news, a follower's pull and a late wake-up it stays below the bound.
+const LAPSE_PART: f64 = 0.25;
 /// Part of the shorter bound on news that a follower bears without hearing of its readers.
 const SILENCE_PART: f64 = 0.4;
 /// Memory that one request in flight is taken to need at most on average, in bytes.
@@ -194,6 +197,11 @@
         Duration::from_millis(self.bounds.config_ms.min(self.bounds.drain_ms)).mul_f64(SILENCE_PART)
     }
 
+    /// Time after the end of its entry during which a searcher is asked where nobody else can be.
+    pub fn lapse_grace(&self) -> Duration {
+        Duration::from_millis(self.bounds.drain_ms).mul_f64(LAPSE_PART)
+    }
+
     /// Connections that callers may hold together.
     pub fn caller_connections(&self) -> usize {
         (self.limits.descriptors - RESERVED_DESCRIPTORS) / 2
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -44,6 +44,8 @@
     pub zone: Arc<str>,
     /// Regions by zone.
     pub regions: HashMap<Arc<str>, Arc<str>>,
+    /// Time after the end of its entry during which a searcher is asked where nobody else can be.
+    pub lapse_grace: Duration,
     /// Requests held at once.
     pub max_requests: usize,
     /// Feeds random choices.
@@ -148,7 +150,9 @@
         match event {
             RoutingEvent::Configuration(table) => self.set_table(table),
             RoutingEvent::Searchers(entries) => entries.into_iter().for_each(|entry| self.set_searcher(now, entry)),
-            RoutingEvent::SearchersGone(instances) => instances.iter().for_each(|instance| self.set_gone(instance)),
+            RoutingEvent::SearchersGone(instances) => {
+                instances.iter().for_each(|instance| self.set_lapsed(now, instance))
+            }
             RoutingEvent::Fleet { nodes_by_zone, serving, slack_part } => {
                 self.place.nodes_by_zone = nodes_by_zone;
                 self.place.serving = serving;
@@ -230,21 +234,32 @@
             }
         };
         let peers = self.by_service.entry(service).or_default();
-        let is_serving = self.searchers[key.0 as usize].is_serving();
-        peers.retain(|known| *known != key);
-        if is_serving {
+        peers.retain(|known| *known != key && self.searchers[known.0 as usize].may_be_asked(now));
+        if self.searchers[key.0 as usize].is_serving() {
             peers.push(key);
         }
     }
 
-    fn set_gone(&mut self, instance: &Arc<str>) {
+    fn set_lapsed(&mut self, now: BootTime, instance: &Arc<str>) {
         let Some(key) = self.by_instance.get(instance).copied() else {
             return;
         };
-        self.forget_serving(key);
+        let until = now + self.settings.lapse_grace;
+        let searcher = &mut self.searchers[key.0 as usize];
+        searcher.mark_lapsed(until);
+        let service = searcher.entry.service.clone();
+        if let Some(peers) = self.by_service.get_mut(&service) {
+            peers.retain(|known| self.searchers[known.0 as usize].may_be_asked(now));
+        }
+    }
+
+    /// Searchers of a service that may be asked, room and trials aside.
+    pub(crate) fn askable(&self, now: BootTime, service: &Arc<str>) -> impl Iterator<Item = SearcherKey> {
+        let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        peers.iter().copied().filter(move |key| self.searchers[key.0 as usize].may_be_asked(now))
     }
 
-    /// The run at an address is no longer the one that was asked for, or its entry has gone.
+    /// The run at an address is no longer the one that was asked for.
     pub(crate) fn forget_serving(&mut self, key: SearcherKey) {
         let searcher = &mut self.searchers[key.0 as usize];
         searcher.mark_gone();
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -117,8 +117,7 @@
     }
 
     fn has_candidate(&self, now: BootTime, service: &Arc<str>) -> bool {
-        let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        peers.iter().any(|key| !self.searchers[key.0 as usize].is_avoided(now))
+        self.askable(now, service).any(|key| !self.searchers[key.0 as usize].is_avoided(now))
     }
 
     /// Sends one more attempt for a shard. Returns whether one went out.
@@ -174,9 +173,9 @@
         tried: &[SearcherKey],
         reason: SendReason,
     ) -> UnsentCause {
-        let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let is_only_full =
-            peers.iter().any(|peer| !tried.contains(peer) && !self.searchers[peer.0 as usize].is_avoided(now));
+        let is_only_full = self
+            .askable(now, service)
+            .any(|peer| !tried.contains(&peer) && !self.searchers[peer.0 as usize].is_avoided(now));
         let cause = if is_only_full { UnsentCause::NoRoom } else { UnsentCause::NobodyLeft };
         let Some(request) = self.requests.get_mut(&key) else {
             return cause;
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -53,9 +53,15 @@
 pub enum Standing {
     /// Its entry says that it serves.
     Serving,
+    /// Its entry has gone without a word. Entries also lapse while the store is away, so it is asked until a
+    /// time, if nobody else can be.
+    Lapsed {
+        /// The time.
+        until: BootTime,
+    },
     /// It said that it leaves; never asked again.
     Draining,
-    /// Its entry has gone.
+    /// It isn't at its address any more.
     Gone,
 }
 
@@ -112,17 +118,33 @@
     }
 
     /// Its entry has gone from the store.
-    pub fn mark_gone(&mut self) {
+    pub fn mark_lapsed(&mut self, until: BootTime) {
         if self.standing == Standing::Serving {
+            self.standing = Standing::Lapsed { until };
+        }
+    }
+
+    /// It isn't at its address any more.
+    pub fn mark_gone(&mut self) {
+        if self.standing != Standing::Draining {
             self.standing = Standing::Gone;
         }
     }
 
-    /// Whether new work may be sent, room and trials aside.
+    /// Whether its entry says that it serves.
     pub fn is_serving(&self) -> bool {
         self.standing == Standing::Serving
     }
 
+    /// Whether new work may be sent, room and trials aside.
+    pub fn may_be_asked(&self, now: BootTime) -> bool {
+        match self.standing {
+            Standing::Serving => true,
+            Standing::Lapsed { until } => now < until,
+            Standing::Draining | Standing::Gone => false,
+        }
+    }
+
     /// Whether it has failed lately and must be left alone for now.
     pub fn is_avoided(&self, now: BootTime) -> bool {
         now < self.avoid_until
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -20,6 +20,8 @@
 /// Added to the way to another zone of the region, and to another region.
 const ZONE_BIAS: Duration = Duration::from_millis(4);
 const REGION_BIAS: Duration = Duration::from_millis(25);
+/// Added for a searcher whose entry has gone: it is asked after all others.
+const LAPSE_BIAS: Duration = Duration::from_secs(60);
 /// Ways assumed until they have been measured.
 const OWN_ZONE_WAY: Duration = Duration::from_millis(1);
 const OTHER_ZONE_WAY: Duration = Duration::from_millis(2);
@@ -125,7 +127,8 @@
     let queue = work.mul_f64(((at_work + 1.0 - slots) / slots).max(0.0));
     // Whoever is overdue will probably be so for as long again.
     let pause = searcher.overdue(now) * 2;
-    place.way(zone) + bias + work + queue + pause
+    let lapse = if searcher.is_serving() { Duration::ZERO } else { LAPSE_BIAS };
+    place.way(zone) + bias + work + queue + pause + lapse
 }
 
 /// Chooses among `candidates`; those in `tried`, without room, not serving or avoided are left out.
@@ -165,5 +168,5 @@
 
 fn may_take(now: BootTime, searcher: &Searcher, place: &Place) -> bool {
     let has_room = searcher.open.len() < place.connection_share(searcher) && !searcher.is_full(now);
-    searcher.is_serving() && !searcher.is_avoided(now) && has_room
+    searcher.may_be_asked(now) && !searcher.is_avoided(now) && has_room
 }
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -9,7 +9,7 @@
 //! same as one that is dead. So a third lane asks now and then for a cheap sign of life; once the
 //! store has missed one, both watches are renewed when it is back.
 
-use crate::mirror::MirrorUpdate;
+use crate::mirror::{MirrorItem, MirrorUpdate};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use staircross_types::BootTime;
@@ -137,6 +137,8 @@
     pub configuration_rest: Duration,
     /// Rest after news of searchers.
     pub searcher_rest: Duration,
+    /// The same when entries have gone: those that only lapsed come back one by one.
+    pub lapse_rest: Duration,
     /// Time between signs of life, and while the store is away.
     pub probe: (Duration, Duration),
     /// Time between signs of life while others rely on them.
@@ -154,6 +156,7 @@
             patience: Duration::from_millis(1200),
             configuration_rest: Duration::from_millis(500),
             searcher_rest: Duration::from_millis(900),
+            lapse_rest: Duration::from_millis(150),
             probe: (Duration::from_millis(2000), Duration::from_millis(400)),
             probe_for_others: Duration::from_millis(500),
             probe_patience: Duration::from_millis(800),
@@ -193,6 +196,8 @@
     was_away: bool,
     /// Whether others rely on this node's signs of life.
     has_followers: bool,
+    /// Until when rests after news of searchers are short.
+    is_young_until: BootTime,
 }
 
 impl StoreReader {
@@ -206,7 +211,7 @@
             failures: 0,
             is_reachable: false,
         });
-        StoreReader { settings, lanes, was_away: false, has_followers: false }
+        StoreReader { settings, lanes, was_away: false, has_followers: false, is_young_until: BootTime::default() }
     }
 
     /// One that asks nothing at first if `is_following`.
@@ -217,6 +222,13 @@
         self
     }
 
+    /// One that looks again soon after news of searchers until a time. A process that was started anew knows
+    /// only what the store holds now, and entries may just be coming back.
+    pub fn with_young_until(mut self, is_young_until: BootTime) -> Self {
+        self.is_young_until = is_young_until;
+        self
+    }
+
     /// When a call is due next.
     pub fn next_wake(&self) -> Option<BootTime> {
         let due = self.lanes.iter().filter_map(|lane| match lane.state {
@@ -279,7 +291,10 @@
         random: &mut ChaCha8Rng,
         actions: &mut Vec<ReaderAction>,
     ) {
-        let settings = self.settings.clone();
+        let mut settings = self.settings.clone();
+        if now < self.is_young_until {
+            settings.searcher_rest = settings.searcher_rest.min(settings.lapse_rest);
+        }
         if lane == Lane::Probe {
             return self.on_sign_of_life(now, matches!(reply, StoreReply::Alive), actions);
         }
@@ -410,8 +425,10 @@
         if update.items.is_empty() {
             self.state = LaneState::Resting { until: now };
         } else {
+            let has_ends = update.items.iter().any(|(_, item)| matches!(item, MirrorItem::SearcherGone { .. }));
             let rest = match self.lane {
                 Lane::Configuration => settings.configuration_rest,
+                Lane::Searchers | Lane::Probe if has_ends => settings.lapse_rest.min(settings.searcher_rest),
                 Lane::Searchers | Lane::Probe => settings.searcher_rest,
             };
             self.state = LaneState::Resting { until: now + rest };
--- a/crates/staircross-routing/tests/gather.rs
+++ b/crates/staircross-routing/tests/gather.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Driver, answer, definition, gather, records, route, searcher};
+use common::{Driver, LAPSE_MS, answer, definition, gather, records, route, searcher};
 use staircross_routing::engine::{LeftOutCause, RoutingEvent, SendReason};
 use staircross_routing::request::Unknown;
 use staircross_routing::{
@@ -160,6 +160,7 @@
     let mut driver = driver(1.0);
     let gone = ["w-a", "w-b", "w-c"].map(Arc::from).to_vec();
     driver.event(RoutingEvent::SearchersGone(gone));
+    driver.pass_ms(LAPSE_MS);
     let request = driver.request("/q/1");
     assert_eq!(driver.refusal(request), Some(ErrorKind::NoReplica));
     assert!(driver.sends.is_empty());
@@ -169,6 +170,7 @@
 fn a_shard_without_searchers_is_counted_as_missing() {
     let mut driver = driver(0.75);
     driver.event(RoutingEvent::SearchersGone(["w-a", "w-b", "w-c"].map(Arc::from).to_vec()));
+    driver.pass_ms(LAPSE_MS);
     let request = driver.request("/q/1");
     for attempt in attempts(&driver, request) {
         driver.end(attempt, answer(200, "stamp", records(&[1])));
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -359,6 +359,34 @@
     assert!(calls >= 4, "{calls} calls: news must not wait for seconds");
 }
 
+#[test]
+fn after_ends_of_entries_a_lane_looks_again_sooner() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Searchers);
+    store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+    store.calls(0, Lane::Searchers);
+    store.reply(Lane::Searchers, StoreReply::Changes { update: changes(vec![(11, gone("s"))]), at: 11 });
+    assert_eq!(store.calls(100, Lane::Searchers), []);
+    assert_eq!(store.calls(100, Lane::Searchers).len(), 1, "those that only lapsed come back soon");
+}
+
+#[test]
+fn a_process_started_anew_looks_again_soon_for_searchers_that_are_just_coming_back() {
+    let rest_of = |reader: StoreReader| {
+        let mut store = Store { reader, ..Store::new() };
+        store.calls(0, Lane::Searchers);
+        store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+        store.calls(0, Lane::Searchers);
+        let news = changes(vec![(11, searcher("s", false))]);
+        store.reply(Lane::Searchers, StoreReply::Changes { update: news, at: 11 });
+        (1..20_u64).find(|_| !store.calls(50, Lane::Searchers).is_empty()).map(|steps| steps * 50)
+    };
+    let usual = StoreReader::new(ReaderSettings::default());
+    assert_eq!(rest_of(usual), Some(900));
+    let young = StoreReader::new(ReaderSettings::default()).with_young_until(BootTime::from_millis(4000));
+    assert_eq!(rest_of(young), Some(150));
+}
+
 #[test]
 fn a_forgotten_history_is_read_anew() {
     let mut store = Store::new();
