--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -5,141 +5,25 @@
 //! probes and their answers, gossip, time. Invariants: only a node itself clears a suspicion of
 //! it; a node that was paused doesn't judge others by answers it slept through.
 
+mod message;
+mod probing;
 mod reconcile;
 mod suspicion;
 
+pub use message::{MembershipAction, MembershipMessage, MembershipSettings, Tellings};
+
 use crate::member::{Member, MemberState};
 use crate::ownership::rendezvous_weight;
+use probing::{HelpedProbe, OutstandingProbe};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
 use staircross_types::{BootTime, NodeId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use suspicion::Suspicion;
 
-/// Times and sizes of the membership protocol.
-#[derive(Clone, Debug)]
-pub struct MembershipSettings {
-    /// Time between probes sent by one node.
-    pub probe_every: Duration,
-    /// Time after which an unanswered probe is tried through others.
-    pub direct_timeout: Duration,
-    /// Time after which a probe has failed.
-    pub probe_timeout: Duration,
-    /// Time a suspect has to refute.
-    pub suspicion: Duration,
-    /// A gap between ticks longer than this was a pause of this process.
-    pub pause_gap: Duration,
-    /// Others that are asked to probe on one's behalf.
-    pub helpers: usize,
-    /// News items on one message.
-    pub news_per_message: usize,
-    /// How often each item is told: so many times the logarithm of the fleet's size, and so many more.
-    pub tellings: Tellings,
-    /// Whether a joiner asks one seed at a time instead of all: each answers with the whole fleet.
-    pub asks_one_seed: bool,
-    /// Time after which a gone member is forgotten.
-    pub forget_after: Duration,
-}
-
-impl Default for MembershipSettings {
-    fn default() -> Self {
-        MembershipSettings {
-            probe_every: Duration::from_millis(500),
-            direct_timeout: Duration::from_millis(200),
-            probe_timeout: Duration::from_millis(600),
-            // A pause of a second must never evict: the probe timeout and this are well above it.
-            suspicion: Duration::from_millis(2500),
-            pause_gap: Duration::from_millis(400),
-            helpers: 3,
-            news_per_message: 6,
-            tellings: Tellings { per_doubling: 4, besides: 4 },
-            asks_one_seed: false,
-            forget_after: Duration::from_secs(120),
-        }
-    }
-}
-
-/// How often one node tells one item of news.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Tellings {
-    /// For each doubling of the fleet's size.
-    pub per_doubling: u32,
-    /// Besides.
-    pub besides: u32,
-}
-
-impl Tellings {
-    fn for_fleet(self, members: usize) -> u32 {
-        self.per_doubling * (members as u32 + 1).ilog2() + self.besides
-    }
-}
-
-/// Probes and gossip.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum MembershipMessage {
-    /// Are you there? News besides.
-    #[serde(rename = "p")]
-    Probe {
-        #[serde(rename = "n")]
-        number: u64,
-        #[serde(rename = "w")]
-        news: Vec<Member>,
-    },
-    /// I am.
-    #[serde(rename = "q")]
-    ProbeAnswer {
-        #[serde(rename = "n")]
-        number: u64,
-        #[serde(rename = "w")]
-        news: Vec<Member>,
-        /// Which of the probe's news were known already: a bit for each, the first one lowest.
-        #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
-        known: u32,
-    },
-    /// Please probe a third on my behalf.
-    ProbeFor { number: u64, target: NodeId, target_address: SocketAddr },
-    /// I have come up; tell me of everyone.
-    Join { member: Member },
-    /// Everyone I know of.
-    Everyone { members: Vec<Member> },
-    /// Tell me everyone if that isn't what I know.
-    Compare { fingerprint: u64 },
-}
-
-/// What the membership wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum MembershipAction {
-    /// Send a message.
-    Send { to: Option<NodeId>, address: SocketAddr, message: MembershipMessage },
-    /// A member's record changed.
-    Changed(NodeId),
-}
-
-fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
-struct OutstandingProbe {
-    number: u64,
-    target: NodeId,
-    /// Whom its news was about.
-    told: Vec<NodeId>,
-    sent_at: BootTime,
-    asked_helpers: bool,
-}
-
-struct HelpedProbe {
-    number: u64,
-    for_number: u64,
-    for_node: NodeId,
-    for_address: SocketAddr,
-    sent_at: BootTime,
-}
-
 struct Rumor {
     node: NodeId,
     times_told: u32,
@@ -167,9 +51,6 @@
     pub declared_dead: u64,
 }
 
-/// Members of each other region that are probed in a round: a part of those of the own region, but some.
-const FAR_PART: usize = 8;
-const LEAST_FAR: usize = 3;
 /// Time between contacts to seed addresses at which no member is known.
 const SEED_CONTACT_EVERY: Duration = Duration::from_secs(1);
 
@@ -326,122 +207,6 @@
         self.suspicions.values_mut().for_each(|suspicion| suspicion.since = now);
     }
 
-    fn start_probe(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
-        self.next_probe = now + self.settings.probe_every;
-        let Some(target) = self.next_target(random) else {
-            return;
-        };
-        let number = self.take_number();
-        let news = self.take_news();
-        let told = news.iter().map(|member| member.node).collect();
-        let message = MembershipMessage::Probe { number, news };
-        actions.push(MembershipAction::Send { to: Some(target.node), address: target.peer_address, message });
-        self.probe = Some(OutstandingProbe { number, target: target.node, told, sent_at: now, asked_helpers: false });
-    }
-
-    /// Goes through a round in random order before beginning the next, so each is probed in bounded time.
-    fn next_target(&mut self, random: &mut ChaCha8Rng) -> Option<Member> {
-        loop {
-            if self.round.is_empty() {
-                self.round = self.new_round(random);
-                if self.round.is_empty() {
-                    return None;
-                }
-            }
-            let node = self.round.pop()?;
-            if let Some(member) = self.members.get(&node).filter(|member| !member.is_gone()) {
-                return Some(member.clone());
-            }
-        }
-    }
-
-    /// All others of the region, and some of each other region: bytes between regions are dear, and a
-    /// member is watched well by those around it. Of a small region all are in every round.
-    fn new_round(&self, random: &mut ChaCha8Rng) -> Vec<NodeId> {
-        let mut by_region: BTreeMap<&str, Vec<NodeId>> = BTreeMap::new();
-        for member in self.others() {
-            by_region.entry(&member.region).or_default().push(member.node);
-        }
-        let mut round = by_region.remove(self.own().region.as_str()).unwrap_or_default();
-        let far_count = LEAST_FAR.max(round.len() / FAR_PART);
-        for far in by_region.values() {
-            round.extend(far.choose_multiple(random, far_count));
-        }
-        shuffle(&mut round, random);
-        round
-    }
-
-    fn check_probe(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
-        let Some(probe) = &mut self.probe else {
-            return;
-        };
-        let age = now.since(probe.sent_at);
-        let target = probe.target;
-        if age >= self.settings.probe_timeout {
-            self.probe = None;
-            self.suspect(now, target, actions);
-            return;
-        }
-        if age >= self.settings.direct_timeout && !probe.asked_helpers {
-            probe.asked_helpers = true;
-            let number = probe.number;
-            self.ask_helpers(target, number, random, actions);
-        }
-    }
-
-    fn ask_helpers(
-        &mut self,
-        target: NodeId,
-        number: u64,
-        random: &mut ChaCha8Rng,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let Some(target_address) = self.members.get(&target).map(|member| member.peer_address) else {
-            return;
-        };
-        let candidates: Vec<(NodeId, SocketAddr)> = self
-            .others()
-            .filter(|member| member.node != target)
-            .map(|member| (member.node, member.peer_address))
-            .collect();
-        for (node, address) in candidates.choose_multiple(random, self.settings.helpers) {
-            let message = MembershipMessage::ProbeFor { number, target, target_address };
-            actions.push(MembershipAction::Send { to: Some(*node), address: *address, message });
-        }
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn help(
-        &mut self,
-        now: BootTime,
-        for_number: u64,
-        for_node: NodeId,
-        for_address: SocketAddr,
-        target: NodeId,
-        target_address: SocketAddr,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let number = self.take_number();
-        self.helped.push(HelpedProbe { number, for_number, for_node, for_address, sent_at: now });
-        let news = self.take_news();
-        let message = MembershipMessage::Probe { number, news };
-        actions.push(MembershipAction::Send { to: Some(target), address: target_address, message });
-    }
-
-    fn on_answer(&mut self, number: u64, known: u32, actions: &mut Vec<MembershipAction>) {
-        if let Some(probe) = self.probe.take_if(|probe| probe.number == number) {
-            self.note_told_in_vain(&probe.told, known);
-            return;
-        }
-        let Some(index) = self.helped.iter().position(|helped| helped.number == number) else {
-            return;
-        };
-        let helped = self.helped.swap_remove(index);
-        let news = self.take_news();
-        let message = MembershipMessage::ProbeAnswer { number: helped.for_number, news, known: 0 };
-        actions.push(MembershipAction::Send { to: Some(helped.for_node), address: helped.for_address, message });
-    }
-
     /// Joins through seeds, and keeps telling seeds that have restarted that there is a fleet.
     fn contact_seeds(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
         if now < self.next_seed_contact {
--- /dev/null
+++ b/crates/staircross-cluster/src/membership/message.rs
@@ -0,0 +1,110 @@
+//! Settings of the membership protocol, its messages and what it wants done.
+
+use crate::member::Member;
+use serde::{Deserialize, Serialize};
+use staircross_types::NodeId;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Times and sizes of the membership protocol.
+#[derive(Clone, Debug)]
+pub struct MembershipSettings {
+    /// Time between probes sent by one node.
+    pub probe_every: Duration,
+    /// Time after which an unanswered probe is tried through others.
+    pub direct_timeout: Duration,
+    /// Time after which a probe has failed.
+    pub probe_timeout: Duration,
+    /// Time a suspect has to refute.
+    pub suspicion: Duration,
+    /// A gap between ticks longer than this was a pause of this process.
+    pub pause_gap: Duration,
+    /// Others that are asked to probe on one's behalf.
+    pub helpers: usize,
+    /// News items on one message.
+    pub news_per_message: usize,
+    /// How often each item is told: so many times the logarithm of the fleet's size, and so many more.
+    pub tellings: Tellings,
+    /// Whether a joiner asks one seed at a time instead of all: each answers with the whole fleet.
+    pub asks_one_seed: bool,
+    /// Time after which a gone member is forgotten.
+    pub forget_after: Duration,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        MembershipSettings {
+            probe_every: Duration::from_millis(500),
+            direct_timeout: Duration::from_millis(200),
+            probe_timeout: Duration::from_millis(600),
+            // A pause of a second must never evict: the probe timeout and this are well above it.
+            suspicion: Duration::from_millis(2500),
+            pause_gap: Duration::from_millis(400),
+            helpers: 3,
+            news_per_message: 6,
+            tellings: Tellings { per_doubling: 4, besides: 4 },
+            asks_one_seed: false,
+            forget_after: Duration::from_secs(120),
+        }
+    }
+}
+
+/// How often one node tells one item of news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tellings {
+    /// For each doubling of the fleet's size.
+    pub per_doubling: u32,
+    /// Besides.
+    pub besides: u32,
+}
+
+impl Tellings {
+    pub(super) fn for_fleet(self, members: usize) -> u32 {
+        self.per_doubling * (members as u32 + 1).ilog2() + self.besides
+    }
+}
+
+/// Probes and gossip.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum MembershipMessage {
+    /// Are you there? News besides.
+    #[serde(rename = "p")]
+    Probe {
+        #[serde(rename = "n")]
+        number: u64,
+        #[serde(rename = "w")]
+        news: Vec<Member>,
+    },
+    /// I am.
+    #[serde(rename = "q")]
+    ProbeAnswer {
+        #[serde(rename = "n")]
+        number: u64,
+        #[serde(rename = "w")]
+        news: Vec<Member>,
+        /// Which of the probe's news were known already: a bit for each, the first one lowest.
+        #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
+        known: u32,
+    },
+    /// Please probe a third on my behalf.
+    ProbeFor { number: u64, target: NodeId, target_address: SocketAddr },
+    /// I have come up; tell me of everyone.
+    Join { member: Member },
+    /// Everyone I know of.
+    Everyone { members: Vec<Member> },
+    /// Tell me everyone if that isn't what I know.
+    Compare { fingerprint: u64 },
+}
+
+/// What the membership wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MembershipAction {
+    /// Send a message.
+    Send { to: Option<NodeId>, address: SocketAddr, message: MembershipMessage },
+    /// A member's record changed.
+    Changed(NodeId),
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
--- /dev/null
+++ b/crates/staircross-cluster/src/membership/probing.rs
@@ -0,0 +1,148 @@
+//! Probes: one other at a time, through helpers where it doesn't answer.
+
+use super::{Membership, MembershipAction, MembershipMessage, shuffle};
+use crate::member::Member;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use staircross_types::{BootTime, NodeId};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Members of each other region that are probed in a round: a part of those of the own region, but some.
+const FAR_PART: usize = 8;
+const LEAST_FAR: usize = 3;
+
+pub(super) struct OutstandingProbe {
+    pub(super) number: u64,
+    pub(super) target: NodeId,
+    /// Whom its news was about.
+    pub(super) told: Vec<NodeId>,
+    pub(super) sent_at: BootTime,
+    pub(super) asked_helpers: bool,
+}
+
+pub(super) struct HelpedProbe {
+    pub(super) number: u64,
+    pub(super) for_number: u64,
+    pub(super) for_node: NodeId,
+    pub(super) for_address: SocketAddr,
+    pub(super) sent_at: BootTime,
+}
+
+impl Membership {
+    pub(super) fn start_probe(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
+        self.next_probe = now + self.settings.probe_every;
+        let Some(target) = self.next_target(random) else {
+            return;
+        };
+        let number = self.take_number();
+        let news = self.take_news();
+        let told = news.iter().map(|member| member.node).collect();
+        let message = MembershipMessage::Probe { number, news };
+        actions.push(MembershipAction::Send { to: Some(target.node), address: target.peer_address, message });
+        self.probe = Some(OutstandingProbe { number, target: target.node, told, sent_at: now, asked_helpers: false });
+    }
+
+    /// Goes through a round in random order before beginning the next, so each is probed in bounded time.
+    fn next_target(&mut self, random: &mut ChaCha8Rng) -> Option<Member> {
+        loop {
+            if self.round.is_empty() {
+                self.round = self.new_round(random);
+                if self.round.is_empty() {
+                    return None;
+                }
+            }
+            let node = self.round.pop()?;
+            if let Some(member) = self.members.get(&node).filter(|member| !member.is_gone()) {
+                return Some(member.clone());
+            }
+        }
+    }
+
+    /// All others of the region, and some of each other region: bytes between regions are dear, and a
+    /// member is watched well by those around it. Of a small region all are in every round.
+    fn new_round(&self, random: &mut ChaCha8Rng) -> Vec<NodeId> {
+        let mut by_region: BTreeMap<&str, Vec<NodeId>> = BTreeMap::new();
+        for member in self.others() {
+            by_region.entry(&member.region).or_default().push(member.node);
+        }
+        let mut round = by_region.remove(self.own().region.as_str()).unwrap_or_default();
+        let far_count = LEAST_FAR.max(round.len() / FAR_PART);
+        for far in by_region.values() {
+            round.extend(far.choose_multiple(random, far_count));
+        }
+        shuffle(&mut round, random);
+        round
+    }
+
+    pub(super) fn check_probe(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
+        let Some(probe) = &mut self.probe else {
+            return;
+        };
+        let age = now.since(probe.sent_at);
+        let target = probe.target;
+        if age >= self.settings.probe_timeout {
+            self.probe = None;
+            self.suspect(now, target, actions);
+            return;
+        }
+        if age >= self.settings.direct_timeout && !probe.asked_helpers {
+            probe.asked_helpers = true;
+            let number = probe.number;
+            self.ask_helpers(target, number, random, actions);
+        }
+    }
+
+    fn ask_helpers(
+        &mut self,
+        target: NodeId,
+        number: u64,
+        random: &mut ChaCha8Rng,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(target_address) = self.members.get(&target).map(|member| member.peer_address) else {
+            return;
+        };
+        let candidates: Vec<(NodeId, SocketAddr)> = self
+            .others()
+            .filter(|member| member.node != target)
+            .map(|member| (member.node, member.peer_address))
+            .collect();
+        for (node, address) in candidates.choose_multiple(random, self.settings.helpers) {
+            let message = MembershipMessage::ProbeFor { number, target, target_address };
+            actions.push(MembershipAction::Send { to: Some(*node), address: *address, message });
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn help(
+        &mut self,
+        now: BootTime,
+        for_number: u64,
+        for_node: NodeId,
+        for_address: SocketAddr,
+        target: NodeId,
+        target_address: SocketAddr,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let number = self.take_number();
+        self.helped.push(HelpedProbe { number, for_number, for_node, for_address, sent_at: now });
+        let news = self.take_news();
+        let message = MembershipMessage::Probe { number, news };
+        actions.push(MembershipAction::Send { to: Some(target), address: target_address, message });
+    }
+
+    pub(super) fn on_answer(&mut self, number: u64, known: u32, actions: &mut Vec<MembershipAction>) {
+        if let Some(probe) = self.probe.take_if(|probe| probe.number == number) {
+            self.note_told_in_vain(&probe.told, known);
+            return;
+        }
+        let Some(index) = self.helped.iter().position(|helped| helped.number == number) else {
+            return;
+        };
+        let helped = self.helped.swap_remove(index);
+        let news = self.take_news();
+        let message = MembershipMessage::ProbeAnswer { number: helped.for_number, news, known: 0 };
+        actions.push(MembershipAction::Send { to: Some(helped.for_node), address: helped.for_address, message });
+    }
+}
--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -1,81 +1,41 @@
-//! Members, announcements, and which nodes callers are sent to.
+//! The fleet as one node sees it: members, what they announce, and the datagrams between them.
 //!
 //! Every datagram carries the sender's configuration version and newest store revision. So a node
 //! that the store doesn't serve sees that it is behind, and asks a peer for what it lacks.
 
-use crate::dialect::DirectoryQuery;
-use crate::directory::{Candidate, Directory};
+mod announcement;
+mod readers;
+mod shape;
+
+pub use announcement::Announcement;
+pub use shape::FleetShape;
+
+use crate::directory::Directory;
 use crate::load::is_pressed;
-use crate::store_role::{READERS_PER_ZONE, StoreRole};
+use announcement::PeerDatagram;
 use hashbrown::HashMap;
 use mio::net::UdpSocket;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use serde::{Deserialize, Serialize};
+use shape::Peak;
 use staircross_cluster::membership::{Membership, MembershipAction, MembershipMessage, MembershipSettings, Tellings};
 use staircross_cluster::{Member, MemberState};
 use staircross_types::{BootTime, NodeId, ZoneName};
 use staircross_wire::frame::{decode, encode};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Members told in one datagram, so that it is never cut on its way.
 const MEMBERS_PER_DATAGRAM: usize = 6;
 /// Longest datagram that is read.
 const MAX_DATAGRAM: usize = 2048;
-/// How long the largest fleet seen counts.
-const PEAK_LIFE: Duration = Duration::from_secs(30);
 /// Fleet assumed at the start, until it has been seen.
 const ASSUMED_FLEET: usize = 8;
-/// Age at which the directory is made anew even if no member has changed: loads have.
-const DIRECTORY_LIFE: Duration = Duration::from_secs(1);
-/// Part of the slack for extra sends that serving nodes share; reserves share the rest.
-const SERVING_SLACK: f64 = 0.8;
-/// How long this node lets its own watch tell what a peer knows already.
-const BEHIND_PATIENCE: Duration = Duration::from_millis(400);
 /// Peers that are told news at once.
 const PUSH_COUNT: usize = 12;
 
-/// What one node knows, told with every datagram.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// Version of its configuration.
-    #[serde(rename = "v")]
-    pub version: u64,
-    /// Newest revision of a searcher's entry.
-    #[serde(rename = "r")]
-    pub revision: u64,
-    /// Busy share of the process, in percent.
-    #[serde(rename = "l", default)]
-    pub load: u8,
-    /// Time since the store last answered the sender, in milliseconds, if it reads the store.
-    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
-    pub store_age_ms: Option<u32>,
-}
-
-impl Announcement {
-    /// Whether `other` knows something that this one doesn't.
-    pub fn is_behind(&self, other: &Announcement) -> bool {
-        other.version > self.version || other.revision > self.revision
-    }
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct PeerDatagram {
-    #[serde(rename = "f")]
-    from: NodeId,
-    #[serde(rename = "t")]
-    to: Option<NodeId>,
-    #[serde(rename = "a")]
-    announcement: Announcement,
-    /// None when only the announcement is told.
-    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
-    message: Option<MembershipMessage>,
-}
-
 /// What changed in the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetEvent {
@@ -97,36 +57,6 @@
     pub unreadable: u64,
 }
 
-/// A count's largest value seen lately.
-#[derive(Clone, Copy, Debug)]
-struct Peak {
-    count: usize,
-    at: BootTime,
-}
-
-impl Peak {
-    fn new(count: usize, now: BootTime) -> Self {
-        Peak { count, at: now }
-    }
-
-    fn note(&mut self, now: BootTime, count: usize) {
-        if count >= self.count || now.since(self.at) >= PEAK_LIFE {
-            *self = Peak::new(count, now);
-        }
-    }
-}
-
-/// How many nodes there are, and what this one may spend of what they share.
-#[derive(Clone, Debug, PartialEq)]
-pub struct FleetShape {
-    /// Nodes that serve callers, by zone; this node counts.
-    pub nodes_by_zone: HashMap<Arc<str>, usize>,
-    /// Most nodes that served lately.
-    pub serving: usize,
-    /// This node's part of the slack for extra sends, 0 to 1.
-    pub slack_part: f64,
-}
-
 /// The fleet as this node sees it.
 pub struct Fleet {
     node: NodeId,
@@ -239,66 +169,6 @@
         self.carry_out(actions, events);
     }
 
-    /// A reader of the zone says when the store last answered it.
-    fn take_sign(&mut self, now: BootTime, from: NodeId, announcement: &Announcement) {
-        let own_zone = &self.membership.own().zone;
-        let is_near = self.membership.get(from).is_some_and(|member| member.zone == *own_zone);
-        let Some(age) = announcement.store_age_ms.filter(|_| is_near) else {
-            return;
-        };
-        let at = now - Duration::from_millis(u64::from(age));
-        self.sign = Some(self.sign.map_or(at, |known| known.max(at)));
-    }
-
-    /// When the store last answered a reader of the zone, as far as it was heard here.
-    pub fn newest_sign(&self) -> Option<BootTime> {
-        self.sign
-    }
-
-    /// Whether this node is one of the readers of its zone.
-    pub fn is_designated_reader(&self) -> bool {
-        self.zone_mates().take(READERS_PER_ZONE).any(|member| member.node == self.node)
-    }
-
-    /// Live members of the zone that aren't its readers.
-    fn followers(&self) -> impl Iterator<Item = &Member> {
-        self.zone_mates().skip(READERS_PER_ZONE)
-    }
-
-    /// Whether the zone has members that follow its readers.
-    pub fn has_followers(&self) -> bool {
-        self.followers().next().is_some()
-    }
-
-    /// Live members of the zone in the order of their ids, this node included.
-    fn zone_mates(&self) -> impl Iterator<Item = &Member> {
-        let own = self.membership.own();
-        self.membership
-            .members()
-            .values()
-            .filter(|member| member.state == MemberState::Alive && member.zone == own.zone)
-    }
-
-    /// Notes when the store last answered this node; `None` when it doesn't read.
-    pub fn set_store_contact(&mut self, at: Option<BootTime>) {
-        self.store_contact = at;
-    }
-
-    /// Tells the zone's followers at once what this node, a reader, knows.
-    pub fn tell_followers(&mut self, now: BootTime) {
-        self.refresh_own_sign(now);
-        let followers: Vec<(NodeId, SocketAddr)> =
-            self.followers().map(|member| (member.node, member.peer_address)).collect();
-        for (node, address) in followers {
-            self.send_datagram(Some(node), address, None);
-        }
-    }
-
-    fn refresh_own_sign(&mut self, now: BootTime) {
-        let age = self.store_contact.map(|at| now.since(at).as_millis());
-        self.own.store_age_ms = age.and_then(|millis| u32::try_from(millis).ok());
-    }
-
     /// Lets time pass.
     pub fn on_tick(&mut self, now: BootTime, events: &mut Vec<FleetEvent>) {
         self.refresh_own_sign(now);
@@ -314,14 +184,6 @@
         self.live_peak.note(now, self.live().count());
     }
 
-    /// Notes what the searcher of a shard with the lowest bound accepts from all nodes.
-    pub fn set_connections(&mut self, connections: Option<u32>) {
-        if self.connections != connections {
-            self.connections = connections;
-            self.directory_at = None;
-        }
-    }
-
     /// Says whether callers may be sent to this node.
     pub fn set_ready(&mut self, is_ready: bool, events: &mut Vec<FleetEvent>) {
         let mut actions = Vec::new();
@@ -338,13 +200,6 @@
         self.push_and_carry_out(actions, events);
     }
 
-    /// Notes what this node knows now. Returns whether that is more than before.
-    pub fn set_knowledge(&mut self, version: u64, revision: u64) -> bool {
-        let before = (self.own.version, self.own.revision);
-        (self.own.version, self.own.revision) = (version, revision);
-        before != (version, revision)
-    }
-
     /// Notes how busy this node is, in percent. A change that matters to callers is told at once.
     pub fn set_load(&mut self, percent: u8, events: &mut Vec<FleetEvent>) {
         let matters = is_pressed(percent) != is_pressed(self.own.load);
@@ -354,37 +209,6 @@
         }
     }
 
-    /// A peer that knows more, once this node has been behind for a while.
-    /// A follower doesn't wait.
-    pub fn better_informed(&mut self, now: BootTime, role: StoreRole) -> Option<SocketAddr> {
-        let own_zone = self.membership.own().zone.clone();
-        let ahead = self
-            .live()
-            .filter(|member| self.announced.get(&member.node).is_some_and(|known| self.own.is_behind(known)));
-        let nearest = ahead.min_by_key(|member| member.zone != own_zone).map(|member| member.peer_address);
-        let Some(address) = nearest else {
-            self.behind_since = None;
-            return None;
-        };
-        let knows_nothing = self.own.version == 0;
-        let since = *self.behind_since.get_or_insert(now);
-        let patience = match role {
-            StoreRole::Reader => BEHIND_PATIENCE,
-            StoreRole::Follower => Duration::ZERO,
-        };
-        (knows_nothing || now.since(since) >= patience).then_some(address)
-    }
-
-    /// Whether a live peer has a newer configuration than this node.
-    pub fn is_version_behind(&self) -> bool {
-        self.announced.values().any(|known| known.version > self.own.version)
-    }
-
-    /// A question to a peer was answered or failed; wait again before the next.
-    pub fn note_asked(&mut self, now: BootTime) {
-        self.behind_since = Some(now);
-    }
-
     /// Tells peers the present news at once, after what `actions` ask for.
     fn push_and_carry_out(&mut self, mut actions: Vec<MembershipAction>, events: &mut Vec<FleetEvent>) {
         self.membership.push_news(&mut self.random, PUSH_COUNT, &mut actions);
@@ -448,68 +272,6 @@
         }
         self.announced.get(&node).map_or(0, |announced| announced.load)
     }
-
-    /// Addresses for a caller. Suspects only if there is nobody else.
-    pub fn addresses_for(&mut self, now: BootTime, query: &DirectoryQuery) -> Vec<SocketAddr> {
-        let own_zone = || self.membership.own().zone.0.clone();
-        let query = DirectoryQuery { zone: query.zone.clone().or_else(|| Some(own_zone())), ..query.clone() };
-        self.refresh_directory(now);
-        self.directory.addresses_for(&query, &mut self.random)
-    }
-
-    /// How many nodes there are, and what this one may spend of what they share.
-    pub fn shape(&mut self, now: BootTime) -> FleetShape {
-        self.refresh_directory(now);
-        let counts = self.directory.serving_by_zone();
-        let mut nodes_by_zone: HashMap<Arc<str>, usize> =
-            counts.map(|(zone, count)| (Arc::from(zone), count)).collect();
-        let is_serving = self.is_serving();
-        if !is_serving {
-            let own_zone = self.membership.own().zone.0.as_str();
-            *nodes_by_zone.entry(Arc::from(own_zone)).or_default() += 1;
-        }
-        self.serving_peak.note(now, nodes_by_zone.values().sum());
-        let slack_part = match (self.directory.reserve_count() > 0, is_serving) {
-            (false, _) => 1.0 / self.live_peak.count.max(1) as f64,
-            (true, true) => SERVING_SLACK / self.serving_peak.count.max(1) as f64,
-            (true, false) => (1.0 - SERVING_SLACK) / self.live_peak.count.max(1) as f64,
-        };
-        FleetShape { nodes_by_zone, serving: self.serving_peak.count, slack_part }
-    }
-
-    /// Whether callers are sent to this node.
-    pub fn is_serving(&self) -> bool {
-        self.directory.is_serving(self.node)
-    }
-
-    /// Whether members or their loads may have changed since the directory was made.
-    pub fn is_directory_stale(&self, now: BootTime) -> bool {
-        self.directory_at.is_none_or(|made| now.since(made) >= DIRECTORY_LIFE)
-    }
-
-    fn refresh_directory(&mut self, now: BootTime) {
-        if !self.is_directory_stale(now) {
-            return;
-        }
-        let mut candidates = self.candidates(MemberState::Alive);
-        if candidates.is_empty() {
-            candidates = self.candidates(MemberState::Suspect);
-        }
-        self.directory = Directory::new(candidates, self.connections);
-        self.directory_at = Some(now);
-    }
-
-    fn candidates(&self, state: MemberState) -> Vec<Candidate> {
-        let ready = self.live().filter(|member| member.state == state && member.is_ready);
-        let candidate = |member: &Member| Candidate {
-            node: member.node,
-            addr: member.caller_address,
-            zone: member.zone.0.clone(),
-            region: member.region.clone(),
-            load: self.load_of(member.node),
-        };
-        ready.map(candidate).collect()
-    }
 }
 
 /// Callers lose a request with each second that a dead node stays in the directory, and only lose a
--- /dev/null
+++ b/crates/staircross-gateway/src/fleet/announcement.rs
@@ -0,0 +1,42 @@
+//! What nodes say of themselves with every datagram.
+
+use serde::{Deserialize, Serialize};
+use staircross_cluster::membership::MembershipMessage;
+use staircross_types::NodeId;
+
+/// What one node knows, told with every datagram.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Version of its configuration.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Newest revision of a searcher's entry.
+    #[serde(rename = "r")]
+    pub revision: u64,
+    /// Busy share of the process, in percent.
+    #[serde(rename = "l", default)]
+    pub load: u8,
+    /// Time since the store last answered the sender, in milliseconds, if it reads the store.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub store_age_ms: Option<u32>,
+}
+
+impl Announcement {
+    /// Whether `other` knows something that this one doesn't.
+    pub fn is_behind(&self, other: &Announcement) -> bool {
+        other.version > self.version || other.revision > self.revision
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct PeerDatagram {
+    #[serde(rename = "f")]
+    pub from: NodeId,
+    #[serde(rename = "t")]
+    pub to: Option<NodeId>,
+    #[serde(rename = "a")]
+    pub announcement: Announcement,
+    /// None when only the announcement is told.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub message: Option<MembershipMessage>,
+}
--- /dev/null
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -0,0 +1,136 @@
+//! One lane: what it asks next, and what a reply means for it.
+
+use super::message::{Lane, ReaderAction, ReaderSettings, StoreCall};
+use crate::mirror::{MirrorItem, MirrorUpdate};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use staircross_types::BootTime;
+
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum LaneState {
+    /// The next call is due at a time.
+    Resting { until: BootTime },
+    /// A call is out.
+    Calling,
+    /// Nothing is asked: a peer tells what is new.
+    Suspended,
+}
+
+/// Pages of a listing that isn't whole yet.
+#[derive(Debug)]
+pub(super) struct PartialListing {
+    update: MirrorUpdate,
+    /// The store's revision at the first page.
+    first_at: u64,
+    /// Key after which the next page begins.
+    next_key: String,
+}
+
+#[derive(Debug)]
+pub(super) struct LaneReader {
+    pub lane: Lane,
+    pub state: LaneState,
+    /// Revision that changes are known up to; `None` before the first read.
+    pub after: Option<u64>,
+    pub partial: Option<PartialListing>,
+    pub failures: u32,
+    pub is_reachable: bool,
+}
+
+impl LaneReader {
+    pub fn next_call(&self, settings: &ReaderSettings) -> ReaderAction {
+        if self.lane == Lane::Probe {
+            return ReaderAction::Call { lane: self.lane, call: StoreCall::Probe, patience: settings.probe_patience };
+        }
+        let (call, patience) = match (self.after, &self.partial, self.lane) {
+            (Some(after), _, lane) => {
+                let call = StoreCall::Watch { lane, after, wait: settings.watch };
+                (call, settings.watch + settings.patience)
+            }
+            (None, Some(partial), _) => {
+                (StoreCall::ListSearchers { after: Some(partial.next_key.clone()) }, settings.patience)
+            }
+            (None, None, Lane::Configuration) => (StoreCall::ReadConfiguration, settings.patience),
+            (None, None, Lane::Searchers | Lane::Probe) => {
+                (StoreCall::ListSearchers { after: None }, settings.patience)
+            }
+        };
+        ReaderAction::Call { lane: self.lane, call, patience }
+    }
+
+    pub fn take_page(
+        &mut self,
+        now: BootTime,
+        update: MirrorUpdate,
+        at: u64,
+        next: Option<String>,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        self.state = LaneState::Resting { until: now };
+        let (mut whole, first_at) = match self.partial.take() {
+            Some(before) => (before.update, before.first_at),
+            None => (MirrorUpdate::default(), at),
+        };
+        whole.items.extend(update.items);
+        if let Some(key) = next {
+            self.partial = Some(PartialListing { update: whole, first_at, next_key: key });
+            return;
+        }
+        // Pages are no snapshot: only what holds since the first page is known, the watch tells the rest.
+        if self.lane == Lane::Searchers {
+            whole.is_complete_for_searchers = true;
+            whole.up_to = first_at;
+        }
+        self.after = Some(first_at);
+        actions.push(ReaderAction::Learned { lane: self.lane, update: whole });
+    }
+
+    pub fn take_changes(
+        &mut self,
+        now: BootTime,
+        mut update: MirrorUpdate,
+        at: u64,
+        settings: &ReaderSettings,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        self.after = Some(self.after.map_or(at, |after| after.max(at)));
+        if update.items.is_empty() {
+            self.state = LaneState::Resting { until: now };
+        } else {
+            let has_ends = update.items.iter().any(|(_, item)| matches!(item, MirrorItem::SearcherGone { .. }));
+            let rest = match self.lane {
+                Lane::Configuration => settings.configuration_rest,
+                Lane::Searchers | Lane::Probe if has_ends => settings.lapse_rest.min(settings.searcher_rest),
+                Lane::Searchers | Lane::Probe => settings.searcher_rest,
+            };
+            self.state = LaneState::Resting { until: now + rest };
+        }
+        if self.lane == Lane::Searchers {
+            update.up_to = at;
+        }
+        actions.push(ReaderAction::Learned { lane: self.lane, update });
+    }
+
+    pub fn fail(
+        &mut self,
+        now: BootTime,
+        settings: &ReaderSettings,
+        random: &mut ChaCha8Rng,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        let (first, longest) = settings.back_off;
+        let wait = (first * (1 << self.failures.min(6))).min(longest);
+        self.failures = self.failures.saturating_add(1);
+        // Spread, so that nodes that failed together don't come back together.
+        let spread = random.random_range(0.5..1.0);
+        self.state = LaneState::Resting { until: now + wait.mul_f64(spread) };
+        self.set_reachable(false, actions);
+    }
+
+    pub fn set_reachable(&mut self, is_reachable: bool, actions: &mut Vec<ReaderAction>) {
+        if self.is_reachable != is_reachable {
+            self.is_reachable = is_reachable;
+            actions.push(ReaderAction::Reachable { lane: self.lane, is_reachable });
+        }
+    }
+}
