--- a/crates/staircross-lab/src/sim/world.rs
+++ b/crates/staircross-lab/src/sim/world.rs
@@ -3,8 +3,11 @@
 //! Everything happens through one queue of timed events, so a run is a function of its settings,
 //! its seed and the operations applied to it.
 
+mod between;
+mod events;
 mod faults;
 mod requests;
+mod searchers;
 
 use super::network::{Delays, Network, Place};
 use super::records::History;
