Have followers read large configurations themselves, and read when a pull fails

Logs: fourteen followers pulled a configuration of 1,800 routes from one reader whose link has 20 Mbit/s; each pull was given up after 0.9 s and begun again at the same peer. Ruled out: signs of life (heard by all), the store (its readers had the version at once). Change: a configuration that is estimated above 64 KB isn't passed on to followers, who read it; a follower whose pull fails, or leaves it behind, reads by itself for 10 s; whoever is behind asks any of the nearest that are ahead.

--- a/bench/kinds.py
+++ b/bench/kinds.py
@@ -99,6 +99,7 @@
     ("config_change-idle", PLAN, "how = \"idle\""),
     ("config_storm", PLAN, "for_s = 4.0, gap_s = 0.15"),
     ("big_config", PLAN, "count = 400"),
+    ("big_config-1800", PLAN, "count = 1800"),
     ("reshard", PLAN, "x = 3.0"),
     ("release", PLAN, "share = 0.5, x = 1.0, gap_s = 1.0"),
     ("replace_with_reuse", FAULT, "share = 0.2"),
--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -2,6 +2,7 @@
 
 use super::{Announcement, Fleet};
 use crate::store_role::{READERS_PER_ZONE, StoreRole};
+use rand::seq::IndexedRandom;
 use staircross_cluster::{Member, MemberState};
 use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
@@ -85,8 +86,11 @@
         let ahead = self
             .live()
             .filter(|member| self.announced.get(&member.node).is_some_and(|known| self.own.is_behind(known)));
-        let nearest = ahead.min_by_key(|member| member.zone != own_zone).map(|member| member.peer_address);
-        let Some(address) = nearest else {
+        // Any of the nearest: all that lack the same would ask the same one else.
+        let (near, far): (Vec<&Member>, Vec<&Member>) = ahead.partition(|member| member.zone == own_zone);
+        let nearest = if near.is_empty() { far } else { near };
+        let addresses: Vec<SocketAddr> = nearest.iter().map(|member| member.peer_address).collect();
+        let Some(address) = addresses.choose(&mut self.random).copied() else {
             self.behind_since = None;
             return None;
         };
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -1,7 +1,7 @@
 //! The node's own endpoints: readiness, directory, peers, metrics.
 
 use super::GatewayNode;
-use super::knowledge::{CHANGES_TARGET, VERSION_FIELD};
+use super::knowledge::{ANY_SIZE, CHANGES_TARGET, VERSION_FIELD};
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::metrics::Gauges;
@@ -10,6 +10,7 @@
 use crate::socket::SocketId;
 use crate::store_role::StoreRole;
 use staircross_http::Request;
+use staircross_routing::PeerKnowledge;
 use staircross_wire::frame::encode;
 use std::time::Duration;
 
@@ -52,12 +53,12 @@
         context.plain(200, body.content_type, &body.bytes)
     }
 
-    /// Tells a peer what changed after the revision and version that it knows.
+    /// Tells a peer what it lacks.
     fn changes(&self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
-        let Some((revision, version)) = known_by_peer(&request.head.target) else {
+        let Some(peer) = known_by_peer(&request.head.target) else {
             return context.plain(404, "text/plain", b"");
         };
-        match encode(&self.mirror.changes_after(revision, version)) {
+        match encode(&self.mirror.changes_for(peer)) {
             Ok(body) => context.plain(200, "application/cbor", &body),
             Err(error) => context.plain(500, "text/plain", error.to_string().as_bytes()),
         }
@@ -105,8 +106,12 @@
     }
 }
 
-/// Revision and version of the configuration that a peer's question names.
-fn known_by_peer(target: &str) -> Option<(u64, u64)> {
-    let (revision, version) = target.strip_prefix(CHANGES_TARGET)?.split_once(VERSION_FIELD)?;
-    Some((revision.parse().ok()?, version.parse().ok()?))
+/// What a peer's question says of itself.
+fn known_by_peer(target: &str) -> Option<PeerKnowledge> {
+    let (revision, rest) = target.strip_prefix(CHANGES_TARGET)?.split_once(VERSION_FIELD)?;
+    let (version, takes_large) = match rest.strip_suffix(ANY_SIZE) {
+        Some(version) => (version, true),
+        None => (rest, false),
+    };
+    Some(PeerKnowledge { revision: revision.parse().ok()?, version: version.parse().ok()?, takes_large })
 }
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -20,6 +20,8 @@
 pub(super) const CHANGES_TARGET: &str = "/changes?after=";
 /// Names the version of the configuration that the asker has, after the revision.
 pub(super) const VERSION_FIELD: &str = "&version=";
+/// Ends the question of an asker that takes a configuration however large.
+pub(super) const ANY_SIZE: &str = "&any-size";
 
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_store_time(&mut self) {
@@ -221,7 +223,9 @@
         self.fleet.note_asked(self.now);
         self.peer.set_address(address);
         let (revision, version) = (self.mirror.newest_revision(), self.mirror.version());
-        let target = format!("{CHANGES_TARGET}{revision}{VERSION_FIELD}{version}");
+        // A follower can read a large configuration itself; a reader asks because it can't.
+        let any_size = if self.role.role() == StoreRole::Reader { ANY_SIZE } else { "" };
+        let target = format!("{CHANGES_TARGET}{revision}{VERSION_FIELD}{version}{any_size}");
         let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
         if let Some(outcome) = self.peer.get(&target, PEER_PATIENCE, &mut io) {
             self.on_peer_outcome(outcome);
@@ -248,9 +252,12 @@
             format_args!("event=asked_peer peer={peer} understood={is_understood}"),
         );
         let Some(update) = update else {
-            return;
+            return self.role.note_unserved(self.now);
         };
         self.learn(update, "peer");
+        if self.fleet.is_version_behind() {
+            self.role.note_unserved(self.now);
+        }
         self.reader.on_told(Lane::Configuration, self.mirror.configuration_revision());
         self.reader.on_told(Lane::Searchers, self.mirror.newest_revision());
     }
--- a/crates/staircross-gateway/src/store_role.rs
+++ b/crates/staircross-gateway/src/store_role.rs
@@ -85,6 +85,11 @@
         self.sign = Some(self.sign.map_or(at, |known| known.max(at)));
     }
 
+    /// Notes that the node lacks something that its peers did not give it.
+    pub fn note_unserved(&mut self, now: BootTime) {
+        self.reads_until = now + HOLD;
+    }
+
     /// Decides the role; `is_designated` when the node is one of its zone's readers.
     pub fn decide(&mut self, now: BootTime, is_designated: bool) -> StoreRole {
         if now < self.settles_until || (now < self.waits_until && !is_designated) {
--- a/crates/staircross-gateway/tests/store_role.rs
+++ b/crates/staircross-gateway/tests/store_role.rs
@@ -78,3 +78,15 @@
     told.note_sign(at(1500));
     assert_eq!(told.decide(at(2000), false), StoreRole::Follower);
 }
+
+#[test]
+fn a_follower_that_its_peers_do_not_serve_reads_at_once_and_stays_with_it_for_a_while() {
+    let mut keeper = RoleKeeper::new(SILENCE);
+    keeper.note_sign(at(0));
+    assert_eq!(keeper.decide(at(1), false), StoreRole::Follower);
+    keeper.note_unserved(at(2));
+    assert_eq!(keeper.decide(at(3), false), StoreRole::Reader, "although signs are fresh");
+    keeper.note_sign(at(9900));
+    assert_eq!(keeper.decide(at(9950), false), StoreRole::Reader);
+    assert_eq!(keeper.decide(at(10_003), false), StoreRole::Follower);
+}
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -32,6 +32,6 @@
 
 pub use definition::{CallerLimits, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
-pub use mirror::{Mirror, MirrorItem, MirrorUpdate, SearcherEntry};
+pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry};
 pub use request::{Arrival, AttemptKey, AttemptOutcome, MergedAnswer, NotRun, RequestKey, SearcherAnswer, Verdict};
 pub use table::RouteTable;
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -3,12 +3,17 @@
 //! Each item carries the revision of its last change. Items are merged by revision, never by the
 //! order in which they arrive, so it doesn't matter whether they come from the store or from a peer.
 
-use crate::definition::RoutingDefinition;
+use crate::definition::{RouteTarget, RoutingDefinition};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// A configuration of more bytes is large: many peers at once would not get it in time over a small
+/// machine's link. Its size is taken from its routes and the services that they name.
+const LARGE_CONFIGURATION: usize = 64 * 1024;
+const ROUTE_BYTES: usize = 100;
+const NAME_BYTES: usize = 10;
 /// Most items that are remembered as gone.
 const MAX_TOMBSTONES: usize = 4096;
 
@@ -62,6 +67,17 @@
     pub up_to: u64,
 }
 
+/// What an asker has and takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerKnowledge {
+    /// Revision up to which it knows the store.
+    pub revision: u64,
+    /// Version of its configuration.
+    pub version: u64,
+    /// Whether it wants a newer configuration however large; else it reads a large one from the store.
+    pub takes_large: bool,
+}
+
 /// What a merge changed: how things stand after it. No run is both among the searchers and among those
 /// that are gone, whatever happened to it on the way.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -190,12 +206,14 @@
         touched.into_changes()
     }
 
-    /// Everything that changed after `revision`, for a peer that knows the store up to there and has a
-    /// `version` of the configuration.
-    pub fn changes_after(&self, revision: u64, version: u64) -> MirrorUpdate {
+    /// Everything that a peer lacks, but for a large configuration that it doesn't take.
+    pub fn changes_for(&self, peer: PeerKnowledge) -> MirrorUpdate {
+        let revision = peer.revision;
         let is_complete = self.has_listing && (revision < self.tombstones_from || revision == 0);
         let mut items = Vec::new();
-        if let Some((at, definition)) = self.configuration.as_ref().filter(|_| self.version() > version) {
+        let passes = |definition: &RoutingDefinition| peer.takes_large || !is_large(definition);
+        let newer = self.configuration.as_ref().filter(|_| self.version() > peer.version);
+        if let Some((at, definition)) = newer.filter(|(_, definition)| passes(definition)) {
             items.push((*at, MirrorItem::Configuration { definition: definition.clone() }));
         }
         for (instance, held) in &self.searchers {
@@ -271,3 +289,13 @@
         self.tombstones_from = self.tombstones_from.max(horizon);
     }
 }
+
+fn is_large(definition: &RoutingDefinition) -> bool {
+    let names = |target: &RouteTarget| match target {
+        RouteTarget::Service(_) => 1,
+        RouteTarget::Weighted(set) => set.len(),
+        RouteTarget::Gather(gather) => gather.shards.len(),
+    };
+    let bytes = definition.routes.iter().map(|route| ROUTE_BYTES + NAME_BYTES * names(&route.target));
+    bytes.sum::<usize>() > LARGE_CONFIGURATION
+}
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -5,7 +5,10 @@
 use rand_chacha::rand_core::SeedableRng;
 use staircross_routing::mirror::MirrorChanges;
 use staircross_routing::store_reader::{Lane, ReaderAction, ReaderSettings, StoreCall, StoreReader, StoreReply};
-use staircross_routing::{CallerLimits, Mirror, MirrorItem, MirrorUpdate, RoutingDefinition, SearcherEntry};
+use staircross_routing::{
+    CallerLimits, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, RouteDefinition, RouteTarget, RoutingDefinition,
+    SearcherEntry,
+};
 use staircross_types::BootTime;
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,6 +47,13 @@
     MirrorUpdate { items, is_complete_for_searchers: true, up_to: at }
 }
 
+const NOTHING_KNOWN: PeerKnowledge = PeerKnowledge { revision: 0, version: 0, takes_large: true };
+
+/// What a node with this mirror tells a peer that it asks.
+fn known(mirror: &Mirror) -> PeerKnowledge {
+    PeerKnowledge { revision: mirror.newest_revision(), version: mirror.version(), takes_large: true }
+}
+
 fn names(mirror: &Mirror) -> Vec<String> {
     mirror.searchers().map(|entry| entry.instance.to_string()).collect()
 }
@@ -153,11 +163,11 @@
     informed.merge(changes(vec![(11, configuration(4)), (12, gone("a")), (13, searcher("c", true))]));
     let mut behind = Mirror::default();
     behind.merge(listing(10, vec![(3, searcher("a", false)), (9, searcher("b", false))]));
-    behind.merge(informed.changes_after(behind.newest_revision(), behind.version()));
+    behind.merge(informed.changes_for(known(&behind)));
     assert_eq!(names(&behind), names(&informed));
     assert_eq!(behind.version(), 4);
     let mut newcomer = Mirror::default();
-    newcomer.merge(informed.changes_after(0, 0));
+    newcomer.merge(informed.changes_for(NOTHING_KNOWN));
     assert_eq!(names(&newcomer), names(&informed));
 }
 
@@ -227,7 +237,7 @@
         let reached = cut.index(events.len());
         let mut follower = Mirror::default();
         follower.merge(changes(events[..reached].to_vec()));
-        follower.merge(shuffled.changes_after(follower.newest_revision(), follower.version()));
+        follower.merge(shuffled.changes_for(known(&follower)));
         prop_assert_eq!(&told(&follower), &truth);
     }
 }
@@ -529,25 +539,58 @@
     mirror.merge(listing(10, vec![(3, searcher("a", false))]));
     mirror.merge(changes(vec![(11, configuration(4)), (12, gone("a"))]));
     let has_configuration = |version| {
-        let items = mirror.changes_after(10, version).items;
+        let peer = PeerKnowledge { revision: 10, version, takes_large: false };
+        let items = mirror.changes_for(peer).items;
         items.iter().any(|(_, item)| matches!(item, MirrorItem::Configuration { .. }))
     };
     assert!(has_configuration(3));
     assert!(!has_configuration(4));
 }
 
+#[test]
+fn a_large_configuration_is_passed_on_only_to_those_that_take_it() {
+    let route = |index: usize| RouteDefinition {
+        name: Arc::from(format!("r{index}")),
+        host: Arc::from("h"),
+        path_prefix: Arc::from("/"),
+        target: RouteTarget::Service(Arc::from("books")),
+        is_idempotent: true,
+        timeout_ms: 1,
+        goal_ms: 1,
+        max_attempts: 1,
+        priority: 1,
+    };
+    let with_routes = |count| {
+        let routes = (0..count).map(route).collect();
+        let definition =
+            RoutingDefinition { version: 5, routes, services: Vec::new(), limits: CallerLimits::default() };
+        let mut mirror = Mirror::default();
+        mirror.merge(changes(vec![
+            (11, MirrorItem::Configuration { definition: Arc::new(definition) }),
+            (12, searcher("a", false)),
+        ]));
+        mirror
+    };
+    let passed = |mirror: &Mirror, takes_large| {
+        mirror.changes_for(PeerKnowledge { revision: 0, version: 1, takes_large }).items.len()
+    };
+    assert_eq!(passed(&with_routes(200), false), 2);
+    assert_eq!(passed(&with_routes(1000), false), 1, "the searcher alone");
+    assert_eq!(passed(&with_routes(1000), true), 2, "whoever the store doesn't serve must get it from a peer");
+}
+
 #[test]
 fn only_a_mirror_that_has_a_whole_listing_passes_on_a_whole_one() {
     let mut partial = Mirror::default();
     partial.merge(changes(vec![(9, searcher("b", false))]));
     assert!(!partial.has_listing());
-    let update = partial.changes_after(0, 0);
+    let update = partial.changes_for(NOTHING_KNOWN);
     assert!(!update.is_complete_for_searchers);
     let mut newcomer = Mirror::default();
     newcomer.merge(update);
     assert_eq!(names(&newcomer), ["b"]);
     assert!(!newcomer.has_listing(), "a node that knows a part isn't ready by it");
     partial.merge(listing(12, vec![(3, searcher("a", false)), (9, searcher("b", false))]));
-    newcomer.merge(partial.changes_after(0, 0));
+    newcomer.merge(partial.changes_for(NOTHING_KNOWN));
     assert!(partial.has_listing() && newcomer.has_listing());
 }
