--- a/crates/staircross-lab/src/sim/world.rs
+++ b/crates/staircross-lab/src/sim/world.rs
@@ -8,66 +8,29 @@
 mod faults;
 mod requests;
 mod searchers;
+mod settings;
 
-use super::network::{Delays, Network, Place};
+pub use settings::{SimService, WorldSettings};
+
+use super::network::{Network, Place};
 use super::records::History;
-use super::searcher::{SimSearcher, WorkTime};
+use super::searcher::SimSearcher;
 use crate::timed_queue::TimedQueue;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use staircross_cluster::ownership::OwnershipMap;
 use staircross_cluster::{Member, MemberState};
-use staircross_config::{SearcherDefinition, ServiceDefinition, ServicePolicy};
-use staircross_search::{
-    LeafEngine, LeafEvent, LeafSettings, RootEngine, RootEvent, RootSettings, SearcherView, SubReply, SubRequest,
-};
+use staircross_config::{SearcherDefinition, ServiceDefinition};
+use staircross_search::{LeafEngine, LeafEvent, RootEngine, RootEvent, SearcherView, SubReply, SubRequest};
 use staircross_types::{
-    AttemptId, BootTime, GroupId, NodeId, SearcherId, SearcherIncarnation, ServiceName, ShardId, ShardMap,
-    ShardPlacement, Snapshot, ZoneName,
+    AttemptId, BootTime, GroupId, NodeId, SearcherId, SearcherIncarnation, ShardId, ShardMap, ShardPlacement, Snapshot,
+    ZoneName,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// One simulated service.
-#[derive(Clone, Debug)]
-pub struct SimService {
-    /// Its name.
-    pub name: ServiceName,
-    /// How its requests are treated.
-    pub policy: ServicePolicy,
-    /// Its searchers.
-    pub searchers: usize,
-    /// Slots of each.
-    pub slots: usize,
-    /// Its shards.
-    pub shards: u32,
-    /// Replicas of each shard.
-    pub replicas: usize,
-    /// Time that work takes.
-    pub work_time: WorkTime,
-}
-
-/// A simulated fleet's size and times.
-#[derive(Clone, Debug)]
-pub struct WorldSettings {
-    /// Nodes.
-    pub nodes: usize,
-    /// Zones.
-    pub zones: usize,
-    /// Services.
-    pub services: Vec<SimService>,
-    /// Network delays.
-    pub delays: Delays,
-    /// Bounds of the roots.
-    pub root: RootSettings,
-    /// Bounds of the leaves.
-    pub leaf: LeafSettings,
-    /// Time for news of members, views and configuration to reach a node, at most.
-    pub news_delay: Duration,
-}
-
 /// A node.
 pub(crate) struct SimNode {
     pub id: NodeId,
