Write variants of a site, to play deployments that nobody has seen

Cause: what leans on the four files at hand isn't found by playing them. bench/variants.py draws all dimensions of a site (zones, machines, links, shards, replicas, slots, connections, ways, goals, bounds) from a seed, or changes one of them.

--- /dev/null
+++ b/bench/variants.py
@@ -0,0 +1,216 @@
+#!/usr/bin/env python3
+"""Writes variants of a site: deployments of the same kind with other sizes, bounds and prices.
+
+usage: bench/variants.py SITE FOLDER [--seeds FROM-TO | --named NAME,...]
+
+A seeded variant draws every dimension below at random. A named one changes one dimension and keeps the
+rest, so that its marks can be compared with the site's own. Seeded variants have no floors and their marks
+mean nothing: what counts there is whether rules are kept, and how much is served.
+"""
+import argparse
+import pathlib
+import random
+import shutil
+import tomllib
+
+
+def toml(value):
+    """One value as inline TOML."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, str):
+        return '"' + value.replace("\\", "\\\\").replace('"', '\\"') + '"'
+    if isinstance(value, (int, float)):
+        return repr(value)
+    if isinstance(value, list):
+        return "[" + ", ".join(toml(item) for item in value) + "]"
+    return "{ " + ", ".join(f"{key} = {toml(item)}" for key, item in value.items()) + " }"
+
+
+def document(site):
+    """A site file."""
+    tables = {key for key, value in site.items() if isinstance(value, dict)}
+    lines = [f"{key} = {toml(value)}" for key, value in site.items() if key not in tables and key != "day"]
+    for key in site:
+        if key in tables:
+            lines += ["", f"[{key}]"] + [f"{name} = {toml(value)}" for name, value in site[key].items()]
+    for day in site.get("day", []):
+        lines += ["", "[[day]]"] + [f"{name} = {toml(value)}" for name, value in day.items()]
+    return "\n".join(lines) + "\n"
+
+
+def shards(site):
+    return [service for service in site["services"] if "copies" in service]
+
+
+def drop_marks(site):
+    """Floors of the site's own days say nothing of another deployment."""
+    for day in site["day"]:
+        day["goal"] = {"floor": 0.0}
+        for key in ("floor_classes", "floor_zones", "small"):
+            day.pop(key, None)
+
+
+def connections(site, cap, handshake_ms=6.0, price=1.0):
+    for service in shards(site):
+        service["conn_cap"] = cap
+        service["handshake_ms"] = handshake_ms
+    site["prices"]["handshake"] *= price
+
+
+def slots(site, count):
+    for service in shards(site):
+        service["slots"] = count
+
+
+def one_machine_a_zone(site):
+    for machine in site["machines"]:
+        machine["count"] = 1
+
+
+def one_region(site):
+    for zone in site["zones"]:
+        zone["region"] = site["zones"][0]["region"]
+
+
+def goals(site, part):
+    for entry in site["classes"]:
+        entry["aim_ms"] = entry["aim_ms"] * part
+
+
+def coverage(site, least):
+    for entry in site["classes"]:
+        if "gather" in entry:
+            entry["gather"]["least"] = least
+
+
+def far(site, millis):
+    site["net"]["cross_region_ms"] = millis
+
+
+def pauses(site, millis, every):
+    for service in shards(site):
+        service["pause_ms"] = millis
+        service["pause_every_s"] = every
+
+
+def bounds(site, **changes):
+    site["bounds"].update(changes)
+
+
+NAMED = {
+    "connections-10": lambda site: connections(site, 10),
+    "connections-14": lambda site: connections(site, 14),
+    "connections-20": lambda site: connections(site, 20),
+    "connections-24": lambda site: connections(site, 24),
+    "connections-dear": lambda site: connections(site, 20, 25.0, 20.0),
+    "handshake-25": lambda site: connections(site, 41, 25.0),
+    "slots-2": lambda site: slots(site, 2),
+    "one-machine": one_machine_a_zone,
+    "one-region": one_region,
+    "goals-near": lambda site: goals(site, 0.5),
+    "coverage-all": lambda site: coverage(site, 1.0),
+    "coverage-low": lambda site: coverage(site, 0.3),
+    "far-40": lambda site: far(site, 40.0),
+    "pauses-long": lambda site: pauses(site, 900, 10.0),
+    "pauses-often": lambda site: pauses(site, 120, 1.5),
+    "bounds-tight": lambda site: bounds(site, drain_ms=1500, config_ms=1500, budget_slack=20.0),
+    "grace-long": lambda site: bounds(site, grace_s=15.0),
+}
+
+
+def drawn(site, seed):
+    """Draws all dimensions."""
+    rng = random.Random(seed)
+    regions = rng.randint(1, 3)
+    zones = [f"zone-{index}" for index in range(rng.randint(regions, 6))]
+    site["zones"] = [{"name": zone, "region": f"region-{index % regions}"} for index, zone in enumerate(zones)]
+    machine = dict(site["machines"][0])
+    machine |= {
+        "cpu_share": rng.choice([0.12, 0.25, 0.5, 1.0]),
+        "memory_mb": rng.choice([64, 160, 260, 512]),
+        "fds": rng.choice([1024, 4100, 8192]),
+        "link_mbps": rng.choice([20.0, 100.0, 1000.0]),
+    }
+    counts = [rng.randint(1, 7) for _ in zones]
+    site["machines"] = [machine | {"zone": zone, "count": count, "spare": 1} for zone, count in zip(zones, counts)]
+    fleet = sum(counts)
+    copies = rng.choice([2, 5, 12, 25])
+    replicas = rng.randint(2, 4)
+    for service in site["services"]:
+        service["handshake_ms"] = rng.choice([1.0, 6.0, 20.0])
+        service["cold_s"] = rng.choice([1.0, 3.0, 8.0])
+        if "copies" in service:
+            hosts = [zones[index % len(zones)] for index in range(replicas)]
+            service["servers"] = [{"zone": zone, "count": hosts.count(zone)} for zone in dict.fromkeys(hosts)]
+            service["copies"] = copies if not service.get("later") else copies + copies // 2
+            service["slots"] = rng.randint(3, 8)
+            service["conn_cap"] = rng.choice([service["slots"] * 2 + fleet, 41 + fleet, 120])
+            service["pause_ms"] = rng.choice([100, 300, 600])
+            service["pause_every_s"] = rng.choice([4.0, 7.5, 15.0])
+        else:
+            each = max(1, -(-18 // len(zones)))
+            service["servers"] = [{"zone": zone, "count": each} for zone in zones]
+    for entry in site["classes"]:
+        entry["aim_ms"] = entry["aim_ms"] * rng.choice([0.8, 1.0, 2.0])
+        if "gather" in entry:
+            entry["gather"] = {"top": rng.choice([1, 20, 200]), "least": rng.choice([0.5, 0.8, 0.95, 1.0])}
+            entry["resp_bytes"] = entry["resp_bytes"] | {"mean": rng.choice([32.0, 400.0, 8000.0]), "max": 40000.0}
+    # A gather asks every shard, so the rate follows from what one shard's searchers bear.
+    rate = rng.choice([0.4, 0.7, 1.0]) * 140.0 / len(zones)
+    for day in [site] + site["day"]:
+        if "traffic" not in day:
+            continue
+        pattern = day["traffic"][0]
+        day["traffic"] = [pattern | {"zone": zone, "per_s": rate, "clients": max(4, int(rate))} for zone in zones]
+    for day in site["day"]:
+        for entry in day.get("plan", []) + day.get("faults", []):
+            if "zone" in entry:
+                entry["zone"] = rng.choice(zones)
+            if "to_zone" in entry:
+                entry["to_zone"] = rng.choice(zones)
+    for entry in site["troubles"]:
+        if "zone" in entry:
+            entry["zone"] = rng.choice(zones)
+    site["net"] |= {"cross_region_ms": rng.choice([4.0, 12.0, 40.0]), "client_ms": rng.choice([1.0, 3.0, 8.0])}
+    site["discovery"]["beat_ms"] = rng.choice([600, 1200, 3000])
+    bounds(
+        site,
+        drain_ms=rng.choice([2000, 3000, 6000]),
+        config_ms=rng.choice([2000, 3000, 6000]),
+        grace_s=rng.choice([4.0, 6.0, 12.0]),
+        budget_slack=rng.choice([15.0, 60.0, 200.0]),
+        budget_ratio=rng.choice([0.1, 0.2, 0.4]),
+    )
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("site")
+    parser.add_argument("folder")
+    parser.add_argument("--seeds", default="")
+    parser.add_argument("--named", default="")
+    arguments = parser.parse_args()
+    source = pathlib.Path(arguments.site)
+    folder = pathlib.Path(arguments.folder)
+    folder.mkdir(parents=True, exist_ok=True)
+    for name in ("wire.json", "CUT"):
+        target = folder / name
+        if not target.exists():
+            shutil.copyfile(source.parent / name, target)
+            target.chmod(0o644)
+    for name in filter(None, arguments.named.split(",")):
+        site = tomllib.loads(source.read_text())
+        NAMED[name](site)
+        (folder / f"{source.stem}-{name}.toml").write_text(document(site))
+    if arguments.seeds:
+        first, last = (int(number) for number in arguments.seeds.split("-"))
+        for seed in range(first, last + 1):
+            site = tomllib.loads(source.read_text())
+            drawn(site, seed)
+            drop_marks(site)
+            (folder / f"{source.stem}-{seed}.toml").write_text(document(site))
+
+
+if __name__ == "__main__":
+    main()
