Refuse a part at once while too much waits at the back ends

Ruled out: searchers that shed (few), hedges alone (stopping them where all wait changed little), the share of late answers as a signal (a lost shard looks the same). Change: routing/admission and engine/overload: each node measures how long sub-requests wait beyond their usual work (median of a group of services, lower quartile of each shard) and refuses a part of the requests, by chance, so that the wait stays tolerable for the goal. No hedges where all wait. Log line event=admission, metric requests_not_admitted_total. Tests: routing/tests/overload.rs plays searchers with slots and queues in simulated time; three of six fail without an admission (checked), three guard against refusing for a slow searcher, after the load has fallen, or for work that has grown.

--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -116,6 +116,7 @@
         line("attempts_retry_total", "counter", counters.retries);
         line("attempts_reroute_total", "counter", counters.reroutes);
         line("attempts_over_budget_total", "counter", counters.over_budget);
+        line("requests_not_admitted_total", "counter", counters.not_admitted);
         line("answers_partial_total", "counter", counters.partial_answers);
         line("searcher_connects_total", "counter", gauges.connects);
         line("searcher_answers_skipped_total", "counter", gauges.skipped);
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -8,6 +8,7 @@
 use crate::server::{Endpoint, ServerEvent};
 use crate::socket::SocketId;
 use staircross_http::{Request, ServerFault};
+use staircross_routing::admission::AdmissionChange;
 use staircross_routing::engine::{RoutingAction, RoutingEvent, SendOrder, SendReason};
 use staircross_routing::{Arrival, AttemptOutcome, RequestKey, Verdict};
 use staircross_types::{BootTime, ErrorKind};
@@ -201,6 +202,14 @@
                 let text = format_args!("event=left_out service={service} asked={asked} cause={cause}");
                 self.note_decision(request, text);
             }
+            RoutingAction::Admission { group, change } => {
+                let AdmissionChange { level, wait, tolerable } = change;
+                let (wait, tolerable) = (wait.as_millis(), tolerable.as_millis());
+                let line = format_args!(
+                    "event=admission group={group} level={level:.2} wait_ms={wait} tolerable_ms={tolerable}"
+                );
+                self.log.line(self.now, LineKind::Belief, line);
+            }
             RoutingAction::Finish { request, verdict } => self.finish(request, verdict),
         }
     }
--- /dev/null
+++ b/crates/staircross-routing/src/admission.rs
@@ -0,0 +1,251 @@
+//! How much of the offered work is taken while back ends are overloaded.
+//!
+//! When more is offered than the searchers of a group of shards can do, every request waits in their
+//! queues until its goal has passed, and all of the work is done in vain. Refusing a part at once lets the rest be
+//! answered in time. Each node decides by what it measures itself, the time that sub-requests spend waiting beyond
+//! their usual work: the median over a whole group of shards, and for each service the lower quartile. A paused, slow or
+//! lost searcher raises the tail but not these; a queue at all searchers raises them, and so does a link or a process
+//! that can't keep up. Of a gather, as many shards may be late as its coverage allows; the quartile of the next one counts.
+//!
+//! The part that is taken falls while that wait is too long for the goal, and rises again once it is short. Less urgent
+//! routes of a group are refused a little earlier.
+
+use staircross_types::BootTime;
+use std::f64::consts::LN_2;
+use std::time::Duration;
+
+/// Samples of a route's work without which its median says little, and the time over which they are gathered.
+const WORK_SAMPLES: usize = 40;
+const WORK_WINDOW: Duration = Duration::from_millis(250);
+/// Quantile, samples and time for the waits at one service, and for those of a group.
+const SERVICE_QUANTILE: f64 = 0.25;
+const SERVICE_SAMPLES: usize = 5;
+const SERVICE_WINDOW: Duration = Duration::from_millis(200);
+const GROUP_QUANTILE: f64 = 0.5;
+const GROUP_SAMPLES: usize = 24;
+const GROUP_WINDOW: Duration = Duration::from_millis(200);
+/// Samples kept of one window; more say nothing new.
+const MOST_SAMPLES: usize = 512;
+/// Age at which a wait is no longer believed.
+const WAIT_LIFE: Duration = Duration::from_millis(1500);
+/// Time between two judgements.
+const JUDGEMENT_SPACING: Duration = Duration::from_millis(250);
+/// Longest time that is waited for the effect of a decrease.
+const MOST_DELAY: Duration = Duration::from_millis(1000);
+/// A wait of so many times the tolerable one begins to limit what is taken; then it is kept at so many times.
+const TOO_LONG: f64 = 1.0;
+const TARGET: f64 = 0.6;
+/// Change of what is taken for each tolerable wait off the target, and bounds of one change.
+const GAIN: f64 = 0.25;
+const MOST_DECREASE: f64 = 0.25;
+const MOST_INCREASE: f64 = 0.05;
+/// A wait of less than so many times the tolerable one says that nothing queues, and its increase.
+const NO_QUEUE: f64 = 0.25;
+const FAST_INCREASE: f64 = 0.12;
+/// The least part that is taken. Below it, refusals cost more than the answers that they make possible.
+const LEAST_LEVEL: f64 = 0.05;
+/// What a sub-request counts as that a searcher turned away for lack of room.
+const SHED_WAIT: Duration = Duration::from_millis(500);
+/// Each rank below the most urgent raises the exponent of the part that is taken.
+const RANK_STEP: f64 = 0.2;
+/// Rise of the usual work, per second: work may have grown since the least was seen, but a queue that stands for
+/// minutes must not be taken for work. Where little is taken and the time is still long, it is hardly a queue, so what is
+/// refused adds to the rise, by its square.
+const USUAL_RISE: f64 = 0.002;
+const USUAL_RISE_REFUSING: f64 = 0.05;
+/// Longest time without samples that counts for the rise.
+const MOST_RISE_SPAN: Duration = Duration::from_secs(5);
+
+/// A quantile of the samples that come within a window of time.
+#[derive(Debug)]
+struct QuantileWindow {
+    quantile: f64,
+    length: Duration,
+    least_samples: usize,
+    began: Option<BootTime>,
+    samples: Vec<f32>,
+}
+
+impl QuantileWindow {
+    fn new(quantile: f64, length: Duration, least_samples: usize) -> Self {
+        QuantileWindow { quantile, length, least_samples, began: None, samples: Vec::new() }
+    }
+
+    /// Adds a sample; gives the quantile when the window is over, and begins the next.
+    fn add(&mut self, now: BootTime, sample: Duration) -> Option<Duration> {
+        let began = *self.began.get_or_insert(now);
+        if self.samples.len() < MOST_SAMPLES {
+            self.samples.push(sample.as_secs_f32());
+        }
+        if now.since(began) < self.length || self.samples.len() < self.least_samples {
+            return None;
+        }
+        let index = (self.samples.len() as f64 * self.quantile) as usize;
+        let (_, value, _) = self.samples.select_nth_unstable_by(index, f32::total_cmp);
+        let value = Duration::from_secs_f32(*value);
+        self.samples.clear();
+        self.began = None;
+        Some(value)
+    }
+}
+
+/// The usual time of a route's sub-requests where nothing waits: the least median of any window.
+#[derive(Debug)]
+pub struct UsualWork {
+    window: QuantileWindow,
+    seconds: Option<f64>,
+    recorded_at: BootTime,
+}
+
+impl Default for UsualWork {
+    fn default() -> Self {
+        let window = QuantileWindow::new(0.5, WORK_WINDOW, WORK_SAMPLES);
+        UsualWork { window, seconds: None, recorded_at: BootTime::default() }
+    }
+}
+
+impl UsualWork {
+    /// Adds the time of an answered sub-request, without its way. `level` is the part of the work that is taken.
+    pub fn record(&mut self, now: BootTime, worked: Duration, level: f64) {
+        let span = now.since(self.recorded_at).min(MOST_RISE_SPAN).as_secs_f64();
+        self.recorded_at = now;
+        let rise = USUAL_RISE + USUAL_RISE_REFUSING * (1.0 - level).powi(2);
+        self.seconds = self.seconds.map(|known| known * (1.0 + rise * span));
+        if let Some(median) = self.window.add(now, worked) {
+            let median = median.as_secs_f64();
+            self.seconds = Some(self.seconds.map_or(median, |known| known.min(median)));
+        }
+    }
+
+    /// The usual time, once there are enough samples.
+    pub fn get(&self) -> Option<Duration> {
+        self.seconds.map(Duration::from_secs_f64)
+    }
+}
+
+/// The median wait of a request's sub-requests with which the last of them still comes in time.
+///
+/// Waits in a queue are spread roughly exponentially. The longest of `fan_out` of them is about their mean times
+/// `ln(fan_out) + 0.58`; the median is the mean times `ln 2`. `goal` is the time for the whole answer.
+pub fn tolerable_wait(goal: Duration, usual: Duration, fan_out: usize) -> Duration {
+    const EULER: f64 = 0.58;
+    let spare = goal.saturating_sub(usual * 2);
+    let longest = (fan_out.max(1) as f64).ln() + EULER;
+    // Where the goal leaves no room at all, a wait as long as the work is borne.
+    spare.mul_f64((LN_2 / longest).min(1.0)).max(usual)
+}
+
+/// How long sub-requests wait somewhere, beyond their usual work.
+#[derive(Debug)]
+pub struct Wait {
+    window: QuantileWindow,
+    value: Duration,
+    measured_at: BootTime,
+}
+
+impl Wait {
+    /// The wait at the searchers of one service.
+    pub fn at_service() -> Self {
+        Wait::new(QuantileWindow::new(SERVICE_QUANTILE, SERVICE_WINDOW, SERVICE_SAMPLES))
+    }
+
+    /// The wait at the searchers of a group of services.
+    pub fn at_group() -> Self {
+        Wait::new(QuantileWindow::new(GROUP_QUANTILE, GROUP_WINDOW, GROUP_SAMPLES))
+    }
+
+    fn new(window: QuantileWindow) -> Self {
+        Wait { window, value: Duration::ZERO, measured_at: BootTime::default() }
+    }
+
+    /// Notes an answered sub-request that waited for `waited`.
+    pub fn record(&mut self, now: BootTime, waited: Duration) {
+        if let Some(value) = self.window.add(now, waited) {
+            self.value = value;
+            self.measured_at = now;
+        }
+    }
+
+    /// Notes a sub-request that was turned away for lack of room.
+    pub fn record_shed(&mut self, now: BootTime) {
+        self.record(now, SHED_WAIT);
+    }
+
+    /// The wait; nothing where nothing was measured lately.
+    pub fn get(&self, now: BootTime) -> Duration {
+        if now.since(self.measured_at) <= WAIT_LIFE { self.value } else { Duration::ZERO }
+    }
+}
+
+/// What is taken of the work offered to one group of services.
+#[derive(Debug)]
+pub struct Admission {
+    level: f64,
+    next_judgement: BootTime,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Admission { level: 1.0, next_judgement: BootTime::default() }
+    }
+}
+
+/// A change of what is taken, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionChange {
+    /// The wait that counts.
+    pub wait: Duration,
+    /// What would be tolerable.
+    pub tolerable: Duration,
+    /// Part that is taken from now on, 0 to 1.
+    pub level: f64,
+}
+
+impl Admission {
+    /// Whether it is time to judge again.
+    pub fn is_due(&self, now: BootTime) -> bool {
+        now >= self.next_judgement
+    }
+
+    /// Judges the wait that counts.
+    pub fn judge(&mut self, now: BootTime, wait: Duration, tolerable: Duration) -> Option<AdmissionChange> {
+        self.next_judgement = now + JUDGEMENT_SPACING;
+        let ratio = wait.as_secs_f64() / tolerable.as_secs_f64().max(f64::MIN_POSITIVE);
+        let before = self.level;
+        if !self.is_limiting() && ratio <= TOO_LONG {
+            return None;
+        }
+        let change = if ratio < NO_QUEUE {
+            FAST_INCREASE
+        } else {
+            (GAIN * (TARGET - ratio)).clamp(-MOST_DECREASE, MOST_INCREASE)
+        };
+        if change < 0.0 {
+            // What was sent before tells of the queue before: the effect shows once that has gone through.
+            self.next_judgement = self.next_judgement + (wait * 2).min(MOST_DELAY);
+        }
+        self.level = (before * (1.0 + change)).clamp(LEAST_LEVEL, 1.0);
+        (self.level != before).then_some(AdmissionChange { wait, tolerable, level: self.level })
+    }
+
+    /// Part of the requests that is taken, `ranks` below the most urgent of the group.
+    pub fn part_taken(&self, ranks: u32) -> f64 {
+        self.level.powf(1.0 + RANK_STEP * f64::from(ranks))
+    }
+
+    /// Part of the most urgent requests that is taken.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Whether anything is refused now.
+    pub fn is_limiting(&self) -> bool {
+        self.level < 1.0
+    }
+}
+
+/// The wait that counts for a request that can do without `may_miss` of its shards: the longest but those.
+pub fn deciding_wait(mut waits: Vec<Duration>, may_miss: usize) -> Duration {
+    waits.sort_unstable_by(|one, other| other.cmp(one));
+    waits.get(may_miss).copied().unwrap_or_default()
+}
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -7,8 +7,10 @@
 
 mod dispatch;
 mod outcome;
+mod overload;
 mod settle;
 
+use crate::admission::{UsualWork, Wait};
 use crate::definition::RouteTarget;
 pub use crate::engine_message::{
     AbandonCause, LeftOutCause, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
@@ -21,6 +23,7 @@
 use crate::turns::WeightedTurns;
 use crate::window::{ExtraBound, ExtraWindow};
 use hashbrown::HashMap;
+use overload::ServiceGroup;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use staircross_search::latency::LatencyTracker;
@@ -56,6 +59,8 @@
 pub(crate) struct RouteStatistics {
     /// Time of answered attempts, without the way there.
     pub work: LatencyTracker,
+    /// The same where nothing waits in a queue.
+    pub usual: UsualWork,
     pub turns: WeightedTurns,
 }
 
@@ -64,6 +69,8 @@
     pub searcher: SearcherKey,
     pub route: Arc<str>,
     pub sent_at: BootTime,
+    /// The group of services that it belongs to.
+    pub group: Arc<str>,
 }
 
 /// A shard that waits for a searcher with room.
@@ -90,6 +97,8 @@
     pub over_budget: u64,
     /// Answers with fewer than all parts.
     pub partial_answers: u64,
+    /// Requests refused because too much waits at the searchers.
+    pub not_admitted: u64,
 }
 
 /// The decisions of one node.
@@ -106,6 +115,10 @@
     max_connections: HashMap<Arc<str>, u32>,
     pub(crate) windows: HashMap<Arc<str>, ExtraWindow>,
     pub(crate) routes: HashMap<Arc<str>, RouteStatistics>,
+    /// What is taken of the offered work, by the first service that it asks.
+    groups: HashMap<Arc<str>, ServiceGroup>,
+    /// Waits at the searchers of each service.
+    pub(crate) waits: HashMap<Arc<str>, Wait>,
     pub(crate) requests: HashMap<RequestKey, Request>,
     pub(crate) sent: HashMap<AttemptKey, SentAttempt>,
     /// Shards that wait for a searcher with room, by service.
@@ -137,6 +150,8 @@
             max_connections: HashMap::new(),
             windows: HashMap::new(),
             routes: HashMap::new(),
+            groups: HashMap::new(),
+            waits: HashMap::new(),
             requests: HashMap::new(),
             sent: HashMap::new(),
             waiting: HashMap::new(),
@@ -215,6 +230,7 @@
         }
         let routes = &table.definition().routes;
         self.routes.retain(|name, _| routes.iter().any(|route| route.name == *name));
+        self.set_groups(&table);
         self.table = Some(table);
     }
 
@@ -271,6 +287,7 @@
     pub(crate) fn statistics(&mut self, route: &Arc<str>, goal: Duration) -> &mut RouteStatistics {
         self.routes.entry(route.clone()).or_insert_with(|| RouteStatistics {
             work: LatencyTracker::new(goal / WORK_PART_OF_GOAL, None),
+            usual: UsualWork::default(),
             turns: WeightedTurns::default(),
         })
     }
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -70,6 +70,10 @@
         if left <= DEADLINE_GUARD {
             return Err(refused(ErrorKind::Overloaded, "the request's time was over when it was read"));
         }
+        let group = services.first().cloned().unwrap_or_default();
+        if !self.is_admitted(&group, route) {
+            return Err(refused(ErrorKind::Overloaded, "too much waits at the back ends already"));
+        }
         let deadline = now + (left - DEADLINE_GUARD);
         let shard = |service| Shard { service, state: ShardState::Open, sends: 0, tried: Vec::new(), outstanding: 0 };
         Ok(Request {
@@ -78,6 +82,7 @@
             attempts: Vec::new(),
             answer_by: (now + usable_goal(route).saturating_sub(arrival.waited)).min(deadline),
             deadline,
+            group,
             may_have_run: false,
             is_past_goal: false,
             table: table.clone(),
@@ -144,6 +149,11 @@
             actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
             return false;
         };
+        if reason == SendReason::Hedge && self.is_pressed(now, key, &service) {
+            let cause = UnsentCause::Pressed;
+            actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
+            return false;
+        }
         let is_extra = matches!(reason, SendReason::Hedge | SendReason::Retry);
         if is_extra && !self.spend(now, &service) {
             let cause = UnsentCause::OverBudget;
@@ -224,7 +234,13 @@
         let times = HedgeTimes { way, other_way, usual, late };
         let hedge_at = times.hedge_at(now, request.answer_by);
         request.attempts.push(Attempt { shard: shard_index as u32, hedge_at, is_open: true, is_resolved: false });
-        self.sent.insert(attempt, SentAttempt { searcher: searcher_key, route: route.name.clone(), sent_at: now });
+        let sent = SentAttempt {
+            searcher: searcher_key,
+            route: route.name.clone(),
+            sent_at: now,
+            group: request.group.clone(),
+        };
+        self.sent.insert(attempt, sent);
         match reason {
             SendReason::First => self.counters.firsts += 1,
             SendReason::Hedge => self.counters.hedges += 1,
@@ -307,7 +323,7 @@
 }
 
 /// Time from arrival until an answer must be on its way to be worth most.
-fn usable_goal(route: &RouteDefinition) -> Duration {
+pub(super) fn usable_goal(route: &RouteDefinition) -> Duration {
     let goal = Duration::from_millis(route.goal_ms);
     goal - GUARD.min(goal.mul_f64(MOST_GUARD_PART))
 }
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -23,6 +23,7 @@
             return;
         };
         self.searchers[sent.searcher.0 as usize].released(attempt);
+        self.note_wait(now, &sent, &outcome, actions);
         self.note_searcher(now, &sent, &outcome);
         if let Some(shard) = self.close_attempt(attempt) {
             if outcome == AttemptOutcome::NotRun(NotRun::Stale) {
--- /dev/null
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -0,0 +1,141 @@
+//! Taking less than is offered while too much waits at the searchers of a group of services.
+
+use super::dispatch::usable_goal;
+use super::{RoutingAction, RoutingEngine, SentAttempt};
+use crate::admission::{Admission, AdmissionChange, Wait, deciding_wait, tolerable_wait};
+use crate::definition::{RouteDefinition, RouteTarget};
+use crate::request::{AttemptOutcome, NotRun, RequestKey};
+use crate::table::RouteTable;
+use rand::Rng;
+use staircross_types::BootTime;
+use std::slice;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Services that are asked together; named by the first of them.
+#[derive(Debug)]
+pub(super) struct ServiceGroup {
+    admission: Admission,
+    wait: Wait,
+    /// Index of the most urgent route that asks them, and its rank.
+    route_index: usize,
+    rank: u32,
+}
+
+impl RoutingEngine {
+    /// Follows a configuration: groups and services that it doesn't name are forgotten, new ones begin without limits.
+    pub(super) fn set_groups(&mut self, table: &RouteTable) {
+        let mut known = std::mem::take(&mut self.groups);
+        for (route_index, route) in table.definition().routes.iter().enumerate() {
+            for service in first_services(route) {
+                let rank = route.priority;
+                let group = self.groups.entry(service.clone()).or_insert_with(|| {
+                    let admission = known.remove(service).map(|group| group.admission).unwrap_or_default();
+                    ServiceGroup { admission, wait: Wait::at_group(), route_index, rank }
+                });
+                if rank < group.rank {
+                    (group.route_index, group.rank) = (route_index, rank);
+                }
+            }
+        }
+        self.waits.retain(|service, _| table.definition().services.iter().any(|entry| entry.name == *service));
+    }
+
+    /// Whether a request is taken. Only a part of them is while too much waits.
+    pub(super) fn is_admitted(&mut self, group: &Arc<str>, route: &RouteDefinition) -> bool {
+        let Some(group) = self.groups.get(group).filter(|group| group.admission.is_limiting()) else {
+            return true;
+        };
+        let part = group.admission.part_taken(route.priority.saturating_sub(group.rank));
+        let is_admitted = self.random.random_bool(part);
+        if !is_admitted {
+            self.counters.not_admitted += 1;
+        }
+        is_admitted
+    }
+
+    /// Whether so much waits at a service that asking another of its searchers helps nobody.
+    pub(super) fn is_pressed(&self, now: BootTime, key: RequestKey, service: &Arc<str>) -> bool {
+        let Some(request) = self.requests.get(&key) else {
+            return false;
+        };
+        if !self.groups.get(&request.group).is_some_and(|group| group.admission.is_limiting()) {
+            return false;
+        }
+        let wait = self.waits.get(service).map_or(Duration::ZERO, |wait| wait.get(now));
+        wait > self.tolerable_for(request.route(), request.shards.len())
+    }
+
+    fn tolerable_for(&self, route: &RouteDefinition, fan_out: usize) -> Duration {
+        let goal = usable_goal(route);
+        let measured = self.routes.get(&route.name).and_then(|statistics| statistics.usual.get());
+        tolerable_wait(goal, measured.unwrap_or(goal / super::WORK_PART_OF_GOAL), fan_out)
+    }
+
+    /// Learns from an attempt's end how much waits, and judges from time to time.
+    pub(super) fn note_wait(
+        &mut self,
+        now: BootTime,
+        sent: &SentAttempt,
+        outcome: &AttemptOutcome,
+        actions: &mut Vec<RoutingAction>,
+    ) {
+        let entry = &self.searchers[sent.searcher.0 as usize].entry;
+        let worked = now.since(sent.sent_at).saturating_sub(self.place.way(&entry.zone));
+        let service = entry.service.clone();
+        match outcome {
+            AttemptOutcome::Answered(answer) if answer.status < 500 => self.note_worked(now, sent, &service, worked),
+            AttemptOutcome::NotRun(NotRun::Shed) => {
+                self.waits.entry(service).or_insert_with(Wait::at_service).record_shed(now);
+            }
+            AttemptOutcome::Answered(_)
+            | AttemptOutcome::NotRun(_)
+            | AttemptOutcome::Unknown(_)
+            | AttemptOutcome::Withdrawn => return,
+        }
+        if let Some(change) = self.judge(now, &sent.group) {
+            actions.push(RoutingAction::Admission { group: sent.group.clone(), change });
+        }
+    }
+
+    fn note_worked(&mut self, now: BootTime, sent: &SentAttempt, service: &Arc<str>, worked: Duration) {
+        let Some(statistics) = self.routes.get_mut(&sent.route) else {
+            return;
+        };
+        let group = self.groups.get_mut(&sent.group);
+        let level = group.as_ref().map_or(1.0, |group| group.admission.level());
+        statistics.usual.record(now, worked, level);
+        let Some(usual) = statistics.usual.get() else {
+            return;
+        };
+        let waited = worked.saturating_sub(usual);
+        self.waits.entry(service.clone()).or_insert_with(Wait::at_service).record(now, waited);
+        if let Some(group) = group {
+            group.wait.record(now, waited);
+        }
+    }
+
+    fn judge(&mut self, now: BootTime, name: &Arc<str>) -> Option<AdmissionChange> {
+        let table = self.table.clone()?;
+        let group = self.groups.get(name).filter(|group| group.admission.is_due(now))?;
+        let route = &table.definition().routes[group.route_index];
+        let (services, may_miss) = match &route.target {
+            RouteTarget::Gather(gather) => (&gather.shards[..], gather.shards.len() - gather.least_shards()),
+            RouteTarget::Service(_) | RouteTarget::Weighted(_) => (slice::from_ref(name), 0),
+        };
+        let waits = services.iter().map(|service| self.waits.get(service).map_or(Duration::ZERO, |wait| wait.get(now)));
+        let wait = deciding_wait(waits.collect(), may_miss).max(group.wait.get(now));
+        let tolerable = self.tolerable_for(route, services.len());
+        self.groups.get_mut(name)?.admission.judge(now, wait, tolerable)
+    }
+}
+
+/// The services that name the groups of a route.
+fn first_services(route: &RouteDefinition) -> impl Iterator<Item = &Arc<str>> {
+    let (one, set) = match &route.target {
+        RouteTarget::Service(service) => (Some(service), &[][..]),
+        RouteTarget::Gather(gather) => (gather.shards.first(), &[][..]),
+        RouteTarget::Weighted(set) => (None, set.as_slice()),
+    };
+    one.into_iter().chain(set.iter().map(|entry| &entry.service))
+}
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -1,5 +1,6 @@
 //! What the engine is told, and what it wants done.
 
+use crate::admission::AdmissionChange;
 use crate::mirror::SearcherEntry;
 use crate::request::{Arrival, AttemptKey, AttemptOutcome, RequestKey, Verdict};
 use crate::selection::SearcherKey;
@@ -87,6 +88,13 @@
         /// Why there is no part.
         cause: LeftOutCause,
     },
+    /// What is taken of the work offered to a group of services has changed; told for the log alone.
+    Admission {
+        /// The first service of the group.
+        group: Arc<str>,
+        /// The change, and what it follows from.
+        change: AdmissionChange,
+    },
     /// The final word on a request.
     Finish {
         /// Which.
@@ -139,6 +147,8 @@
     NoRoom,
     /// No searcher is left that could be asked.
     NobodyLeft,
+    /// Too much waits at all searchers of the service: asking a second one would only add to it.
+    Pressed,
 }
 
 impl UnsentCause {
@@ -148,6 +158,7 @@
             UnsentCause::OverBudget => "over_budget",
             UnsentCause::NoRoom => "no_room",
             UnsentCause::NobodyLeft => "nobody_left",
+            UnsentCause::Pressed => "pressed",
         }
     }
 }
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`store_reader`] | when the store is read, watched, or left alone |
 //! | [`searcher`] | what is known of one searcher: entry, load, speed, failures |
 //! | [`selection`] | which searcher of a service is asked |
+//! | [`admission`] | how much of the offered work is taken while back ends are overloaded |
 //! | [`window`] | how much work beyond the strictly needed may be sent |
 //! | [`turns`] | whose turn it is in a weighted set |
 //! | [`request`] | state of one request in flight |
@@ -17,6 +18,7 @@
 //!
 //! Everything is driven by `on_event(now, event, &mut actions)`.
 
+pub mod admission;
 pub mod definition;
 pub mod engine;
 pub mod engine_message;
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -185,6 +185,8 @@
     /// When a partial answer goes out rather than none in time.
     pub answer_by: BootTime,
     pub deadline: BootTime,
+    /// The group of services that it asks.
+    pub group: Arc<str>,
     /// Whether any attempt ran or may have run.
     pub may_have_run: bool,
     /// Whether the time for the best answer is over.
--- /dev/null
+++ b/crates/staircross-routing/tests/common/backends.rs
@@ -0,0 +1,173 @@
+//! Searchers with slots, queues and work, around a driver: what they are asked takes time, and waits when they are busy.
+
+use super::{Driver, answer};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use staircross_routing::engine::SendOrder;
+use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey, Verdict};
+use staircross_types::{BootTime, ErrorKind};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// Sub-requests that a searcher lets wait.
+const QUEUE: usize = 30;
+
+/// One searcher.
+struct Backend {
+    /// How many times longer than usual its work takes.
+    slowness: f64,
+    busy: usize,
+    queue: VecDeque<AttemptKey>,
+}
+
+/// How requests ended.
+#[derive(Debug, Default)]
+pub struct Tally {
+    pub in_time: usize,
+    pub late: usize,
+    pub refused: usize,
+    pub failed: usize,
+}
+
+impl Tally {
+    pub fn all(&self) -> usize {
+        self.in_time + self.late + self.refused + self.failed
+    }
+
+    pub fn part(&self, count: usize) -> f64 {
+        count as f64 / self.all().max(1) as f64
+    }
+}
+
+/// A driver and the searchers that it talks to.
+pub struct Backends {
+    pub driver: Driver,
+    pub work: Duration,
+    slots: usize,
+    backends: HashMap<String, Backend>,
+    /// Ends of work, by time.
+    ends: BinaryHeap<Reverse<(BootTime, u64, AttemptKey)>>,
+    owners: HashMap<AttemptKey, String>,
+    taken: usize,
+    counted: usize,
+    arrived: HashMap<RequestKey, BootTime>,
+    sequence: u64,
+    random: ChaCha8Rng,
+}
+
+impl Backends {
+    pub fn new(driver: Driver, slots: usize, work: Duration) -> Self {
+        Backends {
+            driver,
+            work,
+            slots,
+            backends: HashMap::new(),
+            ends: BinaryHeap::new(),
+            owners: HashMap::new(),
+            taken: 0,
+            counted: 0,
+            arrived: HashMap::new(),
+            sequence: 0,
+            random: ChaCha8Rng::seed_from_u64(11),
+        }
+    }
+
+    pub fn set_slowness(&mut self, instance: &str, slowness: f64) {
+        self.backend(instance).slowness = slowness;
+    }
+
+    fn backend(&mut self, instance: &str) -> &mut Backend {
+        let fresh = || Backend { slowness: 1.0, busy: 0, queue: VecDeque::new() };
+        self.backends.entry(instance.to_owned()).or_insert_with(fresh)
+    }
+
+    /// Offers requests at an even rate for a while; each takes one of the paths in turn.
+    pub fn offer(&mut self, paths: &[&str], per_second: f64, span: Duration) {
+        let end = self.driver.now + span;
+        let gap = Duration::from_secs_f64(1.0 / per_second);
+        let mut next = self.driver.now;
+        let mut count = 0;
+        while next < end {
+            self.run_until(next);
+            let request = self.driver.request(paths[count % paths.len()]);
+            self.arrived.insert(request, next);
+            self.take_sends();
+            count += 1;
+            next = next + gap;
+        }
+        self.run_until(end);
+    }
+
+    /// What ended since the last call. Answers within `goal` are in time.
+    pub fn tally(&mut self, goal: Duration) -> Tally {
+        let mut tally = Tally::default();
+        for (index, (request, verdict)) in self.driver.finished.iter().enumerate().skip(self.counted) {
+            let took = self.driver.finished_at[index].since(self.arrived[request]);
+            match verdict {
+                Verdict::Merged(_) | Verdict::Passed(_) if took <= goal => tally.in_time += 1,
+                Verdict::Merged(_) | Verdict::Passed(_) => tally.late += 1,
+                Verdict::Refused { kind: ErrorKind::Overloaded, .. } => tally.refused += 1,
+                Verdict::Refused { .. } => tally.failed += 1,
+            }
+        }
+        self.counted = self.driver.finished.len();
+        tally
+    }
+
+    fn run_until(&mut self, end: BootTime) {
+        while let Some(Reverse((at, _, attempt))) = self.ends.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.ends.pop();
+            self.driver.pass(self.driver.now.until(at));
+            self.take_sends();
+            self.finish(attempt);
+            self.take_sends();
+        }
+        self.driver.pass(self.driver.now.until(end));
+        self.take_sends();
+    }
+
+    fn take_sends(&mut self) {
+        while self.taken < self.driver.sends.len() {
+            let order = self.driver.sends[self.taken].clone();
+            self.taken += 1;
+            self.begin(&order);
+        }
+    }
+
+    fn begin(&mut self, order: &SendOrder) {
+        let instance = order.instance.to_string();
+        let slots = self.slots;
+        let backend = self.backend(&instance);
+        if backend.busy < slots {
+            backend.busy += 1;
+            self.start(&instance, order.attempt);
+        } else if backend.queue.len() < QUEUE {
+            backend.queue.push_back(order.attempt);
+        } else {
+            return self.driver.end(order.attempt, AttemptOutcome::NotRun(NotRun::Shed));
+        }
+        self.owners.insert(order.attempt, instance);
+    }
+
+    fn start(&mut self, instance: &str, attempt: AttemptKey) {
+        let spread = self.random.random_range(0.6..1.4);
+        let work = self.work.mul_f64(self.backend(instance).slowness * spread);
+        self.sequence += 1;
+        self.ends.push(Reverse((self.driver.now + work, self.sequence, attempt)));
+    }
+
+    fn finish(&mut self, attempt: AttemptKey) {
+        let instance = self.owners.remove(&attempt).expect("the attempt is at work");
+        let backend = self.backend(&instance);
+        match backend.queue.pop_front() {
+            Some(next) => self.start(&instance, next),
+            None => backend.busy -= 1,
+        }
+        self.driver.end(attempt, answer(200, "stamp", Vec::new()));
+    }
+}
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -1,8 +1,11 @@
 //! A small driver around the routing engine.
 #![allow(dead_code)]
 
+pub mod backends;
+
 use hashbrown::HashMap;
 use staircross_http::HeaderBlock;
+use staircross_routing::admission::AdmissionChange;
 use staircross_routing::definition::{GatherTarget, WeightedService};
 use staircross_routing::engine::{AbandonCause, LeftOutCause, SendOrder, SendReason, UnsentCause};
 use staircross_routing::window::ExtraBound;
@@ -30,6 +33,10 @@
     pub unsent: Vec<(RequestKey, UnsentCause)>,
     pub left_out: Vec<(String, LeftOutCause)>,
     pub finished: Vec<(RequestKey, Verdict)>,
+    /// When each of them ended.
+    pub finished_at: Vec<BootTime>,
+    pub admission: Vec<(BootTime, AdmissionChange)>,
+    paths: HashMap<RequestKey, String>,
     next_request: u64,
 }
 
@@ -115,6 +122,9 @@
             unsent: Vec::new(),
             left_out: Vec::new(),
             finished: Vec::new(),
+            finished_at: Vec::new(),
+            admission: Vec::new(),
+            paths: HashMap::new(),
             next_request: 1,
         }
     }
@@ -149,7 +159,11 @@
                 RoutingAction::Abandon { attempt, cause, .. } => self.abandoned.push((attempt, cause)),
                 RoutingAction::Unsent { request, cause, .. } => self.unsent.push((request, cause)),
                 RoutingAction::LeftOut { service, cause, .. } => self.left_out.push((service.to_string(), cause)),
-                RoutingAction::Finish { request, verdict } => self.finished.push((request, verdict)),
+                RoutingAction::Admission { change, .. } => self.admission.push((self.now, change)),
+                RoutingAction::Finish { request, verdict } => {
+                    self.finished.push((request, verdict));
+                    self.finished_at.push(self.now);
+                }
             }
         }
     }
@@ -157,6 +171,7 @@
     pub fn arrival(&mut self, path: &str) -> Arrival {
         let key = RequestKey(self.next_request);
         self.next_request += 1;
+        self.paths.insert(key, path.to_owned());
         Arrival {
             key,
             host: HOST.to_owned(),
@@ -194,6 +209,10 @@
         self.pass(Duration::from_millis(millis));
     }
 
+    pub fn path_of(&self, request: RequestKey) -> &str {
+        &self.paths[&request]
+    }
+
     pub fn verdict(&self, request: RequestKey) -> Option<&Verdict> {
         self.finished.iter().find(|(key, _)| *key == request).map(|(_, verdict)| verdict)
     }
--- /dev/null
+++ b/crates/staircross-routing/tests/overload.rs
@@ -0,0 +1,117 @@
+//! More than the searchers can do: a part is refused at once, so that the rest is answered in time.
+
+mod common;
+
+use common::backends::{Backends, Tally};
+use common::{Driver, definition, gather, route, searcher, settings};
+use staircross_routing::{RouteDefinition, RoutingSettings};
+use std::time::Duration;
+
+const GOAL: Duration = Duration::from_millis(250);
+const WORK: Duration = Duration::from_millis(20);
+const SHARDS: [&str; 4] = ["s0", "s1", "s2", "s3"];
+/// Each shard has two searchers of two slots.
+const CAPACITY: f64 = 200.0;
+
+fn shard_searchers() -> Vec<staircross_routing::SearcherEntry> {
+    let copies = |shard: &&'static str| ["x", "y"].map(|copy| searcher(&format!("{shard}{copy}"), shard, "a"));
+    SHARDS.iter().flat_map(copies).collect()
+}
+
+fn query(name: &str, priority: u32) -> RouteDefinition {
+    let mut query = route(name, gather(&SHARDS, 10, 0.75));
+    query.priority = priority;
+    query
+}
+
+fn backends(routes: Vec<RouteDefinition>) -> Backends {
+    let settings = RoutingSettings { max_requests: 100_000, ..settings() };
+    let driver = Driver::with_settings(settings, definition(1, routes, &SHARDS), shard_searchers());
+    Backends::new(driver, 2, WORK)
+}
+
+/// Some calm seconds, in which the usual work is learned.
+fn warmed_up(routes: Vec<RouteDefinition>, paths: &[&str]) -> Backends {
+    let mut backends = backends(routes);
+    backends.offer(paths, CAPACITY * 0.4, Duration::from_secs(4));
+    let calm = backends.tally(GOAL);
+    assert_eq!(calm.refused, 0, "nothing is refused in calm times: {calm:?}");
+    assert!(calm.part(calm.in_time) > 0.98, "{calm:?}");
+    backends
+}
+
+fn offered(backends: &mut Backends, paths: &[&str], load: f64, seconds: u64) -> Tally {
+    backends.offer(paths, CAPACITY * load, Duration::from_secs(seconds));
+    backends.tally(GOAL)
+}
+
+#[test]
+fn half_as_much_again_as_can_be_done_is_refused_in_part_and_the_rest_is_in_time() {
+    let mut backends = warmed_up(vec![query("q", 1)], &["/q/1"]);
+    offered(&mut backends, &["/q/1"], 1.5, 3);
+    let settled = offered(&mut backends, &["/q/1"], 1.5, 8);
+    assert!(settled.part(settled.in_time) > 0.4, "of 0.67 that can be done: {settled:?}");
+    assert!(settled.part(settled.late) < 0.2, "{settled:?}");
+    assert!(settled.part(settled.failed) < 0.01, "what isn't taken is refused at once: {settled:?}");
+}
+
+#[test]
+fn when_the_load_falls_everything_is_taken_again_within_seconds() {
+    let mut backends = warmed_up(vec![query("q", 1)], &["/q/1"]);
+    offered(&mut backends, &["/q/1"], 1.8, 5);
+    offered(&mut backends, &["/q/1"], 0.5, 5);
+    let after = offered(&mut backends, &["/q/1"], 0.5, 4);
+    assert_eq!(after.refused, 0, "{after:?}");
+    assert!(after.part(after.in_time) > 0.97, "{after:?}");
+}
+
+#[test]
+fn one_slow_searcher_is_no_overload() {
+    let mut backends = warmed_up(vec![query("q", 1)], &["/q/1"]);
+    backends.set_slowness("s1x", 12.0);
+    let slow = offered(&mut backends, &["/q/1"], 0.4, 8);
+    assert_eq!(slow.refused, 0, "{slow:?}");
+}
+
+#[test]
+fn a_shard_more_than_may_be_missing_counts_and_one_that_may_be_missing_does_not() {
+    let mut backends = warmed_up(vec![query("q", 1)], &["/q/1"]);
+    for instance in ["s1x", "s1y"] {
+        backends.set_slowness(instance, 4.0);
+    }
+    let one = offered(&mut backends, &["/q/1"], 0.5, 6);
+    assert_eq!(one.refused, 0, "three of four shards are enough: {one:?}");
+    for instance in ["s2x", "s2y"] {
+        backends.set_slowness(instance, 4.0);
+    }
+    let two = offered(&mut backends, &["/q/1"], 0.5, 6);
+    assert!(two.refused > 0, "two shards can do half of what is offered: {two:?}");
+}
+
+#[test]
+fn work_that_has_grown_for_good_is_not_taken_for_a_queue_for_long() {
+    let mut backends = warmed_up(vec![query("q", 1)], &["/q/1"]);
+    backends.work = WORK * 5;
+    offered(&mut backends, &["/q/1"], 0.08, 60);
+    let after = offered(&mut backends, &["/q/1"], 0.08, 10);
+    assert!(after.part(after.refused) < 0.1, "{after:?}");
+}
+
+#[test]
+fn the_more_urgent_route_is_refused_less_often() {
+    let routes = vec![query("urgent", 0), query("casual", 3)];
+    let paths = ["/urgent/1", "/casual/1"];
+    let mut backends = warmed_up(routes, &paths);
+    offered(&mut backends, &paths, 1.6, 10);
+    let refused = |path: &str, backends: &Backends| {
+        let prefix = format!("/{path}/");
+        let finished = backends.driver.finished.iter();
+        finished.filter(|(key, _)| backends.driver.path_of(*key).starts_with(&prefix)).fold((0, 0), |sum, (key, _)| {
+            let is_refused = backends.driver.refusal(*key).is_some();
+            (sum.0 + usize::from(is_refused), sum.1 + 1)
+        })
+    };
+    let (urgent, casual) = (refused("urgent", &backends), refused("casual", &backends));
+    assert!(urgent.0 > 0, "there is an overload: {urgent:?} {casual:?}");
+    assert!(urgent.0 * casual.1 < casual.0 * urgent.1, "{urgent:?} {casual:?}");
+}
