Judge an overload by the median of several requests, connections aside

Each node judged by the lower quartile of single shards, five samples each, so that the noisiest of 36 to 54 shards counted; and what it took for waiting held the time to connect, which every attempt pays after a new cut of the index. Ruled out: the level's control (the same limits with the group's median harm nobody), slow machines. Change: the median of the group decides, over at least six requests (the parts of one are late together); the engine is told when an attempt that waited for a connection has one (Begun), and counts from there.

--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -268,6 +268,7 @@
                 PoolEvent::Connected { searcher, took } => {
                     self.engine_event(RoutingEvent::Connected { searcher, took });
                 }
+                PoolEvent::Begun { attempt } => self.engine_event(RoutingEvent::Begun { attempt }),
                 PoolEvent::Skipped { searcher } => {
                     let line = format_args!("event=answer_skipped searcher={} reason=other_id", searcher.0);
                     self.log.line(self.now, LineKind::Drop, line);
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -85,7 +85,10 @@
         events: &mut Vec<PoolEvent>,
     ) {
         match assignment {
-            Some(assignment) => self.start(slot, assignment, io, events),
+            Some(assignment) => {
+                events.push(PoolEvent::Begun { attempt: assignment.order.attempt });
+                self.start(slot, assignment, io, events);
+            }
             None => self.rest(slot, io.now),
         }
     }
--- a/crates/staircross-routing/src/admission.rs
+++ b/crates/staircross-routing/src/admission.rs
@@ -2,10 +2,9 @@
 //!
 //! When more is offered than the searchers of a group of shards can do, every request waits in their
 //! queues until its goal has passed, and all of the work is done in vain. Refusing a part at once lets the rest be
-//! answered in time. Each node decides by what it measures itself, the time that sub-requests spend waiting beyond
-//! their usual work: the median over a whole group of shards, and for each service the lower quartile. A paused, slow or
-//! lost searcher raises the tail but not these; a queue at all searchers raises them, and so does a link or a process
-//! that can't keep up. Of a gather, as many shards may be late as its coverage allows; the quartile of the next one counts.
+//! answered in time. Each node decides by what it measures itself: the median time that the sub-requests of a group of
+//! services spend waiting beyond their usual work. A paused, slow or lost searcher raises the tail but not the median; a
+//! queue at all searchers raises it, and so does a link or a process that can't keep up.
 //!
 //! The part that is taken falls while that wait is too long for the goal, and rises again once it is short. Less urgent
 //! routes of a group are refused a little earlier.
@@ -23,6 +22,8 @@
 const SERVICE_WINDOW: Duration = Duration::from_millis(200);
 const GROUP_QUANTILE: f64 = 0.5;
 const GROUP_SAMPLES: usize = 24;
+/// Requests that the samples of a group come from, at least: those of one request are late together.
+const GROUP_REQUESTS: usize = 6;
 const GROUP_WINDOW: Duration = Duration::from_millis(200);
 /// Samples kept of one window; more say nothing new.
 const MOST_SAMPLES: usize = 512;
@@ -149,9 +150,10 @@
         Wait::new(QuantileWindow::new(SERVICE_QUANTILE, SERVICE_WINDOW, SERVICE_SAMPLES))
     }
 
-    /// The wait at the searchers of a group of services.
-    pub fn at_group() -> Self {
-        Wait::new(QuantileWindow::new(GROUP_QUANTILE, GROUP_WINDOW, GROUP_SAMPLES))
+    /// The wait at the searchers of a group of services, of which a request asks `fan_out`.
+    pub fn at_group(fan_out: usize) -> Self {
+        let samples = (fan_out * GROUP_REQUESTS).clamp(GROUP_SAMPLES, MOST_SAMPLES);
+        Wait::new(QuantileWindow::new(GROUP_QUANTILE, GROUP_WINDOW, samples))
     }
 
     fn new(window: QuantileWindow) -> Self {
@@ -243,9 +245,3 @@
         self.level < 1.0
     }
 }
-
-/// The wait that counts for a request that can do without `may_miss` of its shards: the longest but those.
-pub fn deciding_wait(mut waits: Vec<Duration>, may_miss: usize) -> Duration {
-    waits.sort_unstable_by(|one, other| other.cmp(one));
-    waits.get(may_miss).copied().unwrap_or_default()
-}
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -69,6 +69,8 @@
     pub searcher: SearcherKey,
     pub route: Arc<str>,
     pub sent_at: BootTime,
+    /// When it had a connection to be written on.
+    pub begun_at: BootTime,
     /// The group of services that it belongs to.
     pub group: Arc<str>,
 }
@@ -179,6 +181,11 @@
                 let zone = self.searchers[searcher.0 as usize].entry.zone.clone();
                 self.place.note_connected(&zone, took);
             }
+            RoutingEvent::Begun { attempt } => {
+                if let Some(sent) = self.sent.get_mut(&attempt) {
+                    sent.begun_at = now;
+                }
+            }
             RoutingEvent::Ended { attempt, outcome } => self.on_ended(now, attempt, outcome, actions),
             RoutingEvent::Tick => self.on_tick(now, actions),
         }
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -238,6 +238,7 @@
             searcher: searcher_key,
             route: route.name.clone(),
             sent_at: now,
+            begun_at: now,
             group: request.group.clone(),
         };
         self.sent.insert(attempt, sent);
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -2,13 +2,12 @@
 
 use super::dispatch::usable_goal;
 use super::{RoutingAction, RoutingEngine, SentAttempt};
-use crate::admission::{Admission, AdmissionChange, Wait, deciding_wait, tolerable_wait};
+use crate::admission::{Admission, AdmissionChange, Wait, tolerable_wait};
 use crate::definition::{RouteDefinition, RouteTarget};
 use crate::request::{AttemptOutcome, NotRun, RequestKey};
 use crate::table::RouteTable;
 use rand::Rng;
 use staircross_types::BootTime;
-use std::slice;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,7 +30,7 @@
                 let rank = route.priority;
                 let group = self.groups.entry(service.clone()).or_insert_with(|| {
                     let admission = known.remove(service).map(|group| group.admission).unwrap_or_default();
-                    ServiceGroup { admission, wait: Wait::at_group(), route_index, rank }
+                    ServiceGroup { admission, wait: Wait::at_group(fan_out(route)), route_index, rank }
                 });
                 if rank < group.rank {
                     (group.route_index, group.rank) = (route_index, rank);
@@ -81,7 +80,7 @@
         actions: &mut Vec<RoutingAction>,
     ) {
         let entry = &self.searchers[sent.searcher.0 as usize].entry;
-        let worked = now.since(sent.sent_at).saturating_sub(self.place.way(&entry.zone));
+        let worked = now.since(sent.begun_at).saturating_sub(self.place.way(&entry.zone));
         let service = entry.service.clone();
         match outcome {
             AttemptOutcome::Answered(answer) if answer.status < 500 => self.note_worked(now, sent, &service, worked),
@@ -119,17 +118,20 @@
         let table = self.table.clone()?;
         let group = self.groups.get(name).filter(|group| group.admission.is_due(now))?;
         let route = &table.definition().routes[group.route_index];
-        let (services, may_miss) = match &route.target {
-            RouteTarget::Gather(gather) => (&gather.shards[..], gather.shards.len() - gather.least_shards()),
-            RouteTarget::Service(_) | RouteTarget::Weighted(_) => (slice::from_ref(name), 0),
-        };
-        let waits = services.iter().map(|service| self.waits.get(service).map_or(Duration::ZERO, |wait| wait.get(now)));
-        let wait = deciding_wait(waits.collect(), may_miss).max(group.wait.get(now));
-        let tolerable = self.tolerable_for(route, services.len());
+        let wait = group.wait.get(now);
+        let tolerable = self.tolerable_for(route, fan_out(route));
         self.groups.get_mut(name)?.admission.judge(now, wait, tolerable)
     }
 }
 
+/// Services that one request of a route asks.
+fn fan_out(route: &RouteDefinition) -> usize {
+    match &route.target {
+        RouteTarget::Gather(gather) => gather.shards.len(),
+        RouteTarget::Service(_) | RouteTarget::Weighted(_) => 1,
+    }
+}
+
 /// The services that name the groups of a route.
 fn first_services(route: &RouteDefinition) -> impl Iterator<Item = &Arc<str>> {
     let (one, set) = match &route.target {
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -40,6 +40,11 @@
         /// How long it took.
         took: Duration,
     },
+    /// An attempt that had to wait for a connection has one now.
+    Begun {
+        /// Which.
+        attempt: AttemptKey,
+    },
     /// An attempt has ended and holds no connection any more.
     Ended {
         /// Which.
