Leave connections to others where a searcher turns some away; tell a reset from nobody there

Cause: where connections bind, runs that lost power hold most of what a searcher accepts until it notices. The nodes that got the rest kept them at rest, each to some shards, so that no node had all shards for seconds. Besides, a connection that was reset before this process looked at it was taken for one that nobody accepts, and its searcher was barred for 0.4 s and more. Change: a searcher that has reset a fresh connection in the last five seconds is contested, connections to it rest for 0.3 s; what the socket's error says (reset, or nobody there) decides between turned away and unconnected. Tests: gateway/tests/pool.rs, two new; a_contested_connection_rests_for_a_moment_only failed with the first change alone, which is how the second was found.

--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -3,7 +3,7 @@
 //! The connection is kept between calls. A call that isn't answered in its time ends the connection,
 //! so that a late answer can never be taken for that of a later call.
 
-use crate::socket::{IoContext, ReadOutcome, Socket, SocketId, WriteOutcome};
+use crate::socket::{ConnectingState, IoContext, ReadOutcome, Socket, SocketId, WriteOutcome};
 use rustix::net::sockopt;
 use staircross_http::client::Expected;
 use staircross_http::{Answer, ClientConnection, ClientProgress, write};
@@ -141,10 +141,10 @@
         }
         let link = self.link.as_mut()?;
         if !link.is_up {
-            match link.socket.is_up() {
-                None => return None,
-                Some(false) => return self.end_broken(),
-                Some(true) => link.is_up = true,
+            match link.socket.connecting_state() {
+                ConnectingState::Underway => return None,
+                ConnectingState::Reset | ConnectingState::Failed => return self.end_broken(),
+                ConnectingState::Up => link.is_up = true,
             }
             if link.socket.flush(io.registry) == WriteOutcome::Broken {
                 return self.end_broken();
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -1,6 +1,6 @@
 //! How attempts and connections end.
 
-use super::{AbandonCause, MISDIRECTED, Pool, PoolEvent, REST_GUARD, State};
+use super::{AbandonCause, Assignment, MISDIRECTED, Pool, PoolEvent, REST_GUARD, State};
 use staircross_http::{Answer, ClientFault};
 use staircross_routing::request::Unknown;
 use staircross_routing::selection::SearcherKey;
@@ -8,6 +8,8 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
+/// Rest of a connection to a searcher that has turned others away lately: they need it more.
+const CONTESTED_REST: Duration = Duration::from_millis(300);
 /// Rest of a connection besides the one used last. A searcher goes on counting the connections of a machine
 /// that lost power, so that those which nobody needs are in the way of the machines that replace it.
 const SURPLUS_REST: Duration = Duration::from_millis(1500);
@@ -56,57 +58,69 @@
         let Some(connection) = self.connections.try_remove(slot) else {
             return;
         };
+        let searcher = connection.searcher;
         match connection.state {
             State::Idle => {
-                if let Some(resting) = self.resting.get_mut(&connection.searcher) {
+                if let Some(resting) = self.resting.get_mut(&searcher) {
                     resting.retain(|known| *known != slot);
                 }
             }
             State::Connecting { assignment } => {
-                let Some(assignment) = assignment else {
-                    return;
-                };
-                let attempt = assignment.order.attempt;
-                self.by_attempt.remove(&attempt);
-                let outcome = AttemptOutcome::NotRun(NotRun::Unconnected);
-                events.push(PoolEvent::Ended { attempt, outcome });
+                self.end_attempt(assignment, AttemptOutcome::NotRun(NotRun::Unconnected), events);
             }
-            State::Proving { assignment } => {
-                self.counters.turned_away += 1;
-                let Some(assignment) = assignment else {
-                    return;
-                };
-                let attempt = assignment.order.attempt;
-                self.by_attempt.remove(&attempt);
-                let outcome = AttemptOutcome::NotRun(NotRun::TurnedAway);
-                events.push(PoolEvent::Ended { attempt, outcome });
+            State::Proving { assignment } => self.turned_away(searcher, connection.since, assignment, events),
+            State::Busy(assignment) if connection.socket.is_unbegun() && connection.is_fresh => {
+                self.turned_away(searcher, connection.since, Some(assignment), events);
             }
             State::Busy(assignment) if connection.socket.is_unbegun() => {
-                let attempt = assignment.order.attempt;
-                self.by_attempt.remove(&attempt);
-                let cause = if connection.is_fresh { NotRun::TurnedAway } else { NotRun::Stale };
-                self.counters.turned_away += u64::from(connection.is_fresh);
-                events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::NotRun(cause) });
+                self.end_attempt(Some(assignment), AttemptOutcome::NotRun(NotRun::Stale), events);
             }
             State::Busy(assignment) => {
                 if connection.is_fresh {
-                    self.resets.insert(connection.searcher, connection.since);
+                    self.resets.insert(searcher, connection.since);
                 }
                 self.counters.broken += 1;
-                let attempt = assignment.order.attempt;
-                self.by_attempt.remove(&attempt);
-                let reason = match fault {
-                    ClientFault::TooLong => Unknown::TooLong,
-                    ClientFault::Malformed
-                    | ClientFault::Truncated
-                    | ClientFault::ClosedUnanswered
-                    | ClientFault::Reset => Unknown::Broken,
-                };
-                events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::Unknown(reason) });
+                self.end_attempt(Some(assignment), AttemptOutcome::Unknown(unknown_after(fault)), events);
             }
         }
     }
 
+    /// Ends a connection that came up and was reset before this process could use it.
+    pub(super) fn turn_away(&mut self, slot: usize, events: &mut Vec<PoolEvent>) {
+        let Some(connection) = self.connections.try_remove(slot) else {
+            return;
+        };
+        if let State::Connecting { assignment } = connection.state {
+            self.turned_away(connection.searcher, connection.since, assignment, events);
+        }
+    }
+
+    /// A searcher has reset a fresh connection on which nothing was sent: it has as many as it takes.
+    fn turned_away(
+        &mut self,
+        searcher: SearcherKey,
+        at: BootTime,
+        assignment: Option<Box<Assignment>>,
+        events: &mut Vec<PoolEvent>,
+    ) {
+        self.resets.insert(searcher, at);
+        self.counters.turned_away += 1;
+        self.end_attempt(assignment, AttemptOutcome::NotRun(NotRun::TurnedAway), events);
+    }
+
+    fn end_attempt(
+        &mut self,
+        assignment: Option<Box<Assignment>>,
+        outcome: AttemptOutcome,
+        events: &mut Vec<PoolEvent>,
+    ) {
+        if let Some(assignment) = assignment {
+            let attempt = assignment.order.attempt;
+            self.by_attempt.remove(&attempt);
+            events.push(PoolEvent::Ended { attempt, outcome });
+        }
+    }
+
     /// Ends connections that don't come up, whose answers nobody waits for, or that rest too long: longer than
     /// their searcher keeps them, or than `most_rest`.
     pub fn sweep(&mut self, now: BootTime, most_rest: Duration, events: &mut Vec<PoolEvent>) {
@@ -114,6 +128,7 @@
         for (slot, connection) in &self.connections {
             let age = now.since(connection.since);
             let is_over = match &connection.state {
+                State::Idle if self.is_contested(connection.searcher, now) => age >= CONTESTED_REST,
                 State::Idle if self.is_surplus(slot, connection.searcher) => {
                     age >= connection.rest.min(most_rest).min(SURPLUS_REST)
                 }
@@ -154,3 +169,13 @@
         events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::Withdrawn });
     }
 }
+
+/// What is told of an attempt that was sent and whose connection ended in a fault.
+fn unknown_after(fault: ClientFault) -> Unknown {
+    match fault {
+        ClientFault::TooLong => Unknown::TooLong,
+        ClientFault::Malformed | ClientFault::Truncated | ClientFault::ClosedUnanswered | ClientFault::Reset => {
+            Unknown::Broken
+        }
+    }
+}
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -1,8 +1,9 @@
 //! Connections from their beginning until they carry something, and proving fresh ones.
 
 use super::{Assignment, Connection, Pool, PoolEvent, State, USUAL_REST};
-use crate::socket::{IoContext, Socket, SocketId, WriteOutcome};
+use crate::socket::{ConnectingState, IoContext, Socket, SocketId, WriteOutcome};
 use staircross_http::{ClientConnection, ClientFault};
+use staircross_routing::selection::SearcherKey;
 use staircross_routing::{AttemptOutcome, NotRun};
 use staircross_types::BootTime;
 use std::cmp::Reverse;
@@ -44,10 +45,11 @@
 
     pub(super) fn on_connecting(&mut self, slot: usize, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
         let connection = &mut self.connections[slot];
-        match connection.socket.is_up() {
-            None => return,
-            Some(false) => return self.fail(slot, ClientFault::Reset, events),
-            Some(true) => {}
+        match connection.socket.connecting_state() {
+            ConnectingState::Underway => return,
+            ConnectingState::Failed => return self.fail(slot, ClientFault::Reset, events),
+            ConnectingState::Reset => return self.turn_away(slot, events),
+            ConnectingState::Up => {}
         }
         let took = io.now.since(connection.since);
         events.push(PoolEvent::Connected { searcher: connection.searcher, took });
@@ -73,8 +75,12 @@
     /// was sent by then may have run, so where that is likely, nothing is sent until it would have come.
     fn must_prove(&self, slot: usize, now: BootTime) -> bool {
         let is_young = now < self.proves_until;
-        let reset_at = self.resets.get(&self.connections[slot].searcher);
-        is_young || reset_at.is_some_and(|at| now.since(*at) < RESET_MEMORY)
+        is_young || self.is_contested(self.connections[slot].searcher, now)
+    }
+
+    /// Whether a searcher has reset a fresh connection lately.
+    pub fn is_contested(&self, searcher: SearcherKey, now: BootTime) -> bool {
+        self.resets.get(&searcher).is_some_and(|at| now.since(*at) < RESET_MEMORY)
     }
 
     fn begin_use(
--- a/crates/staircross-gateway/src/socket.rs
+++ b/crates/staircross-gateway/src/socket.rs
@@ -62,6 +62,19 @@
     wants_writable: bool,
 }
 
+/// What has become of a connection that was begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectingState {
+    /// Not known yet.
+    Underway,
+    /// It is up.
+    Up,
+    /// It came up and was reset at once.
+    Reset,
+    /// Nobody takes it.
+    Failed,
+}
+
 impl Socket {
     /// Registers an accepted stream.
     pub fn accepted(mut stream: TcpStream, token: Token, registry: &Registry) -> io::Result<Self> {
@@ -84,15 +97,18 @@
         &self.stream
     }
 
-    /// Whether a connection that was begun is up: `None` while it isn't known.
-    pub fn is_up(&self) -> Option<bool> {
-        if let Ok(Some(_)) | Err(_) = self.stream.take_error() {
-            return Some(false);
+    /// What has become of a connection that was begun.
+    pub fn connecting_state(&self) -> ConnectingState {
+        match self.stream.take_error() {
+            Ok(None) => {}
+            // It came up and was ended before this process looked.
+            Ok(Some(error)) if error.kind() == ErrorKind::ConnectionReset => return ConnectingState::Reset,
+            Ok(Some(_)) | Err(_) => return ConnectingState::Failed,
         }
         match self.stream.peer_addr() {
-            Ok(_) => Some(true),
-            Err(error) if error.kind() == ErrorKind::NotConnected => None,
-            Err(_) => Some(false),
+            Ok(_) => ConnectingState::Up,
+            Err(error) if error.kind() == ErrorKind::NotConnected => ConnectingState::Underway,
+            Err(_) => ConnectingState::Failed,
         }
     }
 
--- a/crates/staircross-gateway/tests/pool.rs
+++ b/crates/staircross-gateway/tests/pool.rs
@@ -256,3 +256,47 @@
     fixture.sweep(Duration::from_secs(1));
     assert_eq!(fixture.pool.connection_count(), 0);
 }
+
+#[test]
+fn connections_to_a_searcher_that_turned_another_away_are_left_to_others_soon() {
+    let (mut fixture, listener) = two_at_rest();
+    let address = listener.local_addr().expect("its address");
+    // Both that rest are used; a third is reset, as by a searcher that has as many as it takes.
+    let before = fixture.events.len();
+    for number in 2..5 {
+        fixture.send_numbered(address, number);
+    }
+    fixture.until("the third comes up", |events| is_connected(&events[before..]));
+    let (stream, _) = listener.accept().expect("a connection");
+    reset(stream);
+    fixture.until("the reset", |events| is_ended(&events[before..]));
+    assert_eq!(fixture.pool.connection_count(), 2);
+    assert!(fixture.pool.is_contested(SearcherKey(0), fixture.now));
+    assert!(!fixture.pool.is_contested(SearcherKey(1), fixture.now), "another searcher");
+    let later = fixture.now + Duration::from_secs(6);
+    assert!(!fixture.pool.is_contested(SearcherKey(0), later), "it may have room again");
+}
+
+#[test]
+fn a_contested_connection_rests_for_a_moment_only() {
+    let (listener, address) = listener();
+    let mut fixture = Fixture::with_proving_until(BootTime::default());
+    fixture.send_numbered(address, 0);
+    fixture.until("it comes up", is_connected);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    stream.read_exact(&mut [0; 16]).expect("the request");
+    fixture.send_numbered(address, 1);
+    let (turned_away, _) = listener.accept().expect("a second connection");
+    reset(turned_away);
+    fixture.until("the reset", is_ended);
+    stream.write_all(b"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n").expect("answered");
+    let ends = |events: &[PoolEvent]| events.iter().filter(|event| matches!(event, PoolEvent::Ended { .. })).count();
+    fixture.until("the answer", |events| ends(events) == 2);
+    assert_eq!(fixture.pool.connection_count(), 1);
+    fixture.now = START + Duration::from_millis(200);
+    fixture.sweep(Duration::MAX);
+    assert_eq!(fixture.pool.connection_count(), 1);
+    fixture.now = START + Duration::from_millis(400);
+    fixture.sweep(Duration::MAX);
+    assert_eq!(fixture.pool.connection_count(), 0, "others need it more");
+}
