--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -3,8 +3,7 @@
 use super::{Assignment, Connection, Pool, PoolEvent, State, USUAL_REST};
 use crate::socket::{ConnectingState, IoContext, Socket, SocketId, WriteOutcome};
 use staircross_http::{ClientConnection, ClientFault};
-use staircross_routing::selection::SearcherKey;
-use staircross_routing::{AttemptOutcome, NotRun};
+use staircross_routing::{AttemptOutcome, NotRun, SearcherKey};
 use staircross_types::BootTime;
 use std::cmp::Reverse;
 use std::time::Duration;
--- a/crates/staircross-node/src/core.rs
+++ b/crates/staircross-node/src/core.rs
@@ -6,78 +6,32 @@
 
 mod callers;
 mod config;
+mod pending;
 mod requests;
 mod sessions;
 mod show;
 
-pub use callers::{CallerCommand, CallerReply};
-
+use crate::event::CoreEvent;
 use crate::logs::Logs;
 use crate::metrics::Metrics;
 use crate::peers::PeerTransport;
 use crate::searchers::SearcherConnections;
-use callers::PendingRequest;
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::{Receiver, RecvTimeoutError};
 use hashbrown::HashMap;
+use pending::PendingRequest;
 use sessions::{HeldReply, PendingResume};
 use staircross_cluster::{ClusterEngine, ClusterEvent, ClusterSettings, Member, MemberState};
-use staircross_config::{MachineList, MachineState, PlatformDocument, Settings};
+use staircross_config::{MachineList, MachineState, Settings};
 use staircross_search::root::RootCounters;
-use staircross_search::{Evidence, LeafEngine, LeafEvent, LeafSettings, RootEngine, RootEvent, RootSettings};
-use staircross_search::{SubReply, SubRequest};
+use staircross_search::{LeafEngine, LeafEvent, LeafSettings, RootEngine, RootEvent, RootSettings};
 use staircross_types::boot_clock as clock;
-use staircross_types::{AttemptId, BootTime, NodeId, SearcherId, SearcherIncarnation, SessionToken};
-use staircross_wire::PeerMessage;
+use staircross_types::{AttemptId, BootTime, NodeId, SessionToken};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// What happens to a node.
-pub enum CoreEvent {
-    /// A caller or operator asks.
-    Caller {
-        /// What.
-        command: CallerCommand,
-        /// Where the reply goes.
-        reply: Sender<CallerReply>,
-    },
-    /// Another node says something.
-    Peer(PeerMessage),
-    /// A connection to another node broke after something was written.
-    PeerBroken(SocketAddr),
-    /// A sub-request didn't reach its leaf, or perhaps not.
-    Undelivered {
-        /// The sub-request.
-        request: SubRequest,
-        /// Whether some of its bytes may have left.
-        partly_written: bool,
-    },
-    /// A call to a searcher ended.
-    SearcherReplied {
-        /// The reply, true or made up for one that didn't come.
-        reply: SubReply,
-        /// The run of the searcher that replied, if one did.
-        run: Option<SearcherIncarnation>,
-    },
-    /// A probe of a searcher ended.
-    Probed {
-        /// The searcher.
-        searcher: SearcherId,
-        /// When it was asked.
-        asked_at: BootTime,
-        /// What it said.
-        evidence: Option<Evidence>,
-    },
-    /// The platform's document was read.
-    Platform(Arc<PlatformDocument>),
-    /// The platform's machine list was read.
-    Machines(MachineList),
-    /// A planned stop begins.
-    Stop,
-}
-
 /// Time between ticks of the engines.
 const TICK: Duration = Duration::from_millis(20);
 /// Events handled before time is looked at again.
--- a/crates/staircross-node/src/core/callers.rs
+++ b/crates/staircross-node/src/core/callers.rs
@@ -1,12 +1,14 @@
 //! What callers and operators ask.
 
 use super::Core;
+use super::pending::PendingRequest;
 use super::sessions::{send_reply, session_tag};
-use crate::api::{Cursor, MemberStatus, ReplyBody, SessionReply, StatementReply, StatusReply, TicketReply};
+use crate::api::{Cursor, MemberStatus, ReplyBody, SessionReply, StatementReply, StatusReply};
+use crate::event::{CallerCommand, CallerReply};
 use crossbeam::channel::Sender;
 use staircross_cluster::{ClusterEvent, MemberState};
 use staircross_language::{PullStatement, RunStatement, SearchStatement, Statement};
-use staircross_search::{Refusal, RootEvent, SessionState, Submission, Work};
+use staircross_search::{Refusal, RootEvent, Submission, Work};
 use staircross_types::query::PagePosition;
 use staircross_types::{
     ActionCommand, BootTime, ErrorKind, RequestId, SearchQuery, ServiceName, SessionToken, ShardId, Ticket,
@@ -14,55 +16,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// What a caller or operator asks.
-#[derive(Clone, Debug)]
-pub enum CallerCommand {
-    /// Open a session.
-    OpenSession,
-    /// Close one.
-    CloseSession(SessionToken),
-    /// Mint a ticket for a non-repeatable request.
-    MintTicket(SessionToken),
-    /// Execute a caller's statement.
-    Execute {
-        /// The session.
-        token: SessionToken,
-        /// The statement.
-        statement: Statement,
-    },
-    /// Execute an operator's statement.
-    Operate(Statement),
-    /// Tell the node's state.
-    Status,
-}
-
-/// The reply.
-#[derive(Clone, Debug)]
-pub enum CallerReply {
-    /// To [`CallerCommand::OpenSession`].
-    Session(SessionReply),
-    /// To [`CallerCommand::CloseSession`].
-    Closed,
-    /// To [`CallerCommand::MintTicket`].
-    Ticket(TicketReply),
-    /// To a statement.
-    Statement(StatementReply),
-    /// To [`CallerCommand::Status`].
-    Status(Box<StatusReply>),
-    /// Refused.
-    Refused(Refusal),
-}
-
-/// A request that the root has and a caller waits for.
-pub(super) struct PendingRequest {
-    pub session: SessionToken,
-    pub session_tag: String,
-    pub session_before: Option<SessionState>,
-    pub service: ServiceName,
-    pub started: BootTime,
-    pub reply: Sender<CallerReply>,
-}
-
 /// What a statement asks of the root.
 struct RootWork {
     service: ServiceName,
--- a/crates/staircross-node/src/core/sessions.rs
+++ b/crates/staircross-node/src/core/sessions.rs
@@ -1,8 +1,9 @@
 //! Sessions across nodes: copies before replies, and taking over by token.
 
-use super::callers::{CallerReply, PendingRequest};
-use super::{CallerCommand, Core};
+use super::Core;
+use super::pending::PendingRequest;
 use crate::api::{ReplyBody, StatementReply};
+use crate::event::{CallerCommand, CallerReply};
 use crossbeam::channel::Sender;
 use spdlog::{info, warn};
 use staircross_cluster::ClusterEvent;
--- a/crates/staircross-node/src/front.rs
+++ b/crates/staircross-node/src/front.rs
@@ -4,7 +4,7 @@
 //! command for the core; the thread waits for the reply. Everything that a caller sends is bounded.
 
 use crate::api::{StatementCall, StatementReply};
-use crate::core::{CallerCommand, CallerReply, CoreEvent};
+use crate::event::{CallerCommand, CallerReply, CoreEvent};
 use crate::metrics::Metrics;
 use crossbeam::channel::{Sender, bounded};
 use oxhttp::Server;
--- a/crates/staircross-node/src/lib.rs
+++ b/crates/staircross-node/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`node`] | starts and stops all of it |
 //! | [`core`] | one thread that owns the engines and carries events and actions between them |
+//! | [`event`] | what its threads tell the one that decides |
 //! | [`front`] | HTTP for callers and operators |
 //! | [`searchers`] | connections to searchers |
 //! | [`peers`] | connections to other nodes |
@@ -15,6 +16,7 @@
 pub mod api;
 pub mod client;
 pub mod core;
+pub mod event;
 pub mod front;
 pub mod logs;
 pub mod metrics;
--- a/crates/staircross-node/src/node.rs
+++ b/crates/staircross-node/src/node.rs
@@ -1,6 +1,7 @@
 //! Starts and stops a node.
 
-use crate::core::{Core, CoreEvent, CoreParts};
+use crate::core::{Core, CoreParts};
+use crate::event::CoreEvent;
 use crate::front;
 use crate::logs::Logs;
 use crate::metrics::Metrics;
--- a/crates/staircross-node/src/peers.rs
+++ b/crates/staircross-node/src/peers.rs
@@ -4,7 +4,7 @@
 //! on the connections it opened and reads on those it accepted. Queues are bounded; a peer that
 //! doesn't keep up loses messages, not this node its memory. A malformed frame ends its connection only.
 
-use crate::core::CoreEvent;
+use crate::event::CoreEvent;
 use crate::logs::Logs;
 use crate::metrics::Metrics;
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
--- a/crates/staircross-node/src/platform.rs
+++ b/crates/staircross-node/src/platform.rs
@@ -2,7 +2,7 @@
 //!
 //! A failed or malformed read changes nothing: what is in force stays in force.
 
-use crate::core::CoreEvent;
+use crate::event::CoreEvent;
 use crate::logs::Logs;
 use crossbeam::channel::Sender;
 use spdlog::warn;
--- a/crates/staircross-node/src/searchers.rs
+++ b/crates/staircross-node/src/searchers.rs
@@ -9,7 +9,7 @@
 
 mod call;
 
-use crate::core::CoreEvent;
+use crate::event::CoreEvent;
 use crate::logs::Logs;
 use call::{CallEnd, SearcherCaller};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -15,10 +15,11 @@
 pub use crate::engine_message::{
     AbandonCause, LeftOutCause, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
 };
+use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::mirror::SearcherEntry;
-use crate::request::{AttemptKey, Request, RequestKey};
+use crate::request::Request;
 use crate::searcher::Searcher;
-use crate::selection::{Place, SearcherKey};
+use crate::selection::Place;
 use crate::table::RouteTable;
 use crate::turns::WeightedTurns;
 use crate::window::{ExtraBound, ExtraWindow};
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -2,9 +2,10 @@
 
 use super::{RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause, WaitingShard};
 use crate::definition::{RouteDefinition, RouteTarget};
-use crate::request::{Arrival, Attempt, AttemptKey, Request, RequestKey, Shard, ShardState, Verdict};
+use crate::keys::{AttemptKey, RequestKey, SearcherKey};
+use crate::request::{Arrival, Attempt, Request, Shard, ShardState, Verdict};
 use crate::searcher::OpenAttempt;
-use crate::selection::{SearcherKey, choose};
+use crate::selection::choose;
 use staircross_types::{BootTime, ErrorKind};
 use std::cmp::Reverse;
 use std::collections::VecDeque;
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -1,8 +1,8 @@
 //! What the end of an attempt means for its request and its searcher.
 
 use super::{AbandonCause, RoutingAction, RoutingEngine, SendReason, SentAttempt};
-use crate::request::{AttemptKey, AttemptOutcome, NotRun, RequestKey, SearcherAnswer, ShardState, Unknown};
-use crate::selection::SearcherKey;
+use crate::keys::{AttemptKey, RequestKey, SearcherKey};
+use crate::request::{AttemptOutcome, NotRun, SearcherAnswer, ShardState, Unknown};
 use staircross_types::BootTime;
 use std::time::Duration;
 
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -3,9 +3,9 @@
 use super::dispatch::refused;
 use super::outcome::promises_not_run;
 use super::{AbandonCause, LeftOutCause, RoutingAction, RoutingEngine, SendReason};
+use crate::keys::{RequestKey, SearcherKey};
 use crate::merge::greatest_records;
-use crate::request::{MergedAnswer, Request, RequestKey, ShardState, Verdict};
-use crate::selection::SearcherKey;
+use crate::request::{MergedAnswer, Request, ShardState, Verdict};
 use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
 
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -1,9 +1,9 @@
 //! What the engine is told, and what it wants done.
 
 use crate::admission::AdmissionChange;
+use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::mirror::SearcherEntry;
-use crate::request::{Arrival, AttemptKey, AttemptOutcome, RequestKey, Verdict};
-use crate::selection::SearcherKey;
+use crate::request::{Arrival, AttemptOutcome, Verdict};
 use crate::table::RouteTable;
 use hashbrown::HashMap;
 use staircross_types::BootTime;
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`admission`] | how much of the offered work is taken while back ends are overloaded |
 //! | [`window`] | how much work beyond the strictly needed may be sent |
 //! | [`turns`] | whose turn it is in a weighted set |
+//! | [`keys`] | what attempts, requests and searchers are called by |
 //! | [`request`] | state of one request in flight |
 //! | [`merge`] | the best records of several parts |
 //! | [`engine_message`] | what the engine is told, and what it wants done |
@@ -22,6 +23,7 @@
 pub mod definition;
 pub mod engine;
 pub mod engine_message;
+pub mod keys;
 pub mod merge;
 pub mod mirror;
 pub mod request;
@@ -34,6 +36,7 @@
 
 pub use definition::{CallerLimits, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
+pub use keys::{AttemptKey, RequestKey, SearcherKey};
 pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry};
-pub use request::{Arrival, AttemptKey, AttemptOutcome, MergedAnswer, NotRun, RequestKey, SearcherAnswer, Verdict};
+pub use request::{Arrival, AttemptOutcome, MergedAnswer, NotRun, SearcherAnswer, Verdict};
 pub use table::RouteTable;
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -1,26 +1,13 @@
 //! State of one request in flight.
 
 use crate::definition::{GatherTarget, RouteDefinition};
-use crate::selection::SearcherKey;
+use crate::keys::{RequestKey, SearcherKey};
 use crate::table::RouteTable;
 use staircross_http::HeaderBlock;
 use staircross_types::{BootTime, ErrorKind};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Number of a request, unique within the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestKey(pub u64);
-
-/// One sending of a request to one searcher.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AttemptKey {
-    /// The request.
-    pub request: RequestKey,
-    /// Counts up within the request.
-    pub number: u16,
-}
-
 /// A request that has arrived whole.
 #[derive(Clone, Debug)]
 pub struct Arrival {
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -2,8 +2,8 @@
 //!
 //! Only own measurements count. A searcher that has gone or is leaving is never asked again.
 
+use crate::keys::AttemptKey;
 use crate::mirror::SearcherEntry;
-use crate::request::AttemptKey;
 use staircross_types::BootTime;
 use std::time::Duration;
 
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -5,6 +5,7 @@
 //! probably in a pause, so whoever comes next goes elsewhere. Distance counts a little more than its
 //! time, because bytes between zones cost.
 
+use crate::keys::SearcherKey;
 use crate::searcher::Searcher;
 use hashbrown::HashMap;
 use rand::Rng;
@@ -13,10 +14,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Index of a searcher in the engine's table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct SearcherKey(pub u32);
-
 /// Added to the way to another zone of the region, and to another region.
 const ZONE_BIAS: Duration = Duration::from_millis(4);
 const REGION_BIAS: Duration = Duration::from_millis(25);
