--- a/crates/staircross-gateway/src/directory.rs
+++ b/crates/staircross-gateway/src/directory.rs
@@ -20,7 +20,7 @@
 const PLANNED_PART: f64 = 0.9;
 /// Connections to each searcher that a serving node should have: one for its usual work, one for requests
 /// that meet, one for hedges.
-const CONNECTIONS_PER_NODE: f64 = 3.0;
+const CONNECTIONS_PER_NODE: f64 = 4.5;
 /// Serving nodes of a zone that has so many, so that one may go.
 const LEAST_PER_ZONE: usize = 2;
 /// Busy share, in percent, that serving nodes are planned to have at the most.
