Say of each request that isn't admitted what that follows from

Cause: the finish line of such a refusal said overloaded, and the part that is taken stood only in lines of the group. Change: event=not_admitted in the request's trace, with its group and the part of its route's requests that is taken. Test: each counted refusal has its action (routing/tests/overload.rs). No decision changes.

--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -202,6 +202,9 @@
                 let text = format_args!("event=left_out service={service} asked={asked} cause={cause}");
                 self.note_decision(request, text);
             }
+            RoutingAction::NotAdmitted { request, group, part } => {
+                self.note_decision(request, format_args!("event=not_admitted group={group} part={part:.2}"));
+            }
             RoutingAction::Admission { group, change } => {
                 let AdmissionChange { level, wait, tolerable } = change;
                 let (wait, tolerable) = (wait.as_millis(), tolerable.as_millis());
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -33,7 +33,7 @@
 impl RoutingEngine {
     pub(super) fn admit(&mut self, now: BootTime, arrival: Arrival, actions: &mut Vec<RoutingAction>) {
         let key = arrival.key;
-        match self.begin(now, &arrival) {
+        match self.begin(now, &arrival, actions) {
             Ok(request) => {
                 self.requests.insert(key, request);
                 self.send_all(now, key, actions);
@@ -42,7 +42,12 @@
         }
     }
 
-    fn begin(&mut self, now: BootTime, arrival: &Arrival) -> Result<Request, Verdict> {
+    fn begin(
+        &mut self,
+        now: BootTime,
+        arrival: &Arrival,
+        actions: &mut Vec<RoutingAction>,
+    ) -> Result<Request, Verdict> {
         let Some(table) = self.table.clone() else {
             return Err(refused(ErrorKind::NoConfiguration, "no configuration is known yet"));
         };
@@ -72,7 +77,8 @@
             return Err(refused(ErrorKind::Overloaded, "the request's time was over when it was read"));
         }
         let group = services.first().cloned().unwrap_or_default();
-        if !self.is_admitted(&group, route) {
+        if let Some(part) = self.refusing_part(&group, route) {
+            actions.push(RoutingAction::NotAdmitted { request: arrival.key, group, part });
             return Err(refused(ErrorKind::Overloaded, "too much waits at the back ends already"));
         }
         let deadline = now + (left - DEADLINE_GUARD);
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -41,17 +41,15 @@
         self.waits.retain(|service, _| table.definition().services.iter().any(|entry| entry.name == *service));
     }
 
-    /// Whether a request is taken. Only a part of them is while too much waits.
-    pub(super) fn is_admitted(&mut self, group: &Arc<str>, route: &RouteDefinition) -> bool {
-        let Some(group) = self.groups.get(group).filter(|group| group.admission.is_limiting()) else {
-            return true;
-        };
+    /// Whether a request is refused because too much waits: then, the part of its route's requests that is taken now.
+    pub(super) fn refusing_part(&mut self, group: &Arc<str>, route: &RouteDefinition) -> Option<f64> {
+        let group = self.groups.get(group).filter(|group| group.admission.is_limiting())?;
         let part = group.admission.part_taken(route.priority.saturating_sub(group.rank));
-        let is_admitted = self.random.random_bool(part);
-        if !is_admitted {
-            self.counters.not_admitted += 1;
+        if self.random.random_bool(part) {
+            return None;
         }
-        is_admitted
+        self.counters.not_admitted += 1;
+        Some(part)
     }
 
     /// Whether so much waits at a service that asking another of its searchers helps nobody.
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -93,6 +93,15 @@
         /// Why there is no part.
         cause: LeftOutCause,
     },
+    /// A request is refused because too much waits at its services; told for the log alone.
+    NotAdmitted {
+        /// Which request.
+        request: RequestKey,
+        /// The first service of the group.
+        group: Arc<str>,
+        /// Part of its route's requests that is taken now, 0 to 1.
+        part: f64,
+    },
     /// What is taken of the work offered to a group of services has changed; told for the log alone.
     Admission {
         /// The first service of the group.
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -35,6 +35,7 @@
     pub finished: Vec<(RequestKey, Verdict)>,
     /// When each of them ended.
     pub finished_at: Vec<BootTime>,
+    pub not_admitted: Vec<(RequestKey, f64)>,
     pub admission: Vec<(BootTime, AdmissionChange)>,
     paths: HashMap<RequestKey, String>,
     next_request: u64,
@@ -123,6 +124,7 @@
             left_out: Vec::new(),
             finished: Vec::new(),
             finished_at: Vec::new(),
+            not_admitted: Vec::new(),
             admission: Vec::new(),
             paths: HashMap::new(),
             next_request: 1,
@@ -159,6 +161,7 @@
                 RoutingAction::Abandon { attempt, cause, .. } => self.abandoned.push((attempt, cause)),
                 RoutingAction::Unsent { request, cause, .. } => self.unsent.push((request, cause)),
                 RoutingAction::LeftOut { service, cause, .. } => self.left_out.push((service.to_string(), cause)),
+                RoutingAction::NotAdmitted { request, part, .. } => self.not_admitted.push((request, part)),
                 RoutingAction::Admission { change, .. } => self.admission.push((self.now, change)),
                 RoutingAction::Finish { request, verdict } => {
                     self.finished.push((request, verdict));
--- a/crates/staircross-routing/tests/overload.rs
+++ b/crates/staircross-routing/tests/overload.rs
@@ -53,6 +53,13 @@
     assert!(settled.part(settled.in_time) > 0.4, "of 0.67 that can be done: {settled:?}");
     assert!(settled.part(settled.late) < 0.2, "{settled:?}");
     assert!(settled.part(settled.failed) < 0.01, "what isn't taken is refused at once: {settled:?}");
+    let told = &backends.driver.not_admitted;
+    assert_eq!(
+        told.len() as u64,
+        backends.driver.engine.counters.not_admitted,
+        "each refusal says what it follows from"
+    );
+    assert!(told.iter().all(|(_, part)| (0.0..1.0).contains(part)), "{told:?}");
 }
 
 #[test]
