Show in explain what an overload's refusal follows from

Change: admission lines are beliefs, the last word of each group counts, limits that are lifted tell nothing. Test: explain.rs, a refusal with its group's wait before it, and nothing of a group that is taken whole again. Failed without (checked: it names no belief).

--- a/crates/staircross/src/explain.rs
+++ b/crates/staircross/src/explain.rs
@@ -9,7 +9,12 @@
 use std::path::Path;
 
 /// A belief this much older than the request's first line is still shown if it is the last of its kind.
-const BELIEFS: &[&str] = &["configuration", "store", "pressed", "woke_late", "ready", "start", "stop_begins"];
+const BELIEFS: &[&str] =
+    &["configuration", "store", "pressed", "woke_late", "ready", "start", "stop_begins", "admission"];
+/// Field of a line on a store's lane or a group of services: the last word of each counts.
+const SUBJECTS: &[&str] = &["lane", "group"];
+/// Value of `level` where a group is limited no more.
+const UNLIMITED: &str = "1.00";
 
 /// One line of a log.
 #[derive(Clone, Debug, PartialEq)]
@@ -142,11 +147,15 @@
 fn last_beliefs<'a>(here: &[&'a LogLine], arrived: f64, ended: f64) -> Vec<&'a LogLine> {
     let mut last: BTreeMap<String, &LogLine> = BTreeMap::new();
     for line in here.iter().filter(|line| BELIEFS.contains(&line.event.as_str()) && line.time <= ended) {
-        let kind = format!("{} {}", line.event, line.get("lane").unwrap_or_default());
-        last.insert(kind, line);
+        let subject = SUBJECTS.iter().find_map(|field| line.get(field)).unwrap_or_default();
+        last.insert(format!("{} {subject}", line.event), line);
     }
-    // A late wake-up long ago says nothing.
-    let is_telling = |line: &&LogLine| line.event != "woke_late" || arrived - line.time < 5.0;
+    // A late wake-up long ago says nothing, nor does a limit that is lifted.
+    let is_telling = |line: &&LogLine| match line.event.as_str() {
+        "woke_late" => arrived - line.time < 5.0,
+        "admission" => line.get("level") != Some(UNLIMITED),
+        _ => true,
+    };
     let mut beliefs: Vec<&LogLine> = last.into_values().filter(is_telling).collect();
     beliefs.sort_by(|left, right| left.time.total_cmp(&right.time));
     beliefs
--- a/crates/staircross/tests/explain.rs
+++ b/crates/staircross/tests/explain.rs
@@ -14,6 +14,11 @@
 cut off t=1
 t=120.228 node=front-1 event=left_out service=left asked=i-8,i-9 cause=late request=cafe after_ms=228
 t=120.228 node=front-1 event=finish request=cafe route=r version=4 outcome=merged status=200 parts=1 missing=1 extras=1 ms=228.0
+t=121.000 node=front-1 event=admission group=left level=0.60 wait_ms=90 tolerable_ms=40
+t=121.100 node=front-1 event=admission group=right level=0.30 wait_ms=99 tolerable_ms=40
+t=121.200 node=front-1 event=admission group=right level=1.00 wait_ms=1 tolerable_ms=40
+t=121.500 node=front-1 event=not_admitted group=left part=0.60 request=f00d after_ms=0
+t=121.500 node=front-1 event=finish request=f00d route=r version=4 outcome=overloaded status=503 parts=0 missing=0 extras=0 ms=0.0
 t=130.000 node=front-1 event=configuration version=5 routes=3 services=2 source=peer
 ";
 
@@ -55,6 +60,16 @@
     assert!(!report.contains("beef"), "nor what isn't its own:\n{report}");
 }
 
+#[test]
+fn a_refusal_for_overload_is_told_with_the_wait_that_it_follows_from() {
+    let (found, report) = explain("f00d");
+    assert!(found);
+    let belief = report.find("admission  group=left level=0.60 wait_ms=90").expect(&report);
+    let decision = report.find("not_admitted  group=left part=0.60").expect(&report);
+    assert!(belief < decision, "{report}");
+    assert!(!report.contains("group=right"), "what is taken whole again tells nothing:\n{report}");
+}
+
 #[test]
 fn a_request_that_no_line_names_is_said_so_with_what_to_look_for() {
     let (found, report) = explain("none");
