Record what a node's engine is told and decides, and take the decisions again

Cause: logs tell what was decided and by what, not what another policy would have decided; the toolbox was asked for replay. Change: routing/recording (events without bodies, decisions, comparison by request), gateway/recorder (bounded file, off unless node.record names one), staircross replay.

--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`store_role`] | whether this node reads the store or follows a peer that does |
 //! | [`load`] | how busy this process is, and how late it comes to its work |
 //! | [`node`] | the event loop that carries events and actions between all of these |
+//! | [`recorder`] | records decisions, if asked to |
 //! | [`event_log`], [`metrics`] | structured lines, counters |
 
 pub mod dialect;
@@ -26,6 +27,7 @@
 pub mod node;
 pub mod outbound;
 pub mod pool;
+pub mod recorder;
 pub mod server;
 pub mod settings;
 pub mod socket;
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -5,6 +5,7 @@
 
 mod endpoints;
 mod knowledge;
+mod recording;
 mod requests;
 mod stop;
 
@@ -15,6 +16,7 @@
 use crate::load::LoadMeter;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::recorder::Recorder;
 use crate::server::{Endpoint, Server, ServerTimes};
 use crate::settings::{GatewaySettings, SettingsError, SettingsFile};
 use crate::socket::{IoContext, READ_CHUNK, SocketId};
@@ -30,6 +32,7 @@
 use requests::CallerRequest;
 use staircross_http::ServerLimits;
 use staircross_routing::engine::{RoutingEngine, RoutingEvent, RoutingSettings};
+use staircross_routing::recording::RecordedEvent;
 use staircross_routing::store_reader::{StoreCall, StoreReader};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{Mirror, RequestKey};
@@ -126,6 +129,7 @@
     is_pressed: bool,
     is_serving: bool,
     stop: Option<StopState>,
+    recorder: Option<Recorder>,
     log: EventLog,
     metrics: Metrics,
     random: ChaCha8Rng,
@@ -163,6 +167,7 @@
         } else {
             reader = reader.with_young_until(now + YOUNG_READER);
         }
+        let routing = routing_settings(&settings);
         let mut log = EventLog::new(&settings.node.name, settings.node.log);
         log.line(
             now,
@@ -181,7 +186,8 @@
             reader,
             role,
             mirror: Mirror::default(),
-            engine: RoutingEngine::new(routing_settings(&settings)),
+            recorder: recording::begin(&settings, &routing)?,
+            engine: RoutingEngine::new(routing),
             callers: HashMap::new(),
             by_connection: HashMap::new(),
             next_request: 1,
@@ -234,6 +240,7 @@
             self.load.end_turn(clock::now());
         }
         self.log.line(self.now, LineKind::Belief, format_args!("event=stopped in_flight={}", self.engine.in_flight()));
+        self.flush_recording();
         self.log.flush(self.now);
         Ok(())
     }
@@ -341,7 +348,9 @@
         let keeps_addresses = settings.listen == self.settings.listen;
         let line = format_args!("event=reload outcome=taken addresses_unchanged={keeps_addresses}");
         self.log.line(self.now, LineKind::Belief, line);
-        self.engine.set_extra_bound(extra_bound(&settings));
+        let bound = extra_bound(&settings);
+        self.engine.set_extra_bound(bound);
+        self.record(RecordedEvent::ExtraBound(bound), &[]);
         self.role.set_longest_silence(settings.longest_silence());
         if settings.store != self.settings.store {
             self.follow_store(settings.store.address);
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -176,7 +176,11 @@
 
     pub(super) fn engine_event(&mut self, event: RoutingEvent) {
         let mut actions = Vec::new();
+        let recorded = self.to_record(&event);
         self.engine.on_event(self.now, event, &mut actions);
+        if let Some(recorded) = recorded {
+            self.record(recorded, &actions);
+        }
         for action in actions {
             self.take_action(action);
         }
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -58,11 +58,21 @@
     /// Whether this is the first start of the whole fleet: nobody holds connections of a run before.
     #[serde(default)]
     pub first_start: bool,
+    /// File that decisions are recorded to, for `staircross replay`; none when absent.
+    #[serde(default)]
+    pub record: Option<PathBuf>,
+    /// Longest recording, in megabytes.
+    #[serde(default = "default_record_mb")]
+    pub record_mb: u64,
     /// Whether lines are written to standard output.
     #[serde(default = "default_true")]
     pub log: bool,
 }
 
+fn default_record_mb() -> u64 {
+    DEFAULT_RECORD_MB
+}
+
 fn default_true() -> bool {
     true
 }
@@ -128,6 +138,8 @@
     }
 }
 
+/// Length of a recording where nothing is said, in megabytes.
+const DEFAULT_RECORD_MB: u64 = 16;
 /// Descriptors kept for files, listeners and calls to the store and peers.
 const RESERVED_DESCRIPTORS: usize = 264;
 /// Parts of the bounds on news that a rest between calls to the store may take.
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -6,6 +6,7 @@
 use crate::request::{Arrival, AttemptOutcome, Verdict};
 use crate::table::RouteTable;
 use hashbrown::HashMap;
+use serde::{Deserialize, Serialize};
 use staircross_types::BootTime;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -178,7 +179,7 @@
 }
 
 /// Why an attempt is made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SendReason {
     /// The first for its shard.
     First,
--- a/crates/staircross-routing/src/keys.rs
+++ b/crates/staircross-routing/src/keys.rs
@@ -1,11 +1,13 @@
 //! Small keys: what is referred to stands in tables of its own.
 
+use serde::{Deserialize, Serialize};
+
 /// Number of a request, unique within the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestKey(pub u64);
 
 /// One sending of a request to one searcher.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptKey {
     /// The request.
     pub request: RequestKey,
@@ -14,5 +16,5 @@
 }
 
 /// Index of a searcher in the engine's table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SearcherKey(pub u32);
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`request`] | state of one request in flight |
 //! | [`merge`] | the best records of several parts |
 //! | [`engine_message`] | what the engine is told, and what it wants done |
+//! | [`recording`] | recorded decisions, and making them again |
 //! | [`engine`] | one request from arrival to its final answer |
 //!
 //! Everything is driven by `on_event(now, event, &mut actions)`.
@@ -26,6 +27,7 @@
 pub mod keys;
 pub mod merge;
 pub mod mirror;
+pub mod recording;
 pub mod request;
 pub mod searcher;
 pub mod selection;
--- /dev/null
+++ b/crates/staircross-routing/src/recording.rs
@@ -0,0 +1,321 @@
+//! Recorded decisions, and making them again.
+//!
+//! The engine takes its decisions from what it is told, the time it is told at, and a seed. A record of these is
+//! enough to take them again, with the same code or another version of it, and to see where it decides otherwise.
+//! Bodies and fields aren't recorded; no decision depends on them.
+
+use crate::RoutingDefinition;
+use crate::engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings, SendReason};
+use crate::keys::{AttemptKey, RequestKey, SearcherKey};
+use crate::mirror::SearcherEntry;
+use crate::request::{Arrival, AttemptOutcome, NotRun, SearcherAnswer, Unknown, Verdict};
+use crate::table::RouteTable;
+use crate::window::ExtraBound;
+use serde::{Deserialize, Serialize};
+use staircross_http::HeaderBlock;
+use staircross_types::{BootTime, ErrorKind};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// One entry of a recording. The first of a run is its beginning.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Record {
+    /// An engine was made.
+    Begin(RecordedSettings),
+    /// It was told something.
+    Turn(RecordedTurn),
+}
+
+/// What an engine was made with.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RecordedSettings {
+    /// Name of the node.
+    pub node: String,
+    extra: ExtraBound,
+    zone: Arc<str>,
+    regions: BTreeMap<Arc<str>, Arc<str>>,
+    lapse_grace: Duration,
+    max_requests: usize,
+    seed: u64,
+}
+
+/// One event and what the engine wanted done.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RecordedTurn {
+    /// When.
+    pub at: BootTime,
+    /// What it was told.
+    pub event: RecordedEvent,
+    /// What it decided.
+    pub decisions: Vec<Decision>,
+}
+
+/// What an engine is told, without bodies.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub enum RecordedEvent {
+    ExtraBound(ExtraBound),
+    Configuration(Arc<RoutingDefinition>),
+    Searchers(Vec<SearcherEntry>),
+    SearchersGone(Vec<Arc<str>>),
+    Fleet { nodes_by_zone: BTreeMap<Arc<str>, usize>, serving: usize, slack_part: f64 },
+    Arrived(Arrival),
+    CallerGone(RequestKey),
+    Connected { searcher: SearcherKey, took: Duration },
+    Begun { attempt: AttemptKey },
+    Ended { attempt: AttemptKey, outcome: RecordedOutcome },
+    Tick,
+}
+
+/// How an attempt ended, without bodies.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub enum RecordedOutcome {
+    Answered { status: u16, is_stamped: bool },
+    NotRun(NotRun),
+    Unknown(Unknown),
+    Withdrawn,
+}
+
+/// A decision that others notice.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decision {
+    /// A searcher is sent a request.
+    Send {
+        /// The sending.
+        attempt: AttemptKey,
+        /// The run of the searcher.
+        instance: Arc<str>,
+        /// Why.
+        reason: SendReason,
+    },
+    /// An answer is no longer wanted.
+    Abandon {
+        /// Of which sending.
+        attempt: AttemptKey,
+    },
+    /// A request has its final word.
+    Finish {
+        /// Which request.
+        request: RequestKey,
+        /// The word.
+        ending: Ending,
+    },
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    /// Parts were merged.
+    Merged {
+        /// Parts that are in.
+        parts: usize,
+        /// Shards that are left out.
+        missing: usize,
+    },
+    /// A searcher's answer was passed on.
+    Passed {
+        /// Its status.
+        status: u16,
+    },
+    /// Refused or given up.
+    Refused(ErrorKind),
+}
+
+impl RecordedSettings {
+    /// What an engine of a node is made with.
+    pub fn new(node: &str, settings: &RoutingSettings) -> Self {
+        RecordedSettings {
+            node: node.to_owned(),
+            extra: settings.extra,
+            zone: settings.zone.clone(),
+            regions: settings.regions.iter().map(|(zone, region)| (zone.clone(), region.clone())).collect(),
+            lapse_grace: settings.lapse_grace,
+            max_requests: settings.max_requests,
+            seed: settings.seed,
+        }
+    }
+
+    fn settings(&self) -> RoutingSettings {
+        RoutingSettings {
+            extra: self.extra,
+            zone: self.zone.clone(),
+            regions: self.regions.iter().map(|(zone, region)| (zone.clone(), region.clone())).collect(),
+            lapse_grace: self.lapse_grace,
+            max_requests: self.max_requests,
+            seed: self.seed,
+        }
+    }
+}
+
+impl From<&RoutingEvent> for RecordedEvent {
+    fn from(event: &RoutingEvent) -> Self {
+        match event {
+            RoutingEvent::Configuration(table) => RecordedEvent::Configuration(table.definition().clone()),
+            RoutingEvent::Searchers(entries) => RecordedEvent::Searchers(entries.clone()),
+            RoutingEvent::SearchersGone(instances) => RecordedEvent::SearchersGone(instances.clone()),
+            RoutingEvent::Fleet { nodes_by_zone, serving, slack_part } => RecordedEvent::Fleet {
+                nodes_by_zone: nodes_by_zone.iter().map(|(zone, count)| (zone.clone(), *count)).collect(),
+                serving: *serving,
+                slack_part: *slack_part,
+            },
+            RoutingEvent::Arrived(arrival) => RecordedEvent::Arrived(arrival.clone()),
+            RoutingEvent::CallerGone(request) => RecordedEvent::CallerGone(*request),
+            RoutingEvent::Connected { searcher, took } => RecordedEvent::Connected { searcher: *searcher, took: *took },
+            RoutingEvent::Begun { attempt } => RecordedEvent::Begun { attempt: *attempt },
+            RoutingEvent::Ended { attempt, outcome } => {
+                RecordedEvent::Ended { attempt: *attempt, outcome: outcome.into() }
+            }
+            RoutingEvent::Tick => RecordedEvent::Tick,
+        }
+    }
+}
+
+impl From<&AttemptOutcome> for RecordedOutcome {
+    fn from(outcome: &AttemptOutcome) -> Self {
+        match outcome {
+            AttemptOutcome::Answered(answer) => {
+                RecordedOutcome::Answered { status: answer.status, is_stamped: answer.stamp.is_some() }
+            }
+            AttemptOutcome::NotRun(reason) => RecordedOutcome::NotRun(*reason),
+            AttemptOutcome::Unknown(reason) => RecordedOutcome::Unknown(*reason),
+            AttemptOutcome::Withdrawn => RecordedOutcome::Withdrawn,
+        }
+    }
+}
+
+impl From<RecordedOutcome> for AttemptOutcome {
+    fn from(outcome: RecordedOutcome) -> Self {
+        match outcome {
+            RecordedOutcome::Answered { status, is_stamped } => AttemptOutcome::Answered(Box::new(SearcherAnswer {
+                status,
+                stamp: is_stamped.then(Vec::new),
+                headers: HeaderBlock::default(),
+                body: Vec::new(),
+            })),
+            RecordedOutcome::NotRun(reason) => AttemptOutcome::NotRun(reason),
+            RecordedOutcome::Unknown(reason) => AttemptOutcome::Unknown(reason),
+            RecordedOutcome::Withdrawn => AttemptOutcome::Withdrawn,
+        }
+    }
+}
+
+impl Decision {
+    /// The decision in an action; `None` where others notice nothing.
+    pub fn in_action(action: &RoutingAction) -> Option<Decision> {
+        match action {
+            RoutingAction::Send(order) => {
+                Some(Decision::Send { attempt: order.attempt, instance: order.instance.clone(), reason: order.reason })
+            }
+            RoutingAction::Abandon { attempt, .. } => Some(Decision::Abandon { attempt: *attempt }),
+            RoutingAction::Finish { request, verdict } => {
+                Some(Decision::Finish { request: *request, ending: verdict.into() })
+            }
+            RoutingAction::Unsent { .. }
+            | RoutingAction::LeftOut { .. }
+            | RoutingAction::NotAdmitted { .. }
+            | RoutingAction::Admission { .. } => None,
+        }
+    }
+
+    /// The request that it concerns.
+    pub fn request(&self) -> RequestKey {
+        match self {
+            Decision::Send { attempt, .. } | Decision::Abandon { attempt } => attempt.request,
+            Decision::Finish { request, .. } => *request,
+        }
+    }
+}
+
+impl From<&Verdict> for Ending {
+    fn from(verdict: &Verdict) -> Self {
+        match verdict {
+            Verdict::Merged(merged) => Ending::Merged { parts: merged.stamps.len(), missing: merged.missing },
+            Verdict::Passed(answer) => Ending::Passed { status: answer.status },
+            Verdict::Refused { kind, .. } => Ending::Refused(*kind),
+        }
+    }
+}
+
+/// A request on which a replay decided otherwise than the record says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Difference {
+    /// When.
+    pub at: BootTime,
+    /// The request.
+    pub request: RequestKey,
+    /// What was decided then.
+    pub recorded: Vec<Decision>,
+    /// What is decided now.
+    pub replayed: Vec<Decision>,
+}
+
+/// Takes recorded decisions again.
+pub struct Replay {
+    engine: RoutingEngine,
+    differing: BTreeSet<RequestKey>,
+    /// Turns played.
+    pub turns: u64,
+    /// Decisions recorded.
+    pub decisions: u64,
+}
+
+impl Replay {
+    /// An engine as the recorded one was.
+    pub fn new(settings: &RecordedSettings) -> Self {
+        Replay { engine: RoutingEngine::new(settings.settings()), differing: BTreeSet::new(), turns: 0, decisions: 0 }
+    }
+
+    /// Plays one turn. A request on which the replay has differed once is not followed any further: what came
+    /// of its sendings is not known.
+    pub fn play(&mut self, turn: RecordedTurn) -> Vec<Difference> {
+        self.turns += 1;
+        self.decisions += turn.decisions.len() as u64;
+        let mut actions = Vec::new();
+        match turn.event.into_event() {
+            ReplayedEvent::Bound(bound) => self.engine.set_extra_bound(bound),
+            ReplayedEvent::Event(event) => self.engine.on_event(turn.at, event, &mut actions),
+        }
+        let replayed: Vec<Decision> = actions.iter().filter_map(Decision::in_action).collect();
+        let requests: BTreeSet<RequestKey> = turn.decisions.iter().chain(&replayed).map(Decision::request).collect();
+        let of = |request: RequestKey, decisions: &[Decision]| -> Vec<Decision> {
+            decisions.iter().filter(|decision| decision.request() == request).cloned().collect()
+        };
+        let mut differences = Vec::new();
+        for request in requests {
+            let (then, now) = (of(request, &turn.decisions), of(request, &replayed));
+            if then != now && self.differing.insert(request) {
+                differences.push(Difference { at: turn.at, request, recorded: then, replayed: now });
+            }
+        }
+        differences
+    }
+}
+
+enum ReplayedEvent {
+    Bound(ExtraBound),
+    Event(RoutingEvent),
+}
+
+impl RecordedEvent {
+    fn into_event(self) -> ReplayedEvent {
+        ReplayedEvent::Event(match self {
+            RecordedEvent::ExtraBound(bound) => return ReplayedEvent::Bound(bound),
+            RecordedEvent::Configuration(definition) => {
+                RoutingEvent::Configuration(Arc::new(RouteTable::new(definition)))
+            }
+            RecordedEvent::Searchers(entries) => RoutingEvent::Searchers(entries),
+            RecordedEvent::SearchersGone(instances) => RoutingEvent::SearchersGone(instances),
+            RecordedEvent::Fleet { nodes_by_zone, serving, slack_part } => {
+                RoutingEvent::Fleet { nodes_by_zone: nodes_by_zone.into_iter().collect(), serving, slack_part }
+            }
+            RecordedEvent::Arrived(arrival) => RoutingEvent::Arrived(arrival),
+            RecordedEvent::CallerGone(request) => RoutingEvent::CallerGone(request),
+            RecordedEvent::Connected { searcher, took } => RoutingEvent::Connected { searcher, took },
+            RecordedEvent::Begun { attempt } => RoutingEvent::Begun { attempt },
+            RecordedEvent::Ended { attempt, outcome } => RoutingEvent::Ended { attempt, outcome: outcome.into() },
+            RecordedEvent::Tick => RoutingEvent::Tick,
+        })
+    }
+}
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -3,13 +3,14 @@
 use crate::definition::{GatherTarget, RouteDefinition};
 use crate::keys::{RequestKey, SearcherKey};
 use crate::table::RouteTable;
+use serde::{Deserialize, Serialize};
 use staircross_http::HeaderBlock;
 use staircross_types::{BootTime, ErrorKind};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A request that has arrived whole.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Arrival {
     /// Its number.
     pub key: RequestKey,
@@ -41,7 +42,7 @@
 }
 
 /// Why an attempt certainly didn't run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotRun {
     /// No connection came up; nothing was sent.
     Unconnected,
@@ -56,7 +57,7 @@
 }
 
 /// Why it isn't known whether an attempt ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Unknown {
     /// The connection broke, or what came was no answer.
     Broken,
--- a/crates/staircross-routing/src/window.rs
+++ b/crates/staircross-routing/src/window.rs
@@ -4,6 +4,7 @@
 //! its own requests, and its part of the slack, so that the sum stays below the bound whoever is
 //! cut off from whom.
 
+use serde::{Deserialize, Serialize};
 use staircross_types::BootTime;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 const SLACK_USED: f64 = 0.4;
 
 /// The bound for all nodes together.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ExtraBound {
     /// Extra sends per request.
     pub ratio: f64,
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use staircross_routing::admission::AdmissionChange;
 use staircross_routing::definition::{GatherTarget, WeightedService};
 use staircross_routing::engine::{AbandonCause, LeftOutCause, SendOrder, SendReason, UnsentCause};
+use staircross_routing::recording::{Decision, RecordedEvent, RecordedTurn};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{
     Arrival, AttemptKey, AttemptOutcome, CallerLimits, RequestKey, RouteDefinition, RouteTable, RouteTarget,
@@ -37,6 +38,8 @@
     pub finished_at: Vec<BootTime>,
     pub not_admitted: Vec<(RequestKey, f64)>,
     pub admission: Vec<(BootTime, AdmissionChange)>,
+    /// All that was told and decided.
+    pub turns: Vec<RecordedTurn>,
     paths: HashMap<RequestKey, String>,
     next_request: u64,
 }
@@ -126,6 +129,7 @@
             finished_at: Vec::new(),
             not_admitted: Vec::new(),
             admission: Vec::new(),
+            turns: Vec::new(),
             paths: HashMap::new(),
             next_request: 1,
         }
@@ -151,7 +155,10 @@
 
     pub fn event(&mut self, event: RoutingEvent) {
         let mut actions = Vec::new();
+        let recorded = RecordedEvent::from(&event);
         self.engine.on_event(self.now, event, &mut actions);
+        let decisions = actions.iter().filter_map(Decision::in_action).collect();
+        self.turns.push(RecordedTurn { at: self.now, event: recorded, decisions });
         for action in actions {
             match action {
                 RoutingAction::Send(order) => {
--- a/crates/staircross/src/flags.rs
+++ b/crates/staircross/src/flags.rs
@@ -63,6 +63,13 @@
             /// Id of the request.
             required --request request: String
         }
+        /// Take a gateway node's recorded decisions again, and show where they come out otherwise.
+        cmd replay {
+            /// File that `node.record` of the node's settings named.
+            required --file file: PathBuf
+            /// Differences shown at the most (20).
+            optional --most most: usize
+        }
         /// Check settings and service documents before they are used.
         cmd check {
             /// Settings file (TOML).
--- a/crates/staircross/src/main.rs
+++ b/crates/staircross/src/main.rs
@@ -7,6 +7,7 @@
 mod flags;
 mod plan;
 mod query;
+mod replay;
 mod run_node;
 mod status;
 mod table;
@@ -29,6 +30,7 @@
         flags::StaircrossCmd::Command(command) => query::run_command(&command),
         flags::StaircrossCmd::Status(command) => status::run(&command),
         flags::StaircrossCmd::Explain(command) => explain::run(&command),
+        flags::StaircrossCmd::Replay(command) => replay::run(&command),
         flags::StaircrossCmd::Check(command) => check::run(&command),
         flags::StaircrossCmd::Plan(command) => plan::run(&command),
     };
--- /dev/null
+++ b/crates/staircross/src/replay.rs
@@ -0,0 +1,70 @@
+//! `staircross replay`: a gateway node's recorded decisions, taken again.
+//!
+//! With the code that made the recording nothing may differ. With a changed policy, what differs is what the change
+//! does to that traffic, as far as can be told: what would have come of other sendings nobody knows.
+
+use crate::Verdict;
+use crate::flags;
+use staircross_routing::recording::{Decision, Difference, Record, Replay};
+use staircross_wire::WireError;
+use staircross_wire::frame::{MAX_FRAME, read_frame};
+use std::fs::File;
+use std::io::{BufReader, ErrorKind, Read};
+use std::path::Path;
+
+/// Differences shown where nothing is said.
+const DEFAULT_MOST: usize = 20;
+
+/// Runs `replay`.
+pub fn run(command: &flags::Replay) -> Result<Verdict, String> {
+    let file = File::open(&command.file).map_err(|error| format!("{}: {error}", command.file.display()))?;
+    let mut reader = BufReader::new(file);
+    let Some(Record::Begin(settings)) = next(&mut reader, &command.file)? else {
+        return Err(format!("{}: no recording begins here", command.file.display()));
+    };
+    let mut replay = Replay::new(&settings);
+    let mut differences = Vec::new();
+    while let Some(record) = next(&mut reader, &command.file)? {
+        match record {
+            Record::Turn(turn) => differences.extend(replay.play(turn)),
+            Record::Begin(_) => return Err(format!("{}: a second recording begins", command.file.display())),
+        }
+    }
+    println!("node {}: {} turns, {} decisions", settings.node, replay.turns, replay.decisions);
+    println!("{} requests decided otherwise", differences.len());
+    for difference in differences.iter().take(command.most.unwrap_or(DEFAULT_MOST)) {
+        show(difference);
+    }
+    Ok(if differences.is_empty() { Verdict::Done } else { Verdict::Failed })
+}
+
+/// The next record; `None` at the end. A node that was killed may have left a part of its last one.
+fn next(reader: &mut impl Read, path: &Path) -> Result<Option<Record>, String> {
+    match read_frame(reader, MAX_FRAME) {
+        Ok(record) => Ok(Some(record)),
+        Err(WireError::Io(error)) if error.kind() == ErrorKind::UnexpectedEof => Ok(None),
+        Err(error) => Err(format!("{}: {error}", path.display())),
+    }
+}
+
+fn show(difference: &Difference) {
+    println!("\nrequest {} at {:.3} s", difference.request.0, difference.at.0 as f64 / 1e6);
+    for (name, decisions) in [("then", &difference.recorded), ("now", &difference.replayed)] {
+        if decisions.is_empty() {
+            println!("  {name:<5} nothing");
+        }
+        for decision in decisions {
+            println!("  {name:<5} {}", describe(decision));
+        }
+    }
+}
+
+fn describe(decision: &Decision) -> String {
+    match decision {
+        Decision::Send { attempt, instance, reason } => {
+            format!("send attempt={} reason={} searcher={instance}", attempt.number, reason.name())
+        }
+        Decision::Abandon { attempt } => format!("abandon attempt={}", attempt.number),
+        Decision::Finish { ending, .. } => format!("finish {ending:?}"),
+    }
+}
