Say which ids a listing covers; compare members part by part

Cause: at 1,000 machines the busiest node sent 3.6 MB/s and held 80 MB. A listing for a joiner goes in datagrams of six members; whoever read one took it for all that the sender knows, and told the fleet of every member that it lacked. So each start made everybody news again, comparisons (made only when nothing is news) never came, and bytes grew with the square of the fleet. Ruled out: probes (mostly within the region), the store, requests. The tests listed everybody in one message, so none showed it. Change: a listing names the span of ids that it covers (membership makes the pieces now, not the gateway); what a listing tells isn't passed on as news; fingerprints are compared in sixteen parts of the ids, each second while that still tells something, and only differing parts are listed.

--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -10,7 +10,8 @@
 mod reconcile;
 mod suspicion;
 
-pub use message::{MembershipAction, MembershipMessage, MembershipSettings, Tellings};
+pub use message::{IdSpan, MembershipAction, MembershipMessage, MembershipSettings, Tellings};
+pub use reconcile::Fingerprints;
 
 use crate::member::{Member, MemberState};
 use crate::ownership::rendezvous_weight;
@@ -47,6 +48,8 @@
     next_seed_contact: BootTime,
     next_dead_contact: BootTime,
     next_compare: BootTime,
+    /// When a listing last told something new.
+    learned_at: Option<BootTime>,
     /// Deaths that this node itself declared, for metrics.
     pub declared_dead: u64,
 }
@@ -76,6 +79,7 @@
             next_seed_contact: BootTime::default(),
             next_dead_contact: BootTime::default(),
             next_compare: BootTime::default(),
+            learned_at: None,
             declared_dead: 0,
         }
     }
@@ -173,11 +177,10 @@
             MembershipMessage::Join { member } => {
                 self.take(now, member, actions);
                 let members = self.members.values().cloned().collect();
-                let message = MembershipMessage::Everyone { members };
-                actions.push(MembershipAction::Send { to: Some(from), address: from_address, message });
+                self.list(members, IdSpan::ALL, from, from_address, actions);
             }
-            MembershipMessage::Everyone { members } => self.take_listing(now, members, actions),
-            MembershipMessage::Compare { fingerprint } => self.compare(from, from_address, fingerprint, actions),
+            MembershipMessage::Everyone { members, span } => self.take_listing(now, members, span, actions),
+            MembershipMessage::Compare { fingerprints } => self.compare(from, from_address, &fingerprints, actions),
         }
     }
 
@@ -229,6 +232,16 @@
 
     /// Merges one record and passes it on if it was news. Returns whether it was.
     fn take(&mut self, now: BootTime, record: Member, actions: &mut Vec<MembershipAction>) -> bool {
+        let node = record.node;
+        let is_news = self.merge(now, record, actions);
+        if is_news && node != self.me {
+            self.spread(node);
+        }
+        is_news
+    }
+
+    /// Merges one record. Returns whether it was news.
+    fn merge(&mut self, now: BootTime, record: Member, actions: &mut Vec<MembershipAction>) -> bool {
         let node = record.node;
         if node == self.me {
             return self.refute(record, actions);
@@ -256,7 +269,6 @@
             }
         }
         self.members.insert(node, record);
-        self.spread(node);
         actions.push(MembershipAction::Changed(node));
         true
     }
--- a/crates/staircross-cluster/src/membership/message.rs
+++ b/crates/staircross-cluster/src/membership/message.rs
@@ -1,5 +1,6 @@
 //! Settings of the membership protocol, its messages and what it wants done.
 
+use super::reconcile::Fingerprints;
 use crate::member::Member;
 use serde::{Deserialize, Serialize};
 use staircross_types::NodeId;
@@ -27,6 +28,8 @@
     pub tellings: Tellings,
     /// Whether a joiner asks one seed at a time instead of all: each answers with the whole fleet.
     pub asks_one_seed: bool,
+    /// Members listed in one message.
+    pub members_per_message: usize,
     /// Time after which a gone member is forgotten.
     pub forget_after: Duration,
 }
@@ -44,6 +47,7 @@
             news_per_message: 6,
             tellings: Tellings { per_doubling: 4, besides: 4 },
             asks_one_seed: false,
+            members_per_message: 1000,
             forget_after: Duration::from_secs(120),
         }
     }
@@ -64,6 +68,27 @@
     }
 }
 
+/// Ids from the first to the last, both included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IdSpan {
+    /// The first.
+    #[serde(rename = "f")]
+    pub first: NodeId,
+    /// The last.
+    #[serde(rename = "l")]
+    pub last: NodeId,
+}
+
+impl IdSpan {
+    /// All ids.
+    pub const ALL: IdSpan = IdSpan { first: NodeId(0), last: NodeId(u128::MAX) };
+
+    /// Whether an id lies in it.
+    pub fn contains(&self, node: NodeId) -> bool {
+        self.first <= node && node <= self.last
+    }
+}
+
 /// Probes and gossip.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MembershipMessage {
@@ -90,10 +115,14 @@
     ProbeFor { number: u64, target: NodeId, target_address: SocketAddr },
     /// I have come up; tell me of everyone.
     Join { member: Member },
-    /// Everyone I know of.
-    Everyone { members: Vec<Member> },
-    /// Tell me everyone if that isn't what I know.
-    Compare { fingerprint: u64 },
+    /// Everyone I know of whose id lies in a span. Of older versions without one nothing follows for who isn't listed.
+    Everyone {
+        members: Vec<Member>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        span: Option<IdSpan>,
+    },
+    /// Tell me who is there in those parts of the ids where that isn't what I know.
+    Compare { fingerprints: Box<Fingerprints> },
 }
 
 /// What the membership wants done.
--- a/crates/staircross-cluster/src/membership/reconcile.rs
+++ b/crates/staircross-cluster/src/membership/reconcile.rs
@@ -3,10 +3,11 @@
 //! News is told until it is mostly known; whoever is asked says what it knew already, so that old news
 //! dies early. What gets lost that way is found by comparing fingerprints when nothing is being told.
 
-use super::{Membership, MembershipAction, MembershipMessage};
+use super::{IdSpan, Membership, MembershipAction, MembershipMessage};
 use crate::member::{Member, MemberState};
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 use staircross_types::{BootTime, NodeId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,8 +16,13 @@
 
 /// News that was known where it was told counts as told so many times more.
 const TOLD_IN_VAIN: u32 = 3;
-/// Time between comparisons begun by one node.
+/// Time between comparisons begun by one node, and while it has learned something that way lately.
 const COMPARE_EVERY: Duration = Duration::from_secs(3);
+const COMPARE_LEARNING: Duration = Duration::from_secs(1);
+const LEARNING: Duration = Duration::from_secs(4);
+/// Parts of the ids that are compared one by one.
+const PARTS_BITS: u32 = 4;
+const PARTS: usize = 1 << PARTS_BITS;
 /// One comparison in so many is with a member of another region.
 const FAR_TURNS: u64 = 4;
 
@@ -46,7 +52,7 @@
         }
     }
 
-    /// Asks another now and then whether it knows the same; not while there is news to tell.
+    /// Asks another now and then whether it knows the same, oftener while this node still learns much that way.
     pub(super) fn ask_to_compare(
         &mut self,
         now: BootTime,
@@ -56,10 +62,8 @@
         if now < self.next_compare {
             return;
         }
-        self.next_compare = now + COMPARE_EVERY;
-        if !self.rumors.is_empty() {
-            return;
-        }
+        let is_learning = self.learned_at.is_some_and(|at| now.since(at) < LEARNING);
+        self.next_compare = now + if is_learning { COMPARE_LEARNING } else { COMPARE_EVERY };
         let region = &self.own().region;
         let (near, far): (Vec<&Member>, Vec<&Member>) = self.others().partition(|member| member.region == *region);
         let turn = now.0 / COMPARE_EVERY.as_micros() as u64;
@@ -68,55 +72,108 @@
         let Some(member) = group.choose(random) else {
             return;
         };
-        let message = MembershipMessage::Compare { fingerprint: self.fingerprint() };
+        let message = MembershipMessage::Compare { fingerprints: Box::new(self.fingerprints()) };
         actions.push(MembershipAction::Send { to: Some(member.node), address: member.peer_address, message });
     }
 
-    /// Answers a comparison: all that is known here, if that differs and nothing is being told.
+    /// Answers a comparison: who is live in those parts of the ids where that differs.
     pub(super) fn compare(
         &self,
         from: NodeId,
         from_address: SocketAddr,
-        fingerprint: u64,
+        theirs: &Fingerprints,
         actions: &mut Vec<MembershipAction>,
     ) {
-        if fingerprint == self.fingerprint() || !self.rumors.is_empty() {
-            return;
+        let ours = self.fingerprints();
+        for part in (0..PARTS).filter(|part| ours.0[*part] != theirs.0[*part]) {
+            let span = span_of(part);
+            let live = self.members.range(span.first..=span.last).map(|(_, member)| member);
+            let members = live.filter(|member| !member.is_gone()).cloned().collect();
+            self.list(members, span, from, from_address, actions);
+        }
+    }
+
+    /// Lists the members of a span, in the order of their ids, in messages of bounded length.
+    pub(super) fn list(
+        &self,
+        members: Vec<Member>,
+        span: IdSpan,
+        to: NodeId,
+        address: SocketAddr,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mut first = span.first;
+        let mut rest = members.into_iter().peekable();
+        loop {
+            let piece: Vec<Member> = rest.by_ref().take(self.settings.members_per_message).collect();
+            // Between the last of a piece and the first of the next there is nobody.
+            let last = rest.peek().map_or(span.last, |next| NodeId(next.node.0 - 1));
+            let message = MembershipMessage::Everyone { members: piece, span: Some(IdSpan { first, last }) };
+            actions.push(MembershipAction::Send { to: Some(to), address, message });
+            let Some(next) = rest.peek() else {
+                return;
+            };
+            first = next.node;
         }
-        let members = self.members.values().filter(|member| !member.is_gone()).cloned().collect();
-        let message = MembershipMessage::Everyone { members };
-        actions.push(MembershipAction::Send { to: Some(from), address: from_address, message });
     }
 
-    /// Takes what another knows; what it lacks is told.
-    pub(super) fn take_listing(&mut self, now: BootTime, members: Vec<Member>, actions: &mut Vec<MembershipAction>) {
+    /// Takes what another knows of members in a span; what it lacks there is told.
+    pub(super) fn take_listing(
+        &mut self,
+        now: BootTime,
+        members: Vec<Member>,
+        span: Option<IdSpan>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
         let listed: BTreeMap<NodeId, (u64, MemberState)> =
             members.iter().map(|member| (member.node, (member.version, member.state))).collect();
         for member in members {
-            self.take(now, member, actions);
+            // Not passed on as news: others compare too, and the fleet must not be told everything by everybody.
+            if self.merge(now, member, actions) {
+                self.learned_at = Some(now);
+            }
         }
         let is_lacking =
             |member: &&Member| listed.get(&member.node).is_none_or(|known| *known < (member.version, member.state));
+        let is_covered = |member: &&Member| span.is_some_and(|span| span.contains(member.node));
         let lacking: Vec<NodeId> = self
             .members
             .values()
             .filter(|member| !member.is_gone())
+            .filter(is_covered)
             .filter(is_lacking)
             .map(|member| member.node)
             .collect();
         lacking.into_iter().for_each(|node| self.spread(node));
     }
 
-    /// One number for who is live, whatever order they were learned in.
-    fn fingerprint(&self) -> u64 {
-        let live = self.members.values().filter(|member| !member.is_gone());
-        live.map(|member| {
+    /// A number for who is live in each part of the ids, whatever order they were learned in.
+    fn fingerprints(&self) -> Fingerprints {
+        let mut sums = Fingerprints::default();
+        for member in self.members.values().filter(|member| !member.is_gone()) {
             let mut bytes = [0_u8; 25];
             bytes[..16].copy_from_slice(&member.node.0.to_be_bytes());
             bytes[16..24].copy_from_slice(&member.version.to_be_bytes());
             bytes[24] = member.state as u8;
-            xxh3_64(&bytes)
-        })
-        .fold(0, u64::wrapping_add)
+            let sum = &mut sums.0[part_of(member.node)];
+            *sum = sum.wrapping_add(xxh3_64(&bytes));
+        }
+        sums
     }
 }
+
+/// A number for who is live in each part of the ids.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprints([u64; PARTS]);
+
+/// The part of the ids that one lies in.
+fn part_of(node: NodeId) -> usize {
+    (node.0 >> (u128::BITS - PARTS_BITS)) as usize
+}
+
+/// The ids of a part.
+fn span_of(part: usize) -> IdSpan {
+    let first = (part as u128) << (u128::BITS - PARTS_BITS);
+    let last = first | (u128::MAX >> PARTS_BITS);
+    IdSpan { first: NodeId(first), last: NodeId(last) }
+}
--- a/crates/staircross-cluster/tests/common/mod.rs
+++ b/crates/staircross-cluster/tests/common/mod.rs
@@ -84,6 +84,7 @@
         news_per_message: 5,
         tellings: Tellings { per_doubling: 1, besides: 3 },
         asks_one_seed: true,
+        members_per_message: 6,
         ..MembershipSettings::default()
     }
 }
@@ -93,7 +94,7 @@
 }
 
 fn address(index: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, index as u8 + 1], 1))
+    SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 1))
 }
 
 impl Fleet {
@@ -124,7 +125,7 @@
     /// Starts a node, as a new run without memory.
     pub fn start(&mut self, index: usize) {
         let me = Member {
-            node: NodeId(self.next_run),
+            node: NodeId(self.next_run.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835)),
             peer_address: address(index),
             caller_address: address(index),
             region: region(index),
@@ -277,7 +278,7 @@
             MembershipMessage::Probe { news, .. } | MembershipMessage::ProbeAnswer { news, .. } => {
                 self.sent.news += news.len();
             }
-            MembershipMessage::Everyone { members } => self.sent.listed += members.len(),
+            MembershipMessage::Everyone { members, .. } => self.sent.listed += members.len(),
             MembershipMessage::ProbeFor { .. } | MembershipMessage::Join { .. } | MembershipMessage::Compare { .. } => {
             }
         }
--- a/crates/staircross-cluster/tests/membership.rs
+++ b/crates/staircross-cluster/tests/membership.rs
@@ -65,3 +65,29 @@
     fleet.run_for(Duration::from_secs(6));
     assert!(fleet.all_see_all());
 }
+
+#[test]
+fn a_large_fleet_that_starts_at_once_finds_itself_within_seconds() {
+    const LARGE: usize = 150;
+    let mut fleet = Fleet::new(LARGE, 5);
+    fleet.run_for(Duration::from_secs(10));
+    assert!(fleet.all_see_all(), "{:?}", fleet.sent);
+    let told = fleet.sent.news + fleet.sent.listed;
+    assert!(told < 6 * LARGE * (LARGE - 1), "{:?}", fleet.sent);
+}
+
+#[test]
+fn a_listing_in_pieces_does_not_make_its_reader_tell_of_everybody() {
+    let mut fleet = started(6);
+    fleet.run_for(Duration::from_secs(20));
+    let calm = sent_in(&mut fleet, Duration::from_secs(5));
+    // A run that is gone and comes back as another has the fleet listed to it, six members a message.
+    fleet.crash(9);
+    fleet.start(9);
+    let joined = sent_in(&mut fleet, Duration::from_secs(5));
+    assert!(fleet.all_see_all());
+    assert!(joined.listed >= NODES - 1, "{joined:?}");
+    let besides = joined.news.saturating_sub(calm.news);
+    // A start, a suspicion and an end, told up to nine times by each; all 60 records by some would be 3600.
+    assert!(besides < 30 * NODES, "{besides} after {calm:?}");
+}
--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -230,17 +230,6 @@
     }
 
     fn send(&mut self, to: Option<NodeId>, address: SocketAddr, message: MembershipMessage) {
-        match message {
-            MembershipMessage::Everyone { members } => {
-                for members in members.chunks(MEMBERS_PER_DATAGRAM) {
-                    self.send_one(to, address, MembershipMessage::Everyone { members: members.to_vec() });
-                }
-            }
-            other => self.send_one(to, address, other),
-        }
-    }
-
-    fn send_one(&mut self, to: Option<NodeId>, address: SocketAddr, message: MembershipMessage) {
         self.send_datagram(to, address, Some(message));
     }
 
@@ -287,6 +276,7 @@
         news_per_message: 5,
         tellings: Tellings { per_doubling: 1, besides: 3 },
         asks_one_seed: true,
+        members_per_message: MEMBERS_PER_DATAGRAM,
         forget_after: Duration::from_secs(60),
     }
 }
