--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -6,7 +6,9 @@
 mod endpoints;
 mod knowledge;
 mod recording;
+mod reload;
 mod requests;
+mod setup;
 mod stop;
 
 use crate::dialect::Dialect;
@@ -17,7 +19,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::recorder::Recorder;
-use crate::server::{Endpoint, Server, ServerTimes};
+use crate::server::{Server, ServerTimes};
 use crate::settings::{GatewaySettings, SettingsError, SettingsFile};
 use crate::socket::{IoContext, READ_CHUNK, SocketId};
 use crate::store_role::RoleKeeper;
@@ -30,16 +32,14 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use requests::CallerRequest;
+use setup::{listeners, routing_settings};
 use staircross_http::ServerLimits;
-use staircross_routing::engine::{RoutingEngine, RoutingEvent, RoutingSettings};
-use staircross_routing::recording::RecordedEvent;
+use staircross_routing::engine::{RoutingEngine, RoutingEvent};
 use staircross_routing::store_reader::{StoreCall, StoreReader};
-use staircross_routing::window::ExtraBound;
 use staircross_routing::{Mirror, RequestKey};
 use staircross_types::boot_clock as clock;
 use staircross_types::{BootTime, NodeId};
 use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -59,8 +59,6 @@
 const EVENTS_PER_CLOCK: usize = 16;
 /// Time between looks at what has no exact time of its own.
 const TICK: Duration = Duration::from_millis(50);
-/// Time between looks at the settings file.
-const FILE_LOOK: Duration = Duration::from_secs(1);
 /// Life of a process that isn't the fleet's first during which fresh connections to searchers are proved:
 /// its machine may have lost power, and searchers still hold the connections of its run before.
 const YOUNG: Duration = Duration::from_secs(20);
@@ -323,79 +321,4 @@
             self.reload();
         }
     }
-
-    /// Settings may change without any signal.
-    fn look_at_settings(&mut self) {
-        if self.now < self.next_file_look {
-            return;
-        }
-        self.next_file_look = self.now + FILE_LOOK;
-        if self.settings_file.has_changed() {
-            self.reload();
-        }
-    }
-
-    /// Takes changed settings; bad ones are refused and everything stays as it is.
-    fn reload(&mut self) {
-        let settings = match self.settings_file.load() {
-            Ok(settings) => settings,
-            Err(error) => {
-                let line = format_args!("event=reload outcome=refused reason={:?}", error.to_string());
-                return self.log.line(self.now, LineKind::Belief, line);
-            }
-        };
-        // Addresses that are in use can't be moved without cutting somebody off.
-        let keeps_addresses = settings.listen == self.settings.listen;
-        let line = format_args!("event=reload outcome=taken addresses_unchanged={keeps_addresses}");
-        self.log.line(self.now, LineKind::Belief, line);
-        let bound = extra_bound(&settings);
-        self.engine.set_extra_bound(bound);
-        self.record(RecordedEvent::ExtraBound(bound), &[]);
-        self.role.set_longest_silence(settings.longest_silence());
-        if settings.store != self.settings.store {
-            self.follow_store(settings.store.address);
-        }
-        self.settings = GatewaySettings { listen: self.settings.listen.clone(), ..settings };
-    }
-
-    /// The store has moved: everything is read anew there.
-    fn follow_store(&mut self, address: SocketAddr) {
-        for caller in &mut self.store {
-            caller.set_address(address);
-        }
-        self.store_calls = [const { None }; 3];
-        self.reader = StoreReader::new(self.settings.reader());
-    }
-}
-
-fn listeners(settings: &GatewaySettings) -> Vec<(Endpoint, &'static str, SocketAddr)> {
-    let listen = &settings.listen;
-    let mut all = vec![
-        (Endpoint::Callers, "listen.callers", listen.callers),
-        (Endpoint::Readiness, "listen.readiness", listen.readiness),
-        (Endpoint::Directory, "listen.directory", listen.directory),
-        (Endpoint::Peers, "listen.peers", listen.peers),
-    ];
-    all.extend(listen.metrics.map(|address| (Endpoint::Metrics, "listen.metrics", address)));
-    all
-}
-
-fn extra_bound(settings: &GatewaySettings) -> ExtraBound {
-    ExtraBound {
-        ratio: settings.bounds.extra_ratio,
-        window: Duration::from_secs_f64(settings.bounds.extra_window_s),
-        slack: settings.bounds.extra_slack,
-    }
-}
-
-fn routing_settings(settings: &GatewaySettings) -> RoutingSettings {
-    let regions = settings.zones.iter();
-    RoutingSettings {
-        extra: extra_bound(settings),
-        zone: Arc::from(settings.node.zone.as_str()),
-        regions: regions.map(|(zone, region)| (Arc::from(zone.as_str()), Arc::from(region.as_str()))).collect(),
-        lapse_grace: settings.lapse_grace(),
-        max_requests: settings.max_requests(),
-        seed: rand::rng().random(),
-    }
 }
--- /dev/null
+++ b/crates/staircross-gateway/src/node/reload.rs
@@ -0,0 +1,59 @@
+//! Settings that change while the node runs.
+
+use super::GatewayNode;
+use super::setup::extra_bound;
+use crate::dialect::Dialect;
+use crate::event_log::LineKind;
+use crate::settings::GatewaySettings;
+use staircross_routing::recording::RecordedEvent;
+use staircross_routing::store_reader::StoreReader;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time between looks at the settings file.
+const FILE_LOOK: Duration = Duration::from_secs(1);
+
+impl<D: Dialect> GatewayNode<D> {
+    /// Settings may change without any signal.
+    pub(super) fn look_at_settings(&mut self) {
+        if self.now < self.next_file_look {
+            return;
+        }
+        self.next_file_look = self.now + FILE_LOOK;
+        if self.settings_file.has_changed() {
+            self.reload();
+        }
+    }
+
+    /// Takes changed settings; bad ones are refused and everything stays as it is.
+    pub(super) fn reload(&mut self) {
+        let settings = match self.settings_file.load() {
+            Ok(settings) => settings,
+            Err(error) => {
+                let line = format_args!("event=reload outcome=refused reason={:?}", error.to_string());
+                return self.log.line(self.now, LineKind::Belief, line);
+            }
+        };
+        // Addresses that are in use can't be moved without cutting somebody off.
+        let keeps_addresses = settings.listen == self.settings.listen;
+        let line = format_args!("event=reload outcome=taken addresses_unchanged={keeps_addresses}");
+        self.log.line(self.now, LineKind::Belief, line);
+        let bound = extra_bound(&settings);
+        self.engine.set_extra_bound(bound);
+        self.record(RecordedEvent::ExtraBound(bound), &[]);
+        self.role.set_longest_silence(settings.longest_silence());
+        if settings.store != self.settings.store {
+            self.follow_store(settings.store.address);
+        }
+        self.settings = GatewaySettings { listen: self.settings.listen.clone(), ..settings };
+    }
+
+    /// The store has moved: everything is read anew there.
+    fn follow_store(&mut self, address: SocketAddr) {
+        for caller in &mut self.store {
+            caller.set_address(address);
+        }
+        self.store_calls = [const { None }; 3];
+        self.reader = StoreReader::new(self.settings.reader());
+    }
+}
--- /dev/null
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -0,0 +1,42 @@
+//! What a node's parts are made with, by its settings.
+
+use crate::server::Endpoint;
+use crate::settings::GatewaySettings;
+use rand::Rng;
+use staircross_routing::engine::RoutingSettings;
+use staircross_routing::window::ExtraBound;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub(super) fn listeners(settings: &GatewaySettings) -> Vec<(Endpoint, &'static str, SocketAddr)> {
+    let listen = &settings.listen;
+    let mut all = vec![
+        (Endpoint::Callers, "listen.callers", listen.callers),
+        (Endpoint::Readiness, "listen.readiness", listen.readiness),
+        (Endpoint::Directory, "listen.directory", listen.directory),
+        (Endpoint::Peers, "listen.peers", listen.peers),
+    ];
+    all.extend(listen.metrics.map(|address| (Endpoint::Metrics, "listen.metrics", address)));
+    all
+}
+
+pub(super) fn extra_bound(settings: &GatewaySettings) -> ExtraBound {
+    ExtraBound {
+        ratio: settings.bounds.extra_ratio,
+        window: Duration::from_secs_f64(settings.bounds.extra_window_s),
+        slack: settings.bounds.extra_slack,
+    }
+}
+
+pub(super) fn routing_settings(settings: &GatewaySettings) -> RoutingSettings {
+    let regions = settings.zones.iter();
+    RoutingSettings {
+        extra: extra_bound(settings),
+        zone: Arc::from(settings.node.zone.as_str()),
+        regions: regions.map(|(zone, region)| (Arc::from(zone.as_str()), Arc::from(region.as_str()))).collect(),
+        lapse_grace: settings.lapse_grace(),
+        max_requests: settings.max_requests(),
+        seed: rand::rng().random(),
+    }
+}
--- a/crates/staircross-standin/src/http.rs
+++ b/crates/staircross-standin/src/http.rs
@@ -53,3 +53,29 @@
 pub fn close_without_reply() -> ! {
     std::panic::resume_unwind(Box::new("connection closed by a scripted fault"))
 }
+
+/// A response that breaks off half-way through `bytes`: its connection closes in mid-chunk.
+pub fn truncated_response(digest: &str, bytes: Vec<u8>) -> Response<Body> {
+    let half = bytes[..bytes.len() / 2].to_vec();
+    let mut response = bytes_response(digest, Vec::new());
+    *response.body_mut() = Body::from_read(std::io::Cursor::new(half).chain_error());
+    response
+}
+
+trait ChainError: std::io::Read + Sized {
+    /// Reads on into an error, where a file would end.
+    fn chain_error(self) -> std::io::Chain<Self, BrokenOff> {
+        self.chain(BrokenOff)
+    }
+}
+
+impl<T: std::io::Read> ChainError for T {}
+
+/// A reader that always fails.
+struct BrokenOff;
+
+impl std::io::Read for BrokenOff {
+    fn read(&mut self, _: &mut [u8]) -> std::io::Result<usize> {
+        Err(std::io::Error::new(std::io::ErrorKind::ConnectionAborted, "broken off by a scripted fault"))
+    }
+}
--- a/crates/staircross-standin/src/searcher.rs
+++ b/crates/staircross-standin/src/searcher.rs
@@ -2,7 +2,7 @@
 
 use crate::corpus::Corpus;
 use crate::faults::{Fault, FaultScript};
-use crate::http::{bytes_response, close_without_reply, json_response, read_json, text_response};
+use crate::http::{bytes_response, close_without_reply, json_response, read_json, text_response, truncated_response};
 use crate::index::SnapshotIndex;
 use crate::ledger::{Ledger, LedgerEntry};
 use oxhttp::Server;
@@ -372,29 +372,3 @@
         bytes_response(&digest, bytes)
     }
 }
-
-/// A response that breaks off half-way through `bytes`: its connection closes in mid-chunk.
-fn truncated_response(digest: &str, bytes: Vec<u8>) -> Response<Body> {
-    let half = bytes[..bytes.len() / 2].to_vec();
-    let mut response = bytes_response(digest, Vec::new());
-    *response.body_mut() = Body::from_read(std::io::Cursor::new(half).chain_error());
-    response
-}
-
-trait ChainError: std::io::Read + Sized {
-    /// Reads on into an error, where a file would end.
-    fn chain_error(self) -> std::io::Chain<Self, BrokenOff> {
-        self.chain(BrokenOff)
-    }
-}
-
-impl<T: std::io::Read> ChainError for T {}
-
-/// A reader that always fails.
-struct BrokenOff;
-
-impl std::io::Read for BrokenOff {
-    fn read(&mut self, _: &mut [u8]) -> std::io::Result<usize> {
-        Err(std::io::Error::new(std::io::ErrorKind::ConnectionAborted, "broken off by a scripted fault"))
-    }
-}
