--- a/crates/staircross-lab/src/experiment/http_cost.rs
+++ b/crates/staircross-lab/src/experiment/http_cost.rs
@@ -1,7 +1,7 @@
 //! What an HTTP call to a searcher costs, with a real stand-in over loopback.
 
 use super::slopes::cpu_of;
-use crate::fleet::free_address;
+use staircross_standin::loopback::free_address;
 use staircross_standin::{Corpus, Document, SearcherSettings, SearcherStandin};
 use staircross_types::searcher_api::{CallReply, SEARCH_PATH, SearchCall};
 use staircross_types::{AttemptId, NodeId, RequestId, SearchQuery, SearcherId, ShardId, Snapshot, body_digest};
--- a/crates/staircross-lab/src/fleet.rs
+++ b/crates/staircross-lab/src/fleet.rs
@@ -6,10 +6,11 @@
     ServicePolicy, Settings,
 };
 use staircross_node::{Node, NodeClient, NodeError};
+use staircross_standin::loopback::free_address;
 use staircross_standin::{Corpus, PlatformStandin, SearcherSettings, SearcherStandin};
 use staircross_types::{GroupId, SearcherId, ServiceName, ShardId, ShardMap, ShardPlacement, Snapshot, ZoneName};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 quick_error! {
@@ -91,17 +92,6 @@
 /// The first snapshot of every service.
 pub const FIRST_SNAPSHOT: Snapshot = Snapshot { version: 1, epoch: 1, build: 1 };
 
-/// Finds a loopback address that is free for TCP and UDP.
-pub fn free_address() -> std::io::Result<SocketAddr> {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-}
-
 /// A policy for searches.
 pub fn search_policy(wait_ms: u64, least_per_mille: u32, priority: Priority) -> ServicePolicy {
     ServicePolicy { wait_ms, least_coverage_per_mille: least_per_mille, priority, ..ServicePolicy::default() }
--- a/crates/staircross-standin/src/lib.rs
+++ b/crates/staircross-standin/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`ledger`] | what truly ran |
 //! | [`searcher`] | the searcher stand-in (HTTP) |
 //! | [`platform`] | the platform stand-in (HTTP) |
+//! | [`loopback`] | free addresses |
 //! | [`http`] | helpers for both servers |
 
 pub mod corpus;
@@ -15,6 +16,7 @@
 pub mod http;
 pub mod index;
 pub mod ledger;
+pub mod loopback;
 pub mod platform;
 pub mod searcher;
 
--- a/crates/staircross/tests/processes.rs
+++ b/crates/staircross/tests/processes.rs
@@ -8,12 +8,13 @@
 use staircross_config::{PlatformDocument, SearcherDefinition, ServiceDefinition, ServicePolicy};
 use staircross_node::api::ReplyBody;
 use staircross_node::{ClientError, NodeClient};
+use staircross_standin::loopback;
 use staircross_standin::platform::PlatformMode;
 use staircross_standin::{Corpus, Document, PlatformStandin, SearcherSettings, SearcherStandin};
 use staircross_types::{
     ErrorKind, GroupId, SearcherId, ServiceName, SessionToken, ShardId, ShardMap, ShardPlacement, Snapshot, ZoneName,
 };
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -30,12 +31,7 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 fn free_address() -> SocketAddr {
-    loop {
-        let address = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
+    loopback::free_address().expect("a free port")
 }
 
 fn corpus() -> Corpus {
