Keep a group's measured wait over changes of the configuration

Each configuration began the measurement of a group's wait anew; in a storm of them nothing was ever measured, which counts as no wait, and a limit was lifted in the middle of an overload. Change: a group that a new configuration names goes on as it is; services are looked up by name instead of in the list.

--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -22,6 +22,13 @@
     rank: u32,
 }
 
+impl ServiceGroup {
+    fn new(route_index: usize, route: &RouteDefinition) -> Self {
+        let wait = Wait::at_group(fan_out(route));
+        ServiceGroup { admission: Admission::default(), wait, route_index, rank: route.priority }
+    }
+}
+
 impl RoutingEngine {
     /// Follows a configuration: groups and services that it doesn't name are forgotten, new ones begin without limits.
     pub(super) fn set_groups(&mut self, table: &RouteTable) {
@@ -29,16 +36,16 @@
         for (route_index, route) in table.definition().routes.iter().enumerate() {
             for service in first_services(route) {
                 let rank = route.priority;
-                let group = self.groups.entry(service.clone()).or_insert_with(|| {
-                    let admission = known.remove(service).map(|group| group.admission).unwrap_or_default();
-                    ServiceGroup { admission, wait: Wait::at_group(fan_out(route)), route_index, rank }
+                let group = self.groups.entry(service.clone()).or_insert_with(|| match known.remove(service) {
+                    Some(group) => ServiceGroup { route_index, rank, ..group },
+                    None => ServiceGroup::new(route_index, route),
                 });
                 if rank < group.rank {
                     (group.route_index, group.rank) = (route_index, rank);
                 }
             }
         }
-        self.waits.retain(|service, _| table.definition().services.iter().any(|entry| entry.name == *service));
+        self.waits.retain(|service, _| self.max_connections.contains_key(service));
     }
 
     /// Whether a request is refused because too much waits: then, the part of its route's requests that is taken now.
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -148,11 +148,15 @@
     ) -> Self {
         let mut driver = Driver::new();
         driver.engine = RoutingEngine::new(settings);
-        driver.event(RoutingEvent::Configuration(Arc::new(RouteTable::new(Arc::new(definition)))));
+        driver.configure(definition);
         driver.event(RoutingEvent::Searchers(searchers));
         driver
     }
 
+    pub fn configure(&mut self, definition: RoutingDefinition) {
+        self.event(RoutingEvent::Configuration(Arc::new(RouteTable::new(Arc::new(definition)))));
+    }
+
     pub fn event(&mut self, event: RoutingEvent) {
         let mut actions = Vec::new();
         let recorded = RecordedEvent::from(&event);
--- a/crates/staircross-routing/tests/overload.rs
+++ b/crates/staircross-routing/tests/overload.rs
@@ -72,6 +72,19 @@
     assert!(after.part(after.in_time) > 0.97, "{after:?}");
 }
 
+#[test]
+fn a_storm_of_configurations_does_not_lift_a_limit() {
+    let mut backends = warmed_up(vec![query("q", 1)], &["/q/1"]);
+    offered(&mut backends, &["/q/1"], 1.6, 4);
+    for version in 2..60 {
+        backends.offer(&["/q/1"], CAPACITY * 1.6, Duration::from_millis(60));
+        backends.driver.configure(definition(version, vec![query("q", 1)], &SHARDS));
+    }
+    let stormy = backends.tally(GOAL);
+    assert!(stormy.part(stormy.refused) > 0.2, "{stormy:?}");
+    assert!(stormy.part(stormy.late) < 0.2, "{stormy:?}");
+}
+
 #[test]
 fn one_slow_searcher_is_no_overload() {
     let mut backends = warmed_up(vec![query("q", 1)], &["/q/1"]);
