Limit nothing in a group's first three seconds: after a restart callers come back all at once

Ruled out: the waits aren't a standing queue: without refusing they are gone within two seconds. Change: a group of services is judged, but not limited, for its first 3 s.

--- a/crates/staircross-routing/src/admission.rs
+++ b/crates/staircross-routing/src/admission.rs
@@ -36,6 +36,10 @@
 /// A wait of so many times the tolerable one begins to limit what is taken; then it is kept at so many times.
 const TOO_LONG: f64 = 1.0;
 const TARGET: f64 = 0.6;
+/// Time from a group's first judgement during which nothing is refused: connections are being made and searchers are
+/// cold, and after a restart callers come back all at once. That passes by itself, and refusing would cost requests
+/// that are only late. Three seconds are what searchers of the users' sites are cold for.
+const WARM_UP: Duration = Duration::from_secs(3);
 /// Change of what is taken for each tolerable wait off the target, and bounds of one change.
 const GAIN: f64 = 0.25;
 const MOST_DECREASE: f64 = 0.25;
@@ -184,11 +188,13 @@
 pub struct Admission {
     level: f64,
     next_judgement: BootTime,
+    /// When the group was judged first.
+    first_judged: Option<BootTime>,
 }
 
 impl Default for Admission {
     fn default() -> Self {
-        Admission { level: 1.0, next_judgement: BootTime::default() }
+        Admission { level: 1.0, next_judgement: BootTime::default(), first_judged: None }
     }
 }
 
@@ -214,7 +220,8 @@
         self.next_judgement = now + JUDGEMENT_SPACING;
         let ratio = wait.as_secs_f64() / tolerable.as_secs_f64().max(f64::MIN_POSITIVE);
         let before = self.level;
-        if !self.is_limiting() && ratio <= TOO_LONG {
+        let first_judged = *self.first_judged.get_or_insert(now);
+        if now.since(first_judged) < WARM_UP || (!self.is_limiting() && ratio <= TOO_LONG) {
             return None;
         }
         let change = if ratio < NO_QUEUE {
--- a/crates/staircross-routing/tests/overload.rs
+++ b/crates/staircross-routing/tests/overload.rs
@@ -167,3 +167,13 @@
     assert!(urgent.0 > 0, "there is an overload: {urgent:?} {casual:?}");
     assert!(urgent.0 * casual.1 < casual.0 * urgent.1, "{urgent:?} {casual:?}");
 }
+
+#[test]
+fn nothing_is_refused_while_callers_come_back_after_a_start() {
+    let mut backends = backends(vec![query("q", 1)]);
+    let surge = offered(&mut backends, &["/q/1"], 2.0, 2);
+    assert_eq!(surge.refused, 0, "a burst right after the start is late, not refused: {surge:?}");
+    let settled = offered(&mut backends, &["/q/1"], 0.4, 4);
+    assert_eq!(settled.refused, 0, "{settled:?}");
+    assert!(settled.part(settled.in_time) > 0.7, "{settled:?}");
+}
