Have a restarted node take its share of a searcher's connections in steps

Cause: after all machines lost power searchers go on counting the old connections (about 18 of 31 on Omuti) for 2 to 3 s. The nodes that came back first took all that was left, those that came 0.3 s later had none: 1,100 to 1,300 connections reset, most of the late ones at two nodes, and requests there timed out (504) with parts in. Change: a process that isn't the first on its machine uses a quarter of its share, and a quarter more each second.

--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use staircross_routing::engine::RoutingSettings;
 use staircross_routing::window::ExtraBound;
+use staircross_types::BootTime;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,7 +30,7 @@
     }
 }
 
-pub(super) fn routing_settings(settings: &GatewaySettings) -> RoutingSettings {
+pub(super) fn routing_settings(now: BootTime, settings: &GatewaySettings) -> RoutingSettings {
     let regions = settings.zones.iter();
     RoutingSettings {
         extra: extra_bound(settings),
@@ -37,6 +38,7 @@
         regions: regions.map(|(zone, region)| (Arc::from(zone.as_str()), Arc::from(region.as_str()))).collect(),
         lapse_grace: settings.lapse_grace(),
         max_requests: settings.max_requests(),
+        restarted_at: (!settings.node.first_start).then_some(now),
         seed: rand::rng().random(),
     }
 }
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -53,6 +53,9 @@
     pub lapse_grace: Duration,
     /// Requests held at once.
     pub max_requests: usize,
+    /// When this process started, if it isn't the first on its machine: searchers may still count the connections
+    /// of the one before.
+    pub restarted_at: Option<BootTime>,
     /// Feeds random choices.
     pub seed: u64,
 }
@@ -139,6 +142,7 @@
             nodes_by_zone: HashMap::from([(settings.zone.clone(), 1)]),
             serving: 1,
             ways: HashMap::new(),
+            restarted_at: settings.restarted_at,
         };
         RoutingEngine {
             random: ChaCha8Rng::seed_from_u64(settings.seed),
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -37,6 +37,7 @@
     regions: BTreeMap<Arc<str>, Arc<str>>,
     lapse_grace: Duration,
     max_requests: usize,
+    restarted_at: Option<BootTime>,
     seed: u64,
 }
 
@@ -133,6 +134,7 @@
             regions: settings.regions.iter().map(|(zone, region)| (zone.clone(), region.clone())).collect(),
             lapse_grace: settings.lapse_grace,
             max_requests: settings.max_requests,
+            restarted_at: settings.restarted_at,
             seed: settings.seed,
         }
     }
@@ -144,6 +146,7 @@
             regions: self.regions.iter().map(|(zone, region)| (zone.clone(), region.clone())).collect(),
             lapse_grace: self.lapse_grace,
             max_requests: self.max_requests,
+            restarted_at: self.restarted_at,
             seed: self.seed,
         }
     }
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -28,6 +28,11 @@
 /// Parts of a searcher's connections that nodes of its own zone and of others use.
 const OWN_ZONE_PART: f64 = 0.45;
 const OTHER_ZONE_PART: f64 = 0.45;
+/// Steps in which a restarted node comes to use its share of a searcher's connections, and the time of each. When all nodes
+/// lost power, searchers reset what is over their bound until they notice that the old connections are gone (2 to
+/// 3 s on the users' bench), and whoever comes first would take all that is left.
+const RAMP_STEPS: usize = 4;
+const RAMP_STEP: Duration = Duration::from_secs(1);
 
 /// Where this node stands among zones and nodes.
 #[derive(Clone, Debug)]
@@ -42,6 +47,8 @@
     pub serving: usize,
     /// Least times to connect, by zone.
     pub ways: HashMap<Arc<str>, Duration>,
+    /// When this process started, if it isn't the first on its machine.
+    pub restarted_at: Option<BootTime>,
 }
 
 /// How far a zone is.
@@ -101,6 +108,16 @@
         (share as usize).max(1)
     }
 
+    /// What a restarted node uses of its share of a searcher's connections, while those of the processes before may
+    /// still be counted there: one step at first, and one more after each step's time.
+    fn after_restart(&self, now: BootTime, share: usize) -> usize {
+        let Some(restarted_at) = self.restarted_at else {
+            return share;
+        };
+        let steps = 1 + (now.since(restarted_at).as_micros() / RAMP_STEP.as_micros()) as usize;
+        (share * steps.min(RAMP_STEPS) / RAMP_STEPS).max(1)
+    }
+
     /// Other callers that probably send as much to the searcher as this node does, this one included.
     fn sharers(&self, searcher: &Searcher) -> f64 {
         if *searcher.entry.zone == *self.zone {
@@ -164,6 +181,7 @@
 }
 
 fn may_take(now: BootTime, searcher: &Searcher, place: &Place) -> bool {
-    let has_room = searcher.open.len() < place.connection_share(searcher) && !searcher.is_full(now);
+    let most = place.after_restart(now, place.connection_share(searcher));
+    let has_room = searcher.open.len() < most && !searcher.is_full(now);
     searcher.may_be_asked(now) && !searcher.is_avoided(now) && has_room
 }
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -52,6 +52,7 @@
         regions: regions.into_iter().map(|(zone, region)| (Arc::from(zone), Arc::from(region))).collect(),
         lapse_grace: Duration::from_millis(LAPSE_MS),
         max_requests: 1000,
+        restarted_at: None,
         seed: 7,
     }
 }
--- a/crates/staircross-routing/tests/waiting.rs
+++ b/crates/staircross-routing/tests/waiting.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{Driver, answer, definition, gather, records, route, searcher};
+use common::{Driver, answer, definition, gather, records, route, searcher, settings};
 use staircross_routing::engine::{RoutingEvent, SendReason, UnsentCause};
 use staircross_routing::request::Unknown;
-use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey, SearcherEntry, Verdict};
+use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey, RoutingSettings, SearcherEntry, Verdict};
+use staircross_types::BootTime;
 use staircross_types::errors::Executed;
 
 /// Time-out of the tests' routes.
@@ -181,3 +182,26 @@
     assert_eq!(driver.sends.len(), before, "sent for a caller that has left");
     assert_eq!(driver.engine.in_flight(), 0);
 }
+
+#[test]
+fn a_restarted_node_takes_its_share_of_connections_in_steps() {
+    let definition = definition(1, vec![route("q", gather(&["x"], 2, 1.0))], &["x"]);
+    let restarted_at = Some(BootTime::from_millis(1_000_000));
+    let settings = RoutingSettings { restarted_at, ..settings() };
+    let mut driver = Driver::with_settings(settings, definition, vec![searcher("x-1", "x", "a")]);
+    // Nine nodes of the zone share nine tenths of forty connections.
+    driver.fleet(&[("a", 9)], 9);
+    let requests: Vec<RequestKey> = (0..8).map(|number| driver.request(&format!("/q/{number}"))).collect();
+    assert_eq!(driver.sends.len(), 1, "a quarter of four; the others wait");
+    driver.end(driver.sends[0].attempt, answer(200, "x", records(&[1])));
+    assert_eq!(driver.sends.len(), 2, "and use the connection one after the other");
+    assert!(requests[1..].iter().all(|request| driver.verdict(*request).is_none()));
+    driver.pass_ms(1100);
+    driver.request("/q/8");
+    assert_eq!(driver.sends.len(), 3, "after a second there may be two");
+    driver.pass_ms(2100);
+    driver.request("/q/9");
+    driver.request("/q/10");
+    driver.request("/q/11");
+    assert_eq!(driver.sends.len(), 5, "and never more than the share");
+}
