Hold a request for a moment until the node knows what it needs

Change: such a request waits for at most 0.5 s and a quarter of its caller's patience, at most 512 together, then it is refused as not run. From arrival to the first attempts now stands in a file of its own.

--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -20,6 +20,8 @@
     connection: SocketId,
     outbound: OutboundRequest,
     route: Option<Arc<str>>,
+    /// What was asked for, where no route was known when the request came.
+    unrouted: Option<Target>,
     version: u64,
     arrived: BootTime,
     keeps_alive: bool,
@@ -28,6 +30,12 @@
     trace: Trace,
 }
 
+/// What a route is found by.
+struct Target {
+    host: String,
+    path: String,
+}
+
 /// Decisions within a request, kept until it ends.
 #[derive(Default)]
 struct Trace {
@@ -104,19 +112,20 @@
             waited,
             is_overloaded: self.load.is_overloaded(self.now),
             is_behind: self.fleet.is_version_behind(),
+            knows_searchers: self.mirror.has_listing(),
+        };
+        let route = self.route_name(&arrival.host, &arrival.path);
+        let unrouted = match route {
+            Some(_) => None,
+            None => Some(Target { host: arrival.host.clone(), path: arrival.path.clone() }),
         };
-        let table = self.engine.table();
-        let route = table.and_then(|table| {
-            let index = table.find_index(&arrival.host, &arrival.path)?;
-            Some(table.definition().routes[index].name.clone())
-        });
-        let version = table.map_or(0, |table| table.version());
         let keeps_alive = head.keeps_alive();
         let pending = CallerRequest {
             connection,
             outbound,
             route,
-            version,
+            unrouted,
+            version: self.version(),
             arrived: self.now,
             keeps_alive,
             extras: 0,
@@ -127,6 +136,25 @@
         self.engine_event(RoutingEvent::Arrived(arrival));
     }
 
+    fn route_name(&self, host: &str, path: &str) -> Option<Arc<str>> {
+        let table = self.engine.table()?;
+        let index = table.find_index(host, path)?;
+        Some(table.definition().routes[index].name.clone())
+    }
+
+    fn version(&self) -> u64 {
+        self.engine.table().map_or(0, |table| table.version())
+    }
+
+    /// Names the route of a request that was held until it was known.
+    fn name_held_route(&self, pending: &mut CallerRequest) {
+        let Some(target) = pending.unrouted.take() else {
+            return;
+        };
+        pending.route = self.route_name(&target.host, &target.path);
+        pending.version = self.version();
+    }
+
     fn on_caller_gone(&mut self, connection: SocketId) {
         let Some(key) = self.by_connection.remove(&connection) else {
             return;
@@ -206,6 +234,9 @@
                 let text = format_args!("event=left_out service={service} asked={asked} cause={cause}");
                 self.note_decision(request, text);
             }
+            RoutingAction::Held { request, cause } => {
+                self.note_decision(request, format_args!("event=held cause={}", cause.name()));
+            }
             RoutingAction::NotAdmitted { request, group, part } => {
                 self.note_decision(request, format_args!("event=not_admitted group={group} part={part:.2}"));
             }
@@ -293,9 +324,10 @@
     }
 
     fn finish(&mut self, key: RequestKey, verdict: Verdict) {
-        let Some(pending) = self.callers.remove(&key) else {
+        let Some(mut pending) = self.callers.remove(&key) else {
             return;
         };
+        self.name_held_route(&mut pending);
         self.by_connection.remove(&pending.connection);
         let closes = !pending.keeps_alive || self.stop.is_some();
         let context = AnswerContext {
--- a/crates/staircross-routing/src/definition.rs
+++ b/crates/staircross-routing/src/definition.rs
@@ -98,6 +98,16 @@
     }
 }
 
+impl RouteDefinition {
+    /// Least number of shards that makes an answer; one where a single service is asked.
+    pub fn least_shards(&self) -> usize {
+        match &self.target {
+            RouteTarget::Gather(gather) => gather.least_shards(),
+            RouteTarget::Service(_) | RouteTarget::Weighted(_) => 1,
+        }
+    }
+}
+
 impl GatherTarget {
     /// Least number of shards that makes an answer; at least one.
     pub fn least_shards(&self) -> usize {
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -5,6 +5,7 @@
 //! sent again only after "not run"; a refusal of a never-run kind is given only if nothing was sent,
 //! or whatever was sent was answered "not run"; every request ends by its deadline.
 
+mod arrival;
 mod dispatch;
 mod outcome;
 mod overload;
@@ -14,7 +15,7 @@
 use crate::admission::{UsualWork, Wait};
 use crate::definition::RouteTarget;
 pub use crate::engine_message::{
-    AbandonCause, LeftOutCause, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
+    AbandonCause, HoldCause, LeftOutCause, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
 };
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::mirror::SearcherEntry;
@@ -24,6 +25,7 @@
 use crate::table::RouteTable;
 use crate::turns::WeightedTurns;
 use crate::window::{ExtraBound, ExtraWindow};
+use arrival::HeldRequest;
 use hashbrown::HashMap;
 use overload::ServiceGroup;
 use rand_chacha::ChaCha8Rng;
@@ -125,6 +127,8 @@
     /// Waits at the searchers of each service.
     pub(crate) waits: HashMap<Arc<str>, Wait>,
     pub(crate) requests: HashMap<RequestKey, Request>,
+    /// Requests that this node can't begin yet, in the order in which they came.
+    held: Vec<HeldRequest>,
     pub(crate) sent: HashMap<AttemptKey, SentAttempt>,
     /// Shards that wait for a searcher with room, by service.
     pub(crate) waiting: HashMap<Arc<str>, VecDeque<WaitingShard>>,
@@ -159,6 +163,7 @@
             groups: HashMap::new(),
             waits: HashMap::new(),
             requests: HashMap::new(),
+            held: Vec::new(),
             sent: HashMap::new(),
             waiting: HashMap::new(),
             wakes: BinaryHeap::new(),
@@ -169,8 +174,14 @@
     /// Takes one event; appends what is to be done.
     pub fn on_event(&mut self, now: BootTime, event: RoutingEvent, actions: &mut Vec<RoutingAction>) {
         match event {
-            RoutingEvent::Configuration(table) => self.set_table(table),
-            RoutingEvent::Searchers(entries) => self.set_searchers(now, entries, actions),
+            RoutingEvent::Configuration(table) => {
+                self.set_table(table);
+                self.begin_held(now, actions);
+            }
+            RoutingEvent::Searchers(entries) => {
+                self.set_searchers(now, entries, actions);
+                self.begin_held(now, actions);
+            }
             RoutingEvent::SearchersGone(instances) => {
                 instances.iter().for_each(|instance| self.set_lapsed(now, instance))
             }
@@ -205,7 +216,7 @@
 
     /// Requests without a final word.
     pub fn in_flight(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.held.len()
     }
 
     /// The configuration in force.
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -1,9 +1,9 @@
-//! Admission, and sending attempts.
+//! Sending attempts, and when more are to be sent.
 
 use super::{RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
-use crate::definition::{RouteDefinition, RouteTarget};
+use crate::definition::RouteDefinition;
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
-use crate::request::{Arrival, Attempt, Request, Shard, Verdict};
+use crate::request::{Attempt, Verdict};
 use crate::searcher::OpenAttempt;
 use crate::selection::choose;
 use staircross_types::{BootTime, ErrorKind};
@@ -22,110 +22,12 @@
 const GUARD: Duration = Duration::from_millis(22);
 const MOST_GUARD_PART: f64 = 0.3;
 /// The final answer goes out so long before the deadline.
-const DEADLINE_GUARD: Duration = Duration::from_millis(10);
+pub(super) const DEADLINE_GUARD: Duration = Duration::from_millis(10);
 /// Wait for a connection: a constant and so many times the way.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(100);
 const CONNECT_WAYS: u32 = 4;
 
 impl RoutingEngine {
-    pub(super) fn admit(&mut self, now: BootTime, arrival: Arrival, actions: &mut Vec<RoutingAction>) {
-        let key = arrival.key;
-        match self.begin(now, &arrival, actions) {
-            Ok(request) => {
-                self.requests.insert(key, request);
-                self.send_all(now, key, actions);
-            }
-            Err(verdict) => actions.push(RoutingAction::Finish { request: key, verdict }),
-        }
-    }
-
-    fn begin(
-        &mut self,
-        now: BootTime,
-        arrival: &Arrival,
-        actions: &mut Vec<RoutingAction>,
-    ) -> Result<Request, Verdict> {
-        let Some(table) = self.table.clone() else {
-            return Err(refused(ErrorKind::NoConfiguration, "no configuration is known yet"));
-        };
-        let Some(route_index) = table.find_index(&arrival.host, &arrival.path) else {
-            if arrival.is_behind {
-                return Err(refused(ErrorKind::NoConfiguration, "a newer configuration may have this route"));
-            }
-            return Err(refused(ErrorKind::NoRoute, "no route has this host and path"));
-        };
-        if arrival.is_overloaded {
-            return Err(refused(ErrorKind::Overloaded, "the node comes too late to its work"));
-        }
-        if self.requests.len() >= self.settings.max_requests {
-            return Err(refused(ErrorKind::Overloaded, "the node holds as many requests as it may"));
-        }
-        let route = &table.definition().routes[route_index];
-        let services = self.services_of(route);
-        for service in &services {
-            let window = self.windows.entry(service.clone()).or_default();
-            window.count_request(now, &self.settings.extra);
-        }
-        let timeout = Duration::from_millis(route.timeout_ms);
-        let hold = arrival.patience.map_or(timeout, |patience| patience.min(timeout));
-        // What was read late has less time than it says.
-        let left = hold.saturating_sub(arrival.waited);
-        if left <= DEADLINE_GUARD {
-            return Err(refused(ErrorKind::Overloaded, "the request's time was over when it was read"));
-        }
-        let group = services.first().cloned().unwrap_or_default();
-        if let Some(part) = self.refusing_part(&group, route) {
-            actions.push(RoutingAction::NotAdmitted { request: arrival.key, group, part });
-            return Err(refused(ErrorKind::Overloaded, "too much waits at the back ends already"));
-        }
-        let deadline = now + (left - DEADLINE_GUARD);
-        Ok(Request {
-            route_index,
-            shards: services.into_iter().map(Shard::new).collect(),
-            attempts: Vec::new(),
-            answer_by: (now + usable_goal(route).saturating_sub(arrival.waited)).min(deadline),
-            deadline,
-            group,
-            may_have_run: false,
-            is_past_goal: false,
-            table: table.clone(),
-        })
-    }
-
-    fn services_of(&mut self, route: &RouteDefinition) -> Vec<Arc<str>> {
-        match &route.target {
-            RouteTarget::Service(service) => vec![service.clone()],
-            RouteTarget::Gather(gather) => gather.shards.clone(),
-            RouteTarget::Weighted(set) => {
-                let goal = Duration::from_millis(route.goal_ms);
-                self.statistics(&route.name, goal).turns.next(set).into_iter().collect()
-            }
-        }
-    }
-
-    /// Sends the first attempt of each shard, unless too few can have anybody to ask in time: then nothing runs.
-    fn send_all(&mut self, now: BootTime, key: RequestKey, actions: &mut Vec<RoutingAction>) {
-        let Some(request) = self.requests.get(&key) else {
-            return;
-        };
-        let least = request.least_shards();
-        let count = request.shards.len();
-        let may_be_asked =
-            |shard: &&Shard| self.next_chance(now, &shard.service, &[]).is_some_and(|chance| chance < request.deadline);
-        let served = request.shards.iter().filter(may_be_asked).count();
-        if served < least {
-            self.requests.remove(&key);
-            let verdict = refused(ErrorKind::NoReplica, "too few shards have a searcher that can be asked");
-            actions.push(RoutingAction::Finish { request: key, verdict });
-            return;
-        }
-        for shard in 0..count {
-            self.dispatch(now, key, shard, SendReason::First, actions);
-        }
-        self.settle(now, key, actions);
-        self.schedule(key);
-    }
-
     /// Sends one more attempt for a shard. Returns whether one went out.
     pub(super) fn dispatch(
         &mut self,
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -18,7 +18,7 @@
     /// A request needs attention: a hedge is due, its goal is near, or its time is over.
     pub(super) fn on_due(&mut self, now: BootTime, key: RequestKey, actions: &mut Vec<RoutingAction>) {
         if !self.requests.contains_key(&key) {
-            return;
+            return self.end_hold(now, key, actions);
         }
         self.hedge(now, key, actions);
         self.retry_due(now, key, actions);
@@ -98,7 +98,7 @@
 
     pub(super) fn on_caller_gone(&mut self, key: RequestKey, actions: &mut Vec<RoutingAction>) {
         let Some(request) = self.requests.get(&key) else {
-            return;
+            return self.forget_held(key);
         };
         // Work that may not be repeated is left to end; the caller may ask what became of it.
         let is_idempotent = request.route().is_idempotent;
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -94,6 +94,13 @@
         /// Why there is no part.
         cause: LeftOutCause,
     },
+    /// A request waits until this node knows what it needs; told for the log alone.
+    Held {
+        /// Which request.
+        request: RequestKey,
+        /// What is lacking.
+        cause: HoldCause,
+    },
     /// A request is refused because too much waits at its services; told for the log alone.
     NotAdmitted {
         /// Which request.
@@ -153,6 +160,28 @@
     }
 }
 
+/// What this node must learn before it can begin a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldCause {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// A peer knows a newer configuration, which may have the route.
+    OldConfiguration,
+    /// Not all searchers are known yet, and too few of those that are can be asked.
+    NoSearchers,
+}
+
+impl HoldCause {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            HoldCause::NoConfiguration => "no_configuration",
+            HoldCause::OldConfiguration => "old_configuration",
+            HoldCause::NoSearchers => "no_searchers",
+        }
+    }
+}
+
 /// Why an attempt isn't made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnsentCause {
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -216,6 +216,7 @@
                 Some(Decision::Finish { request: *request, ending: verdict.into() })
             }
             RoutingAction::Unsent { .. }
+            | RoutingAction::Held { .. }
             | RoutingAction::LeftOut { .. }
             | RoutingAction::NotAdmitted { .. }
             | RoutingAction::Admission { .. } => None,
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -26,6 +26,8 @@
     pub is_overloaded: bool,
     /// Whether a peer knows a newer configuration: what isn't known here may be there.
     pub is_behind: bool,
+    /// Whether all searchers that the platform lists are known here.
+    pub knows_searchers: bool,
 }
 
 /// A searcher's whole answer.
@@ -266,7 +268,7 @@
 
     /// Shards that make an answer.
     pub fn least_shards(&self) -> usize {
-        self.gather().map_or(1, GatherTarget::least_shards)
+        self.route().least_shards()
     }
 
     pub fn parts_in(&self) -> usize {
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use staircross_http::HeaderBlock;
 use staircross_routing::admission::AdmissionChange;
 use staircross_routing::definition::{GatherTarget, WeightedService};
-use staircross_routing::engine::{AbandonCause, LeftOutCause, SendOrder, SendReason, UnsentCause};
+use staircross_routing::engine::{AbandonCause, HoldCause, LeftOutCause, SendOrder, SendReason, UnsentCause};
 use staircross_routing::recording::{Decision, RecordedEvent, RecordedTurn};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{
@@ -33,6 +33,7 @@
     pub abandoned: Vec<(AttemptKey, AbandonCause)>,
     pub unsent: Vec<(RequestKey, UnsentCause)>,
     pub left_out: Vec<(String, LeftOutCause)>,
+    pub held: Vec<(RequestKey, HoldCause)>,
     pub finished: Vec<(RequestKey, Verdict)>,
     /// When each of them ended.
     pub finished_at: Vec<BootTime>,
@@ -126,6 +127,7 @@
             abandoned: Vec::new(),
             unsent: Vec::new(),
             left_out: Vec::new(),
+            held: Vec::new(),
             finished: Vec::new(),
             finished_at: Vec::new(),
             not_admitted: Vec::new(),
@@ -173,6 +175,7 @@
                 RoutingAction::Abandon { attempt, cause, .. } => self.abandoned.push((attempt, cause)),
                 RoutingAction::Unsent { request, cause, .. } => self.unsent.push((request, cause)),
                 RoutingAction::LeftOut { service, cause, .. } => self.left_out.push((service.to_string(), cause)),
+                RoutingAction::Held { request, cause } => self.held.push((request, cause)),
                 RoutingAction::NotAdmitted { request, part, .. } => self.not_admitted.push((request, part)),
                 RoutingAction::Admission { change, .. } => self.admission.push((self.now, change)),
                 RoutingAction::Finish { request, verdict } => {
@@ -195,6 +198,7 @@
             waited: Duration::ZERO,
             is_overloaded: false,
             is_behind: false,
+            knows_searchers: true,
         }
     }
 
