Hedge nothing at a service where too much waits, whether requests are refused or not

Hedges there (up to 17 in 100 by the budget) are work on top of what can't be done; they were suppressed only while admission refused requests of the whole group. Change: the wait measured at the service alone decides.

--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -64,9 +64,6 @@
         let Some(request) = self.requests.get(&key) else {
             return false;
         };
-        if !self.groups.get(&request.group).is_some_and(|group| group.admission.is_limiting()) {
-            return false;
-        }
         let wait = self.waits.get(service).map_or(Duration::ZERO, |wait| wait.get(now));
         wait > self.tolerable_for(request.route(), request.shards.len())
     }
--- a/crates/staircross-routing/tests/overload.rs
+++ b/crates/staircross-routing/tests/overload.rs
@@ -4,6 +4,7 @@
 
 use common::backends::{Backends, Tally};
 use common::{Driver, definition, gather, route, searcher, settings};
+use staircross_routing::engine::SendReason;
 use staircross_routing::{RouteDefinition, RoutingSettings};
 use std::time::Duration;
 
@@ -177,3 +178,18 @@
     assert_eq!(settled.refused, 0, "{settled:?}");
     assert!(settled.part(settled.in_time) > 0.7, "{settled:?}");
 }
+
+#[test]
+fn a_shard_with_more_to_do_than_it_can_gets_few_hedges_though_nothing_is_refused() {
+    let mut backends = warmed_up(vec![query("q", 1)], &["/q/1"]);
+    for copy in ["s0x", "s0y"] {
+        backends.set_slowness(copy, 4.0);
+    }
+    offered(&mut backends, &["/q/1"], 0.5, 3);
+    let before = backends.driver.sends.len();
+    let later = offered(&mut backends, &["/q/1"], 0.5, 4);
+    assert_eq!(later.refused, 0, "{later:?}");
+    let to_shard = backends.driver.sends[before..].iter().filter(|order| order.instance.starts_with("s0"));
+    let (hedges, firsts): (Vec<_>, Vec<_>) = to_shard.partition(|order| order.reason == SendReason::Hedge);
+    assert!(hedges.len() * 50 < firsts.len(), "{} hedges to {} first attempts", hedges.len(), firsts.len());
+}
