Leave it to the probe to find out when a store that is away is back

Ruled out: fewer readers, which would bear fewer cuts; the probe is asked for the cheap, possibly stale kind of read and goes on as before. Change: a lane whose call failed while the probe fails too asks nothing until the store gives a sign of life.

--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -7,7 +7,8 @@
 //!
 //! A store that was away may have forgotten a watch without a word, and a watch that waits looks the
 //! same as one that is dead. So a third lane asks now and then for a cheap sign of life; once the
-//! store has missed one, both watches are renewed when it is back.
+//! store has missed one, both watches are renewed when it is back, and a lane that fails meanwhile
+//! leaves it to the probe to find that out.
 
 mod lane;
 mod message;
@@ -64,7 +65,7 @@
     pub fn next_wake(&self) -> Option<BootTime> {
         let due = self.lanes.iter().filter_map(|lane| match lane.state {
             LaneState::Resting { until } => Some(until),
-            LaneState::Calling | LaneState::Suspended => None,
+            LaneState::Calling | LaneState::AwaitingSign | LaneState::Suspended => None,
         });
         due.min()
     }
@@ -106,7 +107,10 @@
     /// Makes the calls that are due.
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         for lane in &mut self.lanes {
-            if matches!(lane.state, LaneState::Resting { until } if until <= now) {
+            let is_due = matches!(lane.state, LaneState::Resting { until } if until <= now);
+            if is_due && self.was_away && lane.failures > 0 {
+                lane.state = LaneState::AwaitingSign;
+            } else if is_due {
                 lane.state = LaneState::Calling;
                 actions.push(lane.next_call(&self.settings));
             }
@@ -171,11 +175,14 @@
         }
     }
 
+    /// Has the lanes ask again: those whose watch may have been forgotten, and those that wait for the store.
     fn renew_watches(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         for lane in &mut self.lanes {
             if lane.lane != Lane::Probe && lane.state == LaneState::Calling {
                 actions.push(ReaderAction::Cancel { lane: lane.lane });
                 lane.state = LaneState::Resting { until: now };
+            } else if lane.state == LaneState::AwaitingSign {
+                lane.state = LaneState::Resting { until: now };
             }
         }
     }
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -463,6 +463,35 @@
     }
 }
 
+#[test]
+fn while_a_store_is_away_only_the_probe_asks_and_the_lanes_go_on_when_it_answers() {
+    let mut store = Store::new();
+    let lanes = [Lane::Configuration, Lane::Searchers];
+    for lane in lanes {
+        store.calls(0, lane);
+        store.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        store.calls(0, lane);
+    }
+    store.calls(4000, Lane::Probe);
+    store.fail(Lane::Probe);
+    lanes.iter().for_each(|lane| store.fail(*lane));
+    let mut probes = 0;
+    for _ in 0..100 {
+        for _ in store.calls(100, Lane::Probe) {
+            probes += 1;
+            store.fail(Lane::Probe);
+        }
+        assert!(store.calls.is_empty(), "a lane asks a store that doesn't answer its probe: {:?}", store.calls);
+    }
+    assert!((15..=30).contains(&probes), "{probes} probes in 10 s");
+    store.calls(500, Lane::Probe);
+    store.reply(Lane::Probe, StoreReply::Alive);
+    for lane in lanes {
+        let calls = store.calls(0, lane);
+        assert!(is_watch_after(&calls[0], 4), "{calls:?}");
+    }
+}
+
 #[test]
 fn a_store_that_answers_is_probed_seldom_and_its_watches_are_left_alone() {
     let mut store = Store::new();
