Leave callers the time that they spend by how far they are

Cause: 22 ms before the goal were kept free for every caller. The time from an answer to the peer's close tells the same, but only after the request. Change: the kernel's round trip of the accepted connection (TCP_INFO, a file of its own; the only unsafe code, since neither the standard library nor rustix offers it), four of them on a fresh connection, three on a kept one, and 10 ms. At most half of the goal.

--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`settings`] | a node's settings, checked at load |
 //! | [`dialect`] | what the surroundings call things: header names, paths, store calls |
 //! | [`socket`] | one non-blocking stream with its outgoing bytes |
+//! | [`round_trip`] | how far a peer is, as the kernel has measured it |
 //! | [`server`] | connections that requests come in on |
 //! | [`pool`] | connections to searchers |
 //! | [`http_call`] | one outgoing call at a time, to the store or a peer |
@@ -28,6 +29,7 @@
 pub mod outbound;
 pub mod pool;
 pub mod recorder;
+pub mod round_trip;
 pub mod server;
 pub mod settings;
 pub mod socket;
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -10,7 +10,7 @@
 use staircross_http::{Request, ServerFault};
 use staircross_routing::admission::AdmissionChange;
 use staircross_routing::engine::{RoutingAction, RoutingEvent, SendOrder, SendReason};
-use staircross_routing::{Arrival, AttemptOutcome, RequestKey, Verdict};
+use staircross_routing::{Arrival, AttemptOutcome, CallerLink, RequestKey, Verdict};
 use staircross_types::{BootTime, ErrorKind};
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,10 +77,10 @@
     fn take_server_events(&mut self, events: Vec<ServerEvent>) {
         for event in events {
             match event {
-                ServerEvent::Request { connection, endpoint: Endpoint::Callers, request } => {
-                    self.on_request(connection, *request);
+                ServerEvent::Request { connection, endpoint: Endpoint::Callers, request, link } => {
+                    self.on_request(connection, *request, link);
                 }
-                ServerEvent::Request { connection, endpoint, request } => {
+                ServerEvent::Request { connection, endpoint, request, .. } => {
                     self.on_own_endpoint(connection, endpoint, &request);
                 }
                 ServerEvent::Fault { connection, fault } => self.on_fault(connection, fault),
@@ -90,7 +90,7 @@
         }
     }
 
-    fn on_request(&mut self, connection: SocketId, request: Request) {
+    fn on_request(&mut self, connection: SocketId, request: Request, link: CallerLink) {
         let names = self.dialect.headers();
         let outbound = OutboundRequest::new(&request, names);
         if outbound.id.is_none() {
@@ -113,6 +113,7 @@
             is_overloaded: self.load.is_overloaded(self.now),
             is_behind: self.fleet.is_version_behind(),
             knows_searchers: self.mirror.has_listing(),
+            link,
         };
         let route = self.route_name(&arrival.host, &arrival.path);
         let unrouted = match route {
--- a/crates/staircross-gateway/src/server.rs
+++ b/crates/staircross-gateway/src/server.rs
@@ -1,10 +1,12 @@
 //! Connections that requests come in on.
 
+use crate::round_trip::round_trip;
 use crate::socket::{IoContext, ReadOutcome, Socket, SocketId, WriteOutcome};
 use mio::net::TcpListener;
 use mio::{Interest, Registry};
 use slab::Slab;
 use staircross_http::{Request, ServerConnection, ServerFault, ServerProgress};
+use staircross_routing::CallerLink;
 use staircross_types::BootTime;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -43,6 +45,8 @@
         endpoint: Endpoint,
         /// The request.
         request: Box<Request>,
+        /// What is known of the connection.
+        link: CallerLink,
     },
     /// Bytes that are no acceptable request; to be answered, then closed.
     Fault {
@@ -81,6 +85,8 @@
     generation: u32,
     /// Since when it is in its present state without progress.
     since: BootTime,
+    /// What the next request is told of the connection.
+    link: CallerLink,
 }
 
 struct Listening {
@@ -172,6 +178,7 @@
         self.next_generation = self.next_generation.wrapping_add(1).max(1);
         let entry = self.connections.vacant_entry();
         let id = SocketId { kind: self.connection_kind, generation, slot: entry.key() as u32 };
+        let link = CallerLink { round_trip: round_trip(&stream), is_fresh: true };
         if let Ok(socket) = Socket::accepted(stream, id.token(), registry) {
             entry.insert(Connection {
                 socket,
@@ -180,6 +187,7 @@
                 state: State::Reading,
                 generation,
                 since: now,
+                link,
             });
         }
     }
@@ -256,7 +264,9 @@
             }
             ServerProgress::Ready(request) => {
                 connection.state = State::Working;
-                events.push(ServerEvent::Request { connection: id, endpoint, request });
+                let link = connection.link;
+                connection.link.is_fresh = false;
+                events.push(ServerEvent::Request { connection: id, endpoint, request, link });
             }
             ServerProgress::Fault(fault) => {
                 connection.state = State::Working;
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -3,9 +3,10 @@
 //! A request that comes before this node knows what it needs (a configuration, or who serves) is held for a moment: the
 //! first read of the store takes tens of milliseconds after a start, and a caller who is refused asks only once more.
 
-use super::dispatch::{DEADLINE_GUARD, refused, usable_goal};
+use super::dispatch::{DEADLINE_GUARD, refused};
 use super::{HoldCause, RoutingAction, RoutingEngine, SendReason};
 use crate::definition::{RouteDefinition, RouteTarget};
+use crate::goal::usable_goal;
 use crate::keys::RequestKey;
 use crate::request::{Arrival, Request, Shard, Verdict};
 use staircross_types::{BootTime, ErrorKind};
@@ -140,7 +141,7 @@
             route_index,
             shards: services.into_iter().map(Shard::new).collect(),
             attempts: Vec::new(),
-            answer_by: (now + usable_goal(route).saturating_sub(arrival.waited)).min(deadline),
+            answer_by: (now + usable_goal(route, &arrival.link).saturating_sub(arrival.waited)).min(deadline),
             deadline,
             group,
             may_have_run: false,
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -1,7 +1,6 @@
 //! Sending attempts, and when more are to be sent.
 
 use super::{RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
-use crate::definition::RouteDefinition;
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::request::{Attempt, Verdict};
 use crate::searcher::OpenAttempt;
@@ -17,10 +16,6 @@
 const LEAST_HEDGE_FACTOR: f64 = 1.5;
 /// Times the usual work that a hedge is taken to need.
 const HEDGE_WORK_FACTOR: f64 = 2.0;
-/// What is kept free before the goal for the caller's own way: asking the directory, connecting, sending
-/// and reading take it about this long, which this node can't see. Never more than a part of the goal.
-const GUARD: Duration = Duration::from_millis(22);
-const MOST_GUARD_PART: f64 = 0.3;
 /// The final answer goes out so long before the deadline.
 pub(super) const DEADLINE_GUARD: Duration = Duration::from_millis(10);
 /// Wait for a connection: a constant and so many times the way.
@@ -175,12 +170,6 @@
     }
 }
 
-/// Time from arrival until an answer must be on its way to be worth most.
-pub(super) fn usable_goal(route: &RouteDefinition) -> Duration {
-    let goal = Duration::from_millis(route.goal_ms);
-    goal - GUARD.min(goal.mul_f64(MOST_GUARD_PART))
-}
-
 pub(super) fn refused(kind: ErrorKind, detail: &'static str) -> Verdict {
     Verdict::Refused { kind, detail }
 }
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -1,11 +1,11 @@
 //! Taking less than is offered while too much waits at the searchers of a group of services.
 
-use super::dispatch::usable_goal;
 use super::{RoutingAction, RoutingEngine, SentAttempt};
 use crate::admission::{Admission, AdmissionChange, Wait, tolerable_wait};
 use crate::definition::{RouteDefinition, RouteTarget};
+use crate::goal::usable_goal;
 use crate::keys::RequestKey;
-use crate::request::{AttemptOutcome, NotRun};
+use crate::request::{AttemptOutcome, CallerLink, NotRun};
 use crate::table::RouteTable;
 use rand::Rng;
 use staircross_types::BootTime;
@@ -69,7 +69,7 @@
     }
 
     fn tolerable_for(&self, route: &RouteDefinition, fan_out: usize) -> Duration {
-        let goal = usable_goal(route);
+        let goal = usable_goal(route, &CallerLink::default());
         let measured = self.routes.get(&route.name).and_then(|statistics| statistics.usual.get());
         tolerable_wait(goal, measured.unwrap_or(goal / super::WORK_PART_OF_GOAL), fan_out)
     }
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`admission`] | how much of the offered work is taken while back ends are overloaded |
 //! | [`window`] | how much work beyond the strictly needed may be sent |
 //! | [`turns`] | whose turn it is in a weighted set |
+//! | [`goal`] | time that this node has to answer in time |
 //! | [`keys`] | what attempts, requests and searchers are called by |
 //! | [`request`] | state of one request in flight |
 //! | [`merge`] | the best records of several parts |
@@ -24,6 +25,7 @@
 pub mod definition;
 pub mod engine;
 pub mod engine_message;
+pub mod goal;
 pub mod keys;
 pub mod merge;
 pub mod mirror;
@@ -40,5 +42,5 @@
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
 pub use keys::{AttemptKey, RequestKey, SearcherKey};
 pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry};
-pub use request::{Arrival, AttemptOutcome, MergedAnswer, NotRun, SearcherAnswer, Verdict};
+pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
 pub use table::RouteTable;
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -28,6 +28,17 @@
     pub is_behind: bool,
     /// Whether all searchers that the platform lists are known here.
     pub knows_searchers: bool,
+    /// What is known of the caller's connection.
+    pub link: CallerLink,
+}
+
+/// What is known of a caller's connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLink {
+    /// Time to the caller and back, if the system tells.
+    pub round_trip: Option<Duration>,
+    /// Whether the connection was made for this request.
+    pub is_fresh: bool,
 }
 
 /// A searcher's whole answer.
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -11,9 +11,9 @@
 use staircross_routing::recording::{Decision, RecordedEvent, RecordedTurn};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{
-    Arrival, AttemptKey, AttemptOutcome, CallerLimits, RequestKey, RouteDefinition, RouteTable, RouteTarget,
-    RoutingAction, RoutingDefinition, RoutingEngine, RoutingEvent, RoutingSettings, SearcherAnswer, SearcherEntry,
-    ServiceEntry, Verdict,
+    Arrival, AttemptKey, AttemptOutcome, CallerLimits, CallerLink, RequestKey, RouteDefinition, RouteTable,
+    RouteTarget, RoutingAction, RoutingDefinition, RoutingEngine, RoutingEvent, RoutingSettings, SearcherAnswer,
+    SearcherEntry, ServiceEntry, Verdict,
 };
 use staircross_types::BootTime;
 use std::sync::Arc;
@@ -199,6 +199,7 @@
             is_overloaded: false,
             is_behind: false,
             knows_searchers: true,
+            link: CallerLink::default(),
         }
     }
 
--- /dev/null
+++ b/crates/staircross-routing/tests/goal.rs
@@ -0,0 +1,63 @@
+//! How long an answer may be waited for, by how far its caller is.
+
+mod common;
+
+use common::{Driver, answer, definition, gather, records, route, searcher};
+use staircross_routing::engine::RoutingEvent;
+use staircross_routing::goal::usable_goal;
+use staircross_routing::{CallerLink, RequestKey, RouteTarget};
+use std::sync::Arc;
+use std::time::Duration;
+
+fn link(millis: f64, is_fresh: bool) -> CallerLink {
+    CallerLink { round_trip: Some(Duration::from_secs_f64(millis / 1000.0)), is_fresh }
+}
+
+fn left(goal_ms: u64, link: CallerLink) -> Duration {
+    let mut wanted = route("r", RouteTarget::Service(Arc::from("books")));
+    wanted.goal_ms = goal_ms;
+    usable_goal(&wanted, &link)
+}
+
+#[test]
+fn a_far_caller_leaves_less_time_than_a_near_one() {
+    assert_eq!(left(200, link(2.5, true)), Duration::from_millis(180));
+    assert_eq!(left(200, link(6.0, true)), Duration::from_millis(166));
+}
+
+#[test]
+fn a_kept_connection_leaves_more_time_than_a_fresh_one() {
+    assert_eq!(left(200, link(6.0, false)), Duration::from_millis(172));
+}
+
+#[test]
+fn a_caller_whose_way_takes_longer_than_its_goal_leaves_half_of_it() {
+    assert_eq!(left(60, link(24.0, true)), Duration::from_millis(30));
+}
+
+#[test]
+fn where_the_system_does_not_tell_a_usual_way_is_taken() {
+    assert_eq!(left(200, CallerLink::default()), Duration::from_millis(178));
+}
+
+/// When an answer with one of four shards missing goes out, after its request came.
+fn partial_answer_after(link: CallerLink) -> Duration {
+    let shards = ["w", "x", "y", "z"];
+    let searchers = shards.map(|shard| searcher(&format!("{shard}-a"), shard, "a")).to_vec();
+    let mut driver = Driver::with(definition(1, vec![route("q", gather(&shards, 3, 0.5))], &shards), searchers);
+    let mut arrival = driver.arrival("/q/1");
+    arrival.link = link;
+    let (key, came): (RequestKey, _) = (arrival.key, driver.now);
+    driver.event(RoutingEvent::Arrived(arrival));
+    for attempt in driver.sent_for(key).iter().skip(1).map(|order| order.attempt).collect::<Vec<_>>() {
+        driver.end(attempt, answer(200, "stamp", records(&[1])));
+    }
+    driver.pass_ms(1000);
+    driver.finished_at[0].since(came)
+}
+
+#[test]
+fn the_parts_that_are_in_go_out_early_enough_for_their_caller() {
+    assert_eq!(partial_answer_after(link(1.0, true)), Duration::from_millis(236));
+    assert_eq!(partial_answer_after(link(20.0, true)), Duration::from_millis(160));
+}
