--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -64,6 +64,23 @@
     }
 
 
+def play_all(args, days, policy):
+    """Plays each day with each seed; `policy` are lines that stand under [policy] meanwhile."""
+    template = TEMPLATE.read_text()
+    if policy and POLICY not in template:
+        sys.exit(f"{TEMPLATE} has no [policy] table")
+    try:
+        if policy:
+            TEMPLATE.write_text(template.replace(POLICY, POLICY + "".join(f"{line}\n" for line in policy)))
+        subprocess.run([args.bench, "build"], check=True, capture_output=True)
+        with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
+            wanted = [(day, seed) for day in days for seed in args.seeds]
+            return list(pool.map(lambda one: play(args, *one), wanted))
+    finally:
+        if policy:
+            TEMPLATE.write_text(template)
+
+
 def mean(values):
     """The mean; 0 of nothing."""
     values = list(values)
@@ -107,19 +124,7 @@
     args = parser.parse_args()
     days = args.days.split(",") if args.days else troubled(args.site)
     before = json.loads(pathlib.Path(args.against).read_text()) if args.against else None
-    template = TEMPLATE.read_text()
-    if args.set and POLICY not in template:
-        sys.exit(f"{TEMPLATE} has no [policy] table")
-    try:
-        if args.set:
-            TEMPLATE.write_text(template.replace(POLICY, POLICY + "".join(f"{line}\n" for line in args.set)))
-        subprocess.run([args.bench, "build"], check=True, capture_output=True)
-        with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-            wanted = [(day, seed) for day in days for seed in args.seeds]
-            plays = list(pool.map(lambda one: play(args, *one), wanted))
-    finally:
-        if args.set:
-            TEMPLATE.write_text(template)
+    plays = play_all(args, days, args.set)
     print("day           worth  whole window  class  nines prices unserved    502    503    504  broken")
     for day in days:
         row(day, [found for found in plays if found["day"] == day], before)
--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -12,6 +12,7 @@
 
 use crate::directory::Directory;
 use crate::load::is_pressed;
+use crate::settings::NodePolicy;
 use announcement::PeerDatagram;
 use hashbrown::HashMap;
 use mio::net::UdpSocket;
@@ -76,6 +77,7 @@
     /// When the store last answered this node, and a reader of the zone as far as it was heard.
     store_contact: Option<BootTime>,
     sign: Option<BootTime>,
+    policy: NodePolicy,
     /// Counters for metrics.
     pub counters: FleetCounters,
 }
@@ -124,10 +126,16 @@
             serving_peak: Peak::new(ASSUMED_FLEET, now),
             store_contact: None,
             sign: None,
+            policy: NodePolicy::default(),
             counters: FleetCounters::default(),
         }
     }
 
+    /// The same with mechanisms turned off.
+    pub fn with_policy(self, policy: NodePolicy) -> Self {
+        Fleet { policy, ..self }
+    }
+
     /// The socket, to be registered.
     pub fn socket_mut(&mut self) -> &mut UdpSocket {
         &mut self.socket
--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -30,12 +30,14 @@
 
     /// Whether this node is one of the readers of its zone.
     pub fn is_designated_reader(&self) -> bool {
-        self.zone_mates().take(READERS_PER_ZONE).any(|member| member.node == self.node)
+        let mut readers = self.zone_mates().take(READERS_PER_ZONE);
+        !self.policy.store_readers || readers.any(|member| member.node == self.node)
     }
 
     /// Live members of the zone that aren't its readers.
     fn followers(&self) -> impl Iterator<Item = &Member> {
-        self.zone_mates().skip(READERS_PER_ZONE)
+        let readers = if self.policy.store_readers { READERS_PER_ZONE } else { usize::MAX };
+        self.zone_mates().skip(readers)
     }
 
     /// Whether the zone has members that follow its readers.
--- a/crates/staircross-gateway/src/fleet/shape.rs
+++ b/crates/staircross-gateway/src/fleet/shape.rs
@@ -94,7 +94,8 @@
         if candidates.is_empty() {
             candidates = self.candidates(MemberState::Suspect);
         }
-        self.directory = Directory::new(candidates, self.connections);
+        let connections = self.connections.filter(|_| self.policy.serving_part);
+        self.directory = Directory::new(candidates, connections);
         self.directory_at = Some(now);
     }
 
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -176,8 +176,8 @@
             ),
         );
         Ok(GatewayNode {
-            pool: Pool::new(POOL, *dialect.headers(), MAX_ANSWER, proves_until),
-            fleet: Fleet::new(identity, settings.node.seeds.clone(), socket, now),
+            pool: Pool::new(POOL, *dialect.headers(), MAX_ANSWER, proves_until).with_policy(settings.policy.node),
+            fleet: Fleet::new(identity, settings.node.seeds.clone(), socket, now).with_policy(settings.policy.node),
             store: [0, 1, 2].map(|slot| HttpCaller::new(STORE, slot, store)),
             store_calls: [const { None }; 3],
             peer: HttpCaller::new(PEER, 0, peers),
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -38,6 +38,7 @@
         regions: regions.map(|(zone, region)| (Arc::from(zone.as_str()), Arc::from(region.as_str()))).collect(),
         lapse_grace: settings.lapse_grace(),
         max_requests: settings.max_requests(),
+        policy: settings.policy.routing,
         restarted_at: (!settings.node.first_start).then_some(now),
         seed: rand::rng().random(),
     }
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::dialect::HeaderNames;
 use crate::outbound::OutboundRequest;
+use crate::settings::NodePolicy;
 use crate::socket::{IoContext, ReadOutcome, Socket, SocketId, WriteOutcome};
 use hashbrown::HashMap;
 use slab::Slab;
@@ -117,6 +118,7 @@
     /// Searchers that have reset a fresh connection lately.
     resets: HashMap<SearcherKey, BootTime>,
     proves_until: BootTime,
+    policy: NodePolicy,
     /// Counters for metrics.
     pub counters: PoolCounters,
 }
@@ -136,10 +138,16 @@
             proving: BinaryHeap::new(),
             resets: HashMap::new(),
             proves_until,
+            policy: NodePolicy::default(),
             counters: PoolCounters::default(),
         }
     }
 
+    /// The same with mechanisms turned off.
+    pub fn with_policy(self, policy: NodePolicy) -> Self {
+        Pool { policy, ..self }
+    }
+
     /// Open connections.
     pub fn connection_count(&self) -> usize {
         self.connections.len()
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -127,7 +127,9 @@
         for (slot, connection) in &self.connections {
             let age = now.since(connection.since);
             let is_over = match &connection.state {
-                State::Idle if self.is_contested(connection.searcher, now) => age >= CONTESTED_REST,
+                State::Idle if self.policy.contested_rest && self.is_contested(connection.searcher, now) => {
+                    age >= CONTESTED_REST
+                }
                 State::Idle if self.is_surplus(slot, connection.searcher) => {
                     age >= connection.rest.min(most_rest).min(SURPLUS_REST)
                 }
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -74,7 +74,7 @@
     /// was sent by then may have run, so where that is likely, nothing is sent until it would have come.
     fn must_prove(&self, slot: usize, now: BootTime) -> bool {
         let is_young = now < self.proves_until;
-        is_young || self.is_contested(self.connections[slot].searcher, now)
+        self.policy.proving && (is_young || self.is_contested(self.connections[slot].searcher, now))
     }
 
     /// Whether a searcher has reset a fresh connection lately.
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use quick_error::quick_error;
 use serde::Deserialize;
+use staircross_routing::RoutingPolicy;
 use staircross_routing::store_reader::ReaderSettings;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -40,6 +41,41 @@
     /// Room on the machine.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// Mechanisms that can be turned off; read at the start.
+    #[serde(default)]
+    pub policy: PolicySettings,
+}
+
+/// Mechanisms that can be turned off, to measure what they are worth or to rule them out in an incident.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PolicySettings {
+    /// Those that decide about requests.
+    pub routing: RoutingPolicy,
+    /// Those around connections, directory and store.
+    pub node: NodePolicy,
+}
+
+/// Switches of what stands around the decisions about requests. All are on unless settings say otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct NodePolicy {
+    /// Fresh connections to searchers are proved where searchers may reset them.
+    pub proving: bool,
+    /// Connections to searchers that turn some away rest for a short time only.
+    pub contested_rest: bool,
+    /// Callers are sent to a part of a large fleet.
+    pub serving_part: bool,
+    /// A few nodes of each zone read the store, the others follow them.
+    pub store_readers: bool,
+    /// While the store is away only the probe asks.
+    pub probe_first: bool,
+}
+
+impl Default for NodePolicy {
+    fn default() -> Self {
+        NodePolicy { proving: true, contested_rest: true, serving_part: true, store_readers: true, probe_first: true }
+    }
 }
 
 /// Who and where the node is.
@@ -200,6 +236,7 @@
         ReaderSettings {
             configuration_rest: usual.configuration_rest.min(part(self.bounds.config_ms, CONFIG_REST_PART)),
             searcher_rest: usual.searcher_rest.min(part(self.bounds.drain_ms, DRAIN_REST_PART)),
+            lanes_wait_for_probe: self.policy.node.probe_first,
             ..usual
         }
     }
--- a/crates/staircross-gateway/tests/settings.rs
+++ b/crates/staircross-gateway/tests/settings.rs
@@ -1,6 +1,8 @@
 //! Settings: what is refused, and how the error names it.
 
 use staircross_gateway::GatewaySettings;
+use staircross_gateway::settings::{NodePolicy, PolicySettings};
+use staircross_routing::RoutingPolicy;
 
 const GOOD: &str = r#"
 [node]
@@ -61,3 +63,15 @@
         assert!(message.starts_with("node.toml:"), "{message}");
     }
 }
+
+#[test]
+fn a_mechanism_is_on_unless_the_policy_turns_it_off() {
+    let settings = |text: &str| GatewaySettings::from_toml("node.toml", text).expect("the settings are good");
+    assert_eq!(settings(GOOD).policy, PolicySettings::default());
+    let off = settings(&format!("{GOOD}[policy]\nrouting.hedges = false\nnode.proving = false\n"));
+    let routing = RoutingPolicy { hedges: false, ..RoutingPolicy::default() };
+    let node = NodePolicy { proving: false, ..NodePolicy::default() };
+    assert_eq!(off.policy, PolicySettings { routing, node });
+    let message = error(&format!("{GOOD}[policy]\nrouting.hedgehogs = false\n"));
+    assert!(message.contains("hedgehogs"), "{message}");
+}
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -19,6 +19,7 @@
 };
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::mirror::SearcherEntry;
+use crate::policy::RoutingPolicy;
 use crate::request::Request;
 use crate::searcher::Searcher;
 use crate::selection::Place;
@@ -58,6 +59,8 @@
     /// When this process started, if it isn't the first on its machine: searchers may still count the connections
     /// of the one before.
     pub restarted_at: Option<BootTime>,
+    /// Mechanisms that are on.
+    pub policy: RoutingPolicy,
     /// Feeds random choices.
     pub seed: u64,
 }
@@ -147,6 +150,7 @@
             serving: 1,
             ways: HashMap::new(),
             restarted_at: settings.restarted_at,
+            policy: settings.policy,
         };
         RoutingEngine {
             random: ChaCha8Rng::seed_from_u64(settings.seed),
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -8,7 +8,7 @@
 use crate::definition::{RouteDefinition, RouteTarget};
 use crate::goal::usable_goal;
 use crate::keys::RequestKey;
-use crate::request::{Arrival, Request, Shard, Verdict};
+use crate::request::{Arrival, CallerLink, Request, Shard, Verdict};
 use staircross_types::{BootTime, ErrorKind};
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -54,15 +54,17 @@
     pub(super) fn admit(&mut self, now: BootTime, arrival: Arrival, actions: &mut Vec<RoutingAction>) {
         match self.begin(now, &arrival, actions) {
             Ok(request) => self.send_all(now, arrival.key, request, actions),
-            Err(NotBegun::Unprepared(cause, _)) if self.held.len() < MOST_HELD => {
-                self.hold(now, arrival, cause, actions)
-            }
+            Err(NotBegun::Unprepared(cause, _)) if self.may_hold() => self.hold(now, arrival, cause, actions),
             Err(NotBegun::Refused(verdict) | NotBegun::Unprepared(_, verdict)) => {
                 actions.push(RoutingAction::Finish { request: arrival.key, verdict });
             }
         }
     }
 
+    fn may_hold(&self) -> bool {
+        self.settings.policy.holds && self.held.len() < MOST_HELD
+    }
+
     fn hold(&mut self, now: BootTime, arrival: Arrival, cause: HoldCause, actions: &mut Vec<RoutingAction>) {
         let key = arrival.key;
         let held = HeldRequest::new(now, arrival);
@@ -141,7 +143,7 @@
             route_index,
             shards: services.into_iter().map(Shard::new).collect(),
             attempts: Vec::new(),
-            answer_by: (now + usable_goal(route, &arrival.link).saturating_sub(arrival.waited)).min(deadline),
+            answer_by: (now + self.goal_of(route, arrival).saturating_sub(arrival.waited)).min(deadline),
             deadline,
             group,
             may_have_run: false,
@@ -165,6 +167,11 @@
         Err(NotBegun::Refused(refused(ErrorKind::NoRoute, "no route has this host and path")))
     }
 
+    fn goal_of(&self, route: &RouteDefinition, arrival: &Arrival) -> Duration {
+        let link = if self.settings.policy.caller_distance { arrival.link } else { CallerLink::default() };
+        usable_goal(route, &link)
+    }
+
     fn services_of(&mut self, route: &RouteDefinition) -> Vec<Arc<str>> {
         match &route.target {
             RouteTarget::Service(service) => vec![service.clone()],
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -24,7 +24,7 @@
         self.note_wait(now, &sent, &outcome, actions);
         self.note_searcher(now, &sent, &outcome);
         if let Some(shard) = self.close_attempt(attempt) {
-            if let AttemptOutcome::NotRun(NotRun::Unconnected | NotRun::TurnedAway | NotRun::Stale) = outcome {
+            if self.may_be_asked_again(&outcome) {
                 self.allow_again(attempt.request, shard, sent.searcher);
             }
             self.apply(now, attempt.request, shard, outcome, actions);
@@ -134,6 +134,18 @@
         }
     }
 
+    /// Whether nothing was sent to whoever was asked, so that it may be asked for the same shard once more.
+    fn may_be_asked_again(&self, outcome: &AttemptOutcome) -> bool {
+        match outcome {
+            AttemptOutcome::NotRun(NotRun::Stale) => true,
+            AttemptOutcome::NotRun(NotRun::Unconnected | NotRun::TurnedAway) => self.settings.policy.waiting,
+            AttemptOutcome::NotRun(NotRun::Shed | NotRun::OtherInstance)
+            | AttemptOutcome::Answered(_)
+            | AttemptOutcome::Unknown(_)
+            | AttemptOutcome::Withdrawn => false,
+        }
+    }
+
     /// Lets a searcher that nothing was sent to be asked again for the same shard. Finding an ended connection
     /// uses it up, and whoever can't be reached or turns connections away is avoided for a while, so this is paced.
     fn allow_again(&mut self, key: RequestKey, shard: usize, searcher: SearcherKey) {
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -50,7 +50,8 @@
 
     /// Whether a request is refused because too much waits: then, the part of its route's requests that is taken now.
     pub(super) fn refusing_part(&mut self, group: &Arc<str>, route: &RouteDefinition) -> Option<f64> {
-        let group = self.groups.get(group).filter(|group| group.admission.is_limiting())?;
+        let is_on = self.settings.policy.admission;
+        let group = self.groups.get(group).filter(|group| is_on && group.admission.is_limiting())?;
         let part = group.admission.part_taken(route.priority.saturating_sub(group.rank));
         if self.random.random_bool(part) {
             return None;
@@ -61,7 +62,7 @@
 
     /// Whether so much waits at a service that asking another of its searchers helps nobody.
     pub(super) fn is_pressed(&self, now: BootTime, key: RequestKey, service: &Arc<str>) -> bool {
-        let Some(request) = self.requests.get(&key) else {
+        let Some(request) = self.requests.get(&key).filter(|_| self.settings.policy.hedge_pressure) else {
             return false;
         };
         let wait = self.waits.get(service).map_or(Duration::ZERO, |wait| wait.get(now));
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -33,12 +33,12 @@
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
-        let is_idempotent = request.route().is_idempotent;
+        let may_hedge = request.route().is_idempotent && self.settings.policy.hedges;
         let most = request.route().max_attempts;
         let mut late = Vec::new();
         for attempt in request.attempts.iter_mut().filter(|attempt| attempt.is_open && attempt.hedge_at <= now) {
             let shard = &request.shards[attempt.shard as usize];
-            if is_idempotent && shard.sends < most && shard.outstanding == 1 {
+            if may_hedge && shard.sends < most && shard.outstanding == 1 {
                 attempt.hedge_at = now + HEDGE_PAUSE;
                 late.push(attempt.shard as usize);
             } else {
--- a/crates/staircross-routing/src/engine/waiting.rs
+++ b/crates/staircross-routing/src/engine/waiting.rs
@@ -16,7 +16,8 @@
     /// When a searcher of a service besides `tried` may be asked, room aside; `None` when there is nobody.
     pub(super) fn next_chance(&self, now: BootTime, service: &Arc<str>, tried: &[SearcherKey]) -> Option<BootTime> {
         let others = self.askable(now, service).filter(|peer| !tried.contains(peer));
-        others.map(|peer| self.searchers[peer.0 as usize].avoided_until().max(now)).min()
+        let chance = others.map(|peer| self.searchers[peer.0 as usize].avoided_until().max(now)).min();
+        chance.filter(|at| self.settings.policy.waiting || *at <= now)
     }
 
     /// Nobody can be asked now: has the shard wait, or gives it up. A shard that somebody is at work on does neither.
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`keys`] | what attempts, requests and searchers are called by |
 //! | [`request`] | state of one request in flight |
 //! | [`merge`] | the best records of several parts |
+//! | [`policy`] | switches that turn single mechanisms off |
 //! | [`engine_message`] | what the engine is told, and what it wants done |
 //! | [`recording`] | recorded decisions, and making them again |
 //! | [`engine`] | one request from arrival to its final answer |
@@ -29,6 +30,7 @@
 pub mod keys;
 pub mod merge;
 pub mod mirror;
+pub mod policy;
 pub mod recording;
 pub mod request;
 pub mod searcher;
@@ -42,5 +44,6 @@
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
 pub use keys::{AttemptKey, RequestKey, SearcherKey};
 pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry};
+pub use policy::RoutingPolicy;
 pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
 pub use table::RouteTable;
--- /dev/null
+++ b/crates/staircross-routing/src/policy.rs
@@ -0,0 +1,48 @@
+//! An operator's switches: each turns one mechanism off, to measure what it is worth or to rule it out in an incident.
+//!
+//! All are on unless settings say otherwise. What keeps a promise to callers or back ends has no switch.
+
+use serde::{Deserialize, Serialize};
+
+/// Which mechanisms decide about requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingPolicy {
+    /// A second searcher is asked besides one that is late.
+    pub hedges: bool,
+    /// No hedges to a service where too much waits.
+    pub hedge_pressure: bool,
+    /// Searchers that were slow lately are asked less.
+    pub avoid_slow: bool,
+    /// Searchers with an overdue attempt are asked less.
+    pub avoid_overdue: bool,
+    /// Near searchers are preferred by more than the time of the way.
+    pub near_first: bool,
+    /// Part of the requests is refused while too much waits at the back ends.
+    pub admission: bool,
+    /// Shards wait for searchers that turn connections away or can't be reached at the moment.
+    pub waiting: bool,
+    /// A restarted process takes its share of connections in steps.
+    pub connection_ramp: bool,
+    /// Requests are held until configuration and searchers are known.
+    pub holds: bool,
+    /// The time to answer follows from how far the caller is.
+    pub caller_distance: bool,
+}
+
+impl Default for RoutingPolicy {
+    fn default() -> Self {
+        RoutingPolicy {
+            hedges: true,
+            hedge_pressure: true,
+            avoid_slow: true,
+            avoid_overdue: true,
+            near_first: true,
+            admission: true,
+            waiting: true,
+            connection_ramp: true,
+            holds: true,
+            caller_distance: true,
+        }
+    }
+}
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -8,6 +8,7 @@
 use crate::engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings, SendReason};
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::mirror::SearcherEntry;
+use crate::policy::RoutingPolicy;
 use crate::request::{Arrival, AttemptOutcome, NotRun, SearcherAnswer, Unknown, Verdict};
 use crate::table::RouteTable;
 use crate::window::ExtraBound;
@@ -38,6 +39,7 @@
     lapse_grace: Duration,
     max_requests: usize,
     restarted_at: Option<BootTime>,
+    policy: RoutingPolicy,
     seed: u64,
 }
 
@@ -135,6 +137,7 @@
             lapse_grace: settings.lapse_grace,
             max_requests: settings.max_requests,
             restarted_at: settings.restarted_at,
+            policy: settings.policy,
             seed: settings.seed,
         }
     }
@@ -147,6 +150,7 @@
             lapse_grace: self.lapse_grace,
             max_requests: self.max_requests,
             restarted_at: self.restarted_at,
+            policy: self.policy,
             seed: self.seed,
         }
     }
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -6,6 +6,7 @@
 //! time, because bytes between zones cost.
 
 use crate::keys::SearcherKey;
+use crate::policy::RoutingPolicy;
 use crate::searcher::Searcher;
 use hashbrown::HashMap;
 use rand::Rng;
@@ -49,6 +50,8 @@
     pub ways: HashMap<Arc<str>, Duration>,
     /// When this process started, if it isn't the first on its machine.
     pub restarted_at: Option<BootTime>,
+    /// Mechanisms that are on.
+    pub policy: RoutingPolicy,
 }
 
 /// How far a zone is.
@@ -111,7 +114,7 @@
     /// What a restarted node uses of its share of a searcher's connections, while those of the processes before may
     /// still be counted there: one step at first, and one more after each step's time.
     fn after_restart(&self, now: BootTime, share: usize) -> usize {
-        let Some(restarted_at) = self.restarted_at else {
+        let Some(restarted_at) = self.restarted_at.filter(|_| self.policy.connection_ramp) else {
             return share;
         };
         let steps = 1 + (now.since(restarted_at).as_micros() / RAMP_STEP.as_micros()) as usize;
@@ -131,16 +134,17 @@
 pub fn expected_time(now: BootTime, searcher: &Searcher, place: &Place, usual_work: Duration) -> Duration {
     let zone = &searcher.entry.zone;
     let bias = match place.distance(zone) {
-        Distance::OwnZone => Duration::ZERO,
-        Distance::OwnRegion => ZONE_BIAS,
-        Distance::Far => REGION_BIAS,
+        Distance::OwnRegion if place.policy.near_first => ZONE_BIAS,
+        Distance::Far if place.policy.near_first => REGION_BIAS,
+        Distance::OwnZone | Distance::OwnRegion | Distance::Far => Duration::ZERO,
     };
-    let work = usual_work.mul_f64(searcher.slowness(now));
+    let slowness = if place.policy.avoid_slow { searcher.slowness(now) } else { 1.0 };
+    let work = usual_work.mul_f64(slowness);
     let slots = f64::from(searcher.entry.slots.max(1));
     let at_work = searcher.open.len() as f64 * place.sharers(searcher);
     let queue = work.mul_f64(((at_work + 1.0 - slots) / slots).max(0.0));
     // Whoever is overdue will probably be so for as long again.
-    let pause = searcher.overdue(now) * 2;
+    let pause = if place.policy.avoid_overdue { searcher.overdue(now) * 2 } else { Duration::ZERO };
     let lapse = if searcher.is_serving() { Duration::ZERO } else { LAPSE_BIAS };
     place.way(zone) + bias + work + queue + pause + lapse
 }
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -108,7 +108,8 @@
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         for lane in &mut self.lanes {
             let is_due = matches!(lane.state, LaneState::Resting { until } if until <= now);
-            if is_due && self.was_away && lane.failures > 0 {
+            let waits = self.settings.lanes_wait_for_probe && self.was_away;
+            if is_due && waits && lane.failures > 0 {
                 lane.state = LaneState::AwaitingSign;
             } else if is_due {
                 lane.state = LaneState::Calling;
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -135,6 +135,8 @@
     pub probe_patience: Duration,
     /// First and longest wait after a failure.
     pub back_off: (Duration, Duration),
+    /// Whether a lane that failed asks nothing while the probe fails too.
+    pub lanes_wait_for_probe: bool,
 }
 
 impl Default for ReaderSettings {
@@ -149,6 +151,7 @@
             probe_for_others: Duration::from_millis(500),
             probe_patience: Duration::from_millis(800),
             back_off: (Duration::from_millis(150), Duration::from_millis(1000)),
+            lanes_wait_for_probe: true,
         }
     }
 }
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{
     Arrival, AttemptKey, AttemptOutcome, CallerLimits, CallerLink, RequestKey, RouteDefinition, RouteTable,
-    RouteTarget, RoutingAction, RoutingDefinition, RoutingEngine, RoutingEvent, RoutingSettings, SearcherAnswer,
-    SearcherEntry, ServiceEntry, Verdict,
+    RouteTarget, RoutingAction, RoutingDefinition, RoutingEngine, RoutingEvent, RoutingPolicy, RoutingSettings,
+    SearcherAnswer, SearcherEntry, ServiceEntry, Verdict,
 };
 use staircross_types::BootTime;
 use std::sync::Arc;
@@ -54,6 +54,7 @@
         lapse_grace: Duration::from_millis(LAPSE_MS),
         max_requests: 1000,
         restarted_at: None,
+        policy: RoutingPolicy::default(),
         seed: 7,
     }
 }
