Give a caller's request and what is told of it files of their own

Change: the request while it is worked on stands in caller_request.rs, decisions and ends for the log in request_log.rs.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -3,10 +3,12 @@
 //! One thread, one poll. In each turn, what the store and peers say is taken in before answers of
 //! searchers, and these before new requests: a process that wakes late learns first what has changed.
 
+mod caller_request;
 mod endpoints;
 mod knowledge;
 mod recording;
 mod reload;
+mod request_log;
 mod requests;
 mod setup;
 mod stop;
@@ -23,6 +25,7 @@
 use crate::settings::{GatewaySettings, SettingsError, SettingsFile};
 use crate::socket::{IoContext, READ_CHUNK, SocketId};
 use crate::store_role::RoleKeeper;
+use caller_request::CallerRequest;
 use hashbrown::HashMap;
 use mio::event::Event;
 use mio::net::UdpSocket;
@@ -31,7 +34,6 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use requests::CallerRequest;
 use setup::{listeners, routing_settings};
 use staircross_http::ServerLimits;
 use staircross_routing::engine::{RoutingEngine, RoutingEvent};
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -1,6 +1,8 @@
 //! Callers' requests: from their connection through the engine to searchers and back.
 
 use super::GatewayNode;
+use super::caller_request::{CallerRequest, Target, Trace};
+use super::request_log::notable_end;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::outbound::{AnswerContext, OutboundRequest};
@@ -10,55 +12,14 @@
 use staircross_http::{Request, ServerFault};
 use staircross_routing::admission::AdmissionChange;
 use staircross_routing::engine::{RoutingAction, RoutingEvent, SendOrder, SendReason};
-use staircross_routing::{Arrival, AttemptOutcome, CallerLink, RequestKey, Verdict};
-use staircross_types::{BootTime, ErrorKind};
+use staircross_routing::{Arrival, CallerLink, RequestKey, Verdict};
+use staircross_types::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A request whose caller waits.
-pub(super) struct CallerRequest {
-    connection: SocketId,
-    outbound: OutboundRequest,
-    route: Option<Arc<str>>,
-    /// What was asked for, where no route was known when the request came.
-    unrouted: Option<Target>,
-    version: u64,
-    arrived: BootTime,
-    keeps_alive: bool,
-    /// Attempts besides the first of each shard.
-    extras: u32,
-    trace: Trace,
-}
-
-/// What a route is found by.
-struct Target {
-    host: String,
-    path: String,
-}
-
-/// Decisions within a request, kept until it ends.
-#[derive(Default)]
-struct Trace {
-    lines: Vec<(BootTime, String)>,
-}
-
-/// Decisions kept for one request.
-const MAX_TRACE: usize = 96;
 /// Rest of connections to searchers at a node that serves no callers: others need them.
 const RESERVE_REST: Duration = Duration::from_secs(2);
 
-impl Trace {
-    fn add(&mut self, now: BootTime, text: String) {
-        if self.lines.len() < MAX_TRACE {
-            self.lines.push((now, text));
-        }
-    }
-
-    fn lines(&self) -> impl Iterator<Item = (BootTime, &str)> {
-        self.lines.iter().map(|(time, text)| (*time, text.as_str()))
-    }
-}
-
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_server_socket(&mut self, id: SocketId, is_writable: bool) {
         let mut events = Vec::new();
@@ -253,16 +214,6 @@
         }
     }
 
-    /// One line for a decision within a request: what, for which request, how long after its arrival.
-    fn note_decision(&mut self, request: RequestKey, text: std::fmt::Arguments<'_>) {
-        let Some(pending) = self.callers.get_mut(&request) else {
-            return;
-        };
-        let after = self.now.since(pending.arrived).as_millis();
-        let line = format!("{text} request={} after_ms={after}", pending.id());
-        pending.trace.add(self.now, line);
-    }
-
     fn send(&mut self, order: SendOrder) {
         let Some(pending) = self.callers.get_mut(&order.attempt.request) else {
             return;
@@ -345,68 +296,4 @@
         self.note_finished(&pending, &verdict);
         self.respond(pending.connection, answer, closes);
     }
-
-    fn tell_trace(&mut self, pending: &CallerRequest, kind: LineKind) {
-        if !pending.trace.lines.is_empty() {
-            self.log.trace(self.now, kind, pending.trace.lines());
-        }
-    }
-
-    fn note_finished(&mut self, pending: &CallerRequest, verdict: &Verdict) {
-        let is_whole = match verdict {
-            Verdict::Merged(merged) => merged.missing == 0,
-            Verdict::Passed(answer) => answer.status < 500,
-            Verdict::Refused { .. } => false,
-        };
-        self.tell_trace(pending, if is_whole { LineKind::AnsweredTrace } else { LineKind::Trace });
-        let took = self.now.since(pending.arrived);
-        let (outcome, parts, missing) = match verdict {
-            Verdict::Merged(merged) => ("merged", merged.stamps.len(), merged.missing),
-            Verdict::Passed(_) => ("passed", 1, 0),
-            Verdict::Refused { kind, .. } => (kind.name(), 0, 0),
-        };
-        match verdict {
-            Verdict::Refused { kind, .. } => self.metrics.refused(*kind),
-            Verdict::Merged(_) | Verdict::Passed(_) => self.metrics.answered(pending.route.as_ref(), took),
-        }
-        let status = match verdict {
-            Verdict::Merged(_) => 200,
-            Verdict::Passed(answer) => answer.status,
-            Verdict::Refused { kind, .. } => kind.http_status(),
-        };
-        self.log.line(
-            self.now,
-            LineKind::Request,
-            format_args!(
-                "event=finish request={} route={} version={} outcome={outcome} status={status} parts={parts} \
-                 missing={missing} extras={} ms={:.1}",
-                pending.id(),
-                pending.route_name(),
-                pending.version,
-                pending.extras,
-                took.as_secs_f64() * 1000.0
-            ),
-        );
-    }
-}
-
-impl CallerRequest {
-    fn id(&self) -> &str {
-        self.outbound.id.as_deref().and_then(|id| std::str::from_utf8(id).ok()).unwrap_or("-")
-    }
-
-    fn route_name(&self) -> &str {
-        self.route.as_deref().unwrap_or("-")
-    }
-}
-
-/// What is told of an attempt's end; an answer that counts is told by the request's own end.
-fn notable_end(outcome: &AttemptOutcome) -> Option<String> {
-    match outcome {
-        AttemptOutcome::Answered(answer) if answer.status < 300 => None,
-        AttemptOutcome::Answered(answer) => Some(format!("outcome=failed status={}", answer.status)),
-        AttemptOutcome::NotRun(reason) => Some(format!("outcome={}", reason.name())),
-        AttemptOutcome::Unknown(reason) => Some(format!("outcome={}", reason.name())),
-        AttemptOutcome::Withdrawn => Some("outcome=withdrawn".to_owned()),
-    }
 }
