Count bytes by purpose and distance, and calls to the store by kind

Change: searcher connections, datagrams, pulls and store calls count their bytes by purpose and by zone, region or other region; metrics and a summary line every ten seconds. Counted at the side that opens the connection, payload only.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -13,6 +13,7 @@
 use crate::directory::Directory;
 use crate::load::is_pressed;
 use crate::settings::NodePolicy;
+use crate::traffic::{Purpose, Reach, Traffic};
 use announcement::PeerDatagram;
 use hashbrown::HashMap;
 use mio::net::UdpSocket;
@@ -22,6 +23,7 @@
 use shape::Peak;
 use staircross_cluster::membership::{Membership, MembershipAction, MembershipMessage, MembershipSettings, Tellings};
 use staircross_cluster::{Member, MemberState};
+use staircross_routing::selection::Distance;
 use staircross_types::{BootTime, NodeId, ZoneName};
 use staircross_wire::frame::{decode, encode};
 use std::io::ErrorKind;
@@ -80,6 +82,8 @@
     policy: NodePolicy,
     /// Counters for metrics.
     pub counters: FleetCounters,
+    /// Bytes of datagrams sent.
+    pub traffic: Traffic,
 }
 
 /// Who this node is and where it is reached.
@@ -128,6 +132,7 @@
             sign: None,
             policy: NodePolicy::default(),
             counters: FleetCounters::default(),
+            traffic: Traffic::default(),
         }
     }
 
@@ -249,10 +254,30 @@
         };
         self.counters.datagrams += 1;
         self.counters.bytes += bytes.len() as u64;
+        let reach = to.map_or(Reach::Unknown, |node| self.reach_of(node));
+        self.traffic.count(Purpose::Membership, reach, bytes.len());
         // Datagrams may be lost anywhere; the protocol repeats what matters.
         let _may_be_lost = self.socket.send_to(&bytes, address);
     }
 
+    fn reach_of(&self, node: NodeId) -> Reach {
+        let own = self.membership.own();
+        let Some(member) = self.membership.get(node) else {
+            return Reach::Unknown;
+        };
+        Reach::Known(match (member.zone == own.zone, member.region == own.region) {
+            (true, _) => Distance::OwnZone,
+            (false, true) => Distance::OwnRegion,
+            (false, false) => Distance::Far,
+        })
+    }
+
+    /// How far the live member with an address for peers is.
+    pub fn reach_of_address(&self, address: SocketAddr) -> Reach {
+        let node = self.live().find(|member| member.peer_address == address).map(|member| member.node);
+        node.map_or(Reach::Unknown, |node| self.reach_of(node))
+    }
+
     /// Members that aren't gone, this node included.
     fn live(&self) -> impl Iterator<Item = &Member> {
         self.membership.members().values().filter(|member| !member.is_gone())
--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -52,12 +52,14 @@
     address: SocketAddr,
     link: Option<Link>,
     pending: Option<Pending>,
+    /// Bytes sent and received that nobody has taken note of yet.
+    bytes: usize,
 }
 
 impl HttpCaller {
     /// A caller of `address`; its tokens carry `id_kind` and `slot`.
     pub fn new(id_kind: u8, slot: u32, address: SocketAddr) -> Self {
-        HttpCaller { id_kind, slot, generation: 0, address, link: None, pending: None }
+        HttpCaller { id_kind, slot, generation: 0, address, link: None, pending: None, bytes: 0 }
     }
 
     /// The server's address.
@@ -74,6 +76,11 @@
         }
     }
 
+    /// Bytes sent and received since this was asked last.
+    pub fn take_bytes(&mut self) -> usize {
+        std::mem::take(&mut self.bytes)
+    }
+
     /// Whether a call is out.
     pub fn is_calling(&self) -> bool {
         self.pending.is_some()
@@ -117,6 +124,7 @@
         pending.is_sent = true;
         link.http.expect(Expected { method: "GET".to_owned(), id: None });
         let bytes = std::mem::take(&mut pending.request);
+        self.bytes += bytes.len();
         if link.socket.write(bytes, io.registry) == WriteOutcome::Broken {
             return Some(self.fail());
         }
@@ -163,6 +171,7 @@
             let (progress, is_full) = match link.socket.read(io.buffer) {
                 ReadOutcome::Bytes { count, is_full } => {
                     link.http.receive(&io.buffer[..count]);
+                    self.bytes += count;
                     (link.http.advance(), is_full)
                 }
                 ReadOutcome::Nothing => return None,
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`load`] | how busy this process is, and how late it comes to its work |
 //! | [`node`] | the event loop that carries events and actions between all of these |
 //! | [`recorder`] | records decisions, if asked to |
+//! | [`traffic`] | bytes sent and received, by purpose and distance |
 //! | [`event_log`], [`metrics`] | structured lines, counters |
 
 pub mod dialect;
@@ -34,6 +35,7 @@
 pub mod settings;
 pub mod socket;
 pub mod store_role;
+pub mod traffic;
 
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, RenderedBody};
 pub use node::{GatewayError, GatewayNode};
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters and latency histograms, as Prometheus text.
 
+use crate::traffic::Traffic;
 use hashbrown::HashMap;
 use staircross_routing::engine::RoutingCounters;
+use staircross_routing::store_reader::StoreCall;
 use staircross_types::ErrorKind;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -59,6 +61,48 @@
     pub datagram_bytes: u64,
 }
 
+/// Calls made to the store, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreCallCounters {
+    /// Of the configuration.
+    pub reads: u64,
+    /// Of pages of searchers' entries.
+    pub lists: u64,
+    /// Watches begun.
+    pub watches: u64,
+    /// Liveness probes.
+    pub probes: u64,
+}
+
+impl StoreCallCounters {
+    /// Counts a call.
+    pub fn count(&mut self, call: &StoreCall) {
+        match call {
+            StoreCall::ReadConfiguration => self.reads += 1,
+            StoreCall::ListSearchers { .. } => self.lists += 1,
+            StoreCall::Watch { .. } => self.watches += 1,
+            StoreCall::Probe => self.probes += 1,
+        }
+    }
+
+    fn render(&self, text: &mut String) {
+        text.push_str("# TYPE staircross_store_calls_total counter\n");
+        let all = [("read", self.reads), ("list", self.lists), ("watch", self.watches), ("probe", self.probes)];
+        for (call, count) in all {
+            // Writing to a string can't fail.
+            let _infallible = writeln!(text, "staircross_store_calls_total{{call=\"{call}\"}} {count}");
+        }
+    }
+}
+
+fn render_traffic(traffic: Traffic, text: &mut String) {
+    text.push_str("# TYPE staircross_bytes_total counter\n");
+    for (purpose, reach, bytes) in traffic.counted() {
+        let (purpose, reach) = (purpose.name(), reach.name());
+        let _infallible = writeln!(text, "staircross_bytes_total{{purpose=\"{purpose}\",reach=\"{reach}\"}} {bytes}");
+    }
+}
+
 /// All counters of a node.
 #[derive(Debug, Default)]
 pub struct Metrics {
@@ -67,7 +111,7 @@
     answers: u64,
     callers_gone: u64,
     /// Calls to the store.
-    pub store_calls: u64,
+    pub store_calls: StoreCallCounters,
     /// Questions to the directory.
     pub directory_questions: u64,
 }
@@ -103,7 +147,7 @@
     }
 
     /// All metrics as text.
-    pub fn render(&self, counters: RoutingCounters, gauges: Gauges) -> String {
+    pub fn render(&self, counters: RoutingCounters, gauges: Gauges, traffic: Traffic) -> String {
         let mut text = String::with_capacity(4096);
         let mut line = |name: &str, kind: &str, value: u64| {
             // Writing to a string can't fail.
@@ -122,7 +166,6 @@
         line("searcher_answers_skipped_total", "counter", gauges.skipped);
         line("searcher_connections_broken_total", "counter", gauges.broken);
         line("searcher_connections_turned_away_total", "counter", gauges.turned_away);
-        line("store_calls_total", "counter", self.store_calls);
         line("peer_datagrams_total", "counter", gauges.datagrams);
         line("peer_datagram_bytes_total", "counter", gauges.datagram_bytes);
         line("directory_questions_total", "counter", self.directory_questions);
@@ -137,6 +180,8 @@
         line("members", "gauge", gauges.members as u64);
         line("searchers", "gauge", gauges.searchers as u64);
         line("ready", "gauge", u64::from(gauges.ready));
+        self.store_calls.render(&mut text);
+        render_traffic(traffic, &mut text);
         self.render_refusals(&mut text);
         self.render_histograms(&mut text);
         text
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -12,6 +12,7 @@
 mod requests;
 mod setup;
 mod stop;
+mod summary;
 
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LineKind};
@@ -25,6 +26,7 @@
 use crate::settings::{GatewaySettings, SettingsError, SettingsFile};
 use crate::socket::{IoContext, READ_CHUNK, SocketId};
 use crate::store_role::RoleKeeper;
+use crate::traffic::Traffic;
 use caller_request::CallerRequest;
 use hashbrown::HashMap;
 use mio::event::Event;
@@ -46,6 +48,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use stop::StopState;
+use summary::SUMMARY_EVERY;
 
 /// Kinds of tokens.
 const LISTENERS: u8 = 1;
@@ -132,6 +135,9 @@
     recorder: Option<Recorder>,
     log: EventLog,
     metrics: Metrics,
+    /// Bytes to and from store and peers.
+    traffic: Traffic,
+    next_summary: BootTime,
     random: ChaCha8Rng,
 }
 
@@ -198,6 +204,8 @@
             is_serving: false,
             stop: None,
             metrics: Metrics::default(),
+            traffic: Traffic::default(),
+            next_summary: now + SUMMARY_EVERY,
             random: ChaCha8Rng::seed_from_u64(rand::rng().random()),
             buffer: Box::new([0; READ_CHUNK]),
             log,
@@ -292,6 +300,7 @@
         self.update_readiness();
         self.on_stop_tick();
         self.look_at_settings();
+        self.tell_summary();
         self.log.on_tick(self.now);
     }
 
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -84,7 +84,7 @@
             datagrams: self.fleet.counters.datagrams,
             datagram_bytes: self.fleet.counters.bytes,
         };
-        self.metrics.render(self.engine.counters, gauges)
+        self.metrics.render(self.engine.counters, gauges, self.all_traffic())
     }
 
     /// Ready when there is something to serve by.
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -7,6 +7,7 @@
 use crate::http_call::CallOutcome;
 use crate::socket::SocketId;
 use crate::store_role::StoreRole;
+use crate::traffic::{Purpose, Reach};
 use staircross_routing::engine::RoutingEvent;
 use staircross_routing::store_reader::{Lane, ReaderAction, StoreReply};
 use staircross_routing::{MirrorUpdate, RouteTable};
@@ -44,8 +45,8 @@
                 ReaderAction::Call { lane, call, patience } => {
                     let index = lane as usize;
                     let target = self.dialect.store_target(&call);
+                    self.metrics.store_calls.count(&call);
                     self.store_calls[index] = Some(call);
-                    self.metrics.store_calls += 1;
                     let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
                     if let Some(outcome) = self.store[index].get(&target, patience, &mut io) {
                         self.on_store_outcome(lane, outcome);
@@ -76,6 +77,7 @@
 
     fn on_store_outcome(&mut self, lane: Lane, outcome: CallOutcome) {
         let call = self.store_calls[lane as usize].take();
+        self.traffic.count(Purpose::Store, Reach::Unknown, self.store[lane as usize].take_bytes());
         let reply = match (outcome, &call) {
             (CallOutcome::Answered(answer), Some(call)) => {
                 Some(self.dialect.store_reply(call, answer.head.status, &answer.body))
@@ -241,6 +243,7 @@
 
     fn on_peer_outcome(&mut self, outcome: CallOutcome) {
         let peer = self.peer.address();
+        self.traffic.count(Purpose::Pulls, self.fleet.reach_of_address(peer), self.peer.take_bytes());
         let update = match &outcome {
             CallOutcome::Answered(answer) if answer.head.status == 200 => decode::<MirrorUpdate>(&answer.body).ok(),
             CallOutcome::Answered(_) | CallOutcome::Failed => None,
--- /dev/null
+++ b/crates/staircross-gateway/src/node/summary.rs
@@ -0,0 +1,41 @@
+//! What the node has sent, received and asked since its start, told now and then.
+
+use super::GatewayNode;
+use crate::dialect::Dialect;
+use crate::event_log::LineKind;
+use crate::traffic::Traffic;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Time between two summaries.
+pub(super) const SUMMARY_EVERY: Duration = Duration::from_secs(10);
+
+impl<D: Dialect> GatewayNode<D> {
+    /// Bytes sent and received since the start.
+    pub(super) fn all_traffic(&self) -> Traffic {
+        let mut traffic = self.traffic;
+        traffic += self.pool.traffic;
+        traffic += self.fleet.traffic;
+        traffic
+    }
+
+    /// Writes the summary lines when they are due.
+    pub(super) fn tell_summary(&mut self) {
+        if self.now < self.next_summary {
+            return;
+        }
+        self.next_summary = self.now + SUMMARY_EVERY;
+        let mut text = String::from("event=traffic");
+        for (purpose, reach, bytes) in self.all_traffic().counted() {
+            // Writing to a string can't fail.
+            let _infallible = write!(text, " {}_{}={bytes}", purpose.name(), reach.name());
+        }
+        self.log.line(self.now, LineKind::Belief, format_args!("{text}"));
+        let calls = self.metrics.store_calls;
+        let line = format_args!(
+            "event=store_calls reads={} lists={} watches={} probes={}",
+            calls.reads, calls.lists, calls.watches, calls.probes
+        );
+        self.log.line(self.now, LineKind::Belief, line);
+    }
+}
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -10,6 +10,7 @@
 use crate::outbound::OutboundRequest;
 use crate::settings::NodePolicy;
 use crate::socket::{IoContext, ReadOutcome, Socket, SocketId, WriteOutcome};
+use crate::traffic::{Purpose, Reach, Traffic};
 use hashbrown::HashMap;
 use slab::Slab;
 use staircross_http::client::{Expected, ExpectedId};
@@ -88,6 +89,9 @@
     state: State,
     /// Whether nothing has been answered on it yet.
     is_fresh: bool,
+    /// What it was used for last, and how far it goes.
+    purpose: Purpose,
+    reach: Reach,
 }
 
 /// Counters of the pool, for metrics.
@@ -121,6 +125,8 @@
     policy: NodePolicy,
     /// Counters for metrics.
     pub counters: PoolCounters,
+    /// Bytes to and from searchers.
+    pub traffic: Traffic,
 }
 
 impl Pool {
@@ -140,6 +146,7 @@
             proves_until,
             policy: NodePolicy::default(),
             counters: PoolCounters::default(),
+            traffic: Traffic::default(),
         }
     }
 
@@ -187,6 +194,8 @@
         let connection = &mut self.connections[slot];
         let remaining = io.now.until(assignment.order.deadline);
         let bytes = assignment.request.attempt(&self.names, &assignment.order.instance, remaining);
+        connection.purpose = Purpose::of_attempt(assignment.order.reason);
+        self.traffic.count(connection.purpose, connection.reach, bytes.len());
         let id = assignment.request.id.as_ref();
         connection.http.expect(Expected {
             method: assignment.request.method.to_string(),
@@ -258,6 +267,7 @@
             match connection.socket.read(io.buffer) {
                 ReadOutcome::Bytes { count, is_full } => {
                     connection.http.receive(&io.buffer[..count]);
+                    self.traffic.count(connection.purpose, connection.reach, count);
                     self.advance(slot, generation, io.now, events);
                     if !is_full {
                         return;
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -2,6 +2,7 @@
 
 use super::{Assignment, Connection, Pool, PoolEvent, State, USUAL_REST};
 use crate::socket::{ConnectingState, IoContext, Socket, SocketId, WriteOutcome};
+use crate::traffic::{Purpose, Reach};
 use staircross_http::{ClientConnection, ClientFault};
 use staircross_routing::{AttemptOutcome, NotRun, SearcherKey};
 use staircross_types::BootTime;
@@ -33,8 +34,10 @@
                     generation,
                     since: io.now,
                     rest: USUAL_REST,
-                    state: State::Connecting { assignment: Some(assignment) },
                     is_fresh: true,
+                    purpose: Purpose::of_attempt(assignment.order.reason),
+                    reach: Reach::Known(assignment.order.distance),
+                    state: State::Connecting { assignment: Some(assignment) },
                 });
                 self.by_attempt.insert(attempt, slot);
             }
--- a/crates/staircross-gateway/tests/pool.rs
+++ b/crates/staircross-gateway/tests/pool.rs
@@ -9,6 +9,7 @@
 use staircross_http::{Request, RequestHead, ServerLimits};
 use staircross_routing::engine::{SendOrder, SendReason};
 use staircross_routing::request::Unknown;
+use staircross_routing::selection::Distance;
 use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey, SearcherKey};
 use staircross_types::BootTime;
 use std::io::{Read, Write};
@@ -105,6 +106,7 @@
         searcher: SearcherKey(0),
         instance: "i-1".into(),
         address,
+        distance: Distance::OwnZone,
         deadline: START + Duration::from_secs(5),
         is_idempotent: false,
         connect_patience: Duration::from_secs(1),
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -121,6 +121,7 @@
             searcher: searcher_key,
             instance: searcher.entry.instance.clone(),
             address: searcher.entry.address,
+            distance: self.place.distance(&searcher.entry.zone),
             deadline: request.deadline + DEADLINE_GUARD,
             is_idempotent: route.is_idempotent,
             connect_patience: CONNECT_PATIENCE + way * CONNECT_WAYS,
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -5,6 +5,7 @@
 use crate::mirror::SearcherEntry;
 pub use crate::request::SendReason;
 use crate::request::{Arrival, AttemptOutcome, Verdict};
+use crate::selection::Distance;
 use crate::table::RouteTable;
 use hashbrown::HashMap;
 use staircross_types::BootTime;
@@ -221,6 +222,8 @@
     pub instance: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
+    /// How far it is.
+    pub distance: Distance,
     /// When the request must have its final answer; what is left is told to the searcher.
     pub deadline: BootTime,
     /// Whether the request may run more than once.
