Have shards wait after searchers shed them and for the budget, while it will reach them

Ruled out: refusing the whole request as not run; other shards have mostly run by then. Change: a searcher that shed for lack of room may be asked again by the same request (paced by its pause, within max-attempts searchers, each sending paid from the budget); a repeat that the budget refuses waits, unless those that wait before it will use up all that the budget gives until the deadline, which follows from the requests and repeats of its window. A failure at hand is still passed on at once.

--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -210,7 +210,8 @@
         let count = request.shards.len();
         self.requests.insert(key, request);
         for shard in 0..count {
-            self.dispatch(now, key, shard, SendReason::First, actions);
+            // What can't be sent yet waits, or is counted as failed.
+            let _unsent = self.dispatch(now, key, shard, SendReason::First, actions);
         }
         self.settle(now, key, actions);
         self.schedule(key);
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -23,7 +23,7 @@
 const CONNECT_WAYS: u32 = 4;
 
 impl RoutingEngine {
-    /// Sends one more attempt for a shard. Returns whether one went out.
+    /// Sends one more attempt for a shard, or says why not.
     pub(super) fn dispatch(
         &mut self,
         now: BootTime,
@@ -31,35 +31,29 @@
         shard_index: usize,
         reason: SendReason,
         actions: &mut Vec<RoutingAction>,
-    ) -> bool {
+    ) -> Result<(), UnsentCause> {
         let Some(request) = self.requests.get(&key) else {
-            return false;
+            return Err(UnsentCause::NobodyLeft);
         };
         let route = request.route();
         let (name, goal) = (route.name.clone(), Duration::from_millis(route.goal_ms));
         let service = request.shards[shard_index].service.clone();
-        let tried = request.shards[shard_index].tried.clone();
+        let barred = self.barred(key, shard_index);
         let usual_work = self.statistics(&name, goal).work.median();
         let candidates = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
-        let chosen = choose(now, candidates, &self.searchers, &tried, &self.place, usual_work, &mut self.random);
-        let Some(searcher) = chosen else {
-            let cause = self.note_unplaced(now, key, shard_index, reason);
-            actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
-            return false;
-        };
-        if reason == SendReason::Hedge && self.is_pressed(now, key, &service) {
-            let cause = UnsentCause::Pressed;
-            actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
-            return false;
-        }
+        let chosen = choose(now, candidates, &self.searchers, &barred, &self.place, usual_work, &mut self.random);
         let is_extra = matches!(reason, SendReason::Hedge | SendReason::Retry);
-        if is_extra && !self.spend(now, &service) {
-            let cause = UnsentCause::OverBudget;
-            actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
-            return false;
+        let outcome = match chosen {
+            None => Err(self.note_unplaced(now, key, shard_index, reason)),
+            Some(_) if reason == SendReason::Hedge && self.is_pressed(now, key, &service) => Err(UnsentCause::Pressed),
+            Some(_) if is_extra && !self.spend(now, &service) => Err(UnsentCause::OverBudget),
+            Some(searcher) => Ok(searcher),
+        };
+        match outcome {
+            Ok(searcher) => self.send(now, key, shard_index, searcher, reason, actions),
+            Err(cause) => actions.push(RoutingAction::Unsent { request: key, service, reason, cause }),
         }
-        self.send(now, key, shard_index, searcher, reason, actions);
-        true
+        outcome.map(|_| ())
     }
 
     fn spend(&mut self, now: BootTime, service: &Arc<str>) -> bool {
@@ -96,7 +90,7 @@
         let due_at = now + way + work.mul_f64(OVERDUE_FACTOR);
         searcher.sent(now, OpenAttempt { attempt, sent_at: now, due_at });
         let shard = &mut request.shards[shard_index];
-        shard.sends += 1;
+        shard.sent_to.push(searcher_key);
         shard.outstanding += 1;
         shard.tried.push(searcher_key);
         let times = HedgeTimes { way, other_way, usual, late };
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -1,6 +1,6 @@
 //! What the end of an attempt means for its request and its searcher.
 
-use super::{AbandonCause, RoutingAction, RoutingEngine, SendReason, SentAttempt};
+use super::{AbandonCause, RoutingAction, RoutingEngine, SendReason, SentAttempt, UnsentCause};
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::request::{AttemptOutcome, NotRun, SearcherAnswer, ShardState, Unknown};
 use staircross_types::BootTime;
@@ -24,9 +24,7 @@
         self.note_wait(now, &sent, &outcome, actions);
         self.note_searcher(now, &sent, &outcome);
         if let Some(shard) = self.close_attempt(attempt) {
-            if self.may_be_asked_again(&outcome) {
-                self.allow_again(attempt.request, shard, sent.searcher);
-            }
+            self.note_unused(attempt.request, shard, sent.searcher, &outcome);
             self.apply(now, attempt.request, shard, outcome, actions);
             self.settle(now, attempt.request, actions);
             self.schedule(attempt.request);
@@ -84,7 +82,6 @@
             AttemptOutcome::Answered(answer) => self.apply_answer(now, key, shard, answer, actions),
             AttemptOutcome::Withdrawn => {}
             AttemptOutcome::NotRun(NotRun::Unconnected | NotRun::TurnedAway | NotRun::Stale) => {
-                self.forget_send(key, shard);
                 self.try_again(now, key, shard, SendReason::Reroute, None, actions);
             }
             AttemptOutcome::NotRun(NotRun::Shed | NotRun::OtherInstance) => {
@@ -127,30 +124,27 @@
         }
     }
 
-    /// Nothing was sent, so the attempt doesn't count against the most that may be made.
-    fn forget_send(&mut self, key: RequestKey, shard: usize) {
-        if let Some(request) = self.requests.get_mut(&key) {
-            request.shards[shard].sends -= 1;
-        }
-    }
-
-    /// Whether nothing was sent to whoever was asked, so that it may be asked for the same shard once more.
-    fn may_be_asked_again(&self, outcome: &AttemptOutcome) -> bool {
-        match outcome {
-            AttemptOutcome::NotRun(NotRun::Stale) => true,
-            AttemptOutcome::NotRun(NotRun::Unconnected | NotRun::TurnedAway) => self.settings.policy.waiting,
-            AttemptOutcome::NotRun(NotRun::Shed | NotRun::OtherInstance)
-            | AttemptOutcome::Answered(_)
-            | AttemptOutcome::Unknown(_)
-            | AttemptOutcome::Withdrawn => false,
+    /// What didn't run: a searcher that got nothing doesn't count against the most that may be asked, and may be asked again;
+    /// so may one that turned the request away for lack of room. Finding an ended connection uses it up, and whoever
+    /// can't be reached or turns something away is avoided for a while, so this is paced.
+    fn note_unused(&mut self, key: RequestKey, shard: usize, searcher: SearcherKey, outcome: &AttemptOutcome) {
+        let AttemptOutcome::NotRun(reason) = outcome else {
+            return;
+        };
+        let may_be_asked_again = match reason {
+            NotRun::Stale => true,
+            NotRun::Unconnected | NotRun::TurnedAway | NotRun::Shed => self.settings.policy.waiting,
+            NotRun::OtherInstance => false,
+        };
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let shard = &mut request.shards[shard];
+        if matches!(reason, NotRun::Unconnected | NotRun::TurnedAway | NotRun::Stale) {
+            shard.forget_sending(searcher);
         }
-    }
-
-    /// Lets a searcher that nothing was sent to be asked again for the same shard. Finding an ended connection
-    /// uses it up, and whoever can't be reached or turns connections away is avoided for a while, so this is paced.
-    fn allow_again(&mut self, key: RequestKey, shard: usize, searcher: SearcherKey) {
-        if let Some(request) = self.requests.get_mut(&key) {
-            request.shards[shard].tried.retain(|tried| *tried != searcher);
+        if may_be_asked_again {
+            shard.tried.retain(|tried| *tried != searcher);
         }
     }
 
@@ -185,13 +179,19 @@
         };
         let most = request.route().max_attempts;
         let state = &request.shards[shard];
-        let may_send = state.sends < most;
-        let has_other = state.outstanding > 0;
-        if has_other {
+        if state.outstanding > 0 {
             return;
         }
-        let was_sent = may_send && self.dispatch(now, key, shard, reason, actions);
-        if !was_sent && !self.is_waiting(key, shard) {
+        // A failure that is at hand is passed on rather than kept until another may be asked.
+        let may_wait = failure.is_none() || request.gather().is_some();
+        let outcome = match state.may_be_sent(most) {
+            true => self.dispatch(now, key, shard, reason, actions),
+            false => Err(UnsentCause::NobodyLeft),
+        };
+        if may_wait && outcome == Err(UnsentCause::OverBudget) {
+            self.wait_for_budget(now, key, shard, reason);
+        }
+        if outcome.is_err() && !self.is_waiting(key, shard) {
             self.give_up(key, shard, failure);
         }
     }
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -38,7 +38,7 @@
         let mut late = Vec::new();
         for attempt in request.attempts.iter_mut().filter(|attempt| attempt.is_open && attempt.hedge_at <= now) {
             let shard = &request.shards[attempt.shard as usize];
-            if may_hedge && shard.sends < most && shard.outstanding == 1 {
+            if may_hedge && shard.may_be_sent(most) && shard.outstanding == 1 {
                 attempt.hedge_at = now + HEDGE_PAUSE;
                 late.push(attempt.shard as usize);
             } else {
@@ -46,7 +46,8 @@
             }
         }
         for shard in late {
-            self.dispatch(now, key, shard, SendReason::Hedge, actions);
+            // A hedge that isn't made is thought of again after a pause.
+            let _unsent = self.dispatch(now, key, shard, SendReason::Hedge, actions);
         }
     }
 
@@ -82,7 +83,7 @@
             return;
         };
         for shard in &request.shards {
-            let cause = match (&shard.state, shard.outstanding > 0, shard.tried.is_empty()) {
+            let cause = match (&shard.state, shard.outstanding > 0, shard.sent_to.is_empty()) {
                 (ShardState::In(_), _, _) => continue,
                 (ShardState::Open, true, _) => LeftOutCause::Late,
                 (ShardState::Open, false, _) => LeftOutCause::NoRoom,
@@ -90,7 +91,7 @@
                 (ShardState::Failed(_), _, true) => LeftOutCause::Nobody,
             };
             let instance = |searcher: &SearcherKey| self.searchers[searcher.0 as usize].entry.instance.clone();
-            let asked = shard.tried.iter().map(instance).collect();
+            let asked = shard.sent_to.iter().map(instance).collect();
             let service = shard.service.clone();
             actions.push(RoutingAction::LeftOut { request: key, service, asked, cause });
         }
--- a/crates/staircross-routing/src/engine/waiting.rs
+++ b/crates/staircross-routing/src/engine/waiting.rs
@@ -8,14 +8,26 @@
 use staircross_types::BootTime;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Shards of one service that wait at once; bounds memory, those beyond are given up.
 const MAX_WAITING: usize = 1024;
+/// Time until a shard that the budget kept from being sent again is thought of once more: a part of the budget's window,
+/// of which a twentieth passes each half second.
+const BUDGET_PAUSE: Duration = Duration::from_millis(100);
+
+/// A sending that can't be made yet.
+struct Postponed {
+    reason: SendReason,
+    cause: UnsentCause,
+    /// When to try again; `None` when room is waited for.
+    retry_at: Option<BootTime>,
+}
 
 impl RoutingEngine {
-    /// When a searcher of a service besides `tried` may be asked, room aside; `None` when there is nobody.
-    pub(super) fn next_chance(&self, now: BootTime, service: &Arc<str>, tried: &[SearcherKey]) -> Option<BootTime> {
-        let others = self.askable(now, service).filter(|peer| !tried.contains(peer));
+    /// When a searcher of a service besides `barred` may be asked, room aside; `None` when there is nobody.
+    pub(super) fn next_chance(&self, now: BootTime, service: &Arc<str>, barred: &[SearcherKey]) -> Option<BootTime> {
+        let others = self.askable(now, service).filter(|peer| !barred.contains(peer));
         let chance = others.map(|peer| self.searchers[peer.0 as usize].avoided_until().max(now)).min();
         chance.filter(|at| self.settings.policy.waiting || *at <= now)
     }
@@ -32,41 +44,78 @@
             return UnsentCause::NobodyLeft;
         };
         let service = shard.service.clone();
-        let chance = self.next_chance(now, &service, &shard.tried);
+        let chance = self.next_chance(now, &service, &self.barred(key, shard_index));
         let cause = match chance {
             Some(at) if at <= now => UnsentCause::NoRoom,
             Some(_) => UnsentCause::Avoided,
             None => UnsentCause::NobodyLeft,
         };
         if shard.is_open() && shard.outstanding == 0 {
-            self.begin_waiting(key, shard_index, service, chance.filter(|at| *at > now), cause, reason);
+            let retry_at = chance.filter(|at| *at > now);
+            self.begin_waiting(now, key, shard_index, Postponed { reason, cause, retry_at });
         }
         cause
     }
 
-    fn begin_waiting(
-        &mut self,
-        key: RequestKey,
-        shard_index: usize,
-        service: Arc<str>,
-        retry_at: Option<BootTime>,
-        cause: UnsentCause,
-        reason: SendReason,
-    ) {
+    /// Searchers of a shard that may not be asked for this request.
+    pub(super) fn barred(&self, key: RequestKey, shard_index: usize) -> Vec<SearcherKey> {
+        let Some(request) = self.requests.get(&key) else {
+            return Vec::new();
+        };
+        let (shard, most) = (&request.shards[shard_index], request.route().max_attempts);
+        let peers = self.by_service.get(&shard.service).map_or(&[][..], Vec::as_slice);
+        peers.iter().copied().filter(|peer| shard.is_barred(*peer, most)).collect()
+    }
+
+    /// A shard that may not be sent again yet, because the budget for extra sends is spent, waits for it.
+    pub(super) fn wait_for_budget(&mut self, now: BootTime, key: RequestKey, shard_index: usize, reason: SendReason) {
+        let Some(shard) = self.requests.get(&key).map(|request| &request.shards[shard_index]) else {
+            return;
+        };
+        if self.settings.policy.waiting && shard.is_open() && shard.outstanding == 0 {
+            let retry_at = Some(now + BUDGET_PAUSE);
+            let wait = Postponed { reason, cause: UnsentCause::OverBudget, retry_at };
+            self.begin_waiting(now, key, shard_index, wait);
+        }
+    }
+
+    /// Whether the budget will reach one more repeat for a service by a time, after those that wait already.
+    fn may_have_leave_by(&mut self, now: BootTime, service: &Arc<str>, deadline: BootTime) -> bool {
+        let Some(window) = self.windows.get_mut(service) else {
+            return true;
+        };
+        let leaves = window.leaves_until(now, deadline, &self.settings.extra, self.slack_part);
+        let mut ahead = self.waiting.get(service).into_iter().flatten().filter(|waiting| self.needs_leave(waiting));
+        leaves > 0 && ahead.nth(leaves - 1).is_none()
+    }
+
+    /// Whether a shard that waits needs leave from the budget to be sent.
+    fn needs_leave(&self, waiting: &WaitingShard) -> bool {
+        let shard = self.requests.get(&waiting.request).map(|request| &request.shards[waiting.shard as usize]);
+        shard.and_then(|shard| shard.waiting).is_some_and(|waiting| waiting.reason == SendReason::Retry)
+    }
+
+    fn begin_waiting(&mut self, now: BootTime, key: RequestKey, shard_index: usize, wait: Postponed) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let (service, deadline) = (request.shards[shard_index].service.clone(), request.deadline);
+        let is_hopeless = wait.cause == UnsentCause::NobodyLeft
+            || wait.retry_at.is_some_and(|at| at >= deadline)
+            || (wait.reason == SendReason::Retry && !self.may_have_leave_by(now, &service, deadline));
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
-        let deadline = request.deadline;
         let shard = &mut request.shards[shard_index];
         let queue = self.waiting.entry(service).or_default();
-        let is_hopeless = cause == UnsentCause::NobodyLeft || retry_at.is_some_and(|at| at >= deadline);
         let has_place = shard.is_queued || queue.len() < MAX_WAITING;
         if is_hopeless || !has_place {
             shard.waiting = None;
             shard.state = ShardState::Failed(None);
             return;
         }
-        shard.waiting = Some(Waiting { reason, retry_at: retry_at.unwrap_or(BootTime::FAR_FUTURE) });
+        let retry_at = wait.retry_at.unwrap_or(BootTime::FAR_FUTURE);
+        shard.waiting = Some(Waiting { reason: wait.reason, retry_at });
         if !shard.is_queued {
             shard.is_queued = true;
             queue.push_back(WaitingShard { request: key, shard: shard_index as u32 });
@@ -115,15 +164,18 @@
         let Some(waiting) = waiting else {
             return false;
         };
-        let was_sent = self.dispatch(now, key, shard_index, waiting.reason, actions);
-        if !was_sent {
+        let outcome = self.dispatch(now, key, shard_index, waiting.reason, actions);
+        if outcome == Err(UnsentCause::OverBudget) {
+            self.wait_for_budget(now, key, shard_index, waiting.reason);
+        }
+        if outcome.is_err() {
             if !self.is_waiting(key, shard_index) {
                 self.give_up(key, shard_index, None);
             }
             self.settle(now, key, actions);
         }
         self.schedule(key);
-        was_sent
+        outcome.is_ok()
     }
 
     pub(super) fn is_waiting(&self, key: RequestKey, shard_index: usize) -> bool {
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -171,8 +171,8 @@
 pub(crate) struct Shard {
     pub service: Arc<str>,
     pub state: ShardState,
-    /// Searchers that it was sent to.
-    pub sends: u32,
+    /// Searchers that it was sent to, once for each sending.
+    pub sent_to: Vec<SearcherKey>,
     /// Searchers that aren't to be asked again.
     pub tried: Vec<SearcherKey>,
     /// Attempts out for it.
@@ -198,7 +198,7 @@
         Shard {
             service,
             state: ShardState::Open,
-            sends: 0,
+            sent_to: Vec::new(),
             tried: Vec::new(),
             outstanding: 0,
             waiting: None,
@@ -206,6 +206,30 @@
         }
     }
 
+    /// Whether a searcher may not be asked: it was asked already, or `most` others were sent the request.
+    pub fn is_barred(&self, searcher: SearcherKey, most: u32) -> bool {
+        let is_new = !self.sent_to.contains(&searcher);
+        self.tried.contains(&searcher) || (is_new && self.searchers_reached() >= most)
+    }
+
+    /// Whether any searcher may still be sent the request.
+    pub fn may_be_sent(&self, most: u32) -> bool {
+        self.searchers_reached() < most || self.sent_to.iter().any(|searcher| !self.tried.contains(searcher))
+    }
+
+    /// Searchers that the request was sent to.
+    fn searchers_reached(&self) -> u32 {
+        let is_first = |index: &usize| !self.sent_to[..*index].contains(&self.sent_to[*index]);
+        (0..self.sent_to.len()).filter(is_first).count() as u32
+    }
+
+    /// Notes that a sending reached nobody.
+    pub fn forget_sending(&mut self, searcher: SearcherKey) {
+        if let Some(index) = self.sent_to.iter().rposition(|known| *known == searcher) {
+            self.sent_to.remove(index);
+        }
+    }
+
     pub fn is_open(&self) -> bool {
         matches!(self.state, ShardState::Open)
     }
--- a/crates/staircross-routing/src/window.rs
+++ b/crates/staircross-routing/src/window.rs
@@ -49,21 +49,39 @@
     /// Takes leave for one extra send, if there is any. `slack_part` of the slack is this node's, 0 to 1.
     pub fn try_spend(&mut self, now: BootTime, bound: &ExtraBound, slack_part: f64) -> bool {
         self.current(now, bound);
-        let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
-        let extras: u32 = self.steps.iter().map(|step| step.extras).sum();
-        let own_slack = bound.slack * SLACK_USED * slack_part;
-        let allowed = f64::from(requests) * bound.ratio * RATIO_USED + own_slack;
-        if f64::from(extras + 1) > allowed {
+        if self.spare(bound, slack_part) < 1.0 {
             return false;
         }
         self.current(now, bound).extras += 1;
         true
     }
 
+    /// Extra sends for which there will be leave until a time, if requests go on coming at their present rate.
+    pub fn leaves_until(&mut self, now: BootTime, until: BootTime, bound: &ExtraBound, slack_part: f64) -> usize {
+        let present = self.current(now, bound).number;
+        let last = step_number(until, bound).max(present);
+        let first = self.steps.front().map_or(present, |step| step.number);
+        let seen = present + 1 - first;
+        let growth = (seen + last - present).min(STEPS).max(seen) as f64 / seen as f64;
+        let remaining = self.steps.iter().filter(|step| step.number + STEPS >= last);
+        let extras: u32 = remaining.map(|step| step.extras).sum();
+        let allowed = f64::from(self.requests()) * growth * bound.ratio * RATIO_USED + own_slack(bound, slack_part);
+        (allowed - f64::from(extras)).max(0.0) as usize
+    }
+
+    /// Extra sends that there is leave for now; below 0 where more were sent than is allowed by now.
+    fn spare(&self, bound: &ExtraBound, slack_part: f64) -> f64 {
+        let extras: u32 = self.steps.iter().map(|step| step.extras).sum();
+        f64::from(self.requests()) * bound.ratio * RATIO_USED + own_slack(bound, slack_part) - f64::from(extras)
+    }
+
+    fn requests(&self) -> u32 {
+        self.steps.iter().map(|step| step.requests).sum()
+    }
+
     /// The present step; steps that have left the window are dropped.
     fn current(&mut self, now: BootTime, bound: &ExtraBound) -> &mut Step {
-        let step_length = (bound.window.as_micros() as u64 / STEPS).max(1);
-        let number = now.0 / step_length;
+        let number = step_number(now, bound);
         while self.steps.front().is_some_and(|step| step.number + STEPS < number) {
             self.steps.pop_front();
         }
@@ -74,3 +92,14 @@
         &mut self.steps[last]
     }
 }
+
+/// What a node may spend of the slack.
+fn own_slack(bound: &ExtraBound, slack_part: f64) -> f64 {
+    bound.slack * SLACK_USED * slack_part
+}
+
+/// Number of the step that a time lies in.
+fn step_number(time: BootTime, bound: &ExtraBound) -> u64 {
+    let step_length = (bound.window.as_micros() as u64 / STEPS).max(1);
+    time.0 / step_length
+}
