Have a few members of a region tell the others what is new

Ruled out: no membership across regions (nobody would know where to send callers when a region is lost). Change: the four members with the lowest ids of a region are its relays: they alone tell other regions news, of their own region and each item three times, and compare with them. Joiners are told of their own region. Found by the test of cuts: a node that is told of its own death by another region must answer with its own record, relay or not.

--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -8,6 +8,7 @@
 mod message;
 mod probing;
 mod reconcile;
+mod regions;
 mod suspicion;
 
 pub use message::{IdSpan, MembershipAction, MembershipMessage, MembershipSettings, Tellings};
@@ -19,6 +20,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
+use regions::RELAY_PUSHES;
 use staircross_types::{BootTime, NodeId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,7 +29,15 @@
 
 struct Rumor {
     node: NodeId,
+    /// How often it was told within the region, and to other regions.
     times_told: u32,
+    times_told_far: u32,
+}
+
+impl Rumor {
+    fn new(node: NodeId) -> Self {
+        Rumor { node, times_told: 0, times_told_far: 0 }
+    }
 }
 
 /// The membership logic of one node.
@@ -61,7 +71,7 @@
     /// A fleet of one.
     pub fn new(settings: MembershipSettings, me: Member, seeds: Vec<SocketAddr>) -> Self {
         let node = me.node;
-        let own_start = Rumor { node, times_told: 0 };
+        let own_start = Rumor::new(node);
         Membership {
             settings,
             me: node,
@@ -134,15 +144,18 @@
         actions.push(MembershipAction::Changed(self.me));
     }
 
-    /// Tells some members the present news at once, without waiting for the next probe.
+    /// Tells some members of the region the present news at once, without waiting for the next probe; a relay tells some
+    /// of other regions too.
     pub fn push_news(&mut self, random: &mut ChaCha8Rng, count: usize, actions: &mut Vec<MembershipAction>) {
-        let others: Vec<(NodeId, SocketAddr)> =
-            self.others().map(|member| (member.node, member.peer_address)).collect();
-        for (node, address) in others.choose_multiple(random, count) {
+        let (near, far) = self.near_and_far();
+        let far_count = if self.is_relay() || near.is_empty() { RELAY_PUSHES } else { 0 };
+        let chosen = near.choose_multiple(random, count).chain(far.choose_multiple(random, far_count));
+        let targets: Vec<(NodeId, SocketAddr)> = chosen.map(|member| (member.node, member.peer_address)).collect();
+        for (node, address) in targets {
             let number = self.take_number();
-            let news = self.take_news();
+            let news = self.take_news(node);
             let message = MembershipMessage::Probe { number, news };
-            actions.push(MembershipAction::Send { to: Some(*node), address: *address, message });
+            actions.push(MembershipAction::Send { to: Some(node), address, message });
         }
     }
 
@@ -157,11 +170,17 @@
     ) {
         match message {
             MembershipMessage::Probe { number, news } => {
+                let names_us = news.iter().any(|record| record.node == self.me);
+                let is_stranger = !self.members.contains_key(&from);
                 let known = self.take_news_of_probe(now, news, actions);
-                let mut news = self.take_news();
+                let mut news = self.take_news(from);
                 // Whoever is wrongly thought gone must hear of it to refute it.
                 let slandered = self.members.get(&from).filter(|member| member.state >= MemberState::Suspect);
                 news.extend(slandered.cloned());
+                // Whoever says what it thinks of this node, or knows it by its address only, must hear how it is.
+                if (names_us || is_stranger) && !news.iter().any(|record| record.node == self.me) {
+                    news.push(self.own().clone());
+                }
                 let message = MembershipMessage::ProbeAnswer { number, news, known };
                 actions.push(MembershipAction::Send { to: Some(from), address: from_address, message });
             }
@@ -175,9 +194,7 @@
                 self.help(now, number, from, from_address, target, target_address, actions);
             }
             MembershipMessage::Join { member } => {
-                self.take(now, member, actions);
-                let members = self.members.values().cloned().collect();
-                self.list(members, IdSpan::ALL, from, from_address, actions);
+                self.answer_joiner(now, member, from_address, actions);
             }
             MembershipMessage::Everyone { members, span } => self.take_listing(now, members, span, actions),
             MembershipMessage::Compare { fingerprints } => self.compare(from, from_address, &fingerprints, actions),
@@ -224,8 +241,13 @@
             shuffle(&mut unknown, random);
             unknown.truncate(1);
         }
+        // Whoever knows somebody near will be told the rest there, and only has to be known to the seed.
+        let has_mates = !self.near_and_far().0.is_empty();
         for seed in unknown {
-            let message = MembershipMessage::Join { member: own_record.clone() };
+            let message = match has_mates {
+                true => MembershipMessage::Probe { number: self.take_number(), news: vec![own_record.clone()] },
+                false => MembershipMessage::Join { member: own_record.clone() },
+            };
             actions.push(MembershipAction::Send { to: None, address: seed, message });
         }
     }
@@ -275,22 +297,7 @@
 
     fn spread(&mut self, node: NodeId) {
         self.rumors.retain(|rumor| rumor.node != node);
-        self.rumors.push(Rumor { node, times_told: 0 });
-    }
-
-    /// The news told least often; each is told a few times the logarithm of the fleet's size.
-    fn take_news(&mut self) -> Vec<Member> {
-        let most_tellings = self.settings.tellings.for_fleet(self.members.len());
-        self.rumors.sort_by_key(|rumor| rumor.times_told);
-        let mut news = Vec::new();
-        for rumor in self.rumors.iter_mut().take(self.settings.news_per_message) {
-            rumor.times_told += 1;
-            if let Some(member) = self.members.get(&rumor.node) {
-                news.push(member.clone());
-            }
-        }
-        self.rumors.retain(|rumor| rumor.times_told < most_tellings);
-        news
+        self.rumors.push(Rumor::new(node));
     }
 
     fn take_number(&mut self) -> u64 {
--- a/crates/staircross-cluster/src/membership/probing.rs
+++ b/crates/staircross-cluster/src/membership/probing.rs
@@ -36,7 +36,7 @@
             return;
         };
         let number = self.take_number();
-        let news = self.take_news();
+        let news = self.take_news(target.node);
         let told = news.iter().map(|member| member.node).collect();
         let message = MembershipMessage::Probe { number, news };
         actions.push(MembershipAction::Send { to: Some(target.node), address: target.peer_address, message });
@@ -59,15 +59,15 @@
         }
     }
 
-    /// All others of the region, and some of each other region: bytes between regions are dear, and a
-    /// member is watched well by those around it. Of a small region all are in every round.
+    /// All others of the region, and some of each other region, more by relays. Of a small region all are in every
+    /// round.
     fn new_round(&self, random: &mut ChaCha8Rng) -> Vec<NodeId> {
         let mut by_region: BTreeMap<&str, Vec<NodeId>> = BTreeMap::new();
         for member in self.others() {
             by_region.entry(&member.region).or_default().push(member.node);
         }
         let mut round = by_region.remove(self.own().region.as_str()).unwrap_or_default();
-        let far_count = LEAST_FAR.max(round.len() / FAR_PART);
+        let far_count = if self.is_relay() { LEAST_FAR.max(round.len() / FAR_PART) } else { LEAST_FAR };
         for far in by_region.values() {
             round.extend(far.choose_multiple(random, far_count));
         }
@@ -127,21 +127,21 @@
     ) {
         let number = self.take_number();
         self.helped.push(HelpedProbe { number, for_number, for_node, for_address, sent_at: now });
-        let news = self.take_news();
+        let news = self.take_news(target);
         let message = MembershipMessage::Probe { number, news };
         actions.push(MembershipAction::Send { to: Some(target), address: target_address, message });
     }
 
     pub(super) fn on_answer(&mut self, number: u64, known: u32, actions: &mut Vec<MembershipAction>) {
         if let Some(probe) = self.probe.take_if(|probe| probe.number == number) {
-            self.note_told_in_vain(&probe.told, known);
+            self.note_told_in_vain(&probe.told, known, self.is_far(probe.target));
             return;
         }
         let Some(index) = self.helped.iter().position(|helped| helped.number == number) else {
             return;
         };
         let helped = self.helped.swap_remove(index);
-        let news = self.take_news();
+        let news = self.take_news(helped.for_node);
         let message = MembershipMessage::ProbeAnswer { number: helped.for_number, news, known: 0 };
         actions.push(MembershipAction::Send { to: Some(helped.for_node), address: helped.for_address, message });
     }
--- a/crates/staircross-cluster/src/membership/reconcile.rs
+++ b/crates/staircross-cluster/src/membership/reconcile.rs
@@ -5,6 +5,7 @@
 
 use super::{IdSpan, Membership, MembershipAction, MembershipMessage};
 use crate::member::{Member, MemberState};
+use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -18,13 +19,15 @@
 const TOLD_IN_VAIN: u32 = 3;
 /// Time between comparisons begun by one node, and while it has learned something that way lately.
 const COMPARE_EVERY: Duration = Duration::from_secs(3);
-const COMPARE_LEARNING: Duration = Duration::from_secs(1);
+const COMPARE_LEARNING: Duration = Duration::from_millis(1500);
 const LEARNING: Duration = Duration::from_secs(4);
 /// Parts of the ids that are compared one by one.
 const PARTS_BITS: u32 = 4;
 const PARTS: usize = 1 << PARTS_BITS;
-/// One comparison in so many is with a member of another region.
+/// One comparison in so many is with a member of another region, and of the others one with a member of any zone of the
+/// region.
 const FAR_TURNS: u64 = 4;
+const REGION_TURNS: u32 = 4;
 
 impl Membership {
     /// Merges the news of a probe; says which of it was known already.
@@ -43,11 +46,11 @@
     }
 
     /// What many know already needn't be told for much longer.
-    pub(super) fn note_told_in_vain(&mut self, told: &[NodeId], known: u32) {
+    pub(super) fn note_told_in_vain(&mut self, told: &[NodeId], known: u32, is_far: bool) {
         let in_vain = |index: usize| known.checked_shr(index as u32).unwrap_or(0) & 1 == 1;
         for (_, node) in told.iter().enumerate().filter(|(index, _)| in_vain(*index)) {
             if let Some(rumor) = self.rumors.iter_mut().find(|rumor| rumor.node == *node) {
-                rumor.times_told += TOLD_IN_VAIN;
+                *(if is_far { &mut rumor.times_told_far } else { &mut rumor.times_told }) += TOLD_IN_VAIN;
             }
         }
     }
@@ -64,11 +67,17 @@
         }
         let is_learning = self.learned_at.is_some_and(|at| now.since(at) < LEARNING);
         self.next_compare = now + if is_learning { COMPARE_LEARNING } else { COMPARE_EVERY };
-        let region = &self.own().region;
-        let (near, far): (Vec<&Member>, Vec<&Member>) = self.others().partition(|member| member.region == *region);
+        let (near, far) = self.near_and_far();
         let turn = now.0 / COMPARE_EVERY.as_micros() as u64;
-        let is_far_turn = near.is_empty() || turn.is_multiple_of(FAR_TURNS);
-        let group = if is_far_turn && !far.is_empty() { far } else { near };
+        let is_far_turn = near.is_empty() || (self.is_relay() && turn.is_multiple_of(FAR_TURNS));
+        let zone = &self.own().zone;
+        let in_zone: Vec<&Member> = near.iter().copied().filter(|member| member.zone == *zone).collect();
+        let is_zone_turn = !in_zone.is_empty() && !random.random_ratio(1, REGION_TURNS);
+        let group = match (is_far_turn && !far.is_empty(), is_zone_turn) {
+            (true, _) => far,
+            (false, true) => in_zone,
+            (false, false) => near,
+        };
         let Some(member) = group.choose(random) else {
             return;
         };
@@ -89,31 +98,32 @@
             let span = span_of(part);
             let live = self.members.range(span.first..=span.last).map(|(_, member)| member);
             let members = live.filter(|member| !member.is_gone()).cloned().collect();
-            self.list(members, span, from, from_address, actions);
+            self.list(members, Some(span), from, from_address, actions);
         }
     }
 
-    /// Lists the members of a span, in the order of their ids, in messages of bounded length.
+    /// Lists the members of a span, in the order of their ids, in messages of bounded length; without a span, some.
     pub(super) fn list(
         &self,
         members: Vec<Member>,
-        span: IdSpan,
+        span: Option<IdSpan>,
         to: NodeId,
         address: SocketAddr,
         actions: &mut Vec<MembershipAction>,
     ) {
-        let mut first = span.first;
+        let mut first = span.map(|span| span.first);
         let mut rest = members.into_iter().peekable();
         loop {
             let piece: Vec<Member> = rest.by_ref().take(self.settings.members_per_message).collect();
             // Between the last of a piece and the first of the next there is nobody.
-            let last = rest.peek().map_or(span.last, |next| NodeId(next.node.0 - 1));
-            let message = MembershipMessage::Everyone { members: piece, span: Some(IdSpan { first, last }) };
+            let last = span.map(|span| rest.peek().map_or(span.last, |next| NodeId(next.node.0 - 1)));
+            let span = first.zip(last).map(|(first, last)| IdSpan { first, last });
+            let message = MembershipMessage::Everyone { members: piece, span };
             actions.push(MembershipAction::Send { to: Some(to), address, message });
             let Some(next) = rest.peek() else {
                 return;
             };
-            first = next.node;
+            first = first.map(|_| next.node);
         }
     }
 
@@ -131,6 +141,7 @@
             // Not passed on as news: others compare too, and the fleet must not be told everything by everybody.
             if self.merge(now, member, actions) {
                 self.learned_at = Some(now);
+                self.next_compare = self.next_compare.min(now + COMPARE_LEARNING);
             }
         }
         let is_lacking =
--- /dev/null
+++ b/crates/staircross-cluster/src/membership/regions.rs
@@ -0,0 +1,97 @@
+//! What regions tell each other.
+//!
+//! Bytes between regions are dear, and a member is watched well by those around it. So in a region of some size only a few
+//! members, the relays, tell other regions who has come and gone; they are those with the lowest ids, as each sees it.
+//! Whoever they tell passes it on within its own region.
+
+use super::{IdSpan, Membership, MembershipAction, Rumor};
+use crate::member::{Member, MemberState};
+use staircross_types::{BootTime, NodeId};
+use std::net::SocketAddr;
+
+/// Relays of a region: with some of them gone or cut off, others go on.
+const RELAYS: usize = 4;
+/// Members of other regions that a relay tells at once of a change.
+pub(super) const RELAY_PUSHES: usize = 2;
+/// How often a relay tells one item of news to other regions.
+const FAR_TELLINGS: u32 = 3;
+
+impl Membership {
+    /// Whether this node tells other regions what is new in its own.
+    pub(super) fn is_relay(&self) -> bool {
+        let own = self.own();
+        let mates = self.members.values().filter(|member| member.region == own.region);
+        let live = mates.filter(|member| member.state == MemberState::Alive);
+        live.take_while(|member| member.node < self.me).count() < RELAYS
+    }
+
+    /// Live members of the own region and of others, besides this node.
+    pub(super) fn near_and_far(&self) -> (Vec<&Member>, Vec<&Member>) {
+        let region = &self.own().region;
+        self.others().partition(|member| member.region == *region)
+    }
+
+    pub(super) fn is_far(&self, node: NodeId) -> bool {
+        self.members.get(&node).is_some_and(|member| member.region != self.own().region)
+    }
+
+    /// The news for a member that was told least often. Within the region each is told a few times the logarithm of the
+    /// fleet's size; relays tell other regions of their own, and nobody else does.
+    pub(super) fn take_news(&mut self, to: NodeId) -> Vec<Member> {
+        let is_far = self.is_far(to);
+        if is_far && !self.is_relay() {
+            return Vec::new();
+        }
+        let region = self.own().region.clone();
+        let most_tellings = self.settings.tellings.for_fleet(self.members.len());
+        let told = |rumor: &Rumor| if is_far { rumor.times_told_far } else { rumor.times_told };
+        self.rumors.sort_by_key(told);
+        let members = &self.members;
+        let is_ours = |rumor: &Rumor| members.get(&rumor.node).is_some_and(|member| member.region == region);
+        let may_be_told = |rumor: &Rumor| {
+            if is_far { is_ours(rumor) && told(rumor) < FAR_TELLINGS } else { told(rumor) < most_tellings }
+        };
+        let mut news = Vec::new();
+        for rumor in self.rumors.iter_mut().filter(|rumor| may_be_told(rumor)).take(self.settings.news_per_message) {
+            *(if is_far { &mut rumor.times_told_far } else { &mut rumor.times_told }) += 1;
+            news.extend(members.get(&rumor.node).cloned());
+        }
+        self.forget_told(most_tellings);
+        news
+    }
+
+    /// Drops the news that was told often enough.
+    fn forget_told(&mut self, most_tellings: u32) {
+        let (is_relay, region) = (self.is_relay(), self.own().region.clone());
+        let has_far = self.others().any(|member| member.region != region);
+        let members = &self.members;
+        let is_ours = |rumor: &Rumor| members.get(&rumor.node).is_some_and(|member| member.region == region);
+        self.rumors.retain(|rumor| {
+            let is_wanted_far = is_relay && has_far && rumor.times_told_far < FAR_TELLINGS && is_ours(rumor);
+            rumor.times_told < most_tellings || is_wanted_far
+        });
+    }
+
+    /// Answers a node that has just started: with its own region where that is known, since those around it tell it the
+    /// rest, else with everybody.
+    pub(super) fn answer_joiner(
+        &mut self,
+        now: BootTime,
+        joiner: Member,
+        address: SocketAddr,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let (node, region) = (joiner.node, joiner.region.clone());
+        self.take(now, joiner, actions);
+        let others = || self.members.values().filter(|member| member.node != node && !member.is_gone());
+        let has_mates = others().any(|member| member.region == region);
+        if self.own().region == region || !has_mates {
+            let everybody = self.members.values().cloned().collect();
+            return self.list(everybody, Some(IdSpan::ALL), node, address, actions);
+        }
+        // A joiner asks on until it knows the seeds.
+        let is_seed = |member: &Member| member.node == self.me || self.seeds.contains(&member.peer_address);
+        let wanted = others().filter(|member| member.region == region || is_seed(member)).cloned().collect();
+        self.list(wanted, None, node, address, actions);
+    }
+}
--- a/crates/staircross-cluster/tests/common/mod.rs
+++ b/crates/staircross-cluster/tests/common/mod.rs
@@ -63,6 +63,8 @@
     /// Members' records, told as news or listed for a joiner.
     pub news: usize,
     pub listed: usize,
+    /// Those of them that went to another region.
+    pub records_between_regions: usize,
 }
 
 pub fn document(revision: u64) -> Arc<PlatformDocument> {
@@ -273,15 +275,22 @@
         };
         let to = (0..self.len()).find(|to| address(*to) == envelope.to_address);
         self.sent.messages += 1;
-        self.sent.between_regions += usize::from(to.is_some_and(|to| region(to) != region(index)));
-        match message {
+        let is_far = to.is_some_and(|to| region(to) != region(index));
+        self.sent.between_regions += usize::from(is_far);
+        let records = match message {
             MembershipMessage::Probe { news, .. } | MembershipMessage::ProbeAnswer { news, .. } => {
                 self.sent.news += news.len();
+                news.len()
+            }
+            MembershipMessage::Everyone { members, .. } => {
+                self.sent.listed += members.len();
+                members.len()
             }
-            MembershipMessage::Everyone { members, .. } => self.sent.listed += members.len(),
             MembershipMessage::ProbeFor { .. } | MembershipMessage::Join { .. } | MembershipMessage::Compare { .. } => {
+                0
             }
-        }
+        };
+        self.sent.records_between_regions += if is_far { records } else { 0 };
     }
 
     /// What must hold at every moment: only what was published, and never an older one.
--- a/crates/staircross-cluster/tests/membership.rs
+++ b/crates/staircross-cluster/tests/membership.rs
@@ -23,6 +23,7 @@
         between_regions: fleet.sent.between_regions - before.between_regions,
         news: fleet.sent.news - before.news,
         listed: fleet.sent.listed - before.listed,
+        records_between_regions: fleet.sent.records_between_regions - before.records_between_regions,
     }
 }
 
@@ -76,6 +77,40 @@
     assert!(told < 6 * LARGE * (LARGE - 1), "{:?}", fleet.sent);
 }
 
+#[test]
+fn a_large_fleet_that_starts_at_once_tells_other_regions_of_each_member_few_times() {
+    const LARGE: usize = 150;
+    let mut fleet = Fleet::new(LARGE, 6);
+    fleet.run_for(Duration::from_secs(10));
+    assert!(fleet.all_see_all(), "{:?}", fleet.sent);
+    // Two other regions must hear of each member; joiners ask seeds of any region, who tell them of their own.
+    assert!(fleet.sent.records_between_regions < 40 * LARGE, "{:?}", fleet.sent);
+}
+
+#[test]
+fn a_death_is_told_to_other_regions_by_a_few() {
+    let mut fleet = started(8);
+    fleet.crash(11);
+    let sent = sent_in(&mut fleet, Duration::from_secs(12));
+    let survivors = || (0..NODES).filter(|index| *index != 11);
+    assert!(survivors().all(|index| fleet.live_count(index) == NODES - 1), "the death is known to all");
+    // Suspicion, and death; besides, dead members are reminded of themselves, once each two seconds by each node.
+    assert!(sent.records_between_regions < 1000, "{sent:?}");
+}
+
+#[test]
+fn regions_learn_of_each_other_when_the_first_relays_are_gone() {
+    let mut fleet = started(9);
+    // Whoever the relays of a region were, most of it is gone now.
+    (0..NODES).filter(|index| index % 3 == 0 && index % 2 == 0).for_each(|index| fleet.crash(index));
+    fleet.run_for(Duration::from_secs(15));
+    fleet.crash(3);
+    fleet.run_for(Duration::from_secs(12));
+    let live = (0..NODES).filter(|index| fleet.live_count(*index) > 0).count();
+    let survivors = (0..NODES).filter(|index| fleet.live_count(*index) > 0);
+    assert!(survivors.into_iter().all(|index| fleet.live_count(index) == live), "all know who is left");
+}
+
 #[test]
 fn a_listing_in_pieces_does_not_make_its_reader_tell_of_everybody() {
     let mut fleet = started(6);
