Let two nodes of a region read the store, and probe before reading where none is heard

At each start most nodes read and watched until they knew their zone; whenever the store was away all 195 became readers and renewed their watches when it came back; twelve readers probed each half second. Ruled out: one reader and one that stands by (both refused or lost at once is found out later); reading nothing at a restart (callers wait).

--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -1,7 +1,7 @@
-//! Who of a zone reads the store, what it tells the others, and whom a node asks that lacks something.
+//! Who of a region reads the store, what it tells the others, and whom a node asks that lacks something.
 
 use super::{Announcement, Fleet};
-use crate::store_role::{READERS_PER_ZONE, StoreRole};
+use crate::store_role::{READERS_PER_REGION, StoreRole};
 use rand::seq::IndexedRandom;
 use staircross_cluster::{Member, MemberState};
 use staircross_types::{BootTime, NodeId};
@@ -12,10 +12,10 @@
 const BEHIND_PATIENCE: Duration = Duration::from_millis(400);
 
 impl Fleet {
-    /// A reader of the zone says when the store last answered it.
+    /// A reader of the region says when the store last answered it.
     pub(super) fn take_sign(&mut self, now: BootTime, from: NodeId, announcement: &Announcement) {
-        let own_zone = &self.membership.own().zone;
-        let is_near = self.membership.get(from).is_some_and(|member| member.zone == *own_zone);
+        let own_region = &self.membership.own().region;
+        let is_near = self.membership.get(from).is_some_and(|member| member.region == *own_region);
         let Some(age) = announcement.store_age_ms.filter(|_| is_near) else {
             return;
         };
@@ -23,35 +23,46 @@
         self.sign = Some(self.sign.map_or(at, |known| known.max(at)));
     }
 
-    /// When the store last answered a reader of the zone, as far as it was heard here.
+    /// When the store last answered a reader of the region, as far as it was heard here.
     pub fn newest_sign(&self) -> Option<BootTime> {
         self.sign
     }
 
-    /// Whether this node is one of the readers of its zone.
+    /// Whether this node is one of the readers of its region.
     pub fn is_designated_reader(&self) -> bool {
-        let mut readers = self.zone_mates().take(READERS_PER_ZONE);
-        !self.policy.store_readers || readers.any(|member| member.node == self.node)
+        !self.policy.store_readers || self.readers().contains(&self.node)
     }
 
-    /// Live members of the zone that aren't its readers.
+    /// Those with the lowest ids, of different zones if there are some.
+    fn readers(&self) -> Vec<NodeId> {
+        let Some(first) = self.region_mates().next() else {
+            return Vec::new();
+        };
+        let elsewhere = self.region_mates().filter(|member| member.zone != first.zone);
+        let in_zone = self.region_mates().filter(|member| member.zone == first.zone).skip(1);
+        let others = elsewhere.chain(in_zone).take(READERS_PER_REGION - 1);
+        std::iter::once(first).chain(others).map(|member| member.node).collect()
+    }
+
+    /// Live members of the region that aren't its readers.
     fn followers(&self) -> impl Iterator<Item = &Member> {
-        let readers = if self.policy.store_readers { READERS_PER_ZONE } else { usize::MAX };
-        self.zone_mates().skip(readers)
+        let readers = if self.policy.store_readers { self.readers() } else { Vec::new() };
+        let follows = self.policy.store_readers;
+        self.region_mates().filter(move |member| follows && !readers.contains(&member.node))
     }
 
-    /// Whether the zone has members that follow its readers.
+    /// Whether the region has members that follow its readers.
     pub fn has_followers(&self) -> bool {
         self.followers().next().is_some()
     }
 
-    /// Live members of the zone in the order of their ids, this node included.
-    fn zone_mates(&self) -> impl Iterator<Item = &Member> {
+    /// Live members of the region in the order of their ids, this node included.
+    fn region_mates(&self) -> impl Iterator<Item = &Member> {
         let own = self.membership.own();
         self.membership
             .members()
             .values()
-            .filter(|member| member.state == MemberState::Alive && member.zone == own.zone)
+            .filter(|member| member.state == MemberState::Alive && member.region == own.region)
     }
 
     /// Notes when the store last answered this node; `None` when it doesn't read.
@@ -59,7 +70,7 @@
         self.store_contact = at;
     }
 
-    /// Tells the zone's followers at once what this node, a reader, knows.
+    /// Tells the region's followers at once what this node, a reader, knows.
     pub fn tell_followers(&mut self, now: BootTime) {
         self.refresh_own_sign(now);
         let followers: Vec<(NodeId, SocketAddr)> =
@@ -84,14 +95,16 @@
     /// A peer that knows more, once this node has been behind for a while.
     /// A follower doesn't wait.
     pub fn better_informed(&mut self, now: BootTime, role: StoreRole) -> Option<SocketAddr> {
-        let own_zone = self.membership.own().zone.clone();
-        let ahead = self
+        let own = self.membership.own();
+        let distance = |member: &Member| (member.region != own.region, member.zone != own.zone);
+        let ahead: Vec<&Member> = self
             .live()
-            .filter(|member| self.announced.get(&member.node).is_some_and(|known| self.own.is_behind(known)));
+            .filter(|member| self.announced.get(&member.node).is_some_and(|known| self.own.is_behind(known)))
+            .collect();
         // Any of the nearest: all that lack the same would ask the same one else.
-        let (near, far): (Vec<&Member>, Vec<&Member>) = ahead.partition(|member| member.zone == own_zone);
-        let nearest = if near.is_empty() { far } else { near };
-        let addresses: Vec<SocketAddr> = nearest.iter().map(|member| member.peer_address).collect();
+        let nearest = ahead.iter().map(|member| distance(member)).min();
+        let is_nearest = |member: &&&Member| Some(distance(member)) == nearest;
+        let addresses: Vec<SocketAddr> = ahead.iter().filter(is_nearest).map(|member| member.peer_address).collect();
         let Some(address) = addresses.choose(&mut self.random).copied() else {
             self.behind_since = None;
             return None;
@@ -100,7 +113,7 @@
         let since = *self.behind_since.get_or_insert(now);
         let patience = match role {
             StoreRole::Reader => BEHIND_PATIENCE,
-            StoreRole::Follower => Duration::ZERO,
+            StoreRole::Follower | StoreRole::Prober => Duration::ZERO,
         };
         (knows_nothing || now.since(since) >= patience).then_some(address)
     }
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -39,7 +39,7 @@
 use setup::{listeners, routing_settings};
 use staircross_http::ServerLimits;
 use staircross_routing::engine::{RoutingEngine, RoutingEvent};
-use staircross_routing::store_reader::{StoreCall, StoreReader};
+use staircross_routing::store_reader::{ReadingMode, StoreCall, StoreReader};
 use staircross_routing::{Mirror, RequestKey};
 use staircross_types::boot_clock as clock;
 use staircross_types::{BootTime, NodeId};
@@ -165,13 +165,13 @@
         };
         let proves_until = if settings.node.first_start { now } else { now + YOUNG };
         let store = settings.store.address;
-        let mut role = RoleKeeper::new(settings.longest_silence());
+        let mut role = RoleKeeper::new(now, settings.longest_silence());
         let mut reader = StoreReader::new(settings.reader());
         if settings.node.first_start {
             role = role.with_first_start(now);
-            reader = reader.with_following(true);
+            reader = reader.with_mode(now, ReadingMode::Following);
         } else {
-            reader = reader.with_young_until(now + YOUNG_READER);
+            reader = reader.with_mode(now, ReadingMode::Once).with_young_until(now + YOUNG_READER);
         }
         let routing = routing_settings(now, &settings);
         let mut log = EventLog::new(&settings.node.name, settings.node.log);
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -8,6 +8,7 @@
 use crate::socket::SocketId;
 use crate::store_role::StoreRole;
 use crate::traffic::{Purpose, Reach};
+use staircross_cluster::Member;
 use staircross_routing::engine::RoutingEvent;
 use staircross_routing::store_reader::{Lane, ReaderAction, StoreReply};
 use staircross_routing::{MirrorUpdate, RouteTable};
@@ -96,6 +97,9 @@
             }
             None => self.reader.on_failed(self.now, lane, &mut self.random, &mut actions),
         }
+        if is_alive {
+            self.role.note_probe_answered(self.now);
+        }
         if is_alive && self.reader.is_reachable() && self.fleet.is_designated_reader() {
             self.fleet.set_store_contact(Some(self.now));
             self.fleet.tell_followers(self.now);
@@ -173,6 +177,9 @@
         if events.is_empty() {
             return;
         }
+        if events.iter().any(|FleetEvent::Member { member }| self.is_region_mate(member)) {
+            self.role.note_learned(self.now);
+        }
         for FleetEvent::Member { member } in &events {
             self.log.line(
                 self.now,
@@ -186,6 +193,10 @@
         self.tell_fleet_shape();
     }
 
+    fn is_region_mate(&self, member: &Member) -> bool {
+        member.region == self.settings.node.region
+    }
+
     fn tell_fleet_shape(&mut self) {
         let FleetShape { nodes_by_zone, serving, slack_part } = self.fleet.shape(self.now);
         self.engine_event(RoutingEvent::Fleet { nodes_by_zone, serving, slack_part });
@@ -196,7 +207,7 @@
         }
     }
 
-    /// Reads the store, or follows a reader of the zone.
+    /// Reads the store, or follows a reader of the region.
     pub(super) fn decide_store_role(&mut self) {
         if let Some(sign) = self.fleet.newest_sign() {
             self.role.note_sign(sign);
@@ -210,7 +221,7 @@
         self.log.line(self.now, LineKind::Belief, format_args!("event=store_role role={}", role.name()));
         self.fleet.set_store_contact(None);
         let mut actions = Vec::new();
-        self.reader.set_following(self.now, role == StoreRole::Follower, &mut actions);
+        self.reader.set_mode(self.now, role.mode(), &mut actions);
         self.take_reader_actions(actions);
     }
 
--- a/crates/staircross-gateway/src/node/reload.rs
+++ b/crates/staircross-gateway/src/node/reload.rs
@@ -54,6 +54,6 @@
             caller.set_address(address);
         }
         self.store_calls = [const { None }; 3];
-        self.reader = StoreReader::new(self.settings.reader());
+        self.reader = StoreReader::new(self.settings.reader()).with_mode(self.now, self.role.role().mode());
     }
 }
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -186,6 +186,10 @@
 const LAPSE_PART: f64 = 0.25;
 /// Part of the shorter bound on news that a follower bears without hearing of its readers.
 const SILENCE_PART: f64 = 0.4;
+/// Parts of that silence after which a reader probes the store again, so that a lost sign is no silence, and after which a node
+/// does that hears no reader.
+const SIGN_PART: f64 = 0.4;
+const DOUBT_PART: f64 = 0.5;
 /// Memory that one request in flight is taken to need at most on average, in bytes.
 const REQUEST_MEMORY: u64 = 64 * 1024;
 
@@ -236,6 +240,8 @@
         ReaderSettings {
             configuration_rest: usual.configuration_rest.min(part(self.bounds.config_ms, CONFIG_REST_PART)),
             searcher_rest: usual.searcher_rest.min(part(self.bounds.drain_ms, DRAIN_REST_PART)),
+            probe_for_others: self.longest_silence().mul_f64(SIGN_PART),
+            probe_in_doubt: self.longest_silence().mul_f64(DOUBT_PART),
             lanes_wait_for_probe: self.policy.node.probe_first,
             ..usual
         }
--- a/crates/staircross-gateway/src/store_role.rs
+++ b/crates/staircross-gateway/src/store_role.rs
@@ -1,30 +1,40 @@
-//! Whether a node reads the store itself or follows a peer of its zone that does.
+//! Whether a node reads the store itself or follows a peer of its region that does.
 //!
-//! Each call to the store costs, and so does each byte of an answer that crosses zones. In a zone of more
-//! than a few nodes two of them read; they tell the others of the zone at once what revision they have
+//! Each call to the store costs, and so does each byte of an answer that crosses regions. In a region of more
+//! than a few nodes two of them read; they tell the others of the region at once what revision they have
 //! reached, and that the store still answers them. The others pull what is new from them. Whoever hears no
-//! such sign for a part of the time that news may take reads by itself, so that a node follows in time
-//! whatever becomes of its readers.
+//! such sign for a part of the time that news may take probes the store, and if that answers while still no reader is
+//! heard, reads by itself; so a node follows in time whatever becomes of its readers, and a store that is away is
+//! asked little.
 
+use staircross_routing::store_reader::ReadingMode;
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Nodes of each zone that read, those with the lowest ids.
-pub const READERS_PER_ZONE: usize = 2;
+/// Nodes of each region that read, of different zones where there are some.
+pub const READERS_PER_REGION: usize = 2;
 /// Time for which a node that had to read by itself goes on doing so.
 const HOLD: Duration = Duration::from_secs(10);
-/// At the first start of a fleet: time until nodes know their zone's readers, and until these have told what
-/// they read. There is nothing to serve yet, and all would read everything.
-const FIRST_SETTLING: Duration = Duration::from_millis(500);
+/// A node knows its region when it has learned of no other member for so long: whoever joins asks a seed once a second.
+const QUIET: Duration = Duration::from_millis(1200);
+/// Longest time that a node waits to know its region: at the first start of a fleet, when seeds may be seconds late and there
+/// is nothing to serve, and later, as a part of the silence that a follower bears.
+const MOST_FIRST_SETTLING: Duration = Duration::from_secs(3);
+const SETTLING_PART: f64 = 0.8;
+/// At the first start of a fleet: time until readers have told what they read.
 const FIRST_READING: Duration = Duration::from_millis(1500);
+/// Part of the silence that a follower bears for which it then waits for its readers to find the store too.
+const GRACE_PART: f64 = 0.33;
 
 /// Where a node has its news from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreRole {
     /// From the store.
     Reader,
-    /// From readers of its zone.
+    /// From readers of its region.
     Follower,
+    /// From nobody: it hears no reader, and asks whether the store answers.
+    Prober,
 }
 
 impl StoreRole {
@@ -33,6 +43,16 @@
         match self {
             StoreRole::Reader => "reader",
             StoreRole::Follower => "follower",
+            StoreRole::Prober => "prober",
+        }
+    }
+
+    /// What is asked of the store in this role.
+    pub fn mode(self) -> ReadingMode {
+        match self {
+            StoreRole::Reader => ReadingMode::Watching,
+            StoreRole::Follower => ReadingMode::Following,
+            StoreRole::Prober => ReadingMode::Probing,
         }
     }
 }
@@ -42,32 +62,34 @@
 pub struct RoleKeeper {
     longest_silence: Duration,
     role: StoreRole,
-    /// When the store last answered a reader of the zone, as far as it was heard here.
-    sign: Option<BootTime>,
+    /// When the store last answered a reader of the region, as far as it was heard here.
+    sign: BootTime,
     reads_until: BootTime,
-    /// Nobody reads until then, and none but readers by designation until the second.
+    /// When a member of the region was learned of last; until when the region may be incomplete at the latest.
+    learned_at: BootTime,
     settles_until: BootTime,
-    waits_until: BootTime,
+    /// When the store first answered a probe of this node, while it hears no reader.
+    probed_at: Option<BootTime>,
 }
 
 impl RoleKeeper {
-    /// A node that reads until it hears of a reader. Without a sign for `longest_silence` it reads by itself.
-    pub fn new(longest_silence: Duration) -> Self {
+    /// A process that has just started and reads the store once. Without a sign for `longest_silence` it looks whether it
+    /// must read by itself.
+    pub fn new(now: BootTime, longest_silence: Duration) -> Self {
         RoleKeeper {
             longest_silence,
-            role: StoreRole::Reader,
-            sign: None,
+            role: StoreRole::Follower,
+            sign: now,
             reads_until: BootTime::default(),
-            settles_until: BootTime::default(),
-            waits_until: BootTime::default(),
+            learned_at: now,
+            settles_until: now + longest_silence.mul_f64(SETTLING_PART),
+            probed_at: None,
         }
     }
 
     /// The fleet starts for the first time: others are given time to read.
     pub fn with_first_start(self, now: BootTime) -> Self {
-        let settles_until = now + FIRST_SETTLING;
-        let waits_until = settles_until + FIRST_READING;
-        RoleKeeper { role: StoreRole::Follower, settles_until, waits_until, ..self }
+        RoleKeeper { settles_until: now + MOST_FIRST_SETTLING, sign: now + FIRST_READING, ..self }
     }
 
     /// The role as last decided.
@@ -80,9 +102,19 @@
         self.longest_silence = longest_silence;
     }
 
-    /// Notes that the store answered a reader of the zone at a time.
+    /// Notes that a member of the region was learned of: there may be more.
+    pub fn note_learned(&mut self, now: BootTime) {
+        self.learned_at = now;
+    }
+
+    /// Notes that the store answered a reader of the region at a time.
     pub fn note_sign(&mut self, at: BootTime) {
-        self.sign = Some(self.sign.map_or(at, |known| known.max(at)));
+        self.sign = self.sign.max(at);
+    }
+
+    /// Notes that the store answered a probe of this node.
+    pub fn note_probe_answered(&mut self, now: BootTime) {
+        self.probed_at.get_or_insert(now);
     }
 
     /// Notes that the node lacks something that its peers did not give it.
@@ -90,17 +122,32 @@
         self.reads_until = now + HOLD;
     }
 
-    /// Decides the role; `is_designated` when the node is one of its zone's readers.
+    /// Decides the role; `is_designated` when the node is one of its region's readers.
     pub fn decide(&mut self, now: BootTime, is_designated: bool) -> StoreRole {
-        if now < self.settles_until || (now < self.waits_until && !is_designated) {
-            return self.role;
-        }
-        let hears_signs = self.sign.is_some_and(|sign| now.since(sign) < self.longest_silence);
-        if !is_designated && !hears_signs && self.role == StoreRole::Follower {
-            self.reads_until = now + HOLD;
+        let is_reader = (is_designated && self.knows_region(now)) || now < self.reads_until;
+        self.role = match self.role {
+            _ if is_reader => StoreRole::Reader,
+            _ if now.since(self.sign) < self.longest_silence => StoreRole::Follower,
+            StoreRole::Reader => StoreRole::Reader,
+            StoreRole::Prober if self.must_read(now) => {
+                self.reads_until = now + HOLD;
+                StoreRole::Reader
+            }
+            StoreRole::Follower | StoreRole::Prober => StoreRole::Prober,
+        };
+        if self.role != StoreRole::Prober {
+            self.probed_at = None;
         }
-        let follows = !is_designated && hears_signs && now >= self.reads_until;
-        self.role = if follows { StoreRole::Follower } else { StoreRole::Reader };
         self.role
     }
+
+    fn knows_region(&self, now: BootTime) -> bool {
+        now >= self.settles_until || now.since(self.learned_at) >= QUIET
+    }
+
+    /// Whether the store answers this node and still no reader is heard.
+    fn must_read(&self, now: BootTime) -> bool {
+        let grace = self.longest_silence.mul_f64(GRACE_PART);
+        self.probed_at.is_some_and(|at| now.since(at) >= grace)
+    }
 }
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -9,11 +9,13 @@
 //! same as one that is dead. So a third lane asks now and then for a cheap sign of life; once the
 //! store has missed one, both watches are renewed when it is back, and a lane that fails meanwhile
 //! leaves it to the probe to find that out.
+//!
+//! What is asked at all follows from the node's role in its fleet, by a [`ReadingMode`].
 
 mod lane;
 mod message;
 
-pub use message::{Lane, ReaderAction, ReaderSettings, StoreCall, StoreReply};
+pub use message::{Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReply};
 
 use lane::{LaneReader, LaneState};
 use rand_chacha::ChaCha8Rng;
@@ -23,6 +25,7 @@
 #[derive(Debug)]
 pub struct StoreReader {
     settings: ReaderSettings,
+    mode: ReadingMode,
     lanes: [LaneReader; 3],
     /// Whether the store has missed a sign of life since the watches began.
     was_away: bool,
@@ -43,14 +46,19 @@
             failures: 0,
             is_reachable: false,
         });
-        StoreReader { settings, lanes, was_away: false, has_followers: false, is_young_until: BootTime::default() }
+        StoreReader {
+            settings,
+            mode: ReadingMode::Watching,
+            lanes,
+            was_away: false,
+            has_followers: false,
+            is_young_until: BootTime::default(),
+        }
     }
 
-    /// One that asks nothing at first if `is_following`.
-    pub fn with_following(mut self, is_following: bool) -> Self {
-        if is_following {
-            self.lanes.iter_mut().for_each(|lane| lane.state = LaneState::Suspended);
-        }
+    /// One that begins in another mode than watching.
+    pub fn with_mode(mut self, now: BootTime, mode: ReadingMode) -> Self {
+        self.set_mode(now, mode, &mut Vec::new());
         self
     }
 
@@ -75,13 +83,16 @@
         self.lanes.iter().all(|lane| lane.is_reachable || lane.lane == Lane::Probe)
     }
 
-    /// Stops asking because a peer tells what is new, or begins again where the peer's word has led.
-    pub fn set_following(&mut self, now: BootTime, is_following: bool, actions: &mut Vec<ReaderAction>) {
+    /// Changes what is asked: lanes that aren't wanted any more are given up, others begin where they or a peer's word
+    /// have led.
+    pub fn set_mode(&mut self, now: BootTime, mode: ReadingMode, actions: &mut Vec<ReaderAction>) {
+        self.mode = mode;
         for lane in &mut self.lanes {
-            if is_following && lane.state == LaneState::Calling {
+            let is_wanted = lane.is_wanted(mode);
+            if !is_wanted && lane.state == LaneState::Calling {
                 actions.push(ReaderAction::Cancel { lane: lane.lane });
             }
-            if is_following {
+            if !is_wanted {
                 lane.state = LaneState::Suspended;
                 lane.partial = None;
             } else if lane.state == LaneState::Suspended {
@@ -89,7 +100,7 @@
                 lane.state = LaneState::Resting { until: now };
             }
         }
-        if is_following {
+        if mode == ReadingMode::Following {
             self.was_away = false;
         }
     }
@@ -106,7 +117,11 @@
 
     /// Makes the calls that are due.
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
+        let mode = self.mode;
         for lane in &mut self.lanes {
+            if !lane.is_wanted(mode) {
+                lane.state = LaneState::Suspended;
+            }
             let is_due = matches!(lane.state, LaneState::Resting { until } if until <= now);
             let waits = self.settings.lanes_wait_for_probe && self.was_away;
             if is_due && waits && lane.failures > 0 {
@@ -161,10 +176,11 @@
 
     fn on_sign_of_life(&mut self, now: BootTime, is_alive: bool, actions: &mut Vec<ReaderAction>) {
         let (usual, while_away) = self.settings.probe;
-        let wait = match (is_alive, self.has_followers) {
-            (true, true) => self.settings.probe_for_others,
-            (true, false) => usual,
-            (false, _) => while_away,
+        let wait = match (self.mode, is_alive, self.has_followers) {
+            (ReadingMode::Probing, ..) => self.settings.probe_in_doubt,
+            (_, true, true) => self.settings.probe_for_others,
+            (_, true, false) => usual,
+            (_, false, _) => while_away,
         };
         let probe = self.lane_mut(Lane::Probe);
         probe.state = LaneState::Resting { until: now + wait };
@@ -173,9 +189,20 @@
         self.was_away = !is_alive;
         if is_back {
             self.renew_watches(now, actions);
+        } else if is_alive {
+            self.note_held_watches(actions);
         }
     }
 
+    /// A store that answers the probe holds the watches that were begun where a peer's word had led; they are answered only
+    /// when something changes.
+    fn note_held_watches(&mut self, actions: &mut Vec<ReaderAction>) {
+        let is_held = |lane: &&mut LaneReader| {
+            lane.lane != Lane::Probe && lane.state == LaneState::Calling && lane.after.is_some() && lane.failures == 0
+        };
+        self.lanes.iter_mut().filter(is_held).for_each(|lane| lane.set_reachable(true, actions));
+    }
+
     /// Has the lanes ask again: those whose watch may have been forgotten, and those that wait for the store.
     fn renew_watches(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         for lane in &mut self.lanes {
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -1,6 +1,6 @@
 //! One lane: what it asks next, and what a reply means for it.
 
-use super::message::{Lane, ReaderAction, ReaderSettings, StoreCall};
+use super::message::{Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall};
 use crate::mirror::{MirrorItem, MirrorUpdate};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -40,6 +40,17 @@
 }
 
 impl LaneReader {
+    /// Whether the lane asks anything in a mode.
+    pub fn is_wanted(&self, mode: ReadingMode) -> bool {
+        match (mode, self.lane) {
+            (ReadingMode::Watching, _) => true,
+            (ReadingMode::Once, Lane::Probe) => false,
+            (ReadingMode::Once, Lane::Configuration | Lane::Searchers) => self.after.is_none(),
+            (ReadingMode::Probing, lane) => lane == Lane::Probe,
+            (ReadingMode::Following, _) => false,
+        }
+    }
+
     pub fn next_call(&self, settings: &ReaderSettings) -> ReaderAction {
         if self.lane == Lane::Probe {
             return ReaderAction::Call { lane: self.lane, call: StoreCall::Probe, patience: settings.probe_patience };
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -28,6 +28,19 @@
     }
 }
 
+/// What is asked of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadingMode {
+    /// Configuration and searchers are read once and then watched; the store is probed.
+    Watching,
+    /// Both are read once, until they are known; a process that has just started knows nothing.
+    Once,
+    /// The store is only probed, to find out whether it would answer.
+    Probing,
+    /// Nothing: peers tell what is new.
+    Following,
+}
+
 /// One call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreCall {
@@ -131,6 +144,8 @@
     pub probe: (Duration, Duration),
     /// Time between signs of life while others rely on them.
     pub probe_for_others: Duration,
+    /// Time between probes of a node that has lost its readers.
+    pub probe_in_doubt: Duration,
     /// Longest wait for a sign of life.
     pub probe_patience: Duration,
     /// First and longest wait after a failure.
@@ -149,6 +164,7 @@
             lapse_rest: Duration::from_millis(150),
             probe: (Duration::from_millis(2000), Duration::from_millis(400)),
             probe_for_others: Duration::from_millis(500),
+            probe_in_doubt: Duration::from_millis(600),
             probe_patience: Duration::from_millis(800),
             back_off: (Duration::from_millis(150), Duration::from_millis(1000)),
             lanes_wait_for_probe: true,
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -4,7 +4,9 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use staircross_routing::mirror::MirrorChanges;
-use staircross_routing::store_reader::{Lane, ReaderAction, ReaderSettings, StoreCall, StoreReader, StoreReply};
+use staircross_routing::store_reader::{
+    Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReader, StoreReply,
+};
 use staircross_routing::{
     CallerLimits, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, RouteDefinition, RouteTarget, RoutingDefinition,
     SearcherEntry,
@@ -509,26 +511,100 @@
     assert!(store.calls(0, Lane::Searchers).is_empty() && store.cancelled.is_empty());
 }
 
-fn set_following(store: &mut Store, is_following: bool) {
+fn set_mode(store: &mut Store, mode: ReadingMode) {
     let mut actions = Vec::new();
-    store.reader.set_following(store.now, is_following, &mut actions);
+    store.reader.set_mode(store.now, mode, &mut actions);
     store.take(actions);
 }
 
+#[test]
+fn a_process_that_has_just_started_reads_once_and_asks_no_more() {
+    let mut store = Store::new();
+    set_mode(&mut store, ReadingMode::Once);
+    assert_eq!(store.calls(0, Lane::Configuration), [StoreCall::ReadConfiguration]);
+    store.fail(Lane::Configuration);
+    assert_eq!(store.calls(400, Lane::Configuration), [StoreCall::ReadConfiguration], "until it has been answered");
+    store.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::ListSearchers { after: None }]);
+    let page = StoreReply::Items { update: MirrorUpdate::default(), at: 5, next: Some("k".into()) };
+    store.reply(Lane::Searchers, page);
+    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::ListSearchers { after: Some("k".into()) }]);
+    store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 6, next: None });
+    for lane in Lane::ALL {
+        assert_eq!(store.calls(60_000, lane), []);
+    }
+    set_mode(&mut store, ReadingMode::Watching);
+    let calls = store.calls(0, Lane::Searchers);
+    assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 5)), "{calls:?}");
+}
+
+#[test]
+fn what_a_peer_has_told_meanwhile_is_not_read() {
+    let mut store = Store::new();
+    set_mode(&mut store, ReadingMode::Once);
+    store.calls(0, Lane::Searchers);
+    store.fail(Lane::Searchers);
+    store.reader.on_told(Lane::Searchers, 7);
+    assert_eq!(store.calls(60_000, Lane::Searchers), []);
+}
+
+#[test]
+fn a_reader_that_watches_from_where_a_peer_has_led_counts_as_served_once_the_store_answers_its_probe() {
+    let mut store = Store::new();
+    set_mode(&mut store, ReadingMode::Following);
+    [Lane::Configuration, Lane::Searchers].iter().for_each(|lane| store.reader.on_told(*lane, 20));
+    set_mode(&mut store, ReadingMode::Watching);
+    for lane in [Lane::Configuration, Lane::Searchers] {
+        let calls = store.calls(0, lane);
+        assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 20)), "{calls:?}");
+    }
+    assert!(!store.reader.is_reachable(), "nothing has answered yet");
+    store.calls(0, Lane::Probe);
+    store.reply(Lane::Probe, StoreReply::Alive);
+    assert!(store.reader.is_reachable(), "its followers may rely on it");
+    store.fail(Lane::Searchers);
+    assert!(!store.reader.is_reachable());
+}
+
+#[test]
+fn a_node_that_has_lost_its_readers_only_probes_until_it_must_read() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Searchers);
+    store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+    set_mode(&mut store, ReadingMode::Following);
+    set_mode(&mut store, ReadingMode::Probing);
+    store.calls.clear();
+    let mut probes = 0;
+    for _ in 0..100 {
+        for _ in store.calls(100, Lane::Probe) {
+            probes += 1;
+            store.fail(Lane::Probe);
+        }
+        assert!(store.calls.is_empty(), "{:?}", store.calls);
+    }
+    assert!((10..=20).contains(&probes), "{probes} probes in 10 s");
+    store.calls(700, Lane::Probe);
+    store.reply(Lane::Probe, StoreReply::Alive);
+    assert_eq!(store.calls(0, Lane::Searchers), [], "its readers may have found the store too");
+    set_mode(&mut store, ReadingMode::Watching);
+    let calls = store.calls(0, Lane::Searchers);
+    assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 10)), "{calls:?}");
+}
+
 #[test]
 fn a_follower_asks_nothing_and_goes_on_from_what_its_peer_told() {
     let mut store = Store::new();
     store.calls(0, Lane::Searchers);
     store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
     assert_eq!(store.calls(0, Lane::Searchers).len(), 1, "it watches");
-    set_following(&mut store, true);
+    set_mode(&mut store, ReadingMode::Following);
     store.calls.clear();
     assert!(store.cancelled.contains(&Lane::Searchers) && store.cancelled.contains(&Lane::Probe));
     for lane in Lane::ALL {
         assert_eq!(store.calls(60_000, lane), []);
     }
     store.reader.on_told(Lane::Searchers, 25);
-    set_following(&mut store, false);
+    set_mode(&mut store, ReadingMode::Watching);
     let calls = store.calls(0, Lane::Searchers);
     assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 25)), "{calls:?}");
 }
