Raise what is taken by the time that has passed, however seldom a node judges

Change: an increase counts once for each 250 ms since the judgement before, at most eight times. Test: overload.rs, fails without it (10 s instead of 3).

--- a/crates/staircross-routing/src/admission.rs
+++ b/crates/staircross-routing/src/admission.rs
@@ -47,6 +47,8 @@
 const GAIN: f64 = 0.25;
 const MOST_DECREASE: f64 = 0.25;
 const MOST_INCREASE: f64 = 0.05;
+/// Spacings that one increase may make up for.
+const MOST_SPACINGS: f64 = 8.0;
 /// A wait of less than so many times the tolerable one says that nothing queues, and its increase.
 const NO_QUEUE: f64 = 0.25;
 const FAST_INCREASE: f64 = 0.12;
@@ -191,15 +193,22 @@
 pub struct Admission {
     level: f64,
     next_judgement: BootTime,
-    /// When the group was judged first.
+    /// When the group was judged first, and last.
     first_judged: Option<BootTime>,
+    last_judged: Option<BootTime>,
     /// Since when the wait has been too long at each judgement.
     too_long_since: Option<BootTime>,
 }
 
 impl Default for Admission {
     fn default() -> Self {
-        Admission { level: 1.0, next_judgement: BootTime::default(), first_judged: None, too_long_since: None }
+        Admission {
+            level: 1.0,
+            next_judgement: BootTime::default(),
+            first_judged: None,
+            last_judged: None,
+            too_long_since: None,
+        }
     }
 }
 
@@ -223,6 +232,7 @@
     /// Judges the wait that counts.
     pub fn judge(&mut self, now: BootTime, wait: Duration, tolerable: Duration) -> Option<AdmissionChange> {
         self.next_judgement = now + JUDGEMENT_SPACING;
+        let last_judged = self.last_judged.replace(now).unwrap_or(now);
         let ratio = wait.as_secs_f64() / tolerable.as_secs_f64().max(f64::MIN_POSITIVE);
         let before = self.level;
         let first_judged = *self.first_judged.get_or_insert(now);
@@ -234,6 +244,9 @@
         } else {
             (GAIN * (TARGET - ratio)).clamp(-MOST_DECREASE, MOST_INCREASE)
         };
+        // A node with few requests judges seldom; what is taken rises by the time that has passed all the same.
+        let spacings = now.since(last_judged).as_secs_f64() / JUDGEMENT_SPACING.as_secs_f64();
+        let change = if change > 0.0 { (1.0 + change).powf(spacings.clamp(1.0, MOST_SPACINGS)) - 1.0 } else { change };
         if change < 0.0 {
             // What was sent before tells of the queue before: the effect shows once that has gone through.
             self.next_judgement = self.next_judgement + (wait * 2).min(MOST_DELAY);
--- a/crates/staircross-routing/tests/overload.rs
+++ b/crates/staircross-routing/tests/overload.rs
@@ -4,6 +4,7 @@
 
 use common::backends::{Backends, Tally};
 use common::{Driver, definition, gather, route, searcher, settings};
+use staircross_routing::admission::Admission;
 use staircross_routing::engine::SendReason;
 use staircross_routing::{RouteDefinition, RoutingSettings};
 use staircross_types::BootTime;
@@ -209,3 +210,28 @@
     assert_eq!(burst.refused, 0, "{burst:?}");
     assert!(burst.part(burst.in_time + burst.late) > 0.9, "{burst:?}");
 }
+
+#[test]
+fn a_node_that_judges_seldom_takes_everything_again_as_soon_as_one_that_judges_often() {
+    let tolerable = Duration::from_millis(30);
+    let recovery = |spacing: Duration| {
+        let mut admission = Admission::default();
+        let mut now = BootTime::from_millis(1000);
+        let mut judge = |now: BootTime, wait: Duration| {
+            admission.judge(now, wait, tolerable);
+            admission.level()
+        };
+        // Past the warm-up of a group, too long a wait limits what is taken.
+        while judge(now, tolerable * 4) > 0.3 {
+            now = now + Duration::from_millis(250);
+        }
+        let began = now;
+        while judge(now, Duration::ZERO) < 1.0 {
+            now = now + spacing;
+        }
+        now.since(began)
+    };
+    let (often, seldom) = (recovery(Duration::from_millis(250)), recovery(Duration::from_millis(1000)));
+    assert!(often < Duration::from_millis(3500), "{often:?}");
+    assert!(seldom <= often + Duration::from_millis(1000), "{seldom:?} for {often:?}");
+}
