Bound the lines on members and searchers

Change: five changes of members a second have lines of their own, the others are counted and told in one line when the second is over; a merge that changes more than five searchers is one line with counts and the store's revision. explain says of a searcher without a line of its own when it was learned of together with others.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -4,6 +4,7 @@
 //! searchers, and these before new requests: a process that wakes late learns first what has changed.
 
 mod caller_request;
+mod change_log;
 mod endpoints;
 mod knowledge;
 mod recording;
@@ -28,6 +29,7 @@
 use crate::store_role::RoleKeeper;
 use crate::traffic::Traffic;
 use caller_request::CallerRequest;
+use change_log::MemberLog;
 use hashbrown::HashMap;
 use mio::event::Event;
 use mio::net::UdpSocket;
@@ -135,6 +137,7 @@
     recorder: Option<Recorder>,
     log: EventLog,
     metrics: Metrics,
+    member_log: MemberLog,
     /// Bytes to and from store and peers.
     traffic: Traffic,
     next_summary: BootTime,
@@ -204,6 +207,7 @@
             is_serving: false,
             stop: None,
             metrics: Metrics::default(),
+            member_log: MemberLog::default(),
             traffic: Traffic::default(),
             next_summary: now + SUMMARY_EVERY,
             random: ChaCha8Rng::seed_from_u64(rand::rng().random()),
--- /dev/null
+++ b/crates/staircross-gateway/src/node/change_log.rs
@@ -0,0 +1,120 @@
+//! Lines on changes of what the node believes of members and searchers, bounded.
+//!
+//! When a large fleet starts, each node learns of every member and every searcher. A line for each would make the volume grow
+//! with the square of the fleet, and the lines that matter would be lost among them. So single changes have lines
+//! of their own, and what comes in numbers is told together.
+
+use super::GatewayNode;
+use crate::dialect::Dialect;
+use crate::event_log::LineKind;
+use staircross_cluster::{Member, MemberState};
+use staircross_routing::mirror::MirrorChanges;
+use staircross_types::BootTime;
+use std::time::Duration;
+
+/// Changes of members that have lines of their own within one span; those beyond are counted, and told together when it ends.
+const SINGLE_MEMBERS: usize = 5;
+const SPAN: Duration = Duration::from_secs(1);
+/// Changes of searchers learned at once that have lines of their own; a listing is told in one.
+const SINGLE_SEARCHERS: usize = 5;
+
+/// What was learned of members since the last line on it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct MemberLog {
+    span_began: BootTime,
+    told: usize,
+    held: MemberCounts,
+}
+
+/// Changes of members, by the state that they led to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct MemberCounts {
+    alive: usize,
+    leaving: usize,
+    suspect: usize,
+    gone: usize,
+}
+
+impl MemberCounts {
+    fn count(&mut self, state: MemberState) {
+        match state {
+            MemberState::Alive => self.alive += 1,
+            MemberState::Leaving => self.leaving += 1,
+            MemberState::Suspect => self.suspect += 1,
+            MemberState::Dead | MemberState::Left => self.gone += 1,
+        }
+    }
+}
+
+impl MemberLog {
+    /// Whether one more change has a line of its own now.
+    fn may_tell(&mut self, now: BootTime) -> bool {
+        if now.since(self.span_began) >= SPAN {
+            self.span_began = now;
+            self.told = 0;
+        }
+        self.told += 1;
+        self.told <= SINGLE_MEMBERS
+    }
+
+    /// What was counted in a span that is over.
+    fn take_held(&mut self, now: BootTime) -> Option<MemberCounts> {
+        let is_over = now.since(self.span_began) >= SPAN;
+        let held = std::mem::take(if is_over { &mut self.held } else { return None });
+        (held != MemberCounts::default()).then_some(held)
+    }
+}
+
+impl<D: Dialect> GatewayNode<D> {
+    /// Tells a change of a member, or counts it.
+    pub(super) fn note_member(&mut self, member: &Member) {
+        if !self.member_log.may_tell(self.now) {
+            return self.member_log.held.count(member.state);
+        }
+        let line = format_args!(
+            "event=member run={} address={} zone={} state={:?} ready={} record={}",
+            member.node, member.caller_address, member.zone, member.state, member.is_ready, member.version
+        );
+        self.log.line(self.now, LineKind::Belief, line);
+    }
+
+    /// Tells the changes that were counted.
+    pub(super) fn tell_held_members(&mut self) {
+        let Some(MemberCounts { alive, leaving, suspect, gone }) = self.member_log.take_held(self.now) else {
+            return;
+        };
+        let live = self.fleet.live_count();
+        let line =
+            format_args!("event=members alive={alive} leaving={leaving} suspect={suspect} gone={gone} live={live}");
+        self.log.line(self.now, LineKind::Belief, line);
+    }
+
+    /// Tells what a merge has changed of the searchers.
+    pub(super) fn note_searchers(&mut self, changes: &MirrorChanges, source: &str) {
+        if changes.searchers.len() + changes.gone.len() > SINGLE_SEARCHERS {
+            return self.note_listing(changes, source);
+        }
+        for entry in &changes.searchers {
+            let line = format_args!(
+                "event=searcher instance={} service={} address={} draining={} cold_ms={} source={source}",
+                entry.instance, entry.service, entry.address, entry.is_draining, entry.cold_ms
+            );
+            self.log.line(self.now, LineKind::Belief, line);
+        }
+        for instance in &changes.gone {
+            let line = format_args!("event=searcher_gone instance={instance} source={source}");
+            self.log.line(self.now, LineKind::Belief, line);
+        }
+    }
+
+    fn note_listing(&mut self, changes: &MirrorChanges, source: &str) {
+        let draining = changes.searchers.iter().filter(|entry| entry.is_draining).count();
+        let (changed, gone) = (changes.searchers.len(), changes.gone.len());
+        let revision = self.mirror.newest_revision();
+        let known = self.mirror.searchers().count();
+        let line = format_args!(
+            "event=searchers changed={changed} draining={draining} gone={gone} known={known} revision={revision} source={source}"
+        );
+        self.log.line(self.now, LineKind::Belief, line);
+    }
+}
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -109,8 +109,8 @@
 
     /// Merges what was learned and puts news in force at once.
     fn learn(&mut self, update: MirrorUpdate, source: &str) {
-        let changes = self.mirror.merge(update);
-        if let Some(definition) = changes.configuration {
+        let mut changes = self.mirror.merge(update);
+        if let Some(definition) = changes.configuration.take() {
             self.log.line(
                 self.now,
                 LineKind::Belief,
@@ -125,20 +125,7 @@
             self.fleet.set_connections(self.engine.tightest_connections());
             self.tell_fleet_shape();
         }
-        for entry in &changes.searchers {
-            self.log.line(
-                self.now,
-                LineKind::Belief,
-                format_args!(
-                    "event=searcher instance={} service={} address={} draining={} cold_ms={} source={source}",
-                    entry.instance, entry.service, entry.address, entry.is_draining, entry.cold_ms
-                ),
-            );
-        }
-        for instance in &changes.gone {
-            let line = format_args!("event=searcher_gone instance={instance} source={source}");
-            self.log.line(self.now, LineKind::Belief, line);
-        }
+        self.note_searchers(&changes, source);
         if !changes.searchers.is_empty() {
             self.engine_event(RoutingEvent::Searchers(changes.searchers));
         }
@@ -168,6 +155,7 @@
         self.fleet.set_load(self.load.percent(), &mut events);
         self.fleet.on_tick(self.now, &mut events);
         self.take_fleet_events(events);
+        self.tell_held_members();
         if self.fleet.is_directory_stale(self.now) {
             self.tell_fleet_shape();
         }
@@ -181,14 +169,7 @@
             self.role.note_learned(self.now);
         }
         for FleetEvent::Member { member } in &events {
-            self.log.line(
-                self.now,
-                LineKind::Belief,
-                format_args!(
-                    "event=member run={} address={} zone={} state={:?} ready={} record={}",
-                    member.node, member.caller_address, member.zone, member.state, member.is_ready, member.version
-                ),
-            );
+            self.note_member(member);
         }
         self.tell_fleet_shape();
     }
--- a/crates/staircross/src/explain.rs
+++ b/crates/staircross/src/explain.rs
@@ -9,8 +9,18 @@
 use std::path::Path;
 
 /// A belief this much older than the request's first line is still shown if it is the last of its kind.
-const BELIEFS: &[&str] =
-    &["configuration", "store", "pressed", "woke_late", "ready", "start", "stop_begins", "admission"];
+const BELIEFS: &[&str] = &[
+    "configuration",
+    "searchers",
+    "members",
+    "store",
+    "pressed",
+    "woke_late",
+    "ready",
+    "start",
+    "stop_begins",
+    "admission",
+];
 /// Field of a line on a store's lane or a group of services: the last word of each counts.
 const SUBJECTS: &[&str] = &["lane", "group"];
 /// Value of `level` where a group is limited no more.
@@ -113,13 +123,27 @@
     for instance in named {
         match here.iter().rfind(|line| line.time <= ended && line.get("instance") == Some(instance.as_str())) {
             Some(entry) => report.push_str(&format!("{}\n", entry.render(arrived))),
-            None => report.push_str(&format!("            no entry of {instance} in this log\n")),
+            None => report.push_str(&entry_among_many(&here, ended, &instance)),
         }
     }
     report.push('\n');
     report
 }
 
+/// A searcher without a line of its own was learned of together with others.
+fn entry_among_many(here: &[&LogLine], ended: f64, instance: &str) -> String {
+    match here.iter().find(|line| line.time <= ended && line.event == "searchers") {
+        Some(listing) => {
+            let (changed, source) = (listing.get("changed").unwrap_or("?"), listing.get("source").unwrap_or("?"));
+            format!(
+                "            {instance}: one of {changed} learned of together at t={:.3} from {source}, or later\n",
+                listing.time
+            )
+        }
+        None => format!("            no entry of {instance} in this log\n"),
+    }
+}
+
 /// Lines of the one run of the node that the request came to: clocks of two runs can't be compared.
 fn lines_of_run<'a>(lines: &'a [LogLine], node: &str, request: &str) -> Vec<&'a LogLine> {
     let mut run: Vec<&LogLine> = Vec::new();
