Make no hedges in the first two seconds of a restarted process

Change: a hedge that is due in the first two seconds of a restarted process waits until they are over. Tests: policy.rs (the test of the switch for hedges lets two seconds pass first).

--- a/bench/bound.py
+++ b/bench/bound.py
@@ -13,7 +13,7 @@
 - A searcher is of use to a request if its usual work, times how much slower it is, and the way there and back fit into the
   latency objective. Work is taken at its mean, without its spread.
 - A shard's searchers that are of use share what is asked of it; pauses cost their part of the time. What goes beyond their
-  slots isn't served by that shard in time. Requests that lack a shard lack others too where that is better for them.
+  slots isn't served by that shard in time. Which requests lack a shard is chosen so that most is earned.
 - A shard whose only useful searcher is in a pause is left out; with two, the other one is asked.
 - Requests that can't be answered in time are all answered late.
 - Searchers that fail a part of their requests, lose answers or are cut off from some machines count as good.
@@ -133,25 +133,33 @@
 
 
 def gathered(parts, least):
-    """Credit of a kind whose shards serve `parts` of its requests: those that lack one lack others too, or each by itself."""
+    """Most credit of a kind whose shards can each serve a part of its requests, whichever requests these are.
+
+    An answer counts if no more than `spare` shards are missing. Of the n worst shards it then has n - spare at least, so the sum
+    of what these serve bounds how many answers count. Fewer answers may count that lack less each.
+    """
     count = len(parts)
-    ordered = sorted(parts, reverse=True)
-    together, above = 0.0, 1.0
-    for have in range(count, -1, -1):
-        # Requests that find exactly the `have` best shards.
-        below = ordered[have - 1] if have else 1.0
-        upper = ordered[have] if have < count else 0.0
-        if have:
-            together += max(0.0, below - upper) * credit(count - have, count, least)
-    chances = [1.0]
-    for part in parts:
-        chances = [
-            (chances[missing] if missing < len(chances) else 0.0) * part
-            + (chances[missing - 1] * (1.0 - part) if missing else 0.0)
-            for missing in range(len(chances) + 1)
-        ]
-    apart = sum(chance * credit(missing, count, least) for missing, chance in enumerate(chances))
-    return max(together, apart) * above
+    spare = count - math.ceil(least * count)
+    most, within_worst = 1.0, 0.0
+    for number, part in enumerate(sorted(parts), start=1):
+        within_worst += part
+        if number > spare:
+            most = min(most, within_worst / (number - spare))
+    if most <= 0.0:
+        return 0.0
+    short = sum(1 for part in parts if part < 1.0)
+    misses = sum(1.0 - part for part in parts)
+    # What counts when each answer that does lacks just so many shards, and those that don't lack all that are short.
+    evenly = [(short - misses) / (short - lacking) for lacking in range(min(spare, short - 1) + 1)] if short else []
+    return max(earned(served, misses, short, count, least) for served in [*evenly, most] if 0.0 < served <= most)
+
+
+def earned(served, misses, short, count, least):
+    """Credit when a part of the answers counts, and what is missing besides is spread evenly over it."""
+    each = max(0.0, misses - (1.0 - served) * short) / served
+    fewer = math.floor(each + 1e-9)
+    between = credit(fewer, count, least) - credit(fewer + 1, count, least)
+    return served * (credit(fewer, count, least) - between * max(0.0, each - fewer))
 
 
 def state(day, shards, time, rng_by_strike):
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -11,6 +11,10 @@
 
 /// How long a searcher may go on with work whose caller has left.
 const DEPARTED_PATIENCE: Duration = Duration::from_millis(350);
+/// Time from a restart until the first hedge. A process that has just started has measured nothing that would tell late
+/// from usual; and when many start together, callers come back all at once, everything is late, and hedges would
+/// nearly double what the searchers have to do.
+const START_REST: Duration = Duration::from_secs(2);
 /// Time until a hedge that the budget refused, or that had nobody to go to, is thought of again.
 const HEDGE_PAUSE: Duration = Duration::from_millis(25);
 
@@ -34,11 +38,15 @@
             return;
         };
         let may_hedge = request.route().is_idempotent && self.settings.policy.hedges;
+        let rests_until = self.settings.restarted_at.filter(|_| self.settings.policy.start_rest);
+        let rests_until = rests_until.map_or(BootTime::default(), |started| started + START_REST);
         let most = request.route().max_attempts;
         let mut late = Vec::new();
         for attempt in request.attempts.iter_mut().filter(|attempt| attempt.is_open && attempt.hedge_at <= now) {
             let shard = &request.shards[attempt.shard as usize];
-            if may_hedge && shard.may_be_sent(most) && shard.outstanding == 1 {
+            if may_hedge && now < rests_until {
+                attempt.hedge_at = rests_until;
+            } else if may_hedge && shard.may_be_sent(most) && shard.outstanding == 1 {
                 attempt.hedge_at = now + HEDGE_PAUSE;
                 late.push(attempt.shard as usize);
             } else {
--- a/crates/staircross-routing/src/policy.rs
+++ b/crates/staircross-routing/src/policy.rs
@@ -24,6 +24,8 @@
     pub waiting: bool,
     /// A restarted process takes its share of connections in steps.
     pub connection_ramp: bool,
+    /// A restarted process makes no hedges in its first seconds.
+    pub start_rest: bool,
     /// Requests are held until configuration and searchers are known.
     pub holds: bool,
     /// The time to answer follows from how far the caller is.
@@ -41,6 +43,7 @@
             admission: true,
             waiting: true,
             connection_ramp: true,
+            start_rest: true,
             holds: true,
             caller_distance: true,
         }
--- a/crates/staircross-routing/tests/policy.rs
+++ b/crates/staircross-routing/tests/policy.rs
@@ -22,12 +22,25 @@
 fn without_hedges_a_late_searcher_is_waited_for() {
     for (policy, sends) in [(all_on(), 2), (RoutingPolicy { hedges: false, ..all_on() }, 1)] {
         let mut driver = driver(policy);
+        driver.pass_ms(2000);
         let request = driver.request("/q/1");
         driver.pass_ms(240);
         assert_eq!(driver.sent_for(request).len(), sends);
     }
 }
 
+#[test]
+fn without_a_rest_a_restarted_node_hedges_from_the_start() {
+    for (policy, sends) in [(all_on(), 1), (RoutingPolicy { start_rest: false, ..all_on() }, 2)] {
+        let mut driver = driver(policy);
+        let request = driver.request("/q/1");
+        driver.pass_ms(240);
+        assert_eq!(driver.sent_for(request).len(), sends);
+        driver.pass_ms(1761);
+        assert_eq!(driver.sent_for(request).len(), 2, "what is still late after two seconds is hedged");
+    }
+}
+
 #[test]
 fn without_waiting_a_shard_that_is_turned_away_everywhere_is_lost() {
     for (policy, is_lost) in [(all_on(), false), (RoutingPolicy { waiting: false, ..all_on() }, true)] {
