Have a node give few large answers at once, and read a large configuration from the store while that serves

A configuration of hundreds of routes was asked of peers by every reader that was behind for 0.4 s, while the store, read by a whole fleet at once, was still answering; links of 14 Mbit/s filled, and a pull that timed out half there began again. Ruled out: the store's own link (1,000 Mbit/s). Change: a node gives two answers over 64 KB a second; a reader asks peers for a large configuration only when the store fails or 0.75 of the silence that it bears has passed; a follower reads the configuration once from the store and goes on following; a call whose answer is coming in is given a second more with each piece, ten at most.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -69,6 +69,7 @@
     own: Announcement,
     announced: HashMap<NodeId, Announcement>,
     behind_since: Option<BootTime>,
+    version_behind_since: Option<BootTime>,
     directory: Directory,
     /// When the directory was made; `None` when it must be made anew.
     directory_at: Option<BootTime>,
@@ -123,6 +124,7 @@
             own: Announcement::default(),
             announced: HashMap::new(),
             behind_since: None,
+            version_behind_since: None,
             directory: Directory::default(),
             directory_at: None,
             connections: None,
--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -1,7 +1,7 @@
 //! Who of a region reads the store, what it tells the others, and whom a node asks that lacks something.
 
 use super::{Announcement, Fleet};
-use crate::store_role::{READERS_PER_REGION, StoreRole};
+use crate::store_role::READERS_PER_REGION;
 use rand::seq::IndexedRandom;
 use staircross_cluster::{Member, MemberState};
 use staircross_types::{BootTime, NodeId};
@@ -92,9 +92,11 @@
         before != (version, revision)
     }
 
-    /// A peer that knows more, once this node has been behind for a while.
-    /// A follower doesn't wait.
-    pub fn better_informed(&mut self, now: BootTime, role: StoreRole) -> Option<SocketAddr> {
+    /// A peer that knows more; once this node has been behind for a while, if it `is_reading` the store itself.
+    pub fn better_informed(&mut self, now: BootTime, is_reading: bool) -> Option<SocketAddr> {
+        let is_version_behind = self.is_version_behind();
+        self.version_behind_since =
+            is_version_behind.then(|| self.version_behind_since.map_or(now, |since| since.min(now)));
         let own = self.membership.own();
         let distance = |member: &Member| (member.region != own.region, member.zone != own.zone);
         let ahead: Vec<&Member> = self
@@ -111,10 +113,7 @@
         };
         let knows_nothing = self.own.version == 0;
         let since = *self.behind_since.get_or_insert(now);
-        let patience = match role {
-            StoreRole::Reader => BEHIND_PATIENCE,
-            StoreRole::Follower | StoreRole::Prober => Duration::ZERO,
-        };
+        let patience = if is_reading { BEHIND_PATIENCE } else { Duration::ZERO };
         (knows_nothing || now.since(since) >= patience).then_some(address)
     }
 
@@ -123,6 +122,11 @@
         self.announced.values().any(|known| known.version > self.own.version)
     }
 
+    /// Since when a live peer has been known to have a newer configuration.
+    pub fn version_behind_since(&self) -> Option<BootTime> {
+        self.version_behind_since
+    }
+
     /// A question to a peer was answered or failed; wait again before the next.
     pub fn note_asked(&mut self, now: BootTime) {
         self.behind_since = Some(now);
--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -13,6 +13,10 @@
 
 /// Longest answer, in bytes.
 const MAX_ANSWER: usize = 32 * 1024 * 1024;
+/// A call whose answer is coming in is given so much longer with each piece, but never more than so long in all. Giving up an answer
+/// that is half there and asking for it again makes a busy server busier.
+const PROGRESS_PATIENCE: Duration = Duration::from_millis(1000);
+const MOST_PATIENCE: Duration = Duration::from_secs(10);
 /// Longest wait for a connection.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(700);
 /// Probes of a connection on which nothing moves: a peer that is cut off is noticed in a few seconds.
@@ -39,6 +43,8 @@
 
 struct Pending {
     due: BootTime,
+    /// When the call is over however much of its answer has come.
+    latest: BootTime,
     connect_due: BootTime,
     request: Vec<u8>,
     is_sent: bool,
@@ -100,7 +106,8 @@
         write::end_head(&mut request);
         let due = io.now + patience;
         let connect_due = io.now + CONNECT_PATIENCE;
-        self.pending = Some(Pending { due, connect_due, request, is_sent: false });
+        let latest = due.max(io.now + MOST_PATIENCE);
+        self.pending = Some(Pending { due, latest, connect_due, request, is_sent: false });
         if self.link.is_none() && !self.connect(io) {
             return Some(self.fail());
         }
@@ -172,6 +179,9 @@
                 ReadOutcome::Bytes { count, is_full } => {
                     link.http.receive(&io.buffer[..count]);
                     self.bytes += count;
+                    if let Some(pending) = &mut self.pending {
+                        pending.due = pending.due.max(io.now + PROGRESS_PATIENCE).min(pending.latest);
+                    }
                     (link.http.advance(), is_full)
                 }
                 ReadOutcome::Nothing => return None,
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -138,6 +138,8 @@
     log: EventLog,
     metrics: Metrics,
     member_log: MemberLog,
+    /// When large answers were given to peers lately.
+    large_given: Vec<BootTime>,
     /// Bytes to and from store and peers.
     traffic: Traffic,
     next_summary: BootTime,
@@ -208,6 +210,7 @@
             stop: None,
             metrics: Metrics::default(),
             member_log: MemberLog::default(),
+            large_given: Vec::new(),
             traffic: Traffic::default(),
             next_summary: now + SUMMARY_EVERY,
             random: ChaCha8Rng::seed_from_u64(rand::rng().random()),
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -14,6 +14,10 @@
 use staircross_wire::frame::encode;
 use std::time::Duration;
 
+/// Answers to peers longer than this, in bytes, that go out within a span. The narrowest links seen carry 14 Mbit/s.
+const LARGE_ANSWER: usize = 64 * 1024;
+const LARGE_ANSWERS: usize = 2;
+const LARGE_SPAN: Duration = Duration::from_secs(1);
 /// Time that a node waits for a whole listing of the searchers before it serves by a part.
 const LISTING_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -54,16 +58,29 @@
     }
 
     /// Tells a peer what it lacks.
-    fn changes(&self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
+    fn changes(&mut self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
         let Some(peer) = known_by_peer(&request.head.target) else {
             return context.plain(404, "text/plain", b"");
         };
+        let peer = PeerKnowledge { takes_large: peer.takes_large && self.may_give_large(), ..peer };
         match encode(&self.mirror.changes_for(peer)) {
-            Ok(body) => context.plain(200, "application/cbor", &body),
+            Ok(body) => {
+                if body.len() > LARGE_ANSWER {
+                    self.large_given.push(self.now);
+                }
+                context.plain(200, "application/cbor", &body)
+            }
             Err(error) => context.plain(500, "text/plain", error.to_string().as_bytes()),
         }
     }
 
+    /// Whether one more large answer may go out: more would fill this node's link, and callers' requests come over the same.
+    fn may_give_large(&mut self) -> bool {
+        let now = self.now;
+        self.large_given.retain(|given| now.since(*given) < LARGE_SPAN);
+        self.large_given.len() < LARGE_ANSWERS
+    }
+
     fn render_metrics(&self) -> String {
         let gauges = Gauges {
             in_flight: self.engine.in_flight(),
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -211,14 +211,16 @@
         if self.peer.is_calling() {
             return;
         }
-        let Some(address) = self.fleet.better_informed(self.now, self.role.role()) else {
+        let is_reading = self.role.role() == StoreRole::Reader || self.reader.is_reading_once();
+        let Some(address) = self.fleet.better_informed(self.now, is_reading) else {
             return;
         };
         self.fleet.note_asked(self.now);
         self.peer.set_address(address);
         let (revision, version) = (self.mirror.newest_revision(), self.mirror.version());
-        // A follower can read a large configuration itself; a reader asks because it can't.
-        let any_size = if self.role.role() == StoreRole::Reader { ANY_SIZE } else { "" };
+        let (is_served, behind_since) = (self.reader.is_reachable(), self.fleet.version_behind_since());
+        let takes_any = is_reading && self.role.takes_any_size(self.now, is_served, behind_since);
+        let any_size = if takes_any { ANY_SIZE } else { "" };
         let target = format!("{CHANGES_TARGET}{revision}{VERSION_FIELD}{version}{any_size}");
         let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
         if let Some(outcome) = self.peer.get(&target, PEER_PATIENCE, &mut io) {
@@ -250,10 +252,12 @@
             return self.role.note_unserved(self.now);
         };
         self.learn(update, "peer");
-        if self.fleet.is_version_behind() {
-            self.role.note_unserved(self.now);
-        }
-        self.reader.on_told(Lane::Configuration, self.mirror.configuration_revision());
         self.reader.on_told(Lane::Searchers, self.mirror.newest_revision());
+        if !self.fleet.is_version_behind() {
+            return self.reader.on_told(Lane::Configuration, self.mirror.configuration_revision());
+        }
+        let mut actions = Vec::new();
+        self.reader.read_configuration(self.now, &mut actions);
+        self.take_reader_actions(actions);
     }
 }
--- a/crates/staircross-gateway/src/store_role.rs
+++ b/crates/staircross-gateway/src/store_role.rs
@@ -26,6 +26,9 @@
 /// Part of the silence that a follower bears for which it then waits for its readers to find the store too.
 const GRACE_PART: f64 = 0.33;
 
+/// Part of the silence that a follower bears for which a reader waits for a large configuration from the store.
+const LARGE_PART: f64 = 0.75;
+
 /// Where a node has its news from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreRole {
@@ -122,6 +125,15 @@
         self.reads_until = now + HOLD;
     }
 
+    /// Whether a node that reads asks a peer even for a configuration that is too large to be passed on to everybody: the store
+    /// doesn't serve it, or not in time. A store that is being read by a whole fleet at once takes a while to answer, and
+    /// peers' links are narrower than the store's.
+    pub fn takes_any_size(&self, now: BootTime, is_served: bool, behind_since: Option<BootTime>) -> bool {
+        let patience = self.longest_silence.mul_f64(LARGE_PART);
+        let is_late = behind_since.is_some_and(|since| now.since(since) >= patience);
+        !is_served || is_late
+    }
+
     /// Decides the role; `is_designated` when the node is one of its region's readers.
     pub fn decide(&mut self, now: BootTime, is_designated: bool) -> StoreRole {
         let is_reader = (is_designated && self.knows_region(now)) || now < self.reads_until;
--- /dev/null
+++ b/crates/staircross-gateway/tests/http_call.rs
@@ -0,0 +1,133 @@
+//! Calls to the store and to peers over real loopback sockets, with the clock in the test's hands.
+
+use mio::{Events, Poll};
+use staircross_gateway::http_call::{CallOutcome, HttpCaller};
+use staircross_gateway::socket::{IoContext, READ_CHUNK, SocketId};
+use staircross_http::ServerLimits;
+use staircross_types::BootTime;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const KIND: u8 = 4;
+const START: BootTime = BootTime(1_000_000);
+const PATIENCE: Duration = Duration::from_millis(500);
+const LONG: Duration = Duration::from_secs(20);
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n";
+
+/// A caller with a call out, and the server's end of its connection.
+struct Fixture {
+    poll: Poll,
+    caller: HttpCaller,
+    server: TcpStream,
+    now: BootTime,
+    buf: Box<[u8; READ_CHUNK]>,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let mut caller = HttpCaller::new(KIND, 0, address);
+        let poll = Poll::new().expect("a poll");
+        let mut buf = Box::new([0; READ_CHUNK]);
+        let limits = ServerLimits { head_bytes: 1 << 16, body_bytes: 1 << 20 };
+        let mut io = IoContext { now: START, registry: poll.registry(), buffer: &mut buf, limits };
+        assert_eq!(caller.get("/x", PATIENCE, &mut io), None);
+        let (server, _) = listener.accept().expect("a connection");
+        let mut fixture = Fixture { poll, caller, server, now: START, buf };
+        fixture.until_request_came();
+        fixture
+    }
+
+    /// Takes what readiness there is.
+    fn turn(&mut self) -> Option<CallOutcome> {
+        let mut events = Events::with_capacity(8);
+        self.poll.poll(&mut events, Some(Duration::from_millis(10))).expect("polls");
+        let limits = ServerLimits { head_bytes: 1 << 16, body_bytes: 1 << 20 };
+        for event in &events {
+            let mut io = IoContext { now: self.now, registry: self.poll.registry(), buffer: &mut self.buf, limits };
+            let id = SocketId::from_token(event.token());
+            if let Some(outcome) = self.caller.on_ready(id, event.is_writable(), &mut io) {
+                return Some(outcome);
+            }
+        }
+        None
+    }
+
+    fn until_request_came(&mut self) {
+        self.server.set_nonblocking(true).expect("a socket option");
+        let end = Instant::now() + LONG;
+        let mut buf = [0; 256];
+        while !matches!(self.server.read(&mut buf), Ok(count) if count > 0) {
+            assert_eq!(self.turn(), None);
+            assert!(Instant::now() < end, "the request doesn't come");
+        }
+        self.server.set_nonblocking(false).expect("a socket option");
+    }
+
+    /// Sends a piece of the answer, and has the caller read it.
+    fn answer(&mut self, piece: &[u8]) -> Option<CallOutcome> {
+        self.server.write_all(piece).expect("the caller is there");
+        let before = self.caller.take_bytes();
+        assert!(before < usize::MAX);
+        let end = Instant::now() + LONG;
+        let mut read = 0;
+        while read < piece.len() {
+            if let Some(outcome) = self.turn() {
+                return Some(outcome);
+            }
+            read += self.caller.take_bytes();
+            assert!(Instant::now() < end, "the piece doesn't come");
+        }
+        None
+    }
+
+    fn pass(&mut self, span: Duration) -> Option<CallOutcome> {
+        self.now = self.now + span;
+        self.caller.on_tick(self.now)
+    }
+}
+
+#[test]
+fn a_call_that_is_not_answered_is_given_up_in_its_time() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.pass(PATIENCE - Duration::from_millis(1)), None);
+    assert_eq!(fixture.pass(Duration::from_millis(1)), Some(CallOutcome::Failed));
+}
+
+#[test]
+fn an_answer_that_is_coming_in_is_waited_for() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.answer(HEAD), None);
+    for letter in [b"a", b"b", b"c", b"d", b"e"] {
+        assert_eq!(fixture.pass(Duration::from_millis(900)), None, "it is on its way");
+        assert_eq!(fixture.answer(letter), None);
+    }
+    assert!(matches!(fixture.answer(b"f"), Some(CallOutcome::Answered(answer)) if answer.body == b"abcdef"));
+}
+
+#[test]
+fn an_answer_that_stops_half_way_is_given_up() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.answer(HEAD), None);
+    assert_eq!(fixture.answer(b"abc"), None);
+    assert_eq!(fixture.pass(Duration::from_millis(999)), None);
+    assert_eq!(fixture.pass(Duration::from_millis(1)), Some(CallOutcome::Failed));
+}
+
+#[test]
+fn an_answer_that_comes_for_ever_is_given_up_too() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"), None);
+    let began = fixture.now;
+    let outcome = (0..100).find_map(|_| {
+        let over = fixture.pass(Duration::from_millis(500));
+        if over.is_none() {
+            assert_eq!(fixture.answer(b"x"), None);
+        }
+        over
+    });
+    assert_eq!(outcome, Some(CallOutcome::Failed));
+    assert_eq!(fixture.now.since(began), Duration::from_secs(10));
+}
--- a/crates/staircross-gateway/tests/store_role.rs
+++ b/crates/staircross-gateway/tests/store_role.rs
@@ -143,3 +143,14 @@
     assert_eq!(keeper.decide(at(9950), false), StoreRole::Reader);
     assert_eq!(keeper.decide(at(10_003), false), StoreRole::Follower);
 }
+
+#[test]
+fn a_reader_asks_peers_for_a_large_configuration_only_when_the_store_does_not_serve_it_in_time() {
+    let mut keeper = started();
+    assert_eq!(keeper.decide(at(SETTLED), true), StoreRole::Reader);
+    let behind_since = Some(at(2000));
+    assert!(!keeper.takes_any_size(at(2000), true, behind_since));
+    assert!(!keeper.takes_any_size(at(2899), true, behind_since), "the store is being read by others too");
+    assert!(keeper.takes_any_size(at(2900), true, behind_since));
+    assert!(keeper.takes_any_size(at(2000), false, behind_since));
+}
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -116,6 +116,20 @@
         }
     }
 
+    /// Reads the configuration once by itself: peers have a newer one that is too large to be passed on. A node that watches needs
+    /// no telling.
+    pub fn read_configuration(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
+        if self.mode == ReadingMode::Following || (self.mode == ReadingMode::Once && !self.is_reading_once()) {
+            self.lane_mut(Lane::Configuration).after = None;
+            self.set_mode(now, ReadingMode::Once, actions);
+        }
+    }
+
+    /// Whether a node that follows is reading something by itself.
+    pub fn is_reading_once(&self) -> bool {
+        self.mode == ReadingMode::Once && self.lanes.iter().any(|lane| lane.is_wanted(self.mode))
+    }
+
     /// Makes the calls that are due.
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         let mode = self.mode;
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -560,6 +560,28 @@
     assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 5)), "{calls:?}");
 }
 
+#[test]
+fn a_follower_reads_a_configuration_that_peers_do_not_pass_on_once_and_follows_on() {
+    let mut store = Store::new();
+    set_mode(&mut store, ReadingMode::Following);
+    [Lane::Configuration, Lane::Searchers].iter().for_each(|lane| store.reader.on_told(*lane, 20));
+    let read_configuration = |store: &mut Store| {
+        let mut actions = Vec::new();
+        store.reader.read_configuration(store.now, &mut actions);
+        store.take(actions);
+        store.calls(0, Lane::Configuration)
+    };
+    assert_eq!(read_configuration(&mut store), [StoreCall::ReadConfiguration]);
+    assert!(store.reader.is_reading_once());
+    assert_eq!(read_configuration(&mut store), [], "it is being read already");
+    store.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: 30, next: None });
+    assert!(!store.reader.is_reading_once());
+    for lane in Lane::ALL {
+        assert_eq!(store.calls(60_000, lane), []);
+    }
+    assert_eq!(read_configuration(&mut store), [StoreCall::ReadConfiguration], "and the next one too");
+}
+
 #[test]
 fn what_a_peer_has_told_meanwhile_is_not_read() {
     let mut store = Store::new();
