--- a/crates/staircross-gateway/src/dialect.rs
+++ b/crates/staircross-gateway/src/dialect.rs
@@ -3,11 +3,13 @@
 //! The node's decisions know routes, searchers, revisions and answers. How these are spelled on a
 //! given platform is behind this interface, which an adapter implements.
 
+use staircross_http::HeaderBlock;
+use staircross_routing::SearcherReport;
 use staircross_routing::store_reader::{StoreCall, StoreReply};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Names of the header fields that callers and searchers use.
+/// Names of the header fields that callers and searchers use, and how those are read that hold several values.
 #[derive(Clone, Copy, Debug)]
 pub struct HeaderNames {
     /// Id of a request, repeated in answers.
@@ -26,11 +28,15 @@
     pub part_stamps: &'static str,
     /// Number of shards that a merged answer lacks.
     pub missing_parts: &'static str,
+    /// Reads what a searcher's answer says of the searcher itself.
+    pub report: fn(&HeaderBlock) -> SearcherReport,
 }
 
 /// A caller's question where to go.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DirectoryQuery {
+    /// Host that the caller wants, if it says.
+    pub host: Option<String>,
     /// Zone of the caller, if it says.
     pub zone: Option<String>,
     /// Region of the caller, if it says.
--- a/crates/staircross-gateway/src/directory.rs
+++ b/crates/staircross-gateway/src/directory.rs
@@ -12,6 +12,7 @@
 use staircross_types::NodeId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
@@ -54,6 +55,8 @@
 enum Nearness {
     Zone,
     Region,
+    /// Another region, in which the host's requests may be served.
+    Allowed,
     Elsewhere,
 }
 
@@ -70,13 +73,18 @@
         &self.nodes[..self.serving]
     }
 
-    fn nearness(&self, query: &DirectoryQuery, zone: &str) -> Nearness {
-        let is_zone = query.zone.as_deref() == Some(zone);
-        let is_region = self.nodes.first().is_some_and(|node| query.region.as_ref() == Some(&node.region));
-        match (is_zone, is_region) {
-            (true, _) => Nearness::Zone,
-            (false, true) => Nearness::Region,
-            (false, false) => Nearness::Elsewhere,
+    fn nearness(&self, query: &DirectoryQuery, allowed: &[Arc<str>], zone: &str) -> Nearness {
+        let region = self.nodes.first().map(|node| node.region.as_str());
+        let is_region = region.is_some_and(|region| query.region.as_deref() == Some(region));
+        let is_allowed = region.is_some_and(|region| allowed.iter().any(|allowed| &**allowed == region));
+        if query.zone.as_deref() == Some(zone) {
+            Nearness::Zone
+        } else if is_region {
+            Nearness::Region
+        } else if is_allowed {
+            Nearness::Allowed
+        } else {
+            Nearness::Elsewhere
         }
     }
 }
@@ -111,6 +119,12 @@
         self.zones.values().any(|zone| zone.serving().iter().any(|known| known.node == node))
     }
 
+    /// Number of a node among all that serve, from 0; `None` for a reserve.
+    pub fn serving_rank(&self, node: NodeId) -> Option<usize> {
+        let serving = self.zones.values().flat_map(Zone::serving);
+        serving.map(|candidate| candidate.node).position(|known| known == node)
+    }
+
     /// Serving nodes by zone.
     pub fn serving_by_zone(&self) -> impl Iterator<Item = (&str, usize)> {
         self.zones.iter().map(|(name, zone)| (name.as_str(), zone.serving))
@@ -121,10 +135,11 @@
         self.zones.values().map(|zone| zone.nodes.len() - zone.serving).sum()
     }
 
-    /// Addresses for a caller: serving nodes of its zone, else of its region, else all. Where all of them
-    /// are pressed, their reserves join them, and where there are none, farther ones with room.
-    pub fn addresses_for(&self, query: &DirectoryQuery, rng: &mut ChaCha8Rng) -> Vec<SocketAddr> {
-        let ranked = || self.zones.iter().map(|(name, zone)| (zone.nearness(query, name), zone));
+    /// Addresses for a caller: serving nodes of its zone, else of its region, else of the regions `allowed` for its requests,
+    /// else all. Where all of them are pressed, their reserves join them, and where there are none, farther ones with room,
+    /// though none outside the allowed regions. `allowed` is empty where requests may be served anywhere.
+    pub fn addresses_for(&self, query: &DirectoryQuery, allowed: &[Arc<str>], rng: &mut ChaCha8Rng) -> Vec<SocketAddr> {
+        let ranked = || self.zones.iter().map(|(name, zone)| (zone.nearness(query, allowed, name), zone));
         let Some(nearest) = ranked().map(|(nearness, _)| nearness).min() else {
             return Vec::new();
         };
@@ -135,7 +150,8 @@
         }
         if addrs.is_empty() {
             addrs = near.iter().flat_map(|zone| &zone.nodes).map(|node| node.addr).collect();
-            let farther = ranked().filter(|(nearness, _)| *nearness != nearest);
+            let is_open = |nearness: Nearness| allowed.is_empty() || nearness < Nearness::Elsewhere;
+            let farther = ranked().filter(|(nearness, _)| *nearness != nearest && is_open(*nearness));
             let mut farther = with_room(farther.flat_map(|(_, zone)| &zone.nodes));
             farther.shuffle(rng);
             farther.truncate(addrs.len() * FARTHER_PER_PRESSED);
--- a/crates/staircross-gateway/src/fleet/announcement.rs
+++ b/crates/staircross-gateway/src/fleet/announcement.rs
@@ -13,6 +13,9 @@
     /// Newest revision of a searcher's entry.
     #[serde(rename = "r")]
     pub revision: u64,
+    /// Newest revision of the start or end of an evacuation.
+    #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
+    pub evacuations: u64,
     /// Busy share of the process, in percent.
     #[serde(rename = "l", default)]
     pub load: u8,
@@ -21,10 +24,15 @@
     pub store_age_ms: Option<u32>,
 }
 
+/// Most fleets never evacuate anything, and a datagram goes out every few milliseconds.
+fn is_zero(revision: &u64) -> bool {
+    *revision == 0
+}
+
 impl Announcement {
     /// Whether `other` knows something that this one doesn't.
     pub fn is_behind(&self, other: &Announcement) -> bool {
-        other.version > self.version || other.revision > self.revision
+        other.version > self.version || other.revision > self.revision || other.evacuations > self.evacuations
     }
 }
 
--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -4,6 +4,7 @@
 use crate::store_role::READERS_PER_REGION;
 use rand::seq::IndexedRandom;
 use staircross_cluster::{Member, MemberState};
+use staircross_routing::Mirror;
 use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -86,10 +87,12 @@
     }
 
     /// Notes what this node knows now. Returns whether that is more than before.
-    pub fn set_knowledge(&mut self, version: u64, revision: u64) -> bool {
-        let before = (self.own.version, self.own.revision);
-        (self.own.version, self.own.revision) = (version, revision);
-        before != (version, revision)
+    pub fn set_knowledge(&mut self, mirror: &Mirror) -> bool {
+        let before = self.own;
+        self.own.version = mirror.version();
+        self.own.revision = mirror.newest_revision();
+        self.own.evacuations = mirror.evacuations_revision();
+        before != self.own
     }
 
     /// A peer that knows more; once this node has been behind for a while, if it `is_reading` the store itself.
--- a/crates/staircross-gateway/src/fleet/shape.rs
+++ b/crates/staircross-gateway/src/fleet/shape.rs
@@ -43,17 +43,20 @@
     pub nodes_by_zone: HashMap<Arc<str>, usize>,
     /// Most nodes that served lately.
     pub serving: usize,
+    /// This node's number among those that serve, from 0; `None` for a reserve.
+    pub rank: Option<usize>,
     /// This node's part of the slack for extra sends, 0 to 1.
     pub slack_part: f64,
 }
 
 impl Fleet {
-    /// Addresses for a caller. Suspects only if there is nobody else.
-    pub fn addresses_for(&mut self, now: BootTime, query: &DirectoryQuery) -> Vec<SocketAddr> {
+    /// Addresses for a caller whose requests may be served in the `allowed` regions, or anywhere if there are none. Suspects only
+    /// if there is nobody else.
+    pub fn addresses_for(&mut self, now: BootTime, query: &DirectoryQuery, allowed: &[Arc<str>]) -> Vec<SocketAddr> {
         let own_zone = || self.membership.own().zone.0.clone();
         let query = DirectoryQuery { zone: query.zone.clone().or_else(|| Some(own_zone())), ..query.clone() };
         self.refresh_directory(now);
-        self.directory.addresses_for(&query, &mut self.random)
+        self.directory.addresses_for(&query, allowed, &mut self.random)
     }
 
     /// How many nodes there are, and what this one may spend of what they share.
@@ -73,7 +76,8 @@
             (true, true) => SERVING_SLACK / self.serving_peak.count.max(1) as f64,
             (true, false) => (1.0 - SERVING_SLACK) / self.live_peak.count.max(1) as f64,
         };
-        FleetShape { nodes_by_zone, serving: self.serving_peak.count, slack_part }
+        let rank = self.directory.serving_rank(self.node);
+        FleetShape { nodes_by_zone, serving: self.serving_peak.count, rank, slack_part }
     }
 
     /// Whether callers are sent to this node.
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use crate::traffic::Traffic;
 use hashbrown::HashMap;
 use staircross_routing::engine::RoutingCounters;
-use staircross_routing::store_reader::StoreCall;
+use staircross_routing::store_reader::{Lane, StoreCall};
 use staircross_types::ErrorKind;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -64,7 +64,7 @@
 /// Calls made to the store, by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreCallCounters {
-    /// Of the configuration.
+    /// Of what the operator writes: the configuration and evacuations.
     pub reads: u64,
     /// Of pages of searchers' entries.
     pub lists: u64,
@@ -78,8 +78,8 @@
     /// Counts a call.
     pub fn count(&mut self, call: &StoreCall) {
         match call {
-            StoreCall::ReadConfiguration => self.reads += 1,
-            StoreCall::ListSearchers { .. } => self.lists += 1,
+            StoreCall::List { lane: Lane::Configuration, .. } => self.reads += 1,
+            StoreCall::List { .. } => self.lists += 1,
             StoreCall::Watch { .. } => self.watches += 1,
             StoreCall::Probe => self.probes += 1,
         }
--- a/crates/staircross-gateway/src/node/change_log.rs
+++ b/crates/staircross-gateway/src/node/change_log.rs
@@ -10,6 +10,7 @@
 use staircross_cluster::{Member, MemberState};
 use staircross_routing::mirror::MirrorChanges;
 use staircross_types::BootTime;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Changes of members that have lines of their own within one span; those beyond are counted, and told together when it ends.
@@ -107,6 +108,12 @@
         }
     }
 
+    /// Tells which zones' searchers get no new work from now on.
+    pub(super) fn note_evacuated(&mut self, zones: &[Arc<str>], source: &str) {
+        let line = format_args!("event=evacuated zones={} source={source}", zones.join(","));
+        self.log.line(self.now, LineKind::Belief, line);
+    }
+
     fn note_listing(&mut self, changes: &MirrorChanges, source: &str) {
         let draining = changes.searchers.iter().filter(|entry| entry.is_draining).count();
         let (changed, gone) = (changes.searchers.len(), changes.gone.len());
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -1,7 +1,7 @@
 //! The node's own endpoints: readiness, directory, peers, metrics.
 
 use super::GatewayNode;
-use super::knowledge::{ANY_SIZE, CHANGES_TARGET, VERSION_FIELD};
+use super::knowledge::{ANY_SIZE, CHANGES_TARGET, EVACUATIONS_FIELD, VERSION_FIELD};
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::metrics::Gauges;
@@ -49,7 +49,9 @@
             return context.plain(404, "text/plain", b"");
         };
         self.metrics.directory_questions += 1;
-        let addresses = self.fleet.addresses_for(self.now, &query);
+        let host = query.host.as_deref();
+        let allowed = host.zip(self.engine.table()).map(|(host, table)| table.allowed_regions(host));
+        let addresses = self.fleet.addresses_for(self.now, &query, &allowed.unwrap_or_default());
         if addresses.is_empty() {
             return context.plain(503, "text/plain", b"no node is ready\n");
         }
@@ -126,9 +128,15 @@
 /// What a peer's question says of itself.
 fn known_by_peer(target: &str) -> Option<PeerKnowledge> {
     let (revision, rest) = target.strip_prefix(CHANGES_TARGET)?.split_once(VERSION_FIELD)?;
-    let (version, takes_large) = match rest.strip_suffix(ANY_SIZE) {
-        Some(version) => (version, true),
+    let (rest, takes_large) = match rest.strip_suffix(ANY_SIZE) {
+        Some(rest) => (rest, true),
         None => (rest, false),
     };
-    Some(PeerKnowledge { revision: revision.parse().ok()?, version: version.parse().ok()?, takes_large })
+    let (version, evacuations) = rest.split_once(EVACUATIONS_FIELD)?;
+    Some(PeerKnowledge {
+        revision: revision.parse().ok()?,
+        version: version.parse().ok()?,
+        evacuations: evacuations.parse().ok()?,
+        takes_large,
+    })
 }
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -22,6 +22,8 @@
 pub(super) const CHANGES_TARGET: &str = "/changes?after=";
 /// Names the version of the configuration that the asker has, after the revision.
 pub(super) const VERSION_FIELD: &str = "&version=";
+/// Names the revision up to which the asker knows evacuations, after the version.
+pub(super) const EVACUATIONS_FIELD: &str = "&evacuations=";
 /// Ends the question of an asker that takes a configuration however large.
 pub(super) const ANY_SIZE: &str = "&any-size";
 
@@ -132,7 +134,11 @@
         if !changes.gone.is_empty() {
             self.engine_event(RoutingEvent::SearchersGone(changes.gone));
         }
-        let is_news = self.fleet.set_knowledge(self.mirror.version(), self.mirror.newest_revision());
+        if let Some(zones) = changes.evacuated {
+            self.note_evacuated(&zones, source);
+            self.engine_event(RoutingEvent::Evacuated(zones));
+        }
+        let is_news = self.fleet.set_knowledge(&self.mirror);
         if is_news && self.fleet.is_designated_reader() {
             self.fleet.tell_followers(self.now);
         }
@@ -179,8 +185,8 @@
     }
 
     fn tell_fleet_shape(&mut self) {
-        let FleetShape { nodes_by_zone, serving, slack_part } = self.fleet.shape(self.now);
-        self.engine_event(RoutingEvent::Fleet { nodes_by_zone, serving, slack_part });
+        let FleetShape { nodes_by_zone, serving, rank, slack_part } = self.fleet.shape(self.now);
+        self.engine_event(RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part });
         let is_serving = self.fleet.is_serving();
         if is_serving != self.is_serving {
             self.is_serving = is_serving;
@@ -218,10 +224,12 @@
         self.fleet.note_asked(self.now);
         self.peer.set_address(address);
         let (revision, version) = (self.mirror.newest_revision(), self.mirror.version());
+        let evacuations = self.mirror.evacuations_revision();
         let (is_served, behind_since) = (self.reader.is_reachable(), self.fleet.version_behind_since());
         let takes_any = is_reading && self.role.takes_any_size(self.now, is_served, behind_since);
         let any_size = if takes_any { ANY_SIZE } else { "" };
-        let target = format!("{CHANGES_TARGET}{revision}{VERSION_FIELD}{version}{any_size}");
+        let target =
+            format!("{CHANGES_TARGET}{revision}{VERSION_FIELD}{version}{EVACUATIONS_FIELD}{evacuations}{any_size}");
         let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
         if let Some(outcome) = self.peer.get(&target, PEER_PATIENCE, &mut io) {
             self.on_peer_outcome(outcome);
@@ -254,7 +262,7 @@
         self.learn(update, "peer");
         self.reader.on_told(Lane::Searchers, self.mirror.newest_revision());
         if !self.fleet.is_version_behind() {
-            return self.reader.on_told(Lane::Configuration, self.mirror.configuration_revision());
+            return self.reader.on_told(Lane::Configuration, self.mirror.operator_revision());
         }
         let mut actions = Vec::new();
         self.reader.read_configuration(self.now, &mut actions);
--- a/crates/staircross-gateway/src/node/request_log.rs
+++ b/crates/staircross-gateway/src/node/request_log.rs
@@ -4,11 +4,13 @@
 use super::caller_request::CallerRequest;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
+use staircross_routing::engine::ReportedAt;
 use staircross_routing::{AttemptOutcome, RequestKey, Verdict};
+use std::fmt;
 
 impl<D: Dialect> GatewayNode<D> {
     /// One line for a decision within a request: what, for which request, how long after its arrival.
-    pub(super) fn note_decision(&mut self, request: RequestKey, text: std::fmt::Arguments<'_>) {
+    pub(super) fn note_decision(&mut self, request: RequestKey, text: fmt::Arguments<'_>) {
         let Some(pending) = self.callers.get_mut(&request) else {
             return;
         };
@@ -61,6 +63,18 @@
     }
 }
 
+/// What a searcher reported last of its load, as the end of a line.
+pub(super) struct Reported(pub Option<ReportedAt>);
+
+impl fmt::Display for Reported {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(reported) => write!(f, " load={} load_age_ms={}", reported.load, reported.age.as_millis()),
+            None => Ok(()),
+        }
+    }
+}
+
 /// What is told of an attempt's end; an answer that counts is told by the request's own end.
 pub(super) fn notable_end(outcome: &AttemptOutcome) -> Option<String> {
     match outcome {
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -2,7 +2,7 @@
 
 use super::GatewayNode;
 use super::caller_request::{CallerRequest, Target, Trace};
-use super::request_log::notable_end;
+use super::request_log::{Reported, notable_end};
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::outbound::{AnswerContext, OutboundRequest};
@@ -222,7 +222,8 @@
         if order.reason != SendReason::First {
             pending.extras += 1;
             let (attempt, reason, instance) = (order.attempt.number, order.reason.name(), &order.instance);
-            let text = format_args!("event=send attempt={attempt} reason={reason} searcher={instance}");
+            let reported = Reported(order.reported);
+            let text = format_args!("event=send attempt={attempt} reason={reason} searcher={instance}{reported}");
             self.note_decision(order.attempt.request, text);
         }
         let mut events = Vec::new();
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -3,6 +3,7 @@
 use crate::server::Endpoint;
 use crate::settings::GatewaySettings;
 use rand::Rng;
+use staircross_routing::ColdBound;
 use staircross_routing::engine::RoutingSettings;
 use staircross_routing::window::ExtraBound;
 use staircross_types::BootTime;
@@ -37,6 +38,7 @@
         zone: Arc::from(settings.node.zone.as_str()),
         regions: regions.map(|(zone, region)| (Arc::from(zone.as_str()), Arc::from(region.as_str()))).collect(),
         lapse_grace: settings.lapse_grace(),
+        cold: ColdBound { factor: settings.bounds.cold_factor, slack: settings.bounds.cold_slack },
         max_requests: settings.max_requests(),
         policy: settings.policy.routing,
         restarted_at: (!settings.node.first_start).then_some(now),
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -44,11 +44,13 @@
             return AttemptOutcome::NotRun(NotRun::Shed);
         }
         let stamp = headers.first(self.names.stamp).map(<[u8]>::to_vec);
+        let report = (self.names.report)(headers);
         AttemptOutcome::Answered(Box::new(SearcherAnswer {
             status: answer.head.status,
             stamp,
             headers: answer.head.headers,
             body: answer.body,
+            report,
         }))
     }
 
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -2,8 +2,8 @@
 
 use quick_error::quick_error;
 use serde::Deserialize;
-use staircross_routing::RoutingPolicy;
 use staircross_routing::store_reader::ReaderSettings;
+use staircross_routing::{ColdBound, RoutingPolicy};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -156,6 +156,26 @@
     pub stop_s: f64,
     /// Longest time that callers keep an answer of the directory, in seconds.
     pub directory_ttl_s: f64,
+    /// Bound on requests to a cold searcher in a second: times what it bears, and requests besides.
+    #[serde(default = "default_cold_factor")]
+    pub cold_factor: f64,
+    /// The requests besides.
+    #[serde(default)]
+    pub cold_slack: f64,
+    /// Time within which searchers of an evacuated zone must get no more work, in milliseconds; `config_ms` when absent.
+    #[serde(default)]
+    pub evacuate_ms: Option<u64>,
+}
+
+fn default_cold_factor() -> f64 {
+    ColdBound::default().factor
+}
+
+impl BoundSettings {
+    /// The shorter of the times in which what the operator writes must be in force, in milliseconds.
+    fn operator_ms(&self) -> u64 {
+        self.evacuate_ms.map_or(self.config_ms, |evacuate_ms| evacuate_ms.min(self.config_ms))
+    }
 }
 
 /// Room on the machine.
@@ -209,6 +229,9 @@
         check_number("bounds.extra_slack", self.bounds.extra_slack, 0.0, 1e6, "0 to 1000000")?;
         check_number("bounds.drain_ms", self.bounds.drain_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
         check_number("bounds.config_ms", self.bounds.config_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
+        check_number("bounds.cold_factor", self.bounds.cold_factor, 0.0, 1000.0, "0 to 1000")?;
+        check_number("bounds.cold_slack", self.bounds.cold_slack, 0.0, 1e6, "0 to 1000000")?;
+        check_number("bounds.evacuate_ms", self.bounds.operator_ms() as f64, 50.0, 3.6e6, "50 to 3600000")?;
         check_number("bounds.stop_s", self.bounds.stop_s, 0.5, 3600.0, "0.5 to 3600")?;
         check_number("bounds.directory_ttl_s", self.bounds.directory_ttl_s, 0.1, 3600.0, "0.1 to 3600")?;
         let addresses = [self.listen.callers, self.listen.readiness, self.listen.directory, self.listen.peers];
@@ -238,7 +261,7 @@
         let usual = ReaderSettings::default();
         let part = |bound_ms: u64, part: f64| Duration::from_millis(bound_ms).mul_f64(part);
         ReaderSettings {
-            configuration_rest: usual.configuration_rest.min(part(self.bounds.config_ms, CONFIG_REST_PART)),
+            configuration_rest: usual.configuration_rest.min(part(self.bounds.operator_ms(), CONFIG_REST_PART)),
             searcher_rest: usual.searcher_rest.min(part(self.bounds.drain_ms, DRAIN_REST_PART)),
             probe_for_others: self.longest_silence().mul_f64(SIGN_PART),
             probe_in_doubt: self.longest_silence().mul_f64(DOUBT_PART),
@@ -249,7 +272,7 @@
 
     /// Longest silence of its readers that a follower bears: a part of the time that news may take.
     pub fn longest_silence(&self) -> Duration {
-        Duration::from_millis(self.bounds.config_ms.min(self.bounds.drain_ms)).mul_f64(SILENCE_PART)
+        Duration::from_millis(self.bounds.operator_ms().min(self.bounds.drain_ms)).mul_f64(SILENCE_PART)
     }
 
     /// Time after the end of its entry during which a searcher is asked where nobody else can be.
--- a/crates/staircross-gateway/tests/directory.rs
+++ b/crates/staircross-gateway/tests/directory.rs
@@ -7,6 +7,7 @@
 use staircross_types::NodeId;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 fn addr(number: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 80))
@@ -29,12 +30,57 @@
 }
 
 fn query(zone: &str, region: &str) -> DirectoryQuery {
-    DirectoryQuery { zone: Some(zone.to_owned()), region: Some(region.to_owned()) }
+    DirectoryQuery { host: None, zone: Some(zone.to_owned()), region: Some(region.to_owned()) }
 }
 
 fn ask(directory: &Directory, zone: &str, region: &str) -> BTreeSet<SocketAddr> {
+    ask_within(directory, zone, region, &[])
+}
+
+/// For requests that may be served in the allowed regions alone.
+fn ask_within(directory: &Directory, zone: &str, region: &str, allowed: &[&str]) -> BTreeSet<SocketAddr> {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    directory.addresses_for(&query(zone, region), &mut rng).into_iter().collect()
+    let allowed: Vec<Arc<str>> = allowed.iter().map(|region| Arc::from(*region)).collect();
+    directory.addresses_for(&query(zone, region), &allowed, &mut rng).into_iter().collect()
+}
+
+fn of_region(nodes: &[Candidate], region: &str) -> BTreeSet<SocketAddr> {
+    nodes.iter().filter(|node| node.region == region).map(|node| node.addr).collect()
+}
+
+#[test]
+fn callers_whose_region_is_gone_are_sent_to_an_allowed_one() {
+    let nodes: Vec<Candidate> = fleet(2).into_iter().filter(|node| node.region != "n").collect();
+    let directory = Directory::new(nodes.clone(), None);
+    assert_eq!(ask_within(&directory, "a", "n", &["s"]), of_region(&nodes, "s"));
+    assert_eq!(ask_within(&directory, "a", "n", &["n"]).len(), nodes.len(), "any, where no allowed one has a node");
+}
+
+#[test]
+fn callers_stay_in_their_own_region_if_others_are_allowed() {
+    let nodes = fleet(2);
+    let directory = Directory::new(nodes.clone(), None);
+    let own: BTreeSet<SocketAddr> = of_zone(&nodes, "a").map(|node| node.addr).collect();
+    assert_eq!(ask_within(&directory, "a", "n", &["s"]), own);
+}
+
+#[test]
+fn nodes_outside_the_allowed_regions_do_not_stand_in_for_pressed_ones() {
+    let mut nodes = fleet(2);
+    nodes.iter_mut().filter(|node| node.zone == "a").for_each(|node| node.load = 100);
+    let directory = Directory::new(nodes.clone(), None);
+    let named = ask_within(&directory, "a", "n", &["s"]);
+    assert!(named.is_disjoint(&of_region(&nodes, "m")));
+    assert!(!named.is_disjoint(&of_region(&nodes, "s")));
+}
+
+#[test]
+fn serving_nodes_are_numbered_alike_everywhere_and_reserves_are_not() {
+    let nodes = fleet(50);
+    let directory = Directory::new(nodes.clone(), Some(40));
+    let ranks: BTreeSet<usize> = nodes.iter().filter_map(|node| directory.serving_rank(node.node)).collect();
+    let serving = nodes.len() - directory.reserve_count();
+    assert_eq!(ranks, (0..serving).collect());
 }
 
 fn of_zone<'a>(nodes: &'a [Candidate], zone: &'a str) -> impl Iterator<Item = &'a Candidate> {
--- a/crates/staircross-gateway/tests/pool.rs
+++ b/crates/staircross-gateway/tests/pool.rs
@@ -10,7 +10,7 @@
 use staircross_routing::engine::{SendOrder, SendReason};
 use staircross_routing::request::Unknown;
 use staircross_routing::selection::Distance;
-use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey, SearcherKey};
+use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey, SearcherKey, SearcherReport};
 use staircross_types::BootTime;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -28,6 +28,7 @@
     retry_after: "Retry-After",
     part_stamps: "Part-Stamps",
     missing_parts: "Missing-Parts",
+    report: |_| SearcherReport::default(),
 };
 
 /// A pool whose time stands still unless the test moves it.
@@ -111,6 +112,7 @@
         is_idempotent: false,
         connect_patience: Duration::from_secs(1),
         reason: SendReason::First,
+        reported: None,
     }
 }
 
--- a/crates/staircross-routing/src/definition.rs
+++ b/crates/staircross-routing/src/definition.rs
@@ -37,6 +37,9 @@
     pub max_attempts: u32,
     /// Rank; 0 is the highest.
     pub priority: u32,
+    /// Regions whose searchers may serve the requests; empty where any may.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<Arc<str>>,
 }
 
 /// Where the requests of a route go.
@@ -77,6 +80,18 @@
     pub name: Arc<str>,
     /// Connections that each of its searchers accepts from all callers together.
     pub max_connections: u32,
+    /// What its searchers bear after a start.
+    #[serde(default)]
+    pub cold_start: ColdStart,
+}
+
+/// What a searcher bears while it is cold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// How long it stays cold after a start, in milliseconds.
+    pub duration_ms: u64,
+    /// Requests per second that it bears meanwhile, from all nodes together; `None` where it bears its usual load.
+    pub requests_per_s: Option<f64>,
 }
 
 /// What callers may send and how long they may take.
@@ -99,6 +114,11 @@
 }
 
 impl RouteDefinition {
+    /// Whether searchers of a region may serve the requests. `None` is a zone whose region isn't known.
+    pub fn allows_region(&self, region: Option<&Arc<str>>) -> bool {
+        self.allowed_regions.is_empty() || region.is_some_and(|region| self.allowed_regions.contains(region))
+    }
+
     /// Least number of shards that makes an answer; one where a single service is asked.
     pub fn least_shards(&self) -> usize {
         match &self.target {
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -13,9 +13,10 @@
 mod waiting;
 
 use crate::admission::{UsualWork, Wait};
-use crate::definition::RouteTarget;
+use crate::cold::ColdBound;
+use crate::definition::{ColdStart, RouteDefinition, RouteTarget, ServiceEntry};
 pub use crate::engine_message::{
-    AbandonCause, HoldCause, LeftOutCause, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
+    AbandonCause, HoldCause, LeftOutCause, ReportedAt, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
 };
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::mirror::SearcherEntry;
@@ -54,6 +55,8 @@
     pub regions: HashMap<Arc<str>, Arc<str>>,
     /// Time after the end of its entry during which a searcher is asked where nobody else can be.
     pub lapse_grace: Duration,
+    /// Bound on requests to a cold searcher, for all nodes together.
+    pub cold: ColdBound,
     /// Requests held at once.
     pub max_requests: usize,
     /// When this process started, if it isn't the first on its machine: searchers may still count the connections
@@ -122,7 +125,9 @@
     pub(crate) searchers: Vec<Searcher>,
     by_instance: HashMap<Arc<str>, SearcherKey>,
     pub(crate) by_service: HashMap<Arc<str>, Vec<SearcherKey>>,
-    max_connections: HashMap<Arc<str>, u32>,
+    services: HashMap<Arc<str>, ServiceEntry>,
+    /// Zones whose searchers get no new work.
+    evacuated: Vec<Arc<str>>,
     pub(crate) windows: HashMap<Arc<str>, ExtraWindow>,
     pub(crate) routes: HashMap<Arc<str>, RouteStatistics>,
     /// What is taken of the offered work, by the first service that it asks.
@@ -148,6 +153,8 @@
             regions: settings.regions.clone(),
             nodes_by_zone: HashMap::from([(settings.zone.clone(), 1)]),
             serving: 1,
+            rank: Some(0),
+            cold: settings.cold,
             ways: HashMap::new(),
             restarted_at: settings.restarted_at,
             policy: settings.policy,
@@ -161,7 +168,8 @@
             searchers: Vec::new(),
             by_instance: HashMap::new(),
             by_service: HashMap::new(),
-            max_connections: HashMap::new(),
+            services: HashMap::new(),
+            evacuated: Vec::new(),
             windows: HashMap::new(),
             routes: HashMap::new(),
             groups: HashMap::new(),
@@ -189,9 +197,11 @@
             RoutingEvent::SearchersGone(instances) => {
                 instances.iter().for_each(|instance| self.set_lapsed(now, instance))
             }
-            RoutingEvent::Fleet { nodes_by_zone, serving, slack_part } => {
+            RoutingEvent::Evacuated(zones) => self.set_evacuated(now, zones, actions),
+            RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part } => {
                 self.place.nodes_by_zone = nodes_by_zone;
                 self.place.serving = serving;
+                self.place.rank = rank;
                 self.slack_part = slack_part;
             }
             RoutingEvent::Arrived(arrival) => self.admit(now, arrival, actions),
@@ -241,15 +251,16 @@
             RouteTarget::Gather(gather) => Some(&gather.shards),
             RouteTarget::Service(_) | RouteTarget::Weighted(_) => None,
         });
-        shards.flatten().filter_map(|shard| self.max_connections.get(shard).copied()).min()
+        shards.flatten().filter_map(|shard| self.services.get(shard).map(|entry| entry.max_connections)).min()
     }
 
     fn set_table(&mut self, table: Arc<RouteTable>) {
         let services = &table.definition().services;
-        self.max_connections = services.iter().map(|entry| (entry.name.clone(), entry.max_connections)).collect();
+        self.services = services.iter().map(|entry| (entry.name.clone(), entry.clone())).collect();
         for searcher in &mut self.searchers {
-            if let Some(max) = self.max_connections.get(&searcher.entry.service) {
-                searcher.max_connections = *max;
+            if let Some(service) = self.services.get(&searcher.entry.service) {
+                searcher.max_connections = service.max_connections;
+                searcher.cold_start = service.cold_start;
             }
         }
         let routes = &table.definition().routes;
@@ -275,19 +286,40 @@
             }
             None => {
                 let key = SearcherKey(self.searchers.len() as u32);
-                let most = self.max_connections.get(&service).copied().unwrap_or(DEFAULT_MAX_CONNECTIONS);
                 self.by_instance.insert(entry.instance.clone(), key);
-                self.searchers.push(Searcher::new(now, entry, most));
+                let searcher = self.new_searcher(now, entry);
+                self.searchers.push(searcher);
                 key
             }
         };
         let peers = self.by_service.entry(service).or_default();
-        peers.retain(|known| *known != key && self.searchers[known.0 as usize].may_be_asked(now));
+        peers.retain(|known| *known != key && self.searchers[known.0 as usize].is_listed(now));
         if self.searchers[key.0 as usize].is_serving() {
             peers.push(key);
         }
     }
 
+    fn new_searcher(&self, now: BootTime, entry: SearcherEntry) -> Searcher {
+        let service = self.services.get(&entry.service);
+        let is_evacuated = self.evacuated.contains(&entry.zone);
+        let most = service.map_or(DEFAULT_MAX_CONNECTIONS, |service| service.max_connections);
+        let mut searcher = Searcher::new(now, entry, most);
+        searcher.cold_start = service.map_or(ColdStart::default(), |service| service.cold_start);
+        searcher.set_evacuated(now, is_evacuated);
+        searcher
+    }
+
+    /// Takes which zones' searchers get no new work; whoever waits for one that may be asked again gets its chance.
+    fn set_evacuated(&mut self, now: BootTime, zones: Vec<Arc<str>>, actions: &mut Vec<RoutingAction>) {
+        self.evacuated = zones;
+        for searcher in &mut self.searchers {
+            let is_evacuated = self.evacuated.contains(&searcher.entry.zone);
+            searcher.set_evacuated(now, is_evacuated);
+        }
+        let services: Vec<Arc<str>> = self.waiting.keys().cloned().collect();
+        services.iter().for_each(|service| self.serve_waiting(now, service, actions));
+    }
+
     fn set_lapsed(&mut self, now: BootTime, instance: &Arc<str>) {
         let Some(key) = self.by_instance.get(instance).copied() else {
             return;
@@ -297,14 +329,20 @@
         searcher.mark_lapsed(until);
         let service = searcher.entry.service.clone();
         if let Some(peers) = self.by_service.get_mut(&service) {
-            peers.retain(|known| self.searchers[known.0 as usize].may_be_asked(now));
+            peers.retain(|known| self.searchers[known.0 as usize].is_listed(now));
         }
     }
 
-    /// Searchers of a service that may be asked, room and trials aside.
-    pub(crate) fn askable(&self, now: BootTime, service: &Arc<str>) -> impl Iterator<Item = SearcherKey> {
+    /// Searchers of a service that requests of a route may be sent to, room and trials aside.
+    pub(crate) fn askable(
+        &self,
+        now: BootTime,
+        route: &RouteDefinition,
+        service: &Arc<str>,
+    ) -> impl Iterator<Item = (SearcherKey, &Searcher)> {
         let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        peers.iter().copied().filter(move |key| self.searchers[key.0 as usize].may_be_asked(now))
+        let known = peers.iter().map(|key| (*key, &self.searchers[key.0 as usize]));
+        known.filter(move |(_, searcher)| searcher.may_be_asked(now) && self.place.allows(route, searcher))
     }
 
     /// The run at an address is no longer the one that was asked for.
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -193,12 +193,19 @@
         deadline: BootTime,
     ) -> Result<(), NotBegun> {
         let may_be_asked =
-            |service: &&Arc<str>| self.next_chance(now, service, &[]).is_some_and(|chance| chance < deadline);
+            |service: &&Arc<str>| self.next_chance(now, route, service, &[]).is_some_and(|chance| chance < deadline);
         let served = services.iter().filter(may_be_asked).count();
         if served >= route.least_shards() {
             return Ok(());
         }
-        let verdict = refused(ErrorKind::NoReplica, "too few shards have a searcher that can be asked");
+        let verdict = if route.allowed_regions.is_empty() {
+            refused(ErrorKind::NoReplica, "too few shards have a searcher that can be asked")
+        } else {
+            refused(
+                ErrorKind::NoAllowedReplica,
+                "too few shards have a searcher that can be asked in an allowed region",
+            )
+        };
         if arrival.knows_searchers {
             return Err(NotBegun::Refused(verdict));
         }
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -1,10 +1,10 @@
 //! Sending attempts, and when more are to be sent.
 
-use super::{RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
+use super::{ReportedAt, RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::request::{Attempt, Verdict};
 use crate::searcher::OpenAttempt;
-use crate::selection::choose;
+use crate::selection::{Choice, choose};
 use staircross_types::{BootTime, ErrorKind};
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -35,13 +35,14 @@
         let Some(request) = self.requests.get(&key) else {
             return Err(UnsentCause::NobodyLeft);
         };
-        let route = request.route();
-        let (name, goal) = (route.name.clone(), Duration::from_millis(route.goal_ms));
+        let (table, route_index) = (request.table.clone(), request.route_index);
+        let route = &table.definition().routes[route_index];
         let service = request.shards[shard_index].service.clone();
         let barred = self.barred(key, shard_index);
-        let usual_work = self.statistics(&name, goal).work.median();
+        let usual_work = self.statistics(&route.name, Duration::from_millis(route.goal_ms)).work.median();
         let candidates = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
-        let chosen = choose(now, candidates, &self.searchers, &barred, &self.place, usual_work, &mut self.random);
+        let choice = Choice { route, barred: &barred, usual_work };
+        let chosen = choose(now, &choice, candidates, &self.searchers, &self.place, &mut self.random);
         let is_extra = matches!(reason, SendReason::Hedge | SendReason::Retry);
         let outcome = match chosen {
             None => Err(self.note_unplaced(now, key, shard_index, reason)),
@@ -74,7 +75,7 @@
         reason: SendReason,
         actions: &mut Vec<RoutingAction>,
     ) {
-        let other_way = self.longest_other_way(searcher_key);
+        let other_way = self.longest_other_way(now, key, searcher_key);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
@@ -120,15 +121,18 @@
             is_idempotent: route.is_idempotent,
             connect_patience: CONNECT_PATIENCE + way * CONNECT_WAYS,
             reason,
+            reported: searcher.reported().map(|(at, load)| ReportedAt { load, age: now.since(at) }),
         }));
     }
 
-    /// The way to the farthest other searcher of the same service: a hedge may have to go there.
-    fn longest_other_way(&self, key: SearcherKey) -> Duration {
-        let service = &self.searchers[key.0 as usize].entry.service;
-        let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let others = peers.iter().filter(|peer| **peer != key);
-        others.map(|peer| self.place.way(&self.searchers[peer.0 as usize].entry.zone)).max().unwrap_or_default()
+    /// The way to the farthest other searcher that the same shard may be sent to: a hedge may have to go there.
+    fn longest_other_way(&self, now: BootTime, request: RequestKey, asked: SearcherKey) -> Duration {
+        let Some(request) = self.requests.get(&request) else {
+            return Duration::ZERO;
+        };
+        let service = &self.searchers[asked.0 as usize].entry.service;
+        let others = self.askable(now, request.route(), service).filter(|(peer, _)| *peer != asked);
+        others.map(|(_, searcher)| self.place.way(&searcher.entry.zone)).max().unwrap_or_default()
     }
 
     /// Sets the time at which the request needs attention next.
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -51,6 +51,9 @@
         let way = self.place.way(&self.searchers[sent.searcher.0 as usize].entry.zone);
         let worked = now.since(sent.sent_at).saturating_sub(way);
         let searcher = &mut self.searchers[sent.searcher.0 as usize];
+        if let AttemptOutcome::Answered(answer) = outcome {
+            searcher.take_report(now, answer.report);
+        }
         match outcome {
             AttemptOutcome::Answered(answer) if answer.status < 500 => {
                 let Some(statistics) = self.routes.get_mut(&sent.route) else {
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -45,7 +45,7 @@
                 }
             }
         }
-        self.waits.retain(|service, _| self.max_connections.contains_key(service));
+        self.waits.retain(|service, _| self.services.contains_key(service));
     }
 
     /// Whether a request is refused because too much waits: then, the part of its route's requests that is taken now.
--- a/crates/staircross-routing/src/engine/waiting.rs
+++ b/crates/staircross-routing/src/engine/waiting.rs
@@ -3,6 +3,7 @@
 //! A shard is given up only when nobody is left, or when its request's time is over before anybody may be asked.
 
 use super::{RoutingAction, RoutingEngine, UnsentCause, WaitingShard};
+use crate::definition::RouteDefinition;
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::request::{SendReason, ShardState, Waiting};
 use staircross_types::BootTime;
@@ -26,9 +27,16 @@
 
 impl RoutingEngine {
     /// When a searcher of a service besides `barred` may be asked, room aside; `None` when there is nobody.
-    pub(super) fn next_chance(&self, now: BootTime, service: &Arc<str>, barred: &[SearcherKey]) -> Option<BootTime> {
-        let others = self.askable(now, service).filter(|peer| !barred.contains(peer));
-        let chance = others.map(|peer| self.searchers[peer.0 as usize].avoided_until().max(now)).min();
+    pub(super) fn next_chance(
+        &self,
+        now: BootTime,
+        route: &RouteDefinition,
+        service: &Arc<str>,
+        barred: &[SearcherKey],
+    ) -> Option<BootTime> {
+        let others = self.askable(now, route, service).filter(|(peer, _)| !barred.contains(peer));
+        let chances = others.filter_map(|(_, searcher)| self.place.next_chance(now, searcher));
+        let chance = chances.map(|at| at.max(now)).min();
         chance.filter(|at| self.settings.policy.waiting || *at <= now)
     }
 
@@ -40,11 +48,11 @@
         shard_index: usize,
         reason: SendReason,
     ) -> UnsentCause {
-        let Some(shard) = self.requests.get(&key).map(|request| &request.shards[shard_index]) else {
+        let Some(request) = self.requests.get(&key) else {
             return UnsentCause::NobodyLeft;
         };
-        let service = shard.service.clone();
-        let chance = self.next_chance(now, &service, &self.barred(key, shard_index));
+        let shard = &request.shards[shard_index];
+        let chance = self.next_chance(now, request.route(), &shard.service, &self.barred(key, shard_index));
         let cause = match chance {
             Some(at) if at <= now => UnsentCause::NoRoom,
             Some(_) => UnsentCause::Avoided,
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -3,6 +3,7 @@
 use crate::admission::AdmissionChange;
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::mirror::SearcherEntry;
+use crate::report::ReportedLoad;
 pub use crate::request::SendReason;
 use crate::request::{Arrival, AttemptOutcome, Verdict};
 use crate::selection::Distance;
@@ -22,12 +23,16 @@
     Searchers(Vec<SearcherEntry>),
     /// Runs whose entries have gone.
     SearchersGone(Vec<Arc<str>>),
+    /// All zones whose searchers are to get no new work.
+    Evacuated(Vec<Arc<str>>),
     /// The live nodes have changed.
     Fleet {
         /// Nodes that serve callers, by zone; this one counts.
         nodes_by_zone: HashMap<Arc<str>, usize>,
         /// Most nodes that served lately.
         serving: usize,
+        /// This node's number among those that serve, from 0; `None` for a reserve.
+        rank: Option<usize>,
         /// This node's part of the slack for extra sends, 0 to 1.
         slack_part: f64,
     },
@@ -232,4 +237,15 @@
     pub connect_patience: Duration,
     /// Why.
     pub reason: SendReason,
+    /// What its searcher reported last, if it ever did.
+    pub reported: Option<ReportedAt>,
+}
+
+/// A searcher's report of its load, and how old it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportedAt {
+    /// The report.
+    pub load: ReportedLoad,
+    /// Time since it came.
+    pub age: Duration,
 }
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -6,7 +6,10 @@
 //! | [`table`] | which route a request takes |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
 //! | [`store_reader`] | when the store is read, watched, or left alone |
+//! | [`evacuations`] | which zones' searchers are to get no new work |
 //! | [`searcher`] | what is known of one searcher: entry, load, speed, failures |
+//! | [`report`] | what a searcher says of itself with its answers |
+//! | [`cold`] | how much a node may send to a searcher that has just started |
 //! | [`selection`] | which searcher of a service is asked |
 //! | [`admission`] | how much of the offered work is taken while back ends are overloaded |
 //! | [`window`] | how much work beyond the strictly needed may be sent |
@@ -23,15 +26,18 @@
 //! Everything is driven by `on_event(now, event, &mut actions)`.
 
 pub mod admission;
+pub mod cold;
 pub mod definition;
 pub mod engine;
 pub mod engine_message;
+pub mod evacuations;
 pub mod goal;
 pub mod keys;
 pub mod merge;
 pub mod mirror;
 pub mod policy;
 pub mod recording;
+pub mod report;
 pub mod request;
 pub mod searcher;
 pub mod selection;
@@ -40,10 +46,12 @@
 pub mod turns;
 pub mod window;
 
-pub use definition::{CallerLimits, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
+pub use cold::ColdBound;
+pub use definition::{CallerLimits, ColdStart, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
 pub use keys::{AttemptKey, RequestKey, SearcherKey};
 pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry};
 pub use policy::RoutingPolicy;
+pub use report::{ReportedLoad, SearcherReport};
 pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
 pub use table::RouteTable;
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -4,6 +4,7 @@
 //! order in which they arrive, so it doesn't matter whether they come from the store or from a peer.
 
 use crate::definition::{RouteTarget, RoutingDefinition};
+use crate::evacuations::{Evacuations, ZoneChange};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -54,6 +55,13 @@
         /// The run whose entry it was.
         instance: Arc<str>,
     },
+    /// The searchers of a zone are to get no new work, or may get it again.
+    Evacuation {
+        /// The zone.
+        zone: Arc<str>,
+        /// Whether it is to get none.
+        is_active: bool,
+    },
 }
 
 /// Items that changed, and up to which revision that is all.
@@ -65,6 +73,9 @@
     pub is_complete_for_searchers: bool,
     /// Revision up to which the update tells all changes; 0 when it doesn't.
     pub up_to: u64,
+    /// Revision at which zones that aren't listed as evacuated weren't; `None` when the update doesn't list them all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub all_evacuations_at: Option<u64>,
 }
 
 /// What an asker has and takes.
@@ -74,6 +85,8 @@
     pub revision: u64,
     /// Version of its configuration.
     pub version: u64,
+    /// Revision up to which it knows evacuations.
+    pub evacuations: u64,
     /// Whether it wants a newer configuration however large; else it reads a large one from the store.
     pub takes_large: bool,
 }
@@ -88,6 +101,8 @@
     pub searchers: Vec<SearcherEntry>,
     /// Searchers whose entry has gone.
     pub gone: Vec<Arc<str>>,
+    /// All zones that are being evacuated, if that has changed.
+    pub evacuated: Option<Vec<Arc<str>>>,
 }
 
 /// Changes while a merge goes on. An update may tell several of one run; the last counts, but for that a
@@ -96,6 +111,7 @@
 struct Touched {
     configuration: Option<Arc<RoutingDefinition>>,
     searchers: BTreeMap<Arc<str>, TouchedSearcher>,
+    has_evacuations: bool,
 }
 
 #[derive(Default)]
@@ -138,6 +154,7 @@
 pub struct Mirror {
     configuration: Option<(u64, Arc<RoutingDefinition>)>,
     searchers: BTreeMap<Arc<str>, Held>,
+    evacuations: Evacuations,
     up_to: u64,
     newest: u64,
     tombstones_from: u64,
@@ -160,9 +177,9 @@
         self.up_to
     }
 
-    /// Revision of the configuration; 0 when none is known.
-    pub fn configuration_revision(&self) -> u64 {
-        self.configuration.as_ref().map_or(0, |(revision, _)| *revision)
+    /// Newest revision of what the operator wrote, the configuration or an evacuation; 0 when no configuration is known.
+    pub fn operator_revision(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |(revision, _)| (*revision).max(self.evacuations.newest()))
     }
 
     /// Newest revision of a searcher's entry or of its end.
@@ -170,6 +187,11 @@
         self.newest
     }
 
+    /// Newest revision of the start or end of an evacuation.
+    pub fn evacuations_revision(&self) -> u64 {
+        self.evacuations.newest()
+    }
+
     /// Whether all searchers are known, by a listing of the store's own or of a peer that had one.
     pub fn has_listing(&self) -> bool {
         self.has_listing
@@ -184,6 +206,7 @@
     pub fn merge(&mut self, update: MirrorUpdate) -> MirrorChanges {
         let mut touched = Touched::default();
         let mut listed: Vec<Arc<str>> = Vec::new();
+        let mut listed_zones: Vec<Arc<str>> = Vec::new();
         for (revision, item) in update.items {
             match item {
                 MirrorItem::Configuration { definition } => self.take_configuration(revision, definition, &mut touched),
@@ -194,8 +217,17 @@
                     self.take_searcher(revision, entry, &mut touched);
                 }
                 MirrorItem::SearcherGone { instance } => self.take_gone(revision, instance, &mut touched),
+                MirrorItem::Evacuation { zone, is_active } => {
+                    if update.all_evacuations_at.is_some() && is_active {
+                        listed_zones.push(zone.clone());
+                    }
+                    touched.has_evacuations |= self.evacuations.take(revision, zone, is_active);
+                }
             }
         }
+        if let Some(at) = update.all_evacuations_at {
+            touched.has_evacuations |= self.evacuations.end_unlisted(at, &listed_zones);
+        }
         if update.is_complete_for_searchers {
             listed.sort();
             self.drop_unlisted(update.up_to, &listed, &mut touched);
@@ -203,7 +235,8 @@
         }
         self.up_to = self.up_to.max(update.up_to);
         self.forget_old_tombstones();
-        touched.into_changes()
+        let evacuated = touched.has_evacuations.then(|| self.evacuations.active());
+        MirrorChanges { evacuated, ..touched.into_changes() }
     }
 
     /// Everything that a peer lacks, but for a large configuration that it doesn't take.
@@ -228,7 +261,11 @@
                 Some(_) | None => {}
             }
         }
-        MirrorUpdate { items, is_complete_for_searchers: is_complete, up_to: self.up_to }
+        items.extend(self.evacuations.changes_after(peer.evacuations).map(|change| {
+            let ZoneChange { revision, zone, is_active } = change;
+            (revision, MirrorItem::Evacuation { zone, is_active })
+        }));
+        MirrorUpdate { items, is_complete_for_searchers: is_complete, up_to: self.up_to, all_evacuations_at: None }
     }
 
     /// Versions only rise, whatever the revisions say.
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -5,10 +5,12 @@
 //! Bodies and fields aren't recorded; no decision depends on them.
 
 use crate::RoutingDefinition;
+use crate::cold::ColdBound;
 use crate::engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings, SendReason};
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::mirror::SearcherEntry;
 use crate::policy::RoutingPolicy;
+use crate::report::SearcherReport;
 use crate::request::{Arrival, AttemptOutcome, NotRun, SearcherAnswer, Unknown, Verdict};
 use crate::table::RouteTable;
 use crate::window::ExtraBound;
@@ -37,6 +39,7 @@
     zone: Arc<str>,
     regions: BTreeMap<Arc<str>, Arc<str>>,
     lapse_grace: Duration,
+    cold: ColdBound,
     max_requests: usize,
     restarted_at: Option<BootTime>,
     policy: RoutingPolicy,
@@ -62,7 +65,8 @@
     Configuration(Arc<RoutingDefinition>),
     Searchers(Vec<SearcherEntry>),
     SearchersGone(Vec<Arc<str>>),
-    Fleet { nodes_by_zone: BTreeMap<Arc<str>, usize>, serving: usize, slack_part: f64 },
+    Evacuated(Vec<Arc<str>>),
+    Fleet { nodes_by_zone: BTreeMap<Arc<str>, usize>, serving: usize, rank: Option<usize>, slack_part: f64 },
     Arrived(Arrival),
     CallerGone(RequestKey),
     Connected { searcher: SearcherKey, took: Duration },
@@ -75,7 +79,7 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[allow(missing_docs)]
 pub enum RecordedOutcome {
-    Answered { status: u16, is_stamped: bool },
+    Answered { status: u16, is_stamped: bool, report: SearcherReport },
     NotRun(NotRun),
     Unknown(Unknown),
     Withdrawn,
@@ -135,6 +139,7 @@
             zone: settings.zone.clone(),
             regions: settings.regions.iter().map(|(zone, region)| (zone.clone(), region.clone())).collect(),
             lapse_grace: settings.lapse_grace,
+            cold: settings.cold,
             max_requests: settings.max_requests,
             restarted_at: settings.restarted_at,
             policy: settings.policy,
@@ -148,6 +153,7 @@
             zone: self.zone.clone(),
             regions: self.regions.iter().map(|(zone, region)| (zone.clone(), region.clone())).collect(),
             lapse_grace: self.lapse_grace,
+            cold: self.cold,
             max_requests: self.max_requests,
             restarted_at: self.restarted_at,
             policy: self.policy,
@@ -162,9 +168,11 @@
             RoutingEvent::Configuration(table) => RecordedEvent::Configuration(table.definition().clone()),
             RoutingEvent::Searchers(entries) => RecordedEvent::Searchers(entries.clone()),
             RoutingEvent::SearchersGone(instances) => RecordedEvent::SearchersGone(instances.clone()),
-            RoutingEvent::Fleet { nodes_by_zone, serving, slack_part } => RecordedEvent::Fleet {
+            RoutingEvent::Evacuated(zones) => RecordedEvent::Evacuated(zones.clone()),
+            RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part } => RecordedEvent::Fleet {
                 nodes_by_zone: nodes_by_zone.iter().map(|(zone, count)| (zone.clone(), *count)).collect(),
                 serving: *serving,
+                rank: *rank,
                 slack_part: *slack_part,
             },
             RoutingEvent::Arrived(arrival) => RecordedEvent::Arrived(arrival.clone()),
@@ -183,7 +191,8 @@
     fn from(outcome: &AttemptOutcome) -> Self {
         match outcome {
             AttemptOutcome::Answered(answer) => {
-                RecordedOutcome::Answered { status: answer.status, is_stamped: answer.stamp.is_some() }
+                let (status, is_stamped) = (answer.status, answer.stamp.is_some());
+                RecordedOutcome::Answered { status, is_stamped, report: answer.report }
             }
             AttemptOutcome::NotRun(reason) => RecordedOutcome::NotRun(*reason),
             AttemptOutcome::Unknown(reason) => RecordedOutcome::Unknown(*reason),
@@ -195,12 +204,15 @@
 impl From<RecordedOutcome> for AttemptOutcome {
     fn from(outcome: RecordedOutcome) -> Self {
         match outcome {
-            RecordedOutcome::Answered { status, is_stamped } => AttemptOutcome::Answered(Box::new(SearcherAnswer {
-                status,
-                stamp: is_stamped.then(Vec::new),
-                headers: HeaderBlock::default(),
-                body: Vec::new(),
-            })),
+            RecordedOutcome::Answered { status, is_stamped, report } => {
+                AttemptOutcome::Answered(Box::new(SearcherAnswer {
+                    status,
+                    stamp: is_stamped.then(Vec::new),
+                    headers: HeaderBlock::default(),
+                    body: Vec::new(),
+                    report,
+                }))
+            }
             RecordedOutcome::NotRun(reason) => AttemptOutcome::NotRun(reason),
             RecordedOutcome::Unknown(reason) => AttemptOutcome::Unknown(reason),
             RecordedOutcome::Withdrawn => AttemptOutcome::Withdrawn,
@@ -315,8 +327,10 @@
             }
             RecordedEvent::Searchers(entries) => RoutingEvent::Searchers(entries),
             RecordedEvent::SearchersGone(instances) => RoutingEvent::SearchersGone(instances),
-            RecordedEvent::Fleet { nodes_by_zone, serving, slack_part } => {
-                RoutingEvent::Fleet { nodes_by_zone: nodes_by_zone.into_iter().collect(), serving, slack_part }
+            RecordedEvent::Evacuated(zones) => RoutingEvent::Evacuated(zones),
+            RecordedEvent::Fleet { nodes_by_zone, serving, rank, slack_part } => {
+                let nodes_by_zone = nodes_by_zone.into_iter().collect();
+                RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part }
             }
             RecordedEvent::Arrived(arrival) => RoutingEvent::Arrived(arrival),
             RecordedEvent::CallerGone(request) => RoutingEvent::CallerGone(request),
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::definition::{GatherTarget, RouteDefinition};
 use crate::keys::{RequestKey, SearcherKey};
+use crate::report::SearcherReport;
 use crate::table::RouteTable;
 use serde::{Deserialize, Serialize};
 use staircross_http::HeaderBlock;
@@ -52,6 +53,8 @@
     pub headers: HeaderBlock,
     /// Body.
     pub body: Vec<u8>,
+    /// What it says of its searcher.
+    pub report: SearcherReport,
 }
 
 /// Why an attempt certainly didn't run.
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -1,9 +1,12 @@
 //! What is known of one searcher: its entry, its load as seen from here, its speed, its failures.
 //!
-//! Only own measurements count. A searcher that has gone or is leaving is never asked again.
+//! Its reports of its load are kept for the log. A searcher that has gone or is leaving is never asked again.
 
+use crate::cold::ColdSends;
+use crate::definition::ColdStart;
 use crate::keys::AttemptKey;
 use crate::mirror::SearcherEntry;
+use crate::report::{ReportedLoad, SearcherReport};
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -76,7 +79,13 @@
     pub open: Vec<OpenAttempt>,
     /// Connections that it accepts from all callers together.
     pub max_connections: u32,
+    /// What it bears while it is cold.
+    pub cold_start: ColdStart,
+    /// Whether its zone is being evacuated: it gets no new work until that is taken back.
+    is_evacuated: bool,
     cold_until: BootTime,
+    cold_sends: ColdSends,
+    reported: Option<(BootTime, ReportedLoad)>,
     slowness: f64,
     measured_at: BootTime,
     /// When the first of the slow answers that came without a usual one in between was seen.
@@ -100,7 +109,11 @@
             standing,
             open: Vec::new(),
             max_connections,
+            cold_start: ColdStart::default(),
+            is_evacuated: false,
             cold_until,
+            cold_sends: ColdSends::default(),
+            reported: None,
             slowness: 1.0,
             measured_at: now,
             slow_answer_at: None,
@@ -141,6 +154,45 @@
 
     /// Whether new work may be sent, room and trials aside.
     pub fn may_be_asked(&self, now: BootTime) -> bool {
+        !self.is_evacuated && self.is_listed(now)
+    }
+
+    /// Notes whether its zone is being evacuated. When that ends, the searcher may have been started anew shortly before and
+    /// its entry may not say so yet.
+    pub fn set_evacuated(&mut self, now: BootTime, is_evacuated: bool) {
+        if self.is_evacuated && !is_evacuated {
+            self.cold_until = self.cold_until.max(now + Duration::from_millis(self.cold_start.duration_ms));
+        }
+        self.is_evacuated = is_evacuated;
+    }
+
+    /// Whether it is cold.
+    pub fn is_cold(&self, now: BootTime) -> bool {
+        now < self.cold_until
+    }
+
+    /// What was sent to it while it was cold.
+    pub fn cold_sends(&self) -> &ColdSends {
+        &self.cold_sends
+    }
+
+    /// Takes what an answer says of the searcher.
+    pub fn take_report(&mut self, now: BootTime, report: SearcherReport) {
+        if let Some(load) = report.load {
+            self.reported = Some((now, load));
+        }
+        if let Some(cold) = report.cold {
+            self.cold_until = now + cold;
+        }
+    }
+
+    /// What it reported last of its load, and when.
+    pub fn reported(&self) -> Option<(BootTime, ReportedLoad)> {
+        self.reported
+    }
+
+    /// Whether it may be asked by what its entry says.
+    pub fn is_listed(&self, now: BootTime) -> bool {
         match self.standing {
             Standing::Serving => true,
             Standing::Lapsed { until } => now < until,
@@ -148,12 +200,7 @@
         }
     }
 
-    /// Whether it has failed lately and must be left alone for now.
-    pub fn is_avoided(&self, now: BootTime) -> bool {
-        now < self.avoid_until
-    }
-
-    /// When it may be asked again; in the past if it isn't avoided.
+    /// When it may be asked again after failures; in the past if it isn't avoided.
     pub fn avoided_until(&self) -> BootTime {
         self.avoid_until
     }
@@ -163,7 +210,7 @@
         let age = now.since(self.measured_at).as_secs_f64();
         let kept = 0.5_f64.powf(age / SLOWNESS_HALF_LIFE.as_secs_f64());
         let present = 1.0 + (self.slowness - 1.0) * kept;
-        if now < self.cold_until { present.max(COLD_FACTOR) } else { present }
+        if self.is_cold(now) { present.max(COLD_FACTOR) } else { present }
     }
 
     /// Longest time by which an open attempt is overdue.
@@ -177,6 +224,9 @@
             // The one trial; nobody else is sent until it has told.
             self.avoid_until = now + TRIAL_SPACING;
         }
+        if self.is_cold(now) {
+            self.cold_sends.note(now);
+        }
         self.open.push(open);
     }
 
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -5,6 +5,8 @@
 //! probably in a pause, so whoever comes next goes elsewhere. Distance counts a little more than its
 //! time, because bytes between zones cost.
 
+use crate::cold::{ColdBound, FleetRank, cold_share};
+use crate::definition::RouteDefinition;
 use crate::keys::SearcherKey;
 use crate::policy::RoutingPolicy;
 use crate::searcher::Searcher;
@@ -46,6 +48,10 @@
     pub nodes_by_zone: HashMap<Arc<str>, usize>,
     /// Most nodes that served lately.
     pub serving: usize,
+    /// This node's number among those that serve, from 0; `None` for a reserve.
+    pub rank: Option<usize>,
+    /// Bound on requests to a cold searcher.
+    pub cold: ColdBound,
     /// Least times to connect, by zone.
     pub ways: HashMap<Arc<str>, Duration>,
     /// When this process started, if it isn't the first on its machine.
@@ -78,6 +84,25 @@
         if is_same_region { Distance::OwnRegion } else { Distance::Far }
     }
 
+    /// Whether requests of a route may be sent to a searcher, by where it is.
+    pub fn allows(&self, route: &RouteDefinition, searcher: &Searcher) -> bool {
+        route.allows_region(self.regions.get(&searcher.entry.zone))
+    }
+
+    /// When a searcher may be asked, room aside: in the past where it isn't avoided, `None` where this node has no share of what it
+    /// bears while it is cold.
+    pub fn next_chance(&self, now: BootTime, searcher: &Searcher) -> Option<BootTime> {
+        let avoided_until = searcher.avoided_until();
+        if !searcher.is_cold(now) {
+            return Some(avoided_until);
+        }
+        let fleet = FleetRank { rank: self.rank, serving: self.serving };
+        match cold_share(searcher.cold_start, self.cold, &searcher.entry.instance, fleet) {
+            Some(share) => searcher.cold_sends().next(now, share).map(|at| at.max(avoided_until)),
+            None => Some(avoided_until),
+        }
+    }
+
     /// Time to a zone and back.
     pub fn way(&self, zone: &str) -> Duration {
         let assumed = match self.distance(zone) {
@@ -149,24 +174,34 @@
     place.way(zone) + bias + work + queue + pause + lapse
 }
 
-/// Chooses among `candidates`; those in `tried`, without room, not serving or avoided are left out.
+/// What a searcher is chosen for.
+pub struct Choice<'a> {
+    /// The request's route.
+    pub route: &'a RouteDefinition,
+    /// Searchers that aren't to be asked.
+    pub barred: &'a [SearcherKey],
+    /// Usual time of the route's work.
+    pub usual_work: Duration,
+}
+
+/// Chooses among `candidates`; those that are barred, outside the route's regions, without room, not serving or avoided are
+/// left out.
 pub fn choose(
     now: BootTime,
+    choice: &Choice<'_>,
     candidates: &[SearcherKey],
     table: &[Searcher],
-    tried: &[SearcherKey],
     place: &Place,
-    usual_work: Duration,
     random: &mut ChaCha8Rng,
 ) -> Option<SearcherKey> {
     let mut best: Option<(SearcherKey, Duration)> = None;
     let mut as_good = 0_u32;
     for key in candidates {
         let searcher = &table[key.0 as usize];
-        if tried.contains(key) || !may_take(now, searcher, place) {
+        if choice.barred.contains(key) || !place.allows(choice.route, searcher) || !may_take(now, searcher, place) {
             continue;
         }
-        let expected = expected_time(now, searcher, place, usual_work);
+        let expected = expected_time(now, searcher, place, choice.usual_work);
         match best {
             Some((_, least)) if expected > least.mul_f64(AS_GOOD) => {}
             Some((_, least)) if expected.mul_f64(AS_GOOD) >= least => {
@@ -187,5 +222,6 @@
 fn may_take(now: BootTime, searcher: &Searcher, place: &Place) -> bool {
     let most = place.after_restart(now, place.connection_share(searcher));
     let has_room = searcher.open.len() < most && !searcher.is_full(now);
-    searcher.may_be_asked(now) && !searcher.is_avoided(now) && has_room
+    let is_time = place.next_chance(now, searcher).is_some_and(|chance| chance <= now);
+    searcher.may_be_asked(now) && is_time && has_room
 }
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -68,12 +68,9 @@
                 let call = StoreCall::Watch { lane, after, wait: settings.watch };
                 (call, settings.watch + settings.patience)
             }
-            (None, Some(partial), _) => {
-                (StoreCall::ListSearchers { after: Some(partial.next_key.clone()) }, settings.patience)
-            }
-            (None, None, Lane::Configuration) => (StoreCall::ReadConfiguration, settings.patience),
-            (None, None, Lane::Searchers | Lane::Probe) => {
-                (StoreCall::ListSearchers { after: None }, settings.patience)
+            (None, partial, lane) => {
+                let after = partial.as_ref().map(|partial| partial.next_key.clone());
+                (StoreCall::List { lane, after }, settings.patience)
             }
         };
         ReaderAction::Call { lane: self.lane, call, patience }
@@ -98,9 +95,13 @@
             return;
         }
         // Pages are no snapshot: only what holds since the first page is known, the watch tells the rest.
-        if self.lane == Lane::Searchers {
-            whole.is_complete_for_searchers = true;
-            whole.up_to = first_at;
+        match self.lane {
+            Lane::Searchers => {
+                whole.is_complete_for_searchers = true;
+                whole.up_to = first_at;
+            }
+            Lane::Configuration => whole.all_evacuations_at = Some(first_at),
+            Lane::Probe => {}
         }
         self.after = Some(first_at);
         actions.push(ReaderAction::Learned { lane: self.lane, update: whole });
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -6,7 +6,7 @@
 /// What a lane reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Lane {
-    /// The configuration.
+    /// What the operator writes: the configuration and evacuations.
     Configuration,
     /// The searchers' entries.
     Searchers,
@@ -44,10 +44,10 @@
 /// One call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreCall {
-    /// The configuration as it is now.
-    ReadConfiguration,
-    /// A page of searchers' entries, after a key.
-    ListSearchers {
+    /// A page of all that a lane reads, as it is now.
+    List {
+        /// Of what.
+        lane: Lane,
         /// Last key of the page before.
         after: Option<String>,
     },
--- a/crates/staircross-routing/src/table.rs
+++ b/crates/staircross-routing/src/table.rs
@@ -38,6 +38,21 @@
         self.definition.version
     }
 
+    /// Regions that the routes of a host allow; empty where all of them may be served anywhere.
+    ///
+    /// Where routes differ, those that all restricted ones allow, or else all that any of them does.
+    pub fn allowed_regions(&self, host: &str) -> Vec<Arc<str>> {
+        let indices = self.by_host.get(host).map_or(&[][..], Vec::as_slice);
+        let routes = || indices.iter().map(|index| &self.definition.routes[*index as usize]);
+        let sets = || routes().map(|route| &route.allowed_regions).filter(|regions| !regions.is_empty());
+        let mut any: Vec<Arc<str>> = sets().flatten().cloned().collect();
+        any.sort_unstable();
+        any.dedup();
+        let common: Vec<Arc<str>> =
+            any.iter().filter(|region| sets().all(|set| set.contains(region))).cloned().collect();
+        if common.is_empty() { any } else { common }
+    }
+
     /// Index of the route for a host (as the request names it, a port allowed) and a path.
     pub fn find_index(&self, host: &str, path: &str) -> Option<usize> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -11,9 +11,9 @@
 use staircross_routing::recording::{Decision, RecordedEvent, RecordedTurn};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{
-    Arrival, AttemptKey, AttemptOutcome, CallerLimits, CallerLink, RequestKey, RouteDefinition, RouteTable,
-    RouteTarget, RoutingAction, RoutingDefinition, RoutingEngine, RoutingEvent, RoutingPolicy, RoutingSettings,
-    SearcherAnswer, SearcherEntry, ServiceEntry, Verdict,
+    Arrival, AttemptKey, AttemptOutcome, CallerLimits, CallerLink, ColdBound, ColdStart, RequestKey, RouteDefinition,
+    RouteTable, RouteTarget, RoutingAction, RoutingDefinition, RoutingEngine, RoutingEvent, RoutingPolicy,
+    RoutingSettings, SearcherAnswer, SearcherEntry, SearcherReport, ServiceEntry, Verdict,
 };
 use staircross_types::BootTime;
 use std::sync::Arc;
@@ -52,6 +52,7 @@
         zone: Arc::from("a"),
         regions: regions.into_iter().map(|(zone, region)| (Arc::from(zone), Arc::from(region))).collect(),
         lapse_grace: Duration::from_millis(LAPSE_MS),
+        cold: ColdBound::default(),
         max_requests: 1000,
         restarted_at: None,
         policy: RoutingPolicy::default(),
@@ -82,6 +83,7 @@
         goal_ms: 250,
         max_attempts: 2,
         priority: 1,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -99,7 +101,8 @@
 }
 
 pub fn definition(version: u64, routes: Vec<RouteDefinition>, services: &[&str]) -> RoutingDefinition {
-    let service = |name: &&str| ServiceEntry { name: Arc::from(*name), max_connections: 40 };
+    let service =
+        |name: &&str| ServiceEntry { name: Arc::from(*name), max_connections: 40, cold_start: ColdStart::default() };
     RoutingDefinition {
         version,
         routes,
@@ -115,7 +118,13 @@
 
 pub fn answer(status: u16, stamp: &str, body: Vec<u8>) -> AttemptOutcome {
     let stamp = (!stamp.is_empty()).then(|| stamp.as_bytes().to_vec());
-    AttemptOutcome::Answered(Box::new(SearcherAnswer { status, stamp, headers: HeaderBlock::default(), body }))
+    AttemptOutcome::Answered(Box::new(SearcherAnswer {
+        status,
+        stamp,
+        headers: HeaderBlock::default(),
+        body,
+        report: SearcherReport::default(),
+    }))
 }
 
 impl Driver {
@@ -261,6 +270,6 @@
         let nodes_by_zone: HashMap<Arc<str>, usize> =
             zones.iter().map(|(zone, count)| (Arc::from(*zone), *count)).collect();
         let slack_part = 1.0 / fleet as f64;
-        self.event(RoutingEvent::Fleet { nodes_by_zone, serving: fleet, slack_part });
+        self.event(RoutingEvent::Fleet { nodes_by_zone, serving: fleet, rank: Some(0), slack_part });
     }
 }
--- a/crates/staircross-routing/tests/fuzz.rs
+++ b/crates/staircross-routing/tests/fuzz.rs
@@ -33,11 +33,12 @@
     Appear(u8, u8),
     Configure(bool),
     Fleet(u8),
+    Evacuate(u8),
 }
 
 fn any_step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        6 => (0..4_u8).prop_map(Step::Arrive),
+        6 => (0..5_u8).prop_map(Step::Arrive),
         14 => (any::<prop::sample::Index>(), 0..12_u8).prop_map(|(which, how)| Step::End(which, how)),
         1 => any::<prop::sample::Index>().prop_map(Step::CallerLeaves),
         6 => (1..400_u16).prop_map(Step::Pass),
@@ -46,24 +47,31 @@
         2 => (0..5_u8, 0..3_u8).prop_map(|(service, zone)| Step::Appear(service, zone)),
         1 => any::<bool>().prop_map(Step::Configure),
         1 => (1..12_u8).prop_map(Step::Fleet),
+        1 => (0..6_u8).prop_map(Step::Evacuate),
     ]
 }
 
 fn routes(is_second: bool) -> Vec<RouteDefinition> {
     let mut once = route("once", RouteTarget::Service(Arc::from("solo")));
     once.is_idempotent = false;
+    // Zones `a` and `b` are in the north, `c` isn't.
+    let mut northern = route("northern", gather(&SHARDS, 2, 0.6));
+    northern.allowed_regions = vec![Arc::from("north")];
     let shards: &[&str] = if is_second { &SHARDS[..2] } else { &SHARDS };
     vec![
         route("query", gather(shards, 2, 0.6)),
         route("solo", RouteTarget::Service(Arc::from("solo"))),
         once,
         route("split", weighted(&[("solo", 2), ("other", 1)])),
+        northern,
     ]
 }
 
 /// Connections of each searcher, for all nodes together.
 const MAX_CONNECTIONS: u32 = 4;
-const PATHS: [&str; 4] = ["/query/1", "/solo/1", "/once/1", "/split/1"];
+const PATHS: [&str; 5] = ["/query/1", "/solo/1", "/once/1", "/split/1", "/northern/1"];
+/// The route whose requests may be served in the north alone.
+const NORTHERN: usize = 4;
 
 fn configuration(version: u64) -> RoutingDefinition {
     let mut whole = definition(version, routes(version.is_multiple_of(2)), &SERVICES);
@@ -116,6 +124,10 @@
     serving: BTreeMap<String, String>,
     /// Instances whose entry has gone, with their service and when that was told.
     lapsed: BTreeMap<String, (String, BootTime)>,
+    /// Zones of all instances that ever were.
+    zones: BTreeMap<String, &'static str>,
+    /// The zone that is being evacuated.
+    evacuated: Option<&'static str>,
     sendings: Vec<Sending>,
     requests: BTreeMap<RequestKey, Asked>,
     /// Parts given to each request: signature, service, records.
@@ -134,6 +146,8 @@
             next_instance: 0,
             serving: BTreeMap::new(),
             lapsed: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            evacuated: None,
             sendings: Vec::new(),
             requests: BTreeMap::new(),
             parts: BTreeMap::new(),
@@ -154,7 +168,9 @@
         let instance = format!("i{}", self.next_instance);
         self.next_instance += 1;
         let service = SERVICES[usize::from(service)];
-        self.driver.event(RoutingEvent::Searchers(vec![searcher(&instance, service, ZONES[usize::from(zone)])]));
+        let zone = ZONES[usize::from(zone)];
+        self.driver.event(RoutingEvent::Searchers(vec![searcher(&instance, service, zone)]));
+        self.zones.insert(instance.clone(), zone);
         self.serving.insert(instance, service.to_owned());
     }
 
@@ -175,7 +191,7 @@
             Step::Drain(which) => {
                 if let Some((instance, service)) = self.pick(which) {
                     self.serving.remove(&instance);
-                    let mut entry = searcher(&instance, &service, "a");
+                    let mut entry = searcher(&instance, &service, self.zones[&instance]);
                     entry.is_draining = true;
                     self.driver.event(RoutingEvent::Searchers(vec![entry]));
                 }
@@ -193,6 +209,12 @@
                 let table = RouteTable::new(Arc::new(configuration(self.version)));
                 self.driver.event(RoutingEvent::Configuration(Arc::new(table)));
             }
+            // One of the zones, or none.
+            Step::Evacuate(which) => {
+                self.evacuated = ZONES.get(usize::from(*which)).copied();
+                let zones = self.evacuated.iter().map(|zone| Arc::from(*zone)).collect();
+                self.driver.event(RoutingEvent::Evacuated(zones));
+            }
             Step::Fleet(count) => self.driver.fleet(&[("a", 1), ("b", 1)], usize::from(*count).max(2)),
         }
         self.judge()
@@ -296,7 +318,10 @@
         prop_assert!(service.is_some(), "sent to {instance}, which is leaving or has been gone for too long");
         let service = service.unwrap_or_default();
         prop_assert!(self.shards_of(key).contains(&service), "sent to a service that its configuration doesn't name");
+        let zone = self.zones[&instance];
+        prop_assert!(self.evacuated != Some(zone), "sent to zone {zone}, which is being evacuated");
         let asked = &self.requests[&key];
+        prop_assert!(asked.route != NORTHERN || zone != "c", "sent to a region that its route doesn't allow");
         prop_assert!(!asked.caller_left, "sent for a caller that has left");
         prop_assert!(order.deadline <= asked.arrived + Duration::from_millis(4000), "more time than the request has");
         let before: Vec<&Sending> = self
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -42,18 +42,23 @@
 }
 
 fn changes(items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
-    MirrorUpdate { items, is_complete_for_searchers: false, up_to: 0 }
+    MirrorUpdate { items, ..MirrorUpdate::default() }
 }
 
 fn listing(at: u64, items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
-    MirrorUpdate { items, is_complete_for_searchers: true, up_to: at }
+    MirrorUpdate { items, is_complete_for_searchers: true, up_to: at, all_evacuations_at: None }
 }
 
-const NOTHING_KNOWN: PeerKnowledge = PeerKnowledge { revision: 0, version: 0, takes_large: true };
+const NOTHING_KNOWN: PeerKnowledge = PeerKnowledge { revision: 0, version: 0, evacuations: 0, takes_large: true };
 
 /// What a node with this mirror tells a peer that it asks.
 fn known(mirror: &Mirror) -> PeerKnowledge {
-    PeerKnowledge { revision: mirror.newest_revision(), version: mirror.version(), takes_large: true }
+    PeerKnowledge {
+        revision: mirror.newest_revision(),
+        version: mirror.version(),
+        evacuations: mirror.evacuations_revision(),
+        takes_large: true,
+    }
 }
 
 fn names(mirror: &Mirror) -> Vec<String> {
@@ -317,7 +322,7 @@
 #[test]
 fn a_lane_reads_once_then_watches_from_there() {
     let mut store = Store::new();
-    assert_eq!(store.calls(0, Lane::Configuration), [StoreCall::ReadConfiguration]);
+    assert_eq!(store.calls(0, Lane::Configuration), [StoreCall::List { lane: Lane::Configuration, after: None }]);
     let update = changes(vec![(5, configuration(1))]);
     store.reply(Lane::Configuration, StoreReply::Items { update, at: 9, next: None });
     let calls = store.calls(0, Lane::Configuration);
@@ -335,7 +340,7 @@
     let next = Some("servers/a".to_owned());
     store.reply(Lane::Searchers, StoreReply::Items { update: first, at: 20, next: next.clone() });
     assert!(store.learned.is_empty());
-    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::ListSearchers { after: next }]);
+    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: next }]);
     let second = changes(vec![(22, searcher("b", false))]);
     store.reply(Lane::Searchers, StoreReply::Items { update: second, at: 25, next: None });
     let (_, whole) = &store.learned[0];
@@ -428,7 +433,7 @@
     store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
     store.calls(0, Lane::Searchers);
     store.reply(Lane::Searchers, StoreReply::HistoryGone);
-    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::ListSearchers { after: None }]);
+    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: None }]);
 }
 
 #[test]
@@ -543,14 +548,18 @@
 fn a_process_that_has_just_started_reads_once_and_asks_no_more() {
     let mut store = Store::new();
     set_mode(&mut store, ReadingMode::Once);
-    assert_eq!(store.calls(0, Lane::Configuration), [StoreCall::ReadConfiguration]);
+    assert_eq!(store.calls(0, Lane::Configuration), [StoreCall::List { lane: Lane::Configuration, after: None }]);
     store.fail(Lane::Configuration);
-    assert_eq!(store.calls(400, Lane::Configuration), [StoreCall::ReadConfiguration], "until it has been answered");
+    assert_eq!(
+        store.calls(400, Lane::Configuration),
+        [StoreCall::List { lane: Lane::Configuration, after: None }],
+        "until it has been answered"
+    );
     store.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
-    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::ListSearchers { after: None }]);
+    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: None }]);
     let page = StoreReply::Items { update: MirrorUpdate::default(), at: 5, next: Some("k".into()) };
     store.reply(Lane::Searchers, page);
-    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::ListSearchers { after: Some("k".into()) }]);
+    assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: Some("k".into()) }]);
     store.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 6, next: None });
     for lane in Lane::ALL {
         assert_eq!(store.calls(60_000, lane), []);
@@ -571,7 +580,7 @@
         store.take(actions);
         store.calls(0, Lane::Configuration)
     };
-    assert_eq!(read_configuration(&mut store), [StoreCall::ReadConfiguration]);
+    assert_eq!(read_configuration(&mut store), [StoreCall::List { lane: Lane::Configuration, after: None }]);
     assert!(store.reader.is_reading_once());
     assert_eq!(read_configuration(&mut store), [], "it is being read already");
     store.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: 30, next: None });
@@ -579,7 +588,11 @@
     for lane in Lane::ALL {
         assert_eq!(store.calls(60_000, lane), []);
     }
-    assert_eq!(read_configuration(&mut store), [StoreCall::ReadConfiguration], "and the next one too");
+    assert_eq!(
+        read_configuration(&mut store),
+        [StoreCall::List { lane: Lane::Configuration, after: None }],
+        "and the next one too"
+    );
 }
 
 #[test]
@@ -688,7 +701,7 @@
     mirror.merge(listing(10, vec![(3, searcher("a", false))]));
     mirror.merge(changes(vec![(11, configuration(4)), (12, gone("a"))]));
     let has_configuration = |version| {
-        let peer = PeerKnowledge { revision: 10, version, takes_large: false };
+        let peer = PeerKnowledge { revision: 10, version, evacuations: 0, takes_large: false };
         let items = mirror.changes_for(peer).items;
         items.iter().any(|(_, item)| matches!(item, MirrorItem::Configuration { .. }))
     };
@@ -696,8 +709,8 @@
     assert!(!has_configuration(4));
 }
 
-#[test]
-fn a_large_configuration_is_passed_on_only_to_those_that_take_it() {
+/// Version 5, with so many routes.
+fn configuration_of(routes: usize) -> MirrorItem {
     let route = |index: usize| RouteDefinition {
         name: Arc::from(format!("r{index}")),
         host: Arc::from("h"),
@@ -708,20 +721,22 @@
         goal_ms: 1,
         max_attempts: 1,
         priority: 1,
+        allowed_regions: Vec::new(),
     };
+    let routes = (0..routes).map(route).collect();
+    let definition = RoutingDefinition { version: 5, routes, services: Vec::new(), limits: CallerLimits::default() };
+    MirrorItem::Configuration { definition: Arc::new(definition) }
+}
+
+#[test]
+fn a_large_configuration_is_passed_on_only_to_those_that_take_it() {
     let with_routes = |count| {
-        let routes = (0..count).map(route).collect();
-        let definition =
-            RoutingDefinition { version: 5, routes, services: Vec::new(), limits: CallerLimits::default() };
         let mut mirror = Mirror::default();
-        mirror.merge(changes(vec![
-            (11, MirrorItem::Configuration { definition: Arc::new(definition) }),
-            (12, searcher("a", false)),
-        ]));
+        mirror.merge(changes(vec![(11, configuration_of(count)), (12, searcher("a", false))]));
         mirror
     };
     let passed = |mirror: &Mirror, takes_large| {
-        mirror.changes_for(PeerKnowledge { revision: 0, version: 1, takes_large }).items.len()
+        mirror.changes_for(PeerKnowledge { revision: 0, version: 1, evacuations: 0, takes_large }).items.len()
     };
     assert_eq!(passed(&with_routes(200), false), 2);
     assert_eq!(passed(&with_routes(1000), false), 1, "the searcher alone");
@@ -743,3 +758,54 @@
     newcomer.merge(partial.changes_for(NOTHING_KNOWN));
     assert!(partial.has_listing() && newcomer.has_listing());
 }
+
+fn evacuation(zone: &str, is_active: bool) -> MirrorItem {
+    MirrorItem::Evacuation { zone: Arc::from(zone), is_active }
+}
+
+fn zones(changes: &MirrorChanges) -> Option<Vec<String>> {
+    let zones = changes.evacuated.as_ref()?;
+    Some(zones.iter().map(|zone| zone.to_string()).collect())
+}
+
+#[test]
+fn evacuations_are_told_once_and_older_news_of_them_changes_nothing() {
+    let mut mirror = Mirror::default();
+    assert_eq!(zones(&mirror.merge(changes(vec![(20, evacuation("a", true))]))), Some(vec!["a".to_owned()]));
+    assert_eq!(zones(&mirror.merge(changes(vec![(20, evacuation("a", true))]))), None);
+    assert_eq!(zones(&mirror.merge(changes(vec![(15, evacuation("a", false))]))), None);
+    assert_eq!(zones(&mirror.merge(changes(vec![(22, evacuation("a", false))]))), Some(Vec::new()));
+    assert_eq!(zones(&mirror.merge(changes(vec![(20, evacuation("a", true))]))), None, "its end is remembered");
+}
+
+#[test]
+fn a_whole_reading_ends_evacuations_that_it_does_not_list() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(20, evacuation("a", true)), (21, evacuation("b", true)), (40, evacuation("c", true))]));
+    let items = vec![(21, evacuation("b", true))];
+    let read = MirrorUpdate { items, all_evacuations_at: Some(30), ..MirrorUpdate::default() };
+    let told = mirror.merge(read);
+    assert_eq!(zones(&told), Some(vec!["b".to_owned(), "c".to_owned()]), "one is newer than the reading");
+}
+
+#[test]
+fn a_peer_passes_on_beginnings_and_ends_of_evacuations_whatever_else_the_asker_knows() {
+    let mut mirror = Mirror::default();
+    mirror.merge(listing(46, vec![(45, searcher("s", false))]));
+    mirror.merge(changes(vec![(10, configuration(3)), (47, evacuation("a", true))]));
+    let mut peer = Mirror::default();
+    peer.merge(mirror.changes_for(NOTHING_KNOWN));
+    assert_eq!(peer.evacuations_revision(), 47);
+    mirror.merge(changes(vec![(60, evacuation("a", false))]));
+    let told = peer.merge(mirror.changes_for(known(&peer)));
+    assert_eq!(zones(&told), Some(Vec::new()));
+    assert_eq!(mirror.changes_for(known(&peer)).items, [], "nothing is left to tell");
+}
+
+#[test]
+fn an_evacuation_comes_with_a_configuration_that_is_too_large_to_be_passed_on() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![(10, configuration_of(1000)), (12, evacuation("a", true))]));
+    let told = mirror.changes_for(PeerKnowledge { takes_large: false, ..NOTHING_KNOWN });
+    assert_eq!(told.items, [(12, evacuation("a", true))]);
+}
--- a/crates/staircross-types/src/errors.rs
+++ b/crates/staircross-types/src/errors.rs
@@ -77,6 +77,7 @@
     NoSnapshot, "no_snapshot", 503, Never, Some(500), "No snapshot of the service can be served at the least coverage.";
     NoConfiguration, "no_configuration", 503, Never, Some(200), "The node has started and knows no configuration yet.";
     NoReplica, "no_replica", 503, Never, Some(300), "Too few shards have a back end that can be asked; nothing was sent.";
+    NoAllowedReplica, "no_allowed_replica", 503, Never, Some(300), "Too few shards have a back end that can be asked in a region that the route allows; nothing was sent.";
     Leaving, "leaving", 503, Never, Some(100), "The node is stopping; ask another.";
     NotDelivered, "not_delivered", 503, Never, Some(250), "Every back end asked said that it did not run the request.";
     CoverageTooLow, "coverage_too_low", 503, Maybe, Some(500), "Some shards answered, but fewer than the service accepts.";
