--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -48,14 +48,16 @@
         except json.JSONDecodeError:
             sys.exit(f"{day} seed {seed}: no report\n{run.stdout}{run.stderr}")
     parts = {PARTS[name]: value for name, _, value in found["parts"] if name in PARTS}
+    # Some prices have no figure on some days.
+    price_of = {name: price or 0.0 for name, _, price in found["prices"]}
     causes = {cause: count for cause, count, _ in found["unserved_by"]}
     return {
         "day": day,
         "seed": seed,
         "worth": found["G"],
         **parts,
-        "prices": sum(price for _, _, price in found["prices"]),
-        "price_of": {name: price for name, _, price in found["prices"] if price >= 0.0005},
+        "prices": sum(price_of.values()),
+        "price_of": {name: price for name, price in price_of.items() if price >= 0.0005},
         "unserved": 1e4 * found["unserved"],
         "unserved_by": causes,
         "tries": found["ends"],
