Have requests wait for searchers that are coming back, and tell callers to come when they may be known

Ruled out: holding them longer than a quarter of the caller's patience (held and not served costs the caller time to ask elsewhere). Change: while a restarted process is young, and for 2.5 s after many entries lapsed together, a request without searchers is held as one whose searchers aren't known yet, and then refused as no_replica_yet (come back after 0.8 s). no_configuration says 0.6 s instead of 0.2 s: it is said after a hold of half a second, so the store has been away for longer than that.

--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -73,7 +73,7 @@
             waited,
             is_overloaded: self.load.is_overloaded(self.now),
             is_behind: self.fleet.is_version_behind(),
-            knows_searchers: self.mirror.has_listing(),
+            knows_searchers: self.mirror.has_listing() && !self.reader.may_lack_searchers(self.now),
             link,
         };
         let route = self.route_name(&arrival.host, &arrival.path);
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -209,6 +209,7 @@
         if arrival.knows_searchers {
             return Err(NotBegun::Refused(verdict));
         }
+        let verdict = refused(ErrorKind::NoReplicaYet, "searchers are only just becoming known");
         Err(NotBegun::Unprepared(HoldCause::NoSearchers, verdict))
     }
 
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -27,7 +27,7 @@
     pub is_overloaded: bool,
     /// Whether a peer knows a newer configuration: what isn't known here may be there.
     pub is_behind: bool,
-    /// Whether all searchers that the platform lists are known here.
+    /// Whether all searchers that live are known here: the platform's list was read whole, and none are just coming back to it.
     pub knows_searchers: bool,
     /// What is known of the caller's connection.
     pub link: CallerLink,
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -130,6 +130,13 @@
         self.mode == ReadingMode::Once && self.lanes.iter().any(|lane| lane.is_wanted(self.mode))
     }
 
+    /// Whether searchers that live may be missing from what is known: entries lapse while the store is away, and are written anew
+    /// one by one. A process that was started anew can't tell which those are.
+    pub fn may_lack_searchers(&self, now: BootTime) -> bool {
+        let lapsed = &self.lanes[1];
+        now < self.is_young_until || now < lapsed.returns_until
+    }
+
     /// Makes the calls that are due.
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         let mode = self.mode;
--- a/crates/staircross-routing/tests/held.rs
+++ b/crates/staircross-routing/tests/held.rs
@@ -74,6 +74,15 @@
     assert_eq!(driver.sent_for(request).len(), 1);
 }
 
+#[test]
+fn a_caller_whose_hold_brought_no_searchers_is_told_to_come_back_when_they_may_be_known() {
+    let mut driver = Driver::with(one_service(1, "r"), Vec::new());
+    let request = arrive(&mut driver, "/r/1", |arrival| arrival.knows_searchers = false);
+    driver.pass_ms(HOLD_MS);
+    assert_eq!(driver.refusal(request), Some(ErrorKind::NoReplicaYet));
+    assert!(ErrorKind::NoReplicaYet.retry_after_ms() > ErrorKind::NoReplica.retry_after_ms());
+}
+
 #[test]
 fn a_service_without_searchers_is_refused_at_once_where_all_searchers_are_known() {
     let mut driver = Driver::with(one_service(1, "r"), Vec::new());
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -809,3 +809,22 @@
     let told = mirror.changes_for(PeerKnowledge { takes_large: false, ..NOTHING_KNOWN });
     assert_eq!(told.items, [(12, evacuation("a", true))]);
 }
+
+#[test]
+fn searchers_may_be_lacking_while_a_process_is_young_and_after_many_have_lapsed() {
+    let now = BootTime::from_millis(1_000_000);
+    let until = now + Duration::from_secs(3);
+    let mut young = StoreReader::new(ReaderSettings::default()).with_young_until(until);
+    assert!(young.may_lack_searchers(now));
+    assert!(!young.may_lack_searchers(until));
+    let lapse = |reader: &mut StoreReader, ends: usize| {
+        let items = (0..ends).map(|number| (30 + number as u64, gone(&format!("s{number}")))).collect();
+        let reply = StoreReply::Changes { update: changes(items), at: 50 };
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        reader.on_reply(until, Lane::Searchers, reply, &mut rng, &mut Vec::new());
+    };
+    lapse(&mut young, 2);
+    assert!(!young.may_lack_searchers(until), "a few that end are no lapse");
+    lapse(&mut young, 20);
+    assert!(young.may_lack_searchers(until));
+}
--- a/crates/staircross-types/src/errors.rs
+++ b/crates/staircross-types/src/errors.rs
@@ -75,8 +75,9 @@
     Overloaded, "overloaded", 503, Never, Some(250), "Refused early: the service has no room now.";
     TooManySessions, "too_many_sessions", 503, Never, Some(1000), "The node holds as many sessions as it may.";
     NoSnapshot, "no_snapshot", 503, Never, Some(500), "No snapshot of the service can be served at the least coverage.";
-    NoConfiguration, "no_configuration", 503, Never, Some(200), "The node has started and knows no configuration yet.";
+    NoConfiguration, "no_configuration", 503, Never, Some(600), "The node has started and knows no configuration yet.";
     NoReplica, "no_replica", 503, Never, Some(300), "Too few shards have a back end that can be asked; nothing was sent.";
+    NoReplicaYet, "no_replica_yet", 503, Never, Some(800), "Too few shards have a back end that is known yet: this node, or the list of back ends, has just come back.";
     NoAllowedReplica, "no_allowed_replica", 503, Never, Some(300), "Too few shards have a back end that can be asked in a region that the route allows; nothing was sent.";
     Leaving, "leaving", 503, Never, Some(100), "The node is stopping; ask another.";
     NotDelivered, "not_delivered", 503, Never, Some(250), "Every back end asked said that it did not run the request.";
