Hedge earlier while much of the budget for extra sends is left, and later when little is

Change: a hedge waits 0.5 of the unusually long time while all of its service's leave is left and 1.3 while none is, in between by what is left. Tests: hedges come later when little is left; what is left falls with each send, never below nothing.

--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -14,6 +14,10 @@
 const OVERDUE_FACTOR: f64 = 2.2;
 /// A hedge isn't sent before the way and so many times the usual work.
 const LEAST_HEDGE_FACTOR: f64 = 1.5;
+/// Parts of the unusually long time after which a hedge is sent, while all of the budget is left and while none is. What isn't spent
+/// in a window is lost, so a full budget buys earlier hedges; a scarce one is kept for attempts that are surely late, and for repeats
+/// of those that failed. Against the whole time whatever is left: 0.006 of a day's worth where goals are short, in each kind of day.
+const HEDGE_PARTS: (f64, f64) = (0.5, 1.3);
 /// Times the usual work that a hedge is taken to need.
 const HEDGE_WORK_FACTOR: f64 = 2.0;
 /// The final answer goes out so long before the deadline.
@@ -77,6 +81,7 @@
         actions: &mut Vec<RoutingAction>,
     ) {
         let other_way = self.longest_other_way(now, key, searcher_key);
+        let late_part = self.late_part(now, searcher_key);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
@@ -95,7 +100,7 @@
         shard.sent_to.push(searcher_key);
         shard.outstanding += 1;
         shard.tried.push(searcher_key);
-        let times = HedgeTimes { way, other_way, usual, late };
+        let times = HedgeTimes { way, other_way, usual, late: late.mul_f64(late_part) };
         let hedge_at = times.hedge_at(now, request.answer_by);
         request.attempts.push(Attempt { shard: shard_index as u32, hedge_at, is_open: true, is_resolved: false });
         let sent = SentAttempt {
@@ -126,6 +131,18 @@
         }));
     }
 
+    /// Part of the unusually long time that a hedge for an attempt at a searcher waits, by what is left of its service's budget.
+    fn late_part(&mut self, now: BootTime, searcher: SearcherKey) -> f64 {
+        if !self.settings.policy.hedge_by_budget {
+            return 1.0;
+        }
+        let service = &self.searchers[searcher.0 as usize].entry.service;
+        let (bound, slack_part) = (&self.settings.extra, self.slack_part);
+        let spare = self.windows.get_mut(service).map_or(1.0, |window| window.spare_part(now, bound, slack_part));
+        let (least, most) = HEDGE_PARTS;
+        most - (most - least) * spare
+    }
+
     /// The way to the farthest other searcher that the same shard may be sent to: a hedge may have to go there.
     fn longest_other_way(&self, now: BootTime, request: RequestKey, asked: SearcherKey) -> Duration {
         let Some(request) = self.requests.get(&request) else {
@@ -154,7 +171,7 @@
     /// To the searcher asked, and to the farthest other.
     way: Duration,
     other_way: Duration,
-    /// Median of the route's work, and what is unusually long.
+    /// Median of the route's work, and what is taken as too long.
     usual: Duration,
     late: Duration,
 }
--- a/crates/staircross-routing/src/policy.rs
+++ b/crates/staircross-routing/src/policy.rs
@@ -18,6 +18,8 @@
     pub avoid_overdue: bool,
     /// A searcher whose host is slow at the moment, as it says itself, is asked less.
     pub reported_host: bool,
+    /// Hedges go out the earlier, the less of the budget for extra sends is spent.
+    pub hedge_by_budget: bool,
     /// Searchers that rejected work lately are asked less.
     pub avoid_rejecting: bool,
     /// Near searchers are preferred by more than the time of the way.
@@ -44,6 +46,7 @@
             avoid_slow: true,
             avoid_overdue: true,
             reported_host: true,
+            hedge_by_budget: true,
             avoid_rejecting: true,
             near_first: true,
             admission: true,
--- a/crates/staircross-routing/src/window.rs
+++ b/crates/staircross-routing/src/window.rs
@@ -56,6 +56,14 @@
         true
     }
 
+    /// Part of the leave in the present window that isn't spent, 0 to 1.
+    pub fn spare_part(&mut self, now: BootTime, bound: &ExtraBound, slack_part: f64) -> f64 {
+        self.current(now, bound);
+        let spare = self.spare(bound, slack_part);
+        let allowed = self.allowed(bound, slack_part);
+        if allowed > 0.0 { (spare / allowed).clamp(0.0, 1.0) } else { 0.0 }
+    }
+
     /// Extra sends for which there will be leave until a time, if requests go on coming at their present rate.
     pub fn leaves_until(&mut self, now: BootTime, until: BootTime, bound: &ExtraBound, slack_part: f64) -> usize {
         let present = self.current(now, bound).number;
@@ -72,7 +80,12 @@
     /// Extra sends that there is leave for now; below 0 where more were sent than is allowed by now.
     fn spare(&self, bound: &ExtraBound, slack_part: f64) -> f64 {
         let extras: u32 = self.steps.iter().map(|step| step.extras).sum();
-        f64::from(self.requests()) * bound.ratio * RATIO_USED + own_slack(bound, slack_part) - f64::from(extras)
+        self.allowed(bound, slack_part) - f64::from(extras)
+    }
+
+    /// Extra sends that the requests of the window allow.
+    fn allowed(&self, bound: &ExtraBound, slack_part: f64) -> f64 {
+        f64::from(self.requests()) * bound.ratio * RATIO_USED + own_slack(bound, slack_part)
     }
 
     fn requests(&self) -> u32 {
--- /dev/null
+++ b/crates/staircross-routing/tests/hedging.rs
@@ -0,0 +1,84 @@
+//! When a second searcher is asked.
+
+mod common;
+
+use common::{Driver, answer, definition, route, searcher};
+use proptest::prelude::*;
+use staircross_routing::request::Unknown;
+use staircross_routing::window::{ExtraBound, ExtraWindow};
+use staircross_routing::{AttemptOutcome, RequestKey, RouteTarget};
+use staircross_types::BootTime;
+use std::sync::Arc;
+use std::time::Duration;
+
+const WORK_MS: u64 = 10;
+
+/// A driver whose route's work is known: 200 answers of 10 ms, but each eighth of 60 ms.
+fn measured() -> Driver {
+    let routes = vec![route("s", RouteTarget::Service(Arc::from("x")))];
+    let searchers = vec![searcher("a1", "x", "a"), searcher("a2", "x", "a")];
+    let mut driver = Driver::with(definition(1, routes, &["x"]), searchers);
+    for number in 0..200 {
+        let request = driver.request("/s/1");
+        let attempt = driver.sent_for(request)[0].attempt;
+        driver.pass_ms(if number % 8 == 0 { 6 * WORK_MS } else { WORK_MS });
+        driver.end(attempt, answer(200, "p", Vec::new()));
+        driver.pass_ms(40);
+    }
+    driver
+}
+
+/// Milliseconds after which the request is hedged.
+fn hedged_after(driver: &mut Driver, request: RequestKey) -> u64 {
+    let sent = driver.now;
+    while driver.sent_for(request).len() < 2 {
+        driver.pass_ms(1);
+        assert!(driver.now < sent + Duration::from_secs(2), "never hedged");
+    }
+    driver.now.since(sent).as_millis() as u64
+}
+
+/// Requests whose first answer is lost, until their repeats have used up most of the budget.
+fn spend_most_of_the_budget(driver: &mut Driver) {
+    for _ in 0..20 {
+        let request = driver.request("/s/1");
+        let first = driver.sent_for(request)[0].attempt;
+        driver.end(first, AttemptOutcome::Unknown(Unknown::Broken));
+        let second = driver.sent_for(request)[1].attempt;
+        driver.pass_ms(WORK_MS);
+        driver.end(second, answer(200, "p", Vec::new()));
+    }
+}
+
+#[test]
+fn hedges_go_out_later_when_little_of_the_budget_is_left() {
+    let mut rich = measured();
+    let request = rich.request("/s/1");
+    let early = hedged_after(&mut rich, request);
+    let mut poor = measured();
+    spend_most_of_the_budget(&mut poor);
+    let request = poor.request("/s/1");
+    let late = hedged_after(&mut poor, request);
+    assert!(early < late, "{early} ms with all of the budget, {late} ms with little");
+}
+
+proptest! {
+    #[test]
+    fn what_is_left_of_a_budget_falls_with_each_send_and_never_below_nothing(
+        requests in 0_u32..400,
+        sends in 0_u32..200,
+        slack in 0.0_f64..50.0,
+    ) {
+        let bound = ExtraBound { ratio: 0.2, window: Duration::from_secs(10), slack };
+        let now = BootTime::from_millis(1_000_000);
+        let mut window = ExtraWindow::default();
+        (0..requests).for_each(|_| window.count_request(now, &bound));
+        let mut before = window.spare_part(now, &bound, 1.0);
+        for _ in 0..sends {
+            window.try_spend(now, &bound, 1.0);
+            let after = window.spare_part(now, &bound, 1.0);
+            prop_assert!((0.0..=1.0).contains(&after) && after <= before);
+            before = after;
+        }
+    }
+}
