--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -1,6 +1,7 @@
 //! What is known of one searcher: its entry, its load as seen from here, its speed, its failures.
 //!
-//! Of its reports, the slowness of its host counts for a moment, and its queue only in the log. A searcher that has gone or is leaving is never asked again.
+//! Of its reports, the slowness of its host counts for a moment, and its queue only in the log. A searcher
+//! that has gone or is leaving is never asked again.
 
 use crate::cold::ColdSends;
 use crate::definition::ColdStart;
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -1,9 +1,11 @@
 //! Which searcher of a service is asked.
 //!
 //! The one that should answer first: way there, usual work, its slowness, its queue as far as it is
-//! known here, how long its open attempts are overdue, and how probably it rejects the request. A searcher with an overdue attempt is
-//! probably in a pause, so whoever comes next goes elsewhere. Distance counts a little more than its
-//! time, because bytes between zones cost.
+//! known here, how long its open attempts are overdue, and how probably it rejects the request. A
+//! searcher with an overdue attempt is probably in a pause, so whoever comes next goes elsewhere.
+//! Distance counts a little more than its time, because bytes between zones cost.
+//!
+//! Where a route allows some regions only, searchers elsewhere are left out whatever their time.
 
 use crate::cold::{ColdBound, FleetRank, cold_share};
 use crate::definition::RouteDefinition;
