Keep configurations back while answers to peers fill a node's link, and don't tell whole listings again

Ruled out: the store's answers (120 KB came in), requests' own bytes (1 MB in 10 s), large configurations (they are read from the store). Change: what a node gives to peers in a second is bounded by 0.2 s of its link (limits.link_mbps, from the sheet); beyond that configurations are kept back, and followers read them from the store or ask again. A node that has a listing asks for what came after it.

--- /dev/null
+++ b/crates/staircross-gateway/src/given.rs
@@ -0,0 +1,53 @@
+//! What a node has given to peers that asked, within the last second.
+//!
+//! When a configuration changes, all that follow a reader of the store ask it within a fraction of a second. Their answers go over the
+//! link on which the reader sends callers' requests; 64 answers of 45 KB fill one of 20 Mbit/s for more than a second, and what is
+//! written meanwhile reaches searchers with more time than its callers have left.
+
+use staircross_types::BootTime;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Time for which an answer counts.
+const SPAN: Duration = Duration::from_secs(1);
+/// Answers longer than this, in bytes, are large.
+const LARGE: usize = 64 * 1024;
+
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    at: BootTime,
+    bytes: usize,
+}
+
+/// Answers of the last second.
+#[derive(Debug, Default)]
+pub struct GivenAnswers {
+    answers: VecDeque<Given>,
+}
+
+/// Their sum.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GivenSum {
+    /// All bytes.
+    pub bytes: usize,
+    /// Answers that were large.
+    pub large: usize,
+}
+
+impl GivenAnswers {
+    /// Notes an answer.
+    pub fn note(&mut self, now: BootTime, bytes: usize) {
+        self.answers.push_back(Given { at: now, bytes });
+    }
+
+    /// What was given within the last second.
+    pub fn recent(&mut self, now: BootTime) -> GivenSum {
+        while self.answers.front().is_some_and(|given| now.since(given.at) >= SPAN) {
+            self.answers.pop_front();
+        }
+        GivenSum {
+            bytes: self.answers.iter().map(|given| given.bytes).sum(),
+            large: self.answers.iter().filter(|given| given.bytes > LARGE).count(),
+        }
+    }
+}
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`round_trip`] | how far a peer is, as the kernel has measured it |
 //! | [`server`] | connections that requests come in on |
 //! | [`pool`] | connections to searchers |
+//! | [`given`] | what a node has given to peers that asked, within the last second |
 //! | [`http_call`] | one outgoing call at a time, to the store or a peer |
 //! | [`outbound`] | what of a request is sent on, and how answers are written |
 //! | [`fleet`] | members, announcements, what this node may spend of what they share |
@@ -23,6 +24,7 @@
 pub mod directory;
 pub mod event_log;
 pub mod fleet;
+pub mod given;
 pub mod http_call;
 pub mod load;
 pub mod metrics;
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -18,6 +18,7 @@
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LineKind};
 use crate::fleet::{Fleet, FleetIdentity};
+use crate::given::GivenAnswers;
 use crate::http_call::HttpCaller;
 use crate::load::LoadMeter;
 use crate::metrics::Metrics;
@@ -138,8 +139,8 @@
     log: EventLog,
     metrics: Metrics,
     member_log: MemberLog,
-    /// When large answers were given to peers lately.
-    large_given: Vec<BootTime>,
+    /// What was given to peers lately.
+    given: GivenAnswers,
     /// Bytes to and from store and peers.
     traffic: Traffic,
     next_summary: BootTime,
@@ -210,7 +211,7 @@
             stop: None,
             metrics: Metrics::default(),
             member_log: MemberLog::default(),
-            large_given: Vec::new(),
+            given: GivenAnswers::default(),
             traffic: Traffic::default(),
             next_summary: now + SUMMARY_EVERY,
             random: ChaCha8Rng::seed_from_u64(rand::rng().random()),
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -10,14 +10,12 @@
 use crate::socket::SocketId;
 use crate::store_role::StoreRole;
 use staircross_http::Request;
-use staircross_routing::PeerKnowledge;
+use staircross_routing::{PeerKnowledge, TakenConfiguration};
 use staircross_wire::frame::encode;
 use std::time::Duration;
 
-/// Answers to peers longer than this, in bytes, that go out within a span. The narrowest links seen carry 14 Mbit/s.
-const LARGE_ANSWER: usize = 64 * 1024;
+/// Large answers to peers that go out within a second. The narrowest links seen carry 14 Mbit/s.
 const LARGE_ANSWERS: usize = 2;
-const LARGE_SPAN: Duration = Duration::from_secs(1);
 /// Time that a node waits for a whole listing of the searchers before it serves by a part.
 const LISTING_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -64,23 +62,24 @@
         let Some(peer) = known_by_peer(&request.head.target) else {
             return context.plain(404, "text/plain", b"");
         };
-        let peer = PeerKnowledge { takes_large: peer.takes_large && self.may_give_large(), ..peer };
+        let peer = PeerKnowledge { takes: self.may_give(peer.takes), ..peer };
         match encode(&self.mirror.changes_for(peer)) {
             Ok(body) => {
-                if body.len() > LARGE_ANSWER {
-                    self.large_given.push(self.now);
-                }
+                self.given.note(self.now, body.len());
                 context.plain(200, "application/cbor", &body)
             }
             Err(error) => context.plain(500, "text/plain", error.to_string().as_bytes()),
         }
     }
 
-    /// Whether one more large answer may go out: more would fill this node's link, and callers' requests come over the same.
-    fn may_give_large(&mut self) -> bool {
-        let now = self.now;
-        self.large_given.retain(|given| now.since(*given) < LARGE_SPAN);
-        self.large_given.len() < LARGE_ANSWERS
+    /// Which configuration an asker is told now: more would fill this node's link, and callers' requests go over the same.
+    fn may_give(&mut self, wanted: TakenConfiguration) -> TakenConfiguration {
+        let recent = self.given.recent(self.now);
+        match wanted {
+            _ if recent.bytes >= self.settings.most_given_to_peers() => TakenConfiguration::None,
+            TakenConfiguration::Any if recent.large >= LARGE_ANSWERS => TakenConfiguration::Small,
+            wanted => wanted,
+        }
     }
 
     fn render_metrics(&self) -> String {
@@ -128,15 +127,15 @@
 /// What a peer's question says of itself.
 fn known_by_peer(target: &str) -> Option<PeerKnowledge> {
     let (revision, rest) = target.strip_prefix(CHANGES_TARGET)?.split_once(VERSION_FIELD)?;
-    let (rest, takes_large) = match rest.strip_suffix(ANY_SIZE) {
-        Some(rest) => (rest, true),
-        None => (rest, false),
+    let (rest, takes) = match rest.strip_suffix(ANY_SIZE) {
+        Some(rest) => (rest, TakenConfiguration::Any),
+        None => (rest, TakenConfiguration::Small),
     };
     let (version, evacuations) = rest.split_once(EVACUATIONS_FIELD)?;
     Some(PeerKnowledge {
         revision: revision.parse().ok()?,
         version: version.parse().ok()?,
         evacuations: evacuations.parse().ok()?,
-        takes_large,
+        takes,
     })
 }
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -223,7 +223,7 @@
         };
         self.fleet.note_asked(self.now);
         self.peer.set_address(address);
-        let (revision, version) = (self.mirror.newest_revision(), self.mirror.version());
+        let (revision, version) = (self.mirror.known_revision(), self.mirror.version());
         let evacuations = self.mirror.evacuations_revision();
         let (is_served, behind_since) = (self.reader.is_reachable(), self.fleet.version_behind_since());
         let takes_any = is_reading && self.role.takes_any_size(self.now, is_served, behind_since);
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -179,18 +179,20 @@
 }
 
 /// Room on the machine.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Memory of the process, in megabytes.
     pub memory_mb: u64,
     /// Descriptors of the process.
     pub descriptors: usize,
+    /// What the machine's link carries, in megabits a second.
+    pub link_mbps: f64,
 }
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        LimitSettings { memory_mb: 256, descriptors: 1024 }
+        LimitSettings { memory_mb: 256, descriptors: 1024, link_mbps: 1000.0 }
     }
 }
 
@@ -210,6 +212,9 @@
 /// does that hears no reader.
 const SIGN_PART: f64 = 0.4;
 const DOUBT_PART: f64 = 0.5;
+/// Time of the link, in seconds, that answers to peers may take in a second. A request that waits for half a second behind them reaches
+/// its searcher with a deadline that is too late by as much.
+const PEER_LINK_S: f64 = 0.2;
 /// Memory that one request in flight is taken to need at most on average, in bytes.
 const REQUEST_MEMORY: u64 = 64 * 1024;
 
@@ -249,6 +254,7 @@
             let value = self.limits.memory_mb.to_string();
             return Err(SettingsError::Value { key: "limits.memory_mb", value, allowed: "16 or more" });
         }
+        check_number("limits.link_mbps", self.limits.link_mbps, 0.01, 1e6, "0.01 to 1000000")?;
         if self.limits.descriptors <= RESERVED_DESCRIPTORS {
             let value = self.limits.descriptors.to_string();
             return Err(SettingsError::Value { key: "limits.descriptors", value, allowed: "more than 264" });
@@ -285,6 +291,11 @@
         (self.limits.descriptors - RESERVED_DESCRIPTORS) / 2
     }
 
+    /// Bytes that answers to peers may have in a second before configurations are kept back.
+    pub fn most_given_to_peers(&self) -> usize {
+        (self.limits.link_mbps * 1e6 / 8.0 * PEER_LINK_S) as usize
+    }
+
     /// Requests that may be in flight together.
     pub fn max_requests(&self) -> usize {
         let half = self.limits.memory_mb * 1024 * 1024 / 2;
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -52,7 +52,7 @@
 pub use definition::{CallerLimits, ColdStart, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
 pub use keys::{AttemptKey, RequestKey, SearcherKey};
-pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry};
+pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, TakenConfiguration};
 pub use policy::RoutingPolicy;
 pub use report::{ReportedLoad, SearcherReport};
 pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -81,14 +81,25 @@
 /// What an asker has and takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerKnowledge {
-    /// Revision up to which it knows the store.
+    /// Revision up to which it knows the searchers.
     pub revision: u64,
     /// Version of its configuration.
     pub version: u64,
     /// Revision up to which it knows evacuations.
     pub evacuations: u64,
-    /// Whether it wants a newer configuration however large; else it reads a large one from the store.
-    pub takes_large: bool,
+    /// Which newer configuration it is told; what it isn't told it reads from the store.
+    pub takes: TakenConfiguration,
+}
+
+/// Which newer configuration is passed on to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakenConfiguration {
+    /// One of any size: the store doesn't serve the peer.
+    Any,
+    /// One that isn't large.
+    Small,
+    /// None, since the link is busy.
+    None,
 }
 
 /// What a merge changed: how things stand after it. No run is both among the searchers and among those
@@ -187,6 +198,13 @@
         self.newest
     }
 
+    /// Revision up to which nothing of the searchers is lacking: a peer that is asked tells what came later. After a whole listing that
+    /// is the listing's revision, which may be beyond the newest change; asked for what came after that change, a peer could not
+    /// tell which ends it never heard of, and would have to tell everything, 30 KB for 300 searchers, at each question.
+    pub fn known_revision(&self) -> u64 {
+        if self.has_listing { self.newest.max(self.up_to) } else { self.newest }
+    }
+
     /// Newest revision of the start or end of an evacuation.
     pub fn evacuations_revision(&self) -> u64 {
         self.evacuations.newest()
@@ -244,7 +262,11 @@
         let revision = peer.revision;
         let is_complete = self.has_listing && (revision < self.tombstones_from || revision == 0);
         let mut items = Vec::new();
-        let passes = |definition: &RoutingDefinition| peer.takes_large || !is_large(definition);
+        let passes = |definition: &RoutingDefinition| match peer.takes {
+            TakenConfiguration::Any => true,
+            TakenConfiguration::Small => !is_large(definition),
+            TakenConfiguration::None => false,
+        };
         let newer = self.configuration.as_ref().filter(|_| self.version() > peer.version);
         if let Some((at, definition)) = newer.filter(|(_, definition)| passes(definition)) {
             items.push((*at, MirrorItem::Configuration { definition: definition.clone() }));
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -9,7 +9,7 @@
 };
 use staircross_routing::{
     CallerLimits, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, RouteDefinition, RouteTarget, RoutingDefinition,
-    SearcherEntry,
+    SearcherEntry, TakenConfiguration,
 };
 use staircross_types::BootTime;
 use std::sync::Arc;
@@ -49,15 +49,16 @@
     MirrorUpdate { items, is_complete_for_searchers: true, up_to: at, all_evacuations_at: None }
 }
 
-const NOTHING_KNOWN: PeerKnowledge = PeerKnowledge { revision: 0, version: 0, evacuations: 0, takes_large: true };
+const NOTHING_KNOWN: PeerKnowledge =
+    PeerKnowledge { revision: 0, version: 0, evacuations: 0, takes: TakenConfiguration::Any };
 
 /// What a node with this mirror tells a peer that it asks.
 fn known(mirror: &Mirror) -> PeerKnowledge {
     PeerKnowledge {
-        revision: mirror.newest_revision(),
+        revision: mirror.known_revision(),
         version: mirror.version(),
         evacuations: mirror.evacuations_revision(),
-        takes_large: true,
+        takes: TakenConfiguration::Any,
     }
 }
 
@@ -701,7 +702,7 @@
     mirror.merge(listing(10, vec![(3, searcher("a", false))]));
     mirror.merge(changes(vec![(11, configuration(4)), (12, gone("a"))]));
     let has_configuration = |version| {
-        let peer = PeerKnowledge { revision: 10, version, evacuations: 0, takes_large: false };
+        let peer = PeerKnowledge { revision: 10, version, evacuations: 0, takes: TakenConfiguration::Small };
         let items = mirror.changes_for(peer).items;
         items.iter().any(|(_, item)| matches!(item, MirrorItem::Configuration { .. }))
     };
@@ -735,12 +736,17 @@
         mirror.merge(changes(vec![(11, configuration_of(count)), (12, searcher("a", false))]));
         mirror
     };
-    let passed = |mirror: &Mirror, takes_large| {
-        mirror.changes_for(PeerKnowledge { revision: 0, version: 1, evacuations: 0, takes_large }).items.len()
+    let passed = |mirror: &Mirror, takes| {
+        mirror.changes_for(PeerKnowledge { revision: 0, version: 1, evacuations: 0, takes }).items.len()
     };
-    assert_eq!(passed(&with_routes(200), false), 2);
-    assert_eq!(passed(&with_routes(1000), false), 1, "the searcher alone");
-    assert_eq!(passed(&with_routes(1000), true), 2, "whoever the store doesn't serve must get it from a peer");
+    assert_eq!(passed(&with_routes(200), TakenConfiguration::Small), 2);
+    assert_eq!(passed(&with_routes(1000), TakenConfiguration::Small), 1, "the searcher alone");
+    assert_eq!(
+        passed(&with_routes(1000), TakenConfiguration::Any),
+        2,
+        "whoever the store doesn't serve must get it from a peer"
+    );
+    assert_eq!(passed(&with_routes(200), TakenConfiguration::None), 1, "the link is busy");
 }
 
 #[test]
@@ -759,6 +765,30 @@
     assert!(partial.has_listing() && newcomer.has_listing());
 }
 
+#[test]
+fn a_follower_that_asks_for_a_configuration_is_not_told_the_whole_listing_again() {
+    let mut reader = Mirror::default();
+    // Other items of the store changed after the last searcher: the listing is of a later revision.
+    reader.merge(listing(90, vec![(45, searcher("s", false)), (44, searcher("t", false))]));
+    reader.merge(changes(vec![(20, configuration(1))]));
+    let mut follower = Mirror::default();
+    follower.merge(reader.changes_for(NOTHING_KNOWN));
+    reader.merge(changes(vec![(95, configuration(2))]));
+    let told = reader.changes_for(known(&follower));
+    assert!(matches!(told.items.as_slice(), [(95, MirrorItem::Configuration { .. })]), "{:?}", told.items);
+    assert!(!told.is_complete_for_searchers);
+    reader.merge(changes(vec![(97, gone("s"))]));
+    follower.merge(reader.changes_for(known(&follower)));
+    assert_eq!(names(&follower), ["t"], "and hears of what changes later");
+}
+
+#[test]
+fn a_node_without_a_listing_asks_for_all_that_came_after_what_it_knows() {
+    let mut partial = Mirror::default();
+    partial.merge(MirrorUpdate { items: vec![(9, searcher("b", false))], up_to: 60, ..MirrorUpdate::default() });
+    assert_eq!(partial.known_revision(), 9);
+}
+
 fn evacuation(zone: &str, is_active: bool) -> MirrorItem {
     MirrorItem::Evacuation { zone: Arc::from(zone), is_active }
 }
@@ -806,7 +836,7 @@
 fn an_evacuation_comes_with_a_configuration_that_is_too_large_to_be_passed_on() {
     let mut mirror = Mirror::default();
     mirror.merge(changes(vec![(10, configuration_of(1000)), (12, evacuation("a", true))]));
-    let told = mirror.changes_for(PeerKnowledge { takes_large: false, ..NOTHING_KNOWN });
+    let told = mirror.changes_for(PeerKnowledge { takes: TakenConfiguration::Small, ..NOTHING_KNOWN });
     assert_eq!(told.items, [(12, evacuation("a", true))]);
 }
 
