Compute how much of an estimate is kept in one place

Cause: the same decay by half-lives stood four times, two of them added with rejections and reported hosts, two before in searcher.rs. Ruled out: one estimate type for all three (they move by different gains and bounds). Change: decay::kept_part serves all; the arithmetic is the same to the last bit.

--- /dev/null
+++ b/crates/staircross-routing/src/decay.rs
@@ -0,0 +1,8 @@
+//! How much of an estimate is still believed after a while.
+
+use std::time::Duration;
+
+/// Part of an estimate that is left after `age`, if nothing confirms it and it halves in each `half_life`; 0 to 1.
+pub fn kept_part(age: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`store_reader`] | when the store is read, watched, or left alone |
 //! | [`evacuations`] | which zones' searchers are to get no new work |
 //! | [`searcher`] | what is known of one searcher: entry, load, speed, failures |
+//! | [`decay`] | how much of an estimate is still believed after a while |
 //! | [`rejection`] | how much of its work a searcher rejects |
 //! | [`report`] | what a searcher says of itself with its answers |
 //! | [`cold`] | how much a node may send to a searcher that has just started |
@@ -28,6 +29,7 @@
 
 pub mod admission;
 pub mod cold;
+pub mod decay;
 pub mod definition;
 pub mod engine;
 pub mod engine_message;
--- a/crates/staircross-routing/src/rejection.rs
+++ b/crates/staircross-routing/src/rejection.rs
@@ -4,6 +4,7 @@
 //! costs a repeat from a budget that all share, so remembering who rejects serves more requests than any pause: where 60 of 100
 //! requests to two thirds of a service's searchers were rejected, requests that failed fell from 9 in 100 to 1 in 1,000.
 
+use crate::decay::kept_part;
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -31,8 +32,7 @@
     }
 
     fn decayed(&self, now: BootTime) -> f64 {
-        let age = now.since(self.estimated_at).as_secs_f64();
-        self.rate * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+        self.rate * kept_part(now.since(self.estimated_at), HALF_LIFE)
     }
 
     /// Notes that it rejected something.
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -4,6 +4,7 @@
 //! that has gone or is leaving is never asked again.
 
 use crate::cold::ColdSends;
+use crate::decay::kept_part;
 use crate::definition::ColdStart;
 use crate::keys::AttemptKey;
 use crate::mirror::SearcherEntry;
@@ -216,9 +217,7 @@
 
     /// How many times slower than usual it is taken to be.
     pub fn slowness(&self, now: BootTime) -> f64 {
-        let age = now.since(self.measured_at).as_secs_f64();
-        let kept = 0.5_f64.powf(age / SLOWNESS_HALF_LIFE.as_secs_f64());
-        let present = 1.0 + (self.slowness - 1.0) * kept;
+        let present = 1.0 + (self.slowness - 1.0) * self.kept_since_measured(now);
         if self.is_cold(now) { present.max(COLD_FACTOR) } else { present }
     }
 
@@ -229,8 +228,7 @@
             return 1.0;
         };
         let beyond = (f64::from(load.host_slowness.unwrap_or(USUAL_PERCENT)) / f64::from(USUAL_PERCENT) - 1.0).max(0.0);
-        let kept = 0.5_f64.powf(now.since(at).as_secs_f64() / HOST_HALF_LIFE.as_secs_f64());
-        1.0 + beyond.min(SLOWNESS_RANGE.1) * kept
+        1.0 + beyond.min(SLOWNESS_RANGE.1) * kept_part(now.since(at), HOST_HALF_LIFE)
     }
 
     /// Part of what is sent to it that it is taken to reject, 0 to 1.
@@ -296,7 +294,7 @@
     }
 
     fn kept_since_measured(&self, now: BootTime) -> f64 {
-        0.5_f64.powf(now.since(self.measured_at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64())
+        kept_part(now.since(self.measured_at), SLOWNESS_HALF_LIFE)
     }
 
     /// Notes an answer that was lost, spoiled or a failure. It counts as a slow one: others are preferred
