Say that a session is lost only when every node that may hold it has answered

Cause: a node that looks for a session waits 400 ms; whoever was silent until then counted as one that lacks it, and the caller was told for good (404 unknown_session) that its session is gone. Change: session_sought (503, come back in 300 ms) while any asked node is silent.

--- a/crates/staircross-node/src/core/sessions.rs
+++ b/crates/staircross-node/src/core/sessions.rs
@@ -170,12 +170,13 @@
         let Some(resume) = self.resumes.remove(&token) else {
             return;
         };
+        let refusal = if resume.answers_left == 0 { unknown_session() } else { session_sought(resume.answers_left) };
         let adopted = resume.best.is_some_and(|copy| self.adopt(now, token, &copy));
         for (command, reply) in resume.waiting {
             if adopted {
                 self.on_caller(now, command, reply);
             } else {
-                send_reply(&reply, CallerReply::Refused(unknown_session()));
+                send_reply(&reply, CallerReply::Refused(refusal.clone()));
             }
         }
     }
@@ -223,6 +224,11 @@
     Refusal::new(ErrorKind::UnknownSession, "no session has this token here or at the nodes that would hold a copy")
 }
 
+/// A node that is silent may be paused, busy or gone; until the members agree that it is gone, it may hold the session.
+fn session_sought(silent: usize) -> Refusal {
+    Refusal::new(ErrorKind::SessionSought, format!("{silent} nodes that may hold the session haven't answered yet"))
+}
+
 pub(super) fn send_reply(reply: &Sender<CallerReply>, content: CallerReply) {
     // The caller may have gone; then nobody wants the reply.
     let _caller_may_be_gone = reply.send(content);
--- a/crates/staircross-types/src/errors.rs
+++ b/crates/staircross-types/src/errors.rs
@@ -65,6 +65,7 @@
     CallerTooSlow, "caller_too_slow", 408, Never, None, "The request did not arrive whole in time.";
     NotFound, "not_found", 404, Never, None, "No such resource.";
     UnknownSession, "unknown_session", 404, Never, None, "No session has this token; it was closed or its copies are lost.";
+    SessionSought, "session_sought", 503, Never, Some(300), "Nodes that may hold the session haven't answered yet; it may well live.";
     UnknownService, "unknown_service", 404, Never, None, "No service has this name under the configuration in force.";
     NotRepeatable, "not_repeatable", 409, Never, None, "The service takes actions only with RUN and a ticket, or searches only with SEARCH.";
     BadTicket, "bad_ticket", 409, Never, None, "The ticket wasn't minted for this session.";
--- a/crates/staircross/tests/processes.rs
+++ b/crates/staircross/tests/processes.rs
@@ -357,3 +357,33 @@
     drop(fleet);
     let _leftover = std::fs::remove_dir_all(&folder);
 }
+
+/// Nodes that may hold a session and don't answer in time haven't said that they lack it. Seen: once beside load, a caller that moved on from a stopping
+/// node was told that its session was lost.
+#[test]
+fn a_session_is_not_called_lost_while_nodes_that_may_hold_it_are_silent() {
+    let folder = std::env::temp_dir().join(format!("staircross-silent-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for settings");
+    let fleet = Fleet::start(&folder);
+    let session = fleet.client(0).open_session().expect("a session opens");
+    let search = "SEARCH 'common' IN SERVICE clauses LIMIT 1";
+    // Copies are in other zones than the holder's, and the holder is killed.
+    let keepers: Vec<usize> = (0..NODES).filter(|index| index % ZONES.len() != 0).collect();
+    keepers.iter().for_each(|index| fleet.signal(*index, Signal::STOP));
+    fleet.signal(0, Signal::KILL);
+    let silent = fleet.client(3).query(session, search).expect("a reply");
+    keepers.iter().for_each(|index| fleet.signal(*index, Signal::CONT));
+    let ReplyBody::Refusal(refusal) = silent.body else {
+        panic!("nobody could have told the session: {silent:?}");
+    };
+    assert_eq!(refusal.error, ErrorKind::SessionSought, "{}", refusal.detail);
+    let is_answered =
+        || matches!(fleet.client(3).query(session, search), Ok(reply) if matches!(reply.body, ReplyBody::Answer(_)));
+    let started = Instant::now();
+    while !is_answered() {
+        assert!(started.elapsed() < PATIENCE, "the session isn't found once they answer");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    drop(fleet);
+    let _leftover = std::fs::remove_dir_all(&folder);
+}
