--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -31,6 +31,10 @@
     }
 }
 
+pub(super) fn cold_bound(settings: &GatewaySettings) -> ColdBound {
+    ColdBound { factor: settings.bounds.cold_factor, slack: settings.bounds.cold_slack }
+}
+
 pub(super) fn routing_settings(now: BootTime, settings: &GatewaySettings) -> RoutingSettings {
     let regions = settings.zones.iter();
     RoutingSettings {
@@ -38,7 +42,7 @@
         zone: Arc::from(settings.node.zone.as_str()),
         regions: regions.map(|(zone, region)| (Arc::from(zone.as_str()), Arc::from(region.as_str()))).collect(),
         lapse_grace: settings.lapse_grace(),
-        cold: ColdBound { factor: settings.bounds.cold_factor, slack: settings.bounds.cold_slack },
+        cold: cold_bound(settings),
         max_requests: settings.max_requests(),
         policy: settings.policy.routing,
         restarted_at: (!settings.node.first_start).then_some(now),
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -14,7 +14,7 @@
 mod waiting;
 
 use crate::admission::{UsualWork, Wait};
-use crate::cold::ColdBound;
+use crate::cold::{ColdBound, FleetRank};
 use crate::definition::{ColdStart, RouteDefinition, RouteTarget, ServiceEntry};
 pub use crate::engine_message::{
     AbandonCause, HoldCause, LeftOutCause, ReportedAt, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
@@ -160,8 +160,7 @@
             zone: settings.zone.clone(),
             regions: settings.regions.clone(),
             nodes_by_zone: HashMap::from([(settings.zone.clone(), 1)]),
-            serving: 1,
-            rank: Some(0),
+            fleet: FleetRank { rank: Some(0), serving: 1 },
             cold: settings.cold,
             ways: HashMap::new(),
             restarted_at: settings.restarted_at,
@@ -209,8 +208,7 @@
             RoutingEvent::Evacuated(zones) => self.set_evacuated(now, zones, actions),
             RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part } => {
                 self.place.nodes_by_zone = nodes_by_zone;
-                self.place.serving = serving;
-                self.place.rank = rank;
+                self.place.fleet = FleetRank { rank, serving };
                 self.slack_part = slack_part;
             }
             RoutingEvent::Arrived(arrival) => self.admit(now, arrival, actions),
@@ -233,6 +231,12 @@
         self.settings.extra = bound;
     }
 
+    /// Changes the bound on requests to cold searchers.
+    pub fn set_cold_bound(&mut self, bound: ColdBound) {
+        self.settings.cold = bound;
+        self.place.cold = bound;
+    }
+
     /// When `Tick` is due next.
     pub fn next_wake(&self) -> Option<BootTime> {
         self.wakes.peek().map(|Reverse((time, _))| *time)
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -63,6 +63,7 @@
 #[allow(missing_docs)]
 pub enum RecordedEvent {
     ExtraBound(ExtraBound),
+    ColdBound(ColdBound),
     Configuration(Arc<RoutingDefinition>),
     Searchers(Vec<SearcherEntry>),
     SearchersGone(Vec<Arc<str>>),
@@ -298,7 +299,8 @@
         self.decisions += turn.decisions.len() as u64;
         let mut actions = Vec::new();
         match turn.event.into_event() {
-            ReplayedEvent::Bound(bound) => self.engine.set_extra_bound(bound),
+            ReplayedEvent::Extra(bound) => self.engine.set_extra_bound(bound),
+            ReplayedEvent::Cold(bound) => self.engine.set_cold_bound(bound),
             ReplayedEvent::Event(event) => self.engine.on_event(turn.at, event, &mut actions),
         }
         let replayed: Vec<Decision> = actions.iter().filter_map(Decision::in_action).collect();
@@ -318,14 +320,16 @@
 }
 
 enum ReplayedEvent {
-    Bound(ExtraBound),
+    Extra(ExtraBound),
+    Cold(ColdBound),
     Event(RoutingEvent),
 }
 
 impl RecordedEvent {
     fn into_event(self) -> ReplayedEvent {
         ReplayedEvent::Event(match self {
-            RecordedEvent::ExtraBound(bound) => return ReplayedEvent::Bound(bound),
+            RecordedEvent::ExtraBound(bound) => return ReplayedEvent::Extra(bound),
+            RecordedEvent::ColdBound(bound) => return ReplayedEvent::Cold(bound),
             RecordedEvent::Configuration(definition) => {
                 RoutingEvent::Configuration(Arc::new(RouteTable::new(definition)))
             }
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -48,10 +48,8 @@
     pub regions: HashMap<Arc<str>, Arc<str>>,
     /// Nodes that serve callers, by zone; this one counts.
     pub nodes_by_zone: HashMap<Arc<str>, usize>,
-    /// Most nodes that served lately.
-    pub serving: usize,
-    /// This node's number among those that serve, from 0; `None` for a reserve.
-    pub rank: Option<usize>,
+    /// Where this node stands among those that serve.
+    pub fleet: FleetRank,
     /// Bound on requests to a cold searcher.
     pub cold: ColdBound,
     /// Least times to connect, by zone.
@@ -98,8 +96,7 @@
         if !searcher.is_cold(now) {
             return Some(avoided_until);
         }
-        let fleet = FleetRank { rank: self.rank, serving: self.serving };
-        match cold_share(searcher.cold_start, self.cold, &searcher.entry.instance, fleet) {
+        match cold_share(searcher.cold_start, self.cold, &searcher.entry.instance, self.fleet) {
             Some(share) => searcher.cold_sends().next(now, share).map(|at| at.max(avoided_until)),
             None => Some(avoided_until),
         }
@@ -124,7 +121,7 @@
     /// Connections that this node may hold to a searcher, so that all nodes together stay below its bound.
     pub fn connection_share(&self, searcher: &Searcher) -> usize {
         let most = f64::from(searcher.max_connections);
-        let fleet = self.serving.max(1);
+        let fleet = self.fleet.serving.max(1);
         let near = self.nodes_by_zone.get(&searcher.entry.zone).copied().unwrap_or(0).min(fleet);
         let share = if near == 0 {
             most * (OWN_ZONE_PART + OTHER_ZONE_PART) / fleet as f64
--- a/crates/staircross-routing/tests/places.rs
+++ b/crates/staircross-routing/tests/places.rs
@@ -191,6 +191,14 @@
     assert!(sends_to(&driver, "cold") > 100);
 }
 
+#[test]
+fn a_changed_bound_on_cold_searchers_holds_at_once() {
+    let mut driver = cold_site(2);
+    driver.engine.set_cold_bound(ColdBound { factor: 1.0, slack: 0.0 });
+    load(&mut driver, 100);
+    assert_eq!(sends_to(&driver, "cold"), 3, "six tenths of ten, of two nodes");
+}
+
 #[test]
 fn a_searcher_whose_zone_is_taken_back_is_cold_even_if_its_entry_does_not_say_so_yet() {
     let mut driver = cold_site(2);
