Tell peers what changed of a large configuration instead of having each node read it whole

Cause: a configuration of more than some 64 KB isn't passed on between nodes, so that each change of one route of 1,700 is read whole, a quarter of a megabyte, by each node from the store. Ruled out: passing it on whole (fills the links of small machines, measured earlier); compressing it (some 60 to 90 KB for 1,700 routes by an estimate, still large for 30 followers of one reader). Change: a mirror remembers the last four changes of the configuration, up to 8 KB each, and tells an asker at one of these versions the changes since; a digest of the result is checked, and whoever gets another reads the whole as before.

--- /dev/null
+++ b/crates/staircross-routing/src/definition_delta.rs
@@ -0,0 +1,132 @@
+//! What differs between two versions of the configuration, so that peers are told a change instead of the whole.
+//!
+//! A configuration of 1,700 routes is a quarter of a megabyte. Passed on whole it fills the links of small machines, and read by each node from the store it
+//! costs a call a node for each change, mostly of one route. A delta holds the routes and services that changed and a digest of what must come of
+//! it; whoever gets something else doesn't take it and reads the whole.
+
+use crate::definition::{CallerLimits, RouteDefinition, RoutingDefinition, ServiceEntry};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use xxhash_rust::xxh3::Xxh3Default;
+
+/// The change from one version to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DefinitionDelta {
+    /// Version that it starts from.
+    pub from: u64,
+    /// Version that it leads to.
+    pub to: u64,
+    routes: ListDelta<RouteDefinition>,
+    services: ListDelta<ServiceEntry>,
+    limits: CallerLimits,
+    /// Digest of the definition that it leads to.
+    digest: u64,
+}
+
+/// The change of a list whose entries have names.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ListDelta<T> {
+    /// Entries that are new or have changed.
+    set: Vec<T>,
+    /// Names of those that are gone.
+    gone: Vec<Arc<str>>,
+}
+
+/// Something that has a name of its own in a definition.
+trait Named {
+    fn name(&self) -> &Arc<str>;
+}
+
+impl Named for RouteDefinition {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+impl Named for ServiceEntry {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
+impl DefinitionDelta {
+    /// What leads from one definition to another; `None` where names aren't unique.
+    pub fn between(old: &RoutingDefinition, new: &RoutingDefinition) -> Option<Self> {
+        Some(DefinitionDelta {
+            from: old.version,
+            to: new.version,
+            routes: ListDelta::between(&old.routes, &new.routes)?,
+            services: ListDelta::between(&old.services, &new.services)?,
+            limits: new.limits.clone(),
+            digest: digest(new)?,
+        })
+    }
+
+    /// The definition that it leads to from `old`; `None` where `old` is another than it starts from, or something else would come of it.
+    pub fn apply(&self, old: &RoutingDefinition) -> Option<RoutingDefinition> {
+        if old.version != self.from {
+            return None;
+        }
+        let new = RoutingDefinition {
+            version: self.to,
+            routes: self.routes.apply(&old.routes)?,
+            services: self.services.apply(&old.services)?,
+            limits: self.limits.clone(),
+        };
+        (digest(&new)? == self.digest).then_some(new)
+    }
+
+    /// Routes that are told, and names of those that are gone.
+    pub fn changed_routes(&self) -> (&[RouteDefinition], &[Arc<str>]) {
+        (&self.routes.set, &self.routes.gone)
+    }
+}
+
+impl<T: Named + Clone + PartialEq> ListDelta<T> {
+    fn between(old: &[T], new: &[T]) -> Option<Self> {
+        let (old, new) = (by_name(old)?, by_name(new)?);
+        let changed = new.iter().filter(|(name, entry)| old.get(*name) != Some(*entry));
+        let gone = old.keys().filter(|name| !new.contains_key(*name));
+        Some(ListDelta {
+            set: changed.map(|(_, entry)| (*entry).clone()).collect(),
+            gone: gone.map(|name| (*name).clone()).collect(),
+        })
+    }
+
+    fn apply(&self, old: &[T]) -> Option<Vec<T>> {
+        let mut entries = by_name(old)?;
+        for name in &self.gone {
+            entries.remove(name);
+        }
+        entries.extend(self.set.iter().map(|entry| (entry.name(), entry)));
+        Some(entries.into_values().cloned().collect())
+    }
+}
+
+/// `None` where two entries have one name.
+fn by_name<T: Named>(entries: &[T]) -> Option<BTreeMap<&Arc<str>, &T>> {
+    let map: BTreeMap<&Arc<str>, &T> = entries.iter().map(|entry| (entry.name(), entry)).collect();
+    (map.len() == entries.len()).then_some(map)
+}
+
+/// A digest that doesn't depend on the order of routes and services; `None` where names aren't unique.
+fn digest(definition: &RoutingDefinition) -> Option<u64> {
+    let mut digest = Xxh3Default::new();
+    digest.update(&definition.version.to_le_bytes());
+    for route in by_name(&definition.routes)?.into_values() {
+        update(&mut digest, route)?;
+    }
+    for service in by_name(&definition.services)?.into_values() {
+        update(&mut digest, service)?;
+    }
+    update(&mut digest, &definition.limits)?;
+    Some(digest.digest())
+}
+
+fn update(digest: &mut Xxh3Default, part: &impl Serialize) -> Option<()> {
+    let mut bytes = Vec::with_capacity(256);
+    ciborium::into_writer(part, &mut bytes).ok()?;
+    digest.update(&bytes);
+    Some(())
+}
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | decides |
 //! | --- | --- |
 //! | [`definition`] | what one version of the configuration says |
+//! | [`definition_delta`] | what differs between two versions, for peers |
 //! | [`table`] | which route a request takes |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
 //! | [`store_reader`] | when the store is read, watched, or left alone |
@@ -32,6 +33,7 @@
 pub mod cold;
 pub mod decay;
 pub mod definition;
+pub mod definition_delta;
 pub mod engine;
 pub mod engine_message;
 pub mod evacuations;
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -3,10 +3,11 @@
 //! Each item carries the revision of its last change. Items are merged by revision, never by the
 //! order in which they arrive, so it doesn't matter whether they come from the store or from a peer.
 
-use crate::definition::{RouteTarget, RoutingDefinition};
+use crate::definition::{RouteDefinition, RouteTarget, RoutingDefinition};
+use crate::definition_delta::DefinitionDelta;
 use crate::evacuations::{Evacuations, ZoneChange};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -15,6 +16,9 @@
 const LARGE_CONFIGURATION: usize = 64 * 1024;
 const ROUTE_BYTES: usize = 100;
 const NAME_BYTES: usize = 10;
+/// Changes of the configuration that are remembered, so that a peer that missed some is told what it lacks; and the most bytes of one.
+const MOST_DELTAS: usize = 4;
+const LARGE_DELTA: usize = LARGE_CONFIGURATION / 8;
 /// Most items that are remembered as gone.
 const MAX_TOMBSTONES: usize = 4096;
 
@@ -45,6 +49,11 @@
         /// Its content.
         definition: Arc<RoutingDefinition>,
     },
+    /// What changed of the configuration since the version that the asker has, one version after the other.
+    ConfigurationChanges {
+        /// The changes.
+        deltas: Vec<DefinitionDelta>,
+    },
     /// A searcher.
     Searcher {
         /// Its entry.
@@ -164,6 +173,8 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     configuration: Option<(u64, Arc<RoutingDefinition>)>,
+    /// What led to it, the newest last; each starts where the one before led to.
+    deltas: VecDeque<DefinitionDelta>,
     searchers: BTreeMap<Arc<str>, Held>,
     evacuations: Evacuations,
     up_to: u64,
@@ -228,6 +239,7 @@
         for (revision, item) in update.items {
             match item {
                 MirrorItem::Configuration { definition } => self.take_configuration(revision, definition, &mut touched),
+                MirrorItem::ConfigurationChanges { deltas } => self.take_deltas(revision, &deltas, &mut touched),
                 MirrorItem::Searcher { entry } => {
                     if update.is_complete_for_searchers {
                         listed.push(entry.instance.clone());
@@ -268,8 +280,13 @@
             TakenConfiguration::None => false,
         };
         let newer = self.configuration.as_ref().filter(|_| self.version() > peer.version);
-        if let Some((at, definition)) = newer.filter(|(_, definition)| passes(definition)) {
-            items.push((*at, MirrorItem::Configuration { definition: definition.clone() }));
+        if let Some((at, definition)) = newer {
+            let deltas = self.deltas_from(peer.version);
+            if !deltas.is_empty() {
+                items.push((*at, MirrorItem::ConfigurationChanges { deltas }));
+            } else if passes(definition) {
+                items.push((*at, MirrorItem::Configuration { definition: definition.clone() }));
+            }
         }
         for (instance, held) in &self.searchers {
             let is_news = is_complete || held.revision > revision;
@@ -295,10 +312,42 @@
         if definition.version <= self.version() && self.configuration.is_some() {
             return;
         }
-        self.configuration = Some((revision, definition.clone()));
+        let before = self.configuration.replace((revision, definition.clone()));
+        self.remember_delta(before.map(|(_, before)| before), &definition);
         touched.configuration = Some(definition);
     }
 
+    /// Changes that don't lead from the version known here to the one that they say are passed over: the node stays behind, and reads the whole.
+    fn take_deltas(&mut self, revision: u64, deltas: &[DefinitionDelta], touched: &mut Touched) {
+        let Some(known) = self.configuration().cloned() else {
+            return;
+        };
+        let lacking = deltas.iter().skip_while(|delta| delta.from != known.version);
+        let result = lacking.fold(None::<RoutingDefinition>, |definition, delta| {
+            let base = definition.as_ref().unwrap_or(&known);
+            delta.apply(base).or(definition)
+        });
+        if let Some(definition) = result {
+            self.take_configuration(revision, Arc::new(definition), touched);
+        }
+    }
+
+    fn remember_delta(&mut self, before: Option<Arc<RoutingDefinition>>, after: &RoutingDefinition) {
+        let delta = before.and_then(|before| DefinitionDelta::between(&before, after));
+        let Some(delta) = delta.filter(|delta| delta_bytes(delta) <= LARGE_DELTA) else {
+            return self.deltas.clear();
+        };
+        self.deltas.push_back(delta);
+        if self.deltas.len() > MOST_DELTAS {
+            self.deltas.pop_front();
+        }
+    }
+
+    /// The changes since a version; empty where they aren't all remembered.
+    fn deltas_from(&self, version: u64) -> Vec<DefinitionDelta> {
+        self.deltas.iter().skip_while(|delta| delta.from != version).cloned().collect()
+    }
+
     fn take_searcher(&mut self, revision: u64, entry: SearcherEntry, touched: &mut Touched) {
         if self.searchers.get(&entry.instance).is_some_and(|held| held.revision >= revision) {
             return;
@@ -350,11 +399,19 @@
 }
 
 fn is_large(definition: &RoutingDefinition) -> bool {
+    route_bytes(&definition.routes) > LARGE_CONFIGURATION
+}
+
+fn delta_bytes(delta: &DefinitionDelta) -> usize {
+    let (set, gone) = delta.changed_routes();
+    route_bytes(set) + NAME_BYTES * gone.len()
+}
+
+fn route_bytes(routes: &[RouteDefinition]) -> usize {
     let names = |target: &RouteTarget| match target {
         RouteTarget::Service(_) => 1,
         RouteTarget::Weighted(set) => set.len(),
         RouteTarget::Gather(gather) => gather.shards.len(),
     };
-    let bytes = definition.routes.iter().map(|route| ROUTE_BYTES + NAME_BYTES * names(&route.target));
-    bytes.sum::<usize>() > LARGE_CONFIGURATION
+    routes.iter().map(|route| ROUTE_BYTES + NAME_BYTES * names(&route.target)).sum()
 }
--- /dev/null
+++ b/crates/staircross-routing/tests/definition_delta.rs
@@ -0,0 +1,130 @@
+//! Changes of the configuration told to peers in place of the whole.
+
+use proptest::prelude::*;
+use staircross_routing::definition_delta::DefinitionDelta;
+use staircross_routing::{
+    CallerLimits, ColdStart, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, RouteDefinition, RouteTarget,
+    RoutingDefinition, ServiceEntry, TakenConfiguration,
+};
+use std::sync::Arc;
+
+fn route(number: usize, timeout_ms: u64) -> RouteDefinition {
+    RouteDefinition {
+        name: Arc::from(format!("r{number}")),
+        host: Arc::from("h"),
+        path_prefix: Arc::from(format!("/{number}/")),
+        target: RouteTarget::Service(Arc::from("books")),
+        is_idempotent: true,
+        timeout_ms,
+        goal_ms: 1,
+        max_attempts: 1,
+        priority: 1,
+        allowed_regions: Vec::new(),
+    }
+}
+
+fn definition(version: u64, routes: Vec<RouteDefinition>) -> RoutingDefinition {
+    let service = ServiceEntry { name: Arc::from("books"), max_connections: 4, cold_start: ColdStart::default() };
+    RoutingDefinition { version, routes, services: vec![service], limits: CallerLimits::default() }
+}
+
+/// A thousand routes, one of them changed by the version.
+fn large(version: u64) -> RoutingDefinition {
+    definition(version, (0..1000).map(|number| route(number, if number == 7 { version } else { 1 })).collect())
+}
+
+fn told(revision: u64, definition: RoutingDefinition) -> MirrorUpdate {
+    let definition = Arc::new(definition);
+    MirrorUpdate { items: vec![(revision, MirrorItem::Configuration { definition })], ..MirrorUpdate::default() }
+}
+
+fn knows(version: u64) -> PeerKnowledge {
+    PeerKnowledge { revision: 0, version, evacuations: 0, takes: TakenConfiguration::Small }
+}
+
+fn by_name(mut definition: RoutingDefinition) -> RoutingDefinition {
+    definition.routes.sort_by(|left, right| left.name.cmp(&right.name));
+    definition
+}
+
+#[test]
+fn a_peer_that_is_some_versions_behind_is_told_the_changes_of_a_large_configuration() {
+    let mut giver = Mirror::default();
+    (1..=4).for_each(|version| drop(giver.merge(told(version * 10, large(version)))));
+    let mut asker = Mirror::default();
+    asker.merge(told(20, large(2)));
+    let update = giver.changes_for(knows(2));
+    assert!(matches!(&update.items[..], [(40, MirrorItem::ConfigurationChanges { deltas })] if deltas.len() == 2));
+    let changes = asker.merge(update);
+    assert_eq!(by_name((*changes.configuration.expect("news")).clone()), by_name(large(4)));
+    assert_eq!(asker.operator_revision(), 40);
+    // It can tell the next.
+    let mut next = Mirror::default();
+    next.merge(told(20, large(2)));
+    next.merge(asker.changes_for(knows(2)));
+    assert_eq!(next.version(), 4);
+}
+
+#[test]
+fn a_peer_that_is_too_far_behind_or_knows_nothing_is_not_told_changes() {
+    let mut giver = Mirror::default();
+    (1..=9).for_each(|version| drop(giver.merge(told(version * 10, large(version)))));
+    for version in [0, 1, 4] {
+        assert!(giver.changes_for(knows(version)).items.is_empty(), "from version {version}");
+    }
+    assert_eq!(giver.changes_for(knows(5)).items.len(), 1);
+}
+
+#[test]
+fn changes_that_do_not_fit_leave_what_is_known() {
+    let mut giver = Mirror::default();
+    (1..=2).for_each(|version| drop(giver.merge(told(version * 10, large(version)))));
+    let update = giver.changes_for(knows(1));
+    // The same version, and yet something else.
+    let mut other = Mirror::default();
+    let mut routes = large(1).routes;
+    routes[3].timeout_ms = 77;
+    other.merge(told(10, definition(1, routes)));
+    assert!(other.merge(update.clone()).configuration.is_none());
+    assert_eq!(other.version(), 1);
+    let mut newer = Mirror::default();
+    newer.merge(told(50, large(5)));
+    assert!(newer.merge(update.clone()).configuration.is_none(), "versions only rise");
+    assert!(Mirror::default().merge(update).configuration.is_none(), "there is nothing to change yet");
+}
+
+#[test]
+fn a_change_of_many_routes_is_no_small_change() {
+    let mut giver = Mirror::default();
+    giver.merge(told(10, definition(1, (0..20).map(|number| route(number, 1)).collect())));
+    giver.merge(told(20, large(2)));
+    assert!(giver.changes_for(knows(1)).items.is_empty(), "the whole is too large, and so is the change");
+    giver.merge(told(30, large(3)));
+    assert_eq!(giver.changes_for(knows(2)).items.len(), 1);
+}
+
+#[test]
+fn names_that_stand_twice_are_told_whole() {
+    let twice = definition(2, vec![route(1, 1), route(1, 2)]);
+    assert!(DefinitionDelta::between(&definition(1, vec![route(1, 1)]), &twice).is_none());
+    assert!(DefinitionDelta::between(&twice, &definition(3, vec![route(1, 1)])).is_none());
+}
+
+fn routes() -> impl Strategy<Value = Vec<RouteDefinition>> {
+    proptest::collection::btree_map(0..12_usize, 1..3_u64, 0..10)
+        .prop_map(|routes| routes.into_iter().map(|(number, timeout_ms)| route(number, timeout_ms)).collect())
+}
+
+proptest! {
+    /// Whatever two versions hold, the change between them leads from one to the other, and from nothing else.
+    #[test]
+    fn a_change_leads_from_one_version_to_the_other_alone(old in routes(), new in routes(), third in routes()) {
+        let (old, new, third) = (definition(1, old), definition(2, new), definition(1, third));
+        let delta = DefinitionDelta::between(&old, &new).expect("names are unique");
+        prop_assert_eq!(delta.apply(&old).map(by_name), Some(by_name(new.clone())));
+        if let Some(result) = delta.apply(&third) {
+            prop_assert_eq!(by_name(result), by_name(new.clone()));
+        }
+        prop_assert!(delta.apply(&new).is_none());
+    }
+}
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -775,8 +775,10 @@
     follower.merge(reader.changes_for(NOTHING_KNOWN));
     reader.merge(changes(vec![(95, configuration(2))]));
     let told = reader.changes_for(known(&follower));
-    assert!(matches!(told.items.as_slice(), [(95, MirrorItem::Configuration { .. })]), "{:?}", told.items);
+    assert!(matches!(told.items.as_slice(), [(95, MirrorItem::ConfigurationChanges { .. })]), "{:?}", told.items);
     assert!(!told.is_complete_for_searchers);
+    follower.merge(told);
+    assert_eq!(follower.version(), 2);
     reader.merge(changes(vec![(97, gone("s"))]));
     follower.merge(reader.changes_for(known(&follower)));
     assert_eq!(names(&follower), ["t"], "and hears of what changes later");
