Ask a store that is away by probes after a start, too

Cause: a process that has just started reads the store once by two lanes, each of which tried again for itself, at the price of a read, while the store was away; after a loss of all nodes that is every node. Ruled out: one lane waiting for the other (costs a round trip at each start); waiting for the probe from the first failure on (a store that refuses one machine answers its probes, and would be asked the more). Change: a read that fails brings in the probe until all is read; the rule that lanes wait while the probe fails holds then as it does for readers.

--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -88,8 +88,9 @@
     /// have led.
     pub fn set_mode(&mut self, now: BootTime, mode: ReadingMode, actions: &mut Vec<ReaderAction>) {
         self.mode = mode;
+        let has_failed_read = self.has_failed_read();
         for lane in &mut self.lanes {
-            let is_wanted = lane.is_wanted(mode);
+            let is_wanted = lane.is_wanted(mode, has_failed_read);
             if !is_wanted && lane.state == LaneState::Calling {
                 actions.push(ReaderAction::Cancel { lane: lane.lane });
             }
@@ -127,7 +128,12 @@
 
     /// Whether a node that follows is reading something by itself.
     pub fn is_reading_once(&self) -> bool {
-        self.mode == ReadingMode::Once && self.lanes.iter().any(|lane| lane.is_wanted(self.mode))
+        self.mode == ReadingMode::Once && self.lanes.iter().any(|lane| lane.is_wanted(self.mode, false))
+    }
+
+    /// Whether something that is wanted couldn't be read the last time.
+    fn has_failed_read(&self) -> bool {
+        self.lanes.iter().any(|lane| lane.is_wanted(self.mode, false) && lane.failures > 0)
     }
 
     /// Whether searchers that live may be missing from what is known: entries lapse while the store is away, and are written anew
@@ -139,10 +145,12 @@
 
     /// Makes the calls that are due.
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
-        let mode = self.mode;
+        let (mode, has_failed_read) = (self.mode, self.has_failed_read());
         for lane in &mut self.lanes {
-            if !lane.is_wanted(mode) {
+            if !lane.is_wanted(mode, has_failed_read) {
                 lane.state = LaneState::Suspended;
+            } else if lane.state == LaneState::Suspended {
+                lane.state = LaneState::Resting { until: now };
             }
             let is_due = matches!(lane.state, LaneState::Resting { until } if until <= now);
             let waits = self.settings.lanes_wait_for_probe && self.was_away;
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -48,11 +48,11 @@
 }
 
 impl LaneReader {
-    /// Whether the lane asks anything in a mode.
-    pub fn is_wanted(&self, mode: ReadingMode) -> bool {
+    /// Whether the lane asks anything in a mode. A read that failed brings in the probe, which costs a tenth, until all is read.
+    pub fn is_wanted(&self, mode: ReadingMode, has_failed_read: bool) -> bool {
         match (mode, self.lane) {
             (ReadingMode::Watching, _) => true,
-            (ReadingMode::Once, Lane::Probe) => false,
+            (ReadingMode::Once, Lane::Probe) => has_failed_read,
             (ReadingMode::Once, Lane::Configuration | Lane::Searchers) => self.after.is_none(),
             (ReadingMode::Probing, lane) => lane == Lane::Probe,
             (ReadingMode::Following, _) => false,
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -556,6 +556,8 @@
         [StoreCall::List { lane: Lane::Configuration, after: None }],
         "until it has been answered"
     );
+    assert_eq!(store.calls(0, Lane::Probe), [StoreCall::Probe], "a read that failed brings in the probe");
+    store.reply(Lane::Probe, StoreReply::Alive);
     store.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
     assert_eq!(store.calls(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: None }]);
     let page = StoreReply::Items { update: MirrorUpdate::default(), at: 5, next: Some("k".into()) };
@@ -570,6 +572,37 @@
     assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 5)), "{calls:?}");
 }
 
+#[test]
+fn a_process_that_has_just_started_asks_a_store_that_is_away_by_probes_alone() {
+    let mut store = Store::new();
+    set_mode(&mut store, ReadingMode::Once);
+    let lanes = [Lane::Configuration, Lane::Searchers];
+    for lane in lanes {
+        assert_eq!(store.calls(0, lane).len(), 1);
+        store.fail(lane);
+    }
+    assert_eq!(store.calls(0, Lane::Probe), [StoreCall::Probe]);
+    store.fail(Lane::Probe);
+    let mut probes = 0;
+    for _ in 0..20 {
+        for lane in lanes {
+            assert_eq!(store.calls(500, lane), [], "nothing dear is asked");
+        }
+        let asked = store.calls(0, Lane::Probe).len();
+        probes += asked;
+        (0..asked).for_each(|_| store.fail(Lane::Probe));
+    }
+    assert!(probes >= 10, "{probes} probes in 20 s");
+    store.calls(1000, Lane::Probe);
+    store.reply(Lane::Probe, StoreReply::Alive);
+    for lane in lanes {
+        assert_eq!(store.calls(0, lane), [StoreCall::List { lane, after: None }], "at once when it is back");
+        store.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+    }
+    store.calls(60_000, Lane::Probe);
+    assert_eq!(store.calls(60_000, Lane::Probe), [], "and nothing more when all is read");
+}
+
 #[test]
 fn a_follower_reads_a_configuration_that_peers_do_not_pass_on_once_and_follows_on() {
     let mut store = Store::new();
