--- /dev/null
+++ b/crates/staircross-routing/src/known_configuration.rs
@@ -0,0 +1,125 @@
+//! The configuration that this node knows, and how much of it a peer is told.
+
+use crate::definition::{RouteDefinition, RouteTarget, RoutingDefinition};
+use crate::definition_delta::DefinitionDelta;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// A configuration of more bytes is large: many peers at once would not get it in time over a small
+/// machine's link. Its size is taken from its routes and the services that they name.
+const LARGE_CONFIGURATION: usize = 64 * 1024;
+const ROUTE_BYTES: usize = 100;
+const NAME_BYTES: usize = 10;
+/// Changes of the configuration that are remembered, so that a peer that missed some is told what it lacks; and the most bytes of one.
+const MOST_DELTAS: usize = 4;
+const LARGE_DELTA: usize = LARGE_CONFIGURATION / 8;
+
+/// Which newer configuration is passed on to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakenConfiguration {
+    /// One of any size: the store doesn't serve the peer.
+    Any,
+    /// One that isn't large.
+    Small,
+    /// None, since the link is busy.
+    None,
+}
+
+/// What a peer is told of a newer configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum ConfigurationNews {
+    /// The whole.
+    Whole(Arc<RoutingDefinition>),
+    /// What changed since the version that it has.
+    Changes(Vec<DefinitionDelta>),
+}
+
+/// The newest version known, and what led to it.
+#[derive(Debug, Default)]
+pub(crate) struct KnownConfiguration {
+    newest: Option<(u64, Arc<RoutingDefinition>)>,
+    /// The newest change last; each starts where the one before led to.
+    deltas: VecDeque<DefinitionDelta>,
+}
+
+impl KnownConfiguration {
+    pub fn definition(&self) -> Option<&Arc<RoutingDefinition>> {
+        self.newest.as_ref().map(|(_, definition)| definition)
+    }
+
+    /// 0 when none is known.
+    pub fn version(&self) -> u64 {
+        self.definition().map_or(0, |definition| definition.version)
+    }
+
+    /// The store's revision at which it was written.
+    pub fn revision(&self) -> Option<u64> {
+        self.newest.as_ref().map(|(revision, _)| *revision)
+    }
+
+    /// Takes a definition if it is newer, and returns it then. Versions only rise, whatever the revisions say.
+    pub fn take(&mut self, revision: u64, definition: Arc<RoutingDefinition>) -> Option<Arc<RoutingDefinition>> {
+        if definition.version <= self.version() && self.newest.is_some() {
+            return None;
+        }
+        let before = self.newest.replace((revision, definition.clone()));
+        self.remember_delta(before.map(|(_, before)| before), &definition);
+        Some(definition)
+    }
+
+    /// Changes that don't lead from the version known here to the one that they say are passed over: the node stays behind, and reads the whole.
+    pub fn take_deltas(&mut self, revision: u64, deltas: &[DefinitionDelta]) -> Option<Arc<RoutingDefinition>> {
+        let known = self.definition()?.clone();
+        let lacking = deltas.iter().skip_while(|delta| delta.from != known.version);
+        let result = lacking.fold(None::<RoutingDefinition>, |definition, delta| {
+            let base = definition.as_ref().unwrap_or(&known);
+            delta.apply(base).or(definition)
+        });
+        self.take(revision, Arc::new(result?))
+    }
+
+    fn remember_delta(&mut self, before: Option<Arc<RoutingDefinition>>, after: &RoutingDefinition) {
+        let delta = before.and_then(|before| DefinitionDelta::between(&before, after));
+        let Some(delta) = delta.filter(|delta| delta_bytes(delta) <= LARGE_DELTA) else {
+            return self.deltas.clear();
+        };
+        self.deltas.push_back(delta);
+        if self.deltas.len() > MOST_DELTAS {
+            self.deltas.pop_front();
+        }
+    }
+
+    /// What a peer at a version is told: the changes since where they are remembered, otherwise the whole if it takes that.
+    pub fn news_for(&self, version: u64, takes: TakenConfiguration) -> Option<(u64, ConfigurationNews)> {
+        let (at, definition) = self.newest.as_ref().filter(|(_, definition)| definition.version > version)?;
+        let deltas: Vec<DefinitionDelta> =
+            self.deltas.iter().skip_while(|delta| delta.from != version).cloned().collect();
+        if !deltas.is_empty() {
+            return Some((*at, ConfigurationNews::Changes(deltas)));
+        }
+        let is_passed_on = match takes {
+            TakenConfiguration::Any => true,
+            TakenConfiguration::Small => !is_large(definition),
+            TakenConfiguration::None => false,
+        };
+        is_passed_on.then(|| (*at, ConfigurationNews::Whole(definition.clone())))
+    }
+}
+
+fn is_large(definition: &RoutingDefinition) -> bool {
+    route_bytes(&definition.routes) > LARGE_CONFIGURATION
+}
+
+fn delta_bytes(delta: &DefinitionDelta) -> usize {
+    let (set, gone) = delta.changed_routes();
+    route_bytes(set) + NAME_BYTES * gone.len()
+}
+
+fn route_bytes(routes: &[RouteDefinition]) -> usize {
+    let names = |target: &RouteTarget| match target {
+        RouteTarget::Service(_) => 1,
+        RouteTarget::Weighted(set) => set.len(),
+        RouteTarget::Gather(gather) => gather.shards.len(),
+    };
+    routes.iter().map(|route| ROUTE_BYTES + NAME_BYTES * names(&route.target)).sum()
+}
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`definition`] | what one version of the configuration says |
 //! | [`definition_delta`] | what differs between two versions, for peers |
+//! | [`known_configuration`] | the configuration known here, and how much of it a peer is told |
 //! | [`table`] | which route a request takes |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
 //! | [`store_reader`] | when the store is read, watched, or left alone |
@@ -39,6 +40,7 @@
 pub mod evacuations;
 pub mod goal;
 pub mod keys;
+pub mod known_configuration;
 pub mod merge;
 pub mod mirror;
 pub mod policy;
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -3,22 +3,16 @@
 //! Each item carries the revision of its last change. Items are merged by revision, never by the
 //! order in which they arrive, so it doesn't matter whether they come from the store or from a peer.
 
-use crate::definition::{RouteDefinition, RouteTarget, RoutingDefinition};
+use crate::definition::RoutingDefinition;
 use crate::definition_delta::DefinitionDelta;
 use crate::evacuations::{Evacuations, ZoneChange};
+pub use crate::known_configuration::TakenConfiguration;
+use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// A configuration of more bytes is large: many peers at once would not get it in time over a small
-/// machine's link. Its size is taken from its routes and the services that they name.
-const LARGE_CONFIGURATION: usize = 64 * 1024;
-const ROUTE_BYTES: usize = 100;
-const NAME_BYTES: usize = 10;
-/// Changes of the configuration that are remembered, so that a peer that missed some is told what it lacks; and the most bytes of one.
-const MOST_DELTAS: usize = 4;
-const LARGE_DELTA: usize = LARGE_CONFIGURATION / 8;
 /// Most items that are remembered as gone.
 const MAX_TOMBSTONES: usize = 4096;
 
@@ -73,6 +67,15 @@
     },
 }
 
+impl From<ConfigurationNews> for MirrorItem {
+    fn from(news: ConfigurationNews) -> Self {
+        match news {
+            ConfigurationNews::Whole(definition) => MirrorItem::Configuration { definition },
+            ConfigurationNews::Changes(deltas) => MirrorItem::ConfigurationChanges { deltas },
+        }
+    }
+}
+
 /// Items that changed, and up to which revision that is all.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MirrorUpdate {
@@ -100,17 +103,6 @@
     pub takes: TakenConfiguration,
 }
 
-/// Which newer configuration is passed on to a peer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TakenConfiguration {
-    /// One of any size: the store doesn't serve the peer.
-    Any,
-    /// One that isn't large.
-    Small,
-    /// None, since the link is busy.
-    None,
-}
-
 /// What a merge changed: how things stand after it. No run is both among the searchers and among those
 /// that are gone, whatever happened to it on the way.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -172,9 +164,7 @@
 /// A copy of what the store holds, as far as it is known.
 #[derive(Debug, Default)]
 pub struct Mirror {
-    configuration: Option<(u64, Arc<RoutingDefinition>)>,
-    /// What led to it, the newest last; each starts where the one before led to.
-    deltas: VecDeque<DefinitionDelta>,
+    configuration: KnownConfiguration,
     searchers: BTreeMap<Arc<str>, Held>,
     evacuations: Evacuations,
     up_to: u64,
@@ -186,12 +176,12 @@
 impl Mirror {
     /// The configuration, if one is known.
     pub fn configuration(&self) -> Option<&Arc<RoutingDefinition>> {
-        self.configuration.as_ref().map(|(_, definition)| definition)
+        self.configuration.definition()
     }
 
     /// Version of the configuration; 0 when none is known.
     pub fn version(&self) -> u64 {
-        self.configuration().map_or(0, |definition| definition.version)
+        self.configuration.version()
     }
 
     /// Revision up to which all changes of searchers are known.
@@ -201,7 +191,7 @@
 
     /// Newest revision of what the operator wrote, the configuration or an evacuation; 0 when no configuration is known.
     pub fn operator_revision(&self) -> u64 {
-        self.configuration.as_ref().map_or(0, |(revision, _)| (*revision).max(self.evacuations.newest()))
+        self.configuration.revision().map_or(0, |revision| revision.max(self.evacuations.newest()))
     }
 
     /// Newest revision of a searcher's entry or of its end.
@@ -238,8 +228,12 @@
         let mut listed_zones: Vec<Arc<str>> = Vec::new();
         for (revision, item) in update.items {
             match item {
-                MirrorItem::Configuration { definition } => self.take_configuration(revision, definition, &mut touched),
-                MirrorItem::ConfigurationChanges { deltas } => self.take_deltas(revision, &deltas, &mut touched),
+                MirrorItem::Configuration { definition } => {
+                    touched.configuration = self.configuration.take(revision, definition).or(touched.configuration);
+                }
+                MirrorItem::ConfigurationChanges { deltas } => {
+                    touched.configuration = self.configuration.take_deltas(revision, &deltas).or(touched.configuration);
+                }
                 MirrorItem::Searcher { entry } => {
                     if update.is_complete_for_searchers {
                         listed.push(entry.instance.clone());
@@ -274,19 +268,8 @@
         let revision = peer.revision;
         let is_complete = self.has_listing && (revision < self.tombstones_from || revision == 0);
         let mut items = Vec::new();
-        let passes = |definition: &RoutingDefinition| match peer.takes {
-            TakenConfiguration::Any => true,
-            TakenConfiguration::Small => !is_large(definition),
-            TakenConfiguration::None => false,
-        };
-        let newer = self.configuration.as_ref().filter(|_| self.version() > peer.version);
-        if let Some((at, definition)) = newer {
-            let deltas = self.deltas_from(peer.version);
-            if !deltas.is_empty() {
-                items.push((*at, MirrorItem::ConfigurationChanges { deltas }));
-            } else if passes(definition) {
-                items.push((*at, MirrorItem::Configuration { definition: definition.clone() }));
-            }
+        if let Some((at, news)) = self.configuration.news_for(peer.version, peer.takes) {
+            items.push((at, news.into()));
         }
         for (instance, held) in &self.searchers {
             let is_news = is_complete || held.revision > revision;
@@ -307,47 +290,6 @@
         MirrorUpdate { items, is_complete_for_searchers: is_complete, up_to: self.up_to, all_evacuations_at: None }
     }
 
-    /// Versions only rise, whatever the revisions say.
-    fn take_configuration(&mut self, revision: u64, definition: Arc<RoutingDefinition>, touched: &mut Touched) {
-        if definition.version <= self.version() && self.configuration.is_some() {
-            return;
-        }
-        let before = self.configuration.replace((revision, definition.clone()));
-        self.remember_delta(before.map(|(_, before)| before), &definition);
-        touched.configuration = Some(definition);
-    }
-
-    /// Changes that don't lead from the version known here to the one that they say are passed over: the node stays behind, and reads the whole.
-    fn take_deltas(&mut self, revision: u64, deltas: &[DefinitionDelta], touched: &mut Touched) {
-        let Some(known) = self.configuration().cloned() else {
-            return;
-        };
-        let lacking = deltas.iter().skip_while(|delta| delta.from != known.version);
-        let result = lacking.fold(None::<RoutingDefinition>, |definition, delta| {
-            let base = definition.as_ref().unwrap_or(&known);
-            delta.apply(base).or(definition)
-        });
-        if let Some(definition) = result {
-            self.take_configuration(revision, Arc::new(definition), touched);
-        }
-    }
-
-    fn remember_delta(&mut self, before: Option<Arc<RoutingDefinition>>, after: &RoutingDefinition) {
-        let delta = before.and_then(|before| DefinitionDelta::between(&before, after));
-        let Some(delta) = delta.filter(|delta| delta_bytes(delta) <= LARGE_DELTA) else {
-            return self.deltas.clear();
-        };
-        self.deltas.push_back(delta);
-        if self.deltas.len() > MOST_DELTAS {
-            self.deltas.pop_front();
-        }
-    }
-
-    /// The changes since a version; empty where they aren't all remembered.
-    fn deltas_from(&self, version: u64) -> Vec<DefinitionDelta> {
-        self.deltas.iter().skip_while(|delta| delta.from != version).cloned().collect()
-    }
-
     fn take_searcher(&mut self, revision: u64, entry: SearcherEntry, touched: &mut Touched) {
         if self.searchers.get(&entry.instance).is_some_and(|held| held.revision >= revision) {
             return;
@@ -397,21 +339,3 @@
         self.tombstones_from = self.tombstones_from.max(horizon);
     }
 }
-
-fn is_large(definition: &RoutingDefinition) -> bool {
-    route_bytes(&definition.routes) > LARGE_CONFIGURATION
-}
-
-fn delta_bytes(delta: &DefinitionDelta) -> usize {
-    let (set, gone) = delta.changed_routes();
-    route_bytes(set) + NAME_BYTES * gone.len()
-}
-
-fn route_bytes(routes: &[RouteDefinition]) -> usize {
-    let names = |target: &RouteTarget| match target {
-        RouteTarget::Service(_) => 1,
-        RouteTarget::Weighted(set) => set.len(),
-        RouteTarget::Gather(gather) => gather.shards.len(),
-    };
-    routes.iter().map(|route| ROUTE_BYTES + NAME_BYTES * names(&route.target)).sum()
-}
