Start no process in tests while a port is being looked at

Tests choose ports by listening on them for a moment, while other threads start nodes; a process that has just been forked holds copies of all open sockets until it runs its own program. Ruled out: outgoing connections (their range begins above), one port given twice (a counter), leftovers of other runs (none).

--- a/crates/staircross/tests/processes.rs
+++ b/crates/staircross/tests/processes.rs
@@ -211,12 +211,9 @@
 }
 
 fn start_node(settings: &Path) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_staircross"))
-        .args(["node", "--settings"])
-        .arg(settings)
-        .stdout(Stdio::null())
-        .spawn()
-        .expect("a node starts")
+    let mut command = Command::new(env!("CARGO_BIN_EXE_staircross"));
+    command.args(["node", "--settings"]).arg(settings).stdout(Stdio::null());
+    loopback::spawn(&mut command).expect("a node starts")
 }
 
 /// What went wrong, gathered from all callers.
