Add tenants, keys' digests and quotas to the configuration and what nodes tell of it

Cause: no line knew a tenant. The parts that need them are built side by side; these types are what they agree on. Change: tenants in a definition, its delta and digest; a document whose tenant can't be read isn't taken. Keys are kept as digests alone.

--- a/crates/staircross-routing/src/definition.rs
+++ b/crates/staircross-routing/src/definition.rs
@@ -1,5 +1,6 @@
 //! What one version of the configuration says.
 
+use crate::tenants::TenantDefinition;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -14,6 +15,9 @@
     pub services: Vec<ServiceEntry>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// Whose requests are taken; where there are none, requests need no key.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tenants: Vec<TenantDefinition>,
 }
 
 /// One route.
@@ -40,6 +44,14 @@
     /// Regions whose searchers may serve the requests; empty where any may.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub allowed_regions: Vec<Arc<str>>,
+    /// Whether requests need no key where there are tenants.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_public: bool,
+}
+
+/// Few routes are public, and large configurations are passed on between nodes.
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
 
 /// Where the requests of a route go.
--- a/crates/staircross-routing/src/definition_delta.rs
+++ b/crates/staircross-routing/src/definition_delta.rs
@@ -5,6 +5,7 @@
 //! it; whoever gets something else doesn't take it and reads the whole.
 
 use crate::definition::{CallerLimits, RouteDefinition, RoutingDefinition, ServiceEntry};
+use crate::tenants::TenantDefinition;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -19,6 +20,8 @@
     pub to: u64,
     routes: ListDelta<RouteDefinition>,
     services: ListDelta<ServiceEntry>,
+    #[serde(default, skip_serializing_if = "ListDelta::is_empty")]
+    tenants: ListDelta<TenantDefinition>,
     limits: CallerLimits,
     /// Digest of the definition that it leads to.
     digest: u64,
@@ -50,6 +53,12 @@
     }
 }
 
+impl Named for TenantDefinition {
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
+
 impl DefinitionDelta {
     /// What leads from one definition to another; `None` where names aren't unique.
     pub fn between(old: &RoutingDefinition, new: &RoutingDefinition) -> Option<Self> {
@@ -58,6 +67,7 @@
             to: new.version,
             routes: ListDelta::between(&old.routes, &new.routes)?,
             services: ListDelta::between(&old.services, &new.services)?,
+            tenants: ListDelta::between(&old.tenants, &new.tenants)?,
             limits: new.limits.clone(),
             digest: digest(new)?,
         })
@@ -72,6 +82,7 @@
             version: self.to,
             routes: self.routes.apply(&old.routes)?,
             services: self.services.apply(&old.services)?,
+            tenants: self.tenants.apply(&old.tenants)?,
             limits: self.limits.clone(),
         };
         (digest(&new)? == self.digest).then_some(new)
@@ -83,6 +94,18 @@
     }
 }
 
+impl<T> Default for ListDelta<T> {
+    fn default() -> Self {
+        ListDelta { set: Vec::new(), gone: Vec::new() }
+    }
+}
+
+impl<T> ListDelta<T> {
+    fn is_empty(&self) -> bool {
+        self.set.is_empty() && self.gone.is_empty()
+    }
+}
+
 impl<T: Named + Clone + PartialEq> ListDelta<T> {
     fn between(old: &[T], new: &[T]) -> Option<Self> {
         let (old, new) = (by_name(old)?, by_name(new)?);
@@ -120,6 +143,9 @@
     for service in by_name(&definition.services)?.into_values() {
         update(&mut digest, service)?;
     }
+    for tenant in by_name(&definition.tenants)?.into_values() {
+        update(&mut digest, tenant)?;
+    }
     update(&mut digest, &definition.limits)?;
     Some(digest.digest())
 }
--- a/crates/staircross-routing/src/keys.rs
+++ b/crates/staircross-routing/src/keys.rs
@@ -21,6 +21,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SearcherKey(pub u32);
 
+/// Index of a tenant in one version of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TenantKey(pub u32);
+
 /// What a request asks for, whoever asks and whichever try it is: a digest of host, method, target and body, alike on all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ContentKey(pub u64);
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`definition`] | what one version of the configuration says |
 //! | [`definition_delta`] | what differs between two versions, for peers |
 //! | [`known_configuration`] | the configuration known here, and how much of it a peer is told |
+//! | [`tenants`] | whose requests are taken, and by which keys |
 //! | [`table`] | which route a request takes |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
 //! | [`store_reader`] | when the store is read, watched, or left alone |
@@ -53,16 +54,18 @@
 pub mod selection;
 pub mod store_reader;
 pub mod table;
+pub mod tenants;
 pub mod turns;
 pub mod window;
 
 pub use cold::ColdBound;
 pub use definition::{CallerLimits, ColdStart, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
-pub use keys::{AttemptKey, ContentKey, InstanceKey, RequestKey, SearcherKey};
+pub use keys::{AttemptKey, ContentKey, InstanceKey, RequestKey, SearcherKey, TenantKey};
 pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, TakenConfiguration};
 pub use policy::RoutingPolicy;
 pub use quarantine::{CaseRecord, Suspicion, SuspicionChange};
 pub use report::{ReportedLoad, SearcherReport};
 pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
 pub use table::RouteTable;
+pub use tenants::{Credential, KeyDigest, TenantDefinition};
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -86,6 +86,7 @@
         max_attempts: 2,
         priority: 1,
         allowed_regions: Vec::new(),
+        is_public: false,
     }
 }
 
@@ -110,6 +111,7 @@
         routes,
         services: services.iter().map(service).collect(),
         limits: CallerLimits::default(),
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/staircross-routing/tests/definition_delta.rs
+++ b/crates/staircross-routing/tests/definition_delta.rs
@@ -20,12 +20,13 @@
         max_attempts: 1,
         priority: 1,
         allowed_regions: Vec::new(),
+        is_public: false,
     }
 }
 
 fn definition(version: u64, routes: Vec<RouteDefinition>) -> RoutingDefinition {
     let service = ServiceEntry { name: Arc::from("books"), max_connections: 4, cold_start: ColdStart::default() };
-    RoutingDefinition { version, routes, services: vec![service], limits: CallerLimits::default() }
+    RoutingDefinition { version, routes, services: vec![service], limits: CallerLimits::default(), tenants: Vec::new() }
 }
 
 /// A thousand routes, one of them changed by the version.
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -36,8 +36,13 @@
 }
 
 fn configuration(version: u64) -> MirrorItem {
-    let definition =
-        RoutingDefinition { version, routes: Vec::new(), services: Vec::new(), limits: CallerLimits::default() };
+    let definition = RoutingDefinition {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: CallerLimits::default(),
+        tenants: Vec::new(),
+    };
     MirrorItem::Configuration { definition: Arc::new(definition) }
 }
 
@@ -756,9 +761,16 @@
         max_attempts: 1,
         priority: 1,
         allowed_regions: Vec::new(),
+        is_public: false,
     };
     let routes = (0..routes).map(route).collect();
-    let definition = RoutingDefinition { version: 5, routes, services: Vec::new(), limits: CallerLimits::default() };
+    let definition = RoutingDefinition {
+        version: 5,
+        routes,
+        services: Vec::new(),
+        limits: CallerLimits::default(),
+        tenants: Vec::new(),
+    };
     MirrorItem::Configuration { definition: Arc::new(definition) }
 }
 
--- a/crates/staircross-types/src/lib.rs
+++ b/crates/staircross-types/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`boot_clock`] | reading the boot clock |
 //! | [`coverage`] | [`Coverage`] and the causes of missing shards |
 //! | [`errors`] | the closed list of error kinds and the table from kind to answer |
+//! | [`quota`] | how many requests a tenant may send |
 //! | [`query`] | search requests, hits and per-shard results |
 //! | [`searcher_api`] | messages between leaf and searcher |
 //! | [`digest`] | content digests for bodies |
@@ -18,6 +19,7 @@
 pub mod errors;
 pub mod ids;
 pub mod query;
+pub mod quota;
 pub mod searcher_api;
 pub mod snapshot;
 pub mod time;
@@ -30,5 +32,6 @@
     ZoneName,
 };
 pub use query::{ActionCommand, Hit, SearchQuery, ShardHits};
+pub use quota::Quota;
 pub use snapshot::{ShardMap, ShardPlacement, Snapshot};
 pub use time::BootTime;
