Take requests of tenants by their keys, and tell searchers the tenant instead of the key

Cause: keys went on to searchers and no tenant was named; unknown and withdrawn keys were served. Ruled out: judging in the adapter (a request is judged by the version that it begins with, which the engine knows, also after a hold). Change: a table looks keys up by digest; an arrival brings its credential; a request keeps its tenant for all attempts; what a caller says of itself goes on only where there are no tenants. A node that is behind says 503 for a key it can't judge, never 401. Unknown keys are refused on public routes too. Not yet: withdrawal while a request waits, ranks, regions, quotas, views out of date.

--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -76,6 +76,7 @@
             knows_searchers: self.mirror.has_listing() && !self.reader.may_lack_searchers(self.now),
             link,
             content: outbound.content,
+            credential: outbound.credential,
         };
         let route = self.route_name(&arrival.host, &arrival.path);
         let unrouted = match route {
--- a/crates/staircross-gateway/src/outbound.rs
+++ b/crates/staircross-gateway/src/outbound.rs
@@ -2,7 +2,7 @@
 
 use crate::dialect::HeaderNames;
 use staircross_http::{Request, RequestHead, write};
-use staircross_routing::{ContentKey, MergedAnswer, SearcherAnswer};
+use staircross_routing::{ContentKey, Credential, KeyDigest, MergedAnswer, SearcherAnswer, SentIdentity};
 use staircross_types::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +13,8 @@
 pub struct OutboundRequest {
     /// First line and passed fields.
     prefix: Rc<[u8]>,
+    /// What the caller says of itself, which goes on only where there are no tenants.
+    claims: Rc<[u8]>,
     body: Rc<[u8]>,
     /// Method; answers to `HEAD` have no body.
     pub method: Rc<str>,
@@ -20,6 +22,8 @@
     pub id: Option<Rc<[u8]>>,
     /// What it asks for.
     pub content: ContentKey,
+    /// What it proves itself with.
+    pub credential: Credential,
 }
 
 impl OutboundRequest {
@@ -28,8 +32,10 @@
         let head = &request.head;
         let mut prefix = Vec::with_capacity(256);
         write::request_line(&mut prefix, &head.method, &head.target);
+        let mut claims = Vec::new();
         for (name, value) in head.headers.iter().filter(|(name, _)| is_passed_on(head, name, names)) {
-            write::field(&mut prefix, name, value);
+            let fields = if is_claim(name, names) { &mut claims } else { &mut prefix };
+            write::field(fields, name, value);
         }
         let has_body = !request.body.is_empty() || head.headers.first("content-length").is_some();
         if has_body || head.headers.first("transfer-encoding").is_some() {
@@ -37,17 +43,30 @@
         }
         OutboundRequest {
             prefix: prefix.into(),
+            claims: claims.into(),
             body: request.body.as_slice().into(),
             method: head.method.as_str().into(),
             id: head.headers.first(names.request_id).map(|value| value.trim_ascii().into()),
             content: content_of(request),
+            credential: credential_of(head, names),
         }
     }
 
     /// The bytes of one attempt.
-    pub fn attempt(&self, names: &HeaderNames, instance: &str, remaining: Duration) -> Vec<u8> {
+    pub fn attempt(
+        &self,
+        names: &HeaderNames,
+        instance: &str,
+        identity: &SentIdentity,
+        remaining: Duration,
+    ) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(self.prefix.len() + self.body.len() + 128);
         bytes.extend_from_slice(&self.prefix);
+        match identity {
+            SentIdentity::Unmanaged => bytes.extend_from_slice(&self.claims),
+            SentIdentity::Anonymous => {}
+            SentIdentity::Tenant(name) => write::field(&mut bytes, names.tenant, name.as_bytes()),
+        }
         write::field_display(&mut bytes, names.deadline_ms, remaining.as_millis().max(1));
         write::field(&mut bytes, names.expect_instance, instance.as_bytes());
         write::end_head(&mut bytes);
@@ -68,6 +87,20 @@
     ContentKey(digest.digest())
 }
 
+/// One field with one key; anything else is none.
+fn credential_of(head: &RequestHead, names: &HeaderNames) -> Credential {
+    let mut values = head.headers.values(names.api_key);
+    match (values.next(), values.next()) {
+        (None, _) => Credential::Missing,
+        (Some(key), None) => KeyDigest::of(key.trim_ascii()).map_or(Credential::Malformed, Credential::Key),
+        (Some(_), Some(_)) => Credential::Malformed,
+    }
+}
+
+fn is_claim(name: &str, names: &HeaderNames) -> bool {
+    [names.api_key, names.tenant].iter().any(|claim| claim.eq_ignore_ascii_case(name))
+}
+
 fn is_passed_on(head: &RequestHead, name: &str, names: &HeaderNames) -> bool {
     let is_set_here = [names.deadline_ms, names.expect_instance, "content-length", "expect"]
         .iter()
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -193,7 +193,8 @@
     fn start(&mut self, slot: usize, assignment: Box<Assignment>, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
         let connection = &mut self.connections[slot];
         let remaining = io.now.until(assignment.order.deadline);
-        let bytes = assignment.request.attempt(&self.names, &assignment.order.instance, remaining);
+        let order = &assignment.order;
+        let bytes = assignment.request.attempt(&self.names, &order.instance, &order.identity, remaining);
         connection.purpose = Purpose::of_attempt(assignment.order.reason);
         self.traffic.count(connection.purpose, connection.reach, bytes.len());
         let id = assignment.request.id.as_ref();
--- a/crates/staircross-gateway/tests/pool.rs
+++ b/crates/staircross-gateway/tests/pool.rs
@@ -10,7 +10,7 @@
 use staircross_routing::engine::{SendOrder, SendReason};
 use staircross_routing::request::Unknown;
 use staircross_routing::selection::Distance;
-use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey, SearcherKey, SearcherReport};
+use staircross_routing::{AttemptKey, AttemptOutcome, NotRun, RequestKey, SearcherKey, SearcherReport, SentIdentity};
 use staircross_types::BootTime;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -27,6 +27,8 @@
     not_executed: "Not-Executed",
     retry_after: "Retry-After",
     part_stamps: "Part-Stamps",
+    api_key: "Key",
+    tenant: "Tenant",
     missing_parts: "Missing-Parts",
     report: |_| SearcherReport::default(),
 };
@@ -113,6 +115,7 @@
         connect_patience: Duration::from_secs(1),
         reason: SendReason::First,
         reported: None,
+        identity: SentIdentity::Unmanaged,
     }
 }
 
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -7,9 +7,11 @@
 use super::{HoldCause, RoutingAction, RoutingEngine, SendReason};
 use crate::definition::{RouteDefinition, RouteTarget};
 use crate::goal::usable_goal;
-use crate::keys::RequestKey;
+use crate::keys::{RequestKey, TenantKey};
 use crate::quarantine::Suspicion;
 use crate::request::{Arrival, CallerLink, Request, Shard, Verdict};
+use crate::table::RouteTable;
+use crate::tenants::KeyRefusal;
 use staircross_types::{BootTime, ErrorKind};
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -124,6 +126,7 @@
             return refuse(ErrorKind::Quarantined, "every searcher that ran this request ended; it was not sent");
         }
         let route = &table.definition().routes[route_index];
+        let tenant = judge_credential(&table, route, arrival)?;
         let timeout = Duration::from_millis(route.timeout_ms);
         let patience = arrival.patience.map_or(timeout, |patience| patience.min(timeout));
         // What was read late has less time than it says.
@@ -145,6 +148,7 @@
         }
         Ok(Request {
             route_index,
+            tenant,
             shards: services.into_iter().map(Shard::new).collect(),
             attempts: Vec::new(),
             answer_by: (now + self.goal_of(route, arrival).saturating_sub(arrival.waited)).min(deadline),
@@ -158,7 +162,7 @@
         })
     }
 
-    fn find_route(&self, arrival: &Arrival) -> Result<(Arc<crate::table::RouteTable>, usize), NotBegun> {
+    fn find_route(&self, arrival: &Arrival) -> Result<(Arc<RouteTable>, usize), NotBegun> {
         let Some(table) = self.table.clone() else {
             let verdict = refused(ErrorKind::NoConfiguration, "no configuration is known yet");
             return Err(NotBegun::Unprepared(HoldCause::NoConfiguration, verdict));
@@ -231,3 +235,18 @@
         self.schedule(key);
     }
 }
+
+/// Whose a request is. A node that is behind judges nobody: the newer configuration may hold the key.
+fn judge_credential(
+    table: &RouteTable,
+    route: &RouteDefinition,
+    arrival: &Arrival,
+) -> Result<Option<TenantKey>, NotBegun> {
+    table.judge(route, arrival.credential).map_err(|refusal| {
+        if arrival.is_behind && refusal != KeyRefusal::Malformed {
+            let verdict = refused(ErrorKind::NoConfiguration, "a newer configuration may hold the key");
+            return NotBegun::Unprepared(HoldCause::OldConfiguration, verdict);
+        }
+        NotBegun::Refused(refused(ErrorKind::Unauthorized, refusal.detail()))
+    })
+}
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -126,6 +126,7 @@
             attempt,
             searcher: searcher_key,
             instance: searcher.entry.instance.clone(),
+            identity: request.identity(),
             address: searcher.entry.address,
             distance: self.place.distance(&searcher.entry.zone),
             deadline: request.deadline + DEADLINE_GUARD,
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -9,6 +9,7 @@
 use crate::request::{Arrival, AttemptOutcome, Verdict};
 use crate::selection::Distance;
 use crate::table::RouteTable;
+use crate::tenants::SentIdentity;
 use hashbrown::HashMap;
 use staircross_types::BootTime;
 use std::net::SocketAddr;
@@ -240,6 +241,8 @@
     pub searcher: SearcherKey,
     /// Its run.
     pub instance: Arc<str>,
+    /// Whom the searcher is told that the request is for.
+    pub identity: SentIdentity,
     /// Where it listens.
     pub address: SocketAddr,
     /// How far it is.
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -68,4 +68,4 @@
 pub use report::{ReportedLoad, SearcherReport};
 pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
 pub use table::RouteTable;
-pub use tenants::{Credential, KeyDigest, TenantDefinition};
+pub use tenants::{Credential, KeyDigest, KeyRefusal, SentIdentity, TenantDefinition};
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -1,9 +1,10 @@
 //! State of one request in flight.
 
 use crate::definition::{GatherTarget, RouteDefinition};
-use crate::keys::{ContentKey, RequestKey, SearcherKey};
+use crate::keys::{ContentKey, RequestKey, SearcherKey, TenantKey};
 use crate::report::SearcherReport;
 use crate::table::RouteTable;
+use crate::tenants::{Credential, SentIdentity, TenantDefinition};
 use serde::{Deserialize, Serialize};
 use staircross_http::HeaderBlock;
 use staircross_types::{BootTime, ErrorKind};
@@ -33,6 +34,9 @@
     pub link: CallerLink,
     /// What it asks for.
     pub content: ContentKey,
+    /// What it proves itself with.
+    #[serde(default)]
+    pub credential: Credential,
 }
 
 /// What is known of a caller's connection.
@@ -287,6 +291,8 @@
     /// The configuration that the request began with; all its parts come from there.
     pub table: Arc<RouteTable>,
     pub route_index: usize,
+    /// Whose it is by that configuration, for all its attempts.
+    pub tenant: Option<TenantKey>,
     pub shards: Vec<Shard>,
     pub attempts: Vec<Attempt>,
     /// When a partial answer goes out rather than none in time.
@@ -309,6 +315,18 @@
         &self.table.definition().routes[self.route_index]
     }
 
+    pub fn tenant(&self) -> Option<&TenantDefinition> {
+        self.table.tenant(self.tenant?)
+    }
+
+    pub fn identity(&self) -> SentIdentity {
+        match self.tenant() {
+            Some(tenant) => SentIdentity::Tenant(tenant.name.clone()),
+            None if self.table.definition().tenants.is_empty() => SentIdentity::Unmanaged,
+            None => SentIdentity::Anonymous,
+        }
+    }
+
     pub fn gather(&self) -> Option<&GatherTarget> {
         match &self.route().target {
             crate::definition::RouteTarget::Gather(gather) => Some(gather),
--- a/crates/staircross-routing/src/table.rs
+++ b/crates/staircross-routing/src/table.rs
@@ -1,6 +1,8 @@
 //! Which route a request takes.
 
-use crate::definition::RoutingDefinition;
+use crate::definition::{RouteDefinition, RoutingDefinition};
+use crate::keys::TenantKey;
+use crate::tenants::{Credential, KeyDigest, KeyRefusal, TenantDefinition};
 use hashbrown::HashMap;
 use std::sync::Arc;
 
@@ -10,6 +12,7 @@
     definition: Arc<RoutingDefinition>,
     /// Per host, indices of its routes, longest prefix first.
     by_host: HashMap<Arc<str>, Vec<u32>>,
+    by_key: HashMap<KeyDigest, TenantKey>,
 }
 
 impl RouteTable {
@@ -25,7 +28,32 @@
                 std::cmp::Reverse(route.path_prefix.len())
             });
         }
-        RouteTable { definition, by_host }
+        let mut by_key = HashMap::new();
+        for (index, tenant) in definition.tenants.iter().enumerate() {
+            for key in &tenant.keys {
+                // A key that two tenants hold is the first one's, at all nodes.
+                by_key.entry(*key).or_insert(TenantKey(index as u32));
+            }
+        }
+        RouteTable { definition, by_host, by_key }
+    }
+
+    /// A tenant of this version.
+    pub fn tenant(&self, key: TenantKey) -> Option<&TenantDefinition> {
+        self.definition.tenants.get(key.0 as usize)
+    }
+
+    /// Whose a request to a route is. `None` where it needs to be nobody's: there are no tenants, or the route is public.
+    pub fn judge(&self, route: &RouteDefinition, credential: Credential) -> Result<Option<TenantKey>, KeyRefusal> {
+        if self.definition.tenants.is_empty() {
+            return Ok(None);
+        }
+        match credential {
+            Credential::Missing if route.is_public => Ok(None),
+            Credential::Missing => Err(KeyRefusal::Missing),
+            Credential::Malformed => Err(KeyRefusal::Malformed),
+            Credential::Key(digest) => self.by_key.get(&digest).copied().map(Some).ok_or(KeyRefusal::Unknown),
+        }
     }
 
     /// The definition.
--- a/crates/staircross-routing/src/tenants.rs
+++ b/crates/staircross-routing/src/tenants.rs
@@ -56,6 +56,39 @@
     Malformed,
 }
 
+/// Why a credential lets nobody in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyRefusal {
+    /// There is none.
+    Missing,
+    /// No tenant holds the key.
+    Unknown,
+    /// It is no key.
+    Malformed,
+}
+
+impl KeyRefusal {
+    /// What the caller is told.
+    pub fn detail(self) -> &'static str {
+        match self {
+            KeyRefusal::Missing => "the request carries no key",
+            KeyRefusal::Unknown => "no tenant holds the key",
+            KeyRefusal::Malformed => "the request carries more than one key, or one that is none",
+        }
+    }
+}
+
+/// Whom a searcher is told that a request is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SentIdentity {
+    /// There are no tenants: what the caller says of itself goes on as it is.
+    Unmanaged,
+    /// Nobody: the route is public, and the request brings no key.
+    Anonymous,
+    /// A tenant.
+    Tenant(Arc<str>),
+}
+
 /// One tenant in one version of the configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TenantDefinition {
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -11,10 +11,10 @@
 use staircross_routing::recording::{Decision, RecordedEvent, RecordedTurn};
 use staircross_routing::window::ExtraBound;
 use staircross_routing::{
-    Arrival, AttemptKey, AttemptOutcome, CallerLimits, CallerLink, ColdBound, ColdStart, ContentKey, RequestKey,
-    RouteDefinition, RouteTable, RouteTarget, RoutingAction, RoutingDefinition, RoutingEngine, RoutingEvent,
-    RoutingPolicy, RoutingSettings, SearcherAnswer, SearcherEntry, SearcherReport, ServiceEntry, SuspicionChange,
-    Verdict,
+    Arrival, AttemptKey, AttemptOutcome, CallerLimits, CallerLink, ColdBound, ColdStart, ContentKey, Credential,
+    RequestKey, RouteDefinition, RouteTable, RouteTarget, RoutingAction, RoutingDefinition, RoutingEngine,
+    RoutingEvent, RoutingPolicy, RoutingSettings, SearcherAnswer, SearcherEntry, SearcherReport, ServiceEntry,
+    SuspicionChange, Verdict,
 };
 use staircross_types::BootTime;
 use std::sync::Arc;
@@ -218,6 +218,7 @@
             link: CallerLink::default(),
             // Each asks for something else, unless a test says otherwise.
             content: ContentKey(key.0),
+            credential: Credential::Missing,
         }
     }
 
--- a/crates/staircross-types/src/errors.rs
+++ b/crates/staircross-types/src/errors.rs
@@ -71,6 +71,7 @@
     BadTicket, "bad_ticket", 409, Never, None, "The ticket wasn't minted for this session.";
     PullInterrupted, "pull_interrupted", 409, Never, None, "The snapshot that the pages come from is gone; start the pull anew.";
     NoRoute, "no_route", 404, Never, None, "No route of the configuration in force has this host and path.";
+    Unauthorized, "unauthorized", 401, Never, None, "The request carries no key that the configuration in force holds.";
     RevisionConflict, "revision_conflict", 409, Never, None, "The configuration changed since the revision that the change was based on.";
     InvalidConfiguration, "invalid_configuration", 422, Never, None, "The change would make the configuration invalid.";
     Overloaded, "overloaded", 503, Never, Some(250), "Refused early: the service has no room now.";
