Have a reader find out soon that a store which was away serves it again

Ruled out: a longer wait of followers (they'd learn later of what was withdrawn meanwhile). Change: a renewed watch begins without failures, and the next probe comes 150 ms after the store's return.

--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -20,6 +20,11 @@
 use lane::{LaneReader, LaneState};
 use rand_chacha::ChaCha8Rng;
 use staircross_types::BootTime;
+use std::time::Duration;
+
+/// Time from a store's return to the next sign of life. Nodes that follow a reader wait for its word that the store serves it for a third of the
+/// silence that they bear; those that hear none all read by themselves, some ten calls each. A watch is begun within milliseconds.
+const CONFIRMATION: Duration = Duration::from_millis(150);
 
 /// Decides about calls to the store.
 #[derive(Debug)]
@@ -212,10 +217,12 @@
             (_, true, false) => usual,
             (_, false, _) => while_away,
         };
+        let is_back = is_alive && self.was_away;
+        // The next sign shows that the watches renewed below are held.
+        let wait = if is_back { wait.min(CONFIRMATION) } else { wait };
         let probe = self.lane_mut(Lane::Probe);
         probe.state = LaneState::Resting { until: now + wait };
         probe.set_reachable(is_alive, actions);
-        let is_back = is_alive && self.was_away;
         self.was_away = !is_alive;
         if is_back {
             self.renew_watches(now, actions);
@@ -239,8 +246,10 @@
             if lane.lane != Lane::Probe && lane.state == LaneState::Calling {
                 actions.push(ReaderAction::Cancel { lane: lane.lane });
                 lane.state = LaneState::Resting { until: now };
+                lane.failures = 0;
             } else if lane.state == LaneState::AwaitingSign {
                 lane.state = LaneState::Resting { until: now };
+                lane.failures = 0;
             }
         }
     }
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -527,6 +527,28 @@
     }
 }
 
+#[test]
+fn a_reader_that_others_rely_on_says_soon_that_a_store_which_was_away_serves_it_again() {
+    let mut store = Store::new();
+    let lanes = [Lane::Configuration, Lane::Searchers];
+    store.reader.set_has_followers(store.now, true);
+    for lane in lanes {
+        store.calls(0, lane);
+        store.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        store.calls(0, lane);
+    }
+    store.calls(0, Lane::Probe);
+    store.fail(Lane::Probe);
+    lanes.iter().for_each(|lane| store.fail(*lane));
+    assert!(!store.calls(2000, Lane::Probe).is_empty());
+    store.reply(Lane::Probe, StoreReply::Alive);
+    assert!(!store.reader.is_reachable(), "nothing shows yet that the watches are held");
+    lanes.iter().for_each(|lane| assert_eq!(store.calls(0, *lane).len(), 1));
+    assert!(!store.calls(200, Lane::Probe).is_empty(), "followers that wait longer all read by themselves");
+    store.reply(Lane::Probe, StoreReply::Alive);
+    assert!(store.reader.is_reachable(), "nothing has changed, so the watches are held without a word");
+}
+
 #[test]
 fn a_store_that_answers_is_probed_seldom_and_its_watches_are_left_alone() {
     let mut store = Store::new();
