Tell the starts of a searcher under one id apart

Cause: the instance id was the searcher. Leaving was final for an id, so its next start was never asked; a drain written late by an earlier start closed the later one; losses of several starts counted as one, and an answer of the next start cleared the loss of the one before, so a content that ends a searcher at each start was never quarantined; an entry that named another service left the searcher listed for the earlier one too; a peer that asked for all wasn't told ends that came after the listing. Ruled out: the revision alone decides (the late write of an earlier start closes the later until it writes again); the start alone decides for ever (a searcher whose clock was set back is never asked again, also when the later start's entry has gone). Change: what is known under an id is a join of the newest end and of the entries written after it that no other outdoes in start and revision (`known_entries`); the latest start holds. In the engine a start is a searcher of its own: key, connections, statistics, losses anew; what was sent to the start before while cold still counts. Searchers' handling has its own file (`engine/searchers.rs`). One of those that passed before (failures of the earlier start) couldn't have failed as first written; it is rewritten with two searchers.

--- a/crates/staircross-gateway/src/node/change_log.rs
+++ b/crates/staircross-gateway/src/node/change_log.rs
@@ -98,8 +98,8 @@
         }
         for entry in &changes.searchers {
             let line = format_args!(
-                "event=searcher instance={} service={} address={} draining={} cold_ms={} source={source}",
-                entry.instance, entry.service, entry.address, entry.is_draining, entry.cold_ms
+                "event=searcher instance={} born={} service={} address={} draining={} cold_ms={} source={source}",
+                entry.instance, entry.born_ms, entry.service, entry.address, entry.is_draining, entry.cold_ms
             );
             self.log.line(self.now, LineKind::Belief, line);
         }
--- a/crates/staircross-routing/src/cold.rs
+++ b/crates/staircross-routing/src/cold.rs
@@ -57,7 +57,7 @@
 }
 
 /// Sends to one searcher while it was cold.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ColdSends {
     times: VecDeque<BootTime>,
 }
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -9,18 +9,18 @@
 mod dispatch;
 mod outcome;
 mod overload;
+mod searchers;
 mod settle;
 mod suspicion;
 mod waiting;
 
 use crate::admission::{UsualWork, Wait};
 use crate::cold::{ColdBound, FleetRank};
-use crate::definition::{ColdStart, RouteDefinition, RouteTarget, ServiceEntry};
+use crate::definition::{RouteDefinition, RouteTarget, ServiceEntry};
 pub use crate::engine_message::{
     AbandonCause, HoldCause, LeftOutCause, ReportedAt, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
 };
-use crate::keys::{AttemptKey, ContentKey, RequestKey, SearcherKey};
-use crate::mirror::SearcherEntry;
+use crate::keys::{AttemptKey, ContentKey, Incarnation, RequestKey, SearcherKey};
 use crate::policy::RoutingPolicy;
 use crate::quarantine::Quarantine;
 use crate::request::Request;
@@ -41,8 +41,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Connections that a searcher of an unlisted service is taken to accept.
-const DEFAULT_MAX_CONNECTIONS: u32 = 32;
 /// Part of a route's goal that its usual work is taken to be before there are measurements.
 const WORK_PART_OF_GOAL: u32 = 8;
 
@@ -129,7 +127,9 @@
     pub(crate) slack_part: f64,
     pub(crate) table: Option<Arc<RouteTable>>,
     pub(crate) searchers: Vec<Searcher>,
+    /// The start that holds of each id.
     by_instance: HashMap<Arc<str>, SearcherKey>,
+    by_incarnation: HashMap<Incarnation, SearcherKey>,
     pub(crate) by_service: HashMap<Arc<str>, Vec<SearcherKey>>,
     services: HashMap<Arc<str>, ServiceEntry>,
     /// Zones whose searchers get no new work.
@@ -174,6 +174,7 @@
             table: None,
             searchers: Vec::new(),
             by_instance: HashMap::new(),
+            by_incarnation: HashMap::new(),
             by_service: HashMap::new(),
             services: HashMap::new(),
             evacuated: Vec::new(),
@@ -289,70 +290,6 @@
         self.table = Some(table);
     }
 
-    fn set_searchers(&mut self, now: BootTime, entries: Vec<SearcherEntry>, actions: &mut Vec<RoutingAction>) {
-        let mut services: Vec<Arc<str>> = entries.iter().map(|entry| entry.service.clone()).collect();
-        entries.into_iter().for_each(|entry| self.set_searcher(now, entry));
-        services.sort_unstable();
-        services.dedup();
-        services.iter().for_each(|service| self.serve_waiting(now, service, actions));
-    }
-
-    fn set_searcher(&mut self, now: BootTime, entry: SearcherEntry) {
-        let service = entry.service.clone();
-        let key = match self.by_instance.get(&entry.instance) {
-            Some(key) => {
-                self.searchers[key.0 as usize].update(now, entry);
-                *key
-            }
-            None => {
-                let key = SearcherKey(self.searchers.len() as u32);
-                self.by_instance.insert(entry.instance.clone(), key);
-                let searcher = self.new_searcher(now, entry);
-                self.searchers.push(searcher);
-                key
-            }
-        };
-        let peers = self.by_service.entry(service).or_default();
-        peers.retain(|known| *known != key && self.searchers[known.0 as usize].is_listed(now));
-        if self.searchers[key.0 as usize].is_serving() {
-            peers.push(key);
-        }
-    }
-
-    fn new_searcher(&self, now: BootTime, entry: SearcherEntry) -> Searcher {
-        let service = self.services.get(&entry.service);
-        let is_evacuated = self.evacuated.contains(&entry.zone);
-        let most = service.map_or(DEFAULT_MAX_CONNECTIONS, |service| service.max_connections);
-        let mut searcher = Searcher::new(now, entry, most);
-        searcher.cold_start = service.map_or(ColdStart::default(), |service| service.cold_start);
-        searcher.set_evacuated(now, is_evacuated);
-        searcher
-    }
-
-    /// Takes which zones' searchers get no new work; whoever waits for one that may be asked again gets its chance.
-    fn set_evacuated(&mut self, now: BootTime, zones: Vec<Arc<str>>, actions: &mut Vec<RoutingAction>) {
-        self.evacuated = zones;
-        for searcher in &mut self.searchers {
-            let is_evacuated = self.evacuated.contains(&searcher.entry.zone);
-            searcher.set_evacuated(now, is_evacuated);
-        }
-        let services: Vec<Arc<str>> = self.waiting.keys().cloned().collect();
-        services.iter().for_each(|service| self.serve_waiting(now, service, actions));
-    }
-
-    fn set_lapsed(&mut self, now: BootTime, instance: &Arc<str>) {
-        let Some(key) = self.by_instance.get(instance).copied() else {
-            return;
-        };
-        let until = now + self.settings.lapse_grace;
-        let searcher = &mut self.searchers[key.0 as usize];
-        searcher.mark_lapsed(until);
-        let service = searcher.entry.service.clone();
-        if let Some(peers) = self.by_service.get_mut(&service) {
-            peers.retain(|known| self.searchers[known.0 as usize].is_listed(now));
-        }
-    }
-
     /// Searchers of a service that requests of a route may be sent to, room and trials aside.
     pub(crate) fn askable(
         &self,
@@ -365,15 +302,6 @@
         known.filter(move |(_, searcher)| searcher.may_be_asked(now) && self.place.allows(route, searcher))
     }
 
-    /// The run at an address is no longer the one that was asked for.
-    pub(crate) fn forget_serving(&mut self, key: SearcherKey) {
-        let searcher = &mut self.searchers[key.0 as usize];
-        searcher.mark_gone();
-        if let Some(peers) = self.by_service.get_mut(&searcher.entry.service) {
-            peers.retain(|known| *known != key);
-        }
-    }
-
     pub(crate) fn statistics(&mut self, route: &Arc<str>, goal: Duration) -> &mut RouteStatistics {
         self.routes.entry(route.clone()).or_insert_with(|| RouteStatistics {
             work: LatencyTracker::new(goal / WORK_PART_OF_GOAL, None),
--- /dev/null
+++ b/crates/staircross-routing/src/engine/searchers.rs
@@ -0,0 +1,116 @@
+//! Which searchers the engine knows, and which of them are listed for a service.
+
+use super::{RoutingAction, RoutingEngine};
+use crate::definition::ColdStart;
+use crate::keys::{Incarnation, SearcherKey};
+use crate::mirror::SearcherEntry;
+use crate::searcher::Searcher;
+use staircross_types::BootTime;
+use std::sync::Arc;
+
+/// Connections that a searcher of an unlisted service is taken to accept.
+const DEFAULT_MAX_CONNECTIONS: u32 = 32;
+
+impl RoutingEngine {
+    pub(super) fn set_searchers(
+        &mut self,
+        now: BootTime,
+        entries: Vec<SearcherEntry>,
+        actions: &mut Vec<RoutingAction>,
+    ) {
+        let mut services: Vec<Arc<str>> = entries.iter().map(|entry| entry.service.clone()).collect();
+        entries.into_iter().for_each(|entry| self.set_searcher(now, entry));
+        services.sort_unstable();
+        services.dedup();
+        services.iter().for_each(|service| self.serve_waiting(now, service, actions));
+    }
+
+    /// A start that isn't known yet is a searcher of its own, and that of the same id before it is asked no more. Which of two starts
+    /// holds was decided by whoever tells of it.
+    fn set_searcher(&mut self, now: BootTime, entry: SearcherEntry) {
+        let service = entry.service.clone();
+        let instance = entry.instance.clone();
+        let before = self.by_instance.get(&instance).copied();
+        let incarnation = Incarnation { instance: instance.clone(), born_ms: entry.born_ms };
+        let key = match self.by_incarnation.get(&incarnation).copied() {
+            Some(key) => {
+                // Its entry may name another service than before.
+                self.unlist(key);
+                self.searchers[key.0 as usize].update(now, entry);
+                key
+            }
+            None => self.add_searcher(now, incarnation, entry, before),
+        };
+        if let Some(earlier) = before.filter(|earlier| *earlier != key) {
+            self.forget_serving(earlier);
+        }
+        self.by_instance.insert(instance, key);
+        let peers = self.by_service.entry(service).or_default();
+        peers.retain(|known| self.searchers[known.0 as usize].is_listed(now));
+        if self.searchers[key.0 as usize].is_serving() {
+            peers.push(key);
+        }
+    }
+
+    fn add_searcher(
+        &mut self,
+        now: BootTime,
+        incarnation: Incarnation,
+        entry: SearcherEntry,
+        before: Option<SearcherKey>,
+    ) -> SearcherKey {
+        let key = SearcherKey(self.searchers.len() as u32);
+        let sends = before.map(|earlier| self.searchers[earlier.0 as usize].cold_sends().clone());
+        let searcher = self.new_searcher(now, entry).with_cold_sends(sends.unwrap_or_default());
+        self.searchers.push(searcher);
+        self.by_incarnation.insert(incarnation, key);
+        key
+    }
+
+    fn new_searcher(&self, now: BootTime, entry: SearcherEntry) -> Searcher {
+        let service = self.services.get(&entry.service);
+        let is_evacuated = self.evacuated.contains(&entry.zone);
+        let most = service.map_or(DEFAULT_MAX_CONNECTIONS, |service| service.max_connections);
+        let mut searcher = Searcher::new(now, entry, most);
+        searcher.cold_start = service.map_or(ColdStart::default(), |service| service.cold_start);
+        searcher.set_evacuated(now, is_evacuated);
+        searcher
+    }
+
+    /// Takes which zones' searchers get no new work; whoever waits for one that may be asked again gets its chance.
+    pub(super) fn set_evacuated(&mut self, now: BootTime, zones: Vec<Arc<str>>, actions: &mut Vec<RoutingAction>) {
+        self.evacuated = zones;
+        for searcher in &mut self.searchers {
+            let is_evacuated = self.evacuated.contains(&searcher.entry.zone);
+            searcher.set_evacuated(now, is_evacuated);
+        }
+        let services: Vec<Arc<str>> = self.waiting.keys().cloned().collect();
+        services.iter().for_each(|service| self.serve_waiting(now, service, actions));
+    }
+
+    pub(super) fn set_lapsed(&mut self, now: BootTime, instance: &Arc<str>) {
+        let Some(key) = self.by_instance.get(instance).copied() else {
+            return;
+        };
+        let until = now + self.settings.lapse_grace;
+        let searcher = &mut self.searchers[key.0 as usize];
+        searcher.mark_lapsed(until);
+        let service = searcher.entry.service.clone();
+        if let Some(peers) = self.by_service.get_mut(&service) {
+            peers.retain(|known| self.searchers[known.0 as usize].is_listed(now));
+        }
+    }
+
+    /// Whoever is at its address is no longer the one that was asked for.
+    pub(crate) fn forget_serving(&mut self, key: SearcherKey) {
+        self.searchers[key.0 as usize].mark_gone();
+        self.unlist(key);
+    }
+
+    fn unlist(&mut self, key: SearcherKey) {
+        let service = &self.searchers[key.0 as usize].entry.service;
+        if let Some(peers) = self.by_service.get_mut(service) {
+            peers.retain(|known| *known != key);
+        }
+    }
+}
--- a/crates/staircross-routing/src/keys.rs
+++ b/crates/staircross-routing/src/keys.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use xxhash_rust::xxh3::xxh3_64;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Number of a request, unique within the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -35,13 +36,22 @@
     }
 }
 
-/// A searcher's run, alike on all nodes: a digest of its instance id.
+/// One start of a searcher under its id.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Incarnation {
+    /// The id.
+    pub instance: Arc<str>,
+    /// Unix milliseconds of the start; 0 where it isn't known.
+    pub born_ms: u64,
+}
+
+/// One start of a searcher, alike on all nodes: a digest of its id and its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct InstanceKey(pub u64);
 
 impl InstanceKey {
-    /// The key of an instance id.
-    pub fn of(instance: &str) -> Self {
-        InstanceKey(xxh3_64(instance.as_bytes()))
+    /// The key of a start in Unix milliseconds, 0 where it isn't known.
+    pub fn of(instance: &str, born_ms: u64) -> Self {
+        InstanceKey(xxh3_64_with_seed(instance.as_bytes(), born_ms))
     }
 }
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`definition`] | what one version of the configuration says |
 //! | [`definition_delta`] | what differs between two versions, for peers |
 //! | [`known_configuration`] | the configuration known here, and how much of it a peer is told |
+//! | `known_entries` | what is known of the entries under one searcher's id |
 //! | [`tenants`] | whose requests are taken, and by which keys |
 //! | [`table`] | which route a request takes |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
@@ -42,6 +43,7 @@
 pub mod goal;
 pub mod keys;
 pub mod known_configuration;
+mod known_entries;
 pub mod merge;
 pub mod mirror;
 pub mod policy;
@@ -61,7 +63,7 @@
 pub use cold::ColdBound;
 pub use definition::{CallerLimits, ColdStart, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
-pub use keys::{AttemptKey, ContentKey, InstanceKey, RequestKey, SearcherKey, TenantKey};
+pub use keys::{AttemptKey, ContentKey, Incarnation, InstanceKey, RequestKey, SearcherKey, TenantKey};
 pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, TakenConfiguration};
 pub use policy::RoutingPolicy;
 pub use quarantine::{CaseRecord, Suspicion, SuspicionChange};
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -1,13 +1,14 @@
 //! What this node knows of the platform's store.
 //!
-//! Each item carries the revision of its last change. Items are merged by revision, never by the
-//! order in which they arrive, so it doesn't matter whether they come from the store or from a peer.
+//! Each item carries the revision of its last change. Items are merged by revision, searchers' entries by their start too, and
+//! never by the order in which they arrive, so it doesn't matter whether they come from the store or from a peer.
 
 use crate::definition::RoutingDefinition;
 use crate::definition_delta::DefinitionDelta;
 use crate::evacuations::{Evacuations, ZoneChange};
 pub use crate::known_configuration::TakenConfiguration;
 use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
+use crate::known_entries::{KnownEntries, WrittenEntry};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,7 +20,7 @@
 /// What a searcher says of itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SearcherEntry {
-    /// The run of the searcher.
+    /// The searcher's id.
     pub instance: Arc<str>,
     /// Service that it serves.
     pub service: Arc<str>,
@@ -33,6 +34,14 @@
     pub is_draining: bool,
     /// Milliseconds that it stays slow after it wrote the entry.
     pub cold_ms: u64,
+    /// Unix milliseconds of its start, which tells its runs under one id apart; 0 where it isn't known.
+    #[serde(default, skip_serializing_if = "is_unknown")]
+    pub born_ms: u64,
+}
+
+/// Many searchers don't tell their start.
+fn is_unknown(born_ms: &u64) -> bool {
+    *born_ms == 0
 }
 
 /// One item of the store with its revision.
@@ -55,7 +64,7 @@
     },
     /// A searcher's entry has gone.
     SearcherGone {
-        /// The run whose entry it was.
+        /// The id of the searcher.
         instance: Arc<str>,
     },
     /// The searchers of a zone are to get no new work, or may get it again.
@@ -103,7 +112,7 @@
     pub takes: TakenConfiguration,
 }
 
-/// What a merge changed: how things stand after it. No run is both among the searchers and among those
+/// What a merge changed: how things stand after it. No id is both among the searchers and among those
 /// that are gone, whatever happened to it on the way.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MirrorChanges {
@@ -117,8 +126,8 @@
     pub evacuated: Option<Vec<Arc<str>>>,
 }
 
-/// Changes while a merge goes on. An update may tell several of one run; the last counts, but for that a
-/// run which once said that it leaves goes on leaving.
+/// Changes while a merge goes on. An update may tell several of one id; how things stand after it counts, but for that a
+/// start which once said that it leaves goes on leaving.
 #[derive(Default)]
 struct Touched {
     configuration: Option<Arc<RoutingDefinition>>,
@@ -128,44 +137,40 @@
 
 #[derive(Default)]
 struct TouchedSearcher {
-    entry: Option<SearcherEntry>,
-    has_drained: bool,
+    /// Revision of the entry that held before the merge.
+    before: Option<u64>,
+    /// Starts that said that they leave.
+    draining: Vec<u64>,
 }
 
 impl Touched {
-    fn note_searcher(&mut self, entry: SearcherEntry) {
-        let touched = self.searchers.entry(entry.instance.clone()).or_default();
-        touched.has_drained |= entry.is_draining;
-        touched.entry = Some(SearcherEntry { is_draining: touched.has_drained, ..entry });
-    }
-
-    fn note_gone(&mut self, instance: Arc<str>) {
-        self.searchers.entry(instance).or_default().entry = None;
+    fn note(&mut self, instance: Arc<str>, before: Option<u64>) -> &mut TouchedSearcher {
+        self.searchers.entry(instance).or_insert(TouchedSearcher { before, draining: Vec::new() })
     }
 
-    fn into_changes(self) -> MirrorChanges {
+    fn into_changes(self, known: &BTreeMap<Arc<str>, KnownEntries>) -> MirrorChanges {
         let mut changes = MirrorChanges { configuration: self.configuration, ..MirrorChanges::default() };
         for (instance, touched) in self.searchers {
-            match touched.entry {
-                Some(entry) => changes.searchers.push(entry),
-                None => changes.gone.push(instance),
+            let after = known.get(&instance).and_then(KnownEntries::current);
+            match (touched.before, after) {
+                (before, Some(after)) if before != Some(after.revision) => {
+                    let has_drained = touched.draining.contains(&after.entry.born_ms);
+                    let is_draining = after.entry.is_draining || has_drained;
+                    changes.searchers.push(SearcherEntry { is_draining, ..after.entry.clone() });
+                }
+                (Some(_), None) => changes.gone.push(instance),
+                (_, Some(_)) | (None, None) => {}
             }
         }
         changes
     }
 }
 
-#[derive(Clone, Debug)]
-struct Held {
-    revision: u64,
-    entry: Option<SearcherEntry>,
-}
-
 /// A copy of what the store holds, as far as it is known.
 #[derive(Debug, Default)]
 pub struct Mirror {
     configuration: KnownConfiguration,
-    searchers: BTreeMap<Arc<str>, Held>,
+    searchers: BTreeMap<Arc<str>, KnownEntries>,
     evacuations: Evacuations,
     up_to: u64,
     newest: u64,
@@ -218,7 +223,7 @@
 
     /// Searchers with an entry.
     pub fn searchers(&self) -> impl Iterator<Item = &SearcherEntry> {
-        self.searchers.values().filter_map(|held| held.entry.as_ref())
+        self.searchers.values().filter_map(KnownEntries::current).map(|known| &known.entry)
     }
 
     /// Merges an update and tells what was news.
@@ -260,7 +265,7 @@
         self.up_to = self.up_to.max(update.up_to);
         self.forget_old_tombstones();
         let evacuated = touched.has_evacuations.then(|| self.evacuations.active());
-        MirrorChanges { evacuated, ..touched.into_changes() }
+        MirrorChanges { evacuated, ..touched.into_changes(&self.searchers) }
     }
 
     /// Everything that a peer lacks, but for a large configuration that it doesn't take.
@@ -271,16 +276,13 @@
         if let Some((at, news)) = self.configuration.news_for(peer.version, peer.takes) {
             items.push((at, news.into()));
         }
-        for (instance, held) in &self.searchers {
-            let is_news = is_complete || held.revision > revision;
-            match &held.entry {
-                Some(entry) if is_news => {
-                    items.push((held.revision, MirrorItem::Searcher { entry: entry.clone() }));
-                }
-                None if is_news && !is_complete => {
-                    items.push((held.revision, MirrorItem::SearcherGone { instance: instance.clone() }));
-                }
-                Some(_) | None => {}
+        for (instance, known) in &self.searchers {
+            let news = known.standing().iter().filter(|known| is_complete || known.revision > revision);
+            items.extend(news.map(|known| (known.revision, MirrorItem::Searcher { entry: known.entry.clone() })));
+            // A whole listing says by itself what had gone by then, but not of ids that it lists.
+            let is_said = is_complete && known.standing().is_empty() && known.ended_at() <= self.up_to;
+            if known.ended_at() > revision && !is_said {
+                items.push((known.ended_at(), MirrorItem::SearcherGone { instance: instance.clone() }));
             }
         }
         items.extend(self.evacuations.changes_after(peer.evacuations).map(|change| {
@@ -291,51 +293,52 @@
     }
 
     fn take_searcher(&mut self, revision: u64, entry: SearcherEntry, touched: &mut Touched) {
-        if self.searchers.get(&entry.instance).is_some_and(|held| held.revision >= revision) {
+        let known = self.searchers.entry(entry.instance.clone()).or_default();
+        let before = known.current().map(|known| known.revision);
+        let (instance, born_ms, is_draining) = (entry.instance.clone(), entry.born_ms, entry.is_draining);
+        if !known.take(WrittenEntry { revision, entry }) {
             return;
         }
         self.newest = self.newest.max(revision);
-        touched.note_searcher(entry.clone());
-        self.searchers.insert(entry.instance.clone(), Held { revision, entry: Some(entry) });
+        let touched = touched.note(instance, before);
+        if is_draining {
+            touched.draining.push(born_ms);
+        }
     }
 
     fn take_gone(&mut self, revision: u64, instance: Arc<str>, touched: &mut Touched) {
-        let known = self.searchers.get(&instance);
-        if known.is_some_and(|held| held.revision >= revision) {
-            return;
-        }
-        if known.is_some_and(|held| held.entry.is_some()) {
-            touched.note_gone(instance.clone());
+        let known = self.searchers.entry(instance.clone()).or_default();
+        let before = known.current().map(|known| known.revision);
+        if known.end(revision) {
+            self.newest = self.newest.max(revision);
+            touched.note(instance, before);
         }
-        self.newest = self.newest.max(revision);
-        self.searchers.insert(instance, Held { revision, entry: None });
     }
 
     /// A whole listing at a revision leaves out what had gone by then.
     fn drop_unlisted(&mut self, at: u64, listed: &[Arc<str>], touched: &mut Touched) {
-        for (instance, held) in &mut self.searchers {
-            let is_listed = listed.binary_search(instance).is_ok();
-            if is_listed || held.entry.is_none() || held.revision > at {
+        for (instance, known) in &mut self.searchers {
+            if listed.binary_search(instance).is_ok() || !known.stands_at(at) {
                 continue;
             }
-            held.entry = None;
-            held.revision = at;
+            let before = known.current().map(|known| known.revision);
+            known.end(at);
             self.newest = self.newest.max(at);
-            touched.note_gone(instance.clone());
+            touched.note(instance.clone(), before);
         }
         self.tombstones_from = self.tombstones_from.max(at.saturating_sub(1));
     }
 
     fn forget_old_tombstones(&mut self) {
-        let count = self.searchers.values().filter(|held| held.entry.is_none()).count();
-        if count <= MAX_TOMBSTONES {
+        let is_tombstone = |known: &KnownEntries| known.standing().is_empty();
+        let tombstones = self.searchers.values().filter(|known| is_tombstone(known));
+        let mut revisions: Vec<u64> = tombstones.map(KnownEntries::ended_at).collect();
+        if revisions.len() <= MAX_TOMBSTONES {
             return;
         }
-        let mut revisions: Vec<u64> =
-            self.searchers.values().filter(|held| held.entry.is_none()).map(|held| held.revision).collect();
         revisions.sort_unstable();
-        let horizon = revisions[count / 2];
-        self.searchers.retain(|_, held| held.entry.is_some() || held.revision > horizon);
+        let horizon = revisions[revisions.len() / 2];
+        self.searchers.retain(|_, known| !is_tombstone(known) || known.ended_at() > horizon);
         self.tombstones_from = self.tombstones_from.max(horizon);
     }
 }
--- a/crates/staircross-routing/src/searcher.rs
+++ b/crates/staircross-routing/src/searcher.rs
@@ -1,7 +1,7 @@
 //! What is known of one searcher: its entry, its load as seen from here, its speed, its failures.
 //!
 //! Of its reports, the slowness of its host counts for a moment, and its queue only in the log. A searcher
-//! that has gone or is leaving is never asked again.
+//! that has gone or is leaving is never asked again; when it starts again under its id, that is another searcher.
 
 use crate::cold::ColdSends;
 use crate::decay::kept_part;
@@ -76,12 +76,12 @@
     Gone,
 }
 
-/// One run of a searcher.
+/// One start of a searcher.
 #[derive(Debug)]
 pub struct Searcher {
     /// Its entry, as last known.
     pub entry: SearcherEntry,
-    /// Its run, as other nodes are told of it.
+    /// Its start, as other nodes are told of it.
     pub instance_key: InstanceKey,
     /// Whether it may be asked.
     pub standing: Standing,
@@ -116,7 +116,7 @@
         let standing = if entry.is_draining { Standing::Draining } else { Standing::Serving };
         let cold_until = now + Duration::from_millis(entry.cold_ms);
         Searcher {
-            instance_key: InstanceKey::of(&entry.instance),
+            instance_key: InstanceKey::of(&entry.instance, entry.born_ms),
             entry,
             standing,
             open: Vec::new(),
@@ -138,7 +138,12 @@
         }
     }
 
-    /// Takes a newer entry of the same run. Leaving is final; coming back after a lapse isn't.
+    /// The same, counting what was sent to the start before it while that was cold: it may have reached this one.
+    pub fn with_cold_sends(self, cold_sends: ColdSends) -> Self {
+        Searcher { cold_sends, ..self }
+    }
+
+    /// Takes a newer entry of the same start. Leaving is final; coming back after a lapse isn't.
     pub fn update(&mut self, now: BootTime, entry: SearcherEntry) {
         let was_draining = self.standing == Standing::Draining;
         self.standing = if was_draining || entry.is_draining { Standing::Draining } else { Standing::Serving };
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -71,6 +71,7 @@
         slots: 5,
         is_draining: false,
         cold_ms: 0,
+        born_ms: 0,
     }
 }
 
--- /dev/null
+++ b/crates/staircross-routing/tests/incarnations.rs
@@ -0,0 +1,393 @@
+//! Searchers that start again under the id that they had: what nodes know of them, and whom the engine asks.
+
+mod common;
+
+use common::{Driver, answer, definition, gather, records, route, searcher};
+use proptest::prelude::*;
+use staircross_routing::mirror::MirrorChanges;
+use staircross_routing::request::Unknown;
+use staircross_routing::{
+    Arrival, AttemptOutcome, ColdStart, ContentKey, Mirror, MirrorItem, MirrorUpdate, NotRun, PeerKnowledge,
+    RequestKey, RouteTarget, RoutingEvent, SearcherEntry, ServiceEntry, TakenConfiguration,
+};
+use staircross_types::ErrorKind;
+use staircross_types::errors::Executed;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const BROKEN: AttemptOutcome = AttemptOutcome::Unknown(Unknown::Broken);
+const NOTHING_KNOWN: PeerKnowledge =
+    PeerKnowledge { revision: 0, version: 0, evacuations: 0, takes: TakenConfiguration::Any };
+
+/// The entry of a searcher of books at one of its starts.
+fn started(instance: &str, born_ms: u64) -> SearcherEntry {
+    SearcherEntry { born_ms, ..searcher(instance, "books", "a") }
+}
+
+fn draining(instance: &str, born_ms: u64) -> SearcherEntry {
+    SearcherEntry { is_draining: true, ..started(instance, born_ms) }
+}
+
+fn written(revision: u64, entry: SearcherEntry) -> (u64, MirrorItem) {
+    (revision, MirrorItem::Searcher { entry })
+}
+
+fn gone(revision: u64, instance: &str) -> (u64, MirrorItem) {
+    (revision, MirrorItem::SearcherGone { instance: Arc::from(instance) })
+}
+
+fn changes(items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
+    MirrorUpdate { items, ..MirrorUpdate::default() }
+}
+
+fn listing(at: u64, items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
+    MirrorUpdate { items, is_complete_for_searchers: true, up_to: at, ..MirrorUpdate::default() }
+}
+
+/// Who is known: id, start, whether leaving.
+fn view(mirror: &Mirror) -> Vec<(String, u64, bool)> {
+    mirror.searchers().map(|entry| (entry.instance.to_string(), entry.born_ms, entry.is_draining)).collect()
+}
+
+fn serving(instance: &str, born_ms: u64) -> Vec<(String, u64, bool)> {
+    vec![(instance.to_owned(), born_ms, false)]
+}
+
+/// Gives a mirror items in an order, one update each; returns what the last said.
+fn told(items: &[(u64, MirrorItem)], order: &[usize]) -> (Mirror, MirrorChanges) {
+    let mut mirror = Mirror::default();
+    let mut last = MirrorChanges::default();
+    for index in order {
+        last = mirror.merge(changes(vec![items[*index].clone()]));
+    }
+    (mirror, last)
+}
+
+#[test]
+fn a_drain_of_the_earlier_start_that_is_written_late_leaves_the_later_one_serving() {
+    let items = [written(5, started("s", 100)), written(6, started("s", 200)), written(7, draining("s", 100))];
+    for order in [[0, 1, 2], [2, 1, 0], [1, 0, 2], [1, 2, 0], [0, 2, 1], [2, 0, 1]] {
+        assert_eq!(view(&told(&items, &order).0), serving("s", 200), "{order:?}");
+    }
+}
+
+#[test]
+fn an_end_before_the_later_start_does_not_close_it_whichever_comes_first() {
+    let items = [written(5, started("s", 100)), gone(6, "s"), written(7, started("s", 200))];
+    for order in [[0, 1, 2], [2, 1, 0], [2, 0, 1], [1, 2, 0]] {
+        assert_eq!(view(&told(&items, &order).0), serving("s", 200), "{order:?}");
+    }
+}
+
+#[test]
+fn a_drain_of_the_later_start_is_not_undone_by_late_word_of_the_earlier() {
+    let items = [written(6, draining("s", 200)), written(7, started("s", 100))];
+    for order in [[0, 1], [1, 0]] {
+        let (mirror, _) = told(&items, &order);
+        assert!(mirror.searchers().all(|entry| entry.is_draining && entry.born_ms == 200), "{order:?}");
+    }
+}
+
+#[test]
+fn an_earlier_start_written_after_the_end_of_the_later_one_holds() {
+    // A clock that was set back: the searcher that is there now says an earlier start than the one that ended.
+    let items = [written(6, started("s", 200)), gone(7, "s"), written(8, started("s", 100))];
+    for order in [[0, 1, 2], [2, 1, 0], [0, 2, 1], [2, 0, 1]] {
+        assert_eq!(view(&told(&items, &order).0), serving("s", 100), "{order:?}");
+    }
+}
+
+#[test]
+fn an_update_that_tells_a_drain_and_the_next_start_tells_a_searcher_that_serves() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![written(5, started("s", 100))]));
+    let news = mirror.merge(changes(vec![written(6, draining("s", 100)), written(7, started("s", 200))]));
+    assert_eq!(news.searchers, [started("s", 200)]);
+    assert!(news.gone.is_empty());
+}
+
+#[test]
+fn starts_compare_with_each_other_and_with_no_clock() {
+    let future = u64::MAX;
+    let items = [written(5, started("s", 100)), written(6, started("s", future)), written(7, started("s", 0))];
+    assert_eq!(view(&told(&items, &[0, 1, 2]).0), serving("s", future), "an unknown start is the earliest");
+}
+
+#[test]
+fn a_node_that_missed_two_starts_knows_the_last() {
+    let mut informed = Mirror::default();
+    informed.merge(listing(5, vec![written(5, started("s", 100))]));
+    let mut cut_off = Mirror::default();
+    cut_off.merge(listing(5, vec![written(5, started("s", 100))]));
+    informed.merge(changes(vec![written(6, draining("s", 100)), gone(7, "s"), written(8, started("s", 200))]));
+    informed.merge(changes(vec![written(9, started("s", 300))]));
+    let known = PeerKnowledge { revision: cut_off.known_revision(), ..NOTHING_KNOWN };
+    let news = cut_off.merge(informed.changes_for(known));
+    assert_eq!(news.searchers, [started("s", 300)]);
+    assert!(news.gone.is_empty());
+}
+
+#[test]
+fn a_start_during_a_listing_holds_against_the_page_that_was_read_before_it() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes(vec![written(12, started("s", 200))]));
+    mirror.merge(listing(10, vec![written(5, started("s", 100))]));
+    assert_eq!(view(&mirror), serving("s", 200));
+    mirror.merge(listing(11, Vec::new()));
+    assert_eq!(view(&mirror), serving("s", 200), "a listing says nothing of what was written after it");
+}
+
+#[test]
+fn a_peer_that_asks_for_all_is_told_ends_that_came_after_the_listing() {
+    let mut informed = Mirror::default();
+    informed.merge(listing(10, vec![written(4, started("s", 100))]));
+    informed.merge(changes(vec![gone(13, "s")]));
+    let mut other = Mirror::default();
+    other.merge(changes(vec![written(12, started("s", 100))]));
+    other.merge(informed.changes_for(NOTHING_KNOWN));
+    assert!(view(&other).is_empty());
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Write { id: u8, born_ms: u64, is_draining: bool },
+    Remove { id: u8 },
+}
+
+fn any_change() -> impl Strategy<Value = Change> {
+    let write = (0..3_u8, 0..4_u64, any::<bool>()).prop_map(|(id, born_ms, is_draining)| Change::Write {
+        id,
+        born_ms,
+        is_draining,
+    });
+    prop_oneof![3 => write, 1 => (0..3_u8).prop_map(|id| Change::Remove { id })]
+}
+
+fn name(id: u8) -> String {
+    format!("s{id}")
+}
+
+/// The store's events, and what a listing after each of them says.
+fn play(history: &[Change]) -> (Vec<(u64, MirrorItem)>, Vec<MirrorUpdate>) {
+    let mut store: BTreeMap<u8, (u64, MirrorItem)> = BTreeMap::new();
+    let (mut events, mut listings) = (Vec::new(), Vec::new());
+    for (index, change) in history.iter().enumerate() {
+        let revision = index as u64 + 1;
+        match *change {
+            Change::Write { id, born_ms, is_draining } => {
+                let item = written(revision, SearcherEntry { is_draining, ..started(&name(id), born_ms) });
+                store.insert(id, item.clone());
+                events.push(item);
+            }
+            Change::Remove { id } => {
+                store.remove(&id);
+                events.push(gone(revision, &name(id)));
+            }
+        }
+        listings.push(listing(revision, store.values().cloned().collect()));
+    }
+    (events, listings)
+}
+
+fn exchange_all(mirrors: &mut [Mirror]) {
+    for _ in 0..2 {
+        for from in 0..mirrors.len() {
+            let whole = mirrors[from].changes_for(NOTHING_KNOWN);
+            for (to, mirror) in mirrors.iter_mut().enumerate() {
+                if to != from {
+                    mirror.merge(whole.clone());
+                }
+            }
+        }
+    }
+}
+
+/// By id, the latest start among the entries written since its last end, and whether its last such entry says that it leaves.
+fn truth(history: &[Change]) -> BTreeMap<String, (u64, bool)> {
+    let mut known = BTreeMap::new();
+    for change in history {
+        match *change {
+            Change::Write { id, born_ms, is_draining } => {
+                let entry = known.entry(name(id)).or_insert((born_ms, is_draining));
+                if born_ms >= entry.0 {
+                    *entry = (born_ms, is_draining);
+                }
+            }
+            Change::Remove { id } => {
+                known.remove(&name(id));
+            }
+        }
+    }
+    known
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Each node hears some of the store's changes, some twice, in any order, and now and then reads a listing. Once all have
+    /// told each other everything they know the same, and it is what the store's changes say.
+    #[test]
+    fn nodes_agree_whatever_they_heard_in_which_order(
+        history in prop::collection::vec(any_change(), 1..25),
+        heard in prop::collection::vec((0..3_usize, any::<prop::sample::Index>()), 0..60),
+        read in prop::collection::vec((0..3_usize, 0..60_usize, any::<prop::sample::Index>()), 0..3),
+    ) {
+        let (events, listings) = play(&history);
+        let mut mirrors = [Mirror::default(), Mirror::default(), Mirror::default()];
+        for (step, (node, index)) in heard.iter().enumerate() {
+            for (reader, _, at) in read.iter().filter(|(_, when, _)| *when == step) {
+                mirrors[*reader].merge(listings[at.index(listings.len())].clone());
+            }
+            mirrors[*node].merge(changes(vec![events[index.index(events.len())].clone()]));
+        }
+        exchange_all(&mut mirrors);
+        prop_assert_eq!(view(&mirrors[0]), view(&mirrors[1]));
+        prop_assert_eq!(view(&mirrors[0]), view(&mirrors[2]));
+
+        mirrors[1].merge(changes(events));
+        exchange_all(&mut mirrors);
+        let truth: Vec<(String, u64, bool)> =
+            truth(&history).into_iter().map(|(id, (born_ms, is_draining))| (id, born_ms, is_draining)).collect();
+        for mirror in &mirrors {
+            prop_assert_eq!(view(mirror), truth.clone());
+        }
+    }
+}
+
+fn books() -> RouteTarget {
+    RouteTarget::Service(Arc::from("books"))
+}
+
+/// One route to the service of books.
+fn driver(is_idempotent: bool, searchers: Vec<SearcherEntry>) -> Driver {
+    let mut route = route("r", books());
+    route.is_idempotent = is_idempotent;
+    Driver::with(definition(1, vec![route], &["books", "maps"]), searchers)
+}
+
+fn learn(driver: &mut Driver, entry: SearcherEntry) {
+    driver.event(RoutingEvent::Searchers(vec![entry]));
+}
+
+fn good() -> AttemptOutcome {
+    answer(200, "stamp", Vec::new())
+}
+
+#[test]
+fn the_next_start_of_a_searcher_that_was_leaving_is_asked() {
+    let mut driver = driver(true, vec![started("s", 100)]);
+    learn(&mut driver, draining("s", 100));
+    learn(&mut driver, started("s", 200));
+    let request = driver.request("/r/1");
+    assert_eq!(driver.instances(request), ["s"]);
+    learn(&mut driver, draining("s", 200));
+    let request = driver.request("/r/1");
+    assert_eq!(driver.refusal(request), Some(ErrorKind::NoReplica));
+}
+
+#[test]
+fn a_later_start_is_a_searcher_of_its_own_and_the_earlier_is_asked_no_more() {
+    let mut driver = driver(true, vec![started("s", 100)]);
+    let first = driver.request("/r/1");
+    let earlier = driver.sent_for(first)[0].searcher;
+    learn(&mut driver, started("s", 200));
+    for _ in 0..10 {
+        let request = driver.request("/r/1");
+        let order = driver.sent_for(request)[0].clone();
+        assert_ne!(order.searcher, earlier, "connections to the earlier start aren't used");
+        driver.end(order.attempt, good());
+    }
+}
+
+#[test]
+fn failures_of_the_earlier_start_are_not_held_against_the_later() {
+    let far = SearcherEntry { zone: Arc::from("c"), ..started("far", 100) };
+    let mut driver = driver(true, vec![started("near", 100), far]);
+    let asked_first = |driver: &mut Driver| {
+        let request = driver.request("/r/1");
+        driver.instances(request)[0].clone()
+    };
+    assert_eq!(asked_first(&mut driver), "near");
+    let attempt = driver.sends[0].attempt;
+    driver.end(attempt, AttemptOutcome::NotRun(NotRun::Unconnected));
+    assert_eq!(asked_first(&mut driver), "far", "whoever couldn't be reached is left alone for a while");
+    learn(&mut driver, started("near", 200));
+    assert_eq!(asked_first(&mut driver), "near");
+}
+
+#[test]
+fn a_request_that_may_not_be_repeated_stays_unknown_when_its_searcher_starts_again() {
+    let mut driver = driver(false, vec![started("s", 100)]);
+    let request = driver.request("/r/1");
+    learn(&mut driver, started("s", 200));
+    assert!(driver.verdict(request).is_none(), "the earlier start may still answer");
+    driver.end(driver.sends[0].attempt, BROKEN);
+    assert_eq!(driver.sent_for(request).len(), 1, "the later start isn't asked");
+    let refusal = driver.refusal(request);
+    assert!(refusal.is_some_and(|kind| kind.executed() == Executed::Maybe), "{refusal:?}");
+}
+
+#[test]
+fn the_later_start_counts_as_one_more_searcher_asked() {
+    let mut driver = driver(true, vec![started("s", 100)]);
+    let request = driver.request("/r/1");
+    for born_ms in [200, 300, 400] {
+        let attempt = driver.sends.last().expect("sent").attempt;
+        learn(&mut driver, started("s", born_ms));
+        driver.end(attempt, BROKEN);
+        driver.pass_ms(300);
+    }
+    assert_eq!(driver.sent_for(request).len(), 2, "the route lets two be asked");
+}
+
+#[test]
+fn a_searcher_that_starts_again_cold_is_sent_no_more_than_it_bears() {
+    let mut definition = definition(1, vec![route("r", books())], &[]);
+    let cold_start = ColdStart { duration_ms: 5000, requests_per_s: Some(5.0) };
+    definition.services = vec![ServiceEntry { name: Arc::from("books"), max_connections: 40, cold_start }];
+    let cold = |born_ms| SearcherEntry { cold_ms: 5000, ..started("s", born_ms) };
+    let mut driver = Driver::with(definition, vec![cold(100)]);
+    for born_ms in 101..120 {
+        driver.request("/r/1");
+        learn(&mut driver, cold(born_ms));
+    }
+    assert!((1..=5).contains(&driver.sends.len()), "{}", driver.sends.len());
+}
+
+#[test]
+fn an_entry_that_names_another_service_takes_the_searcher_out_of_the_earlier_one() {
+    for born_ms in [100, 200] {
+        let mut driver = driver(true, vec![started("s", 100)]);
+        learn(&mut driver, SearcherEntry { service: Arc::from("maps"), ..started("s", born_ms) });
+        let request = driver.request("/r/1");
+        assert_eq!(driver.refusal(request), Some(ErrorKind::NoReplica), "start {born_ms}");
+    }
+}
+
+#[test]
+fn a_content_that_ends_a_searcher_at_each_of_its_starts_is_quarantined() {
+    const DEADLY: ContentKey = ContentKey(0xdead);
+    let ask = |driver: &mut Driver| -> RequestKey {
+        let arrival = Arrival { content: DEADLY, ..driver.arrival("/g/x") };
+        let key = arrival.key;
+        driver.event(RoutingEvent::Arrived(arrival));
+        key
+    };
+    let route = route("g", gather(&["books"], 3, 1.0));
+    let mut driver = Driver::with(definition(1, vec![route], &["books"]), vec![started("s", 100)]);
+    for born_ms in [200, 300, 400] {
+        ask(&mut driver);
+        driver.pass_ms(5);
+        let attempt = driver.sends.last().expect("sent").attempt;
+        driver.end(attempt, BROKEN);
+        learn(&mut driver, started("s", born_ms));
+        driver.pass_ms(4500);
+        // The next start serves others well; that says nothing of the one that ended.
+        let harmless = driver.request("/g/y");
+        let attempt = driver.sent_for(harmless)[0].attempt;
+        driver.pass_ms(5);
+        driver.end(attempt, answer(200, "s.1", records(&[1])));
+    }
+    let request = ask(&mut driver);
+    assert_eq!(driver.refusal(request), Some(ErrorKind::Quarantined));
+}
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -24,6 +24,7 @@
         slots: 5,
         is_draining,
         cold_ms: 0,
+        born_ms: 0,
     }
 }
 
