Read the store's items one by one, and use none that another writer spoiled

Cause: a page or a watch's answer was read as a whole, so one item of another shape spoiled all of it and the lane asked again for ever; any state but `ready` counted as leaving, which is final; a key that is no id went into header fields as it stood; a usable entry went on being used when something else was written over it; a configuration that can't be read had its whole reading refused, evacuations with it, and nobody was told what was wrong where. Ruled out: one lenient type for all items (deep nesting fails the parser as a whole; raw values don't); taking such an entry for leaving (a real one written later must hold again); the parser's own words in the log (they quote what stands there, which may be a caller's key).

--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`recorder`] | records decisions, if asked to |
 //! | [`traffic`] | bytes sent and received, by purpose and distance |
 //! | [`event_log`], [`metrics`] | structured lines, counters |
+//! | [`unreadable_log`] | which items of the store that can't be used have been told |
 
 pub mod dialect;
 pub mod directory;
@@ -38,6 +39,7 @@
 pub mod socket;
 pub mod store_role;
 pub mod traffic;
+pub mod unreadable_log;
 
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, RenderedBody};
 pub use node::{GatewayError, GatewayNode};
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -118,6 +118,8 @@
     pub store_calls: StoreCallCounters,
     /// Questions to the directory.
     pub directory_questions: u64,
+    /// Changes of the store's items to something that can't be used.
+    pub unreadable_items: u64,
 }
 
 impl Metrics {
@@ -173,6 +175,7 @@
         line("peer_datagrams_total", "counter", gauges.datagrams);
         line("peer_datagram_bytes_total", "counter", gauges.datagram_bytes);
         line("directory_questions_total", "counter", self.directory_questions);
+        line("store_items_unreadable_total", "counter", self.unreadable_items);
         line("requests_in_flight", "gauge", gauges.in_flight as u64);
         line("server_connections", "gauge", gauges.server_connections as u64);
         line("searcher_connections", "gauge", gauges.searcher_connections as u64);
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -29,6 +29,7 @@
 use crate::socket::{IoContext, READ_CHUNK, SocketId};
 use crate::store_role::RoleKeeper;
 use crate::traffic::Traffic;
+use crate::unreadable_log::UnreadableLog;
 use caller_request::CallerRequest;
 use change_log::MemberLog;
 use hashbrown::HashMap;
@@ -139,6 +140,7 @@
     log: EventLog,
     metrics: Metrics,
     member_log: MemberLog,
+    unreadable_log: UnreadableLog,
     /// Whether peers are to be told at once under which requests searchers were lost, and when they may be.
     has_case_news: bool,
     next_case_push: BootTime,
@@ -214,6 +216,7 @@
             stop: None,
             metrics: Metrics::default(),
             member_log: MemberLog::default(),
+            unreadable_log: UnreadableLog::default(),
             has_case_news: false,
             next_case_push: now,
             given: GivenAnswers::default(),
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -114,6 +114,7 @@
 
     /// Merges what was learned and puts news in force at once.
     fn learn(&mut self, update: MirrorUpdate, source: &str) {
+        self.note_unreadable(&update.unreadable, source);
         let mut changes = self.mirror.merge(update);
         if let Some(definition) = changes.configuration.take() {
             self.log.line(
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`admission`] | how much of the offered work is taken while back ends are overloaded |
 //! | [`window`] | how much work beyond the strictly needed may be sent |
 //! | [`quarantine`] | which requests end the searchers that run them |
+//! | [`unreadable`] | items of the store that can't be used, and why |
 //! | [`turns`] | whose turn it is in a weighted set |
 //! | [`goal`] | time that this node has to answer in time |
 //! | [`keys`] | what attempts, requests and searchers are called by |
@@ -58,6 +59,7 @@
 pub mod table;
 pub mod tenants;
 pub mod turns;
+pub mod unreadable;
 pub mod window;
 
 pub use cold::ColdBound;
@@ -71,3 +73,4 @@
 pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
 pub use table::RouteTable;
 pub use tenants::{Credential, KeyDigest, TenantDefinition};
+pub use unreadable::{KeyKind, UnreadableItem, UnreadableReason};
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -9,6 +9,7 @@
 pub use crate::known_configuration::TakenConfiguration;
 use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
 use crate::known_entries::{KnownEntries, WrittenEntry};
+use crate::unreadable::UnreadableItem;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -97,6 +98,9 @@
     /// Revision at which zones that aren't listed as evacuated weren't; `None` when the update doesn't list them all.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub all_evacuations_at: Option<u64>,
+    /// Items that can't be used, for the log of whoever read them; peers aren't told.
+    #[serde(skip)]
+    pub unreadable: Vec<UnreadableItem>,
 }
 
 /// What an asker has and takes.
@@ -289,7 +293,7 @@
             let ZoneChange { revision, zone, is_active } = change;
             (revision, MirrorItem::Evacuation { zone, is_active })
         }));
-        MirrorUpdate { items, is_complete_for_searchers: is_complete, up_to: self.up_to, all_evacuations_at: None }
+        MirrorUpdate { items, is_complete_for_searchers: is_complete, up_to: self.up_to, ..MirrorUpdate::default() }
     }
 
     fn take_searcher(&mut self, revision: u64, entry: SearcherEntry, touched: &mut Touched) {
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -90,6 +90,7 @@
             None => (MirrorUpdate::default(), at),
         };
         whole.items.extend(update.items);
+        whole.unreadable.extend(update.unreadable);
         if let Some(key) = next {
             self.partial = Some(PartialListing { update: whole, first_at, next_key: key });
             return;
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -52,7 +52,7 @@
 }
 
 fn listing(at: u64, items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
-    MirrorUpdate { items, is_complete_for_searchers: true, up_to: at, all_evacuations_at: None }
+    MirrorUpdate { items, is_complete_for_searchers: true, up_to: at, ..MirrorUpdate::default() }
 }
 
 const NOTHING_KNOWN: PeerKnowledge =
