Give searchers' entries a file of their own

Cause: `mirror` and `known_entries` needed each other, which the test against circles between files found. Change: `SearcherEntry` stands in `searcher_entry`; `mirror` still names it for those who use it from there. Before: platform/tests/circles.rs failed. After: it passes, as do all tests of staircross-routing, staircross-platform, its stand-in and its soak on this code.

--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`definition`] | what one version of the configuration says |
 //! | [`definition_delta`] | what differs between two versions, for peers |
 //! | [`known_configuration`] | the configuration known here, and how much of it a peer is told |
+//! | [`searcher_entry`] | what a searcher says of itself in the store |
 //! | `known_entries` | what is known of the entries under one searcher's id |
 //! | [`tenants`] | whose requests are taken, and by which keys |
 //! | [`table`] | which route a request takes |
@@ -54,6 +55,7 @@
 pub mod report;
 pub mod request;
 pub mod searcher;
+pub mod searcher_entry;
 pub mod selection;
 pub mod store_reader;
 pub mod table;
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -9,42 +9,15 @@
 pub use crate::known_configuration::TakenConfiguration;
 use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
 use crate::known_entries::{KnownEntries, WrittenEntry};
+pub use crate::searcher_entry::SearcherEntry;
 use crate::unreadable::UnreadableItem;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Most items that are remembered as gone.
 const MAX_TOMBSTONES: usize = 4096;
 
-/// What a searcher says of itself in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SearcherEntry {
-    /// The searcher's id.
-    pub instance: Arc<str>,
-    /// Service that it serves.
-    pub service: Arc<str>,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: Arc<str>,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// Whether it is leaving.
-    pub is_draining: bool,
-    /// Milliseconds that it stays slow after it wrote the entry.
-    pub cold_ms: u64,
-    /// Unix milliseconds of its start, which tells its runs under one id apart; 0 where it isn't known.
-    #[serde(default, skip_serializing_if = "is_unknown")]
-    pub born_ms: u64,
-}
-
-/// Many searchers don't tell their start.
-fn is_unknown(born_ms: &u64) -> bool {
-    *born_ms == 0
-}
-
 /// One item of the store with its revision.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MirrorItem {
