--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -5,6 +5,8 @@
 //! | [`definition`] | what one version of the configuration says |
 //! | [`definition_delta`] | what differs between two versions, for peers |
 //! | [`known_configuration`] | the configuration known here, and how much of it a peer is told |
+//! | [`searcher_entry`] | what a searcher says of itself in the store |
+//! | `known_entries` | what is known of the entries under one searcher's id |
 //! | [`tenants`] | whose requests are taken, and by which keys |
 //! | [`table`] | which route a request takes |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
@@ -19,6 +21,7 @@
 //! | [`admission`] | how much of the offered work is taken while back ends are overloaded |
 //! | [`window`] | how much work beyond the strictly needed may be sent |
 //! | [`quarantine`] | which requests end the searchers that run them |
+//! | [`unreadable`] | items of the store that can't be used, and why |
 //! | [`turns`] | whose turn it is in a weighted set |
 //! | [`goal`] | time that this node has to answer in time |
 //! | [`keys`] | what attempts, requests and searchers are called by |
@@ -42,6 +45,7 @@
 pub mod goal;
 pub mod keys;
 pub mod known_configuration;
+mod known_entries;
 pub mod merge;
 pub mod mirror;
 pub mod policy;
@@ -51,17 +55,19 @@
 pub mod report;
 pub mod request;
 pub mod searcher;
+pub mod searcher_entry;
 pub mod selection;
 pub mod store_reader;
 pub mod table;
 pub mod tenants;
 pub mod turns;
+pub mod unreadable;
 pub mod window;
 
 pub use cold::ColdBound;
 pub use definition::{CallerLimits, ColdStart, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
-pub use keys::{AttemptKey, ContentKey, InstanceKey, RequestKey, SearcherKey, TenantKey};
+pub use keys::{AttemptKey, ContentKey, Incarnation, InstanceKey, RequestKey, SearcherKey, TenantKey};
 pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, TakenConfiguration};
 pub use policy::RoutingPolicy;
 pub use quarantine::{CaseRecord, Suspicion, SuspicionChange};
@@ -69,3 +75,4 @@
 pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
 pub use table::RouteTable;
 pub use tenants::{Credential, KeyDigest, KeyRefusal, SentIdentity, TenantDefinition};
+pub use unreadable::{KeyKind, UnreadableItem, UnreadableReason};
