Share what is taken under overload among tenants, instead of refusing by chance

Cause: while a group of services limits what it takes, requests are refused by chance, so a tenant that asks for much pushes out those that ask for little. Ranks come first, as before. Without tenants, or with one, the part is the level to the last bit, so the random draw is unchanged. Call sites pass no tenant yet.

--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -139,7 +139,7 @@
             window.count_request(now, &self.settings.extra);
         }
         let group = services.first().cloned().unwrap_or_default();
-        if let Some(part) = self.refusing_part(&group, route) {
+        if let Some(part) = self.refusing_part(now, &group, route, None) {
             actions.push(RoutingAction::NotAdmitted { request: arrival.key, group, part });
             return refuse(ErrorKind::Overloaded, "too much waits at the back ends already");
         }
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -3,12 +3,14 @@
 use super::{RoutingAction, RoutingEngine, SentAttempt};
 use crate::admission::{Admission, AdmissionChange, Wait, tolerable_wait};
 use crate::definition::{RouteDefinition, RouteTarget};
+use crate::fair_share::FairShares;
 use crate::goal::usable_goal;
 use crate::keys::RequestKey;
 use crate::request::{AttemptOutcome, CallerLink, NotRun};
 use crate::table::RouteTable;
 use rand::Rng;
 use staircross_types::BootTime;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,12 +22,15 @@
     /// Index of the most urgent route that asks them, and its rank.
     route_index: usize,
     rank: u32,
+    /// Whose requests are taken while not all are, by rank.
+    shares: BTreeMap<u32, FairShares>,
 }
 
 impl ServiceGroup {
     fn new(route_index: usize, route: &RouteDefinition) -> Self {
         let wait = Wait::at_group(fan_out(route));
-        ServiceGroup { admission: Admission::default(), wait, route_index, rank: route.priority }
+        let rank = route.priority;
+        ServiceGroup { admission: Admission::default(), wait, route_index, rank, shares: BTreeMap::new() }
     }
 }
 
@@ -45,14 +50,29 @@
                 }
             }
         }
+        let ranks: BTreeSet<u32> = table.definition().routes.iter().map(|route| route.priority).collect();
+        self.groups.values_mut().for_each(|group| group.shares.retain(|rank, _| ranks.contains(rank)));
         self.waits.retain(|service, _| self.services.contains_key(service));
     }
 
-    /// Whether a request is refused because too much waits: then, the part of its route's requests that is taken now.
-    pub(super) fn refusing_part(&mut self, group: &Arc<str>, route: &RouteDefinition) -> Option<f64> {
+    /// Whether a request is refused because too much waits: then, the part of its tenant's requests at its rank that is taken now.
+    /// `tenant` is whose it is, where that is known.
+    pub(super) fn refusing_part(
+        &mut self,
+        now: BootTime,
+        group: &Arc<str>,
+        route: &RouteDefinition,
+        tenant: Option<&Arc<str>>,
+    ) -> Option<f64> {
         let is_on = self.settings.policy.admission;
-        let group = self.groups.get(group).filter(|group| is_on && group.admission.is_limiting())?;
-        let part = group.admission.part_taken(route.priority.saturating_sub(group.rank));
+        let group = self.groups.get_mut(group).filter(|_| is_on)?;
+        let shares = group.shares.entry(route.priority).or_default();
+        shares.count(now, tenant);
+        if !group.admission.is_limiting() {
+            return None;
+        }
+        let level = group.admission.part_taken(route.priority.saturating_sub(group.rank));
+        let part = shares.part_taken(now, tenant, level);
         if self.random.random_bool(part) {
             return None;
         }
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`cold`] | how much a node may send to a searcher that has just started |
 //! | [`selection`] | which searcher of a service is asked |
 //! | [`admission`] | how much of the offered work is taken while back ends are overloaded |
+//! | [`fair_share`] | whose requests are taken while only a part of them is |
 //! | [`window`] | how much work beyond the strictly needed may be sent |
 //! | [`quarantine`] | which requests end the searchers that run them |
 //! | [`turns`] | whose turn it is in a weighted set |
@@ -39,6 +40,7 @@
 pub mod engine;
 pub mod engine_message;
 pub mod evacuations;
+pub mod fair_share;
 pub mod goal;
 pub mod keys;
 pub mod known_configuration;
--- /dev/null
+++ b/crates/staircross-routing/tests/fair_share.rs
@@ -0,0 +1,273 @@
+//! Shares of tenants: their rules, and what tenants get of searchers that are asked for more than they can do.
+
+use proptest::prelude::*;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use staircross_routing::admission::{Admission, Wait, tolerable_wait};
+use staircross_routing::fair_share::{FLOOR, FairShares, MOST_OWED};
+use staircross_types::BootTime;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn name(index: usize) -> Arc<str> {
+    Arc::from(format!("t{index}"))
+}
+
+proptest! {
+    #[test]
+    fn shares_are_max_min_fair_above_the_floor_and_add_up_to_the_level(
+        counts in prop::collection::vec(1_u32..60, 2..40),
+        level in 0.05_f64..1.0,
+    ) {
+        let now = BootTime::from_millis(5000);
+        let mut shares = FairShares::default();
+        for (index, count) in counts.iter().enumerate() {
+            (0..*count).for_each(|_| shares.count(now, Some(&name(index))));
+        }
+        let part = |index| shares.clone().part_taken(now, Some(&name(index)), level);
+        let tenants: Vec<(f64, f64)> = counts.iter().enumerate().map(|(i, count)| (f64::from(*count), part(i))).collect();
+        let all: f64 = tenants.iter().map(|(count, _)| count).sum();
+        let taken: f64 = tenants.iter().map(|(count, part)| count * part).sum();
+        prop_assert!((taken - level * all).abs() < 1e-5 * all, "{taken} of {all} at {level}");
+
+        let floor = FLOOR * level;
+        let fair_share = (1.0 - FLOOR) * level * all / tenants.len() as f64;
+        for (count, part) in &tenants {
+            prop_assert!((floor..=1.0).contains(part));
+            prop_assert!(*count > fair_share || *part == 1.0, "asks for {count} of {fair_share} and gets {part}");
+            for (other_count, other_part) in &tenants {
+                let other_has_more = other_count * other_part > count * part + 1e-5 * all;
+                let is_fair = *part > 1.0 - 1e-6 || *other_part < floor + 1e-6;
+                prop_assert!(!other_has_more || is_fair, "{part} of {count}, {other_part} of {other_count}");
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_taken_in_sum_follows_the_level_whoever_asks(
+        seed in any::<u64>(),
+        tenants in 1_usize..400,
+        skew in 0.0_f64..2.0,
+        gap_ms in 1_u64..3000,
+        levels in prop::collection::vec(0.05_f64..1.0, 1..4),
+    ) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut shares = FairShares::default();
+        let mut now = BootTime::from_millis(1);
+        let mut owed = 0.0_f64;
+        for request in 0..600 {
+            let tenant = name((tenants as f64 * random.random::<f64>().powf(1.0 + skew)) as usize);
+            let level = levels[request * levels.len() / 600];
+            now = now + Duration::from_millis(random.random_range(0..=gap_ms * 2));
+            shares.count(now, Some(&tenant));
+            owed += level - shares.part_taken(now, Some(&tenant), level);
+            prop_assert!(owed.abs() <= MOST_OWED, "{owed} requests too few after {request}");
+        }
+    }
+}
+
+#[test]
+fn whoever_asks_alone_gets_just_the_level() {
+    let mut shares = FairShares::default();
+    for step in 0..2000 {
+        let now = BootTime::from_millis(step * 37);
+        let level = 0.05 + 0.9 * (step as f64 / 2000.0);
+        shares.count(now, None);
+        assert_eq!(shares.part_taken(now, None, level), level, "to the last bit");
+    }
+}
+
+#[test]
+fn ten_thousand_tenants_do_not_hide_the_one_that_asks_for_much() {
+    let mut shares = FairShares::default();
+    let greedy: Arc<str> = Arc::from("greedy");
+    let (mut of_greedy, mut of_others) = (Vec::new(), Vec::new());
+    for step in 0..40_000_usize {
+        let now = BootTime::from_millis(step as u64 * 2);
+        let is_greedy = step % 2 == 0;
+        let tenant = if is_greedy { greedy.clone() } else { name(step % 10_000) };
+        shares.count(now, Some(&tenant));
+        let part = shares.part_taken(now, Some(&tenant), 0.7);
+        if is_greedy { of_greedy.push(part) } else { of_others.push(part) }
+    }
+    let mean = |parts: &[f64]| parts.iter().sum::<f64>() / parts.len() as f64;
+    // The greedy one is held at the floor, and the others get what that leaves of a level of 0.7.
+    assert!((mean(&of_greedy) - 0.7 * FLOOR).abs() < 0.01, "{}", mean(&of_greedy));
+    assert!((mean(&of_others) - (1.4 - 0.7 * FLOOR)).abs() < 0.01, "{}", mean(&of_others));
+}
+
+/// Searchers that take requests in turn, in front of which nodes refuse a part.
+struct Site {
+    random: ChaCha8Rng,
+    nodes: Vec<Node>,
+    /// What nodes are told to take; they judge themselves where nothing is said.
+    level: Option<f64>,
+    /// When the searchers are through with what they have.
+    free_at: BootTime,
+    now: BootTime,
+}
+
+#[derive(Default)]
+struct Node {
+    admission: Admission,
+    wait: Option<Wait>,
+    shares: FairShares,
+    /// Ends of work, and how long each waited.
+    ends: VecDeque<(BootTime, Duration)>,
+}
+
+/// How requests are refused.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Refusing {
+    ByChance,
+    ByShares,
+}
+
+/// Nodes that each see enough to judge by themselves how much is to be taken, and nodes of which each sees two requests a
+/// second, from ever other tenants; these are told the level.
+const FEW_NODES: usize = 8;
+const MANY_NODES: usize = 71;
+const CAPACITY: f64 = 120.0;
+const GOAL: Duration = Duration::from_millis(400);
+const WORK: Duration = Duration::from_millis(28);
+const FAN_OUT: usize = 36;
+/// Work that lies before searchers when they have no more room.
+const LONGEST_QUEUE: Duration = Duration::from_millis(1000);
+
+/// What tenants asked for, and how much of it was answered in time.
+#[derive(Clone, Copy, Default)]
+struct Served {
+    asked: f64,
+    in_time: f64,
+}
+
+impl Served {
+    fn part(self) -> f64 {
+        self.in_time / self.asked.max(1.0)
+    }
+}
+
+impl Site {
+    fn new(nodes: usize, level: Option<f64>, seed: u64) -> Self {
+        let nodes = (0..nodes).map(|_| Node::default()).collect();
+        let start = BootTime::from_millis(1000);
+        Site { random: ChaCha8Rng::seed_from_u64(seed), nodes, level, free_at: start, now: start }
+    }
+
+    /// Offers requests of tenants at these rates a second.
+    fn offer(&mut self, rates: &[f64], refusing: Refusing, span: Duration) -> Vec<Served> {
+        let all: f64 = rates.iter().sum();
+        let mut served = vec![Served::default(); rates.len()];
+        let end = self.now + span;
+        while self.now < end {
+            let gap = -(1.0 - self.random.random::<f64>()).ln() / all;
+            self.now = self.now + Duration::from_secs_f64(gap);
+            let mut pick = self.random.random::<f64>() * all;
+            let tenant = rates.iter().position(|rate| {
+                pick -= rate;
+                pick < 0.0
+            });
+            let tenant = tenant.unwrap_or(0);
+            served[tenant].asked += 1.0;
+            if self.is_taken(&name(tenant), refusing) {
+                let begins = self.free_at.max(self.now);
+                self.free_at = begins + Duration::from_secs_f64(1.0 / CAPACITY);
+                served[tenant].in_time += f64::from(u8::from(self.now.until(begins) + WORK <= GOAL));
+            }
+        }
+        served
+    }
+
+    /// Whether a request gets to the searchers: its node takes it, and they have room.
+    fn is_taken(&mut self, tenant: &Arc<str>, refusing: Refusing) -> bool {
+        let (now, begins) = (self.now, self.free_at.max(self.now));
+        let index = self.random.random_range(0..self.nodes.len());
+        let node = &mut self.nodes[index];
+        let wait = node.wait.get_or_insert_with(|| Wait::at_group(FAN_OUT));
+        while let Some((at, waited)) = node.ends.pop_front_if(|(at, _)| *at <= now) {
+            (0..FAN_OUT).for_each(|_| wait.record(at, waited));
+            if node.admission.is_due(at) {
+                node.admission.judge(at, wait.get(at), tolerable_wait(GOAL, WORK, FAN_OUT));
+            }
+        }
+        node.shares.count(now, Some(tenant));
+        let level = self.level.unwrap_or(node.admission.level());
+        let part = match refusing {
+            Refusing::ByShares if level < 1.0 => node.shares.part_taken(now, Some(tenant), level),
+            _ => level,
+        };
+        if !self.random.random_bool(part) {
+            return false;
+        }
+        let waited = now.until(begins);
+        let has_room = waited <= LONGEST_QUEUE;
+        let at = if has_room { begins + WORK } else { now };
+        node.ends.push_back((at, waited));
+        has_room
+    }
+}
+
+/// What the worst tenth of tenants, the greedy one (the first) and all are served.
+#[derive(Debug)]
+struct Outcome {
+    worst_tenth: f64,
+    greedy: f64,
+    others: f64,
+    all: f64,
+}
+
+fn outcome(served: &[Served]) -> Outcome {
+    let mut parts: Vec<f64> = served.iter().map(|tenant| tenant.part()).collect();
+    let greedy = parts[0];
+    parts.sort_by(f64::total_cmp);
+    let worst = &parts[..parts.len().div_ceil(10)];
+    let sum = |served: &[Served]| {
+        let add =
+            |sum: Served, one: &Served| Served { asked: sum.asked + one.asked, in_time: sum.in_time + one.in_time };
+        served.iter().fold(Served::default(), add).part()
+    };
+    let worst_tenth = worst.iter().sum::<f64>() / worst.len() as f64;
+    Outcome { worst_tenth, greedy, others: sum(&served[1..]), all: sum(served) }
+}
+
+/// One tenant of 78 asks for 7.5 times its usual; all together `load` times what can be done.
+fn greedy_tenant(nodes: usize, load: f64, refusing: Refusing, seed: u64) -> Outcome {
+    let mut rates = vec![1.0; 78];
+    rates[0] = 7.5;
+    overloaded(nodes, &rates, load, refusing, seed)
+}
+
+fn overloaded(nodes: usize, rates: &[f64], load: f64, refusing: Refusing, seed: u64) -> Outcome {
+    let factor = load * CAPACITY / rates.iter().sum::<f64>();
+    let rates: Vec<f64> = rates.iter().map(|rate| rate * factor).collect();
+    let level = (nodes == MANY_NODES).then_some(0.95 / load);
+    let mut site = Site::new(nodes, level, seed);
+    site.offer(&rates, refusing, Duration::from_secs(40));
+    outcome(&site.offer(&rates, refusing, Duration::from_secs(200)))
+}
+
+#[test]
+fn a_tenant_that_asks_for_much_gives_way_and_none_is_left_far_behind() {
+    for nodes in [FEW_NODES, MANY_NODES] {
+        for load in [1.3, 2.0] {
+            let by_chance = greedy_tenant(nodes, load, Refusing::ByChance, 1);
+            let by_shares = greedy_tenant(nodes, load, Refusing::ByShares, 1);
+            let case = format!("{nodes} nodes, {load} times: {by_chance:.3?}, {by_shares:.3?}");
+            assert!(by_shares.worst_tenth > by_shares.all - 0.05, "{case}");
+            assert!(by_shares.greedy < by_shares.others - 0.05, "{case}");
+            assert!(by_shares.greedy > FLOOR * by_shares.all - 0.05, "{case}");
+            assert!(by_shares.all > by_chance.all - 0.02, "as much is taken in sum: {case}");
+        }
+    }
+}
+
+#[test]
+fn beside_large_tenants_that_ask_for_their_usual_the_worst_tenth_is_not_left_far_behind() {
+    let rates: Vec<f64> = (0..78).map(|index| if index < 4 { 12.0 } else { 1.0 }).collect();
+    for load in [1.3, 2.0] {
+        let outcome = overloaded(FEW_NODES, &rates, load, Refusing::ByShares, 1);
+        assert!(outcome.worst_tenth > outcome.all - 0.05, "{load} times: {outcome:.3?}");
+    }
+}
