Say in the log why a request that failed isn't tried again

`try_again` was silent as well where the route's most attempts forbid another.

Change: `unsent reason=retry cause=not_repeatable` and `cause=most_attempts`. No decision changes.

Test: tests/requests.rs, `a_failure_that_is_not_tried_again_says_why`, seen to fail first (no `unsent`).

Conclusion: no fault of the decision; the log was. Failures of such requests can only be avoided by whom they are sent to first.

--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -166,10 +166,25 @@
         if is_idempotent {
             self.try_again(now, key, shard, SendReason::Retry, failure, actions);
         } else {
+            self.tell_unsent(key, shard, SendReason::Retry, UnsentCause::NotRepeatable, actions);
             self.give_up(key, shard, failure);
         }
     }
 
+    fn tell_unsent(
+        &self,
+        key: RequestKey,
+        shard: usize,
+        reason: SendReason,
+        cause: UnsentCause,
+        actions: &mut Vec<RoutingAction>,
+    ) {
+        if let Some(request) = self.requests.get(&key) {
+            let service = request.shards[shard].service.clone();
+            actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
+        }
+    }
+
     /// Asks another searcher; gives the shard up when that can't be and nobody else is at work on it.
     fn try_again(
         &mut self,
@@ -192,7 +207,10 @@
         let may_wait = failure.is_none() || request.gather().is_some();
         let outcome = match state.may_be_sent(most) {
             true => self.dispatch(now, key, shard, reason, actions),
-            false => Err(UnsentCause::NobodyLeft),
+            false => {
+                self.tell_unsent(key, shard, reason, UnsentCause::MostAttempts, actions);
+                Err(UnsentCause::MostAttempts)
+            }
         };
         if may_wait && outcome == Err(UnsentCause::OverBudget) {
             self.wait_for_budget(now, key, shard, reason);
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -215,6 +215,10 @@
     Pressed,
     /// Searchers were lost under what is asked for, and another is at work on it: the shard waits for its word.
     Suspect,
+    /// The request may have run, and its route says that it may not run twice.
+    NotRepeatable,
+    /// As many searchers were sent the request as its route allows.
+    MostAttempts,
 }
 
 impl UnsentCause {
@@ -227,6 +231,8 @@
             UnsentCause::NobodyLeft => "nobody_left",
             UnsentCause::Pressed => "pressed",
             UnsentCause::Suspect => "suspect",
+            UnsentCause::NotRepeatable => "not_repeatable",
+            UnsentCause::MostAttempts => "most_attempts",
         }
     }
 }
--- a/crates/staircross-routing/tests/requests.rs
+++ b/crates/staircross-routing/tests/requests.rs
@@ -452,3 +452,21 @@
     assert!(driver.verdict(second).is_some());
     assert_eq!(driver.reasons(first), [SendReason::First, SendReason::Retry]);
 }
+
+#[test]
+fn a_failure_that_is_not_tried_again_says_why() {
+    let mut driver = unrepeatable();
+    let request = driver.request("/r/1");
+    driver.end(driver.sends[0].attempt, AttemptOutcome::Unknown(Unknown::Broken));
+    assert_eq!(driver.refusal(request), Some(ErrorKind::BackEndsFailed), "it may have run, and there is time");
+    assert_eq!(driver.sent_for(request).len(), 1);
+    assert_eq!(driver.unsent, [(request, UnsentCause::NotRepeatable)]);
+
+    let mut driver = repeatable();
+    let request = driver.request("/r/1");
+    for number in 0..2 {
+        driver.end(driver.sends[number].attempt, AttemptOutcome::Unknown(Unknown::Broken));
+    }
+    assert_eq!(driver.refusal(request), Some(ErrorKind::BackEndsFailed), "its route allows two");
+    assert_eq!(driver.unsent, [(request, UnsentCause::MostAttempts)]);
+}
