Judge tenants' requests anew when keys go; rank and place them by their tenant

Cause: a request that waited here was sent after its key had been withdrawn; a tenant's priority and regions bound nothing; one tenant's deadly request barred another's like one. Ruled out: judging before each send (a table changes in one place only, so requests in flight are judged there, and a send looks at a flag); counting tenants' priorities by their figures (how far apart an operator writes them says nothing); one content for like requests of two tenants (searchers are told the tenant, so the work may differ, and one tenant could bar another's requests). Change: withdrawal.rs ends waiting, takes back attempts that wait for a connection, lets what runs finish; 401 only where nothing has run. rank.rs orders by tenant, then route. allowed_regions.rs binds both sets. ContentKey::of_tenant.

--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -187,6 +187,11 @@
                 self.pool.abandon(self.now, attempt, patience, cause, &mut events);
                 self.take_pool_events(events);
             }
+            RoutingAction::Recall { attempt } => {
+                let mut events = Vec::new();
+                self.pool.recall(attempt, &mut events);
+                self.take_pool_events(events);
+            }
             RoutingAction::Unsent { request, service, reason, cause } => {
                 let (reason, cause) = (reason.name(), cause.name());
                 self.note_decision(
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -224,16 +224,23 @@
         let connection = &mut self.connections[slot];
         match &mut connection.state {
             State::Busy(assignment) => assignment.abandoned = Some((now + patience, cause)),
-            State::Connecting { assignment } | State::Proving { assignment } => {
-                // Nothing was sent. Once it is up, the connection rests until somebody needs it.
-                *assignment = None;
-                self.by_attempt.remove(&attempt);
-                events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::Withdrawn });
-            }
+            State::Connecting { .. } | State::Proving { .. } => self.recall(attempt, events),
             State::Idle => {}
         }
     }
 
+    /// Takes an attempt back of which nothing was sent; once it is up, its connection rests until somebody needs it.
+    pub fn recall(&mut self, attempt: AttemptKey, events: &mut Vec<PoolEvent>) {
+        let Some(slot) = self.by_attempt.get(&attempt).copied() else {
+            return;
+        };
+        if let State::Connecting { assignment } | State::Proving { assignment } = &mut self.connections[slot].state {
+            *assignment = None;
+            self.by_attempt.remove(&attempt);
+            events.push(PoolEvent::Ended { attempt, outcome: AttemptOutcome::Withdrawn });
+        }
+    }
+
     /// Takes readiness of a connection.
     pub fn on_ready(&mut self, id: SocketId, is_writable: bool, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
         let slot = id.slot as usize;
--- a/crates/staircross-routing/src/definition.rs
+++ b/crates/staircross-routing/src/definition.rs
@@ -126,11 +126,6 @@
 }
 
 impl RouteDefinition {
-    /// Whether searchers of a region may serve the requests. `None` is a zone whose region isn't known.
-    pub fn allows_region(&self, region: Option<&Arc<str>>) -> bool {
-        self.allowed_regions.is_empty() || region.is_some_and(|region| self.allowed_regions.contains(region))
-    }
-
     /// Least number of shards that makes an answer; one where a single service is asked.
     pub fn least_shards(&self) -> usize {
         match &self.target {
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -12,10 +12,12 @@
 mod settle;
 mod suspicion;
 mod waiting;
+mod withdrawal;
 
 use crate::admission::{UsualWork, Wait};
+use crate::allowed_regions::AllowedRegions;
 use crate::cold::{ColdBound, FleetRank};
-use crate::definition::{ColdStart, RouteDefinition, RouteTarget, ServiceEntry};
+use crate::definition::{ColdStart, RouteTarget, ServiceEntry};
 pub use crate::engine_message::{
     AbandonCause, HoldCause, LeftOutCause, ReportedAt, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
 };
@@ -196,6 +198,7 @@
         match event {
             RoutingEvent::Configuration(table) => {
                 self.set_table(table);
+                self.end_withdrawn(now, actions);
                 self.begin_held(now, actions);
             }
             RoutingEvent::Searchers(entries) => {
@@ -353,16 +356,16 @@
         }
     }
 
-    /// Searchers of a service that requests of a route may be sent to, room and trials aside.
+    /// Searchers of a service that a request may be sent to, room and trials aside.
     pub(crate) fn askable(
         &self,
         now: BootTime,
-        route: &RouteDefinition,
+        regions: AllowedRegions<'_>,
         service: &Arc<str>,
     ) -> impl Iterator<Item = (SearcherKey, &Searcher)> {
         let peers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let known = peers.iter().map(|key| (*key, &self.searchers[key.0 as usize]));
-        known.filter(move |(_, searcher)| searcher.may_be_asked(now) && self.place.allows(route, searcher))
+        known.filter(move |(_, searcher)| searcher.may_be_asked(now) && self.place.allows(regions, searcher))
     }
 
     /// The run at an address is no longer the one that was asked for.
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -5,6 +5,7 @@
 
 use super::dispatch::{DEADLINE_GUARD, refused};
 use super::{HoldCause, RoutingAction, RoutingEngine, SendReason};
+use crate::allowed_regions::AllowedRegions;
 use crate::definition::{RouteDefinition, RouteTarget};
 use crate::goal::usable_goal;
 use crate::keys::{RequestKey, TenantKey};
@@ -122,11 +123,14 @@
         if self.requests.len() >= self.settings.max_requests {
             return refuse(ErrorKind::Overloaded, "the node holds as many requests as it may");
         }
-        if self.suspicion(now, arrival.content) == Suspicion::Quarantined {
-            return refuse(ErrorKind::Quarantined, "every searcher that ran this request ended; it was not sent");
-        }
         let route = &table.definition().routes[route_index];
         let tenant = judge_credential(&table, route, arrival)?;
+        let definition = tenant.and_then(|key| table.tenant(key));
+        let content = arrival.content.of_tenant(definition.map(|tenant| &*tenant.name));
+        if self.suspicion(now, content) == Suspicion::Quarantined {
+            return refuse(ErrorKind::Quarantined, "every searcher that ran this request ended; it was not sent");
+        }
+        let regions = AllowedRegions::new(route, definition);
         let timeout = Duration::from_millis(route.timeout_ms);
         let patience = arrival.patience.map_or(timeout, |patience| patience.min(timeout));
         // What was read late has less time than it says.
@@ -136,25 +140,27 @@
         }
         let deadline = now + (left - DEADLINE_GUARD);
         let services = self.services_of(route);
-        self.check_replicas(now, arrival, route, &services, deadline)?;
+        self.check_replicas(now, arrival, route.least_shards(), regions, &services, deadline)?;
         for service in &services {
             let window = self.windows.entry(service.clone()).or_default();
             window.count_request(now, &self.settings.extra);
         }
         let group = services.first().cloned().unwrap_or_default();
-        if let Some(part) = self.refusing_part(&group, route) {
+        if let Some(part) = self.refusing_part(&group, table.rank(tenant, route)) {
             actions.push(RoutingAction::NotAdmitted { request: arrival.key, group, part });
             return refuse(ErrorKind::Overloaded, "too much waits at the back ends already");
         }
         Ok(Request {
             route_index,
             tenant,
+            credential: arrival.credential,
+            is_withdrawn: false,
             shards: services.into_iter().map(Shard::new).collect(),
             attempts: Vec::new(),
             answer_by: (now + self.goal_of(route, arrival).saturating_sub(arrival.waited)).min(deadline),
             deadline,
             group,
-            content: arrival.content,
+            content,
             may_have_run: false,
             is_answered: false,
             is_past_goal: false,
@@ -198,17 +204,18 @@
         &self,
         now: BootTime,
         arrival: &Arrival,
-        route: &RouteDefinition,
+        least: usize,
+        regions: AllowedRegions<'_>,
         services: &[Arc<str>],
         deadline: BootTime,
     ) -> Result<(), NotBegun> {
         let may_be_asked =
-            |service: &&Arc<str>| self.next_chance(now, route, service, &[]).is_some_and(|chance| chance < deadline);
+            |service: &&Arc<str>| self.next_chance(now, regions, service, &[]).is_some_and(|chance| chance < deadline);
         let served = services.iter().filter(may_be_asked).count();
-        if served >= route.least_shards() {
+        if served >= least {
             return Ok(());
         }
-        let verdict = if route.allowed_regions.is_empty() {
+        let verdict = if regions.are_all() {
             refused(ErrorKind::NoReplica, "too few shards have a searcher that can be asked")
         } else {
             refused(
@@ -216,7 +223,7 @@
                 "too few shards have a searcher that can be asked in an allowed region",
             )
         };
-        if arrival.knows_searchers {
+        if arrival.knows_searchers || regions.are_none() {
             return Err(NotBegun::Refused(verdict));
         }
         let verdict = refused(ErrorKind::NoReplicaYet, "searchers are only just becoming known");
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sending attempts, and when more are to be sent.
 
 use super::{ReportedAt, RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
+use crate::allowed_regions::AllowedRegions;
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::request::{Attempt, Verdict};
 use crate::searcher::OpenAttempt;
@@ -39,17 +40,21 @@
         let Some(request) = self.requests.get(&key) else {
             return Err(UnsentCause::NobodyLeft);
         };
+        if request.is_withdrawn {
+            return Err(Self::tell_withdrawn(key, request, shard_index, reason, actions));
+        }
         if self.waits_for_trial(now, request) {
             return Err(self.postpone_suspect(now, key, shard_index, reason, actions));
         }
-        let (table, route_index) = (request.table.clone(), request.route_index);
+        let (table, route_index, tenant) = (request.table.clone(), request.route_index, request.tenant);
         let route = &table.definition().routes[route_index];
+        let regions = AllowedRegions::new(route, tenant.and_then(|key| table.tenant(key)));
         let service = request.shards[shard_index].service.clone();
         let barred = self.barred(key, shard_index);
         let goal = Duration::from_millis(route.goal_ms);
         let usual_work = self.statistics(&route.name, goal).work.median();
         let candidates = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
-        let choice = Choice { route, barred: &barred, usual_work, goal };
+        let choice = Choice { regions, barred: &barred, usual_work, goal };
         let chosen = choose(now, &choice, candidates, &self.searchers, &self.place, &mut self.random);
         let is_extra = matches!(reason, SendReason::Hedge | SendReason::Retry);
         let outcome = match chosen {
@@ -155,7 +160,7 @@
             return Duration::ZERO;
         };
         let service = &self.searchers[asked.0 as usize].entry.service;
-        let others = self.askable(now, request.route(), service).filter(|(peer, _)| *peer != asked);
+        let others = self.askable(now, request.allowed_regions(), service).filter(|(peer, _)| *peer != asked);
         others.map(|(_, searcher)| self.place.way(&searcher.entry.zone)).max().unwrap_or_default()
     }
 
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -88,7 +88,8 @@
     ) {
         match outcome {
             AttemptOutcome::Answered(answer) => self.apply_answer(now, key, shard, answer, actions),
-            AttemptOutcome::Withdrawn => {}
+            // Only attempts of requests whose key is gone are taken back while their request goes on.
+            AttemptOutcome::Withdrawn => self.give_up(key, shard, None),
             AttemptOutcome::NotRun(NotRun::Unconnected | NotRun::TurnedAway | NotRun::Stale) => {
                 self.try_again(now, key, shard, SendReason::Reroute, None, actions);
             }
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -5,6 +5,7 @@
 use crate::definition::{RouteDefinition, RouteTarget};
 use crate::goal::usable_goal;
 use crate::keys::RequestKey;
+use crate::rank::Rank;
 use crate::request::{AttemptOutcome, CallerLink, NotRun};
 use crate::table::RouteTable;
 use rand::Rng;
@@ -17,15 +18,20 @@
 pub(super) struct ServiceGroup {
     admission: Admission,
     wait: Wait,
-    /// Index of the most urgent route that asks them, and its rank.
+    /// Index of the most urgent route that asks them, and the priorities of all that do.
     route_index: usize,
-    rank: u32,
+    priorities: (u32, u32),
 }
 
 impl ServiceGroup {
     fn new(route_index: usize, route: &RouteDefinition) -> Self {
         let wait = Wait::at_group(fan_out(route));
-        ServiceGroup { admission: Admission::default(), wait, route_index, rank: route.priority }
+        ServiceGroup {
+            admission: Admission::default(),
+            wait,
+            route_index,
+            priorities: (route.priority, route.priority),
+        }
     }
 }
 
@@ -35,24 +41,27 @@
         let mut known = std::mem::take(&mut self.groups);
         for (route_index, route) in table.definition().routes.iter().enumerate() {
             for service in first_services(route) {
-                let rank = route.priority;
+                let priorities = (route.priority, route.priority);
                 let group = self.groups.entry(service.clone()).or_insert_with(|| match known.remove(service) {
-                    Some(group) => ServiceGroup { route_index, rank, ..group },
+                    Some(group) => ServiceGroup { route_index, priorities, ..group },
                     None => ServiceGroup::new(route_index, route),
                 });
-                if rank < group.rank {
-                    (group.route_index, group.rank) = (route_index, rank);
+                let (first, last) = group.priorities;
+                if route.priority < first {
+                    group.route_index = route_index;
                 }
+                group.priorities = (first.min(route.priority), last.max(route.priority));
             }
         }
         self.waits.retain(|service, _| self.services.contains_key(service));
     }
 
-    /// Whether a request is refused because too much waits: then, the part of its route's requests that is taken now.
-    pub(super) fn refusing_part(&mut self, group: &Arc<str>, route: &RouteDefinition) -> Option<f64> {
+    /// Whether a request is refused because too much waits: then, the part of its rank's requests that is taken now.
+    pub(super) fn refusing_part(&mut self, group: &Arc<str>, rank: Rank) -> Option<f64> {
         let is_on = self.settings.policy.admission;
         let group = self.groups.get(group).filter(|group| is_on && group.admission.is_limiting())?;
-        let part = group.admission.part_taken(route.priority.saturating_sub(group.rank));
+        let (first, last) = group.priorities;
+        let part = group.admission.part_taken(rank.steps(first..=last));
         if self.random.random_bool(part) {
             return None;
         }
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -37,7 +37,7 @@
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
-        let may_hedge = request.route().is_idempotent && self.settings.policy.hedges;
+        let may_hedge = request.route().is_idempotent && self.settings.policy.hedges && !request.is_withdrawn;
         let rests_until = self.settings.restarted_at.filter(|_| self.settings.policy.start_rest);
         let rests_until = rests_until.map_or(BootTime::default(), |started| started + START_REST);
         let most = request.route().max_attempts;
@@ -68,7 +68,7 @@
         let open = request.open_shards();
         let least = request.least_shards();
         let is_enough = parts >= least;
-        let is_hopeless = parts + open < least;
+        let is_hopeless = parts + open < least && !request.is_unclear();
         let is_best = now >= request.answer_by || !request.may_grow_in_time();
         let is_time = now >= request.deadline || (is_best && is_enough);
         if open > 0 && !is_hopeless && !is_time {
@@ -143,6 +143,9 @@
     }
     let may_have_run = request.may_have_run || !request.attempts.iter().all(|attempt| attempt.is_resolved);
     let is_over = now >= request.deadline;
+    if request.is_withdrawn && !may_have_run {
+        return refused(ErrorKind::Unauthorized, "the key was withdrawn before the request ran");
+    }
     match (may_have_run, is_over) {
         (true, true) => refused(ErrorKind::TimedOut, "the time was over before enough shards had answered"),
         (true, false) => refused(ErrorKind::BackEndsFailed, "too few shards are left to answer"),
--- a/crates/staircross-routing/src/engine/waiting.rs
+++ b/crates/staircross-routing/src/engine/waiting.rs
@@ -3,7 +3,7 @@
 //! A shard is given up only when nobody is left, or when its request's time is over before anybody may be asked.
 
 use super::{RoutingAction, RoutingEngine, UnsentCause, WaitingShard};
-use crate::definition::RouteDefinition;
+use crate::allowed_regions::AllowedRegions;
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
 use crate::request::{SendReason, ShardState, Waiting};
 use staircross_types::BootTime;
@@ -30,11 +30,11 @@
     pub(super) fn next_chance(
         &self,
         now: BootTime,
-        route: &RouteDefinition,
+        regions: AllowedRegions<'_>,
         service: &Arc<str>,
         barred: &[SearcherKey],
     ) -> Option<BootTime> {
-        let others = self.askable(now, route, service).filter(|(peer, _)| !barred.contains(peer));
+        let others = self.askable(now, regions, service).filter(|(peer, _)| !barred.contains(peer));
         let chances = others.filter_map(|(_, searcher)| self.place.next_chance(now, searcher));
         let chance = chances.map(|at| at.max(now)).min();
         chance.filter(|at| self.settings.policy.waiting || *at <= now)
@@ -52,7 +52,7 @@
             return UnsentCause::NobodyLeft;
         };
         let shard = &request.shards[shard_index];
-        let chance = self.next_chance(now, request.route(), &shard.service, &self.barred(key, shard_index));
+        let chance = self.next_chance(now, request.allowed_regions(), &shard.service, &self.barred(key, shard_index));
         let cause = match chance {
             Some(at) if at <= now => UnsentCause::NoRoom,
             Some(_) => UnsentCause::Avoided,
--- /dev/null
+++ b/crates/staircross-routing/src/engine/withdrawal.rs
@@ -0,0 +1,58 @@
+//! Requests in flight whose key a newer configuration holds no more.
+//!
+//! A table changes in one place only, so requests are judged anew there rather than before each send. What is running may finish, and
+//! its answer is delivered; what hasn't been sent isn't. A request of which nothing has run is refused at once.
+
+use super::{RoutingAction, RoutingEngine, SendReason, UnsentCause};
+use crate::keys::{AttemptKey, RequestKey};
+use crate::request::{Request, ShardState};
+use staircross_types::BootTime;
+
+impl RoutingEngine {
+    /// Judges the requests of tenants by the configuration that has just come into force.
+    pub(super) fn end_withdrawn(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let is_concerned =
+            |request: &Request| request.tenant.is_some() && !request.is_withdrawn && !table.holds(request.credential);
+        let concerned = self.requests.iter().filter(|(_, request)| is_concerned(request));
+        let mut keys: Vec<RequestKey> = concerned.map(|(key, _)| *key).collect();
+        // The order of a hash map must not decide what is done first.
+        keys.sort_unstable();
+        for key in keys {
+            self.withdraw(key, actions);
+            self.settle(now, key, actions);
+            self.schedule(key);
+        }
+    }
+
+    /// Ends the waiting of a request's shards, and takes back what hasn't been sent yet.
+    fn withdraw(&mut self, key: RequestKey, actions: &mut Vec<RoutingAction>) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        request.is_withdrawn = true;
+        for shard in request.shards.iter_mut().filter(|shard| shard.is_open() && shard.outstanding == 0) {
+            shard.waiting = None;
+            shard.state = ShardState::Failed(None);
+        }
+        for (number, attempt) in request.attempts.iter().enumerate().filter(|(_, attempt)| attempt.is_open) {
+            let attempt = AttemptKey { request: key, number: number as u16 };
+            actions.push(RoutingAction::Recall { attempt });
+        }
+    }
+
+    /// Says that a send isn't made because the request's key is gone.
+    pub(super) fn tell_withdrawn(
+        key: RequestKey,
+        request: &Request,
+        shard_index: usize,
+        reason: SendReason,
+        actions: &mut Vec<RoutingAction>,
+    ) -> UnsentCause {
+        let (service, cause) = (request.shards[shard_index].service.clone(), UnsentCause::KeyWithdrawn);
+        actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
+        cause
+    }
+}
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -82,6 +82,11 @@
         /// Why.
         cause: AbandonCause,
     },
+    /// Take an attempt back if nothing of it was sent; what was sent goes on.
+    Recall {
+        /// Which.
+        attempt: AttemptKey,
+    },
     /// An attempt that was wanted isn't made; told for the log alone.
     Unsent {
         /// For which request.
@@ -216,6 +221,8 @@
     Pressed,
     /// Searchers were lost under what is asked for, and another is at work on it: the shard waits for its word.
     Suspect,
+    /// The configuration in force holds the request's key no more.
+    KeyWithdrawn,
 }
 
 impl UnsentCause {
@@ -228,6 +235,7 @@
             UnsentCause::NobodyLeft => "nobody_left",
             UnsentCause::Pressed => "pressed",
             UnsentCause::Suspect => "suspect",
+            UnsentCause::KeyWithdrawn => "key_withdrawn",
         }
     }
 }
--- a/crates/staircross-routing/src/keys.rs
+++ b/crates/staircross-routing/src/keys.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Number of a request, unique within the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -29,6 +29,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ContentKey(pub u64);
 
+impl ContentKey {
+    /// The same asked for by a tenant. Searchers are told the tenant, so the work may differ; and one tenant's requests must not
+    /// bar another's.
+    pub fn of_tenant(self, name: Option<&str>) -> Self {
+        name.map_or(self, |name| ContentKey(xxh3_64_with_seed(name.as_bytes(), self.0)))
+    }
+}
+
 impl fmt::Display for ContentKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -32,6 +32,7 @@
 //! Everything is driven by `on_event(now, event, &mut actions)`.
 
 pub mod admission;
+pub mod allowed_regions;
 pub mod cold;
 pub mod decay;
 pub mod definition;
@@ -46,6 +47,7 @@
 pub mod mirror;
 pub mod policy;
 pub mod quarantine;
+pub mod rank;
 pub mod recording;
 pub mod rejection;
 pub mod report;
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -236,6 +236,7 @@
                 Some(Decision::Finish { request: *request, ending: verdict.into() })
             }
             RoutingAction::Unsent { .. }
+            | RoutingAction::Recall { .. }
             | RoutingAction::Held { .. }
             | RoutingAction::LeftOut { .. }
             | RoutingAction::NotAdmitted { .. }
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -1,5 +1,6 @@
 //! State of one request in flight.
 
+use crate::allowed_regions::AllowedRegions;
 use crate::definition::{GatherTarget, RouteDefinition};
 use crate::keys::{ContentKey, RequestKey, SearcherKey, TenantKey};
 use crate::report::SearcherReport;
@@ -293,6 +294,10 @@
     pub route_index: usize,
     /// Whose it is by that configuration, for all its attempts.
     pub tenant: Option<TenantKey>,
+    /// What it proved itself with; a newer configuration may hold it no more.
+    pub credential: Credential,
+    /// Whether that has happened: nothing more is sent for it.
+    pub is_withdrawn: bool,
     pub shards: Vec<Shard>,
     pub attempts: Vec<Attempt>,
     /// When a partial answer goes out rather than none in time.
@@ -319,6 +324,10 @@
         self.table.tenant(self.tenant?)
     }
 
+    pub fn allowed_regions(&self) -> AllowedRegions<'_> {
+        AllowedRegions::new(self.route(), self.tenant())
+    }
+
     pub fn identity(&self) -> SentIdentity {
         match self.tenant() {
             Some(tenant) => SentIdentity::Tenant(tenant.name.clone()),
@@ -347,6 +356,12 @@
         self.shards.iter().filter(|shard| shard.is_open()).count()
     }
 
+    /// Whether its key was withdrawn while it isn't known yet whether anything of it runs: the next end of an attempt tells.
+    pub fn is_unclear(&self) -> bool {
+        let is_anything_out = || self.attempts.iter().any(|attempt| attempt.is_open);
+        self.is_withdrawn && !self.may_have_run && is_anything_out()
+    }
+
     /// Whether any shard that is open may have its part in time for the best answer.
     pub fn may_grow_in_time(&self) -> bool {
         self.shards.iter().any(|shard| shard.may_come_by(self.answer_by))
--- a/crates/staircross-routing/src/selection.rs
+++ b/crates/staircross-routing/src/selection.rs
@@ -5,10 +5,10 @@
 //! searcher with an overdue attempt is probably in a pause, so whoever comes next goes elsewhere.
 //! Distance counts a little more than its time, because bytes between zones cost.
 //!
-//! Where a route allows some regions only, searchers elsewhere are left out whatever their time.
+//! Where a route or a tenant allows some regions only, searchers elsewhere are left out whatever their time.
 
+use crate::allowed_regions::AllowedRegions;
 use crate::cold::{ColdBound, FleetRank, cold_share};
-use crate::definition::RouteDefinition;
 use crate::keys::SearcherKey;
 use crate::policy::RoutingPolicy;
 use crate::searcher::Searcher;
@@ -84,9 +84,9 @@
         if is_same_region { Distance::OwnRegion } else { Distance::Far }
     }
 
-    /// Whether requests of a route may be sent to a searcher, by where it is.
-    pub fn allows(&self, route: &RouteDefinition, searcher: &Searcher) -> bool {
-        route.allows_region(self.regions.get(&searcher.entry.zone))
+    /// Whether a request may be sent to a searcher, by where it is.
+    pub fn allows(&self, regions: AllowedRegions<'_>, searcher: &Searcher) -> bool {
+        regions.allow(self.regions.get(&searcher.entry.zone))
     }
 
     /// When a searcher may be asked, room aside: in the past where it isn't avoided, `None` where this node has no share of what it
@@ -185,8 +185,8 @@
 
 /// What a searcher is chosen for.
 pub struct Choice<'a> {
-    /// The request's route.
-    pub route: &'a RouteDefinition,
+    /// Where the request may be served.
+    pub regions: AllowedRegions<'a>,
     /// Searchers that aren't to be asked.
     pub barred: &'a [SearcherKey],
     /// Usual time of the route's work.
@@ -195,7 +195,7 @@
     pub goal: Duration,
 }
 
-/// Chooses among `candidates`; those that are barred, outside the route's regions, without room, not serving or avoided are
+/// Chooses among `candidates`; those that are barred, outside the allowed regions, without room, not serving or avoided are
 /// left out.
 pub fn choose(
     now: BootTime,
@@ -209,7 +209,7 @@
     let mut as_good = 0_u32;
     for key in candidates {
         let searcher = &table[key.0 as usize];
-        if choice.barred.contains(key) || !place.allows(choice.route, searcher) || !may_take(now, searcher, place) {
+        if choice.barred.contains(key) || !place.allows(choice.regions, searcher) || !may_take(now, searcher, place) {
             continue;
         }
         let expected = expected_time(now, searcher, place, choice);
--- a/crates/staircross-routing/src/table.rs
+++ b/crates/staircross-routing/src/table.rs
@@ -2,6 +2,7 @@
 
 use crate::definition::{RouteDefinition, RoutingDefinition};
 use crate::keys::TenantKey;
+use crate::rank::Rank;
 use crate::tenants::{Credential, KeyDigest, KeyRefusal, TenantDefinition};
 use hashbrown::HashMap;
 use std::sync::Arc;
@@ -13,6 +14,8 @@
     /// Per host, indices of its routes, longest prefix first.
     by_host: HashMap<Arc<str>, Vec<u32>>,
     by_key: HashMap<KeyDigest, TenantKey>,
+    /// Different priorities of tenants, the most urgent first.
+    tenant_priorities: Vec<u32>,
 }
 
 impl RouteTable {
@@ -35,7 +38,10 @@
                 by_key.entry(*key).or_insert(TenantKey(index as u32));
             }
         }
-        RouteTable { definition, by_host, by_key }
+        let mut tenant_priorities: Vec<u32> = definition.tenants.iter().map(|tenant| tenant.priority).collect();
+        tenant_priorities.sort_unstable();
+        tenant_priorities.dedup();
+        RouteTable { definition, by_host, by_key, tenant_priorities }
     }
 
     /// A tenant of this version.
@@ -43,6 +49,13 @@
         self.definition.tenants.get(key.0 as usize)
     }
 
+    /// How urgent a request is. Whoever is nobody's comes after all tenants.
+    pub fn rank(&self, tenant: Option<TenantKey>, route: &RouteDefinition) -> Rank {
+        let priority = tenant.and_then(|key| self.tenant(key)).map(|tenant| tenant.priority);
+        let above = self.tenant_priorities.partition_point(|known| priority.is_none_or(|own| *known < own));
+        Rank::new(above as u32, route.priority)
+    }
+
     /// Whose a request to a route is. `None` where it needs to be nobody's: there are no tenants, or the route is public.
     pub fn judge(&self, route: &RouteDefinition, credential: Credential) -> Result<Option<TenantKey>, KeyRefusal> {
         if self.definition.tenants.is_empty() {
@@ -56,6 +69,12 @@
         }
     }
 
+    /// Whether a request that was let in with a credential still would be: where there are tenants, one of them holds the key.
+    pub fn holds(&self, credential: Credential) -> bool {
+        let is_held = |digest| self.by_key.contains_key(&digest);
+        self.definition.tenants.is_empty() || matches!(credential, Credential::Key(digest) if is_held(digest))
+    }
+
     /// The definition.
     pub fn definition(&self) -> &Arc<RoutingDefinition> {
         &self.definition
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -32,6 +32,7 @@
     /// When each of them was sent.
     pub sent_at: Vec<BootTime>,
     pub abandoned: Vec<(AttemptKey, AbandonCause)>,
+    pub recalled: Vec<AttemptKey>,
     pub unsent: Vec<(RequestKey, UnsentCause)>,
     pub left_out: Vec<(String, LeftOutCause)>,
     pub held: Vec<(RequestKey, HoldCause)>,
@@ -139,6 +140,7 @@
             sends: Vec::new(),
             sent_at: Vec::new(),
             abandoned: Vec::new(),
+            recalled: Vec::new(),
             unsent: Vec::new(),
             left_out: Vec::new(),
             held: Vec::new(),
@@ -188,6 +190,7 @@
                     self.sent_at.push(self.now);
                 }
                 RoutingAction::Abandon { attempt, cause, .. } => self.abandoned.push((attempt, cause)),
+                RoutingAction::Recall { attempt } => self.recalled.push(attempt),
                 RoutingAction::Unsent { request, cause, .. } => self.unsent.push((request, cause)),
                 RoutingAction::LeftOut { service, cause, .. } => self.left_out.push((service.to_string(), cause)),
                 RoutingAction::Held { request, cause } => self.held.push((request, cause)),
--- /dev/null
+++ b/crates/staircross-routing/tests/tenants.rs
@@ -0,0 +1,274 @@
+//! Requests of tenants: withdrawn keys, ranks and regions.
+
+mod common;
+
+use common::{Driver, answer, definition, gather, records, route, searcher};
+use staircross_routing::engine::{RoutingEvent, SendReason, UnsentCause};
+use staircross_routing::request::Unknown;
+use staircross_routing::{
+    AttemptOutcome, ContentKey, Credential, KeyDigest, NotRun, RequestKey, RouteTable, RouteTarget, RoutingDefinition,
+    SearcherEntry, SentIdentity, TenantDefinition, Verdict,
+};
+use staircross_types::ErrorKind;
+use std::sync::Arc;
+
+const KEY: &str = "n8hkcaac6dnvhz6prvnz";
+const OTHER_KEY: &str = "qjynjcfv8nmpby256b5c";
+/// Regions of the zones `a` and `b`, and of `c`.
+const NORTH: &str = "north";
+const SOUTH: &str = "south";
+
+fn credential(key: &str) -> Credential {
+    Credential::Key(KeyDigest::of(key.as_bytes()).expect("a key"))
+}
+
+fn tenant(name: &str, keys: &[&str]) -> TenantDefinition {
+    let digest = |key: &&str| KeyDigest::of(key.as_bytes()).expect("a key");
+    let keys = keys.iter().map(digest).collect();
+    TenantDefinition { name: Arc::from(name), keys, priority: 0, quota: None, allowed_regions: Vec::new() }
+}
+
+fn within(tenant: TenantDefinition, regions: &[&str]) -> TenantDefinition {
+    TenantDefinition { allowed_regions: regions.iter().map(|region| Arc::from(*region)).collect(), ..tenant }
+}
+
+fn service(name: &str) -> RouteTarget {
+    RouteTarget::Service(Arc::from(name))
+}
+
+/// A route to two shards, both of which must be in, one to any of them, one to one service, and the tenants.
+fn version(version: u64, tenants: &[TenantDefinition]) -> RoutingDefinition {
+    let routes = vec![
+        route("both", gather(&["x", "y"], 2, 1.0)),
+        route("any", gather(&["x", "y"], 2, 0.5)),
+        route("one", service("x")),
+    ];
+    RoutingDefinition { tenants: tenants.to_vec(), ..definition(version, routes, &["x", "y"]) }
+}
+
+fn searchers() -> Vec<SearcherEntry> {
+    [("x-1", "x", "a"), ("x-2", "x", "a"), ("y-1", "y", "a"), ("y-2", "y", "a")]
+        .map(|(instance, service, zone)| searcher(instance, service, zone))
+        .to_vec()
+}
+
+fn with_kami() -> Driver {
+    Driver::with(version(1, &[tenant("kami", &[KEY]), tenant("nuro", &[OTHER_KEY])]), searchers())
+}
+
+fn without_key(number: u64) -> RoutingDefinition {
+    version(number, &[tenant("kami", &[]), tenant("nuro", &[OTHER_KEY])])
+}
+
+fn ask(driver: &mut Driver, path: &str, key: &str) -> RequestKey {
+    let mut arrival = driver.arrival(path);
+    arrival.credential = credential(key);
+    let request = arrival.key;
+    driver.event(RoutingEvent::Arrived(arrival));
+    request
+}
+
+/// Ends all attempts of a request so far in the same way.
+fn end_all(driver: &mut Driver, request: RequestKey, outcome: &AttemptOutcome) {
+    let attempts: Vec<_> = driver.sent_for(request).iter().map(|order| order.attempt).collect();
+    attempts.into_iter().for_each(|attempt| driver.end(attempt, outcome.clone()));
+}
+
+#[test]
+fn a_request_whose_key_goes_while_it_waits_is_refused_right_then_as_not_run() {
+    let mut driver = with_kami();
+    let request = ask(&mut driver, "/one/1", KEY);
+    for _ in 0..3 {
+        end_all(&mut driver, request, &AttemptOutcome::NotRun(NotRun::TurnedAway));
+    }
+    assert_eq!(driver.verdict(request), None, "it waits for a searcher that takes it");
+    let sent = driver.sent_for(request).len();
+    driver.configure(without_key(2));
+    assert_eq!(driver.refusal(request), Some(ErrorKind::Unauthorized));
+    driver.pass_ms(5000);
+    assert_eq!(driver.sent_for(request).len(), sent);
+}
+
+#[test]
+fn a_key_that_moves_keeps_the_tenant_that_its_request_began_with() {
+    let mut driver = with_kami();
+    let request = ask(&mut driver, "/one/1", KEY);
+    driver.configure(version(2, &[tenant("nuro", &[KEY])]));
+    end_all(&mut driver, request, &AttemptOutcome::Unknown(Unknown::Broken));
+    let told: Vec<SentIdentity> = driver.sent_for(request).iter().map(|order| order.identity.clone()).collect();
+    assert_eq!(told, vec![SentIdentity::Tenant(Arc::from("kami")); 2]);
+}
+
+#[test]
+fn a_request_without_tenants_goes_on_when_some_come_or_go() {
+    let mut driver = with_kami();
+    let request = ask(&mut driver, "/one/1", KEY);
+    driver.configure(version(2, &[]));
+    end_all(&mut driver, request, &AttemptOutcome::Unknown(Unknown::Broken));
+    assert_eq!(driver.reasons(request), [SendReason::First, SendReason::Retry]);
+}
+
+#[test]
+fn neither_retries_nor_hedges_are_sent_for_a_key_that_is_withdrawn() {
+    let mut driver = with_kami();
+    let (failed, late) = (ask(&mut driver, "/one/1", KEY), ask(&mut driver, "/one/2", KEY));
+    driver.configure(without_key(2));
+    assert!(driver.finished.is_empty(), "what is under way may finish");
+    end_all(&mut driver, failed, &AttemptOutcome::Unknown(Unknown::Broken));
+    assert_eq!(driver.unsent, [(failed, UnsentCause::KeyWithdrawn)]);
+    assert_eq!(driver.refusal(failed), Some(ErrorKind::BackEndsFailed), "it may have run");
+    driver.pass_ms(3000);
+    assert_eq!(driver.reasons(late), [SendReason::First]);
+    end_all(&mut driver, late, &answer(200, "p", Vec::new()));
+    assert!(matches!(driver.verdict(late), Some(Verdict::Passed(_))));
+}
+
+#[test]
+fn a_withdrawn_key_whose_first_attempt_surely_did_not_run_is_refused_as_such() {
+    let mut driver = with_kami();
+    let request = ask(&mut driver, "/one/1", KEY);
+    driver.configure(without_key(2));
+    end_all(&mut driver, request, &AttemptOutcome::NotRun(NotRun::Stale));
+    assert_eq!(driver.refusal(request), Some(ErrorKind::Unauthorized));
+}
+
+#[test]
+fn an_attempt_that_waits_for_a_connection_is_taken_back_when_its_key_goes() {
+    let mut driver = with_kami();
+    let request = ask(&mut driver, "/both/1", KEY);
+    driver.configure(without_key(2));
+    let sent: Vec<_> = driver.sent_for(request).iter().map(|order| order.attempt).collect();
+    assert_eq!(driver.recalled, sent);
+    for attempt in sent {
+        driver.end(attempt, AttemptOutcome::Withdrawn);
+    }
+    assert_eq!(driver.refusal(request), Some(ErrorKind::Unauthorized));
+}
+
+#[test]
+fn parts_under_way_are_delivered_when_the_key_of_their_request_goes() {
+    let mut driver = with_kami();
+    let request = ask(&mut driver, "/any/1", KEY);
+    let (waiting, running) = (driver.sends[0].attempt, driver.sends[1].attempt);
+    driver.end(waiting, AttemptOutcome::NotRun(NotRun::TurnedAway));
+    let again = driver.sends[2].attempt;
+    driver.end(again, AttemptOutcome::NotRun(NotRun::TurnedAway));
+    assert_eq!(driver.sends.len(), 3, "one shard waits");
+    driver.configure(without_key(2));
+    assert!(driver.finished.is_empty(), "the other is under way");
+    driver.end(running, answer(200, "p", records(&[7])));
+    assert_eq!(driver.sends.len(), 3);
+    let verdict = driver.verdict(request);
+    assert!(matches!(verdict, Some(Verdict::Merged(merged)) if merged.missing == 1), "{verdict:?}");
+}
+
+#[test]
+fn a_held_request_whose_key_is_gone_from_the_configuration_that_it_waited_for_is_never_sent() {
+    let mut driver = with_kami();
+    let mut arrival = driver.arrival("/added/1");
+    (arrival.credential, arrival.is_behind) = (credential(KEY), true);
+    let request = arrival.key;
+    driver.event(RoutingEvent::Arrived(arrival));
+    let mut next = without_key(2);
+    next.routes.push(route("added", service("x")));
+    driver.configure(next);
+    // It was told of a newer configuration when it came, and this may not be the newest yet: nobody is denied by it.
+    driver.pass_ms(500);
+    assert_eq!(driver.refusal(request), Some(ErrorKind::NoConfiguration));
+    assert!(driver.sends.is_empty());
+}
+
+#[test]
+fn a_tenants_regions_bind_beside_its_routes() {
+    let mut south_only = route("south", service("x"));
+    south_only.allowed_regions = vec![Arc::from(SOUTH)];
+    let mut definition = version(1, &[within(tenant("kami", &[KEY]), &[NORTH]), tenant("nuro", &[OTHER_KEY])]);
+    definition.routes.push(south_only);
+    let here_and_there = vec![searcher("near", "x", "a"), searcher("far", "x", "c")];
+    let mut driver = Driver::with(definition, here_and_there);
+    // Nobody can be asked for it, now or later: it isn't held although not all searchers are known.
+    let mut arrival = driver.arrival("/south/1");
+    (arrival.credential, arrival.knows_searchers) = (credential(KEY), false);
+    let nowhere = arrival.key;
+    driver.event(RoutingEvent::Arrived(arrival));
+    assert_eq!(driver.refusal(nowhere), Some(ErrorKind::NoAllowedReplica));
+    let other = ask(&mut driver, "/south/2", OTHER_KEY);
+    assert_eq!(driver.instances(other), ["far"]);
+    let bound = ask(&mut driver, "/one/1", KEY);
+    assert_eq!(driver.instances(bound), ["near"]);
+    end_all(&mut driver, bound, &AttemptOutcome::Unknown(Unknown::Broken));
+    assert_eq!(driver.instances(bound), ["near"], "a retry stays within the tenant's regions too");
+    assert_eq!(driver.refusal(bound), Some(ErrorKind::BackEndsFailed));
+}
+
+#[test]
+fn a_tenants_rank_comes_before_its_routes() {
+    let ranked = |name: &str, key: &str, priority| TenantDefinition { priority, ..tenant(name, &[key]) };
+    let mut definition = version(1, &[ranked("low", OTHER_KEY, 700), ranked("high", KEY, 3)]);
+    for (index, priority) in [(0, 2), (1, 4), (2, 5)] {
+        definition.routes[index].priority = priority;
+    }
+    definition.routes.push(common::route("more", service("x")));
+    definition.routes.last_mut().expect("a route").priority = 2;
+    let routes = definition.routes.clone();
+    let table = RouteTable::new(Arc::new(definition));
+    let rank = |key: &str, route: usize| {
+        let whose = table.judge(&routes[route], credential(key)).expect("a known key");
+        table.rank(whose, &routes[route])
+    };
+    let order = [rank(KEY, 0), rank(KEY, 1), rank(KEY, 2), rank(OTHER_KEY, 0), rank(OTHER_KEY, 1), rank(OTHER_KEY, 2)];
+    assert!(order.windows(2).all(|pair| pair[0] < pair[1]), "{order:?}");
+    assert_eq!(rank(KEY, 0), rank(KEY, 3));
+    // Within a group whose routes' priorities are 2 to 5: each tenant's steps begin below all of the tenant's above.
+    let steps: Vec<u32> = order.iter().map(|rank| rank.steps(2..=5)).collect();
+    assert_eq!(steps, [0, 2, 3, 4, 6, 7]);
+}
+
+#[test]
+fn without_tenants_a_rank_is_its_routes() {
+    let mut definition = version(1, &[]);
+    definition.routes[2].priority = 9;
+    let route = definition.routes[2].clone();
+    let table = RouteTable::new(Arc::new(definition));
+    assert_eq!(table.rank(None, &route).steps(1..=9), 8);
+}
+
+#[test]
+fn whoever_is_nobodys_comes_after_all_tenants() {
+    let mut definition = version(1, &[tenant("kami", &[KEY]), TenantDefinition { priority: 1, ..tenant("nuro", &[]) }]);
+    definition.routes[2].is_public = true;
+    let route = definition.routes[2].clone();
+    let table = RouteTable::new(Arc::new(definition));
+    let tenants_least = table.rank(Some(staircross_routing::TenantKey(1)), &route);
+    assert!(table.rank(None, &route) > tenants_least);
+}
+
+#[test]
+fn like_requests_of_two_tenants_are_two_contents() {
+    let content = ContentKey(77);
+    assert_eq!(content.of_tenant(None), content);
+    assert_ne!(content.of_tenant(Some("kami")), content);
+    assert_ne!(content.of_tenant(Some("kami")), content.of_tenant(Some("nuro")));
+    let mut driver = with_kami();
+    // One tenant's request ends its searchers until it is quarantined.
+    for number in 0..4 {
+        let mut arrival = driver.arrival("/one/deadly");
+        (arrival.credential, arrival.content) = (credential(KEY), content);
+        driver.event(RoutingEvent::Searchers(vec![searcher(&format!("x-new-{number}"), "x", "a")]));
+        let request = arrival.key;
+        driver.event(RoutingEvent::Arrived(arrival));
+        end_all(&mut driver, request, &AttemptOutcome::Unknown(Unknown::Broken));
+        driver.pass_ms(300);
+        end_all(&mut driver, request, &AttemptOutcome::Unknown(Unknown::Broken));
+    }
+    let mut arrival = driver.arrival("/one/deadly");
+    (arrival.credential, arrival.content) = (credential(KEY), content);
+    let again = arrival.key;
+    driver.event(RoutingEvent::Arrived(arrival));
+    assert_eq!(driver.refusal(again), Some(ErrorKind::Quarantined));
+    let mut arrival = driver.arrival("/one/deadly");
+    (arrival.credential, arrival.content) = (credential(OTHER_KEY), content);
+    let others = arrival.key;
+    driver.event(RoutingEvent::Arrived(arrival));
+    assert_ne!(driver.refusal(others), Some(ErrorKind::Quarantined));
+}
