Bound how old a view of tenants' keys may be, and show tenants in logs

Cause: a node that the store turns away, or that stood still, took withdrawn keys for as long as it didn't hear of the newer version; log lines named no tenant. Ruled out: the readers' sign of the region alone (a region whose readers are turned away would have none, and a reader of another region is heard every few seconds only); taking a datagram's age from when it is read (after a pause, what had waited in the socket confirmed the old version as fresh: a stopped node served a withdrawn key, 200 for 401); a held request that keeps 'behind' although the newer version has come (503 for 401). Change: settings revoke_ms and revoke_strict; nodes tell how long ago their configuration was known to be the newest, and tell on what they hear, where there are tenants (about six bytes a datagram); an old view asks first where a peer has a newer version, and with revoke_strict takes no keys (503 configuration_unconfirmed). Arrivals name the newest version known instead of a flag. finish and caller_gone lines name the tenant, key_refused says why.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -4,10 +4,12 @@
 //! that the store doesn't serve sees that it is behind, and asks a peer for what it lacks.
 
 mod announcement;
+mod confirmation;
 mod readers;
 mod shape;
 
 pub use announcement::Announcement;
+pub use confirmation::{Confirmation, ConfirmedVersion};
 pub use shape::FleetShape;
 
 use crate::directory::Directory;
@@ -85,6 +87,10 @@
     /// When the store last answered this node, and a reader of the zone as far as it was heard.
     store_contact: Option<BootTime>,
     sign: Option<BootTime>,
+    confirmation: Confirmation,
+    tells_confirmation: bool,
+    /// When no datagram waited to be read any more.
+    drained_at: BootTime,
     policy: NodePolicy,
     /// Counters for metrics.
     pub counters: FleetCounters,
@@ -138,6 +144,9 @@
             serving_peak: Peak::new(ASSUMED_FLEET, now),
             store_contact: None,
             sign: None,
+            confirmation: Confirmation::default(),
+            tells_confirmation: false,
+            drained_at: now,
             policy: NodePolicy::default(),
             counters: FleetCounters::default(),
             traffic: Traffic::default(),
@@ -161,7 +170,10 @@
             match self.socket.recv_from(&mut buffer) {
                 Ok((length, from)) => self.take(now, &buffer[..length], from, events),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.drained_at = now;
+                    return;
+                }
                 // A peer that refused an earlier datagram; the next may be another's.
                 Err(_) => {}
             }
@@ -182,6 +194,7 @@
             self.directory_at = None;
         }
         self.take_sign(now, datagram.from, &datagram.announcement);
+        self.take_confirmation(datagram.from);
         if !datagram.cases.is_empty() {
             events.push(FleetEvent::Cases(datagram.cases));
         }
@@ -195,6 +208,8 @@
 
     /// Lets time pass.
     pub fn on_tick(&mut self, now: BootTime, events: &mut Vec<FleetEvent>) {
+        // What came while the process stood still is read before anything is judged by what was known before.
+        self.on_readable(now, events);
         self.refresh_own_sign(now);
         let mut actions = Vec::new();
         self.membership.on_tick(now, &mut self.random, &mut actions);
--- a/crates/staircross-gateway/src/fleet/announcement.rs
+++ b/crates/staircross-gateway/src/fleet/announcement.rs
@@ -23,6 +23,9 @@
     /// Time since the store last answered the sender, in milliseconds, if it reads the store.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     pub store_age_ms: Option<u32>,
+    /// Time since the sender's configuration was known to be the newest, in milliseconds, where there are tenants.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub confirmed_age_ms: Option<u32>,
 }
 
 /// Most fleets never evacuate anything, and a datagram goes out every few milliseconds.
--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -84,6 +84,7 @@
     pub(super) fn refresh_own_sign(&mut self, now: BootTime) {
         let age = self.store_contact.map(|at| now.since(at).as_millis());
         self.own.store_age_ms = age.and_then(|millis| u32::try_from(millis).ok());
+        self.refresh_own_confirmation(now);
     }
 
     /// Notes what this node knows now. Returns whether that is more than before.
@@ -92,6 +93,7 @@
         self.own.version = mirror.version();
         self.own.revision = mirror.newest_revision();
         self.own.evacuations = mirror.evacuations_revision();
+        self.confirmation.set_version(self.own.version);
         before != self.own
     }
 
@@ -120,9 +122,14 @@
         (knows_nothing || now.since(since) >= patience).then_some(address)
     }
 
+    /// Newest configuration that a live peer has; 0 where none is known.
+    pub fn newest_version(&self) -> u64 {
+        self.announced.values().map(|known| known.version).max().unwrap_or_default()
+    }
+
     /// Whether a live peer has a newer configuration than this node.
     pub fn is_version_behind(&self) -> bool {
-        self.announced.values().any(|known| known.version > self.own.version)
+        self.newest_version() > self.own.version
     }
 
     /// Since when a live peer has been known to have a newer configuration.
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -14,6 +14,7 @@
 mod setup;
 mod stop;
 mod summary;
+mod view;
 
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LineKind};
@@ -121,6 +122,8 @@
     fleet: Fleet,
     store: [HttpCaller; 3],
     store_calls: [Option<StoreCall>; 3],
+    /// When the last call of each lane was made.
+    store_called_at: [BootTime; 3],
     peer: HttpCaller,
     reader: StoreReader,
     role: RoleKeeper,
@@ -134,6 +137,8 @@
     is_ready: bool,
     is_pressed: bool,
     is_serving: bool,
+    /// Whether the configuration hasn't been confirmed for longer than it may be.
+    is_view_old: bool,
     stop: Option<StopState>,
     recorder: Option<Recorder>,
     log: EventLog,
@@ -197,6 +202,8 @@
             fleet: Fleet::new(identity, settings.node.seeds.clone(), socket, now).with_policy(settings.policy.node),
             store: [0, 1, 2].map(|slot| HttpCaller::new(STORE, slot, store)),
             store_calls: [const { None }; 3],
+            store_called_at: [BootTime::default(); 3],
+            is_view_old: false,
             peer: HttpCaller::new(PEER, 0, peers),
             reader,
             role,
@@ -310,6 +317,7 @@
         self.on_fleet_tick();
         self.decide_store_role();
         self.ask_better_informed();
+        self.note_view();
         self.update_readiness();
         self.on_stop_tick();
         self.look_at_settings();
--- a/crates/staircross-gateway/src/node/caller_request.rs
+++ b/crates/staircross-gateway/src/node/caller_request.rs
@@ -2,6 +2,7 @@
 
 use crate::outbound::OutboundRequest;
 use crate::socket::SocketId;
+use staircross_routing::ContentKey;
 use staircross_types::BootTime;
 use std::sync::Arc;
 
@@ -10,7 +11,9 @@
     pub connection: SocketId,
     pub outbound: OutboundRequest,
     pub route: Option<Arc<str>>,
-    /// What was asked for, where no route was known when the request came.
+    /// Whose it is.
+    pub tenant: Option<Arc<str>>,
+    /// What was asked for, where no route or no tenant was known when the request came.
     pub unrouted: Option<Target>,
     pub version: u64,
     pub arrived: BootTime,
@@ -31,6 +34,16 @@
         self.outbound.id.as_deref().and_then(|id| std::str::from_utf8(id).ok()).unwrap_or("-")
     }
 
+    /// Its tenant's name, for logs.
+    pub fn tenant_name(&self) -> &str {
+        self.tenant.as_deref().unwrap_or("-")
+    }
+
+    /// What it asks for, as quarantine counts it.
+    pub fn content(&self) -> ContentKey {
+        self.outbound.content.of_tenant(self.tenant.as_deref())
+    }
+
     pub fn route_name(&self) -> &str {
         self.route.as_deref().unwrap_or("-")
     }
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -53,6 +53,7 @@
                     let target = self.dialect.store_target(&call);
                     self.metrics.store_calls.count(&call);
                     self.store_calls[index] = Some(call);
+                    self.store_called_at[index] = self.now;
                     let mut io = Self::io(self.now, &self.poll, &mut self.buffer, &self.engine);
                     if let Some(outcome) = self.store[index].get(&target, patience, &mut io) {
                         self.on_store_outcome(lane, outcome);
@@ -62,7 +63,12 @@
                     self.store[lane as usize].cancel();
                     self.store_calls[lane as usize] = None;
                 }
-                ReaderAction::Learned { lane, update } => self.learn(update, lane.name()),
+                ReaderAction::Learned { lane, update } => {
+                    self.learn(update, lane.name());
+                    if lane == Lane::Configuration {
+                        self.fleet.confirm(self.store_called_at[lane as usize]);
+                    }
+                }
                 ReaderAction::Reachable { lane, is_reachable } => self.log.line(
                     self.now,
                     LineKind::Belief,
@@ -105,6 +111,10 @@
         if is_alive {
             self.role.note_probe_answered(self.now);
         }
+        let [watched_at, _, probed_at] = self.store_called_at;
+        if is_alive && self.reader.watches_configuration() && watched_at <= probed_at {
+            self.fleet.confirm(probed_at);
+        }
         if is_alive && self.reader.is_reachable() && self.fleet.is_designated_reader() {
             self.fleet.set_store_contact(Some(self.now));
             self.fleet.tell_followers(self.now);
@@ -120,12 +130,14 @@
                 self.now,
                 LineKind::Belief,
                 format_args!(
-                    "event=configuration version={} routes={} services={} source={source}",
+                    "event=configuration version={} routes={} services={} tenants={} source={source}",
                     definition.version,
                     definition.routes.len(),
-                    definition.services.len()
+                    definition.services.len(),
+                    definition.tenants.len()
                 ),
             );
+            self.fleet.tell_confirmation(!definition.tenants.is_empty());
             self.engine_event(RoutingEvent::Configuration(Arc::new(RouteTable::new(definition))));
             self.fleet.set_connections(self.engine.tightest_connections());
             self.tell_fleet_shape();
--- a/crates/staircross-gateway/src/node/request_log.rs
+++ b/crates/staircross-gateway/src/node/request_log.rs
@@ -51,13 +51,14 @@
             self.now,
             LineKind::Request,
             format_args!(
-                "event=finish request={} route={} version={} outcome={outcome} status={status} parts={parts} \
+                "event=finish request={} route={} tenant={} version={} outcome={outcome} status={status} parts={parts} \
                  missing={missing} extras={} content={} ms={:.1}",
                 pending.id(),
                 pending.route_name(),
+                pending.tenant_name(),
                 pending.version,
                 pending.extras,
-                pending.outbound.content,
+                pending.content(),
                 took.as_secs_f64() * 1000.0
             ),
         );
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -12,7 +12,7 @@
 use staircross_http::{Request, ServerFault};
 use staircross_routing::admission::AdmissionChange;
 use staircross_routing::engine::{RoutingAction, RoutingEvent, SendOrder, SendReason};
-use staircross_routing::{Arrival, CallerLink, RequestKey, Verdict};
+use staircross_routing::{Arrival, CallerLink, Credential, RequestKey, Verdict};
 use staircross_types::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,22 +72,24 @@
             patience: patience.map(Duration::from_millis),
             waited,
             is_overloaded: self.load.is_overloaded(self.now),
-            is_behind: self.fleet.is_version_behind(),
+            newest_version: self.fleet.newest_version(),
+            view: self.configuration_view(),
             knows_searchers: self.mirror.has_listing() && !self.reader.may_lack_searchers(self.now),
             link,
             content: outbound.content,
             credential: outbound.credential,
         };
-        let route = self.route_name(&arrival.host, &arrival.path);
-        let unrouted = match route {
-            Some(_) => None,
-            None => Some(Target { host: arrival.host.clone(), path: arrival.path.clone() }),
-        };
+        let (route, tenant) = self.identify(&arrival.host, &arrival.path, arrival.credential);
+        // A newer configuration may know what this one doesn't.
+        let is_nobodys = tenant.is_none() && arrival.credential != Credential::Missing;
+        let target = || Target { host: arrival.host.clone(), path: arrival.path.clone() };
+        let unrouted = (route.is_none() || is_nobodys).then(target);
         let keeps_alive = head.keeps_alive();
         let pending = CallerRequest {
             connection,
             outbound,
             route,
+            tenant,
             unrouted,
             version: self.version(),
             arrived: self.now,
@@ -100,22 +102,27 @@
         self.engine_event(RoutingEvent::Arrived(arrival));
     }
 
-    fn route_name(&self, host: &str, path: &str) -> Option<Arc<str>> {
-        let table = self.engine.table()?;
-        let index = table.find_index(host, path)?;
-        Some(table.definition().routes[index].name.clone())
+    /// Names of the route and the tenant of a request, for the log.
+    fn identify(&self, host: &str, path: &str, credential: Credential) -> (Option<Arc<str>>, Option<Arc<str>>) {
+        let found = self.engine.table().and_then(|table| Some((table, table.find_index(host, path)?)));
+        let Some((table, index)) = found else {
+            return (None, None);
+        };
+        let route = &table.definition().routes[index];
+        let tenant = table.judge(route, credential).ok().flatten().and_then(|key| table.tenant(key));
+        (Some(route.name.clone()), tenant.map(|tenant| tenant.name.clone()))
     }
 
     fn version(&self) -> u64 {
         self.engine.table().map_or(0, |table| table.version())
     }
 
-    /// Names the route of a request that was held until it was known.
+    /// Names the route and the tenant of a request that was held until they were known.
     fn name_held_route(&self, pending: &mut CallerRequest) {
         let Some(target) = pending.unrouted.take() else {
             return;
         };
-        pending.route = self.route_name(&target.host, &target.path);
+        (pending.route, pending.tenant) = self.identify(&target.host, &target.path, pending.outbound.credential);
         pending.version = self.version();
     }
 
@@ -131,11 +138,12 @@
                 self.now,
                 LineKind::Request,
                 format_args!(
-                    "event=caller_gone request={} route={} version={} content={} ms={took}",
+                    "event=caller_gone request={} route={} tenant={} version={} content={} ms={took}",
                     pending.id(),
                     pending.route_name(),
+                    pending.tenant_name(),
                     pending.version,
-                    pending.outbound.content
+                    pending.content()
                 ),
             );
         }
@@ -207,6 +215,9 @@
             RoutingAction::Held { request, cause } => {
                 self.note_decision(request, format_args!("event=held cause={}", cause.name()));
             }
+            RoutingAction::KeyRefused { request, cause } => {
+                self.note_decision(request, format_args!("event=key_refused cause={}", cause.name()));
+            }
             RoutingAction::NotAdmitted { request, group, part } => {
                 self.note_decision(request, format_args!("event=not_admitted group={group} part={part:.2}"));
             }
--- /dev/null
+++ b/crates/staircross-gateway/src/node/view.rs
@@ -0,0 +1,41 @@
+//! How old what the node knows of the configuration may be, and what that means for callers' keys.
+
+use super::GatewayNode;
+use crate::dialect::Dialect;
+use crate::event_log::LineKind;
+use staircross_routing::ConfigurationView;
+use std::time::Duration;
+
+impl<D: Dialect> GatewayNode<D> {
+    /// What requests that need a key are judged by now.
+    pub(super) fn configuration_view(&self) -> ConfigurationView {
+        match (self.is_view_too_old(), self.settings.bounds.revoke_strict) {
+            (false, _) => ConfigurationView::Current,
+            (true, true) => ConfigurationView::Expired,
+            (true, false) if self.fleet.is_version_behind() => ConfigurationView::Doubtful,
+            (true, false) => ConfigurationView::Current,
+        }
+    }
+
+    /// Whether keys may have been withdrawn for longer than the settings allow without this node's knowing.
+    fn is_view_too_old(&self) -> bool {
+        let Some(revoke_ms) = self.settings.bounds.revoke_ms else {
+            return false;
+        };
+        let most = Duration::from_millis(revoke_ms);
+        self.fleet.confirmed_at().is_none_or(|at| self.now.since(at) > most)
+    }
+
+    /// Tells the log when the view becomes too old, and when it is confirmed again; only where there are tenants.
+    pub(super) fn note_view(&mut self) {
+        let has_tenants = self.engine.table().is_some_and(|table| !table.definition().tenants.is_empty());
+        let is_old = has_tenants && self.is_view_too_old();
+        if is_old == self.is_view_old {
+            return;
+        }
+        self.is_view_old = is_old;
+        let strict = self.settings.bounds.revoke_strict;
+        let line = format_args!("event=configuration_view confirmed={} strict={strict}", !is_old);
+        self.log.line(self.now, LineKind::Belief, line);
+    }
+}
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -165,6 +165,12 @@
     /// Time within which searchers of an evacuated zone must get no more work, in milliseconds; `config_ms` when absent.
     #[serde(default)]
     pub evacuate_ms: Option<u64>,
+    /// Time within which a key that is withdrawn lets nobody in any more, in milliseconds; no bound when absent.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
+    /// Whether a node that can't be sure to know of all withdrawals of that age refuses requests that need a key.
+    #[serde(default)]
+    pub revoke_strict: bool,
 }
 
 fn default_cold_factor() -> f64 {
@@ -237,6 +243,11 @@
         check_number("bounds.cold_factor", self.bounds.cold_factor, 0.0, 1000.0, "0 to 1000")?;
         check_number("bounds.cold_slack", self.bounds.cold_slack, 0.0, 1e6, "0 to 1000000")?;
         check_number("bounds.evacuate_ms", self.bounds.operator_ms() as f64, 50.0, 3.6e6, "50 to 3600000")?;
+        check_number("bounds.revoke_ms", self.bounds.revoke_ms.unwrap_or(50) as f64, 50.0, 3.6e6, "50 to 3600000")?;
+        if self.bounds.revoke_strict && self.bounds.revoke_ms.is_none() {
+            let allowed = "false where there is no bounds.revoke_ms";
+            return Err(SettingsError::Value { key: "bounds.revoke_strict", value: "true".to_owned(), allowed });
+        }
         check_number("bounds.stop_s", self.bounds.stop_s, 0.5, 3600.0, "0.5 to 3600")?;
         check_number("bounds.directory_ttl_s", self.bounds.directory_ttl_s, 0.1, 3600.0, "0.1 to 3600")?;
         let addresses = [self.listen.callers, self.listen.readiness, self.listen.directory, self.listen.peers];
@@ -269,7 +280,8 @@
         ReaderSettings {
             configuration_rest: usual.configuration_rest.min(part(self.bounds.operator_ms(), CONFIG_REST_PART)),
             searcher_rest: usual.searcher_rest.min(part(self.bounds.drain_ms, DRAIN_REST_PART)),
-            probe_for_others: self.longest_silence().mul_f64(SIGN_PART),
+            probe: (usual.probe.0.min(self.longest_unconfirmed().mul_f64(SIGN_PART)), usual.probe.1),
+            probe_for_others: self.longest_silence().min(self.longest_unconfirmed()).mul_f64(SIGN_PART),
             probe_in_doubt: self.longest_silence().mul_f64(DOUBT_PART),
             lanes_wait_for_probe: self.policy.node.probe_first,
             ..usual
@@ -281,6 +293,12 @@
         Duration::from_millis(self.bounds.operator_ms().min(self.bounds.drain_ms)).mul_f64(SILENCE_PART)
     }
 
+    /// Longest time without word of the store after which requests are still taken, where the settings bound it.
+    fn longest_unconfirmed(&self) -> Duration {
+        let strict_ms = self.bounds.revoke_ms.filter(|_| self.bounds.revoke_strict);
+        strict_ms.map_or(Duration::MAX, Duration::from_millis)
+    }
+
     /// Time after the end of its entry during which a searcher is asked where nobody else can be.
     pub fn lapse_grace(&self) -> Duration {
         Duration::from_millis(self.bounds.drain_ms).mul_f64(LAPSE_PART)
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -10,9 +10,9 @@
 use crate::goal::usable_goal;
 use crate::keys::{RequestKey, TenantKey};
 use crate::quarantine::Suspicion;
-use crate::request::{Arrival, CallerLink, Request, Shard, Verdict};
+use crate::request::{Arrival, CallerLink, ConfigurationView, Request, Shard, Verdict};
 use crate::table::RouteTable;
-use crate::tenants::KeyRefusal;
+use crate::tenants::{Credential, KeyRefusal};
 use staircross_types::{BootTime, ErrorKind};
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -47,9 +47,13 @@
         HeldRequest { arrival, held_at: now, until: now + part.min(LONGEST_HOLD) }
     }
 
-    /// The arrival as if it came now.
+    /// The arrival as if it came now. Once its hold is over, a request is judged by what is known.
     fn arrival(&self, now: BootTime) -> Arrival {
-        Arrival { waited: self.arrival.waited + now.since(self.held_at), ..self.arrival.clone() }
+        let view = match self.arrival.view {
+            ConfigurationView::Doubtful if now >= self.until => ConfigurationView::Current,
+            view => view,
+        };
+        Arrival { view, waited: self.arrival.waited + now.since(self.held_at), ..self.arrival.clone() }
     }
 }
 
@@ -124,7 +128,7 @@
             return refuse(ErrorKind::Overloaded, "the node holds as many requests as it may");
         }
         let route = &table.definition().routes[route_index];
-        let tenant = judge_credential(&table, route, arrival)?;
+        let tenant = judge_credential(&table, route, arrival, actions)?;
         let definition = tenant.and_then(|key| table.tenant(key));
         let content = arrival.content.of_tenant(definition.map(|tenant| &*tenant.name));
         if self.suspicion(now, content) == Suspicion::Quarantined {
@@ -176,7 +180,7 @@
         if let Some(route_index) = table.find_index(&arrival.host, &arrival.path) {
             return Ok((table, route_index));
         }
-        if arrival.is_behind {
+        if arrival.is_ahead_of(&table) {
             let verdict = refused(ErrorKind::NoConfiguration, "a newer configuration may have this route");
             return Err(NotBegun::Unprepared(HoldCause::OldConfiguration, verdict));
         }
@@ -248,12 +252,33 @@
     table: &RouteTable,
     route: &RouteDefinition,
     arrival: &Arrival,
+    actions: &mut Vec<RoutingAction>,
 ) -> Result<Option<TenantKey>, NotBegun> {
+    let is_judged = arrival.credential != Credential::Missing || !route.is_public;
+    if is_judged && !table.definition().tenants.is_empty() {
+        check_view(table, arrival)?;
+    }
     table.judge(route, arrival.credential).map_err(|refusal| {
-        if arrival.is_behind && refusal != KeyRefusal::Malformed {
+        if arrival.is_ahead_of(table) && refusal != KeyRefusal::Malformed {
             let verdict = refused(ErrorKind::NoConfiguration, "a newer configuration may hold the key");
             return NotBegun::Unprepared(HoldCause::OldConfiguration, verdict);
         }
+        actions.push(RoutingAction::KeyRefused { request: arrival.key, cause: refusal });
         NotBegun::Refused(refused(ErrorKind::Unauthorized, refusal.detail()))
     })
 }
+
+/// A node that may have missed for too long that a key was withdrawn lets nobody in, or asks first.
+fn check_view(table: &RouteTable, arrival: &Arrival) -> Result<(), NotBegun> {
+    match arrival.view {
+        ConfigurationView::Doubtful if arrival.is_ahead_of(table) => {
+            let verdict = refused(ErrorKind::NoConfiguration, "a newer configuration is on its way");
+            Err(NotBegun::Unprepared(HoldCause::OldConfiguration, verdict))
+        }
+        ConfigurationView::Expired => {
+            let detail = "the node hasn't heard of the configuration for too long to take keys by it";
+            Err(NotBegun::Refused(refused(ErrorKind::Unconfirmed, detail)))
+        }
+        ConfigurationView::Current | ConfigurationView::Doubtful => Ok(()),
+    }
+}
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -6,6 +6,7 @@
 use crate::keys::{RequestKey, SearcherKey};
 use crate::merge::greatest_records;
 use crate::request::{MergedAnswer, Request, ShardState, Verdict};
+use crate::tenants::KeyRefusal;
 use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
 
@@ -144,7 +145,7 @@
     let may_have_run = request.may_have_run || !request.attempts.iter().all(|attempt| attempt.is_resolved);
     let is_over = now >= request.deadline;
     if request.is_withdrawn && !may_have_run {
-        return refused(ErrorKind::Unauthorized, "the key was withdrawn before the request ran");
+        return refused(ErrorKind::Unauthorized, KeyRefusal::Withdrawn.detail());
     }
     match (may_have_run, is_over) {
         (true, true) => refused(ErrorKind::TimedOut, "the time was over before enough shards had answered"),
--- a/crates/staircross-routing/src/engine/withdrawal.rs
+++ b/crates/staircross-routing/src/engine/withdrawal.rs
@@ -6,6 +6,7 @@
 use super::{RoutingAction, RoutingEngine, SendReason, UnsentCause};
 use crate::keys::{AttemptKey, RequestKey};
 use crate::request::{Request, ShardState};
+use crate::tenants::KeyRefusal;
 use staircross_types::BootTime;
 
 impl RoutingEngine {
@@ -33,13 +34,14 @@
             return;
         };
         request.is_withdrawn = true;
+        actions.push(RoutingAction::KeyRefused { request: key, cause: KeyRefusal::Withdrawn });
         for shard in request.shards.iter_mut().filter(|shard| shard.is_open() && shard.outstanding == 0) {
             shard.waiting = None;
             shard.state = ShardState::Failed(None);
         }
-        for (number, attempt) in request.attempts.iter().enumerate().filter(|(_, attempt)| attempt.is_open) {
-            let attempt = AttemptKey { request: key, number: number as u16 };
-            actions.push(RoutingAction::Recall { attempt });
+        let open = (0_u16..).zip(&request.attempts).filter(|(_, attempt)| attempt.is_open);
+        for (number, _) in open {
+            actions.push(RoutingAction::Recall { attempt: AttemptKey { request: key, number } });
         }
     }
 
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -9,7 +9,7 @@
 use crate::request::{Arrival, AttemptOutcome, Verdict};
 use crate::selection::Distance;
 use crate::table::RouteTable;
-use crate::tenants::SentIdentity;
+use crate::tenants::{KeyRefusal, SentIdentity};
 use hashbrown::HashMap;
 use staircross_types::BootTime;
 use std::net::SocketAddr;
@@ -116,6 +116,13 @@
         /// What is lacking.
         cause: HoldCause,
     },
+    /// A request's key lets nobody in; told for the log alone, which is told no key.
+    KeyRefused {
+        /// Which request.
+        request: RequestKey,
+        /// Why.
+        cause: KeyRefusal,
+    },
     /// A request is refused because too much waits at its services; told for the log alone.
     NotAdmitted {
         /// Which request.
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -68,6 +68,8 @@
 pub use policy::RoutingPolicy;
 pub use quarantine::{CaseRecord, Suspicion, SuspicionChange};
 pub use report::{ReportedLoad, SearcherReport};
-pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
+pub use request::{
+    Arrival, AttemptOutcome, CallerLink, ConfigurationView, MergedAnswer, NotRun, SearcherAnswer, Verdict,
+};
 pub use table::RouteTable;
 pub use tenants::{Credential, KeyDigest, KeyRefusal, SentIdentity, TenantDefinition};
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -237,6 +237,7 @@
             }
             RoutingAction::Unsent { .. }
             | RoutingAction::Recall { .. }
+            | RoutingAction::KeyRefused { .. }
             | RoutingAction::Held { .. }
             | RoutingAction::LeftOut { .. }
             | RoutingAction::NotAdmitted { .. }
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -27,8 +27,12 @@
     pub waited: Duration,
     /// Whether this node is too busy to take more.
     pub is_overloaded: bool,
-    /// Whether a peer knows a newer configuration: what isn't known here may be there.
-    pub is_behind: bool,
+    /// Newest configuration that a peer is known to have: what isn't known here may be there.
+    #[serde(default)]
+    pub newest_version: u64,
+    /// How sure this node is of the keys that it knows.
+    #[serde(default)]
+    pub view: ConfigurationView,
     /// Whether all searchers that live are known here: the platform's list was read whole, and none are just coming back to it.
     pub knows_searchers: bool,
     /// What is known of the caller's connection.
@@ -40,6 +44,25 @@
     pub credential: Credential,
 }
 
+impl Arrival {
+    /// Whether a configuration isn't the newest that was known when the request came.
+    pub fn is_ahead_of(&self, table: &RouteTable) -> bool {
+        self.newest_version > table.version()
+    }
+}
+
+/// How sure a node is that no key which it knows has been withdrawn.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigurationView {
+    /// As sure as the settings ask.
+    #[default]
+    Current,
+    /// It hasn't heard of the store for too long and knows that there is a newer version: it asks before it judges.
+    Doubtful,
+    /// It hasn't heard of the store for so long that it may let nobody in by a key.
+    Expired,
+}
+
 /// What is known of a caller's connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLink {
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -84,6 +84,12 @@
         self.lanes.iter().all(|lane| lane.is_reachable || lane.lane == Lane::Probe)
     }
 
+    /// Whether a watch of the configuration is out, which a store that answers tells at once what is new.
+    pub fn watches_configuration(&self) -> bool {
+        let lane = &self.lanes[0];
+        lane.after.is_some() && lane.state == LaneState::Calling && !self.was_away
+    }
+
     /// Changes what is asked: lanes that aren't wanted any more are given up, others begin where they or a peer's word
     /// have led.
     pub fn set_mode(&mut self, now: BootTime, mode: ReadingMode, actions: &mut Vec<ReaderAction>) {
--- a/crates/staircross-routing/src/tenants.rs
+++ b/crates/staircross-routing/src/tenants.rs
@@ -65,15 +65,28 @@
     Unknown,
     /// It is no key.
     Malformed,
+    /// The key was held when the request came, and is no more.
+    Withdrawn,
 }
 
 impl KeyRefusal {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            KeyRefusal::Missing => "missing",
+            KeyRefusal::Unknown => "unknown",
+            KeyRefusal::Malformed => "malformed",
+            KeyRefusal::Withdrawn => "withdrawn",
+        }
+    }
+
     /// What the caller is told.
     pub fn detail(self) -> &'static str {
         match self {
             KeyRefusal::Missing => "the request carries no key",
             KeyRefusal::Unknown => "no tenant holds the key",
             KeyRefusal::Malformed => "the request carries more than one key, or one that is none",
+            KeyRefusal::Withdrawn => "the key was withdrawn before the request ran",
         }
     }
 }
