Check a configuration document for what will hurt tenants

Cause: an operator could write a key held twice, a tenant without keys, a burst without a rate or regions without zones, and learn of it from callers. Ruled out: telling the JSON reader's own message (it repeats what stands there, which may be a key); judging in the adapter (only parsing belongs there).

--- /dev/null
+++ b/crates/staircross-routing/src/definition_check.rs
@@ -0,0 +1,174 @@
+//! What is allowed in a configuration and will hurt: what an operator wants to know before a version is written.
+//!
+//! Findings name tenants, routes and regions; keys never.
+
+use crate::allowed_regions::AllowedRegions;
+use crate::definition::{RouteDefinition, RoutingDefinition};
+use crate::keys::TenantKey;
+use crate::tenants::{KeyDigest, TenantDefinition};
+use hashbrown::hash_map::Entry;
+use hashbrown::{HashMap, HashSet};
+use std::fmt;
+use std::sync::Arc;
+
+/// Least burst that lets one request through at any time.
+const LEAST_BURST: f64 = 1.0;
+
+/// One weakness of a configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Finding {
+    /// Two tenants have one name.
+    TenantTwice {
+        /// The name.
+        tenant: Arc<str>,
+    },
+    /// Two tenants hold the same key; it lets callers in as the first.
+    KeyHeldTwice {
+        /// Who holds it by the order of the configuration.
+        first: Arc<str>,
+        /// Who holds it in vain; the same where a tenant lists a key twice.
+        second: Arc<str>,
+    },
+    /// A tenant has no key: nobody can ask in its name.
+    NoKeys {
+        /// Whose.
+        tenant: Arc<str>,
+    },
+    /// A burst is given without a rate: there is no limit.
+    BurstWithoutRate {
+        /// Whose.
+        tenant: Arc<str>,
+    },
+    /// The burst is too small to let a request through whenever there was none before.
+    BurstBelowOne {
+        /// Whose.
+        tenant: Arc<str>,
+        /// The burst, in requests.
+        burst: f64,
+    },
+    /// A region is allowed in which there is no zone.
+    UnknownRegion {
+        /// Who allows it.
+        by: RegionHolder,
+        /// The region.
+        region: Arc<str>,
+    },
+    /// A route and a tenant have no allowed region in common.
+    NowhereToServe {
+        /// The route.
+        route: Arc<str>,
+        /// The tenant.
+        tenant: Arc<str>,
+    },
+}
+
+/// Who allows regions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RegionHolder {
+    /// A route.
+    Route(Arc<str>),
+    /// A tenant.
+    Tenant(Arc<str>),
+}
+
+/// Judges a quota as it is written: requests per second, 0 where there is no limit, and requests beyond that.
+pub fn check_quota(tenant: &Arc<str>, rate_per_s: f64, burst: f64) -> Option<Finding> {
+    let tenant = tenant.clone();
+    match (rate_per_s > 0.0, burst) {
+        (false, burst) if burst > 0.0 => Some(Finding::BurstWithoutRate { tenant }),
+        (true, burst) if burst < LEAST_BURST => Some(Finding::BurstBelowOne { tenant, burst }),
+        _ => None,
+    }
+}
+
+/// Judges what a definition says of tenants and regions. `regions` are those that have zones; `None` where they aren't known.
+pub fn check_tenants(definition: &RoutingDefinition, regions: Option<&[Arc<str>]>) -> Vec<Finding> {
+    let mut findings = check_names(&definition.tenants);
+    findings.extend(check_keys(&definition.tenants));
+    if let Some(regions) = regions {
+        findings.extend(check_regions(definition, regions));
+    }
+    findings.extend(definition.routes.iter().flat_map(|route| check_route(route, &definition.tenants)));
+    findings
+}
+
+fn check_names(tenants: &[TenantDefinition]) -> Vec<Finding> {
+    let mut names = HashSet::new();
+    let again = tenants.iter().filter(|tenant| !names.insert(tenant.name.clone()));
+    again.map(|tenant| Finding::TenantTwice { tenant: tenant.name.clone() }).collect()
+}
+
+fn check_keys(tenants: &[TenantDefinition]) -> Vec<Finding> {
+    let mut holders: HashMap<KeyDigest, TenantKey> = HashMap::new();
+    let mut findings = Vec::new();
+    for (number, tenant) in (0_u32..).zip(tenants) {
+        if tenant.keys.is_empty() {
+            findings.push(Finding::NoKeys { tenant: tenant.name.clone() });
+        }
+        for key in &tenant.keys {
+            match holders.entry(*key) {
+                Entry::Occupied(holder) => {
+                    let first = tenants[holder.get().0 as usize].name.clone();
+                    findings.push(Finding::KeyHeldTwice { first, second: tenant.name.clone() });
+                }
+                Entry::Vacant(place) => {
+                    place.insert(TenantKey(number));
+                }
+            }
+        }
+    }
+    findings
+}
+
+fn check_regions(definition: &RoutingDefinition, regions: &[Arc<str>]) -> Vec<Finding> {
+    let routes =
+        definition.routes.iter().map(|route| (RegionHolder::Route(route.name.clone()), &route.allowed_regions));
+    let tenants =
+        definition.tenants.iter().map(|tenant| (RegionHolder::Tenant(tenant.name.clone()), &tenant.allowed_regions));
+    let unknown = routes.chain(tenants).flat_map(|(by, allowed)| {
+        let unknown = allowed.iter().filter(|region| !regions.contains(region));
+        unknown.map(move |region| Finding::UnknownRegion { by: by.clone(), region: region.clone() })
+    });
+    unknown.collect()
+}
+
+fn check_route(route: &RouteDefinition, tenants: &[TenantDefinition]) -> Vec<Finding> {
+    let is_nowhere = |tenant: &&TenantDefinition| AllowedRegions::new(route, Some(tenant)).are_none();
+    let finding =
+        |tenant: &TenantDefinition| Finding::NowhereToServe { route: route.name.clone(), tenant: tenant.name.clone() };
+    tenants.iter().filter(is_nowhere).map(finding).collect()
+}
+
+impl fmt::Display for RegionHolder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RegionHolder::Route(name) => write!(f, "route {name}"),
+            RegionHolder::Tenant(name) => write!(f, "tenant {name}"),
+        }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Finding::TenantTwice { tenant } => write!(f, "tenant {tenant}: named twice"),
+            Finding::KeyHeldTwice { first, second } if first == second => {
+                write!(f, "tenant {first}: lists a key twice")
+            }
+            Finding::KeyHeldTwice { first, second } => {
+                write!(f, "tenant {second}: holds a key of tenant {first}, which it lets callers in as")
+            }
+            Finding::NoKeys { tenant } => write!(f, "tenant {tenant}: has no key"),
+            Finding::BurstWithoutRate { tenant } => {
+                write!(f, "tenant {tenant}: a burst without a rate; it may send without limit")
+            }
+            Finding::BurstBelowOne { tenant, burst } => {
+                write!(f, "tenant {tenant}: a burst of {burst} lets no request through that comes after a rest")
+            }
+            Finding::UnknownRegion { by, region } => write!(f, "{by}: allows region {region}, which has no zone"),
+            Finding::NowhereToServe { route, tenant } => {
+                write!(f, "route {route}: has no allowed region in common with tenant {tenant}")
+            }
+        }
+    }
+}
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -3,9 +3,11 @@
 //! | module | decides |
 //! | --- | --- |
 //! | [`definition`] | what one version of the configuration says |
+//! | [`definition_check`] | what in a version is allowed and will hurt |
 //! | [`definition_delta`] | what differs between two versions, for peers |
 //! | [`known_configuration`] | the configuration known here, and how much of it a peer is told |
 //! | [`tenants`] | whose requests are taken, and by which keys |
+//! | [`rank`], [`allowed_regions`] | how urgent a request is, and where it may be served |
 //! | [`table`] | which route a request takes |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
 //! | [`store_reader`] | when the store is read, watched, or left alone |
@@ -36,6 +38,7 @@
 pub mod cold;
 pub mod decay;
 pub mod definition;
+pub mod definition_check;
 pub mod definition_delta;
 pub mod engine;
 pub mod engine_message;
