--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -18,7 +18,7 @@
 //! | [`node`] | the event loop that carries events and actions between all of these |
 //! | [`recorder`] | records decisions, if asked to |
 //! | [`traffic`] | bytes sent and received, by purpose and distance |
-//! | [`event_log`], [`metrics`] | structured lines, counters |
+//! | [`event_log`], [`metrics`], [`tenant_metrics`] | structured lines, counters |
 
 pub mod dialect;
 pub mod directory;
@@ -37,6 +37,7 @@
 pub mod settings;
 pub mod socket;
 pub mod store_role;
+pub mod tenant_metrics;
 pub mod traffic;
 
 pub use dialect::{Dialect, DirectoryQuery, HeaderNames, RenderedBody};
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms, as Prometheus text.
 
+use crate::tenant_metrics::TenantMetrics;
 use crate::traffic::Traffic;
 use hashbrown::HashMap;
 use staircross_routing::engine::RoutingCounters;
@@ -114,6 +115,8 @@
     refusals: HashMap<ErrorKind, u64>,
     answers: u64,
     callers_gone: u64,
+    /// By tenant.
+    pub tenants: TenantMetrics,
     /// Calls to the store.
     pub store_calls: StoreCallCounters,
     /// Questions to the directory.
@@ -189,6 +192,7 @@
         self.store_calls.render(&mut text);
         render_traffic(traffic, &mut text);
         self.render_refusals(&mut text);
+        self.tenants.render(&mut text);
         self.render_histograms(&mut text);
         text
     }
--- a/crates/staircross-gateway/src/node/request_log.rs
+++ b/crates/staircross-gateway/src/node/request_log.rs
@@ -42,6 +42,9 @@
             Verdict::Refused { kind, .. } => self.metrics.refused(*kind),
             Verdict::Merged(_) | Verdict::Passed(_) => self.metrics.answered(pending.route.as_ref(), took),
         }
+        if let Some(tenant) = &pending.tenant {
+            self.metrics.tenants.count(tenant, matches!(verdict, Verdict::Refused { .. }));
+        }
         let status = match verdict {
             Verdict::Merged(_) => 200,
             Verdict::Passed(answer) => answer.status,
--- /dev/null
+++ b/crates/staircross-routing/benches/tenants.rs
@@ -0,0 +1,73 @@
+//! Cost of judging whose a request is: from the text of its key to its tenant and rank.
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use staircross_routing::{
+    CallerLimits, Credential, KeyDigest, RouteDefinition, RouteTable, RouteTarget, RoutingDefinition, TenantDefinition,
+};
+use std::hint::black_box;
+use std::sync::Arc;
+
+/// A customer's fleet, and the most that is planned for.
+const TENANTS: [usize; 2] = [78, 10_000];
+/// Keys of each, as while they are exchanged.
+const KEYS: usize = 2;
+
+fn key(tenant: usize, number: usize) -> String {
+    format!("{tenant:08x}-n8hkcaac6dnv-{number}")
+}
+
+fn tenant(index: usize) -> TenantDefinition {
+    let digests = (0..KEYS).map(|number| KeyDigest::of(key(index, number).as_bytes()).expect("a key"));
+    TenantDefinition {
+        name: Arc::from(format!("t{index}")),
+        keys: digests.collect(),
+        priority: (index % 3) as u32,
+        quota: None,
+        allowed_regions: Vec::new(),
+    }
+}
+
+fn table(tenants: usize) -> RouteTable {
+    let route = RouteDefinition {
+        name: Arc::from("one"),
+        host: Arc::from("shop.example"),
+        path_prefix: Arc::from("/one/"),
+        target: RouteTarget::Service(Arc::from("x")),
+        is_idempotent: true,
+        timeout_ms: 4000,
+        goal_ms: 250,
+        max_attempts: 2,
+        priority: 1,
+        allowed_regions: Vec::new(),
+        is_public: false,
+    };
+    let tenants = (0..tenants).map(tenant).collect();
+    let (routes, services) = (vec![route], Vec::new());
+    let definition = RoutingDefinition { version: 1, routes, services, limits: CallerLimits::default(), tenants };
+    RouteTable::new(Arc::new(definition))
+}
+
+fn judging(criterion: &mut Criterion) {
+    for tenants in TENANTS {
+        let table = table(tenants);
+        let route = table.definition().routes[0].clone();
+        let keys: Vec<String> = (0..tenants).map(|index| key(index, index % KEYS)).collect();
+        let mut asked = keys.iter().cycle();
+        criterion.bench_function(&format!("judge_key_{tenants}_tenants"), |bencher| {
+            bencher.iter(|| {
+                let key = asked.next().expect("keys go round");
+                let credential =
+                    KeyDigest::of(black_box(key.as_bytes())).map_or(Credential::Malformed, Credential::Key);
+                let whose = table.judge(&route, credential).expect("a known key");
+                black_box(table.rank(whose, &route))
+            });
+        });
+        let credential = Credential::Key(KeyDigest::of(keys[0].as_bytes()).expect("a key"));
+        criterion.bench_function(&format!("judge_digest_{tenants}_tenants"), |bencher| {
+            bencher.iter(|| black_box(table.holds(black_box(credential))));
+        });
+    }
+}
+
+criterion_group!(benches, judging);
+criterion_main!(benches);
--- a/crates/staircross/src/explain.rs
+++ b/crates/staircross/src/explain.rs
@@ -11,6 +11,7 @@
 /// A belief this much older than the request's first line is still shown if it is the last of its kind.
 const BELIEFS: &[&str] = &[
     "configuration",
+    "configuration_view",
     "searchers",
     "members",
     "store",
