--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -18,7 +18,7 @@
 //! | [`node`] | the event loop that carries events and actions between all of these |
 //! | [`recorder`] | records decisions, if asked to |
 //! | [`traffic`] | bytes sent and received, by purpose and distance |
-//! | [`event_log`], [`metrics`] | structured lines, counters |
+//! | [`event_log`], [`metrics`], [`tenant_metrics`] | structured lines, counters |
 //! | [`unreadable_log`] | which items of the store that can't be used have been told |
 
 pub mod dialect;
@@ -38,6 +38,7 @@
 pub mod settings;
 pub mod socket;
 pub mod store_role;
+pub mod tenant_metrics;
 pub mod traffic;
 pub mod unreadable_log;
 
--- a/crates/staircross-gateway/src/node/request_log.rs
+++ b/crates/staircross-gateway/src/node/request_log.rs
@@ -42,6 +42,9 @@
             Verdict::Refused { kind, .. } => self.metrics.refused(*kind),
             Verdict::Merged(_) | Verdict::Passed(_) => self.metrics.answered(pending.route.as_ref(), took),
         }
+        if let Some(tenant) = &pending.tenant {
+            self.metrics.tenants.count(tenant, matches!(verdict, Verdict::Refused { .. }));
+        }
         let status = match verdict {
             Verdict::Merged(_) => 200,
             Verdict::Passed(answer) => answer.status,
@@ -51,13 +54,14 @@
             self.now,
             LineKind::Request,
             format_args!(
-                "event=finish request={} route={} version={} outcome={outcome} status={status} parts={parts} \
+                "event=finish request={} route={} tenant={} version={} outcome={outcome} status={status} parts={parts} \
                  missing={missing} extras={} content={} ms={:.1}",
                 pending.id(),
                 pending.route_name(),
+                pending.tenant_name(),
                 pending.version,
                 pending.extras,
-                pending.outbound.content,
+                pending.content(),
                 took.as_secs_f64() * 1000.0
             ),
         );
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -5,13 +5,14 @@
 
 use super::dispatch::{DEADLINE_GUARD, refused};
 use super::{HoldCause, RoutingAction, RoutingEngine, SendReason};
+use crate::allowed_regions::AllowedRegions;
 use crate::definition::{RouteDefinition, RouteTarget};
 use crate::goal::usable_goal;
 use crate::keys::{RequestKey, TenantKey};
 use crate::quarantine::Suspicion;
-use crate::request::{Arrival, CallerLink, Request, Shard, Verdict};
+use crate::request::{Arrival, CallerLink, ConfigurationView, Request, Shard, Verdict};
 use crate::table::RouteTable;
-use crate::tenants::KeyRefusal;
+use crate::tenants::{Credential, KeyRefusal};
 use staircross_types::{BootTime, ErrorKind};
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -46,9 +47,13 @@
         HeldRequest { arrival, held_at: now, until: now + part.min(LONGEST_HOLD) }
     }
 
-    /// The arrival as if it came now.
+    /// The arrival as if it came now. Once its hold is over, a request is judged by what is known.
     fn arrival(&self, now: BootTime) -> Arrival {
-        Arrival { waited: self.arrival.waited + now.since(self.held_at), ..self.arrival.clone() }
+        let view = match self.arrival.view {
+            ConfigurationView::Doubtful if now >= self.until => ConfigurationView::Current,
+            view => view,
+        };
+        Arrival { view, waited: self.arrival.waited + now.since(self.held_at), ..self.arrival.clone() }
     }
 }
 
@@ -122,11 +127,14 @@
         if self.requests.len() >= self.settings.max_requests {
             return refuse(ErrorKind::Overloaded, "the node holds as many requests as it may");
         }
-        if self.suspicion(now, arrival.content) == Suspicion::Quarantined {
+        let route = &table.definition().routes[route_index];
+        let tenant = judge_credential(&table, route, arrival, actions)?;
+        let definition = tenant.and_then(|key| table.tenant(key));
+        let content = arrival.content.of_tenant(definition.map(|tenant| &*tenant.name));
+        if self.suspicion(now, content) == Suspicion::Quarantined {
             return refuse(ErrorKind::Quarantined, "every searcher that ran this request ended; it was not sent");
         }
-        let route = &table.definition().routes[route_index];
-        let tenant = judge_credential(&table, route, arrival)?;
+        let regions = AllowedRegions::new(route, definition);
         let timeout = Duration::from_millis(route.timeout_ms);
         let patience = arrival.patience.map_or(timeout, |patience| patience.min(timeout));
         // What was read late has less time than it says.
@@ -136,25 +144,28 @@
         }
         let deadline = now + (left - DEADLINE_GUARD);
         let services = self.services_of(route);
-        self.check_replicas(now, arrival, route, &services, deadline)?;
+        self.check_replicas(now, arrival, route.least_shards(), regions, &services, deadline)?;
         for service in &services {
             let window = self.windows.entry(service.clone()).or_default();
             window.count_request(now, &self.settings.extra);
         }
         let group = services.first().cloned().unwrap_or_default();
-        if let Some(part) = self.refusing_part(now, &group, route, None) {
+        let whose = tenant.and_then(|key| table.tenant(key)).map(|tenant| &tenant.name);
+        if let Some(part) = self.refusing_part(now, &group, table.rank(tenant, route), whose) {
             actions.push(RoutingAction::NotAdmitted { request: arrival.key, group, part });
             return refuse(ErrorKind::Overloaded, "too much waits at the back ends already");
         }
         Ok(Request {
             route_index,
             tenant,
+            credential: arrival.credential,
+            is_withdrawn: false,
             shards: services.into_iter().map(Shard::new).collect(),
             attempts: Vec::new(),
             answer_by: (now + self.goal_of(route, arrival).saturating_sub(arrival.waited)).min(deadline),
             deadline,
             group,
-            content: arrival.content,
+            content,
             may_have_run: false,
             is_answered: false,
             is_past_goal: false,
@@ -170,7 +181,7 @@
         if let Some(route_index) = table.find_index(&arrival.host, &arrival.path) {
             return Ok((table, route_index));
         }
-        if arrival.is_behind {
+        if arrival.is_ahead_of(&table) {
             let verdict = refused(ErrorKind::NoConfiguration, "a newer configuration may have this route");
             return Err(NotBegun::Unprepared(HoldCause::OldConfiguration, verdict));
         }
@@ -198,17 +209,18 @@
         &self,
         now: BootTime,
         arrival: &Arrival,
-        route: &RouteDefinition,
+        least: usize,
+        regions: AllowedRegions<'_>,
         services: &[Arc<str>],
         deadline: BootTime,
     ) -> Result<(), NotBegun> {
         let may_be_asked =
-            |service: &&Arc<str>| self.next_chance(now, route, service, &[]).is_some_and(|chance| chance < deadline);
+            |service: &&Arc<str>| self.next_chance(now, regions, service, &[]).is_some_and(|chance| chance < deadline);
         let served = services.iter().filter(may_be_asked).count();
-        if served >= route.least_shards() {
+        if served >= least {
             return Ok(());
         }
-        let verdict = if route.allowed_regions.is_empty() {
+        let verdict = if regions.are_all() {
             refused(ErrorKind::NoReplica, "too few shards have a searcher that can be asked")
         } else {
             refused(
@@ -216,7 +228,7 @@
                 "too few shards have a searcher that can be asked in an allowed region",
             )
         };
-        if arrival.knows_searchers {
+        if arrival.knows_searchers || regions.are_none() {
             return Err(NotBegun::Refused(verdict));
         }
         let verdict = refused(ErrorKind::NoReplicaYet, "searchers are only just becoming known");
@@ -241,12 +253,33 @@
     table: &RouteTable,
     route: &RouteDefinition,
     arrival: &Arrival,
+    actions: &mut Vec<RoutingAction>,
 ) -> Result<Option<TenantKey>, NotBegun> {
+    let is_judged = arrival.credential != Credential::Missing || !route.is_public;
+    if is_judged && !table.definition().tenants.is_empty() {
+        check_view(table, arrival)?;
+    }
     table.judge(route, arrival.credential).map_err(|refusal| {
-        if arrival.is_behind && refusal != KeyRefusal::Malformed {
+        if arrival.is_ahead_of(table) && refusal != KeyRefusal::Malformed {
             let verdict = refused(ErrorKind::NoConfiguration, "a newer configuration may hold the key");
             return NotBegun::Unprepared(HoldCause::OldConfiguration, verdict);
         }
+        actions.push(RoutingAction::KeyRefused { request: arrival.key, cause: refusal });
         NotBegun::Refused(refused(ErrorKind::Unauthorized, refusal.detail()))
     })
 }
+
+/// A node that may have missed for too long that a key was withdrawn lets nobody in, or asks first.
+fn check_view(table: &RouteTable, arrival: &Arrival) -> Result<(), NotBegun> {
+    match arrival.view {
+        ConfigurationView::Doubtful if arrival.is_ahead_of(table) => {
+            let verdict = refused(ErrorKind::NoConfiguration, "a newer configuration is on its way");
+            Err(NotBegun::Unprepared(HoldCause::OldConfiguration, verdict))
+        }
+        ConfigurationView::Expired => {
+            let detail = "the node hasn't heard of the configuration for too long to take keys by it";
+            Err(NotBegun::Refused(refused(ErrorKind::Unconfirmed, detail)))
+        }
+        ConfigurationView::Current | ConfigurationView::Doubtful => Ok(()),
+    }
+}
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -6,11 +6,12 @@
 use crate::fair_share::FairShares;
 use crate::goal::usable_goal;
 use crate::keys::RequestKey;
+use crate::rank::Rank;
 use crate::request::{AttemptOutcome, CallerLink, NotRun};
 use crate::table::RouteTable;
 use rand::Rng;
 use staircross_types::BootTime;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,18 +20,23 @@
 pub(super) struct ServiceGroup {
     admission: Admission,
     wait: Wait,
-    /// Index of the most urgent route that asks them, and its rank.
+    /// Index of the most urgent route that asks them, and the priorities of all that do.
     route_index: usize,
-    rank: u32,
+    priorities: (u32, u32),
     /// Whose requests are taken while not all are, by rank.
-    shares: BTreeMap<u32, FairShares>,
+    shares: BTreeMap<Rank, FairShares>,
 }
 
 impl ServiceGroup {
     fn new(route_index: usize, route: &RouteDefinition) -> Self {
         let wait = Wait::at_group(fan_out(route));
-        let rank = route.priority;
-        ServiceGroup { admission: Admission::default(), wait, route_index, rank, shares: BTreeMap::new() }
+        ServiceGroup {
+            admission: Admission::default(),
+            wait,
+            route_index,
+            priorities: (route.priority, route.priority),
+            shares: BTreeMap::new(),
+        }
     }
 }
 
@@ -40,17 +46,19 @@
         let mut known = std::mem::take(&mut self.groups);
         for (route_index, route) in table.definition().routes.iter().enumerate() {
             for service in first_services(route) {
-                let rank = route.priority;
+                let priorities = (route.priority, route.priority);
                 let group = self.groups.entry(service.clone()).or_insert_with(|| match known.remove(service) {
-                    Some(group) => ServiceGroup { route_index, rank, ..group },
+                    Some(group) => ServiceGroup { route_index, priorities, ..group },
                     None => ServiceGroup::new(route_index, route),
                 });
-                if rank < group.rank {
-                    (group.route_index, group.rank) = (route_index, rank);
+                let (first, last) = group.priorities;
+                if route.priority < first {
+                    group.route_index = route_index;
                 }
+                group.priorities = (first.min(route.priority), last.max(route.priority));
             }
         }
-        let ranks: BTreeSet<u32> = table.definition().routes.iter().map(|route| route.priority).collect();
+        let ranks = table.ranks();
         self.groups.values_mut().for_each(|group| group.shares.retain(|rank, _| ranks.contains(rank)));
         self.waits.retain(|service, _| self.services.contains_key(service));
     }
@@ -61,17 +69,18 @@
         &mut self,
         now: BootTime,
         group: &Arc<str>,
-        route: &RouteDefinition,
+        rank: Rank,
         tenant: Option<&Arc<str>>,
     ) -> Option<f64> {
         let is_on = self.settings.policy.admission;
         let group = self.groups.get_mut(group).filter(|_| is_on)?;
-        let shares = group.shares.entry(route.priority).or_default();
+        let shares = group.shares.entry(rank).or_default();
         shares.count(now, tenant);
         if !group.admission.is_limiting() {
             return None;
         }
-        let level = group.admission.part_taken(route.priority.saturating_sub(group.rank));
+        let (first, last) = group.priorities;
+        let level = group.admission.part_taken(rank.steps(first..=last));
         let part = shares.part_taken(now, tenant, level);
         if self.random.random_bool(part) {
             return None;
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -6,6 +6,7 @@
 use crate::keys::{RequestKey, SearcherKey};
 use crate::merge::greatest_records;
 use crate::request::{MergedAnswer, Request, ShardState, Verdict};
+use crate::tenants::KeyRefusal;
 use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
 
@@ -37,7 +38,7 @@
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
-        let may_hedge = request.route().is_idempotent && self.settings.policy.hedges;
+        let may_hedge = request.route().is_idempotent && self.settings.policy.hedges && !request.is_withdrawn;
         let rests_until = self.settings.restarted_at.filter(|_| self.settings.policy.start_rest);
         let rests_until = rests_until.map_or(BootTime::default(), |started| started + START_REST);
         let most = request.route().max_attempts;
@@ -68,7 +69,7 @@
         let open = request.open_shards();
         let least = request.least_shards();
         let is_enough = parts >= least;
-        let is_hopeless = parts + open < least;
+        let is_hopeless = parts + open < least && !request.is_unclear();
         let is_best = now >= request.answer_by || !request.may_grow_in_time();
         let is_time = now >= request.deadline || (is_best && is_enough);
         if open > 0 && !is_hopeless && !is_time {
@@ -143,6 +144,9 @@
     }
     let may_have_run = request.may_have_run || !request.attempts.iter().all(|attempt| attempt.is_resolved);
     let is_over = now >= request.deadline;
+    if request.is_withdrawn && !may_have_run {
+        return refused(ErrorKind::Unauthorized, KeyRefusal::Withdrawn.detail());
+    }
     match (may_have_run, is_over) {
         (true, true) => refused(ErrorKind::TimedOut, "the time was over before enough shards had answered"),
         (true, false) => refused(ErrorKind::BackEndsFailed, "too few shards are left to answer"),
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -9,7 +9,7 @@
 use crate::request::{Arrival, AttemptOutcome, Verdict};
 use crate::selection::Distance;
 use crate::table::RouteTable;
-use crate::tenants::SentIdentity;
+use crate::tenants::{KeyRefusal, SentIdentity};
 use hashbrown::HashMap;
 use staircross_types::BootTime;
 use std::net::SocketAddr;
@@ -82,6 +82,11 @@
         /// Why.
         cause: AbandonCause,
     },
+    /// Take an attempt back if nothing of it was sent; what was sent goes on.
+    Recall {
+        /// Which.
+        attempt: AttemptKey,
+    },
     /// An attempt that was wanted isn't made; told for the log alone.
     Unsent {
         /// For which request.
@@ -111,6 +116,13 @@
         /// What is lacking.
         cause: HoldCause,
     },
+    /// A request's key lets nobody in; told for the log alone, which is told no key.
+    KeyRefused {
+        /// Which request.
+        request: RequestKey,
+        /// Why.
+        cause: KeyRefusal,
+    },
     /// A request is refused because too much waits at its services; told for the log alone.
     NotAdmitted {
         /// Which request.
@@ -220,6 +232,8 @@
     NotRepeatable,
     /// As many searchers were sent the request as its route allows.
     MostAttempts,
+    /// The configuration in force holds the request's key no more.
+    KeyWithdrawn,
 }
 
 impl UnsentCause {
@@ -234,6 +248,7 @@
             UnsentCause::Suspect => "suspect",
             UnsentCause::NotRepeatable => "not_repeatable",
             UnsentCause::MostAttempts => "most_attempts",
+            UnsentCause::KeyWithdrawn => "key_withdrawn",
         }
     }
 }
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -3,11 +3,13 @@
 //! | module | decides |
 //! | --- | --- |
 //! | [`definition`] | what one version of the configuration says |
+//! | [`definition_check`] | what in a version is allowed and will hurt |
 //! | [`definition_delta`] | what differs between two versions, for peers |
 //! | [`known_configuration`] | the configuration known here, and how much of it a peer is told |
 //! | [`searcher_entry`] | what a searcher says of itself in the store |
 //! | `known_entries` | what is known of the entries under one searcher's id |
 //! | [`tenants`] | whose requests are taken, and by which keys |
+//! | [`rank`], [`allowed_regions`] | how urgent a request is, and where it may be served |
 //! | [`table`] | which route a request takes |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
 //! | [`store_reader`] | when the store is read, watched, or left alone |
@@ -36,9 +38,11 @@
 //! Everything is driven by `on_event(now, event, &mut actions)`.
 
 pub mod admission;
+pub mod allowed_regions;
 pub mod cold;
 pub mod decay;
 pub mod definition;
+pub mod definition_check;
 pub mod definition_delta;
 pub mod engine;
 pub mod engine_message;
@@ -52,6 +56,7 @@
 pub mod mirror;
 pub mod policy;
 pub mod quarantine;
+pub mod rank;
 pub mod recording;
 pub mod rejection;
 pub mod report;
@@ -74,7 +79,9 @@
 pub use policy::RoutingPolicy;
 pub use quarantine::{CaseRecord, Suspicion, SuspicionChange};
 pub use report::{ReportedLoad, SearcherReport};
-pub use request::{Arrival, AttemptOutcome, CallerLink, MergedAnswer, NotRun, SearcherAnswer, Verdict};
+pub use request::{
+    Arrival, AttemptOutcome, CallerLink, ConfigurationView, MergedAnswer, NotRun, SearcherAnswer, Verdict,
+};
 pub use table::RouteTable;
 pub use tenants::{Credential, KeyDigest, KeyRefusal, SentIdentity, TenantDefinition};
 pub use unreadable::{KeyKind, UnreadableItem, UnreadableReason};
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -236,6 +236,8 @@
                 Some(Decision::Finish { request: *request, ending: verdict.into() })
             }
             RoutingAction::Unsent { .. }
+            | RoutingAction::Recall { .. }
+            | RoutingAction::KeyRefused { .. }
             | RoutingAction::Held { .. }
             | RoutingAction::LeftOut { .. }
             | RoutingAction::NotAdmitted { .. }
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -1,5 +1,6 @@
 //! State of one request in flight.
 
+use crate::allowed_regions::AllowedRegions;
 use crate::definition::{GatherTarget, RouteDefinition};
 use crate::keys::{ContentKey, RequestKey, SearcherKey, TenantKey};
 use crate::report::SearcherReport;
@@ -26,8 +27,12 @@
     pub waited: Duration,
     /// Whether this node is too busy to take more.
     pub is_overloaded: bool,
-    /// Whether a peer knows a newer configuration: what isn't known here may be there.
-    pub is_behind: bool,
+    /// Newest configuration that a peer is known to have: what isn't known here may be there.
+    #[serde(default)]
+    pub newest_version: u64,
+    /// How sure this node is of the keys that it knows.
+    #[serde(default)]
+    pub view: ConfigurationView,
     /// Whether all searchers that live are known here: the platform's list was read whole, and none are just coming back to it.
     pub knows_searchers: bool,
     /// What is known of the caller's connection.
@@ -39,6 +44,25 @@
     pub credential: Credential,
 }
 
+impl Arrival {
+    /// Whether a configuration isn't the newest that was known when the request came.
+    pub fn is_ahead_of(&self, table: &RouteTable) -> bool {
+        self.newest_version > table.version()
+    }
+}
+
+/// How sure a node is that no key which it knows has been withdrawn.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigurationView {
+    /// As sure as the settings ask.
+    #[default]
+    Current,
+    /// It hasn't heard of the store for too long and knows that there is a newer version: it asks before it judges.
+    Doubtful,
+    /// It hasn't heard of the store for so long that it may let nobody in by a key.
+    Expired,
+}
+
 /// What is known of a caller's connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLink {
@@ -293,6 +317,10 @@
     pub route_index: usize,
     /// Whose it is by that configuration, for all its attempts.
     pub tenant: Option<TenantKey>,
+    /// What it proved itself with; a newer configuration may hold it no more.
+    pub credential: Credential,
+    /// Whether that has happened: nothing more is sent for it.
+    pub is_withdrawn: bool,
     pub shards: Vec<Shard>,
     pub attempts: Vec<Attempt>,
     /// When a partial answer goes out rather than none in time.
@@ -319,6 +347,10 @@
         self.table.tenant(self.tenant?)
     }
 
+    pub fn allowed_regions(&self) -> AllowedRegions<'_> {
+        AllowedRegions::new(self.route(), self.tenant())
+    }
+
     pub fn identity(&self) -> SentIdentity {
         match self.tenant() {
             Some(tenant) => SentIdentity::Tenant(tenant.name.clone()),
@@ -347,6 +379,12 @@
         self.shards.iter().filter(|shard| shard.is_open()).count()
     }
 
+    /// Whether its key was withdrawn while it isn't known yet whether anything of it runs: the next end of an attempt tells.
+    pub fn is_unclear(&self) -> bool {
+        let is_anything_out = || self.attempts.iter().any(|attempt| attempt.is_open);
+        self.is_withdrawn && !self.may_have_run && is_anything_out()
+    }
+
     /// Whether any shard that is open may have its part in time for the best answer.
     pub fn may_grow_in_time(&self) -> bool {
         self.shards.iter().any(|shard| shard.may_come_by(self.answer_by))
