Give the lines on unusable items a file of their own

Cause: they stood in `change_log`, whose job is changes of members and searchers, where others work at the same time. Change: `node/unreadable.rs`; no line reads otherwise.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -14,6 +14,7 @@
 mod setup;
 mod stop;
 mod summary;
+mod unreadable;
 
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LineKind};
@@ -126,6 +127,7 @@
     reader: StoreReader,
     role: RoleKeeper,
     mirror: Mirror,
+    unreadable_log: UnreadableLog,
     engine: RoutingEngine,
     callers: HashMap<RequestKey, CallerRequest>,
     by_connection: HashMap<SocketId, RequestKey>,
@@ -140,7 +142,6 @@
     log: EventLog,
     metrics: Metrics,
     member_log: MemberLog,
-    unreadable_log: UnreadableLog,
     /// Whether peers are to be told at once under which requests searchers were lost, and when they may be.
     has_case_news: bool,
     next_case_push: BootTime,
@@ -203,6 +204,7 @@
             reader,
             role,
             mirror: Mirror::default(),
+            unreadable_log: UnreadableLog::default(),
             recorder: recording::begin(&settings, &routing)?,
             engine: RoutingEngine::new(routing),
             callers: HashMap::new(),
@@ -216,7 +218,6 @@
             stop: None,
             metrics: Metrics::default(),
             member_log: MemberLog::default(),
-            unreadable_log: UnreadableLog::default(),
             has_case_news: false,
             next_case_push: now,
             given: GivenAnswers::default(),
--- a/crates/staircross-gateway/src/node/change_log.rs
+++ b/crates/staircross-gateway/src/node/change_log.rs
@@ -9,7 +9,7 @@
 use crate::event_log::LineKind;
 use staircross_cluster::{Member, MemberState};
 use staircross_routing::mirror::MirrorChanges;
-use staircross_routing::{KeyKind, Suspicion, SuspicionChange, UnreadableItem};
+use staircross_routing::{Suspicion, SuspicionChange};
 use staircross_types::BootTime;
 use std::sync::Arc;
 use std::time::Duration;
@@ -109,24 +109,6 @@
         }
     }
 
-    /// Counts and tells what the store holds that can't be used, once for each change of it.
-    pub(super) fn note_unreadable(&mut self, items: &[UnreadableItem], source: &str) {
-        for UnreadableItem { kind, key, revision, reason } in
-            items.iter().filter(|item| self.unreadable_log.is_news(item))
-        {
-            self.metrics.unreadable_items += 1;
-            let line_kind = match kind {
-                KeyKind::Configuration => LineKind::Belief,
-                KeyKind::Searcher | KeyKind::Evacuation | KeyKind::Unknown => LineKind::Drop,
-            };
-            let (kind, revision) = (kind.name(), revision.unwrap_or_default());
-            let line = format_args!(
-                "event=unreadable_item kind={kind} key={key} revision={revision} reason={reason} source={source}"
-            );
-            self.log.line(self.now, line_kind, line);
-        }
-    }
-
     /// Tells which zones' searchers get no new work from now on.
     pub(super) fn note_evacuated(&mut self, zones: &[Arc<str>], source: &str) {
         let line = format_args!("event=evacuated zones={} source={source}", zones.join(","));
