Don't take a wait for none while a node with few requests still gathers the next

Cause: the wait of a group is a median of 6 requests' sub-requests, and is believed for 1.5 s. A node with two requests a second gathers for three to four, so half of the time it judged that nothing waits at all, and raised what it takes by an eighth for each quarter of a second: what it had taken off came back before the next wait was known.

Change: while the last wait is too old to believe and younger than 1.5 times what gathering it took, nothing is judged (`Wait::judged`).

--- a/crates/staircross-routing/src/admission.rs
+++ b/crates/staircross-routing/src/admission.rs
@@ -29,6 +29,9 @@
 const MOST_SAMPLES: usize = 512;
 /// Age at which a wait is no longer believed.
 const WAIT_LIFE: Duration = Duration::from_millis(1500);
+/// Times of what gathering the samples took, for which a wait that is no longer believed isn't taken for none either: a node with
+/// few requests gathers for seconds, and hasn't measured again by then.
+const UNSURE_WINDOWS: f64 = 1.5;
 /// Time between two judgements.
 const JUDGEMENT_SPACING: Duration = Duration::from_millis(250);
 /// Longest time that is waited for the effect of a decrease.
@@ -151,6 +154,8 @@
     window: QuantileWindow,
     value: Duration,
     measured_at: BootTime,
+    /// How long its samples were gathered.
+    gathered_for: Duration,
 }
 
 impl Wait {
@@ -166,14 +171,16 @@
     }
 
     fn new(window: QuantileWindow) -> Self {
-        Wait { window, value: Duration::ZERO, measured_at: BootTime::default() }
+        Wait { window, value: Duration::ZERO, measured_at: BootTime::default(), gathered_for: Duration::ZERO }
     }
 
     /// Notes an answered sub-request that waited for `waited`.
     pub fn record(&mut self, now: BootTime, waited: Duration) {
+        let began = self.window.began.unwrap_or(now);
         if let Some(value) = self.window.add(now, waited) {
             self.value = value;
             self.measured_at = now;
+            self.gathered_for = now.since(began);
         }
     }
 
@@ -186,6 +193,13 @@
     pub fn get(&self, now: BootTime) -> Duration {
         if now.since(self.measured_at) <= WAIT_LIFE { self.value } else { Duration::ZERO }
     }
+
+    /// The wait that may be judged by; `None` while the last is too old and the next is still being gathered.
+    pub fn judged(&self, now: BootTime) -> Option<Duration> {
+        let age = now.since(self.measured_at);
+        let is_unsure = age > WAIT_LIFE && age <= self.gathered_for.mul_f64(UNSURE_WINDOWS);
+        (!is_unsure).then(|| self.get(now))
+    }
 }
 
 /// What is taken of the work offered to one group of services.
--- a/crates/staircross-routing/src/engine/overload.rs
+++ b/crates/staircross-routing/src/engine/overload.rs
@@ -142,7 +142,7 @@
         let table = self.table.clone()?;
         let group = self.groups.get(name).filter(|group| group.admission.is_due(now))?;
         let route = &table.definition().routes[group.route_index];
-        let wait = group.wait.get(now);
+        let wait = group.wait.judged(now)?;
         let tolerable = self.tolerable_for(route, fan_out(route));
         self.groups.get_mut(name)?.admission.judge(now, wait, tolerable)
     }
--- a/crates/staircross-routing/tests/overload.rs
+++ b/crates/staircross-routing/tests/overload.rs
@@ -4,7 +4,7 @@
 
 use common::backends::{Backends, Tally};
 use common::{Driver, definition, gather, route, searcher, settings};
-use staircross_routing::admission::Admission;
+use staircross_routing::admission::{Admission, Wait};
 use staircross_routing::engine::SendReason;
 use staircross_routing::{RouteDefinition, RoutingSettings};
 use staircross_types::BootTime;
@@ -235,3 +235,20 @@
     assert!(often < Duration::from_millis(3500), "{often:?}");
     assert!(seldom <= often + Duration::from_millis(1000), "{seldom:?} for {often:?}");
 }
+
+/// Some seventy nodes of a grown site see a request or two a second each, with a sub-request for each of 36 shards.
+#[test]
+fn a_node_with_few_requests_goes_on_taking_less_while_they_wait_too_long() {
+    const FAN_OUT: usize = 36;
+    let (mut admission, mut wait) = (Admission::default(), Wait::at_group(FAN_OUT));
+    let began = BootTime::from_millis(1000);
+    for request in 0..100 {
+        let now = began + Duration::from_millis(600) * request;
+        (0..FAN_OUT).for_each(|_| wait.record(now, Duration::from_millis(900)));
+        if let Some(waited) = wait.judged(now).filter(|_| admission.is_due(now)) {
+            admission.judge(now, waited, Duration::from_millis(57));
+        }
+        let level = admission.level();
+        assert!(now.since(began) < Duration::from_secs(15) || level < 0.5, "{level} of all after {request} requests");
+    }
+}
