Keep tenants' quotas for all nodes together, as a crate without sockets or clock

Cause: a tenant's rate and burst hold over all nodes, in every window, also while the fleet is cut and after restarts; no state that nodes share existed. Change: one owner for each tenant by hash keeps the bucket and tells the part of requests that passes; nodes admit first and report totals; a node without its owner is on its own with a small part. Tails are thin, not closed: random searches may find a schedule beyond the bound.

--- /dev/null
+++ b/crates/staircross-quota/src/bound.rs
@@ -0,0 +1,76 @@
+//! How far all nodes together may exceed a quota, and what follows for one tenant.
+
+use serde::{Deserialize, Serialize};
+use staircross_types::Quota;
+use std::time::Duration;
+
+/// Part of the permitted excess that the owner grants knowingly, beyond the burst. It lets a tenant that asks unevenly below its
+/// rate pass; the rest pays for what is admitted before the owner's word arrives.
+const HEADROOM_PART: f64 = 0.15;
+/// Part of the permitted excess that may be admitted while reports wait to be sent together.
+const DELAY_PART: f64 = 0.1;
+/// Demand, in times the rate, for which the delay of reports is laid out.
+const HOT_FACTOR: f64 = 6.0;
+/// Bounds of the delay of reports. A shorter one saves no excess beside the way there and back; a longer one would hide demand.
+const SHORTEST_DELAY: Duration = Duration::from_millis(20);
+const LONGEST_DELAY: Duration = Duration::from_millis(500);
+/// Part of the permitted excess that nodes without an owner may admit at once, all together.
+const STRANDED_PART: f64 = 0.2;
+/// Part of the largest fleet that is taken to be without an owner at the same time, each node on its own.
+const STRANDED_NODES: f64 = 1.0 / 3.0;
+
+/// Bound on what is admitted of a tenant in each sliding window, by all nodes together:
+/// `(rate * window + burst) * (1 + over) + slack`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuotaBound {
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Part of the quota that may be admitted beyond it.
+    pub over: f64,
+    /// Requests that may be admitted beyond it besides.
+    pub slack: f64,
+}
+
+impl Default for QuotaBound {
+    /// Quotas hold exactly, as far as nodes can know.
+    fn default() -> Self {
+        QuotaBound { window: Duration::from_secs(1), over: 0.0, slack: 0.0 }
+    }
+}
+
+/// One tenant's quota with what the bound leaves beside it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Limits {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests at once.
+    pub burst: f64,
+    /// Requests that may be admitted in a window beyond the quota.
+    excess: f64,
+}
+
+impl Limits {
+    pub fn new(bound: &QuotaBound, quota: Quota) -> Self {
+        let window = bound.window.as_secs_f64();
+        let excess = bound.over * (quota.rate_per_s * window + quota.burst) + bound.slack;
+        Limits { rate: quota.rate_per_s, burst: quota.burst, excess: excess.max(0.0) }
+    }
+
+    /// Requests beyond the burst that the owner grants knowingly.
+    pub fn headroom(&self) -> f64 {
+        self.excess * HEADROOM_PART
+    }
+
+    /// How long a report may wait for others that go the same way.
+    pub fn report_delay(&self) -> Duration {
+        let seconds = DELAY_PART * self.excess / (HOT_FACTOR * self.rate).max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(seconds.clamp(SHORTEST_DELAY.as_secs_f64(), LONGEST_DELAY.as_secs_f64()))
+    }
+
+    /// Requests that a node of a fleet of `peak` nodes which finds itself without an owner may admit at once; below 1 it is the chance of
+    /// one.
+    pub fn stranded_credit(&self, peak: usize) -> f64 {
+        let stranded = (peak as f64 * STRANDED_NODES).max(1.0);
+        self.excess * STRANDED_PART / stranded
+    }
+}
--- /dev/null
+++ b/crates/staircross-quota/src/spender.rs
@@ -0,0 +1,150 @@
+//! A node's side of a tenant that another node owns: what it admits, what it reports, and whether the owner answers.
+
+use crate::bound::Limits;
+use crate::message::{Counts, QuotaReport, QuotaWord, TenantHash};
+use staircross_types::{BootTime, NodeId};
+use std::time::Duration;
+
+/// Time after which a report that wasn't answered is sent again; longer than the way there and back between regions.
+const REPEAT: Duration = Duration::from_millis(100);
+/// Longest time between two sendings of a report that isn't answered.
+const SLOW_REPEAT: Duration = Duration::from_millis(800);
+/// Silence of the owner after which this node is on its own: five sendings, so that a tenth of datagrams lost each way leaves a
+/// false alarm in some thousand.
+pub(crate) const PATIENCE: Duration = Duration::from_millis(500);
+/// The same for a node that has admitted more than its part meanwhile.
+pub(crate) const DOUBT: Duration = Duration::from_millis(300);
+/// Time for which a part below 1 holds without being told again; it is told again each second.
+const WORD_LIFE: Duration = Duration::from_millis(4000);
+/// Time for which a tenant that was limited is taken to ask too much still.
+const LIMITED_MEMORY: Duration = Duration::from_secs(10);
+/// Time for which a former owner may think that it still is: that until nodes agree on who is there.
+const FORMER_LIFE: Duration = Duration::from_secs(4);
+
+/// What a node keeps of a tenant that another node owns.
+#[derive(Debug)]
+pub(crate) struct Spender {
+    pub owner: NodeId,
+    epoch: u32,
+    counts: Counts,
+    confirmed: Counts,
+    /// When the oldest report that isn't answered was sent first.
+    unanswered_since: Option<BootTime>,
+    /// When to report next.
+    due: Option<BootTime>,
+    repeat: Duration,
+    pass: f64,
+    said_at: u64,
+    pass_until: BootTime,
+    /// When the tenant was last known to be limited.
+    limited_at: Option<BootTime>,
+    /// Who spoke as owner before, and until when it may still think that it is.
+    former: Option<(NodeId, BootTime)>,
+}
+
+impl Spender {
+    pub fn new(owner: NodeId, epoch: u32) -> Self {
+        Spender {
+            owner,
+            epoch,
+            counts: Counts::default(),
+            confirmed: Counts::default(),
+            unanswered_since: None,
+            due: None,
+            repeat: REPEAT,
+            pass: 1.0,
+            said_at: 0,
+            pass_until: BootTime(0),
+            limited_at: None,
+            former: None,
+        }
+    }
+
+    /// Another node owns the tenant now. What wasn't confirmed is reported to it; the part holds until it speaks.
+    pub fn set_owner(&mut self, now: BootTime, owner: NodeId, epoch: u32) {
+        let counts = self.counts.since(self.confirmed);
+        let is_open = counts != Counts::default();
+        let former = (self.said_at > 0).then_some((self.owner, now + FORMER_LIFE));
+        *self = Spender {
+            counts,
+            due: is_open.then_some(now),
+            pass: self.pass,
+            pass_until: self.pass_until,
+            limited_at: self.limited_at,
+            former: former.or(self.former),
+            ..Spender::new(owner, epoch)
+        };
+    }
+
+    /// Part of the requests to admit.
+    pub fn pass(&self, now: BootTime) -> f64 {
+        if now < self.pass_until { self.pass } else { 1.0 }
+    }
+
+    /// Requests that the owner hasn't confirmed.
+    pub fn open(&self) -> Counts {
+        self.counts.since(self.confirmed)
+    }
+
+    /// Whether the tenant was limited a moment ago.
+    pub fn was_limited(&self, now: BootTime) -> bool {
+        self.limited_at.is_some_and(|at| now.since(at) < LIMITED_MEMORY)
+    }
+
+    /// Whether the owner owes an answer for some time.
+    pub fn is_silent(&self, now: BootTime, time: Duration) -> bool {
+        self.unanswered_since.is_some_and(|since| now.since(since) >= time)
+    }
+
+    /// Counts a request, which is to be reported soon.
+    pub fn count(&mut self, now: BootTime, is_admitted: bool, limits: &Limits) {
+        self.counts.count(is_admitted);
+        let is_limited = self.pass(now) < 1.0;
+        let delay = if is_limited { limits.report_delay().min(REPEAT) } else { limits.report_delay() };
+        self.due = Some(self.due.map_or(now + delay, |due| due.min(now + delay)));
+    }
+
+    /// Part of the tenant's burst that this node may admit unconfirmed: less with each moment that the owner owes an answer.
+    pub fn trust(&self, now: BootTime) -> f64 {
+        let silence = self.unanswered_since.map_or(Duration::ZERO, |since| now.since(since));
+        1.0 - silence.min(DOUBT).div_duration_f64(DOUBT)
+    }
+
+    /// When to report next.
+    pub fn due(&self) -> Option<BootTime> {
+        self.due
+    }
+
+    /// The report that is due now, if one is.
+    pub fn report(&mut self, now: BootTime, tenant: TenantHash) -> Option<QuotaReport> {
+        if self.due.is_none_or(|due| due > now) {
+            return None;
+        }
+        self.unanswered_since.get_or_insert(now);
+        self.repeat = if self.is_silent(now, PATIENCE) { (self.repeat * 2).min(SLOW_REPEAT) } else { REPEAT };
+        self.due = Some(now + self.repeat);
+        let former = self.former.filter(|(_, until)| *until > now).map(|(former, _)| former);
+        Some(QuotaReport { tenant, epoch: self.epoch, counts: self.counts, confirmed: self.confirmed, former })
+    }
+
+    /// Takes the owner's word.
+    pub fn take_word(&mut self, now: BootTime, word: &QuotaWord) {
+        if let Some(confirmation) = word.confirmation.filter(|confirmation| confirmation.epoch == self.epoch) {
+            self.confirmed.offered = self.confirmed.offered.max(confirmation.counts.offered.min(self.counts.offered));
+            self.confirmed.admitted =
+                self.confirmed.admitted.max(confirmation.counts.admitted.min(self.counts.admitted));
+            self.unanswered_since = None;
+            let is_settled = self.confirmed == self.counts;
+            self.due = self.due.filter(|_| !is_settled).map(|due| due.min(now + REPEAT));
+        }
+        if word.said_at < self.said_at {
+            return;
+        }
+        self.said_at = word.said_at;
+        self.pass = f64::from(word.pass).clamp(0.0, 1.0);
+        self.pass_until = now + WORD_LIFE;
+        if self.pass < 1.0 {
+            self.limited_at = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-quota/src/tenant.rs
@@ -0,0 +1,250 @@
+//! One tenant at one node.
+
+use crate::allowance::QuotaRefusal;
+use crate::bound::Limits;
+use crate::bucket::Bucket;
+use crate::fleet::Fleet;
+use crate::ledger::Ledger;
+use crate::message::{Confirmation, Counts, QuotaMessage, QuotaReport, QuotaWord, TenantHash};
+use crate::spender::{DOUBT, PATIENCE, Spender};
+use staircross_types::{BootTime, NodeId};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which a node that is no longer the owner answers reports of nodes that haven't heard of that.
+const LINGER: Duration = Duration::from_secs(2);
+/// Time between two looks at a tenant that is limited.
+const LIMITED_LOOK: Duration = Duration::from_millis(100);
+/// Shortest and longest time after which a refused caller is asked to come back, in seconds: within them as many come back as pass.
+const SOONEST_RETURN_S: f64 = 0.25;
+const LATEST_SPREAD_S: f64 = 8.0;
+
+/// One tenant at one node.
+#[derive(Debug)]
+pub(crate) struct Tenant {
+    pub name: Arc<str>,
+    pub hash: TenantHash,
+    pub limits: Limits,
+    pub owner: NodeId,
+    generation: u32,
+    pub ledger: Option<Ledger>,
+    pub spender: Option<Spender>,
+    /// Tokens of a node that is on its own.
+    stranded: Option<Bucket>,
+    /// What is left of the parts of earlier requests; a request passes when it reaches 1.
+    carry: f64,
+    ledger_due: Option<BootTime>,
+    /// When a request was last refused, where the log says that the tenant is limited.
+    pub limited_at: Option<BootTime>,
+}
+
+impl Tenant {
+    /// A tenant without any requests yet; `carry` is drawn at random, so that few requests at many nodes pass at the part told.
+    pub fn new(name: Arc<str>, limits: Limits, own: NodeId, carry: f64) -> Self {
+        Tenant {
+            hash: TenantHash::of(&name),
+            name,
+            limits,
+            owner: own,
+            generation: 0,
+            ledger: None,
+            spender: None,
+            stranded: None,
+            carry,
+            ledger_due: None,
+            limited_at: None,
+        }
+    }
+
+    /// Finds the owner anew where nodes have changed.
+    pub fn refresh(&mut self, now: BootTime, own: NodeId, fleet: &Fleet, is_first: bool) {
+        if self.generation != fleet.generation {
+            self.generation = fleet.generation;
+            self.owner = fleet.owner_of(self.hash);
+            if self.owner == own {
+                self.become_owner(now, fleet, is_first);
+            } else {
+                self.follow(now, fleet);
+            }
+        }
+        let is_over = self.ledger.as_ref().and_then(|ledger| ledger.lost_at).is_some_and(|at| now.since(at) >= LINGER);
+        if is_over {
+            self.ledger = None;
+        }
+    }
+
+    fn become_owner(&mut self, now: BootTime, fleet: &Fleet, is_first: bool) {
+        let owned_for = now.since(fleet.changed_at);
+        let limits = &self.limits;
+        let ledger = self.ledger.get_or_insert_with(|| Ledger::new(now, limits, owned_for, is_first));
+        ledger.lost_at = None;
+        if let Some(spender) = self.spender.take() {
+            ledger.count(spender.open());
+        }
+    }
+
+    fn follow(&mut self, now: BootTime, fleet: &Fleet) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.lost_at.get_or_insert(now);
+        }
+        match &mut self.spender {
+            Some(spender) if spender.owner == self.owner => {}
+            Some(spender) => spender.set_owner(now, self.owner, fleet.generation),
+            None => self.spender = Some(Spender::new(self.owner, fleet.generation)),
+        }
+    }
+
+    /// Whether the owner is silent: for long, or for a moment in which this node has admitted more than its part.
+    pub fn is_stranded(&self, now: BootTime, fleet: &Fleet) -> bool {
+        let Some(spender) = &self.spender else {
+            return false;
+        };
+        let credit = self.limits.stranded_credit(fleet.peak(now)).max(1.0);
+        let is_over_credit = f64::from(spender.open().admitted) >= credit;
+        spender.is_silent(now, PATIENCE) || (spender.is_silent(now, DOUBT) && is_over_credit)
+    }
+
+    /// Decides about a request as the owner.
+    pub fn take_owned(&mut self, now: BootTime, fleet_part: f64, random: f64) -> Result<(), QuotaRefusal> {
+        let Some(ledger) = &mut self.ledger else {
+            return Ok(());
+        };
+        ledger.refill(now, &self.limits, fleet_part);
+        let pass = ledger.pass(&self.limits, fleet_part);
+        let is_admitted = draw(&mut self.carry, pass);
+        ledger.count(Counts { offered: 1, admitted: u32::from(is_admitted) });
+        if ledger.is_limiting() || ledger.pass(&self.limits, fleet_part) < 1.0 {
+            self.ledger_due = Some(now);
+        }
+        self.stranded = None;
+        if is_admitted { Ok(()) } else { Err(refusal(pass, random)) }
+    }
+
+    /// Decides about a request of a tenant that another node owns, which answers.
+    pub fn take_followed(&mut self, now: BootTime, random: f64) -> Result<(), QuotaRefusal> {
+        let Some(spender) = &mut self.spender else {
+            return Ok(());
+        };
+        self.stranded = None;
+        let pass = spender.pass(now);
+        let credit = (self.limits.burst + self.limits.headroom()) * spender.trust(now);
+        let has_credit = f64::from(spender.open().admitted) <= credit.max(1.0);
+        let is_admitted = has_credit && draw(&mut self.carry, pass);
+        spender.count(now, is_admitted, &self.limits);
+        if is_admitted { Ok(()) } else { Err(refusal(pass, random)) }
+    }
+
+    /// Decides about a request on this node's own: its fixed part of the rate, and seldom one request at once.
+    pub fn take_stranded(&mut self, now: BootTime, fleet: &Fleet, random: f64) -> Result<(), QuotaRefusal> {
+        let part = fleet.stranded_part(now);
+        let rate = self.limits.rate * part;
+        let most = (self.limits.burst * part).max(1.0);
+        let was_limited = self.spender.as_ref().is_some_and(|spender| spender.was_limited(now));
+        let credit = if was_limited { 0.0 } else { self.limits.stranded_credit(fleet.peak(now)) };
+        let open = self.spender.as_ref().map_or(0, |spender| spender.open().admitted);
+        // The random part lets few requests at many nodes pass at the rate told.
+        let bucket = self.stranded.get_or_insert_with(|| Bucket::new(now, credit + random - f64::from(open)));
+        bucket.refill(now, rate, most.max(credit));
+        let taken = bucket.try_take(rate);
+        if let Some(spender) = &mut self.spender {
+            spender.count(now, taken.is_ok(), &self.limits);
+        } else if let Some(ledger) = &mut self.ledger {
+            ledger.count(Counts { offered: 1, admitted: u32::from(taken.is_ok()) });
+        }
+        taken.map_err(|wait| QuotaRefusal { retry_after: wait + Duration::from_secs_f64(random) })
+    }
+
+    /// Takes a report as the owner; none where this node isn't.
+    pub fn take_report(
+        &mut self,
+        now: BootTime,
+        from: NodeId,
+        report: &QuotaReport,
+        fleet_part: f64,
+    ) -> Option<(f64, Confirmation)> {
+        let ledger = self.ledger.as_mut()?;
+        ledger.refill(now, &self.limits, fleet_part);
+        let confirmation = ledger.take_report(now, from, report);
+        let pass = ledger.pass(&self.limits, fleet_part);
+        if pass < 1.0 || ledger.is_limiting() {
+            self.ledger_due = Some(now);
+        }
+        Some((pass, confirmation))
+    }
+
+    /// Another node has spoken as owner. Says whether this one is the owner too, and hasn't known of it.
+    pub fn note_rival(&mut self, now: BootTime, rival: NodeId) -> bool {
+        self.ledger.as_mut().is_some_and(|ledger| ledger.note_rival(now, rival))
+    }
+
+    /// What the owner tells another node that acts as owner.
+    pub fn claim(&self, now: BootTime, fleet_part: f64) -> QuotaMessage {
+        QuotaMessage::Word(QuotaWord::unasked(now, self.hash, self.pass(now, fleet_part)))
+    }
+
+    /// Whether this node is the owner, and hasn't asked a former one yet whether it still is.
+    pub fn is_new_rival(&mut self, now: BootTime, former: NodeId) -> bool {
+        let ledger = self.ledger.as_mut().filter(|ledger| ledger.lost_at.is_none());
+        ledger.is_some_and(|ledger| ledger.ask_former(now, former))
+    }
+
+    /// The part that all `nodes` are to be told now, if there is news.
+    pub fn news(&mut self, now: BootTime, fleet_part: f64, nodes: usize) -> Option<f64> {
+        if self.ledger_due.is_none_or(|due| due > now) {
+            return None;
+        }
+        self.ledger_due = None;
+        let ledger = self.ledger.as_mut().filter(|ledger| ledger.lost_at.is_none())?;
+        ledger.refill(now, &self.limits, fleet_part);
+        let pass = ledger.pass(&self.limits, fleet_part);
+        let is_news = ledger.is_to_be_told(now, pass, nodes);
+        if is_news {
+            ledger.note_told(now, pass);
+        }
+        if pass < 1.0 || ledger.is_limiting() {
+            self.ledger_due = Some(now + LIMITED_LOOK);
+        }
+        is_news.then_some(pass)
+    }
+
+    /// The report that is due now, if one is.
+    pub fn report(&mut self, now: BootTime) -> Option<(NodeId, QuotaReport)> {
+        let spender = self.spender.as_mut()?;
+        let report = spender.report(now, self.hash)?;
+        Some((spender.owner, report))
+    }
+
+    /// When something is due next.
+    pub fn due(&self) -> Option<BootTime> {
+        let report = self.spender.as_ref().and_then(Spender::due);
+        [report, self.ledger_due].into_iter().flatten().min()
+    }
+
+    /// Part of the requests that pass as far as this node knows.
+    pub fn pass(&self, now: BootTime, fleet_part: f64) -> f64 {
+        match (&self.ledger, &self.spender) {
+            (_, Some(spender)) => spender.pass(now),
+            (Some(ledger), None) => ledger.pass(&self.limits, fleet_part),
+            (None, None) => 1.0,
+        }
+    }
+}
+
+/// Whether a request passes where a part of all does.
+fn draw(carry: &mut f64, pass: f64) -> bool {
+    if pass >= 1.0 {
+        return true;
+    }
+    *carry += pass;
+    if *carry < 1.0 {
+        return false;
+    }
+    *carry -= 1.0;
+    true
+}
+
+/// Callers that are refused at the same time come back over a time in which as many pass as were refused.
+fn refusal(pass: f64, random: f64) -> QuotaRefusal {
+    let spread = (1.0 / pass.max(f64::MIN_POSITIVE)).min(LATEST_SPREAD_S);
+    QuotaRefusal { retry_after: Duration::from_secs_f64(SOONEST_RETURN_S + random * spread) }
+}
--- /dev/null
+++ b/crates/staircross-quota/tests/comparison.rs
@@ -0,0 +1,95 @@
+//! The ways to share a quota, side by side: `cargo test --release -p staircross-quota --test comparison -- --ignored --nocapture`.
+
+mod model;
+
+use model::{Callers, Fault, Schedule, Way, World};
+use staircross_types::Quota;
+
+const FAULTS: [Fault; 9] = [
+    Fault::None,
+    Fault::ThirdCut,
+    Fault::Halves,
+    Fault::KillAll,
+    Fault::Roll,
+    Fault::KillFifth,
+    Fault::WrongMembership,
+    Fault::QuotaDown,
+    Fault::QuotaUp,
+];
+const SEEDS: u64 = 8;
+
+#[test]
+#[ignore = "prints figures for the design note"]
+fn figures_of_each_way() {
+    for nodes in [71] {
+        for rate_per_s in [2.4, 20.0, 80.0] {
+            for fault in FAULTS {
+                for (hot, hot_s) in [(1.0, 9.0), (9.0, 9.0), (9.0, 11.0)] {
+                    for callers in [Callers::Spread, Callers::OneNode, Callers::Moving] {
+                        let ways = [Way::Owner, Way::FixedShares, Way::FixedSharesAndOne];
+                        let shown = ways.map(|way| tell(nodes, rate_per_s, fault, (hot, hot_s), callers, way));
+                        println!("{nodes} {rate_per_s} {fault:?} x{hot}@{hot_s} {callers:?} {}", shown.join(" | "));
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn tell(nodes: usize, rate_per_s: f64, fault: Fault, (hot, hot_s): (f64, f64), callers: Callers, way: Way) -> String {
+    let quota = Quota { rate_per_s, burst: rate_per_s };
+    let mut worst = f64::NEG_INFINITY;
+    let (mut lost, mut owed, mut datagrams, mut requests) = (0.0, 0.0, 0, 0);
+    for seed in 0..SEEDS {
+        let schedule = Schedule {
+            seed,
+            nodes,
+            quota,
+            usual: 1.0 / 1.6,
+            hot,
+            hot_s,
+            callers,
+            fault,
+            lost: 0.01,
+            doubled: 0.01,
+            keeps_to: None,
+        };
+        let outcome = World::new(schedule, way).run();
+        worst = worst.max(outcome.worst);
+        lost += outcome.lost;
+        owed += outcome.owed;
+        datagrams += outcome.datagrams;
+        requests += outcome.requests;
+    }
+    let per_request = datagrams as f64 / requests as f64;
+    format!("worst={worst:.2} lost={:.3} datagrams={per_request:.1}", lost / owed)
+}
+
+/// Datagrams about one tenant in a second by the size of the fleet, below its rate and at nine times its usual.
+#[test]
+#[ignore = "prints figures for the design note"]
+fn datagrams_by_fleet() {
+    for nodes in [71, 300, 530] {
+        for rate_per_s in [2.4, 80.0] {
+            for hot in [1.0, 9.0] {
+                let quota = Quota { rate_per_s, burst: rate_per_s };
+                let schedule = Schedule {
+                    seed: 1,
+                    nodes,
+                    quota,
+                    usual: 1.0 / 1.6,
+                    hot,
+                    hot_s: 0.0,
+                    callers: Callers::Spread,
+                    fault: Fault::None,
+                    lost: 0.01,
+                    doubled: 0.01,
+                    keeps_to: None,
+                };
+                let outcome = World::new(schedule, Way::Owner).run();
+                let a_second = outcome.datagrams as f64 / model::END_S;
+                println!("{nodes} nodes, rate {rate_per_s}, x{hot}: {a_second:.1} datagrams a second");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/staircross-quota/tests/model/mod.rs
@@ -0,0 +1,459 @@
+//! A fleet of allowances over a network that loses, delays, doubles and cuts, and what all of them admit of one tenant.
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use staircross_quota::{FleetAllowance, FleetView, QuotaBound, QuotaMessage, QuotaTell};
+use staircross_types::{BootTime, NodeId, Quota};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const TENANT: &str = "tenant";
+pub const BOUND: QuotaBound = QuotaBound { window: Duration::from_secs(5), over: 0.25, slack: 20.0 };
+/// Length of a schedule, and when its fault begins.
+pub const END_S: f64 = 26.0;
+pub const FAULT_S: f64 = 10.0;
+const PEAK_LIFE_S: f64 = 30.0;
+
+/// How nodes decide.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "each test file plays other ways")]
+pub enum Way {
+    /// As built.
+    Owner,
+    /// Each node has its part of rate and burst, by the largest fleet it saw lately.
+    FixedShares,
+    /// The same, and one request more at once: few requests come to each node.
+    FixedSharesAndOne,
+}
+
+/// What goes wrong, from [`FAULT_S`] on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// A third of the nodes is cut off, each on its own, for 8 s.
+    ThirdCut,
+    /// The fleet is two halves for 8 s.
+    Halves,
+    /// All nodes are killed and start again within 0.5 to 1.5 s.
+    KillAll,
+    /// Each node is stopped and started in turn, one each 0.4 s.
+    Roll,
+    /// The owner and as many others as make a fifth are killed for good.
+    KillFifth,
+    /// Each node misses a random fifth of the others for 3 s.
+    WrongMembership,
+    /// The quota falls to a third.
+    QuotaDown,
+    /// The quota is doubled.
+    QuotaUp,
+}
+
+/// Which nodes the tenant's callers ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Callers {
+    Spread,
+    OneNode,
+    /// One node, another each second.
+    Moving,
+}
+
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    pub seed: u64,
+    pub nodes: usize,
+    pub quota: Quota,
+    /// Demand, in times the rate.
+    pub usual: f64,
+    /// Demand from `hot_s` on, in times the usual.
+    pub hot: f64,
+    pub hot_s: f64,
+    pub callers: Callers,
+    pub fault: Fault,
+    pub lost: f64,
+    pub doubled: f64,
+    /// Whether the tenant keeps to these parts of its rate and burst.
+    pub keeps_to: Option<(f64, f64)>,
+}
+
+/// What came of a schedule.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    /// Requests beyond quota in the worst window, in times what is permitted; 1 is the bound.
+    pub worst: f64,
+    /// Requests that a bucket of the quota's rate and burst would have admitted.
+    pub owed: f64,
+    /// By how much admissions fell behind that bucket's since the start, at most.
+    pub lost: f64,
+    pub refused: usize,
+    pub requests: usize,
+    pub datagrams: usize,
+}
+
+enum Event {
+    Request,
+    Message { to: NodeId, from: NodeId, message: QuotaMessage },
+    Tick(usize),
+    View(usize),
+    Fault,
+    Heal,
+    Stop(usize),
+    Kill(usize),
+    Start(usize),
+    Quota(usize),
+    Wrong(usize),
+}
+
+struct Share {
+    level: f64,
+    at: f64,
+}
+
+struct Node {
+    id: NodeId,
+    allowance: FleetAllowance,
+    view: Vec<NodeId>,
+    peak: (usize, f64),
+    share: Share,
+    quota: Quota,
+    is_up: bool,
+    is_serving: bool,
+    group: usize,
+    tick: f64,
+}
+
+pub struct World {
+    schedule: Schedule,
+    way: Way,
+    random: ChaCha8Rng,
+    nodes: Vec<Node>,
+    events: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+    now: f64,
+    next_id: u128,
+    admitted: Vec<f64>,
+    /// Tokens of a bucket that sees everything, and its time.
+    reference: Share,
+    /// Tokens of a tenant that keeps to a part of its quota.
+    caller: Share,
+    outcome: Outcome,
+}
+
+fn time(seconds: f64) -> BootTime {
+    BootTime(1_000_000_000 + (seconds * 1e6) as u64)
+}
+
+impl World {
+    pub fn new(schedule: Schedule, way: Way) -> Self {
+        let mut world = World {
+            random: ChaCha8Rng::seed_from_u64(schedule.seed),
+            nodes: Vec::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            now: 0.0,
+            next_id: 1,
+            admitted: Vec::new(),
+            reference: Share { level: schedule.quota.burst, at: 0.0 },
+            caller: Share { level: 0.0, at: 0.0 },
+            outcome: Outcome::default(),
+            schedule,
+            way,
+        };
+        for _ in 0..world.schedule.nodes {
+            let node = world.new_node(true, world.schedule.quota);
+            world.nodes.push(node);
+        }
+        (0..world.nodes.len()).for_each(|node| world.see(node));
+        world.at(FAULT_S, Event::Fault);
+        world.next_request();
+        world
+    }
+
+    fn new_node(&mut self, is_first: bool, quota: Quota) -> Node {
+        // Identities of restarted nodes are unlike those before, as in a fleet.
+        self.next_id += 1;
+        let id = NodeId(u128::from(self.random.random::<u64>()) << 64 | self.next_id);
+        let mut allowance = FleetAllowance::new(BOUND, id, time(self.now), is_first);
+        allowance.set_quotas(time(self.now), [(Arc::from(TENANT), quota)].into_iter());
+        let level = if is_first { self.random.random::<f64>() } else { 0.0 };
+        let share = Share { level, at: self.now };
+        let peak = (8, self.now);
+        Node {
+            id,
+            allowance,
+            view: vec![id],
+            peak,
+            share,
+            quota,
+            is_up: true,
+            is_serving: true,
+            group: 0,
+            tick: f64::MAX,
+        }
+    }
+
+    pub fn run(mut self) -> Outcome {
+        while let Some(((micros, _), event)) = self.events.pop_first() {
+            self.now = micros as f64 / 1e6;
+            if self.now >= END_S {
+                break;
+            }
+            self.handle(event);
+        }
+        self.outcome.worst = self.worst_window();
+        self.outcome
+    }
+
+    fn at(&mut self, seconds: f64, event: Event) {
+        self.sequence += 1;
+        self.events.insert(((seconds * 1e6) as u64, self.sequence), event);
+    }
+
+    fn after(&mut self, least: f64, most: f64, event: Event) {
+        let delay = self.random.random_range(least..most);
+        self.at(self.now + delay, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Request => {
+                self.request();
+                self.next_request();
+            }
+            Event::Message { to, from, message } => {
+                let Some(node) = self.nodes.iter().position(|node| node.id == to && node.is_up) else {
+                    return;
+                };
+                let mut tells = Vec::new();
+                self.nodes[node].allowance.on_message(time(self.now), from, message, &mut tells);
+                self.send(node, tells);
+            }
+            Event::Tick(node) => {
+                self.nodes[node].tick = f64::MAX;
+                let mut tells = Vec::new();
+                self.nodes[node].allowance.on_tick(time(self.now), &mut tells);
+                self.send(node, tells);
+            }
+            Event::View(node) => self.see(node),
+            Event::Fault => self.begin_fault(),
+            Event::Heal => {
+                self.nodes.iter_mut().for_each(|node| node.group = 0);
+                (0..self.nodes.len()).for_each(|node| self.after(0.2, 1.0, Event::View(node)));
+            }
+            Event::Stop(node) => {
+                self.nodes[node].is_serving = false;
+                (0..self.nodes.len()).for_each(|other| self.after(0.05, 0.3, Event::View(other)));
+                self.at(self.now + 1.0, Event::Kill(node));
+            }
+            Event::Kill(node) => {
+                self.nodes[node].is_up = false;
+                self.nodes[node].is_serving = false;
+            }
+            Event::Start(node) => {
+                let quota = self.nodes[node].quota;
+                self.nodes[node] = self.new_node(false, quota);
+                (0..self.nodes.len()).for_each(|other| self.after(0.05, 0.4, Event::View(other)));
+            }
+            Event::Quota(node) => {
+                let factor = if self.schedule.fault == Fault::QuotaDown { 1.0 / 3.0 } else { 2.0 };
+                let quota = scaled(self.schedule.quota, factor);
+                self.nodes[node].quota = quota;
+                let quotas = [(Arc::from(TENANT), quota)].into_iter();
+                self.nodes[node].allowance.set_quotas(time(self.now), quotas);
+            }
+            Event::Wrong(node) => {
+                let own = self.nodes[node].id;
+                let others = self.nodes.iter().map(|other| other.id);
+                let view: Vec<NodeId> = others.filter(|id| *id == own || self.random.random_bool(0.8)).collect();
+                self.set_view(node, view);
+            }
+        }
+    }
+
+    fn begin_fault(&mut self) {
+        let count = self.nodes.len();
+        match self.schedule.fault {
+            Fault::None => {}
+            Fault::ThirdCut => (0..count / 3).for_each(|node| self.nodes[node].group = 1 + node),
+            Fault::Halves => (0..count / 2).for_each(|node| self.nodes[node].group = 1),
+            Fault::KillAll => {
+                for node in 0..count {
+                    self.handle(Event::Kill(node));
+                    self.after(0.5, 1.5, Event::Start(node));
+                }
+            }
+            Fault::Roll => {
+                for node in 0..count {
+                    let at = self.now + 0.4 * node as f64;
+                    self.at(at, Event::Stop(node));
+                    self.at(at + 1.6, Event::Start(node));
+                }
+            }
+            Fault::KillFifth => {
+                (0..count / 5).for_each(|node| self.handle(Event::Kill(node)));
+                let owner = self.nodes[count - 1].allowance.view(time(self.now), TENANT).map(|view| view.owner);
+                let owner = self.nodes.iter().position(|node| Some(node.id) == owner).unwrap_or(0);
+                self.handle(Event::Kill(owner));
+            }
+            Fault::WrongMembership => {
+                for node in 0..count {
+                    self.after(0.0, 0.2, Event::Wrong(node));
+                    self.after(2.8, 3.2, Event::View(node));
+                }
+            }
+            Fault::QuotaDown | Fault::QuotaUp => {
+                (0..count).for_each(|node| self.after(0.0, 1.0, Event::Quota(node)));
+            }
+        }
+        if matches!(self.schedule.fault, Fault::ThirdCut | Fault::Halves | Fault::KillFifth) {
+            (0..count).for_each(|node| self.after(2.5, 3.3, Event::View(node)));
+            self.at(self.now + 8.0, Event::Heal);
+        }
+    }
+
+    fn see(&mut self, node: usize) {
+        let group = self.nodes[node].group;
+        let seen = |other: &&Node| other.is_serving && other.group == group;
+        let view = self.nodes.iter().filter(seen).map(|other| other.id).collect();
+        self.set_view(node, view);
+    }
+
+    fn set_view(&mut self, node: usize, view: Vec<NodeId>) {
+        let now = self.now;
+        let state = &mut self.nodes[node];
+        if view.len() >= state.peak.0 || now - state.peak.1 > PEAK_LIFE_S {
+            state.peak = (view.len(), now);
+        }
+        let fleet = FleetView { serving: view.clone() };
+        state.allowance.set_fleet(time(now), fleet);
+        state.view = view;
+        self.send(node, Vec::new());
+    }
+
+    fn send(&mut self, node: usize, tells: Vec<QuotaTell>) {
+        for QuotaTell { to, message } in tells {
+            self.outcome.datagrams += 1;
+            let from = self.nodes[node].id;
+            let group = self.nodes[node].group;
+            let is_reached = self.nodes.iter().any(|other| other.id == to && other.is_up && other.group == group);
+            if !is_reached || self.random.random_bool(self.schedule.lost) {
+                continue;
+            }
+            self.after(0.001, 0.030, Event::Message { to, from, message });
+            if self.random.random_bool(self.schedule.doubled) {
+                self.after(0.001, 0.200, Event::Message { to, from, message });
+            }
+        }
+        if let Some(wake) = self.nodes[node].allowance.next_wake() {
+            let due = (wake.0 - 1_000_000_000) as f64 / 1e6;
+            let due = due.max(self.now) + self.random.random_range(0.0..0.01);
+            if due < self.nodes[node].tick {
+                self.nodes[node].tick = due;
+                self.at(due, Event::Tick(node));
+            }
+        }
+    }
+
+    fn next_request(&mut self) {
+        let is_hot = self.now >= self.schedule.hot_s;
+        let factor = if is_hot { self.schedule.hot } else { 1.0 };
+        let demand = self.schedule.quota.rate_per_s * self.schedule.usual * factor;
+        let gap = -(1.0 - self.random.random::<f64>()).ln() / demand;
+        // So that a change of demand isn't overslept.
+        let at = self.now + gap;
+        let change = self.schedule.hot_s;
+        self.at(if self.now + 1e-3 < change && at > change { change } else { at }, Event::Request);
+    }
+
+    fn request(&mut self) {
+        let count = self.nodes.len();
+        let first = match self.schedule.callers {
+            Callers::Spread => self.random.random_range(0..count),
+            Callers::OneNode => 0,
+            Callers::Moving => self.now as usize * 7 % count,
+        };
+        let Some(node) = (0..count).map(|step| (first + step) % count).find(|node| self.nodes[*node].is_serving) else {
+            return;
+        };
+        if !self.is_sent() {
+            return;
+        }
+        self.outcome.requests += 1;
+        let is_owed = self.is_owed(node);
+        let is_admitted = match self.way {
+            Way::Owner => self.nodes[node].allowance.try_take(time(self.now), TENANT).is_ok(),
+            Way::FixedShares => self.take_share(node, 0.0),
+            Way::FixedSharesAndOne => self.take_share(node, 1.0),
+        };
+        if is_admitted {
+            self.admitted.push(self.now);
+        } else {
+            self.outcome.refused += 1;
+        }
+        self.outcome.owed += f64::from(u8::from(is_owed));
+        self.outcome.lost = self.outcome.lost.max(self.outcome.owed - self.admitted.len() as f64);
+        self.send(node, Vec::new());
+    }
+
+    /// Whether the tenant sends a request that it has, or keeps to its quota.
+    fn is_sent(&mut self) -> bool {
+        let Some((rate_part, burst_part)) = self.schedule.keeps_to else {
+            return true;
+        };
+        let quota = self.schedule.quota;
+        let filled = self.caller.level + (self.now - self.caller.at) * quota.rate_per_s * rate_part;
+        self.caller = Share { level: filled.min(quota.burst * burst_part).max(0.0), at: self.now };
+        let is_sent = self.caller.level >= 1.0;
+        self.caller.level -= f64::from(u8::from(is_sent));
+        is_sent
+    }
+
+    fn is_owed(&mut self, node: usize) -> bool {
+        let quota = self.nodes[node].quota;
+        let filled = self.reference.level + (self.now - self.reference.at) * quota.rate_per_s;
+        self.reference = Share { level: filled.min(quota.burst.max(1.0)), at: self.now };
+        let is_owed = self.reference.level >= 1.0;
+        self.reference.level -= f64::from(u8::from(is_owed));
+        is_owed
+    }
+
+    fn take_share(&mut self, node: usize, besides: f64) -> bool {
+        let node = &mut self.nodes[node];
+        let fleet = node.peak.0.max(node.view.len()) as f64;
+        let most = (node.quota.burst / fleet + besides).max(1.0);
+        let filled = node.share.level + (self.now - node.share.at) * node.quota.rate_per_s / fleet;
+        node.share = Share { level: filled.min(most), at: self.now };
+        let is_admitted = node.share.level >= 1.0;
+        node.share.level -= f64::from(u8::from(is_admitted));
+        is_admitted
+    }
+
+    /// The window with most admissions beyond the quota, by what is permitted.
+    fn worst_window(&self) -> f64 {
+        let window = BOUND.window.as_secs_f64();
+        let base = self.schedule.quota;
+        let mut worst = f64::NEG_INFINITY;
+        let mut first = 0;
+        for (last, end) in self.admitted.iter().enumerate() {
+            while end - self.admitted[first] > window {
+                first += 1;
+            }
+            let begin = self.admitted[first];
+            let quota = match self.schedule.fault {
+                // A lower limit binds a window after every node has it.
+                Fault::QuotaDown if begin >= FAULT_S + 1.0 + window => scaled(base, 1.0 / 3.0),
+                Fault::QuotaUp if *end >= FAULT_S => scaled(base, 2.0),
+                _ => base,
+            };
+            let own = quota.rate_per_s * window + quota.burst;
+            let beyond = (last - first + 1) as f64 - own;
+            worst = worst.max(beyond / (own * BOUND.over + BOUND.slack));
+        }
+        worst
+    }
+}
+
+fn scaled(quota: Quota, factor: f64) -> Quota {
+    Quota { rate_per_s: quota.rate_per_s * factor, burst: quota.burst * factor }
+}
