Carry tenants' quotas between engines as datagrams, and refuse with a time of their own

Cause: the allowance needs nodes to tell each other, settings for its bound, and a refusal that says when there will be room. Change: RoutingEngine owns a FleetAllowance (take_quota, quota_view); PeerQuota and TellQuota; RoutingEvent::Fleet names the ready nodes when they change; PeerDatagram carries quota messages, counted under a purpose of their own; [bounds] quota_window_s, quota_over, quota_slack; over_quota (429); Verdict::Refused::retry_after; counters and a log line when a tenant becomes limited or free. Recording and replay know the new events. RoutingCounters moved to a file of its own. Nothing calls take_quota yet. tests/traffic.rs counts 28 places in place of 24: there is one purpose more, each with four reaches; the check is as strict. Ready nodes, reserves too, share quotas and not the serving ones: that part follows the load, and owners would move with it.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -23,6 +23,7 @@
 use shape::Peak;
 use staircross_cluster::membership::{Membership, MembershipAction, MembershipMessage, MembershipSettings, Tellings};
 use staircross_cluster::{Member, MemberState};
+use staircross_quota::QuotaMessage;
 use staircross_routing::CaseRecord;
 use staircross_routing::selection::Distance;
 use staircross_types::{BootTime, NodeId, ZoneName};
@@ -41,7 +42,7 @@
 const PUSH_COUNT: usize = 12;
 
 /// What changed in the fleet.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum FleetEvent {
     /// A member's record changed.
     Member {
@@ -50,6 +51,13 @@
     },
     /// A peer has lost searchers under requests.
     Cases(Vec<CaseRecord>),
+    /// A peer tells of tenants' quotas.
+    Quotas {
+        /// The peer.
+        from: NodeId,
+        /// What it tells.
+        messages: Vec<QuotaMessage>,
+    },
 }
 
 /// Counters, for metrics.
@@ -78,6 +86,8 @@
     directory: Directory,
     /// When the directory was made; `None` when it must be made anew.
     directory_at: Option<BootTime>,
+    /// The nodes that share tenants' quotas, as they were told last.
+    quota_nodes: Vec<NodeId>,
     /// What the searcher of a shard with the lowest bound accepts from all nodes.
     connections: Option<u32>,
     live_peak: Peak,
@@ -133,6 +143,7 @@
             version_behind_since: None,
             directory: Directory::default(),
             directory_at: None,
+            quota_nodes: Vec::new(),
             connections: None,
             live_peak: Peak::new(ASSUMED_FLEET, now),
             serving_peak: Peak::new(ASSUMED_FLEET, now),
@@ -185,6 +196,9 @@
         if !datagram.cases.is_empty() {
             events.push(FleetEvent::Cases(datagram.cases));
         }
+        if !datagram.quotas.is_empty() {
+            events.push(FleetEvent::Quotas { from: datagram.from, messages: datagram.quotas });
+        }
         let Some(message) = datagram.message else {
             return;
         };
@@ -268,15 +282,42 @@
     }
 
     fn send_datagram(&mut self, to: Option<NodeId>, address: SocketAddr, message: Option<MembershipMessage>) {
-        let datagram = PeerDatagram { from: self.node, to, announcement: self.own, cases: self.cases.clone(), message };
-        let Ok(bytes) = encode(&datagram) else {
+        let datagram = PeerDatagram {
+            from: self.node,
+            to,
+            announcement: self.own,
+            cases: self.cases.clone(),
+            quotas: Vec::new(),
+            message,
+        };
+        self.write(Purpose::Membership, &datagram, address);
+    }
+
+    /// Tells a peer of tenants' quotas, also one that is taken for gone: it may think that it owns a tenant.
+    pub fn tell_quotas(&mut self, to: NodeId, messages: Vec<QuotaMessage>) {
+        let Some(address) = self.membership.get(to).map(|member| member.peer_address) else {
+            return;
+        };
+        let datagram = PeerDatagram {
+            from: self.node,
+            to: Some(to),
+            announcement: self.own,
+            cases: Vec::new(),
+            quotas: messages,
+            message: None,
+        };
+        self.write(Purpose::Quotas, &datagram, address);
+    }
+
+    fn write(&mut self, purpose: Purpose, datagram: &PeerDatagram, address: SocketAddr) {
+        let Ok(bytes) = encode(datagram) else {
             self.counters.unreadable += 1;
             return;
         };
         self.counters.datagrams += 1;
         self.counters.bytes += bytes.len() as u64;
-        let reach = to.map_or(Reach::Unknown, |node| self.reach_of(node));
-        self.traffic.count(Purpose::Membership, reach, bytes.len());
+        let reach = datagram.to.map_or(Reach::Unknown, |node| self.reach_of(node));
+        self.traffic.count(purpose, reach, bytes.len());
         // Datagrams may be lost anywhere; the protocol repeats what matters.
         let _may_be_lost = self.socket.send_to(&bytes, address);
     }
--- a/crates/staircross-gateway/src/fleet/announcement.rs
+++ b/crates/staircross-gateway/src/fleet/announcement.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use staircross_cluster::membership::MembershipMessage;
+use staircross_quota::QuotaMessage;
 use staircross_routing::CaseRecord;
 use staircross_types::NodeId;
 
@@ -48,6 +49,9 @@
     /// Requests under which searchers were lost, some of them each time.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub cases: Vec<CaseRecord>,
+    /// What is told of tenants' quotas.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub quotas: Vec<QuotaMessage>,
     /// None when only the announcement is told.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub message: Option<MembershipMessage>,
--- a/crates/staircross-gateway/src/fleet/shape.rs
+++ b/crates/staircross-gateway/src/fleet/shape.rs
@@ -5,7 +5,7 @@
 use crate::directory::{Candidate, Directory};
 use hashbrown::HashMap;
 use staircross_cluster::{Member, MemberState};
-use staircross_types::BootTime;
+use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,6 +80,20 @@
         FleetShape { nodes_by_zone, serving: self.serving_peak.count, rank, slack_part }
     }
 
+    /// The nodes that share tenants' quotas, if they have changed: all that are ready, reserves too, so that owners stay the same while the
+    /// serving part follows the load. A suspect may well live.
+    pub fn take_quota_nodes(&mut self) -> Option<Vec<NodeId>> {
+        let shares =
+            |member: &&Member| member.is_ready && matches!(member.state, MemberState::Alive | MemberState::Suspect);
+        let mut nodes: Vec<NodeId> = self.live().filter(shares).map(|member| member.node).collect();
+        nodes.sort_unstable();
+        if nodes == self.quota_nodes {
+            return None;
+        }
+        self.quota_nodes = nodes.clone();
+        Some(nodes)
+    }
+
     /// Whether callers are sent to this node.
     pub fn is_serving(&self) -> bool {
         self.directory.is_serving(self.node)
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -165,6 +165,8 @@
         line("attempts_reroute_total", "counter", counters.reroutes);
         line("attempts_over_budget_total", "counter", counters.over_budget);
         line("requests_not_admitted_total", "counter", counters.not_admitted);
+        line("requests_over_quota_total", "counter", counters.over_quota);
+        line("quota_messages_total", "counter", counters.quota_messages);
         line("answers_partial_total", "counter", counters.partial_answers);
         line("searcher_connects_total", "counter", gauges.connects);
         line("searcher_answers_skipped_total", "counter", gauges.skipped);
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -182,7 +182,7 @@
         } else {
             reader = reader.with_mode(now, ReadingMode::Once).with_young_until(now + YOUNG_READER);
         }
-        let routing = routing_settings(now, &settings);
+        let routing = routing_settings(now, node, &settings);
         let mut log = EventLog::new(&settings.node.name, settings.node.log);
         log.line(
             now,
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -199,6 +199,9 @@
                     }
                     self.note_member(&member);
                 }
+                FleetEvent::Quotas { from, messages } => {
+                    self.engine_event(RoutingEvent::PeerQuota { from, messages });
+                }
                 FleetEvent::Cases(records) => self.engine_event(RoutingEvent::PeerCases(records)),
             }
         }
@@ -213,7 +216,8 @@
 
     fn tell_fleet_shape(&mut self) {
         let FleetShape { nodes_by_zone, serving, rank, slack_part } = self.fleet.shape(self.now);
-        self.engine_event(RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part });
+        let nodes = self.fleet.take_quota_nodes();
+        self.engine_event(RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part, nodes });
         let is_serving = self.fleet.is_serving();
         if is_serving != self.is_serving {
             self.is_serving = is_serving;
--- a/crates/staircross-gateway/src/node/reload.rs
+++ b/crates/staircross-gateway/src/node/reload.rs
@@ -1,7 +1,7 @@
 //! Settings that change while the node runs.
 
 use super::GatewayNode;
-use super::setup::{cold_bound, extra_bound};
+use super::setup::{cold_bound, extra_bound, quota_bound};
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::settings::GatewaySettings;
@@ -44,6 +44,9 @@
         let bound = cold_bound(&settings);
         self.engine.set_cold_bound(bound);
         self.record(RecordedEvent::ColdBound(bound), &[]);
+        let bound = quota_bound(&settings);
+        self.engine.set_quota_bound(self.now, bound);
+        self.record(RecordedEvent::QuotaBound(bound), &[]);
         self.role.set_longest_silence(settings.longest_silence());
         if settings.store != self.settings.store {
             self.follow_store(settings.store.address);
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -10,6 +10,7 @@
 use crate::server::{Endpoint, ServerEvent};
 use crate::socket::SocketId;
 use staircross_http::{Request, ServerFault};
+use staircross_quota::QuotaChange;
 use staircross_routing::admission::AdmissionChange;
 use staircross_routing::engine::{RoutingAction, RoutingEvent, SendOrder, SendReason};
 use staircross_routing::{Arrival, CallerLink, RequestKey, Verdict};
@@ -155,7 +156,7 @@
         self.metrics.refused(kind);
         self.log.line(self.now, LineKind::Drop, format_args!("event=refused_unread kind={kind}"));
         let context = AnswerContext { names: self.dialect.headers(), id: None, closes: true, is_head: false };
-        let answer = context.refused(kind, kind.meaning());
+        let answer = context.refused(kind, kind.meaning(), None);
         self.respond(connection, answer, true);
     }
 
@@ -213,6 +214,14 @@
                 self.log.line(self.now, LineKind::Belief, line);
             }
             RoutingAction::Suspicion { change, is_by_peers } => self.note_suspicion(change, is_by_peers),
+            RoutingAction::TellQuota { to, messages } => self.fleet.tell_quotas(to, messages),
+            RoutingAction::Quota(change) => {
+                let QuotaChange { tenant, is_limited, pass, is_stranded } = change;
+                let line = format_args!(
+                    "event=quota tenant={tenant} limited={is_limited} pass={pass:.2} owner_silent={is_stranded}"
+                );
+                self.log.line(self.now, LineKind::Belief, line);
+            }
             RoutingAction::Finish { request, verdict } => self.finish(request, verdict),
         }
     }
@@ -296,7 +305,7 @@
         let answer = match &verdict {
             Verdict::Merged(merged) => context.merged(merged),
             Verdict::Passed(passed) => context.passed(passed),
-            Verdict::Refused { kind, detail } => context.refused(*kind, detail),
+            Verdict::Refused { kind, detail, retry_after } => context.refused(*kind, detail, *retry_after),
         };
         self.note_finished(&pending, &verdict);
         self.respond(pending.connection, answer, closes);
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -3,10 +3,11 @@
 use crate::server::Endpoint;
 use crate::settings::GatewaySettings;
 use rand::Rng;
+use staircross_quota::QuotaBound;
 use staircross_routing::ColdBound;
 use staircross_routing::engine::RoutingSettings;
 use staircross_routing::window::ExtraBound;
-use staircross_types::BootTime;
+use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,7 +36,15 @@
     ColdBound { factor: settings.bounds.cold_factor, slack: settings.bounds.cold_slack }
 }
 
-pub(super) fn routing_settings(now: BootTime, settings: &GatewaySettings) -> RoutingSettings {
+pub(super) fn quota_bound(settings: &GatewaySettings) -> QuotaBound {
+    QuotaBound {
+        window: Duration::from_secs_f64(settings.bounds.quota_window_s),
+        over: settings.bounds.quota_over,
+        slack: settings.bounds.quota_slack,
+    }
+}
+
+pub(super) fn routing_settings(now: BootTime, node: NodeId, settings: &GatewaySettings) -> RoutingSettings {
     let regions = settings.zones.iter();
     RoutingSettings {
         extra: extra_bound(settings),
@@ -44,6 +53,9 @@
         lapse_grace: settings.lapse_grace(),
         cold: cold_bound(settings),
         max_requests: settings.max_requests(),
+        node,
+        quota: quota_bound(settings),
+        started_at: now,
         policy: settings.policy.routing,
         restarted_at: (!settings.node.first_start).then_some(now),
         seed: rand::rng().random(),
--- a/crates/staircross-gateway/src/outbound.rs
+++ b/crates/staircross-gateway/src/outbound.rs
@@ -142,11 +142,11 @@
         bytes
     }
 
-    /// A refusal of this node's own.
-    pub fn refused(&self, kind: ErrorKind, detail: &str) -> Vec<u8> {
+    /// A refusal of this node's own; `retry_after` where it isn't that of the kind.
+    pub fn refused(&self, kind: ErrorKind, detail: &str, retry_after: Option<Duration>) -> Vec<u8> {
         let mut bytes = self.begin(kind.http_status());
-        if let Some(delay) = kind.retry_after_ms() {
-            let seconds = Duration::from_millis(delay).as_secs_f64();
+        if let Some(delay) = retry_after.or(kind.retry_after_ms().map(Duration::from_millis)) {
+            let seconds = delay.as_secs_f64();
             write::field_display(&mut bytes, self.names.retry_after, format_args!("{seconds:.3}"));
         }
         write::field(&mut bytes, "Content-Type", b"text/plain");
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use quick_error::quick_error;
 use serde::Deserialize;
+use staircross_quota::QuotaBound;
 use staircross_routing::store_reader::ReaderSettings;
 use staircross_routing::{ColdBound, RoutingPolicy};
 use std::collections::BTreeMap;
@@ -162,6 +163,15 @@
     /// The requests besides.
     #[serde(default)]
     pub cold_slack: f64,
+    /// Window over which a tenant's requests are counted against its quota, in seconds.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Part of a tenant's quota that may be admitted beyond it in a window.
+    #[serde(default)]
+    pub quota_over: f64,
+    /// Requests that may be admitted beyond it in a window besides.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// Time within which searchers of an evacuated zone must get no more work, in milliseconds; `config_ms` when absent.
     #[serde(default)]
     pub evacuate_ms: Option<u64>,
@@ -171,6 +181,10 @@
     ColdBound::default().factor
 }
 
+fn default_quota_window_s() -> f64 {
+    QuotaBound::default().window.as_secs_f64()
+}
+
 impl BoundSettings {
     /// The shorter of the times in which what the operator writes must be in force, in milliseconds.
     fn operator_ms(&self) -> u64 {
@@ -236,6 +250,9 @@
         check_number("bounds.config_ms", self.bounds.config_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
         check_number("bounds.cold_factor", self.bounds.cold_factor, 0.0, 1000.0, "0 to 1000")?;
         check_number("bounds.cold_slack", self.bounds.cold_slack, 0.0, 1e6, "0 to 1000000")?;
+        check_number("bounds.quota_window_s", self.bounds.quota_window_s, 0.1, 3600.0, "0.1 to 3600")?;
+        check_number("bounds.quota_over", self.bounds.quota_over, 0.0, 1000.0, "0 to 1000")?;
+        check_number("bounds.quota_slack", self.bounds.quota_slack, 0.0, 1e6, "0 to 1000000")?;
         check_number("bounds.evacuate_ms", self.bounds.operator_ms() as f64, 50.0, 3.6e6, "50 to 3600000")?;
         check_number("bounds.stop_s", self.bounds.stop_s, 0.5, 3600.0, "0.5 to 3600")?;
         check_number("bounds.directory_ttl_s", self.bounds.directory_ttl_s, 0.1, 3600.0, "0.1 to 3600")?;
--- a/crates/staircross-gateway/src/traffic.rs
+++ b/crates/staircross-gateway/src/traffic.rs
@@ -18,6 +18,8 @@
     Repeats,
     /// Datagrams of the membership.
     Membership,
+    /// Datagrams about tenants' quotas.
+    Quotas,
     /// Configurations and searchers' entries pulled from peers.
     Pulls,
     /// Calls to the store.
@@ -26,8 +28,15 @@
 
 impl Purpose {
     /// All purposes.
-    pub const ALL: [Purpose; 6] =
-        [Purpose::Firsts, Purpose::Hedges, Purpose::Repeats, Purpose::Membership, Purpose::Pulls, Purpose::Store];
+    pub const ALL: [Purpose; 7] = [
+        Purpose::Firsts,
+        Purpose::Hedges,
+        Purpose::Repeats,
+        Purpose::Membership,
+        Purpose::Quotas,
+        Purpose::Pulls,
+        Purpose::Store,
+    ];
 
     /// What an attempt made for `reason` is counted as.
     pub fn of_attempt(reason: SendReason) -> Self {
@@ -45,6 +54,7 @@
             Purpose::Hedges => "hedges",
             Purpose::Repeats => "repeats",
             Purpose::Membership => "membership",
+            Purpose::Quotas => "quotas",
             Purpose::Pulls => "pulls",
             Purpose::Store => "store",
         }
--- a/crates/staircross-gateway/tests/settings.rs
+++ b/crates/staircross-gateway/tests/settings.rs
@@ -37,12 +37,22 @@
     GatewaySettings::from_toml("node.toml", GOOD).expect("the settings are good");
 }
 
+#[test]
+fn quotas_hold_without_any_excess_where_settings_say_nothing() {
+    let settings = GatewaySettings::from_toml("node.toml", GOOD).expect("the settings are good");
+    let bounds = settings.bounds;
+    assert_eq!((bounds.quota_window_s, bounds.quota_over, bounds.quota_slack), (1.0, 0.0, 0.0));
+}
+
 #[test]
 fn each_bad_value_is_named_with_its_place_and_what_is_allowed() {
     let cases = [
         ("extra_ratio = 0.2", "extra_ratio = -0.1", "bounds.extra_ratio"),
         ("extra_ratio = 0.2", "extra_ratio = nan", "bounds.extra_ratio"),
         ("stop_s = 6", "stop_s = 0.1", "bounds.stop_s"),
+        ("stop_s = 6", "stop_s = 6\nquota_window_s = 0", "bounds.quota_window_s"),
+        ("stop_s = 6", "stop_s = 6\nquota_over = -0.1", "bounds.quota_over"),
+        ("stop_s = 6", "stop_s = 6\nquota_slack = nan", "bounds.quota_slack"),
         ("drain_ms = 3000", "drain_ms = 1", "bounds.drain_ms"),
         ("config_ms = 3000", "config_ms = 0", "bounds.config_ms"),
         ("peers = \"127.0.0.1:7004\"", "peers = \"127.0.0.1:7001\"", "listen"),
--- a/crates/staircross-gateway/tests/traffic.rs
+++ b/crates/staircross-gateway/tests/traffic.rs
@@ -29,5 +29,5 @@
         all.count(purpose, reach, number + 1);
     }
     let bytes: Vec<u64> = all.counted().map(|(_, _, bytes)| bytes).collect();
-    assert_eq!(bytes, (1..=24).collect::<Vec<u64>>());
+    assert_eq!(bytes, (1..=28).collect::<Vec<u64>>());
 }
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -6,9 +6,11 @@
 //! or whatever was sent was answered "not run"; every request ends by its deadline.
 
 mod arrival;
+mod counters;
 mod dispatch;
 mod outcome;
 mod overload;
+mod quotas;
 mod settle;
 mod suspicion;
 mod waiting;
@@ -30,12 +32,14 @@
 use crate::turns::WeightedTurns;
 use crate::window::{ExtraBound, ExtraWindow};
 use arrival::HeldRequest;
+pub use counters::RoutingCounters;
 use hashbrown::HashMap;
 use overload::ServiceGroup;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use staircross_quota::{FleetAllowance, QuotaBound};
 use staircross_search::latency::LatencyTracker;
-use staircross_types::BootTime;
+use staircross_types::{BootTime, NodeId};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::sync::Arc;
@@ -64,6 +68,12 @@
     /// When this process started, if it isn't the first on its machine: searchers may still count the connections
     /// of the one before.
     pub restarted_at: Option<BootTime>,
+    /// This run of the node.
+    pub node: NodeId,
+    /// How far all nodes together may exceed tenants' quotas.
+    pub quota: QuotaBound,
+    /// When the process started.
+    pub started_at: BootTime,
     /// Mechanisms that are on.
     pub policy: RoutingPolicy,
     /// Feeds random choices.
@@ -101,25 +111,6 @@
     pub shard: u32,
 }
 
-/// Counters, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RoutingCounters {
-    /// First attempts.
-    pub firsts: u64,
-    /// Hedges.
-    pub hedges: u64,
-    /// Retries.
-    pub retries: u64,
-    /// Attempts made elsewhere because no connection came up.
-    pub reroutes: u64,
-    /// Hedges and retries that the budget refused.
-    pub over_budget: u64,
-    /// Answers with fewer than all parts.
-    pub partial_answers: u64,
-    /// Requests refused because too much waits at the searchers.
-    pub not_admitted: u64,
-}
-
 /// The decisions of one node.
 pub struct RoutingEngine {
     pub(crate) settings: RoutingSettings,
@@ -149,6 +140,8 @@
     pub(crate) wakes: BinaryHeap<Reverse<(BootTime, RequestKey)>>,
     /// Requests that end the searchers that run them.
     pub(crate) quarantine: Quarantine,
+    /// What this node may admit of tenants' quotas.
+    quotas: FleetAllowance,
     /// Counters for metrics.
     pub counters: RoutingCounters,
 }
@@ -168,6 +161,7 @@
         };
         RoutingEngine {
             random: ChaCha8Rng::seed_from_u64(settings.seed),
+            quotas: quotas::allowance(&settings),
             place,
             slack_part: 1.0,
             settings,
@@ -195,6 +189,7 @@
     pub fn on_event(&mut self, now: BootTime, event: RoutingEvent, actions: &mut Vec<RoutingAction>) {
         match event {
             RoutingEvent::Configuration(table) => {
+                self.set_quotas(now, &table);
                 self.set_table(table);
                 self.begin_held(now, actions);
             }
@@ -206,10 +201,11 @@
                 instances.iter().for_each(|instance| self.set_lapsed(now, instance))
             }
             RoutingEvent::Evacuated(zones) => self.set_evacuated(now, zones, actions),
-            RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part } => {
+            RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part, nodes } => {
                 self.place.nodes_by_zone = nodes_by_zone;
                 self.place.fleet = FleetRank { rank, serving };
                 self.slack_part = slack_part;
+                self.set_quota_nodes(now, nodes);
             }
             RoutingEvent::Arrived(arrival) => self.admit(now, arrival, actions),
             RoutingEvent::CallerGone(request) => self.on_caller_gone(request, actions),
@@ -222,7 +218,11 @@
             }
             RoutingEvent::Ended { attempt, outcome } => self.on_ended(now, attempt, outcome, actions),
             RoutingEvent::PeerCases(records) => self.take_peer_cases(now, &records, actions),
-            RoutingEvent::Tick => self.on_tick(now, actions),
+            RoutingEvent::PeerQuota { from, messages } => self.take_quota_messages(now, from, messages, actions),
+            RoutingEvent::Tick => {
+                self.on_tick(now, actions);
+                self.tell_quotas(now, actions);
+            }
         }
     }
 
@@ -239,7 +239,8 @@
 
     /// When `Tick` is due next.
     pub fn next_wake(&self) -> Option<BootTime> {
-        self.wakes.peek().map(|Reverse((time, _))| *time)
+        let wake = self.wakes.peek().map(|Reverse((time, _))| *time);
+        wake.into_iter().chain(self.quotas.next_wake()).min()
     }
 
     /// Requests without a final word.
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -193,5 +193,5 @@
 }
 
 pub(super) fn refused(kind: ErrorKind, detail: &'static str) -> Verdict {
-    Verdict::Refused { kind, detail }
+    Verdict::Refused { kind, detail, retry_after: None }
 }
--- /dev/null
+++ b/crates/staircross-routing/src/engine/quotas.rs
@@ -0,0 +1,82 @@
+//! Tenants' quotas, which hold for all nodes together.
+
+use super::{RoutingAction, RoutingEngine, RoutingSettings};
+use crate::table::RouteTable;
+use staircross_quota::{FleetAllowance, FleetView, QuotaBound, QuotaMessage, QuotaTell, QuotaView};
+use staircross_types::{BootTime, NodeId};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Messages told to a peer at once, so that a datagram is never cut on its way.
+const MESSAGES_AT_ONCE: usize = 10;
+
+/// The allowance of a node that has just started.
+pub(super) fn allowance(settings: &RoutingSettings) -> FleetAllowance {
+    FleetAllowance::new(settings.quota, settings.node, settings.started_at, settings.restarted_at.is_none())
+}
+
+impl RoutingEngine {
+    /// Takes leave for one request of a tenant; when there will be room otherwise.
+    pub fn take_quota(&mut self, now: BootTime, tenant: &Arc<str>) -> Result<(), Duration> {
+        self.quotas.try_take(now, tenant).map_err(|refusal| {
+            self.counters.over_quota += 1;
+            refusal.retry_after
+        })
+    }
+
+    /// What this node thinks of a tenant's quota at the moment; none where it has no quota.
+    pub fn quota_view(&self, now: BootTime, tenant: &str) -> Option<QuotaView> {
+        self.quotas.view(now, tenant)
+    }
+
+    /// Changes how far all nodes together may exceed quotas.
+    pub fn set_quota_bound(&mut self, now: BootTime, bound: QuotaBound) {
+        self.quotas.set_bound(bound);
+        if let Some(table) = self.table.clone() {
+            self.set_quotas(now, &table);
+        }
+    }
+
+    pub(super) fn set_quotas(&mut self, now: BootTime, table: &RouteTable) {
+        let tenants = table.definition().tenants.iter();
+        let quotas = tenants.filter_map(|tenant| tenant.quota.map(|quota| (tenant.name.clone(), quota)));
+        self.quotas.set_quotas(now, quotas);
+    }
+
+    pub(super) fn set_quota_nodes(&mut self, now: BootTime, nodes: Option<Vec<NodeId>>) {
+        if let Some(serving) = nodes {
+            self.quotas.set_fleet(now, FleetView { serving });
+        }
+    }
+
+    pub(super) fn take_quota_messages(
+        &mut self,
+        now: BootTime,
+        from: NodeId,
+        messages: Vec<QuotaMessage>,
+        actions: &mut Vec<RoutingAction>,
+    ) {
+        let mut tells = Vec::new();
+        messages.into_iter().for_each(|message| self.quotas.on_message(now, from, message, &mut tells));
+        self.push_tells(tells, actions);
+    }
+
+    /// Tells peers what is due, and the log which tenants have become limited or free.
+    pub(super) fn tell_quotas(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
+        let mut tells = Vec::new();
+        self.quotas.on_tick(now, &mut tells);
+        self.push_tells(tells, actions);
+        actions.extend(self.quotas.take_changes().into_iter().map(RoutingAction::Quota));
+    }
+
+    fn push_tells(&mut self, tells: Vec<QuotaTell>, actions: &mut Vec<RoutingAction>) {
+        self.counters.quota_messages += tells.len() as u64;
+        let mut by_peer: BTreeMap<NodeId, Vec<QuotaMessage>> = BTreeMap::new();
+        tells.into_iter().for_each(|tell| by_peer.entry(tell.to).or_default().push(tell.message));
+        for (to, messages) in by_peer {
+            let told = messages.chunks(MESSAGES_AT_ONCE);
+            actions.extend(told.map(|messages| RoutingAction::TellQuota { to, messages: messages.to_vec() }));
+        }
+    }
+}
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -10,7 +10,8 @@
 use crate::selection::Distance;
 use crate::table::RouteTable;
 use hashbrown::HashMap;
-use staircross_types::BootTime;
+use staircross_quota::{QuotaChange, QuotaMessage};
+use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +37,8 @@
         rank: Option<usize>,
         /// This node's part of the slack for extra sends, 0 to 1.
         slack_part: f64,
+        /// Live nodes that take callers' requests, reserves too; `None` where they are those told last.
+        nodes: Option<Vec<NodeId>>,
     },
     /// A request has arrived.
     Arrived(Arrival),
@@ -62,6 +65,13 @@
     },
     /// Peers have lost searchers under requests.
     PeerCases(Vec<CaseRecord>),
+    /// A peer tells what it has admitted, or what this node may admit, of tenants' quotas.
+    PeerQuota {
+        /// The peer.
+        from: NodeId,
+        /// What it tells.
+        messages: Vec<QuotaMessage>,
+    },
     /// Time has passed.
     Tick,
 }
@@ -133,6 +143,15 @@
         /// Whether it follows from what peers told.
         is_by_peers: bool,
     },
+    /// Tell a peer of tenants' quotas.
+    TellQuota {
+        /// The peer.
+        to: NodeId,
+        /// What.
+        messages: Vec<QuotaMessage>,
+    },
+    /// A tenant has become limited at this node, or is free again; told for the log alone.
+    Quota(QuotaChange),
     /// The final word on a request.
     Finish {
         /// Which.
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -17,7 +17,8 @@
 use crate::window::ExtraBound;
 use serde::{Deserialize, Serialize};
 use staircross_http::HeaderBlock;
-use staircross_types::{BootTime, ErrorKind};
+use staircross_quota::{QuotaBound, QuotaMessage};
+use staircross_types::{BootTime, ErrorKind, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,6 +46,12 @@
     restarted_at: Option<BootTime>,
     policy: RoutingPolicy,
     seed: u64,
+    #[serde(default)]
+    node_id: NodeId,
+    #[serde(default)]
+    quota: QuotaBound,
+    #[serde(default)]
+    started_at: BootTime,
 }
 
 /// One event and what the engine wanted done.
@@ -68,13 +75,33 @@
     Searchers(Vec<SearcherEntry>),
     SearchersGone(Vec<Arc<str>>),
     Evacuated(Vec<Arc<str>>),
-    Fleet { nodes_by_zone: BTreeMap<Arc<str>, usize>, serving: usize, rank: Option<usize>, slack_part: f64 },
+    Fleet {
+        nodes_by_zone: BTreeMap<Arc<str>, usize>,
+        serving: usize,
+        rank: Option<usize>,
+        slack_part: f64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        nodes: Option<Vec<NodeId>>,
+    },
     Arrived(Arrival),
     CallerGone(RequestKey),
-    Connected { searcher: SearcherKey, took: Duration },
-    Begun { attempt: AttemptKey },
-    Ended { attempt: AttemptKey, outcome: RecordedOutcome },
+    Connected {
+        searcher: SearcherKey,
+        took: Duration,
+    },
+    Begun {
+        attempt: AttemptKey,
+    },
+    Ended {
+        attempt: AttemptKey,
+        outcome: RecordedOutcome,
+    },
     PeerCases(Vec<CaseRecord>),
+    PeerQuota {
+        from: NodeId,
+        messages: Vec<QuotaMessage>,
+    },
+    QuotaBound(QuotaBound),
     Tick,
 }
 
@@ -147,6 +174,9 @@
             restarted_at: settings.restarted_at,
             policy: settings.policy,
             seed: settings.seed,
+            node_id: settings.node,
+            quota: settings.quota,
+            started_at: settings.started_at,
         }
     }
 
@@ -161,6 +191,9 @@
             restarted_at: self.restarted_at,
             policy: self.policy,
             seed: self.seed,
+            node: self.node_id,
+            quota: self.quota,
+            started_at: self.started_at,
         }
     }
 }
@@ -172,11 +205,12 @@
             RoutingEvent::Searchers(entries) => RecordedEvent::Searchers(entries.clone()),
             RoutingEvent::SearchersGone(instances) => RecordedEvent::SearchersGone(instances.clone()),
             RoutingEvent::Evacuated(zones) => RecordedEvent::Evacuated(zones.clone()),
-            RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part } => RecordedEvent::Fleet {
+            RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part, nodes } => RecordedEvent::Fleet {
                 nodes_by_zone: nodes_by_zone.iter().map(|(zone, count)| (zone.clone(), *count)).collect(),
                 serving: *serving,
                 rank: *rank,
                 slack_part: *slack_part,
+                nodes: nodes.clone(),
             },
             RoutingEvent::Arrived(arrival) => RecordedEvent::Arrived(arrival.clone()),
             RoutingEvent::CallerGone(request) => RecordedEvent::CallerGone(*request),
@@ -186,6 +220,9 @@
                 RecordedEvent::Ended { attempt: *attempt, outcome: outcome.into() }
             }
             RoutingEvent::PeerCases(records) => RecordedEvent::PeerCases(records.clone()),
+            RoutingEvent::PeerQuota { from, messages } => {
+                RecordedEvent::PeerQuota { from: *from, messages: messages.clone() }
+            }
             RoutingEvent::Tick => RecordedEvent::Tick,
         }
     }
@@ -240,7 +277,9 @@
             | RoutingAction::LeftOut { .. }
             | RoutingAction::NotAdmitted { .. }
             | RoutingAction::Admission { .. }
-            | RoutingAction::Suspicion { .. } => None,
+            | RoutingAction::Suspicion { .. }
+            | RoutingAction::TellQuota { .. }
+            | RoutingAction::Quota(_) => None,
         }
     }
 
@@ -301,6 +340,7 @@
         match turn.event.into_event() {
             ReplayedEvent::Extra(bound) => self.engine.set_extra_bound(bound),
             ReplayedEvent::Cold(bound) => self.engine.set_cold_bound(bound),
+            ReplayedEvent::Quota(bound) => self.engine.set_quota_bound(turn.at, bound),
             ReplayedEvent::Event(event) => self.engine.on_event(turn.at, event, &mut actions),
         }
         let replayed: Vec<Decision> = actions.iter().filter_map(Decision::in_action).collect();
@@ -322,6 +362,7 @@
 enum ReplayedEvent {
     Extra(ExtraBound),
     Cold(ColdBound),
+    Quota(QuotaBound),
     Event(RoutingEvent),
 }
 
@@ -330,15 +371,16 @@
         ReplayedEvent::Event(match self {
             RecordedEvent::ExtraBound(bound) => return ReplayedEvent::Extra(bound),
             RecordedEvent::ColdBound(bound) => return ReplayedEvent::Cold(bound),
+            RecordedEvent::QuotaBound(bound) => return ReplayedEvent::Quota(bound),
             RecordedEvent::Configuration(definition) => {
                 RoutingEvent::Configuration(Arc::new(RouteTable::new(definition)))
             }
             RecordedEvent::Searchers(entries) => RoutingEvent::Searchers(entries),
             RecordedEvent::SearchersGone(instances) => RoutingEvent::SearchersGone(instances),
             RecordedEvent::Evacuated(zones) => RoutingEvent::Evacuated(zones),
-            RecordedEvent::Fleet { nodes_by_zone, serving, rank, slack_part } => {
+            RecordedEvent::Fleet { nodes_by_zone, serving, rank, slack_part, nodes } => {
                 let nodes_by_zone = nodes_by_zone.into_iter().collect();
-                RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part }
+                RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_part, nodes }
             }
             RecordedEvent::Arrived(arrival) => RoutingEvent::Arrived(arrival),
             RecordedEvent::CallerGone(request) => RoutingEvent::CallerGone(request),
@@ -346,6 +388,7 @@
             RecordedEvent::Begun { attempt } => RoutingEvent::Begun { attempt },
             RecordedEvent::Ended { attempt, outcome } => RoutingEvent::Ended { attempt, outcome: outcome.into() },
             RecordedEvent::PeerCases(records) => RoutingEvent::PeerCases(records),
+            RecordedEvent::PeerQuota { from, messages } => RoutingEvent::PeerQuota { from, messages },
             RecordedEvent::Tick => RoutingEvent::Tick,
         })
     }
--- a/crates/staircross-routing/src/request.rs
+++ b/crates/staircross-routing/src/request.rs
@@ -174,6 +174,8 @@
         kind: ErrorKind,
         /// What exactly, for people.
         detail: &'static str,
+        /// When asking again may help, where that isn't the same for all of the kind.
+        retry_after: Option<Duration>,
     },
 }
 
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 use hashbrown::HashMap;
 use staircross_http::HeaderBlock;
+use staircross_quota::{QuotaBound, QuotaChange, QuotaMessage};
 use staircross_routing::admission::AdmissionChange;
 use staircross_routing::definition::{GatherTarget, WeightedService};
 use staircross_routing::engine::{AbandonCause, HoldCause, LeftOutCause, SendOrder, SendReason, UnsentCause};
@@ -16,7 +17,7 @@
     RoutingPolicy, RoutingSettings, SearcherAnswer, SearcherEntry, SearcherReport, ServiceEntry, SuspicionChange,
     Verdict,
 };
-use staircross_types::BootTime;
+use staircross_types::{BootTime, NodeId};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     pub not_admitted: Vec<(RequestKey, f64)>,
     pub admission: Vec<(BootTime, AdmissionChange)>,
     pub suspicions: Vec<SuspicionChange>,
+    pub quota_told: Vec<(NodeId, Vec<QuotaMessage>)>,
+    pub quota_changes: Vec<QuotaChange>,
     /// All that was told and decided.
     pub turns: Vec<RecordedTurn>,
     paths: HashMap<RequestKey, String>,
@@ -57,6 +60,9 @@
         cold: ColdBound::default(),
         max_requests: 1000,
         restarted_at: None,
+        node: NodeId(1),
+        quota: QuotaBound::default(),
+        started_at: BootTime(0),
         policy: RoutingPolicy::default(),
         seed: 7,
     }
@@ -147,6 +153,8 @@
             not_admitted: Vec::new(),
             admission: Vec::new(),
             suspicions: Vec::new(),
+            quota_told: Vec::new(),
+            quota_changes: Vec::new(),
             turns: Vec::new(),
             paths: HashMap::new(),
             next_request: 1,
@@ -193,6 +201,8 @@
                 RoutingAction::Held { request, cause } => self.held.push((request, cause)),
                 RoutingAction::NotAdmitted { request, part, .. } => self.not_admitted.push((request, part)),
                 RoutingAction::Admission { change, .. } => self.admission.push((self.now, change)),
+                RoutingAction::TellQuota { to, messages } => self.quota_told.push((to, messages)),
+                RoutingAction::Quota(change) => self.quota_changes.push(change),
                 RoutingAction::Suspicion { change, .. } => self.suspicions.push(change),
                 RoutingAction::Finish { request, verdict } => {
                     self.finished.push((request, verdict));
@@ -274,10 +284,17 @@
         self.sent_for(request).iter().map(|order| order.reason).collect()
     }
 
+    /// The nodes that share tenants' quotas.
+    pub fn fleet_nodes(&mut self, nodes: &[NodeId]) {
+        let nodes_by_zone = HashMap::from([(Arc::from("a"), nodes.len())]);
+        let (serving, nodes) = (nodes.len(), Some(nodes.to_vec()));
+        self.event(RoutingEvent::Fleet { nodes_by_zone, serving, rank: Some(0), slack_part: 1.0, nodes });
+    }
+
     pub fn fleet(&mut self, zones: &[(&str, usize)], fleet: usize) {
         let nodes_by_zone: HashMap<Arc<str>, usize> =
             zones.iter().map(|(zone, count)| (Arc::from(*zone), *count)).collect();
         let slack_part = 1.0 / fleet as f64;
-        self.event(RoutingEvent::Fleet { nodes_by_zone, serving: fleet, rank: Some(0), slack_part });
+        self.event(RoutingEvent::Fleet { nodes_by_zone, serving: fleet, rank: Some(0), slack_part, nodes: None });
     }
 }
--- a/crates/staircross-types/src/errors.rs
+++ b/crates/staircross-types/src/errors.rs
@@ -73,6 +73,7 @@
     NoRoute, "no_route", 404, Never, None, "No route of the configuration in force has this host and path.";
     RevisionConflict, "revision_conflict", 409, Never, None, "The configuration changed since the revision that the change was based on.";
     InvalidConfiguration, "invalid_configuration", 422, Never, None, "The change would make the configuration invalid.";
+    OverQuota, "over_quota", 429, Never, Some(1000), "The tenant has sent what it may over all nodes; the answer says when there will be room.";
     Overloaded, "overloaded", 503, Never, Some(250), "Refused early: the service has no room now.";
     TooManySessions, "too_many_sessions", 503, Never, Some(1000), "The node holds as many sessions as it may.";
     NoSnapshot, "no_snapshot", 503, Never, Some(500), "No snapshot of the service can be served at the least coverage.";
