Break the circle between an allowance and its tenants

Cause: tenant.rs named a type of allowance.rs, which names tenants; files of a crate point one way. Change: QuotaRefusal has a file of its own. No behaviour changes.

--- a/crates/staircross-quota/src/allowance.rs
+++ b/crates/staircross-quota/src/allowance.rs
@@ -3,6 +3,7 @@
 use crate::bound::{Limits, QuotaBound};
 use crate::fleet::{Fleet, FleetView};
 use crate::message::{Confirmation, QuotaMessage, QuotaReport, QuotaTell, QuotaWord, TenantHash};
+use crate::refusal::QuotaRefusal;
 use crate::spender::PATIENCE;
 use crate::tenant::Tenant;
 use staircross_types::{BootTime, NodeId, Quota};
@@ -18,13 +19,6 @@
 /// Nodes that must be silent for a node to think itself cut off: a single one may have ended.
 const ASKED_IF_ALONE: usize = 2;
 
-/// A request is beyond its tenant's quota.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct QuotaRefusal {
-    /// When there will be room; spread, so that not all who are refused come back at once.
-    pub retry_after: Duration,
-}
-
 /// A tenant has become limited at this node, or is free again.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaChange {
--- a/crates/staircross-quota/src/lib.rs
+++ b/crates/staircross-quota/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`bucket`] | a token bucket |
 //! | [`ledger`] | the owner's side: what all nodes admit of a tenant |
 //! | [`spender`] | every other node's side: what it admits, and whether its owner answers |
+//! | [`refusal`] | what a request beyond a quota is told |
 //! | [`tenant`] | one tenant at one node |
 //! | [`allowance`] | [`FleetAllowance`], which joins them |
 //!
@@ -19,10 +20,12 @@
 pub mod fleet;
 mod ledger;
 pub mod message;
+pub mod refusal;
 mod spender;
 mod tenant;
 
-pub use allowance::{FleetAllowance, QuotaChange, QuotaRefusal, QuotaView};
+pub use allowance::{FleetAllowance, QuotaChange, QuotaView};
 pub use bound::QuotaBound;
 pub use fleet::FleetView;
 pub use message::{QuotaMessage, QuotaReport, QuotaTell, QuotaWord};
+pub use refusal::QuotaRefusal;
--- a/crates/staircross-quota/src/tenant.rs
+++ b/crates/staircross-quota/src/tenant.rs
@@ -1,11 +1,11 @@
 //! One tenant at one node.
 
-use crate::allowance::QuotaRefusal;
 use crate::bound::Limits;
 use crate::bucket::Bucket;
 use crate::fleet::Fleet;
 use crate::ledger::Ledger;
 use crate::message::{Confirmation, Counts, QuotaMessage, QuotaReport, QuotaWord, TenantHash};
+use crate::refusal::QuotaRefusal;
 use crate::spender::{DOUBT, PATIENCE, Spender};
 use staircross_types::{BootTime, NodeId};
 use std::sync::Arc;
