--- /dev/null
+++ b/crates/staircross-gateway/tests/fleet_quotas.rs
@@ -0,0 +1,63 @@
+//! What one node tells of tenants' quotas reaches the other as a datagram, and is counted under a purpose of its own.
+
+use mio::net::UdpSocket;
+use staircross_gateway::fleet::{Fleet, FleetEvent, FleetIdentity};
+use staircross_gateway::traffic::Purpose;
+use staircross_quota::message::TenantHash;
+use staircross_quota::{QuotaMessage, QuotaWord};
+use staircross_types::{BootTime, NodeId};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const TURN: Duration = Duration::from_millis(20);
+const MOST_TURNS: usize = 500;
+
+fn socket() -> (UdpSocket, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let address = socket.local_addr().expect("it is bound");
+    (socket, address)
+}
+
+fn identity(node: u128, peers: SocketAddr) -> FleetIdentity {
+    FleetIdentity { node: NodeId(node), peers, callers: peers, region: "north".to_owned(), zone: "a".to_owned() }
+}
+
+/// Plays turns of both nodes until `is_done` is content with the second one's events.
+fn play(fleets: &mut [Fleet; 2], now: &mut BootTime, mut is_done: impl FnMut(&mut [Fleet; 2], &[FleetEvent]) -> bool) {
+    for _ in 0..MOST_TURNS {
+        *now = *now + TURN;
+        let mut events = [Vec::new(), Vec::new()];
+        for (fleet, events) in fleets.iter_mut().zip(&mut events) {
+            fleet.on_readable(*now, events);
+            fleet.on_tick(*now, events);
+        }
+        if is_done(fleets, &events[1]) {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("it didn't come in {MOST_TURNS} turns");
+}
+
+#[test]
+fn a_word_on_a_quota_reaches_the_node_that_it_is_for() {
+    let mut now = BootTime::from_millis(1000);
+    let ((first, first_address), (second, second_address)) = (socket(), socket());
+    let mut fleets = [
+        Fleet::new(identity(1, first_address), vec![second_address], first, now),
+        Fleet::new(identity(2, second_address), vec![first_address], second, now),
+    ];
+    play(&mut fleets, &mut now, |fleets, _| fleets.iter().all(|fleet| fleet.live_count() == 2));
+    fleets.iter_mut().for_each(|fleet| fleet.set_ready(true, &mut Vec::new()));
+    let both = Some(vec![NodeId(1), NodeId(2)]);
+    play(&mut fleets, &mut now, |fleets, _| fleets[1].take_quota_nodes() == both);
+    assert_eq!(fleets[1].take_quota_nodes(), None, "told once");
+
+    let word = QuotaMessage::Word(QuotaWord::unasked(now, TenantHash::of("t"), 0.25));
+    fleets[0].tell_quotas(NodeId(2), vec![word]);
+    let told = FleetEvent::Quotas { from: NodeId(1), messages: vec![word] };
+    play(&mut fleets, &mut now, |_, events| events.contains(&told));
+    let counted: u64 =
+        fleets[0].traffic.counted().filter(|(purpose, ..)| *purpose == Purpose::Quotas).map(|c| c.2).sum();
+    assert!((50..250).contains(&counted), "{counted} bytes");
+}
