--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -145,12 +145,13 @@
         let deadline = now + (left - DEADLINE_GUARD);
         let services = self.services_of(route);
         self.check_replicas(now, arrival, route.least_shards(), regions, &services, deadline)?;
+        let whose = tenant.and_then(|key| table.tenant(key)).map(|tenant| &tenant.name);
+        self.check_quota(now, whose)?;
         for service in &services {
             let window = self.windows.entry(service.clone()).or_default();
             window.count_request(now, &self.settings.extra);
         }
         let group = services.first().cloned().unwrap_or_default();
-        let whose = tenant.and_then(|key| table.tenant(key)).map(|tenant| &tenant.name);
         if let Some(part) = self.refusing_part(now, &group, table.rank(tenant, route), whose) {
             actions.push(RoutingAction::NotAdmitted { request: arrival.key, group, part });
             return refuse(ErrorKind::Overloaded, "too much waits at the back ends already");
@@ -204,6 +205,15 @@
         }
     }
 
+    /// Refuses at once, and unsent, what a tenant asks beyond its quota.
+    fn check_quota(&mut self, now: BootTime, tenant: Option<&Arc<str>>) -> Result<(), NotBegun> {
+        let leave = tenant.map_or(Ok(()), |tenant| self.take_quota(now, tenant));
+        leave.map_err(|wait| {
+            let (kind, detail) = (ErrorKind::OverQuota, "the tenant has sent as many requests as it may");
+            NotBegun::Refused(Verdict::Refused { kind, detail, retry_after: Some(wait) })
+        })
+    }
+
     /// Nothing is run where too few shards can have anybody to ask in time.
     fn check_replicas(
         &self,
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -199,5 +199,5 @@
 }
 
 pub(super) fn refused(kind: ErrorKind, detail: &'static str) -> Verdict {
-    Verdict::Refused { kind, detail }
+    Verdict::Refused { kind, detail, retry_after: None }
 }
--- a/crates/staircross-routing/tests/tenants.rs
+++ b/crates/staircross-routing/tests/tenants.rs
@@ -9,7 +9,7 @@
     Arrival, AttemptOutcome, ConfigurationView, ContentKey, Credential, KeyDigest, NotRun, RequestKey, RouteTable,
     RouteTarget, RoutingDefinition, SearcherEntry, SentIdentity, TenantDefinition, Verdict,
 };
-use staircross_types::ErrorKind;
+use staircross_types::{ErrorKind, Quota};
 use std::sync::Arc;
 
 const KEY: &str = "n8hkcaac6dnvhz6prvnz";
@@ -313,3 +313,23 @@
     let request = ask_in_view(&mut driver, "/one/1", KEY, ConfigurationView::Expired);
     assert_eq!(driver.sent_for(request).len(), 1, "without tenants no key is needed");
 }
+
+#[test]
+fn what_a_tenant_asks_beyond_its_quota_is_refused_at_once_unsent_with_a_time_to_come_back() {
+    let quota = Some(Quota { rate_per_s: 1.0, burst: 2.0 });
+    let limited = TenantDefinition { quota, ..tenant("kami", &[KEY]) };
+    let mut driver = Driver::with(version(1, &[limited, tenant("nuro", &[OTHER_KEY])]), searchers());
+    let requests: Vec<RequestKey> = (0..20).map(|_| ask(&mut driver, "/one/1", KEY)).collect();
+    let refused: Vec<RequestKey> =
+        requests.iter().copied().filter(|key| driver.refusal(*key) == Some(ErrorKind::OverQuota)).collect();
+    assert!((15..20).contains(&refused.len()), "{} of 20 refused", refused.len());
+    for request in refused {
+        assert!(driver.sent_for(request).is_empty());
+        let Some(Verdict::Refused { retry_after: Some(wait), .. }) = driver.verdict(request) else {
+            panic!("no time to come back");
+        };
+        assert!(!wait.is_zero());
+    }
+    let other = ask(&mut driver, "/one/1", OTHER_KEY);
+    assert_eq!(driver.sent_for(other).len(), 1, "another tenant has no part in it");
+}
