Let no late word of losses undo the answer of a content

What peers tell seems later than it was, by the time on the way; losses told before the answer came after it and seemed later. A node that hadn't known the content dropped the answer altogether. Ruled out: the answer told late (it was there 20 ms after), two clocks that drift (ages only). Change: a loss that a peer saw counts against an answer only when it is later for sure (one second); an answer is remembered though its losses aren't known yet. What is known of one content stands in a module of its own. Figures: the new test failed in both orders (quarantined at both nodes), passes now.

--- a/crates/staircross-routing/src/quarantine.rs
+++ b/crates/staircross-routing/src/quarantine.rs
@@ -8,38 +8,20 @@
 //! What it buys: a request that came again and again ended 135 searchers, and beside it 57 in 100 of all requests were served; now it ends
 //! one searcher a shard in its first try and one or two more (`platform/tests/quarantine.rs`).
 
+mod case;
+
 use crate::keys::{ContentKey, InstanceKey};
+use case::{ANSWER_MEMORY, Case, Loss, age_ms, before};
 use serde::{Deserialize, Serialize};
 use staircross_types::BootTime;
 use std::collections::BTreeMap;
 use std::ops::Bound;
-use std::time::Duration;
 
-/// Losses from which a content is sent to one searcher at a time. One broken connection is everyday, and its repeat shouldn't wait.
-const SUSPECT_LOSSES: usize = 2;
-/// Losses from which a content is sent to nobody.
-const QUARANTINE_LOSSES: usize = 3;
-/// Time from the newest loss until a quarantined content is tried at one searcher again: it may have been mended. A content that wasn't costs
-/// one searcher an hour.
-const QUARANTINE_TIME: Duration = Duration::from_secs(3600);
-/// Time from the newest loss until a content is forgotten.
-const MEMORY: Duration = Duration::from_secs(2 * 3600);
-/// Time for which a content that was told to peers is remembered as answered, so that they learn it too.
-const ANSWER_MEMORY: Duration = Duration::from_secs(60);
 /// Contents remembered; bounds memory (some 100 KB). Suspects that have been lost least lately go first.
 const MOST_CASES: usize = 256;
-/// Losses remembered of one content: twice what decides.
-const MOST_LOSSES: usize = 6;
-/// Losses of one content told to peers.
-const TOLD_LOSSES: usize = 4;
 /// Contents told with one datagram, quarantined ones and others: some 100 bytes each.
 const TOLD_QUARANTINED: usize = 3;
 const TOLD_OTHERS: usize = 2;
-/// Longest time that a datagram is taken to be on its way. What peers tell seems later by so much; without a tolerance, two nodes that tell each
-/// other of one event would move it on for ever.
-const TELLING_TIME: Duration = Duration::from_secs(1);
-/// Age from which a single loss is told: by then a repeat has mostly been answered.
-const SINGLE_TOLD_AFTER: Duration = Duration::from_millis(200);
 
 /// What is thought of a content.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -75,25 +57,6 @@
     pub losses: usize,
 }
 
-/// A searcher whose connection ended while it ran a content.
-#[derive(Clone, Copy, Debug)]
-struct Loss {
-    searcher: InstanceKey,
-    sent_at: BootTime,
-    lost_at: BootTime,
-    /// Whether it has answered something that was sent later.
-    is_alive: bool,
-}
-
-/// What is known of one content.
-#[derive(Clone, Debug, Default)]
-struct Case {
-    /// By the time of the loss.
-    losses: Vec<Loss>,
-    answered_at: Option<BootTime>,
-    is_told: bool,
-}
-
 /// A content as peers are told of it; times are ages, since nodes' clocks differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CaseRecord {
@@ -155,7 +118,9 @@
         sent_at: BootTime,
     ) -> Option<SuspicionChange> {
         self.make_room(now, content);
-        self.change(now, content, |case| case.add(Loss { searcher, sent_at, lost_at: now, is_alive: false }))
+        self.change(now, content, |case| {
+            case.add(Loss { searcher, sent_at, lost_at: now, is_alive: false, is_by_peer: false })
+        })
     }
 
     /// A searcher ran a content to its end.
@@ -188,8 +153,9 @@
     }
 
     fn merge_one(&mut self, now: BootTime, record: &CaseRecord) -> Option<SuspicionChange> {
-        let is_known = self.cases.contains_key(&record.content);
-        if !is_known && record.losses.is_empty() {
+        // An answer is remembered though its losses aren't known here yet: word of them may be on its way.
+        let is_old = record.answered_ms.is_none_or(|age| u128::from(age) >= ANSWER_MEMORY.as_millis());
+        if record.losses.is_empty() && is_old && !self.cases.contains_key(&record.content) {
             return None;
         }
         self.make_room(now, record.content);
@@ -197,7 +163,7 @@
             case.is_told = true;
             record.losses.iter().for_each(|loss| case.add(Loss::from_record(now, loss)));
             if let Some(age) = record.answered_ms {
-                case.answered(before(now, age));
+                case.answered_by_peer(before(now, age));
             }
         })
     }
@@ -257,103 +223,3 @@
         }
     }
 }
-
-impl Case {
-    fn counted(&self) -> impl Iterator<Item = &Loss> {
-        self.losses.iter().filter(|loss| !loss.is_alive)
-    }
-
-    fn newest(&self) -> BootTime {
-        self.losses.iter().map(|loss| loss.lost_at).chain(self.answered_at).max().unwrap_or_default()
-    }
-
-    fn suspicion(&self, now: BootTime) -> Suspicion {
-        let count = self.counted().count();
-        if count < SUSPECT_LOSSES {
-            return Suspicion::None;
-        }
-        let newest = self.counted().map(|loss| loss.lost_at).max().unwrap_or_default();
-        let is_proven = count >= QUARANTINE_LOSSES && self.has_sequence();
-        if is_proven && now.since(newest) < QUARANTINE_TIME { Suspicion::Quarantined } else { Suspicion::Suspect }
-    }
-
-    /// Whether one loss was sent after another had been seen. When many searchers end at once, whatever ran there loses several at the same
-    /// moment; only what is to blame loses the next one too.
-    fn has_sequence(&self) -> bool {
-        let first = self.counted().map(|loss| loss.lost_at).min();
-        first.is_some_and(|first| self.counted().any(|loss| loss.sent_at >= first))
-    }
-
-    fn add(&mut self, loss: Loss) {
-        if self.answered_at.is_some_and(|answered| loss.lost_at <= answered) {
-            return;
-        }
-        match self.losses.iter_mut().find(|known| known.searcher == loss.searcher) {
-            Some(known) if is_later(loss.lost_at, known.lost_at) => *known = loss,
-            Some(known) => known.is_alive |= loss.is_alive,
-            None => self.losses.push(loss),
-        }
-        self.losses.sort_by_key(|loss| loss.lost_at);
-        if self.losses.len() > MOST_LOSSES {
-            // The first stays: what was sent after it proves the sequence. One that is alive proves nothing.
-            let needless = self.losses.iter().position(|loss| loss.is_alive).unwrap_or(1);
-            self.losses.remove(needless);
-        }
-    }
-
-    fn answered(&mut self, at: BootTime) {
-        if self.answered_at.is_none_or(|known| is_later(at, known)) {
-            self.answered_at = Some(at);
-        }
-        self.losses.retain(|loss| loss.lost_at > at);
-    }
-
-    /// The first loss and the newest: enough to decide by.
-    fn telling_losses(&self) -> impl Iterator<Item = &Loss> {
-        let skipped = self.losses.len().saturating_sub(TOLD_LOSSES);
-        let rest = self.losses.get(1 + skipped..).unwrap_or_default();
-        self.losses.iter().take(1).chain(rest)
-    }
-
-    fn is_worth_telling(&self, now: BootTime) -> bool {
-        self.is_told || self.losses.len() >= SUSPECT_LOSSES || now.since(self.newest()) >= SINGLE_TOLD_AFTER
-    }
-
-    fn is_remembered(&self, now: BootTime) -> bool {
-        let memory = if self.losses.is_empty() { ANSWER_MEMORY } else { MEMORY };
-        now.since(self.newest()) < memory
-    }
-}
-
-impl Loss {
-    fn record(&self, now: BootTime) -> LossRecord {
-        LossRecord {
-            searcher: self.searcher,
-            sent_ms: age_ms(now, self.sent_at),
-            lost_ms: age_ms(now, self.lost_at),
-            is_alive: self.is_alive,
-        }
-    }
-
-    fn from_record(now: BootTime, record: &LossRecord) -> Self {
-        Loss {
-            searcher: record.searcher,
-            sent_at: before(now, record.sent_ms),
-            lost_at: before(now, record.lost_ms),
-            is_alive: record.is_alive,
-        }
-    }
-}
-
-/// Whether two times that peers may have told are surely of two events, this one of the later.
-fn is_later(time: BootTime, than: BootTime) -> bool {
-    time > than + TELLING_TIME
-}
-
-fn age_ms(now: BootTime, at: BootTime) -> u32 {
-    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
-}
-
-fn before(now: BootTime, age_ms: u32) -> BootTime {
-    now - Duration::from_millis(age_ms.into())
-}
--- /dev/null
+++ b/crates/staircross-routing/src/quarantine/case.rs
@@ -0,0 +1,164 @@
+//! What is known of one content: who was lost under it, and when it was answered last.
+
+use super::{LossRecord, Suspicion};
+use crate::keys::InstanceKey;
+use staircross_types::BootTime;
+use std::time::Duration;
+
+/// Losses from which a content is sent to one searcher at a time. One broken connection is everyday, and its repeat shouldn't wait.
+const SUSPECT_LOSSES: usize = 2;
+/// Losses from which a content is sent to nobody.
+const QUARANTINE_LOSSES: usize = 3;
+/// Time from the newest loss until a quarantined content is tried at one searcher again: it may have been mended. A content that wasn't costs
+/// one searcher an hour.
+const QUARANTINE_TIME: Duration = Duration::from_secs(3600);
+/// Time from the newest loss until a content is forgotten.
+const MEMORY: Duration = Duration::from_secs(2 * 3600);
+/// Time for which a content that was told to peers is remembered as answered, so that they learn it too.
+pub(super) const ANSWER_MEMORY: Duration = Duration::from_secs(60);
+/// Losses remembered of one content: twice what decides.
+const MOST_LOSSES: usize = 6;
+/// Losses of one content told to peers.
+const TOLD_LOSSES: usize = 4;
+/// Longest time that a datagram is taken to be on its way. What peers tell seems later by so much; without a tolerance, two nodes that tell each
+/// other of one event would move it on for ever.
+const TELLING_TIME: Duration = Duration::from_secs(1);
+/// Age from which a single loss is told: by then a repeat has mostly been answered.
+const SINGLE_TOLD_AFTER: Duration = Duration::from_millis(200);
+
+/// A searcher whose connection ended while it ran a content.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Loss {
+    pub searcher: InstanceKey,
+    pub sent_at: BootTime,
+    pub lost_at: BootTime,
+    /// Whether it has answered something that was sent later.
+    pub is_alive: bool,
+    /// Whether a peer saw it; then it seems later than it was, by the time for which word of it was on its way.
+    pub is_by_peer: bool,
+}
+
+/// What is known of one content.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Case {
+    /// By the time of the loss.
+    pub losses: Vec<Loss>,
+    pub answered_at: Option<BootTime>,
+    /// Whether any peer knows of it.
+    pub is_told: bool,
+}
+
+impl Case {
+    pub fn counted(&self) -> impl Iterator<Item = &Loss> {
+        self.losses.iter().filter(|loss| !loss.is_alive)
+    }
+
+    pub fn newest(&self) -> BootTime {
+        self.losses.iter().map(|loss| loss.lost_at).chain(self.answered_at).max().unwrap_or_default()
+    }
+
+    pub fn suspicion(&self, now: BootTime) -> Suspicion {
+        let count = self.counted().count();
+        if count < SUSPECT_LOSSES {
+            return Suspicion::None;
+        }
+        let newest = self.counted().map(|loss| loss.lost_at).max().unwrap_or_default();
+        let is_proven = count >= QUARANTINE_LOSSES && self.has_sequence();
+        if is_proven && now.since(newest) < QUARANTINE_TIME { Suspicion::Quarantined } else { Suspicion::Suspect }
+    }
+
+    /// Whether one loss was sent after another had been seen. When many searchers end at once, whatever ran there loses several at the same
+    /// moment; only what is to blame loses the next one too.
+    fn has_sequence(&self) -> bool {
+        let first = self.counted().map(|loss| loss.lost_at).min();
+        first.is_some_and(|first| self.counted().any(|loss| loss.sent_at >= first))
+    }
+
+    pub fn add(&mut self, loss: Loss) {
+        if self.answered_at.is_some_and(|answered| loss.is_before(answered)) {
+            return;
+        }
+        match self.losses.iter_mut().find(|known| known.searcher == loss.searcher) {
+            Some(known) if is_later(loss.lost_at, known.lost_at) => *known = loss,
+            Some(known) => known.is_alive |= loss.is_alive,
+            None => self.losses.push(loss),
+        }
+        self.losses.sort_by_key(|loss| loss.lost_at);
+        if self.losses.len() > MOST_LOSSES {
+            // The first stays: what was sent after it proves the sequence. One that is alive proves nothing.
+            let needless = self.losses.iter().position(|loss| loss.is_alive).unwrap_or(1);
+            self.losses.remove(needless);
+        }
+    }
+
+    /// It was answered here.
+    pub fn answered(&mut self, at: BootTime) {
+        self.answered_at = self.answered_at.max(Some(at));
+        self.losses.retain(|loss| !loss.is_before(at));
+    }
+
+    /// A peer tells that it was answered.
+    pub fn answered_by_peer(&mut self, at: BootTime) {
+        if self.answered_at.is_none_or(|known| is_later(at, known)) {
+            self.answered_at = Some(at);
+        }
+        self.losses.retain(|loss| !loss.is_before(at));
+    }
+
+    /// The first loss and the newest: enough to decide by.
+    pub fn telling_losses(&self) -> impl Iterator<Item = &Loss> {
+        let skipped = self.losses.len().saturating_sub(TOLD_LOSSES);
+        let rest = self.losses.get(1 + skipped..).unwrap_or_default();
+        self.losses.iter().take(1).chain(rest)
+    }
+
+    pub fn is_worth_telling(&self, now: BootTime) -> bool {
+        self.is_told || self.losses.len() >= SUSPECT_LOSSES || now.since(self.newest()) >= SINGLE_TOLD_AFTER
+    }
+
+    pub fn is_remembered(&self, now: BootTime) -> bool {
+        let memory = if self.losses.is_empty() { ANSWER_MEMORY } else { MEMORY };
+        now.since(self.newest()) < memory
+    }
+}
+
+impl Loss {
+    /// Whether it was lost before an answer came. Word of a loss that comes after the answer, or by another way, is believed only if it is later
+    /// for sure: what ends its searchers has no answer at all, and a harmless content that loses its answer is refused.
+    fn is_before(&self, answered: BootTime) -> bool {
+        let tolerance = if self.is_by_peer { TELLING_TIME } else { Duration::ZERO };
+        self.lost_at <= answered + tolerance
+    }
+
+    pub fn record(&self, now: BootTime) -> LossRecord {
+        LossRecord {
+            searcher: self.searcher,
+            sent_ms: age_ms(now, self.sent_at),
+            lost_ms: age_ms(now, self.lost_at),
+            is_alive: self.is_alive,
+        }
+    }
+
+    pub fn from_record(now: BootTime, record: &LossRecord) -> Self {
+        Loss {
+            searcher: record.searcher,
+            sent_at: before(now, record.sent_ms),
+            lost_at: before(now, record.lost_ms),
+            is_alive: record.is_alive,
+            is_by_peer: true,
+        }
+    }
+}
+
+/// Whether two times that peers may have told are surely of two events, this one of the later.
+fn is_later(time: BootTime, than: BootTime) -> bool {
+    time > than + TELLING_TIME
+}
+
+pub(super) fn age_ms(now: BootTime, at: BootTime) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+pub(super) fn before(now: BootTime, age_ms: u32) -> BootTime {
+    now - Duration::from_millis(age_ms.into())
+}
--- a/crates/staircross-routing/tests/quarantine.rs
+++ b/crates/staircross-routing/tests/quarantine.rs
@@ -268,6 +268,33 @@
     assert_eq!(here.suspicion(lost_at + later, DEADLY), Suspicion::None);
 }
 
+#[test]
+fn word_of_losses_that_was_long_on_its_way_does_not_undo_an_answer() {
+    for is_known_before in [false, true] {
+        let now = BootTime::from_millis(1_000_000);
+        let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+        let mut lost_at = now;
+        for number in 0..4 {
+            let sent_at = lost_at + Duration::from_millis(10);
+            lost_at = sent_at + Duration::from_millis(30);
+            here.note_lost(lost_at, DEADLY, InstanceKey(number), sent_at);
+        }
+        let losses = here.records(lost_at);
+        if is_known_before {
+            there.merge(lost_at, &losses);
+        }
+        let answered = lost_at + Duration::from_millis(20);
+        here.note_answered(answered, DEADLY);
+        there.merge(answered + Duration::from_millis(1), &here.records(answered));
+        // Told before the answer, it comes after it: by another way, or from a node that was busy.
+        there.merge(answered + Duration::from_millis(120), &losses);
+        here.merge(answered + Duration::from_millis(150), &losses);
+        let later = answered + Duration::from_millis(200);
+        let thought = [here.suspicion(later, DEADLY), there.suspicion(later, DEADLY)];
+        assert_eq!(thought, [Suspicion::None; 2], "known before: {is_known_before}");
+    }
+}
+
 #[test]
 fn many_suspects_do_not_push_out_what_is_quarantined() {
     let mut quarantine = Quarantine::default();
