Leave attempts that may not be repeated to their end when their content is quarantined

Cause: at quarantine all attempts in flight were called back, also those that may not be repeated; their searchers may be at work on them, and callers were told that too few back ends are left. Found by reading. A request left so must not be sent anew either when its searcher turns it away. Ruled out: calling back those not begun; nothing here tells which those are. Change: such attempts end by themselves, and their callers are told what became of them: the answer, 502 where it may have run, 503 where nobody took it. What is quarantined meanwhile is sent to nobody again, whoever asks.

--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::{ReportedAt, RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
+use crate::quarantine::Suspicion;
 use crate::request::{Attempt, Verdict};
 use crate::searcher::OpenAttempt;
 use crate::selection::{Choice, choose};
@@ -39,6 +40,9 @@
         let Some(request) = self.requests.get(&key) else {
             return Err(UnsentCause::NobodyLeft);
         };
+        if self.suspicion(now, request.content) == Suspicion::Quarantined {
+            return Err(UnsentCause::Quarantined);
+        }
         if self.waits_for_trial(now, request) {
             return Err(self.postpone_suspect(now, key, shard_index, reason, actions));
         }
--- a/crates/staircross-routing/src/engine/suspicion.rs
+++ b/crates/staircross-routing/src/engine/suspicion.rs
@@ -5,7 +5,7 @@
 use super::{AbandonCause, RoutingAction, RoutingEngine, SendReason, SentAttempt, UnsentCause};
 use crate::keys::{AttemptKey, ContentKey, RequestKey};
 use crate::quarantine::{CaseRecord, Suspicion, SuspicionChange};
-use crate::request::{AttemptOutcome, NotRun, Request, ShardState, Unknown};
+use crate::request::{AttemptOutcome, NotRun, Request, Shard, ShardState, Unknown};
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -114,16 +114,21 @@
         }
     }
 
-    /// Ends the requests in flight that ask for a content which is sent to nobody any more.
+    /// Ends the requests in flight that ask for a content which is sent to nobody any more. An attempt that may not be repeated is left to its
+    /// end: its searcher may be at work on it, and nobody could do again what is cut off there.
     fn end_quarantined(&mut self, now: BootTime, content: ContentKey, actions: &mut Vec<RoutingAction>) {
         let concerned = self.requests.iter().filter(|(_, request)| request.content == content);
         let keys: Vec<RequestKey> = concerned.map(|(key, _)| *key).collect();
         for key in keys {
-            self.abandon_all(key, Duration::ZERO, AbandonCause::Quarantined, actions);
+            let is_idempotent = self.requests.get(&key).is_some_and(|request| request.route().is_idempotent);
+            if is_idempotent {
+                self.abandon_all(key, Duration::ZERO, AbandonCause::Quarantined, actions);
+            }
             let Some(request) = self.requests.get_mut(&key) else {
                 continue;
             };
-            for shard in request.shards.iter_mut().filter(|shard| shard.is_open()) {
+            let is_ended = |shard: &&mut Shard| shard.is_open() && (is_idempotent || shard.outstanding == 0);
+            for shard in request.shards.iter_mut().filter(is_ended) {
                 shard.outstanding = 0;
                 shard.waiting = None;
                 shard.state = ShardState::Failed(None);
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -215,6 +215,8 @@
     Pressed,
     /// Searchers were lost under what is asked for, and another is at work on it: the shard waits for its word.
     Suspect,
+    /// What is asked for is sent to nobody any more.
+    Quarantined,
 }
 
 impl UnsentCause {
@@ -227,6 +229,7 @@
             UnsentCause::NobodyLeft => "nobody_left",
             UnsentCause::Pressed => "pressed",
             UnsentCause::Suspect => "suspect",
+            UnsentCause::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/staircross-routing/tests/quarantine.rs
+++ b/crates/staircross-routing/tests/quarantine.rs
@@ -25,12 +25,14 @@
     one.max_attempts = 3;
     let mut all = route("all", gather(&SHARDS, 3, 0.8));
     all.max_attempts = 3;
+    let mut once = route("once", RouteTarget::Service(Arc::from("single")));
+    once.is_idempotent = false;
     let mut services = SHARDS.to_vec();
     services.push("single");
     let of_shards = SHARDS.iter().flat_map(|shard| (0..3).map(move |i| searcher(&format!("{shard}-{i}"), shard, "a")));
     let of_single = (0..6).map(|i| searcher(&format!("single-{i}"), "single", "a"));
     let searchers: Vec<SearcherEntry> = of_shards.chain(of_single).collect();
-    Driver::with(definition(1, vec![one, all], &services), searchers)
+    Driver::with(definition(1, vec![one, all, once], &services), searchers)
 }
 
 fn ask(driver: &mut Driver, path: &str, content: ContentKey) -> RequestKey {
@@ -232,11 +234,7 @@
     driver.end(order.attempt, BROKEN);
     let order = driver.sent_for(request)[1].clone();
     // Peers have seen two more meanwhile.
-    let mut peer = Quarantine::default();
-    for number in 0..3 {
-        peer.note_lost(driver.now + Duration::from_millis(number), DEADLY, InstanceKey(number), driver.now);
-    }
-    let told = peer.records(driver.now + Duration::from_millis(5));
+    let told = told_by_peer(driver.now, DEADLY);
     driver.pass_ms(10);
     driver.event(RoutingEvent::PeerCases(told));
     assert_eq!(driver.refusal(request), Some(ErrorKind::BackEndsFailed));
@@ -268,6 +266,54 @@
     assert_eq!(here.suspicion(lost_at + later, DEADLY), Suspicion::None);
 }
 
+/// What a peer tells that has lost three searchers under a content.
+fn told_by_peer(now: BootTime, content: ContentKey) -> Vec<CaseRecord> {
+    let mut peer = Quarantine::default();
+    for number in 0..3 {
+        peer.note_lost(now + Duration::from_millis(number), content, InstanceKey(number), now);
+    }
+    peer.records(now + Duration::from_millis(5))
+}
+
+/// A request that may not be repeated, sent to a searcher before its content is quarantined.
+fn sent_once_before_quarantine(driver: &mut Driver) -> SendOrder {
+    let request = ask(driver, "/once/x", DEADLY);
+    let order = driver.sent_for(request)[0].clone();
+    driver.pass_ms(10);
+    let told = told_by_peer(driver.now, DEADLY);
+    driver.event(RoutingEvent::PeerCases(told));
+    order
+}
+
+#[test]
+fn an_attempt_that_may_not_be_repeated_is_left_to_its_end_when_its_content_is_quarantined() {
+    let mut driver = driver();
+    let order = sent_once_before_quarantine(&mut driver);
+    let request = order.attempt.request;
+    assert!(driver.abandoned.is_empty(), "its searcher may be at work on it, and nobody may do it again");
+    assert_eq!(driver.refusal(request), None);
+    let refused = ask(&mut driver, "/once/x", DEADLY);
+    assert_eq!(driver.refusal(refused), Some(ErrorKind::Quarantined), "others aren't sent");
+    driver.end(order.attempt, part(&order));
+    assert!(matches!(driver.verdict(request), Some(Verdict::Passed(_))));
+}
+
+#[test]
+fn an_attempt_that_may_not_be_repeated_and_fails_in_quarantine_is_told_truly_and_sent_to_nobody_else() {
+    let refusals = [
+        (BROKEN, ErrorKind::BackEndsFailed),
+        (AttemptOutcome::NotRun(NotRun::Unconnected), ErrorKind::NotDelivered),
+        (AttemptOutcome::NotRun(NotRun::Shed), ErrorKind::NotDelivered),
+    ];
+    for (outcome, expected) in refusals {
+        let mut driver = driver();
+        let order = sent_once_before_quarantine(&mut driver);
+        driver.end(order.attempt, outcome.clone());
+        assert_eq!(driver.refusal(order.attempt.request), Some(expected), "{outcome:?}");
+        assert_eq!(driver.sent_for(order.attempt.request).len(), 1, "{outcome:?}");
+    }
+}
+
 #[test]
 fn word_of_losses_that_was_long_on_its_way_does_not_undo_an_answer() {
     for is_known_before in [false, true] {
