Let no further losses lift a quarantine

Cause: of a content's losses six are kept, and the one dropped could be the one that proves the sequence: the searchers of the other shards, asked before the first end was seen, end one after the other, and the content turned from quarantined into suspect at its seventh loss, to be tried at another searcher. What peers were told could lack the proof in the same way. Ruled out: keeping all losses (memory, and datagrams, by the fleet's size). Change: what is dropped and what is told goes by what proves the sequence.

--- a/crates/staircross-routing/src/quarantine/case.rs
+++ b/crates/staircross-routing/src/quarantine/case.rs
@@ -63,15 +63,22 @@
             return Suspicion::None;
         }
         let newest = self.counted().map(|loss| loss.lost_at).max().unwrap_or_default();
-        let is_proven = count >= QUARANTINE_LOSSES && self.has_sequence();
+        let is_proven = count >= QUARANTINE_LOSSES && self.sequence().is_some();
         if is_proven && now.since(newest) < QUARANTINE_TIME { Suspicion::Quarantined } else { Suspicion::Suspect }
     }
 
-    /// Whether one loss was sent after another had been seen. When many searchers end at once, whatever ran there loses several at the same
-    /// moment; only what is to blame loses the next one too.
-    fn has_sequence(&self) -> bool {
-        let first = self.counted().map(|loss| loss.lost_at).min();
-        first.is_some_and(|first| self.counted().any(|loss| loss.sent_at >= first))
+    /// The first loss that counts, and one that was sent after it had been seen. When many searchers end at once, whatever ran there loses several
+    /// at the same moment; only what is to blame loses the next one too.
+    fn sequence(&self) -> Option<(InstanceKey, InstanceKey)> {
+        let first = self.counted().min_by_key(|loss| loss.lost_at)?;
+        let next = self.counted().find(|loss| loss.sent_at >= first.lost_at)?;
+        Some((first.searcher, next.searcher))
+    }
+
+    /// Whether a loss is one of the two that prove a sequence, or the first of all, after which one may come yet.
+    fn is_proof(&self, loss: &Loss) -> bool {
+        let is_first = self.losses.first().is_some_and(|first| first.searcher == loss.searcher);
+        is_first || self.sequence().is_some_and(|(first, next)| [first, next].contains(&loss.searcher))
     }
 
     pub fn add(&mut self, loss: Loss) {
@@ -85,9 +92,9 @@
         }
         self.losses.sort_by_key(|loss| loss.lost_at);
         if self.losses.len() > MOST_LOSSES {
-            // The first stays: what was sent after it proves the sequence. One that is alive proves nothing.
-            let needless = self.losses.iter().position(|loss| loss.is_alive).unwrap_or(1);
-            self.losses.remove(needless);
+            let is_alive = self.losses.iter().position(|loss| loss.is_alive);
+            let needless = is_alive.or_else(|| self.losses.iter().position(|loss| !self.is_proof(loss)));
+            needless.map(|index| self.losses.remove(index));
         }
     }
 
@@ -105,11 +112,11 @@
         self.losses.retain(|loss| !loss.is_before(at));
     }
 
-    /// The first loss and the newest: enough to decide by.
+    /// What proves a sequence, and the newest: enough to decide by.
     pub fn telling_losses(&self) -> impl Iterator<Item = &Loss> {
-        let skipped = self.losses.len().saturating_sub(TOLD_LOSSES);
-        let rest = self.losses.get(1 + skipped..).unwrap_or_default();
-        self.losses.iter().take(1).chain(rest)
+        let (proof, others): (Vec<&Loss>, Vec<&Loss>) = self.losses.iter().partition(|loss| self.is_proof(loss));
+        let newest = others.into_iter().rev().take(TOLD_LOSSES - proof.len().min(TOLD_LOSSES));
+        proof.into_iter().chain(newest)
     }
 
     pub fn is_worth_telling(&self, now: BootTime) -> bool {
--- a/crates/staircross-routing/tests/quarantine.rs
+++ b/crates/staircross-routing/tests/quarantine.rs
@@ -314,6 +314,24 @@
     }
 }
 
+#[test]
+fn more_losses_do_not_lift_a_quarantine() {
+    let now = BootTime::from_millis(1_000_000);
+    let at = |ms| now + Duration::from_millis(ms);
+    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+    here.note_lost(at(41), DEADLY, InstanceKey(0), now);
+    here.note_lost(at(45), DEADLY, InstanceKey(1), now);
+    here.note_lost(at(81), DEADLY, InstanceKey(2), at(42));
+    assert_eq!(here.suspicion(at(81), DEADLY), Suspicion::Quarantined);
+    // The other shards' searchers were sent it before any had ended, and end one after the other.
+    for number in 3..10 {
+        here.note_lost(at(81 + number), DEADLY, InstanceKey(number), now);
+        assert_eq!(here.suspicion(at(100), DEADLY), Suspicion::Quarantined, "{number} lost");
+        there.merge(at(100), &here.records(at(100)));
+        assert_eq!(there.suspicion(at(100), DEADLY), Suspicion::Quarantined, "told after {number}");
+    }
+}
+
 #[test]
 fn word_of_losses_that_was_long_on_its_way_does_not_undo_an_answer() {
     for is_known_before in [false, true] {
