Tell peers of suspects at once, each turn's together, and pass on what they tell

Traced: (a) the first suspicion of a turn was pushed alone, with a harmless content, and the one to blame, noted in the same turn, waited for the gap of 100 ms; (b) a region's relay passed quarantines on, and no suspicions; (c) suspects were told two a datagram in turn, however many there were. Change: news is pushed at the end of a turn of the loop, up to four times in close sequence and ten a second in the long run; whatever raises a suspicion is passed on; what is suspected anew comes first in a datagram, which holds five as before. What is left is two copies sent before anything has ended: no word can come before them.

--- /dev/null
+++ b/crates/staircross-gateway/src/case_pushes.rs
@@ -0,0 +1,38 @@
+//! When peers are told at once under which requests searchers were lost.
+//!
+//! When many searchers end at once, many requests are suspect for a moment, and each push goes to a dozen peers, so pushes are bounded. But until a
+//! node knows, it may send the request that is to blame to one searcher of each shard, and the one to blame needn't be the first that is
+//! suspected. So a few pushes may follow each other closely, each once per turn of the event loop with all that the turn brought.
+
+use staircross_types::BootTime;
+use std::time::Duration;
+
+/// Time between two pushes in the long run.
+const PUSH_GAP: Duration = Duration::from_millis(100);
+/// Pushes that may be made ahead of that: the searchers of a request's shards end within some 100 ms, and news of them comes in as many turns.
+const BURST: u32 = 4;
+
+/// Whether there is news for peers, and when it may be pushed.
+#[derive(Debug, Default)]
+pub struct CasePushes {
+    has_news: bool,
+    /// The pushes made take up time until then.
+    taken_until: BootTime,
+}
+
+impl CasePushes {
+    /// There is news that peers should know at once.
+    pub fn note_news(&mut self) {
+        self.has_news = true;
+    }
+
+    /// Whether to push now; if so, the push counts as made.
+    pub fn take(&mut self, now: BootTime) -> bool {
+        let may_push = self.has_news && self.taken_until <= now + PUSH_GAP * (BURST - 1);
+        if may_push {
+            self.has_news = false;
+            self.taken_until = self.taken_until.max(now) + PUSH_GAP;
+        }
+        may_push
+    }
+}
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`server`] | connections that requests come in on |
 //! | [`pool`] | connections to searchers |
 //! | [`given`] | what a node has given to peers that asked, within the last second |
+//! | [`case_pushes`] | when peers are told at once of requests that end searchers |
 //! | [`http_call`] | one outgoing call at a time, to the store or a peer |
 //! | [`outbound`] | what of a request is sent on, and how answers are written |
 //! | [`fleet`] | members, announcements, what this node may spend of what they share |
@@ -20,6 +21,7 @@
 //! | [`traffic`] | bytes sent and received, by purpose and distance |
 //! | [`event_log`], [`metrics`] | structured lines, counters |
 
+pub mod case_pushes;
 pub mod dialect;
 pub mod directory;
 pub mod event_log;
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -15,6 +15,7 @@
 mod stop;
 mod summary;
 
+use crate::case_pushes::CasePushes;
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LineKind};
 use crate::fleet::{Fleet, FleetIdentity};
@@ -140,8 +141,7 @@
     metrics: Metrics,
     member_log: MemberLog,
     /// Whether peers are to be told at once under which requests searchers were lost, and when they may be.
-    has_case_news: bool,
-    next_case_push: BootTime,
+    case_pushes: CasePushes,
     /// What was given to peers lately.
     given: GivenAnswers,
     /// Bytes to and from store and peers.
@@ -214,8 +214,7 @@
             stop: None,
             metrics: Metrics::default(),
             member_log: MemberLog::default(),
-            has_case_news: false,
-            next_case_push: now,
+            case_pushes: CasePushes::default(),
             given: GivenAnswers::default(),
             traffic: Traffic::default(),
             next_summary: now + SUMMARY_EVERY,
@@ -298,6 +297,7 @@
         self.engine_event(RoutingEvent::Tick);
         self.on_pool_time();
         self.on_store_time();
+        self.push_cases();
         if self.now >= self.next_tick {
             self.next_tick = self.now + TICK;
             self.on_coarse_tick();
--- a/crates/staircross-gateway/src/node/change_log.rs
+++ b/crates/staircross-gateway/src/node/change_log.rs
@@ -8,8 +8,8 @@
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use staircross_cluster::{Member, MemberState};
+use staircross_routing::SuspicionChange;
 use staircross_routing::mirror::MirrorChanges;
-use staircross_routing::{Suspicion, SuspicionChange};
 use staircross_types::BootTime;
 use std::sync::Arc;
 use std::time::Duration;
@@ -117,13 +117,14 @@
 
     /// Tells what is thought of a content now: the log, and peers at once where each moment may cost another searcher.
     pub(super) fn note_suspicion(&mut self, change: SuspicionChange, is_by_peers: bool) {
-        let SuspicionChange { content, suspicion, losses } = change;
+        let SuspicionChange { content, suspicion, losses, .. } = change;
         let source = if is_by_peers { "peer" } else { "own" };
         let line =
             format_args!("event=suspicion content={content} level={} lost={losses} source={source}", suspicion.name());
         self.log.line(self.now, LineKind::Belief, line);
-        self.has_case_news |= !is_by_peers || suspicion == Suspicion::Quarantined;
-        self.push_cases();
+        if change.is_urgent(is_by_peers) {
+            self.case_pushes.note_news();
+        }
     }
 
     fn note_listing(&mut self, changes: &MirrorChanges, source: &str) {
--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -18,9 +18,6 @@
 
 /// Longest wait for a peer's answer.
 const PEER_PATIENCE: Duration = Duration::from_millis(900);
-/// Time between two pushes of the requests under which searchers were lost: when many searchers end at once, many requests are
-/// suspect for a moment, and each push goes to a dozen peers.
-const CASE_PUSH_GAP: Duration = Duration::from_millis(100);
 /// Target at which peers are asked for what changed after a revision.
 pub(super) const CHANGES_TARGET: &str = "/changes?after=";
 /// Names the version of the configuration that the asker has, after the revision.
@@ -163,7 +160,6 @@
         }
         self.fleet.set_load(self.load.percent(), &mut events);
         self.fleet.set_cases(self.engine.case_records(self.now));
-        self.push_cases();
         self.fleet.on_tick(self.now, &mut events);
         self.take_fleet_events(events);
         self.tell_held_members();
@@ -174,11 +170,9 @@
 
     /// Tells some peers at once under which requests searchers were lost, if there is news, and not too often.
     pub(super) fn push_cases(&mut self) {
-        if !self.has_case_news || self.now < self.next_case_push {
+        if !self.case_pushes.take(self.now) {
             return;
         }
-        self.has_case_news = false;
-        self.next_case_push = self.now + CASE_PUSH_GAP;
         self.fleet.set_cases(self.engine.case_records(self.now));
         let mut events = Vec::new();
         self.fleet.push(&mut events);
--- /dev/null
+++ b/crates/staircross-gateway/tests/case_pushes.rs
@@ -0,0 +1,29 @@
+//! How often peers are told at once under which requests searchers were lost.
+
+use staircross_gateway::case_pushes::CasePushes;
+use staircross_types::BootTime;
+use std::time::Duration;
+
+#[test]
+fn news_just_after_other_news_is_pushed_at_once() {
+    let mut pushes = CasePushes::default();
+    let now = BootTime::from_millis(1_000_000);
+    assert!(!pushes.take(now), "no news");
+    pushes.note_news();
+    assert!(pushes.take(now));
+    assert!(!pushes.take(now), "it is told");
+    pushes.note_news();
+    assert!(pushes.take(now + Duration::from_millis(2)), "the request to blame needn't be the first that is suspected");
+}
+
+#[test]
+fn in_the_long_run_ten_pushes_a_second_are_made() {
+    let mut pushes = CasePushes::default();
+    let now = BootTime::from_millis(1_000_000);
+    let is_pushed = |ms: &u64| {
+        pushes.note_news();
+        pushes.take(now + Duration::from_millis(*ms))
+    };
+    let made = (0..10_000).filter(is_pushed).count();
+    assert!((100..=104).contains(&made), "{made}");
+}
--- a/crates/staircross-routing/src/quarantine.rs
+++ b/crates/staircross-routing/src/quarantine.rs
@@ -14,7 +14,7 @@
 use case::{ANSWER_MEMORY, Case, Loss, age_ms, before};
 use serde::{Deserialize, Serialize};
 use staircross_types::BootTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::Bound;
 
 /// Contents remembered; bounds memory (some 100 KB). Suspects that have been lost least lately go first.
@@ -22,6 +22,10 @@
 /// Contents told with one datagram, quarantined ones and others: some 100 bytes each.
 const TOLD_QUARANTINED: usize = 3;
 const TOLD_OTHERS: usize = 2;
+const MOST_TOLD: usize = TOLD_QUARANTINED + TOLD_OTHERS;
+/// Contents suspected anew that are told with one datagram, ahead of the others, and those that wait for it.
+const TOLD_RAISED: usize = 3;
+const MOST_RAISED: usize = 16;
 
 /// What is thought of a content.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,6 +59,16 @@
     pub suspicion: Suspicion,
     /// Searchers lost under it that count.
     pub losses: usize,
+    /// Whether more is thought to be wrong than before.
+    pub is_raised: bool,
+}
+
+impl SuspicionChange {
+    /// Whether peers are to be told at once, rather than with the next datagrams. What a peer told is passed on: a push reaches some nodes of its
+    /// region, and until a node knows it may send the content to one searcher of each shard.
+    pub fn is_urgent(&self, is_by_peers: bool) -> bool {
+        !is_by_peers || self.is_raised
+    }
 }
 
 /// A content as peers are told of it; times are ages, since nodes' clocks differ.
@@ -95,6 +109,8 @@
     /// Contents told last, so that all have their turn.
     told_quarantined: Option<ContentKey>,
     told_other: Option<ContentKey>,
+    /// Contents of which more is suspected since they were told last, newest first.
+    raised: VecDeque<ContentKey>,
 }
 
 impl Quarantine {
@@ -129,7 +145,7 @@
         if !case.is_told {
             let before = case.suspicion(now);
             self.cases.remove(&content);
-            let change = SuspicionChange { content, suspicion: Suspicion::None, losses: 0 };
+            let change = SuspicionChange { content, suspicion: Suspicion::None, losses: 0, is_raised: false };
             return (before != Suspicion::None).then_some(change);
         }
         self.change(now, content, |case| case.answered(now))
@@ -173,11 +189,20 @@
         self.forget_old(now);
         let is_quarantined = |case: &Case| case.suspicion(now) == Suspicion::Quarantined;
         let is_other = |case: &Case| !is_quarantined(case) && case.is_worth_telling(now);
+        let raised = self.take_raised();
         let quarantined = self.next_turns(self.told_quarantined, TOLD_QUARANTINED, is_quarantined);
         let others = self.next_turns(self.told_other, TOLD_OTHERS, is_other);
         self.told_quarantined = quarantined.last().copied();
         self.told_other = others.last().copied();
-        quarantined.into_iter().chain(others).filter_map(|content| self.tell(now, content)).collect()
+        let by_turns = quarantined.into_iter().chain(others).filter(|content| !raised.contains(content));
+        let told: Vec<ContentKey> = raised.iter().copied().chain(by_turns).take(MOST_TOLD).collect();
+        told.into_iter().filter_map(|content| self.tell(now, content)).collect()
+    }
+
+    /// What is suspected anew comes first: each moment until peers know it may cost one searcher a shard.
+    fn take_raised(&mut self) -> Vec<ContentKey> {
+        let count = self.raised.len().min(TOLD_RAISED);
+        self.raised.drain(..count).collect()
     }
 
     /// The contents that come after the one told last, and then from the beginning.
@@ -203,7 +228,12 @@
         apply(case);
         let suspicion = case.suspicion(now);
         let losses = case.counted().count();
-        (suspicion != before).then_some(SuspicionChange { content, suspicion, losses })
+        if suspicion > before {
+            self.raised.retain(|known| *known != content);
+            self.raised.push_front(content);
+            self.raised.truncate(MOST_RAISED);
+        }
+        (suspicion != before).then_some(SuspicionChange { content, suspicion, losses, is_raised: suspicion > before })
     }
 
     fn forget_old(&mut self, now: BootTime) {
--- a/crates/staircross-routing/tests/quarantine.rs
+++ b/crates/staircross-routing/tests/quarantine.rs
@@ -332,6 +332,39 @@
     }
 }
 
+#[test]
+fn what_a_peer_suspects_is_passed_on_at_once_and_what_it_clears_is_not() {
+    // A node pushes to peers of its region, and only some of those pass anything on to other regions.
+    let now = BootTime::from_millis(1_000_000);
+    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+    for number in 0..2 {
+        here.note_lost(now, DEADLY, InstanceKey(number), now);
+    }
+    let suspect = there.merge(now, &here.records(now));
+    assert_eq!(suspect.len(), 1);
+    assert!(suspect[0].is_urgent(true), "each moment may cost one searcher a shard");
+    here.note_answered(now, DEADLY);
+    let cleared = there.merge(now, &here.records(now));
+    assert_eq!(cleared.len(), 1);
+    assert!(!cleared[0].is_urgent(true));
+}
+
+#[test]
+fn what_is_suspected_last_is_told_before_what_peers_were_told_already() {
+    let now = BootTime::from_millis(1_000_000);
+    let mut here = Quarantine::default();
+    for number in 0..20 {
+        here.note_lost(now, ContentKey(number), InstanceKey(1), now);
+        here.note_lost(now, ContentKey(number), InstanceKey(2), now);
+    }
+    (0..8).for_each(|_| drop(here.records(now)));
+    here.note_lost(now, DEADLY, InstanceKey(1), now);
+    here.note_lost(now, DEADLY, InstanceKey(2), now);
+    let told = here.records(now);
+    assert!(told.iter().any(|record| record.content == DEADLY), "{told:?}");
+    assert!(told.len() <= 5, "a datagram has room for no more");
+}
+
 #[test]
 fn word_of_losses_that_was_long_on_its_way_does_not_undo_an_answer() {
     for is_known_before in [false, true] {
