--- a/bench/kinds.py
+++ b/bench/kinds.py
@@ -1,16 +1,17 @@
 #!/usr/bin/env python3
 """Plays a day of its own for every kind of trouble on a site, and prints a table.
 
-usage: bench/kinds.py BENCH SITE [--pair KIND] [--jobs N] [--why TEXT] [--only KIND,...]
+usage: bench/kinds.py BENCH SITE [--pair KIND] [--jobs N] [--why TEXT] [--only KIND,...] [--seed N] [--keep FOLDER]
 
-Writes each day to bench/days/ and runs it with BENCH. A row holds the kind, broken rules, faults, the share of
-requests served and the score's worth. The days are written from the lists below, so they can be played again.
+Writes each day to a file, runs it with BENCH and drops it. A row holds the kind, broken rules, faults, the share of requests served and the
+score's worth. The days follow from the lists below and the seed, so they can be played again; --keep FOLDER keeps their files.
 """
 import argparse
 import concurrent.futures
 import pathlib
 import re
 import subprocess
+import tempfile
 
 # kind, where it stands, and its variants: each is a list of entries besides "at".
 PLAN = "plan"
@@ -167,9 +168,17 @@
     parser.add_argument("--why", default="table of kinds")
     parser.add_argument("--only", default="")
     parser.add_argument("--seed", type=int, default=20261202)
+    parser.add_argument("--keep", type=pathlib.Path)
     arguments = parser.parse_args()
-    folder = pathlib.Path(__file__).parent / "days"
-    folder.mkdir(exist_ok=True)
+    if arguments.keep:
+        arguments.keep.mkdir(parents=True, exist_ok=True)
+        play_table(arguments, arguments.keep)
+    else:
+        with tempfile.TemporaryDirectory() as folder:
+            play_table(arguments, pathlib.Path(folder))
+
+
+def play_table(arguments, folder):
     site_name = pathlib.Path(arguments.site).stem
     wanted = [kind for kind in KINDS if not arguments.only or kind[0] in arguments.only.split(",")]
 
