--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`server`] | connections that requests come in on |
 //! | [`pool`] | connections to searchers |
 //! | [`given`] | what a node has given to peers that asked, within the last second |
+//! | [`case_pushes`] | when peers are told at once of requests that end searchers |
 //! | [`http_call`] | one outgoing call at a time, to the store or a peer |
 //! | [`outbound`] | what of a request is sent on, and how answers are written |
 //! | [`fleet`] | members, announcements, what this node may spend of what they share |
@@ -21,6 +22,7 @@
 //! | [`event_log`], [`metrics`], [`tenant_metrics`] | structured lines, counters |
 //! | [`unreadable_log`] | which items of the store that can't be used have been told |
 
+pub mod case_pushes;
 pub mod dialect;
 pub mod directory;
 pub mod event_log;
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -8,6 +8,7 @@
 mod arrival;
 mod counters;
 mod dispatch;
+mod first_probe;
 mod outcome;
 mod overload;
 mod quotas;
@@ -144,6 +145,8 @@
     pub(crate) quarantine: Quarantine,
     /// What this node may admit of tenants' quotas.
     quotas: FleetAllowance,
+    /// Which alarms the log was told.
+    alarms: first_probe::AlarmLog,
     /// Counters for metrics.
     pub counters: RoutingCounters,
 }
@@ -184,6 +187,7 @@
             waiting: HashMap::new(),
             wakes: BinaryHeap::new(),
             quarantine: Quarantine::default(),
+            alarms: Default::default(),
             counters: RoutingCounters::default(),
         }
     }
@@ -316,6 +320,7 @@
     }
 
     fn on_tick(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
+        self.tell_alarms_over(now, actions);
         while let Some(Reverse((due, key))) = self.wakes.peek().copied() {
             if due > now {
                 break;
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -1,8 +1,10 @@
 //! Sending attempts, and when more are to be sent.
 
+use super::first_probe::HARMLESS_WORK_FACTOR;
 use super::{ReportedAt, RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
 use crate::allowed_regions::AllowedRegions;
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
+use crate::quarantine::Suspicion;
 use crate::request::{Attempt, Verdict};
 use crate::searcher::OpenAttempt;
 use crate::selection::{Choice, choose};
@@ -43,9 +45,18 @@
         if request.is_withdrawn {
             return Err(Self::tell_withdrawn(key, request, shard_index, reason, actions));
         }
+        if self.suspicion(now, request.content) == Suspicion::Quarantined {
+            return Err(UnsentCause::Quarantined);
+        }
         if self.waits_for_trial(now, request) {
             return Err(self.postpone_suspect(now, key, shard_index, reason, actions));
         }
+        if let Some(until) = self.probed_until(now, key) {
+            return Err(self.postpone_for_probe(now, key, shard_index, reason, until));
+        }
+        let Some(request) = self.requests.get(&key) else {
+            return Err(UnsentCause::NobodyLeft);
+        };
         let (table, route_index, tenant) = (request.table.clone(), request.route_index, request.tenant);
         let route = &table.definition().routes[route_index];
         let regions = AllowedRegions::new(route, tenant.and_then(|key| table.tenant(key)));
@@ -110,7 +121,9 @@
         shard.tried.push(searcher_key);
         let times = HedgeTimes { way, other_way, usual, late: late.mul_f64(late_part) };
         let hedge_at = times.hedge_at(now, request.answer_by);
-        request.attempts.push(Attempt { shard: shard_index as u32, hedge_at, is_open: true, is_resolved: false });
+        let harmless_at = now + way + work.mul_f64(HARMLESS_WORK_FACTOR);
+        let shard = shard_index as u32;
+        request.attempts.push(Attempt { shard, hedge_at, harmless_at, is_open: true, is_resolved: false });
         let sent = SentAttempt {
             searcher: searcher_key,
             route: route.name.clone(),
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -165,6 +165,13 @@
     },
     /// A tenant has become limited at this node, or is free again; told for the log alone.
     Quota(QuotaChange),
+    /// Requests of a route have ended searchers lately, or do so no more; told for the log alone.
+    Alarm {
+        /// The route's name.
+        route: Arc<str>,
+        /// Whether the alarm begins.
+        is_raised: bool,
+    },
     /// The final word on a request.
     Finish {
         /// Which.
@@ -253,6 +260,10 @@
     MostAttempts,
     /// The configuration in force holds the request's key no more.
     KeyWithdrawn,
+    /// What is asked for is sent to nobody any more.
+    Quarantined,
+    /// Another shard was asked first, since requests of its route have ended searchers lately: the shard waits for its word.
+    Probing,
 }
 
 impl UnsentCause {
@@ -268,6 +279,8 @@
             UnsentCause::NotRepeatable => "not_repeatable",
             UnsentCause::MostAttempts => "most_attempts",
             UnsentCause::KeyWithdrawn => "key_withdrawn",
+            UnsentCause::Quarantined => "quarantined",
+            UnsentCause::Probing => "probing",
         }
     }
 }
--- a/crates/staircross-routing/src/keys.rs
+++ b/crates/staircross-routing/src/keys.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Number of a request, unique within the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -57,6 +57,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct InstanceKey(pub u64);
 
+/// A route by name, alike on all nodes whatever version of the configuration they have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RouteDigest(pub u64);
+
+impl RouteDigest {
+    /// The digest of a route's name.
+    pub fn of(name: &str) -> Self {
+        RouteDigest(xxh3_64(name.as_bytes()))
+    }
+}
+
 impl InstanceKey {
     /// The key of a start in Unix milliseconds, 0 where it isn't known.
     pub fn of(instance: &str, born_ms: u64) -> Self {
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -74,10 +74,10 @@
 pub use cold::ColdBound;
 pub use definition::{CallerLimits, ColdStart, RouteDefinition, RouteTarget, RoutingDefinition, ServiceEntry};
 pub use engine::{RoutingAction, RoutingEngine, RoutingEvent, RoutingSettings};
-pub use keys::{AttemptKey, ContentKey, Incarnation, InstanceKey, RequestKey, SearcherKey, TenantKey};
+pub use keys::{AttemptKey, ContentKey, Incarnation, InstanceKey, RequestKey, RouteDigest, SearcherKey, TenantKey};
 pub use mirror::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, TakenConfiguration};
 pub use policy::RoutingPolicy;
-pub use quarantine::{CaseRecord, Suspicion, SuspicionChange};
+pub use quarantine::{CaseRecord, LostAttempt, Suspicion, SuspicionChange};
 pub use report::{ReportedLoad, SearcherReport};
 pub use request::{
     Arrival, AttemptOutcome, CallerLink, ConfigurationView, MergedAnswer, NotRun, SearcherAnswer, Verdict,
--- a/crates/staircross-routing/src/quarantine.rs
+++ b/crates/staircross-routing/src/quarantine.rs
@@ -9,38 +9,28 @@
 //! What it buys: a request that came again and again ended 135 searchers, and beside it 57 in 100 of all requests were served; now it ends
 //! one searcher a shard in its first try and one or two more (`platform/tests/quarantine.rs`).
 
-use crate::keys::{ContentKey, InstanceKey};
+mod alarm;
+mod case;
+mod recent_answers;
+
+use crate::keys::{ContentKey, InstanceKey, RouteDigest};
+use alarm::RouteAlarms;
+use case::{ANSWER_MEMORY, Case, Loss, age_ms, before, is_later};
+use recent_answers::RecentAnswers;
 use serde::{Deserialize, Serialize};
 use staircross_types::BootTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::Bound;
-use std::time::Duration;
 
-/// Losses from which a content is sent to one searcher at a time. One broken connection is everyday, and its repeat shouldn't wait.
-const SUSPECT_LOSSES: usize = 2;
-/// Losses from which a content is sent to nobody.
-const QUARANTINE_LOSSES: usize = 3;
-/// Time from the newest loss until a quarantined content is tried at one searcher again: it may have been mended. A content that wasn't costs
-/// one searcher an hour.
-const QUARANTINE_TIME: Duration = Duration::from_secs(3600);
-/// Time from the newest loss until a content is forgotten.
-const MEMORY: Duration = Duration::from_secs(2 * 3600);
-/// Time for which a content that was told to peers is remembered as answered, so that they learn it too.
-const ANSWER_MEMORY: Duration = Duration::from_secs(60);
 /// Contents remembered; bounds memory (some 100 KB). Suspects that have been lost least lately go first.
 const MOST_CASES: usize = 256;
-/// Losses remembered of one content: twice what decides.
-const MOST_LOSSES: usize = 6;
-/// Losses of one content told to peers.
-const TOLD_LOSSES: usize = 4;
 /// Contents told with one datagram, quarantined ones and others: some 100 bytes each.
 const TOLD_QUARANTINED: usize = 3;
 const TOLD_OTHERS: usize = 2;
-/// Longest time that a datagram is taken to be on its way. What peers tell seems later by so much; without a tolerance, two nodes that tell each
-/// other of one event would move it on for ever.
-const TELLING_TIME: Duration = Duration::from_secs(1);
-/// Age from which a single loss is told: by then a repeat has mostly been answered.
-const SINGLE_TOLD_AFTER: Duration = Duration::from_millis(200);
+const MOST_TOLD: usize = TOLD_QUARANTINED + TOLD_OTHERS;
+/// Contents suspected anew that are told with one datagram, ahead of the others, and those that wait for it.
+const TOLD_RAISED: usize = 3;
+const MOST_RAISED: usize = 16;
 
 /// What is thought of a content.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -74,25 +64,16 @@
     pub suspicion: Suspicion,
     /// Searchers lost under it that count.
     pub losses: usize,
+    /// Whether more is thought to be wrong than before.
+    pub is_raised: bool,
 }
 
-/// A searcher whose connection ended while it ran a content.
-#[derive(Clone, Copy, Debug)]
-struct Loss {
-    searcher: InstanceKey,
-    sent_at: BootTime,
-    lost_at: BootTime,
-    /// Whether it has answered something that was sent later.
-    is_alive: bool,
-}
-
-/// What is known of one content.
-#[derive(Clone, Debug, Default)]
-struct Case {
-    /// By the time of the loss.
-    losses: Vec<Loss>,
-    answered_at: Option<BootTime>,
-    is_told: bool,
+impl SuspicionChange {
+    /// Whether peers are to be told at once, rather than with the next datagrams. What a peer told is passed on: a push reaches some nodes of its
+    /// region, and until a node knows it may send the content to one searcher of each shard.
+    pub fn is_urgent(&self, is_by_peers: bool) -> bool {
+        !is_by_peers || self.is_raised
+    }
 }
 
 /// A content as peers are told of it; times are ages, since nodes' clocks differ.
@@ -107,6 +88,9 @@
     /// Milliseconds since it was answered last, if it was.
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub answered_ms: Option<u32>,
+    /// The route that it was asked by, if its teller knows it.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub route: Option<RouteDigest>,
 }
 
 /// A searcher lost under a content, as peers are told of it.
@@ -126,13 +110,30 @@
     pub is_alive: bool,
 }
 
+/// An attempt whose connection ended without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct LostAttempt {
+    /// What was asked for.
+    pub content: ContentKey,
+    /// The route that it was asked by.
+    pub route: RouteDigest,
+    /// Who was asked.
+    pub searcher: InstanceKey,
+    /// When it was sent.
+    pub sent_at: BootTime,
+}
+
 /// All contents under which searchers were lost.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     cases: BTreeMap<ContentKey, Case>,
+    alarms: RouteAlarms,
+    answers: RecentAnswers,
     /// Contents told last, so that all have their turn.
     told_quarantined: Option<ContentKey>,
     told_other: Option<ContentKey>,
+    /// Contents of which more is suspected since they were told last, newest first.
+    raised: VecDeque<ContentKey>,
 }
 
 impl Quarantine {
@@ -147,25 +148,41 @@
         (count(Suspicion::Suspect), count(Suspicion::Quarantined))
     }
 
-    /// A searcher's connection ended while it ran a content sent to it at `sent_at`.
-    pub fn note_lost(
-        &mut self,
-        now: BootTime,
-        content: ContentKey,
-        searcher: InstanceKey,
-        sent_at: BootTime,
-    ) -> Option<SuspicionChange> {
+    /// Whether any route was on alarm lately.
+    pub fn has_alarms(&self) -> bool {
+        !self.alarms.is_empty()
+    }
+
+    /// Whether requests of a route have ended searchers lately.
+    pub fn is_alarmed(&self, now: BootTime, route: RouteDigest) -> bool {
+        self.alarms.is_raised(now, route)
+    }
+
+    /// Whether some searcher has answered a content lately, and none was lost under it since.
+    pub fn is_harmless(&self, content: ContentKey) -> bool {
+        self.answers.contains(content)
+    }
+
+    /// A searcher's connection ended while it ran a content.
+    pub fn note_lost(&mut self, now: BootTime, lost: LostAttempt) -> Option<SuspicionChange> {
+        let LostAttempt { content, route, searcher, sent_at } = lost;
+        self.answers.forget(content);
         self.make_room(now, content);
-        self.change(now, content, |case| case.add(Loss { searcher, sent_at, lost_at: now, is_alive: false }))
+        self.change(now, content, |case| {
+            case.route = Some(route);
+            case.add(Loss { searcher, sent_at, lost_at: now, is_alive: false, is_by_peer: false });
+        })
     }
 
     /// A searcher ran a content to its end.
     pub fn note_answered(&mut self, now: BootTime, content: ContentKey) -> Option<SuspicionChange> {
+        self.answers.note(now, content);
         let case = self.cases.get(&content)?;
         if !case.is_told {
-            let before = case.suspicion(now);
+            let (before, route) = (case.suspicion(now), case.route);
             self.cases.remove(&content);
-            let change = SuspicionChange { content, suspicion: Suspicion::None, losses: 0 };
+            self.set_alarm(now, route);
+            let change = SuspicionChange { content, suspicion: Suspicion::None, losses: 0, is_raised: false };
             return (before != Suspicion::None).then_some(change);
         }
         self.change(now, content, |case| case.answered(now))
@@ -198,16 +215,18 @@
     }
 
     fn merge_one(&mut self, now: BootTime, record: &CaseRecord) -> Option<SuspicionChange> {
-        let is_known = self.cases.contains_key(&record.content);
-        if !is_known && record.losses.is_empty() {
+        // An answer is remembered though its losses aren't known here yet: word of them may be on its way.
+        let is_old = record.answered_ms.is_none_or(|age| u128::from(age) >= ANSWER_MEMORY.as_millis());
+        if record.losses.is_empty() && is_old && !self.cases.contains_key(&record.content) {
             return None;
         }
         self.make_room(now, record.content);
         self.change(now, record.content, |case| {
             case.is_told = true;
+            case.route = case.route.or(record.route);
             record.losses.iter().for_each(|loss| case.add(Loss::from_record(now, loss)));
             if let Some(age) = record.answered_ms {
-                case.answered(before(now, age));
+                case.answered_by_peer(before(now, age));
             }
         })
     }
@@ -217,11 +236,20 @@
         self.forget_old(now);
         let is_quarantined = |case: &Case| case.suspicion(now) == Suspicion::Quarantined;
         let is_other = |case: &Case| !is_quarantined(case) && case.is_worth_telling(now);
+        let raised = self.take_raised();
         let quarantined = self.next_turns(self.told_quarantined, TOLD_QUARANTINED, is_quarantined);
         let others = self.next_turns(self.told_other, TOLD_OTHERS, is_other);
         self.told_quarantined = quarantined.last().copied();
         self.told_other = others.last().copied();
-        quarantined.into_iter().chain(others).filter_map(|content| self.tell(now, content)).collect()
+        let by_turns = quarantined.into_iter().chain(others).filter(|content| !raised.contains(content));
+        let told: Vec<ContentKey> = raised.iter().copied().chain(by_turns).take(MOST_TOLD).collect();
+        told.into_iter().filter_map(|content| self.tell(now, content)).collect()
+    }
+
+    /// What is suspected anew comes first: each moment until peers know it may cost one searcher a shard.
+    fn take_raised(&mut self) -> Vec<ContentKey> {
+        let count = self.raised.len().min(TOLD_RAISED);
+        self.raised.drain(..count).collect()
     }
 
     /// The contents that come after the one told last, and then from the beginning.
@@ -238,7 +266,7 @@
         let case = self.cases.get_mut(&content)?;
         case.is_told = true;
         let losses = case.telling_losses().map(|loss| loss.record(now)).collect();
-        Some(CaseRecord { content, losses, answered_ms: case.answered_at.map(|at| age_ms(now, at)) })
+        Some(CaseRecord { content, losses, answered_ms: case.answered_at.map(|at| age_ms(now, at)), route: case.route })
     }
 
     fn change(&mut self, now: BootTime, content: ContentKey, apply: impl FnOnce(&mut Case)) -> Option<SuspicionChange> {
@@ -246,12 +274,31 @@
         let before = case.suspicion(now);
         apply(case);
         let suspicion = case.suspicion(now);
-        let losses = case.counted().count();
-        (suspicion != before).then_some(SuspicionChange { content, suspicion, losses })
+        let (losses, route) = (case.counted().count(), case.route);
+        if before.max(suspicion) == Suspicion::Quarantined {
+            self.set_alarm(now, route);
+        }
+        if suspicion > before {
+            self.raised.retain(|known| *known != content);
+            self.raised.push_front(content);
+            self.raised.truncate(MOST_RAISED);
+        }
+        (suspicion != before).then_some(SuspicionChange { content, suspicion, losses, is_raised: suspicion > before })
+    }
+
+    /// Raises or ends the alarm of a route by what is quarantined there now.
+    fn set_alarm(&mut self, now: BootTime, route: Option<RouteDigest>) {
+        let Some(route) = route else {
+            return;
+        };
+        let of_route = self.cases.values().filter(|case| case.route == Some(route));
+        let quarantined = of_route.filter(|case| case.suspicion(now) == Suspicion::Quarantined);
+        self.alarms.set(route, quarantined.filter_map(Case::newest_loss));
     }
 
     fn forget_old(&mut self, now: BootTime) {
         self.cases.retain(|_, case| case.is_remembered(now));
+        self.alarms.forget_old(now);
     }
 
     /// Makes room for a content that isn't known yet.
@@ -267,103 +314,3 @@
         }
     }
 }
-
-impl Case {
-    fn counted(&self) -> impl Iterator<Item = &Loss> {
-        self.losses.iter().filter(|loss| !loss.is_alive)
-    }
-
-    fn newest(&self) -> BootTime {
-        self.losses.iter().map(|loss| loss.lost_at).chain(self.answered_at).max().unwrap_or_default()
-    }
-
-    fn suspicion(&self, now: BootTime) -> Suspicion {
-        let count = self.counted().count();
-        if count < SUSPECT_LOSSES {
-            return Suspicion::None;
-        }
-        let newest = self.counted().map(|loss| loss.lost_at).max().unwrap_or_default();
-        let is_proven = count >= QUARANTINE_LOSSES && self.has_sequence();
-        if is_proven && now.since(newest) < QUARANTINE_TIME { Suspicion::Quarantined } else { Suspicion::Suspect }
-    }
-
-    /// Whether one loss was sent after another had been seen. When many searchers end at once, whatever ran there loses several at the same
-    /// moment; only what is to blame loses the next one too.
-    fn has_sequence(&self) -> bool {
-        let first = self.counted().map(|loss| loss.lost_at).min();
-        first.is_some_and(|first| self.counted().any(|loss| loss.sent_at >= first))
-    }
-
-    fn add(&mut self, loss: Loss) {
-        if self.answered_at.is_some_and(|answered| loss.lost_at <= answered) {
-            return;
-        }
-        match self.losses.iter_mut().find(|known| known.searcher == loss.searcher) {
-            Some(known) if is_later(loss.lost_at, known.lost_at) => *known = loss,
-            Some(known) => known.is_alive |= loss.is_alive,
-            None => self.losses.push(loss),
-        }
-        self.losses.sort_by_key(|loss| loss.lost_at);
-        if self.losses.len() > MOST_LOSSES {
-            // The first stays: what was sent after it proves the sequence. One that is alive proves nothing.
-            let needless = self.losses.iter().position(|loss| loss.is_alive).unwrap_or(1);
-            self.losses.remove(needless);
-        }
-    }
-
-    fn answered(&mut self, at: BootTime) {
-        if self.answered_at.is_none_or(|known| is_later(at, known)) {
-            self.answered_at = Some(at);
-        }
-        self.losses.retain(|loss| loss.lost_at > at);
-    }
-
-    /// The first loss and the newest: enough to decide by.
-    fn telling_losses(&self) -> impl Iterator<Item = &Loss> {
-        let skipped = self.losses.len().saturating_sub(TOLD_LOSSES);
-        let rest = self.losses.get(1 + skipped..).unwrap_or_default();
-        self.losses.iter().take(1).chain(rest)
-    }
-
-    fn is_worth_telling(&self, now: BootTime) -> bool {
-        self.is_told || self.losses.len() >= SUSPECT_LOSSES || now.since(self.newest()) >= SINGLE_TOLD_AFTER
-    }
-
-    fn is_remembered(&self, now: BootTime) -> bool {
-        let memory = if self.losses.is_empty() { ANSWER_MEMORY } else { MEMORY };
-        now.since(self.newest()) < memory
-    }
-}
-
-impl Loss {
-    fn record(&self, now: BootTime) -> LossRecord {
-        LossRecord {
-            searcher: self.searcher,
-            sent_ms: age_ms(now, self.sent_at),
-            lost_ms: age_ms(now, self.lost_at),
-            is_alive: self.is_alive,
-        }
-    }
-
-    fn from_record(now: BootTime, record: &LossRecord) -> Self {
-        Loss {
-            searcher: record.searcher,
-            sent_at: before(now, record.sent_ms),
-            lost_at: before(now, record.lost_ms),
-            is_alive: record.is_alive,
-        }
-    }
-}
-
-/// Whether two times that peers may have told are surely of two events, this one of the later.
-fn is_later(time: BootTime, than: BootTime) -> bool {
-    time > than + TELLING_TIME
-}
-
-fn age_ms(now: BootTime, at: BootTime) -> u32 {
-    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
-}
-
-fn before(now: BootTime, age_ms: u32) -> BootTime {
-    now - Duration::from_millis(age_ms.into())
-}
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -281,6 +281,7 @@
             | RoutingAction::Admission { .. }
             | RoutingAction::Suspicion { .. }
             | RoutingAction::TellQuota { .. }
+            | RoutingAction::Alarm { .. }
             | RoutingAction::Quota(_) => None,
         }
     }
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -46,6 +46,8 @@
     pub suspicions: Vec<SuspicionChange>,
     pub quota_told: Vec<(NodeId, Vec<QuotaMessage>)>,
     pub quota_changes: Vec<QuotaChange>,
+    /// Routes whose alarms were raised, or ended.
+    pub alarms: Vec<(String, bool)>,
     /// All that was told and decided.
     pub turns: Vec<RecordedTurn>,
     paths: HashMap<RequestKey, String>,
@@ -160,6 +162,7 @@
             suspicions: Vec::new(),
             quota_told: Vec::new(),
             quota_changes: Vec::new(),
+            alarms: Vec::new(),
             turns: Vec::new(),
             paths: HashMap::new(),
             next_request: 1,
@@ -211,6 +214,7 @@
                 RoutingAction::TellQuota { to, messages } => self.quota_told.push((to, messages)),
                 RoutingAction::Quota(change) => self.quota_changes.push(change),
                 RoutingAction::Suspicion { change, .. } => self.suspicions.push(change),
+                RoutingAction::Alarm { route, is_raised } => self.alarms.push((route.to_string(), is_raised)),
                 RoutingAction::Finish { request, verdict } => {
                     self.finished.push((request, verdict));
                     self.finished_at.push(self.now);
