--- a/crates/staircross-quota/tests/model/mod.rs
+++ b/crates/staircross-quota/tests/model/mod.rs
@@ -1,5 +1,9 @@
 //! A fleet of allowances over a network that loses, delays, doubles and cuts, and what all of them admit of one tenant.
 
+mod schedule;
+
+pub use schedule::{Callers, Fault, Outcome, Schedule, Way};
+
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -16,81 +20,6 @@
 pub const FAULT_S: f64 = 10.0;
 const PEAK_LIFE_S: f64 = 30.0;
 
-/// How nodes decide.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(dead_code, reason = "each test file plays other ways")]
-pub enum Way {
-    /// As built.
-    Owner,
-    /// Each node has its part of rate and burst, by the largest fleet it saw lately.
-    FixedShares,
-    /// The same, and one request more at once: few requests come to each node.
-    FixedSharesAndOne,
-}
-
-/// What goes wrong, from [`FAULT_S`] on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    None,
-    /// A third of the nodes is cut off, each on its own, for 8 s.
-    ThirdCut,
-    /// The fleet is two halves for 8 s.
-    Halves,
-    /// All nodes are killed and start again within 0.5 to 1.5 s.
-    KillAll,
-    /// Each node is stopped and started in turn, one each 0.4 s.
-    Roll,
-    /// The owner and as many others as make a fifth are killed for good.
-    KillFifth,
-    /// Each node misses a random fifth of the others for 3 s.
-    WrongMembership,
-    /// The quota falls to a third.
-    QuotaDown,
-    /// The quota is doubled.
-    QuotaUp,
-}
-
-/// Which nodes the tenant's callers ask.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Callers {
-    Spread,
-    OneNode,
-    /// One node, another each second.
-    Moving,
-}
-
-#[derive(Clone, Debug)]
-pub struct Schedule {
-    pub seed: u64,
-    pub nodes: usize,
-    pub quota: Quota,
-    /// Demand, in times the rate.
-    pub usual: f64,
-    /// Demand from `hot_s` on, in times the usual.
-    pub hot: f64,
-    pub hot_s: f64,
-    pub callers: Callers,
-    pub fault: Fault,
-    pub lost: f64,
-    pub doubled: f64,
-    /// Whether the tenant keeps to these parts of its rate and burst.
-    pub keeps_to: Option<(f64, f64)>,
-}
-
-/// What came of a schedule.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Outcome {
-    /// Requests beyond quota in the worst window, in times what is permitted; 1 is the bound.
-    pub worst: f64,
-    /// Requests that a bucket of the quota's rate and burst would have admitted.
-    pub owed: f64,
-    /// By how much admissions fell behind that bucket's since the start, at most.
-    pub lost: f64,
-    pub refused: usize,
-    pub requests: usize,
-    pub datagrams: usize,
-}
-
 enum Event {
     Request,
     Message { to: NodeId, from: NodeId, message: QuotaMessage },
