--- a/crates/staircross-quota/src/bound.rs
+++ b/crates/staircross-quota/src/bound.rs
@@ -7,6 +7,10 @@
 /// Part of the permitted excess that the owner grants knowingly, beyond the burst. It lets a tenant that asks unevenly below its
 /// rate pass; the rest pays for what is admitted before the owner's word arrives.
 const HEADROOM_PART: f64 = 0.15;
+/// Parts of the burst and of the permitted excess that are granted evenly over the window instead of at once. A window may hold the burst
+/// each time, so a tenant that goes on asking for more than its rate is due `burst / window` more in each second.
+const STEADY_BURST_PART: f64 = 0.5;
+const STEADY_EXCESS_PART: f64 = 0.1;
 /// Part of the permitted excess that may be admitted while reports wait to be sent together.
 const DELAY_PART: f64 = 0.1;
 /// Demand, in times the rate, for which the delay of reports is laid out.
@@ -53,7 +57,13 @@
     pub fn new(bound: &QuotaBound, quota: Quota) -> Self {
         let window = bound.window.as_secs_f64();
         let excess = bound.over * (quota.rate_per_s * window + quota.burst) + bound.slack;
-        Limits { rate: quota.rate_per_s, burst: quota.burst, excess: excess.max(0.0) }
+        let excess = excess.max(0.0);
+        let steady = quota.burst * STEADY_BURST_PART + excess * STEADY_EXCESS_PART;
+        Limits {
+            rate: quota.rate_per_s + steady / window,
+            burst: quota.burst * (1.0 - STEADY_BURST_PART),
+            excess,
+        }
     }
 
     /// Requests beyond the burst that the owner grants knowingly.
