--- a/crates/staircross-quota/src/bound.rs
+++ b/crates/staircross-quota/src/bound.rs
@@ -23,6 +23,12 @@
 /// Part of the largest fleet that is taken to be without an owner at the same time, each node on its own.
 const STRANDED_NODES: f64 = 1.0 / 3.0;
 
+/// What a tenant may ask for when all nodes have been restarted, in times its rate; until they know of each other, in seconds; and the part of the
+/// permitted excess that this may use.
+const FORMING_HOT_FACTOR: f64 = 4.0;
+const FORMING_S: f64 = 1.2;
+const FORMING_EXCESS_PART: f64 = 0.9;
+
 /// Bound on what is admitted of a tenant in each sliding window, by all nodes together:
 /// `(rate * window + burst) * (1 + over) + slack`.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -59,11 +65,7 @@
         let excess = bound.over * (quota.rate_per_s * window + quota.burst) + bound.slack;
         let excess = excess.max(0.0);
         let steady = quota.burst * STEADY_BURST_PART + excess * STEADY_EXCESS_PART;
-        Limits {
-            rate: quota.rate_per_s + steady / window,
-            burst: quota.burst * (1.0 - STEADY_BURST_PART),
-            excess,
-        }
+        Limits { rate: quota.rate_per_s + steady / window, burst: quota.burst * (1.0 - STEADY_BURST_PART), excess }
     }
 
     /// Requests beyond the burst that the owner grants knowingly.
@@ -77,6 +79,13 @@
         Duration::from_secs_f64(seconds.clamp(SHORTEST_DELAY.as_secs_f64(), LONGEST_DELAY.as_secs_f64()))
     }
 
+    /// Part of the requests that nodes admit which were restarted and don't know of each other yet: what the hottest tenant asks of all
+    /// of them until they do stays within the permitted excess. Nothing was admitted while they were down.
+    pub fn forming_part(&self) -> f64 {
+        let most = FORMING_HOT_FACTOR * self.rate * FORMING_S;
+        (self.excess * FORMING_EXCESS_PART / most.max(f64::MIN_POSITIVE)).min(1.0)
+    }
+
     /// Requests that a node of a fleet of `peak` nodes which finds itself without an owner may admit at once; below 1 it is the chance of
     /// one.
     pub fn stranded_credit(&self, peak: usize) -> f64 {
--- a/crates/staircross-quota/src/tenant.rs
+++ b/crates/staircross-quota/src/tenant.rs
@@ -137,6 +137,9 @@
     /// Decides about a request on this node's own: its fixed part of the rate, and seldom one request at once.
     pub fn take_stranded(&mut self, now: BootTime, fleet: &Fleet, random: f64) -> Result<(), QuotaRefusal> {
         let part = fleet.stranded_part(now);
+        if fleet.is_forming(now) {
+            return self.take_forming(now, random);
+        }
         let rate = self.limits.rate * part;
         let most = (self.limits.burst * part).max(1.0);
         let was_limited = self.spender.as_ref().is_some_and(|spender| spender.was_limited(now));
@@ -146,12 +149,25 @@
         let bucket = self.stranded.get_or_insert_with(|| Bucket::new(now, credit + random - f64::from(open)));
         bucket.refill(now, rate, most.max(credit));
         let taken = bucket.try_take(rate);
+        self.count_stranded(now, taken.is_ok());
+        taken.map_err(|wait| QuotaRefusal { retry_after: wait + Duration::from_secs_f64(random) })
+    }
+
+    /// Decides about a request right after a restart, while this node doesn't know who else there is.
+    fn take_forming(&mut self, now: BootTime, random: f64) -> Result<(), QuotaRefusal> {
+        let part = self.limits.forming_part();
+        let is_admitted = draw(&mut self.carry, part);
+        self.count_stranded(now, is_admitted);
+        if is_admitted { Ok(()) } else { Err(refusal(part, random)) }
+    }
+
+    /// Counts a request decided on this node's own, for whoever will own the tenant.
+    fn count_stranded(&mut self, now: BootTime, is_admitted: bool) {
         if let Some(spender) = &mut self.spender {
-            spender.count(now, taken.is_ok(), &self.limits);
+            spender.count(now, is_admitted, &self.limits);
         } else if let Some(ledger) = &mut self.ledger {
-            ledger.count(Counts { offered: 1, admitted: u32::from(taken.is_ok()) });
+            ledger.count(Counts { offered: 1, admitted: u32::from(is_admitted) });
         }
-        taken.map_err(|wait| QuotaRefusal { retry_after: wait + Duration::from_secs_f64(random) })
     }
 
     /// Takes a report as the owner; none where this node isn't.
