Keep quotas over the loss of all nodes beside a hot tenant

Nodes that have just started know different peers, take different ones for a tenant's owner, and followed a word, or none, that let everything pass. Change: while members still come, each node decides alone by a part that the permitted excess bears, more of it for a tenant's first request at a node.

--- a/crates/staircross-quota/src/allowance.rs
+++ b/crates/staircross-quota/src/allowance.rs
@@ -128,6 +128,7 @@
         tenant.refresh(now, self.own, &self.fleet, is_first);
         let is_stranded = is_alone || tenant.is_stranded(now, &self.fleet);
         let taken = match (is_stranded, tenant.owner == self.own) {
+            _ if self.fleet.is_forming(now) => tenant.take_forming(now, random),
             (true, _) => tenant.take_stranded(now, &self.fleet, random),
             (false, true) => tenant.take_owned(now, fleet_part, random),
             (false, false) => tenant.take_followed(now, random),
--- a/crates/staircross-quota/src/bound.rs
+++ b/crates/staircross-quota/src/bound.rs
@@ -24,10 +24,10 @@
 const STRANDED_NODES: f64 = 1.0 / 3.0;
 
 /// What a tenant may ask for when all nodes have been restarted, in times its rate; until they know of each other, in seconds; and the part of the
-/// permitted excess that this may use.
+/// permitted excess that nodes' first requests may use.
 const FORMING_HOT_FACTOR: f64 = 4.0;
 const FORMING_S: f64 = 1.2;
-const FORMING_EXCESS_PART: f64 = 0.9;
+const FORMING_FIRST_PART: f64 = 0.8;
 
 /// Bound on what is admitted of a tenant in each sliding window, by all nodes together:
 /// `(rate * window + burst) * (1 + over) + slack`.
@@ -80,10 +80,12 @@
     }
 
     /// Part of the requests that nodes admit which were restarted and don't know of each other yet: what the hottest tenant asks of all
-    /// of them until they do stays within the permitted excess. Nothing was admitted while they were down.
-    pub fn forming_part(&self) -> f64 {
+    /// of them until they do stays within the permitted excess. Nothing was admitted while they were down. A tenant at its usual seldom
+    /// asks a node twice in that time, a hot one does, so most is kept for each node's `first` request.
+    pub fn forming_part(&self, is_first: bool) -> f64 {
         let most = FORMING_HOT_FACTOR * self.rate * FORMING_S;
-        (self.excess * FORMING_EXCESS_PART / most.max(f64::MIN_POSITIVE)).min(1.0)
+        let part = if is_first { FORMING_FIRST_PART } else { 1.0 - FORMING_FIRST_PART };
+        (self.excess * part / most.max(f64::MIN_POSITIVE)).min(1.0)
     }
 
     /// Requests that a node of a fleet of `peak` nodes which finds itself without an owner may admit at once; below 1 it is the chance of
--- a/crates/staircross-quota/src/fleet.rs
+++ b/crates/staircross-quota/src/fleet.rs
@@ -13,13 +13,10 @@
 const STRANDED_FACTOR: f64 = 0.5;
 /// Fleet that a node assumes after a restart until the members that it sees have stopped to grow in number.
 const ASSUMED_AT_RESTART: usize = 128;
-/// Part of a quota that an owner grants at least while it learns who else there is. After a restart of all nodes, tenants at their usual, some
-/// 0.6 of their rate, would be refused else in the second in which all callers come back.
-const FORMING_PART: f64 = 0.75;
 /// How long the largest fleet seen counts: longer than a cut that the rest of the fleet doesn't take for a loss.
 const PEAK_LIFE: Duration = Duration::from_secs(30);
 /// Time without growth after which the members seen are taken for the fleet.
-const STEADY: Duration = Duration::from_millis(1000);
+const STEADY: Duration = Duration::from_millis(600);
 
 /// The nodes as one of them sees them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,8 +89,7 @@
 
     /// Part of a quota that an owner may grant, 0 to 1.
     pub fn part(&self, now: BootTime) -> f64 {
-        let part = (CUT_FACTOR * self.view.serving.len() as f64 / self.peak(now) as f64).min(1.0);
-        if self.is_forming(now) { part.max(FORMING_PART) } else { part }
+        (CUT_FACTOR * self.view.serving.len() as f64 / self.peak(now) as f64).min(1.0)
     }
 
     /// Part of a quota that a node without an owner may spend, 0 to 1.
--- a/crates/staircross-quota/src/tenant.rs
+++ b/crates/staircross-quota/src/tenant.rs
@@ -34,6 +34,8 @@
     /// What is left of the parts of earlier requests; a request passes when it reaches 1.
     carry: f64,
     ledger_due: Option<BootTime>,
+    /// Whether it asked anything here while this node didn't know who else there is.
+    has_asked: bool,
     /// When a request was last refused, where the log says that the tenant is limited.
     pub limited_at: Option<BootTime>,
 }
@@ -52,6 +54,7 @@
             stranded: None,
             carry,
             ledger_due: None,
+            has_asked: false,
             limited_at: None,
         }
     }
@@ -137,9 +140,6 @@
     /// Decides about a request on this node's own: its fixed part of the rate, and seldom one request at once.
     pub fn take_stranded(&mut self, now: BootTime, fleet: &Fleet, random: f64) -> Result<(), QuotaRefusal> {
         let part = fleet.stranded_part(now);
-        if fleet.is_forming(now) {
-            return self.take_forming(now, random);
-        }
         let rate = self.limits.rate * part;
         let most = (self.limits.burst * part).max(1.0);
         let was_limited = self.spender.as_ref().is_some_and(|spender| spender.was_limited(now));
@@ -153,9 +153,11 @@
         taken.map_err(|wait| QuotaRefusal { retry_after: wait + Duration::from_secs_f64(random) })
     }
 
-    /// Decides about a request right after a restart, while this node doesn't know who else there is.
-    fn take_forming(&mut self, now: BootTime, random: f64) -> Result<(), QuotaRefusal> {
-        let part = self.limits.forming_part();
+    /// Decides about a request right after a restart, while this node doesn't know who else there is. Nodes that know of different
+    /// peers take different ones for the owner, so nobody's word counts yet; what is admitted is reported all the same.
+    pub fn take_forming(&mut self, now: BootTime, random: f64) -> Result<(), QuotaRefusal> {
+        let part = self.limits.forming_part(!self.has_asked);
+        self.has_asked = true;
         let is_admitted = draw(&mut self.carry, part);
         self.count_stranded(now, is_admitted);
         if is_admitted { Ok(()) } else { Err(refusal(part, random)) }
