Tell peers which evacuations go on, so that one that had ended isn't begun again by older word

All nodes were killed while a was evacuated and it ended meanwhile. One node read the newer configuration after the end, others before; these took the configuration from that one and watched on from its revision, so that they never heard of the end, and the first took their older word of a for news. Change: what a whole listing leaves out can't be begun by word of before it; peers are told what goes on and at which revision that was all. Two tests of the mirror failed before.

--- a/crates/staircross-routing/src/evacuations.rs
+++ b/crates/staircross-routing/src/evacuations.rs
@@ -27,13 +27,17 @@
 #[derive(Debug, Default)]
 pub struct Evacuations {
     zones: BTreeMap<Arc<str>, ZoneState>,
+    /// Newest revision at which all were listed; 0 before the first listing.
+    listed_at: u64,
 }
 
 impl Evacuations {
     /// Takes the beginning or end of an evacuation. Returns whether that changed which zones are evacuated.
     pub fn take(&mut self, revision: u64, zone: Arc<str>, is_active: bool) -> bool {
         let known = self.zones.get(&zone).copied();
-        if known.is_some_and(|known| known.revision >= revision) {
+        // What a listing left out had ended by then; a peer that hasn't heard of the end may tell of it still.
+        let had_ended = known.is_none() && revision <= self.listed_at;
+        if had_ended || known.is_some_and(|known| known.revision >= revision) {
             return false;
         }
         self.zones.insert(zone, ZoneState { revision, is_active });
@@ -42,6 +46,7 @@
 
     /// A whole listing at a revision: evacuations that it leaves out had ended by then. Returns whether any had.
     pub fn end_unlisted(&mut self, at: u64, listed: &[Arc<str>]) -> bool {
+        self.listed_at = self.listed_at.max(at);
         let mut has_ended = false;
         for (zone, state) in &mut self.zones {
             if state.is_active && state.revision <= at && !listed.contains(zone) {
@@ -63,9 +68,15 @@
         self.zones.values().map(|state| state.revision).max().unwrap_or_default()
     }
 
-    /// What somebody lacks who knows everything up to a revision.
+    /// Newest revision at which all were listed, if they ever were.
+    pub fn listed_at(&self) -> Option<u64> {
+        (self.listed_at > 0).then_some(self.listed_at)
+    }
+
+    /// What somebody lacks who knows everything up to a revision. What goes on is told in any case, so that what isn't told is known to have
+    /// ended by [`Self::listed_at`]: whoever hears of a newer configuration watches from there, and would never hear of ends before it.
     pub fn changes_after(&self, revision: u64) -> impl Iterator<Item = ZoneChange> {
-        let newer = self.zones.iter().filter(move |(_, state)| state.revision > revision);
+        let newer = self.zones.iter().filter(move |(_, state)| state.revision > revision || state.is_active);
         newer.map(|(zone, state)| ZoneChange {
             revision: state.revision,
             zone: zone.clone(),
--- a/crates/staircross-routing/src/mirror.rs
+++ b/crates/staircross-routing/src/mirror.rs
@@ -266,7 +266,13 @@
             let ZoneChange { revision, zone, is_active } = change;
             (revision, MirrorItem::Evacuation { zone, is_active })
         }));
-        MirrorUpdate { items, is_complete_for_searchers: is_complete, up_to: self.up_to, ..MirrorUpdate::default() }
+        MirrorUpdate {
+            items,
+            is_complete_for_searchers: is_complete,
+            up_to: self.up_to,
+            all_evacuations_at: self.evacuations.listed_at(),
+            ..MirrorUpdate::default()
+        }
     }
 
     fn take_searcher(&mut self, revision: u64, entry: SearcherEntry, touched: &mut Touched) {
--- a/crates/staircross-routing/tests/knowledge.rs
+++ b/crates/staircross-routing/tests/knowledge.rs
@@ -928,3 +928,35 @@
     lapse(&mut young, 20);
     assert!(young.may_lack_searchers(until));
 }
+
+#[test]
+fn an_evacuation_that_had_ended_by_a_whole_reading_is_not_begun_again_by_a_peers_older_word() {
+    let mut mirror = Mirror::default();
+    mirror.merge(MirrorUpdate {
+        items: vec![(9, configuration(2))],
+        all_evacuations_at: Some(9),
+        ..MirrorUpdate::default()
+    });
+    let changes = mirror.merge(changes(vec![(5, evacuation("a", true))]));
+    assert_eq!(zones(&changes), None, "it was over by the reading");
+    assert_eq!(zones(&mirror.merge(changes_of("a", 11))), Some(vec!["a".to_owned()]), "a later one holds");
+}
+
+#[test]
+fn a_peer_that_has_read_all_tells_of_evacuations_that_had_ended_before_it_heard_of_them() {
+    let mut reader = Mirror::default();
+    reader.merge(MirrorUpdate {
+        items: vec![(9, configuration(2))],
+        all_evacuations_at: Some(9),
+        ..MirrorUpdate::default()
+    });
+    let mut asker = Mirror::default();
+    asker.merge(changes(vec![(3, configuration(1)), (5, evacuation("a", true)), (12, evacuation("b", true))]));
+    let told = reader.changes_for(known(&asker));
+    assert_eq!(zones(&asker.merge(told)), Some(vec!["b".to_owned()]), "one that began later goes on");
+    assert_eq!(asker.version(), 2);
+}
+
+fn changes_of(zone: &str, revision: u64) -> MirrorUpdate {
+    changes(vec![(revision, evacuation(zone, true))])
+}
