Log why a first probe began and ended

The test of several deadly requests once saw a third request sent to all shards, and no line of the log could say whether its node lacked the route's alarm or had taken the silence of the shard asked first for health. Each request of several shards that comes while its route is on alarm now has event=probe in its trace: begun or needless, with the age of the alarm's newest loss, then answered or silent. A trace without such a line comes from a node that knew of no alarm.

Without an alarm nothing is computed but one look whether there is any.

--- a/crates/staircross-gateway/src/node/request_log.rs
+++ b/crates/staircross-gateway/src/node/request_log.rs
@@ -10,7 +10,7 @@
 use staircross_quota::QuotaChange;
 use staircross_routing::configuration::tenants::KeyRefusal;
 use staircross_routing::decision::admission::AdmissionChange;
-use staircross_routing::engine::{HoldCause, LeftOutCause, ReportedAt, SendOrder, SendReason, UnsentCause};
+use staircross_routing::engine::{HoldCause, LeftOutCause, ProbeStep, ReportedAt, SendOrder, SendReason, UnsentCause};
 use staircross_routing::{AttemptKey, AttemptOutcome, RequestKey, SearcherKey, Verdict};
 use std::fmt;
 use std::sync::Arc;
@@ -58,6 +58,18 @@
         self.note_decision(request, format_args!("event=held cause={}", cause.name()));
     }
 
+    /// A request came while its route was on alarm, or its first probe has moved on.
+    pub(super) fn note_probe(&mut self, request: RequestKey, step: ProbeStep) {
+        let name = step.name();
+        match step.alarm_age() {
+            Some(age) => {
+                let age = age.as_millis();
+                self.note_decision(request, format_args!("event=probe step={name} alarm_age_ms={age}"));
+            }
+            None => self.note_decision(request, format_args!("event=probe step={name}")),
+        }
+    }
+
     /// A request's key lets nobody in.
     pub(super) fn note_key_refused(&mut self, request: RequestKey, cause: KeyRefusal) {
         self.note_decision(request, format_args!("event=key_refused cause={}", cause.name()));
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -203,6 +203,7 @@
             RoutingAction::Admission { group, change } => self.log_admission(&group, &change),
             RoutingAction::Quota(change) => self.log_quota(&change),
             RoutingAction::Alarm { route, is_raised } => self.note_alarm(&route, is_raised),
+            RoutingAction::Probe { request, step } => self.note_probe(request, step),
         }
     }
 
--- a/crates/staircross-routing/src/decision/quarantine.rs
+++ b/crates/staircross-routing/src/decision/quarantine.rs
@@ -34,6 +34,7 @@
 use sending::SendingTurns;
 use staircross_types::BootTime;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Contents remembered; those with the lowest level and the oldest report go first. Not measured; a bound on memory, some 100 KB.
 const MAX_CASES: usize = 256;
@@ -79,7 +80,12 @@
 
     /// Whether requests of a route have ended searchers lately.
     pub fn is_alarmed(&self, now: BootTime, route: RouteDigest) -> bool {
-        self.alarms.is_raised(now, route)
+        self.alarm_age(now, route).is_some()
+    }
+
+    /// Time since the newest loss of a route's alarm; `None` where it is on none.
+    pub fn alarm_age(&self, now: BootTime, route: RouteDigest) -> Option<Duration> {
+        self.alarms.age(now, route)
     }
 
     /// Whether some searcher has answered a content lately, and none was lost under it since.
--- a/crates/staircross-routing/src/decision/quarantine/alarm.rs
+++ b/crates/staircross-routing/src/decision/quarantine/alarm.rs
@@ -16,10 +16,17 @@
 /// whenever the alarm is over takes a shard's searchers away for less than 4 in 100 of the time.
 const AFTER_SEVERAL: Duration = Duration::from_secs(120);
 
+/// The alarm of one route.
+#[derive(Clone, Copy, Debug)]
+struct RouteAlarm {
+    newest_loss: BootTime,
+    until: BootTime,
+}
+
 /// Alarms by route; no more of them than there are cases.
 #[derive(Debug, Default)]
 pub(super) struct RouteAlarms {
-    until: BTreeMap<RouteDigest, BootTime>,
+    alarms: BTreeMap<RouteDigest, RouteAlarm>,
 }
 
 impl RouteAlarms {
@@ -28,21 +35,23 @@
         let (count, newest) = newest_losses.fold((0, None), |(count, newest), at| (count + 1, newest.max(Some(at))));
         let time = if count > 1 { AFTER_SEVERAL } else { AFTER_ONE };
         match newest {
-            Some(newest) => self.until.insert(route, newest + time),
-            None => self.until.remove(&route),
+            Some(newest_loss) => self.alarms.insert(route, RouteAlarm { newest_loss, until: newest_loss + time }),
+            None => self.alarms.remove(&route),
         };
     }
 
-    pub fn is_raised(&self, now: BootTime, route: RouteDigest) -> bool {
-        self.until.get(&route).is_some_and(|until| now < *until)
+    /// Time since the newest loss of a route's alarm; `None` where it isn't raised.
+    pub fn age(&self, now: BootTime, route: RouteDigest) -> Option<Duration> {
+        let alarm = self.alarms.get(&route).filter(|alarm| now < alarm.until)?;
+        Some(now.since(alarm.newest_loss))
     }
 
     pub fn is_empty(&self) -> bool {
-        self.until.is_empty()
+        self.alarms.is_empty()
     }
 
     /// Drops the alarms that are over.
     pub fn forget_old(&mut self, now: BootTime) {
-        self.until.retain(|_, until| now < *until);
+        self.alarms.retain(|_, alarm| now < alarm.until);
     }
 }
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -28,7 +28,8 @@
 use crate::decision::quarantine::Quarantine;
 use crate::decision::turns::WeightedTurns;
 pub use crate::engine_message::{
-    AbandonCause, HoldCause, LeftOutCause, ReportedAt, RoutingAction, RoutingEvent, SendOrder, SendReason, UnsentCause,
+    AbandonCause, HoldCause, LeftOutCause, ProbeStep, ReportedAt, RoutingAction, RoutingEvent, SendOrder, SendReason,
+    UnsentCause,
 };
 use crate::keys::{AttemptKey, ContentKey, Incarnation, RequestKey, SearcherKey};
 use crate::policy::RoutingPolicy;
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -283,6 +283,7 @@
         let count = request.shards.len();
         let first = self.first_shard(&request);
         self.requests.insert(key, request);
+        self.note_probe_begun(now, key, actions);
         for shard in (first..count).chain(0..first) {
             // What can't be sent yet waits, or is counted as failed.
             let _unsent = self.dispatch(now, key, shard, SendReason::First, actions);
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -83,7 +83,7 @@
         if self.waits_for_trial(now, request) {
             return Err(self.postpone_suspect(now, key, shard_index, reason, actions));
         }
-        match self.probed_until(now, key) {
+        match self.probed_until(now, key, actions) {
             Some(until) => Err(self.postpone_for_probe(now, key, shard_index, reason, until)),
             None => Ok(()),
         }
--- a/crates/staircross-routing/src/engine/first_probe.rs
+++ b/crates/staircross-routing/src/engine/first_probe.rs
@@ -3,7 +3,7 @@
 //! [`crate::decision::first_probe`] says which requests, and why.
 
 use super::waiting::Postponed;
-use super::{RoutingAction, RoutingEngine, SendReason, UnsentCause};
+use super::{ProbeStep, RoutingAction, RoutingEngine, SendReason, UnsentCause};
 use crate::configuration::definition::RouteDefinition;
 use crate::decision::first_probe;
 use crate::keys::{ContentKey, RequestKey, RouteDigest};
@@ -29,6 +29,22 @@
         first_probe::is_needed(now, &self.settings.policy, &self.quarantine, &route.name, content)
     }
 
+    /// Tells how a request of several shards begins while its route is on alarm.
+    pub(super) fn note_probe_begun(&self, now: BootTime, key: RequestKey, actions: &mut Vec<RoutingAction>) {
+        let Some(request) = self.requests.get(&key).filter(|request| request.shards.len() > 1) else {
+            return;
+        };
+        if !self.quarantine.has_alarms() {
+            return;
+        }
+        let alarm_age = self.quarantine.alarm_age(now, RouteDigest::of(&request.route().name));
+        let step = alarm_age.map(|alarm_age| match request.is_probing {
+            true => ProbeStep::Begun { alarm_age },
+            false => ProbeStep::Needless { alarm_age },
+        });
+        actions.extend(step.map(|step| RoutingAction::Probe { request: key, step }));
+    }
+
     /// The shard that a request is sent to first.
     pub(super) fn first_shard(&mut self, request: &Request) -> usize {
         match request.is_probing {
@@ -38,11 +54,19 @@
     }
 
     /// When the other shards of a request may be sent at the latest; `None` when they may be sent now.
-    pub(super) fn probed_until(&mut self, now: BootTime, key: RequestKey) -> Option<BootTime> {
+    pub(super) fn probed_until(
+        &mut self,
+        now: BootTime,
+        key: RequestKey,
+        actions: &mut Vec<RoutingAction>,
+    ) -> Option<BootTime> {
         let request = self.requests.get_mut(&key).filter(|request| request.is_probing)?;
         let probe = request.attempts.iter().find(|attempt| attempt.is_open)?;
         let until = probe.harmless_at;
         request.is_probing = now < until;
+        if !request.is_probing {
+            actions.push(RoutingAction::Probe { request: key, step: ProbeStep::Silent });
+        }
         request.is_probing.then_some(until)
     }
 
@@ -69,6 +93,7 @@
             return;
         };
         request.is_probing = false;
+        actions.push(RoutingAction::Probe { request: key, step: ProbeStep::Answered });
         for shard in &mut request.shards {
             if let Some(Waiting { reason: SendReason::First, retry_at }) = &mut shard.waiting {
                 *retry_at = now;
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -172,6 +172,13 @@
         /// Whether the alarm begins.
         is_raised: bool,
     },
+    /// A request came while its route was on alarm, or its first probe has moved on; for the log alone.
+    Probe {
+        /// Which request.
+        request: RequestKey,
+        /// What happened.
+        step: ProbeStep,
+    },
     /// The final word on a request.
     Finish {
         /// Which.
@@ -181,6 +188,45 @@
     },
 }
 
+/// A step of a request that came while its route was on alarm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeStep {
+    /// One shard is sent first.
+    Begun {
+        /// Time since the newest loss that raised the alarm.
+        alarm_age: Duration,
+    },
+    /// All shards are sent at once, since a searcher has answered the same content lately.
+    Needless {
+        /// Time since the newest loss that raised the alarm.
+        alarm_age: Duration,
+    },
+    /// A shard has answered: the others are sent.
+    Answered,
+    /// The shard that was sent first is silent for longer than usual work takes: the others are sent.
+    Silent,
+}
+
+impl ProbeStep {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            ProbeStep::Begun { .. } => "begun",
+            ProbeStep::Needless { .. } => "needless",
+            ProbeStep::Answered => "answered",
+            ProbeStep::Silent => "silent",
+        }
+    }
+
+    /// Time since the newest loss that raised the alarm, where a request has just come.
+    pub fn alarm_age(self) -> Option<Duration> {
+        match self {
+            ProbeStep::Begun { alarm_age } | ProbeStep::Needless { alarm_age } => Some(alarm_age),
+            ProbeStep::Answered | ProbeStep::Silent => None,
+        }
+    }
+}
+
 /// Why an attempt's answer is no longer wanted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AbandonCause {
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -288,6 +288,7 @@
             | RoutingAction::Suspicion { .. }
             | RoutingAction::SendQuotas { .. }
             | RoutingAction::Alarm { .. }
+            | RoutingAction::Probe { .. }
             | RoutingAction::Quota(_) => None,
         }
     }
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -14,7 +14,9 @@
 use staircross_routing::configuration::definition::{GatherTarget, WeightedService};
 use staircross_routing::decision::admission::AdmissionChange;
 use staircross_routing::decision::extra_budget::ExtraBound;
-use staircross_routing::engine::{AbandonCause, HoldCause, LeftOutCause, SendOrder, SendReason, UnsentCause};
+use staircross_routing::engine::{
+    AbandonCause, HoldCause, LeftOutCause, ProbeStep, SendOrder, SendReason, UnsentCause,
+};
 use staircross_routing::recording::{Decision, RecordedEvent, RecordedTurn};
 use staircross_routing::{
     Arrival, AttemptKey, AttemptOutcome, CallerLimits, CallerLink, ColdBound, ColdStart, ConfigurationView, ContentKey,
@@ -53,6 +55,8 @@
     pub quota_changes: Vec<QuotaChange>,
     /// Routes whose alarms were raised, or ended.
     pub alarms: Vec<(String, bool)>,
+    /// What became of requests that came while their route was on alarm.
+    pub probe_steps: Vec<(RequestKey, ProbeStep)>,
     /// All that was told and decided.
     pub turns: Vec<RecordedTurn>,
     paths: HashMap<RequestKey, String>,
@@ -168,6 +172,7 @@
             quota_told: Vec::new(),
             quota_changes: Vec::new(),
             alarms: Vec::new(),
+            probe_steps: Vec::new(),
             turns: Vec::new(),
             paths: HashMap::new(),
             next_request: 1,
@@ -220,6 +225,7 @@
                 RoutingAction::Quota(change) => self.quota_changes.push(change),
                 RoutingAction::Suspicion { change, .. } => self.suspicions.push(change),
                 RoutingAction::Alarm { route, is_raised } => self.alarms.push((route.to_string(), is_raised)),
+                RoutingAction::Probe { request, step } => self.probe_steps.push((request, step)),
                 RoutingAction::Finish { request, verdict } => {
                     self.finished.push((request, verdict));
                     self.finished_at.push(self.now);
--- a/crates/staircross-routing/tests/pinned/journal.rs
+++ b/crates/staircross-routing/tests/pinned/journal.rs
@@ -102,6 +102,7 @@
         }
         RoutingAction::Quota(change) => ("quota changed".into(), quota_change(change)),
         RoutingAction::Alarm { route, is_raised } => ("alarm".into(), format!("{route} {is_raised}")),
+        RoutingAction::Probe { request, step } => ("probe".into(), format!("{} {}", request.0, step.name())),
         RoutingAction::Finish { request, verdict } => {
             let (kind, text) = finish(verdict);
             (kind, format!("{} {text}", request.0))
