Show that late ends of searchers cost one of each shard and more

What ends a searcher by its memory or by a loop takes long before it does.

In the same class, whatever takes silence for health: a suspect content is sent to one searcher at a time within one request only. A second request for it, or its caller's next try after leaving, is sent to another while the first is at work.

--- a/crates/staircross-routing/tests/first_probe.rs
+++ b/crates/staircross-routing/tests/first_probe.rs
@@ -19,6 +19,10 @@
 const BROKEN: AttemptOutcome = AttemptOutcome::Unknown(Unknown::Broken);
 /// Time that a run of these tests takes.
 const WORK: Duration = Duration::from_millis(30);
+/// Searchers that a content may end where others of its route were seen to end theirs: the three that prove what it does, and one on its way.
+const ALLOWED: usize = 4;
+/// Latency goal of the routes.
+const GOAL: Duration = Duration::from_millis(250);
 /// Time from a searcher's end until another is in its place.
 const RESTART: Duration = Duration::from_secs(4);
 
@@ -84,12 +88,17 @@
         }
         ended += seen;
     }
+    replace_all(driver);
+    ended
+}
+
+/// Lets the time pass in which searchers that ended are replaced.
+fn replace_all(driver: &mut Driver) {
     driver.pass(RESTART);
     for shard in SHARDS {
         let again = searcher(&format!("{shard}-{}", driver.now.since(BootTime::default()).as_millis()), shard, "a");
         driver.event(RoutingEvent::Searchers(vec![again]));
     }
-    ended
 }
 
 #[test]
@@ -153,6 +162,69 @@
     assert_eq!(first, 10);
 }
 
+/// Two tries of a request whose searchers work for `delay` before they end, whatever becomes of the request meanwhile. Others take their places
+/// afterwards. Returns how many ended.
+fn end_all_late(driver: &mut Driver, content: ContentKey, delay: Duration) -> usize {
+    let begun = driver.sends.len();
+    let mut ended = begun;
+    for _ in 0..2 {
+        let request = ask(driver, "/all/x", content);
+        while driver.verdict(request).is_none() || ended < driver.sends.len() {
+            driver.pass_ms(1);
+            while driver.sent_at.get(ended).is_some_and(|sent_at| driver.now.since(*sent_at) >= delay) {
+                driver.end(driver.sends[ended].attempt, BROKEN);
+                ended += 1;
+            }
+        }
+    }
+    replace_all(driver);
+    ended - begun
+}
+
+/// What ends a searcher by its memory or by a loop takes long before it does: silence says nothing of a request's harm.
+#[test]
+fn late_ends_cost_hardly_more_searchers_than_early_ones() {
+    for delay_ms in [20, 100, 250, 600] {
+        let mut driver = driver();
+        let delay = Duration::from_millis(delay_ms);
+        end_all_late(&mut driver, ContentKey(1), delay);
+        for number in 2..6 {
+            let ended = end_all_late(&mut driver, ContentKey(number), delay);
+            assert!(ended <= ALLOWED, "{ended} searchers ended under content {number}, each after {delay_ms} ms");
+        }
+    }
+}
+
+/// A searcher that stands still for a moment isn't waited for longer than it takes to see that another one answers.
+#[test]
+fn a_harmless_request_whose_first_shard_stands_still_is_answered_within_its_goal() {
+    let mut driver = driver();
+    end_all(&mut driver, ContentKey(1));
+    let request = ask(&mut driver, "/all/new", ContentKey(100));
+    let silent = driver.sent_for(request)[0].clone();
+    let began = driver.now;
+    let mut answered = vec![silent.attempt];
+    while driver.verdict(request).is_none() && driver.now.since(began) < GOAL * 2 {
+        driver.pass_ms(1);
+        let is_due = |at: &BootTime| driver.now.since(*at) >= WORK;
+        let due: Vec<SendOrder> = driver
+            .sends
+            .iter()
+            .zip(&driver.sent_at)
+            .filter(|(_, at)| is_due(at))
+            .map(|(order, _)| order.clone())
+            .collect();
+        for order in due.into_iter().filter(|order| order.attempt.request == request) {
+            if !answered.contains(&order.attempt) {
+                answered.push(order.attempt);
+                driver.end(order.attempt, part(&order));
+            }
+        }
+    }
+    assert!(driver.now.since(began) <= GOAL, "{:?}", driver.now.since(began));
+    assert!(matches!(driver.verdict(request), Some(Verdict::Merged(merged)) if merged.missing == 0));
+}
+
 #[test]
 fn after_a_loss_another_searcher_is_asked_alone() {
     let mut driver = driver();
--- a/crates/staircross-routing/tests/quarantine.rs
+++ b/crates/staircross-routing/tests/quarantine.rs
@@ -146,6 +146,33 @@
     assert_eq!(driver.refusal(fourth), Some(ErrorKind::Quarantined));
 }
 
+/// Whose request it is doesn't matter: a searcher that is at work on a suspect content hasn't shown yet that it outlives it.
+#[test]
+fn a_suspect_content_is_sent_to_nobody_while_a_searcher_is_at_work_on_it_for_another_request() {
+    for is_first_caller_gone in [false, true] {
+        let mut driver = driver();
+        let first = ask(&mut driver, "/one/x", DEADLY);
+        for number in 0..2 {
+            driver.pass_ms(5);
+            let order = driver.sent_for(first)[number].clone();
+            driver.end(order.attempt, BROKEN);
+        }
+        let at_work = driver.sent_for(first)[2].clone();
+        if is_first_caller_gone {
+            driver.event(RoutingEvent::CallerGone(first));
+        }
+        driver.pass_ms(50);
+        let second = ask(&mut driver, "/one/x", DEADLY);
+        driver.pass_ms(50);
+        assert!(driver.sent_for(second).is_empty(), "the first one's caller is gone: {is_first_caller_gone}");
+        driver.end(at_work.attempt, part(&at_work));
+        driver.pass_ms(20);
+        let order = driver.sent_for(second)[0].clone();
+        driver.end(order.attempt, part(&order));
+        assert!(matches!(driver.verdict(second), Some(Verdict::Passed(_))));
+    }
+}
+
 #[test]
 fn after_an_hour_one_searcher_tells_whether_it_still_holds() {
     let mut driver = driver();
