Let only an answer end a first probe

Callers met outages of whole shards: while a route is on alarm, a further request whose searchers end late ended 16 or 17 of them, more than without any alarm, since the shard asked first counted as healthy once it had been silent for three times the usual work.

Now only an answer sends the others. While all that were asked are silent, one more shard is asked, each time after twice as long, and nothing is hedged. It holds because nothing else says that a searcher outlives a request, and the pauses bound how many meet one that lives long before its end. A test that asked for the opposite (all others after four times the usual work) is replaced by one that asks for each sending's time.

Weighed: never before an answer (a dark shard would hold up a tenth of the harmless), a second searcher of the same shard (spends the budget, no help where the shard is dark), a fixed pause (600 ms meet eight searchers).

--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -198,7 +198,8 @@
     fn new_request(&self, now: BootTime, arrival: &Arrival, admitted: Admitted) -> Request {
         let route = &admitted.table.definition().routes[admitted.route_index];
         let answer_by = answer_by(now, self.goal_of(route, arrival), arrival.waited, admitted.deadline);
-        let is_probing = admitted.services.len() > 1 && self.is_to_be_probed(now, route, arrival.content);
+        let has_others = admitted.services.len() > 1;
+        let probe = has_others.then(|| self.new_probe(now, route, arrival.content)).flatten();
         Request {
             route_index: admitted.route_index,
             tenant: admitted.tenant,
@@ -214,7 +215,7 @@
             is_answered: false,
             is_past_goal: false,
             wake_at: None,
-            is_probing,
+            probe,
             table: admitted.table,
         }
     }
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -6,7 +6,6 @@
 use super::{ReportedAt, RoutingAction, RoutingEngine, SendOrder, SendReason, SentAttempt, UnsentCause};
 use crate::decision::allowed_regions::AllowedRegions;
 use crate::decision::extra_budget::is_paid;
-use crate::decision::first_probe::HARMLESS_WORK_FACTOR;
 use crate::decision::giving_up::DEADLINE_GUARD;
 use crate::decision::hedging::{HedgeTimes, hedge_delay_factor};
 use crate::decision::placement::{Choice, choose};
@@ -19,8 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// An attempt is overdue after the round trip and so many times the usual work of its searcher. Not measured; chosen
-/// later than the earliest hedge and earlier than [`HARMLESS_WORK_FACTOR`].
+/// An attempt is overdue after the round trip and so many times the usual work of its searcher: later than the earliest hedge.
 const OVERDUE_FACTOR: f64 = 2.2;
 /// Wait for a connection, the round trips besides. Not measured; chosen for a searcher's process that gets no turn for a while.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(100);
@@ -83,9 +81,9 @@
         if self.waits_for_trial(now, request) {
             return Err(self.postpone_suspect(now, key, shard_index, reason, actions));
         }
-        match self.probed_until(now, key, actions) {
-            Some(until) => Err(self.postpone_for_probe(now, key, shard_index, reason, until)),
-            None => Ok(()),
+        match self.is_held_by_probe(now, request, reason) {
+            true => Err(self.postpone_for_probe(now, key, shard_index, reason)),
+            false => Ok(()),
         }
     }
 
@@ -162,9 +160,11 @@
         shard.outstanding += 1;
         shard.tried.push(sending.searcher);
         let hedge_at = times.hedge_at(now, request.answer_by);
-        let harmless_at = now + times.round_trip + work.mul_f64(HARMLESS_WORK_FACTOR);
+        if let Some(probe) = &mut request.probe {
+            probe.note_sent(now, times.round_trip, work);
+        }
         let shard = sending.shard_index as u32;
-        request.attempts.push(Attempt { shard, hedge_at, harmless_at, is_open: true, is_resolved: false });
+        request.attempts.push(Attempt { shard, hedge_at, is_open: true, is_resolved: false });
         let sent = SentAttempt {
             searcher: sending.searcher,
             route: request.route().name.clone(),
@@ -235,7 +235,9 @@
         let hedges = request.attempts.iter().filter(|attempt| attempt.is_open).map(|attempt| attempt.hedge_at);
         let retries = request.shards.iter().filter_map(|shard| shard.waiting).map(|waiting| waiting.retry_at);
         let answer_by = (!request.is_past_goal).then_some(request.answer_by);
-        let due = hedges.chain(retries).chain(answer_by).min().unwrap_or(request.deadline).min(request.deadline);
+        let probe = request.probe.map(|probe| probe.next_at());
+        let due =
+            hedges.chain(retries).chain(answer_by).chain(probe).min().unwrap_or(request.deadline).min(request.deadline);
         if request.wake_at.is_none_or(|at| due < at) {
             request.wake_at = Some(due);
             self.wakes.push(Reverse((due, key)));
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -101,9 +101,10 @@
             AttemptOutcome::Answered(answer) => Some(answer),
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) | AttemptOutcome::Cancelled => None,
         };
-        request.is_answered |= answer.as_ref().is_some_and(|answer| retry::is_run_to_its_end(answer));
+        let is_outlived = answer.as_ref().is_some_and(|answer| retry::is_run_to_its_end(answer));
+        request.is_answered |= is_outlived;
         match (step, answer) {
-            (NextStep::TakePart, Some(answer)) => self.take_part(now, key, shard, answer, actions),
+            (NextStep::TakePart, Some(answer)) => self.take_part(key, shard, answer, actions),
             (NextStep::SendAgain(reason), failure) => self.try_again(now, key, shard, reason, failure, actions),
             (NextStep::NotRepeatable, failure) => {
                 self.note_unsent(key, shard, SendReason::Retry, UnsentCause::NotRepeatable, actions);
@@ -111,12 +112,15 @@
             }
             (NextStep::GiveUp | NextStep::TakePart, failure) => self.give_up(key, shard, failure),
         }
+        match is_outlived {
+            true => self.end_probe(now, key, actions),
+            false => self.widen_probe(now, key, actions),
+        }
     }
 
     /// A shard's part is in: nothing more is done for it.
     fn take_part(
         &mut self,
-        now: BootTime,
         key: RequestKey,
         shard: usize,
         answer: Box<SearcherAnswer>,
@@ -126,7 +130,6 @@
             request.shards[shard].state = ShardState::In(answer);
         }
         self.abandon_shard(key, shard, actions);
-        self.end_probe(now, key, actions);
     }
 
     fn note_may_have_run(&mut self, key: RequestKey) {
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -24,6 +24,7 @@
         }
         self.hedge(now, key, actions);
         self.retry_due(now, key, actions);
+        self.widen_probe(now, key, actions);
         if let Some(request) = self.requests.get_mut(&key) {
             request.is_past_goal |= now >= request.answer_by;
         }
--- a/crates/staircross-routing/src/engine/waiting.rs
+++ b/crates/staircross-routing/src/engine/waiting.rs
@@ -159,7 +159,7 @@
     }
 
     /// Sends a shard that has waited, has it wait on, or gives it up. Returns whether those behind it may be sent.
-    fn send_waiting(
+    pub(super) fn send_waiting(
         &mut self,
         now: BootTime,
         key: RequestKey,
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -203,8 +203,8 @@
     },
     /// A shard has answered: the others are sent.
     Answered,
-    /// The shard that was sent first is silent for longer than usual work takes: the others are sent.
-    Silent,
+    /// Those that were sent have ended, or are silent for longer than usual work takes: one more is sent.
+    Widened,
 }
 
 impl ProbeStep {
@@ -214,7 +214,7 @@
             ProbeStep::Begun { .. } => "begun",
             ProbeStep::Needless { .. } => "needless",
             ProbeStep::Answered => "answered",
-            ProbeStep::Silent => "silent",
+            ProbeStep::Widened => "widened",
         }
     }
 
@@ -222,7 +222,7 @@
     pub fn alarm_age(self) -> Option<Duration> {
         match self {
             ProbeStep::Begun { alarm_age } | ProbeStep::Needless { alarm_age } => Some(alarm_age),
-            ProbeStep::Answered | ProbeStep::Silent => None,
+            ProbeStep::Answered | ProbeStep::Widened => None,
         }
     }
 }
--- a/crates/staircross-routing/src/state/request.rs
+++ b/crates/staircross-routing/src/state/request.rs
@@ -4,6 +4,7 @@
 use crate::configuration::table::RouteTable;
 use crate::configuration::tenants::{Credential, SentIdentity, TenantDefinition};
 use crate::decision::allowed_regions::AllowedRegions;
+use crate::decision::first_probe::FirstProbe;
 use crate::keys::{ContentKey, RequestKey, SearcherKey, TenantKey};
 use crate::state::report::SearcherReport;
 use serde::{Deserialize, Serialize};
@@ -307,8 +308,6 @@
     pub shard: u32,
     /// When another searcher may be asked besides.
     pub hedge_at: BootTime,
-    /// From when on a run that goes on counts as harmless.
-    pub harmless_at: BootTime,
     pub is_open: bool,
     /// Whether its end is known; one that was abandoned may have run.
     pub is_resolved: bool,
@@ -343,8 +342,8 @@
     pub is_past_goal: bool,
     /// The next time at which it is looked at; looks that were scheduled for later are void.
     pub wake_at: Option<BootTime>,
-    /// Whether one shard is asked first, since others of its route have ended searchers lately.
-    pub is_probing: bool,
+    /// Set while none of its shards has answered, where others of its route have ended searchers lately.
+    pub probe: Option<FirstProbe>,
 }
 
 impl Request {
@@ -388,6 +387,11 @@
         self.shards.iter().filter(|shard| shard.is_open()).count()
     }
 
+    /// Attempts whose answers are waited for.
+    pub fn attempts_at_work(&self) -> usize {
+        self.attempts.iter().filter(|attempt| attempt.is_open).count()
+    }
+
     /// Whether its key was revoked while it isn't known yet whether anything of it runs: the next end of an attempt shows.
     pub fn is_unclear(&self) -> bool {
         let is_anything_out = || self.attempts.iter().any(|attempt| attempt.is_open);
--- a/crates/staircross-routing/tests/first_probe.rs
+++ b/crates/staircross-routing/tests/first_probe.rs
@@ -150,14 +150,27 @@
     assert!(first.len() >= 5, "{first:?}");
 }
 
+/// Silence says nothing of a content: another searcher is asked now and then, so that one that stands still holds up nobody, and the
+/// others when any has answered.
 #[test]
-fn the_others_are_asked_when_the_first_outlives_what_usual_runs_take() {
+fn while_nobody_answers_one_more_shard_is_asked_each_time_later_and_later() {
     let mut driver = driver();
     end_all(&mut driver, ContentKey(1));
     let request = ask(&mut driver, "/all/new", ContentKey(100));
-    driver.pass(WORK * 2);
-    assert_eq!(driver.sent_for(request).len(), 1);
-    driver.pass(WORK * 2);
+    let begun = driver.now;
+    driver.pass(Duration::from_secs(2));
+    let of_request = |index: &usize| driver.sends[*index].attempt.request == request;
+    let sent = (0..driver.sends.len()).filter(of_request).map(|index| driver.sent_at[index].since(begun).as_millis());
+    let sent: Vec<u128> = sent.collect();
+    let gaps: Vec<u128> = sent.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(gaps[0].abs_diff(WORK.as_millis() * 3) <= WORK.as_millis() / 2, "{sent:?}");
+    assert!(gaps.windows(2).all(|pair| pair[1].abs_diff(pair[0] * 2) <= 2), "{sent:?}");
+    let orders: Vec<SendOrder> = driver.sent_for(request).into_iter().cloned().collect();
+    let mut shards: Vec<&str> = orders.iter().filter_map(|order| order.instance.split('-').next()).collect();
+    shards.sort_unstable();
+    shards.dedup();
+    assert_eq!(shards.len(), 5, "each time another shard, five in two seconds");
+    driver.end(orders[2].attempt, part(&orders[2]));
     let first = driver.sent_for(request).into_iter().filter(|order| order.reason == SendReason::First).count();
     assert_eq!(first, 10);
 }
