Count every request's attempt in the trial of a suspect content

A caller's next try ended one more searcher each time while an earlier one was still at work: a content with two losses goes to one searcher at a time, but only the request's own open attempts were looked at.

Cause: the attempt of a caller who has left, or of another request for the same content, doesn't count as open. All attempts in flight at the node count now until their end is known. It holds because they are forgotten only with their connections. Not covered: other nodes' attempts.

The test failed before (an attempt of the second request at once).

--- a/crates/staircross-routing/src/engine/suspicion.rs
+++ b/crates/staircross-routing/src/engine/suspicion.rs
@@ -31,10 +31,11 @@
         self.quarantine.records(now)
     }
 
-    /// Whether a request must wait for the end of its one attempt in flight.
+    /// Whether a request must wait for the end of an attempt in flight, be it another request's: a searcher that is at work on a suspect content
+    /// hasn't outlived it yet, whoever waits for its answer.
     pub(super) fn waits_for_trial(&self, now: BootTime, request: &Request) -> bool {
-        let is_tried = request.attempts.iter().any(|attempt| attempt.is_open);
-        is_tried && self.suspicion(now, request.content) == Suspicion::Suspect
+        let content = request.content;
+        self.suspicion(now, content) == Suspicion::Suspect && self.sent.values().any(|sent| sent.content == content)
     }
 
     /// Has a shard of a suspect request wait, unless a searcher is at work on it already.
--- a/crates/staircross-routing/tests/quarantine.rs
+++ b/crates/staircross-routing/tests/quarantine.rs
@@ -150,6 +150,9 @@
 }
 
 /// Whose request it is doesn't matter: a searcher that is at work on a suspect content hasn't shown yet that it outlives it.
+///
+/// Seen: a second searcher was asked while the third was at work on the content, for another request or after its caller had left. Why: only the
+/// request's own attempts were looked at. Shown by this test on the code before: an attempt of the second request at once.
 #[test]
 fn a_suspect_content_is_sent_to_nobody_while_a_searcher_is_at_work_on_it_for_another_request() {
     for is_first_caller_gone in [false, true] {
