Look for a tenant's answered contents where they are noted

On alarm a tenant's request waited for one shard's answer even where a searcher had answered the same request a moment before: the wait that first probes should cost only what nobody has answered. Answers are noted under the content of the tenant and were looked for under that of nobody. Both use the tenant's now; no other place reads the content without its tenant. The test failed before (one shard sent, two due). Without tenants nothing changes.

--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -199,7 +199,7 @@
         let route = &admitted.table.definition().routes[admitted.route_index];
         let answer_by = answer_by(now, self.goal_of(route, arrival), arrival.waited, admitted.deadline);
         let has_others = admitted.services.len() > 1;
-        let probe = has_others.then(|| self.new_probe(now, route, arrival.content)).flatten();
+        let probe = has_others.then(|| self.new_probe(now, route, admitted.content)).flatten();
         Request {
             route_index: admitted.route_index,
             tenant: admitted.tenant,
--- a/crates/staircross-routing/tests/tenants.rs
+++ b/crates/staircross-routing/tests/tenants.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use common::{Driver, answer, definition, gather, records, route, searcher};
+use staircross_routing::decision::quarantine::Quarantine;
 use staircross_routing::engine::{RoutingEvent, SendReason, UnsentCause};
 use staircross_routing::state::request::Unknown;
 use staircross_routing::{
-    Arrival, AttemptOutcome, ConfigurationView, ContentKey, Credential, KeyDigest, NotRun, RequestKey, RouteTable,
-    RouteTarget, RoutingDefinition, SearcherEntry, SentIdentity, TenantDefinition, Verdict,
+    Arrival, AttemptOutcome, ConfigurationView, ContentKey, Credential, InstanceKey, KeyDigest, LostAttempt, NotRun,
+    RequestKey, RouteDigest, RouteTable, RouteTarget, RoutingDefinition, SearcherEntry, SentIdentity, TenantDefinition,
+    Verdict,
 };
 use staircross_types::{ErrorKind, Quota};
 use std::sync::Arc;
@@ -271,6 +273,40 @@
     assert_ne!(driver.refusal(others), Some(ErrorKind::Quarantined));
 }
 
+/// Three searchers were lost at a peer, one after the other, under one content of the route `both`.
+fn alarm(driver: &mut Driver) {
+    let mut peer = Quarantine::default();
+    for number in 0..3 {
+        let sent_at = driver.now;
+        driver.pass_ms(10);
+        let (content, route, searcher) = (ContentKey(66), RouteDigest::of("both"), InstanceKey(number));
+        peer.note_lost(driver.now, LostAttempt { content, route, searcher, sent_at });
+    }
+    driver.event(RoutingEvent::PeerCases(peer.records(driver.now)));
+}
+
+/// Seen: on alarm each request of a tenant was tried on one shard first, also one that had just been answered. Why: answers are noted under the content
+/// of the tenant, and were looked for under that of nobody. Shown by `probe step=begun` where `step=needless` is due.
+#[test]
+fn what_was_answered_for_a_tenant_goes_to_all_shards_at_once_during_an_alarm() {
+    let mut driver = with_kami();
+    alarm(&mut driver);
+    let mut ask_again = || {
+        let mut arrival = driver.arrival("/both/harmless");
+        (arrival.credential, arrival.content) = (credential(KEY), ContentKey(77));
+        let request = arrival.key;
+        driver.event(RoutingEvent::Arrived(arrival));
+        let sent = driver.sent_for(request).len();
+        while driver.verdict(request).is_none() {
+            let orders: Vec<_> = driver.sent_for(request).into_iter().cloned().collect();
+            orders.iter().for_each(|order| driver.end(order.attempt, answer(200, &order.instance, records(&[1]))));
+        }
+        sent
+    };
+    assert_eq!(ask_again(), 1, "nobody has answered it yet");
+    assert_eq!(ask_again(), 2, "it was answered");
+}
+
 fn ask_in_view(driver: &mut Driver, path: &str, key: &str, view: ConfigurationView) -> RequestKey {
     let arrival = Arrival { credential: credential(key), view, newest_version: 2, ..driver.arrival(path) };
     let request = arrival.key;
