Have the quota model name admissions by kind, and search at the moment of a fault

The search of schedules drew the rise of demand from a span of 4.5 s and hardly met the fault; it said 'none beyond the bound'.

The model now names the admissions of the worst window: by the owner, by a granted fraction, without a limit, at a node whose owner can't be reached and that doesn't know it (unheard), and alone. So it isn't two owners at once nor the owner's burst: it is the time in which each node finds out by itself, by a request that it admits.

--- a/crates/staircross-quota/tests/bound.rs
+++ b/crates/staircross-quota/tests/bound.rs
@@ -2,7 +2,7 @@
 
 mod model;
 
-use model::{Callers, Fault, Outcome, Schedule, Scheme, World};
+use model::{Callers, FAULT_S, Fault, Outcome, Schedule, Scheme, World};
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::{RngSeed, TestRunner};
@@ -43,6 +43,11 @@
     }
 }
 
+/// Demand rises within a second of the fault, before it or after it.
+fn schedule_about_the_fault() -> impl Strategy<Value = Schedule> {
+    (schedule(), FAULT_S - 1.0..FAULT_S + 1.0).prop_map(|(schedule, hot_s)| Schedule { hot_s, ..schedule })
+}
+
 /// The property tests play the same schedules each time; others are looked for by `figures_of_the_worst_schedules`.
 const SCHEDULES: u64 = 1;
 /// Most that a tenant asks, in times its rate: nine times a usual demand of 1 / 1.6.
@@ -57,6 +62,12 @@
         prop_assert!(outcome.worst <= 1.0, "{outcome:?}");
     }
 
+    #[test]
+    fn admissions_stay_within_the_bound_where_demand_rises_about_a_fault(schedule in schedule_about_the_fault()) {
+        let outcome = World::new(schedule, Scheme::Owner).run();
+        prop_assert!(outcome.worst <= 1.0, "{outcome:?}");
+    }
+
     #[test]
     fn tenants_below_their_rate_are_not_refused_in_quiet_times(schedule in schedule()) {
         // It asks for more than it sends, so that it sends as much as it may, and unevenly.
@@ -70,8 +81,10 @@
     }
 }
 
-/// Demand rises as nodes are cut off or end: each node without an owner admits a request or two before it knows, and the others' whole burst
-/// comes on top.
+/// Demand rises as nodes are cut off or end. Seen: 1.40 and 1.08 of the permitted excess, on later code 1.26 and 0.59. Why: when a tenant's owner
+/// can't be reached, each node finds that out by itself, by a request that it admits and by half a second without an answer; the nodes of a large
+/// fleet admit one request and more each before they know. Shown by the worst windows' admissions by kind (`WorstWindow`): of the first schedule's 70, 58
+/// are of nodes whose owner is unreachable and that don't know it, 10 of the time before the fault, one of the owner.
 #[test]
 fn a_rise_of_demand_at_the_moment_of_a_cut_stays_within_the_bound() {
     let schedule = |seed, nodes, rate_per_s, burst, usual, hot, hot_s, fault, lost, doubled| {
@@ -110,6 +123,165 @@
     }
 }
 
+/// Other schedules in which demand rises within a second of a fault, from seven searches of 10,000 schedules each (`figures_of_the_worst_schedules`, seeds
+/// 101 to 107); on the code that was searched they reached 1.62 to 1.16 of the permitted excess.
+#[test]
+fn a_rise_of_demand_within_a_second_of_a_fault_stays_within_the_bound() {
+    let schedule = |seed, nodes, rate_per_s, burst, usual, hot, hot_s, fault, lost, doubled| {
+        let (quota, callers) = (Quota { rate_per_s, burst }, Callers::Spread);
+        Schedule { seed, nodes, quota, usual, hot, hot_s, callers, fault, lost, doubled, keeps_to: None }
+    };
+    let schedules = [
+        schedule(
+            13786871040143935473,
+            78,
+            6.0,
+            5.93975997234222,
+            0.7800932748486672,
+            7.2106761862435125,
+            10.222859433875547,
+            Fault::ThirdCut,
+            0.09540536212250489,
+            0.035375104953389906,
+        ),
+        schedule(
+            12415334169904583175,
+            75,
+            12.0,
+            7.871052316074552,
+            0.7904595176302611,
+            7.116113949596473,
+            9.792526644076062,
+            Fault::ThirdCut,
+            0.07105440546697886,
+            0.07921001715678198,
+        ),
+        schedule(
+            8596447397739239276,
+            79,
+            12.0,
+            7.68206123660925,
+            0.7613046983550438,
+            7.332261723943876,
+            9.244860027411512,
+            Fault::ThirdCut,
+            0.0867630232268441,
+            0.020264872058616365,
+        ),
+        schedule(
+            2394567240069329223,
+            66,
+            6.0,
+            4.99116115060731,
+            0.7929394033285941,
+            7.093858592961106,
+            8.526122948597664,
+            Fault::KillFifth,
+            0.008777625057494062,
+            0.07529840565371311,
+        ),
+        schedule(
+            2936975035052657148,
+            71,
+            6.0,
+            10.427550941552148,
+            0.838818614515432,
+            6.705859768323626,
+            10.021977388002478,
+            Fault::Halves,
+            0.09571239444197671,
+            0.06421470682480869,
+        ),
+        schedule(
+            16377980617064979227,
+            62,
+            12.0,
+            14.42572689139152,
+            0.8917266949663484,
+            6.307986552104144,
+            9.915530601131156,
+            Fault::Halves,
+            0.05382378031153918,
+            4.901193452864291e-5,
+        ),
+        schedule(
+            12201847288972569309,
+            63,
+            12.0,
+            7.618805022179817,
+            0.7514512672684006,
+            7.485515355436726,
+            10.547480560038297,
+            Fault::ThirdCut,
+            0.00119716018964014,
+            0.008154263767365728,
+        ),
+        schedule(
+            14397022152368407193,
+            53,
+            6.0,
+            7.862318071975224,
+            0.865697241970551,
+            6.497652674965262,
+            10.494657354829386,
+            Fault::Halves,
+            0.013159650412569108,
+            0.009815237449743382,
+        ),
+        schedule(
+            15197783510243021430,
+            67,
+            12.0,
+            11.05169629645686,
+            0.8605626926015725,
+            5.658749845427656,
+            9.728545041826765,
+            Fault::Halves,
+            0.06632491464115586,
+            0.06744855801445608,
+        ),
+        schedule(
+            14291237533804757829,
+            71,
+            12.0,
+            15.584394071963828,
+            0.841127766084415,
+            4.505273313669945,
+            10.05273640938266,
+            Fault::Halves,
+            0.06101301280132474,
+            0.03542348813293169,
+        ),
+        schedule(
+            13946642523305555053,
+            79,
+            12.0,
+            11.733005403579645,
+            0.7245696177502503,
+            7.052297841671498,
+            10.077074867316831,
+            Fault::Halves,
+            0.08731424968847405,
+            0.015772504311576497,
+        ),
+        schedule(
+            18112655931698611471,
+            68,
+            12.0,
+            8.183588129058005,
+            0.828925521161233,
+            6.7858931308086605,
+            10.030758772797471,
+            Fault::Halves,
+            0.06778620894938564,
+            0.05922001296370863,
+        ),
+    ];
+    let played = schedules.map(|schedule| (World::new(schedule.clone(), Scheme::Owner).run(), schedule));
+    let beyond: Vec<_> = played.iter().filter(|(outcome, _)| outcome.worst > 1.0).collect();
+    assert!(beyond.is_empty(), "{} of {}: {beyond:#?}", beyond.len(), played.len());
+}
+
 /// Schedules of searches in which an earlier state of this code exceeded the bound, each by another weakness.
 #[test]
 fn schedules_that_exceeded_the_bound_once_stay_within_it() {
@@ -166,12 +338,19 @@
     }
 }
 
-/// `cargo test --release -p staircross-quota --test bound -- --ignored --nocapture`
+/// `SEARCH_SEED=7 cargo test --release -p staircross-quota --test bound -- --ignored --nocapture`
 #[test]
 #[ignore = "prints figures for the design note"]
 fn figures_of_the_worst_schedules() {
-    let mut runner = TestRunner::deterministic();
-    let strategy = schedule();
+    print_the_worst(schedule());
+    print_the_worst(schedule_about_the_fault());
+}
+
+/// Plays schedules drawn from a seed of the environment, or from the fixed one, and prints the worst.
+fn print_the_worst(strategy: impl Strategy<Value = Schedule>) {
+    let seed = std::env::var("SEARCH_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES);
+    let config = ProptestConfig { rng_seed: RngSeed::Fixed(seed), ..ProptestConfig::default() };
+    let mut runner = TestRunner::new(config);
     let mut played: Vec<(Schedule, Outcome)> = (0..CENSUS)
         .map(|_| {
             let tree = strategy.new_tree(&mut runner).expect("schedules have no filter");
@@ -183,7 +362,8 @@
     let beyond = played.iter().filter(|(_, outcome)| outcome.worst > 1.0).count();
     println!("{beyond} of {CENSUS} schedules beyond the bound");
     for (schedule, outcome) in played.iter().take(12) {
-        println!("{:.2} lost {:.3} {schedule:?}", outcome.worst, outcome.lost / outcome.owed.max(1.0));
+        let lost = outcome.lost / outcome.owed.max(1.0);
+        println!("{:.2} lost {lost:.3} {schedule:?} {:?}", outcome.worst, outcome.window);
     }
 }
 
--- a/crates/staircross-quota/tests/model/mod.rs
+++ b/crates/staircross-quota/tests/model/mod.rs
@@ -2,14 +2,14 @@
 
 mod schedule;
 
-pub use schedule::{Callers, Fault, Outcome, Schedule, Scheme};
+pub use schedule::{Admission, Callers, Fault, Outcome, Schedule, Scheme, WorstWindow};
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use staircross_quota::{FleetAllowance, FleetView, QuotaBound, QuotaEnvelope, QuotaMessage};
+use staircross_quota::{FleetAllowance, FleetView, QuotaBound, QuotaEnvelope, QuotaMessage, QuotaView};
 use staircross_types::{BootTime, NodeId, Quota};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,6 +52,13 @@
     tick: f64,
 }
 
+#[derive(Clone, Copy)]
+struct Admitted {
+    at: f64,
+    node: usize,
+    how: Admission,
+}
+
 pub struct World {
     schedule: Schedule,
     scheme: Scheme,
@@ -61,7 +68,7 @@
     sequence: u64,
     now: f64,
     next_id: u128,
-    admitted: Vec<f64>,
+    admitted: Vec<Admitted>,
     /// Tokens of a bucket that sees everything, and its time.
     reference: Share,
     /// Tokens of a tenant that keeps to a part of its quota.
@@ -130,7 +137,9 @@
             }
             self.handle(event);
         }
-        self.outcome.worst = self.worst_window();
+        let (worst, first, last) = self.worst_window();
+        self.outcome.worst = worst;
+        self.outcome.window = self.window_by_kind(first, last);
         self.outcome
     }
 
@@ -310,13 +319,15 @@
         }
         self.outcome.requests += 1;
         let is_owed = self.is_owed(node);
+        let before = self.nodes[node].allowance.view(time(self.now), TENANT);
         let is_admitted = match self.scheme {
             Scheme::Owner => self.nodes[node].allowance.try_take(time(self.now), TENANT).is_ok(),
             Scheme::FixedShares => self.take_share(node, 0.0),
             Scheme::FixedSharesAndOne => self.take_share(node, 1.0),
         };
         if is_admitted {
-            self.admitted.push(self.now);
+            let how = self.way(node, before);
+            self.admitted.push(Admitted { at: self.now, node, how });
         } else {
             self.outcome.refused += 1;
         }
@@ -358,17 +369,35 @@
         is_admitted
     }
 
-    /// The window with most admissions beyond the quota, by what is permitted.
-    fn worst_window(&self) -> f64 {
+    /// How a node has admitted a request, by what it believed right before.
+    fn way(&self, node: usize, before: Option<QuotaView>) -> Admission {
+        let state = &self.nodes[node];
+        let Some(view) = state.allowance.view(time(self.now), TENANT) else {
+            return Admission::Unlimited;
+        };
+        // A node that takes its first request for the tenant hasn't looked for the owner before.
+        let pass = before.filter(|before| before.owner == view.owner).map_or(1.0, |before| before.pass);
+        let is_reached = |other: &Node| other.id == view.owner && other.is_up && other.group == state.group;
+        match () {
+            () if view.is_stranded => Admission::Alone,
+            () if view.is_owned => Admission::Owner,
+            () if !self.nodes.iter().any(is_reached) => Admission::Unheard,
+            () if pass < 1.0 => Admission::Granted,
+            () => Admission::Unlimited,
+        }
+    }
+
+    /// The window with most admissions beyond the quota, by what is permitted, and the first and last of them.
+    fn worst_window(&self) -> (f64, usize, usize) {
         let window = BOUND.window.as_secs_f64();
         let base = self.schedule.quota;
-        let mut worst = f64::NEG_INFINITY;
+        let mut worst = (f64::NEG_INFINITY, 0, 0);
         let mut first = 0;
-        for (last, end) in self.admitted.iter().enumerate() {
-            while end - self.admitted[first] > window {
+        for (last, Admitted { at: end, .. }) in self.admitted.iter().enumerate() {
+            while end - self.admitted[first].at > window {
                 first += 1;
             }
-            let begin = self.admitted[first];
+            let begin = self.admitted[first].at;
             let quota = match self.schedule.fault {
                 // A lower limit binds a window after every node has it.
                 Fault::QuotaDown if begin >= FAULT_S + 1.0 + window => scaled(base, 1.0 / 3.0),
@@ -376,11 +405,32 @@
                 _ => base,
             };
             let own = quota.rate_per_s * window + quota.burst;
-            let beyond = (last - first + 1) as f64 - own;
-            worst = worst.max(beyond / (own * BOUND.over + BOUND.slack));
+            let beyond = ((last - first + 1) as f64 - own) / (own * BOUND.over + BOUND.slack);
+            if beyond > worst.0 {
+                worst = (beyond, first, last);
+            }
         }
         worst
     }
+
+    fn window_by_kind(&self, first: usize, last: usize) -> WorstWindow {
+        let Some(admitted) = self.admitted.get(first..=last) else {
+            return WorstWindow::default();
+        };
+        let count = |how| admitted.iter().filter(|one| one.how == how).count();
+        let as_owner = admitted.iter().filter(|one| one.how == Admission::Owner);
+        let owners: BTreeSet<usize> = as_owner.map(|one| one.node).collect();
+        WorstWindow {
+            begin: admitted[0].at,
+            end: admitted[admitted.len() - 1].at,
+            owner: count(Admission::Owner),
+            granted: count(Admission::Granted),
+            unlimited: count(Admission::Unlimited),
+            unheard: count(Admission::Unheard),
+            alone: count(Admission::Alone),
+            owners: owners.len(),
+        }
+    }
 }
 
 fn scaled(quota: Quota, factor: f64) -> Quota {
--- a/crates/staircross-quota/tests/model/schedule.rs
+++ b/crates/staircross-quota/tests/model/schedule.rs
@@ -77,11 +77,45 @@
     pub keeps_to: Option<(f64, f64)>,
 }
 
+/// How a node came to admit a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// As the tenant's owner.
+    Owner,
+    /// By the fraction that an owner granted, where that was below 1.
+    Granted,
+    /// With no limit granted.
+    Unlimited,
+    /// By what was granted last, of an owner that it can't reach; the node doesn't know that yet.
+    Unheard,
+    /// On its own, since the owner is silent.
+    Alone,
+}
+
+/// Admissions of the worst window by how they came about.
+#[derive(Clone, Copy, Debug, Default)]
+#[allow(dead_code, reason = "printed")]
+pub struct WorstWindow {
+    /// Seconds.
+    pub begin: f64,
+    /// Seconds.
+    pub end: f64,
+    pub owner: usize,
+    pub granted: usize,
+    pub unlimited: usize,
+    pub unheard: usize,
+    pub alone: usize,
+    /// Nodes that admitted any as the owner.
+    pub owners: usize,
+}
+
 /// What came of a schedule.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outcome {
     /// Requests beyond quota in the worst window, in times what is permitted; 1 is the bound.
     pub worst: f64,
+    /// That window.
+    pub window: WorstWindow,
     /// Requests that a bucket of the quota's rate and burst would have admitted.
     pub owed: f64,
     /// By how much admissions fell behind that bucket's since the start, at most.
