Have nodes find out together that a quota's owner is silent

Each node found out by itself, by a request that it admitted and half a second without an answer, so that the nodes of a large fleet admitted one each and more before they knew.

Mend: (1) the first node whose reports stay unanswered for 200 ms stands in for the owner: it tells the others, which ask the owner at once and, unless it answers, report to the substitute and keep to what it grants. Of several the one that would own the tenant first remains; its first word limits nobody, so that a lost datagram costs no request; the owner's next answer ends it. It grants half of its side's part, since the owner may live and grant the rest. (2) A node that hears no peer at all for 800 ms, four probes of the membership, is on its own before any request has told it.

It holds because what bounds admissions now is one node's half second and not every node's first request. Forms: a grant names whom its sender stands in for; a node of before passes over that, and counts the sender as a rival where it is the owner itself.

The model had a fault of its own: killed nodes went on sending on their timers.

Quiet tenants are refused nothing, as before.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 //! | `announcement` | what each datagram says of its sender |
 //! | `datagrams` | the socket, and datagrams in both directions |
 //! | `readers` | designated readers of the store, heartbeats, the peer that is asked |
+//! | `contact` | whether any peer is heard |
 //! | `confirmation` | until when the configuration is known to have been the newest |
 //! | `shape` | which nodes serve callers, and this node's share of what all spend |
 //!
@@ -15,6 +16,7 @@
 
 mod announcement;
 mod confirmation;
+mod contact;
 mod datagrams;
 mod readers;
 mod shape;
@@ -27,6 +29,7 @@
 use crate::load::is_pressed;
 use crate::settings::NodePolicy;
 use crate::traffic::{Reach, Traffic};
+use contact::Contact;
 use datagrams::PeerSocket;
 use hashbrown::HashMap;
 use mio::net::UdpSocket;
@@ -63,6 +66,11 @@
     },
     /// A peer has lost searchers under requests.
     Cases(Vec<CaseRecord>),
+    /// No peer has been heard for some time, or one is heard again.
+    Isolated {
+        /// Whether none is.
+        is_isolated: bool,
+    },
     /// A peer reports on tenants' quotas.
     Quotas {
         /// The peer.
@@ -114,6 +122,7 @@
     /// When the store last answered a reader of the region, as far as it was heard here.
     reader_heartbeat: Option<BootTime>,
     confirmation: Confirmation,
+    contact: Contact,
     /// Whether peers are sent until when the configuration is confirmed.
     sends_confirmation: bool,
     policy: NodePolicy,
@@ -171,6 +180,7 @@
             store_contact: None,
             reader_heartbeat: None,
             confirmation: Confirmation::default(),
+            contact: Contact::new(now),
             sends_confirmation: false,
             policy: NodePolicy::default(),
             counters: FleetCounters::default(),
@@ -197,7 +207,11 @@
             self.carry_out(actions, events);
         }
         self.announced.retain(|node, _| !self.membership.is_gone(*node));
-        self.live_peak.note(now, self.live().count());
+        let live = self.live().count();
+        self.live_peak.note(now, live);
+        if self.contact.look(now, live > 1) {
+            events.push(FleetEvent::Isolated { is_isolated: true });
+        }
     }
 
     /// Says whether callers may be sent to this node.
--- a/crates/staircross-gateway/src/fleet/datagrams.rs
+++ b/crates/staircross-gateway/src/fleet/datagrams.rs
@@ -75,6 +75,9 @@
         if datagram.to.is_some_and(|to| to != self.node) || datagram.from == self.node {
             return;
         }
+        if self.contact.note_heard(now) {
+            events.push(FleetEvent::Isolated { is_isolated: false });
+        }
         let before = self.announced.insert(datagram.from, datagram.announcement);
         let was_pressed = before.is_some_and(|known| is_pressed(known.load));
         if was_pressed != is_pressed(datagram.announcement.load) {
--- a/crates/staircross-gateway/src/node/knowledge/fleet.rs
+++ b/crates/staircross-gateway/src/node/knowledge/fleet.rs
@@ -65,6 +65,10 @@
                 FleetEvent::Quotas { from, messages } => {
                     self.engine_event(RoutingEvent::PeerQuota { from, messages });
                 }
+                FleetEvent::Isolated { is_isolated } => {
+                    self.log.line(self.now, LineKind::Belief, format_args!("event=isolated isolated={is_isolated}"));
+                    self.engine_event(RoutingEvent::Isolated { is_isolated });
+                }
                 FleetEvent::Cases(records) => self.engine_event(RoutingEvent::PeerCases(records)),
             }
         }
--- a/crates/staircross-gateway/tests/pinned_recordings.rs
+++ b/crates/staircross-gateway/tests/pinned_recordings.rs
@@ -95,6 +95,7 @@
         r#"{"Connected":{"searcher":4,"took":{"secs":0,"nanos":2000}}}"#.to_owned(),
         r#"{"Begun":{"attempt":{"request":3,"number":1}}}"#.to_owned(),
         format!(r#"{{"PeerCases":[{CASE}]}}"#),
+        r#"{"Isolated":{"is_isolated":true}}"#.to_owned(),
         r#"{"PeerQuota":{"from":"h'00000000000000000000000000000002'","messages":[{"w":{"t":5,"s":1,"p":0.25}}]}}"#.to_owned(),
         r#""Tick""#.to_owned(),
     ];
--- a/crates/staircross-quota/src/allowance.rs
+++ b/crates/staircross-quota/src/allowance.rs
@@ -15,8 +15,6 @@
 /// Time from a process's start, at the fleet's first start, during which a tenant's burst is whole: nothing can have been spent of it. Not measured; chosen
 /// longer than a fleet takes to start.
 const FIRST_START: Duration = Duration::from_secs(10);
-/// Time without a refusal after which a tenant counts as free again. Not measured; chosen so that the log doesn't alternate.
-const FREE_AFTER: Duration = Duration::from_secs(3);
 /// Nodes that must be silent for a node to count itself as cut off. Derived: a single one may have ended.
 const ASKED_IF_ALONE: usize = 2;
 
@@ -31,6 +29,8 @@
     pub pass: f64,
     /// Whether this node decides on its own, since the tenant's owner doesn't answer.
     pub is_stranded: bool,
+    /// The node that stands in for an owner that doesn't answer, maybe this one.
+    pub substitute: Option<NodeId>,
 }
 
 /// What this node thinks of a tenant's quota at the moment.
@@ -46,6 +46,8 @@
     pub pass: f64,
     /// Whether this node decides on its own.
     pub is_stranded: bool,
+    /// The node that stands in for an owner that doesn't answer, maybe this one.
+    pub substitute: Option<NodeId>,
 }
 
 /// What one node may admit.
@@ -62,6 +64,8 @@
     wake: Option<BootTime>,
     /// When the first report was sent since the last message of any node, and to which nodes reports went since.
     unanswered: Option<(BootTime, Vec<NodeId>)>,
+    /// Whether no peer's datagram has come for some time.
+    is_isolated: bool,
     /// Requests counted, which random numbers are drawn from.
     draws: u64,
     changes: Vec<QuotaChange>,
@@ -80,6 +84,7 @@
             active: BTreeSet::new(),
             wake: None,
             unanswered: None,
+            is_isolated: false,
             draws: 0,
             changes: Vec::new(),
         }
@@ -118,6 +123,12 @@
         }
     }
 
+    /// Takes whether this node hears nothing from any peer, though they send each other datagrams all the time: it is cut off, and knows it before
+    /// any report of its own goes unanswered.
+    pub fn set_isolated(&mut self, is_isolated: bool) {
+        self.is_isolated = is_isolated;
+    }
+
     /// Takes a token for one request of a tenant.
     pub fn try_take(&mut self, now: BootTime, tenant: &str) -> Result<(), QuotaRefusal> {
         let hash = TenantHash::of(tenant);
@@ -130,11 +141,20 @@
         let is_stranded = is_alone || tenant.is_stranded(now, &self.fleet);
         let taken = match (is_stranded, tenant.owner == self.own) {
             _ if self.fleet.is_starting(now) => tenant.take_starting(now, random),
+            _ if is_alone => tenant.take_stranded(now, &self.fleet, random),
+            _ if tenant.is_acting(now) => tenant.take_acting(now, &self.fleet, random),
             (true, _) => tenant.take_stranded(now, &self.fleet, random),
             (false, true) => tenant.take_owned(now, fleet_fraction, random),
             (false, false) => tenant.take_followed(now, random),
         };
-        note_change(tenant, now, fleet_fraction, is_stranded, taken.is_ok(), &mut self.changes);
+        let is_admitted = taken.is_ok();
+        self.changes.extend(tenant.note_decided(now, is_admitted).map(|is_limited| QuotaChange {
+            tenant: tenant.name.clone(),
+            is_limited,
+            pass: tenant.pass(now, fleet_fraction),
+            is_stranded,
+            substitute: tenant.substitute_or(now, self.own),
+        }));
         self.note_due(hash);
         taken
     }
@@ -159,6 +179,10 @@
         let answer = match self.tenants.get_mut(&report.tenant) {
             Some(tenant) => {
                 tenant.refresh(now, self.own, &self.fleet, is_first);
+                if let Some(grant) = tenant.take_report_acting(now, from, report, &self.fleet) {
+                    envelopes.push(QuotaEnvelope { to: from, message: QuotaMessage::Grant(grant) });
+                    return self.note_due(report.tenant);
+                }
                 let former = report.former.filter(|former| *former != self.own && tenant.is_new_rival(now, *former));
                 envelopes.extend(former.map(|to| QuotaEnvelope { to, message: tenant.claim(now, fleet_fraction) }));
                 tenant.take_report(now, from, report, fleet_fraction)
@@ -169,12 +193,7 @@
         let Some((pass, confirmation)) = answer else {
             return;
         };
-        let grant = QuotaGrant {
-            tenant: report.tenant,
-            granted_at: now.0,
-            pass: pass as f32,
-            confirmation: Some(confirmation),
-        };
+        let grant = QuotaGrant::unsolicited(now, report.tenant, pass).with_confirmation(confirmation);
         envelopes.push(QuotaEnvelope { to: from, message: QuotaMessage::Grant(grant) });
         self.note_due(report.tenant);
     }
@@ -186,10 +205,18 @@
         };
         // The first request here may come while the tenant is limited.
         tenant.refresh(now, self.own, &self.fleet, is_first);
-        if let Some(spender) = &mut tenant.spender {
+        if grant.instead_of.is_some() {
+            let dispute = tenant.take_grant_acting(now, from, self.own, grant).map(QuotaMessage::Grant);
+            let is_owner = grant.instead_of == Some(self.own) && tenant.owner == self.own;
+            let answer = if is_owner { Some(tenant.claim(now, fleet_fraction)) } else { dispute };
+            envelopes.extend(answer.map(|message| QuotaEnvelope { to: from, message }));
+        } else if let Some(spender) = &mut tenant.spender {
             // The grant of a former owner counts no more.
             if spender.owner == from {
                 spender.take_grant(now, grant);
+                if grant.confirmation.is_some() {
+                    tenant.end_acting();
+                }
             }
         } else if grant.confirmation.is_none() && tenant.note_rival(now, from) {
             envelopes.push(QuotaEnvelope { to: from, message: tenant.claim(now, fleet_fraction) });
@@ -210,17 +237,24 @@
                 continue;
             };
             tenant.refresh(now, self.own, &self.fleet, is_first);
-            let (report, due_grant) =
-                (tenant.report(now), tenant.due_grant(now, fleet_fraction, self.fleet.serving().len()));
+            let report = tenant.report(now);
+            if report.is_some() && !self.is_isolated && !self.fleet.is_starting(now) {
+                tenant.stand_in(now);
+            }
+            let due_grant = tenant.due_grant(now, fleet_fraction, self.fleet.serving().len());
+            let granted = due_grant.map(|pass| QuotaGrant::unsolicited(now, hash, pass));
+            let granted_acting = tenant.due_grant_acting(now, &self.fleet);
+            let substitute = tenant.substitute(now);
             if tenant.due().is_none() {
                 self.active.remove(&hash);
             }
-            if let Some((to, report)) = report {
-                self.note_asked(now, to);
-                envelopes.push(QuotaEnvelope { to, message: QuotaMessage::Report(report) });
+            if let Some((owner, report)) = report {
+                self.note_asked(now, owner);
+                let receivers = [Some(owner), substitute].into_iter().flatten();
+                envelopes.extend(receivers.map(|to| QuotaEnvelope { to, message: QuotaMessage::Report(report) }));
             }
-            if let Some(pass) = due_grant {
-                let message = QuotaMessage::Grant(QuotaGrant::unsolicited(now, hash, pass));
+            for grant in [granted, granted_acting].into_iter().flatten() {
+                let message = QuotaMessage::Grant(grant);
                 let others = self.fleet.serving().iter().filter(|node| **node != self.own);
                 envelopes.extend(others.map(|node| QuotaEnvelope { to: *node, message }));
             }
@@ -243,6 +277,7 @@
             level: tenant.ledger.as_ref().map(|ledger| ledger.level()),
             pass: tenant.pass(now, self.fleet_fraction(now)),
             is_stranded,
+            substitute: tenant.substitute_or(now, self.own),
         })
     }
 
@@ -270,7 +305,7 @@
     fn is_alone(&self, now: BootTime) -> bool {
         let is_silent =
             |(since, asked): &(BootTime, Vec<NodeId>)| now.since(*since) >= PATIENCE && asked.len() >= ASKED_IF_ALONE;
-        self.fleet.is_left_alone(now) || self.unanswered.as_ref().is_some_and(is_silent)
+        self.is_isolated || self.fleet.is_left_alone(now) || self.unanswered.as_ref().is_some_and(is_silent)
     }
 
     fn is_first(&self, now: BootTime) -> bool {
@@ -288,25 +323,3 @@
         (hash >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
-
-/// Notes for the log when a tenant becomes limited or free.
-fn note_change(
-    tenant: &mut Tenant,
-    now: BootTime,
-    fleet_fraction: f64,
-    is_stranded: bool,
-    is_admitted: bool,
-    changes: &mut Vec<QuotaChange>,
-) {
-    let was_limited = tenant.limited_at.is_some();
-    if !is_admitted {
-        tenant.limited_at = Some(now);
-    } else if tenant.limited_at.is_some_and(|at| now.since(at) >= FREE_AFTER) {
-        tenant.limited_at = None;
-    }
-    let is_limited = tenant.limited_at.is_some();
-    if is_limited != was_limited {
-        let pass = tenant.pass(now, fleet_fraction);
-        changes.push(QuotaChange { tenant: tenant.name.clone(), is_limited, pass, is_stranded });
-    }
-}
--- a/crates/staircross-quota/src/fleet.rs
+++ b/crates/staircross-quota/src/fleet.rs
@@ -10,8 +10,7 @@
 /// the excess that bounds permit, and a fleet that has lost a third still serves tenants at two thirds of their rate without loss. Measured in the
 /// model: 1.1, with 0.6 for [`STRANDED_FACTOR`] and more headroom, let 2 of 4,000 schedules go beyond the bound.
 const CUT_FACTOR: f64 = 1.0;
-/// The same for a node without an owner: until the owner's side has seen the cut, which takes some seconds, that side grants the whole quota. Measured
-/// with [`CUT_FACTOR`].
+/// The same for nodes without an owner: until the owner's side has seen the cut, which takes some seconds, that side grants the whole quota.
 const STRANDED_FACTOR: f64 = 0.5;
 /// Nodes that a starting node takes the fleet to have, at least. Not measured by itself; chosen above the 6 to 80 nodes of the model's schedules.
 const ASSUMED_AT_RESTART: usize = 128;
@@ -95,14 +94,22 @@
         (CUT_FACTOR * self.view.serving.len() as f64 / self.peak(now) as f64).min(1.0)
     }
 
-    /// Fraction of a quota that a node without an owner may spend, 0 to 1.
-    pub fn stranded_fraction(&self, now: BootTime) -> f64 {
-        (STRANDED_FACTOR / self.peak(now) as f64).min(1.0)
+    /// Fraction of a quota that `nodes` without an owner may spend together, 0 to 1.
+    pub fn stranded_fraction(&self, now: BootTime, nodes: usize) -> f64 {
+        (STRANDED_FACTOR * nodes as f64 / self.peak(now) as f64).min(1.0)
     }
 
     /// The owner of a tenant: the node with the highest score. A change of one node moves only the tenants that it owns.
     pub fn owner_of(&self, tenant: TenantHash) -> NodeId {
-        let score = |node: &NodeId| xxh3_64_with_seed(&node.0.to_le_bytes(), tenant.0);
-        self.view.serving.iter().copied().max_by_key(score).unwrap_or(self.own)
+        self.view.serving.iter().copied().max_by_key(|node| score(*node, tenant)).unwrap_or(self.own)
     }
 }
+
+/// Whether a node comes before another where both would own a tenant.
+pub(crate) fn is_before(node: NodeId, other: NodeId, tenant: TenantHash) -> bool {
+    score(node, tenant) > score(other, tenant)
+}
+
+fn score(node: NodeId, tenant: TenantHash) -> u64 {
+    xxh3_64_with_seed(&node.0.to_le_bytes(), tenant.0)
+}
--- a/crates/staircross-quota/src/ledger.rs
+++ b/crates/staircross-quota/src/ledger.rs
@@ -31,7 +31,7 @@
 /// Factor of the gaps where more passes: a grant that comes late costs some refusals then, and no excess. Not measured.
 const EASING_FACTOR: u32 = 3;
 /// Time after which a limited tenant's fraction is granted again, for nodes that missed it. Not measured; chosen a few times below the life of a grant.
-const REPEAT: Duration = Duration::from_millis(1000);
+pub(crate) const REPEAT: Duration = Duration::from_millis(1000);
 /// Change of the fraction, relative to itself, that is announced to all nodes. Not measured.
 const ANNOUNCED_CHANGE: f64 = 0.2;
 /// Least fraction that changes are measured against. Not measured; chosen so that changes of tiny fractions aren't announced.
@@ -156,6 +156,16 @@
         (is_tighter && age >= gap) || (is_easier && age >= gap * EASING_FACTOR) || age >= REPEAT.max(gap)
     }
 
+    /// Time since all nodes were granted a fraction last.
+    pub fn announced_for(&self, now: BootTime) -> Duration {
+        now.since(self.announced_at)
+    }
+
+    /// Nodes that have reported within a time.
+    pub fn heard_since(&self, now: BootTime, time: Duration) -> usize {
+        self.reported.values().filter(|reported| now.since(reported.at) < time).count()
+    }
+
     /// All nodes are granted the fraction.
     pub fn note_announced(&mut self, now: BootTime, pass: f64) {
         self.announced = pass;
--- a/crates/staircross-quota/src/lib.rs
+++ b/crates/staircross-quota/src/lib.rs
@@ -9,11 +9,13 @@
 //! | [`ledger`] | the owner's side: what all nodes admit of a tenant |
 //! | [`spender`] | every other node's side: what it admits, and whether its owner answers |
 //! | [`refusal`] | how a request beyond a quota is refused |
+//! | [`acting`] | standing in for an owner that doesn't answer |
 //! | [`tenant`] | one tenant at one node |
 //! | [`allowance`] | [`FleetAllowance`], which joins them |
 //!
 //! The design and its figures are in `docs/design/fleet-allowance.md`.
 
+mod acting;
 pub mod allowance;
 pub mod bound;
 mod bucket;
--- a/crates/staircross-quota/src/message.rs
+++ b/crates/staircross-quota/src/message.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// The lesser of each.
+    pub fn at_most(self, other: Counts) -> Counts {
+        Counts { offered: self.offered.min(other.offered), admitted: self.admitted.min(other.admitted) }
+    }
+
     /// Counts one request.
     pub fn count(&mut self, is_admitted: bool) {
         self.offered += 1;
@@ -91,12 +96,25 @@
     /// The answer to a report; none where the grant answers none.
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub confirmation: Option<Confirmation>,
+    /// The owner that the sender stands in for, since it doesn't answer; none where the sender is the owner.
+    #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
+    pub instead_of: Option<NodeId>,
 }
 
 impl QuotaGrant {
     /// A grant that answers no report.
     pub fn unsolicited(now: BootTime, tenant: TenantHash, pass: f64) -> Self {
-        QuotaGrant { tenant, granted_at: now.0, pass: pass as f32, confirmation: None }
+        QuotaGrant { tenant, granted_at: now.0, pass: pass as f32, confirmation: None, instead_of: None }
+    }
+
+    /// The same of a node that stands in for the owner.
+    pub fn with_instead_of(self, owner: NodeId) -> Self {
+        QuotaGrant { instead_of: Some(owner), ..self }
+    }
+
+    /// The same as the answer to a report.
+    pub fn with_confirmation(self, confirmation: Confirmation) -> Self {
+        QuotaGrant { confirmation: Some(confirmation), ..self }
     }
 }
 
--- a/crates/staircross-quota/src/spender.rs
+++ b/crates/staircross-quota/src/spender.rs
@@ -21,6 +21,23 @@
 /// Time for which a former owner may act as one still. Not measured; chosen above the time until nodes agree on who is there, some 3 s.
 const FORMER_LIFE: Duration = Duration::from_secs(4);
 
+/// Who stands in for an owner that doesn't answer.
+#[derive(Clone, Copy, Debug)]
+struct Substitute {
+    node: NodeId,
+    pass: f64,
+    pass_until: BootTime,
+    confirmed: Counts,
+    /// When the oldest report to it that isn't answered was sent first.
+    unanswered_since: Option<BootTime>,
+}
+
+impl Substitute {
+    fn is_heard(&self, now: BootTime) -> bool {
+        now < self.pass_until && self.unanswered_since.is_none_or(|since| now.since(since) < PATIENCE)
+    }
+}
+
 /// What a node keeps of a tenant that another node owns.
 #[derive(Debug)]
 pub(crate) struct Spender {
@@ -40,6 +57,9 @@
     limited_at: Option<BootTime>,
     /// Who spoke as owner before, and until when it may still think that it is.
     former: Option<(NodeId, BootTime)>,
+    /// When the owner answered a report last.
+    answered_at: Option<BootTime>,
+    substitute: Option<Substitute>,
 }
 
 impl Spender {
@@ -57,6 +77,8 @@
             pass_until: BootTime(0),
             limited_at: None,
             former: None,
+            answered_at: None,
+            substitute: None,
         }
     }
 
@@ -78,7 +100,22 @@
 
     /// Part of the requests to admit.
     pub fn pass(&self, now: BootTime) -> f64 {
-        if now < self.pass_until { self.pass } else { 1.0 }
+        let granted = if now < self.pass_until { self.pass } else { 1.0 };
+        self.heard_substitute(now).map_or(granted, |substitute| substitute.pass.min(granted))
+    }
+
+    /// The node that stands in for the owner, if it answers.
+    pub fn substitute(&self, now: BootTime) -> Option<NodeId> {
+        self.heard_substitute(now).map(|substitute| substitute.node)
+    }
+
+    fn heard_substitute(&self, now: BootTime) -> Option<&Substitute> {
+        self.substitute.as_ref().filter(|substitute| substitute.is_heard(now))
+    }
+
+    /// Whether the owner has answered within a time.
+    pub fn was_answered(&self, now: BootTime, time: Duration) -> bool {
+        self.answered_at.is_some_and(|at| now.since(at) < time)
     }
 
     /// Requests that the owner hasn't confirmed.
@@ -104,10 +141,16 @@
         self.due = Some(self.due.map_or(now + delay, |due| due.min(now + delay)));
     }
 
-    /// Part of the tenant's burst that this node may admit unconfirmed: less with each moment that the owner owes an answer.
-    pub fn trust(&self, now: BootTime) -> f64 {
-        let silence = self.unanswered_since.map_or(Duration::ZERO, |since| now.since(since));
-        1.0 - silence.min(DOUBT).div_duration_f64(DOUBT)
+    /// Requests admitted that nobody has confirmed, and the part of the tenant's burst that they may make: less with each moment that an
+    /// answer is owed.
+    pub fn unconfirmed(&self, now: BootTime) -> Unconfirmed {
+        let (confirmed, since) = match self.heard_substitute(now) {
+            Some(substitute) => (substitute.confirmed, substitute.unanswered_since),
+            None => (self.confirmed, self.unanswered_since),
+        };
+        let silence = since.map_or(Duration::ZERO, |since| now.since(since));
+        let trust = 1.0 - silence.min(DOUBT).div_duration_f64(DOUBT);
+        Unconfirmed { admitted: self.counts.since(confirmed).admitted, trust }
     }
 
     /// When to report next.
@@ -121,6 +164,9 @@
             return None;
         }
         self.unanswered_since.get_or_insert(now);
+        self.substitute.iter_mut().for_each(|substitute| {
+            substitute.unanswered_since.get_or_insert(now);
+        });
         self.repeat = if self.is_silent(now, PATIENCE) { (self.repeat * 2).min(SLOW_REPEAT) } else { REPEAT };
         self.due = Some(now + self.repeat);
         let former = self.former.filter(|(_, until)| *until > now).map(|(former, _)| former);
@@ -134,6 +180,8 @@
             self.confirmed.admitted =
                 self.confirmed.admitted.max(confirmation.counts.admitted.min(self.counts.admitted));
             self.unanswered_since = None;
+            self.answered_at = Some(now);
+            self.substitute = None;
             let is_confirmed = self.confirmed == self.counts;
             self.due = self.due.filter(|_| !is_confirmed).map(|due| due.min(now + REPEAT));
         }
@@ -147,4 +195,36 @@
             self.limited_at = Some(now);
         }
     }
+
+    /// Takes a grant of a node that stands in for the owner. One that is new is reported to at once, and so is the owner: if it answers,
+    /// nobody is needed in its place.
+    pub fn take_substitutes_grant(&mut self, now: BootTime, from: NodeId, grant: &QuotaGrant) {
+        if self.substitute.is_none_or(|known| known.node != from) {
+            self.due = Some(now);
+            let confirmed = self.confirmed;
+            self.substitute =
+                Some(Substitute { node: from, pass: 1.0, pass_until: now, confirmed, unanswered_since: None });
+        }
+        let (counts, epoch) = (self.counts, self.epoch);
+        let Some(substitute) = &mut self.substitute else {
+            return;
+        };
+        substitute.pass = f64::from(grant.pass).clamp(0.0, 1.0);
+        substitute.pass_until = now + GRANT_LIFE;
+        if let Some(confirmation) = grant.confirmation.filter(|confirmation| confirmation.epoch == epoch) {
+            substitute.confirmed = confirmation.counts.at_most(counts);
+            substitute.unanswered_since = None;
+        }
+        if substitute.pass < 1.0 {
+            self.limited_at = Some(now);
+        }
+    }
+}
+
+/// Requests that a node has admitted and nobody has confirmed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Unconfirmed {
+    pub admitted: u32,
+    /// Part of the tenant's burst that they may make, 0 to 1.
+    pub trust: f64,
 }
--- a/crates/staircross-quota/src/tenant.rs
+++ b/crates/staircross-quota/src/tenant.rs
@@ -1,8 +1,9 @@
 //! One tenant at one node.
 
+use crate::acting::{ACT_AFTER, Acting};
 use crate::bound::Limits;
 use crate::bucket::Bucket;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, is_before};
 use crate::ledger::Ledger;
 use crate::message::{Confirmation, Counts, QuotaGrant, QuotaMessage, QuotaReport, TenantHash};
 use crate::refusal::QuotaRefusal;
@@ -16,6 +17,8 @@
 const LINGER: Duration = Duration::from_secs(2);
 /// Time between two checks of a tenant that is limited. Not measured; chosen as the owner's shortest time between two grants.
 const LIMITED_LOOK: Duration = Duration::from_millis(100);
+/// Time without a refusal after which a tenant counts as free again, so that the log doesn't alternate.
+const FREE_AFTER: Duration = Duration::from_secs(3);
 /// Shortest time after which a refused caller is asked to come back, in seconds. Not measured; chosen above a round trip.
 const SOONEST_RETURN_S: f64 = 0.25;
 /// Longest time over which refused callers are spread, in seconds, so that as many come back as pass. Not measured; chosen so that callers still come.
@@ -31,6 +34,8 @@
     generation: u32,
     pub ledger: Option<Ledger>,
     pub spender: Option<Spender>,
+    /// Set while this node stands in for the owner.
+    pub acting: Option<Acting>,
     /// Tokens of a node that is on its own.
     stranded: Option<Bucket>,
     /// What is left of the parts of earlier requests; a request passes when it reaches 1.
@@ -39,7 +44,7 @@
     /// Whether it asked anything here while this node didn't know who else there is.
     has_asked: bool,
     /// When a request was last refused, where the log says that the tenant is limited.
-    pub limited_at: Option<BootTime>,
+    limited_at: Option<BootTime>,
 }
 
 impl Tenant {
@@ -53,6 +58,7 @@
             generation: 0,
             ledger: None,
             spender: None,
+            acting: None,
             stranded: None,
             carry,
             ledger_due: None,
@@ -65,6 +71,7 @@
     pub fn refresh(&mut self, now: BootTime, own: NodeId, fleet: &Fleet, is_first: bool) {
         if self.generation != fleet.generation {
             self.generation = fleet.generation;
+            self.acting = None;
             self.owner = fleet.owner_of(self.hash);
             if self.owner == own {
                 self.become_owner(now, fleet, is_first);
@@ -104,6 +111,9 @@
         let Some(spender) = &self.spender else {
             return false;
         };
+        if spender.substitute(now).is_some() || self.is_acting(now) {
+            return false;
+        }
         let credit = self.limits.stranded_credit(fleet.peak(now)).max(1.0);
         let is_over_credit = f64::from(spender.open().admitted) >= credit;
         spender.is_silent(now, PATIENCE) || (spender.is_silent(now, DOUBT) && is_over_credit)
@@ -132,16 +142,107 @@
         };
         self.stranded = None;
         let pass = spender.pass(now);
-        let credit = (self.limits.burst + self.limits.headroom()) * spender.trust(now);
-        let has_credit = f64::from(spender.open().admitted) <= credit.max(1.0);
+        let unconfirmed = spender.unconfirmed(now);
+        let credit = (self.limits.burst + self.limits.headroom()) * unconfirmed.trust;
+        let has_credit = f64::from(unconfirmed.admitted) <= credit.max(1.0);
         let is_admitted = has_credit && draw(&mut self.carry, pass);
-        spender.count(now, is_admitted, &self.limits);
+        self.count_unowned(now, is_admitted);
+        if is_admitted { Ok(()) } else { Err(refusal(pass, random)) }
+    }
+
+    /// Whether this node stands in for the owner, and others take its word.
+    pub fn is_acting(&self, now: BootTime) -> bool {
+        self.acting.as_ref().is_some_and(|acting| acting.is_followed(now))
+    }
+
+    /// The node that stands in for the owner, `own` where this one does.
+    pub fn substitute_or(&self, now: BootTime, own: NodeId) -> Option<NodeId> {
+        if self.is_acting(now) { Some(own) } else { self.substitute(now) }
+    }
+
+    /// The other node that stands in for the owner, if it answers.
+    pub fn substitute(&self, now: BootTime) -> Option<NodeId> {
+        self.spender.as_ref().and_then(|spender| spender.substitute(now))
+    }
+
+    /// Begins to stand in for an owner that doesn't answer, where nobody else does.
+    pub fn stand_in(&mut self, now: BootTime) {
+        let Some(spender) = &self.spender else {
+            return;
+        };
+        let is_needed = spender.is_silent(now, ACT_AFTER) && spender.substitute(now).is_none();
+        if self.acting.is_none() && is_needed {
+            self.acting = Some(Acting::new(now, spender.owner, &self.limits, spender.open()));
+        }
+    }
+
+    /// Decides about a request in the owner's place.
+    pub fn take_acting(&mut self, now: BootTime, fleet: &Fleet, random: f64) -> Result<(), QuotaRefusal> {
+        let Some(acting) = &mut self.acting else {
+            return Ok(());
+        };
+        self.stranded = None;
+        let fraction = acting.refill(now, &self.limits, fleet);
+        let pass = acting.pass(&self.limits, fraction);
+        let is_admitted = draw(&mut self.carry, pass);
+        self.count_unowned(now, is_admitted);
         if is_admitted { Ok(()) } else { Err(refusal(pass, random)) }
     }
 
+    /// Takes a report in the owner's place; none where this node doesn't stand in for it.
+    pub fn take_report_acting(
+        &mut self,
+        now: BootTime,
+        from: NodeId,
+        report: &QuotaReport,
+        fleet: &Fleet,
+    ) -> Option<QuotaGrant> {
+        let acting = self.acting.as_mut()?;
+        let confirmation = acting.take_report(now, from, report);
+        let fraction = acting.refill(now, &self.limits, fleet);
+        let pass = acting.pass(&self.limits, fraction);
+        let grant = QuotaGrant::unsolicited(now, self.hash, pass).with_instead_of(acting.owner);
+        Some(grant.with_confirmation(confirmation))
+    }
+
+    /// What all nodes are to be granted now in the owner's place.
+    pub fn due_grant_acting(&mut self, now: BootTime, fleet: &Fleet) -> Option<QuotaGrant> {
+        let acting = self.acting.as_mut()?;
+        let pass = acting.due_grant(now, &self.limits, fleet)?;
+        Some(QuotaGrant::unsolicited(now, self.hash, pass).with_instead_of(acting.owner))
+    }
+
+    /// Another node stands in for an owner. The answer, where it shouldn't: this node comes before it in that.
+    pub fn take_grant_acting(
+        &mut self,
+        now: BootTime,
+        from: NodeId,
+        own: NodeId,
+        grant: &QuotaGrant,
+    ) -> Option<QuotaGrant> {
+        let spender = self.spender.as_mut().filter(|spender| Some(spender.owner) == grant.instead_of)?;
+        if spender.was_answered(now, ACT_AFTER) {
+            return None;
+        }
+        if let Some(acting) = self.acting.as_ref().filter(|_| is_before(own, from, self.hash)) {
+            return Some(QuotaGrant::unsolicited(now, self.hash, 1.0).with_instead_of(acting.owner));
+        }
+        let known = spender.substitute(now);
+        if known.is_none_or(|known| known == from || is_before(from, known, self.hash)) {
+            self.acting = None;
+            spender.take_substitutes_grant(now, from, grant);
+        }
+        None
+    }
+
+    /// The owner answers: nobody is needed in its place.
+    pub fn end_acting(&mut self) {
+        self.acting = None;
+    }
+
     /// Decides about a request on this node's own: its fixed part of the rate, and seldom one request at once.
     pub fn take_stranded(&mut self, now: BootTime, fleet: &Fleet, random: f64) -> Result<(), QuotaRefusal> {
-        let fraction = fleet.stranded_fraction(now);
+        let fraction = fleet.stranded_fraction(now, 1);
         let rate = self.limits.rate * fraction;
         let most = (self.limits.burst * fraction).max(1.0);
         let was_limited = self.spender.as_ref().is_some_and(|spender| spender.was_limited(now));
@@ -151,7 +252,7 @@
         let bucket = self.stranded.get_or_insert_with(|| Bucket::new(now, credit + random - f64::from(open)));
         bucket.refill(now, rate, most.max(credit));
         let taken = bucket.try_take(rate);
-        self.count_stranded(now, taken.is_ok());
+        self.count_unowned(now, taken.is_ok());
         taken.map_err(|wait| QuotaRefusal { retry_after: wait + Duration::from_secs_f64(random) })
     }
 
@@ -161,12 +262,15 @@
         let fraction = self.limits.starting_fraction(!self.has_asked);
         self.has_asked = true;
         let is_admitted = draw(&mut self.carry, fraction);
-        self.count_stranded(now, is_admitted);
+        self.count_unowned(now, is_admitted);
         if is_admitted { Ok(()) } else { Err(refusal(fraction, random)) }
     }
 
-    /// Counts a request decided on this node's own, for the node that will own the tenant.
-    fn count_stranded(&mut self, now: BootTime, is_admitted: bool) {
+    /// Counts a request of a tenant that another node owns, or will own.
+    fn count_unowned(&mut self, now: BootTime, is_admitted: bool) {
+        if let Some(acting) = &mut self.acting {
+            acting.count(Counts { offered: 1, admitted: u32::from(is_admitted) });
+        }
         if let Some(spender) = &mut self.spender {
             spender.count(now, is_admitted, &self.limits);
         } else if let Some(ledger) = &mut self.ledger {
@@ -234,10 +338,23 @@
         Some((spender.owner, report))
     }
 
+    /// Notes how a request was decided. Says whether the tenant is limited now, where that has changed.
+    pub fn note_decided(&mut self, now: BootTime, is_admitted: bool) -> Option<bool> {
+        let was_limited = self.limited_at.is_some();
+        if !is_admitted {
+            self.limited_at = Some(now);
+        } else if self.limited_at.is_some_and(|at| now.since(at) >= FREE_AFTER) {
+            self.limited_at = None;
+        }
+        let is_limited = self.limited_at.is_some();
+        (is_limited != was_limited).then_some(is_limited)
+    }
+
     /// When something is due next.
     pub fn due(&self) -> Option<BootTime> {
         let report = self.spender.as_ref().and_then(Spender::due);
-        [report, self.ledger_due].into_iter().flatten().min()
+        let acting = self.acting.as_ref().map(|acting| acting.due);
+        [report, self.ledger_due, acting].into_iter().flatten().min()
     }
 
     /// Part of the requests that pass as far as this node knows.
--- a/crates/staircross-quota/tests/model/mod.rs
+++ b/crates/staircross-quota/tests/model/mod.rs
@@ -19,10 +19,17 @@
 pub const END_S: f64 = 26.0;
 pub const FAULT_S: f64 = 10.0;
 const PEAK_LIFE_S: f64 = 30.0;
+/// Time between a node's probes of others, and without any datagram of the membership after which it counts as isolated.
+const PROBE_EVERY_S: f64 = 0.2;
+const ISOLATED_S: f64 = 0.8;
 
 enum Event {
     Request,
-    Message { to: NodeId, from: NodeId, message: QuotaMessage },
+    Message {
+        to: NodeId,
+        from: NodeId,
+        message: QuotaMessage,
+    },
     Tick(usize),
     View(usize),
     Fault,
@@ -32,6 +39,9 @@
     Start(usize),
     Quota(usize),
     Wrong(usize),
+    /// A node probes another, as the membership has it do.
+    Probe(usize),
+    Contact(usize),
 }
 
 struct Share {
@@ -48,6 +58,8 @@
     quota: Quota,
     is_up: bool,
     is_serving: bool,
+    /// When a datagram of the membership came last.
+    contact_at: f64,
     group: usize,
     tick: f64,
 }
@@ -63,6 +75,8 @@
     schedule: Schedule,
     scheme: Scheme,
     random: ChaCha8Rng,
+    /// Apart from the rest, so that the membership's probes change no draw of a schedule.
+    probe_random: ChaCha8Rng,
     nodes: Vec<Node>,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
@@ -84,6 +98,7 @@
     pub fn new(schedule: Schedule, scheme: Scheme) -> Self {
         let mut world = World {
             random: ChaCha8Rng::seed_from_u64(schedule.seed),
+            probe_random: ChaCha8Rng::seed_from_u64(!schedule.seed),
             nodes: Vec::new(),
             events: BTreeMap::new(),
             sequence: 0,
@@ -101,6 +116,10 @@
             world.nodes.push(node);
         }
         (0..world.nodes.len()).for_each(|node| world.see(node));
+        for node in 0..world.nodes.len() {
+            let first = world.probe_random.random_range(0.0..PROBE_EVERY_S);
+            world.at(first, Event::Probe(node));
+        }
         world.at(FAULT_S, Event::Fault);
         world.next_request();
         world
@@ -124,6 +143,7 @@
             quota,
             is_up: true,
             is_serving: true,
+            contact_at: self.now,
             group: 0,
             tick: f64::MAX,
         }
@@ -169,10 +189,18 @@
             }
             Event::Tick(node) => {
                 self.nodes[node].tick = f64::MAX;
+                if !self.nodes[node].is_up {
+                    return;
+                }
                 let mut envelopes = Vec::new();
                 self.nodes[node].allowance.on_tick(time(self.now), &mut envelopes);
                 self.send(node, envelopes);
             }
+            Event::Probe(node) => self.probe(node),
+            Event::Contact(node) => {
+                self.nodes[node].contact_at = self.now;
+                self.nodes[node].allowance.set_isolated(false);
+            }
             Event::View(node) => self.see(node),
             Event::Fault => self.begin_fault(),
             Event::Heal => {
@@ -209,6 +237,31 @@
         }
     }
 
+    fn probe(&mut self, node: usize) {
+        self.at(self.now + PROBE_EVERY_S, Event::Probe(node));
+        let state = &mut self.nodes[node];
+        if !state.is_up {
+            return;
+        }
+        if self.now - state.contact_at >= ISOLATED_S {
+            state.allowance.set_isolated(true);
+        }
+        let (group, count) = (state.group, state.view.len());
+        let asked = state.view[self.probe_random.random_range(0..count)];
+        let is_asked = |other: &Node| other.id == asked && other.is_up && other.group == group;
+        let Some(asked) = self.nodes.iter().position(is_asked).filter(|asked| *asked != node) else {
+            return;
+        };
+        let [there, back] = [(); 2].map(|()| self.probe_random.random_range(0.001..0.030));
+        let [is_there, is_back] = [(); 2].map(|()| !self.probe_random.random_bool(self.schedule.lost));
+        if is_there {
+            self.at(self.now + there, Event::Contact(asked));
+        }
+        if is_there && is_back {
+            self.at(self.now + there + back, Event::Contact(node));
+        }
+    }
+
     fn begin_fault(&mut self) {
         let count = self.nodes.len();
         match self.schedule.fault {
@@ -381,6 +434,7 @@
         match () {
             () if view.is_stranded => Admission::Alone,
             () if view.is_owned => Admission::Owner,
+            () if view.substitute.is_some() => Admission::Substitute,
             () if !self.nodes.iter().any(is_reached) => Admission::Unheard,
             () if pass < 1.0 => Admission::Granted,
             () => Admission::Unlimited,
@@ -427,6 +481,7 @@
             granted: count(Admission::Granted),
             unlimited: count(Admission::Unlimited),
             unheard: count(Admission::Unheard),
+            substitute: count(Admission::Substitute),
             alone: count(Admission::Alone),
             owners: owners.len(),
         }
--- a/crates/staircross-quota/tests/model/schedule.rs
+++ b/crates/staircross-quota/tests/model/schedule.rs
@@ -88,6 +88,8 @@
     Unlimited,
     /// By what was granted last, of an owner that it can't reach; the node doesn't know that yet.
     Unheard,
+    /// By a node that stands in for an owner that doesn't answer, or as it grants.
+    Substitute,
     /// On its own, since the owner is silent.
     Alone,
 }
@@ -104,6 +106,7 @@
     pub granted: usize,
     pub unlimited: usize,
     pub unheard: usize,
+    pub substitute: usize,
     pub alone: usize,
     /// Nodes that admitted any as the owner.
     pub owners: usize,
--- /dev/null
+++ b/crates/staircross-quota/tests/substitute.rs
@@ -0,0 +1,160 @@
+//! A tenant's owner that doesn't answer, and the node that stands in for it until the membership names another.
+
+use staircross_quota::{FleetAllowance, FleetView, QuotaBound, QuotaEnvelope, QuotaMessage};
+use staircross_types::{BootTime, NodeId, Quota};
+use std::sync::Arc;
+use std::time::Duration;
+
+const TENANT: &str = "tenant";
+const NODES: u128 = 6;
+const STEP: Duration = Duration::from_millis(10);
+/// Time in which a fleet has found out that an owner is silent, and who stands in for it.
+const FOUND_OUT: Duration = Duration::from_millis(600);
+/// Requests a second and at once.
+const RATE: f64 = 10.0;
+
+/// Nodes that reach each other at once, but for the silent ones.
+struct Fleet {
+    nodes: Vec<FleetAllowance>,
+    silent: Vec<NodeId>,
+    now: BootTime,
+    /// Unasked grants in an owner's place.
+    told: usize,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let now = BootTime::from_millis(1000);
+        let ids: Vec<NodeId> = (1..=NODES).map(NodeId).collect();
+        let node = |own: &NodeId| {
+            let bound = QuotaBound { window: Duration::from_secs(5), over: 0.25, slack: 20.0 };
+            let mut node = FleetAllowance::new(bound, *own, now, true);
+            let quota = Quota { rate_per_s: RATE, burst: RATE };
+            node.set_quotas(now, [(Arc::from(TENANT), quota)].into_iter());
+            node.set_fleet(now, FleetView { serving: ids.clone() });
+            node
+        };
+        Fleet { nodes: ids.iter().map(node).collect(), silent: Vec::new(), now, told: 0 }
+    }
+
+    fn at(&mut self, node: NodeId) -> &mut FleetAllowance {
+        &mut self.nodes[node.0 as usize - 1]
+    }
+
+    /// The owner, once any request has come.
+    fn owner(&mut self) -> NodeId {
+        let now = self.now;
+        let _admitted = self.at(NodeId(1)).try_take(now, TENANT);
+        self.at(NodeId(1)).view(now, TENANT).expect("a quota").owner
+    }
+
+    fn others(&mut self) -> Vec<NodeId> {
+        let owner = self.owner();
+        (1..=NODES).map(NodeId).filter(|node| *node != owner).collect()
+    }
+
+    fn deliver(&mut self, from: NodeId, envelopes: Vec<QuotaEnvelope>) {
+        for QuotaEnvelope { to, message } in envelopes {
+            let is_unasked = matches!(message, QuotaMessage::Grant(grant) if grant.instead_of.is_some() && grant.confirmation.is_none());
+            self.told += usize::from(is_unasked);
+            if self.silent.contains(&from) || self.silent.contains(&to) {
+                continue;
+            }
+            let (now, mut answers) = (self.now, Vec::new());
+            self.at(to).on_message(now, from, message, &mut answers);
+            self.deliver(to, answers);
+        }
+    }
+
+    /// Lets time pass; each of these nodes takes a request every 50 ms. Returns how many were admitted.
+    fn pass(&mut self, span: Duration, asked: &[NodeId]) -> usize {
+        let (until, mut step, mut admitted) = (self.now + span, 0, 0);
+        while self.now < until {
+            self.now = self.now + STEP;
+            let now = self.now;
+            for node in asked.iter().filter(|_| step % 5 == 0) {
+                admitted += usize::from(self.at(*node).try_take(now, TENANT).is_ok());
+            }
+            for node in (1..=NODES).map(NodeId) {
+                let mut envelopes = Vec::new();
+                self.at(node).on_tick(now, &mut envelopes);
+                self.deliver(node, envelopes);
+            }
+            step += 1;
+        }
+        admitted
+    }
+
+    fn substitutes(&mut self, nodes: &[NodeId]) -> Vec<Option<NodeId>> {
+        let now = self.now;
+        nodes.iter().map(|node| self.at(*node).view(now, TENANT).expect("a quota").substitute).collect()
+    }
+}
+
+#[test]
+fn nodes_whose_owner_is_silent_agree_on_one_that_stands_in_for_it() {
+    let mut fleet = Fleet::new();
+    let (owner, others) = (fleet.owner(), fleet.others());
+    fleet.silent = vec![owner];
+    // One of them is asked; the others learn from it before any request comes to them.
+    fleet.pass(FOUND_OUT, &others[..1]);
+    let substitutes = fleet.substitutes(&others);
+    assert!(substitutes[0].is_some() && substitutes.iter().all(|node| *node == substitutes[0]), "{substitutes:?}");
+}
+
+#[test]
+fn it_holds_them_to_their_part_of_the_quota() {
+    let mut fleet = Fleet::new();
+    let (owner, others) = (fleet.owner(), fleet.others());
+    fleet.silent = vec![owner];
+    // What was admitted before anybody knew is taken back first.
+    fleet.pass(Duration::from_secs(10), &others);
+    let admitted = fleet.pass(Duration::from_secs(10), &others) as f64;
+    // Ten times the rate is asked. Five of six nodes may spend half of their part of the rate, and of what is granted evenly besides.
+    let (least, most) = (10.0 * RATE * 5.0 / 6.0 * 0.5, 10.0 * RATE * 5.0 / 6.0);
+    assert!((least..=most).contains(&admitted), "{admitted} of {least} to {most}");
+}
+
+#[test]
+fn several_that_find_out_at_once_leave_it_to_one() {
+    let mut fleet = Fleet::new();
+    let (owner, others) = (fleet.owner(), fleet.others());
+    fleet.silent = vec![owner];
+    fleet.pass(FOUND_OUT, &others);
+    let mut substitutes = fleet.substitutes(&others);
+    substitutes.dedup();
+    assert_eq!(substitutes.len(), 1, "{substitutes:?}");
+}
+
+#[test]
+fn the_owners_next_answer_ends_it() {
+    let mut fleet = Fleet::new();
+    let (owner, others) = (fleet.owner(), fleet.others());
+    fleet.silent = vec![owner];
+    fleet.pass(FOUND_OUT, &others);
+    fleet.silent.clear();
+    fleet.pass(Duration::from_secs(2), &others);
+    assert!(fleet.substitutes(&others).iter().all(Option::is_none));
+}
+
+#[test]
+fn nobody_stands_in_for_an_owner_that_answers() {
+    let mut fleet = Fleet::new();
+    let others = fleet.others();
+    fleet.pass(Duration::from_secs(5), &others);
+    assert_eq!(fleet.told, 0);
+}
+
+#[test]
+fn a_node_that_hears_nobody_is_on_its_own_at_once() {
+    let mut fleet = Fleet::new();
+    let others = fleet.others();
+    let (cut, now) = (others[0], fleet.now);
+    fleet.at(cut).set_isolated(true);
+    let admitted = (0..20).filter(|_| fleet.at(cut).try_take(now, TENANT).is_ok()).count();
+    // A fifth of the permitted excess of 35 is for the third of the nodes that may be cut off.
+    assert!(admitted <= 4, "{admitted} of 20 at once");
+    assert!(fleet.at(cut).view(now, TENANT).expect("a quota").is_stranded);
+    fleet.at(cut).set_isolated(false);
+    assert!(!fleet.at(cut).view(now, TENANT).expect("a quota").is_stranded);
+}
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -228,6 +228,7 @@
             }
             RoutingEvent::Ended { attempt, outcome } => self.on_ended(now, attempt, outcome, actions),
             RoutingEvent::PeerCases(records) => self.take_peer_cases(now, &records, actions),
+            RoutingEvent::Isolated { is_isolated } => self.quotas.set_isolated(is_isolated),
             RoutingEvent::PeerQuota { from, messages } => self.take_quota_messages(now, from, messages, actions),
             RoutingEvent::Tick => {
                 self.on_tick(now, actions);
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -66,6 +66,11 @@
     },
     /// Peers have lost searchers under requests.
     PeerCases(Vec<CaseRecord>),
+    /// No peer has been heard for some time, or one is heard again.
+    Isolated {
+        /// Whether none is.
+        is_isolated: bool,
+    },
     /// A peer reports what it has admitted, or what this node may admit, of tenants' quotas.
     PeerQuota {
         /// The peer.
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -98,6 +98,9 @@
         outcome: RecordedOutcome,
     },
     PeerCases(Vec<CaseRecord>),
+    Isolated {
+        is_isolated: bool,
+    },
     PeerQuota {
         from: NodeId,
         messages: Vec<QuotaMessage>,
@@ -226,6 +229,7 @@
                 RecordedEvent::Ended { attempt: *attempt, outcome: outcome.into() }
             }
             RoutingEvent::PeerCases(records) => RecordedEvent::PeerCases(records.clone()),
+            RoutingEvent::Isolated { is_isolated } => RecordedEvent::Isolated { is_isolated: *is_isolated },
             RoutingEvent::PeerQuota { from, messages } => {
                 RecordedEvent::PeerQuota { from: *from, messages: messages.clone() }
             }
@@ -398,6 +402,7 @@
             RecordedEvent::Begun { attempt } => RoutingEvent::Begun { attempt },
             RecordedEvent::Ended { attempt, outcome } => RoutingEvent::Ended { attempt, outcome: outcome.into() },
             RecordedEvent::PeerCases(records) => RoutingEvent::PeerCases(records),
+            RecordedEvent::Isolated { is_isolated } => RoutingEvent::Isolated { is_isolated },
             RecordedEvent::PeerQuota { from, messages } => RoutingEvent::PeerQuota { from, messages },
             RecordedEvent::Tick => RoutingEvent::Tick,
         })
