Show that nodes take the newest change they know for all before it

A property test has three nodes read a store of several pages and ask each other, in any order of calls, replies, losses and writes, and asks that all know in the end what the store holds. It fails after 26 histories: a searcher that drained between two pages stays ready at a peer for good. The end of an evacuation is missed the same way.

Found with it: an end that a peer's listing left out isn't told to who stood right before that listing; a listing that is older than a peer's brings back who had gone; a peer's answer between two pages has the last page taken for the whole listing, so that all on the first are gone; and a node that read after the last end asks its peers for ever, since they seem to know more.

Eight tests, each failing, listed.

--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -219,6 +219,11 @@
         if self.has_listing { self.newest.max(self.up_to) } else { self.newest }
     }
 
+    /// Zones that are being evacuated.
+    pub fn evacuated(&self) -> Vec<Arc<str>> {
+        self.evacuations.active()
+    }
+
     /// Newest revision of the start or end of an evacuation.
     pub fn evacuations_revision(&self) -> u64 {
         self.evacuations.newest()
--- a/crates/staircross-routing/tests/evacuations.rs
+++ b/crates/staircross-routing/tests/evacuations.rs
@@ -86,6 +86,42 @@
     assert_eq!(asker.version(), 2);
 }
 
+/// Seen: a zone stays evacuated at a node for good. Why: its watch went on from the newest change that a peer knew, and an end before that one, which the
+/// peer's listing had missed between two pages, was never heard. Shown by the revision that the node watches from: 22, where 20 is known whole.
+#[test]
+fn a_watch_is_not_led_past_the_end_of_an_evacuation_that_a_peers_listing_missed() {
+    // The first page, with `a`, was read at 20; `a` ends at 21, and `b`, on the second page, begins at 22.
+    let mut reader = Mirror::default();
+    reader.merge(MirrorUpdate {
+        items: vec![(3, configuration(1)), (5, evacuation("a", true)), (22, evacuation("b", true))],
+        all_evacuations_at: Some(20),
+        ..MirrorUpdate::default()
+    });
+    let mut asker = Mirror::default();
+    asker.merge(reader.changes_for(NOTHING_KNOWN));
+    assert_eq!(asker.operator_revision(), 20, "where its watch goes on");
+    reader.merge(changes(vec![(21, evacuation("a", false))]));
+    assert!(asker.evacuations_revision() < reader.evacuations_revision(), "it must find out that it is behind");
+    let told = asker.merge(reader.changes_for(known(&asker)));
+    assert_eq!(zones(&told), Some(vec!["b".to_owned()]));
+}
+
+/// Seen: a node asks its peers at each tick, for good, and is told nothing. Why: an end before its own reading was passed over, so that peers that had heard
+/// it seemed to know more.
+#[test]
+fn a_node_that_read_after_the_end_of_an_evacuation_counts_as_knowing_it() {
+    let mut informed = Mirror::default();
+    informed.merge(changes(vec![(3, configuration(1)), (5, evacuation("a", true)), (8, evacuation("a", false))]));
+    let mut newcomer = Mirror::default();
+    newcomer.merge(MirrorUpdate {
+        items: vec![(3, configuration(1))],
+        all_evacuations_at: Some(9),
+        ..MirrorUpdate::default()
+    });
+    newcomer.merge(informed.changes_for(known(&newcomer)));
+    assert!(newcomer.evacuations_revision() >= informed.evacuations_revision());
+}
+
 fn changes_of(zone: &str, revision: u64) -> MirrorUpdate {
     changes(vec![(revision, evacuation(zone, true))])
 }
--- a/crates/staircross-routing/tests/mirror_peers.rs
+++ b/crates/staircross-routing/tests/mirror_peers.rs
@@ -80,3 +80,55 @@
     partial.merge(MirrorUpdate { items: vec![(9, searcher("b", false))], up_to: 60, ..MirrorUpdate::default() });
     assert_eq!(partial.known_revision(), 9);
 }
+
+/// The first page of a listing was read at 20; `a`, which stands on it, drains at 21, and `b` on the second page changes at 22.
+fn listed_while_it_changed() -> Mirror {
+    let mut mirror = Mirror::default();
+    mirror.merge(listing(20, vec![(3, searcher("a", false)), (22, searcher("b", false))]));
+    mirror
+}
+
+#[test]
+fn a_change_between_the_pages_of_a_listing_is_asked_for() {
+    let mut reader = listed_while_it_changed();
+    let mut asker = Mirror::default();
+    asker.merge(reader.changes_for(NOTHING_KNOWN));
+    let watched = MirrorUpdate { up_to: 22, ..changes(vec![(21, searcher("a", true)), (22, searcher("b", false))]) };
+    reader.merge(watched);
+    assert!(asker.newest_revision() < reader.newest_revision(), "it must find out that it is behind");
+    asker.merge(reader.changes_for(known(&asker)));
+    assert!(asker.searchers().any(|entry| &*entry.instance == "a" && entry.is_draining));
+}
+
+#[test]
+fn who_is_right_before_a_listing_is_told_which_searchers_it_left_out() {
+    let mut reader = Mirror::default();
+    // `b` has gone at 20, and the reader never knew it.
+    reader.merge(listing(20, vec![(3, searcher("a", false))]));
+    let mut asker = Mirror::default();
+    asker.merge(listing(19, vec![(3, searcher("a", false)), (4, searcher("b", false))]));
+    asker.merge(reader.changes_for(known(&asker)));
+    assert_eq!(names(&asker), ["a"]);
+}
+
+#[test]
+fn a_node_that_read_after_the_last_searcher_had_gone_counts_as_knowing_it() {
+    let mut informed = Mirror::default();
+    informed.merge(listing(10, vec![(3, searcher("a", false)), (4, searcher("b", false))]));
+    informed.merge(MirrorUpdate { up_to: 20, ..changes(vec![(20, gone("b"))]) });
+    let mut newcomer = Mirror::default();
+    newcomer.merge(listing(25, vec![(3, searcher("a", false))]));
+    newcomer.merge(informed.changes_for(known(&newcomer)));
+    assert!(newcomer.newest_revision() >= informed.newest_revision(), "else it goes on asking");
+}
+
+#[test]
+fn a_listing_that_is_older_than_a_peers_brings_nobody_back() {
+    let mut node = Mirror::default();
+    node.merge(listing(20, vec![(3, searcher("a", false))]));
+    let changed = node.merge(listing(19, vec![(3, searcher("a", false)), (4, searcher("b", false))]));
+    assert_eq!(changed.searchers, [], "it had gone by 20");
+    assert_eq!(names(&node), ["a"]);
+    node.merge(listing(30, vec![(3, searcher("a", false)), (4, searcher("b", false))]));
+    assert_eq!(names(&node), ["a", "b"], "the store's newer word counts");
+}
--- a/crates/staircross-routing/tests/store_lanes.rs
+++ b/crates/staircross-routing/tests/store_lanes.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use common::mirror::{changes, configuration, searcher};
+use common::mirror::{changes, configuration, listing, names, searcher};
 use common::store::{Store, is_watch_after};
-use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::{Lane, StoreCall, StoreReply};
+use staircross_routing::{Mirror, MirrorUpdate};
 
 #[test]
 fn a_lane_reads_once_then_watches_from_there() {
@@ -108,3 +108,22 @@
     let calls = store.calls(2000, Lane::Configuration);
     assert!(is_watch_after(&calls[0], 33), "{calls:?}");
 }
+
+/// Seen: all searchers of a listing's first page gone at once. Why: a peer's answer came between two pages and was taken for where the lane stands, so the
+/// page under way was the whole listing. Shown by the pages kept: none, when the last reply comes.
+#[test]
+fn a_page_that_comes_after_a_peers_report_is_not_taken_for_the_whole() {
+    let mut store = Store::new();
+    store.calls(0, Lane::Searchers);
+    let next = Some("servers/a".to_owned());
+    let first = changes(vec![(3, searcher("a", false))]);
+    store.reply(Lane::Searchers, StoreReply::Items { update: first, at: 20, next });
+    store.calls(0, Lane::Searchers);
+    store.reader.on_peer_report(Lane::Searchers, 21);
+    let second = changes(vec![(4, searcher("b", false))]);
+    store.reply(Lane::Searchers, StoreReply::Items { update: second, at: 22, next: None });
+    let mut mirror = Mirror::default();
+    mirror.merge(listing(21, vec![(3, searcher("a", false)), (4, searcher("b", false))]));
+    store.learned.into_iter().for_each(|(_, update)| drop(mirror.merge(update)));
+    assert_eq!(names(&mirror), ["a", "b"]);
+}
--- /dev/null
+++ b/crates/staircross-routing/tests/views.rs
@@ -0,0 +1,400 @@
+//! Several nodes that read the store and ask each other, in any order of calls, replies, losses and writes: in the end each knows what the store holds.
+//!
+//! Seen: a node that takes a drained searcher for ready, or one that has gone for live, or a zone for evacuated, for good. Why: of the newest change that
+//! a node knew, it was taken that all before it were known too. They aren't where a listing's pages were read while items changed: a later page shows a change, and one
+//! before it on an earlier page was missed. Whoever then asked a peer, or watched, from the newest change on never heard of it. Shown by the shortest
+//! histories that fail: a first page is read, a searcher on it drains, one on a later page changes, and a peer asks between the last page and the watch.
+
+mod common;
+
+use common::mirror::{configuration, entry};
+use common::store::Store as Reader;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use staircross_routing::store_reader::{Lane, ReadingMode, StoreCall, StoreReply};
+use staircross_routing::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, TakenConfiguration};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const NODES: usize = 3;
+const PAGE: usize = 2;
+const SEARCHERS: u8 = 5;
+const ZONES: [&str; 2] = ["a", "b"];
+const LANES: [Lane; 2] = [Lane::Configuration, Lane::Searchers];
+/// Rounds after which all that is under way has come to its end.
+const SETTLING: usize = 200;
+
+#[derive(Clone, Copy, Debug)]
+enum Write {
+    Configuration,
+    Evacuate(usize),
+    EndEvacuation(usize),
+    Ready(u8),
+    Draining(u8),
+    Gone(u8),
+    Compact,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Write(Write),
+    /// Time passes at a node, which makes the calls that are due.
+    Pass(usize, u16),
+    /// The store handles a node's call; the reply is on its way.
+    Handle(usize, usize),
+    Reply(usize, usize),
+    Fail(usize, usize),
+    /// A node asks one that it sees to be ahead.
+    Ask(usize, usize),
+    /// Whoever was asked writes the answer.
+    Answer(usize),
+    Take(usize),
+    Mode(usize, ReadingMode),
+    Restart(usize),
+}
+
+fn write() -> impl Strategy<Value = Write> {
+    prop_oneof![
+        2 => Just(Write::Configuration),
+        1 => (0..ZONES.len()).prop_map(Write::Evacuate),
+        1 => (0..ZONES.len()).prop_map(Write::EndEvacuation),
+        4 => (0..SEARCHERS).prop_map(Write::Ready),
+        3 => (0..SEARCHERS).prop_map(Write::Draining),
+        1 => (0..SEARCHERS).prop_map(Write::Gone),
+        1 => Just(Write::Compact),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let mode = prop::sample::select(vec![ReadingMode::Watching, ReadingMode::Following]);
+    prop_oneof![
+        8 => write().prop_map(Step::Write),
+        6 => (0..NODES, 1..1500_u16).prop_map(|(node, millis)| Step::Pass(node, millis)),
+        8 => (0..NODES, 0..LANES.len()).prop_map(|(node, lane)| Step::Handle(node, lane)),
+        8 => (0..NODES, 0..LANES.len()).prop_map(|(node, lane)| Step::Reply(node, lane)),
+        1 => (0..NODES, 0..LANES.len()).prop_map(|(node, lane)| Step::Fail(node, lane)),
+        6 => (0..NODES, 0..NODES).prop_map(|(node, peer)| Step::Ask(node, peer)),
+        5 => (0..NODES).prop_map(Step::Answer),
+        5 => (0..NODES).prop_map(Step::Take),
+        1 => (0..NODES, mode).prop_map(|(node, mode)| Step::Mode(node, mode)),
+        1 => (0..NODES).prop_map(Step::Restart),
+    ]
+}
+
+/// The store: what stands under each key, and all changes since it last forgot them.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    version: u64,
+    born_ms: u64,
+    items: BTreeMap<String, (u64, MirrorItem)>,
+    history: Vec<(u64, String, MirrorItem)>,
+    forgotten: u64,
+}
+
+fn key_of(item: &MirrorItem) -> String {
+    match item {
+        MirrorItem::Configuration { .. } | MirrorItem::ConfigurationChanges { .. } => "op/config".to_owned(),
+        MirrorItem::Evacuation { zone, .. } => format!("op/evacuate/{zone}"),
+        MirrorItem::Searcher { entry } => format!("servers/{}", entry.instance),
+        MirrorItem::SearcherGone { instance } => format!("servers/{instance}"),
+    }
+}
+
+fn prefix(lane: Lane) -> &'static str {
+    if lane == Lane::Configuration { "op/" } else { "servers/" }
+}
+
+impl Store {
+    fn put(&mut self, item: MirrorItem) {
+        self.revision += 1;
+        let key = key_of(&item);
+        self.items.insert(key.clone(), (self.revision, item.clone()));
+        self.history.push((self.revision, key, item));
+    }
+
+    fn remove(&mut self, item: MirrorItem) {
+        let key = key_of(&item);
+        if self.items.remove(&key).is_some() {
+            self.revision += 1;
+            self.history.push((self.revision, key, item));
+        }
+    }
+
+    fn written(&self, number: u8) -> Option<SearcherEntry> {
+        match self.items.get(&format!("servers/s{number}")) {
+            Some((_, MirrorItem::Searcher { entry })) => Some(entry.clone()),
+            _ => None,
+        }
+    }
+
+    fn write(&mut self, write: Write) {
+        let evacuation = |zone, is_active| MirrorItem::Evacuation { zone: Arc::from(ZONES[zone]), is_active };
+        match write {
+            Write::Configuration => {
+                self.version += 1;
+                self.put(configuration(self.version));
+            }
+            Write::Evacuate(zone) => self.put(evacuation(zone, true)),
+            Write::EndEvacuation(zone) => self.remove(evacuation(zone, false)),
+            Write::Ready(number) => {
+                // One that drains is replaced by a later incarnation.
+                self.born_ms += 1;
+                let born_ms = match self.written(number).filter(|entry| !entry.is_draining) {
+                    Some(entry) => entry.born_ms,
+                    None => self.born_ms,
+                };
+                let slots = (self.revision % 7) as u32;
+                self.put(MirrorItem::Searcher {
+                    entry: SearcherEntry { born_ms, slots, ..entry(&format!("s{number}"), false) },
+                });
+            }
+            Write::Draining(number) => {
+                if let Some(entry) = self.written(number) {
+                    self.put(MirrorItem::Searcher { entry: SearcherEntry { is_draining: true, ..entry } });
+                }
+            }
+            Write::Gone(number) => self.remove(MirrorItem::SearcherGone { instance: Arc::from(format!("s{number}")) }),
+            Write::Compact => {
+                self.forgotten = self.revision;
+                self.history.clear();
+            }
+        }
+    }
+
+    /// The reply to a call; none while a watch has nothing to report.
+    fn handle(&self, call: &StoreCall) -> Option<StoreReply> {
+        match call {
+            StoreCall::Probe => Some(StoreReply::Alive),
+            StoreCall::List { lane, after } => {
+                let is_later = |key: &&String| after.as_ref().is_none_or(|after| *key > after);
+                let keys: Vec<&String> =
+                    self.items.keys().filter(|key| key.starts_with(prefix(*lane))).filter(is_later).collect();
+                let items = keys.iter().take(PAGE).map(|key| self.items[*key].clone()).collect();
+                let next = (keys.len() > PAGE).then(|| keys[PAGE - 1].clone());
+                let update = MirrorUpdate { items, ..MirrorUpdate::default() };
+                Some(StoreReply::Items { update, at: self.revision, next })
+            }
+            StoreCall::Watch { after, .. } if *after < self.forgotten => Some(StoreReply::HistoryGone),
+            StoreCall::Watch { lane, after, .. } => {
+                let is_new =
+                    |change: &&(u64, String, MirrorItem)| change.0 > *after && change.1.starts_with(prefix(*lane));
+                let items: Vec<_> =
+                    self.history.iter().filter(is_new).map(|(revision, _, item)| (*revision, item.clone())).collect();
+                let update = MirrorUpdate { items, ..MirrorUpdate::default() };
+                (!update.items.is_empty()).then_some(StoreReply::Changes { update, at: self.revision })
+            }
+        }
+    }
+}
+
+/// What is under way at a node: its question to a peer, or the answer to it.
+#[derive(Default)]
+enum Pull {
+    #[default]
+    None,
+    Asked(usize, PeerKnowledge),
+    Answered(MirrorUpdate),
+}
+
+struct Node {
+    reader: Reader,
+    mirror: Mirror,
+    out: BTreeMap<usize, StoreCall>,
+    replies: BTreeMap<usize, StoreReply>,
+    pull: Pull,
+}
+
+impl Node {
+    fn new() -> Self {
+        let (reader, mirror) = (Reader::new(), Mirror::default());
+        Node { reader, mirror, out: BTreeMap::new(), replies: BTreeMap::new(), pull: Pull::None }
+    }
+
+    fn take_actions(&mut self) {
+        for lane in std::mem::take(&mut self.reader.cancelled) {
+            self.out.remove(&(lane as usize));
+            self.replies.remove(&(lane as usize));
+        }
+        for (lane, call) in std::mem::take(&mut self.reader.calls) {
+            self.out.insert(lane as usize, call);
+        }
+        for (_, update) in std::mem::take(&mut self.reader.learned) {
+            self.mirror.merge(update);
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        // All calls are kept; those returned are of one lane.
+        let calls = self.reader.calls(millis, Lane::Probe);
+        self.take_actions();
+        if !calls.is_empty() {
+            self.reader.reply(Lane::Probe, StoreReply::Alive);
+            self.take_actions();
+        }
+    }
+
+    fn reply(&mut self, lane: usize, reply: StoreReply) {
+        self.out.remove(&lane);
+        self.reader.reply(LANES[lane], reply);
+        self.take_actions();
+    }
+
+    fn is_behind(&self, peer: &Node) -> bool {
+        self.mirror.version() < peer.mirror.version()
+            || self.mirror.newest_revision() < peer.mirror.newest_revision()
+            || self.mirror.evacuations_revision() < peer.mirror.evacuations_revision()
+    }
+
+    fn knowledge(&self) -> PeerKnowledge {
+        PeerKnowledge {
+            revision: self.mirror.known_revision(),
+            version: self.mirror.version(),
+            evacuations: self.mirror.evacuations_revision(),
+            takes: TakenConfiguration::Any,
+        }
+    }
+
+    /// Ids with their starts and whether they drain, evacuated zones, and the version of the configuration.
+    fn view(&self) -> View {
+        let searchers = self.mirror.searchers();
+        View {
+            searchers: searchers
+                .map(|entry| (entry.instance.to_string(), (entry.born_ms, entry.is_draining)))
+                .collect(),
+            evacuated: self.mirror.evacuated().iter().map(|zone| zone.to_string()).collect(),
+            version: self.mirror.version(),
+        }
+    }
+}
+
+#[derive(Debug, PartialEq, Eq)]
+struct View {
+    searchers: BTreeMap<String, (u64, bool)>,
+    evacuated: BTreeSet<String>,
+    version: u64,
+}
+
+struct World {
+    store: Store,
+    nodes: Vec<Node>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut store = Store::default();
+        store.write(Write::Configuration);
+        (0..SEARCHERS).for_each(|number| store.write(Write::Ready(number)));
+        World { store, nodes: (0..NODES).map(|_| Node::new()).collect() }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Write(write) => self.store.write(write),
+            Step::Pass(node, millis) => self.nodes[node].pass(u64::from(millis)),
+            Step::Handle(node, lane) => {
+                let reply = self.nodes[node].out.get(&lane).and_then(|call| self.store.handle(call));
+                if let Some(reply) = reply.filter(|_| !self.nodes[node].replies.contains_key(&lane)) {
+                    self.nodes[node].replies.insert(lane, reply);
+                }
+            }
+            Step::Reply(node, lane) => {
+                if let Some(reply) = self.nodes[node].replies.remove(&lane) {
+                    self.nodes[node].reply(lane, reply);
+                }
+            }
+            Step::Fail(node, lane) => {
+                let node = &mut self.nodes[node];
+                node.replies.remove(&lane);
+                if node.out.remove(&lane).is_some() {
+                    node.reader.fail(LANES[lane]);
+                    node.take_actions();
+                }
+            }
+            Step::Ask(node, peer) => {
+                let is_free = matches!(self.nodes[node].pull, Pull::None);
+                if node != peer && is_free && self.nodes[node].is_behind(&self.nodes[peer]) {
+                    self.nodes[node].pull = Pull::Asked(peer, self.nodes[node].knowledge());
+                }
+            }
+            Step::Answer(node) => {
+                if let Pull::Asked(peer, knowledge) = self.nodes[node].pull {
+                    self.nodes[node].pull = Pull::Answered(self.nodes[peer].mirror.changes_for(knowledge));
+                }
+            }
+            Step::Take(node) => self.take(node),
+            Step::Mode(node, mode) => {
+                common::store::set_mode(&mut self.nodes[node].reader, mode);
+                self.nodes[node].take_actions();
+            }
+            Step::Restart(node) => self.nodes[node] = Node::new(),
+        }
+    }
+
+    /// A node takes a peer's answer, as the gateway does.
+    fn take(&mut self, node: usize) {
+        let node = &mut self.nodes[node];
+        let Pull::Answered(update) = std::mem::take(&mut node.pull) else {
+            return;
+        };
+        node.mirror.merge(update);
+        node.reader.reader.on_peer_report(Lane::Searchers, node.mirror.newest_revision());
+        node.reader.reader.on_peer_report(Lane::Configuration, node.mirror.operator_revision());
+    }
+
+    /// Everything under way comes to its end; the first node reads.
+    fn settle(&mut self) {
+        self.step(Step::Mode(0, ReadingMode::Watching));
+        for round in 0..SETTLING {
+            for node in 0..NODES {
+                self.step(Step::Pass(node, 200));
+                for lane in 0..LANES.len() {
+                    self.step(Step::Handle(node, lane));
+                    self.step(Step::Reply(node, lane));
+                }
+                self.step(Step::Ask(node, round % NODES));
+                self.step(Step::Answer(node));
+                self.step(Step::Take(node));
+            }
+        }
+    }
+
+    fn view(&self) -> View {
+        let items = self.store.items.values();
+        let searchers = items.clone().filter_map(|(_, item)| match item {
+            MirrorItem::Searcher { entry } => Some((entry.instance.to_string(), (entry.born_ms, entry.is_draining))),
+            _ => None,
+        });
+        let evacuated = items.filter_map(|(_, item)| match item {
+            MirrorItem::Evacuation { zone, is_active: true } => Some(zone.to_string()),
+            _ => None,
+        });
+        View { searchers: searchers.collect(), evacuated: evacuated.collect(), version: self.store.version }
+    }
+}
+
+fn cases() -> u32 {
+    std::env::var("VIEW_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(400)
+}
+
+fn seed() -> u64 {
+    std::env::var("VIEW_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), failure_persistence: None, max_shrink_iters: 20_000, rng_seed: RngSeed::Fixed(seed()), ..ProptestConfig::default() })]
+
+    /// `VIEW_CASES=20000 VIEW_SEED=2 cargo test -p staircross-routing --test views` plays others.
+    #[test]
+    fn in_the_end_all_nodes_know_what_the_store_holds(steps in prop::collection::vec(step(), 0..80)) {
+        let mut world = World::new();
+        steps.iter().for_each(|step| world.step(*step));
+        world.settle();
+        let expected = world.view();
+        for (number, node) in world.nodes.iter().enumerate() {
+            prop_assert_eq!(&node.view(), &expected, "node {}", number);
+            let is_ahead = |peer: &Node| node.is_behind(peer);
+            prop_assert!(!world.nodes.iter().any(is_ahead), "node {} goes on asking", number);
+        }
+    }
+}
