Let a listing go on that a peer's answer comes into

Callers could be refused for want of searchers: where a listing has several pages and a peer's answer came between two of them, all searchers of the pages before counted as gone, until the next listing. Cause: the answer set the lane's revision and dropped the pages read; the page under way was then the whole listing.

Ruled out: cancelling the listing, which would be read again later at the same price. The test failed before (only the last page's searcher was left).

--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -280,12 +280,13 @@
         }
     }
 
-    /// A peer sent everything up to `revision`; a lane that has read nothing yet can watch from there.
+    /// With what a peer sent, everything up to `revision` is known, 0 when nothing is; a lane that has read nothing yet can watch from
+    /// there. A listing that is under way goes on: its next page would be taken for the whole.
     pub fn on_peer_report(&mut self, lane: Lane, revision: u64) {
         let reader = self.lane_mut(lane);
-        if reader.after.is_none_or(|after| after < revision) {
+        let is_listing = reader.after.is_none() && (reader.state == LaneState::Calling || reader.partial.is_some());
+        if revision > 0 && !is_listing && reader.after.is_none_or(|after| after < revision) {
             reader.after = Some(revision);
-            reader.partial = None;
         }
     }
 
