Send a whole listing to who stands right before one

A searcher that has gone could be asked for good by a node that asked the right peer: requests to it fail until its entry's silence is noticed by other means. Cause: a listing at a revision says which searchers there are, not when others went; whoever knows less than that must be told the whole. One revision too few was taken for enough, so who stood right before a listing wasn't told of the end at its revision.

The bound is the listing's revision now. Who has read at that revision itself is still told changes only. The test failed before (b was kept).

--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -346,7 +346,7 @@
             self.newest = self.newest.max(at);
             touched.note(instance.clone(), before);
         }
-        self.tombstones_from = self.tombstones_from.max(at.saturating_sub(1));
+        self.tombstones_from = self.tombstones_from.max(at);
     }
 
     fn forget_old_tombstones(&mut self) {
