Remember an evacuation's end that came before the own reading

A node that started after an evacuation had ended asked its peers at each tick, for as long as it lived, and was told what it passed over: bytes and processor of both for nothing. Cause: of what a listing left out, the end was dropped as well as the beginning, and peers that had heard it seemed to know more.

The end is remembered; the beginning is still passed over, so that what had ended isn't begun again. The test failed before (0 known, 8 told).

--- a/crates/staircross-routing/src/state/evacuations.rs
+++ b/crates/staircross-routing/src/state/evacuations.rs
@@ -37,8 +37,9 @@
     /// Takes the beginning or end of an evacuation. Returns whether that changed which zones are evacuated.
     pub fn take(&mut self, revision: u64, zone: Arc<str>, is_active: bool) -> bool {
         let known = self.zones.get(&zone).copied();
-        // What a listing left out had ended by then; a peer that hasn't heard of the end may still send it.
-        let had_ended = known.is_none() && revision <= self.listed_at;
+        // What a listing left out had ended by then; a peer that hasn't heard of the end may still send its beginning. An end is remembered, so
+        // that this node counts as knowing it.
+        let had_ended = known.is_none() && is_active && revision <= self.listed_at;
         if had_ended || known.is_some_and(|known| known.revision >= revision) {
             return false;
         }
