Keep apart up to where a node knows all, and its newest known change

Cause: the newest change known was taken for all before it. Watches and questions then went on from the newer one. Ruled out: lost or doubled answers by themselves (the shortest failing histories have none).

Both revisions are kept, for searchers and for what the operator wrote. Watches and questions go from what is known whole, nodes compare by the newest change before which nothing is lacking, and updates between nodes carry both; forms of before read as before. A test that asked a node without a listing to ask from its newest change now has it ask for everything, which is what such a node lacks.

--- a/crates/staircross-gateway/src/node/knowledge/peers.rs
+++ b/crates/staircross-gateway/src/node/knowledge/peers.rs
@@ -80,9 +80,9 @@
             return self.role.note_unserved(self.now);
         };
         self.learn(update, "peer");
-        self.reader.on_peer_report(Lane::Searchers, self.mirror.newest_revision());
+        self.reader.on_peer_report(Lane::Searchers, self.mirror.known_revision());
         if !self.fleet.is_version_behind() {
-            return self.reader.on_peer_report(Lane::Configuration, self.mirror.operator_revision());
+            return self.reader.on_peer_report(Lane::Configuration, self.mirror.operator_up_to());
         }
         let mut actions = Vec::new();
         self.reader.read_configuration(self.now, &mut actions);
--- a/crates/staircross-gateway/tests/pinned_messages.rs
+++ b/crates/staircross-gateway/tests/pinned_messages.rs
@@ -86,7 +86,12 @@
         "zone":"hall","slots":8,"is_draining":false,"cold_ms":0}}}],[8,{"SearcherGone":{"instance":"i-3"}}],
         [9,{"Evacuation":{"zone":"hall","is_active":true}}]"#;
     let whole = r#"{"items":[],"is_complete_for_searchers":true,"up_to":12,"all_evacuations_at":3}"#;
-    vec![update(&definition), update(&without_tenants), update(&delta), update(searchers), whole.to_owned()]
+    let reach = r#"{"items":[],"is_complete_for_searchers":false,"up_to":12,"newest":9,"operator_up_to":11}"#;
+    let others = [whole.to_owned(), reach.to_owned()];
+    [update(&definition), update(&without_tenants), update(&delta), update(searchers)]
+        .into_iter()
+        .chain(others)
+        .collect()
 }
 
 #[test]
--- a/crates/staircross-routing/src/state.rs
+++ b/crates/staircross-routing/src/state.rs
@@ -9,6 +9,7 @@
 //! | `known_entries` | what is known of the entries under one searcher's id |
 //! | [`known_configuration`] | the configuration known here, and how much of it a peer is sent |
 //! | [`mirror`] | what this node knows of the platform's store, by revision |
+//! | `reach` | up to which revision all is known, and which change is the newest |
 //! | [`evacuations`] | which zones' searchers are to get no new work |
 //! | [`unreadable`] | items of the store that can't be used, and why |
 //! | [`searcher`] | what is known of one searcher: entry, load, speed, failures |
@@ -22,6 +23,7 @@
 pub mod known_configuration;
 mod known_entries;
 pub mod mirror;
+mod reach;
 pub mod rejection;
 pub mod report;
 pub mod request;
--- a/crates/staircross-routing/src/state/known_configuration.rs
+++ b/crates/staircross-routing/src/state/known_configuration.rs
@@ -62,11 +62,6 @@
         self.definition().map_or(0, |definition| definition.version)
     }
 
-    /// The store's revision at which it was written.
-    pub fn revision(&self) -> Option<u64> {
-        self.newest.as_ref().map(|(revision, _)| *revision)
-    }
-
     /// Takes a definition if it is newer, and returns it then. Versions only rise, whatever the revisions say.
     pub fn take(&mut self, revision: u64, definition: Arc<RoutingDefinition>) -> Option<Arc<RoutingDefinition>> {
         if definition.version <= self.version() && self.newest.is_some() {
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -13,6 +13,7 @@
 pub use crate::state::known_configuration::TakenConfiguration;
 use crate::state::known_configuration::{ConfigurationUpdate, KnownConfiguration};
 use crate::state::known_entries::{KnownEntries, WrittenEntry};
+use crate::state::reach::Reach;
 pub use crate::state::searcher_entry::SearcherEntry;
 use crate::state::unreadable::UnreadableItem;
 use serde::{Deserialize, Serialize};
@@ -71,8 +72,15 @@
     pub items: Vec<(u64, MirrorItem)>,
     /// Whether searchers that aren't listed are gone.
     pub is_complete_for_searchers: bool,
-    /// Revision up to which the update holds all changes; 0 when it doesn't.
+    /// Revision up to which the update holds all changes of searchers; 0 when it doesn't.
     pub up_to: u64,
+    /// Newest change of searchers before which the sender lacks nothing; a listing leaves out searchers whose end was the newest change.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub newest: u64,
+    /// Revision up to which the update holds all that the operator wrote, but for a configuration that the asker doesn't take; 0 when it
+    /// doesn't.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub operator_up_to: u64,
     /// Revision at which zones that aren't listed as evacuated weren't; `None` when the update doesn't list them all.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub all_evacuations_at: Option<u64>,
@@ -81,6 +89,10 @@
     pub unreadable: Vec<UnreadableItem>,
 }
 
+fn is_zero(revision: &u64) -> bool {
+    *revision == 0
+}
+
 /// What an asker has and takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerKnowledge {
@@ -176,10 +188,10 @@
     configuration: KnownConfiguration,
     searchers: BTreeMap<Arc<str>, KnownEntries>,
     evacuations: Evacuations,
-    /// Revision up to which all changes of searchers are known.
-    up_to: u64,
-    /// Newest revision of a searcher's entry or of its end.
-    newest: u64,
+    /// How far all changes of searchers are known, once a whole listing is.
+    searchers_reach: Reach,
+    /// How far all is known that the operator wrote.
+    operator_reach: Reach,
     /// Revision from which on all ends of entries are remembered; a peer that is further behind gets a whole listing.
     tombstones_from: u64,
     /// Whether a whole listing of the searchers has been merged.
@@ -197,26 +209,30 @@
         self.configuration.version()
     }
 
-    /// Revision up to which all changes of searchers are known.
-    pub fn up_to(&self) -> u64 {
-        self.up_to
-    }
-
-    /// Newest revision of what the operator wrote, the configuration or an evacuation; 0 when no configuration is known.
-    pub fn operator_revision(&self) -> u64 {
-        self.configuration.revision().map_or(0, |revision| revision.max(self.evacuations.newest()))
+    /// Revision up to which all is known that the operator wrote, the configuration and evacuations; 0 when nothing is known whole.
+    pub fn operator_up_to(&self) -> u64 {
+        self.operator_reach.up_to()
     }
 
-    /// Newest revision of a searcher's entry or of its end.
+    /// Newest change of a searcher's entry before which nothing is lacking: where a peer's is newer, it knows more.
     pub fn newest_revision(&self) -> u64 {
-        self.newest
+        self.searchers_reach.newest()
     }
 
-    /// Revision up to which nothing of the searchers is lacking: a peer that is asked sends what came later. After a whole listing that
-    /// is the listing's revision, which may be beyond the newest change; asked for what came after that change, a peer could not
-    /// know which ends this node never heard of, and would have to send everything, 30 KB for 300 searchers, at each question.
+    /// Revision up to which nothing of the searchers is lacking: a peer that is asked sends what came later, and a watch goes on from there. 0 before a
+    /// whole listing is known.
     pub fn known_revision(&self) -> u64 {
-        if self.has_listing { self.newest.max(self.up_to) } else { self.newest }
+        if self.has_listing { self.searchers_reach.up_to() } else { 0 }
+    }
+
+    /// Newest revision of the start or end of an evacuation before which nothing is lacking; a peer that is asked sends what came later. Peers of an
+    /// earlier build don't say how far they know; then it is the newest.
+    pub fn evacuations_revision(&self) -> u64 {
+        let newest = self.evacuations.newest();
+        match self.operator_reach.up_to() {
+            0 => newest,
+            up_to => newest.min(up_to),
+        }
     }
 
     /// Zones that are being evacuated.
@@ -224,11 +240,6 @@
         self.evacuations.active()
     }
 
-    /// Newest revision of the start or end of an evacuation.
-    pub fn evacuations_revision(&self) -> u64 {
-        self.evacuations.newest()
-    }
-
     /// Whether all searchers are known, by a listing of the store's own or of a peer that had one.
     pub fn has_listing(&self) -> bool {
         self.has_listing
@@ -258,7 +269,11 @@
             self.drop_unlisted(update.up_to, &listed.searchers, &mut touched);
             self.has_listing = true;
         }
-        self.up_to = self.up_to.max(update.up_to);
+        if self.has_listing {
+            self.searchers_reach.note_whole(update.up_to);
+        }
+        self.searchers_reach.note_change(update.newest);
+        self.operator_reach.note_whole(update.operator_up_to);
         self.forget_old_tombstones();
         let evacuated = touched.has_evacuations.then(|| self.evacuations.active());
         MirrorChanges { evacuated, ..touched.into_changes(&self.searchers) }
@@ -294,7 +309,8 @@
             let update = known.standing().iter().filter(|known| is_complete || known.revision > revision);
             items.extend(update.map(|known| (known.revision, MirrorItem::Searcher { entry: known.entry.clone() })));
             // A whole listing says by itself what had gone by then, but not of ids that it lists.
-            let is_said = is_complete && known.standing().is_empty() && known.ended_at() <= self.up_to;
+            let is_said =
+                is_complete && known.standing().is_empty() && known.ended_at() <= self.searchers_reach.up_to();
             if known.ended_at() > revision && !is_said {
                 items.push((known.ended_at(), MirrorItem::SearcherGone { instance: instance.clone() }));
             }
@@ -306,7 +322,9 @@
         MirrorUpdate {
             items,
             is_complete_for_searchers: is_complete,
-            up_to: self.up_to,
+            up_to: self.known_revision(),
+            newest: self.newest_revision(),
+            operator_up_to: self.operator_up_to(),
             all_evacuations_at: self.evacuations.listed_at(),
             ..MirrorUpdate::default()
         }
@@ -319,7 +337,7 @@
         if !known.take(WrittenEntry { revision, entry }) {
             return;
         }
-        self.newest = self.newest.max(revision);
+        self.searchers_reach.note_change(revision);
         let touched = touched.note(instance, before);
         if is_draining {
             touched.draining.push(born_ms);
@@ -330,7 +348,7 @@
         let known = self.searchers.entry(instance.clone()).or_default();
         let before = known.current().map(|known| known.revision);
         if known.end(revision) {
-            self.newest = self.newest.max(revision);
+            self.searchers_reach.note_change(revision);
             touched.note(instance, before);
         }
     }
@@ -343,7 +361,7 @@
             }
             let before = known.current().map(|known| known.revision);
             known.end(at);
-            self.newest = self.newest.max(at);
+            self.searchers_reach.note_change(at);
             touched.note(instance.clone(), before);
         }
         self.tombstones_from = self.tombstones_from.max(at);
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -111,7 +111,10 @@
                 whole.is_complete_for_searchers = true;
                 whole.up_to = first_at;
             }
-            Lane::Configuration => whole.all_evacuations_at = Some(first_at),
+            Lane::Configuration => {
+                whole.all_evacuations_at = Some(first_at);
+                whole.operator_up_to = first_at;
+            }
             Lane::Probe => {}
         }
         self.after = Some(first_at);
@@ -129,8 +132,10 @@
         self.after = Some(self.after.map_or(at, |after| after.max(at)));
         let rest = if update.items.is_empty() { Duration::ZERO } else { self.rest_after(now, &update, settings) };
         self.state = LaneState::Resting { until: now + rest };
-        if self.lane == Lane::Searchers {
-            update.up_to = at;
+        match self.lane {
+            Lane::Searchers => update.up_to = at,
+            Lane::Configuration => update.operator_up_to = at,
+            Lane::Probe => {}
         }
         actions.push(ReaderAction::Learned { lane: self.lane, update });
     }
--- a/crates/staircross-routing/tests/definition_delta.rs
+++ b/crates/staircross-routing/tests/definition_delta.rs
@@ -35,8 +35,8 @@
 }
 
 fn told(revision: u64, definition: RoutingDefinition) -> MirrorUpdate {
-    let definition = Arc::new(definition);
-    MirrorUpdate { items: vec![(revision, MirrorItem::Configuration { definition })], ..MirrorUpdate::default() }
+    let items = vec![(revision, MirrorItem::Configuration { definition: Arc::new(definition) })];
+    MirrorUpdate { items, operator_up_to: revision, ..MirrorUpdate::default() }
 }
 
 fn knows(version: u64) -> PeerKnowledge {
@@ -58,7 +58,7 @@
     assert!(matches!(&update.items[..], [(40, MirrorItem::ConfigurationChanges { deltas })] if deltas.len() == 2));
     let changes = asker.merge(update);
     assert_eq!(by_name((*changes.configuration.expect("news")).clone()), by_name(large(4)));
-    assert_eq!(asker.operator_revision(), 40);
+    assert_eq!(asker.operator_up_to(), 40);
     // It can tell the next.
     let mut next = Mirror::default();
     next.merge(told(20, large(2)));
--- a/crates/staircross-routing/tests/evacuations.rs
+++ b/crates/staircross-routing/tests/evacuations.rs
@@ -95,12 +95,14 @@
     reader.merge(MirrorUpdate {
         items: vec![(3, configuration(1)), (5, evacuation("a", true)), (22, evacuation("b", true))],
         all_evacuations_at: Some(20),
+        operator_up_to: 20,
         ..MirrorUpdate::default()
     });
     let mut asker = Mirror::default();
     asker.merge(reader.changes_for(NOTHING_KNOWN));
-    assert_eq!(asker.operator_revision(), 20, "where its watch goes on");
-    reader.merge(changes(vec![(21, evacuation("a", false))]));
+    assert_eq!(asker.operator_up_to(), 20, "where its watch goes on");
+    let ended = MirrorUpdate { operator_up_to: 22, ..changes(vec![(21, evacuation("a", false))]) };
+    reader.merge(ended);
     assert!(asker.evacuations_revision() < reader.evacuations_revision(), "it must find out that it is behind");
     let told = asker.merge(reader.changes_for(known(&asker)));
     assert_eq!(zones(&told), Some(vec!["b".to_owned()]));
--- a/crates/staircross-routing/tests/mirror_peers.rs
+++ b/crates/staircross-routing/tests/mirror_peers.rs
@@ -75,10 +75,10 @@
 }
 
 #[test]
-fn a_node_without_a_listing_asks_for_all_that_came_after_what_it_knows() {
+fn a_node_without_a_listing_asks_for_everything() {
     let mut partial = Mirror::default();
     partial.merge(MirrorUpdate { items: vec![(9, searcher("b", false))], up_to: 60, ..MirrorUpdate::default() });
-    assert_eq!(partial.known_revision(), 9);
+    assert_eq!(partial.known_revision(), 0, "others may have changed before that one");
 }
 
 /// The first page of a listing was read at 20; `a`, which stands on it, drains at 21, and `b` on the second page changes at 22.
--- a/crates/staircross-routing/tests/views.rs
+++ b/crates/staircross-routing/tests/views.rs
@@ -333,13 +333,16 @@
 
     /// A node takes a peer's answer, as the gateway does.
     fn take(&mut self, node: usize) {
+        let newest = self.nodes.iter().map(|node| node.mirror.version()).max().unwrap_or_default();
         let node = &mut self.nodes[node];
         let Pull::Answered(update) = std::mem::take(&mut node.pull) else {
             return;
         };
         node.mirror.merge(update);
-        node.reader.reader.on_peer_report(Lane::Searchers, node.mirror.newest_revision());
-        node.reader.reader.on_peer_report(Lane::Configuration, node.mirror.operator_revision());
+        node.reader.reader.on_peer_report(Lane::Searchers, node.mirror.known_revision());
+        if node.mirror.version() >= newest {
+            node.reader.reader.on_peer_report(Lane::Configuration, node.mirror.operator_up_to());
+        }
     }
 
     /// Everything under way comes to its end; the first node reads.
