Don't bring back a searcher by a listing that is older than what is known

A node could take a searcher for live that had gone, for good: its own listing, begun before a peer's answer and ended after it, named a searcher that the answer's whole listing had left out. Cause: what a listing left out, and was never known here, leaves no trace, so older word of it was new.

Where an update knows less than this node does, entries of unknown searchers up to the known revision are passed over; an update that reaches as far or further is believed, so that nothing stays out that the store holds. Ruled out: remembering all that is left out (what was never known has no name).

--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -255,11 +255,16 @@
         let mut touched = Touched::default();
         let mut listed = Listed::default();
         let is_listing = update.is_complete_for_searchers || update.all_evacuations_at.is_some();
+        // Less is known there than here: a searcher that isn't known here had gone by then.
+        let known = self.known_revision();
+        let gone_by = if update.up_to < known { known } else { 0 };
         for (revision, item) in update.items {
             if is_listing {
                 listed.note(&item);
             }
-            self.take(revision, item, &mut touched);
+            if !self.had_gone(revision, &item, gone_by) {
+                self.take(revision, item, &mut touched);
+            }
         }
         if let Some(at) = update.all_evacuations_at {
             touched.has_evacuations |= self.evacuations.end_unlisted(at, &listed.evacuated);
@@ -279,6 +284,14 @@
         MirrorChanges { evacuated, ..touched.into_changes(&self.searchers) }
     }
 
+    /// Whether an entry is of a searcher that had gone by a revision up to which all are known.
+    fn had_gone(&self, revision: u64, item: &MirrorItem, by: u64) -> bool {
+        match item {
+            MirrorItem::Searcher { entry } => revision <= by && !self.searchers.contains_key(&entry.instance),
+            _ => false,
+        }
+    }
+
     fn take(&mut self, revision: u64, item: MirrorItem, touched: &mut Touched) {
         match item {
             MirrorItem::Configuration { definition } => {
