--- a/crates/staircross-routing/tests/views.rs
+++ b/crates/staircross-routing/tests/views.rs
@@ -94,15 +94,15 @@
 
 fn key_of(item: &MirrorItem) -> String {
     match item {
-        MirrorItem::Configuration { .. } | MirrorItem::ConfigurationChanges { .. } => "op/config".to_owned(),
-        MirrorItem::Evacuation { zone, .. } => format!("op/evacuate/{zone}"),
+        MirrorItem::Configuration { .. } | MirrorItem::ConfigurationChanges { .. } => "operator/configuration".to_owned(),
+        MirrorItem::Evacuation { zone, .. } => format!("operator/evacuation/{zone}"),
         MirrorItem::Searcher { entry } => format!("servers/{}", entry.instance),
         MirrorItem::SearcherGone { instance } => format!("servers/{instance}"),
     }
 }
 
 fn prefix(lane: Lane) -> &'static str {
-    if lane == Lane::Configuration { "op/" } else { "servers/" }
+    if lane == Lane::Configuration { "operator/" } else { "servers/" }
 }
 
 impl Store {
