--- a/crates/staircross-routing/tests/views.rs
+++ b/crates/staircross-routing/tests/views.rs
@@ -94,7 +94,9 @@
 
 fn key_of(item: &MirrorItem) -> String {
     match item {
-        MirrorItem::Configuration { .. } | MirrorItem::ConfigurationChanges { .. } => "operator/configuration".to_owned(),
+        MirrorItem::Configuration { .. } | MirrorItem::ConfigurationChanges { .. } => {
+            "operator/configuration".to_owned()
+        }
         MirrorItem::Evacuation { zone, .. } => format!("operator/evacuation/{zone}"),
         MirrorItem::Searcher { entry } => format!("servers/{}", entry.instance),
         MirrorItem::SearcherGone { instance } => format!("servers/{instance}"),
