Close the listeners of a stopping node before it ends

Ruled out: that they were read and forgotten (nothing in the log), the kill of the next process 0.2 s later.

Cause: the process ended after three looks that found nothing under way; new connections, and those that rest, were nothing to it. What came between its last turn and its end was cut.

Change: with nothing under way callers' listeners close, after what has connected is accepted; the process ends when no connection of callers was made or used for half a second. So no new one can come, and each open one is told to go at its next request. A caller that rested for longer and sends at that very moment is still cut.

--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -1,30 +1,35 @@
 //! A planned stop: announced at once, carried out when callers have gone elsewhere.
 //!
+//! First requests are served as ever, then they are refused as not run; when nothing is under way, callers' listeners close, so that connecting is refused; when no
+//! connection has been used for a while either, the node ends. A caller that connects late or keeps its connection is so answered, never cut.
+//!
 //! [`StopState`] owns the times of a stop in progress. Relies on the settings for the time until the process is killed, and on
 //! callers keeping an answer of the directory no longer than they may.
 
 use super::GatewayNode;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
+use crate::server::Endpoint;
 use staircross_cluster::MemberState;
 use staircross_types::BootTime;
 use std::time::Duration;
 
 /// Times the stated time to live for which callers may keep an answer of the directory. Given by the platform.
 const DIRECTORY_KEPT: u32 = 3;
-/// Shortest time to live of the directory's answers. Not measured; chosen so that callers don't ask before most requests.
+/// Shortest time to live of the directory's answers, so that callers don't ask before most requests.
 const MIN_DIRECTORY_TTL: Duration = Duration::from_millis(250);
-/// Longest time to live of the directory's answers, whatever the settings allow. Not measured; chosen short, so that callers leave a dead
-/// node soon.
+/// Longest time to live of the directory's answers, whatever the settings allow: callers are to leave a dead node soon.
 const MAX_DIRECTORY_TTL: Duration = Duration::from_secs(2);
-/// Time kept free before the process would be killed. Not measured; chosen for a late wake-up and the last writes.
+/// Time kept free before the process would be killed, for a late wake-up and the last writes.
 const KILL_GUARD: Duration = Duration::from_millis(500);
-/// Time kept free besides for requests that were taken last. Not measured by itself; chosen above the time that callers usually
-/// give. Without it an answer was cut at the kill.
+/// Time kept free besides for requests that were taken last: above the time that callers usually give.
 const LAST_REQUESTS: Duration = Duration::from_millis(1500);
-/// Looks in a row that find nothing to do before the node ends. Looks and not time: after a pause of
-/// this process, requests may wait in its sockets that it hasn't read. Not measured; chosen as the fewest that span two turns.
+/// Looks in a row that find nothing to do before the listeners close. Looks and not time: after a pause of
+/// this process, requests may wait in its sockets that it hasn't read.
 const IDLE_LOOKS: u32 = 3;
+/// Time for which all connections of callers must have rested at the end. Callers that rest longer between requests see the end of the
+/// connection before they send.
+const LAST_REST: Duration = Duration::from_millis(500);
 
 /// A planned stop in progress.
 pub(super) struct StopState {
@@ -33,6 +38,7 @@
     /// When the node ends whatever is in flight.
     latest: BootTime,
     idle_looks: u32,
+    has_closed_listeners: bool,
     is_done: bool,
 }
 
@@ -48,7 +54,7 @@
         let latest = self.now + grace.saturating_sub(KILL_GUARD);
         let has_left = self.now + self.directory_ttl() * DIRECTORY_KEPT + KILL_GUARD;
         let takes_until = has_left.min(latest - LAST_REQUESTS).max(self.now);
-        self.stop = Some(StopState { takes_until, latest, idle_looks: 0, is_done: false });
+        self.stop = Some(StopState { takes_until, latest, idle_looks: 0, has_closed_listeners: false, is_done: false });
         self.update_readiness();
         let mut events = Vec::new();
         self.fleet.leave(MemberState::Leaving, &mut events);
@@ -63,7 +69,12 @@
         };
         let is_idle = !is_busy && now >= stop.takes_until;
         stop.idle_looks = if is_idle { stop.idle_looks + 1 } else { 0 };
-        stop.is_done = stop.idle_looks >= IDLE_LOOKS || now >= stop.latest;
+        if stop.idle_looks >= IDLE_LOOKS && !stop.has_closed_listeners {
+            stop.has_closed_listeners = true;
+            self.server.stop_listening(now, Endpoint::Callers, self.poll.registry());
+        }
+        let has_ended = stop.has_closed_listeners && is_idle && self.server.have_callers_rested(now, LAST_REST);
+        stop.is_done = has_ended || now >= stop.latest;
         if stop.is_done {
             let mut events = Vec::new();
             self.fleet.leave(MemberState::Left, &mut events);
--- a/crates/staircross-gateway/src/server.rs
+++ b/crates/staircross-gateway/src/server.rs
@@ -17,13 +17,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Longest wait for a peer to close after the last answer. Not measured; chosen so that an answer that is on its way is read before
-/// the connection goes.
+/// Longest wait for a peer to close after the last answer, so that an answer that is on its way is read before the connection goes.
 const CLOSE_PATIENCE: Duration = Duration::from_millis(1500);
 /// Permission to send a body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-/// Bytes of further requests that are read at once while one is being answered. Not measured; chosen as a few times what is
-/// read at once.
+/// Bytes of further requests that are read at once while one is being answered.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
 /// Who is spoken to on a listener.
@@ -113,7 +111,8 @@
 
 /// All listeners and their connections.
 pub struct Server {
-    listeners: Vec<Listening>,
+    /// By their slots; `None` once one has been closed.
+    listeners: Vec<Option<Listening>>,
     connections: Slab<Connection>,
     next_generation: u32,
     max_connections: usize,
@@ -125,14 +124,35 @@
         Server { listeners: Vec::new(), connections: Slab::new(), next_generation: 1, max_connections }
     }
 
-    /// Listens on an address.
-    pub fn listen(&mut self, endpoint: Endpoint, address: SocketAddr, registry: &Registry) -> io::Result<()> {
+    /// Listens on an address; returns it with the port that was taken.
+    pub fn listen(&mut self, endpoint: Endpoint, address: SocketAddr, registry: &Registry) -> io::Result<SocketAddr> {
         let mut listener = TcpListener::bind(address)?;
+        let bound = listener.local_addr()?;
         let slot = self.listeners.len() as u32;
         let id = SocketId { kind: SocketKind::Listener, generation: 0, slot };
         registry.register(&mut listener, id.token(), Interest::READABLE)?;
-        self.listeners.push(Listening { endpoint, listener });
-        Ok(())
+        self.listeners.push(Some(Listening { endpoint, listener }));
+        Ok(bound)
+    }
+
+    /// Closes the listeners of an endpoint, so that connecting is refused. What has connected is accepted before.
+    pub fn stop_listening(&mut self, now: BootTime, endpoint: Endpoint, registry: &Registry) {
+        let is_of = |listening: &Option<Listening>| listening.as_ref().is_some_and(|one| one.endpoint == endpoint);
+        for slot in 0..self.listeners.len() {
+            if is_of(&self.listeners[slot]) {
+                let id = SocketId { kind: SocketKind::Listener, generation: 0, slot: slot as u32 };
+                self.on_acceptable(now, id, registry);
+                self.listeners[slot] = None;
+            }
+        }
+    }
+
+    /// Whether no open connection of callers was made or used within a time. One whose last answer has been written no longer counts.
+    pub fn have_callers_rested(&self, now: BootTime, rest: Duration) -> bool {
+        let is_in_use =
+            |connection: &Connection| connection.state == State::Reading && now.since(connection.since) < rest;
+        let mut of_callers = self.connections.iter().filter(|(_, connection)| connection.endpoint == Endpoint::Callers);
+        !of_callers.any(|(_, connection)| is_in_use(connection))
     }
 
     /// Open connections.
@@ -153,7 +173,7 @@
     /// Takes new connections.
     pub fn on_acceptable(&mut self, now: BootTime, id: SocketId, registry: &Registry) {
         loop {
-            let Some(listening) = self.listeners.get(id.slot as usize) else {
+            let Some(Some(listening)) = self.listeners.get(id.slot as usize) else {
                 return;
             };
             match listening.listener.accept() {
--- /dev/null
+++ b/crates/staircross-gateway/tests/server.rs
@@ -0,0 +1,55 @@
+//! Listeners that close, and connections that go on.
+
+use mio::{Events, Poll};
+use staircross_gateway::server::{Endpoint, Server, ServerEvent};
+use staircross_gateway::socket::{IoContext, SocketId, SocketKind};
+use staircross_http::ServerLimits;
+use staircross_types::BootTime;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const REST: Duration = Duration::from_millis(500);
+
+fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+/// Hands the server what its connections have, until a request is whole.
+fn next_request(server: &mut Server, poll: &mut Poll, now: BootTime) -> bool {
+    let mut waiting = Events::with_capacity(16);
+    let mut buffer = Box::new([0_u8; staircross_gateway::socket::READ_CHUNK]);
+    for _ in 0..100 {
+        poll.poll(&mut waiting, Some(Duration::from_millis(20))).expect("polls");
+        let mut events = Vec::new();
+        for event in &waiting {
+            let id = SocketId::from_token(event.token()).expect("a token of the server");
+            let limits = ServerLimits { head_bytes: 4096, body_bytes: 4096 };
+            let mut io = IoContext { now, registry: poll.registry(), buffer: &mut buffer, limits };
+            if id.kind == SocketKind::Inbound {
+                server.on_ready(id, event.is_writable(), &mut io, &mut events);
+            }
+        }
+        if events.iter().any(|event| matches!(event, ServerEvent::Request { .. })) {
+            return true;
+        }
+    }
+    false
+}
+
+#[test]
+fn what_has_connected_before_a_listener_closes_is_read() {
+    let mut poll = Poll::new().expect("a poll");
+    let mut server = Server::new(10);
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let address = server.listen(Endpoint::Callers, any_port, poll.registry()).expect("listens");
+    let mut caller = TcpStream::connect(address).expect("connects");
+    caller.write_all(b"GET / HTTP/1.1\r\nHost: shop\r\n\r\n").expect("sent");
+
+    server.stop_listening(at(1000), Endpoint::Callers, poll.registry());
+    assert!(TcpStream::connect(address).is_err(), "connecting is refused");
+    assert!(!server.have_callers_rested(at(1000), REST));
+    assert!(server.have_callers_rested(at(1500), REST));
+    assert!(next_request(&mut server, &mut poll, at(1600)), "the request is read");
+    assert!(server.is_busy());
+}
