Copy sessions again to nodes that haven't confirmed a copy

A session that rested while the nodes with its copies were replaced was lost with its holder: unknown_session, for good. Shown by a test of six processes (five killed and started again one after the other, then the holder killed); it failed before and passes now.

Cause: copies were sent when a session changed, to those that were to keep it then; nobody sent one to whoever came in their place, or again where a message was lost.

After a pause of a second confirmations no longer count, so that a holder whose session was taken over meanwhile hears of it without waiting for the session's next change.

--- a/crates/session/staircross-node/src/core.rs
+++ b/crates/session/staircross-node/src/core.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod config;
+mod held_sessions;
 mod pending;
 mod requests;
 mod sessions;
@@ -18,6 +19,7 @@
 use crate::searchers::SearcherConnections;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use hashbrown::HashMap;
+use held_sessions::HeldSessions;
 use pending::PendingRequest;
 use sessions::{HeldReply, PendingResume};
 use staircross_cluster::{ClusterEngine, ClusterEvent, ClusterSettings, Member, MemberState};
@@ -34,6 +36,8 @@
 
 /// Time between ticks of the engines.
 const TICK: Duration = Duration::from_millis(20);
+/// Time without a tick after which other nodes may have taken this one for gone. Shorter than they need for that.
+const PAUSE: Duration = Duration::from_secs(1);
 /// Events handled before time is looked at again.
 const EVENTS_PER_TURN: usize = 256;
 /// Time during which a stopping node goes on taking requests of its sessions, so that callers learn where to go.
@@ -58,7 +62,7 @@
     pending: HashMap<u64, PendingRequest>,
     held: Vec<HeldReply>,
     resumes: HashMap<SessionToken, PendingResume>,
-    session_versions: HashMap<SessionToken, u64>,
+    held_sessions: HeldSessions,
     next_ask: u64,
     routes: HashMap<AttemptId, SocketAddr>,
     machines: MachineList,
@@ -126,7 +130,7 @@
             pending: HashMap::new(),
             held: Vec::new(),
             resumes: HashMap::new(),
-            session_versions: HashMap::new(),
+            held_sessions: HeldSessions::default(),
             next_ask: 1,
             routes: HashMap::new(),
             machines: MachineList::default(),
@@ -201,11 +205,15 @@
         if now < self.next_tick {
             return;
         }
+        if self.next_tick != BootTime::default() && now.since(self.next_tick) >= PAUSE {
+            self.held_sessions.doubt_all();
+        }
         self.next_tick = now + TICK;
         self.cluster_event(now, ClusterEvent::Tick);
         self.leaf_event(now, LeafEvent::Tick);
         self.expire_held(now);
         self.expire_resumes(now);
+        self.copy_unconfirmed(now);
         self.update_metrics();
         self.idle_ticks = if self.is_idle(now) { self.idle_ticks + 1 } else { 0 };
     }
--- a/crates/session/staircross-node/src/core/config.rs
+++ b/crates/session/staircross-node/src/core/config.rs
@@ -27,8 +27,8 @@
                 }
                 ClusterAction::MembersChanged => members_changed = true,
                 ClusterAction::ViewChanged(record) => self.take_view(now, record),
-                ClusterAction::SessionStored { token, version, is_overtaken } => {
-                    self.on_session_stored(token, version, is_overtaken);
+                ClusterAction::SessionStored { token, version, keeper, is_overtaken } => {
+                    self.on_session_stored(token, version, keeper, is_overtaken);
                 }
                 ClusterAction::SessionFetched { token, ask, copy } => self.on_session_fetched(now, token, ask, copy),
                 ClusterAction::SessionMoved { token } => self.drop_session(token),
--- a/crates/session/staircross-node/src/core/sessions.rs
+++ b/crates/session/staircross-node/src/core/sessions.rs
@@ -9,7 +9,7 @@
 use staircross_cluster::ClusterEvent;
 use staircross_cluster::replicas::SessionCopy;
 use staircross_search::{Outcome, Refusal, SessionState};
-use staircross_types::{BootTime, ErrorKind, RequestId, SessionToken};
+use staircross_types::{BootTime, ErrorKind, NodeId, RequestId, SessionToken};
 use std::time::Duration;
 
 /// Longest time a reply is held for its session's copies. After it the session is at risk, not the reply.
@@ -47,15 +47,16 @@
         reply: Sender<CallerReply>,
         content: CallerReply,
     ) {
-        let missing = self.cluster.wanted_copies();
-        let encoded = self.root.sessions.get(token).and_then(encode_session);
-        let (Some(state), true) = (encoded, missing > 0) else {
+        let Some(state) = self.root.sessions.get(token).and_then(encode_session) else {
             send_reply(&reply, content);
             return;
         };
-        let version = self.session_versions.entry(token).or_insert(0);
-        *version += 1;
-        let version = *version;
+        let version = self.held_sessions.change(token);
+        let missing = self.cluster.wanted_copies();
+        if missing == 0 {
+            send_reply(&reply, content);
+            return;
+        }
         self.held.push(HeldReply { token, version, missing, due: now + COPY_WAIT, reply, content });
         self.cluster_event(now, ClusterEvent::StoreSession { token, version, state });
     }
@@ -79,7 +80,20 @@
         }
     }
 
-    pub(super) fn on_session_stored(&mut self, token: SessionToken, version: u64, is_overtaken: bool) {
+    /// Sends copies to those that are to keep one and haven't confirmed it.
+    pub(super) fn copy_unconfirmed(&mut self, now: BootTime) {
+        for token in self.held_sessions.due(now) {
+            let keepers = self.cluster.session_keepers(token);
+            let unconfirmed = self.held_sessions.unconfirmed(token, &keepers);
+            let state = self.root.sessions.get(token).and_then(encode_session);
+            if let (Some(version), Some(state)) = (unconfirmed, state) {
+                self.cluster_event(now, ClusterEvent::StoreSession { token, version, state });
+            }
+        }
+    }
+
+    pub(super) fn on_session_stored(&mut self, token: SessionToken, version: u64, keeper: NodeId, is_overtaken: bool) {
+        self.held_sessions.note_kept(token, version, keeper);
         if is_overtaken {
             info!(logger: self.logs.front, "event=session_overtaken session={}", session_tag(token));
             self.drop_session(token);
@@ -189,8 +203,7 @@
             return false;
         }
         info!(logger: self.logs.front, "event=session_adopted session={} from={}", session_tag(token), copy.holder);
-        let version = copy.version + 1;
-        self.session_versions.insert(token, version);
+        let version = self.held_sessions.adopt(token, copy.version);
         if let Some(state) = self.root.sessions.get(token).and_then(encode_session) {
             self.cluster_event(now, ClusterEvent::StoreSession { token, version, state });
         }
@@ -201,7 +214,7 @@
     /// Another node holds the session now: the next request here looks for it anew.
     pub(super) fn drop_session(&mut self, token: SessionToken) {
         self.root.sessions.close(token);
-        self.session_versions.remove(&token);
+        self.held_sessions.remove(token);
     }
 }
 
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -82,7 +82,7 @@
     /// A searcher's record has changed.
     ViewChanged(ViewRecord),
     /// A peer keeps a copy; or has a newer one by another holder.
-    SessionStored { token: SessionToken, version: u64, is_overtaken: bool },
+    SessionStored { token: SessionToken, version: u64, keeper: NodeId, is_overtaken: bool },
     /// A peer's copy, if it has one.
     SessionFetched { token: SessionToken, ask: u64, copy: Option<SessionCopy> },
     /// Another node holds the session now.
--- a/crates/staircross-cluster/src/engine/sessions.rs
+++ b/crates/staircross-cluster/src/engine/sessions.rs
@@ -22,7 +22,7 @@
                 self.send(Some(from), from_address, ClusterMessage::Replica(reply), actions);
             }
             ReplicaMessage::Stored { token, version, is_overtaken } => {
-                actions.push(ClusterAction::SessionStored { token, version, is_overtaken });
+                actions.push(ClusterAction::SessionStored { token, version, keeper: from, is_overtaken });
             }
             ReplicaMessage::Fetch { token, ask } => {
                 let copy = self.copies.get(token).cloned();
@@ -45,6 +45,11 @@
         others.take(COPIES).map(|member| (member.node, member.peer_address)).collect()
     }
 
+    /// Nodes that are to keep copies of a session held here.
+    pub fn session_keepers(&self, token: SessionToken) -> Vec<NodeId> {
+        self.keepers(token).into_iter().map(|(node, _)| node).collect()
+    }
+
     /// Number of copies that a session held here should have.
     pub fn wanted_copies(&self) -> usize {
         self.membership.others().filter(|member| member.takes_work()).count().min(COPIES)
--- a/crates/staircross/tests/processes.rs
+++ b/crates/staircross/tests/processes.rs
@@ -384,3 +384,34 @@
     drop(fleet);
     let _leftover = std::fs::remove_dir_all(&folder);
 }
+
+/// A session that rests while all other nodes are replaced lives at its holder alone, and is lost with it. Why: its state was copied when it changed, to those
+/// that were to keep it then; whoever came in their place was never sent a copy. Shown by this test: after the replacements and the holder's end, the
+/// others answer `unknown_session`.
+#[test]
+fn a_session_that_rests_outlives_the_replacement_of_those_that_keep_copies() {
+    let folder = std::env::temp_dir().join(format!("staircross-resting-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for settings");
+    let mut fleet = Fleet::start(&folder);
+    let session = fleet.client(0).open_session().expect("a session opens");
+    for index in 1..NODES {
+        fleet.signal(index, Signal::KILL);
+        wait_for_exit(&mut fleet.nodes[index]);
+        fleet.replace(index);
+    }
+    fleet.signal(0, Signal::KILL);
+    let search = "SEARCH 'common' IN SERVICE clauses LIMIT 1";
+    let started = Instant::now();
+    loop {
+        let reply = fleet.client(1).query(session, search).expect("a reply");
+        match reply.body {
+            ReplyBody::Answer(_) => break,
+            ReplyBody::Refusal(refusal) if refusal.error == ErrorKind::SessionSought => {}
+            other => panic!("the session is lost: {other:?}"),
+        }
+        assert!(started.elapsed() < PATIENCE, "the session isn't found");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    drop(fleet);
+    let _leftover = std::fs::remove_dir_all(&folder);
+}
