Don't count the time of last use as a change of a session

Each reply copied its session's state to two nodes, though nothing but the time of its use had changed: the state was compared whole. The time stands beside the state now and isn't compared, copied or encoded (it never was encoded).

--- a/crates/session/staircross-search/src/session.rs
+++ b/crates/session/staircross-search/src/session.rs
@@ -33,9 +33,6 @@
     pub floors: BTreeMap<ServiceName, Snapshot>,
     /// Tickets by serial, in minting order.
     tickets: Vec<(Ticket, TicketState)>,
-    /// Last use, on the holder's boot clock.
-    #[serde(skip)]
-    last_used: BootTime,
 }
 
 /// Why a ticket can't be used.
@@ -96,9 +93,16 @@
     }
 }
 
+/// A session in the table.
+struct HeldSession {
+    state: SessionState,
+    /// Last use, on this node's boot clock. No part of the state: a use that shows nothing new needs no copy.
+    last_used: BootTime,
+}
+
 /// All sessions that a node holds.
 pub struct SessionTable {
-    sessions: HashMap<SessionToken, SessionState>,
+    sessions: HashMap<SessionToken, HeldSession>,
     capacity: usize,
 }
 
@@ -113,8 +117,8 @@
         if !self.make_room(now) {
             return false;
         }
-        let state = SessionState { floors: BTreeMap::new(), tickets: Vec::new(), last_used: now };
-        self.sessions.insert(token, state);
+        let state = SessionState { floors: BTreeMap::new(), tickets: Vec::new() };
+        self.sessions.insert(token, HeldSession { state, last_used: now });
         true
     }
 
@@ -133,12 +137,11 @@
     }
 
     /// Takes over a session from a replica; `false` when the table is full of sessions in use.
-    pub fn adopt(&mut self, now: BootTime, token: SessionToken, mut state: SessionState) -> bool {
+    pub fn adopt(&mut self, now: BootTime, token: SessionToken, state: SessionState) -> bool {
         if !self.make_room(now) {
             return false;
         }
-        state.last_used = now;
-        self.sessions.entry(token).or_insert(state);
+        self.sessions.entry(token).or_insert(HeldSession { state, last_used: now });
         true
     }
 
@@ -149,14 +152,14 @@
 
     /// The session with this token, noting its use.
     pub fn touch(&mut self, now: BootTime, token: SessionToken) -> Option<&mut SessionState> {
-        let state = self.sessions.get_mut(&token)?;
-        state.last_used = now;
-        Some(state)
+        let session = self.sessions.get_mut(&token)?;
+        session.last_used = now;
+        Some(&mut session.state)
     }
 
     /// The session with this token.
     pub fn get(&self, token: SessionToken) -> Option<&SessionState> {
-        self.sessions.get(&token)
+        self.sessions.get(&token).map(|session| &session.state)
     }
 
     /// Number of sessions.
