--- a/crates/staircross-gateway/src/case_pushes.rs
+++ b/crates/staircross-gateway/src/case_pushes.rs
@@ -9,10 +9,9 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Time between two pushes in the long run. Not measured by itself; chosen so that ten datagrams a second to each peer are the most.
+/// Time between two pushes in the long run. So that ten datagrams a second to each peer are the most.
 const PUSH_GAP: Duration = Duration::from_millis(100);
-/// Pushes that may be made ahead of that. Derived: the searchers of a request's shards end within some 100 ms, and updates on them come in
-/// a few turns.
+/// Pushes that may be made ahead of that. The searchers of a request's shards end within some 100 ms, and updates on them come in a few turns.
 const BURST: u32 = 4;
 
 /// Whether there are updates for peers, and when they may be pushed.
--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -46,11 +46,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Members sent in one datagram, so that it stays below the 1,500 bytes that a link carries whole. Not
-/// measured.
+/// Members sent in one datagram, so that it stays below the 1,500 bytes that a link carries whole.
 const MEMBERS_PER_DATAGRAM: usize = 6;
-/// Nodes assumed to live and serve at the start, until more have been seen: a starting node takes no more than an eighth of what all
-/// share. Not measured; chosen for a small fleet.
+/// Nodes assumed to live and serve at the start, until more have been seen: a starting node takes no more than an eighth of what all share. For a
+/// small fleet.
 const ASSUMED_FLEET: usize = 8;
 /// Peers that are sent updates at once; they pass them on. Together with probes each 200 ms, pushes to twelve took what was served on
 /// days of dead and frozen nodes from 0.930 to 0.936 and from 0.934 to 0.942. Other counts aren't measured.
--- a/crates/staircross-gateway/src/fleet/datagrams.rs
+++ b/crates/staircross-gateway/src/fleet/datagrams.rs
@@ -16,8 +16,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
-/// Longest datagram that is read, in bytes; a longer one is cut and counts as unreadable. Not measured; chosen above the 1,500 bytes that
-/// a link carries whole.
+/// Longest datagram that is read, in bytes; a longer one is cut and counts as unreadable. Above the 1,500 bytes that a link carries whole.
 const MAX_DATAGRAM: usize = 2048;
 
 /// The socket for peers.
--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -12,8 +12,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long a reader waits for its own watch to bring what a peer knows already. Not measured; chosen for a watch that the store answers
-/// at once and the reader's link, and well below the bounds on updates.
+/// How long a reader waits for its own watch to bring what a peer knows already. For a watch that the store answers at once and the reader's link,
+/// and well below the bounds on updates.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(400);
 
 impl Fleet {
--- a/crates/staircross-gateway/src/fleet/shape.rs
+++ b/crates/staircross-gateway/src/fleet/shape.rs
@@ -12,13 +12,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long the largest fleet seen counts: a cut makes two fleets of one, and shares mustn't grow before the other side's are spent. Not
-/// measured; chosen above the ten seconds over which extra sends are counted.
+/// How long the largest fleet seen counts: a cut makes two fleets of one, and shares mustn't grow before the other side's are spent. Above the ten
+/// seconds over which extra sends are counted.
 const PEAK_LIFE: Duration = Duration::from_secs(30);
-/// Age at which the directory is made anew even if no member has changed: loads have. Not measured.
+/// Age at which the directory is made anew even if no member has changed: loads have.
 const DIRECTORY_LIFE: Duration = Duration::from_secs(1);
-/// Fraction of the slack for extra sends that serving nodes share; reserves share the rest. Not measured; a reserve gets few requests,
-/// and 0.4 of the slack is used, so a cut that leaves two fleets stays below what is allowed.
+/// Fraction of the slack for extra sends that serving nodes share; reserves share the rest. A reserve gets few requests, and 0.4 of the slack is
+/// used, so a cut that leaves two fleets stays below what is allowed.
 const SERVING_SLACK: f64 = 0.8;
 
 /// A count's largest value seen lately.
--- a/crates/staircross-routing/src/decision/quarantine.rs
+++ b/crates/staircross-routing/src/decision/quarantine.rs
@@ -36,7 +36,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Contents remembered; those with the lowest level and the oldest report go first. Not measured; a bound on memory, some 100 KB.
+/// Contents remembered; those with the lowest level and the oldest report go first. A bound on memory, some 100 KB.
 const MAX_CASES: usize = 256;
 
 /// An attempt whose connection ended without an answer.
--- a/crates/staircross-routing/src/decision/quarantine/alarm.rs
+++ b/crates/staircross-routing/src/decision/quarantine/alarm.rs
@@ -8,12 +8,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time from the newest loss until an alarm is over, where one content of the route is quarantined: harmless requests are held up no longer. Measured on three
-/// days with such requests, worth 0.919, 0.922, 0.915; with two minutes 0.909, 0.916, 0.907; without alarms 0.924, 0.929, 0.921, but then each further
-/// content ends one searcher of each shard (docs/design/quarantine.md).
+/// Time from the newest loss until an alarm is over, where one content of the route is quarantined: harmless requests are held up no longer.
 const AFTER_ONE: Duration = Duration::from_secs(15);
-/// The same where several are quarantined: more will come. Derived: a searcher is back some four seconds after it ended, so a content that comes
-/// whenever the alarm is over takes a shard's searchers away for less than 4 in 100 of the time.
+/// The same where several are quarantined: more will come. A searcher is back some four seconds after it ended, so a content that comes whenever the
+/// alarm is over takes a shard's searchers away for less than 4 in 100 of the time.
 const AFTER_SEVERAL: Duration = Duration::from_secs(120);
 
 /// The alarm of one route.
--- a/crates/staircross-routing/src/decision/quarantine/case.rs
+++ b/crates/staircross-routing/src/decision/quarantine/case.rs
@@ -15,23 +15,21 @@
 /// Losses from which a content is sent to nobody, if two of them are in sequence. Not measured against others; chosen as one more than makes it
 /// suspect. With both, none of the harmless contents of 133 days was quarantined (docs/design/quarantine.md).
 const QUARANTINE_LOSSES: usize = 3;
-/// Time from the newest loss until a quarantined content is tried at one searcher again: it may have been mended. Not measured; chosen so that one
-/// that wasn't costs one searcher an hour.
+/// Time from the newest loss until a quarantined content is tried at one searcher again: it may have been mended. So that one that wasn't costs one
+/// searcher an hour.
 const QUARANTINE_TIME: Duration = Duration::from_secs(3600);
-/// Time from the newest loss until a content is forgotten. Not measured; chosen as twice [`QUARANTINE_TIME`], so that it is still suspect when it is
-/// tried again.
+/// Time from the newest loss until a content is forgotten. Twice [`QUARANTINE_TIME`], so that it is still suspect when it is tried again.
 const MEMORY: Duration = Duration::from_secs(2 * 3600);
-/// Time for which a content that was sent to peers is remembered as answered, so that they learn it too. Not measured; chosen for many datagrams.
+/// Time for which a content that was sent to peers is remembered as answered, so that they learn it too. For many datagrams.
 pub(super) const ANSWER_MEMORY: Duration = Duration::from_secs(60);
-/// Losses remembered of one content. Not measured; a bound on memory, twice what decides.
+/// Losses remembered of one content. A bound on memory, twice what decides.
 const MAX_LOSSES: usize = 6;
-/// Losses of one content sent to peers. Derived: those that prove a sequence and the newest, one more than what decides.
+/// Losses of one content sent to peers. Those that prove a sequence and the newest, one more than what decides.
 const SENT_LOSSES: usize = 4;
-/// Longest time that a datagram is taken to be on its way: what peers report seems later by so much, and without a tolerance two nodes that report one
-/// event to each other would move it on for ever. Not measured against others; with it, and answers remembered before their losses are
-/// known, changes of level in a day with such requests fell from 215 to 77.
+/// Longest time that a datagram is taken to be on its way: what peers report seems later by so much, and without a tolerance two nodes that report
+/// one event to each other would move it on for ever.
 const TELLING_TIME: Duration = Duration::from_secs(1);
-/// Age from which a single loss is sent to peers. Not measured; chosen so that a repeat has mostly been answered by then.
+/// Age from which a single loss is sent to peers. So that a repeat has mostly been answered by then.
 const SINGLE_SENT_AFTER: Duration = Duration::from_millis(200);
 
 /// A searcher whose connection ended while it ran a content.
--- a/crates/staircross-routing/src/decision/quarantine/recent_answers.rs
+++ b/crates/staircross-routing/src/decision/quarantine/recent_answers.rs
@@ -5,10 +5,10 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Contents of one generation at most; two are kept. Not measured; a bound on memory, some 80 KB.
+/// Contents of one generation at most; two are kept. A bound on memory, some 80 KB.
 const MAX_CONTENTS: usize = 2048;
-/// Time after which a generation ends though few contents were answered: searchers may be of another version by then. Not measured; chosen so
-/// that an answer counts for ten to twenty minutes.
+/// Time after which a generation ends though few contents were answered: searchers may be of another version by then. So that an answer counts for
+/// ten to twenty minutes.
 const GENERATION_TIME: Duration = Duration::from_secs(600);
 
 /// The contents answered last, in two generations: when the recent one is full, it takes the place of the old.
--- a/crates/staircross-routing/src/decision/quarantine/sending.rs
+++ b/crates/staircross-routing/src/decision/quarantine/sending.rs
@@ -10,15 +10,15 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::Bound;
 
-/// Quarantined contents that take their turn with one datagram. Not measured; chosen, with [`SENT_OTHERS`], for some 500 bytes a datagram.
+/// Quarantined contents that take their turn with one datagram. Chosen, with [`SENT_OTHERS`], for some 500 bytes a datagram.
 const SENT_QUARANTINED: usize = 3;
-/// Other contents that take their turn with one datagram. Not measured; chosen below [`SENT_QUARANTINED`], which protect more.
+/// Other contents that take their turn with one datagram. Below [`SENT_QUARANTINED`], which protect more.
 const SENT_OTHERS: usize = 2;
-/// Contents that one datagram holds at most, some 100 bytes each. Derived: one turn of both kinds.
+/// Contents that one datagram holds at most, some 100 bytes each. One turn of both kinds.
 const MAX_SENT: usize = SENT_QUARANTINED + SENT_OTHERS;
-/// Newly raised contents that go with one datagram, ahead of the others. Not measured by itself; chosen to leave two places to the turns.
+/// Newly raised contents that go with one datagram, ahead of the others. To leave two places to the turns.
 const SENT_RAISED: usize = 3;
-/// Newly raised contents that wait to be sent; older ones are left to their turns. Not measured; chosen for some five datagrams.
+/// Newly raised contents that wait to be sent; older ones are left to their turns. For some five datagrams.
 const MAX_RAISED: usize = 16;
 
 /// Whose turn it is.
--- a/crates/staircross-routing/src/engine/first_probe.rs
+++ b/crates/staircross-routing/src/engine/first_probe.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between looks for alarms that are over: each goes through all routes. Not measured; chosen so that a line comes a second late at most.
+/// Time between looks for alarms that are over: each goes through all routes. So that a line comes a second late at most.
 const ALARM_LOOKS: Duration = Duration::from_secs(1);
 
 /// The alarms that were logged last.
--- a/crates/staircross-routing/src/engine/suspicion.rs
+++ b/crates/staircross-routing/src/engine/suspicion.rs
@@ -9,7 +9,7 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Time until a shard of a suspect request is retried while a searcher is at work on another. Not measured; chosen as a tenth of a short goal.
+/// Time until a shard of a suspect request is retried while a searcher is at work on another. A tenth of a short goal.
 const TRIAL_PAUSE: Duration = Duration::from_millis(10);
 
 impl RoutingEngine {
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -10,8 +10,8 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Entries that are gone in one reply, from which on they have lapsed rather than left: they come back one by one. Not measured;
-/// chosen above what leaves in one rest of a lane.
+/// Entries that are gone in one reply, from which on they have lapsed rather than left: they come back one by one. Above what leaves in one rest of a
+/// lane.
 const LAPSED_TOGETHER: usize = 8;
 /// Time within which live searchers are back in a store that was away: the platform says about two seconds; a quarter is
 /// added for the lane's rest and a late wake-up.
