--- a/crates/staircross-quota/tests/model/mod.rs
+++ b/crates/staircross-quota/tests/model/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet of allowances over a network that loses, delays, doubles and cuts, and what all of them admit of one tenant.
 
+mod judge;
 mod schedule;
 
 pub use schedule::{Admission, Callers, Fault, Outcome, Schedule, Scheme, WorstWindow};
@@ -7,9 +8,9 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use staircross_quota::{FleetAllowance, FleetView, QuotaBound, QuotaEnvelope, QuotaMessage, QuotaView};
+use staircross_quota::{FleetAllowance, FleetView, QuotaBound, QuotaEnvelope, QuotaMessage};
 use staircross_types::{BootTime, NodeId, Quota};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -421,71 +422,6 @@
         node.share.level -= f64::from(u8::from(is_admitted));
         is_admitted
     }
-
-    /// How a node has admitted a request, by what it believed right before.
-    fn way(&self, node: usize, before: Option<QuotaView>) -> Admission {
-        let state = &self.nodes[node];
-        let Some(view) = state.allowance.view(time(self.now), TENANT) else {
-            return Admission::Unlimited;
-        };
-        // A node that takes its first request for the tenant hasn't looked for the owner before.
-        let pass = before.filter(|before| before.owner == view.owner).map_or(1.0, |before| before.pass);
-        let is_reached = |other: &Node| other.id == view.owner && other.is_up && other.group == state.group;
-        match () {
-            () if view.is_stranded => Admission::Alone,
-            () if view.is_owned => Admission::Owner,
-            () if view.substitute.is_some() => Admission::Substitute,
-            () if !self.nodes.iter().any(is_reached) => Admission::Unheard,
-            () if pass < 1.0 => Admission::Granted,
-            () => Admission::Unlimited,
-        }
-    }
-
-    /// The window with most admissions beyond the quota, by what is permitted, and the first and last of them.
-    fn worst_window(&self) -> (f64, usize, usize) {
-        let window = BOUND.window.as_secs_f64();
-        let base = self.schedule.quota;
-        let mut worst = (f64::NEG_INFINITY, 0, 0);
-        let mut first = 0;
-        for (last, Admitted { at: end, .. }) in self.admitted.iter().enumerate() {
-            while end - self.admitted[first].at > window {
-                first += 1;
-            }
-            let begin = self.admitted[first].at;
-            let quota = match self.schedule.fault {
-                // A lower limit binds a window after every node has it.
-                Fault::QuotaDown if begin >= FAULT_S + 1.0 + window => scaled(base, 1.0 / 3.0),
-                Fault::QuotaUp if *end >= FAULT_S => scaled(base, 2.0),
-                _ => base,
-            };
-            let own = quota.rate_per_s * window + quota.burst;
-            let beyond = ((last - first + 1) as f64 - own) / (own * BOUND.over + BOUND.slack);
-            if beyond > worst.0 {
-                worst = (beyond, first, last);
-            }
-        }
-        worst
-    }
-
-    fn window_by_kind(&self, first: usize, last: usize) -> WorstWindow {
-        let Some(admitted) = self.admitted.get(first..=last) else {
-            return WorstWindow::default();
-        };
-        let count = |how| admitted.iter().filter(|one| one.how == how).count();
-        let as_owner = admitted.iter().filter(|one| one.how == Admission::Owner);
-        let owners: BTreeSet<usize> = as_owner.map(|one| one.node).collect();
-        WorstWindow {
-            begin: admitted[0].at,
-            end: admitted[admitted.len() - 1].at,
-            owner: count(Admission::Owner),
-            granted: count(Admission::Granted),
-            unlimited: count(Admission::Unlimited),
-            unheard: count(Admission::Unheard),
-            substitute: count(Admission::Substitute),
-            alone: count(Admission::Alone),
-            owners: owners.len(),
-        }
-    }
 }
 
 fn scaled(quota: Quota, factor: f64) -> Quota {
