Answer what is under way when a stopping node must end

Requests are taken until 3.5 s after the begin where a kill comes after 6, and may have more time than the 2 s that are left; when the last moment came, the process ended and its connections with it.

Now whatever is under way then is answered (504, it may have run), and the node ends with the next tick, 450 ms before the kill.

--- a/crates/staircross-gateway/src/node/caller_request.rs
+++ b/crates/staircross-gateway/src/node/caller_request.rs
@@ -38,6 +38,13 @@
         self.by_key.get_mut(&key)
     }
 
+    /// All of them, in the order in which they came.
+    pub fn keys(&self) -> Vec<RequestKey> {
+        let mut keys: Vec<RequestKey> = self.by_key.keys().copied().collect();
+        keys.sort_unstable();
+        keys
+    }
+
     /// The request whose answer a connection waits for.
     pub fn key_of(&self, connection: SocketId) -> Option<RequestKey> {
         self.by_connection.get(&connection).copied()
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -207,7 +207,7 @@
         }
     }
 
-    fn finish(&mut self, key: RequestKey, verdict: Verdict) {
+    pub(super) fn finish(&mut self, key: RequestKey, verdict: Verdict) {
         let Some(mut pending) = self.requests.take(key) else {
             return;
         };
--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -1,7 +1,7 @@
 //! A planned stop: announced at once, carried out when callers have gone elsewhere.
 //!
 //! First requests are served as ever, then they are refused as not run; when nothing is under way, callers' listeners close, so that connecting is refused; when no
-//! connection has been used for a while either, the node ends. A caller that connects late or keeps its connection is so answered, never cut.
+//! connection has been used for a while either, the node ends. What is under way when the process would soon be killed is answered. A caller that connects late or keeps its connection is so answered, never cut.
 //!
 //! [`StopState`] owns the times of a stop in progress. Relies on the settings for the time until the process is killed, and on
 //! callers keeping an answer of the directory no longer than they may.
@@ -11,7 +11,8 @@
 use crate::event_log::LineKind;
 use crate::server::Endpoint;
 use staircross_cluster::MemberState;
-use staircross_types::BootTime;
+use staircross_routing::{RequestKey, RoutingEvent, Verdict};
+use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
 
 /// Times the stated time to live for which callers may keep an answer of the directory. Given by the platform.
@@ -74,6 +75,11 @@
             self.server.stop_listening(now, Endpoint::Callers, self.poll.registry());
         }
         let has_ended = stop.has_closed_listeners && is_idle && self.server.have_callers_rested(now, LAST_REST);
+        let in_flight = self.requests.keys();
+        if now >= stop.latest && !in_flight.is_empty() {
+            // Their answers go out before the next tick ends the node.
+            return self.answer_in_flight(in_flight);
+        }
         stop.is_done = has_ended || now >= stop.latest;
         if stop.is_done {
             let mut events = Vec::new();
@@ -82,6 +88,15 @@
         }
     }
 
+    /// Answers what can't be waited for any longer: its callers are told that it may have run.
+    fn answer_in_flight(&mut self, in_flight: Vec<RequestKey>) {
+        for key in in_flight {
+            let detail = "the node stops and can't wait any longer; the request may have run";
+            self.finish(key, Verdict::Refused { kind: ErrorKind::TimedOut, detail, retry_after: None });
+            self.engine_event(RoutingEvent::CallerGone(key));
+        }
+    }
+
     /// Whether what comes now is refused as not run: its end could not be waited for.
     pub(super) fn is_closed_to_requests(&self) -> bool {
         self.stop.as_ref().is_some_and(|stop| self.now >= stop.takes_until)
