Take evacuations of an update before its configuration

Cause: a starting node holds requests for want of a configuration. Of the reply that brought it the configuration was put in force first, and what was held was sent with it; the evacuations of the same reply were handed on after. Now they come first and the configuration last.

--- a/crates/staircross-gateway/src/node/knowledge.rs
+++ b/crates/staircross-gateway/src/node/knowledge.rs
@@ -33,8 +33,11 @@
     fn learn(&mut self, update: MirrorUpdate, source: &str) {
         self.note_unreadable(&update.unreadable, source);
         let mut changes = self.mirror.merge(update);
-        if let Some(definition) = changes.configuration.take() {
-            self.put_in_force(definition, source);
+        let configuration = changes.configuration.take();
+        // Evacuations first and the configuration last: requests that were held for want of it are sent as it comes into force.
+        if let Some(zones) = changes.evacuated.take() {
+            self.note_evacuated(&zones, source);
+            self.engine_event(RoutingEvent::Evacuated(zones));
         }
         self.note_searchers(&changes, source);
         if !changes.searchers.is_empty() {
@@ -43,9 +46,8 @@
         if !changes.gone.is_empty() {
             self.engine_event(RoutingEvent::SearchersGone(changes.gone));
         }
-        if let Some(zones) = changes.evacuated {
-            self.note_evacuated(&zones, source);
-            self.engine_event(RoutingEvent::Evacuated(zones));
+        if let Some(definition) = configuration {
+            self.put_in_force(definition, source);
         }
         let is_new = self.fleet.set_knowledge(&self.mirror);
         if is_new && self.fleet.is_designated_reader() {
