--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -1,7 +1,8 @@
 //! A planned stop: announced at once, carried out when callers have gone elsewhere.
 //!
 //! First requests are served as ever, then they are refused as not run; when nothing is under way, callers' listeners close, so that connecting is refused; when no
-//! connection has been used for a while either, the node ends. What is under way when the process would soon be killed is answered. A caller that connects late or keeps its connection is so answered, never cut.
+//! connection has been used for a while either, the node ends. What is under way when the process would soon be killed is answered. A caller that connects late, or goes on using
+//! its connection, is so answered and never cut.
 //!
 //! [`StopState`] owns the times of a stop in progress. Relies on the settings for the time until the process is killed, and on
 //! callers keeping an answer of the directory no longer than they may.
--- a/crates/staircross-quota/src/acting.rs
+++ b/crates/staircross-quota/src/acting.rs
@@ -1,9 +1,9 @@
 //! Standing in for a tenant's owner that doesn't answer.
 //!
 //! The membership takes some seconds to see that a node is gone. Until then each node would find out by itself, by a request that it admits and a report that
-//! isn't answered; in a large fleet these requests alone exceed a quota. So the first node that finds out acts as the owner: it tells the
-//! others, which ask the owner at once and, unless it answers, report to the acting owner and keep to the fraction that it grants. Of several the one that would
-//! own the tenant first remains. It ends with the next word of the owner, or when the membership names another.
+//! isn't answered; in a large fleet these requests alone exceed a quota. So the first node that finds out stands in for the owner: it tells the
+//! others, which report to it once, and again with what they admit, and keep to the fraction that it grants. Of several the one that would own the tenant first remains. It ends with the owner's next
+//! answer, or when the membership names another.
 
 use crate::bound::Limits;
 use crate::fleet::Fleet;
@@ -72,8 +72,8 @@
         self.ledger.take_report(now, from, report)
     }
 
-    /// The fraction that all `nodes` are to be granted now, if it must be announced. The first word limits nobody: it has others ask the owner,
-    /// and only what they report tells how much there is.
+    /// The fraction that all `nodes` are to be granted now, if it must be announced. The first word limits nobody: only what the others
+    /// report tells how much there is.
     pub fn due_grant(&mut self, now: BootTime, limits: &Limits, fleet: &Fleet) -> Option<f64> {
         if now < self.due {
             return None;
