--- a/crates/session/staircross-node/src/core/sessions.rs
+++ b/crates/session/staircross-node/src/core/sessions.rs
@@ -84,14 +84,18 @@
     pub(super) fn copy_unconfirmed(&mut self, now: BootTime) {
         for token in self.held_sessions.due(now) {
             let keepers = self.cluster.session_keepers(token);
-            let unconfirmed = self.held_sessions.unconfirmed(token, &keepers);
-            let state = self.root.sessions.get(token).and_then(encode_session);
-            if let (Some(version), Some(state)) = (unconfirmed, state) {
-                self.cluster_event(now, ClusterEvent::StoreSession { token, version, state });
+            if let Some(version) = self.held_sessions.unconfirmed(token, &keepers) {
+                self.send_copies(now, token, version);
             }
         }
     }
 
+    fn send_copies(&mut self, now: BootTime, token: SessionToken, version: u64) {
+        if let Some(state) = self.root.sessions.get(token).and_then(encode_session) {
+            self.cluster_event(now, ClusterEvent::StoreSession { token, version, state });
+        }
+    }
+
     pub(super) fn on_session_stored(&mut self, token: SessionToken, version: u64, keeper: NodeId, is_overtaken: bool) {
         self.held_sessions.note_kept(token, version, keeper);
         if is_overtaken {
@@ -204,9 +208,7 @@
         }
         info!(logger: self.logs.front, "event=session_adopted session={} from={}", session_tag(token), copy.holder);
         let version = self.held_sessions.adopt(token, copy.version);
-        if let Some(state) = self.root.sessions.get(token).and_then(encode_session) {
-            self.cluster_event(now, ClusterEvent::StoreSession { token, version, state });
-        }
+        self.send_copies(now, token, version);
         self.cluster_event(now, ClusterEvent::TakeOver { token, holder: copy.holder });
         true
     }
--- a/crates/staircross-gateway/src/node/caller_request.rs
+++ b/crates/staircross-gateway/src/node/caller_request.rs
@@ -38,6 +38,11 @@
         self.by_key.get_mut(&key)
     }
 
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.by_key.is_empty()
+    }
+
     /// All of them, in the order in which they came.
     pub fn keys(&self) -> Vec<RequestKey> {
         let mut keys: Vec<RequestKey> = self.by_key.keys().copied().collect();
--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -12,7 +12,7 @@
 use crate::event_log::LineKind;
 use crate::server::Endpoint;
 use staircross_cluster::MemberState;
-use staircross_routing::{RequestKey, RoutingEvent, Verdict};
+use staircross_routing::{RoutingEvent, Verdict};
 use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
 
@@ -76,12 +76,12 @@
             self.server.stop_listening(now, Endpoint::Callers, self.poll.registry());
         }
         let has_ended = stop.has_closed_listeners && is_idle && self.server.have_callers_rested(now, LAST_REST);
-        let in_flight = self.requests.keys();
-        if now >= stop.latest && !in_flight.is_empty() {
+        let is_latest = now >= stop.latest;
+        if is_latest && !self.requests.is_empty() {
             // Their answers go out before the next tick ends the node.
-            return self.answer_in_flight(in_flight);
+            return self.answer_in_flight();
         }
-        stop.is_done = has_ended || now >= stop.latest;
+        stop.is_done = has_ended || is_latest;
         if stop.is_done {
             let mut events = Vec::new();
             self.fleet.leave(MemberState::Left, &mut events);
@@ -90,8 +90,8 @@
     }
 
     /// Answers what can't be waited for any longer: its callers are told that it may have run.
-    fn answer_in_flight(&mut self, in_flight: Vec<RequestKey>) {
-        for key in in_flight {
+    fn answer_in_flight(&mut self) {
+        for key in self.requests.keys() {
             let detail = "the node stops and can't wait any longer; the request may have run";
             self.finish(key, Verdict::Refused { kind: ErrorKind::TimedOut, detail, retry_after: None });
             self.engine_event(RoutingEvent::CallerGone(key));
--- a/crates/staircross-quota/src/acting.rs
+++ b/crates/staircross-quota/src/acting.rs
@@ -8,7 +8,7 @@
 use crate::bound::Limits;
 use crate::fleet::Fleet;
 use crate::ledger::Ledger;
-use crate::message::{Confirmation, Counts, QuotaReport};
+use crate::message::{Confirmation, Counts, QuotaGrant, QuotaReport, TenantHash};
 use staircross_types::{BootTime, NodeId};
 use std::time::Duration;
 
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(crate) struct Acting {
     /// Whom it stands in for.
-    pub owner: NodeId,
+    owner: NodeId,
     ledger: Ledger,
     /// When to look at what is to be granted.
     pub due: BootTime,
@@ -50,16 +50,16 @@
         self.ledger.heard_since(now, FOLLOWER_LIFE)
     }
 
-    /// Brings the ledger up to date; returns the fraction of the quota that this node and its followers may spend: the owner may live and grant the rest.
-    pub fn refill(&mut self, now: BootTime, limits: &Limits, fleet: &Fleet) -> f64 {
+    /// Part of the requests that this node and its followers are to admit now. They may spend a part of the quota only: the owner may live and grant the rest.
+    pub fn pass(&mut self, now: BootTime, limits: &Limits, fleet: &Fleet) -> f64 {
         let fraction = fleet.stranded_fraction(now, self.followers(now) + 1);
         self.ledger.refill_keeping(now, limits, fraction);
-        fraction
+        self.ledger.pass(limits, fraction)
     }
 
-    /// Part of the requests to admit.
-    pub fn pass(&self, limits: &Limits, fraction: f64) -> f64 {
-        self.ledger.pass(limits, fraction)
+    /// What a node is granted in the owner's place.
+    pub fn grant(&self, now: BootTime, tenant: TenantHash, pass: f64) -> QuotaGrant {
+        QuotaGrant::unsolicited(now, tenant, pass).with_instead_of(self.owner)
     }
 
     /// Counts requests of this node.
@@ -79,9 +79,9 @@
             return None;
         }
         self.due = now + LOOK;
-        let fraction = self.refill(now, limits, fleet);
+        let granted = self.pass(now, limits, fleet);
         let is_limiting = self.is_announced && self.is_followed(now);
-        let pass = if is_limiting { self.pass(limits, fraction) } else { 1.0 };
+        let pass = if is_limiting { granted } else { 1.0 };
         let is_due = !self.is_announced
             || self.ledger.is_announcement_due(now, pass, fleet.serving().len())
             || self.ledger.announced_for(now) >= REPEAT;
--- a/crates/staircross-quota/src/allowance.rs
+++ b/crates/staircross-quota/src/allowance.rs
@@ -141,9 +141,8 @@
         let is_stranded = is_alone || tenant.is_stranded(now, &self.fleet);
         let taken = match (is_stranded, tenant.owner == self.own) {
             _ if self.fleet.is_starting(now) => tenant.take_starting(now, random),
-            _ if is_alone => tenant.take_stranded(now, &self.fleet, random),
-            _ if tenant.is_acting(now) => tenant.take_acting(now, &self.fleet, random),
             (true, _) => tenant.take_stranded(now, &self.fleet, random),
+            _ if tenant.is_acting(now) => tenant.take_acting(now, &self.fleet, random),
             (false, true) => tenant.take_owned(now, fleet_fraction, random),
             (false, false) => tenant.take_followed(now, random),
         };
--- a/crates/staircross-quota/src/ledger.rs
+++ b/crates/staircross-quota/src/ledger.rs
@@ -31,7 +31,7 @@
 /// Factor of the gaps where more passes: a grant that comes late costs some refusals then, and no excess.
 const EASING_FACTOR: u32 = 3;
 /// Time after which a limited tenant's fraction is granted again, for nodes that missed it. A few times below the life of a grant.
-pub(crate) const REPEAT: Duration = Duration::from_millis(1000);
+const REPEAT: Duration = Duration::from_millis(1000);
 /// Change of the fraction, relative to itself, that is announced to all nodes.
 const ANNOUNCED_CHANGE: f64 = 0.2;
 /// Least fraction that changes are measured against. So that changes of tiny fractions aren't announced.
--- a/crates/staircross-quota/src/tenant.rs
+++ b/crates/staircross-quota/src/tenant.rs
@@ -35,7 +35,7 @@
     pub ledger: Option<Ledger>,
     pub spender: Option<Spender>,
     /// Set while this node stands in for the owner.
-    pub acting: Option<Acting>,
+    acting: Option<Acting>,
     /// Tokens of a node that is on its own.
     stranded: Option<Bucket>,
     /// What is left of the parts of earlier requests; a request passes when it reaches 1.
@@ -161,12 +161,7 @@
 
     /// The node that stands in for the owner, `own` where this one does.
     pub fn substitute_or(&self, now: BootTime, own: NodeId) -> Option<NodeId> {
-        if self.is_acting(now) { Some(own) } else { self.substitute(now) }
-    }
-
-    /// The other node that stands in for the owner, if it answers.
-    pub fn substitute(&self, now: BootTime) -> Option<NodeId> {
-        self.spender.as_ref().and_then(|spender| spender.substitute(now))
+        if self.is_acting(now) { Some(own) } else { self.spender.as_ref()?.substitute(now) }
     }
 
     /// Begins to stand in for an owner that doesn't answer, where nobody else does.
@@ -186,8 +181,7 @@
             return Ok(());
         };
         self.stranded = None;
-        let fraction = acting.refill(now, &self.limits, fleet);
-        let pass = acting.pass(&self.limits, fraction);
+        let pass = acting.pass(now, &self.limits, fleet);
         let is_admitted = draw(&mut self.carry, pass);
         self.count_unowned(now, is_admitted);
         if is_admitted { Ok(()) } else { Err(refusal(pass, random)) }
@@ -203,17 +197,15 @@
     ) -> Option<QuotaGrant> {
         let acting = self.acting.as_mut()?;
         let confirmation = acting.take_report(now, from, report);
-        let fraction = acting.refill(now, &self.limits, fleet);
-        let pass = acting.pass(&self.limits, fraction);
-        let grant = QuotaGrant::unsolicited(now, self.hash, pass).with_instead_of(acting.owner);
-        Some(grant.with_confirmation(confirmation))
+        let pass = acting.pass(now, &self.limits, fleet);
+        Some(acting.grant(now, self.hash, pass).with_confirmation(confirmation))
     }
 
     /// What all nodes are to be granted now in the owner's place.
     pub fn due_grant_acting(&mut self, now: BootTime, fleet: &Fleet) -> Option<QuotaGrant> {
         let acting = self.acting.as_mut()?;
         let pass = acting.due_grant(now, &self.limits, fleet)?;
-        Some(QuotaGrant::unsolicited(now, self.hash, pass).with_instead_of(acting.owner))
+        Some(acting.grant(now, self.hash, pass))
     }
 
     /// Another node stands in for an owner. The answer, where it shouldn't: this node comes before it in that.
@@ -229,7 +221,7 @@
             return None;
         }
         if let Some(acting) = self.acting.as_ref().filter(|_| is_before(own, from, self.hash)) {
-            return Some(QuotaGrant::unsolicited(now, self.hash, 1.0).with_instead_of(acting.owner));
+            return Some(acting.grant(now, self.hash, 1.0));
         }
         let known = spender.substitute(now);
         if known.is_none_or(|known| known == from || is_before(from, known, self.hash)) {
