Let only silence make a first probe wait longer, and no span wrap a time

Callers saw a node that took their connections and answered nothing until it was killed: its loop never ended a turn.

Cause, by a stack of the spinning process and a print of its request: the pause after which one more shard is asked doubled with each sending, also of sendings that were rejected. Searchers that lost their connections reject dozens within a second; after some sixty doublings the microseconds wrapped, the next look was due at once, always, and a tick makes looks until none is due. Ruled out: a kill or freeze by the soak, a panic, a wait.

The pause grows only where a shard is sent though others are at work, so it takes as long to grow as it is long. A span beyond what the clock counts ends at its last time.

--- a/crates/staircross-routing/src/decision/first_probe.rs
+++ b/crates/staircross-routing/src/decision/first_probe.rs
@@ -27,7 +27,8 @@
 /// Times the usual work after which a searcher counts as silent. A searcher that stands still for a moment should leave time for the other shards
 /// within the request's goal.
 const SILENT_WORK_FACTOR: f64 = 3.0;
-/// Factor by which the time until one more shard is asked grows each time, so that what lives long before its end meets few searchers.
+/// Factor by which the time until one more shard is asked grows each time that all were silent, so that what lives long before its end meets few
+/// searchers.
 const PATIENCE_GROWTH: u32 = 2;
 /// Least time between two looks for a shard that can be sent.
 const MIN_PATIENCE: Duration = Duration::from_millis(10);
@@ -57,7 +58,7 @@
 pub struct FirstProbe {
     /// When one more shard is sent though others are at work.
     next_at: BootTime,
-    /// Time from the last sending until then.
+    /// Time from the last sending until then. It grows by silence alone, so it is never much longer than the request has waited.
     patience: Duration,
 }
 
@@ -72,10 +73,15 @@
         at_work == 0 || now >= self.next_at
     }
 
-    /// A shard was sent to a searcher that is `round_trip` away and usually works on such a request for `work`.
-    pub fn note_sent(&mut self, now: BootTime, round_trip: Duration, work: Duration) {
+    /// A shard was sent to a searcher that is `round_trip` away and usually works on such a request for `work`, while others were `at_work` on
+    /// so many.
+    ///
+    /// Only silence has the next shard wait longer. Where nobody is at work the last one asked has ended, rejected the request or couldn't be
+    /// reached, and wasn't waited for: a request may be rejected dozens of times within a second.
+    pub fn note_sent(&mut self, now: BootTime, round_trip: Duration, work: Duration, at_work: usize) {
+        let growth = if at_work > 0 { PATIENCE_GROWTH } else { 1 };
         let usual = round_trip + work.mul_f64(SILENT_WORK_FACTOR);
-        self.patience = (self.patience * PATIENCE_GROWTH).max(usual);
+        self.patience = (self.patience * growth).max(usual);
         self.next_at = now + self.patience;
     }
 
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -160,8 +160,9 @@
         shard.outstanding += 1;
         shard.tried.push(sending.searcher);
         let hedge_at = times.hedge_at(now, request.answer_by);
+        let at_work = request.attempts_at_work();
         if let Some(probe) = &mut request.probe {
-            probe.note_sent(now, times.round_trip, work);
+            probe.note_sent(now, times.round_trip, work, at_work);
         }
         let shard = sending.shard_index as u32;
         request.attempts.push(Attempt { shard, hedge_at, is_open: true, is_resolved: false });
--- a/crates/staircross-routing/tests/first_probe.rs
+++ b/crates/staircross-routing/tests/first_probe.rs
@@ -9,8 +9,8 @@
 use staircross_routing::engine::{SendOrder, SendReason};
 use staircross_routing::state::request::Unknown;
 use staircross_routing::{
-    AttemptOutcome, ContentKey, InstanceKey, LostAttempt, RequestKey, RouteDigest, RoutingEvent, RoutingPolicy,
-    RoutingSettings, Verdict,
+    Arrival, AttemptOutcome, ContentKey, InstanceKey, LostAttempt, NotRun, RequestKey, RouteDigest, RoutingEvent,
+    RoutingPolicy, RoutingSettings, Verdict,
 };
 use staircross_types::BootTime;
 use std::time::Duration;
@@ -23,6 +23,8 @@
 const ALLOWED: usize = 4;
 /// Latency goal of the routes.
 const GOAL: Duration = Duration::from_millis(250);
+/// Rejections of one request: so many that a time which doubled with each would be longer than any clock counts.
+const REJECTIONS: usize = 80;
 /// Time from a searcher's end until another is in its place.
 const RESTART: Duration = Duration::from_secs(4);
 
@@ -46,7 +48,7 @@
 }
 
 fn ask(driver: &mut Driver, path: &str, content: ContentKey) -> RequestKey {
-    let arrival = staircross_routing::Arrival { content, ..driver.arrival(path) };
+    let arrival = Arrival { content, ..driver.arrival(path) };
     let key = arrival.key;
     driver.event(RoutingEvent::Arrived(arrival));
     key
@@ -238,6 +240,26 @@
     assert!(matches!(driver.verdict(request), Some(Verdict::Merged(merged)) if merged.missing == 0));
 }
 
+/// Whoever rejected it hasn't run it, and wasn't waited for: how long silence is borne doesn't follow from how often a request is rejected.
+#[test]
+fn a_request_that_was_rejected_often_asks_another_shard_within_its_goal() {
+    let mut driver = driver();
+    end_all(&mut driver, ContentKey(1));
+    let patience = Some(Duration::from_secs(30));
+    let arrival = Arrival { content: ContentKey(100), patience, ..driver.arrival("/all/new") };
+    let request = arrival.key;
+    driver.event(RoutingEvent::Arrived(arrival));
+    for rejected in 0..REJECTIONS {
+        let order = driver.sent_for(request).last().expect("somebody is asked").attempt;
+        driver.end(order, AttemptOutcome::NotRun(NotRun::Shed));
+        while driver.sent_for(request).len() == rejected + 1 {
+            driver.pass_ms(1);
+        }
+    }
+    driver.pass(GOAL);
+    assert_eq!(driver.sent_for(request).len(), REJECTIONS + 2, "one is silent, one more shard is asked");
+}
+
 #[test]
 fn after_a_loss_another_searcher_is_asked_alone() {
     let mut driver = driver();
--- a/crates/staircross-types/src/time.rs
+++ b/crates/staircross-types/src/time.rs
@@ -37,7 +37,7 @@
     type Output = BootTime;
 
     fn add(self, span: Duration) -> BootTime {
-        BootTime(self.0.saturating_add(span.as_micros() as u64))
+        BootTime(self.0.saturating_add(micros(span)))
     }
 }
 
@@ -45,6 +45,11 @@
     type Output = BootTime;
 
     fn sub(self, span: Duration) -> BootTime {
-        BootTime(self.0.saturating_sub(span.as_micros() as u64))
+        BootTime(self.0.saturating_sub(micros(span)))
     }
 }
+
+/// Whole microseconds of a span; one that is longer than the clock counts is the longest that it does, so that a time after it never lies before.
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
