Have a new incarnation introduce itself to who probes the one before it

Where two nodes had joined through a third that is gone, and one starts again, callers saw two fleets, for good.

Its peers probe its predecessor at the same address; the datagrams bear the predecessor's id and were dropped whole. It took itself for alone after 0.6 s and admitted 62 of the window's 162 requests until a peer asked its address as a seed, 2.7 s after its start. Ruled out: a substitute (none is named), several nodes that start at once (one did).

Such a datagram is still no message for the new incarnation, but its sender is alive and doesn't know it: it introduces itself there, if it doesn't know the sender.

--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -204,11 +204,16 @@
     }
 
     fn on_envelope(&mut self, now: BootTime, envelope: Envelope, actions: &mut Vec<ClusterAction>) {
-        // Meant for the incarnation that was at this address before.
-        if envelope.to.is_some_and(|to| to != self.me) || envelope.from == self.me {
+        if envelope.from == self.me {
             return;
         }
-        let Envelope { from, from_address, message, .. } = envelope;
+        let Envelope { from, from_address, to, message, .. } = envelope;
+        // Meant for the incarnation that was at this address before.
+        if to.is_some_and(|to| to != self.me) {
+            let mut out = Vec::new();
+            self.membership.on_misaddressed(from, from_address, &mut out);
+            return self.do_membership(out, actions);
+        }
         match message {
             ClusterMessage::Membership(message) => {
                 let mut out = Vec::new();
--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -235,20 +235,34 @@
         self.next_seed_contact = now + SEED_CONTACT_EVERY;
         let known =
             |seed: &SocketAddr| self.members.values().any(|member| !member.is_gone() && member.peer_address == *seed);
-        let own_record = self.own().clone();
         let mut unknown: Vec<SocketAddr> = self.seeds.iter().copied().filter(|seed| !known(seed)).collect();
         if self.settings.asks_one_seed {
             shuffle(&mut unknown, random);
             unknown.truncate(1);
         }
-        // A joiner that knows somebody near gets the rest there, and only has to be known to the seed.
+        unknown.into_iter().for_each(|seed| self.introduce_to(seed, actions));
+    }
+
+    /// Has a node be known at an address where it is unknown who listens. One that knows somebody near gets the rest there, and only has to be
+    /// known.
+    fn introduce_to(&mut self, address: SocketAddr, actions: &mut Vec<MembershipAction>) {
+        let member = self.own().clone();
         let has_mates = !self.near_and_far().0.is_empty();
-        for seed in unknown {
-            let message = match has_mates {
-                true => MembershipMessage::Probe { number: self.take_number(), updates: vec![own_record.clone()] },
-                false => MembershipMessage::Join { member: own_record.clone() },
-            };
-            actions.push(MembershipAction::Send { to: None, address: seed, message });
+        let message = match has_mates {
+            true => MembershipMessage::Probe { number: self.take_number(), updates: vec![member] },
+            false => MembershipMessage::Join { member },
+        };
+        actions.push(MembershipAction::Send { to: None, address, message });
+    }
+
+    /// A peer sent something to an earlier incarnation at this node's address, which nobody may take for this one's.
+    ///
+    /// Whoever sends that is alive and doesn't know this incarnation. It may be the only way for both to meet: seeds of a node that starts again
+    /// may all be gone.
+    pub fn on_misaddressed(&mut self, from: NodeId, address: SocketAddr, actions: &mut Vec<MembershipAction>) {
+        let is_known = self.members.get(&from).is_some_and(|member| !member.is_gone());
+        if !is_known {
+            self.introduce_to(address, actions);
         }
     }
 
--- a/crates/staircross-cluster/tests/common/mod.rs
+++ b/crates/staircross-cluster/tests/common/mod.rs
@@ -126,6 +126,15 @@
 
     /// Starts a node, as a new incarnation without memory.
     pub fn start(&mut self, index: usize) {
+        self.start_with_seeds(index, vec![address(0), address(1), address(2)]);
+    }
+
+    /// The same for one whose seeds are all gone.
+    pub fn start_without_seeds(&mut self, index: usize) {
+        self.start_with_seeds(index, Vec::new());
+    }
+
+    fn start_with_seeds(&mut self, index: usize, seeds: Vec<SocketAddr>) {
         let me = Member {
             node: NodeId(self.next_run.wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835)),
             peer_address: address(index),
@@ -137,7 +146,6 @@
             is_ready: true,
         };
         self.next_run += 1;
-        let seeds = vec![address(0), address(1), address(2)];
         let settings = ClusterSettings { membership: quick_settings(), ..ClusterSettings::new(me, seeds) };
         let engine = ClusterEngine::new(settings, self.rng.random());
         let next_poll = self.now;
--- a/crates/staircross-cluster/tests/membership.rs
+++ b/crates/staircross-cluster/tests/membership.rs
@@ -67,6 +67,25 @@
     assert!(fleet.all_see_all());
 }
 
+/// Time after which a starting node that knows nobody takes itself for alone, and a tenant's whole quota for its own.
+const TAKEN_FOR_ALONE: Duration = Duration::from_millis(600);
+
+/// Its peers go on probing the address of its predecessor.
+#[test]
+fn a_node_that_starts_again_is_found_though_all_its_seeds_are_gone() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(7, seed);
+        fleet.run_for(Duration::from_secs(10));
+        fleet.crash(0);
+        fleet.run_for(Duration::from_millis(seed * 100));
+        fleet.start_without_seeds(0);
+        fleet.run_for(TAKEN_FOR_ALONE);
+        assert!(fleet.live_count(0) > 1, "seed {seed}: it knows nobody");
+        fleet.run_for(Duration::from_secs(2));
+        assert!(fleet.all_see_all(), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_large_fleet_that_starts_at_once_finds_itself_within_seconds() {
     const LARGE: usize = 150;
--- a/crates/staircross-gateway/src/fleet/datagrams.rs
+++ b/crates/staircross-gateway/src/fleet/datagrams.rs
@@ -71,7 +71,13 @@
             self.counters.unreadable += 1;
             return;
         };
-        if datagram.to.is_some_and(|to| to != self.node) || datagram.from == self.node {
+        if datagram.from == self.node {
+            return;
+        }
+        if datagram.to.is_some_and(|to| to != self.node) {
+            let mut actions = Vec::new();
+            self.membership.on_misaddressed(datagram.from, from, &mut actions);
+            self.carry_out(actions, events);
             return;
         }
         if self.contact.note_heard(now) {
