--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -337,14 +337,21 @@
 
     fn on_tick(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
         self.log_ended_alarms(now, actions);
-        while let Some(Reverse((due, key))) = self.wakes.peek().copied() {
-            if due > now {
-                break;
-            }
-            self.wakes.pop();
+        for (due, key) in self.take_due_wakes(now) {
             if self.take_wake(key, due) {
                 self.on_due(now, key, actions);
             }
         }
     }
+
+    /// Takes the looks whose time has come, in order. One that is scheduled while they are made waits for the next tick though its time has come,
+    /// so that a request which asks for one look after the other never keeps its node from sockets, peers and other requests.
+    fn take_due_wakes(&mut self, now: BootTime) -> Vec<(BootTime, RequestKey)> {
+        let mut taken = Vec::new();
+        while let Some(Reverse((due, key))) = self.wakes.peek().copied().filter(|Reverse((due, _))| *due <= now) {
+            self.wakes.pop();
+            taken.push((due, key));
+        }
+        taken
+    }
 }
