Keep the connections of refused callers until a stopping node's listeners close

Cause, from the node's log: each refusal closed its connection, so the caller connected anew each 12 ms, and a connection that completes between the last accepting and the closing of the listener is reset. Ruled out: a fault at the node (its history holds the stop alone), a request that was read.

While callers can connect, a refusal keeps its connection; afterwards it closes it, and the caller can't come back. A refused HEAD has no body, since its connection lives on now.

What remains are callers that come anew at that very moment.

--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -17,6 +17,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How the answer to a request ends.
+#[derive(Clone, Copy)]
+struct Ending {
+    /// Whether the connection ends with it.
+    closes: bool,
+    /// Whether it goes without its body.
+    is_head: bool,
+}
+
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_server_socket(&mut self, id: SocketId, is_writable: bool) {
         let mut events = Vec::new();
@@ -54,7 +63,7 @@
             return self.refuse_connection(connection, ErrorKind::BadRequest);
         }
         if self.is_closed_to_requests() {
-            return self.refuse_connection(connection, ErrorKind::Leaving);
+            return self.refuse_leaving(connection, &*outbound.method == "HEAD");
         }
         let key = self.requests.next_key();
         let arrival = self.arrival(key, &request.head, &outbound, link);
@@ -155,11 +164,23 @@
 
     /// Refuses what never became a request, and ends the connection.
     fn refuse_connection(&mut self, connection: SocketId, kind: ErrorKind) {
+        self.refuse_unread(connection, kind, Ending { closes: true, is_head: false });
+    }
+
+    /// Refuses a request that comes too late in a planned stop. Its connection is kept for as long as callers can connect: whoever goes on asking
+    /// would make a new one for each request, and one that is made as the listener closes is reset.
+    fn refuse_leaving(&mut self, connection: SocketId, is_head: bool) {
+        let ending = Ending { closes: !self.is_listening_to_callers(), is_head };
+        self.refuse_unread(connection, ErrorKind::Leaving, ending);
+    }
+
+    fn refuse_unread(&mut self, connection: SocketId, kind: ErrorKind, ending: Ending) {
         self.metrics.refused(kind);
         self.log.line(self.now, LineKind::Drop, format_args!("event=refused_unread kind={kind}"));
-        let context = AnswerContext { names: self.dialect.headers(), id: None, closes: true, is_head: false };
+        let Ending { closes, is_head } = ending;
+        let context = AnswerContext { names: self.dialect.headers(), id: None, closes, is_head };
         let answer = context.refused(kind, kind.meaning(), None);
-        self.respond(connection, answer, true);
+        self.respond(connection, answer, closes);
     }
 
     pub(super) fn respond(&mut self, connection: SocketId, answer: Vec<u8>, closes: bool) {
--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -1,7 +1,7 @@
 //! A planned stop: announced at once, carried out when callers have gone elsewhere.
 //!
-//! First requests are served as ever, then they are refused as not run; when nothing is under way, callers' listeners close, so that connecting is refused; when no
-//! connection has been used for a while either, the node ends. What is under way when the process would soon be killed is answered. A caller that connects late, or goes on using
+//! First requests are served as ever, then they are refused as not run; when nothing is under way, callers' listeners close, so that connecting is refused, and each
+//! refusal closes its connection; when no connection has been used for a while either, the node ends. What is under way when the process would soon be killed is answered. A caller that connects late, or goes on using
 //! its connection, is so answered and never cut.
 //!
 //! [`StopState`] owns the times of a stop in progress. Relies on the settings for the time until the process is killed, and on
@@ -103,6 +103,11 @@
         self.stop.as_ref().is_some_and(|stop| self.now >= stop.takes_until)
     }
 
+    /// Whether callers can connect.
+    pub(super) fn is_listening_to_callers(&self) -> bool {
+        self.stop.as_ref().is_none_or(|stop| !stop.has_closed_listeners)
+    }
+
     /// Time to live of the directory's answers, such that they have left a
     /// stopping node while it can still finish what it took from them.
     pub(super) fn directory_ttl(&self) -> Duration {
