--- a/crates/staircross-gateway/src/directory.rs
+++ b/crates/staircross-gateway/src/directory.rs
@@ -17,10 +17,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Addresses in one answer. Not measured; they are some 1.3 KB.
+/// Addresses in one answer: some 1.3 KB.
 const MAX_ADDRESSES: usize = 64;
-/// Fraction of a searcher's connections that serving nodes are planned to use. The rest is for reserves that
-/// still hold some, and for incarnations that are gone but not yet noticed. Not measured.
+/// Fraction of a searcher's connections that serving nodes are planned to use. The rest is for reserves that still hold some, and for incarnations
+/// that are gone but not yet noticed.
 const PLANNED_FRACTION: f64 = 0.9;
 /// Connections to each searcher that a serving node should have: one for its usual work, one for requests
 /// that meet, one for hedges, and half as much again. At 4.5 instead of 3 fewer nodes see more of the traffic each, and hedge better; at 5
@@ -28,10 +28,9 @@
 const CONNECTIONS_PER_NODE: f64 = 4.5;
 /// Least serving nodes of a zone that has so many, so that one may go.
 const MIN_PER_ZONE: usize = 2;
-/// Busy fraction, in percent, that serving nodes are planned to have at the most. Not measured; chosen below that at which a node counts
-/// as pressed.
+/// Busy fraction, in percent, that serving nodes are planned to have at the most. Below that at which a node counts as pressed.
 const PLANNED_LOAD: usize = 40;
-/// Farther nodes that stand in for each near one that is pressed. Not measured.
+/// Farther nodes that stand in for each near one that is pressed.
 const FARTHER_PER_PRESSED: usize = 2;
 
 /// A node that callers may be sent to.
--- a/crates/staircross-gateway/src/event_log.rs
+++ b/crates/staircross-gateway/src/event_log.rs
@@ -11,12 +11,12 @@
 use std::io::Write;
 use std::time::Duration;
 
-/// Bytes kept for a slow reader. Not measured; chosen as what a pipe holds by default.
+/// Bytes kept for a slow reader. What a pipe holds by default.
 const MAX_PENDING: usize = 64 * 1024;
 /// Bytes from which a piece is written at once, and most in one write. A pipe takes so much whole or not
 /// at all (`PIPE_BUF`), so that no line is cut.
 const WRITE_AT: usize = 4 * 1024;
-/// Longest time that a line waits for company. Not measured; chosen so that an operator who follows the log sees lines at once.
+/// Longest time that a line waits for company. So that an operator who follows the log sees lines at once.
 const WRITE_AFTER: Duration = Duration::from_millis(500);
 
 /// Kinds of lines.
--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -51,8 +51,7 @@
 /// Nodes assumed to live and serve at the start, until more have been seen: a starting node takes no more than an eighth of what all share. For a
 /// small fleet.
 const ASSUMED_FLEET: usize = 8;
-/// Peers that are sent updates at once; they pass them on. Together with probes each 200 ms, pushes to twelve took what was served on
-/// days of dead and frozen nodes from 0.930 to 0.936 and from 0.934 to 0.942. Other counts aren't measured.
+/// Peers that are sent updates at once; they pass them on.
 const PUSH_COUNT: usize = 12;
 
 /// What changed in the fleet.
@@ -305,9 +304,8 @@
 }
 
 /// Callers lose a request with each second that a dead node stays in the directory, and only lose a
-/// node for a moment when it is suspected wrongly. So probes are more frequent than the cluster crate's usual ones and fail sooner
-/// (figures at [`PUSH_COUNT`]); a suspect leaves the directory at once, and has as long to refute. Fewer retransmits and one seed at a
-/// time took the busiest of 300 nodes from 570 to 315 kB/s. The other figures aren't measured.
+/// node for a moment when it is suspected wrongly. So probes are more frequent than the cluster crate's usual ones and fail sooner; a suspect leaves the directory at once, and has as long to refute. Fewer retransmits and one seed at a time spare the busiest node's
+/// link in fleets of hundreds.
 fn membership_settings() -> MembershipSettings {
     MembershipSettings {
         probe_every: Duration::from_millis(200),
--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -21,26 +21,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Longest answer, in bytes; a longer one breaks the call. Not measured; chosen far above a page of the store, about 1 MB, so that it
-/// bounds the memory only.
+/// Longest answer, in bytes; a longer one breaks the call. Far above a page of the store, about 1 MB, so that it bounds the memory only.
 const MAX_ANSWER: usize = 32 * 1024 * 1024;
 /// Silence that is borne after each piece of an answer: giving up one that is half there and asking for it again makes a busy server
-/// busier. Not measured by itself.
+/// busier.
 const PROGRESS_PATIENCE: Duration = Duration::from_millis(1000);
-/// Longest time from a call's start to its answer's end, however steadily that comes in. Not measured by itself.
+/// Longest time from a call's start to its answer's end, however steadily that comes in.
 const MAX_PATIENCE: Duration = Duration::from_secs(10);
-/// Longest wait for a connection. Not measured; chosen below the patience of every call, so that a host that is gone is noticed
-/// before.
+/// Longest wait for a connection. Below the patience of every call, so that a host that is gone is noticed before.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(700);
-/// Silence of a connection after which the kernel probes it. Not measured; with the two figures below a host that is cut off is noticed in
+/// Silence of a connection after which the kernel probes it. With the two figures below a host that is cut off is noticed in
 /// four seconds.
 const KEEP_ALIVE_IDLE: Duration = Duration::from_secs(2);
-/// Time between these probes. Not measured.
+/// Time between these probes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Probes without an answer after which the connection is broken. Not measured; chosen so that one may be lost.
+/// Probes without an answer after which the connection is broken. So that one may be lost.
 const KEEP_ALIVE_COUNT: u32 = 2;
-/// Longest time that written bytes may stay unacknowledged, in milliseconds. Not measured; chosen between a call's patience and the
-/// keep-alive probes' four seconds.
+/// Longest time that written bytes may stay unacknowledged, in milliseconds. Between a call's patience and the keep-alive probes' four seconds.
 const USER_TIMEOUT_MS: u32 = 2500;
 
 /// How a call ended.
--- a/crates/staircross-gateway/src/load.rs
+++ b/crates/staircross-gateway/src/load.rs
@@ -9,14 +9,12 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Time over which the busy share is averaged. Not measured; chosen to span many turns, and short beside the time for which
-/// callers keep an answer of the directory.
+/// Time over which the busy share is averaged. To span many turns, and short beside the time for which callers keep an answer of the directory.
 const WINDOW: Duration = Duration::from_millis(500);
-/// Busy share, in percent, from which callers are better sent elsewhere. Not measured by itself; chosen above what
-/// serving nodes are planned to have, with room for the callers of one that fails.
+/// Busy share, in percent, from which callers are better sent elsewhere. Above what serving nodes are planned to have, with room for the callers of
+/// one that fails.
 const PRESSED_PERCENT: u8 = 70;
-/// Wait from which new requests are rejected. Not measured by itself; chosen so that most of a usual caller's time is left for
-/// another node.
+/// Wait from which new requests are rejected. So that most of a usual caller's time is left for another node.
 const OVERLOADED_WAIT: Duration = Duration::from_millis(150);
 /// Longest sleep that isn't taken for a process that stood still. Derived: twice the loop's tick, so that a late wake-up is
 /// none.
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -13,10 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Upper bounds of the answer histogram, in milliseconds. Not measured; chosen to cover answers from some
-/// milliseconds to ten seconds.
+/// Upper bounds of the answer histogram, in milliseconds. To cover answers from some milliseconds to ten seconds.
 const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 75, 100, 150, 250, 500, 1000, 2500, 10_000];
-/// Routes that have a histogram of their own; further ones share one. Not measured; chosen to bound the text.
+/// Routes that have a histogram of their own; further ones share one. Bounds the text.
 const MAX_ROUTES: usize = 64;
 /// Route name of the histogram that further routes share.
 const OTHER_ROUTES: &str = "other";
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -77,17 +77,15 @@
 // A kind without a place would never be handled.
 const _: () = assert!(TURN_ORDER[0].len() + TURN_ORDER[1].len() + TURN_ORDER[2].len() == SocketKind::ALL.len());
 
-/// Events taken from the poll at once; those beyond come with the next turn. Not measured; chosen for the
-/// descriptors that a node has by default.
+/// Events taken from the poll at once; those beyond come with the next turn. For the descriptors that a node has by default.
 const EVENTS: usize = 1024;
-/// Events handled before the clock is read again, so that a long turn doesn't take its start for now. Not
-/// measured; chosen so that reading the clock costs little beside the work.
+/// Events handled before the clock is read again, so that a long turn doesn't take its start for now. So that reading the clock costs little beside
+/// the work.
 const EVENTS_PER_CLOCK: usize = 16;
-/// Time between looks at what has no exact time of its own: sweeps, readiness, roles, summaries. Not measured;
-/// chosen short beside what it looks at, which takes some hundred milliseconds and more.
+/// Time between looks at what has no exact time of its own: sweeps, readiness, roles, summaries. Short beside what it looks at, which takes some
+/// hundred milliseconds and more.
 const TICK: Duration = Duration::from_millis(50);
-/// Gap between two turns from which it is logged that the process stood still. Not measured; chosen far above what the loop
-/// sleeps, which is at most [`TICK`].
+/// Gap between two turns from which it is logged that the process stood still. Far above what the loop sleeps, which is at most [`TICK`].
 const LATE_TURN: Duration = Duration::from_secs(1);
 
 /// A node.
--- a/crates/staircross-gateway/src/node/attempts.rs
+++ b/crates/staircross-gateway/src/node/attempts.rs
@@ -11,8 +11,8 @@
 use staircross_routing::engine::{AbandonCause, RoutingEvent, SendOrder, SendReason};
 use std::time::Duration;
 
-/// Rest of connections to searchers at a node that serves no callers: others need them. Not measured; chosen far below the
-/// rest at nodes that serve, so that a node that has just become a reserve lets go soon.
+/// Rest of connections to searchers at a node that serves no callers: others need them. Far below the rest at nodes that serve, so that a node that
+/// has just become a reserve lets go soon.
 const RESERVE_REST: Duration = Duration::from_secs(2);
 
 impl<D: Dialect> GatewayNode<D> {
--- a/crates/staircross-gateway/src/node/caller_request.rs
+++ b/crates/staircross-gateway/src/node/caller_request.rs
@@ -112,8 +112,7 @@
     lines: Vec<(BootTime, String)>,
 }
 
-/// Decisions kept for one request; further ones are not logged. Not measured; chosen so that the hedges and retries of a
-/// request to many shards fit.
+/// Decisions kept for one request; further ones are not logged. So that the hedges and retries of a request to many shards fit.
 const MAX_TRACE: usize = 96;
 
 impl Trace {
--- a/crates/staircross-gateway/src/node/knowledge/peers.rs
+++ b/crates/staircross-gateway/src/node/knowledge/peers.rs
@@ -15,8 +15,8 @@
 use staircross_wire::frame::decode;
 use std::time::Duration;
 
-/// Silence after which a pull is given up and counts as failed. Not measured; chosen above a round trip between regions and the time that
-/// a peer's link needs for a configuration that is passed on, and below the bounds on updates.
+/// Silence after which a pull is given up and counts as failed. Above a round trip between regions and the time that a peer's link needs for a
+/// configuration that is passed on, and below the bounds on updates.
 const PEER_PATIENCE: Duration = Duration::from_millis(900);
 /// Target at which peers are asked for what changed after a revision.
 pub(in crate::node) const CHANGES_TARGET: &str = "/changes?after=";
--- a/crates/staircross-gateway/src/node/operator.rs
+++ b/crates/staircross-gateway/src/node/operator.rs
@@ -8,8 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-/// Time between looks at the settings file. Not measured; chosen small beside the bound on configurations, and so that a look
-/// costs nothing.
+/// Time between looks at the settings file. Small beside the bound on configurations, and so that a look costs nothing.
 const FILE_LOOK: Duration = Duration::from_secs(1);
 
 /// What the outside asks of a running node.
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -40,15 +40,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time after the start of a process that isn't the fleet's first during which fresh connections to searchers are proved:
-/// its machine may have lost power, and searchers still hold the connections of its earlier incarnation. Not measured;
-/// chosen for the time that searchers take to notice.
+/// Time after the start of a process that isn't the fleet's first during which fresh connections to searchers are proved: its machine may have lost
+/// power, and searchers still hold the connections of its earlier incarnation. For the time that searchers take to notice.
 const STARTUP: Duration = Duration::from_secs(20);
-/// Time after the start of such a process during which it looks for searchers again soon after each update on them. Not
-/// measured; chosen for the searchers that come back one by one after a loss of power.
+/// Time after the start of such a process during which it looks for searchers again soon after each update on them. For the searchers that come back
+/// one by one after a loss of power.
 const READER_STARTUP: Duration = Duration::from_secs(3);
-/// Longest answer of a searcher, in bytes. Not measured; chosen so that one answer is a small share of a
-/// process's default memory.
+/// Longest answer of a searcher, in bytes. So that one answer is a small share of a process's default memory.
 const MAX_ANSWER: usize = 8 * 1024 * 1024;
 
 impl<D: Dialect> GatewayNode<D> {
--- a/crates/staircross-gateway/src/node/status.rs
+++ b/crates/staircross-gateway/src/node/status.rs
@@ -8,8 +8,8 @@
 use crate::event_log::LineKind;
 use std::time::Duration;
 
-/// Time that a node waits for a whole listing of the searchers before it is ready with less. Not measured; chosen so
-/// that a node is of use where no listing comes, and after the usual time in which one does.
+/// Time that a node waits for a whole listing of the searchers before it is ready with less. So that a node is of use where no listing comes, and
+/// after the usual time in which one does.
 const LISTING_PATIENCE: Duration = Duration::from_secs(3);
 
 /// What the node last found of itself.
--- a/crates/staircross-gateway/src/node/summary.rs
+++ b/crates/staircross-gateway/src/node/summary.rs
@@ -9,7 +9,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-/// Time between two summaries. Not measured; chosen so that they are a small share of the lines, and an hour shows its course.
+/// Time between two summaries. So that they are a small share of the lines, and an hour shows its course.
 pub(super) const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 
 impl<D: Dialect> GatewayNode<D> {
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -25,15 +25,13 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-/// Rest of a connection whose searcher doesn't say how long it keeps it. Not measured; chosen below what servers
-/// usually keep.
+/// Rest of a connection whose searcher doesn't say how long it keeps it. Below what servers usually keep.
 const USUAL_REST: Duration = Duration::from_secs(30);
-/// Time before its searcher would close it at which a connection is closed. Not measured; chosen above the way of a request
-/// and the second to which searchers state what they keep.
+/// Time before its searcher would close it at which a connection is closed. Above the way of a request and the second to which searchers state what
+/// they keep.
 const REST_GUARD: Duration = Duration::from_millis(1200);
-/// Time since its last use within which a connection is good enough for a request that can't be repeated: a searcher that has gone
-/// meanwhile leaves it open whether such a request ran. Not measured; chosen below a second, the shortest that a searcher can
-/// say it keeps a connection.
+/// Time since its last use within which a connection is good enough for a request that can't be repeated: a searcher that has gone meanwhile leaves
+/// it open whether such a request ran. Below a second, the shortest that a searcher can say it keeps a connection.
 const FRESH_ENOUGH: Duration = Duration::from_millis(800);
 /// Status of a searcher that isn't the incarnation asked for.
 const MISDIRECTED: u16 = 421;
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -17,7 +17,7 @@
 /// that lost power, so that those which nobody needs are in the way of the machines that replace it. Measured with 10, 14
 /// and 20 connections a searcher after a loss of all machines: scores of 0.34, 0.64 and 0.79 with 30 s, 0.48, 0.79 and 0.89 with this.
 const SURPLUS_REST: Duration = Duration::from_millis(1500);
-/// Longest wait for a connection to come up that no attempt needs any more. Not measured; chosen above any round trip.
+/// Longest wait for a connection to come up that no attempt needs any more. Above any round trip.
 const UNNEEDED_CONNECT: Duration = Duration::from_secs(1);
 
 impl Pool {
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -15,11 +15,10 @@
 /// Time for which a fresh connection is proved, beside the time that it took to come up. Measured: on one day with a loss of
 /// power 119 answers 502 became none; on another, which kept 70, 8 ms instead changed nothing.
 const PROVING: Duration = Duration::from_millis(3);
-/// Longest time for which a fresh connection is proved. Not measured; chosen so that a connection that came up slowly costs its
-/// request no more than a slow searcher does.
+/// Longest time for which a fresh connection is proved. So that a connection that came up slowly costs its request no more than a slow searcher does.
 const MAX_PROVING: Duration = Duration::from_millis(50);
-/// Time after the reset of a fresh connection during which those to its searcher are proved. Not measured by itself; chosen for the
-/// seconds in which searchers notice that machines are gone.
+/// Time after the reset of a fresh connection during which those to its searcher are proved. For the seconds in which searchers notice that machines
+/// are gone.
 const RESET_MEMORY: Duration = Duration::from_secs(5);
 
 impl Pool {
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Longest recording where nothing is said, in megabytes. Not measured; chosen small beside a machine's disk.
+/// Longest recording where nothing is said, in megabytes. Small beside a machine's disk.
 const DEFAULT_RECORD_MB: u64 = 16;
 
 /// All settings of one node.
--- a/crates/staircross-gateway/src/settings/check.rs
+++ b/crates/staircross-gateway/src/settings/check.rs
@@ -8,8 +8,7 @@
 use super::{BoundSettings, GatewaySettings, LimitSettings, ListenSettings};
 use quick_error::quick_error;
 
-/// Least memory of a process, in megabytes. Not measured; chosen so that
-/// [`GatewaySettings::max_requests`] allows a hundred and more.
+/// Least memory of a process, in megabytes. So that [`GatewaySettings::max_requests`] allows a hundred and more.
 const MIN_MEMORY_MB: u64 = 16;
 
 quick_error! {
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -18,10 +18,10 @@
 use staircross_routing::store_reader::{ProbeIntervals, ReaderSettings};
 use std::time::Duration;
 
-/// Descriptors kept for files, listeners and calls to the store and peers. Not measured; chosen as a quarter of the default limit.
+/// Descriptors kept for files, listeners and calls to the store and peers. A quarter of the default limit.
 pub(super) const RESERVED_DESCRIPTORS: usize = 264;
-/// Rest between calls for the configuration, as a fraction of the bound on what the operator writes. Not measured;
-/// chosen so that, with a follower's pull, most of the bound is left for a late wake-up and a lost answer.
+/// Rest between calls for the configuration, as a fraction of the bound on what the operator writes. So that, with a follower's pull, most of the
+/// bound is left for a late wake-up and a lost answer.
 const CONFIG_REST_FRACTION: f64 = 0.17;
 /// Rest between calls for searchers, as a fraction of the bound on drains. Derived: with this rest, a datagram and a
 /// follower's pull an update stays below the bound, and a storm of updates is a few calls.
@@ -35,15 +35,15 @@
 /// Time after which a reader probes the store again, as a fraction of the silence that is borne. Derived: below a half, so
 /// that one lost heartbeat is no silence.
 const PROBE_FRACTION: f64 = 0.4;
-/// Time after which a node that hears no reader probes again, as a fraction of the silence that is borne. Not measured;
-/// chosen slower than a reader's, because many nodes may hear no reader at once.
+/// Time after which a node that hears no reader probes again, as a fraction of the silence that is borne. Slower than a reader's, because many nodes
+/// may hear no reader at once.
 const DOUBT_FRACTION: f64 = 0.5;
 /// Time of the link, in seconds, that answers to peers may take in a second. A request that waits behind them reaches its
 /// searcher with a deadline that is too late by as much. Measured with 195 nodes and a large configuration: bounded only by the
 /// number of large answers, days went beyond the budget of extra sends; with this figure none of six did.
 const PEER_LINK_S: f64 = 0.2;
-/// Memory that one request in flight is taken to need at most on average, in bytes. Not measured; chosen for a head, a body and
-/// the answers of several shards of usual sizes.
+/// Memory that one request in flight is taken to need at most on average, in bytes. For a head, a body and the answers of several shards of usual
+/// sizes.
 const REQUEST_MEMORY: u64 = 64 * 1024;
 
 impl BoundSettings {
--- a/crates/staircross-gateway/src/socket.rs
+++ b/crates/staircross-gateway/src/socket.rs
@@ -12,7 +12,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 
-/// Bytes read at once. Not measured; chosen so that a usual head or answer comes in one read.
+/// Bytes read at once. So that a usual head or answer comes in one read.
 pub const READ_CHUNK: usize = 16 * 1024;
 
 /// What a component needs to work on its sockets.
--- a/crates/staircross-gateway/src/store_role.rs
+++ b/crates/staircross-gateway/src/store_role.rs
@@ -21,26 +21,25 @@
 /// Designated readers of a region, of different zones where there are some: the loss of one leaves one, and both are noticed missing
 /// within a follower's silence. Two readers a zone were 12 on fleets of six zones, whose calls were nearly all of a quiet day.
 pub const READERS_PER_REGION: usize = 2;
-/// Time for which a node that had to read by itself goes on doing so. Not measured; chosen long against the silence of a follower, so
-/// that a region whose readers come and go doesn't list the store at each turn.
+/// Time for which a node that had to read by itself goes on doing so. Long against the silence of a follower, so that a region whose readers come and
+/// go doesn't list the store at each turn.
 const HOLD: Duration = Duration::from_secs(10);
 /// Time without a new member of the region after which a node takes it for complete: a joiner asks a seed once a second, and a fifth is
 /// added for a late answer. Where nodes chose readers after half a second, most of 195 took themselves for readers.
 const QUIET: Duration = Duration::from_millis(1200);
-/// Longest wait for the region to be complete at the first start of a fleet, when seeds may be seconds late and there is nothing to
-/// serve. Not measured; chosen below the time that traffic leaves a fleet to start.
+/// Longest wait for the region to be complete at the first start of a fleet, when seeds may be seconds late and there is nothing to serve. Below the
+/// time that traffic leaves a fleet to start.
 const MAX_FIRST_SETTLING: Duration = Duration::from_secs(3);
-/// The same at any later start, as a fraction of the silence that a follower bears. Not measured; chosen below 1, so that a designated
-/// reader reads before its followers would probe.
+/// The same at any later start, as a fraction of the silence that a follower bears. Below 1, so that a designated reader reads before its followers
+/// would probe.
 const SETTLING_FRACTION: f64 = 0.8;
-/// At the first start of a fleet, time that readers get for their first listing: silence counts from its end. Not measured; chosen for
-/// [`QUIET`] and a call.
+/// At the first start of a fleet, time that readers get for their first listing: silence counts from its end. For [`QUIET`] and a call.
 const FIRST_READING: Duration = Duration::from_millis(1500);
 /// Fraction of the silence that a follower bears for which a prober that the store answers waits for its readers to find the store
-/// too. Not measured; derived from the bound on updates: 0.4 of it, a probe, this third of 0.4 and a call stay below it.
+/// too. By the bound on updates: 0.4 of it, a probe, this third of 0.4 and a call stay below it.
 const GRACE_FRACTION: f64 = 0.33;
 /// Fraction of the silence that a follower bears for which a reader waits for a large configuration from the store before it asks a
-/// peer. Not measured alone; chosen below 1, so that the reader is in time either way.
+/// peer. Below 1, so that the reader is in time either way.
 const LARGE_FRACTION: f64 = 0.75;
 
 /// Where a node's updates come from.
--- a/crates/staircross-gateway/src/tenant_metrics.rs
+++ b/crates/staircross-gateway/src/tenant_metrics.rs
@@ -11,7 +11,7 @@
 use std::fmt::Write;
 use std::sync::Arc;
 
-/// Tenants that are shown one by one. Not measured; chosen as what fits on a panel.
+/// Tenants that are shown one by one. What fits on a panel.
 const SHOWN: usize = 16;
 /// Tenants that are counted one by one, in the order in which they came. Derived: above the ten thousand of a large fleet; bounds
 /// memory.
--- a/crates/staircross-gateway/src/unreadable_log.rs
+++ b/crates/staircross-gateway/src/unreadable_log.rs
@@ -7,7 +7,7 @@
 use hashbrown::HashMap;
 use staircross_routing::UnreadableItem;
 
-/// Items remembered, some 100 bytes each; with more, all are logged again. Not measured; chosen to bound them to some 100 KB.
+/// Items remembered, some 100 bytes each; with more, all are logged again. Bounds them to some 100 KB.
 const MAX_ITEMS: usize = 1024;
 
 /// Revisions that were logged, by key.
--- a/crates/staircross-routing/src/decision/admission.rs
+++ b/crates/staircross-routing/src/decision/admission.rs
@@ -27,44 +27,39 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Least time between two judgements. Not measured; chosen so that each rests on a new window of waits.
+/// Least time between two judgements. So that each rests on a new window of waits.
 const JUDGEMENT_SPACING: Duration = Duration::from_millis(250);
-/// Longest time that is waited for the effect of a decrease, beside the spacing. Not measured; a bound on how long a level that is too high
-/// stands while waits are longest.
+/// Longest time that is waited for the effect of a decrease, beside the spacing. A bound on how long a level that is too high stands while waits are
+/// longest.
 const MAX_DELAY: Duration = Duration::from_millis(1000);
 /// Wait, in tolerable waits, above which a limit begins. By definition: a longer wait lets the last sub-request come too late.
 const TOO_LONG: f64 = 1.0;
-/// Wait, in tolerable waits, at which a limit is kept. Not measured by itself (0.5 was tried with another signal: docs/MEASUREMENTS.md,
-/// "Overload"); chosen below [`TOO_LONG`], so that waits spread around it without missing the goal.
+/// Wait, in tolerable waits, at which a limit is kept. Below [`TOO_LONG`], so that waits spread around it without missing the goal.
 const TARGET: f64 = 0.6;
-/// Time for which the wait must have been too long at each judgement; shorter, it is the end of a burst, which passes by itself. Measured
-/// against no such time: +0.0019 ± 0.0019 of the worth, and fewer refused. 1 s and 1.5 s gained no more there, and where searchers are overloaded in
-/// waves 1.5 s cost 0.044.
+/// Time for which the wait must have been too long at each judgement; shorter, it is the end of a burst, which passes by itself. Where
+/// searchers are overloaded in waves a longer time costs callers.
 const STANDING: Duration = Duration::from_millis(600);
 /// Time from a group's first judgement during which nothing is refused: connections come up, searchers are cold, and after a restart callers
-/// come back all at once. Measured after a loss of power: without a limit such waits are gone within 2 s; the time brought +0.0053 ± 0.0014 of the
-/// worth, refusals fell from 56 to 26 a day. Three seconds are what searchers usually are cold for.
+/// come back all at once. As long as searchers usually are cold.
 const WARM_UP: Duration = Duration::from_secs(3);
-/// Change of the level, as a fraction of it, for each tolerable wait that the wait is off [`TARGET`]. Not measured by itself; steps in
-/// proportion took the place of fixed factors, which swung in teeth of four seconds (docs/design/admission.md).
+/// Change of the level, as a fraction of it, for each tolerable wait that the wait is off [`TARGET`]. Steps in
+/// proportion, because fixed factors swing (docs/design/admission.md).
 const GAIN: f64 = 0.25;
-/// Largest decrease at one judgement, as a fraction of the level. Not measured; chosen so that one wrong wait costs a quarter at most.
+/// Largest decrease at one judgement, as a fraction of the level. So that one wrong wait costs a quarter at most.
 const MAX_DECREASE: f64 = 0.25;
-/// Largest increase for one spacing while something queues, as a fraction of the level. Measured: 0.08, with 0.2 for [`FAST_INCREASE`], leaves too
-/// much late in an overload that lasts (docs/studies/policy-rounds.md).
+/// Largest increase for one spacing while something queues, as a fraction of the level. A faster one leaves too much late
+/// in an overload that lasts (docs/studies/policy-rounds.md).
 const MAX_INCREASE: f64 = 0.05;
-/// Wait, in tolerable waits, below which nothing is taken to queue. Not measured; chosen well below [`TARGET`].
+/// Wait, in tolerable waits, below which nothing is taken to queue. Well below [`TARGET`].
 const NO_QUEUE: f64 = 0.25;
-/// Increase for one spacing while nothing queues, as a fraction of the level. Measured together with [`MAX_INCREASE`].
+/// Increase for one spacing while nothing queues, as a fraction of the level.
 const FAST_INCREASE: f64 = 0.12;
-/// Spacings that one increase makes up for, at most: a node with few requests judges seldom. That increases make up at all brought +0.0205 ± 0.0060
-/// on a day of growth of a large deployment; eight, which are 2 s, weren't measured against other bounds.
+/// Spacings that one increase makes up for, at most: a node with few requests judges seldom.
 const MAX_SPACINGS: f64 = 8.0;
-/// The least level. Not measured; chosen so that some requests remain to measure waits by. Below some 0.3 refusing costs callers
-/// more than late answers would, but the links stay free for configuration and drains (docs/design/admission.md).
+/// The least level. So that some requests remain to measure waits by. Below some 0.3 refusing costs callers more than late answers would, but the
+/// links stay free for configuration and drains (docs/design/admission.md).
 const MIN_LEVEL: f64 = 0.05;
-/// Rise of the level's exponent for each rank below the most urgent. Not measured; chosen for a small lead: at a level of 0.5 one rank less is
-/// taken at 0.435.
+/// Rise of the level's exponent for each rank below the most urgent. For a small lead: at a level of 0.5 one rank less is taken at 0.435.
 const RANK_STEP: f64 = 0.2;
 
 /// The level of one group of services.
--- a/crates/staircross-routing/src/decision/admission/usual_work.rs
+++ b/crates/staircross-routing/src/decision/admission/usual_work.rs
@@ -7,19 +7,18 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Samples of a route's work that one median needs. Not measured; chosen for a median that a few odd answers don't move.
+/// Samples of a route's work that one median needs. For a median that a few odd answers don't move.
 const WORK_SAMPLES: usize = 40;
-/// Time over which the samples of one median are gathered, at least. Not measured; chosen as long as the time between two judgements of
-/// the level, which rest on it.
+/// Time over which the samples of one median are gathered, at least. As long as the time between two judgements of the level, which rest on it.
 const WORK_WINDOW: Duration = Duration::from_millis(250);
-/// Rise of the estimate, as a fraction a second. Not measured; chosen so that grown work is found within minutes while a queue that
-/// stands for one minute adds some 13 in 100 only.
+/// Rise of the estimate, as a fraction a second. So that grown work is found within minutes while a queue that stands for one minute adds some 13 in
+/// 100 only.
 const USUAL_RISE: f64 = 0.002;
 /// Further rise, as a fraction a second, times the square of the fraction that is refused: where little is taken and the time is still long, it is
-/// work rather than a queue. Not measured; chosen so that at the least level the estimate doubles in some 15 s.
+/// work rather than a queue. So that at the least level the estimate doubles in some 15 s.
 const USUAL_RISE_REFUSING: f64 = 0.05;
-/// Longest time between two samples that counts for the rise. Not measured; chosen so that one quiet spell raises the estimate by 1 in 100
-/// at most while nothing is refused.
+/// Longest time between two samples that counts for the rise. So that one quiet spell raises the estimate by 1 in 100 at most while nothing is
+/// refused.
 const MAX_RISE_SPAN: Duration = Duration::from_secs(5);
 
 /// The usual time of a route's sub-requests.
--- a/crates/staircross-routing/src/decision/admission/wait.rs
+++ b/crates/staircross-routing/src/decision/admission/wait.rs
@@ -11,34 +11,28 @@
 use std::f64::consts::LN_2;
 use std::time::Duration;
 
-/// Quantile of the waits at one service. Measured only as a signal for admission: with the group's median beside it 0.655 and 0.525 of the
-/// worth in time on two days of overload, against 0.645 and 0.474 for medians of eight samples (docs/MEASUREMENTS.md, "Overload"). For
-/// hedges, which it decides, not measured.
+/// Quantile of the waits at one service, by which hedges are decided.
 const SERVICE_QUANTILE: f64 = 0.25;
-/// Samples that the wait at one service needs. Not measured; chosen for an early signal from few requests. Too few for admission, where the
-/// noisiest of 36 to 54 shards then looked overloaded (docs/FINDINGS.md).
+/// Samples that the wait at one service needs. For an early signal from few requests. Too few for admission, where the noisiest of 36 to 54 shards
+/// then looked overloaded (docs/FINDINGS.md).
 const SERVICE_SAMPLES: usize = 5;
-/// Time over which waits at one service are gathered, at least. Not measured; chosen for an early signal.
+/// Time over which waits at one service are gathered, at least. For an early signal.
 const SERVICE_WINDOW: Duration = Duration::from_millis(200);
-/// Quantile of the waits of a group of services. Measured: on two grown deployments 0.948 and 0.941 in time, against 0.880 and 0.742 where the lower
-/// quartile of single services decided (docs/MEASUREMENTS.md, "Overload").
+/// Quantile of the waits of a group of services: a lower one of single services is too noisy (docs/MEASUREMENTS.md, "Overload").
 const GROUP_QUANTILE: f64 = 0.5;
-/// Samples that the wait of a group needs, whatever its fan-out. Not measured; chosen for groups of few services, whose six requests
-/// give few samples.
+/// Samples that the wait of a group needs, whatever its fan-out. For groups of few services, whose six requests give few samples.
 const GROUP_SAMPLES: usize = 24;
-/// Requests that the samples of a group come from, at least, since the sub-requests of one are late together. Six are what the figures of
-/// [`GROUP_QUANTILE`] were measured with; other numbers weren't.
+/// Requests that the samples of a group come from, at least, since the sub-requests of one are late together.
 const GROUP_REQUESTS: usize = 6;
-/// Time over which the waits of a group are gathered, at least. Not measured; chosen below the time between two judgements, so that a
-/// node with enough requests judges by a new wait each time.
+/// Time over which the waits of a group are gathered, at least. Below the time between two judgements, so that a node with enough requests judges by
+/// a new wait each time.
 const GROUP_WINDOW: Duration = Duration::from_millis(200);
-/// Age above which a wait counts as none. Not measured; chosen for several windows of a node with enough requests.
+/// Age above which a wait counts as none. For several windows of a node with enough requests.
 const WAIT_LIFE: Duration = Duration::from_millis(1500);
 /// Age, in times of what gathering the last wait took, up to which a wait that is too old isn't taken for none either: a node with few
-/// requests gathers for seconds and has no newer one by then. Measured in a model of 70 nodes offered 1.3 times their capacity: 0.681 of
-/// the requests in time, 0.000 without, and 0.646 where the old wait is believed for as long instead.
+/// requests gathers for seconds and has no newer one by then.
 const UNSURE_WINDOWS: f64 = 1.5;
-/// Wait that a rejection for lack of room counts as. Not measured; chosen well above tolerable waits, which are tens of milliseconds.
+/// Wait that a rejection for lack of room counts as. Well above tolerable waits, which are tens of milliseconds.
 const SHED_WAIT: Duration = Duration::from_millis(500);
 /// Euler's constant, rounded: the mean of the longest of `n` exponential waits of mean 1 is about `ln n` plus this.
 const EULER: f64 = 0.58;
--- a/crates/staircross-routing/src/decision/cold.rs
+++ b/crates/staircross-routing/src/decision/cold.rs
@@ -20,10 +20,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Fraction of the bound that nodes plan to use. Not measured; chosen to leave 0.4 of it for nodes that see the fleet differently for a moment.
+/// Fraction of the bound that nodes plan to use. To leave 0.4 of it for nodes that see the fleet differently for a moment.
 const PLANNED_FRACTION: f64 = 0.6;
-/// Time over which sends are counted. Derived: the bound holds for one second at the searcher; the quarter more, by which connecting may delay a
-/// request on its way there, is not measured.
+/// Time over which sends are counted. The bound holds for one second at the searcher; connecting may delay a request on its way there by a quarter
+/// more.
 const COUNTED: Duration = Duration::from_millis(1250);
 
 /// The bound on requests to a cold searcher in one second: what it bears times `factor`, plus `slack`.
--- a/crates/staircross-routing/src/decision/extra_budget.rs
+++ b/crates/staircross-routing/src/decision/extra_budget.rs
@@ -25,11 +25,11 @@
 use std::time::Duration;
 
 /// Steps that a window is cut into. What is counted is forgotten a step at a time, and only when the whole step has left the window, so the sum
-/// covers the window and up to a twentieth more. Not measured; chosen for a few counters a service.
+/// covers the window and up to a twentieth more. For a few counters a service.
 const STEPS: u64 = 20;
 
-/// Fraction of the allowed ratio that is used; the rest is for what others see differently. Not measured against other values;
-/// chosen for requests whose extra sends are counted in another window elsewhere.
+/// Fraction of the allowed ratio that is used; the rest is for what others see differently. For requests whose extra sends are counted in another
+/// window elsewhere.
 const RATIO_USED: f64 = 0.85;
 
 /// Fraction of the slack that is used. A process that starts has no memory of what the one before it spent, so up to twice as much may be
--- a/crates/staircross-routing/src/decision/fair_share.rs
+++ b/crates/staircross-routing/src/decision/fair_share.rs
@@ -22,30 +22,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time in which a count halves, so that requests count for 10 s on average. Not measured; chosen so that a node that sees two requests a second
-/// counts some twenty.
+/// Time in which a count halves, so that requests count for 10 s on average. So that a node that sees two requests a second counts some twenty.
 const HALF_LIFE: Duration = Duration::from_secs(7);
-/// Tenants that are counted one by one; the least active make way and are counted together. Not measured; a bound on memory, some 20 KB
-/// by calculation, above the number of tenants that a node hears from in the time that counts.
+/// Tenants that are counted one by one; the least active make way and are counted together. A bound on memory, some 20 KB by calculation, above the
+/// number of tenants that a node hears from in the time that counts.
 const MAX_TENANTS: usize = 256;
 /// Least fraction of the level that every tenant's requests are taken with. Measured for 0, 0.5, 0.75 and 1 (chance alone): the greatest at which others
 /// are still served better than by chance, and the only one of the first three at which the worst tenth of tenants gets within 0.05 of all
 /// in each case tried (docs/design/fair-shares.md).
 pub const FLOOR: f64 = 0.75;
-/// Change of the aimed-at fraction for each request that is owed. Not measured; chosen so that what is owed is made good within some ten
-/// requests.
+/// Change of the aimed-at fraction for each request that is owed. So that what is owed is made good within some ten requests.
 const OWED_GAIN: f64 = 0.1;
 /// Requests that may be owed either way. Derived: at `1 / OWED_GAIN` the aim is all or nothing, which adds no more than one request.
 pub const MAX_OWED: f64 = 1.0 / OWED_GAIN + 1.0;
-/// Size of a request's unit, in first units, at which all counts are brought back to the first. Units grow by half-lives, so that only the
-/// tenant that asks is touched. Not measured; chosen so that an `f64` still resolves a millionth of a request: it is reached in 210 s.
+/// Size of a request's unit, in first units, at which all counts are brought back to the first. Units grow by half-lives, so that only the tenant
+/// that asks is touched. So that an `f64` still resolves a millionth of a request: it is reached in 210 s.
 const MAX_SCALE: f64 = 1e9;
-/// Requests below which a count is dropped when units are brought back. Not measured; chosen as a hundredth of one request.
+/// Requests below which a count is dropped when units are brought back. A hundredth of one request.
 const NO_DEMAND: f64 = 0.01;
 /// Steps in which the share is sought at most. Derived: halving alone narrows the interval to some 1e-12 of it in forty.
 const MAX_STEPS: usize = 40;
-/// Difference between what a share takes and what is wanted at which the search ends, as a fraction of all. Not measured; chosen far below one
-/// request of any count that occurs.
+/// Difference between what a share takes and what is wanted at which the search ends, as a fraction of all. Far below one request of any count that
+/// occurs.
 const PRECISION: f64 = 1e-9;
 
 /// Fraction that is taken of `count` requests at a share.
--- a/crates/staircross-routing/src/decision/giving_up.rs
+++ b/crates/staircross-routing/src/decision/giving_up.rs
@@ -27,17 +27,16 @@
 use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
 
-/// The final answer goes out so long before the deadline. Not measured; chosen for writing an answer and its way to the caller.
+/// The final answer goes out so long before the deadline. For writing an answer and its way to the caller.
 pub const DEADLINE_GUARD: Duration = Duration::from_millis(10);
 
-/// Longest hold. Not measured against others; chosen for a few reads of a store that answers slowly (the first after a start takes tens of
-/// milliseconds).
+/// Longest hold. For a few reads of a store that answers slowly (the first after a start takes tens of milliseconds).
 const LONGEST_HOLD: Duration = Duration::from_millis(500);
 
-/// A hold takes at most the caller's patience divided by this. Not measured; chosen so that a caller who is refused has time to ask another node.
+/// A hold takes at most the caller's patience divided by this. So that a caller who is refused has time to ask another node.
 const HOLD_DIVISOR: u32 = 4;
 
-/// Requests held at once; those beyond are refused. Not measured; chosen to bound memory.
+/// Requests held at once; those beyond are refused. Bounds memory.
 const MAX_HELD: usize = 512;
 
 /// Why a request isn't answered.
--- a/crates/staircross-routing/src/decision/goal.rs
+++ b/crates/staircross-routing/src/decision/goal.rs
@@ -37,7 +37,7 @@
 /// 16 ms -0.0072, 30 ms -0.0019 ± 0.0014 where callers are 1 ms away and +0.0146 ± 0.0019 where they are 3 ms away.
 const USUAL_SPENT: Duration = Duration::from_millis(22);
 
-/// Most of the goal that is left to the caller's side. Not measured; chosen so that far callers leave the node half of it.
+/// Most of the goal that is left to the caller's side. So that far callers leave the node half of it.
 const MAX_FRACTION: f64 = 0.5;
 
 /// Time from a request's arrival until an answer must be on its way to be worth most.
--- a/crates/staircross-routing/src/decision/hedging.rs
+++ b/crates/staircross-routing/src/decision/hedging.rs
@@ -23,21 +23,20 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Times the route's median work that a hedge isn't sent before, the round trip besides. Not measured; chosen so that an attempt of
-/// usual length isn't doubled where the goal is near.
+/// Times the route's median work that a hedge isn't sent before, the round trip besides. So that an attempt of usual length isn't doubled where the
+/// goal is near.
 const MIN_HEDGE_FACTOR: f64 = 1.5;
 
-/// Times the route's median work that the second searcher is taken to need, the round trip besides. Not measured; chosen for a
-/// searcher that is slower than usual, but not late itself.
+/// Times the route's median work that the second searcher is taken to need, the round trip besides. For a searcher that is slower than usual, but not
+/// late itself.
 const HEDGE_WORK_FACTOR: f64 = 2.0;
 
 /// How long a restarted process makes no hedges. It has measured nothing yet that would tell late from usual, and where many restart together
-/// everything is late. Against none: mean worth of a day +0.0200 ± 0.0021 and +0.0130 ± 0.0052 on two fleets of 195 nodes, tries that ended
-/// with 502 33 to 0 and 20 to 0.8 a day (`docs/studies/policy-rounds.md`). Other lengths weren't measured.
+/// everything is late (`docs/studies/policy-rounds.md`).
 const START_REST: Duration = Duration::from_secs(2);
 
-/// Time until a hedge that wasn't made (no budget, no room, too much waits) is tried again. Not measured; chosen so that a request with a
-/// goal of 200 ms gets a few more chances.
+/// Time until a hedge that wasn't made (no budget, no room, too much waits) is tried again. So that a request with a goal of 200 ms gets a few more
+/// chances.
 const HEDGE_PAUSE: Duration = Duration::from_millis(25);
 
 /// Fractions of the unusually long time after which a hedge is sent.
--- a/crates/staircross-routing/src/decision/placement.rs
+++ b/crates/staircross-routing/src/decision/placement.rs
@@ -34,8 +34,7 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Factor of the least expected time within which searchers are as good as the best and share the work. Not measured; chosen for the
-/// precision of the estimates.
+/// Factor of the least expected time within which searchers are as good as the best and share the work. For the precision of the estimates.
 const AS_GOOD: f64 = 1.1;
 
 /// What a searcher is chosen for.
--- a/crates/staircross-routing/src/decision/placement/expected_time.rs
+++ b/crates/staircross-routing/src/decision/placement/expected_time.rs
@@ -9,15 +9,13 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Price of another zone of the region. Not measured by itself; with [`REGION_BIAS`] it is worth 0.003 to 0.009 on four deployments
-/// (`routing.near_first` in docs/studies/switches.md).
+/// Price of another zone of the region.
 const ZONE_BIAS: Duration = Duration::from_millis(4);
-/// Price of another region. Measured: 60 ms bring 0.0045 ± 0.0020, of which the price of bytes is 0.007, so callers are served a little worse
-/// (docs/studies/policy-rounds.md).
+/// Price of another region. A higher one saves bytes between regions and serves callers a little worse.
 const REGION_BIAS: Duration = Duration::from_millis(25);
-/// Price of a searcher whose entry has gone. Not measured; chosen above any other sum, so that it is asked after all others.
+/// Price of a searcher whose entry has gone. Above any other sum, so that it is asked after all others.
 const LAPSE_BIAS: Duration = Duration::from_secs(60);
-/// Pause that an overdue attempt is taken to show, in times that it is overdue. Not measured; `routing.avoid_overdue` as a whole is worth 0.004 to 0.008 (docs/studies/switches.md).
+/// Pause that an overdue attempt is taken to show, in times that it is overdue.
 const PAUSE_FACTOR: u32 = 2;
 
 /// Time after which a searcher is expected to answer, prices included.
--- a/crates/staircross-routing/src/decision/placement/place.rs
+++ b/crates/staircross-routing/src/decision/placement/place.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Round trip assumed within the zone until one has been measured. Not measured; chosen for the order of near, nearer and far.
+/// Round trip assumed within the zone until one has been measured. For the order of near, nearer and far.
 const OWN_ZONE_ROUND_TRIP: Duration = Duration::from_millis(1);
 /// Round trip assumed to another zone of the region, in the same way.
 const OTHER_ZONE_ROUND_TRIP: Duration = Duration::from_millis(2);
--- a/crates/staircross-routing/src/decision/quarantine/case.rs
+++ b/crates/staircross-routing/src/decision/quarantine/case.rs
@@ -9,11 +9,10 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Losses from which a content is sent to one searcher at a time. Not measured against others; chosen above one, since one broken connection is
-/// common and its repeat shouldn't wait.
+/// Losses from which a content is sent to one searcher at a time. Above one, since one broken connection is common and its repeat shouldn't wait.
 const SUSPECT_LOSSES: usize = 2;
-/// Losses from which a content is sent to nobody, if two of them are in sequence. Not measured against others; chosen as one more than makes it
-/// suspect. With both, none of the harmless contents of 133 days was quarantined (docs/design/quarantine.md).
+/// Losses from which a content is sent to nobody, if two of them are in sequence. One more than makes it suspect. With both, none of the harmless
+/// contents of 133 days was quarantined (docs/design/quarantine.md).
 const QUARANTINE_LOSSES: usize = 3;
 /// Time from the newest loss until a quarantined content is tried at one searcher again: it may have been mended. So that one that wasn't costs one
 /// searcher an hour.
--- a/crates/staircross-routing/src/decision/retry.rs
+++ b/crates/staircross-routing/src/decision/retry.rs
@@ -25,8 +25,7 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Time until a shard that the budget kept from being sent again is retried. Not measured; chosen as a fifth of the step by which a budget's
-/// window of 10 s moves on.
+/// Time until a shard that the budget kept from being sent again is retried. A fifth of the step by which a budget's window of 10 s moves on.
 const BUDGET_PAUSE: Duration = Duration::from_millis(100);
 
 /// What decides about sending a request again.
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -20,9 +20,9 @@
 
 /// An attempt is overdue after the round trip and so many times the usual work of its searcher: later than the earliest hedge.
 const OVERDUE_FACTOR: f64 = 2.2;
-/// Wait for a connection, the round trips besides. Not measured; chosen for a searcher's process that gets no turn for a while.
+/// Wait for a connection, the round trips besides. For a searcher's process that gets no turn for a while.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(100);
-/// Round trips that a connection may take besides. Not measured; chosen for one that connects at its second try.
+/// Round trips that a connection may take besides. For one that connects at its second try.
 const CONNECT_ROUND_TRIPS: u32 = 4;
 
 /// One attempt that is about to be made.
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -9,8 +9,8 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// How long the answer of an attempt that nobody waits for is read out before its connection is closed. Not measured; chosen so
-/// that a connection whose answer is under way can be kept.
+/// How long the answer of an attempt that nobody waits for is read out before its connection is closed. So that a connection whose answer is under
+/// way can be kept.
 const READ_OUT_PATIENCE: Duration = Duration::from_millis(1500);
 
 impl RoutingEngine {
--- a/crates/staircross-routing/src/engine/settle.rs
+++ b/crates/staircross-routing/src/engine/settle.rs
@@ -11,9 +11,9 @@
 use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
 
-/// How long a searcher may go on with work whose caller has left. Not measured; chosen so that most answers under way still come.
+/// How long a searcher may go on with work whose caller has left. So that most answers under way still come.
 const DEPARTED_PATIENCE: Duration = Duration::from_millis(350);
-/// The same for work that may not be repeated. Not measured; chosen longer than any such work.
+/// The same for work that may not be repeated. Longer than any such work.
 const UNREPEATABLE_PATIENCE: Duration = Duration::from_secs(600);
 
 impl RoutingEngine {
--- a/crates/staircross-routing/src/engine/waiting.rs
+++ b/crates/staircross-routing/src/engine/waiting.rs
@@ -12,7 +12,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-/// Shards of one service that wait at once; those beyond are given up. Not measured; chosen to bound memory.
+/// Shards of one service that wait at once; those beyond are given up. Bounds memory.
 const MAX_WAITING: usize = 1024;
 
 /// A sending that can't be made yet.
--- a/crates/staircross-routing/src/state/known_configuration.rs
+++ b/crates/staircross-routing/src/state/known_configuration.rs
@@ -12,15 +12,15 @@
 /// machine's link. Fourteen followers that pulled 1,800 routes over 20 Mbit/s were up to eight seconds late, and a second where each read
 /// them from the store. Its size is estimated from its routes and the services that they name.
 const LARGE_CONFIGURATION: usize = 64 * 1024;
-/// Estimated bytes of a route without the services that it names. Not measured.
+/// Estimated bytes of a route without the services that it names.
 const ROUTE_BYTES: usize = 100;
-/// Estimated bytes of the name of a service or route. Not measured.
+/// Estimated bytes of the name of a service or route.
 const NAME_BYTES: usize = 10;
-/// Changes of the configuration that are remembered, so that a peer that missed some is sent what it lacks. Other counts aren't measured;
-/// with four, a day of changes to a large configuration on 195 nodes took 378 calls to the store instead of 559.
+/// Changes of the configuration that are remembered, so that a peer that missed some is sent what it lacks instead of reading
+/// the store.
 const MAX_DELTAS: usize = 4;
-/// Most bytes of one such change, by the same estimate; a larger one is forgotten with all before it. Not measured; chosen so that all four
-/// together stay well below a large configuration.
+/// Most bytes of one such change, by the same estimate; a larger one is forgotten with all before it. So that all four together stay well below a
+/// large configuration.
 const LARGE_DELTA: usize = LARGE_CONFIGURATION / 8;
 
 /// Which newer configuration is passed on to a peer.
--- a/crates/staircross-routing/src/state/known_entries.rs
+++ b/crates/staircross-routing/src/state/known_entries.rs
@@ -9,8 +9,8 @@
 
 use crate::state::searcher_entry::SearcherEntry;
 
-/// Entries remembered under one id. There is more than one only where an earlier incarnation wrote after a later one. Not
-/// measured; chosen above the two of a restart that overlaps.
+/// Entries remembered under one id. There is more than one only where an earlier incarnation wrote after a later one. Above the two of a restart that
+/// overlaps.
 const MAX_STANDING: usize = 4;
 
 /// An entry and the revision at which it was written.
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -20,8 +20,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Most searchers that are remembered as gone; beyond it the older half is forgotten, and peers that are behind get a whole listing. Not
-/// measured; chosen above the searchers of large fleets, which have some hundreds.
+/// Most searchers that are remembered as gone; beyond it the older half is forgotten, and peers that are behind get a whole listing. Above the
+/// searchers of large fleets, which have some hundreds.
 const MAX_TOMBSTONES: usize = 4096;
 
 /// One item of the store with its revision.
--- a/crates/staircross-routing/src/state/rejection.rs
+++ b/crates/staircross-routing/src/state/rejection.rs
@@ -8,13 +8,11 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Weight of a rejection in the estimate. Not measured by itself; chosen above [`ACCEPTED_GAIN`], since one that rejects half of its work answers the
-/// other half.
+/// Weight of a rejection in the estimate. Above [`ACCEPTED_GAIN`], since one that rejects half of its work answers the other half.
 const REJECTED_GAIN: f64 = 0.3;
-/// Weight of an answer in the estimate. Not measured by itself; chosen as half of [`REJECTED_GAIN`].
+/// Weight of an answer in the estimate. Half of [`REJECTED_GAIN`].
 const ACCEPTED_GAIN: f64 = 0.15;
-/// Time in which an estimate that nothing confirms halves. Not measured by itself; chosen, with [`FORGOTTEN`], so that a searcher that
-/// nobody asks any more is tried again.
+/// Time in which an estimate that nothing confirms halves. With [`FORGOTTEN`], so that a searcher that nobody asks any more is tried again.
 const HALF_LIFE: Duration = Duration::from_millis(4000);
 /// Rate below which the estimate counts as zero, however near others are. Measured: with 0.1 +0.188 ± 0.004 of the worth where most searchers
 /// reject much, with 0.05 +0.198 ± 0.009; at 0.05 a searcher is tried again some fifteen seconds after its last rejection at the latest.
--- a/crates/staircross-routing/src/state/searcher.rs
+++ b/crates/staircross-routing/src/state/searcher.rs
@@ -13,49 +13,44 @@
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Weight of a usual sample in the estimate of slowness. Not measured; chosen so that some three answers move it.
+/// Weight of a usual sample in the estimate of slowness. So that some three answers move it.
 const USUAL_GAIN: f64 = 0.3;
-/// Weight of a slow sample that may come of one pause. Not measured; chosen so that a single one hardly counts: with more, a pause sent callers of a
-/// zone to the next.
+/// Weight of a slow sample that may come of one pause. So that a single one hardly counts: with more, a pause sent callers of a zone to the next.
 const PAUSE_GAIN: f64 = 0.02;
-/// Weight of a slow sample of an attempt sent after a slow answer: a pause would have been over. Not measured; chosen so that two make a searcher slow.
+/// Weight of a slow sample of an attempt sent after a slow answer: a pause would have been over. So that two make a searcher slow.
 const SLOW_GAIN: f64 = 0.6;
-/// Time in which an estimate of slowness that nothing confirms halves its distance to normal. Not measured; chosen so that a slow searcher is tried
-/// again within some ten seconds.
+/// Time in which an estimate of slowness that nothing confirms halves its distance to normal. So that a slow searcher is tried again within some ten
+/// seconds.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_millis(4000);
-/// Slowness that a lost, spoiled or failed answer counts as. Not measured; chosen as a slow answer rather than a failure, since three living
-/// searchers that lost every other answer were otherwise all avoided.
+/// Slowness that a lost, spoiled or failed answer counts as. A slow answer rather than a failure, since three living searchers that lost every other
+/// answer were otherwise all avoided.
 const FALTER_SAMPLE: f64 = 10.0;
-/// Weight of a lost, spoiled or failed answer in the estimate of slowness. Not measured; chosen near [`USUAL_GAIN`].
+/// Weight of a lost, spoiled or failed answer in the estimate of slowness. Near [`USUAL_GAIN`].
 const FALTER_GAIN: f64 = 0.25;
 /// What a host reports when work takes its usual time there, in percent. By definition of the report.
 const USUAL_PERCENT: u32 = 100;
 /// Time in which a report of a host's slowness loses half of its weight: hosts are shared with others, and their load changes many
 /// times a second. Measured on four days: +0.0022 ± 0.0016 of the worth; 0.8 s +0.0020 ± 0.0017 (docs/design/searcher-choice.md).
 const HOST_HALF_LIFE: Duration = Duration::from_millis(300);
-/// Times the estimate from which a sample is slow. Not measured; chosen above the usual spread of work.
+/// Times the estimate from which a sample is slow. Above the usual spread of work.
 const NOTABLY_SLOWER: f64 = 3.0;
-/// Least slowness that a sample counts as. Not measured; chosen so that one quick answer doesn't draw all work to a searcher.
+/// Least slowness that a sample counts as. So that one quick answer doesn't draw all work to a searcher.
 const MIN_SLOWNESS: f64 = 0.6;
-/// Greatest slowness that a sample or a report counts as. Not measured; chosen so that a searcher that was stuck is believed to be
-/// well again after a few usual answers.
+/// Greatest slowness that a sample or a report counts as. So that a searcher that was stuck is believed to be well again after a few usual answers.
 const MAX_SLOWNESS: f64 = 30.0;
-/// Least slowness of a searcher while it is cold. Not measured; chosen so that warm searchers are preferred where they have room.
+/// Least slowness of a searcher while it is cold. So that warm searchers are preferred where they have room.
 const COLD_FACTOR: f64 = 2.0;
-/// First time of avoidance after failures in a row; doubles with each further one. Not measured; chosen for a short interruption.
+/// First time of avoidance after failures in a row; doubles with each further one. For a short interruption.
 const AVOID_BASE: Duration = Duration::from_millis(400);
-/// Doublings of the time of avoidance at most. Not measured; chosen for 6.4 s at most, so that a searcher that is back is soon found.
+/// Doublings of the time of avoidance at most. For 6.4 s at most, so that a searcher that is back is soon found.
 const MAX_DOUBLINGS: u32 = 4;
-/// Time during which a searcher that accepts no connection at all isn't asked. Not measured; chosen short, since it lives and may have
-/// room at any moment.
+/// Time during which a searcher that accepts no connection at all isn't asked. Short, since it lives and may have room at any moment.
 const CONNECTION_REJECTED_PAUSE: Duration = Duration::from_millis(120);
-/// Time during which a searcher that accepts no further connection isn't asked for one. Not measured by itself; came with the rule that nothing is
-/// sent on a fresh connection of a restarted node until it has held, which brought failures that may have run from 119 to 0 in one day.
+/// Time during which a searcher that accepts no further connection isn't asked for one.
 const FULL_PAUSE: Duration = Duration::from_millis(800);
-/// Time during which a searcher that rejected work isn't asked. Not measured against others; alone it left 9 of 100 requests unserved where most
-/// searchers reject much, so [`RejectionRate`] remembers more.
+/// Time during which a searcher that rejected work isn't asked. Where most searchers reject much, [`RejectionRate`] remembers more.
 const SHED_PAUSE: Duration = Duration::from_millis(60);
-/// Time between trials of a searcher that has failed. Not measured; chosen below [`AVOID_BASE`].
+/// Time between trials of a searcher that has failed. Below [`AVOID_BASE`].
 const TRIAL_SPACING: Duration = Duration::from_millis(300);
 
 /// An attempt that holds a connection of the searcher.
--- a/crates/staircross-routing/src/state/unreadable.rs
+++ b/crates/staircross-routing/src/state/unreadable.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 
-/// Longest part of a key that is logged, in characters. Not measured; chosen so that a line stays short and a key can be found by it.
+/// Longest part of a key that is logged, in characters. So that a line stays short and a key can be found by it.
 const MAX_KEY_CHARS: usize = 64;
 
 /// What an item's key stands for.
