--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -303,9 +303,9 @@
     }
 }
 
-/// Callers lose a request with each second that a dead node stays in the directory, and only lose a
-/// node for a moment when it is suspected wrongly. So probes are more frequent than the cluster crate's usual ones and fail sooner; a suspect leaves the directory at once, and has as long to refute. Fewer retransmits and one seed at a time spare the busiest node's
-/// link in fleets of hundreds.
+/// Callers lose a request with each second that a dead node stays in the directory, and only lose a node for a moment when it is suspected wrongly.
+/// So probes are more frequent than the cluster crate's usual ones and fail sooner; a suspect leaves the directory at once, and has as long to
+/// refute. Fewer retransmits and one seed at a time spare the busiest node's link in fleets of hundreds.
 fn membership_settings() -> MembershipSettings {
     MembershipSettings {
         probe_every: Duration::from_millis(200),
