--- /dev/null
+++ b/crates/staircross/tests/stops.rs
@@ -0,0 +1,56 @@
+//! Planned stops of real node processes: callers are not cut.
+
+mod common;
+
+use common::{Fleet, wait_for_exit};
+use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// Callers that go on asking a node that stops.
+const CALLERS: usize = 8;
+
+/// Asks a node whether it is alive, each time on the connection that is left, until it can't be connected to; returns what was cut.
+fn cut_until_refused(address: SocketAddr) -> Vec<String> {
+    let mut cut = Vec::new();
+    let mut kept: Option<TcpStream> = None;
+    while let Some(mut stream) = kept.take().or_else(|| TcpStream::connect(address).ok()) {
+        match ask_alive(&mut stream) {
+            Ok(head) => kept = Some(stream).filter(|_| !head.to_ascii_lowercase().contains("connection: close")),
+            Err(error) => cut.push(error.to_string()),
+        }
+    }
+    cut
+}
+
+/// The head of the answer.
+fn ask_alive(stream: &mut TcpStream) -> std::io::Result<String> {
+    stream.write_all(b"GET /livez HTTP/1.1\r\nHost: node\r\n\r\n")?;
+    let mut text = Vec::new();
+    let mut buffer = [0_u8; 1024];
+    while !text.ends_with(b"alive\n") {
+        let count = stream.read(&mut buffer)?;
+        if count == 0 {
+            return Err(std::io::Error::other(format!("closed after {} bytes", text.len())));
+        }
+        text.extend_from_slice(&buffer[..count]);
+    }
+    Ok(String::from_utf8_lossy(&text).into_owned())
+}
+
+/// What happens: a stopping node of the session tier ends when nothing is in flight, and its listener takes connections until the process is gone, so that callers who go on asking are
+/// cut. Why: the node counts requests and not connections, and the server library can't be told to stop listening.
+#[test]
+fn callers_that_go_on_asking_a_node_of_the_session_tier_until_its_stop_is_over_are_never_cut() {
+    let folder = std::env::temp_dir().join(format!("staircross-stop-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for settings");
+    let mut fleet = Fleet::start(&folder);
+    let address = fleet.callers[0];
+    let callers: Vec<_> = (0..CALLERS).map(|_| std::thread::spawn(move || cut_until_refused(address))).collect();
+    fleet.signal(0, Signal::TERM);
+    let cut: Vec<String> = callers.into_iter().flat_map(|caller| caller.join().expect("a caller ends")).collect();
+    assert!(cut.is_empty(), "{} requests cut, the first: {:?}", cut.len(), cut.first());
+    assert_eq!(wait_for_exit(&mut fleet.nodes[0]), Some(0));
+    drop(fleet);
+    let _leftover = std::fs::remove_dir_all(&folder);
+}
