Close a stopping node's listeners before its last moment whatever is under way

Cause: the listeners closed when nothing was under way for three looks. Beside a request that outlasts the stop they stayed open until the process was gone, and so did connections, which refusals keep (before callers came back instead, until the same end).

They close one second before the last moment now; each refusal after that closes its connection, and nobody can come back.

--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -1,7 +1,7 @@
 //! A planned stop: announced at once, carried out when callers have gone elsewhere.
 //!
-//! First requests are served as ever, then they are refused as not run; when nothing is under way, callers' listeners close, so that connecting is refused, and each
-//! refusal closes its connection; when no connection has been used for a while either, the node ends. What is under way when the process would soon be killed is answered. A caller that connects late, or goes on using
+//! First requests are served as ever, then they are refused as not run; when nothing is under way, or the end is near, callers' listeners close, so that connecting is
+//! refused, and each refusal closes its connection; when no connection has been used for a while either, the node ends. What is under way when the process would soon be killed is answered. A caller that connects late, or goes on using
 //! its connection, is so answered and never cut.
 //!
 //! [`StopState`] owns the times of a stop in progress. Relies on the settings for the time until the process is killed, and on
@@ -32,11 +32,18 @@
 /// Time for which all connections of callers must have rested at the end. Callers that rest longer between requests see the end of the
 /// connection before they send.
 const LAST_REST: Duration = Duration::from_millis(500);
+/// Time before the last moment at which the listeners close though requests are under way: callers who go on asking must each be answered once more
+/// and find no way back.
+const LAST_CLOSING: Duration = Duration::from_millis(1000);
+// Whoever connects until then is refused, and not taken.
+const _: () = assert!(LAST_CLOSING.as_millis() < LAST_REQUESTS.as_millis());
 
 /// A planned stop in progress.
 pub(super) struct StopState {
     /// Until when requests are still taken from callers who hold this node's address.
     takes_until: BootTime,
+    /// When the listeners close whatever is in flight.
+    closes_by: BootTime,
     /// When the node ends whatever is in flight.
     latest: BootTime,
     idle_looks: u32,
@@ -56,7 +63,9 @@
         let latest = self.now + grace.saturating_sub(KILL_GUARD);
         let has_left = self.now + self.directory_ttl() * DIRECTORY_KEPT + KILL_GUARD;
         let takes_until = has_left.min(latest - LAST_REQUESTS).max(self.now);
-        self.stop = Some(StopState { takes_until, latest, idle_looks: 0, has_closed_listeners: false, is_done: false });
+        let closes_by = latest - LAST_CLOSING;
+        let (has_closed_listeners, is_done) = (false, false);
+        self.stop = Some(StopState { takes_until, closes_by, latest, idle_looks: 0, has_closed_listeners, is_done });
         self.update_readiness();
         let mut events = Vec::new();
         self.fleet.leave(MemberState::Leaving, &mut events);
@@ -71,7 +80,8 @@
         };
         let is_idle = !is_busy && now >= stop.takes_until;
         stop.idle_looks = if is_idle { stop.idle_looks + 1 } else { 0 };
-        if stop.idle_looks >= IDLE_LOOKS && !stop.has_closed_listeners {
+        let must_close = stop.idle_looks >= IDLE_LOOKS || now >= stop.closes_by;
+        if must_close && !stop.has_closed_listeners {
             stop.has_closed_listeners = true;
             self.server.stop_listening(now, Endpoint::Callers, self.poll.registry());
         }
