Know predecessors by their id, so that no two fleets meet at an address

All ids of a node share their last 32 bits, a fingerprint of its store, address, region and zone; only what was meant for such an id counts as meant for a predecessor. A node whose setup changed is found as before.

Open as before: a seed's address that went to another fleet.

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 //! | `datagrams` | the socket, and datagrams in both directions |
 //! | `readers` | designated readers of the store, heartbeats, the peer that is asked |
 //! | `contact` | whether any peer is heard |
+//! | `incarnation` | ids of incarnations, by which one knows those before it |
 //! | `confirmation` | until when the configuration is known to have been the newest |
 //! | `shape` | which nodes serve callers, and this node's share of what all spend |
 //!
@@ -18,11 +19,13 @@
 mod confirmation;
 mod contact;
 mod datagrams;
+mod incarnation;
 mod readers;
 mod shape;
 
 pub use announcement::Announcement;
 pub use confirmation::{Confirmation, ConfirmedVersion};
+pub use incarnation::new_id;
 pub use shape::FleetShape;
 
 use crate::directory::Directory;
--- a/crates/staircross-gateway/src/fleet/datagrams.rs
+++ b/crates/staircross-gateway/src/fleet/datagrams.rs
@@ -5,6 +5,7 @@
 //! the tick repeat what matters.
 
 use super::announcement::PeerDatagram;
+use super::incarnation::are_of_one_node;
 use super::{Fleet, FleetEvent};
 use crate::load::is_pressed;
 use crate::traffic::{Purpose, Reach};
@@ -74,11 +75,8 @@
         if datagram.from == self.node {
             return;
         }
-        if datagram.to.is_some_and(|to| to != self.node) {
-            let mut actions = Vec::new();
-            self.membership.on_misaddressed(datagram.from, from, &mut actions);
-            self.carry_out(actions, events);
-            return;
+        if let Some(to) = datagram.to.filter(|to| *to != self.node) {
+            return self.take_for_another(to, datagram.from, from, events);
         }
         if self.contact.note_heard(now) {
             events.push(FleetEvent::Isolated { is_isolated: false });
@@ -104,6 +102,17 @@
         self.carry_out(actions, events);
     }
 
+    /// What was sent to another incarnation at this address is no message for this one. Its sender may be told of this one: only if it meant one before
+    /// it, since a node of another fleet may have had the address.
+    fn take_for_another(&mut self, to: NodeId, from: NodeId, address: SocketAddr, events: &mut Vec<FleetEvent>) {
+        if !are_of_one_node(self.node, to) {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.membership.on_misaddressed(from, address, &mut actions);
+        self.carry_out(actions, events);
+    }
+
     pub(super) fn send(&mut self, to: Option<NodeId>, address: SocketAddr, message: MembershipMessage) {
         self.send_datagram(to, address, Some(message));
     }
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -13,7 +13,7 @@
 use crate::case_pushes::CasePushes;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::event_log::{EventLog, LineKind};
-use crate::fleet::{Fleet, FleetIdentity};
+use crate::fleet::{Fleet, FleetIdentity, new_id};
 use crate::http_call::HttpCaller;
 use crate::load::LoadMeter;
 use crate::metrics::Metrics;
@@ -188,7 +188,7 @@
 
 /// The engine's settings, with the random numbers that make this incarnation a node of its own.
 fn routing_settings(now: BootTime, settings: &GatewaySettings) -> RoutingSettings {
-    let node = NodeId(rand::rng().random());
+    let node = new_id(settings, rand::rng().random());
     let regions = settings.zones.iter();
     RoutingSettings {
         extra: extra_bound(settings),
