Move the gateway's server and sockets to a crate of their own

The session tier's HTTP library can't stop listening, which is why its planned stop cuts callers; the server of the gateway can. Both programs are to use one server, so it moves to staircross-transport, with its sockets and round-trip times. Its listeners are told apart by a type parameter, since the tiers serve different things; what a connection tells about itself is ConnectionInfo instead of the routing crate's CallerLink.

No behaviour changes.

--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -13,10 +13,12 @@
 //! | a server in the middle of its answer | `PROGRESS_TIMEOUT`, and `MAX_CALL_TIME` for the whole call |
 //! | a host that acknowledges nothing | `TCP_USER_TIMEOUT_MS`, or the keep-alive probes while nothing is sent |
 
-use crate::socket::{ConnectingState, IoContext, ReadOutcome, Socket, SocketId, SocketKind, WriteOutcome};
 use rustix::net::sockopt;
 use staircross_http::client::Expected;
 use staircross_http::{Answer, ClientConnection, ClientProgress, write};
+use staircross_transport::socket::{
+    ConnectingState, IoContext, ReadOutcome, Socket, SocketId, SocketKind, WriteOutcome,
+};
 use staircross_types::BootTime;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -21,9 +21,7 @@
 //! | --- | --- |
 //! | [`settings`] | a node's settings, validated when they are loaded |
 //! | [`dialect`] | the interface to a platform's wire format: header names, paths, store calls |
-//! | [`socket`] | one non-blocking stream with its outgoing bytes, and the poll tokens of sockets |
-//! | [`round_trip`] | a peer's round-trip time, as measured by the kernel |
-//! | [`server`] | incoming connections |
+//! | [`endpoint`] | what each listener serves |
 //! | [`pool`] | connections to searchers |
 //! | [`peer_answers`] | sizes of the answers sent to peers within the last second |
 //! | [`case_pushes`] | rate limit of pushes of case records to peers |
@@ -42,6 +40,7 @@
 pub mod case_pushes;
 pub mod dialect;
 pub mod directory;
+pub mod endpoint;
 pub mod event_log;
 pub mod fleet;
 pub mod http_call;
@@ -52,10 +51,7 @@
 pub mod peer_answers;
 pub mod pool;
 pub mod recorder;
-pub mod round_trip;
-pub mod server;
 pub mod settings;
-pub mod socket;
 pub mod store_role;
 pub mod tenant_metrics;
 pub mod traffic;
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -33,6 +33,7 @@
 
 use crate::case_pushes::CasePushLimiter;
 use crate::dialect::Dialect;
+use crate::endpoint::Endpoint;
 use crate::event_log::{EventLog, LineKind};
 use crate::fleet::Fleet;
 use crate::http_call::HttpClient;
@@ -41,9 +42,7 @@
 use crate::peer_answers::RecentPeerAnswers;
 use crate::pool::Pool;
 use crate::recorder::Recorder;
-use crate::server::{Server, ServerTimeouts};
 use crate::settings::GatewaySettings;
-use crate::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
 use crate::store_role::StoreRoleSelector;
 use crate::traffic::Traffic;
 use caller_request::CallerRequests;
@@ -57,6 +56,8 @@
 use staircross_routing::Mirror;
 use staircross_routing::engine::{RoutingEngine, RoutingEvent};
 use staircross_routing::store_reader::StoreReader;
+use staircross_transport::server::{Server, ServerTimeouts};
+use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
 use staircross_types::BootTime;
 use staircross_types::boot_clock as clock;
 use status::NodeStatus;
@@ -109,7 +110,7 @@
     status: NodeStatus,
     random: ChaCha8Rng,
 
-    server: Server,
+    server: Server<Endpoint>,
     pool: Pool,
     requests: CallerRequests,
     engine: RoutingEngine,
--- a/crates/staircross-gateway/src/node/attempts.rs
+++ b/crates/staircross-gateway/src/node/attempts.rs
@@ -6,9 +6,9 @@
 use super::GatewayNode;
 use crate::dialect::Dialect;
 use crate::pool::PoolEvent;
-use crate::socket::SocketId;
 use staircross_routing::AttemptKey;
 use staircross_routing::engine::{AbandonCause, RoutingEvent, SendOrder, SendReason};
+use staircross_transport::socket::SocketId;
 use std::time::Duration;
 
 /// Time for which a reserve, a ready node that the directory sends no callers to, keeps an idle connection to a
--- a/crates/staircross-gateway/src/node/caller_request.rs
+++ b/crates/staircross-gateway/src/node/caller_request.rs
@@ -5,9 +5,9 @@
 //! answer.
 
 use crate::outbound::OutboundRequest;
-use crate::socket::SocketId;
 use hashbrown::HashMap;
 use staircross_routing::{ContentKey, RequestKey};
+use staircross_transport::socket::SocketId;
 use staircross_types::BootTime;
 use std::sync::Arc;
 
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -6,13 +6,13 @@
 use super::GatewayNode;
 use super::updates::{ANY_SIZE_SUFFIX, EVACUATIONS_PARAM, PULL_TARGET_PREFIX, VERSION_PARAM};
 use crate::dialect::Dialect;
+use crate::endpoint::Endpoint;
 use crate::metrics::ComponentMetrics;
 use crate::outbound::AnswerContext;
-use crate::server::Endpoint;
-use crate::socket::SocketId;
 use crate::store_role::StoreRole;
 use staircross_http::Request;
 use staircross_routing::{AcceptedConfiguration, PeerKnowledge};
+use staircross_transport::socket::SocketId;
 use staircross_wire::frame::encode;
 
 /// Maximum number of large answers to peers within a second. The narrowest links carry 14 Mbit/s. On days with a large
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -7,13 +7,14 @@
 use super::GatewayNode;
 use super::caller_request::{CallerRequest, RouteTarget, Trace};
 use crate::dialect::Dialect;
+use crate::endpoint::Endpoint;
 use crate::event_log::LineKind;
 use crate::outbound::{AnswerContext, OutboundRequest};
-use crate::server::{Endpoint, ServerEvent};
-use crate::socket::SocketId;
 use staircross_http::{Request, RequestHead, ServerFault};
 use staircross_routing::engine::{RoutingAction, RoutingEvent};
 use staircross_routing::{Arrival, CallerLink, Credential, RequestKey, RequestOutcome};
+use staircross_transport::server::{ConnectionInfo, ServerEvent};
+use staircross_transport::socket::SocketId;
 use staircross_types::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,11 +43,11 @@
         self.handle_server_events(events);
     }
 
-    fn handle_server_events(&mut self, events: Vec<ServerEvent>) {
+    fn handle_server_events(&mut self, events: Vec<ServerEvent<Endpoint>>) {
         for event in events {
             match event {
-                ServerEvent::Request { connection, endpoint: Endpoint::Callers, request, link } => {
-                    self.on_request(connection, *request, link);
+                ServerEvent::Request { connection, endpoint: Endpoint::Callers, request, info } => {
+                    self.on_request(connection, *request, info);
                 }
                 ServerEvent::Request { connection, endpoint, request, .. } => {
                     self.answer_own_endpoint(connection, endpoint, &request);
@@ -60,7 +61,7 @@
         }
     }
 
-    fn on_request(&mut self, connection: SocketId, request: Request, link: CallerLink) {
+    fn on_request(&mut self, connection: SocketId, request: Request, info: ConnectionInfo) {
         let outbound = OutboundRequest::new(&request, self.dialect.headers());
         if outbound.id.is_none() {
             return self.refuse_connection(connection, ErrorKind::BadRequest);
@@ -69,7 +70,7 @@
             return self.refuse_while_stopping(connection, &*outbound.method == "HEAD");
         }
         let key = self.requests.next_key();
-        let arrival = self.build_arrival(key, &request.head, &outbound, link);
+        let arrival = self.build_arrival(key, &request.head, &outbound, info);
         let pending = self.build_caller_request(connection, &request.head, outbound, &arrival);
         self.requests.insert(key, pending);
         self.process_routing_event(RoutingEvent::Arrived(arrival));
@@ -81,7 +82,7 @@
         key: RequestKey,
         head: &RequestHead,
         outbound: &OutboundRequest,
-        link: CallerLink,
+        info: ConnectionInfo,
     ) -> Arrival {
         let timeout_ms =
             head.headers.text(self.dialect.headers().deadline_ms).and_then(|text| text.parse::<u64>().ok());
@@ -95,7 +96,7 @@
             newest_version: self.fleet.newest_version(),
             configuration_view: self.configuration_view(),
             knows_searchers: self.mirror.has_listing() && !self.store_reader.may_lack_searchers(self.now),
-            link,
+            link: CallerLink { round_trip: info.round_trip, is_new_connection: info.is_new },
             content: outbound.content,
             credential: outbound.credential,
         }
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -12,6 +12,7 @@
 use super::{GatewayNode, recording};
 use crate::case_pushes::CasePushLimiter;
 use crate::dialect::{Dialect, HeaderNames};
+use crate::endpoint::Endpoint;
 use crate::event_log::{EventLog, LineKind};
 use crate::fleet::{Fleet, FleetIdentity, new_incarnation_id};
 use crate::http_call::HttpClient;
@@ -19,9 +20,7 @@
 use crate::metrics::Metrics;
 use crate::peer_answers::RecentPeerAnswers;
 use crate::pool::Pool;
-use crate::server::{Endpoint, Server};
 use crate::settings::{GatewaySettings, SettingsFile};
-use crate::socket::{READ_CHUNK, SocketId, SocketKind};
 use crate::store_role::StoreRoleSelector;
 use crate::traffic::Traffic;
 use mio::net::UdpSocket;
@@ -34,6 +33,8 @@
 use staircross_routing::engine::{RoutingEngine, RoutingSettings};
 use staircross_routing::store_reader::{ReadingMode, StoreReader};
 use staircross_routing::{ColdBound, Mirror};
+use staircross_transport::server::Server;
+use staircross_transport::socket::{READ_CHUNK, SocketId, SocketKind};
 use staircross_types::boot_clock as clock;
 use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
@@ -100,7 +101,7 @@
     }
 }
 
-fn bind_server(settings: &GatewaySettings, registry: &Registry) -> Result<Server, GatewayError> {
+fn bind_server(settings: &GatewaySettings, registry: &Registry) -> Result<Server<Endpoint>, GatewayError> {
     let mut server = Server::new(settings.max_caller_connections());
     for (endpoint, name, address) in listeners(settings) {
         server.listen(endpoint, address, registry).map_err(io_error(format!("{name} {address}")))?;
--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -17,8 +17,8 @@
 
 use super::GatewayNode;
 use crate::dialect::Dialect;
+use crate::endpoint::Endpoint;
 use crate::event_log::LineKind;
-use crate::server::Endpoint;
 use staircross_cluster::MemberState;
 use staircross_routing::{RequestOutcome, RoutingEvent};
 use staircross_types::{BootTime, ErrorKind};
@@ -91,7 +91,7 @@
 
     /// Advances a stop in progress: closes the listeners, refuses the last requests at the deadline, and ends the node.
     pub(super) fn on_stop_tick(&mut self) {
-        let is_busy = self.engine.in_flight() > 0 || self.server.is_busy();
+        let is_busy = self.engine.in_flight() > 0 || self.server.is_busy(Endpoint::Callers);
         let now = self.now;
         let Some(stop) = &mut self.stop else {
             return;
@@ -103,7 +103,8 @@
             stop.has_closed_listeners = true;
             self.server.stop_listening(now, Endpoint::Callers, self.poll.registry());
         }
-        let has_ended = stop.has_closed_listeners && is_idle && self.server.are_callers_idle(now, FINAL_IDLE_TIME);
+        let has_ended =
+            stop.has_closed_listeners && is_idle && self.server.is_idle(now, Endpoint::Callers, FINAL_IDLE_TIME);
         let is_past_deadline = now >= stop.deadline;
         if is_past_deadline && !self.requests.is_empty() {
             // The answers are written before the next tick ends the node.
--- a/crates/staircross-gateway/src/node/store_calls.rs
+++ b/crates/staircross-gateway/src/node/store_calls.rs
@@ -8,8 +8,8 @@
 //! dialect interprets the replies; `updates` connects the two. Arrays are indexed in the order of [`Lane::ALL`].
 
 use crate::http_call::HttpClient;
-use crate::socket::SocketKind;
 use staircross_routing::store_reader::{Lane, StoreCall};
+use staircross_transport::socket::SocketKind;
 use staircross_types::BootTime;
 use std::net::SocketAddr;
 
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -7,11 +7,11 @@
 use crate::event_log::LineKind;
 use crate::http_call::CallOutcome;
 use crate::node::GatewayNode;
-use crate::socket::SocketId;
 use crate::store_role::StoreRole;
 use crate::traffic::Purpose;
 use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::Lane;
+use staircross_transport::socket::SocketId;
 use staircross_wire::frame::decode;
 use std::time::Duration;
 
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -8,9 +8,9 @@
 use crate::event_log::LineKind;
 use crate::http_call::CallOutcome;
 use crate::node::GatewayNode;
-use crate::socket::SocketId;
 use crate::traffic::{Purpose, Reach};
 use staircross_routing::store_reader::{Lane, ReaderAction, StoreReply};
+use staircross_transport::socket::SocketId;
 
 impl<D: Dialect> GatewayNode<D> {
     /// Decides whether the node reads the store or follows a reader of its region, and sets the store reader's mode
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -5,10 +5,10 @@
 //! sent on it. This module relies on the socket for the result of connecting.
 
 use super::{Assignment, Connection, ConnectionState, DEFAULT_IDLE_TIMEOUT, Pool, PoolEvent};
-use crate::socket::{ConnectingState, IoContext, Socket, SocketId, SocketKind, WriteOutcome};
 use crate::traffic::{Purpose, Reach};
 use staircross_http::{ClientConnection, ClientFault};
 use staircross_routing::{AttemptOutcome, NotRun, SearcherKey};
+use staircross_transport::socket::{ConnectingState, IoContext, Socket, SocketId, SocketKind, WriteOutcome};
 use staircross_types::BootTime;
 use std::cmp::Reverse;
 use std::time::Duration;
--- a/crates/staircross-gateway/tests/http_call.rs
+++ b/crates/staircross-gateway/tests/http_call.rs
@@ -2,8 +2,8 @@
 
 use mio::{Events, Poll};
 use staircross_gateway::http_call::{CallOutcome, HttpClient};
-use staircross_gateway::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
 use staircross_http::ServerLimits;
+use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
 use staircross_types::BootTime;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
--- /dev/null
+++ b/crates/staircross-transport/src/lib.rs
@@ -0,0 +1,11 @@
+//! Non-blocking sockets, and the HTTP/1.1 server that both programs use.
+//!
+//! | module | content |
+//! | --- | --- |
+//! | [`socket`] | one non-blocking stream with its outgoing bytes, and the poll tokens of sockets |
+//! | [`round_trip`] | a peer's round-trip time, as measured by the kernel |
+//! | [`server`] | listeners and accepted connections |
+
+pub mod round_trip;
+pub mod server;
+pub mod socket;
--- a/crates/staircross-gateway/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -4,6 +4,9 @@
 //! decides what a request means and when it is answered; it must answer each [`ServerEvent::Request`],
 //! [`ServerEvent::Fault`] and [`ServerEvent::RequestTimedOut`] with [`Server::respond`]. [`ServerConnection`] finds the
 //! ends of messages in the byte stream.
+//!
+//! A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
+//! serves.
 
 use crate::round_trip::round_trip;
 use crate::socket::{IoContext, ReadOutcome, Socket, SocketId, SocketKind, WriteOutcome};
@@ -11,7 +14,6 @@
 use mio::{Interest, Registry};
 use slab::Slab;
 use staircross_http::{Request, ServerConnection, ServerFault, ServerProgress};
-use staircross_routing::CallerLink;
 use staircross_types::BootTime;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -25,34 +27,28 @@
 /// Number of bytes after which a read stops while the connection's previous request is still being answered.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
-/// What a listener serves.
+/// Properties of an accepted connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Endpoint {
-    /// Requests of callers.
-    Callers,
-    /// Readiness checks.
-    Readiness,
-    /// Callers' questions about which nodes to send requests to.
-    Directory,
-    /// Other nodes' pulls of updates.
-    Peers,
-    /// Requests for the metrics.
-    Metrics,
+pub struct ConnectionInfo {
+    /// Round-trip time to the peer, if the operating system reports it.
+    pub round_trip: Option<Duration>,
+    /// Whether no earlier request has arrived on the connection.
+    pub is_new: bool,
 }
 
 /// An event on a connection.
 #[derive(Debug)]
-pub enum ServerEvent {
+pub enum ServerEvent<E> {
     /// A complete request, which must be answered with [`Server::respond`].
     Request {
         /// The connection that the answer goes to.
         connection: SocketId,
         /// What the connection's listener serves.
-        endpoint: Endpoint,
+        endpoint: E,
         /// The request.
         request: Box<Request>,
-        /// The connection's round trip, and whether this is its first request.
-        link: CallerLink,
+        /// Properties of the connection.
+        info: ConnectionInfo,
     },
     /// The peer sent bytes that aren't a valid request. The event must be answered, and the connection closed.
     Fault {
@@ -85,21 +81,21 @@
     Closing,
 }
 
-struct Connection {
+struct Connection<E> {
     socket: Socket,
     http: ServerConnection,
-    endpoint: Endpoint,
+    endpoint: E,
     state: State,
     generation: u32,
     /// Time of the last progress: when the connection was accepted, last received bytes while it waited for a request,
     /// or was last given an answer.
     last_progress: BootTime,
-    /// Properties of the connection that the next request reports to the engine.
-    link: CallerLink,
+    /// Properties that the event of the next request states.
+    info: ConnectionInfo,
 }
 
-struct EndpointListener {
-    endpoint: Endpoint,
+struct EndpointListener<E> {
+    endpoint: E,
     listener: TcpListener,
 }
 
@@ -114,22 +110,22 @@
 }
 
 /// All listeners and accepted connections.
-pub struct Server {
+pub struct Server<E> {
     /// Listeners by slot; `None` once a listener is closed.
-    listeners: Vec<Option<EndpointListener>>,
-    connections: Slab<Connection>,
+    listeners: Vec<Option<EndpointListener<E>>>,
+    connections: Slab<Connection<E>>,
     next_generation: u32,
     max_connections: usize,
 }
 
-impl Server {
+impl<E: Copy + PartialEq> Server<E> {
     /// Creates a server without listeners that holds at most `max_connections` accepted connections.
     pub fn new(max_connections: usize) -> Self {
         Server { listeners: Vec::new(), connections: Slab::new(), next_generation: 1, max_connections }
     }
 
     /// Listens on an address. Returns the bound address, with the actual port if `address` has port 0.
-    pub fn listen(&mut self, endpoint: Endpoint, address: SocketAddr, registry: &Registry) -> io::Result<SocketAddr> {
+    pub fn listen(&mut self, endpoint: E, address: SocketAddr, registry: &Registry) -> io::Result<SocketAddr> {
         let mut listener = TcpListener::bind(address)?;
         let bound = listener.local_addr()?;
         let slot = self.listeners.len() as u32;
@@ -141,9 +137,9 @@
 
     /// Closes the listeners of an endpoint, so that new connections are refused. Connections that already wait are
     /// accepted first.
-    pub fn stop_listening(&mut self, now: BootTime, endpoint: Endpoint, registry: &Registry) {
+    pub fn stop_listening(&mut self, now: BootTime, endpoint: E, registry: &Registry) {
         let is_of_endpoint =
-            |entry: &Option<EndpointListener>| entry.as_ref().is_some_and(|listener| listener.endpoint == endpoint);
+            |entry: &Option<EndpointListener<E>>| entry.as_ref().is_some_and(|listener| listener.endpoint == endpoint);
         for slot in 0..self.listeners.len() {
             if is_of_endpoint(&self.listeners[slot]) {
                 let id = SocketId { kind: SocketKind::Listener, generation: 0, slot: slot as u32 };
@@ -153,13 +149,14 @@
         }
     }
 
-    /// Returns whether all callers' connections that wait for a request have been idle for `idle`. Other connections
-    /// don't count: those whose request isn't answered yet, and those that are about to close.
-    pub fn are_callers_idle(&self, now: BootTime, idle: Duration) -> bool {
-        let is_in_use =
-            |connection: &Connection| connection.state == State::Reading && now.since(connection.last_progress) < idle;
-        let mut callers = self.connections.iter().filter(|(_, connection)| connection.endpoint == Endpoint::Callers);
-        !callers.any(|(_, connection)| is_in_use(connection))
+    /// Returns whether all of an endpoint's connections that wait for a request have been idle for `idle`. Other
+    /// connections don't count: those whose request isn't answered yet, and those that are about to close.
+    pub fn is_idle(&self, now: BootTime, endpoint: E, idle: Duration) -> bool {
+        let is_in_use = |connection: &Connection<E>| {
+            connection.state == State::Reading && now.since(connection.last_progress) < idle
+        };
+        let mut connections = self.connections.iter().filter(|(_, connection)| connection.endpoint == endpoint);
+        !connections.any(|(_, connection)| is_in_use(connection))
     }
 
     /// Returns the number of open connections, on all listeners.
@@ -167,11 +164,11 @@
         self.connections.len()
     }
 
-    /// Returns whether a caller's request is partly received, waits for its answer, or has an answer that isn't fully
-    /// written.
-    pub fn is_busy(&self) -> bool {
+    /// Returns whether a request to an endpoint is partly received, waits for its answer, or has an answer that isn't
+    /// fully written.
+    pub fn is_busy(&self, endpoint: E) -> bool {
         self.connections.iter().any(|(_, connection)| {
-            connection.endpoint == Endpoint::Callers
+            connection.endpoint == endpoint
                 && (connection.state == State::AwaitingAnswer
                     || !connection.socket.is_flushed()
                     || connection.http.has_partial_request())
@@ -201,12 +198,12 @@
         }
     }
 
-    fn add_connection(&mut self, now: BootTime, endpoint: Endpoint, stream: mio::net::TcpStream, registry: &Registry) {
+    fn add_connection(&mut self, now: BootTime, endpoint: E, stream: mio::net::TcpStream, registry: &Registry) {
         let generation = self.next_generation;
         self.next_generation = self.next_generation.wrapping_add(1).max(1);
         let entry = self.connections.vacant_entry();
         let id = SocketId { kind: SocketKind::Inbound, generation, slot: entry.key() as u32 };
-        let link = CallerLink { round_trip: round_trip(&stream), is_new_connection: true };
+        let info = ConnectionInfo { round_trip: round_trip(&stream), is_new: true };
         if let Ok(socket) = Socket::accepted(stream, id.token(), registry) {
             entry.insert(Connection {
                 socket,
@@ -215,18 +212,24 @@
                 state: State::Reading,
                 generation,
                 last_progress: now,
-                link,
+                info,
             });
         }
     }
 
     /// Returns a connection, or `None` if it no longer exists.
-    fn get(&mut self, id: SocketId) -> Option<&mut Connection> {
+    fn get(&mut self, id: SocketId) -> Option<&mut Connection<E>> {
         self.connections.get_mut(id.slot as usize).filter(|connection| connection.generation == id.generation)
     }
 
     /// Handles a readiness event of a connection.
-    pub fn on_ready(&mut self, id: SocketId, is_writable: bool, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent>) {
+    pub fn on_ready(
+        &mut self,
+        id: SocketId,
+        is_writable: bool,
+        io: &mut IoContext<'_>,
+        events: &mut Vec<ServerEvent<E>>,
+    ) {
         let Some(connection) = self.get(id) else {
             return;
         };
@@ -240,7 +243,7 @@
     }
 
     /// Reads until nothing waits, and emits the request that is complete.
-    fn read(&mut self, id: SocketId, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent>) {
+    fn read(&mut self, id: SocketId, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
         let mut read_ahead = 0;
         loop {
             let Some(connection) = self.get(id) else {
@@ -271,7 +274,7 @@
     }
 
     /// Removes a connection that the peer has closed or that is broken. Reports it if a request is unanswered.
-    fn on_peer_closed(&mut self, id: SocketId, events: &mut Vec<ServerEvent>) {
+    fn on_peer_closed(&mut self, id: SocketId, events: &mut Vec<ServerEvent<E>>) {
         let Some(connection) = self.get(id) else {
             return;
         };
@@ -282,7 +285,7 @@
     }
 
     /// Emits the next request of a connection that waits for one if it is complete, or a fault if it isn't valid.
-    fn parse_next_request(&mut self, id: SocketId, io: &IoContext<'_>, events: &mut Vec<ServerEvent>) {
+    fn parse_next_request(&mut self, id: SocketId, io: &IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
         let Some(connection) = self.get(id) else {
             return;
         };
@@ -295,9 +298,9 @@
             }
             ServerProgress::Ready(request) => {
                 connection.state = State::AwaitingAnswer;
-                let link = connection.link;
-                connection.link.is_new_connection = false;
-                events.push(ServerEvent::Request { connection: id, endpoint, request, link });
+                let info = connection.info;
+                connection.info.is_new = false;
+                events.push(ServerEvent::Request { connection: id, endpoint, request, info });
             }
             ServerProgress::Fault(fault) => {
                 connection.state = State::AwaitingAnswer;
@@ -313,7 +316,7 @@
         answer: Vec<u8>,
         closes: bool,
         io: &IoContext<'_>,
-        events: &mut Vec<ServerEvent>,
+        events: &mut Vec<ServerEvent<E>>,
     ) {
         let Some(connection) = self.get(id) else {
             return;
@@ -327,7 +330,7 @@
     }
 
     /// Handles the outcome of a write. Returns whether the connection still exists.
-    fn handle_write_outcome(&mut self, id: SocketId, outcome: WriteOutcome, events: &mut Vec<ServerEvent>) -> bool {
+    fn handle_write_outcome(&mut self, id: SocketId, outcome: WriteOutcome, events: &mut Vec<ServerEvent<E>>) -> bool {
         let Some(connection) = self.get(id) else {
             return false;
         };
@@ -350,7 +353,7 @@
 
     /// Ends connections whose timeouts have passed. Where a request has partly arrived, the connection isn't ended yet
     /// but reported by [`ServerEvent::RequestTimedOut`].
-    pub fn sweep(&mut self, now: BootTime, timeouts: ServerTimeouts, events: &mut Vec<ServerEvent>) {
+    pub fn sweep(&mut self, now: BootTime, timeouts: ServerTimeouts, events: &mut Vec<ServerEvent<E>>) {
         let mut expired = Vec::new();
         for (slot, connection) in &mut self.connections {
             let age = now.since(connection.last_progress);
--- a/crates/staircross-gateway/tests/round_trip.rs
+++ b/crates/staircross-transport/tests/round_trip.rs
@@ -1,6 +1,6 @@
 //! Tests that the kernel reports the round-trip time of an accepted connection.
 
-use staircross_gateway::round_trip::round_trip;
+use staircross_transport::round_trip::round_trip;
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
--- a/crates/staircross-gateway/tests/server.rs
+++ b/crates/staircross-transport/tests/server.rs
@@ -1,14 +1,20 @@
 //! Tests that the server still reads connections that were made before their listener closed.
 
 use mio::{Events, Poll};
-use staircross_gateway::server::{Endpoint, Server, ServerEvent};
-use staircross_gateway::socket::{IoContext, SocketId, SocketKind};
 use staircross_http::ServerLimits;
+use staircross_transport::server::{Server, ServerEvent};
+use staircross_transport::socket::{IoContext, SocketId, SocketKind};
 use staircross_types::BootTime;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+/// The only endpoint of these tests' servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Endpoint {
+    Callers,
+}
+
 /// Time without a request after which callers count as idle.
 const IDLE_TIME: Duration = Duration::from_millis(500);
 
@@ -17,9 +23,9 @@
 }
 
 /// Passes readiness events to the server until a request is complete. Returns whether one was.
-fn next_request(server: &mut Server, poll: &mut Poll, now: BootTime) -> bool {
+fn next_request(server: &mut Server<Endpoint>, poll: &mut Poll, now: BootTime) -> bool {
     let mut poll_events = Events::with_capacity(16);
-    let mut buffer = Box::new([0_u8; staircross_gateway::socket::READ_CHUNK]);
+    let mut buffer = Box::new([0_u8; staircross_transport::socket::READ_CHUNK]);
     for _ in 0..100 {
         poll.poll(&mut poll_events, Some(Duration::from_millis(20))).expect("polls");
         let mut server_events = Vec::new();
@@ -49,8 +55,8 @@
 
     server.stop_listening(at(1000), Endpoint::Callers, poll.registry());
     assert!(TcpStream::connect(address).is_err(), "new connections are refused");
-    assert!(!server.are_callers_idle(at(1000), IDLE_TIME));
-    assert!(server.are_callers_idle(at(1500), IDLE_TIME));
+    assert!(!server.is_idle(at(1000), Endpoint::Callers, IDLE_TIME));
+    assert!(server.is_idle(at(1500), Endpoint::Callers, IDLE_TIME));
     assert!(next_request(&mut server, &mut poll, at(1600)), "the request from before the listener closed is read");
-    assert!(server.is_busy());
+    assert!(server.is_busy(Endpoint::Callers));
 }
--- a/crates/staircross-gateway/tests/socket.rs
+++ b/crates/staircross-transport/tests/socket.rs
@@ -1,7 +1,7 @@
 //! Tests that a socket's id can be read back from its token, and that other tokens are no sockets.
 
 use mio::Token;
-use staircross_gateway::socket::{SocketId, SocketKind};
+use staircross_transport::socket::{SocketId, SocketKind};
 
 #[test]
 fn a_token_comes_back_as_its_socket() {
