Keep off new connections before a listener closes

Ruled out: closing later (the gap is as long then), shutting the socket down (resets what waits in the same way). Change: a closing listener drops segments with SYN and without ACK by a socket filter (SO_ATTACH_FILTER, socket2), and closes 50 ms later, after the last accept. Handshakes under way complete. Whoever connects meanwhile is refused a second later, when its SYN is sent again; it knows that nothing was sent, while a cut request that mustn't be repeated can't be sent again at all. A system without filters closes as before, with a line event=filter_refused.

The test that what connected before is read looks at the same states, 50 ms later.

--- a/crates/session/staircross-node/src/front.rs
+++ b/crates/session/staircross-node/src/front.rs
@@ -22,7 +22,7 @@
 use mio::{Events, Poll};
 use response::{Framing, Response};
 use route::{Route, find_route};
-use spdlog::{error, info};
+use spdlog::{error, info, warn};
 use staircross_config::{LimitSettings, Settings};
 use staircross_http::{Request, ServerFault, ServerLimits};
 use staircross_search::Refusal;
@@ -172,13 +172,17 @@
             match message {
                 FrontMessage::Reply { connection, reply } => self.on_reply(connection, reply.map(|reply| *reply)),
                 FrontMessage::StopBegun => self.is_leaving = true,
-                FrontMessage::StopListening => {
-                    self.server.stop_listening(self.now, CallerEndpoint, self.poll.registry());
-                }
+                FrontMessage::StopListening => self.stop_listening(),
             }
         }
     }
 
+    fn stop_listening(&mut self) {
+        if let Err(error) = self.server.stop_listening(self.now, CallerEndpoint) {
+            warn!(logger: self.logs.front, "event=filter_refused error={error}");
+        }
+    }
+
     fn handle_socket_events(&mut self, events: &Events) {
         for event in events {
             let Some(id) = SocketId::from_token(event.token()) else {
@@ -201,7 +205,7 @@
             false => caller_timeout.min(STOPPING_REQUEST_TIMEOUT),
         };
         let timeouts = ServerTimeouts { partial_request, idle: caller_timeout };
-        self.server.sweep(self.now, timeouts, &mut self.server_events);
+        self.server.sweep(self.now, timeouts, self.poll.registry(), &mut self.server_events);
         self.handle_server_events();
     }
 
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -39,7 +39,7 @@
     pub(super) fn sweep_server(&mut self) {
         let mut events = Vec::new();
         let timeouts = self.server_timeouts();
-        self.server.sweep(self.now, timeouts, &mut events);
+        self.server.sweep(self.now, timeouts, self.poll.registry(), &mut events);
         self.handle_server_events(events);
     }
 
--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -88,8 +88,8 @@
         let is_idle = !is_busy && now >= stop.accepts_until;
         stop.idle_ticks = if is_idle { stop.idle_ticks + 1 } else { 0 };
         let must_close = stop.idle_ticks >= IDLE_TICKS_TO_CLOSE || now >= stop.listeners_close_at;
-        if must_close {
-            self.server.stop_listening(now, Endpoint::Callers, self.poll.registry());
+        if must_close && let Err(error) = self.server.stop_listening(now, Endpoint::Callers) {
+            self.log.line(now, LineKind::NodeEvent, format_args!("event=filter_refused error={error}"));
         }
         let has_ended = is_idle && self.server.is_drained(now, Endpoint::Callers);
         let is_past_deadline = now >= stop.deadline;
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -8,6 +8,7 @@
 //! A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
 //! serves.
 
+use crate::listener::Listener;
 use crate::round_trip::round_trip;
 use crate::socket::{IoContext, ReadOutcome, Socket, SocketId, SocketKind, WriteOutcome};
 use mio::net::TcpListener;
@@ -97,11 +98,6 @@
     info: ConnectionInfo,
 }
 
-struct EndpointListener<E> {
-    endpoint: E,
-    listener: TcpListener,
-}
-
 /// Timeouts of accepted connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerTimeouts {
@@ -115,7 +111,7 @@
 /// All listeners and accepted connections.
 pub struct Server<E> {
     /// Listeners by slot; `None` once a listener is closed.
-    listeners: Vec<Option<EndpointListener<E>>>,
+    listeners: Vec<Option<Listener<E>>>,
     connections: Slab<Connection<E>>,
     next_generation: u32,
     max_connections: usize,
@@ -134,17 +130,30 @@
         let slot = self.listeners.len() as u32;
         let id = SocketId { kind: SocketKind::Listener, generation: 0, slot };
         registry.register(&mut listener, id.token(), Interest::READABLE)?;
-        self.listeners.push(Some(EndpointListener { endpoint, listener }));
+        self.listeners.push(Some(Listener::new(endpoint, listener)));
         Ok(bound)
     }
 
-    /// Closes the listeners of an endpoint, so that new connections are refused. Connections that already wait are
-    /// accepted first.
-    pub fn stop_listening(&mut self, now: BootTime, endpoint: E, registry: &Registry) {
-        let is_of_endpoint =
-            |entry: &Option<EndpointListener<E>>| entry.as_ref().is_some_and(|listener| listener.endpoint == endpoint);
+    /// Begins to close the listeners of an endpoint, so that new connections are refused soon. [`Server::sweep`] closes
+    /// them when the handshakes under way have ended, and accepts their connections before. Does nothing for listeners
+    /// that are closing or closed already.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operating system can't keep off new connections meanwhile. The listeners close
+    /// nevertheless.
+    pub fn stop_listening(&mut self, now: BootTime, endpoint: E) -> io::Result<()> {
+        let mut outcome = Ok(());
+        for listener in self.listeners.iter_mut().flatten().filter(|listener| listener.endpoint == endpoint) {
+            outcome = outcome.and(listener.begin_closing(now));
+        }
+        outcome
+    }
+
+    /// Closes the listeners whose time to close has come. Connections that wait are accepted first.
+    fn close_listeners(&mut self, now: BootTime, registry: &Registry) {
         for slot in 0..self.listeners.len() {
-            if is_of_endpoint(&self.listeners[slot]) {
+            if self.listeners[slot].as_ref().is_some_and(|listener| listener.must_close(now)) {
                 let id = SocketId { kind: SocketKind::Listener, generation: 0, slot: slot as u32 };
                 self.accept_connections(now, id, registry);
                 self.listeners[slot] = None;
@@ -152,7 +161,7 @@
         }
     }
 
-    /// Returns whether an endpoint has a listener that is still open.
+    /// Returns whether an endpoint has a listener that is still open or about to close.
     pub fn is_listening(&self, endpoint: E) -> bool {
         self.listeners.iter().flatten().any(|listener| listener.endpoint == endpoint)
     }
@@ -190,8 +199,8 @@
             let Some(Some(entry)) = self.listeners.get(id.slot as usize) else {
                 return;
             };
-            match entry.listener.accept() {
-                Ok((stream, _)) => {
+            match entry.accept() {
+                Ok(stream) => {
                     let endpoint = entry.endpoint;
                     if self.connections.len() >= self.max_connections {
                         // The stream is dropped, which closes it at once; the caller sees that and can use another
@@ -360,9 +369,16 @@
         }
     }
 
-    /// Ends connections whose timeouts have passed. Where a request has partly arrived, the connection isn't ended yet
-    /// but reported by [`ServerEvent::RequestTimedOut`].
-    pub fn sweep(&mut self, now: BootTime, timeouts: ServerTimeouts, events: &mut Vec<ServerEvent<E>>) {
+    /// Closes listeners that have stopped listening, and ends connections whose timeouts have passed. Where a request has
+    /// partly arrived, the connection isn't ended yet but reported by [`ServerEvent::RequestTimedOut`].
+    pub fn sweep(
+        &mut self,
+        now: BootTime,
+        timeouts: ServerTimeouts,
+        registry: &Registry,
+        events: &mut Vec<ServerEvent<E>>,
+    ) {
+        self.close_listeners(now, registry);
         let mut expired = Vec::new();
         for (slot, connection) in &mut self.connections {
             let age = now.since(connection.last_progress);
--- a/crates/staircross-transport/tests/server.rs
+++ b/crates/staircross-transport/tests/server.rs
@@ -2,7 +2,7 @@
 
 use mio::{Events, Poll};
 use staircross_http::ServerLimits;
-use staircross_transport::server::{Server, ServerEvent};
+use staircross_transport::server::{Server, ServerEvent, ServerTimeouts};
 use staircross_transport::socket::{IoContext, SocketId, SocketKind};
 use staircross_types::BootTime;
 use std::io::Write;
@@ -41,6 +41,11 @@
     false
 }
 
+fn sweep(server: &mut Server<Endpoint>, poll: &Poll, now: BootTime) {
+    let timeouts = ServerTimeouts { partial_request: Duration::from_secs(30), idle: Duration::from_secs(30) };
+    server.sweep(now, timeouts, poll.registry(), &mut Vec::new());
+}
+
 #[test]
 fn what_has_connected_before_a_listener_closes_is_read() {
     let mut poll = Poll::new().expect("a poll");
@@ -50,7 +55,8 @@
     let mut caller = TcpStream::connect(address).expect("connects");
     caller.write_all(b"GET / HTTP/1.1\r\nHost: shop\r\n\r\n").expect("sent");
 
-    server.stop_listening(at(1000), Endpoint::Callers, poll.registry());
+    server.stop_listening(at(950), Endpoint::Callers).expect("the filter is taken");
+    sweep(&mut server, &poll, at(1000));
     assert!(TcpStream::connect(address).is_err(), "new connections are refused");
     assert!(!server.is_drained(at(1000), Endpoint::Callers));
     assert!(server.is_drained(at(1500), Endpoint::Callers));
