Close the directory of a stopping gateway before the gateway ends

A caller whose question is cut doesn't know where to go until another directory has answered.

Cause: only the listener for requests closed before the end of a stop; the directory listened until the process was gone. Found by looking for the class of the session tier's stop. Now both endpoints that callers use close in the same way and must be drained before the node ends; answers of a closed directory close their connection. The stop's tick is split, since it borrowed the stop's state across the call.

--- a/crates/staircross-gateway/src/endpoint.rs
+++ b/crates/staircross-gateway/src/endpoint.rs
@@ -14,3 +14,8 @@
     /// Requests for the metrics.
     Metrics,
 }
+
+impl Endpoint {
+    /// The endpoints that callers use. In a planned stop they close before the node ends, so that no caller is cut off.
+    pub const USED_BY_CALLERS: [Endpoint; 2] = [Endpoint::Callers, Endpoint::Directory];
+}
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -23,7 +23,7 @@
 impl<D: Dialect> GatewayNode<D> {
     /// Answers a request to any endpoint but that of callers.
     pub(super) fn answer_own_endpoint(&mut self, connection: SocketId, endpoint: Endpoint, request: &Request) {
-        let closes = !request.head.keeps_alive();
+        let closes = !request.head.keeps_alive() || !self.server.is_listening(endpoint);
         let names = *self.dialect.headers();
         let context = AnswerContext { names: &names, id: None, closes, is_head: request.head.method == "HEAD" };
         let answer = match endpoint {
--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -4,8 +4,9 @@
 //!
 //! 1. Requests are still served, because callers may still hold this node's address from the directory.
 //! 2. New requests are refused as not executed.
-//! 3. When no request is in flight, or the deadline is near, the callers' listeners close, so that new connections
-//!    are refused. From then on, each refusal closes its connection.
+//! 3. When no request is in flight, or the deadline is near, the listeners for callers and of the directory close, so
+//!    that new connections are refused. From then on, each refusal and each answer of the directory closes its
+//!    connection.
 //! 4. When no caller's connection has been used for a while either, the node ends.
 //! 5. At the deadline, shortly before the process would be killed, the requests still in flight are refused as timed
 //!    out.
@@ -87,21 +88,38 @@
         };
         let is_idle = !is_busy && now >= stop.accepts_until;
         stop.idle_ticks = if is_idle { stop.idle_ticks + 1 } else { 0 };
-        let must_close = stop.idle_ticks >= IDLE_TICKS_TO_CLOSE || now >= stop.listeners_close_at;
-        if must_close && let Err(error) = self.server.stop_listening(now, Endpoint::Callers) {
-            self.log.line(now, LineKind::NodeEvent, format_args!("event=filter_refused error={error}"));
-        }
-        let has_ended = is_idle && self.server.is_drained(now, Endpoint::Callers);
         let is_past_deadline = now >= stop.deadline;
+        if stop.idle_ticks >= IDLE_TICKS_TO_CLOSE || now >= stop.listeners_close_at {
+            self.stop_listening_to_callers();
+        }
         if is_past_deadline && !self.requests.is_empty() {
             // The answers are written before the next tick ends the node.
             return self.time_out_requests_in_flight();
         }
-        stop.is_done = has_ended || is_past_deadline;
-        if stop.is_done {
-            let mut events = Vec::new();
-            self.fleet.leave(MemberState::Left, &mut events);
-            self.handle_fleet_events(events);
+        if is_past_deadline || (is_idle && self.have_callers_left()) {
+            self.end_stop();
+        }
+    }
+
+    /// Returns whether nobody uses the endpoints of callers any more.
+    fn have_callers_left(&self) -> bool {
+        Endpoint::USED_BY_CALLERS.iter().all(|endpoint| self.server.is_drained(self.now, *endpoint))
+    }
+
+    fn end_stop(&mut self) {
+        if let Some(stop) = &mut self.stop {
+            stop.is_done = true;
+        }
+        let mut events = Vec::new();
+        self.fleet.leave(MemberState::Left, &mut events);
+        self.handle_fleet_events(events);
+    }
+
+    fn stop_listening_to_callers(&mut self) {
+        for endpoint in Endpoint::USED_BY_CALLERS {
+            if let Err(error) = self.server.stop_listening(self.now, endpoint) {
+                self.log.line(self.now, LineKind::NodeEvent, format_args!("event=filter_refused error={error}"));
+            }
         }
     }
 
