Log who confirmed a session's copy and who lacks it

A lost session left no trace: neither which nodes had confirmed its copies nor what those that were asked had said. Now event=session_copy_confirmed and session_copies_resent (debug) name session, version and keeper, and event=session_not_found (info) names the nodes without a copy and the number that didn't answer.

--- a/crates/session/staircross-node/src/core/config.rs
+++ b/crates/session/staircross-node/src/core/config.rs
@@ -30,7 +30,9 @@
                 ClusterAction::SessionStored { token, version, keeper, is_overtaken } => {
                     self.on_session_stored(token, version, keeper, is_overtaken);
                 }
-                ClusterAction::SessionFetched { token, ask, copy } => self.on_session_fetched(now, token, ask, copy),
+                ClusterAction::SessionFetched { token, ask, keeper, copy } => {
+                    self.on_session_fetched(now, token, ask, keeper, copy);
+                }
                 ClusterAction::SessionMoved { token } => self.drop_session(token),
             }
         }
--- a/crates/session/staircross-node/src/core/sessions.rs
+++ b/crates/session/staircross-node/src/core/sessions.rs
@@ -6,7 +6,7 @@
 use crate::api::{ReplyBody, StatementReply};
 use crate::caller::{CallerCommand, CallerReply};
 use crate::front_message::ReplySender;
-use spdlog::{info, warn};
+use spdlog::{debug, info, warn};
 use staircross_cluster::ClusterEvent;
 use staircross_cluster::session_copies::SessionCopy;
 use staircross_search::{Outcome, Refusal, SessionState};
@@ -38,6 +38,8 @@
     id: u64,
     /// Number of nodes that haven't answered yet.
     pending_answers: usize,
+    /// Nodes that answered that they have no copy.
+    without_copy: Vec<NodeId>,
     newest_copy: Option<SessionCopy>,
     deadline: BootTime,
     /// Commands to execute when the session is found, and the channels for their replies.
@@ -101,6 +103,8 @@
         for token in self.session_replication.take_due(now) {
             let keepers = self.cluster.session_keepers(token);
             if let Some(version) = self.session_replication.unconfirmed_version(token, &keepers) {
+                debug!(logger: self.logs.front, "event=session_copies_resent session={} version={version} keepers={}",
+                    session_tag(token), list(&keepers));
                 self.send_copies(now, token, version);
             }
         }
@@ -115,6 +119,8 @@
 
     /// Handles a keeper's confirmation of a copy, or its notice that another node has taken the session over.
     pub(super) fn on_session_stored(&mut self, token: SessionToken, version: u64, keeper: NodeId, is_overtaken: bool) {
+        debug!(logger: self.logs.front, "event=session_copy_confirmed session={} version={version} keeper={keeper}",
+            session_tag(token));
         self.session_replication.record_confirmation(token, version, keeper);
         if is_overtaken {
             info!(logger: self.logs.front, "event=session_overtaken session={}", session_tag(token));
@@ -172,8 +178,14 @@
         let id = self.next_lookup_id;
         self.next_lookup_id += 1;
         let waiting = vec![(command, reply)];
-        let lookup =
-            SessionLookup { id, pending_answers, newest_copy: None, deadline: now + SESSION_LOOKUP_TIMEOUT, waiting };
+        let lookup = SessionLookup {
+            id,
+            pending_answers,
+            without_copy: Vec::new(),
+            newest_copy: None,
+            deadline: now + SESSION_LOOKUP_TIMEOUT,
+            waiting,
+        };
         self.session_lookups.insert(token, lookup);
         self.handle_cluster_event(now, ClusterEvent::FetchSession { token, ask: id });
     }
@@ -184,12 +196,16 @@
         now: BootTime,
         token: SessionToken,
         lookup_id: u64,
+        keeper: NodeId,
         copy: Option<SessionCopy>,
     ) {
         let Some(lookup) = self.session_lookups.get_mut(&token).filter(|lookup| lookup.id == lookup_id) else {
             return;
         };
         lookup.pending_answers = lookup.pending_answers.saturating_sub(1);
+        if copy.is_none() {
+            lookup.without_copy.push(keeper);
+        }
         let newest_version = lookup.newest_copy.as_ref().map_or(0, |newest_copy| newest_copy.version);
         if let Some(copy) = copy.filter(|copy| copy.version > newest_version) {
             lookup.newest_copy = Some(copy);
@@ -216,6 +232,10 @@
         let refusal =
             if lookup.pending_answers == 0 { unknown_session() } else { session_sought(lookup.pending_answers) };
         let adopted = lookup.newest_copy.is_some_and(|copy| self.adopt_session(now, token, &copy));
+        if !adopted {
+            info!(logger: self.logs.front, "event=session_not_found session={} kind={} unanswered={} without_copy={}",
+                session_tag(token), refusal.kind, lookup.pending_answers, list(&lookup.without_copy));
+        }
         for (command, reply) in lookup.waiting {
             if adopted {
                 self.on_caller(now, command, reply);
@@ -253,6 +273,11 @@
     staircross_types::body_digest(&token.0.to_be_bytes())[..8].to_owned()
 }
 
+fn list(nodes: &[NodeId]) -> String {
+    let names: Vec<String> = nodes.iter().map(NodeId::to_string).collect();
+    names.join(",")
+}
+
 fn encode_session(state: &SessionState) -> Option<Vec<u8>> {
     let mut bytes = Vec::new();
     ciborium::into_writer(state, &mut bytes).ok()?;
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -86,8 +86,8 @@
     ViewChanged(ViewRecord),
     /// A peer has stored a copy; if `is_overtaken`, it kept a newer copy of another holder instead.
     SessionStored { token: SessionToken, version: u64, keeper: NodeId, is_overtaken: bool },
-    /// The copy kept by this node or a peer that was asked, if it has one.
-    SessionFetched { token: SessionToken, ask: u64, copy: Option<SessionCopy> },
+    /// The copy kept by `keeper`, which is this node or a peer that was asked, if it has one.
+    SessionFetched { token: SessionToken, ask: u64, keeper: NodeId, copy: Option<SessionCopy> },
     /// Another node has taken the session over from this one.
     SessionMoved { token: SessionToken },
 }
--- a/crates/staircross-cluster/src/engine/sessions.rs
+++ b/crates/staircross-cluster/src/engine/sessions.rs
@@ -30,7 +30,7 @@
                 self.send(Some(from), from_address, ClusterMessage::SessionCopies(reply), actions);
             }
             SessionCopyMessage::Fetched { token, ask, copy } => {
-                actions.push(ClusterAction::SessionFetched { token, ask, copy });
+                actions.push(ClusterAction::SessionFetched { token, ask, keeper: from, copy });
             }
             SessionCopyMessage::Forget { token } => self.copies.forget(token),
             SessionCopyMessage::Moved { token } => actions.push(ClusterAction::SessionMoved { token }),
@@ -77,7 +77,8 @@
         // The holder chose the members that keep copies by its own zone. This node doesn't know that zone and may be
         // one of these members itself.
         if let Some(copy) = self.copies.get(token) {
-            actions.push(ClusterAction::SessionFetched { token, ask, copy: Some(copy.clone()) });
+            let copy = Some(copy.clone());
+            actions.push(ClusterAction::SessionFetched { token, ask, keeper: self.me, copy });
         }
         for (node, address) in self.possible_keepers(token) {
             let message = SessionCopyMessage::Fetch { token, ask };
