Notice that a peer has closed a connection before writing to it

Messages of the session tier to a node that had started again were lost: the first was written to the connection to the run before, which the system takes without an error, and the second found that connection broken. A session's copy reached a new keeper two to three seconds late. Sub-requests lost in that way waited for their reply until their time was over.

Ruled out: the new node dropping the copy (it would have confirmed), a wait before reconnecting (there is none). Before a batch of messages is written the writer now looks whether the peer has closed the connection; if so it connects anew. Sub-requests of that batch are reported as not run, since the run that they name may be gone, and the core learns that replies to earlier ones won't come.

--- a/crates/session/staircross-node/src/peers.rs
+++ b/crates/session/staircross-node/src/peers.rs
@@ -15,7 +15,7 @@
 use staircross_types::NodeId;
 use staircross_wire::frame::MAX_FRAME;
 use staircross_wire::{ClusterKey, PeerMessage, datagram, read_frame, write_frame};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{BufReader, BufWriter, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
@@ -226,42 +226,80 @@
         Ok(())
     }
 
+    /// Writes queued messages to a peer until no message has come for [`CONNECTION_IDLE_TIMEOUT`], or until writing
+    /// fails.
     fn run_writer(&self, to: SocketAddr, queued_messages: &Receiver<PeerMessage>) {
-        let mut stream = match self.connect(to) {
-            Ok(stream) => BufWriter::new(stream),
-            Err(error) => {
-                info!(logger: self.logs.peers, "event=unreachable peer={to} error={error:?}");
-                // Nothing was written, so none of the queued messages was delivered.
-                while let Ok(message) = queued_messages.try_recv() {
-                    self.report_undelivered(message, false);
-                }
-                return;
-            }
-        };
+        let mut connection = None;
         while let Ok(message) = queued_messages.recv_timeout(CONNECTION_IDLE_TIMEOUT) {
-            let written = write_frame(&mut stream, &message);
-            let flushed = match written {
-                Ok(count) => {
-                    self.metrics.peer_bytes.with_label_values(&["tcp"]).inc_by(count as u64);
-                    // If more messages are queued, the buffer is flushed after the last of them.
-                    if queued_messages.is_empty() { stream.flush() } else { Ok(()) }
-                }
+            let mut messages = VecDeque::from([message]);
+            messages.extend(queued_messages.try_iter());
+            let outcome = self.open_connection(to, connection.take(), &mut messages);
+            let mut stream = match outcome {
+                Ok(stream) => stream,
                 Err(error) => {
-                    debug!(logger: self.logs.peers, "event=write_failed peer={to} error={error:?}");
-                    Err(std::io::ErrorKind::BrokenPipe.into())
+                    info!(logger: self.logs.peers, "event=unreachable peer={to} error={error:?}");
+                    // None of these messages was written.
+                    messages.extend(queued_messages.try_iter());
+                    messages.into_iter().for_each(|message| self.report_undelivered(message, false));
+                    return;
                 }
             };
-            if flushed.is_err() {
-                self.report_undelivered(message, true);
+            if let Err(error) = self.write_messages(&mut stream, &mut messages) {
+                debug!(logger: self.logs.peers, "event=write_failed peer={to} error={error:?}");
+                let partly_written = messages.pop_front();
+                messages.extend(queued_messages.try_iter());
+                messages.into_iter().for_each(|message| self.report_undelivered(message, false));
+                partly_written.into_iter().for_each(|message| self.report_undelivered(message, true));
                 self.notify_core(CoreEvent::PeerBroken(to));
-                while let Ok(message) = queued_messages.try_recv() {
-                    self.report_undelivered(message, false);
-                }
                 return;
             }
+            connection = Some(stream);
         }
     }
 
+    /// Returns `current` if the peer hasn't closed it, or else opens a connection.
+    ///
+    /// A message that is written to a connection whose peer has ended is lost without an error. If the peer has closed
+    /// the connection, the sub-requests among `messages` are taken out and reported as not delivered, because the peer
+    /// that they are meant for may be gone, and the core is told that the replies to earlier ones won't come.
+    fn open_connection(
+        &self,
+        to: SocketAddr,
+        current: Option<BufWriter<TcpStream>>,
+        messages: &mut VecDeque<PeerMessage>,
+    ) -> Result<BufWriter<TcpStream>, staircross_wire::WireError> {
+        if let Some(stream) = current {
+            if is_open(stream.get_ref()) {
+                return Ok(stream);
+            }
+            debug!(logger: self.logs.peers, "event=closed_by_peer peer={to}");
+            let (requests, others): (VecDeque<_>, VecDeque<_>) =
+                messages.drain(..).partition(|message| matches!(message, PeerMessage::Request { .. }));
+            requests.into_iter().for_each(|request| self.report_undelivered(request, false));
+            self.notify_core(CoreEvent::PeerBroken(to));
+            *messages = others;
+        }
+        self.connect(to).map(BufWriter::new)
+    }
+
+    /// Writes all messages. If that fails, `messages` keeps the one that may be partly written, and those behind it.
+    fn write_messages(
+        &self,
+        stream: &mut BufWriter<TcpStream>,
+        messages: &mut VecDeque<PeerMessage>,
+    ) -> Result<(), staircross_wire::WireError> {
+        while let Some(message) = messages.front() {
+            let count = write_frame(stream, message)?;
+            self.metrics.peer_bytes.with_label_values(&["tcp"]).inc_by(count as u64);
+            if messages.len() == 1 {
+                // The buffer is flushed after the last message only.
+                stream.flush()?;
+            }
+            messages.pop_front();
+        }
+        Ok(())
+    }
+
     fn connect(&self, to: SocketAddr) -> Result<TcpStream, staircross_wire::WireError> {
         let mut stream = TcpStream::connect_timeout(&to, CONNECT_TIMEOUT)?;
         stream.set_nodelay(true)?;
@@ -279,3 +317,11 @@
         }
     }
 }
+
+/// Returns whether the peer hasn't closed a connection that this node opened. The peer sends nothing on it after the
+/// handshake, so anything that can be read is its end.
+fn is_open(stream: &TcpStream) -> bool {
+    let peeked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
+    let nothing_to_read = peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+    nothing_to_read && stream.set_nonblocking(false).is_ok()
+}
--- a/crates/session/staircross-node/tests/common/mod.rs
+++ b/crates/session/staircross-node/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! An HTTP server of a node without its core.
+#![allow(dead_code)]
 
 use crossbeam::channel::Sender;
 use staircross_config::Settings;
