End a node's predecessor as soon as the node starts again

A process that was killed counted as a member, and as one that keeps copies of sessions, until it was declared dead: three to five seconds.

Nobody else can use the address of a live node, so a node that learns of another incarnation at its own address knows that it is gone. It now tells eight members at once, together with its own record; whoever passes the death on passes on the successor's record too, because those who learn of the death contact the address no longer and wouldn't meet the successor there. Weighed: that members conclude it from a new record at a known address; records of two incarnations can arrive in either order, so a late one of the old would end the new.

--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -4,6 +4,8 @@
 //! suspected, and declared dead if it doesn't refute the suspicion in time. Membership updates are piggybacked
 //! on probes and their answers.
 //!
+//! A node that learns of another incarnation at its own address knows that it is gone, and tells the others at once.
+//!
 //! Invariants: only the suspected node itself clears a suspicion; a node that was paused doesn't suspect
 //! members whose answers it may have missed during the pause.
 //!
@@ -69,10 +71,14 @@
     next_compare: BootTime,
     /// Time at which this node last received a member list with a new record.
     last_learned_at: Option<BootTime>,
+    /// Whether the pending updates are sent to several members with the next tick.
+    has_urgent_update: bool,
     /// Number of members that this node itself declared dead, for metrics.
     pub declared_dead: u64,
 }
 
+/// Number of members to which the death of this node's predecessor is sent at once; gossip informs the others.
+const URGENT_FANOUT: usize = 8;
 /// Time between messages to seed addresses at which no member is known.
 const SEED_CONTACT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -99,6 +105,7 @@
             next_dead_probe: BootTime::default(),
             next_compare: BootTime::default(),
             last_learned_at: None,
+            has_urgent_update: false,
             declared_dead: 0,
         }
     }
@@ -157,9 +164,28 @@
     ///
     /// A relay, or a node without local members, sends them to [`RELAY_PUSH_FANOUT`] remote members too.
     pub fn push_updates(&mut self, random: &mut ChaCha8Rng, count: usize, actions: &mut Vec<MembershipAction>) {
-        let (local, remote) = self.local_and_remote();
+        let (local, _) = self.local_and_remote();
         let remote_count = if self.is_relay() || local.is_empty() { RELAY_PUSH_FANOUT } else { 0 };
-        let chosen = local.choose_multiple(random, count).chain(remote.choose_multiple(random, remote_count));
+        self.push_updates_to(random, count, remote_count, actions);
+    }
+
+    /// Sends the pending updates to up to [`URGENT_FANOUT`] members at once, and to members of other regions if there
+    /// are fewer local ones.
+    fn push_urgent_updates(&mut self, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
+        let (local, _) = self.local_and_remote();
+        let remote_count = URGENT_FANOUT.saturating_sub(local.len());
+        self.push_updates_to(random, URGENT_FANOUT, remote_count, actions);
+    }
+
+    fn push_updates_to(
+        &mut self,
+        random: &mut ChaCha8Rng,
+        local_count: usize,
+        remote_count: usize,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let (local, remote) = self.local_and_remote();
+        let chosen = local.choose_multiple(random, local_count).chain(remote.choose_multiple(random, remote_count));
         let targets: Vec<(NodeId, SocketAddr)> = chosen.map(|member| (member.node, member.peer_address)).collect();
         for (node, address) in targets {
             let number = self.next_probe_number();
@@ -227,6 +253,9 @@
         self.probe_dead_member(now, random, actions);
         self.start_comparison(now, random, actions);
         self.indirect_probes.retain(|indirect| now.since(indirect.sent_at) < self.settings.probe_timeout);
+        if std::mem::take(&mut self.has_urgent_update) {
+            self.push_urgent_updates(random, actions);
+        }
         if now >= self.next_probe && self.probe.is_none() {
             self.start_probe(now, random, actions);
         }
@@ -285,27 +314,49 @@
     /// Merges one record and queues it for gossip if it was new. Returns whether it was new.
     fn merge_and_gossip(&mut self, now: BootTime, record: Member, actions: &mut Vec<MembershipAction>) -> bool {
         let node = record.node;
+        let successor = self.successor_of(&record);
         let is_new = self.merge(now, record, actions);
         if is_new && node != self.me {
             self.queue_update(node);
+            // Whoever learns of the death no longer contacts the address, and wouldn't meet the successor there.
+            successor.into_iter().for_each(|successor| self.queue_update(successor));
         }
         is_new
     }
 
+    /// Returns the live member at the address of a gone one, if there is one.
+    fn successor_of(&self, gone: &Member) -> Option<NodeId> {
+        if !gone.is_gone() {
+            return None;
+        }
+        let at_address = self.members.values().filter(|member| member.peer_address == gone.peer_address);
+        at_address.filter(|member| !member.is_gone() && member.node != gone.node).map(|member| member.node).next()
+    }
+
     /// Merges one record without gossiping it. Returns whether it was new.
-    fn merge(&mut self, now: BootTime, record: Member, actions: &mut Vec<MembershipAction>) -> bool {
+    fn merge(&mut self, now: BootTime, mut record: Member, actions: &mut Vec<MembershipAction>) -> bool {
         let node = record.node;
         if node == self.me {
             return self.refute(record, actions);
         }
+        let is_predecessor = record.peer_address == self.own().peer_address && !record.is_gone();
+        if is_predecessor {
+            record.state = MemberState::Dead;
+        }
         let is_new = match self.members.get(&node) {
             Some(known) => known.is_superseded_by(&record),
             // The record of a gone incarnation isn't stored if this node never knew the incarnation or has dropped it.
-            None => !record.is_gone(),
+            None => is_predecessor || !record.is_gone(),
         };
         if !is_new {
             return false;
         }
+        if is_predecessor {
+            self.declared_dead += 1;
+            self.has_urgent_update = true;
+            self.queue_update(node);
+            self.queue_update(self.me);
+        }
         match record.state {
             MemberState::Suspect => {
                 let suspicion = Suspicion { since: now, is_first_hand: false, next_notification: now };
--- a/crates/staircross-cluster/tests/membership.rs
+++ b/crates/staircross-cluster/tests/membership.rs
@@ -88,6 +88,22 @@
     }
 }
 
+/// Guards against a process that is gone being taken for a member for seconds after its successor has started at the same
+/// address. Meanwhile nodes counted it among those that keep copies of sessions, and lost the sessions with their holder.
+#[test]
+fn a_node_that_starts_again_ends_its_predecessor_at_once() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(7, seed);
+        fleet.run_for(Duration::from_secs(10));
+        fleet.crash(3);
+        fleet.start(3);
+        fleet.run_for(Duration::from_secs(2));
+        assert!(fleet.all_see_all(), "seed {seed}");
+        let live: Vec<usize> = (0..7).map(|index| fleet.live_count(index)).collect();
+        assert_eq!(live, [7; 7], "seed {seed}: live members by node");
+    }
+}
+
 #[test]
 fn a_large_fleet_that_starts_at_once_finds_itself_within_seconds() {
     const LARGE: usize = 150;
