See to the copies of a session whose holder is gone

Callers got unknown_session.

Cause: only the holder sees to a session's copies. When it stops or dies, two nodes keep a copy, nobody takes the session over until its caller comes back, and nobody replaces a copy that goes with its keeper.

Now each node also sees to the copies that it keeps of sessions whose holder is gone: it sends them to three keepers, of different zones where it can, all among those that a node asks for the session. Version and holder of the copy stay, so that this never competes with a new holder. Weighed: that the first keeper takes the session over; two nodes that see different members would both, and tickets of the old holder would be no better off.

--- a/crates/session/staircross-node/src/core/sessions.rs
+++ b/crates/session/staircross-node/src/core/sessions.rs
@@ -3,6 +3,7 @@
 
 use super::Core;
 use super::pending::PendingRequest;
+use super::session_replication::Responsibility;
 use crate::api::{ReplyBody, StatementReply};
 use crate::caller::{CallerCommand, CallerReply};
 use crate::front_message::ReplySender;
@@ -100,16 +101,40 @@
 
     /// Sends copies of the sessions due for a check that some of their keepers haven't confirmed.
     pub(super) fn resend_unconfirmed_copies(&mut self, now: BootTime) {
-        for token in self.session_replication.take_due(now) {
-            let keepers = self.cluster.session_keepers(token);
-            if let Some(version) = self.session_replication.unconfirmed_version(token, &keepers) {
-                debug!(logger: self.logs.front, "event=session_copies_resent session={} version={version} keepers={}",
-                    session_tag(token), list(&keepers));
-                self.send_copies(now, token, version);
+        if self.session_replication.is_round_due(now) {
+            self.session_replication.begin_round(now, self.cluster.orphaned_copies());
+        }
+        for token in self.session_replication.take_due() {
+            match self.session_replication.responsibility(token) {
+                Some(Responsibility::Holder) => self.check_held_session(now, token),
+                Some(Responsibility::OrphanKeeper) => self.check_orphan(now, token),
+                None => {}
             }
         }
     }
 
+    fn check_held_session(&mut self, now: BootTime, token: SessionToken) {
+        let keepers = self.cluster.session_keepers(token);
+        if let Some(version) = self.unconfirmed_version(token, &keepers) {
+            self.send_copies(now, token, version);
+        }
+    }
+
+    fn check_orphan(&mut self, now: BootTime, token: SessionToken) {
+        let keepers = self.cluster.orphan_keeper_ids(token);
+        if self.unconfirmed_version(token, &keepers).is_some() {
+            self.handle_cluster_event(now, ClusterEvent::SpreadCopy { token });
+        }
+    }
+
+    /// Returns and logs the version of a session if some of its keepers haven't confirmed it.
+    fn unconfirmed_version(&mut self, token: SessionToken, keepers: &[NodeId]) -> Option<u64> {
+        let version = self.session_replication.unconfirmed_version(token, keepers)?;
+        debug!(logger: self.logs.front, "event=session_copies_resent session={} version={version} keepers={}",
+            session_tag(token), list(keepers));
+        Some(version)
+    }
+
     /// Sends copies of a session's state to its keepers.
     fn send_copies(&mut self, now: BootTime, token: SessionToken, version: u64) {
         if let Some(state) = self.root.sessions.get(token).and_then(encode_session) {
--- a/crates/staircross-cluster/src/engine.rs
+++ b/crates/staircross-cluster/src/engine.rs
@@ -58,6 +58,8 @@
     Observed { searcher: SearcherId, report: Option<GossipedReport>, leaving: bool },
     /// This node holds the session and has changed its state; copies of the state must be stored on other nodes.
     StoreSession { token: SessionToken, version: u64, state: Vec<u8> },
+    /// This node keeps a copy of a session whose holder is gone; the copy must be stored on other nodes as well.
+    SpreadCopy { token: SessionToken },
     /// A session is resumed; its copies must be fetched from this node's store and from other nodes. Each resulting
     /// [`ClusterAction::SessionFetched`] repeats the number `ask`.
     FetchSession { token: SessionToken, ask: u64 },
@@ -138,6 +140,7 @@
                 self.apply_view_actions(out, actions);
             }
             ClusterEvent::StoreSession { token, version, state } => self.store_session(token, version, state, actions),
+            ClusterEvent::SpreadCopy { token } => self.spread_copy(token, actions),
             ClusterEvent::FetchSession { token, ask } => self.fetch_session(token, ask, actions),
             ClusterEvent::ForgetSession { token } => self.forget_session(token, actions),
             ClusterEvent::TakeOver { token, holder } => {
--- a/crates/staircross-cluster/src/engine/sessions.rs
+++ b/crates/staircross-cluster/src/engine/sessions.rs
@@ -1,9 +1,11 @@
 //! Session copies: which peers keep them, and the messages to store, fetch and drop them.
 
 use super::{ClusterAction, ClusterEngine};
+use crate::member::Member;
 use crate::message::ClusterMessage;
-use crate::session_copies::{COPIES_PER_SESSION, FETCH_FANOUT, SessionCopy, SessionCopyMessage};
-use staircross_types::{NodeId, SessionToken};
+use crate::session_copies::{COPIES_PER_SESSION, COPIES_WITHOUT_HOLDER, FETCH_FANOUT, SessionCopy, SessionCopyMessage};
+use staircross_types::{NodeId, SessionToken, ZoneName};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 impl ClusterEngine {
@@ -72,6 +74,42 @@
         }
     }
 
+    /// Returns the sessions of which this node keeps a copy and whose holder is gone, with the versions of the copies.
+    pub fn orphaned_copies(&self) -> impl Iterator<Item = (SessionToken, u64)> + '_ {
+        let is_orphaned = |copy: &SessionCopy| self.membership.get(copy.holder).is_none_or(Member::is_gone);
+        self.copies.iter().filter(move |(_, copy)| is_orphaned(copy)).map(|(token, copy)| (token, copy.version))
+    }
+
+    /// Returns the members that keep copies of a session without a holder. Members of different zones are preferred among
+    /// those that a node asks for the session.
+    fn orphan_keepers(&self, token: SessionToken) -> Vec<&Member> {
+        let mut ranked = self.membership.ranked_for(&token.0.to_be_bytes(), None);
+        ranked.truncate(FETCH_FANOUT);
+        let mut zones: BTreeSet<&ZoneName> = BTreeSet::new();
+        let (mut keepers, others): (Vec<&Member>, Vec<&Member>) =
+            ranked.into_iter().partition(|member| zones.insert(&member.zone));
+        keepers.extend(others);
+        keepers.truncate(COPIES_WITHOUT_HOLDER);
+        keepers
+    }
+
+    /// Returns the ids of the other nodes that keep copies of a session without a holder.
+    pub fn orphan_keeper_ids(&self, token: SessionToken) -> Vec<NodeId> {
+        let keepers = self.orphan_keepers(token).into_iter().map(|member| member.node);
+        keepers.filter(|keeper| *keeper != self.me).collect()
+    }
+
+    /// Sends this node's copy of a session without a holder to the other members that keep one.
+    pub(super) fn spread_copy(&self, token: SessionToken, actions: &mut Vec<ClusterAction>) {
+        let Some(copy) = self.copies.get(token) else {
+            return;
+        };
+        for keeper in self.orphan_keepers(token).into_iter().filter(|keeper| keeper.node != self.me) {
+            let message = SessionCopyMessage::Store { token, copy: copy.clone() };
+            self.send(Some(keeper.node), keeper.peer_address, ClusterMessage::SessionCopies(message), actions);
+        }
+    }
+
     /// Asks other nodes for their copies of a session, and reports this node's own copy immediately if there is one.
     pub(super) fn fetch_session(&mut self, token: SessionToken, ask: u64, actions: &mut Vec<ClusterAction>) {
         // The holder chose the members that keep copies by its own zone. This node doesn't know that zone and may be
--- a/crates/staircross-cluster/src/session_copies.rs
+++ b/crates/staircross-cluster/src/session_copies.rs
@@ -1,7 +1,8 @@
 //! Copies of session state on other nodes, so that a session survives the loss of the node that holds it.
 //!
 //! The members that rank highest for the session token keep the copies, preferably members in other zones than the
-//! holder's. Any node can find them, because all nodes rank the members in the same way.
+//! holder's. Any node can find them, because all nodes rank the members in the same way. When the holder is gone, the
+//! members that keep copies see to it that there are enough of them, until a caller's request makes a node the holder.
 //!
 //! Invariants: an older copy never replaces a newer one; the number of copies is bounded.
 
@@ -11,6 +12,8 @@
 
 /// Number of copies of a session, in addition to the holder's own state.
 pub const COPIES_PER_SESSION: usize = 2;
+/// Number of copies of a session whose holder is gone, which the holder's own state then no longer adds to.
+pub const COPIES_WITHOUT_HOLDER: usize = COPIES_PER_SESSION + 1;
 /// Number of members that are asked for a copy when a session is resumed. It is higher than [`COPIES_PER_SESSION`],
 /// because nodes may know different members and therefore rank them differently.
 pub const FETCH_FANOUT: usize = 8;
@@ -84,6 +87,11 @@
         self.copies.get(&token)
     }
 
+    /// Returns all copies with the tokens of their sessions.
+    pub fn iter(&self) -> impl Iterator<Item = (SessionToken, &SessionCopy)> {
+        self.copies.iter().map(|(token, copy)| (*token, copy))
+    }
+
     /// Drops the copy of a session.
     pub fn forget(&mut self, token: SessionToken) {
         if self.copies.remove(&token).is_some() {
