Log why a node's store role changes, and keep the logs of failed process tests

Three ways lead to a follower that reads the store, and the line of a change didn't say which: it has a cause now (designated, pull_failed, store_answered, heartbeat, no_heartbeat).

--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -25,7 +25,12 @@
         if role == before {
             return;
         }
-        self.log.line(self.now, LineKind::NodeEvent, format_args!("event=store_role role={}", role.name()));
+        let cause = self.store_role.cause();
+        self.log.line(
+            self.now,
+            LineKind::NodeEvent,
+            format_args!("event=store_role role={} cause={}", role.name(), cause.name()),
+        );
         self.fleet.set_store_contact(None);
         let mut actions = Vec::new();
         self.store_reader.set_mode(self.now, role.mode(), &mut actions);
--- a/crates/staircross-gateway/src/store_role.rs
+++ b/crates/staircross-gateway/src/store_role.rs
@@ -78,16 +78,46 @@
     }
 }
 
+/// Why a node has its role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoleCause {
+    /// The node is a designated reader, and its region is settled.
+    Designated,
+    /// A pull from a peer failed.
+    PullFailed,
+    /// The store answered a probe while no reader sent a heartbeat.
+    StoreAnswered,
+    /// A reader of the region sends heartbeats.
+    Heartbeat,
+    /// No reader of the region sends heartbeats.
+    NoHeartbeat,
+}
+
+impl RoleCause {
+    /// Returns the cause's name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RoleCause::Designated => "designated",
+            RoleCause::PullFailed => "pull_failed",
+            RoleCause::StoreAnswered => "store_answered",
+            RoleCause::Heartbeat => "heartbeat",
+            RoleCause::NoHeartbeat => "no_heartbeat",
+        }
+    }
+}
+
 /// Decides a node's role from heartbeats, probes and members.
 #[derive(Debug)]
 pub struct StoreRoleSelector {
     /// Time without a heartbeat after which a follower becomes a prober.
     heartbeat_timeout: Duration,
     role: StoreRole,
+    cause: RoleCause,
     /// Time of the store's last answer to a reader of the region, according to the heartbeats that arrived here.
     heartbeat_at: BootTime,
-    /// Time until which the node reads the store even if it isn't designated.
+    /// Time until which the node reads the store even if it isn't designated, and why.
     reads_until: BootTime,
+    reads_because: RoleCause,
     /// Time at which a member of the region last joined or changed.
     member_changed_at: BootTime,
     /// Time from which the region counts as settled even if further changes of members arrive.
@@ -103,8 +133,10 @@
         StoreRoleSelector {
             heartbeat_timeout,
             role: StoreRole::Follower,
+            cause: RoleCause::Heartbeat,
             heartbeat_at: now,
             reads_until: BootTime::default(),
+            reads_because: RoleCause::PullFailed,
             member_changed_at: now,
             settled_by: now + heartbeat_timeout.mul_f64(MAX_SETTLE_FRACTION),
             probed_at: None,
@@ -121,6 +153,11 @@
         self.role
     }
 
+    /// Returns why the node has its role.
+    pub fn cause(&self) -> RoleCause {
+        self.cause
+    }
+
     /// Changes the heartbeat timeout.
     pub fn set_heartbeat_timeout(&mut self, heartbeat_timeout: Duration) {
         self.heartbeat_timeout = heartbeat_timeout;
@@ -143,7 +180,12 @@
 
     /// Records that a pull from a peer failed: the node reads the store itself for `SELF_READING_TIME`.
     pub fn record_pull_failed(&mut self, now: BootTime) {
+        self.read_for_a_while(now, RoleCause::PullFailed);
+    }
+
+    fn read_for_a_while(&mut self, now: BootTime, cause: RoleCause) {
         self.reads_until = now + SELF_READING_TIME;
+        self.reads_because = cause;
     }
 
     /// Returns whether a reader pulls a configuration from a peer even if it is too large to be passed on to every
@@ -157,16 +199,16 @@
 
     /// Decides the role; `is_designated` says whether the node is one of its region's designated readers.
     pub fn decide(&mut self, now: BootTime, is_designated: bool) -> StoreRole {
-        let is_reader = (is_designated && self.is_region_settled(now)) || now < self.reads_until;
-        self.role = match self.role {
-            _ if is_reader => StoreRole::Reader,
-            _ if now.since(self.heartbeat_at) < self.heartbeat_timeout => StoreRole::Follower,
-            StoreRole::Reader => StoreRole::Reader,
+        (self.role, self.cause) = match self.role {
+            _ if is_designated && self.is_region_settled(now) => (StoreRole::Reader, RoleCause::Designated),
+            _ if now < self.reads_until => (StoreRole::Reader, self.reads_because),
+            _ if now.since(self.heartbeat_at) < self.heartbeat_timeout => (StoreRole::Follower, RoleCause::Heartbeat),
+            StoreRole::Reader => (StoreRole::Reader, RoleCause::NoHeartbeat),
             StoreRole::Prober if self.is_probe_grace_over(now) => {
-                self.reads_until = now + SELF_READING_TIME;
-                StoreRole::Reader
+                self.read_for_a_while(now, RoleCause::StoreAnswered);
+                (StoreRole::Reader, RoleCause::StoreAnswered)
             }
-            StoreRole::Follower | StoreRole::Prober => StoreRole::Prober,
+            StoreRole::Follower | StoreRole::Prober => (StoreRole::Prober, RoleCause::NoHeartbeat),
         };
         if self.role != StoreRole::Prober {
             self.probed_at = None;
--- a/crates/staircross/tests/common/mod.rs
+++ b/crates/staircross/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use staircross_standin::loopback;
 use staircross_standin::{Corpus, Document, PlatformStandin, SearcherSettings, SearcherStandin};
 use staircross_types::{GroupId, SearcherId, ServiceName, ShardId, ShardMap, ShardPlacement, Snapshot, ZoneName};
+use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -57,7 +58,7 @@
     }
 }
 
-/// Stand-ins and node processes. The processes are killed on drop.
+/// Stand-ins and node processes. The processes are killed on drop. If the test fails, their logs are printed.
 pub struct Fleet {
     pub searchers: Vec<SearcherStandin>,
     settings: Vec<PathBuf>,
@@ -74,6 +75,9 @@
             let _may_have_ended = node.kill();
             let _reaped = node.wait();
         }
+        if std::thread::panicking() {
+            self.settings.iter().for_each(|settings| print_log(settings));
+        }
     }
 }
 
@@ -190,7 +194,7 @@
     let write = |(index, (callers, peers)): (usize, &(SocketAddr, SocketAddr))| {
         let text = format!(
             "[node]\nregion = \"home\"\nzone = \"{}\"\nlisten = \"{callers}\"\npeer_listen = \"{peers}\"\n\
-             cluster = \"test\"\ncluster_key = \"a key for this test only\"\nlog = \"off\"\nseeds = [{}]\n\
+             cluster = \"test\"\ncluster_key = \"a key for this test only\"\nlog = \"info,front=debug\"\nseeds = [{}]\n\
              [platform]\naddress = \"{platform}\"\npoll_ms = 100\n",
             ZONES[index % ZONES.len()],
             seeds.join(", ")
@@ -202,9 +206,20 @@
     addresses.iter().enumerate().map(write).collect()
 }
 
+/// Returns the file that holds the log of a node with these settings, and of its successors.
+fn log_path(settings: &Path) -> PathBuf {
+    settings.with_extension("log")
+}
+
+fn print_log(settings: &Path) {
+    let text = std::fs::read_to_string(log_path(settings)).unwrap_or_else(|error| format!("no log: {error}"));
+    eprintln!("log of {}:\n{text}", settings.display());
+}
+
 fn start_node(settings: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(log_path(settings)).expect("a log is opened");
     let mut command = Command::new(env!("CARGO_BIN_EXE_staircross"));
-    command.args(["node", "--settings"]).arg(settings).stdout(Stdio::null());
+    command.args(["node", "--settings"]).arg(settings).stdout(Stdio::null()).stderr(log);
     loopback::spawn(&mut command).expect("a node starts")
 }
 
