Ask seeds again soon while no member is known

After a start three nodes of a region read the store where two should: 9 of 256 runs of followers_read_a_large_configuration_by_themselves and 1 of 64 of followers_take_a_small_change_of_a_large_configuration_from_peers, eight at once beside six busy processes.

Cause, by the logs of all ten failed runs (store_role ... cause=designated at 0.96 s, no member known until then): the node had started a millisecond or two before its seed, so that its first message was lost. Ruled out by the same logs: failed pulls, missed heartbeats.

A node that knows nobody asks again after 150, 300 and 600 ms; one that knows a member asks each second as before, so that starts of large fleets send what they sent (the counts of three simulated starts of 150 nodes are the same to the record). a_node_that_starts_before_its_seeds_is_found_soon failed before.

--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -67,6 +67,9 @@
     last_tick: Option<BootTime>,
     seeds: Vec<SocketAddr>,
     next_seed_contact: BootTime,
+    /// Time of the next message to seeds if this node still knows no member by then.
+    next_join: BootTime,
+    join_interval: Duration,
     next_dead_probe: BootTime,
     next_compare: BootTime,
     /// Time at which this node last received a member list with a new record.
@@ -81,6 +84,10 @@
 const URGENT_FANOUT: usize = 8;
 /// Time between messages to seed addresses at which no member is known.
 const SEED_CONTACT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between the first two messages to seeds of a node that knows no member at all. It may have started a moment
+/// before its seeds, so that its first message was lost. The interval doubles with each message, up to
+/// [`SEED_CONTACT_INTERVAL`].
+const FIRST_JOIN_INTERVAL: Duration = Duration::from_millis(150);
 
 impl Membership {
     /// Creates a membership that knows only this node.
@@ -102,6 +109,8 @@
             last_tick: None,
             seeds,
             next_seed_contact: BootTime::default(),
+            next_join: BootTime::default(),
+            join_interval: FIRST_JOIN_INTERVAL,
             next_dead_probe: BootTime::default(),
             next_compare: BootTime::default(),
             last_learned_at: None,
@@ -271,10 +280,13 @@
     /// Contacts seed addresses at which no live member is known, in order to join the fleet and to reach seeds that
     /// have restarted.
     fn contact_seeds(&mut self, now: BootTime, random: &mut ChaCha8Rng, actions: &mut Vec<MembershipAction>) {
-        if now < self.next_seed_contact {
+        let is_alone = self.others().next().is_none();
+        if now < self.next_seed_contact && !(is_alone && now >= self.next_join) {
             return;
         }
         self.next_seed_contact = now + SEED_CONTACT_INTERVAL;
+        self.next_join = now + self.join_interval;
+        self.join_interval = (self.join_interval * 2).min(SEED_CONTACT_INTERVAL);
         let known =
             |seed: &SocketAddr| self.members.values().any(|member| !member.is_gone() && member.peer_address == *seed);
         let mut unknown: Vec<SocketAddr> = self.seeds.iter().copied().filter(|seed| !known(seed)).collect();
--- a/crates/staircross-cluster/tests/membership.rs
+++ b/crates/staircross-cluster/tests/membership.rs
@@ -88,6 +88,22 @@
     }
 }
 
+/// Guards against a node that knows nobody for a second because it started a moment before its seeds, so that its first
+/// message was lost. Meanwhile it took itself for the only node of its region, and read the store beside the others.
+#[test]
+fn a_node_that_starts_before_its_seeds_is_found_soon() {
+    const OTHERS: [usize; 6] = [0, 1, 2, 3, 4, 5];
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(7, seed);
+        OTHERS.into_iter().for_each(|index| fleet.crash(index));
+        fleet.start(6);
+        fleet.run_for(Duration::from_millis(100));
+        OTHERS.into_iter().for_each(|index| fleet.start(index));
+        fleet.run_for(Duration::from_millis(700));
+        assert!(fleet.sees_alive(6, 0) && fleet.sees_alive(0, 6), "seed {seed}: node 6 isn't found");
+    }
+}
+
 /// Guards against a process that is gone being taken for a member for seconds after its successor has started at the same
 /// address. Meanwhile nodes counted it among those that keep copies of sessions, and lost the sessions with their holder.
 #[test]
--- a/crates/staircross-gateway/src/store_role.rs
+++ b/crates/staircross-gateway/src/store_role.rs
@@ -27,8 +27,8 @@
 /// timeout, so that a region whose readers come and go doesn't list the store at each change.
 const SELF_READING_TIME: Duration = Duration::from_secs(10);
 /// Time without a change of a member of the region after which the region counts as settled, that is, all its members
-/// are taken to be known. A joining node asks a seed once a second, and 200 ms are added for a late answer. When
-/// the readers were determined after half a second, most of 195 nodes considered themselves readers.
+/// are taken to be known. A node that knows a member contacts unknown seeds once a second, and 200 ms are added for a
+/// late answer. When the readers were determined after half a second, most of 195 nodes considered themselves readers.
 const SETTLE_TIME: Duration = Duration::from_millis(1200);
 /// Maximum wait for the region to settle at the first start of a fleet, when seeds may start seconds late and there is
 /// nothing to serve yet. This wait is shorter than the time that a fleet has to start before traffic arrives.
