Handle requests that arrive together one after the other

Any caller could end a gateway: some 4,500 short requests sent together on one connection, to the directory or any other endpoint that keeps its connection open, overflowed the stack and aborted the process.

Cause: the server gives the next request as an event of the answer to the one before, and the node handled the events of an answer within the answer. Events now wait in the node and are handled in a loop after each socket event and after the timers, as the session tier's front does.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -56,7 +56,7 @@
 use staircross_routing::Mirror;
 use staircross_routing::engine::{RoutingEngine, RoutingEvent};
 use staircross_routing::store_reader::StoreReader;
-use staircross_transport::server::{Server, ServerTimeouts};
+use staircross_transport::server::{Server, ServerEvent, ServerTimeouts};
 use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
 use staircross_types::BootTime;
 use staircross_types::boot_clock as clock;
@@ -111,6 +111,9 @@
     random: ChaCha8Rng,
 
     server: Server<Endpoint>,
+    /// Events of the server that haven't been handled yet. They are handled in a loop, because the answer to one request
+    /// may bring the event of the next.
+    server_events: Vec<ServerEvent<Endpoint>>,
     pool: Pool,
     requests: CallerRequests,
     engine: RoutingEngine,
@@ -213,6 +216,7 @@
             SocketKind::Peer => self.on_peer_socket(id, event.is_writable()),
             SocketKind::Datagrams => self.on_datagrams(),
         }
+        self.handle_server_events();
     }
 
     /// Handles everything that is due by the clock. This follows the socket events because they may have made a timer
@@ -228,6 +232,7 @@
             self.next_tick = self.now + TICK_INTERVAL;
             self.handle_tick();
         }
+        self.handle_server_events();
     }
 
     /// Does the work that has no exact due time.
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -30,37 +30,38 @@
 
 impl<D: Dialect> GatewayNode<D> {
     pub(super) fn on_server_socket(&mut self, id: SocketId, is_writable: bool) {
-        let mut events = Vec::new();
         let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
-        self.server.on_ready(id, is_writable, &mut io, &mut events);
-        self.handle_server_events(events);
+        self.server.on_ready(id, is_writable, &mut io, &mut self.server_events);
     }
 
     pub(super) fn sweep_server(&mut self) {
-        let mut events = Vec::new();
         let timeouts = self.server_timeouts();
-        self.server.sweep(self.now, timeouts, self.poll.registry(), &mut events);
-        self.handle_server_events(events);
+        self.server.sweep(self.now, timeouts, self.poll.registry(), &mut self.server_events);
     }
 
-    fn handle_server_events(&mut self, events: Vec<ServerEvent<Endpoint>>) {
-        for event in events {
-            match event {
-                ServerEvent::Request { connection, endpoint: Endpoint::Callers, request, info } => {
-                    self.on_request(connection, *request, info);
-                }
-                ServerEvent::Request { connection, endpoint, request, .. } => {
-                    self.answer_own_endpoint(connection, endpoint, &request);
-                }
-                ServerEvent::Fault { connection, fault } => self.on_fault(connection, fault),
-                ServerEvent::RequestTimedOut { connection } => {
-                    self.refuse_connection(connection, ErrorKind::CallerTooSlow)
-                }
-                ServerEvent::Disconnected { connection } => self.on_caller_gone(connection),
+    /// Handles all events of the server, including those that the handling brings.
+    pub(super) fn handle_server_events(&mut self) {
+        while !self.server_events.is_empty() {
+            for event in std::mem::take(&mut self.server_events) {
+                self.on_server_event(event);
             }
         }
     }
 
+    fn on_server_event(&mut self, event: ServerEvent<Endpoint>) {
+        match event {
+            ServerEvent::Request { connection, endpoint: Endpoint::Callers, request, info } => {
+                self.on_request(connection, *request, info);
+            }
+            ServerEvent::Request { connection, endpoint, request, .. } => {
+                self.answer_own_endpoint(connection, endpoint, &request);
+            }
+            ServerEvent::Fault { connection, fault } => self.on_fault(connection, fault),
+            ServerEvent::RequestTimedOut { connection } => self.refuse_connection(connection, ErrorKind::CallerTooSlow),
+            ServerEvent::Disconnected { connection } => self.on_caller_gone(connection),
+        }
+    }
+
     fn on_request(&mut self, connection: SocketId, request: Request, info: ConnectionInfo) {
         let outbound = OutboundRequest::new(&request, self.dialect.headers());
         if outbound.id.is_none() {
@@ -203,10 +204,8 @@
     }
 
     pub(super) fn respond(&mut self, connection: SocketId, answer: Vec<u8>, closes: bool) {
-        let mut events = Vec::new();
         let io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
-        self.server.respond(connection, answer, closes, &io, &mut events);
-        self.handle_server_events(events);
+        self.server.respond(connection, answer, closes, &io, &mut self.server_events);
     }
 
     /// Passes an event to the engine, records it if a recording is in progress, and carries out the engine's actions.
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -94,6 +94,7 @@
             started: now,
             now,
             server,
+            server_events: Vec::new(),
             poll,
             dialect,
             settings,
