Take a connection's next request when its last answer is written, and read it to its end

Two faults of the server's reading of pipelined requests, both in one place: - A second request of some 104,000 bytes that came while the first waited for its answer was never read to its end; its caller got 408. Reading stops after 64 KB meanwhile, and the poll tells of new bytes only. - A caller that sends and doesn't read was given all answers: 100 of a megabyte each stayed in memory.

A connection now remembers that it stopped reading and reads on after the answer, and takes the next request when the last answer has been written completely; a readiness to write goes on with it.

--- a/crates/session/staircross-node/src/front.rs
+++ b/crates/session/staircross-node/src/front.rs
@@ -310,8 +310,8 @@
     }
 
     fn write(&mut self, connection: SocketId, bytes: Vec<u8>, closes: bool) {
-        let io = io_context(self.now, &self.poll, &mut self.buffer, &self.limits);
-        self.server.respond(connection, bytes, closes, &io, &mut self.server_events);
+        let mut io = io_context(self.now, &self.poll, &mut self.buffer, &self.limits);
+        self.server.respond(connection, bytes, closes, &mut io, &mut self.server_events);
     }
 }
 
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -204,8 +204,8 @@
     }
 
     pub(super) fn respond(&mut self, connection: SocketId, answer: Vec<u8>, closes: bool) {
-        let io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
-        self.server.respond(connection, answer, closes, &io, &mut self.server_events);
+        let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
+        self.server.respond(connection, answer, closes, &mut io, &mut self.server_events);
     }
 
     /// Passes an event to the engine, records it if a recording is in progress, and carries out the engine's actions.
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -96,6 +96,16 @@
     last_progress: BootTime,
     /// Properties that the event of the next request states.
     info: ConnectionInfo,
+    /// Whether reading stopped before everything that had arrived was read. There is no further readiness event for it.
+    has_unread: bool,
+}
+
+impl<E> Connection<E> {
+    /// Returns whether the next request may be taken: the last answer has been written completely. Otherwise a peer that
+    /// sends requests and doesn't read the answers would fill this process's memory with them.
+    fn can_take_request(&self) -> bool {
+        self.state == State::Reading && self.socket.is_flushed()
+    }
 }
 
 /// Timeouts of accepted connections.
@@ -231,6 +241,7 @@
                 generation,
                 last_progress: now,
                 info,
+                has_unread: false,
             });
         }
     }
@@ -256,27 +267,31 @@
             if !self.handle_write_outcome(id, outcome, events) {
                 return;
             }
+            self.parse_next_request(id, io, events);
         }
         self.read(id, io, events);
     }
 
-    /// Reads until nothing waits, and emits the request that is complete.
+    /// Reads until nothing waits, and emits the request that is complete. While a connection can't take its next request,
+    /// reading stops after [`MAX_READ_AHEAD`] bytes; what is left is read when it can.
     fn read(&mut self, id: SocketId, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
         let mut read_ahead = 0;
         loop {
             let Some(connection) = self.get(id) else {
                 return;
             };
+            connection.has_unread = false;
             match connection.socket.read(io.buffer) {
                 ReadOutcome::Bytes { count, is_full } => {
                     if connection.state != State::Closing {
                         connection.http.receive(&io.buffer[..count]);
                     }
-                    if connection.state == State::Reading {
+                    if connection.can_take_request() {
                         connection.last_progress = io.now;
                         self.parse_next_request(id, io, events);
                     } else {
                         read_ahead += count;
+                        connection.has_unread = is_full && read_ahead > MAX_READ_AHEAD;
                     }
                     if !is_full || read_ahead > MAX_READ_AHEAD {
                         return;
@@ -302,9 +317,9 @@
         self.connections.remove(id.slot as usize);
     }
 
-    /// Emits the next request of a connection that waits for one if it is complete, or a fault if it isn't valid.
+    /// Emits the next request of a connection that can take one if it is complete, or a fault if it isn't valid.
     fn parse_next_request(&mut self, id: SocketId, io: &IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
-        let Some(connection) = self.get(id) else {
+        let Some(connection) = self.get(id).filter(|connection| connection.can_take_request()) else {
             return;
         };
         let endpoint = connection.endpoint;
@@ -333,7 +348,7 @@
         id: SocketId,
         answer: Vec<u8>,
         closes: bool,
-        io: &IoContext<'_>,
+        io: &mut IoContext<'_>,
         events: &mut Vec<ServerEvent<E>>,
     ) {
         let Some(connection) = self.get(id) else {
@@ -342,8 +357,12 @@
         connection.last_progress = io.now;
         connection.state = if closes { State::Closing } else { State::Reading };
         let outcome = connection.socket.write(answer, io.registry);
-        if self.handle_write_outcome(id, outcome, events) && !closes {
-            self.parse_next_request(id, io, events);
+        if !self.handle_write_outcome(id, outcome, events) {
+            return;
+        }
+        self.parse_next_request(id, io, events);
+        if self.get(id).is_some_and(|connection| connection.has_unread && connection.can_take_request()) {
+            self.read(id, io, events);
         }
     }
 
--- a/crates/staircross-transport/tests/closing.rs
+++ b/crates/staircross-transport/tests/closing.rs
@@ -74,8 +74,8 @@
         };
         let mut buffer = [0; READ_CHUNK];
         let limits = ServerLimits { head_bytes: 4096, body_bytes: 4096 };
-        let io = IoContext { now: clock::now(), registry: self.poll.registry(), buffer: &mut buffer, limits };
-        self.server.respond(connection, RESPONSE.to_vec(), true, &io, &mut Vec::new());
+        let mut io = IoContext { now: clock::now(), registry: self.poll.registry(), buffer: &mut buffer, limits };
+        self.server.respond(connection, RESPONSE.to_vec(), true, &mut io, &mut Vec::new());
     }
 }
 
