Give a request's head one time, however it arrives

A caller that sends a byte of a head now and then held a connection for ever: each byte began the time for a head anew. Its number of connections is bounded, so that enough of such callers keep everybody else out, and a planned stop waits for the request until its deadline.

The time for a head now counts from its first byte, and from the answer to the request before where the head came early. For a body it stays the longest silence. a_head_that_comes_byte_by_byte_has_the_time_of_one_head failed before (no end after 8 s); now it ends after the 3 s of the test. Both tiers have it by staircross-transport.

--- a/crates/staircross-http/src/server.rs
+++ b/crates/staircross-http/src/server.rs
@@ -73,6 +73,11 @@
         !self.input.is_empty() || self.pending.is_some()
     }
 
+    /// Returns whether the head of a request has begun to arrive and isn't complete yet.
+    pub fn has_partial_head(&self) -> bool {
+        !self.input.is_empty() && self.pending.is_none()
+    }
+
     /// Reads the next request from the buffered bytes.
     pub fn advance(&mut self, limits: ServerLimits) -> ServerProgress {
         let mut continue_expected = false;
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -94,6 +94,8 @@
     /// Time of the last progress: when the connection was accepted, last received bytes while it waited for a request,
     /// or was last given an answer.
     last_progress: BootTime,
+    /// Time at which the head that is being received began to arrive.
+    head_began: Option<BootTime>,
     /// Properties that the event of the next request states.
     info: ConnectionInfo,
     /// Whether reading stopped before everything that had arrived was read. There is no further readiness event for it.
@@ -106,13 +108,26 @@
     fn can_take_request(&self) -> bool {
         self.state == State::Reading && self.socket.is_flushed()
     }
+
+    /// Looks for the next request in the received bytes, and records since when a head has been arriving.
+    fn advance(&mut self, io: &IoContext<'_>) -> ServerProgress {
+        let progress = self.http.advance(io.limits);
+        let is_receiving_head = matches!(progress, ServerProgress::NeedMore { .. }) && self.http.has_partial_head();
+        self.head_began = is_receiving_head.then(|| self.head_began.unwrap_or(io.now));
+        progress
+    }
+
+    /// Returns whether a request has begun to arrive and takes too long.
+    fn is_request_late(&self, now: BootTime, timeout: Duration) -> bool {
+        let is_head_late = self.head_began.is_some_and(|began| now.since(began) >= timeout);
+        is_head_late || (self.http.has_partial_request() && now.since(self.last_progress) >= timeout)
+    }
 }
 
 /// Timeouts of accepted connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerTimeouts {
-    /// Longest silence after a request has begun to arrive and before it is complete, head and body. Each further byte
-    /// restarts this timeout.
+    /// Longest time from the first byte of a request to the end of its head, and longest silence within its body.
     pub partial_request: Duration,
     /// Longest time that a connection may be idle between requests.
     pub idle: Duration,
@@ -240,6 +255,7 @@
                 state: State::Reading,
                 generation,
                 last_progress: now,
+                head_began: None,
                 info,
                 has_unread: false,
             });
@@ -323,7 +339,7 @@
             return;
         };
         let endpoint = connection.endpoint;
-        match connection.http.advance(io.limits) {
+        match connection.advance(io) {
             ServerProgress::NeedMore { continue_expected: false } => {}
             ServerProgress::NeedMore { continue_expected: true } => {
                 let outcome = connection.socket.write(CONTINUE_RESPONSE.to_vec(), io.registry);
@@ -405,7 +421,7 @@
             match connection.state {
                 State::AwaitingAnswer => {}
                 State::Closing if age >= CLOSE_TIMEOUT => expired.push(slot),
-                State::Reading if connection.http.has_partial_request() && age >= timeouts.partial_request => {
+                State::Reading if connection.is_request_late(now, timeouts.partial_request) => {
                     connection.state = State::AwaitingAnswer;
                     events.push(ServerEvent::RequestTimedOut { connection: id });
                 }
--- a/crates/staircross-transport/tests/server.rs
+++ b/crates/staircross-transport/tests/server.rs
@@ -19,31 +19,38 @@
     BootTime::from_millis(millis)
 }
 
-/// Passes readiness events to the server until a request is complete. Returns whether one was.
-fn next_request(server: &mut Server<Endpoint>, poll: &mut Poll, now: BootTime) -> bool {
+const PARTIAL_REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Waits for readiness events once, and passes them to the server. Returns the server's events.
+fn handle_readiness(server: &mut Server<Endpoint>, poll: &mut Poll, now: BootTime) -> Vec<ServerEvent<Endpoint>> {
     let mut poll_events = Events::with_capacity(16);
     let mut buffer = Box::new([0_u8; staircross_transport::socket::READ_CHUNK]);
-    for _ in 0..100 {
-        poll.poll(&mut poll_events, Some(Duration::from_millis(20))).expect("polls");
-        let mut server_events = Vec::new();
-        for event in &poll_events {
-            let id = SocketId::from_token(event.token()).expect("a token of the server");
-            let limits = ServerLimits { head_bytes: 4096, body_bytes: 4096 };
-            let mut io = IoContext { now, registry: poll.registry(), buffer: &mut buffer, limits };
-            if id.kind == SocketKind::Inbound {
-                server.on_ready(id, event.is_writable(), &mut io, &mut server_events);
-            }
-        }
-        if server_events.iter().any(|event| matches!(event, ServerEvent::Request { .. })) {
-            return true;
+    let mut server_events = Vec::new();
+    poll.poll(&mut poll_events, Some(Duration::from_millis(20))).expect("polls");
+    for event in &poll_events {
+        let id = SocketId::from_token(event.token()).expect("a token of the server");
+        let limits = ServerLimits { head_bytes: 4096, body_bytes: 4096 };
+        let mut io = IoContext { now, registry: poll.registry(), buffer: &mut buffer, limits };
+        match id.kind {
+            SocketKind::Inbound => server.on_ready(id, event.is_writable(), &mut io, &mut server_events),
+            _ => server.accept_connections(now, id, poll.registry()),
         }
     }
-    false
+    server_events
 }
 
-fn sweep(server: &mut Server<Endpoint>, poll: &Poll, now: BootTime) {
-    let timeouts = ServerTimeouts { partial_request: Duration::from_secs(30), idle: Duration::from_secs(30) };
-    server.sweep(now, timeouts, poll.registry(), &mut Vec::new());
+/// Passes readiness events to the server until a request is complete. Returns whether one was.
+fn next_request(server: &mut Server<Endpoint>, poll: &mut Poll, now: BootTime) -> bool {
+    let is_request = |event: &ServerEvent<Endpoint>| matches!(event, ServerEvent::Request { .. });
+    (0..100).any(|_| handle_readiness(server, poll, now).iter().any(is_request))
+}
+
+/// Checks the timeouts. Returns the events.
+fn sweep(server: &mut Server<Endpoint>, poll: &Poll, now: BootTime) -> Vec<ServerEvent<Endpoint>> {
+    let timeouts = ServerTimeouts { partial_request: PARTIAL_REQUEST_TIMEOUT, idle: Duration::from_secs(30) };
+    let mut events = Vec::new();
+    server.sweep(now, timeouts, poll.registry(), &mut events);
+    events
 }
 
 #[test]
@@ -63,3 +70,28 @@
     assert!(next_request(&mut server, &mut poll, at(1600)), "the request from before the listener closed is read");
     assert!(server.is_busy(Endpoint::Callers));
 }
+
+/// Guards against callers that hold connections for ever by sending a byte of a request's head now and then: each byte
+/// began the time for a head anew.
+#[test]
+fn a_head_that_comes_byte_by_byte_has_the_time_of_one_head() {
+    let mut poll = Poll::new().expect("a poll");
+    let mut server = Server::new(10);
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let address = server.listen(Endpoint::Callers, any_port, poll.registry()).expect("listens");
+    let mut caller = TcpStream::connect(address).expect("connects");
+    caller.set_nodelay(true).expect("an open socket");
+    handle_readiness(&mut server, &mut poll, at(0));
+    for (index, byte) in b"GET / HTTP/1.1\r\n".iter().enumerate() {
+        let now = at(index as u64 * 500);
+        caller.write_all(&[*byte]).expect("sent");
+        assert!(handle_readiness(&mut server, &mut poll, now).is_empty(), "the head isn't complete");
+        let events = sweep(&mut server, &poll, now);
+        if let Some(ServerEvent::RequestTimedOut { .. }) = events.first() {
+            assert_eq!(now, at(3000), "three seconds after the first byte");
+            return;
+        }
+        assert!(events.is_empty(), "{events:?}");
+    }
+    panic!("the head has no end");
+}
