Don't tell a member what it says of itself

A node of a region was not heard of by another one for 1.4 s after its start, so that the other took itself for a designated reader of the store: 1 of 24 runs of a new test of followers, eight at once beside six busy processes.

Cause: a member sends an update five times in a small fleet, and counts three more for each receiver that knew it. The node through which the newcomer had joined sent the newcomer's record to the newcomer, whose answers said that it was known, and dropped it before it had told the third. Comparisons of fingerprints, each 1.5 s, mend such gaps late.

A member's own record is no longer among the updates for it, unless it is suspect or worse and must refute that. a_newcomer_is_told_to_the_others_and_not_to_itself failed before (two of the sends went to the newcomer). After: 0 of 192 runs of that test of followers, sixteen at once beside six.

--- a/crates/staircross-cluster/src/membership/regions.rs
+++ b/crates/staircross-cluster/src/membership/regions.rs
@@ -40,7 +40,8 @@
     /// Chooses the updates to send to a member, least often sent first, and counts them as sent.
     ///
     /// Each update is sent to local members as often as the settings' `retransmits` say. Remote members are sent only
-    /// updates about members of this node's region, and only by relays.
+    /// updates about members of this node's region, and only by relays. A member isn't sent its own record unless it must
+    /// refute that.
     pub(super) fn choose_updates(&mut self, to: NodeId) -> Vec<Member> {
         let is_remote = self.is_remote(to);
         if is_remote && !self.is_relay() {
@@ -54,8 +55,13 @@
         let members = &self.members;
         let is_about_own_region =
             |update: &PendingUpdate| members.get(&update.node).is_some_and(|member| member.region == region);
+        let is_known_to_receiver = |update: &PendingUpdate| {
+            update.node == to && members.get(&to).is_some_and(|member| member.state == MemberState::Alive)
+        };
         let may_be_sent = |update: &PendingUpdate| {
-            if is_remote {
+            if is_known_to_receiver(update) {
+                false
+            } else if is_remote {
                 is_about_own_region(update) && times_sent(update) < REMOTE_RETRANSMITS
             } else {
                 times_sent(update) < max_sends
