Apply reloaded bounds to a running store reader

After a reload that shortens the bounds, followers missed heartbeats: they tolerate 0.4 of the new bound, while readers went on probing and announcing at the intervals of the old one. In the new test a follower became a prober 1.2 s after the reload and then a reader. A reload that also changes the store's address built the reader from the old settings.

The reader's settings are now replaced with each reload, a probe that is due later than they allow comes earlier, and a new store's reader gets the new ones. A follower counts a shorter silence from the reload.

--- a/crates/staircross-gateway/src/node/reload.rs
+++ b/crates/staircross-gateway/src/node/reload.rs
@@ -1,9 +1,9 @@
 //! Reloads the settings while the node runs.
 //!
 //! Bounds that are read when they are used, the engine's bounds on extra attempts, cold starts and quotas, the
-//! heartbeat timeout of followers and the store's address take effect at once. Listener addresses stay as they are,
-//! and so does everything that is only read at the start. The intervals at which the store is read stay as they are,
-//! too, until a later reload changes the store's address. This module relies on `operator` for the file.
+//! heartbeat timeout of followers, the intervals at which the store is read and the store's address take effect at once.
+//! Listener addresses stay as they are, and so does everything that is only read at the start. This module relies on
+//! `operator` for the file.
 
 use super::GatewayNode;
 use super::setup::{cold_bound, extra_bound, quota_bound};
@@ -12,7 +12,6 @@
 use crate::settings::GatewaySettings;
 use staircross_routing::recording::RecordedEvent;
 use staircross_routing::store_reader::StoreReader;
-use std::net::SocketAddr;
 
 impl<D: Dialect> GatewayNode<D> {
     /// Reloads the settings if their file has changed, without waiting for a signal.
@@ -44,17 +43,19 @@
         let bound = quota_bound(&settings);
         self.engine.set_quota_bound(self.now, bound);
         self.record(RecordedEvent::QuotaBound(bound), &[]);
-        self.store_role.set_heartbeat_timeout(settings.heartbeat_timeout());
-        if settings.store != self.settings.store {
-            self.switch_store(settings.store.address);
+        self.store_role.set_heartbeat_timeout(self.now, settings.heartbeat_timeout());
+        if settings.store == self.settings.store {
+            self.store_reader.set_settings(self.now, settings.store_reader_settings());
+        } else {
+            self.switch_store(&settings);
         }
         self.settings = GatewaySettings { listen: self.settings.listen.clone(), ..settings };
     }
 
     /// Switches to another address of the store, and reads everything again from there.
-    fn switch_store(&mut self, address: SocketAddr) {
-        self.store.set_address(address);
+    fn switch_store(&mut self, settings: &GatewaySettings) {
+        self.store.set_address(settings.store.address);
         self.store_reader =
-            StoreReader::new(self.settings.store_reader_settings()).with_mode(self.now, self.store_role.role().mode());
+            StoreReader::new(settings.store_reader_settings()).with_mode(self.now, self.store_role.role().mode());
     }
 }
--- a/crates/staircross-gateway/src/store_role.rs
+++ b/crates/staircross-gateway/src/store_role.rs
@@ -158,8 +158,12 @@
         self.cause
     }
 
-    /// Changes the heartbeat timeout.
-    pub fn set_heartbeat_timeout(&mut self, heartbeat_timeout: Duration) {
+    /// Changes the heartbeat timeout. A shorter one counts from now, because the last heartbeat came at the interval of the
+    /// old one.
+    pub fn set_heartbeat_timeout(&mut self, now: BootTime, heartbeat_timeout: Duration) {
+        if heartbeat_timeout < self.heartbeat_timeout && self.role == StoreRole::Follower {
+            self.heartbeat_at = self.heartbeat_at.max(now);
+        }
         self.heartbeat_timeout = heartbeat_timeout;
     }
 
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -96,6 +96,15 @@
         self
     }
 
+    /// Changes the settings of a running reader. A probe that is due later than the new settings allow is made earlier.
+    pub fn set_settings(&mut self, now: BootTime, settings: ReaderSettings) {
+        self.settings = settings;
+        let latest = now + self.probe_interval(!self.has_missed_probe);
+        if let LaneState::Scheduled { at } = &mut self.lane_mut(Lane::Probe).state {
+            *at = (*at).min(latest);
+        }
+    }
+
     /// Returns the time at which the next call is due.
     pub fn next_wake(&self) -> Option<BootTime> {
         let due = self.lanes.iter().filter_map(|lane| match lane.state {
