Call a session lost only when nobody has it

unknown_session tells a caller that its session is closed or lost for good. It was also the answer to 36 of 100 requests that waited for one session to be found, since 64 may wait, and at a node that had found the session but held as many as it may. Both had been noted by reading; the two new tests failed before.

Such requests are refused as overloaded and too_many_sessions now, which say that nothing was run and when to come back; a copy that can't be read, which only another version writes, as session_sought with a log line.

Besides, a reply that waits for two confirmations counted one keeper twice if its copy was sent again; each node counts once (a_copy_that_is_confirmed_twice_counts_once, of a method made for it).

--- a/crates/session/staircross-node/src/core/sessions.rs
+++ b/crates/session/staircross-node/src/core/sessions.rs
@@ -1,6 +1,9 @@
 //! Replication of sessions: copies are sent to other nodes before a reply, and a node that is asked for a session
 //! it doesn't hold takes it over from a copy.
 
+#[cfg(test)]
+mod tests;
+
 use super::Core;
 use super::pending::PendingRequest;
 use super::session_replication::Responsibility;
@@ -27,12 +30,28 @@
     token: SessionToken,
     /// Version of the session whose copies must be confirmed.
     version: u64,
-    missing_confirmations: usize,
+    /// Number of nodes that must confirm it.
+    wanted_confirmations: usize,
+    confirmed_by: Vec<NodeId>,
     deadline: BootTime,
     reply: ReplySender,
     content: CallerReply,
 }
 
+impl DelayedReply {
+    /// Records that `keeper` has confirmed a copy of `version`. A copy that is sent again is confirmed again, which counts
+    /// once.
+    fn record_confirmation(&mut self, token: SessionToken, version: u64, keeper: NodeId) {
+        if self.token == token && self.version <= version && !self.confirmed_by.contains(&keeper) {
+            self.confirmed_by.push(keeper);
+        }
+    }
+
+    fn is_confirmed(&self) -> bool {
+        self.confirmed_by.len() >= self.wanted_confirmations
+    }
+}
+
 /// A search of other nodes for a copy of a session that this node doesn't hold.
 pub(super) struct SessionLookup {
     /// Id of the lookup. Answers to an earlier lookup of the same session carry another id and are ignored.
@@ -62,15 +81,16 @@
             return;
         };
         let version = self.session_replication.record_change(token, self.cluster.session_keepers(token));
-        let missing_confirmations = self.cluster.wanted_copies();
-        if missing_confirmations == 0 {
+        let wanted_confirmations = self.cluster.wanted_copies();
+        if wanted_confirmations == 0 {
             reply.send(content);
             return;
         }
         self.delayed_replies.push(DelayedReply {
             token,
             version,
-            missing_confirmations,
+            wanted_confirmations,
+            confirmed_by: Vec::new(),
             deadline: now + COPY_CONFIRMATION_TIMEOUT,
             reply,
             content,
@@ -152,11 +172,9 @@
             self.drop_session(token);
         }
         for delayed in &mut self.delayed_replies {
-            if delayed.token == token && delayed.version <= version {
-                delayed.missing_confirmations = delayed.missing_confirmations.saturating_sub(1);
-            }
+            delayed.record_confirmation(token, version, keeper);
         }
-        self.release_delayed_replies(|delayed| delayed.missing_confirmations == 0);
+        self.release_delayed_replies(DelayedReply::is_confirmed);
     }
 
     /// Sends the delayed replies whose deadline has passed, and logs and counts them.
@@ -191,7 +209,8 @@
             if lookup.waiting.len() < MAX_WAITING_COMMANDS {
                 lookup.waiting.push((command, reply));
             } else {
-                reply.send(CallerReply::Refused(unknown_session()));
+                let detail = format!("{MAX_WAITING_COMMANDS} requests wait already until the session is found");
+                reply.send(CallerReply::Refused(Refusal::new(ErrorKind::Overloaded, detail)));
             }
             return;
         }
@@ -254,36 +273,41 @@
         let Some(lookup) = self.session_lookups.remove(&token) else {
             return;
         };
-        let refusal =
-            if lookup.pending_answers == 0 { unknown_session() } else { session_sought(lookup.pending_answers) };
-        let adopted = lookup.newest_copy.is_some_and(|copy| self.adopt_session(now, token, &copy));
-        if !adopted {
+        let adopted = match &lookup.newest_copy {
+            Some(copy) => self.adopt_session(now, token, copy),
+            None if lookup.pending_answers == 0 => Err(unknown_session()),
+            None => Err(session_sought(lookup.pending_answers)),
+        };
+        if let Err(refusal) = &adopted {
             info!(logger: self.logs.front, "event=session_not_found session={} kind={} unanswered={} without_copy={}",
                 session_tag(token), refusal.kind, lookup.pending_answers, list(&lookup.without_copy));
         }
         for (command, reply) in lookup.waiting {
-            if adopted {
-                self.on_caller(now, command, reply);
-            } else {
-                reply.send(CallerReply::Refused(refusal.clone()));
+            match &adopted {
+                Ok(()) => self.on_caller(now, command, reply),
+                Err(refusal) => reply.send(CallerReply::Refused(refusal.clone())),
             }
         }
     }
 
-    /// Takes over a session from a copy. Returns `false` if the copy can't be decoded or this node has no room for it.
-    fn adopt_session(&mut self, now: BootTime, token: SessionToken, copy: &SessionCopy) -> bool {
+    /// Takes over a session from a copy. Returns a refusal if this node has no room for it or can't decode the copy, which
+    /// only nodes of another version write.
+    fn adopt_session(&mut self, now: BootTime, token: SessionToken, copy: &SessionCopy) -> Result<(), Refusal> {
         let Some(state) = decode_session(&copy.state) else {
-            return false;
+            warn!(logger: self.logs.front, "event=session_copy_unreadable session={} holder={}", session_tag(token), copy.holder);
+            let detail = "this node can't read the session's copy; ask another node";
+            return Err(Refusal::new(ErrorKind::SessionSought, detail));
         };
         if !self.root.sessions.adopt(now, token, state) {
-            return false;
+            let detail = format!("{} sessions are open here; ask another node", self.root.sessions.len());
+            return Err(Refusal::new(ErrorKind::TooManySessions, detail));
         }
         info!(logger: self.logs.front, "event=session_adopted session={} from={}", session_tag(token), copy.holder);
         let keepers = self.cluster.session_keepers(token);
         let version = self.session_replication.record_adoption(token, copy.version, keepers);
         self.send_copies(now, token, version);
         self.handle_cluster_event(now, ClusterEvent::TakeOver { token, holder: copy.holder });
-        true
+        Ok(())
     }
 
     /// Drops a session that is closed or that another node holds now. A later request with its token looks for it
--- a/crates/staircross/tests/common/mod.rs
+++ b/crates/staircross/tests/common/mod.rs
@@ -83,6 +83,11 @@
 
 impl Fleet {
     pub fn start(folder: &Path) -> Fleet {
+        Fleet::start_with(folder, "")
+    }
+
+    /// Starts a fleet whose nodes have `further` lines at the end of their settings.
+    pub fn start_with(folder: &Path, further: &str) -> Fleet {
         let search = ServicePolicy { wait_ms: 3000, least_coverage_per_mille: 1, ..ServicePolicy::default() };
         let act = ServicePolicy {
             repeatable: false,
@@ -97,7 +102,7 @@
         let document = PlatformDocument::new(1, services);
         let platform_standin = PlatformStandin::start(platform, document.clone()).expect("the platform starts");
         let addresses: Vec<(SocketAddr, SocketAddr)> = (0..NODES).map(|_| (free_address(), free_address())).collect();
-        let settings = write_settings(folder, platform, &addresses);
+        let settings = write_settings(folder, platform, &addresses, further);
         let nodes = settings.iter().map(|path| start_node(path)).collect();
         let callers = addresses.iter().map(|(callers, _)| *callers).collect();
         let fleet = Fleet { searchers, settings, callers, nodes, platform: platform_standin, document };
@@ -189,13 +194,18 @@
     service.searchers.iter().map(start).collect()
 }
 
-fn write_settings(folder: &Path, platform: SocketAddr, addresses: &[(SocketAddr, SocketAddr)]) -> Vec<PathBuf> {
+fn write_settings(
+    folder: &Path,
+    platform: SocketAddr,
+    addresses: &[(SocketAddr, SocketAddr)],
+    further: &str,
+) -> Vec<PathBuf> {
     let seeds: Vec<String> = addresses.iter().map(|(_, peers)| format!("\"{peers}\"")).collect();
     let write = |(index, (callers, peers)): (usize, &(SocketAddr, SocketAddr))| {
         let text = format!(
             "[node]\nregion = \"home\"\nzone = \"{}\"\nlisten = \"{callers}\"\npeer_listen = \"{peers}\"\n\
              cluster = \"test\"\ncluster_key = \"a key for this test only\"\nlog = \"info,front=debug\"\nseeds = [{}]\n\
-             [platform]\naddress = \"{platform}\"\npoll_ms = 100\n",
+             [platform]\naddress = \"{platform}\"\npoll_ms = 100\n{further}",
             ZONES[index % ZONES.len()],
             seeds.join(", ")
         );
--- a/crates/staircross/tests/sessions.rs
+++ b/crates/staircross/tests/sessions.rs
@@ -18,9 +18,13 @@
 const OPENERS: usize = 12;
 
 fn start_fleet(name: &str) -> (Fleet, PathBuf) {
+    start_fleet_with(name, "")
+}
+
+fn start_fleet_with(name: &str, settings: &str) -> (Fleet, PathBuf) {
     let folder = std::env::temp_dir().join(format!("staircross-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder for settings");
-    (Fleet::start(&folder), folder)
+    (Fleet::start_with(&folder, settings), folder)
 }
 
 fn end_fleet(fleet: Fleet, folder: PathBuf) {
@@ -118,3 +122,55 @@
     assert_eq!(count_lost(&fleet, 1, &sessions), 0, "lost of {} sessions", sessions.len());
     end_fleet(fleet, folder);
 }
+
+/// Returns why a search in a session was refused, or `None` if it was answered.
+fn refusal_of(fleet: &Fleet, index: usize, session: SessionToken) -> Option<ErrorKind> {
+    match fleet.client(index).query(session, SEARCH).expect("a reply").body {
+        ReplyBody::Answer(_) => None,
+        ReplyBody::Refusal(refusal) => Some(refusal.error),
+        other => panic!("neither answered nor refused: {other:?}"),
+    }
+}
+
+/// Guards against a session reported as lost because many of its requests wait for it to be found: the 65th and later
+/// ones were refused as if nobody had it.
+#[test]
+fn a_session_is_not_called_lost_because_many_requests_wait_for_it() {
+    const REQUESTS: usize = 100;
+    let (fleet, folder) = start_fleet("waiting");
+    let session = fleet.client(0).open_session().expect("a session opens");
+    // The copies are in other zones than the holder's, so that the node 3 must ask paused nodes.
+    let paused = [1, 2, 4, 5];
+    paused.iter().for_each(|index| fleet.signal(*index, Signal::STOP));
+    fleet.signal(0, Signal::KILL);
+    let refusals: Vec<Option<ErrorKind>> = std::thread::scope(|scope| {
+        let requests: Vec<_> = (0..REQUESTS).map(|_| scope.spawn(|| refusal_of(&fleet, 3, session))).collect();
+        requests.into_iter().map(|request| request.join().expect("a request ends")).collect()
+    });
+    paused.iter().for_each(|index| fleet.signal(*index, Signal::CONT));
+    let lost = refusals.iter().filter(|refusal| **refusal == Some(ErrorKind::UnknownSession)).count();
+    assert_eq!(lost, 0, "of {REQUESTS} requests told that the session is lost");
+    end_fleet(fleet, folder);
+}
+
+/// Guards against a session reported as lost at a node that has found it and has no room for it.
+#[test]
+fn a_session_is_not_called_lost_at_a_node_without_room_for_it() {
+    const SESSIONS: usize = 3;
+    let (mut fleet, folder) = start_fleet_with("room", &format!("[limits]\nsessions = {SESSIONS}\n"));
+    let sessions = open_sessions(&fleet, 0, SESSIONS);
+    open_sessions(&fleet, 3, SESSIONS);
+    fleet.signal(0, Signal::KILL);
+    wait_for_exit(&mut fleet.nodes[0]);
+    let started = Instant::now();
+    let refusal = loop {
+        let refusal = refusal_of(&fleet, 3, sessions[0]);
+        if refusal != Some(ErrorKind::SessionSought) {
+            break refusal;
+        }
+        assert!(started.elapsed() < WAIT_TIMEOUT, "the session isn't found");
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    assert_eq!(refusal, Some(ErrorKind::TooManySessions));
+    end_fleet(fleet, folder);
+}
