Answer connections beyond the session tier's limit

The server can be given a response for such connections now: they get 503 overloaded, executed never, and are closed. An eighth of the limit is held for that. The gateway goes on closing them, as before.

a_connection_beyond_the_limit_is_refused_with_an_answer: the connection closed without an answer before.

--- a/crates/session/staircross-node/src/front.rs
+++ b/crates/session/staircross-node/src/front.rs
@@ -69,7 +69,7 @@
 ///
 /// Returns an error if the address can't be bound or the thread can't be started.
 pub fn start(parts: FrontParts<'_>) -> io::Result<()> {
-    let mut server = Server::new(parts.settings.limits.caller_connections);
+    let mut server = Server::new(parts.settings.limits.caller_connections).with_rejection(connection_rejection());
     server.listen(CallerEndpoint, parts.settings.node.listen, parts.receiver.poll.registry())?;
     let end_notice = EndNotice(parts.events.clone());
     let front = Front {
@@ -95,6 +95,12 @@
     std::thread::Builder::new().name("front".to_owned()).spawn(run).map(|_| ())
 }
 
+/// Returns the response to connections beyond the limit.
+fn connection_rejection() -> Vec<u8> {
+    let refusal = Refusal::new(ErrorKind::Overloaded, "the node has as many connections as it may; ask another");
+    Response::refusal(&refusal).to_bytes(Framing { announces_close: true, is_head: false })
+}
+
 /// Tells the core on drop that the server has ended, also when its thread panics.
 struct EndNotice(Sender<CoreEvent>);
 
--- a/crates/session/staircross-node/tests/common/mod.rs
+++ b/crates/session/staircross-node/tests/common/mod.rs
@@ -10,6 +10,9 @@
 use staircross_node::metrics::Metrics;
 use std::net::{SocketAddr, TcpListener};
 
+/// Largest number of connections of the server.
+pub const MAX_CONNECTIONS: usize = 16;
+
 /// Returns a loopback address whose port was free when it was checked.
 pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
@@ -20,7 +23,8 @@
     let text = format!(
         "[node]\nregion = \"south\"\nzone = \"hobart\"\nlisten = \"{listen}\"\npeer_listen = \"127.0.0.1:1\"\n\
          cluster = \"example\"\ncluster_key = \"change-me-to-a-long-secret\"\n\
-         [platform]\naddress = \"127.0.0.1:2\"\n[limits]\nrequest_bytes = 64\n"
+         [platform]\naddress = \"127.0.0.1:2\"\n[limits]\nrequest_bytes = 64\n\
+         caller_connections = {MAX_CONNECTIONS}\n"
     );
     Settings::from_toml("node.toml", &text).expect("is valid")
 }
--- a/crates/session/staircross-node/tests/front.rs
+++ b/crates/session/staircross-node/tests/front.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{free_address, start_front};
+use common::{MAX_CONNECTIONS, free_address, start_front};
 use crossbeam::channel::unbounded;
 use staircross_node::event::CoreEvent;
 use staircross_node::front_message::FrontMessage;
@@ -39,6 +39,21 @@
     assert_eq!(read_until(&mut stream, "alive\n", 3).matches("200 OK").count(), 3);
 }
 
+/// Guards against callers beyond the limit of connections that are left without an answer.
+#[test]
+fn a_connection_beyond_the_limit_is_refused_with_an_answer() {
+    let address = free_address();
+    start_front(address, unbounded().0);
+    let held: Vec<TcpStream> = (0..MAX_CONNECTIONS).map(|_| TcpStream::connect(address).expect("connects")).collect();
+    let mut beyond = TcpStream::connect(address).expect("connects");
+    beyond.write_all(LIVENESS_REQUEST).expect("writes");
+    let response = read_until(&mut beyond, "}", 1);
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert!(response.contains("\"error\":\"overloaded\",\"executed\":\"never\""), "{response}");
+    assert!(response.contains("connection: close"), "{response}");
+    drop(held);
+}
+
 /// Guards against a caller that waits for ever for a command that the core dropped.
 #[test]
 fn a_command_that_is_dropped_without_a_reply_may_have_run() {
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -140,12 +140,20 @@
     connections: Slab<Connection<E>>,
     next_generation: u32,
     max_connections: usize,
+    /// Answer to a connection beyond `max_connections`; if there is none, such a connection is closed at once.
+    rejection: Option<Vec<u8>>,
 }
 
 impl<E: Copy + PartialEq> Server<E> {
     /// Creates a server without listeners that holds at most `max_connections` accepted connections.
     pub fn new(max_connections: usize) -> Self {
-        Server { listeners: Vec::new(), connections: Slab::new(), next_generation: 1, max_connections }
+        Server { listeners: Vec::new(), connections: Slab::new(), next_generation: 1, max_connections, rejection: None }
+    }
+
+    /// Answers connections beyond the maximum with `rejection`, a complete response that refuses any request, before they
+    /// are closed. Up to an eighth more connections than the maximum are held for that.
+    pub fn with_rejection(self, rejection: Vec<u8>) -> Self {
+        Server { rejection: Some(rejection), ..self }
     }
 
     /// Listens on an address. Returns the bound address, with the actual port if `address` has port 0.
@@ -227,12 +235,11 @@
             match entry.accept() {
                 Ok(stream) => {
                     let endpoint = entry.endpoint;
-                    if self.connections.len() >= self.max_connections {
-                        // The stream is dropped, which closes it at once; the caller sees that and can use another
-                        // node.
-                        continue;
+                    if self.connections.len() < self.max_connections {
+                        self.add_connection(now, endpoint, stream, registry);
+                    } else {
+                        self.reject(now, endpoint, stream, registry);
                     }
-                    self.add_connection(now, endpoint, stream, registry);
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 // Either no connection waits, or no descriptor is free; the next event tries again.
@@ -241,25 +248,48 @@
         }
     }
 
-    fn add_connection(&mut self, now: BootTime, endpoint: E, stream: mio::net::TcpStream, registry: &Registry) {
+    /// Answers a connection beyond the maximum, if there is an answer and room for it. Otherwise the stream is dropped,
+    /// which closes it at once; the caller sees that and can use another node.
+    fn reject(&mut self, now: BootTime, endpoint: E, stream: mio::net::TcpStream, registry: &Registry) {
+        let Some(rejection) = self.rejection.clone() else {
+            return;
+        };
+        if self.connections.len() >= self.max_connections + self.max_connections.div_ceil(8) {
+            return;
+        }
+        if let Some(connection) = self.add_connection(now, endpoint, stream, registry) {
+            connection.state = State::Closing;
+            if connection.socket.write(rejection, registry) == WriteOutcome::Done {
+                connection.socket.shutdown_write();
+            }
+        }
+    }
+
+    fn add_connection(
+        &mut self,
+        now: BootTime,
+        endpoint: E,
+        stream: mio::net::TcpStream,
+        registry: &Registry,
+    ) -> Option<&mut Connection<E>> {
         let generation = self.next_generation;
         self.next_generation = self.next_generation.wrapping_add(1).max(1);
         let entry = self.connections.vacant_entry();
         let id = SocketId { kind: SocketKind::Inbound, generation, slot: entry.key() as u32 };
         let info = ConnectionInfo { round_trip: round_trip(&stream), is_new: true };
-        if let Ok(socket) = Socket::accepted(stream, id.token(), registry) {
-            entry.insert(Connection {
-                socket,
-                http: ServerConnection::default(),
-                endpoint,
-                state: State::Reading,
-                generation,
-                last_progress: now,
-                head_began: None,
-                info,
-                has_unread: false,
-            });
-        }
+        let socket = Socket::accepted(stream, id.token(), registry).ok()?;
+        let connection = Connection {
+            socket,
+            http: ServerConnection::default(),
+            endpoint,
+            state: State::Reading,
+            generation,
+            last_progress: now,
+            head_began: None,
+            info,
+            has_unread: false,
+        };
+        Some(entry.insert(connection))
     }
 
     /// Returns a connection, or `None` if it no longer exists.
