Accept connections that waited while no descriptor was free

A connection that arrived while the process had no free descriptor stayed in the listener's queue until a further one arrived: the poll tells of new connections only.

--- a/crates/staircross-transport/src/listener.rs
+++ b/crates/staircross-transport/src/listener.rs
@@ -17,6 +17,8 @@
 /// A listener of one endpoint.
 pub(crate) struct Listener<E> {
     pub endpoint: E,
+    /// Whether connections may wait that could not be accepted.
+    pub has_backlog: bool,
     socket: TcpListener,
     /// Time at which a closing listener closes; `None` while it is open.
     closes_at: Option<BootTime>,
@@ -24,7 +26,7 @@
 
 impl<E> Listener<E> {
     pub fn new(endpoint: E, socket: TcpListener) -> Self {
-        Listener { endpoint, socket, closes_at: None }
+        Listener { endpoint, has_backlog: false, socket, closes_at: None }
     }
 
     /// Accepts the next connection that waits.
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -183,12 +183,18 @@
         outcome
     }
 
-    /// Closes the listeners whose time to close has come. Connections that wait are accepted first.
-    fn close_listeners(&mut self, now: BootTime, registry: &Registry) {
+    /// Accepts connections that could not be accepted before, and closes the listeners whose time to close has come.
+    /// Connections that wait are accepted first.
+    fn sweep_listeners(&mut self, now: BootTime, registry: &Registry) {
         for slot in 0..self.listeners.len() {
-            if self.listeners[slot].as_ref().is_some_and(|listener| listener.must_close(now)) {
+            let listener = self.listeners[slot].as_ref();
+            let has_backlog = listener.is_some_and(|listener| listener.has_backlog);
+            let must_close = listener.is_some_and(|listener| listener.must_close(now));
+            if has_backlog || must_close {
                 let id = SocketId { kind: SocketKind::Listener, generation: 0, slot: slot as u32 };
                 self.accept_connections(now, id, registry);
+            }
+            if must_close {
                 self.listeners[slot] = None;
             }
         }
@@ -229,7 +235,7 @@
     /// Accepts all connections that wait on a listener.
     pub fn accept_connections(&mut self, now: BootTime, id: SocketId, registry: &Registry) {
         loop {
-            let Some(Some(entry)) = self.listeners.get(id.slot as usize) else {
+            let Some(Some(entry)) = self.listeners.get_mut(id.slot as usize) else {
                 return;
             };
             match entry.accept() {
@@ -242,8 +248,11 @@
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                // Either no connection waits, or no descriptor is free; the next event tries again.
-                Err(_) => return,
+                Err(error) => {
+                    // Without a free descriptor, connections go on waiting, and no event tells of them again.
+                    entry.has_backlog = error.kind() != ErrorKind::WouldBlock;
+                    return;
+                }
             }
         }
     }
@@ -434,7 +443,7 @@
         }
     }
 
-    /// Closes listeners that have stopped listening, and ends connections whose timeouts have passed. Where a request has
+    /// Looks after the listeners that have stopped listening or had no descriptor, and ends connections whose timeouts have passed. Where a request has
     /// partly arrived, the connection isn't ended yet but reported by [`ServerEvent::RequestTimedOut`].
     pub fn sweep(
         &mut self,
@@ -443,7 +452,7 @@
         registry: &Registry,
         events: &mut Vec<ServerEvent<E>>,
     ) {
-        self.close_listeners(now, registry);
+        self.sweep_listeners(now, registry);
         let mut expired = Vec::new();
         for (slot, connection) in &mut self.connections {
             let age = now.since(connection.last_progress);
