Report a message whose writer can't be started as not delivered

If the system gave no thread for the writer to a peer, the message that had asked for it was dropped with a log line only: a sub-request waited for its reply until its time was over. It is reported as not run now, like any other that can't be delivered. Noted by reading in docs/studies/wording.md; no test makes thread creation fail.

--- a/crates/session/staircross-node/src/peers.rs
+++ b/crates/session/staircross-node/src/peers.rs
@@ -111,11 +111,13 @@
         let _room_for_one = queue.try_send(message);
         self.queues.insert(to, queue);
         let writer = self.shared.clone();
+        let unsent_messages = queued_messages.clone();
         let started = std::thread::Builder::new()
             .name(format!("peer {to}"))
             .spawn(move || writer.run_writer(to, &queued_messages));
         if let Err(error) = started {
             warn!(logger: self.shared.logs.peers, "event=no_thread peer={to} error={error:?}");
+            unsent_messages.try_iter().for_each(|message| self.shared.report_undelivered(message, false));
         }
     }
 }
