Don't cut a caller that reads a long answer slowly

A caller that took longer for an answer than the time for idle connections was cut while it read: the time counted from when the answer was handed over. A next request that it had sent early, which since isn't looked at before the answer is written, counted as one that takes too long to arrive.

Besides, the successor of a dead member is looked up only when the death is new to the node.

--- a/crates/staircross-cluster/src/membership.rs
+++ b/crates/staircross-cluster/src/membership.rs
@@ -326,23 +326,20 @@
     /// Merges one record and queues it for gossip if it was new. Returns whether it was new.
     fn merge_and_gossip(&mut self, now: BootTime, record: Member, actions: &mut Vec<MembershipAction>) -> bool {
         let node = record.node;
-        let successor = self.successor_of(&record);
         let is_new = self.merge(now, record, actions);
         if is_new && node != self.me {
             self.queue_update(node);
-            // Whoever learns of the death no longer contacts the address, and wouldn't meet the successor there.
-            successor.into_iter().for_each(|successor| self.queue_update(successor));
+            // Whoever learns of a death no longer contacts the address, and wouldn't meet the successor there.
+            self.successor_of(node).into_iter().for_each(|successor| self.queue_update(successor));
         }
         is_new
     }
 
-    /// Returns the live member at the address of a gone one, if there is one.
-    fn successor_of(&self, gone: &Member) -> Option<NodeId> {
-        if !gone.is_gone() {
-            return None;
-        }
-        let at_address = self.members.values().filter(|member| member.peer_address == gone.peer_address);
-        at_address.filter(|member| !member.is_gone() && member.node != gone.node).map(|member| member.node).next()
+    /// Returns the live member at the address of a gone one. Returns `None` if there is none or `node` isn't gone.
+    fn successor_of(&self, node: NodeId) -> Option<NodeId> {
+        let gone = self.members.get(&node).filter(|member| member.is_gone())?;
+        let is_successor = |member: &&Member| !member.is_gone() && member.peer_address == gone.peer_address;
+        self.members.values().find(is_successor).map(|member| member.node)
     }
 
     /// Merges one record without gossiping it. Returns whether it was new.
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -92,7 +92,7 @@
     state: State,
     generation: u32,
     /// Time of the last progress: when the connection was accepted, last received bytes while it waited for a request,
-    /// or was last given an answer.
+    /// was last given an answer, or last took part of one.
     last_progress: BootTime,
     /// Time at which the head that is being received began to arrive.
     head_began: Option<BootTime>,
@@ -117,10 +117,12 @@
         progress
     }
 
-    /// Returns whether a request has begun to arrive and takes too long.
+    /// Returns whether a request has begun to arrive and takes too long. What arrives while an answer is being written
+    /// isn't looked at yet.
     fn is_request_late(&self, now: BootTime, timeout: Duration) -> bool {
         let is_head_late = self.head_began.is_some_and(|began| now.since(began) >= timeout);
-        is_head_late || (self.http.has_partial_request() && now.since(self.last_progress) >= timeout)
+        let is_silent = self.http.has_partial_request() && now.since(self.last_progress) >= timeout;
+        self.can_take_request() && (is_head_late || is_silent)
     }
 }
 
@@ -318,6 +320,7 @@
             return;
         };
         if is_writable && !connection.socket.is_flushed() {
+            connection.last_progress = io.now;
             let outcome = connection.socket.flush(io.registry);
             if !self.handle_write_outcome(id, outcome, events) {
                 return;
--- a/crates/staircross-transport/tests/pipelining.rs
+++ b/crates/staircross-transport/tests/pipelining.rs
@@ -2,7 +2,7 @@
 
 use mio::{Events, Poll};
 use staircross_http::ServerLimits;
-use staircross_transport::server::{Server, ServerEvent};
+use staircross_transport::server::{Server, ServerEvent, ServerTimeouts};
 use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
 use staircross_types::BootTime;
 use std::io::{Read, Write};
@@ -21,6 +21,7 @@
     buffer: Box<[u8; READ_CHUNK]>,
     /// Connections whose request waits for an answer.
     waiting: Vec<SocketId>,
+    now: BootTime,
 }
 
 impl TestServer {
@@ -29,7 +30,16 @@
         let mut server = Server::new(10);
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let address = server.listen((), any_port, poll.registry()).expect("listens");
-        (TestServer { server, poll, buffer: Box::new([0; READ_CHUNK]), waiting: Vec::new() }, address)
+        (
+            TestServer {
+                server,
+                poll,
+                buffer: Box::new([0; READ_CHUNK]),
+                waiting: Vec::new(),
+                now: BootTime::default(),
+            },
+            address,
+        )
     }
 
     /// Handles events of sockets until there are none for [`QUIET_TIME`].
@@ -43,11 +53,11 @@
             for event in &poll_events {
                 let id = SocketId::from_token(event.token()).expect("a token of the server");
                 if id.kind == SocketKind::Listener {
-                    self.server.accept_connections(BootTime::default(), id, self.poll.registry());
+                    self.server.accept_connections(self.now, id, self.poll.registry());
                     continue;
                 }
                 let mut events = Vec::new();
-                let mut io = io_context(&self.poll, &mut self.buffer);
+                let mut io = io_context(self.now, &self.poll, &mut self.buffer);
                 self.server.on_ready(id, event.is_writable(), &mut io, &mut events);
                 self.record(events);
             }
@@ -58,11 +68,19 @@
     fn answer(&mut self, answer: Vec<u8>) {
         let connection = self.waiting.remove(0);
         let mut events = Vec::new();
-        let mut io = io_context(&self.poll, &mut self.buffer);
+        let mut io = io_context(self.now, &self.poll, &mut self.buffer);
         self.server.respond(connection, answer, false, &mut io, &mut events);
         self.record(events);
     }
 
+    /// Checks the timeouts, of three seconds for a request and of fifteen for an idle connection.
+    fn sweep(&mut self) {
+        let timeouts = ServerTimeouts { partial_request: Duration::from_secs(3), idle: Duration::from_secs(15) };
+        let mut events = Vec::new();
+        self.server.sweep(self.now, timeouts, self.poll.registry(), &mut events);
+        self.record(events);
+    }
+
     fn record(&mut self, events: Vec<ServerEvent<()>>) {
         for event in events {
             match event {
@@ -73,9 +91,9 @@
     }
 }
 
-fn io_context<'a>(poll: &'a Poll, buffer: &'a mut [u8; READ_CHUNK]) -> IoContext<'a> {
+fn io_context<'a>(now: BootTime, poll: &'a Poll, buffer: &'a mut [u8; READ_CHUNK]) -> IoContext<'a> {
     let limits = ServerLimits { head_bytes: 4096, body_bytes: 1_000_000 };
-    IoContext { now: BootTime::default(), registry: poll.registry(), buffer, limits }
+    IoContext { now, registry: poll.registry(), buffer, limits }
 }
 
 fn response(length: usize) -> Vec<u8> {
@@ -141,3 +159,25 @@
     server.run_until_quiet();
     reader.join().expect("everything is received");
 }
+
+/// Guards against callers that are cut while they read a long answer slowly: the next request, which they had sent early,
+/// counted as one that takes too long, and the connection as idle.
+#[test]
+fn a_slow_reader_is_neither_late_nor_idle() {
+    const LENGTH: usize = 30_000_000;
+    const PART: usize = 3_000_000;
+    let (mut server, address) = TestServer::listen();
+    let mut caller = TcpStream::connect(address).expect("connects");
+    caller.write_all(&REQUEST.repeat(2)).expect("sent");
+    server.run_until_quiet();
+    server.answer(response(LENGTH));
+    let mut part = vec![0; PART];
+    for _ in 0..LENGTH / PART {
+        server.now = server.now + Duration::from_secs(5);
+        server.run_until_quiet();
+        server.sweep();
+        caller.read_exact(&mut part).expect("the connection is open");
+    }
+    server.run_until_quiet();
+    assert_eq!(server.waiting.len(), 1, "the second request is taken");
+}
