review: case 2, a searcher's failure reaches the client as a success

Tried: searchers that send the first bytes of another answer after a whole one, and fail some requests with a 500. Why: a connection stays in the pool while bytes that follow an answer may be the beginning of another, and they are read together with the next answer.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 0 if the rule held, 1 if it was broken, and 2 if the case couldn't run.
 
 mod case_1;
+mod case_2;
 mod client;
 mod gateway;
 mod http;
@@ -25,6 +26,7 @@
     record.add(format!("case {case}, disruption {}", if has_trouble { "on" } else { "off" }));
     let outcome = match case.as_str() {
         "1" => case_1::run(&record, has_trouble),
+        "2" => case_2::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let code = match &outcome {
