review: case 3, searchers work for clients that have left

Tried: clients that close their connection right after they have sent, while searchers are slow. Why: the server stops reading after a read that doesn't fill its buffer, so the end of a stream that arrived together with the request is never read, and readiness is edge-triggered.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 
 mod case_1;
 mod case_2;
+mod case_3;
 mod client;
 mod gateway;
 mod http;
@@ -27,6 +28,7 @@
     let outcome = match case.as_str() {
         "1" => case_1::run(&record, has_trouble),
         "2" => case_2::run(&record, has_trouble),
+        "3" => case_3::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let code = match &outcome {
