review: build the stand-ins of each case in a folder of its own

Two cases that were started at once linked the stand-ins in one folder, and one of them ended with 2. Each build has a folder of its own now, and a script that is stopped removes its temporary folder.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,6 +7,12 @@
 bash review/build.sh || exit 2
 target/review/standins "$1" "review/$1/record.txt" &
 standins=$!
-# The stand-ins end the gateways that they started. If they are stopped themselves, this script does it.
-trap 'kill -KILL $(pgrep -P "$standins") "$standins"; exit 2' INT TERM
+# The stand-ins end the gateways that they started and remove their folder. If they are stopped themselves, this script
+# does it.
+stop() {
+    kill -KILL $(pgrep -P "$standins") "$standins"
+    rm -rf "${TMPDIR:-/tmp}/staircross-review-$1-$standins"
+    exit 2
+}
+trap 'stop '"$1" INT TERM
 wait "$standins"
