Notice a close that arrives together with the last bytes

Cause: the poll is edge-triggered, and all loops took a read that didn't fill the buffer for the last one. A close that had come in the same event was never read, and no further event told of it.

Evidence: with 20 clients that send and close at once, staircross_callers_gone_total doesn't reach 20 within 2 s, so the close isn't noticed, rather than noticed and not acted on; the server alone, without a node, reports no disconnect either. Ruled out with that: the engine's handling of a caller that is gone.

Change: Socket keeps what the event says of a close (EPOLLRDHUP) and tells after each read whether more may wait. Server, pool and calls to store and peers read by that. A close behind more bytes than are read ahead ends the connection. The node doesn't begin a request whose caller is gone.

Weighed: reading until the socket would block notices the same closes, costs a system call for each message and doesn't see a close behind unread bytes.

--- a/crates/session/staircross-node/src/front.rs
+++ b/crates/session/staircross-node/src/front.rs
@@ -199,7 +199,7 @@
                 continue;
             }
             let mut io = io_context(self.now, &self.poll, &mut self.buffer, &self.limits);
-            self.server.on_ready(id, event.is_writable(), &mut io, &mut self.server_events);
+            self.server.on_ready(id, event.into(), &mut io, &mut self.server_events);
             self.handle_server_events();
         }
     }
--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -17,7 +17,7 @@
 use staircross_http::client::Expected;
 use staircross_http::{Answer, ClientConnection, ClientProgress, write};
 use staircross_transport::socket::{
-    ConnectingState, IoContext, ReadOutcome, Socket, SocketId, SocketKind, WriteOutcome,
+    ConnectingState, IoContext, ReadOutcome, Readiness, Socket, SocketId, SocketKind, WriteOutcome,
 };
 use staircross_types::BootTime;
 use std::net::SocketAddr;
@@ -176,11 +176,12 @@
     }
 
     /// Handles a readiness event of the connection. Returns the outcome if the call in flight ends.
-    pub fn on_ready(&mut self, id: SocketId, is_writable: bool, io: &mut IoContext<'_>) -> Option<CallOutcome> {
+    pub fn on_ready(&mut self, id: SocketId, readiness: Readiness, io: &mut IoContext<'_>) -> Option<CallOutcome> {
         if id.generation != self.generation {
             return None;
         }
         let connection = self.connection.as_mut()?;
+        connection.socket.note_readiness(readiness);
         if !connection.is_established {
             match connection.socket.connecting_state() {
                 ConnectingState::InProgress => return None,
@@ -192,7 +193,7 @@
             }
             return self.send_if_established(io);
         }
-        if is_writable && connection.socket.flush(io.registry) == WriteOutcome::Broken {
+        if readiness.is_writable && connection.socket.flush(io.registry) == WriteOutcome::Broken {
             return self.close_broken();
         }
         self.read(io)
@@ -201,15 +202,15 @@
     fn read(&mut self, io: &mut IoContext<'_>) -> Option<CallOutcome> {
         loop {
             let connection = self.connection.as_mut()?;
-            let (progress, is_full) = match connection.socket.read(io.buffer) {
-                ReadOutcome::Bytes { count, is_full } => {
+            let (progress, may_have_more) = match connection.socket.read(io.buffer) {
+                ReadOutcome::Bytes { count, may_have_more } => {
                     connection.http.receive(&io.buffer[..count]);
                     self.bytes += count;
                     if let Some(pending) = &mut self.pending {
                         pending.deadline =
                             pending.deadline.max(io.now + PROGRESS_TIMEOUT).min(pending.overall_deadline);
                     }
-                    (connection.http.advance(), is_full)
+                    (connection.http.advance(), may_have_more)
                 }
                 ReadOutcome::WouldBlock => return None,
                 ReadOutcome::Closed => (connection.http.on_close(), false),
@@ -218,7 +219,7 @@
             match progress {
                 ClientProgress::Answered(answer) => return Some(self.complete_call(answer)),
                 ClientProgress::Broken(_) | ClientProgress::Skipped => return self.close_broken(),
-                ClientProgress::NeedMore if is_full => {}
+                ClientProgress::NeedMore if may_have_more => {}
                 ClientProgress::NeedMore => return None,
             }
         }
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -210,10 +210,10 @@
     fn on_socket(&mut self, id: SocketId, event: &Event) {
         match id.kind {
             SocketKind::Listener => self.server.accept_connections(self.now, id, self.poll.registry()),
-            SocketKind::Inbound => self.on_server_socket(id, event.is_writable()),
-            SocketKind::Searcher => self.on_pool_socket(id, event.is_writable()),
-            SocketKind::Store => self.on_store_socket(id, event.is_writable()),
-            SocketKind::Peer => self.on_peer_socket(id, event.is_writable()),
+            SocketKind::Inbound => self.on_server_socket(id, event.into()),
+            SocketKind::Searcher => self.on_pool_socket(id, event.into()),
+            SocketKind::Store => self.on_store_socket(id, event.into()),
+            SocketKind::Peer => self.on_peer_socket(id, event.into()),
             SocketKind::Datagrams => self.on_datagrams(),
         }
         self.handle_server_events();
--- a/crates/staircross-gateway/src/node/attempts.rs
+++ b/crates/staircross-gateway/src/node/attempts.rs
@@ -8,7 +8,7 @@
 use crate::pool::PoolEvent;
 use staircross_routing::AttemptKey;
 use staircross_routing::engine::{AbandonCause, RoutingEvent, SendOrder, SendReason};
-use staircross_transport::socket::SocketId;
+use staircross_transport::socket::{Readiness, SocketId};
 use std::time::Duration;
 
 /// Time for which a reserve, a ready node that the directory sends no callers to, keeps an idle connection to a
@@ -47,10 +47,10 @@
         self.handle_pool_events(events);
     }
 
-    pub(super) fn on_pool_socket(&mut self, id: SocketId, is_writable: bool) {
+    pub(super) fn on_pool_socket(&mut self, id: SocketId, readiness: Readiness) {
         let mut events = Vec::new();
         let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
-        self.pool.on_ready(id, is_writable, &mut io, &mut events);
+        self.pool.on_ready(id, readiness, &mut io, &mut events);
         self.handle_pool_events(events);
     }
 
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -14,7 +14,7 @@
 use staircross_routing::engine::{RoutingAction, RoutingEvent};
 use staircross_routing::{Arrival, CallerLink, Credential, RequestKey, RequestOutcome};
 use staircross_transport::server::{ConnectionInfo, ServerEvent};
-use staircross_transport::socket::SocketId;
+use staircross_transport::socket::{Readiness, SocketId};
 use staircross_types::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,9 +29,9 @@
 }
 
 impl<D: Dialect> GatewayNode<D> {
-    pub(super) fn on_server_socket(&mut self, id: SocketId, is_writable: bool) {
+    pub(super) fn on_server_socket(&mut self, id: SocketId, readiness: Readiness) {
         let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
-        self.server.on_ready(id, is_writable, &mut io, &mut self.server_events);
+        self.server.on_ready(id, readiness, &mut io, &mut self.server_events);
     }
 
     pub(super) fn sweep_server(&mut self) {
@@ -73,6 +73,11 @@
         let key = self.requests.next_key();
         let arrival = self.build_arrival(key, &request.head, &outbound, info);
         let pending = self.build_caller_request(connection, &request.head, outbound, &arrival);
+        if !self.server.is_open(connection) {
+            // The close arrived together with the request. A searcher would work for nobody.
+            self.metrics.count_caller_gone();
+            return self.log_caller_gone(&pending);
+        }
         self.requests.insert(key, pending);
         self.process_routing_event(RoutingEvent::Arrived(arrival));
     }
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -11,7 +11,7 @@
 use crate::traffic::Purpose;
 use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::Lane;
-use staircross_transport::socket::SocketId;
+use staircross_transport::socket::{Readiness, SocketId};
 use staircross_wire::frame::decode;
 use std::time::Duration;
 
@@ -55,9 +55,9 @@
         }
     }
 
-    pub(in crate::node) fn on_peer_socket(&mut self, id: SocketId, is_writable: bool) {
+    pub(in crate::node) fn on_peer_socket(&mut self, id: SocketId, readiness: Readiness) {
         let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
-        if let Some(outcome) = self.peer_client.on_ready(id, is_writable, &mut io) {
+        if let Some(outcome) = self.peer_client.on_ready(id, readiness, &mut io) {
             self.on_peer_outcome(outcome);
         }
     }
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -10,7 +10,7 @@
 use crate::node::GatewayNode;
 use crate::traffic::{Purpose, Reach};
 use staircross_routing::store_reader::{Lane, ReaderAction, StoreReply};
-use staircross_transport::socket::SocketId;
+use staircross_transport::socket::{Readiness, SocketId};
 
 impl<D: Dialect> GatewayNode<D> {
     /// Decides whether the node reads the store or follows a reader of its region, and sets the store reader's mode
@@ -85,11 +85,11 @@
         }
     }
 
-    pub(in crate::node) fn on_store_socket(&mut self, id: SocketId, is_writable: bool) {
+    pub(in crate::node) fn on_store_socket(&mut self, id: SocketId, readiness: Readiness) {
         let index = id.slot as usize;
         let lane = Lane::ALL[index];
         let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
-        if let Some(outcome) = self.store.clients[index].on_ready(id, is_writable, &mut io) {
+        if let Some(outcome) = self.store.clients[index].on_ready(id, readiness, &mut io) {
             self.on_store_outcome(lane, outcome);
         }
     }
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -21,7 +21,7 @@
 use staircross_http::{ClientConnection, ClientFault, ClientProgress};
 use staircross_routing::engine::{AbandonCause, SendOrder};
 use staircross_routing::{AttemptKey, AttemptOutcome, SearcherKey};
-use staircross_transport::socket::{IoContext, ReadOutcome, Socket, SocketId, WriteOutcome};
+use staircross_transport::socket::{IoContext, ReadOutcome, Readiness, Socket, SocketId, WriteOutcome};
 use staircross_types::BootTime;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -268,15 +268,22 @@
     }
 
     /// Handles a readiness event of a connection's socket.
-    pub fn on_ready(&mut self, id: SocketId, is_writable: bool, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+    pub fn on_ready(
+        &mut self,
+        id: SocketId,
+        readiness: Readiness,
+        io: &mut IoContext<'_>,
+        events: &mut Vec<PoolEvent>,
+    ) {
         let slot = id.slot as usize;
-        let is_known = self.connections.get(slot).is_some_and(|connection| connection.generation == id.generation);
-        if !is_known {
+        let current = self.connections.get_mut(slot).filter(|connection| connection.generation == id.generation);
+        let Some(connection) = current else {
             return;
-        }
-        if matches!(self.connections[slot].state, ConnectionState::Connecting { .. }) {
+        };
+        connection.socket.note_readiness(readiness);
+        if matches!(connection.state, ConnectionState::Connecting { .. }) {
             self.on_connecting(slot, io, events);
-        } else if is_writable && self.connections[slot].socket.flush(io.registry) == WriteOutcome::Broken {
+        } else if readiness.is_writable && self.connections[slot].socket.flush(io.registry) == WriteOutcome::Broken {
             self.fail_connection(slot, ClientFault::Reset, events);
         }
         self.read(slot, id.generation, io, events);
@@ -301,11 +308,11 @@
                 return;
             }
             match connection.socket.read(io.buffer) {
-                ReadOutcome::Bytes { count, is_full } => {
+                ReadOutcome::Bytes { count, may_have_more } => {
                     connection.http.receive(&io.buffer[..count]);
                     self.traffic.count(connection.purpose, connection.reach, count);
                     self.advance(slot, generation, io.now, events);
-                    if !is_full {
+                    if !may_have_more {
                         return;
                     }
                 }
--- a/crates/staircross-gateway/tests/http_call.rs
+++ b/crates/staircross-gateway/tests/http_call.rs
@@ -50,7 +50,7 @@
         for event in &events {
             let mut io = IoContext { now: self.now, registry: self.poll.registry(), buffer: &mut self.buf, limits };
             let id = SocketId::from_token(event.token()).expect("a token of the client");
-            if let Some(outcome) = self.client.on_ready(id, event.is_writable(), &mut io) {
+            if let Some(outcome) = self.client.on_ready(id, event.into(), &mut io) {
                 return Some(outcome);
             }
         }
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -10,7 +10,7 @@
 
 use crate::listener::Listener;
 use crate::round_trip::round_trip;
-use crate::socket::{IoContext, ReadOutcome, Socket, SocketId, SocketKind, WriteOutcome};
+use crate::socket::{IoContext, ReadOutcome, Readiness, Socket, SocketId, SocketKind, WriteOutcome};
 use mio::net::TcpListener;
 use mio::{Interest, Registry};
 use slab::Slab;
@@ -67,7 +67,8 @@
         /// The connection that the answer goes to.
         connection: SocketId,
     },
-    /// The peer closed the connection, or it broke, before its request was answered.
+    /// The peer closed the connection, or it broke, before its request was answered. Where the close arrived together
+    /// with the request, [`Server::is_open`] says so already when the event of the request is handled.
     Disconnected {
         /// The connection, which no longer exists.
         connection: SocketId,
@@ -218,6 +219,11 @@
         !self.is_listening(endpoint) && !self.is_busy(endpoint) && !connections.any(|(_, one)| is_in_use(one))
     }
 
+    /// Returns whether a connection exists: neither side has closed it.
+    pub fn is_open(&self, id: SocketId) -> bool {
+        self.connections.get(id.slot as usize).is_some_and(|connection| connection.generation == id.generation)
+    }
+
     /// Returns the number of open connections, on all listeners.
     pub fn connection_count(&self) -> usize {
         self.connections.len()
@@ -312,14 +318,15 @@
     pub fn on_ready(
         &mut self,
         id: SocketId,
-        is_writable: bool,
+        readiness: Readiness,
         io: &mut IoContext<'_>,
         events: &mut Vec<ServerEvent<E>>,
     ) {
         let Some(connection) = self.get(id) else {
             return;
         };
-        if is_writable && !connection.socket.is_flushed() {
+        connection.socket.note_readiness(readiness);
+        if readiness.is_writable && !connection.socket.is_flushed() {
             connection.last_progress = io.now;
             let outcome = connection.socket.flush(io.registry);
             if !self.handle_write_outcome(id, outcome, events) {
@@ -331,7 +338,7 @@
     }
 
     /// Reads until nothing waits, and emits the request that is complete. While a connection can't take its next request,
-    /// reading stops after [`MAX_READ_AHEAD`] bytes; what is left is read when it can.
+    /// reading stops after [`MAX_READ_AHEAD`] bytes; what is left is read when it can, unless the peer has closed.
     fn read(&mut self, id: SocketId, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
         let mut read_ahead = 0;
         loop {
@@ -340,7 +347,7 @@
             };
             connection.has_unread = false;
             match connection.socket.read(io.buffer) {
-                ReadOutcome::Bytes { count, is_full } => {
+                ReadOutcome::Bytes { count, may_have_more } => {
                     if connection.state != State::Closing {
                         connection.http.receive(&io.buffer[..count]);
                     }
@@ -349,11 +356,14 @@
                         self.parse_next_request(id, io, events);
                     } else {
                         read_ahead += count;
-                        connection.has_unread = is_full && read_ahead > MAX_READ_AHEAD;
+                        connection.has_unread = may_have_more && read_ahead > MAX_READ_AHEAD;
                     }
-                    if !is_full || read_ahead > MAX_READ_AHEAD {
+                    if !may_have_more {
                         return;
                     }
+                    if read_ahead > MAX_READ_AHEAD {
+                        return self.stop_reading_ahead(id, events);
+                    }
                 }
                 ReadOutcome::WouldBlock => return,
                 ReadOutcome::Closed | ReadOutcome::Broken => {
@@ -364,6 +374,13 @@
         }
     }
 
+    /// Leaves further requests unread, or ends the connection if its peer is gone.
+    fn stop_reading_ahead(&mut self, id: SocketId, events: &mut Vec<ServerEvent<E>>) {
+        if self.get(id).is_some_and(|connection| connection.socket.is_read_closed()) {
+            self.on_peer_closed(id, events);
+        }
+    }
+
     /// Removes a connection that the peer has closed or that is broken. Reports it if a request is unanswered.
     fn on_peer_closed(&mut self, id: SocketId, events: &mut Vec<ServerEvent<E>>) {
         let Some(connection) = self.get(id) else {
--- a/crates/staircross-transport/src/socket.rs
+++ b/crates/staircross-transport/src/socket.rs
@@ -1,10 +1,13 @@
 //! A non-blocking TCP stream with its outgoing bytes, and the poll tokens that identify sockets.
 //!
 //! [`Socket`] owns a registered stream and the bytes that are still to be written to it; its owner decides what these
-//! bytes are. [`SocketId`] alone encodes and decodes tokens. `mio` reports readiness edge-triggered, so a component
-//! that gets an event of a socket must read until nothing is left.
+//! bytes are. [`SocketId`] alone encodes and decodes tokens.
+//!
+//! `mio` reports readiness edge-triggered: bytes that are left unread, and a close behind them, bring no further event. A
+//! component that gets an event of a socket must therefore pass it to [`Socket::note_readiness`] and then read for as
+//! long as [`ReadOutcome::Bytes`] says that there may be more.
 
-use mio::event::Source;
+use mio::event::{Event, Source};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use staircross_http::ServerLimits;
@@ -34,8 +37,9 @@
     Bytes {
         /// Number of bytes read.
         count: usize,
-        /// Whether the buffer was filled, so that more bytes may wait.
-        is_full: bool,
+        /// Whether more bytes or the end of the stream may wait: the buffer was filled, or the peer is known to have
+        /// closed its side. Otherwise, whatever arrives later brings an event.
+        may_have_more: bool,
     },
     /// No bytes wait at the moment.
     WouldBlock,
@@ -56,6 +60,21 @@
     Broken,
 }
 
+/// What an event says about a socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Readiness {
+    /// Whether the socket may be written to.
+    pub is_writable: bool,
+    /// Whether the peer has closed its side or the connection is broken. Bytes sent before may still wait.
+    pub is_read_closed: bool,
+}
+
+impl From<&Event> for Readiness {
+    fn from(event: &Event) -> Self {
+        Readiness { is_writable: event.is_writable(), is_read_closed: event.is_read_closed() }
+    }
+}
+
 /// A non-blocking stream and the bytes that are still to be written to it.
 #[derive(Debug)]
 pub struct Socket {
@@ -64,6 +83,7 @@
     outgoing: Vec<u8>,
     written: usize,
     has_writable_interest: bool,
+    is_read_closed: bool,
 }
 
 /// The state of a connection attempt.
@@ -85,7 +105,14 @@
         // A stream without this option still works, with a higher latency.
         let _best_effort = stream.set_nodelay(true);
         stream.register(registry, token, Interest::READABLE)?;
-        Ok(Socket { stream, token, outgoing: Vec::new(), written: 0, has_writable_interest: false })
+        Ok(Socket {
+            stream,
+            token,
+            outgoing: Vec::new(),
+            written: 0,
+            has_writable_interest: false,
+            is_read_closed: false,
+        })
     }
 
     /// Starts to connect to `address`. The stream becomes writable when the connection is established.
@@ -93,7 +120,14 @@
         let mut stream = TcpStream::connect(address)?;
         let _best_effort = stream.set_nodelay(true);
         stream.register(registry, token, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Socket { stream, token, outgoing: Vec::new(), written: 0, has_writable_interest: true })
+        Ok(Socket {
+            stream,
+            token,
+            outgoing: Vec::new(),
+            written: 0,
+            has_writable_interest: true,
+            is_read_closed: false,
+        })
     }
 
     /// Returns the stream, for setting socket options.
@@ -116,12 +150,26 @@
         }
     }
 
+    /// Records what an event says about the socket.
+    pub fn note_readiness(&mut self, readiness: Readiness) {
+        // A close is never taken back, and only one event reports it.
+        self.is_read_closed |= readiness.is_read_closed;
+    }
+
+    /// Returns whether the peer is known to have closed its side, or the connection to be broken. Bytes may still wait.
+    pub fn is_read_closed(&self) -> bool {
+        self.is_read_closed
+    }
+
     /// Reads what is available into `buffer`.
     pub fn read(&mut self, buffer: &mut [u8]) -> ReadOutcome {
         loop {
             match self.stream.read(buffer) {
                 Ok(0) => return ReadOutcome::Closed,
-                Ok(count) => return ReadOutcome::Bytes { count, is_full: count == buffer.len() },
+                Ok(count) => {
+                    let may_have_more = count == buffer.len() || self.is_read_closed;
+                    return ReadOutcome::Bytes { count, may_have_more };
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadOutcome::WouldBlock,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return ReadOutcome::Broken,
--- a/crates/staircross-transport/tests/closing.rs
+++ b/crates/staircross-transport/tests/closing.rs
@@ -3,7 +3,7 @@
 use mio::{Events, Poll};
 use staircross_http::ServerLimits;
 use staircross_transport::server::{Server, ServerEvent, ServerTimeouts};
-use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
+use staircross_transport::socket::{IoContext, READ_CHUNK, Readiness, SocketId, SocketKind};
 use staircross_types::boot_clock as clock;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -47,7 +47,7 @@
             let mut events = Vec::new();
             for event in &poll_events {
                 let id = SocketId::from_token(event.token()).expect("a token of the server");
-                self.on_socket(id, event.is_writable(), &mut events);
+                self.on_socket(id, event.into(), &mut events);
             }
             let timeouts = ServerTimeouts { partial_request: Duration::from_secs(30), idle: Duration::from_secs(30) };
             self.server.sweep(clock::now(), timeouts, self.poll.registry(), &mut events);
@@ -57,7 +57,7 @@
         }
     }
 
-    fn on_socket(&mut self, id: SocketId, is_writable: bool, events: &mut Vec<ServerEvent<()>>) {
+    fn on_socket(&mut self, id: SocketId, readiness: Readiness, events: &mut Vec<ServerEvent<()>>) {
         let now = clock::now();
         if id.kind == SocketKind::Listener {
             return self.server.accept_connections(now, id, self.poll.registry());
@@ -65,7 +65,7 @@
         let mut buffer = [0; READ_CHUNK];
         let limits = ServerLimits { head_bytes: 4096, body_bytes: 4096 };
         let mut io = IoContext { now, registry: self.poll.registry(), buffer: &mut buffer, limits };
-        self.server.on_ready(id, is_writable, &mut io, events);
+        self.server.on_ready(id, readiness, &mut io, events);
     }
 
     fn answer(&mut self, event: ServerEvent<()>) {
--- a/crates/staircross-transport/tests/pipelining.rs
+++ b/crates/staircross-transport/tests/pipelining.rs
@@ -1,105 +1,14 @@
 //! Tests of requests that a peer sends before it has the answer to the one before.
 
-use mio::{Events, Poll};
-use staircross_http::ServerLimits;
-use staircross_transport::server::{Server, ServerEvent, ServerTimeouts};
-use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
-use staircross_types::BootTime;
+mod common;
+
+use common::{TestServer, response};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: shop\r\n\r\n";
-/// Time without an event of a socket after which nothing more is expected.
-const QUIET_TIME: Duration = Duration::from_millis(100);
-
-/// A server whose requests wait until the test answers them.
-struct TestServer {
-    server: Server<()>,
-    poll: Poll,
-    buffer: Box<[u8; READ_CHUNK]>,
-    /// Connections whose request waits for an answer.
-    waiting: Vec<SocketId>,
-    now: BootTime,
-}
-
-impl TestServer {
-    fn listen() -> (Self, SocketAddr) {
-        let poll = Poll::new().expect("a poll");
-        let mut server = Server::new(10);
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let address = server.listen((), any_port, poll.registry()).expect("listens");
-        (
-            TestServer {
-                server,
-                poll,
-                buffer: Box::new([0; READ_CHUNK]),
-                waiting: Vec::new(),
-                now: BootTime::default(),
-            },
-            address,
-        )
-    }
-
-    /// Handles events of sockets until there are none for [`QUIET_TIME`].
-    fn run_until_quiet(&mut self) {
-        let mut poll_events = Events::with_capacity(16);
-        loop {
-            self.poll.poll(&mut poll_events, Some(QUIET_TIME)).expect("polls");
-            if poll_events.is_empty() {
-                return;
-            }
-            for event in &poll_events {
-                let id = SocketId::from_token(event.token()).expect("a token of the server");
-                if id.kind == SocketKind::Listener {
-                    self.server.accept_connections(self.now, id, self.poll.registry());
-                    continue;
-                }
-                let mut events = Vec::new();
-                let mut io = io_context(self.now, &self.poll, &mut self.buffer);
-                self.server.on_ready(id, event.is_writable(), &mut io, &mut events);
-                self.record(events);
-            }
-        }
-    }
-
-    /// Answers the first request that waits.
-    fn answer(&mut self, answer: Vec<u8>) {
-        let connection = self.waiting.remove(0);
-        let mut events = Vec::new();
-        let mut io = io_context(self.now, &self.poll, &mut self.buffer);
-        self.server.respond(connection, answer, false, &mut io, &mut events);
-        self.record(events);
-    }
-
-    /// Checks the timeouts, of three seconds for a request and of fifteen for an idle connection.
-    fn sweep(&mut self) {
-        let timeouts = ServerTimeouts { partial_request: Duration::from_secs(3), idle: Duration::from_secs(15) };
-        let mut events = Vec::new();
-        self.server.sweep(self.now, timeouts, self.poll.registry(), &mut events);
-        self.record(events);
-    }
-
-    fn record(&mut self, events: Vec<ServerEvent<()>>) {
-        for event in events {
-            match event {
-                ServerEvent::Request { connection, .. } => self.waiting.push(connection),
-                other => panic!("not a request: {other:?}"),
-            }
-        }
-    }
-}
-
-fn io_context<'a>(now: BootTime, poll: &'a Poll, buffer: &'a mut [u8; READ_CHUNK]) -> IoContext<'a> {
-    let limits = ServerLimits { head_bytes: 4096, body_bytes: 1_000_000 };
-    IoContext { now, registry: poll.registry(), buffer, limits }
-}
-
-fn response(length: usize) -> Vec<u8> {
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
-    [head.as_bytes(), &vec![b'x'; length]].concat()
-}
 
 /// Guards against a request that is never read to its end: reading had stopped at a limit while the request before
 /// waited for its answer, and no event of the socket says that the rest is still there. Which lengths this befalls
--- a/crates/staircross-transport/tests/server.rs
+++ b/crates/staircross-transport/tests/server.rs
@@ -32,7 +32,7 @@
         let limits = ServerLimits { head_bytes: 4096, body_bytes: 4096 };
         let mut io = IoContext { now, registry: poll.registry(), buffer: &mut buffer, limits };
         match id.kind {
-            SocketKind::Inbound => server.on_ready(id, event.is_writable(), &mut io, &mut server_events),
+            SocketKind::Inbound => server.on_ready(id, event.into(), &mut io, &mut server_events),
             _ => server.accept_connections(now, id, poll.registry()),
         }
     }
