Never send a request id twice on one connection

Cause: an id names the request, not the attempt. After a refusal the same searcher may be asked again, on the connection that was used last. A late copy of the refusal was taken for the answer to the next attempt, which ran.

Ruled out: refusals that weren't true, since the searcher's record has no earlier run.

Change: a connection remembers digests of the ids that it has carried. An attempt takes the most recently used idle connection that hasn't carried its id, or a new one. This covers callers that repeat an id as well.

Not believing the second refusal would fail requests that can be retried.

The fixture of pool.rs gave all requests one id, and two of its tests reused a connection for it; it gives each request its own now, and all assertions stay.

--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -1,13 +1,15 @@
 //! Pool of connections to searchers.
 //!
 //! A connection belongs to one incarnation of a searcher and carries one attempt at a time. It becomes idle, and so
-//! available to other attempts, only after the whole answer was read and the whole request was written.
+//! available to other attempts, only after the whole answer was read and the whole request was written. It never carries
+//! two attempts of one request.
 //!
 //! [`Pool`] owns the connections and reports how each attempt ended, in particular whether the searcher may have run
 //! it. The engine chooses the searcher of each attempt, and decides what the end of an attempt means for its request.
 //! `establish` opens connections and proves fresh ones, that is, it waits for a possible reset before anything is sent.
-//! `endings` ends attempts and connections.
+//! `endings` ends attempts and connections. `carried` remembers the requests of a connection.
 
+mod carried;
 mod endings;
 mod establish;
 
@@ -15,6 +17,7 @@
 use crate::outbound::OutboundRequest;
 use crate::settings::NodePolicy;
 use crate::traffic::{Purpose, Reach, Traffic};
+use carried::CarriedIds;
 use hashbrown::HashMap;
 use slab::Slab;
 use staircross_http::client::{Expected, ExpectedId};
@@ -103,12 +106,23 @@
     state: ConnectionState,
     /// Whether the connection hasn't delivered an answer yet.
     is_fresh: bool,
+    /// Ids of the requests that were written on the connection.
+    carried: CarriedIds,
     /// Purpose of the last attempt, for the count of bytes.
     purpose: Purpose,
     /// Distance of the searcher, for the count of bytes.
     reach: Reach,
 }
 
+impl Connection {
+    /// Returns whether an attempt may be written on the connection, which is idle.
+    fn suits(&self, assignment: &Assignment, now: BootTime) -> bool {
+        let is_recently_used = now.since(self.state_since) < MAX_IDLE_IF_NOT_IDEMPOTENT;
+        let has_carried = assignment.request.id.as_ref().is_some_and(|id| self.carried.may_contain(id));
+        (assignment.order.is_idempotent || is_recently_used) && !has_carried
+    }
+}
+
 /// Counters of connections and answers, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PoolCounters {
@@ -185,9 +199,8 @@
         events: &mut Vec<PoolEvent>,
     ) {
         let attempt = order.attempt;
-        let searcher = order.searcher;
         let assignment = Box::new(Assignment { order, request, abandoned: None });
-        if let Some(slot) = self.take_idle(searcher, io.now, assignment.order.is_idempotent) {
+        if let Some(slot) = self.take_idle(&assignment, io.now) {
             self.slot_by_attempt.insert(attempt, slot);
             self.write_attempt(slot, assignment, io, events);
             return;
@@ -195,15 +208,11 @@
         self.open_connection(assignment, io, events);
     }
 
-    /// Takes the most recently used idle connection to a searcher, if it suits the request.
-    fn take_idle(&mut self, searcher: SearcherKey, now: BootTime, is_idempotent: bool) -> Option<usize> {
-        let idle = self.idle.get_mut(&searcher)?;
-        let slot = *idle.last()?;
-        let is_recently_used = now.since(self.connections[slot].state_since) < MAX_IDLE_IF_NOT_IDEMPOTENT;
-        if !is_idempotent && !is_recently_used {
-            return None;
-        }
-        idle.pop()
+    /// Takes the most recently used one of the searcher's idle connections that suit the request.
+    fn take_idle(&mut self, assignment: &Assignment, now: BootTime) -> Option<usize> {
+        let idle = self.idle.get_mut(&assignment.order.searcher)?;
+        let position = idle.iter().rposition(|slot| self.connections[*slot].suits(assignment, now))?;
+        Some(idle.remove(position))
     }
 
     /// Writes an attempt on a connection that is established and free.
@@ -221,6 +230,9 @@
         connection.purpose = Purpose::of_attempt(assignment.order.reason);
         self.traffic.count(connection.purpose, connection.reach, bytes.len());
         let id = assignment.request.id.as_ref();
+        if let Some(id) = id {
+            connection.carried.insert(id);
+        }
         connection.http.expect(Expected {
             method: assignment.request.method.to_string(),
             id: id.map(|value| ExpectedId { field: self.names.request_id, value: value.to_vec() }),
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -34,7 +34,10 @@
             connection.idle_timeout = Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN);
         }
         let state = std::mem::replace(&mut connection.state, ConnectionState::Idle);
-        let is_reusable = answer.is_reusable && connection.socket.is_flushed() && !connection.idle_timeout.is_zero();
+        let is_reusable = answer.is_reusable
+            && connection.socket.is_flushed()
+            && !connection.idle_timeout.is_zero()
+            && !connection.carried.is_full();
         if let ConnectionState::Busy(assignment) = state {
             let attempt = assignment.order.attempt;
             self.slot_by_attempt.remove(&attempt);
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -4,6 +4,7 @@
 //! was sent before the reset may have run. To prove a connection means to wait for a possible reset before anything is
 //! sent on it. This module relies on the socket for the result of connecting.
 
+use super::carried::CarriedIds;
 use super::{Assignment, Connection, ConnectionState, DEFAULT_IDLE_TIMEOUT, Pool, PoolEvent};
 use crate::traffic::{Purpose, Reach};
 use staircross_http::{ClientConnection, ClientFault};
@@ -50,6 +51,7 @@
                     state_since: io.now,
                     idle_timeout: DEFAULT_IDLE_TIMEOUT,
                     is_fresh: true,
+                    carried: CarriedIds::default(),
                     purpose: Purpose::of_attempt(assignment.order.reason),
                     reach: Reach::Known(assignment.order.distance),
                     state: ConnectionState::Connecting { assignment: Some(assignment) },
--- a/crates/staircross-gateway/tests/pool.rs
+++ b/crates/staircross-gateway/tests/pool.rs
@@ -3,7 +3,9 @@
 mod pool_fixture;
 
 use mio::Events;
-use pool_fixture::{Fixture, START, WAIT_TIMEOUT, is_connected, is_ended, listener};
+use pool_fixture::{
+    Fixture, START, WAIT_TIMEOUT, count_ended, is_connected, is_ended, listener, read_request, write_answer,
+};
 use rustix::net::sockopt::set_socket_linger;
 use staircross_gateway::pool::PoolEvent;
 use staircross_routing::state::request::Unknown;
@@ -108,15 +110,12 @@
     fixture.wait_until("both connections are established", connected);
     for _ in 0..2 {
         let (mut stream, _) = listener.accept().expect("a connection");
-        let mut buf = [0; 512];
-        let _count = stream.read(&mut buf).expect("the request");
-        stream.write_all(b"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n").expect("answered");
+        let id = read_request(&mut stream);
+        write_answer(&mut stream, "200 OK", &id, "");
         // Dropping the stream would close the connection, so it is left open until the process ends.
         std::mem::forget(stream);
     }
-    fixture.wait_until("both requests are answered", |events| {
-        events.iter().filter(|event| matches!(event, PoolEvent::Ended { .. })).count() == 2
-    });
+    fixture.wait_until("both requests are answered", |events| count_ended(events) == 2);
     assert_eq!(fixture.pool.connection_count(), 2);
     (fixture, listener)
 }
@@ -180,9 +179,7 @@
     reset(rejected);
     fixture.wait_until("the reset", is_ended);
     stream.write_all(b"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n").expect("answered");
-    let ended_count =
-        |events: &[PoolEvent]| events.iter().filter(|event| matches!(event, PoolEvent::Ended { .. })).count();
-    fixture.wait_until("the answer", |events| ended_count(events) == 2);
+    fixture.wait_until("the answer", |events| count_ended(events) == 2);
     assert_eq!(fixture.pool.connection_count(), 1);
     fixture.now = START + Duration::from_millis(200);
     fixture.sweep(Duration::MAX);
--- a/crates/staircross-gateway/tests/pool_fixture/mod.rs
+++ b/crates/staircross-gateway/tests/pool_fixture/mod.rs
@@ -12,7 +12,7 @@
 use staircross_routing::{AttemptKey, AttemptOutcome, RequestKey, SearcherKey, SearcherReport, SentIdentity};
 use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId};
 use staircross_types::BootTime;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -70,10 +70,15 @@
         self.send_numbered(address, 0);
     }
 
+    /// Sends the attempt `number`, which belongs to a request of its own with the id 7 + `number`.
     pub fn send_numbered(&mut self, address: SocketAddr, number: u16) {
+        self.send_with_id(address, number, &(7 + u32::from(number)).to_string());
+    }
+
+    pub fn send_with_id(&mut self, address: SocketAddr, number: u16, id: &str) {
         let mut order = order(address);
         order.attempt.number = number;
-        let request = request();
+        let request = request(id);
         self.with_io(|pool, io, events| pool.send(order, request, io, events));
     }
 
@@ -131,8 +136,9 @@
     }
 }
 
-pub fn request() -> OutboundRequest {
-    let parsed = RequestHead::parse(b"GET /one HTTP/1.1\r\nHost: h\r\nId: 7\r\n\r\n").expect("a head");
+pub fn request(id: &str) -> OutboundRequest {
+    let text = format!("GET /one HTTP/1.1\r\nHost: h\r\nId: {id}\r\n\r\n");
+    let parsed = RequestHead::parse(text.as_bytes()).expect("a head");
     let (head, _) = parsed.expect("a whole head");
     OutboundRequest::new(&Request { head, body: Vec::new() }, &NAMES)
 }
@@ -144,14 +150,28 @@
 }
 
 /// Reads a request without a body to its end: a searcher that closes with bytes unread would reset the connection.
-pub fn read_request(stream: &mut TcpStream) {
+/// Returns the request's id.
+pub fn read_request(stream: &mut TcpStream) -> String {
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("an open socket");
     let mut request = Vec::new();
     let mut buf = [0; 512];
     while !request.ends_with(b"\r\n\r\n") {
-        let count = stream.read(&mut buf).expect("the connection is open");
+        let count = stream.read(&mut buf).expect("a request comes");
         assert!(count > 0, "the request ends early");
         request.extend_from_slice(&buf[..count]);
     }
+    let text = String::from_utf8(request).expect("text");
+    text.lines().find_map(|line| line.strip_prefix("Id: ")).expect("an id").to_owned()
+}
+
+/// Writes an empty answer to request `id` with a status line's end and further header fields.
+pub fn write_answer(stream: &mut TcpStream, status: &str, id: &str, fields: &str) {
+    let answer = format!("HTTP/1.1 {status}\r\nId: {id}\r\n{fields}Content-Length: 0\r\n\r\n");
+    stream.write_all(answer.as_bytes()).expect("the connection is open");
+}
+
+pub fn count_ended(events: &[PoolEvent]) -> usize {
+    events.iter().filter(|event| matches!(event, PoolEvent::Ended { .. })).count()
 }
 
 pub fn is_connected(events: &[PoolEvent]) -> bool {
