Read calls' connections to their end, also behind the answer

What callers may see: a configuration or searchers that another call's answer named, and calls to store and peers that fail on a connection which the server has closed.

Cause: the client stopped reading with the answer. Bytes behind it stayed in the buffer and were taken for the answer to the next call, since these answers carry no ids; a close behind it brought no further event, and the next call was sent on the dead connection.

Change: the client reads until nothing waits. Bytes that belong to no call, and a close, end the connection. It also reads after it has connected, where a close may have come with the same event.

Ruled out: asking for a new connection for each call, which costs a handshake each and nothing is gained by it for answers that end where they should.

Tests: three of four new ones in gateway/tests/http_call.rs failed before: the next call got `Answered` with the extra answer's body, or `Failed`.

--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -191,7 +191,11 @@
             if connection.socket.flush(io.registry) == WriteOutcome::Broken {
                 return self.close_broken();
             }
-            return self.send_if_established(io);
+            if let Some(outcome) = self.send_if_established(io) {
+                return Some(outcome);
+            }
+            // A close may have come with the same event.
+            return self.read(io);
         }
         if readiness.is_writable && connection.socket.flush(io.registry) == WriteOutcome::Broken {
             return self.close_broken();
@@ -199,35 +203,62 @@
         self.read(io)
     }
 
+    /// Reads until nothing waits, also after the answer: a close or further bytes behind it end the connection, so that
+    /// the next call isn't sent on it.
     fn read(&mut self, io: &mut IoContext<'_>) -> Option<CallOutcome> {
-        loop {
-            let connection = self.connection.as_mut()?;
-            let (progress, may_have_more) = match connection.socket.read(io.buffer) {
+        let mut outcome = None;
+        while let Some(connection) = &mut self.connection {
+            match connection.socket.read(io.buffer) {
                 ReadOutcome::Bytes { count, may_have_more } => {
                     connection.http.receive(&io.buffer[..count]);
                     self.bytes += count;
-                    if let Some(pending) = &mut self.pending {
-                        pending.deadline =
-                            pending.deadline.max(io.now + PROGRESS_TIMEOUT).min(pending.overall_deadline);
+                    self.extend_deadline(io.now);
+                    outcome = outcome.or(self.advance());
+                    if !may_have_more {
+                        break;
                     }
-                    (connection.http.advance(), may_have_more)
                 }
-                ReadOutcome::WouldBlock => return None,
-                ReadOutcome::Closed => (connection.http.on_close(), false),
-                ReadOutcome::Broken => return self.close_broken(),
-            };
-            match progress {
-                ClientProgress::Answered(answer) => return Some(self.complete_call(answer)),
-                ClientProgress::Broken(_) | ClientProgress::Skipped => return self.close_broken(),
-                ClientProgress::NeedMore if may_have_more => {}
-                ClientProgress::NeedMore => return None,
+                ReadOutcome::WouldBlock => break,
+                ReadOutcome::Closed => {
+                    let progress = connection.http.on_close();
+                    outcome = outcome.or(self.handle_progress(progress));
+                }
+                ReadOutcome::Broken => outcome = outcome.or(self.close_broken()),
             }
         }
+        outcome
+    }
+
+    /// Gives the call in flight more time, since part of its answer has arrived.
+    fn extend_deadline(&mut self, now: BootTime) {
+        if let Some(pending) = &mut self.pending {
+            pending.deadline = pending.deadline.max(now + PROGRESS_TIMEOUT).min(pending.overall_deadline);
+        }
+    }
+
+    /// Looks for the answer in the bytes received so far.
+    fn advance(&mut self) -> Option<CallOutcome> {
+        let connection = self.connection.as_mut()?;
+        if !connection.http.is_waiting() {
+            // Answers carry no ids. Bytes that belong to no call could be taken for the answer to the next one.
+            return self.close_broken();
+        }
+        let progress = connection.http.advance();
+        self.handle_progress(progress)
+    }
+
+    fn handle_progress(&mut self, progress: ClientProgress) -> Option<CallOutcome> {
+        match progress {
+            ClientProgress::NeedMore => None,
+            ClientProgress::Answered(answer) => Some(self.complete_call(answer)),
+            ClientProgress::Broken(_) | ClientProgress::Skipped => self.close_broken(),
+        }
     }
 
     fn complete_call(&mut self, answer: Box<Answer>) -> CallOutcome {
         self.pending = None;
-        if !answer.is_reusable {
+        let has_further_bytes = self.connection.as_ref().is_some_and(|connection| connection.http.has_unread_bytes());
+        if !answer.is_reusable || has_further_bytes {
             self.connection = None;
         }
         CallOutcome::Answered(answer)
--- a/crates/staircross-gateway/tests/http_call.rs
+++ b/crates/staircross-gateway/tests/http_call.rs
@@ -6,7 +6,7 @@
 use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
 use staircross_types::BootTime;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 const KIND: SocketKind = SocketKind::Store;
@@ -21,6 +21,7 @@
 struct Fixture {
     poll: Poll,
     client: HttpClient,
+    listener: TcpListener,
     server: TcpStream,
     now: BootTime,
     buf: Box<[u8; READ_CHUNK]>,
@@ -33,15 +34,46 @@
         let mut client = HttpClient::new(KIND, 0, address);
         let poll = Poll::new().expect("a poll");
         let mut buf = Box::new([0; READ_CHUNK]);
-        let limits = ServerLimits { head_bytes: 1 << 16, body_bytes: 1 << 20 };
-        let mut io = IoContext { now: START, registry: poll.registry(), buffer: &mut buf, limits };
-        assert_eq!(client.get("/x", CALL_TIMEOUT, &mut io), None);
+        start_call(&mut client, START, &poll, &mut buf);
         let (server, _) = listener.accept().expect("a connection");
-        let mut fixture = Fixture { poll, client, server, now: START, buf };
+        let mut fixture = Fixture { poll, client, listener, server, now: START, buf };
         fixture.wait_for_request();
         fixture
     }
 
+    /// Makes another call, which must come on a new connection.
+    fn call_on_new_connection(&mut self) {
+        start_call(&mut self.client, self.now, &self.poll, &mut self.buf);
+        self.listener.set_nonblocking(true).expect("a socket option");
+        let end = Instant::now() + WAIT_TIMEOUT;
+        self.server = loop {
+            if let Ok((server, _)) = self.listener.accept() {
+                break server;
+            }
+            assert_eq!(self.poll_once(), None, "the call doesn't end on the connection before");
+            assert!(Instant::now() < end, "no new connection");
+        };
+        self.wait_for_request();
+    }
+
+    /// Handles readiness events until the call ends.
+    fn wait_for_outcome(&mut self) -> CallOutcome {
+        let end = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            if let Some(outcome) = self.poll_once() {
+                return outcome;
+            }
+            assert!(Instant::now() < end, "the call has no end");
+        }
+    }
+
+    /// Sends bytes and closes the connection before the client looks. Returns how the call ends.
+    fn send_and_close(&mut self, bytes: &[u8]) -> CallOutcome {
+        self.server.write_all(bytes).expect("the connection is open");
+        self.server.shutdown(Shutdown::Both).expect("the connection is open");
+        self.wait_for_outcome()
+    }
+
     /// Polls once and handles the readiness events. Returns the outcome if the call ends.
     fn poll_once(&mut self) -> Option<CallOutcome> {
         let mut events = Events::with_capacity(8);
@@ -93,6 +125,16 @@
     }
 }
 
+fn start_call(client: &mut HttpClient, now: BootTime, poll: &Poll, buf: &mut [u8; READ_CHUNK]) {
+    let limits = ServerLimits { head_bytes: 1 << 16, body_bytes: 1 << 20 };
+    let mut io = IoContext { now, registry: poll.registry(), buffer: buf, limits };
+    assert_eq!(client.get("/x", CALL_TIMEOUT, &mut io), None);
+}
+
+fn assert_answered(outcome: CallOutcome, body: &[u8]) {
+    assert!(matches!(&outcome, CallOutcome::Answered(answer) if answer.body == body), "{outcome:?}");
+}
+
 #[test]
 fn a_call_that_is_not_answered_is_given_up_in_its_time() {
     let mut fixture = Fixture::new();
@@ -135,3 +177,49 @@
     assert_eq!(outcome, Some(CallOutcome::Failed));
     assert_eq!(fixture.now.since(began), Duration::from_secs(10));
 }
+
+/// Guards against answers that are never seen to end: a close that had arrived together with the answer wasn't read.
+#[test]
+fn an_answer_without_length_is_complete_when_its_close_arrives_with_it() {
+    let mut fixture = Fixture::new();
+    assert_answered(fixture.send_and_close(b"HTTP/1.1 200 OK\r\n\r\nwhole"), b"whole");
+}
+
+/// Guards against calls that fail on a connection that the server has closed: reading ended with the answer, and the close
+/// behind it was never read.
+#[test]
+fn a_close_behind_an_answer_is_noticed_before_the_next_call() {
+    let mut fixture = Fixture::new();
+    assert_answered(fixture.send_and_close(&[ANSWER_HEAD, b"abcdef"].concat()), b"abcdef");
+    fixture.call_on_new_connection();
+    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"second"].concat()).expect("an outcome"), b"second");
+}
+
+/// Guards against answers to other calls: bytes behind an answer stayed in the connection's buffer and were taken for the
+/// answer to the next call. They come in two parts, split at each byte, the second one after the call has ended.
+#[test]
+fn bytes_behind_an_answer_are_not_taken_for_the_answer_to_the_next_call() {
+    let answer = [ANSWER_HEAD, b"abcdef"].concat();
+    let extra = [ANSWER_HEAD, b"strange"].concat();
+    for split in 1..=extra.len() {
+        let mut fixture = Fixture::new();
+        let outcome = fixture.send_part(&[&answer, &extra[..split]].concat()).expect("an outcome");
+        assert_answered(outcome, b"abcdef");
+        // The connection may be closed by now.
+        let _may_be_closed = fixture.server.write_all(&extra[split..]);
+        fixture.call_on_new_connection();
+        assert_answered(fixture.send_part(&[ANSWER_HEAD, b"second"].concat()).expect("an outcome"), b"second");
+    }
+}
+
+/// Guards against the same when the bytes come while no call is in flight.
+#[test]
+fn bytes_between_calls_end_the_connection() {
+    for part in [&b"H"[..], b"HTTP/1.1 200 OK", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"] {
+        let mut fixture = Fixture::new();
+        assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+        assert_eq!(fixture.send_part(part), None);
+        fixture.call_on_new_connection();
+        assert_answered(fixture.send_part(&[ANSWER_HEAD, b"second"].concat()).expect("an outcome"), b"second");
+    }
+}
--- a/crates/staircross-http/src/client.rs
+++ b/crates/staircross-http/src/client.rs
@@ -105,6 +105,11 @@
         self.expected.is_some()
     }
 
+    /// Returns whether bytes have arrived that no response has used yet, or part of a response.
+    pub fn has_unread_bytes(&self) -> bool {
+        !self.input.is_empty() || self.pending.is_some()
+    }
+
     /// Appends received bytes to the input buffer.
     pub fn receive(&mut self, bytes: &[u8]) {
         self.input.extend_from_slice(bytes);
