Never read an answer as the continuation of bytes before it

Cause: bytes behind an answer that may be the beginning of another stayed in the buffer of a connection that went on to be used. The next answer was read together with them, with the status of the bytes.

Evidence: cut off at each byte, an extra refusal makes a 500 a 503 from the 13th byte on, both when it comes before the next request is written and when it comes after.

Change: an idle connection on which part of an answer has arrived carries no request and is closed at the next check.

Weighed: closing each connection on which anything follows would close those with whole extra answers too, which their ids tell apart.

--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -115,8 +115,12 @@
 }
 
 impl Connection {
-    /// Returns whether an attempt may be written on the connection, which is idle.
+    /// Returns whether an attempt may be written on the connection, which is idle. Nothing follows bytes that could be
+    /// the beginning of an answer, since the next answer would be read as their continuation.
     fn suits(&self, assignment: &Assignment, now: BootTime) -> bool {
+        if self.http.has_unread_bytes() {
+            return false;
+        }
         let is_recently_used = now.since(self.state_since) < MAX_IDLE_IF_NOT_IDEMPOTENT;
         let has_carried = assignment.request.id.as_ref().is_some_and(|id| self.carried.may_contain(id));
         (assignment.order.is_idempotent || is_recently_used) && !has_carried
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -153,6 +153,8 @@
         for (slot, connection) in &self.connections {
             let age = now.since(connection.state_since);
             let is_expired = match &connection.state {
+                // No attempt may use the connection, and it takes room from others.
+                ConnectionState::Idle if connection.http.has_unread_bytes() => true,
                 ConnectionState::Idle
                     if self.policy.contested_rest && self.has_reset_recently(connection.searcher, now) =>
                 {
--- a/crates/staircross-gateway/tests/pool_fixture/mod.rs
+++ b/crates/staircross-gateway/tests/pool_fixture/mod.rs
@@ -112,8 +112,18 @@
         self.pool.sweep(self.now, max_idle, &mut self.events);
     }
 
+    /// Returns how the first attempt ended.
     pub fn outcome(&self) -> Option<&AttemptOutcome> {
-        self.events.iter().find_map(|event| match event {
+        self.outcomes().next()
+    }
+
+    /// Returns how the last attempt that has ended did.
+    pub fn last_outcome(&self) -> &AttemptOutcome {
+        self.outcomes().last().expect("an attempt has ended")
+    }
+
+    fn outcomes(&self) -> impl Iterator<Item = &AttemptOutcome> {
+        self.events.iter().filter_map(|event| match event {
             PoolEvent::Ended { outcome, .. } => Some(outcome),
             _ => None,
         })
--- a/crates/staircross-gateway/tests/pool_request_ids.rs
+++ b/crates/staircross-gateway/tests/pool_request_ids.rs
@@ -3,7 +3,6 @@
 mod pool_fixture;
 
 use pool_fixture::{Fixture, count_ended, is_connected, listener, read_request, write_answer};
-use staircross_gateway::pool::PoolEvent;
 use staircross_routing::{AttemptOutcome, NotRun};
 use staircross_types::BootTime;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -42,14 +41,6 @@
         write_answer(stream, status, id, fields);
         self.fixture.wait_until("the attempt ends", |events| count_ended(events) > ended);
     }
-
-    fn last_outcome(&self) -> &AttemptOutcome {
-        let mut ended = self.fixture.events.iter().filter_map(|event| match event {
-            PoolEvent::Ended { outcome, .. } => Some(outcome),
-            _ => None,
-        });
-        ended.next_back().expect("an attempt has ended")
-    }
 }
 
 /// Guards against requests that run twice: a late copy of a refusal was taken for the answer to the next attempt of the
@@ -59,7 +50,7 @@
     let mut searcher = Searcher::new();
     let mut first = searcher.send_on_new_connection(0, "7");
     searcher.answer(&mut first, "503 Service Unavailable", "7", NOT_EXECUTED);
-    assert!(matches!(searcher.last_outcome(), AttemptOutcome::NotRun(NotRun::Shed)));
+    assert!(matches!(searcher.fixture.last_outcome(), AttemptOutcome::NotRun(NotRun::Shed)));
 
     let mut second = searcher.send_on_new_connection(1, "7");
     write_answer(&mut first, "503 Service Unavailable", "7", NOT_EXECUTED);
@@ -67,7 +58,7 @@
     assert_eq!(count_ended(&searcher.fixture.events), 1, "the second attempt is still running");
 
     searcher.answer(&mut second, "200 OK", "7", "Stamp: s\r\n");
-    assert!(matches!(searcher.last_outcome(), AttemptOutcome::Answered(answer) if answer.status == 200));
+    assert!(matches!(searcher.fixture.last_outcome(), AttemptOutcome::Answered(answer) if answer.status == 200));
 }
 
 /// Guards against the same when a caller repeats an id: a late copy of the answer to an earlier request with this id.
