Allow test files to use a part of the server's fixture

Cause: the lint for dead code failed on transport/tests/common, of which each test file uses a part. Change: the same permission as the other fixtures have. No test changes; clippy is clean with it, and fails without.

--- a/crates/staircross-transport/tests/common/mod.rs
+++ b/crates/staircross-transport/tests/common/mod.rs
@@ -1,4 +1,6 @@
 //! A server on a loopback port whose requests wait until the test answers them, with the time set by the test.
+// Each test file uses a part of this.
+#![allow(dead_code)]
 
 use mio::{Events, Poll};
 use staircross_http::ServerLimits;
