Test response heads that contain another status line

Cause: the check of the head was tested through the pool alone. Change: a test of the parser's own, at four places where a response may be cut off, and one that a field may name a version of the protocol. Both pass; the first fails without the check, as the pool's test does.

--- a/crates/staircross-http/tests/framing.rs
+++ b/crates/staircross-http/tests/framing.rs
@@ -128,6 +128,28 @@
     assert_eq!(connection.advance(), ClientProgress::Broken(ClientFault::Malformed));
 }
 
+/// Guards against answers that are read as the continuation of one that was cut off: they would have its status.
+#[test]
+fn a_head_with_another_status_line_in_it_is_malformed() {
+    let beginnings =
+        ["HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 503 Busy\r\nNot-Executed: 1", "HTTP/1.1 100 Continue"];
+    for beginning in beginnings {
+        let mut connection = waiting_for("b");
+        connection.receive(beginning.as_bytes());
+        connection.receive(answer("b", "").as_bytes());
+        assert_eq!(connection.advance(), ClientProgress::Broken(ClientFault::Malformed), "{beginning}");
+    }
+}
+
+#[test]
+fn a_field_may_name_a_version_of_the_protocol() {
+    for field in ["Via: HTTP/1.1 proxy", "Upgrade: HTTP/2.0", "Server: x HTTP/1.0"] {
+        let mut connection = waiting_for("b");
+        connection.receive(answer("b", "").replace("\r\n\r\n", &format!("\r\n{field}\r\n\r\n")).as_bytes());
+        assert!(matches!(connection.advance(), ClientProgress::Answered(_)), "{field}");
+    }
+}
+
 #[test]
 fn interim_answers_are_passed_over() {
     let mut connection = waiting_for("b");
