Bound the connections of a caller that repeats an id

What callers might see: connections to searchers that are used up, where a caller sends one id again and again.

Cause: an idle connection that has carried the id can't serve the request, and stayed beside the new one.

Change: the new connection takes the place of the least recently used idle one that has carried the id.

Test: a_caller_that_repeats_an_id_holds_one_connection; without the change its second round finds two connections.

--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -122,8 +122,12 @@
             return false;
         }
         let is_recently_used = now.since(self.state_since) < MAX_IDLE_IF_NOT_IDEMPOTENT;
-        let has_carried = assignment.request.id.as_ref().is_some_and(|id| self.carried.may_contain(id));
-        (assignment.order.is_idempotent || is_recently_used) && !has_carried
+        (assignment.order.is_idempotent || is_recently_used) && !self.has_carried(&assignment.request)
+    }
+
+    /// Returns whether the connection may have carried an attempt of a request.
+    fn has_carried(&self, request: &OutboundRequest) -> bool {
+        request.id.as_ref().is_some_and(|id| self.carried.may_contain(id))
     }
 }
 
@@ -209,6 +213,7 @@
             self.write_attempt(slot, assignment, io, events);
             return;
         }
+        self.close_carrier(&assignment);
         self.open_connection(assignment, io, events);
     }
 
@@ -219,6 +224,18 @@
         Some(idle.remove(position))
     }
 
+    /// Closes the least recently used idle connection that has carried the request, if there is one. The new connection
+    /// takes its place, so that a caller that repeats an id doesn't use up the searcher's connections.
+    fn close_carrier(&mut self, assignment: &Assignment) {
+        let Some(idle) = self.idle.get_mut(&assignment.order.searcher) else {
+            return;
+        };
+        let carrier = idle.iter().position(|slot| self.connections[*slot].has_carried(&assignment.request));
+        if let Some(position) = carrier {
+            self.connections.remove(idle.remove(position));
+        }
+    }
+
     /// Writes an attempt on a connection that is established and free.
     fn write_attempt(
         &mut self,
--- a/crates/staircross-gateway/tests/pool_request_ids.rs
+++ b/crates/staircross-gateway/tests/pool_request_ids.rs
@@ -87,6 +87,18 @@
     assert_eq!(searcher.fixture.pool.counters.connects, 2);
 }
 
+/// Guards against callers that use up a searcher's connections by repeating an id: each repetition needs a connection that
+/// hasn't carried it.
+#[test]
+fn a_caller_that_repeats_an_id_holds_one_connection() {
+    let mut searcher = Searcher::new();
+    for number in 0..20 {
+        let mut stream = searcher.send_on_new_connection(number, "7");
+        searcher.answer(&mut stream, "200 OK", "7", "");
+        assert_eq!(searcher.fixture.pool.connection_count(), 1);
+    }
+}
+
 /// Guards against connections that remember ever more ids.
 #[test]
 fn a_connection_is_closed_after_as_many_requests_as_it_remembers() {
