Keep the searcher's connections open in the test of repeated ids

Change: the test holds the connections. Without close_carrier it fails now in the second round (2 connections instead of 1); with it, it passes.

--- a/crates/staircross-gateway/tests/pool_request_ids.rs
+++ b/crates/staircross-gateway/tests/pool_request_ids.rs
@@ -92,9 +92,12 @@
 #[test]
 fn a_caller_that_repeats_an_id_holds_one_connection() {
     let mut searcher = Searcher::new();
+    // The searcher closes none of its connections.
+    let mut streams = Vec::new();
     for number in 0..20 {
         let mut stream = searcher.send_on_new_connection(number, "7");
         searcher.answer(&mut stream, "200 OK", "7", "");
+        streams.push(stream);
         assert_eq!(searcher.fixture.pool.connection_count(), 1);
     }
 }
