Move the state of an accepted connection out of the server's file

Change: Connection, State and ConnectionInfo move to server/connection.rs unchanged; their fields and methods are visible to the server as before. ConnectionInfo keeps its public path.

--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -8,9 +8,14 @@
 //! A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
 //! serves.
 
+mod connection;
+
+pub use connection::ConnectionInfo;
+
 use crate::listener::Listener;
 use crate::round_trip::round_trip;
 use crate::socket::{IoContext, ReadOutcome, Readiness, Socket, SocketId, SocketKind, WriteOutcome};
+use connection::{Connection, State};
 use mio::net::TcpListener;
 use mio::{Interest, Registry};
 use slab::Slab;
@@ -31,15 +36,6 @@
 /// Number of bytes after which a read stops while the connection's previous request is still being answered.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
-/// Properties of an accepted connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConnectionInfo {
-    /// Round-trip time to the peer, if the operating system reports it.
-    pub round_trip: Option<Duration>,
-    /// Whether no earlier request has arrived on the connection.
-    pub is_new: bool,
-}
-
 /// An event on a connection.
 #[derive(Debug)]
 pub enum ServerEvent<E> {
@@ -75,58 +71,6 @@
     },
 }
 
-/// What a connection waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    /// It waits for a request.
-    Reading,
-    /// It waits for the node to answer a request, a fault or a timeout.
-    AwaitingAnswer,
-    /// It waits until the last answer is written and the peer has closed the connection.
-    Closing,
-}
-
-struct Connection<E> {
-    socket: Socket,
-    http: ServerConnection,
-    endpoint: E,
-    state: State,
-    generation: u32,
-    /// Time of the last progress: when the connection was accepted, last received bytes while it waited for a request,
-    /// was last given an answer, or last took part of one.
-    last_progress: BootTime,
-    /// Time at which the head that is being received began to arrive.
-    head_began: Option<BootTime>,
-    /// Properties that the event of the next request states.
-    info: ConnectionInfo,
-    /// Whether reading stopped before everything that had arrived was read. There is no further readiness event for it.
-    has_unread: bool,
-}
-
-impl<E> Connection<E> {
-    /// Returns whether the next request may be taken: the last answer has been written completely. Otherwise a peer that
-    /// sends requests and doesn't read the answers would fill this process's memory with them.
-    fn can_take_request(&self) -> bool {
-        self.state == State::Reading && self.socket.is_flushed()
-    }
-
-    /// Looks for the next request in the received bytes, and records since when a head has been arriving.
-    fn advance(&mut self, io: &IoContext<'_>) -> ServerProgress {
-        let progress = self.http.advance(io.limits);
-        let is_receiving_head = matches!(progress, ServerProgress::NeedMore { .. }) && self.http.has_partial_head();
-        self.head_began = is_receiving_head.then(|| self.head_began.unwrap_or(io.now));
-        progress
-    }
-
-    /// Returns whether a request has begun to arrive and takes too long. What arrives while an answer is being written
-    /// isn't looked at yet.
-    fn is_request_late(&self, now: BootTime, timeout: Duration) -> bool {
-        let is_head_late = self.head_began.is_some_and(|began| now.since(began) >= timeout);
-        let is_silent = self.http.has_partial_request() && now.since(self.last_progress) >= timeout;
-        self.can_take_request() && (is_head_late || is_silent)
-    }
-}
-
 /// Timeouts of accepted connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerTimeouts {
