Believe whole answers whose fields contain a status line

Requests that must not be repeated had run.

Cause: calls each head malformed that contains another status line, since it may be the beginning of an answer that was cut off and continued by the right one. A whole answer may consist of the same bytes.

Change: a head is ambiguous only if the id of the request stands behind a status line within it. It is believed where nothing has arrived before the request was written, and otherwise ends its attempt as `ambiguous`. After that, connections to the service carry one request each for a while (connection_reuse.rs, line `reuse_ended`). The client for calls to store and peers does the same.

--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -3,8 +3,8 @@
 //! [`HttpClient`] owns a connection and the call in flight on it. It relies on `socket` for reading and writing, and on
 //! `staircross_http` for the format of messages. Its user interprets the answers.
 //!
-//! The connection is kept between calls. A call that times out closes the connection, so that a late answer is never
-//! taken for the answer to a later call.
+//! The connection is kept between calls, unless [`ConnectionReuse`] forbids it. A call that times out closes the
+//! connection, so that a late answer is never taken for the answer to a later call.
 //!
 //! | what stays silent | timeout |
 //! | --- | --- |
@@ -13,9 +13,10 @@
 //! | a server in the middle of its answer | `PROGRESS_TIMEOUT`, and `MAX_CALL_TIME` for the whole call |
 //! | a host that acknowledges nothing | `TCP_USER_TIMEOUT_MS`, or the keep-alive probes while nothing is sent |
 
+use crate::connection_reuse::{ConnectionReuse, Evidence};
 use rustix::net::sockopt;
-use staircross_http::client::Expected;
-use staircross_http::{Answer, ClientConnection, ClientProgress, write};
+use staircross_http::expected::Expected;
+use staircross_http::{Answer, ClientConnection, ClientFault, ClientProgress, write};
 use staircross_transport::socket::{
     ConnectingState, IoContext, ReadOutcome, Readiness, Socket, SocketId, SocketKind, WriteOutcome,
 };
@@ -79,6 +80,7 @@
     generation: u32,
     address: SocketAddr,
     connection: Option<Connection>,
+    reuse: ConnectionReuse,
     pending: Option<PendingCall>,
     /// Bytes sent and received since [`HttpClient::take_bytes`] was last called.
     bytes: usize,
@@ -87,7 +89,16 @@
 impl HttpClient {
     /// Creates a client of the server at `address`. Its socket ids carry `socket_kind` and `slot`.
     pub fn new(socket_kind: SocketKind, slot: u32, address: SocketAddr) -> Self {
-        HttpClient { socket_kind, slot, generation: 0, address, connection: None, pending: None, bytes: 0 }
+        HttpClient {
+            socket_kind,
+            slot,
+            generation: 0,
+            address,
+            connection: None,
+            reuse: ConnectionReuse::default(),
+            pending: None,
+            bytes: 0,
+        }
     }
 
     /// Returns the server's address.
@@ -100,8 +111,8 @@
     pub fn set_address(&mut self, address: SocketAddr) {
         if address != self.address {
             self.address = address;
-            self.connection = None;
-            self.pending = None;
+            self.reuse = ConnectionReuse::default();
+            self.cancel();
         }
     }
 
@@ -213,7 +224,7 @@
                     connection.http.receive(&io.buffer[..count]);
                     self.bytes += count;
                     self.extend_deadline(io.now);
-                    outcome = outcome.or(self.advance());
+                    outcome = outcome.or(self.advance(io.now));
                     if !may_have_more {
                         break;
                     }
@@ -221,7 +232,7 @@
                 ReadOutcome::WouldBlock => break,
                 ReadOutcome::Closed => {
                     let progress = connection.http.on_close();
-                    outcome = outcome.or(self.handle_progress(progress));
+                    outcome = outcome.or(self.handle_progress(progress, io.now));
                 }
                 ReadOutcome::Broken => outcome = outcome.or(self.close_broken()),
             }
@@ -237,28 +248,35 @@
     }
 
     /// Looks for the answer in the bytes received so far.
-    fn advance(&mut self) -> Option<CallOutcome> {
+    fn advance(&mut self, now: BootTime) -> Option<CallOutcome> {
         let connection = self.connection.as_mut()?;
         if !connection.http.is_waiting() {
             // Answers carry no ids. Bytes that belong to no call could be taken for the answer to the next one.
             return self.close_broken();
         }
         let progress = connection.http.advance();
-        self.handle_progress(progress)
+        self.handle_progress(progress, now)
     }
 
-    fn handle_progress(&mut self, progress: ClientProgress) -> Option<CallOutcome> {
+    fn handle_progress(&mut self, progress: ClientProgress, now: BootTime) -> Option<CallOutcome> {
         match progress {
             ClientProgress::NeedMore => None,
-            ClientProgress::Answered(answer) => Some(self.complete_call(answer)),
+            ClientProgress::Answered(answer) => Some(self.complete_call(answer, now)),
+            ClientProgress::Broken(ClientFault::Ambiguous) => {
+                self.reuse.note_ambiguous(Evidence::Doubtful, now);
+                self.close_broken()
+            }
             ClientProgress::Broken(_) | ClientProgress::Skipped => self.close_broken(),
         }
     }
 
-    fn complete_call(&mut self, answer: Box<Answer>) -> CallOutcome {
+    fn complete_call(&mut self, answer: Box<Answer>, now: BootTime) -> CallOutcome {
         self.pending = None;
+        if answer.needs_fresh_connection {
+            self.reuse.note_ambiguous(Evidence::Certain, now);
+        }
         let has_further_bytes = self.connection.as_ref().is_some_and(|connection| connection.http.has_unread_bytes());
-        if !answer.is_reusable || has_further_bytes {
+        if !answer.is_reusable || has_further_bytes || !self.reuse.is_allowed(now) {
             self.connection = None;
         }
         CallOutcome::Answered(answer)
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`dialect`] | the interface to a platform's wire format: header names, paths, store calls |
 //! | [`endpoint`] | what each listener serves |
 //! | [`pool`] | connections to searchers |
+//! | [`connection_reuse`] | whether connections to a server may carry more than one request |
 //! | [`peer_answers`] | sizes of the answers sent to peers within the last second |
 //! | [`case_pushes`] | rate limit of pushes of case records to peers |
 //! | [`http_call`] | one outgoing HTTP call at a time, to the store or a peer |
@@ -38,6 +39,7 @@
 //! | [`unreadable_log`] | the unusable items of the store that have been logged |
 
 pub mod case_pushes;
+pub mod connection_reuse;
 pub mod dialect;
 pub mod directory;
 pub mod endpoint;
--- a/crates/staircross-gateway/src/node/attempts.rs
+++ b/crates/staircross-gateway/src/node/attempts.rs
@@ -76,6 +76,7 @@
                 }
                 PoolEvent::Begun { attempt } => self.process_routing_event(RoutingEvent::Begun { attempt }),
                 PoolEvent::Skipped { searcher } => self.log_skipped_answer(searcher),
+                PoolEvent::ReuseEnded { service, evidence } => self.log_reuse_ended(&service, evidence),
                 PoolEvent::Ended { attempt, outcome } => {
                     self.trace_attempt_ended(attempt, &outcome);
                     self.process_routing_event(RoutingEvent::Ended { attempt, outcome });
--- a/crates/staircross-gateway/src/node/request_log.rs
+++ b/crates/staircross-gateway/src/node/request_log.rs
@@ -5,6 +5,7 @@
 
 use super::GatewayNode;
 use super::caller_request::CallerRequest;
+use crate::connection_reuse::Evidence;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use staircross_quota::QuotaChange;
@@ -101,6 +102,12 @@
         self.log.line(self.now, LineKind::Drop, line);
     }
 
+    /// Logs that connections to the searchers of a service carry one request each from now on.
+    pub(super) fn log_reuse_ended(&mut self, service: &str, evidence: Evidence) {
+        let line = format_args!("event=reuse_ended service={service} evidence={}", evidence.name());
+        self.log.line(self.now, LineKind::NodeEvent, line);
+    }
+
     /// Logs a change of the fraction of work that is admitted to a group of services.
     pub(super) fn log_admission(&mut self, group: &str, change: &AdmissionChange) {
         let AdmissionChange { level, wait, tolerable } = change;
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -6,28 +6,34 @@
 //!
 //! [`Pool`] owns the connections and reports how each attempt ended, in particular whether the searcher may have run
 //! it. The engine chooses the searcher of each attempt, and decides what the end of an attempt means for its request.
+//! `reuse` remembers the services whose connections carry one attempt each.
 //! `establish` opens connections and proves fresh ones, that is, it waits for a possible reset before anything is sent.
-//! `endings` ends attempts and connections. `carried` remembers the requests of a connection.
+//! `endings` ends attempts and connections. `connection` holds the state of one. `carried` remembers the requests of a connection.
 
 mod carried;
+mod connection;
 mod endings;
 mod establish;
+mod reuse;
 
+use crate::connection_reuse::Evidence;
 use crate::dialect::HeaderNames;
 use crate::outbound::OutboundRequest;
 use crate::settings::NodePolicy;
-use crate::traffic::{Purpose, Reach, Traffic};
-use carried::CarriedIds;
+use crate::traffic::{Purpose, Traffic};
+use connection::{Assignment, Connection, ConnectionState};
 use hashbrown::HashMap;
+use reuse::ReuseByService;
 use slab::Slab;
-use staircross_http::client::{Expected, ExpectedId};
-use staircross_http::{ClientConnection, ClientFault, ClientProgress};
+use staircross_http::expected::{Expected, ExpectedId};
+use staircross_http::{ClientFault, ClientProgress};
 use staircross_routing::engine::{AbandonCause, SendOrder};
 use staircross_routing::{AttemptKey, AttemptOutcome, SearcherKey};
-use staircross_transport::socket::{IoContext, ReadOutcome, Readiness, Socket, SocketId, WriteOutcome};
+use staircross_transport::socket::{IoContext, ReadOutcome, Readiness, SocketId, WriteOutcome};
 use staircross_types::BootTime;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time after which an idle connection is closed if its searcher doesn't state a keep-alive timeout. The timeout is
@@ -36,10 +42,6 @@
 /// Time by which a connection is closed before its searcher would close it. This margin is longer than the transit time
 /// of a request plus the rounding error of the searcher's keep-alive timeout, which is stated in whole seconds.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1200);
-/// Maximum idle time of a connection that is reused for a request that must not run twice. If the searcher ended while
-/// the connection was idle, it would be unknown whether the request ran. The maximum is below one second, the shortest
-/// keep-alive timeout that a searcher can state.
-const MAX_IDLE_IF_NOT_IDEMPOTENT: Duration = Duration::from_millis(800);
 /// HTTP status of an answer from a searcher that isn't the incarnation that the request names.
 const HTTP_MISDIRECTED_REQUEST: u16 = 421;
 
@@ -70,65 +72,13 @@
         /// The searcher of the connection.
         searcher: SearcherKey,
     },
-}
-
-/// An attempt assigned to a connection.
-struct Assignment {
-    order: SendOrder,
-    request: OutboundRequest,
-    /// Time until which the pool still reads the answer, and the cause, once the answer is no longer wanted.
-    abandoned: Option<(BootTime, AbandonCause)>,
-}
-
-/// State of a connection. The assignment is `None` if the attempt that the connection was opened for was recalled.
-enum ConnectionState {
-    /// The connection isn't known to be established.
-    Connecting { assignment: Option<Box<Assignment>> },
-    /// The connection is established, but nothing is sent before it has stayed open for a moment.
-    Proving { assignment: Option<Box<Assignment>> },
-    /// The pool has begun to write an attempt, and the answer isn't complete.
-    Busy(Box<Assignment>),
-    /// The connection is available to attempts.
-    Idle,
-}
-
-/// A connection to a searcher, or an attempt to connect.
-struct Connection {
-    socket: Socket,
-    http: ClientConnection,
-    searcher: SearcherKey,
-    /// Number that distinguishes the connection from earlier ones in the same slot.
-    generation: u32,
-    /// Time at which the present state began.
-    state_since: BootTime,
-    /// Time after which the idle connection is closed.
-    idle_timeout: Duration,
-    state: ConnectionState,
-    /// Whether the connection hasn't delivered an answer yet.
-    is_fresh: bool,
-    /// Ids of the requests that were written on the connection.
-    carried: CarriedIds,
-    /// Purpose of the last attempt, for the count of bytes.
-    purpose: Purpose,
-    /// Distance of the searcher, for the count of bytes.
-    reach: Reach,
-}
-
-impl Connection {
-    /// Returns whether an attempt may be written on the connection, which is idle. Nothing follows bytes that could be
-    /// the beginning of an answer, since the next answer would be read as their continuation.
-    fn suits(&self, assignment: &Assignment, now: BootTime) -> bool {
-        if self.http.has_unread_bytes() {
-            return false;
-        }
-        let is_recently_used = now.since(self.state_since) < MAX_IDLE_IF_NOT_IDEMPOTENT;
-        (assignment.order.is_idempotent || is_recently_used) && !self.has_carried(&assignment.request)
-    }
-
-    /// Returns whether the connection may have carried an attempt of a request.
-    fn has_carried(&self, request: &OutboundRequest) -> bool {
-        request.id.as_ref().is_some_and(|id| self.carried.may_contain(id))
-    }
+    /// From now on, connections to a service carry one attempt each, since its answers can't be told apart otherwise.
+    ReuseEnded {
+        /// The service.
+        service: Arc<str>,
+        /// What its answer shows.
+        evidence: Evidence,
+    },
 }
 
 /// Counters of connections and answers, for metrics.
@@ -158,6 +108,8 @@
     proving_queue: BinaryHeap<Reverse<(BootTime, usize, u32)>>,
     /// Time of the last reset of a fresh connection, for each searcher that reset one.
     last_resets: HashMap<SearcherKey, BootTime>,
+    /// Services whose connections carry one attempt each.
+    reuse: ReuseByService,
     /// Time until which every fresh connection is proved.
     proves_until: BootTime,
     policy: NodePolicy,
@@ -181,6 +133,7 @@
             slot_by_attempt: HashMap::new(),
             proving_queue: BinaryHeap::new(),
             last_resets: HashMap::new(),
+            reuse: ReuseByService::default(),
             proves_until,
             policy: NodePolicy::default(),
             counters: PoolCounters::default(),
@@ -219,8 +172,10 @@
 
     /// Takes the most recently used one of the searcher's idle connections that suit the request.
     fn take_idle(&mut self, assignment: &Assignment, now: BootTime) -> Option<usize> {
+        let is_reuse_allowed = self.reuse.is_allowed(&assignment.order.service, now);
         let idle = self.idle.get_mut(&assignment.order.searcher)?;
-        let position = idle.iter().rposition(|slot| self.connections[*slot].suits(assignment, now))?;
+        let suits = |slot: &usize| self.connections[*slot].suits(assignment, is_reuse_allowed, now);
+        let position = idle.iter().rposition(suits)?;
         Some(idle.remove(position))
     }
 
@@ -387,8 +342,26 @@
                 self.counters.skipped += 1;
                 events.push(PoolEvent::Skipped { searcher: self.connections[slot].searcher });
             }
-            ClientProgress::Broken(fault) => self.fail_connection(slot, fault, events),
-            ClientProgress::Answered(answer) => self.end_with_answer(slot, *answer, now, events),
+            ClientProgress::Broken(fault) => {
+                if fault == ClientFault::Ambiguous {
+                    self.end_reuse(slot, Evidence::Doubtful, now, events);
+                }
+                self.fail_connection(slot, fault, events);
+            }
+            ClientProgress::Answered(answer) => {
+                if answer.needs_fresh_connection {
+                    self.end_reuse(slot, Evidence::Certain, now, events);
+                }
+                self.end_with_answer(slot, *answer, now, events);
+            }
+        }
+    }
+
+    /// Records that the service of a connection sends answers that are ambiguous on a connection in use.
+    fn end_reuse(&mut self, slot: usize, evidence: Evidence, now: BootTime, events: &mut Vec<PoolEvent>) {
+        let service = &self.connections[slot].service;
+        if self.reuse.note_ambiguous(service, evidence, now) {
+            events.push(PoolEvent::ReuseEnded { service: service.clone(), evidence });
         }
     }
 }
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -37,7 +37,8 @@
         let is_reusable = answer.is_reusable
             && connection.socket.is_flushed()
             && !connection.idle_timeout.is_zero()
-            && !connection.carried.is_full();
+            && !connection.carried.is_full()
+            && self.reuse.is_allowed(&connection.service, now);
         if let ConnectionState::Busy(assignment) = state {
             let attempt = assignment.order.attempt;
             self.slot_by_attempt.remove(&attempt);
@@ -155,6 +156,11 @@
             let is_expired = match &connection.state {
                 // No attempt may use the connection, and it takes room from others.
                 ConnectionState::Idle if connection.http.has_unread_bytes() => true,
+                ConnectionState::Idle
+                    if connection.http.has_received() && !self.reuse.is_allowed(&connection.service, now) =>
+                {
+                    true
+                }
                 ConnectionState::Idle
                     if self.policy.contested_rest && self.has_reset_recently(connection.searcher, now) =>
                 {
@@ -210,6 +216,7 @@
     match fault {
         ClientFault::TooLong => Unknown::TooLong,
         ClientFault::Malformed => Unknown::Malformed,
+        ClientFault::Ambiguous => Unknown::Ambiguous,
         ClientFault::Truncated | ClientFault::ClosedUnanswered | ClientFault::Reset => Unknown::Broken,
     }
 }
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -47,6 +47,7 @@
                     socket,
                     http: ClientConnection::new(self.max_answer_body),
                     searcher,
+                    service: assignment.order.service.clone(),
                     generation,
                     state_since: io.now,
                     idle_timeout: DEFAULT_IDLE_TIMEOUT,
--- a/crates/staircross-gateway/tests/http_call.rs
+++ b/crates/staircross-gateway/tests/http_call.rs
@@ -223,3 +223,51 @@
         assert_answered(fixture.send_part(&[ANSWER_HEAD, b"second"].concat()).expect("an outcome"), b"second");
     }
 }
+
+/// An answer with a field that contains a status line, as a proxy or a debugging option may add it.
+const ANSWER_WITH_STATUS_LINE: &[u8] =
+    b"HTTP/1.1 200 OK\r\nX-Upstream: HTTP/1.1 304 Not Modified\r\nContent-Length: 6\r\n\r\nabcdef";
+
+/// Guards against a store that can't be read because a proxy before it repeats a status line in a field.
+#[test]
+fn calls_to_a_server_whose_fields_contain_status_lines_are_answered() {
+    let mut fixture = Fixture::new();
+    for _ in 0..5 {
+        assert_answered(fixture.send_part(ANSWER_WITH_STATUS_LINE).expect("an outcome"), b"abcdef");
+        fixture.call_on_new_connection();
+    }
+    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+    // Answers without such a field may be followed by one with it.
+    fixture.call_on_new_connection();
+}
+
+/// Guards against answers that are read as the continuation of bytes before them, which came when the call had been sent.
+#[test]
+fn an_answer_that_continues_the_beginning_of_another_is_not_believed() {
+    let extra = b"HTTP/1.1 503 Busy\r\nX-Upstream: HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n";
+    for length in 1..extra.len() {
+        let mut fixture = Fixture::new();
+        assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+        start_call(&mut fixture.client, fixture.now, &fixture.poll, &mut fixture.buf);
+        fixture.wait_for_request();
+        let outcome = fixture.send_and_close(&[&extra[..length], ANSWER_WITH_STATUS_LINE].concat());
+        assert_eq!(outcome, CallOutcome::Failed, "cut off after {length} bytes");
+    }
+}
+
+/// Guards against a server that is called on a new connection each time for one mistake.
+#[test]
+fn a_connection_is_kept_again_some_time_after_an_answer_was_dropped() {
+    let mut fixture = Fixture::new();
+    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+    start_call(&mut fixture.client, fixture.now, &fixture.poll, &mut fixture.buf);
+    fixture.wait_for_request();
+    assert_eq!(fixture.send_part(ANSWER_WITH_STATUS_LINE), Some(CallOutcome::Failed));
+    fixture.call_on_new_connection();
+    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+    fixture.now = fixture.now + Duration::from_secs(30);
+    fixture.call_on_new_connection();
+    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+    start_call(&mut fixture.client, fixture.now, &fixture.poll, &mut fixture.buf);
+    fixture.wait_for_request();
+}
--- a/crates/staircross-gateway/tests/pinned_log.rs
+++ b/crates/staircross-gateway/tests/pinned_log.rs
@@ -5,6 +5,7 @@
 //! matter.
 
 use staircross_cluster::MemberState;
+use staircross_gateway::connection_reuse::Evidence;
 use staircross_gateway::recorder::RecordingEnd;
 use staircross_gateway::store_role::StoreRole;
 use staircross_gateway::traffic::{Purpose, Reach};
@@ -113,7 +114,7 @@
 fn of_requests() -> String {
     use UnsentCause::*;
     let not_run = [NotRun::Unconnected, NotRun::ConnectionRejected, NotRun::Stale, NotRun::Shed, NotRun::OtherInstance];
-    let unknown = [Unknown::Broken, Unknown::Malformed, Unknown::Unanswered, Unknown::TooLong];
+    let unknown = [Unknown::Broken, Unknown::Malformed, Unknown::Ambiguous, Unknown::Unanswered, Unknown::TooLong];
     let reasons = [SendReason::First, SendReason::Hedge, SendReason::Retry, SendReason::Reroute];
     let unsent = [
         OverBudget,
@@ -134,6 +135,7 @@
     [
         line_of_names("attempt that didn't run", not_run.map(NotRun::name)),
         line_of_names("attempt that may have run", unknown.map(Unknown::name)),
+        line_of_names("evidence of reuse_ended", [Evidence::Certain, Evidence::Doubtful].map(Evidence::name)),
         line_of_names("reason of an attempt", reasons.map(SendReason::name)),
         line_of_names("cause of unsent", unsent.map(UnsentCause::name)),
         line_of_names("cause of left_out", left_out.map(LeftOutCause::name)),
--- a/crates/staircross-gateway/tests/pool_fixture/mod.rs
+++ b/crates/staircross-gateway/tests/pool_fixture/mod.rs
@@ -78,6 +78,10 @@
     pub fn send_with_id(&mut self, address: SocketAddr, number: u16, id: &str) {
         let mut order = order(address);
         order.attempt.number = number;
+        self.send_order(order, id);
+    }
+
+    pub fn send_order(&mut self, order: SendOrder, id: &str) {
         let request = request(id);
         self.with_io(|pool, io, events| pool.send(order, request, io, events));
     }
@@ -135,6 +139,7 @@
         attempt: AttemptKey { request: RequestKey(1), number: 0 },
         searcher: SearcherKey(0),
         instance: "i-1".into(),
+        service: "docs".into(),
         address,
         distance: Distance::OwnZone,
         deadline: START + Duration::from_secs(5),
--- a/crates/staircross-http/src/client.rs
+++ b/crates/staircross-http/src/client.rs
@@ -2,8 +2,12 @@
 //!
 //! Invariants: where the protocol has request ids, a response counts only if it repeats the id of the outstanding
 //! request; a response with another id is skipped. A connection on which bytes arrived that are no HTTP response, or
-//! that ended within a response, is never used again. No request is sent twice.
+//! that ended within a response, is never used again. No request is sent twice. A response is never read as the
+//! continuation of bytes that arrived before it: where this can't be excluded, the result is [`ClientFault::Ambiguous`].
+//! It can be excluded on a connection on which nothing has arrived before the request was sent.
 
+use crate::ambiguity;
+use crate::expected::Expected;
 use crate::framing::{BodyDecoder, Framing};
 use crate::head::{MessageError, ResponseHead};
 
@@ -21,6 +25,8 @@
     pub body: Vec<u8>,
     /// Whether the connection may carry another request.
     pub is_reusable: bool,
+    /// Whether a response like this one is unambiguous only on a connection on which nothing has arrived before it.
+    pub needs_fresh_connection: bool,
 }
 
 /// Why a connection can't be used any more.
@@ -28,6 +34,9 @@
 pub enum ClientFault {
     /// The peer sent bytes that are no valid response.
     Malformed,
+    /// The bytes are either one response with a status line in a field, or the beginning of a response that was cut off,
+    /// continued by the response to the outstanding request.
+    Ambiguous,
     /// The head or the body of a response is longer than allowed.
     TooLong,
     /// The peer closed the connection before the response was complete.
@@ -51,24 +60,6 @@
     Broken(ClientFault),
 }
 
-/// The outstanding request, as far as it is needed to recognise and read its response.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Expected {
-    /// Method of the request. Responses to `HEAD` have no body.
-    pub method: String,
-    /// Id that the response must repeat; `None` where the protocol has no request ids.
-    pub id: Option<ExpectedId>,
-}
-
-/// The header field that ties a response to its request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ExpectedId {
-    /// Name of the header field.
-    pub field: &'static str,
-    /// Value that the field must have in the response.
-    pub value: Vec<u8>,
-}
-
 /// A response whose head has been read and whose body is being read.
 #[derive(Debug)]
 struct PendingResponse {
@@ -87,17 +78,38 @@
     expected: Option<Expected>,
     max_body: usize,
     peer_closed: bool,
+    /// Whether any bytes have arrived on the connection.
+    has_received: bool,
+    /// Whether bytes that belong to another response may stand directly before the response to the outstanding request.
+    may_follow_others: bool,
+    /// Whether the outstanding request was answered by a head, final or interim, that can be read in two ways.
+    has_ambiguous_head: bool,
+    /// End of the body of the response that was skipped last, from its last status line on.
+    skipped_end: Vec<u8>,
 }
 
 impl ClientConnection {
     /// Creates the state of a new connection; response bodies of more than `max_body` bytes are refused.
     pub fn new(max_body: usize) -> Self {
-        ClientConnection { input: Vec::new(), pending: None, expected: None, max_body, peer_closed: false }
+        ClientConnection {
+            input: Vec::new(),
+            pending: None,
+            expected: None,
+            max_body,
+            peer_closed: false,
+            has_received: false,
+            may_follow_others: false,
+            has_ambiguous_head: false,
+            skipped_end: Vec::new(),
+        }
     }
 
     /// Sets the outstanding request. The caller must do this when it sends a request.
     pub fn expect(&mut self, expected: Expected) {
         self.expected = Some(expected);
+        self.may_follow_others = self.has_received;
+        self.has_ambiguous_head = false;
+        self.skipped_end.clear();
     }
 
     /// Returns whether a request is outstanding.
@@ -110,8 +122,14 @@
         !self.input.is_empty() || self.pending.is_some()
     }
 
+    /// Returns whether any bytes have arrived on the connection.
+    pub fn has_received(&self) -> bool {
+        self.has_received
+    }
+
     /// Appends received bytes to the input buffer.
     pub fn receive(&mut self, bytes: &[u8]) {
+        self.has_received |= !bytes.is_empty();
         self.input.extend_from_slice(bytes);
     }
 
@@ -150,6 +168,7 @@
                 Ok(None) => return Ok(false),
                 Err(_) => return Err(ClientFault::Malformed),
             };
+            self.check_ambiguity(length)?;
             self.consume(length);
             let is_informational = head.status < 200 && head.status != 101;
             if is_informational {
@@ -160,6 +179,21 @@
         }
     }
 
+    /// Fails if the head, which is the first `length` bytes of the input, may be something else than the head of one
+    /// response.
+    fn check_ambiguity(&mut self, length: usize) -> Result<(), ClientFault> {
+        let Some(expected) = &self.expected else {
+            return Ok(());
+        };
+        let head = &self.input[..length];
+        self.has_ambiguous_head |= ambiguity::may_contain_answer(head, expected);
+        let may_begin_earlier = ambiguity::may_begin_in_body(&self.skipped_end, head, expected);
+        if may_begin_earlier || (self.has_ambiguous_head && self.may_follow_others) {
+            return Err(ClientFault::Ambiguous);
+        }
+        Ok(())
+    }
+
     fn start_response(&self, head: ResponseHead) -> Result<PendingResponse, ClientFault> {
         let is_expected = self.expected.as_ref().is_some_and(|expected| expected.matches(&head));
         let method = match &self.expected {
@@ -195,11 +229,16 @@
             if self.peer_closed || pending.is_close_delimited || !pending.head.keeps_alive() {
                 return ClientProgress::Broken(ClientFault::ClosedUnanswered);
             }
+            self.may_follow_others = true;
+            self.skipped_end = ambiguity::from_last_status_line(&pending.body).to_vec();
             return ClientProgress::Skipped;
         }
         self.expected = None;
-        let is_reusable = pending.head.keeps_alive() && !pending.is_close_delimited && !self.peer_closed;
-        ClientProgress::Answered(Box::new(Answer { head: pending.head, body: pending.body, is_reusable }))
+        let needs_fresh_connection = self.has_ambiguous_head;
+        let is_reusable =
+            pending.head.keeps_alive() && !pending.is_close_delimited && !self.peer_closed && !needs_fresh_connection;
+        let (head, body) = (pending.head, pending.body);
+        ClientProgress::Answered(Box::new(Answer { head, body, is_reusable, needs_fresh_connection }))
     }
 
     fn consume(&mut self, count: usize) {
@@ -214,14 +253,3 @@
         }
     }
 }
-
-impl Expected {
-    /// Returns whether a response belongs to this request. Where ids are used, a response without an id belongs to
-    /// none.
-    fn matches(&self, head: &ResponseHead) -> bool {
-        match &self.id {
-            Some(id) => head.headers.first(id.field).is_some_and(|value| value.trim_ascii() == id.value),
-            None => true,
-        }
-    }
-}
--- a/crates/staircross-http/src/head.rs
+++ b/crates/staircross-http/src/head.rs
@@ -90,11 +90,6 @@
 
 impl ResponseHead {
     /// Parses a head at the start of `bytes`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if another status line stands within the head. The head is then the beginning of one response
-    /// that was cut off, continued by the next response.
     pub fn parse(bytes: &[u8]) -> Parsed<ResponseHead> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut fields);
@@ -102,9 +97,6 @@
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete(length) => length,
         };
-        if has_inner_status_line(&bytes[..length]) {
-            return Err(MessageError::Malformed);
-        }
         let head = ResponseHead {
             status: response.code.unwrap_or_default(),
             minor_version: response.version.unwrap_or(1),
@@ -119,16 +111,6 @@
     }
 }
 
-/// Returns whether a status line begins anywhere in a response's head but at its start.
-fn has_inner_status_line(head: &[u8]) -> bool {
-    const VERSION: &[u8] = b"HTTP/1.";
-    let mut after_version = head.windows(VERSION.len()).enumerate().skip(1).filter(|(_, window)| *window == VERSION);
-    after_version.any(|(start, _)| match &head[start + VERSION.len()..] {
-        [version, b' ', status @ ..] => version.is_ascii_digit() && status.iter().take(3).all(u8::is_ascii_digit),
-        _ => false,
-    })
-}
-
 fn to_message_error(error: httparse::Error) -> MessageError {
     match error {
         httparse::Error::TooManyHeaders => MessageError::TooLong,
--- a/crates/staircross-http/src/lib.rs
+++ b/crates/staircross-http/src/lib.rs
@@ -7,13 +7,17 @@
 //! | [`framing`] | how the end of a body is found, and decoding of bodies |
 //! | [`server`] | reading requests from one connection |
 //! | [`client`] | reading responses from one connection |
+//! | [`expected`] | what a client knows of the response that it waits for |
+//! | `ambiguity` | recognition of response heads that can be read in two ways |
 //! | [`write`] | serialization of requests and responses |
 //!
 //! Heads and chunk sizes are parsed by `httparse`. This crate adds control that HTTP libraries don't offer: a response
 //! to another request is skipped and reported, a response that arrives while the request is still being written is
 //! recognized, and no request is ever retried without the caller's knowledge.
 
+mod ambiguity;
 pub mod client;
+pub mod expected;
 pub mod framing;
 pub mod head;
 pub mod headers;
--- a/crates/staircross-http/tests/framing.rs
+++ b/crates/staircross-http/tests/framing.rs
@@ -1,7 +1,7 @@
 //! Tests of reading requests and responses: complete, split into pieces, and malformed.
 
 use proptest::prelude::*;
-use staircross_http::client::{Expected, ExpectedId};
+use staircross_http::expected::{Expected, ExpectedId};
 use staircross_http::{ClientConnection, ClientFault, ClientProgress};
 use staircross_http::{Request, ServerConnection, ServerFault, ServerLimits, ServerProgress};
 
@@ -33,6 +33,16 @@
     assert_eq!(chunked.body, b"hello");
 }
 
+/// Guards against requests that are refused for what a field says.
+#[test]
+fn a_request_with_first_lines_in_its_fields_is_read() {
+    let values = ["HTTP/1.1 304 Not Modified", "GET / HTTP/1.1", "1.1 proxy, HTTP/1.1 200"];
+    for value in values {
+        let read = ready(request(format!("GET / HTTP/1.1\r\nX-Log: {value}\r\n\r\n").as_bytes()));
+        assert_eq!(read.head.headers.text("x-log"), Some(value));
+    }
+}
+
 #[test]
 fn bodies_that_two_parsers_could_read_in_two_ways_are_refused() {
     let smuggled: [&[u8]; 6] = [
@@ -87,10 +97,14 @@
     assert!(!connection.has_partial_request());
 }
 
+fn expected(id: &str) -> Expected {
+    let id = ExpectedId { field: ID, value: id.as_bytes().to_vec() };
+    Expected { method: "GET".to_owned(), id: Some(id) }
+}
+
 fn waiting_for(id: &str) -> ClientConnection {
     let mut connection = ClientConnection::new(4096);
-    let id = ExpectedId { field: ID, value: id.as_bytes().to_vec() };
-    connection.expect(Expected { method: "GET".to_owned(), id: Some(id) });
+    connection.expect(expected(id));
     connection
 }
 
@@ -130,14 +144,17 @@
 
 /// Guards against answers that are read as the continuation of one that was cut off: they would have its status.
 #[test]
-fn a_head_with_another_status_line_in_it_is_malformed() {
+fn an_answer_behind_the_beginning_of_another_is_not_believed() {
     let beginnings =
         ["HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 503 Busy\r\nNot-Executed: 1", "HTTP/1.1 100 Continue"];
     for beginning in beginnings {
-        let mut connection = waiting_for("b");
+        let mut connection = waiting_for("a");
+        connection.receive(answer("a", "").as_bytes());
+        assert!(matches!(connection.advance(), ClientProgress::Answered(_)));
+        connection.expect(expected("b"));
         connection.receive(beginning.as_bytes());
         connection.receive(answer("b", "").as_bytes());
-        assert_eq!(connection.advance(), ClientProgress::Broken(ClientFault::Malformed), "{beginning}");
+        assert_eq!(connection.advance(), ClientProgress::Broken(ClientFault::Ambiguous), "{beginning}");
     }
 }
 
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -198,6 +198,7 @@
             attempt,
             searcher: planned.searcher,
             instance: searcher.entry.instance.clone(),
+            service: searcher.entry.service.clone(),
             identity: request.identity(),
             address: searcher.entry.address,
             distance: self.placement.distance(&searcher.entry.zone),
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -353,6 +353,8 @@
     pub searcher: SearcherKey,
     /// Id of the searcher.
     pub instance: Arc<str>,
+    /// Service of the searcher.
+    pub service: Arc<str>,
     /// Identity of the caller, as it is sent to the searcher.
     pub identity: SentIdentity,
     /// Address of the searcher.
--- a/crates/staircross-routing/src/state/request.rs
+++ b/crates/staircross-routing/src/state/request.rs
@@ -116,6 +116,9 @@
     Broken,
     /// The searcher sent something that isn't a valid answer.
     Malformed,
+    /// The searcher sent bytes that are either an answer with a status line in a field, or the beginning of another
+    /// answer, continued by the right one.
+    Ambiguous,
     /// The answer was no longer wanted and took too long to arrive.
     Unanswered,
     /// The answer is longer than this node accepts.
@@ -141,6 +144,7 @@
         match self {
             Unknown::Broken => "broken",
             Unknown::Malformed => "malformed",
+            Unknown::Ambiguous => "ambiguous",
             Unknown::Unanswered => "unanswered",
             Unknown::TooLong => "too_long",
         }
