Send nothing on a connection that was closed or written to before

What callers saw: a request that must not be repeated got 502 if its searcher closed the connection as it was established, though nothing can have run. Bytes that a searcher had sent by then, or while the connection was proved, were read as the beginning of the answer.

Cause: of an established connection only a reset was looked for, not the close or the bytes that the same event reports.

Change: such a connection is not used, and the attempt ends as not run (`turned_away`). The event says so already, so it costs no system call.

Ruled out: a read before each first request, a system call for each connection, which would only see bytes that come between the event and the write.

--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -199,14 +199,11 @@
                 ConnectingState::Reset | ConnectingState::Failed => return self.close_broken(),
                 ConnectingState::Established => connection.is_established = true,
             }
-            if connection.socket.flush(io.registry) == WriteOutcome::Broken {
+            // The server has closed the connection, or has sent bytes that belong to no call.
+            if readiness.is_readable || connection.socket.flush(io.registry) == WriteOutcome::Broken {
                 return self.close_broken();
             }
-            if let Some(outcome) = self.send_if_established(io) {
-                return Some(outcome);
-            }
-            // A close may have come with the same event.
-            return self.read(io);
+            return self.send_if_established(io);
         }
         if readiness.is_writable && connection.socket.flush(io.registry) == WriteOutcome::Broken {
             return self.close_broken();
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -270,7 +270,7 @@
         };
         connection.socket.note_readiness(readiness);
         if matches!(connection.state, ConnectionState::Connecting { .. }) {
-            self.on_connecting(slot, io, events);
+            self.on_connecting(slot, readiness, io, events);
         } else if readiness.is_writable && self.connections[slot].socket.flush(io.registry) == WriteOutcome::Broken {
             self.fail_connection(slot, ClientFault::Reset, events);
         }
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -108,12 +108,13 @@
         }
     }
 
-    /// Closes a connection that was established and reset before this process could use it.
-    pub(super) fn on_immediate_reset(&mut self, slot: usize, events: &mut Vec<PoolEvent>) {
+    /// Closes a connection that was established and that the searcher reset, closed or wrote to before this process sent
+    /// anything on it.
+    pub(super) fn reject_unused(&mut self, slot: usize, events: &mut Vec<PoolEvent>) {
         let Some(connection) = self.connections.try_remove(slot) else {
             return;
         };
-        if let ConnectionState::Connecting { assignment } = connection.state {
+        if let ConnectionState::Connecting { assignment } | ConnectionState::Proving { assignment } = connection.state {
             self.end_rejected(connection.searcher, connection.state_since, assignment, events);
         }
     }
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -2,14 +2,16 @@
 //!
 //! A searcher that has reached its connection limit accepts a further connection and resets it at once. A request that
 //! was sent before the reset may have run. To prove a connection means to wait for a possible reset before anything is
-//! sent on it. This module relies on the socket for the result of connecting.
+//! sent on it. A connection that the searcher has closed, or on which it has sent bytes, before anything was sent is not
+//! used: its request would count as one that may have run, or be answered by those bytes. This module relies on the
+//! socket for the result of connecting.
 
 use super::carried::CarriedIds;
 use super::{Assignment, Connection, ConnectionState, DEFAULT_IDLE_TIMEOUT, Pool, PoolEvent};
 use crate::traffic::{Purpose, Reach};
 use staircross_http::{ClientConnection, ClientFault};
 use staircross_routing::{AttemptOutcome, NotRun, SearcherKey};
-use staircross_transport::socket::{ConnectingState, IoContext, Socket, SocketId, SocketKind, WriteOutcome};
+use staircross_transport::socket::{ConnectingState, IoContext, Readiness, Socket, SocketId, SocketKind, WriteOutcome};
 use staircross_types::BootTime;
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -64,12 +66,19 @@
     }
 
     /// Handles a readiness event of a connection that wasn't known to be established.
-    pub(super) fn on_connecting(&mut self, slot: usize, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+    pub(super) fn on_connecting(
+        &mut self,
+        slot: usize,
+        readiness: Readiness,
+        io: &mut IoContext<'_>,
+        events: &mut Vec<PoolEvent>,
+    ) {
         let connection = &mut self.connections[slot];
         match connection.socket.connecting_state() {
             ConnectingState::InProgress => return,
             ConnectingState::Failed => return self.fail_connection(slot, ClientFault::Reset, events),
-            ConnectingState::Reset => return self.on_immediate_reset(slot, events),
+            ConnectingState::Reset => return self.reject_unused(slot, events),
+            ConnectingState::Established if readiness.is_readable => return self.reject_unused(slot, events),
             ConnectingState::Established => {}
         }
         let took = io.now.since(connection.state_since);
@@ -113,6 +122,10 @@
         events: &mut Vec<PoolEvent>,
     ) {
         match assignment {
+            Some(assignment) if self.connections[slot].http.has_received() => {
+                self.connections[slot].state = ConnectionState::Proving { assignment: Some(assignment) };
+                self.reject_unused(slot, events);
+            }
             Some(assignment) => {
                 events.push(PoolEvent::Begun { attempt: assignment.order.attempt });
                 self.write_attempt(slot, assignment, io, events);
--- a/crates/staircross-gateway/tests/http_call.rs
+++ b/crates/staircross-gateway/tests/http_call.rs
@@ -28,7 +28,15 @@
 }
 
 impl Fixture {
+    /// Creates a client whose call the server has received.
     fn new() -> Self {
+        let mut fixture = Fixture::connecting();
+        fixture.wait_for_request();
+        fixture
+    }
+
+    /// Creates a client that hasn't noticed yet that its connection is established.
+    fn connecting() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let address = listener.local_addr().expect("its address");
         let mut client = HttpClient::new(KIND, 0, address);
@@ -36,9 +44,7 @@
         let mut buf = Box::new([0; READ_CHUNK]);
         start_call(&mut client, START, &poll, &mut buf);
         let (server, _) = listener.accept().expect("a connection");
-        let mut fixture = Fixture { poll, client, listener, server, now: START, buf };
-        fixture.wait_for_request();
-        fixture
+        Fixture { poll, client, listener, server, now: START, buf }
     }
 
     /// Makes another call, which must come on a new connection.
@@ -255,6 +261,18 @@
     }
 }
 
+/// Guards against the same where the beginning came with the connection.
+#[test]
+fn no_call_is_sent_on_a_connection_whose_first_bytes_come_with_its_establishing() {
+    let mut fixture = Fixture::connecting();
+    fixture.server.write_all(b"HTTP/1.1 200 OK").expect("the connection is open");
+    assert_eq!(fixture.wait_for_outcome(), CallOutcome::Failed);
+    fixture.server.set_read_timeout(Some(Duration::from_millis(20))).expect("a socket option");
+    let mut received = Vec::new();
+    let _ended_by_a_reset = fixture.server.read_to_end(&mut received);
+    assert_eq!(received, b"");
+}
+
 /// Guards against a server that is called on a new connection each time for one mistake.
 #[test]
 fn a_connection_is_kept_again_some_time_after_an_answer_was_dropped() {
--- a/crates/staircross-transport/src/socket.rs
+++ b/crates/staircross-transport/src/socket.rs
@@ -63,6 +63,8 @@
 /// What an event says about a socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Readiness {
+    /// Whether bytes or the end of the stream may wait.
+    pub is_readable: bool,
     /// Whether the socket may be written to.
     pub is_writable: bool,
     /// Whether the peer has closed its side or the connection is broken. Bytes sent before may still wait.
@@ -71,7 +73,11 @@
 
 impl From<&Event> for Readiness {
     fn from(event: &Event) -> Self {
-        Readiness { is_writable: event.is_writable(), is_read_closed: event.is_read_closed() }
+        Readiness {
+            is_readable: event.is_readable(),
+            is_writable: event.is_writable(),
+            is_read_closed: event.is_read_closed(),
+        }
     }
 }
 
