Read each reply of the platform on a connection of its own

What operators would see: after a late copy of a reply, or the beginning of one, the session tier's nodes read the machine list for the document and so on, and no change of either arrives.

Cause: document and machine list are read in turn on one kept connection, and replies carry no ids.

Evidence: with the kept connection a_late_copy_of_a_reply_is_not_read_as_the_ next_one and the_beginning_of_another_reply_does_not_spoil_the_next_one failed (turn 1 got the reply to another call). A copy that comes together with the reply, and a status line in a field, did no harm.

Change: no connection is kept, so nothing can stand before a reply. At two calls a second and node this costs little.

Ruled out: the client of the gateway's calls, which needs an event loop and can't tell a whole late copy from a reply either.

--- a/crates/session/staircross-node/src/platform.rs
+++ b/crates/session/staircross-node/src/platform.rs
@@ -38,8 +38,16 @@
     std::thread::Builder::new().name("platform".to_owned()).spawn(move || reader.run())
 }
 
+/// Creates an agent that makes each call on a connection of its own. Replies carry no ids: on a connection that is kept,
+/// bytes behind a reply would be taken for the reply to the next call.
 fn new_agent() -> ureq::Agent {
-    ureq::Agent::config_builder().proxy(None).timeout_global(Some(READ_TIMEOUT)).build().into()
+    ureq::Agent::config_builder()
+        .proxy(None)
+        .max_idle_connections(0)
+        .max_idle_connections_per_host(0)
+        .timeout_global(Some(READ_TIMEOUT))
+        .build()
+        .into()
 }
 
 struct PlatformReader {
--- /dev/null
+++ b/crates/session/staircross-node/tests/platform_reader.rs
@@ -0,0 +1,84 @@
+//! Tests that what the platform sends is read as the reply to the call that it belongs to, and as nothing else.
+
+#[path = "common/faulty_server.rs"]
+mod faulty_server;
+
+use crossbeam::channel::{Receiver, unbounded};
+use faulty_server::{Fault, Reply};
+use staircross_config::PlatformSettings;
+use staircross_node::event::CoreEvent;
+use staircross_node::logs::Logs;
+use staircross_node::platform;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+/// Maximum time for which a test waits for a document or a list.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of documents and lists that a test reads.
+const READS: u32 = 8;
+
+/// Starts a platform that counts its calls; the count is the revision of the document.
+fn start_platform(fault: Fault) -> SocketAddr {
+    let calls = AtomicU32::new(0);
+    faulty_server::start(fault, move |target, _| {
+        let number = calls.fetch_add(1, Ordering::SeqCst) + 1;
+        let body = match target {
+            "/v1/document" => format!("{{\"revision\":{number},\"services\":[]}}"),
+            _ => "{\"machines\":[]}".to_owned(),
+        };
+        Reply { fields: String::new(), body: body.into_bytes() }
+    })
+}
+
+/// Starts a reader of a platform. It ends when the flag is set.
+fn start_reader(address: SocketAddr) -> (Receiver<CoreEvent>, Arc<AtomicBool>) {
+    let (sender, receiver) = unbounded();
+    let stop = Arc::new(AtomicBool::new(false));
+    let settings = PlatformSettings { address, poll_ms: 10 };
+    let logs = Logs::from_filter("off").expect("a filter");
+    platform::start_reader(&settings, sender, logs, stop.clone()).expect("a thread");
+    (receiver, stop)
+}
+
+/// Reads [`READS`] documents and lists. Each call must have been answered by its own reply: document and list come in
+/// turn, and the revision grows by two from one document to the next.
+fn assert_each_call_gets_its_reply(fault: Fault) {
+    let (events, stop) = start_reader(start_platform(fault));
+    for turn in 0..READS {
+        let event = events.recv_timeout(WAIT_TIMEOUT).expect("a document or a list");
+        match event {
+            CoreEvent::Platform(document) if turn % 2 == 0 => assert_eq!(document.revision, u64::from(turn) + 1),
+            CoreEvent::Machines(_) if turn % 2 == 1 => {}
+            _ => panic!("turn {turn}: the reply to another call"),
+        }
+    }
+    stop.store(true, Ordering::Relaxed);
+}
+
+/// Guards against documents that can't be read because a proxy before the platform repeats a status line in a field.
+#[test]
+fn a_status_line_in_a_field_is_no_obstacle() {
+    assert_each_call_gets_its_reply(Fault::StatusLineInField);
+}
+
+/// Guards against replies to other calls, sent together with the reply before.
+#[test]
+fn a_copy_behind_a_reply_is_not_read_as_the_next_one() {
+    assert_each_call_gets_its_reply(Fault::CopyBehindReply);
+}
+
+/// Guards against replies to other calls that come when the next call was sent: documents would no longer arrive.
+#[test]
+fn a_late_copy_of_a_reply_is_not_read_as_the_next_one() {
+    assert_each_call_gets_its_reply(Fault::LateCopy);
+}
+
+/// Guards against replies that are read as the continuation of bytes before them.
+#[test]
+fn the_beginning_of_another_reply_does_not_spoil_the_next_one() {
+    for text in ["HTTP/1.1 200 OK", "HTTP/1.1 503 Busy\r\nX-Upstream: ", "HTTP/1.1 204 No Content\r\nA: b"] {
+        assert_each_call_gets_its_reply(Fault::LateBeginning(text));
+    }
+}
