End a searcher's connection after a reply to another attempt

What callers would see: after one late copy of a reply, all attempts of a worker of the session tier ended as unknown for as long as calls followed each other. A probe took the copy for its own reply, so that the state of the searcher was always the one before, also when it began to drain.

Cause: the connection was kept though the right reply was still to come, and replies to probes carry no ids.

No reply was believed for another attempt.

Change: an attempt with an unknown outcome ends its worker's connection. Probes and cancellations have a connection of their own each, as actions do.

Ruled out: reading on after a foreign reply, which ureq can't do; an id in probes, which would change the protocol with searchers. What the connections cost was not measured.

--- a/crates/session/staircross-node/src/searchers.rs
+++ b/crates/session/staircross-node/src/searchers.rs
@@ -1,7 +1,7 @@
 //! Connections to searchers.
 //!
 //! Each owned searcher has a few worker threads with one keep-alive connection each, and one more
-//! thread for probes and cancellations. The leaf engine bounds the number of calls in flight; this
+//! thread for probes and cancellations, which opens a connection for each. The leaf engine bounds the number of calls in flight; this
 //! module bounds the number of connections.
 //!
 //! Invariants:
@@ -136,7 +136,7 @@
 
     /// Starts a thread that sends queued sub-requests to a searcher over its own connection.
     fn start_worker(&self, searcher: SearcherId, pool: &WorkerPool) {
-        let client = self.new_client(searcher, pool.address);
+        let mut client = self.new_client(searcher, pool.address);
         let jobs = pool.job_receiver.clone();
         let events = self.events.clone();
         let worker_count = pool.worker_count.clone();
@@ -144,7 +144,7 @@
         worker_count.fetch_add(1, Ordering::AcqRel);
         let name = format!("searcher {searcher}");
         let started = std::thread::Builder::new().name(name).spawn(move || {
-            run_worker(&client, &jobs, &events, &idle_workers);
+            run_worker(&mut client, &jobs, &events, &idle_workers);
             worker_count.fetch_sub(1, Ordering::AcqRel);
         });
         if let Err(error) = started {
@@ -185,11 +185,16 @@
     pub searcher: SearcherId,
     /// Address on which the searcher listens.
     pub address: SocketAddr,
-    /// Largest number of connections for sub-requests. One more connection is used for probes and cancellations.
+    /// Largest number of connections for sub-requests. One more at a time is used for probes and cancellations.
     pub connections: usize,
 }
 
-fn run_worker(client: &SearcherClient, jobs: &Receiver<Job>, events: &Sender<CoreEvent>, idle_workers: &AtomicUsize) {
+fn run_worker(
+    client: &mut SearcherClient,
+    jobs: &Receiver<Job>,
+    events: &Sender<CoreEvent>,
+    idle_workers: &AtomicUsize,
+) {
     loop {
         idle_workers.fetch_add(1, Ordering::AcqRel);
         let received = jobs.recv_timeout(WORKER_IDLE_TIMEOUT);
--- a/crates/session/staircross-node/src/searchers/call.rs
+++ b/crates/session/staircross-node/src/searchers/call.rs
@@ -22,7 +22,10 @@
 /// arrives.
 const REPLY_GRACE: Duration = Duration::from_millis(50);
 
-/// HTTP client of one searcher, with one keep-alive connection.
+/// HTTP client of one searcher, with one keep-alive connection for searches.
+///
+/// Replies to probes carry no ids, so on a kept connection a copy of an earlier one would pass for the next. Probes,
+/// cancellations and actions have a connection of their own.
 pub(super) struct SearcherClient {
     searcher: SearcherId,
     base_url: String,
@@ -74,7 +77,16 @@
     }
 
     /// Sends a sub-request to the searcher and waits for its reply.
-    pub fn call(&self, request: &SubRequest) -> CallResult {
+    pub fn call(&mut self, request: &SubRequest) -> CallResult {
+        let result = self.call_once(request);
+        if matches!(result.reply.outcome, SubOutcome::Unknown(_)) {
+            // The right reply may still come on the connection, and would be read as the reply to the next call.
+            self.keep_alive_agent = new_agent(1);
+        }
+        result
+    }
+
+    fn call_once(&self, request: &SubRequest) -> CallResult {
         let reply = match &request.work {
             Work::Search(query) => {
                 let call = SearchCall {
@@ -164,7 +176,7 @@
 
     /// Requests the searcher's state. Returns `None` if the request fails or another searcher answers.
     pub fn probe(&self) -> Option<ProbeReport> {
-        let request = self.keep_alive_agent.get(format!("{}{STATE_PATH}", self.base_url));
+        let request = self.unpooled_agent.get(format!("{}{STATE_PATH}", self.base_url));
         let response = request.config().timeout_global(Some(CONTROL_TIMEOUT)).build().call().ok()?;
         let bytes = self.read_verified_body(response).ok()?;
         let state: StateReply = serde_json::from_slice(&bytes).ok()?;
@@ -182,7 +194,7 @@
         let Ok(body) = serde_json::to_vec(&CancelCall { attempt }) else {
             return;
         };
-        let request = self.keep_alive_agent.post(format!("{}{CANCEL_PATH}", self.base_url));
+        let request = self.unpooled_agent.post(format!("{}{CANCEL_PATH}", self.base_url));
         let sent = request.config().timeout_global(Some(CONTROL_TIMEOUT)).build().send(&body[..]);
         match sent.and_then(|mut response| response.body_mut().read_to_vec()) {
             Ok(_) => {}
