--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -6,9 +6,9 @@
 //!
 //! [`Pool`] owns the connections and reports how each attempt ended, in particular whether the searcher may have run
 //! it. The engine chooses the searcher of each attempt, and decides what the end of an attempt means for its request.
-//! `reuse` remembers the services whose connections carry one attempt each.
 //! `establish` opens connections and proves fresh ones, that is, it waits for a possible reset before anything is sent.
-//! `endings` ends attempts and connections. `connection` holds the state of one. `carried` remembers the requests of a connection.
+//! `endings` ends attempts and connections. `connection` holds the state of one connection, and `carried` remembers its
+//! requests. `reuse` remembers the services whose connections carry one attempt each.
 
 mod carried;
 mod connection;
@@ -72,7 +72,8 @@
         /// The searcher of the connection.
         searcher: SearcherKey,
     },
-    /// From now on, connections to a service carry one attempt each, since its answers can't be told apart otherwise.
+    /// From now on, connections to a service carry one attempt each, because its answers are ambiguous on a connection
+    /// in use.
     ReuseEnded {
         /// The service.
         service: Arc<str>,
