--- a/crates/session/staircross-node/src/searchers.rs
+++ b/crates/session/staircross-node/src/searchers.rs
@@ -1,8 +1,8 @@
 //! Connections to searchers.
 //!
 //! Each owned searcher has a few worker threads with one keep-alive connection each, and one more
-//! thread for probes and cancellations, which opens a connection for each. The leaf engine bounds the number of calls in flight; this
-//! module bounds the number of connections.
+//! thread for probes and cancellations, which opens a connection for each. The leaf engine bounds
+//! the number of calls in flight; this module bounds the number of connections.
 //!
 //! Invariants:
 //!
--- a/crates/staircross-gateway/src/connection_reuse.rs
+++ b/crates/staircross-gateway/src/connection_reuse.rs
@@ -2,9 +2,11 @@
 //!
 //! | input | source |
 //! | --- | --- |
-//! | an answer that can be read in two ways, and whether it was believed | [`staircross_http::client`], which believes it only on a connection on which nothing has arrived before |
+//! | an answer that can be read in two ways, and whether it was believed | [`staircross_http::client`] |
 //! | the time | the caller |
 //!
+//! Such an answer is believed only on a connection on which nothing has arrived before.
+//!
 //! The rule: after such an answer, connections carry one request each for a while. This protects whole answers, which
 //! would have to be dropped on connections in use, and requests that must not be repeated. It costs one connection per
 //! request. The log line `reuse_ended` says when it begins to hold for a service.
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -123,6 +123,7 @@
     ) {
         match assignment {
             Some(assignment) if self.connections[slot].http.has_received() => {
+                // The answer would be read as the continuation of these bytes.
                 self.connections[slot].state = ConnectionState::Proving { assignment: Some(assignment) };
                 self.reject_unused(slot, events);
             }
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -235,7 +235,8 @@
     }
 
     /// Returns the revision of the newest start, end or listing of evacuations before which all are known; peers are
-    /// asked for later ones. Peers of an earlier build don't send `operator_up_to`; without it this is the newest known change.
+    /// asked for later ones. Peers of an earlier build don't send `operator_up_to`; without it this is the newest known
+    /// change.
     pub fn evacuations_revision(&self) -> u64 {
         let newest = self.evacuations.newest();
         match self.operator_revisions.complete_up_to() {
