Simplify what the last reading of the change found

Cause: read as a whole, the change had a state that was restored only so that the next function could take it apart, a slice pattern behind a map, and lines of tests and of the soak written again.

Change, behaviour as it was: a proved connection on which bytes have come is ended by fail_connection, which already ends such a connection as rejected, and begin_use and reject_unused are back to one job each. is_status_line is one slice pattern. The soak's two injections of a fault in an answer, and repeated set-up lines of three test files, have one function each. No assertion is changed or left out.

--- a/crates/session/staircross-node/tests/common/faulty_server.rs
+++ b/crates/session/staircross-node/tests/common/faulty_server.rs
@@ -1,5 +1,4 @@
 //! An HTTP server that sends more than its replies, or replies with unusual fields.
-#![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/session/staircross-node/tests/searcher_replies.rs
+++ b/crates/session/staircross-node/tests/searcher_replies.rs
@@ -3,7 +3,7 @@
 #[path = "common/faulty_server.rs"]
 mod faulty_server;
 
-use crossbeam::channel::unbounded;
+use crossbeam::channel::{Receiver, unbounded};
 use faulty_server::{Fault, Reply};
 use serde::Serialize;
 use staircross_node::event::CoreEvent;
@@ -50,12 +50,18 @@
     Reply { fields: format!("{DIGEST_HEADER}: {}\r\n", body_digest(&body)), body }
 }
 
-/// Sends searches one after the other and returns how each ended.
-fn search(fault: Fault) -> Vec<SubOutcome> {
+/// Returns the connections of a node to a searcher, and the events that they cause.
+fn connect(fault: Fault) -> (SearcherConnections, Receiver<CoreEvent>) {
     let (sender, events) = unbounded();
     let logs = Logs::from_filter("off").expect("a filter");
     let mut searchers = SearcherConnections::new(sender, logs, 1 << 20);
     searchers.set_owned(&[SearcherEndpoint { searcher: SEARCHER, address: start_searcher(fault), connections: 1 }]);
+    (searchers, events)
+}
+
+/// Sends searches one after the other and returns how each ended.
+fn search(fault: Fault) -> Vec<SubOutcome> {
+    let (searchers, events) = connect(fault);
     let request = |attempt| SubRequest {
         attempt: AttemptId { request: RequestId { node: NodeId(1), sequence: 1 }, attempt },
         searcher: SEARCHER,
@@ -110,10 +116,7 @@
 /// Guards against a searcher's state that is always the one before: a searcher that leaves would get new work.
 #[test]
 fn a_late_copy_of_a_state_is_not_read_as_the_next_one() {
-    let (sender, events) = unbounded();
-    let mut searchers = SearcherConnections::new(sender, Logs::from_filter("off").expect("a filter"), 1 << 20);
-    let address = start_searcher(Fault::LateCopy);
-    searchers.set_owned(&[SearcherEndpoint { searcher: SEARCHER, address, connections: 1 }]);
+    let (searchers, events) = connect(Fault::LateCopy);
     for number in 1..=ATTEMPTS {
         searchers.probe(SEARCHER);
         let event = events.recv_timeout(WAIT_TIMEOUT).expect("the end of the probe");
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -108,13 +108,12 @@
         }
     }
 
-    /// Closes a connection that was established and that the searcher reset, closed or wrote to before this process sent
-    /// anything on it.
+    /// Closes a connection that the searcher reset, closed or wrote to at the moment at which it was established.
     pub(super) fn reject_unused(&mut self, slot: usize, events: &mut Vec<PoolEvent>) {
         let Some(connection) = self.connections.try_remove(slot) else {
             return;
         };
-        if let ConnectionState::Connecting { assignment } | ConnectionState::Proving { assignment } = connection.state {
+        if let ConnectionState::Connecting { assignment } = connection.state {
             self.end_rejected(connection.searcher, connection.state_since, assignment, events);
         }
     }
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -122,11 +122,6 @@
         events: &mut Vec<PoolEvent>,
     ) {
         match assignment {
-            Some(assignment) if self.connections[slot].http.has_received() => {
-                // The answer would be read as the continuation of these bytes.
-                self.connections[slot].state = ConnectionState::Proving { assignment: Some(assignment) };
-                self.reject_unused(slot, events);
-            }
             Some(assignment) => {
                 events.push(PoolEvent::Begun { attempt: assignment.order.attempt });
                 self.write_attempt(slot, assignment, io, events);
@@ -151,6 +146,12 @@
             let Some(connection) = current else {
                 continue;
             };
+            let is_needed = matches!(connection.state, ConnectionState::Proving { assignment: Some(_) });
+            if is_needed && connection.http.has_received() {
+                // The answer would be read as the continuation of the bytes that came first.
+                self.fail_connection(slot, ClientFault::Malformed, events);
+                continue;
+            }
             match std::mem::replace(&mut connection.state, ConnectionState::Idle) {
                 ConnectionState::Proving { assignment } => self.begin_use(slot, assignment, io, events),
                 other => connection.state = other,
--- a/crates/staircross-gateway/tests/http_call.rs
+++ b/crates/staircross-gateway/tests/http_call.rs
@@ -47,6 +47,17 @@
         Fixture { poll, client, listener, server, now: START, buf }
     }
 
+    /// Makes another call, which must come on the connection that is open.
+    fn call_on_kept_connection(&mut self) {
+        start_call(&mut self.client, self.now, &self.poll, &mut self.buf);
+        self.wait_for_request();
+    }
+
+    /// Answers the call with a body of six bytes.
+    fn answer(&mut self, body: &[u8; 6]) {
+        assert_answered(self.send_part(&[ANSWER_HEAD, body].concat()).expect("an outcome"), body);
+    }
+
     /// Makes another call, which must come on a new connection.
     fn call_on_new_connection(&mut self) {
         start_call(&mut self.client, self.now, &self.poll, &mut self.buf);
@@ -198,7 +209,7 @@
     let mut fixture = Fixture::new();
     assert_answered(fixture.send_and_close(&[ANSWER_HEAD, b"abcdef"].concat()), b"abcdef");
     fixture.call_on_new_connection();
-    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"second"].concat()).expect("an outcome"), b"second");
+    fixture.answer(b"second");
 }
 
 /// Guards against answers to other calls: bytes behind an answer stayed in the connection's buffer and were taken for the
@@ -214,7 +225,7 @@
         // The connection may be closed by now.
         let _may_be_closed = fixture.server.write_all(&extra[split..]);
         fixture.call_on_new_connection();
-        assert_answered(fixture.send_part(&[ANSWER_HEAD, b"second"].concat()).expect("an outcome"), b"second");
+        fixture.answer(b"second");
     }
 }
 
@@ -223,10 +234,10 @@
 fn bytes_between_calls_end_the_connection() {
     for part in [&b"H"[..], b"HTTP/1.1 200 OK", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"] {
         let mut fixture = Fixture::new();
-        assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+        fixture.answer(b"abcdef");
         assert_eq!(fixture.send_part(part), None);
         fixture.call_on_new_connection();
-        assert_answered(fixture.send_part(&[ANSWER_HEAD, b"second"].concat()).expect("an outcome"), b"second");
+        fixture.answer(b"second");
     }
 }
 
@@ -242,7 +253,7 @@
         assert_answered(fixture.send_part(ANSWER_WITH_STATUS_LINE).expect("an outcome"), b"abcdef");
         fixture.call_on_new_connection();
     }
-    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+    fixture.answer(b"abcdef");
     // Answers without such a field may be followed by one with it.
     fixture.call_on_new_connection();
 }
@@ -253,9 +264,8 @@
     let extra = b"HTTP/1.1 503 Busy\r\nX-Upstream: HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n";
     for length in 1..extra.len() {
         let mut fixture = Fixture::new();
-        assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
-        start_call(&mut fixture.client, fixture.now, &fixture.poll, &mut fixture.buf);
-        fixture.wait_for_request();
+        fixture.answer(b"abcdef");
+        fixture.call_on_kept_connection();
         let outcome = fixture.send_and_close(&[&extra[..length], ANSWER_WITH_STATUS_LINE].concat());
         assert_eq!(outcome, CallOutcome::Failed, "cut off after {length} bytes");
     }
@@ -277,15 +287,13 @@
 #[test]
 fn a_connection_is_kept_again_some_time_after_an_answer_was_dropped() {
     let mut fixture = Fixture::new();
-    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
-    start_call(&mut fixture.client, fixture.now, &fixture.poll, &mut fixture.buf);
-    fixture.wait_for_request();
+    fixture.answer(b"abcdef");
+    fixture.call_on_kept_connection();
     assert_eq!(fixture.send_part(ANSWER_WITH_STATUS_LINE), Some(CallOutcome::Failed));
     fixture.call_on_new_connection();
-    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
+    fixture.answer(b"abcdef");
     fixture.now = fixture.now + Duration::from_secs(30);
     fixture.call_on_new_connection();
-    assert_answered(fixture.send_part(&[ANSWER_HEAD, b"abcdef"].concat()).expect("an outcome"), b"abcdef");
-    start_call(&mut fixture.client, fixture.now, &fixture.poll, &mut fixture.buf);
-    fixture.wait_for_request();
+    fixture.answer(b"abcdef");
+    fixture.call_on_kept_connection();
 }
--- a/crates/staircross-gateway/tests/pool_connection_reuse.rs
+++ b/crates/staircross-gateway/tests/pool_connection_reuse.rs
@@ -48,6 +48,13 @@
         stream
     }
 
+    /// Opens a connection, which is idle after one attempt.
+    fn open_idle_connection(&self, fixture: &mut Fixture, number: u16) -> TcpStream {
+        let mut stream = self.send_on_new_connection(fixture, number);
+        answer_plainly(fixture, &mut stream, number);
+        stream
+    }
+
     /// Sends an attempt on the connection that is already open.
     fn send_on_used_connection(&self, fixture: &mut Fixture, number: u16, stream: &mut TcpStream) {
         self.send(fixture, number);
@@ -101,10 +108,8 @@
 fn a_service_with_status_lines_in_some_answers_loses_one_answer() {
     let mut fixture = new_fixture();
     let (first, second) = (Searcher::new(0, SERVICE), Searcher::new(1, SERVICE));
-    let mut stream = first.send_on_new_connection(&mut fixture, 0);
-    answer_plainly(&mut fixture, &mut stream, 0);
-    let mut other = second.send_on_new_connection(&mut fixture, 1);
-    answer_plainly(&mut fixture, &mut other, 1);
+    let mut stream = first.open_idle_connection(&mut fixture, 0);
+    let _idle = second.open_idle_connection(&mut fixture, 1);
     first.send_on_used_connection(&mut fixture, 2, &mut stream);
     answer_with_status_line(&mut fixture, &mut stream, 2);
     assert!(matches!(fixture.last_outcome(), AttemptOutcome::Unknown(Unknown::Ambiguous)));
@@ -123,8 +128,7 @@
     let (searcher, other) = (Searcher::new(0, SERVICE), Searcher::new(1, "maps"));
     let mut stream = searcher.send_on_new_connection(&mut fixture, 0);
     answer_with_status_line(&mut fixture, &mut stream, 0);
-    let mut stream = other.send_on_new_connection(&mut fixture, 1);
-    answer_plainly(&mut fixture, &mut stream, 1);
+    let mut stream = other.open_idle_connection(&mut fixture, 1);
     other.send_on_used_connection(&mut fixture, 2, &mut stream);
 }
 
@@ -133,8 +137,7 @@
 fn used_connections_are_closed_when_reuse_ends() {
     let mut fixture = new_fixture();
     let (first, second) = (Searcher::new(0, SERVICE), Searcher::new(1, SERVICE));
-    let mut stream = first.send_on_new_connection(&mut fixture, 0);
-    answer_plainly(&mut fixture, &mut stream, 0);
+    let _idle = first.open_idle_connection(&mut fixture, 0);
     let mut other = second.send_on_new_connection(&mut fixture, 1);
     answer_with_status_line(&mut fixture, &mut other, 1);
     assert_eq!(fixture.pool.connection_count(), 1);
@@ -147,12 +150,10 @@
 fn connections_are_reused_again_some_time_after_an_answer_was_dropped() {
     let mut fixture = new_fixture();
     let searcher = Searcher::new(0, SERVICE);
-    let mut stream = searcher.send_on_new_connection(&mut fixture, 0);
-    answer_plainly(&mut fixture, &mut stream, 0);
+    let mut stream = searcher.open_idle_connection(&mut fixture, 0);
     searcher.send_on_used_connection(&mut fixture, 1, &mut stream);
     answer_with_status_line(&mut fixture, &mut stream, 1);
     fixture.now = fixture.now + Duration::from_secs(30);
-    let mut stream = searcher.send_on_new_connection(&mut fixture, 2);
-    answer_plainly(&mut fixture, &mut stream, 2);
+    let mut stream = searcher.open_idle_connection(&mut fixture, 2);
     searcher.send_on_used_connection(&mut fixture, 3, &mut stream);
 }
--- a/crates/staircross-http/src/ambiguity.rs
+++ b/crates/staircross-http/src/ambiguity.rs
@@ -14,23 +14,18 @@
 
 /// What a status line begins with, up to the minor version.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.";
-/// Length of the shortest status line without its end: version, space and status code.
-const MIN_STATUS_LINE: usize = "HTTP/1.1 200".len();
+/// Number of digits of a status code.
+const STATUS_CODE_LENGTH: usize = 3;
 
 /// Returns whether the answer to a request may begin within `head`, behind its first byte.
 pub(crate) fn may_contain_answer(head: &[u8], expected: &Expected) -> bool {
-    match status_lines(head).find(|start| *start > 0) {
-        Some(start) => may_be_answer(&head[start..], expected),
-        None => false,
-    }
+    let inner = status_lines(head).find(|start| *start > 0);
+    inner.is_some_and(|start| may_be_answer(&head[start..], expected))
 }
 
 /// Returns the end of a response's body, from its last status line on, or nothing if there is no status line in it.
 pub(crate) fn from_last_status_line(body: &[u8]) -> &[u8] {
-    match status_lines(body).last() {
-        Some(start) => &body[start..],
-        None => &[],
-    }
+    status_lines(body).last().map_or(&[], |start| &body[start..])
 }
 
 /// Returns whether the answer to a request may begin with `skipped`, the end of the body of the response before, and go
@@ -60,12 +55,11 @@
 /// Returns whether bytes that begin with [`STATUS_LINE_START`] go on like a status line: a minor version, a space, three
 /// digits, and then a space, the line's end, or nothing more.
 fn is_status_line(bytes: &[u8]) -> bool {
-    let Some(([version, b' ', status @ ..], rest)) =
-        bytes.split_at_checked(MIN_STATUS_LINE).map(|(line, rest)| (&line[STATUS_LINE_START.len()..], rest))
-    else {
+    let [b'0' | b'1', b' ', status @ ..] = &bytes[STATUS_LINE_START.len()..] else {
+        return false;
+    };
+    let Some((code, rest)) = status.split_at_checked(STATUS_CODE_LENGTH) else {
         return false;
     };
-    let is_version = matches!(version, b'0' | b'1');
-    let has_end = matches!(rest.first(), None | Some(b' ' | b'\r' | b'\n'));
-    is_version && status.iter().all(u8::is_ascii_digit) && has_end
+    code.iter().all(u8::is_ascii_digit) && matches!(rest.first(), None | Some(b' ' | b'\r' | b'\n'))
 }
