Show how long the store has been silent, and the revision of each entry

Late drains have several hypotheses that logs and metrics couldn't tell apart: a watch with nothing to report looks like one whose connection is dead, and a line on a searcher's entry didn't say at which revision it was put in force.

staircross_store_silence_ms{lane} is the time since the store's last reply to the calls of a lane, watch_failed says how silent a watch had been when it was given up, and searcher and searcher_gone name the revision that the node has reached.

--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -43,6 +43,9 @@
     pub config_version: u64,
     /// Store revision up to which searchers are known.
     pub store_revision: u64,
+    /// Milliseconds since the store last replied to a call for the configuration, and to one for searchers; 0 if the
+    /// node doesn't read the store.
+    pub store_silence_ms: StoreSilence,
     /// Whether the store answers.
     pub store_reachable: bool,
     /// Whether this node reads the store itself.
@@ -76,6 +79,25 @@
     pub datagram_bytes: u64,
 }
 
+/// Milliseconds since the store's last reply to the calls for each kind of items.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreSilence {
+    /// Calls for what the operator writes.
+    pub configuration: u64,
+    /// Calls for searchers' entries.
+    pub searchers: u64,
+}
+
+impl StoreSilence {
+    fn render(self, text: &mut String) {
+        text.push_str("# TYPE staircross_store_silence_ms gauge\n");
+        for (lane, silence) in [(Lane::Configuration, self.configuration), (Lane::Searchers, self.searchers)] {
+            // Writing to a string can't fail.
+            let _infallible = writeln!(text, "staircross_store_silence_ms{{lane=\"{}\"}} {silence}", lane.name());
+        }
+    }
+}
+
 /// Numbers of calls to the store, by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreCallCounters {
@@ -194,6 +216,7 @@
         let mut text = String::with_capacity(4096);
         self.render_counters(counters, components, &mut text);
         render_gauges(components, &mut text);
+        components.store_silence_ms.render(&mut text);
         self.store_calls.render(&mut text);
         render_traffic(traffic, &mut text);
         self.render_refusals(&mut text);
--- a/crates/staircross-gateway/src/node/change_log.rs
+++ b/crates/staircross-gateway/src/node/change_log.rs
@@ -103,15 +103,17 @@
         if changes.searchers.len() + changes.removed_searchers.len() > MAX_SEARCHER_LINES {
             return self.log_searcher_totals(changes, source);
         }
+        let revision = self.mirror.newest_revision();
         for entry in &changes.searchers {
             let line = format_args!(
-                "event=searcher instance={} born={} service={} address={} draining={} cold_ms={} source={source}",
+                "event=searcher instance={} born={} service={} address={} draining={} cold_ms={} revision={revision} \
+                 source={source}",
                 entry.instance, entry.born_ms, entry.service, entry.address, entry.is_draining, entry.cold_ms
             );
             self.log.line(self.now, LineKind::NodeEvent, line);
         }
         for instance in &changes.removed_searchers {
-            let line = format_args!("event=searcher_gone instance={instance} source={source}");
+            let line = format_args!("event=searcher_gone instance={instance} revision={revision} source={source}");
             self.log.line(self.now, LineKind::NodeEvent, line);
         }
     }
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -7,10 +7,11 @@
 use super::updates::{ANY_SIZE_SUFFIX, EVACUATIONS_PARAM, PULL_TARGET_PREFIX, VERSION_PARAM};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
-use crate::metrics::ComponentMetrics;
+use crate::metrics::{ComponentMetrics, StoreSilence};
 use crate::outbound::AnswerContext;
 use crate::store_role::StoreRole;
 use staircross_http::Request;
+use staircross_routing::store_reader::Lane;
 use staircross_routing::{AcceptedConfiguration, PeerKnowledge};
 use staircross_transport::socket::SocketId;
 use staircross_wire::frame::encode;
@@ -85,6 +86,11 @@
         }
     }
 
+    /// Returns the milliseconds since the store's last reply to a lane's calls; 0 if the node makes none.
+    fn store_silence_ms(&self, lane: Lane) -> u64 {
+        self.store_reader.silence(self.now, lane).map_or(0, |silence| silence.as_millis() as u64)
+    }
+
     fn render_metrics(&self) -> String {
         let (suspects, quarantined) = self.engine.suspicion_counts(self.now);
         let components = ComponentMetrics {
@@ -96,6 +102,10 @@
             searcher_connections: self.pool.connection_count(),
             config_version: self.mirror.version(),
             store_revision: self.mirror.newest_revision(),
+            store_silence_ms: StoreSilence {
+                configuration: self.store_silence_ms(Lane::Configuration),
+                searchers: self.store_silence_ms(Lane::Searchers),
+            },
             store_reachable: self.store_reader.is_reachable(),
             reads_store: self.store_role.role() == StoreRole::Reader,
             serving: self.status.is_serving,
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -9,7 +9,7 @@
 use crate::http_call::CallOutcome;
 use crate::node::GatewayNode;
 use crate::traffic::{Purpose, Reach};
-use staircross_routing::store_reader::{Lane, ReaderAction, StoreReply};
+use staircross_routing::store_reader::{Lane, ReaderAction, StoreCall, StoreReply};
 use staircross_transport::socket::{Readiness, SocketId};
 
 impl<D: Dialect> GatewayNode<D> {
@@ -114,7 +114,10 @@
                 }
                 self.store_reader.on_reply(self.now, lane, reply, &mut self.random, &mut actions);
             }
-            None => self.store_reader.on_failed(self.now, lane, &mut self.random, &mut actions),
+            None => {
+                self.log_failed_watch(lane, call.as_ref());
+                self.store_reader.on_failed(self.now, lane, &mut self.random, &mut actions);
+            }
         }
         if is_alive {
             self.on_probe_answered();
@@ -122,6 +125,17 @@
         self.apply_reader_actions(actions);
     }
 
+    /// Logs how long a watch that broke or timed out had been silent, and the revision that this node has reached. A
+    /// node whose peers have reached a later one missed updates meanwhile.
+    fn log_failed_watch(&mut self, lane: Lane, call: Option<&StoreCall>) {
+        let (Some(StoreCall::Watch { .. }), Some(silence)) = (call, self.store_reader.silence(self.now, lane)) else {
+            return;
+        };
+        let (silence_ms, revision) = (silence.as_millis(), self.mirror.newest_revision());
+        let line = format_args!("event=watch_failed lane={} silence_ms={silence_ms} revision={revision}", lane.name());
+        self.log.line(self.now, LineKind::NodeEvent, line);
+    }
+
     /// Handles the store's answer to a probe. The configuration is confirmed as of the probe if a watch of it was
     /// already in flight by then. A designated reader sends its followers a heartbeat if the store serves both
     /// watches.
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -72,6 +72,7 @@
             failures: 0,
             is_reachable: false,
             reregistration_until: BootTime::default(),
+            answered_at: None,
         });
         StoreReader {
             settings,
@@ -119,6 +120,12 @@
         self.lanes.iter().all(|lane| lane.is_reachable || lane.lane == Lane::Probe)
     }
 
+    /// Returns how long the store has sent no reply to a lane's calls; `None` if the mode makes no calls of the lane. A
+    /// watch that has nothing to report is as silent as one whose connection is dead.
+    pub fn silence(&self, now: BootTime, lane: Lane) -> Option<Duration> {
+        self.lane(lane).answered_at.map(|at| now.since(at))
+    }
+
     /// Returns whether a watch of the configuration is open. A store that answers then sends changes at once.
     pub fn watches_configuration(&self) -> bool {
         let lane = self.lane(Lane::Configuration);
@@ -138,6 +145,7 @@
             if !is_used {
                 lane.state = LaneState::Suspended;
                 lane.partial = None;
+                lane.answered_at = None;
             } else if lane.state == LaneState::Suspended {
                 lane.failures = 0;
                 lane.state = LaneState::Scheduled { at: now };
@@ -190,6 +198,7 @@
         for lane in &mut self.lanes {
             if !lane.is_used(mode, has_failed_read) {
                 lane.state = LaneState::Suspended;
+                lane.answered_at = None;
             } else if lane.state == LaneState::Suspended {
                 lane.state = LaneState::Scheduled { at: now };
             }
@@ -199,6 +208,7 @@
                 lane.state = LaneState::AwaitingProbe;
             } else if is_due {
                 lane.state = LaneState::Calling;
+                lane.answered_at.get_or_insert(now);
                 actions.push(lane.next_call(&self.settings));
             }
         }
@@ -233,6 +243,7 @@
             StoreReply::Changes { update, at } => reader.handle_changes(now, update, at, &settings, actions),
         }
         reader.failures = 0;
+        reader.answered_at = Some(now);
         reader.set_reachable(true, actions);
     }
 
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -56,6 +56,9 @@
     pub is_reachable: bool,
     /// Time until which entries that lapsed together may still be written anew.
     pub reregistration_until: BootTime,
+    /// Time of the last reply to a call of the lane; before the first reply, the time of the first call. `None` while
+    /// the mode doesn't use the lane.
+    pub answered_at: Option<BootTime>,
 }
 
 impl LaneReader {
