Notice watches of the store whose connections are silent for good

What callers saw: requests reached a searcher after it had said that it was leaving, from several gateways of a region.

Cause: an open watch that has nothing to report looks like one whose connection is dead. Only a missed probe or 26.2 s of silence renewed it. Probes have a connection of their own and go on being answered, so the reader announced that it reached the store, and its followers trusted it. Where the watches of all readers are silent, nobody is ahead, so nobody asks a peer either.

Ruled out for this reproduction: requests sent in time that arrive late (the searchers' links are open), an entry removed between listings, older entries put in force again.

Change: a probe is a stale listing of an empty prefix, which costs the same tenth of a call and names the store's revision; watches that haven't reported by the next probe what the probe before showed are renewed. A reader that takes a missed change from a peer renews its watch. Since a stale read may be old and a change of one watch hides a missed one of the other, the store also holds a watch for 0.9 of contact_ms less the timeout of a call at most (a new bound, 5 s where it isn't set): 3.3 s and 4.2 s instead of 25 s. event=watch_renewed says why.

Why it works: each way is positive evidence that a watch missed something, or a bound on trust without any.

--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -82,12 +82,14 @@
             return self.store_role.record_pull_failed(self.now);
         };
         self.apply_update(update, "peer");
-        self.store_reader.on_peer_report(Lane::Searchers, self.mirror.known_revision());
-        if !self.fleet.is_version_behind() {
-            return self.store_reader.on_peer_report(Lane::Configuration, self.mirror.operator_up_to());
-        }
         let mut actions = Vec::new();
-        self.store_reader.read_configuration(self.now, &mut actions);
+        let (searchers, operator) = (self.mirror.known_revision(), self.mirror.operator_up_to());
+        self.store_reader.on_peer_report(self.now, Lane::Searchers, searchers, &mut actions);
+        if self.fleet.is_version_behind() {
+            self.store_reader.read_configuration(self.now, &mut actions);
+        } else {
+            self.store_reader.on_peer_report(self.now, Lane::Configuration, operator, &mut actions);
+        }
         self.apply_reader_actions(actions);
     }
 }
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -9,7 +9,7 @@
 use crate::http_call::CallOutcome;
 use crate::node::GatewayNode;
 use crate::traffic::{Purpose, Reach};
-use staircross_routing::store_reader::{Lane, ReaderAction, StoreCall, StoreReply};
+use staircross_routing::store_reader::{CancelCause, Lane, ReaderAction, StoreCall, StoreReply};
 use staircross_transport::socket::{Readiness, SocketId};
 
 impl<D: Dialect> GatewayNode<D> {
@@ -66,7 +66,8 @@
                         self.on_store_outcome(lane, outcome);
                     }
                 }
-                ReaderAction::Cancel { lane } => {
+                ReaderAction::Cancel { lane, cause } => {
+                    self.log_renewed_watch(lane, cause);
                     self.store.clients[lane as usize].cancel();
                     self.store.pending[lane as usize] = None;
                 }
@@ -104,7 +105,7 @@
             }
             _ => None,
         };
-        let is_alive = reply == Some(StoreReply::Alive);
+        let is_alive = matches!(reply, Some(StoreReply::Alive { .. }));
         let mut actions = Vec::new();
         match reply {
             Some(reply) => {
@@ -136,6 +137,21 @@
         self.log.line(self.now, LineKind::NodeEvent, line);
     }
 
+    /// Logs that an open call is made anew, how long the store has sent no reply to its lane, and the revision that this
+    /// node has reached. Calls that the node's mode no longer needs aren't logged.
+    fn log_renewed_watch(&mut self, lane: Lane, cause: CancelCause) {
+        let Some(silence) = self.store_reader.silence(self.now, lane).filter(|_| cause != CancelCause::Unused) else {
+            return;
+        };
+        let (silence_ms, revision) = (silence.as_millis(), self.mirror.newest_revision());
+        let line = format_args!(
+            "event=watch_renewed lane={} cause={} silence_ms={silence_ms} revision={revision}",
+            lane.name(),
+            cause.name()
+        );
+        self.log.line(self.now, LineKind::NodeEvent, line);
+    }
+
     /// Handles the store's answer to a probe. The configuration is confirmed as of the probe if a watch of it was
     /// already in flight by then. A designated reader sends its followers a heartbeat if the store serves both
     /// watches.
--- a/crates/staircross-gateway/src/settings.rs
+++ b/crates/staircross-gateway/src/settings.rs
@@ -21,6 +21,9 @@
 /// Default maximum size of a recording, in megabytes. It is small beside a machine's disk.
 const DEFAULT_RECORD_MB: u64 = 16;
 
+/// Default of [`BoundSettings::contact_ms`]. Silences of a second or two are common where links lose packets.
+const DEFAULT_CONTACT_MS: u64 = 5000;
+
 /// All settings of a node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -150,6 +153,10 @@
     pub drain_ms: u64,
     /// Time after which a changed configuration must be in force, in milliseconds.
     pub config_ms: u64,
+    /// Time after which a node must have noticed that an open connection to the store is dead, though nothing closes it
+    /// and new connections work, in milliseconds.
+    #[serde(default = "default_contact_ms")]
+    pub contact_ms: u64,
     /// Time from a stop signal until the process is killed, in seconds.
     pub stop_s: f64,
     /// Maximum time for which callers keep an answer of the directory, in seconds.
@@ -183,6 +190,10 @@
     pub revoke_strict: bool,
 }
 
+fn default_contact_ms() -> u64 {
+    DEFAULT_CONTACT_MS
+}
+
 fn default_cold_factor() -> f64 {
     ColdBound::default().factor
 }
--- a/crates/staircross-gateway/src/settings/check.rs
+++ b/crates/staircross-gateway/src/settings/check.rs
@@ -56,6 +56,7 @@
         check_range("bounds.extra_slack", self.extra_slack, 0.0, 1e6, "0 to 1000000")?;
         check_range("bounds.drain_ms", self.drain_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
         check_range("bounds.config_ms", self.config_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
+        check_range("bounds.contact_ms", self.contact_ms as f64, 50.0, 3.6e6, "50 to 3600000")?;
         check_range("bounds.cold_factor", self.cold_factor, 0.0, 1000.0, "0 to 1000")?;
         check_range("bounds.cold_slack", self.cold_slack, 0.0, 1e6, "0 to 1000000")?;
         check_range("bounds.quota_window_s", self.quota_window_s, 0.1, 3600.0, "0.1 to 3600")?;
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -11,6 +11,7 @@
 //! | value | meaning |
 //! | --- | --- |
 //! | [`GatewaySettings::heartbeat_timeout`] | time without a heartbeat of a reader after which a follower probes |
+//! | `ReaderSettings::watch` | time for which the store may hold a watch; a silent one is given up a call's timeout later |
 //! | `ReaderSettings::probe_with_followers` | time between two heartbeats of a reader: one goes out with each probe |
 //! | `ReaderSettings::probe_as_prober` | time between two probes of a prober |
 //! | `ReaderSettings::probe` | time between two confirmations of the configuration, where keys need them |
@@ -32,6 +33,11 @@
 /// Time for which a searcher whose entry has ended is still a fallback, as a fraction of the bound on drains. Together
 /// with the time between calls, a follower's pull and a late wake-up, it stays below the bound.
 const LAPSE_GRACE_FRACTION: f64 = 0.25;
+/// Time after which a watch that sends nothing has been given up, as a fraction of the time within which silent
+/// connections must be noticed. The new watch's call, a datagram and a follower's pull fit into the rest.
+const WATCH_TIMEOUT_FRACTION: f64 = 0.9;
+/// Minimum time for which the store may hold a watch, so that a short `contact_ms` doesn't turn watches into polling.
+const MIN_WATCH: Duration = Duration::from_millis(500);
 /// Silence of its readers that a follower tolerates, as a fraction of the shorter bound on updates. This silence, a
 /// probe, another third of the silence, and the follower's own call together stay below the bound.
 const HEARTBEAT_TIMEOUT_FRACTION: f64 = 0.4;
@@ -67,7 +73,9 @@
         let searcher_pause = Duration::from_millis(self.bounds.drain_ms).mul_f64(SEARCHER_PAUSE_FRACTION);
         let heartbeat_timeout = self.heartbeat_timeout();
         let max_confirmation_age = self.max_confirmation_age();
+        let watch_timeout = Duration::from_millis(self.bounds.contact_ms).mul_f64(WATCH_TIMEOUT_FRACTION);
         ReaderSettings {
+            watch: defaults.watch.min(watch_timeout.saturating_sub(defaults.call_timeout).max(MIN_WATCH)),
             configuration_pause: defaults.configuration_pause.min(configuration_pause),
             searcher_pause: defaults.searcher_pause.min(searcher_pause),
             probe: ProbeIntervals {
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -15,6 +15,12 @@
 //! If the store misses a probe, both watches are renewed as soon as it answers again. Until then a lane whose call
 //! fails makes no further calls and waits for a successful probe.
 //!
+//! A probe that is answered doesn't show that the connections of the watches work: they may be dead while the store
+//! answers on others. So a probe returns the store's revision, and the watches are renewed if they haven't reported by
+//! the next probe a change that a probe has shown. A watch is also renewed if a peer has shown a change that it missed.
+//! Neither shows every missed change: a probe's read may be seconds old, a change of one watch hides a missed change of
+//! the other, and peers may miss the same change. So the store may hold a watch only for a few seconds.
+//!
 //! | mode | lanes that make calls | nodes in this mode |
 //! | --- | --- | --- |
 //! | [`Watching`](ReadingMode::Watching) | all | a reader |
@@ -32,7 +38,9 @@
 mod lane;
 mod message;
 
-pub use message::{Backoff, Lane, ProbeIntervals, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReply};
+pub use message::{
+    Backoff, CancelCause, Lane, ProbeIntervals, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReply,
+};
 
 use lane::{LaneReader, LaneState};
 use rand_chacha::ChaCha8Rng;
@@ -46,6 +54,14 @@
 /// 750 calls instead of 1,339.
 const MAX_CONFIRMATION_DELAY: Duration = Duration::from_millis(150);
 
+/// The store's revision, as a probe returned it.
+#[derive(Clone, Copy, Debug)]
+struct ProbedRevision {
+    revision: u64,
+    /// Time of the reply.
+    at: BootTime,
+}
+
 /// Schedules the calls to the store.
 #[derive(Debug)]
 pub struct StoreReader {
@@ -53,6 +69,8 @@
     mode: ReadingMode,
     /// The lanes, in the order of [`Lane::ALL`].
     lanes: [LaneReader; 3],
+    /// The store's revision according to the last probe; `None` if that failed.
+    last_probe: Option<ProbedRevision>,
     /// Whether the last probe failed, so that the watches must be renewed once the store answers again.
     has_missed_probe: bool,
     /// Whether followers rely on this node's probes of the store.
@@ -73,11 +91,13 @@
             is_reachable: false,
             reregistration_until: BootTime::default(),
             answered_at: None,
+            called_at: BootTime::default(),
         });
         StoreReader {
             settings,
             mode: ReadingMode::Watching,
             lanes,
+            last_probe: None,
             has_missed_probe: false,
             has_followers: false,
             starting_until: BootTime::default(),
@@ -140,7 +160,7 @@
         for lane in &mut self.lanes {
             let is_used = lane.is_used(mode, has_failed_read);
             if !is_used && lane.state == LaneState::Calling {
-                actions.push(ReaderAction::Cancel { lane: lane.lane });
+                actions.push(ReaderAction::Cancel { lane: lane.lane, cause: CancelCause::Unused });
             }
             if !is_used {
                 lane.state = LaneState::Suspended;
@@ -209,6 +229,7 @@
             } else if is_due {
                 lane.state = LaneState::Calling;
                 lane.answered_at.get_or_insert(now);
+                lane.called_at = now;
                 actions.push(lane.next_call(&self.settings));
             }
         }
@@ -228,11 +249,12 @@
             settings.searcher_pause = settings.searcher_pause.min(settings.removal_pause);
         }
         if lane == Lane::Probe {
-            return self.on_probe_result(now, matches!(reply, StoreReply::Alive), actions);
+            let revision = if let StoreReply::Alive { revision } = reply { Some(revision) } else { None };
+            return self.on_probe_result(now, revision, actions);
         }
         let reader = self.lane_mut(lane);
         match reply {
-            StoreReply::Alive => reader.state = LaneState::Scheduled { at: now },
+            StoreReply::Alive { .. } => reader.state = LaneState::Scheduled { at: now },
             StoreReply::Refused { .. } => return reader.handle_failure(now, &settings, random, actions),
             StoreReply::HistoryGone => {
                 reader.known_revision = None;
@@ -251,12 +273,14 @@
     pub fn on_failed(&mut self, now: BootTime, lane: Lane, random: &mut ChaCha8Rng, actions: &mut Vec<ReaderAction>) {
         let settings = self.settings.clone();
         if lane == Lane::Probe {
-            return self.on_probe_result(now, false, actions);
+            return self.on_probe_result(now, None, actions);
         }
         self.lane_mut(lane).handle_failure(now, &settings, random, actions);
     }
 
-    fn on_probe_result(&mut self, now: BootTime, is_alive: bool, actions: &mut Vec<ReaderAction>) {
+    /// Handles the end of a probe; `revision` is the store's revision, or `None` if the store didn't answer.
+    fn on_probe_result(&mut self, now: BootTime, revision: Option<u64>, actions: &mut Vec<ReaderAction>) {
+        let is_alive = revision.is_some();
         let wait = self.probe_interval(is_alive);
         let is_back = is_alive && self.has_missed_probe;
         // The next probe confirms that the watches renewed below are held.
@@ -266,10 +290,27 @@
         probe.set_reachable(is_alive, actions);
         self.has_missed_probe = !is_alive;
         if is_back {
-            self.renew_watches(now, actions);
+            self.renew_watches(now, CancelCause::ProbeMissed, actions);
+        } else if is_alive && self.have_watches_missed_change() {
+            self.renew_watches(now, CancelCause::StoreAhead, actions);
         } else if is_alive {
             self.mark_held_watches_reachable(actions);
         }
+        self.last_probe = revision.map(|revision| ProbedRevision { revision, at: now });
+    }
+
+    /// Returns whether the probe before the present one showed a change that neither watch has reported by now, though
+    /// both were open. The change may also be of a key that nobody watches.
+    fn have_watches_missed_change(&self) -> bool {
+        let Some(last) = self.last_probe else {
+            return false;
+        };
+        let mut watches = self.lanes.iter().filter(|lane| lane.lane != Lane::Probe);
+        watches.all(|lane| {
+            lane.state == LaneState::Calling
+                && lane.called_at < last.at
+                && lane.known_revision.is_some_and(|known| known < last.revision)
+        })
     }
 
     fn probe_interval(&self, is_alive: bool) -> Duration {
@@ -295,10 +336,10 @@
     }
 
     /// Makes a new call due on the lanes whose watch the store may have dropped and on those that wait for a probe.
-    fn renew_watches(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
+    fn renew_watches(&mut self, now: BootTime, cause: CancelCause, actions: &mut Vec<ReaderAction>) {
         for lane in &mut self.lanes {
             if lane.lane != Lane::Probe && lane.state == LaneState::Calling {
-                actions.push(ReaderAction::Cancel { lane: lane.lane });
+                actions.push(ReaderAction::Cancel { lane: lane.lane, cause });
                 lane.state = LaneState::Scheduled { at: now };
                 lane.failures = 0;
             } else if lane.state == LaneState::AwaitingProbe {
@@ -311,12 +352,20 @@
     /// Records that a peer's update made all changes up to `revision` known; 0 if it made nothing completely known. The
     /// lane then watches from there, even if it has read nothing itself. A listing in progress continues, because its
     /// next page would otherwise be taken for the whole listing.
-    pub fn on_peer_report(&mut self, lane: Lane, revision: u64) {
+    ///
+    /// An open watch that a peer has overtaken is renewed: it should have reported the change before the peer did, so
+    /// its connection may be dead.
+    pub fn on_peer_report(&mut self, now: BootTime, lane: Lane, revision: u64, actions: &mut Vec<ReaderAction>) {
         let reader = self.lane_mut(lane);
         let is_listing =
             reader.known_revision.is_none() && (reader.state == LaneState::Calling || reader.partial.is_some());
-        if revision > 0 && !is_listing && reader.known_revision.is_none_or(|known| known < revision) {
-            reader.known_revision = Some(revision);
+        if revision == 0 || is_listing || reader.known_revision.is_some_and(|known| known >= revision) {
+            return;
+        }
+        reader.known_revision = Some(revision);
+        if reader.state == LaneState::Calling {
+            actions.push(ReaderAction::Cancel { lane, cause: CancelCause::PeerAhead });
+            reader.state = LaneState::Scheduled { at: now };
         }
     }
 
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -59,6 +59,8 @@
     /// Time of the last reply to a call of the lane; before the first reply, the time of the first call. `None` while
     /// the mode doesn't use the lane.
     pub answered_at: Option<BootTime>,
+    /// Time of the last call of the lane.
+    pub called_at: BootTime,
 }
 
 impl LaneReader {
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -63,7 +63,7 @@
         /// Longest time for which the store may hold the call.
         wait: Duration,
     },
-    /// Makes a liveness probe, the cheapest call that there is.
+    /// Makes a liveness probe, the cheapest call that there is, which also returns the store's revision.
     Probe,
 }
 
@@ -87,7 +87,10 @@
         at: u64,
     },
     /// The store answered a probe.
-    Alive,
+    Alive {
+        /// The store's revision. The read may be seconds old.
+        revision: u64,
+    },
     /// The store no longer has the history after the revision of the watch.
     HistoryGone,
     /// The store refused the call, or its reply was invalid; the state of the store is unknown.
@@ -97,6 +100,31 @@
     },
 }
 
+/// Why an open call is given up before it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelCause {
+    /// The mode makes no calls of the lane.
+    Unused,
+    /// The store missed a probe, so it may have dropped the watch.
+    ProbeMissed,
+    /// A probe showed a change that no watch reported, so the watch's connection may be dead.
+    StoreAhead,
+    /// A peer showed a change that the watch didn't report, so the watch's connection may be dead.
+    PeerAhead,
+}
+
+impl CancelCause {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            CancelCause::Unused => "unused",
+            CancelCause::ProbeMissed => "probe_missed",
+            CancelCause::StoreAhead => "store_ahead",
+            CancelCause::PeerAhead => "peer_ahead",
+        }
+    }
+}
+
 /// An action that the reader requests from the node.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReaderAction {
@@ -113,6 +141,8 @@
     Cancel {
         /// The lane.
         lane: Lane,
+        /// Why the call is given up.
+        cause: CancelCause,
     },
     /// Merge an update that a lane has read.
     Learned {
--- a/crates/staircross-routing/tests/common/store.rs
+++ b/crates/staircross-routing/tests/common/store.rs
@@ -39,7 +39,7 @@
             match action {
                 ReaderAction::Call { lane, call, .. } => self.calls.push((lane, call)),
                 ReaderAction::Learned { lane, update } => self.learned.push((lane, update)),
-                ReaderAction::Cancel { lane } => self.cancelled.push(lane),
+                ReaderAction::Cancel { lane, .. } => self.cancelled.push(lane),
                 ReaderAction::Reachable { is_reachable, .. } => self.reachable.push(is_reachable),
             }
         }
@@ -72,6 +72,13 @@
         self.collect(actions);
     }
 
+    /// Reports that a peer's update made all changes of a lane up to `revision` known.
+    pub fn peer_report(&mut self, lane: Lane, revision: u64) {
+        let mut actions = Vec::new();
+        self.reader.on_peer_report(self.now, lane, revision, &mut actions);
+        self.collect(actions);
+    }
+
     /// Fails the open call of a lane.
     pub fn fail(&mut self, lane: Lane) {
         let mut actions = Vec::new();
--- a/crates/staircross-routing/tests/store_lanes.rs
+++ b/crates/staircross-routing/tests/store_lanes.rs
@@ -113,11 +113,25 @@
     let mut driver = ReaderDriver::new();
     driver.calls_within(0, Lane::Configuration);
     driver.fail(Lane::Configuration);
-    driver.reader.on_peer_report(Lane::Configuration, 33);
+    driver.peer_report(Lane::Configuration, 33);
     let calls = driver.calls_within(2000, Lane::Configuration);
     assert!(is_watch_after(&calls[0], 33), "{calls:?}");
 }
 
+/// Guards against trusting a watch further that missed a change which a peer knows: its connection may be dead.
+#[test]
+fn a_watch_that_a_peer_has_overtaken_is_renewed() {
+    let mut driver = ReaderDriver::new();
+    driver.calls_within(0, Lane::Searchers);
+    driver.reply(Lane::Searchers, StoreReply::Items { update: changes(vec![]), at: 20, next: None });
+    assert!(is_watch_after(&driver.calls_within(0, Lane::Searchers)[0], 20));
+    driver.peer_report(Lane::Searchers, 20);
+    assert_eq!(driver.cancelled, [], "the peer knows nothing that the watch missed");
+    driver.peer_report(Lane::Searchers, 21);
+    assert_eq!(driver.cancelled, [Lane::Searchers]);
+    assert!(is_watch_after(&driver.calls_within(0, Lane::Searchers)[0], 21));
+}
+
 /// Guards against the loss of all searchers on a listing's first page. A peer's answer that arrived between two pages
 /// set the lane to the revision of the answer. The first page was dropped, and the last page was taken for the whole
 /// listing.
@@ -129,7 +143,7 @@
     let first_page = changes(vec![(3, searcher("a", false))]);
     driver.reply(Lane::Searchers, StoreReply::Items { update: first_page, at: 20, next });
     driver.calls_within(0, Lane::Searchers);
-    driver.reader.on_peer_report(Lane::Searchers, 21);
+    driver.peer_report(Lane::Searchers, 21);
     let second_page = changes(vec![(4, searcher("b", false))]);
     driver.reply(Lane::Searchers, StoreReply::Items { update: second_page, at: 22, next: None });
     let mut mirror = Mirror::default();
--- a/crates/staircross-routing/tests/store_modes.rs
+++ b/crates/staircross-routing/tests/store_modes.rs
@@ -21,7 +21,7 @@
         "a failed read is repeated until it is answered"
     );
     assert_eq!(driver.calls_within(0, Lane::Probe), [StoreCall::Probe], "a failed read starts the probe");
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     driver.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
     assert_eq!(driver.calls_within(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: None }]);
     let page = StoreReply::Items { update: MirrorUpdate::default(), at: 5, next: Some("k".into()) };
@@ -61,7 +61,7 @@
     }
     assert!(probes >= 10, "{probes} probes in 20 s");
     driver.calls_within(1000, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     for lane in lanes {
         assert_eq!(
             driver.calls_within(0, lane),
@@ -78,7 +78,7 @@
 fn a_follower_reads_a_configuration_that_peers_do_not_pass_on_once_and_follows_on() {
     let mut driver = ReaderDriver::new();
     set_mode(&mut driver, ReadingMode::Following);
-    [Lane::Configuration, Lane::Searchers].iter().for_each(|lane| driver.reader.on_peer_report(*lane, 20));
+    [Lane::Configuration, Lane::Searchers].into_iter().for_each(|lane| driver.peer_report(lane, 20));
     let read_configuration = |driver: &mut ReaderDriver| {
         let mut actions = Vec::new();
         driver.reader.read_configuration(driver.now, &mut actions);
@@ -106,7 +106,7 @@
     set_mode(&mut driver, ReadingMode::Once);
     driver.calls_within(0, Lane::Searchers);
     driver.fail(Lane::Searchers);
-    driver.reader.on_peer_report(Lane::Searchers, 7);
+    driver.peer_report(Lane::Searchers, 7);
     assert_eq!(driver.calls_within(60_000, Lane::Searchers), []);
 }
 
@@ -114,7 +114,7 @@
 fn a_reader_that_watches_from_where_a_peer_has_led_counts_as_served_once_the_store_answers_its_probe() {
     let mut driver = ReaderDriver::new();
     set_mode(&mut driver, ReadingMode::Following);
-    [Lane::Configuration, Lane::Searchers].iter().for_each(|lane| driver.reader.on_peer_report(*lane, 20));
+    [Lane::Configuration, Lane::Searchers].into_iter().for_each(|lane| driver.peer_report(lane, 20));
     set_mode(&mut driver, ReadingMode::Watching);
     for lane in [Lane::Configuration, Lane::Searchers] {
         let calls = driver.calls_within(0, lane);
@@ -122,7 +122,7 @@
     }
     assert!(!driver.reader.is_reachable(), "the store hasn't answered yet");
     driver.calls_within(0, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     assert!(driver.reader.is_reachable(), "the store has answered, so followers may rely on this reader");
     driver.fail(Lane::Searchers);
     assert!(!driver.reader.is_reachable());
@@ -146,7 +146,7 @@
     }
     assert!((10..=20).contains(&probes), "{probes} probes in 10 s");
     driver.calls_within(700, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     assert_eq!(
         driver.calls_within(0, Lane::Searchers),
         [],
@@ -169,7 +169,7 @@
     for lane in Lane::ALL {
         assert_eq!(driver.calls_within(60_000, lane), []);
     }
-    driver.reader.on_peer_report(Lane::Searchers, 25);
+    driver.peer_report(Lane::Searchers, 25);
     set_mode(&mut driver, ReadingMode::Watching);
     let calls = driver.calls_within(0, Lane::Searchers);
     assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 25)), "{calls:?}");
--- a/crates/staircross-routing/tests/store_probes.rs
+++ b/crates/staircross-routing/tests/store_probes.rs
@@ -20,7 +20,7 @@
     assert_eq!(probes, [StoreCall::Probe], "at most one probe is open");
     driver.fail(Lane::Probe);
     assert!(driver.calls_within(600, Lane::Probe).contains(&StoreCall::Probe), "an unavailable store is probed often");
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     for lane in [Lane::Configuration, Lane::Searchers] {
         let calls = driver.calls_within(0, lane);
         assert!(is_watch_after(&calls[0], 4), "{calls:?}");
@@ -50,7 +50,7 @@
     }
     assert!((15..=30).contains(&probes), "{probes} probes in 10 s");
     driver.calls_within(500, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     for lane in lanes {
         let calls = driver.calls_within(0, lane);
         assert!(is_watch_after(&calls[0], 4), "{calls:?}");
@@ -71,14 +71,14 @@
     driver.fail(Lane::Probe);
     lanes.iter().for_each(|lane| driver.fail(*lane));
     assert!(!driver.calls_within(2000, Lane::Probe).is_empty());
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     assert!(!driver.reader.is_reachable(), "the store hasn't shown yet that it holds the watches");
     lanes.iter().for_each(|lane| assert_eq!(driver.calls_within(0, *lane).len(), 1));
     assert!(
         !driver.calls_within(200, Lane::Probe).is_empty(),
         "the probe must come soon, since followers that wait longer read the store themselves"
     );
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     assert!(driver.reader.is_reachable(), "the watches are held, though they return nothing while nothing changes");
 }
 
@@ -92,7 +92,7 @@
     for _ in 0..100 {
         for _ in driver.calls_within(100, Lane::Probe) {
             probes += 1;
-            driver.reply(Lane::Probe, StoreReply::Alive);
+            driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
         }
     }
     assert!((3..=8).contains(&probes), "{probes} probes in 10 s");
@@ -108,7 +108,7 @@
         for _ in 0..200 {
             for _ in driver.calls_within(50, Lane::Probe) {
                 count += 1;
-                driver.reply(Lane::Probe, StoreReply::Alive);
+                driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
             }
         }
         count
@@ -122,8 +122,60 @@
 fn the_first_sign_for_others_comes_at_once() {
     let mut driver = ReaderDriver::new();
     driver.calls_within(0, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
     assert_eq!(driver.calls_within(300, Lane::Probe), [], "the usual interval is longer");
     driver.reader.set_has_followers(driver.now, true);
     assert_eq!(driver.calls_within(0, Lane::Probe).len(), 1);
 }
+
+/// Returns a reader that watches both lanes from revision 4.
+fn watching() -> ReaderDriver {
+    let mut driver = ReaderDriver::new();
+    for lane in [Lane::Configuration, Lane::Searchers] {
+        driver.calls_within(0, lane);
+        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        assert!(is_watch_after(&driver.calls_within(0, lane)[0], 4));
+    }
+    driver
+}
+
+/// Lets the store answer the next probe with a revision.
+fn probe(driver: &mut ReaderDriver, revision: u64) {
+    assert_eq!(driver.calls_within(4000, Lane::Probe), [StoreCall::Probe]);
+    driver.reply(Lane::Probe, StoreReply::Alive { revision });
+}
+
+/// Guards against watches whose connections are dead while the store answers probes on another connection.
+#[test]
+fn watches_that_miss_a_change_which_a_probe_shows_are_renewed_by_the_next_probe() {
+    let mut driver = watching();
+    probe(&mut driver, 5);
+    assert_eq!(driver.cancelled, [], "the watches may be about to report the change");
+    probe(&mut driver, 5);
+    assert_eq!(driver.cancelled, [Lane::Configuration, Lane::Searchers]);
+    for lane in [Lane::Configuration, Lane::Searchers] {
+        assert!(is_watch_after(&driver.calls_within(0, lane)[0], 4));
+    }
+}
+
+#[test]
+fn watches_that_have_reported_what_a_probe_shows_are_left_alone() {
+    let mut driver = watching();
+    probe(&mut driver, 4);
+    probe(&mut driver, 5);
+    driver.reply(Lane::Searchers, StoreReply::Changes { update: MirrorUpdate::default(), at: 5 });
+    assert!(is_watch_after(&driver.calls_within(0, Lane::Searchers)[0], 5));
+    (0..3).for_each(|_| probe(&mut driver, 5));
+    assert_eq!(driver.cancelled, []);
+}
+
+/// Guards against a call a probe where the store holds keys that nobody watches: its revision then always rises.
+#[test]
+fn changes_of_other_keys_renew_watches_at_every_second_probe_at_most() {
+    let mut driver = watching();
+    (5..25).for_each(|revision| {
+        probe(&mut driver, revision);
+        [Lane::Configuration, Lane::Searchers].into_iter().for_each(|lane| drop(driver.calls_within(0, lane)));
+    });
+    assert!(driver.cancelled.len() <= 20, "{} renewals of two watches in 20 probes", driver.cancelled.len());
+}
--- a/crates/staircross-routing/tests/views.rs
+++ b/crates/staircross-routing/tests/views.rs
@@ -177,7 +177,7 @@
     /// Returns the reply to a call, or none while a watch has no changes to report.
     fn handle(&self, call: &StoreCall) -> Option<StoreReply> {
         match call {
-            StoreCall::Probe => Some(StoreReply::Alive),
+            StoreCall::Probe => Some(StoreReply::Alive { revision: self.revision }),
             StoreCall::List { lane, after } => {
                 let is_later = |key: &&String| after.as_ref().is_none_or(|after| *key > after);
                 let keys: Vec<&String> =
@@ -241,7 +241,7 @@
         let calls = self.reader.calls_within(millis, Lane::Probe);
         self.apply_actions();
         if !calls.is_empty() {
-            self.reader.reply(Lane::Probe, StoreReply::Alive);
+            self.reader.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
             self.apply_actions();
         }
     }
@@ -352,10 +352,11 @@
             return;
         };
         node.mirror.merge(update);
-        node.reader.reader.on_peer_report(Lane::Searchers, node.mirror.known_revision());
+        node.reader.peer_report(Lane::Searchers, node.mirror.known_revision());
         if node.mirror.version() >= newest {
-            node.reader.reader.on_peer_report(Lane::Configuration, node.mirror.operator_up_to());
+            node.reader.peer_report(Lane::Configuration, node.mirror.operator_up_to());
         }
+        node.apply_actions();
     }
 
     /// Completes all open calls and exchanges with peers. The first node watches the store.
