Confirm the configuration only by probes that show no unknown change

Found while looking for the cause of late drains elsewhere: a probe confirmed the configuration as the newest if a watch of it was open, though the watch's connection may be dead. With revoke_strict, keys were then accepted longer after their revocation. A probe now names the store's revision, so one that shows more than the watches have reported confirms nothing. The new test fails without the condition; what remains is a stale read, and a missed change that a later change of the other watch hides, both bounded by the time for which a watch is held.

--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -153,12 +153,13 @@
     }
 
     /// Handles the store's answer to a probe. The configuration is confirmed as of the probe if a watch of it was
-    /// already in flight by then. A designated reader sends its followers a heartbeat if the store serves both
+    /// already in flight by then, and the probe shows no change that the watches haven't reported. A designated reader sends its followers a heartbeat if the store serves both
     /// watches.
     fn on_probe_answered(&mut self) {
         self.store_role.record_probe_answered(self.now);
         let [watched_at, _, probed_at] = self.store.called_at;
-        if self.store_reader.watches_configuration() && watched_at <= probed_at {
+        let is_up_to_date = self.store_reader.watches_configuration() && self.store_reader.knows_probed_revision();
+        if is_up_to_date && watched_at <= probed_at {
             self.fleet.confirm(probed_at);
         }
         if self.store_reader.is_reachable() && self.fleet.is_designated_reader() {
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -152,6 +152,13 @@
         lane.known_revision.is_some() && lane.state == LaneState::Calling && !self.has_missed_probe
     }
 
+    /// Returns whether everything that the last probe showed is known. A probe that shows more doesn't confirm that the
+    /// configuration is the newest.
+    pub fn knows_probed_revision(&self) -> bool {
+        let known = self.lanes.iter().filter_map(|lane| lane.known_revision).max();
+        self.last_probe.is_some_and(|probe| known.is_some_and(|known| known >= probe.revision))
+    }
+
     /// Sets the mode. Open calls of lanes that the mode doesn't use are cancelled; the other lanes continue from the
     /// revision that they or a peer's update have reached.
     pub fn set_mode(&mut self, now: BootTime, mode: ReadingMode, actions: &mut Vec<ReaderAction>) {
--- a/crates/staircross-routing/tests/store_probes.rs
+++ b/crates/staircross-routing/tests/store_probes.rs
@@ -158,6 +158,19 @@
     }
 }
 
+/// Guards against keys that are accepted after they were revoked, because a probe confirmed the configuration although
+/// the dead connection of the watch had missed the change.
+#[test]
+fn a_probe_that_shows_an_unknown_change_does_not_confirm_the_configuration() {
+    let mut driver = watching();
+    probe(&mut driver, 4);
+    assert!(driver.reader.knows_probed_revision());
+    probe(&mut driver, 5);
+    assert!(!driver.reader.knows_probed_revision());
+    driver.reply(Lane::Configuration, StoreReply::Changes { update: MirrorUpdate::default(), at: 5 });
+    assert!(driver.reader.knows_probed_revision());
+}
+
 #[test]
 fn watches_that_have_reported_what_a_probe_shows_are_left_alone() {
     let mut driver = watching();
