Bound the chunk extensions and trailers of a body as a whole

Cause: each trailer line and each chunk-size line was bounded, but not all of them together. Chunk extensions of 4 KB around a byte of body each let an answer of 8 MB come with 32 GB. Callers could send the same in requests.

Change: the bytes that a decoder drops, extensions and trailers, may be 64 KB in a body, like a response's head. A response beyond that is broken, a request gets 431 (400 before for a single line that is too long).

Bodies of one-byte chunks up to the limit, and 40 KB of trailers, are read as before.

--- a/crates/staircross-http/src/client.rs
+++ b/crates/staircross-http/src/client.rs
@@ -212,7 +212,9 @@
         };
         let used = match pending.decoder.decode(&self.input, &mut pending.body) {
             Ok(used) => used,
-            Err(MessageError::BodyTooLong) => return ClientProgress::Broken(ClientFault::TooLong),
+            Err(MessageError::BodyTooLong | MessageError::TooLong) => {
+                return ClientProgress::Broken(ClientFault::TooLong);
+            }
             Err(_) => return ClientProgress::Broken(ClientFault::Malformed),
         };
         self.consume(used);
--- a/crates/staircross-http/src/framing.rs
+++ b/crates/staircross-http/src/framing.rs
@@ -5,6 +5,11 @@
 
 /// Maximum length of a chunk-size line or a trailer line, in bytes.
 const MAX_CHUNK_LINE: usize = 4096;
+/// Length of a chunk-size line without extensions, in bytes: at most 16 digits and the line's end.
+const PLAIN_CHUNK_LINE: usize = 18;
+/// Maximum total length of a body's chunk extensions and trailers, in bytes. Both are dropped, so it bounds what a peer
+/// can make this process read for nothing. It is the length that a response's head may have.
+const MAX_DROPPED: usize = 64 * 1024;
 
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -99,6 +104,8 @@
 pub struct BodyDecoder {
     state: DecoderState,
     max_length: usize,
+    /// Total length of the chunk extensions and trailers so far, in bytes.
+    dropped: usize,
 }
 
 impl BodyDecoder {
@@ -111,7 +118,7 @@
             Framing::Chunked => DecoderState::ChunkSize,
             Framing::UntilClose => DecoderState::UntilClose,
         };
-        Ok(BodyDecoder { state, max_length })
+        Ok(BodyDecoder { state, max_length, dropped: 0 })
     }
 
     /// Returns whether the body is complete.
@@ -173,6 +180,7 @@
     fn read_chunk_size(&mut self, rest: &[u8]) -> Result<usize, MessageError> {
         match httparse::parse_chunk_size(rest) {
             Ok(httparse::Status::Complete((length, size))) => {
+                self.count_dropped(length.saturating_sub(PLAIN_CHUNK_LINE))?;
                 self.state = if size == 0 { DecoderState::Trailer } else { DecoderState::ChunkData(size) };
                 Ok(length)
             }
@@ -201,6 +209,13 @@
         if end == 0 {
             self.state = DecoderState::Done;
         }
+        self.count_dropped(end)?;
         Ok(end + 2)
     }
+
+    /// Counts bytes that are dropped; fails if there are too many of them.
+    fn count_dropped(&mut self, count: usize) -> Result<(), MessageError> {
+        self.dropped += count;
+        if self.dropped > MAX_DROPPED { Err(MessageError::TooLong) } else { Ok(()) }
+    }
 }
--- a/crates/staircross-http/src/head.rs
+++ b/crates/staircross-http/src/head.rs
@@ -14,9 +14,10 @@
         Malformed {
             display("the bytes are no HTTP/1.1 message")
         }
-        /// The head has more fields than [`MAX_FIELDS`], or a line is longer than allowed.
+        /// The head has more fields than [`MAX_FIELDS`], or a line, or all lines that are dropped together, are longer
+        /// than allowed.
         TooLong {
-            display("the message head is too long")
+            display("the message head, the chunk extensions or the trailers are too long")
         }
         /// The framing fields contradict each other or are unknown, which could hide a second message.
         AmbiguousFraming {
--- a/crates/staircross-http/src/server.rs
+++ b/crates/staircross-http/src/server.rs
@@ -31,7 +31,7 @@
     BadRequest,
     /// The body is longer than allowed; the response is 413.
     BodyTooLong,
-    /// The head is longer than allowed; the response is 431.
+    /// The head, or chunk extensions and trailers, are longer than allowed; the response is 431.
     HeadTooLong,
 }
 
@@ -125,6 +125,7 @@
         let used = match pending.decoder.decode(&self.input, &mut pending.body) {
             Ok(used) => used,
             Err(MessageError::BodyTooLong) => return ServerProgress::Fault(ServerFault::BodyTooLong),
+            Err(MessageError::TooLong) => return ServerProgress::Fault(ServerFault::HeadTooLong),
             Err(_) => return ServerProgress::Fault(ServerFault::BadRequest),
         };
         self.consume(used);
