Bound what precedes the response to a request, and blank lines before one

Whole responses to other requests can come without end in the same way, also on a connection on which no request waits, and a caller can send blank lines without end.

Cause: a bound for each head, none for all that arrive before the awaited one.

Change: between a request and its response, the heads of interim responses and of responses to other requests may have 64 KB together, and the skipped bodies as much as one answer. Blank lines count as part of the next request's head.

--- a/crates/staircross-http/src/client.rs
+++ b/crates/staircross-http/src/client.rs
@@ -11,7 +11,8 @@
 use crate::framing::{BodyDecoder, Framing};
 use crate::head::{MessageError, ResponseHead};
 
-/// Maximum length of a response's head, in bytes.
+/// Maximum length of a response's head, in bytes; also that of all heads together that arrive between a request and the
+/// response to it: of interim responses, and of responses to other requests.
 const MAX_RESPONSE_HEAD: usize = 64 * 1024;
 /// Maximum capacity of an input buffer that is kept for reuse once all its bytes are consumed, in bytes.
 const MAX_KEPT_BUFFER: usize = 4096;
@@ -86,6 +87,10 @@
     has_ambiguous_head: bool,
     /// End of the body of the response that was skipped last, from its last status line on.
     skipped_end: Vec<u8>,
+    /// Total length of the interim and skipped heads since the last request, in bytes.
+    passed_heads: usize,
+    /// Total length of the skipped bodies since the last request, in bytes; at most `max_body`.
+    passed_bodies: usize,
 }
 
 impl ClientConnection {
@@ -101,6 +106,8 @@
             may_follow_others: false,
             has_ambiguous_head: false,
             skipped_end: Vec::new(),
+            passed_heads: 0,
+            passed_bodies: 0,
         }
     }
 
@@ -110,6 +117,8 @@
         self.may_follow_others = self.has_received;
         self.has_ambiguous_head = false;
         self.skipped_end.clear();
+        self.passed_heads = 0;
+        self.passed_bodies = 0;
     }
 
     /// Returns whether a request is outstanding.
@@ -166,19 +175,32 @@
                 Ok(Some(parsed)) => parsed,
                 Ok(None) if self.input.len() > MAX_RESPONSE_HEAD => return Err(ClientFault::TooLong),
                 Ok(None) => return Ok(false),
+                Err(MessageError::TooLong) => return Err(ClientFault::TooLong),
                 Err(_) => return Err(ClientFault::Malformed),
             };
             self.check_ambiguity(length)?;
             self.consume(length);
             let is_informational = head.status < 200 && head.status != 101;
             if is_informational {
+                self.count_passed_head(length)?;
                 continue;
             }
-            self.pending = Some(Box::new(self.start_response(head)?));
+            let response = self.start_response(head)?;
+            if !response.is_expected {
+                self.count_passed_head(length)?;
+            }
+            self.pending = Some(Box::new(response));
             return Ok(true);
         }
     }
 
+    /// Counts the head of a response that isn't the one to the outstanding request. Without a bound, a peer could keep
+    /// its reader busy for as long as it likes.
+    fn count_passed_head(&mut self, length: usize) -> Result<(), ClientFault> {
+        self.passed_heads += length;
+        if self.passed_heads > MAX_RESPONSE_HEAD { Err(ClientFault::TooLong) } else { Ok(()) }
+    }
+
     /// Fails if the head, which is the first `length` bytes of the input, may be something else than the head of one
     /// response.
     fn check_ambiguity(&mut self, length: usize) -> Result<(), ClientFault> {
@@ -231,6 +253,10 @@
             if self.peer_closed || pending.is_close_delimited || !pending.head.keeps_alive() {
                 return ClientProgress::Broken(ClientFault::ClosedUnanswered);
             }
+            self.passed_bodies += pending.body.len();
+            if self.passed_bodies > self.max_body {
+                return ClientProgress::Broken(ClientFault::TooLong);
+            }
             self.may_follow_others = true;
             self.skipped_end = ambiguity::from_last_status_line(&pending.body).to_vec();
             return ClientProgress::Skipped;
--- a/crates/staircross-http/src/server.rs
+++ b/crates/staircross-http/src/server.rs
@@ -60,6 +60,8 @@
 pub struct ServerConnection {
     input: Vec<u8>,
     pending: Option<Box<PendingRequest>>,
+    /// Number of bytes in blank lines before the next request. They count as part of its head.
+    leading_blanks: usize,
 }
 
 impl ServerConnection {
@@ -94,6 +96,10 @@
     fn read_head(&mut self, limits: ServerLimits) -> Result<bool, ServerFault> {
         let leading_blanks = self.input.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
         self.consume(leading_blanks);
+        self.leading_blanks += leading_blanks;
+        if self.leading_blanks > limits.head_bytes {
+            return Err(ServerFault::HeadTooLong);
+        }
         let (head, length) = match RequestHead::parse(&self.input) {
             Ok(Some(parsed)) => parsed,
             Ok(None) if self.input.len() > limits.head_bytes => return Err(ServerFault::HeadTooLong),
@@ -107,6 +113,7 @@
         let framing = Framing::of_request(&head).map_err(|_| ServerFault::BadRequest)?;
         let decoder = BodyDecoder::new(framing, limits.body_bytes).map_err(|_| ServerFault::BodyTooLong)?;
         self.consume(length);
+        self.leading_blanks = 0;
         self.pending = Some(Box::new(PendingRequest { head, decoder, body: Vec::new() }));
         Ok(true)
     }
--- a/crates/staircross-http/tests/endless.rs
+++ b/crates/staircross-http/tests/endless.rs
@@ -42,13 +42,18 @@
 fn a_response_without_end_in_any_part_is_refused() {
     let extension = format!("1;{}\r\nx\r\n", "e".repeat(1000));
     let chunk = format!("3e8\r\n{}\r\n", "x".repeat(1000));
-    let endless: [(&str, &str, &str); 6] = [
+    let other_answer = "HTTP/1.1 200 OK\r\nId: 8\r\nContent-Length: 4\r\n\r\nlate";
+    let long_other_answer = format!("HTTP/1.1 200 OK\r\nId: 8\r\nContent-Length: 10000\r\n\r\n{}", "x".repeat(10_000));
+    let endless: [(&str, &str, &str); 9] = [
         ("trailers", &format!("{CHUNKED_HEAD}0\r\n"), "X-Trailer: again\r\n"),
         ("chunk extensions", CHUNKED_HEAD, &extension),
         ("chunks", CHUNKED_HEAD, &chunk),
         ("body", "HTTP/1.1 200 OK\r\nId: 7\r\n\r\n", "more"),
+        ("interim responses", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"),
         ("fields", "HTTP/1.1 200 OK\r\nId: 7\r\n", "X-Field: again\r\n"),
         ("a field", "HTTP/1.1 200 OK\r\nId: 7\r\nX-Field: ", "again"),
+        ("responses to other requests", "", other_answer),
+        ("long responses to other requests", "", &long_other_answer),
     ];
     for (what, begin, piece) in endless {
         let fault = end_of_endless_response(&mut client(), begin, piece);
@@ -56,6 +61,14 @@
     }
 }
 
+/// Guards against the same on a connection on which no request waits for its response.
+#[test]
+fn responses_that_nobody_waits_for_have_an_end() {
+    let mut connection = ClientConnection::new(MAX_BODY);
+    let piece = "HTTP/1.1 200 OK\r\nId: 8\r\nContent-Length: 4\r\n\r\nlate";
+    assert_eq!(end_of_endless_response(&mut connection, "", piece), Some(ClientFault::TooLong));
+}
+
 /// Guards against bounds that refuse long but legal responses.
 #[test]
 fn long_legal_responses_are_read() {
@@ -106,10 +119,11 @@
     let chunked_head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
     let extension = format!("1;{}\r\nx\r\n", "e".repeat(1000));
     let chunk = format!("3e8\r\n{}\r\n", "x".repeat(1000));
-    let endless: [(&str, &str, &str, ServerFault); 5] = [
+    let endless: [(&str, &str, &str, ServerFault); 6] = [
         ("trailers", &format!("{chunked_head}0\r\n"), "X-Trailer: again\r\n", ServerFault::HeadTooLong),
         ("chunk extensions", chunked_head, &extension, ServerFault::HeadTooLong),
         ("chunks", chunked_head, &chunk, ServerFault::BodyTooLong),
+        ("blank lines", "", "\r\n", ServerFault::HeadTooLong),
         ("fields", "GET / HTTP/1.1\r\n", "X-Field: again\r\n", ServerFault::HeadTooLong),
         ("a field", "GET / HTTP/1.1\r\nX-Field: ", "again", ServerFault::HeadTooLong),
     ];
