Bound what fast searchers take of a turn and of the memory

What callers saw: while one searcher sent without end, requests to others waited; a gathered route over 36 shards, each of which may send 8 MB, needs more than the 112 MB of the smallest machines, and a process over its memory is killed with all its requests.

A turn of the event loop read a connection for as long as bytes came, and each answer was bounded but not all incomplete answers together.

Change: a turn reads 64 KB from a connection and the next turn reads on without waiting for another event, which an edge-triggered poll wouldn't bring. All incomplete answers together may have a quarter of the memory; beyond it the connection that holds most is closed.

--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -130,7 +130,9 @@
 
 fn build_pool(now: BootTime, settings: &GatewaySettings, names: HeaderNames) -> Pool {
     let proves_until = if settings.node.first_start { now } else { now + CONNECTION_PROOF_TIME };
-    Pool::new(names, MAX_ANSWER_BYTES, proves_until).with_policy(settings.policy.node)
+    Pool::new(names, MAX_ANSWER_BYTES, proves_until)
+        .with_max_buffered(settings.max_buffered_answers())
+        .with_policy(settings.policy.node)
 }
 
 fn build_fleet(now: BootTime, node: NodeId, settings: &GatewaySettings, datagrams: UdpSocket) -> Fleet {
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -42,6 +42,9 @@
 /// Time by which a connection is closed before its searcher would close it. This margin is longer than the transit time
 /// of a request plus the rounding error of the searcher's keep-alive timeout, which is stated in whole seconds.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1200);
+/// Number of bytes after which a turn stops to read a connection, so that a searcher that sends fast doesn't hold up
+/// everything else. The next turn reads on.
+const MAX_READ_PER_TURN: usize = 64 * 1024;
 /// HTTP status of an answer from a searcher that isn't the incarnation that the request names.
 const HTTP_MISDIRECTED_REQUEST: u16 = 421;
 
@@ -99,6 +102,8 @@
 pub struct Pool {
     names: HeaderNames,
     max_answer_body: usize,
+    /// Maximum number of bytes of incomplete answers on all connections together.
+    max_buffered: usize,
     connections: Slab<Connection>,
     next_generation: u32,
     /// Slots of the idle connections of each searcher, the most recently used one last.
@@ -111,6 +116,8 @@
     last_resets: HashMap<SearcherKey, BootTime>,
     /// Services whose connections carry one attempt each.
     reuse: ReuseByService,
+    /// Slots and generations of the connections that have more to read, in the order in which they are read.
+    unread: Vec<(usize, u32)>,
     /// Time until which every fresh connection is proved.
     proves_until: BootTime,
     policy: NodePolicy,
@@ -128,6 +135,7 @@
         Pool {
             names,
             max_answer_body,
+            max_buffered: usize::MAX,
             connections: Slab::new(),
             next_generation: 1,
             idle: HashMap::new(),
@@ -135,6 +143,7 @@
             proving_queue: BinaryHeap::new(),
             last_resets: HashMap::new(),
             reuse: ReuseByService::default(),
+            unread: Vec::new(),
             proves_until,
             policy: NodePolicy::default(),
             counters: PoolCounters::default(),
@@ -147,6 +156,12 @@
         Pool { policy, ..self }
     }
 
+    /// Sets the maximum number of bytes of incomplete answers on all connections together. If it is exceeded, the
+    /// connection that holds most is closed.
+    pub fn with_max_buffered(self, max_buffered: usize) -> Self {
+        Pool { max_buffered, ..self }
+    }
+
     /// Returns the number of connections, including those that aren't established yet.
     pub fn connection_count(&self) -> usize {
         self.connections.len()
@@ -286,8 +301,16 @@
         self.idle.entry(connection.searcher).or_default().push(slot);
     }
 
-    /// Reads from a connection until nothing more is available, and handles the answers.
+    /// Reads the connections that had more to read than one turn may.
+    fn read_unread(&mut self, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+        for (slot, generation) in std::mem::take(&mut self.unread) {
+            self.read(slot, generation, io, events);
+        }
+    }
+
+    /// Reads from a connection until nothing more is available, or as much as one turn may, and handles the answers.
     fn read(&mut self, slot: usize, generation: u32, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+        let mut read = 0;
         loop {
             let current = self.connections.get_mut(slot).filter(|connection| connection.generation == generation);
             let Some(connection) = current else {
@@ -301,8 +324,15 @@
                     connection.http.receive(&io.buffer[..count]);
                     self.traffic.count(connection.purpose, connection.reach, count);
                     self.advance(slot, generation, io.now, events);
+                    read += count;
                     if !may_have_more {
-                        return;
+                        return self.limit_buffered(slot, events);
+                    }
+                    if read >= MAX_READ_PER_TURN {
+                        if !self.unread.contains(&(slot, generation)) {
+                            self.unread.push((slot, generation));
+                        }
+                        return self.limit_buffered(slot, events);
                     }
                 }
                 ReadOutcome::WouldBlock => return,
@@ -321,6 +351,22 @@
         }
     }
 
+    /// Closes the connection that holds most of an incomplete answer if all together hold too much. `slot` has just been
+    /// read; as long as it holds little, nothing is summed up.
+    fn limit_buffered(&mut self, slot: usize, events: &mut Vec<PoolEvent>) {
+        let holds_little = |connection: &Connection| connection.http.buffered_bytes() < MAX_READ_PER_TURN;
+        if self.connections.get(slot).is_none_or(holds_little) {
+            return;
+        }
+        let buffered = || self.connections.iter().map(|(slot, connection)| (connection.http.buffered_bytes(), slot));
+        let total: usize = buffered().map(|(bytes, _)| bytes).sum();
+        if total > self.max_buffered
+            && let Some((_, largest)) = buffered().max()
+        {
+            self.fail_connection(largest, ClientFault::TooLong, events);
+        }
+    }
+
     /// Handles all answers in the bytes received so far.
     fn advance(&mut self, slot: usize, generation: u32, now: BootTime, events: &mut Vec<PoolEvent>) {
         loop {
--- a/crates/staircross-gateway/src/pool/establish.rs
+++ b/crates/staircross-gateway/src/pool/establish.rs
@@ -130,13 +130,22 @@
         }
     }
 
-    /// Returns the next time at which a connection in state `Proving` may be used.
+    /// Returns the next time at which a connection in state `Proving` may be used; a time in the past if a connection has
+    /// more to read.
     pub fn next_wake(&self) -> Option<BootTime> {
+        if !self.unread.is_empty() {
+            return Some(BootTime::default());
+        }
         self.proving_queue.peek().map(|Reverse((due, _, _))| *due)
     }
 
-    /// Begins to use the connections that were proved long enough.
+    /// Reads on where the last turn stopped, and begins to use the connections that were proved long enough.
     pub fn on_tick(&mut self, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
+        self.read_unread(io, events);
+        self.use_proved(io, events);
+    }
+
+    fn use_proved(&mut self, io: &mut IoContext<'_>, events: &mut Vec<PoolEvent>) {
         while let Some(Reverse((due, slot, generation))) = self.proving_queue.peek().copied() {
             if due > io.now {
                 return;
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -118,6 +118,12 @@
         (self.limits.link_mbps * 1e6 / 8.0 * PEER_LINK_SHARE) as usize
     }
 
+    /// Returns the maximum size of all incomplete answers of searchers together, in bytes: a quarter of the process's
+    /// memory. Requests in flight may take half.
+    pub fn max_buffered_answers(&self) -> usize {
+        (self.limits.memory_mb * 1024 * 1024 / 4) as usize
+    }
+
     /// Returns the maximum number of requests in flight: as many as fit into half of the process's memory.
     pub fn max_requests(&self) -> usize {
         let half = self.limits.memory_mb * 1024 * 1024 / 2;
--- a/crates/staircross-gateway/tests/pool_fixture/mod.rs
+++ b/crates/staircross-gateway/tests/pool_fixture/mod.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Creates a pool that proves no connection and takes answers of up to `max_answer` bytes.
+    pub fn with_max_answer(max_answer: usize) -> Self {
+        let pool = Pool::new(NAMES, max_answer, BootTime::default());
+        Fixture { pool, ..Fixture::with_proving_until(BootTime::default()) }
+    }
+
     pub fn with_io(&mut self, work: impl FnOnce(&mut Pool, &mut IoContext<'_>, &mut Vec<PoolEvent>)) {
         let limits = ServerLimits { head_bytes: 1 << 16, body_bytes: 1 << 20 };
         let mut io = IoContext { now: self.now, registry: self.poll.registry(), buffer: &mut self.buf, limits };
@@ -103,7 +109,8 @@
         }
     }
 
-    fn poll_once(&mut self, timeout: Duration) {
+    /// Waits for readiness events and handles them.
+    pub fn poll_once(&mut self, timeout: Duration) {
         let mut ready = Events::with_capacity(16);
         self.poll.poll(&mut ready, Some(timeout)).expect("polling");
         for event in &ready {
--- a/crates/staircross-http/src/client.rs
+++ b/crates/staircross-http/src/client.rs
@@ -131,6 +131,11 @@
         !self.input.is_empty() || self.pending.is_some()
     }
 
+    /// Returns the number of bytes that are held of incomplete responses.
+    pub fn buffered_bytes(&self) -> usize {
+        self.input.len() + self.pending.as_ref().map_or(0, |pending| pending.body.len())
+    }
+
     /// Returns whether any bytes have arrived on the connection.
     pub fn has_received(&self) -> bool {
         self.has_received
