Session tier: test replies without end, and replies that stop

Other operators report heads that stop, taken for whole empty answers, and bytes that come without end in a head or a body. The session tier is sound in both: each of ten parts without end, from searchers and from the platform, ends with its attempt (0.5 s) or its call (5 s), and a reply cut at any byte is never believed. The HTTP client's time limit for the whole call and the digest of replies see to that, so no code changes.

--- a/crates/session/staircross-node/tests/common/faulty_server.rs
+++ b/crates/session/staircross-node/tests/common/faulty_server.rs
@@ -20,6 +20,10 @@
     LateCopy,
     /// The first bytes of a reply, when the next call on the connection has come.
     LateBeginning(&'static str),
+    /// Instead of each reply, this text and then the piece again and again, until the peer closes.
+    Endless(&'static str, &'static str),
+    /// The first bytes of each reply's head or body, as many as given, and then a close.
+    CutOff(usize),
 }
 
 /// A reply's fields, each with its line end, and its body.
@@ -48,6 +52,15 @@
     let mut earlier: Option<Vec<u8>> = None;
     while let Some((target, body)) = read_call(&mut reader) {
         let bytes = render(reply(&target, &body), fault);
+        match fault {
+            Fault::Endless(begin, piece) => return write_endlessly(&mut stream, begin, piece),
+            Fault::CutOff(length) => {
+                // The peer may have given up already.
+                let _peer_may_be_gone = stream.write_all(&bytes[..length.min(bytes.len() - 1)]);
+                return;
+            }
+            _ => {}
+        }
         let extra = match (fault, earlier.replace(bytes.clone())) {
             (Fault::LateCopy, Some(copy)) => copy,
             (Fault::LateBeginning(text), Some(_)) => text.as_bytes().to_vec(),
@@ -67,6 +80,15 @@
     }
 }
 
+/// Writes until the peer closes the connection.
+fn write_endlessly(stream: &mut TcpStream, begin: &str, piece: &str) {
+    let block = piece.repeat((64 * 1024 / piece.len()).max(1));
+    let mut sent = stream.write_all(begin.as_bytes());
+    while sent.is_ok() {
+        sent = stream.write_all(block.as_bytes());
+    }
+}
+
 fn render(reply: Reply, fault: Fault) -> Vec<u8> {
     let field = match fault {
         Fault::StatusLineInField => "X-Upstream: HTTP/1.1 304 Not Modified\r\n",
--- a/crates/session/staircross-node/tests/platform_reader.rs
+++ b/crates/session/staircross-node/tests/platform_reader.rs
@@ -1,5 +1,7 @@
 //! Tests that what the platform sends is read as the reply to the call that it belongs to, and as nothing else.
 
+#[path = "common/endless.rs"]
+mod endless;
 #[path = "common/faulty_server.rs"]
 mod faulty_server;
 
@@ -21,7 +23,11 @@
 
 /// Starts a platform that counts its calls; the count is the revision of the document.
 fn start_platform(fault: Fault) -> SocketAddr {
-    let calls = AtomicU32::new(0);
+    start_counting_platform(fault, Arc::default())
+}
+
+/// Starts a platform like [`start_platform`] that counts its calls in `calls`.
+fn start_counting_platform(fault: Fault, calls: Arc<AtomicU32>) -> SocketAddr {
     faulty_server::start(fault, move |target, _| {
         let number = calls.fetch_add(1, Ordering::SeqCst) + 1;
         let body = match target {
@@ -82,3 +88,30 @@
         assert_each_call_gets_its_reply(Fault::LateBeginning(text));
     }
 }
+
+/// Guards against a reader that a platform holds for good, or that believes a part of a reply.
+#[test]
+fn a_reply_without_end_in_any_part_is_given_up() {
+    let readers = endless::endless_replies().map(|(what, fault)| {
+        let calls = Arc::new(AtomicU32::new(0));
+        (what, start_reader(start_counting_platform(fault, calls.clone())), calls)
+    });
+    std::thread::sleep(WAIT_TIMEOUT);
+    for (what, (events, stop), calls) in readers {
+        stop.store(true, Ordering::Relaxed);
+        assert!(events.is_empty(), "{what}: a document or a list");
+        assert!(calls.load(Ordering::SeqCst) >= 2, "{what}: the reader makes no further call");
+    }
+}
+
+/// Guards against an empty or short document that is put in force: the platform stops in the middle of a reply.
+#[test]
+fn a_reply_that_stops_at_any_byte_is_not_believed() {
+    let readers: Vec<_> = (0..70).map(|length| start_reader(start_platform(Fault::CutOff(length)))).collect();
+    std::thread::sleep(Duration::from_secs(1));
+    for (length, (events, stop)) in readers.into_iter().enumerate() {
+        stop.store(true, Ordering::Relaxed);
+        let is_believed = events.try_iter().next().is_some();
+        assert!(!is_believed, "after {length} bytes");
+    }
+}
--- a/crates/session/staircross-node/tests/searcher_replies.rs
+++ b/crates/session/staircross-node/tests/searcher_replies.rs
@@ -1,5 +1,7 @@
 //! Tests that what a searcher sends is taken for the reply to the attempt that it belongs to, and to no other.
 
+#[path = "common/endless.rs"]
+mod endless;
 #[path = "common/faulty_server.rs"]
 mod faulty_server;
 
@@ -17,7 +19,7 @@
 };
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum time for which a test waits for the end of an attempt or a probe.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -59,8 +61,13 @@
     (searchers, events)
 }
 
-/// Sends searches one after the other and returns how each ended.
+/// Sends [`ATTEMPTS`] searches one after the other and returns how each ended.
 fn search(fault: Fault) -> Vec<SubOutcome> {
+    search_times(fault, ATTEMPTS, Duration::from_secs(2))
+}
+
+/// Sends searches that may take `remaining` each, one after the other, and returns how each ended.
+fn search_times(fault: Fault, attempts: u32, remaining: Duration) -> Vec<SubOutcome> {
     let (searchers, events) = connect(fault);
     let request = |attempt| SubRequest {
         attempt: AttemptId { request: RequestId { node: NodeId(1), sequence: 1 }, attempt },
@@ -68,7 +75,7 @@
         snapshot: SNAPSHOT,
         shards: vec![ShardId(0)],
         work: Work::Search(SearchQuery { terms: Vec::new(), limit: 1, after: None }),
-        remaining: Duration::from_secs(2),
+        remaining,
     };
     let run = |attempt| {
         searchers.send(request(attempt), boot_clock::now() + WAIT_TIMEOUT);
@@ -80,7 +87,7 @@
             _ => panic!("another event"),
         }
     };
-    (1..=ATTEMPTS).map(run).collect()
+    (1..=attempts).map(run).collect()
 }
 
 fn is_found(outcome: &SubOutcome) -> bool {
@@ -136,3 +143,27 @@
         assert!(outcomes.iter().all(is_true), "{text:?}: {outcomes:?}");
     }
 }
+
+/// Guards against a worker, and its connection, that a searcher holds for longer than the attempt may take.
+#[test]
+fn a_reply_without_end_in_any_part_ends_with_its_attempt() {
+    let remaining = Duration::from_millis(500);
+    for (what, fault) in endless::endless_replies() {
+        let began = Instant::now();
+        let outcomes = search_times(fault, 2, remaining);
+        let took = began.elapsed();
+        assert!(outcomes.iter().all(|outcome| matches!(outcome, SubOutcome::Unknown(_))), "{what}: {outcomes:?}");
+        assert!(took < remaining * 4, "{what}: two attempts took {took:?}");
+    }
+}
+
+/// Guards against an empty or short result that is believed: a searcher stops in the middle of its head or its body and
+/// closes the connection cleanly.
+#[test]
+fn a_reply_that_stops_at_any_byte_is_not_believed() {
+    for length in 0..250 {
+        let outcomes = search_times(Fault::CutOff(length), 1, Duration::from_secs(2));
+        let is_unbelieved = matches!(outcomes.as_slice(), [SubOutcome::Unknown(UnknownReason::Broken)]);
+        assert!(is_unbelieved, "after {length} bytes: {outcomes:?}");
+    }
+}
