--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -153,8 +153,8 @@
     }
 
     /// Handles the store's answer to a probe. The configuration is confirmed as of the probe if a watch of it was
-    /// already in flight by then, and the probe shows no change that the watches haven't reported. A designated reader sends its followers a heartbeat if the store serves both
-    /// watches.
+    /// already in flight by then, and the probe shows no change that the watches haven't reported. A designated reader
+    /// sends its followers a heartbeat if the store serves both watches.
     fn on_probe_answered(&mut self) {
         self.store_role.record_probe_answered(self.now);
         let [watched_at, _, probed_at] = self.store.called_at;
