Session tier: test a connection to a peer that has gone silent

The same class as the late drains, found by reading: connections between nodes carry one direction, so one whose bytes are acknowledged but not read isn't noticed while there is traffic. Not fixed: replacing connections every few seconds costs a handshake for each pair of nodes, 53 a second at each of 530 nodes even with an age of ten seconds, and replies need a protocol that older nodes understand.

--- a/crates/session/staircross-node/tests/peers.rs
+++ b/crates/session/staircross-node/tests/peers.rs
@@ -94,3 +94,25 @@
     let event = events.recv_timeout(WAIT_TIMEOUT).expect("an event");
     assert!(matches!(event, CoreEvent::PeerBroken(broken) if broken == address));
 }
+
+/// Guards against requests and replies that are lost for as long as there is traffic: the connection to the peer goes
+/// silent for good, though the bytes written on it are acknowledged and new connections work.
+#[test]
+fn a_connection_to_a_peer_that_has_gone_silent_is_replaced() {
+    let (mut transport, _events) = start_transport();
+    let listener = TcpListener::bind(free_address()).expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    transport.send(address, cancel(1));
+    let mut silent = accept_peer(&listener);
+    assert_eq!(receive(&mut silent), cancel(1));
+    let silent_since = Instant::now();
+    let is_replaced = loop {
+        transport.send(address, cancel(2));
+        match listener.accept() {
+            Ok(_) => break true,
+            Err(_) if silent_since.elapsed() > WAIT_TIMEOUT => break false,
+            Err(_) => std::thread::sleep(Duration::from_millis(20)),
+        }
+    };
+    assert!(is_replaced, "no new connection within {WAIT_TIMEOUT:?}");
+}
