Leave watches alone whose reply is arriving

Found by trying the renewal of watches against a slow but honest store: a reply of some 500 KB takes three seconds over a link that carries 8 KB in 50 ms. Two probes later the watch was made anew for the very change that the reply brings, and so on: a configuration of 1,500 routes wasn't in force after 10 s, with a watch_renewed line every 1.2 s.

A watch of whose reply a part has arrived shows that its connection works, so neither a probe nor a peer has it made anew.

--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -126,6 +126,11 @@
         self.pending.is_some()
     }
 
+    /// Returns whether a part of the answer to the call in flight has arrived.
+    pub fn is_receiving(&self) -> bool {
+        self.connection.as_ref().is_some_and(|connection| connection.http.has_unread_bytes())
+    }
+
     /// Returns when the call in flight times out.
     pub fn next_wake(&self) -> Option<BootTime> {
         let pending = self.pending.as_ref()?;
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -84,6 +84,7 @@
         self.apply_update(update, "peer");
         let mut actions = Vec::new();
         let (searchers, operator) = (self.mirror.known_revision(), self.mirror.operator_up_to());
+        self.note_receiving();
         self.store_reader.on_peer_report(self.now, Lane::Searchers, searchers, &mut actions);
         if self.fleet.is_version_behind() {
             self.store_reader.read_configuration(self.now, &mut actions);
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -105,6 +105,7 @@
             }
             _ => None,
         };
+        self.note_receiving();
         let is_alive = matches!(reply, Some(StoreReply::Alive { .. }));
         let mut actions = Vec::new();
         match reply {
@@ -126,6 +127,13 @@
         self.apply_reader_actions(actions);
     }
 
+    /// Tells the store reader which open calls have received a part of their reply.
+    pub(super) fn note_receiving(&mut self) {
+        for (lane, client) in Lane::ALL.into_iter().zip(&self.store.clients) {
+            self.store_reader.set_receiving(lane, client.is_receiving());
+        }
+    }
+
     /// Logs how long a watch that broke or timed out had been silent, and the revision that this node has reached. A
     /// node whose peers have reached a later one missed updates meanwhile.
     fn log_failed_watch(&mut self, lane: Lane, call: Option<&StoreCall>) {
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -92,6 +92,7 @@
             reregistration_until: BootTime::default(),
             answered_at: None,
             called_at: BootTime::default(),
+            is_receiving: false,
         });
         StoreReader {
             settings,
@@ -237,6 +238,7 @@
                 lane.state = LaneState::Calling;
                 lane.answered_at.get_or_insert(now);
                 lane.called_at = now;
+                lane.is_receiving = false;
                 actions.push(lane.next_call(&self.settings));
             }
         }
@@ -306,6 +308,12 @@
         self.last_probe = revision.map(|revision| ProbedRevision { revision, at: now });
     }
 
+    /// Sets whether a part of the reply to a lane's open call has arrived. The connection of such a call works, however
+    /// long the reply takes, so the call isn't made anew for a change that it hasn't reported yet.
+    pub fn set_receiving(&mut self, lane: Lane, is_receiving: bool) {
+        self.lane_mut(lane).is_receiving = is_receiving;
+    }
+
     /// Returns whether the probe before the present one showed a change that neither watch has reported by now, though
     /// both were open. The change may also be of a key that nobody watches.
     fn have_watches_missed_change(&self) -> bool {
@@ -315,6 +323,7 @@
         let mut watches = self.lanes.iter().filter(|lane| lane.lane != Lane::Probe);
         watches.all(|lane| {
             lane.state == LaneState::Calling
+                && !lane.is_receiving
                 && lane.called_at < last.at
                 && lane.known_revision.is_some_and(|known| known < last.revision)
         })
@@ -370,7 +379,7 @@
             return;
         }
         reader.known_revision = Some(revision);
-        if reader.state == LaneState::Calling {
+        if reader.state == LaneState::Calling && !reader.is_receiving {
             actions.push(ReaderAction::Cancel { lane, cause: CancelCause::PeerAhead });
             reader.state = LaneState::Scheduled { at: now };
         }
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -61,6 +61,8 @@
     pub answered_at: Option<BootTime>,
     /// Time of the last call of the lane.
     pub called_at: BootTime,
+    /// Whether a part of the reply to the open call has arrived.
+    pub is_receiving: bool,
 }
 
 impl LaneReader {
--- a/crates/staircross-routing/tests/store_probes.rs
+++ b/crates/staircross-routing/tests/store_probes.rs
@@ -158,6 +158,19 @@
     }
 }
 
+/// Guards against a long reply that never arrives whole: each time that it is under way, the watch is made anew for the
+/// change that the reply brings.
+#[test]
+fn a_watch_whose_reply_is_arriving_is_left_alone() {
+    let mut driver = watching();
+    driver.reader.set_receiving(Lane::Configuration, true);
+    (0..5).for_each(|_| probe(&mut driver, 5));
+    driver.peer_report(Lane::Configuration, 5);
+    assert_eq!(driver.cancelled, []);
+    driver.reply(Lane::Configuration, StoreReply::Changes { update: MirrorUpdate::default(), at: 5 });
+    assert!(is_watch_after(&driver.calls_within(500, Lane::Configuration)[0], 5));
+}
+
 /// Guards against keys that are accepted after they were revoked, because a probe confirmed the configuration although
 /// the dead connection of the watch had missed the change.
 #[test]
