Give watches the time of a call to report what a probe shows

Found by trying the renewal of watches against slow but honest stores: one that answers stale reads at once and a watch after 1.1 s was never heard. The watch was made anew at the second probe, 0.5 s after it had been sent, for the very change that it was about to report, and so on. Callers would have seen drains and configurations late for as long as the store was that slow.

A call may take 1.2 s (call_timeout), so a watch counts as having missed a change only if it has been open for that long since the first probe that showed the change. Price: the renewal comes 1.2 to 2.0 s after that probe instead of 0.5 to 0.8 s. The time for which the store may hold a watch still bounds what a probe can't see.

store_probes.rs, a_watch_has_the_time_of_a_call_to_report_what_a_probe_shows: before, both watches were cancelled within 1.1 s.

--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -16,8 +16,9 @@
 //! fails makes no further calls and waits for a successful probe.
 //!
 //! A probe that is answered doesn't show that the connections of the watches work: they may be dead while the store
-//! answers on others. So a probe returns the store's revision, and the watches are renewed if they haven't reported by
-//! the next probe a change that a probe has shown. A watch is also renewed if a peer has shown a change that it missed.
+//! answers on others. So a probe returns the store's revision, and the watches are renewed if they haven't reported a
+//! change that a probe has shown in the time that a call may take. A watch is also renewed if a peer has shown a change
+//! that it missed.
 //! Neither shows every missed change: a probe's read may be seconds old, a change of one watch hides a missed change of
 //! the other, and peers may miss the same change. So the store may hold a watch only for a few seconds.
 //!
@@ -54,7 +55,7 @@
 /// 750 calls instead of 1,339.
 const MAX_CONFIRMATION_DELAY: Duration = Duration::from_millis(150);
 
-/// The store's revision, as a probe returned it.
+/// A revision of the store that a probe returned.
 #[derive(Clone, Copy, Debug)]
 struct ProbedRevision {
     revision: u64,
@@ -70,7 +71,10 @@
     /// The lanes, in the order of [`Lane::ALL`].
     lanes: [LaneReader; 3],
     /// The store's revision according to the last probe; `None` if that failed.
-    last_probe: Option<ProbedRevision>,
+    probed_revision: Option<u64>,
+    /// What the first probe returned that showed a change which no watch has reported since; `None` if there is no such
+    /// change.
+    unreported: Option<ProbedRevision>,
     /// Whether the last probe failed, so that the watches must be renewed once the store answers again.
     has_missed_probe: bool,
     /// Whether followers rely on this node's probes of the store.
@@ -98,7 +102,8 @@
             settings,
             mode: ReadingMode::Watching,
             lanes,
-            last_probe: None,
+            probed_revision: None,
+            unreported: None,
             has_missed_probe: false,
             has_followers: false,
             starting_until: BootTime::default(),
@@ -156,8 +161,12 @@
     /// Returns whether everything that the last probe showed is known. A probe that shows more doesn't confirm that the
     /// configuration is the newest.
     pub fn knows_probed_revision(&self) -> bool {
-        let known = self.lanes.iter().filter_map(|lane| lane.known_revision).max();
-        self.last_probe.is_some_and(|probe| known.is_some_and(|known| known >= probe.revision))
+        self.probed_revision.is_some_and(|revision| self.is_known(revision))
+    }
+
+    /// Returns whether a reading lane has reached the revision.
+    fn is_known(&self, revision: u64) -> bool {
+        self.lanes.iter().filter_map(|lane| lane.known_revision).any(|known| known >= revision)
     }
 
     /// Sets the mode. Open calls of lanes that the mode doesn't use are cancelled; the other lanes continue from the
@@ -298,14 +307,26 @@
         probe.state = LaneState::Scheduled { at: now + wait };
         probe.set_reachable(is_alive, actions);
         self.has_missed_probe = !is_alive;
+        self.probed_revision = revision;
+        if !is_alive {
+            self.unreported = None;
+            return;
+        }
         if is_back {
             self.renew_watches(now, CancelCause::ProbeMissed, actions);
-        } else if is_alive && self.have_watches_missed_change() {
+        } else if self.have_watches_missed_change(now) {
             self.renew_watches(now, CancelCause::StoreAhead, actions);
-        } else if is_alive {
+        } else {
             self.mark_held_watches_reachable(actions);
+            self.note_unreported_change(now);
         }
-        self.last_probe = revision.map(|revision| ProbedRevision { revision, at: now });
+    }
+
+    /// Remembers the first probe that showed a change which no watch has reported by now.
+    fn note_unreported_change(&mut self, now: BootTime) {
+        let newest = self.probed_revision.map(|revision| ProbedRevision { revision, at: now });
+        let is_unreported = |probed: &ProbedRevision| !self.is_known(probed.revision);
+        self.unreported = self.unreported.filter(is_unreported).or(newest.filter(is_unreported));
     }
 
     /// Sets whether a part of the reply to a lane's open call has arrived. The connection of such a call works, however
@@ -314,18 +335,18 @@
         self.lane_mut(lane).is_receiving = is_receiving;
     }
 
-    /// Returns whether the probe before the present one showed a change that neither watch has reported by now, though
-    /// both were open. The change may also be of a key that nobody watches.
-    fn have_watches_missed_change(&self) -> bool {
-        let Some(last) = self.last_probe else {
+    /// Returns whether a probe has shown a change that no watch has reported, though each has been open for the time that
+    /// a call may take. The change may also be of a key that nobody watches.
+    fn have_watches_missed_change(&self, now: BootTime) -> bool {
+        let Some(missed) = self.unreported.filter(|probed| !self.is_known(probed.revision)) else {
             return false;
         };
         let mut watches = self.lanes.iter().filter(|lane| lane.lane != Lane::Probe);
         watches.all(|lane| {
             lane.state == LaneState::Calling
                 && !lane.is_receiving
-                && lane.called_at < last.at
-                && lane.known_revision.is_some_and(|known| known < last.revision)
+                && lane.known_revision.is_some()
+                && now.since(lane.called_at.max(missed.at)) >= self.settings.call_timeout
         })
     }
 
@@ -353,6 +374,7 @@
 
     /// Makes a new call due on the lanes whose watch the store may have dropped and on those that wait for a probe.
     fn renew_watches(&mut self, now: BootTime, cause: CancelCause, actions: &mut Vec<ReaderAction>) {
+        self.unreported = None;
         for lane in &mut self.lanes {
             if lane.lane != Lane::Probe && lane.state == LaneState::Calling {
                 actions.push(ReaderAction::Cancel { lane: lane.lane, cause });
--- a/crates/staircross-routing/tests/store_probes.rs
+++ b/crates/staircross-routing/tests/store_probes.rs
@@ -6,6 +6,7 @@
 use common::store::{ReaderDriver, is_watch_after};
 use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::{Lane, StoreCall, StoreReply};
+use std::time::Duration;
 
 #[test]
 fn a_store_that_was_away_has_its_watches_renewed_when_it_is_back() {
@@ -158,6 +159,27 @@
     }
 }
 
+/// Guards against a reply that never arrives, because the watch is made anew before a slow store has answered it, and so
+/// on: stale reads are answered at once, but a watch only after a second.
+#[test]
+fn a_watch_has_the_time_of_a_call_to_report_what_a_probe_shows() {
+    let mut driver = watching();
+    driver.reader.set_has_followers(driver.now, true);
+    let shown_at = driver.now;
+    while driver.now.since(shown_at) < Duration::from_millis(1100) {
+        for _ in driver.calls_within(50, Lane::Probe) {
+            driver.reply(Lane::Probe, StoreReply::Alive { revision: 5 });
+        }
+    }
+    assert_eq!(driver.cancelled, [], "a call may take 1.2 s");
+    while driver.now.since(shown_at) < Duration::from_millis(2300) {
+        for _ in driver.calls_within(50, Lane::Probe) {
+            driver.reply(Lane::Probe, StoreReply::Alive { revision: 5 });
+        }
+    }
+    assert_eq!(driver.cancelled, [Lane::Configuration, Lane::Searchers], "both are made anew once");
+}
+
 /// Guards against a long reply that never arrives whole: each time that it is under way, the watch is made anew for the
 /// change that the reply brings.
 #[test]
