Count a watch that replaces a lost one as held at the next probe

What operators see: when the watches of a region's readers time out or are cut, all its followers read the store by themselves for 10 s, though nothing has changed and the readers' new watches are open. With watches held for 3.3 s instead of 25 s that is so at each loss of connections to the store.

Cause: after a failure a lane counted as reachable only once the store had answered it, and a watch of a quiet store is answered after the time for which the store may hold it. Without a heartbeat for 1.2 s (bound of 3 s) followers probe and then read.

Change: such a watch counts as held at the next probe that is answered and was sent after it, as a watch does that begins from a peer's revision. Not after a refusal, which may take longer than a probe, nor after two failures in a row.

--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -92,6 +92,7 @@
             known_revision: None,
             partial: None,
             failures: 0,
+            is_refused: false,
             is_reachable: false,
             reregistration_until: BootTime::default(),
             answered_at: None,
@@ -273,7 +274,10 @@
         let reader = self.lane_mut(lane);
         match reply {
             StoreReply::Alive { .. } => reader.state = LaneState::Scheduled { at: now },
-            StoreReply::Refused { .. } => return reader.handle_failure(now, &settings, random, actions),
+            StoreReply::Refused { .. } => {
+                reader.is_refused = true;
+                return reader.handle_failure(now, &settings, random, actions);
+            }
             StoreReply::HistoryGone => {
                 reader.known_revision = None;
                 reader.partial = None;
@@ -283,6 +287,7 @@
             StoreReply::Changes { update, at } => reader.handle_changes(now, update, at, &settings, actions),
         }
         reader.failures = 0;
+        reader.is_refused = false;
         reader.answered_at = Some(now);
         reader.set_reachable(true, actions);
     }
@@ -361,13 +366,15 @@
 
     /// Marks lanes with an open watch as reachable, since a store that answers the probe holds their watches. A watch
     /// that started from a revision that a peer had sent has had no reply yet, because it is answered only when
-    /// something changes.
+    /// something changes. The same holds for a watch that replaces one that got no reply, if it was sent before the
+    /// probe. After a refusal, or two failures, the store must answer the lane first.
     fn mark_held_watches_reachable(&mut self, actions: &mut Vec<ReaderAction>) {
+        let probed_at = self.lane(Lane::Probe).called_at;
         let is_held = |lane: &&mut LaneReader| {
             lane.lane != Lane::Probe
                 && lane.state == LaneState::Calling
                 && lane.known_revision.is_some()
-                && lane.failures == 0
+                && (lane.failures == 0 || (lane.failures == 1 && !lane.is_refused && lane.called_at < probed_at))
         };
         self.lanes.iter_mut().filter(is_held).for_each(|lane| lane.set_reachable(true, actions));
     }
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -52,6 +52,8 @@
     pub partial: Option<PartialListing>,
     /// Number of failed calls in a row.
     pub failures: u32,
+    /// Whether the store has refused a call since it last answered one.
+    pub is_refused: bool,
     /// Whether the last call was answered, or is an open watch of a store that answers probes.
     pub is_reachable: bool,
     /// Time until which entries that lapsed together may still be written anew.
--- a/crates/staircross-routing/tests/store_probes.rs
+++ b/crates/staircross-routing/tests/store_probes.rs
@@ -180,6 +180,37 @@
     assert_eq!(driver.cancelled, [Lane::Configuration, Lane::Searchers], "both are made anew once");
 }
 
+/// Guards against a region whose followers all read the store because the readers' watches were cut or timed out: a watch
+/// that was made anew and sent before an answered probe is held, though it returns nothing while nothing changes.
+#[test]
+fn a_watch_that_was_cut_counts_as_held_once_a_later_probe_is_answered() {
+    let mut driver = watching();
+    probe(&mut driver, 4);
+    driver.fail(Lane::Searchers);
+    assert!(!driver.reader.is_reachable());
+    assert!(is_watch_after(&driver.calls_within(200, Lane::Searchers)[0], 4));
+    probe(&mut driver, 4);
+    assert!(driver.reader.is_reachable());
+    driver.fail(Lane::Searchers);
+    assert!(is_watch_after(&driver.calls_within(400, Lane::Searchers)[0], 4));
+    probe(&mut driver, 4);
+    assert!(!driver.reader.is_reachable(), "two in a row got no reply");
+}
+
+/// Guards against followers that trust a reader which the store turns away: it answers probes but refuses watches, and
+/// takes longer for that than for a probe.
+#[test]
+fn a_watch_that_was_refused_is_not_held_before_it_is_answered() {
+    let mut driver = watching();
+    probe(&mut driver, 4);
+    driver.reply(Lane::Searchers, StoreReply::Refused { status: 429 });
+    assert!(is_watch_after(&driver.calls_within(200, Lane::Searchers)[0], 4));
+    probe(&mut driver, 4);
+    assert!(!driver.reader.is_reachable());
+    driver.reply(Lane::Searchers, StoreReply::Changes { update: MirrorUpdate::default(), at: 4 });
+    assert!(driver.reader.is_reachable());
+}
+
 /// Guards against a long reply that never arrives whole: each time that it is under way, the watch is made anew for the
 /// change that the reply brings.
 #[test]
