Keep of each part only what the merged answer needs

What callers would see: a node that is killed for its memory, with all its requests. Eight requests over 36 shards, one of which stays silent, held 35 parts of 600 KB each until their deadline: 183 MB where the smallest machines have 112.

Incomplete answers were counted together, whole parts weren't.

Change: a part is reduced to its greatest top-k records and its stamp when it arrives. That changes no merged answer: of the records of one part only those can be among the greatest top-k of all (property in routing/tests/merge.rs).

--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -6,6 +6,7 @@
 use super::{AbandonCause, RoutingAction, RoutingEngine, SendReason, SentAttempt, UnsentCause};
 use crate::decision::retry::{self, NextStep, RequestKind};
 use crate::keys::{AttemptKey, RequestKey, SearcherKey};
+use crate::merge;
 use crate::state::request::{AttemptOutcome, NotRun, Request, SearcherAnswer, ShardState};
 use staircross_types::BootTime;
 use std::time::Duration;
@@ -124,15 +125,18 @@
         }
     }
 
-    /// Stores a shard's answer and abandons the shard's other attempts.
+    /// Stores a shard's answer, of a part only what the merged answer needs, and abandons the shard's other attempts.
     fn accept_answer(
         &mut self,
         key: RequestKey,
         shard_index: usize,
-        answer: Box<SearcherAnswer>,
+        mut answer: Box<SearcherAnswer>,
         actions: &mut Vec<RoutingAction>,
     ) {
         if let Some(request) = self.requests.get_mut(&key) {
+            if let Some(gather) = request.gather() {
+                merge::reduce_part(&mut answer, gather.top_k);
+            }
             request.shards[shard_index].state = ShardState::Answered(answer);
         }
         self.abandon_shard_attempts(key, shard_index, actions);
