Bound what callers' messages take of the memory together

What callers would see: a node of the smallest machines (112 MB) that is killed for its memory, with all their requests. 600 callers that stop within a body of 250 KB, which each may send, took 154 MB; 600 whole requests with such bodies at a silent searcher 156 MB; 40 callers that don't read an answer of 8 MB 325 MB.

Change: what accepted connections hold of incomplete requests and unread answers is bounded, to a quarter of the memory at the gateway, and to all connections times the longest request in the session tier, which its requests keep to anyway. Beyond it the connections without progress for longest end, the request with 503 (it wasn't run) and the answer with a close (line answer_dropped). Weighed: to end the connection that holds most, as for searchers: then one that reads its new answer ends before those that have stalled. The bodies of requests in flight may have another quarter; more are refused as overloaded.

Tried against honest callers: forty that send their bodies over a second are served, and so is one that reads 8 MB beside forty that don't. transport/tests/memory.rs has the order.

--- a/crates/session/staircross-node/src/front.rs
+++ b/crates/session/staircross-node/src/front.rs
@@ -69,7 +69,11 @@
 ///
 /// Returns an error if the address can't be bound or the thread can't be started.
 pub fn start(parts: FrontParts<'_>) -> io::Result<()> {
-    let mut server = Server::new(parts.settings.limits.caller_connections).with_rejection(connection_rejection());
+    let limits = &parts.settings.limits;
+    // Requests are bounded to this by themselves; with the bound, so are responses that callers don't read.
+    let max_held = limits.caller_connections * limits.request_bytes;
+    let mut server =
+        Server::new(limits.caller_connections).with_rejection(connection_rejection()).with_max_held(max_held);
     server.listen(CallerEndpoint, parts.settings.node.listen, parts.receiver.poll.registry())?;
     let end_notice = EndNotice(parts.events.clone());
     let front = Front {
@@ -231,6 +235,11 @@
                 let kind = if self.is_leaving { ErrorKind::Leaving } else { ErrorKind::CallerTooSlow };
                 self.refuse_connection(connection, &Refusal::new(kind, "the request did not arrive whole in time"));
             }
+            ServerEvent::RequestDropped { connection } => {
+                let detail = "callers' connections hold too much; the request was dropped before it was complete";
+                self.refuse_connection(connection, &Refusal::new(ErrorKind::Overloaded, detail));
+            }
+            ServerEvent::AnswerDropped { .. } => warn!(logger: self.logs.front, "event=answer_dropped cause=unread"),
             // The request goes on; its reply is dropped.
             ServerEvent::Disconnected { connection } => {
                 self.awaiting_reply.remove(&connection);
--- a/crates/staircross-gateway/src/node/caller_request.rs
+++ b/crates/staircross-gateway/src/node/caller_request.rs
@@ -16,11 +16,13 @@
     by_key: HashMap<RequestKey, CallerRequest>,
     by_connection: HashMap<SocketId, RequestKey>,
     next_key: u64,
+    /// Total length of the requests' bodies, in bytes.
+    body_bytes: usize,
 }
 
 impl CallerRequests {
     pub fn new() -> Self {
-        CallerRequests { by_key: HashMap::new(), by_connection: HashMap::new(), next_key: 1 }
+        CallerRequests { by_key: HashMap::new(), by_connection: HashMap::new(), next_key: 1, body_bytes: 0 }
     }
 
     /// Returns a key that no earlier request of this process has had.
@@ -32,9 +34,15 @@
 
     pub fn insert(&mut self, key: RequestKey, request: CallerRequest) {
         self.by_connection.insert(request.connection, key);
+        self.body_bytes += request.outbound.body_length();
         self.by_key.insert(key, request);
     }
 
+    /// Returns the total length of the requests' bodies, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
     pub fn get_mut(&mut self, key: RequestKey) -> Option<&mut CallerRequest> {
         self.by_key.get_mut(&key)
     }
@@ -60,6 +68,7 @@
     pub fn remove(&mut self, key: RequestKey) -> Option<CallerRequest> {
         let request = self.by_key.remove(&key)?;
         self.by_connection.remove(&request.connection);
+        self.body_bytes -= request.outbound.body_length();
         Some(request)
     }
 }
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -58,6 +58,12 @@
             }
             ServerEvent::Fault { connection, fault } => self.on_fault(connection, fault),
             ServerEvent::RequestTimedOut { connection } => self.refuse_connection(connection, ErrorKind::CallerTooSlow),
+            ServerEvent::RequestDropped { connection } => self.refuse_connection(connection, ErrorKind::Overloaded),
+            ServerEvent::AnswerDropped { .. } => self.log.line(
+                self.now,
+                LineKind::Drop,
+                format_args!("event=answer_dropped cause=unread connections={}", self.server.connection_count()),
+            ),
             ServerEvent::Disconnected { connection } => self.on_caller_gone(connection),
         }
     }
@@ -67,8 +73,13 @@
         if outbound.id.is_none() {
             return self.refuse_connection(connection, ErrorKind::BadRequest);
         }
+        let is_head = &*outbound.method == "HEAD";
         if self.is_refusing_requests() {
-            return self.refuse_while_stopping(connection, &*outbound.method == "HEAD");
+            return self.refuse_while_stopping(connection, is_head);
+        }
+        if self.requests.body_bytes() + outbound.body_length() > self.settings.max_request_bodies() {
+            let options = ResponseOptions { closes: !request.head.keeps_alive(), is_head };
+            return self.refuse_unread(connection, ErrorKind::Overloaded, options);
         }
         let key = self.requests.next_key();
         let arrival = self.build_arrival(key, &request.head, &outbound, info);
--- a/crates/staircross-gateway/src/outbound.rs
+++ b/crates/staircross-gateway/src/outbound.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns the length of the body, in bytes.
+    pub fn body_length(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the bytes of one attempt.
     pub fn attempt_bytes(
         &self,
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -56,6 +56,10 @@
 /// shards of typical sizes.
 const MEMORY_PER_REQUEST: u64 = 64 * 1024;
 
+/// Number of shares into which the process's memory is divided: one each for incomplete answers of searchers, for what
+/// callers' connections hold, and for the bodies of requests in flight. The last is for everything else.
+const BUFFER_SHARES: u64 = 4;
+
 impl BoundSettings {
     /// Returns the shorter of the bounds on operator updates (configurations and evacuations), in milliseconds.
     pub(super) fn operator_update_ms(&self) -> u64 {
@@ -118,10 +122,24 @@
         (self.limits.link_mbps * 1e6 / 8.0 * PEER_LINK_SHARE) as usize
     }
 
-    /// Returns the maximum size of all incomplete answers of searchers together, in bytes: a quarter of the process's
-    /// memory. Requests in flight may take half.
+    /// Returns the maximum size of all incomplete answers of searchers together, in bytes.
     pub fn max_buffered_answers(&self) -> usize {
-        (self.limits.memory_mb * 1024 * 1024 / 4) as usize
+        self.buffer_share()
+    }
+
+    /// Returns the maximum number of bytes that callers' connections together hold of incomplete requests and of answers
+    /// that their callers haven't read.
+    pub fn max_held_by_callers(&self) -> usize {
+        self.buffer_share()
+    }
+
+    /// Returns the maximum length of the bodies of all requests in flight together, in bytes.
+    pub fn max_request_bodies(&self) -> usize {
+        self.buffer_share()
+    }
+
+    fn buffer_share(&self) -> usize {
+        (self.limits.memory_mb * 1024 * 1024 / BUFFER_SHARES) as usize
     }
 
     /// Returns the maximum number of requests in flight: as many as fit into half of the process's memory.
--- a/crates/staircross-http/src/server.rs
+++ b/crates/staircross-http/src/server.rs
@@ -80,6 +80,11 @@
         !self.input.is_empty() && self.pending.is_none()
     }
 
+    /// Returns the number of bytes that are held of incomplete requests and of those not yet asked for.
+    pub fn buffered_bytes(&self) -> usize {
+        self.input.len() + self.pending.as_ref().map_or(0, |pending| pending.body.len())
+    }
+
     /// Reads the next request from the buffered bytes.
     pub fn advance(&mut self, limits: ServerLimits) -> ServerProgress {
         let mut continue_expected = false;
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -2,13 +2,15 @@
 //!
 //! [`Server`] owns both. It reads complete requests and writes the answers, one at a time on each connection. The node
 //! decides what a request means and when it is answered; it must answer each [`ServerEvent::Request`],
-//! [`ServerEvent::Fault`] and [`ServerEvent::RequestTimedOut`] with [`Server::respond`]. [`ServerConnection`] finds the
+//! [`ServerEvent::Fault`], [`ServerEvent::RequestTimedOut`] and [`ServerEvent::RequestDropped`] with
+//! [`Server::respond`]. [`ServerConnection`] finds the
 //! ends of messages in the byte stream.
 //!
 //! A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
 //! serves.
 
 mod connection;
+mod memory;
 
 pub use connection::ConnectionInfo;
 
@@ -63,6 +65,17 @@
         /// The connection that the answer goes to.
         connection: SocketId,
     },
+    /// A request that wasn't complete yet was dropped, because connections together hold too much. The event must be
+    /// answered, and the connection closed.
+    RequestDropped {
+        /// The connection that the answer goes to.
+        connection: SocketId,
+    },
+    /// The connection was closed before its answer was written whole, because connections together hold too much.
+    AnswerDropped {
+        /// The connection, which no longer exists.
+        connection: SocketId,
+    },
     /// The peer closed the connection, or it broke, before its request was answered. Where the close arrived together
     /// with the request, [`Server::is_open`] says so already when the event of the request is handled.
     Disconnected {
@@ -87,6 +100,8 @@
     connections: Slab<Connection<E>>,
     next_generation: u32,
     max_connections: usize,
+    /// Maximum number of bytes that all connections together hold.
+    max_held: usize,
     /// Answer to a connection beyond `max_connections`; if there is none, such a connection is closed at once.
     rejection: Option<Vec<u8>>,
 }
@@ -94,7 +109,20 @@
 impl<E: Copy + PartialEq> Server<E> {
     /// Creates a server without listeners that holds at most `max_connections` accepted connections.
     pub fn new(max_connections: usize) -> Self {
-        Server { listeners: Vec::new(), connections: Slab::new(), next_generation: 1, max_connections, rejection: None }
+        Server {
+            listeners: Vec::new(),
+            connections: Slab::new(),
+            next_generation: 1,
+            max_connections,
+            max_held: usize::MAX,
+            rejection: None,
+        }
+    }
+
+    /// Sets the maximum number of bytes that all connections together hold of incomplete requests and of unread answers.
+    /// If it is exceeded, connections end.
+    pub fn with_max_held(self, max_held: usize) -> Self {
+        Server { max_held, ..self }
     }
 
     /// Answers connections beyond the maximum with `rejection`, a complete response that refuses any request, before they
@@ -279,6 +307,7 @@
             self.parse_next_request(id, io, events);
         }
         self.read(id, io, events);
+        self.limit_held(id, events);
     }
 
     /// Reads until nothing waits, and emits the request that is complete. While a connection can't take its next request,
@@ -383,6 +412,7 @@
         if self.get(id).is_some_and(|connection| connection.has_unread && connection.can_take_request()) {
             self.read(id, io, events);
         }
+        self.limit_held(id, events);
     }
 
     /// Handles the outcome of a write. Returns whether the connection still exists.
--- a/crates/staircross-transport/src/server/connection.rs
+++ b/crates/staircross-transport/src/server/connection.rs
@@ -50,6 +50,12 @@
         self.state == State::Reading && self.socket.is_flushed()
     }
 
+    /// Returns the number of bytes that the connection holds: of a request that isn't complete, and of an answer that the
+    /// peer hasn't read.
+    pub fn held_bytes(&self) -> usize {
+        self.http.buffered_bytes() + self.socket.unwritten_bytes()
+    }
+
     /// Looks for the next request in the received bytes, and records since when a head has been arriving.
     pub fn advance(&mut self, io: &IoContext<'_>) -> ServerProgress {
         let progress = self.http.advance(io.limits);
--- a/crates/staircross-transport/src/socket.rs
+++ b/crates/staircross-transport/src/socket.rs
@@ -216,6 +216,11 @@
         self.outgoing.is_empty()
     }
 
+    /// Returns the number of bytes that wait to be written.
+    pub fn unwritten_bytes(&self) -> usize {
+        self.outgoing.len() - self.written
+    }
+
     /// Returns whether bytes wait to be written and none of them has been written yet.
     pub fn is_entirely_unsent(&self) -> bool {
         !self.outgoing.is_empty() && self.written == 0
--- a/crates/staircross-transport/tests/common/mod.rs
+++ b/crates/staircross-transport/tests/common/mod.rs
@@ -23,14 +23,20 @@
     pub waiting: Vec<SocketId>,
     /// Connections whose peer closed them before the answer to their request.
     pub disconnected: Vec<SocketId>,
+    /// Number of requests and of answers that were dropped for want of room.
+    pub dropped_requests: usize,
+    pub dropped_answers: usize,
     expects_disconnects: bool,
     pub now: BootTime,
 }
 
 impl TestServer {
     pub fn listen() -> (Self, SocketAddr) {
+        TestServer::listen_with(Server::new(10))
+    }
+
+    pub fn listen_with(mut server: Server<()>) -> (Self, SocketAddr) {
         let poll = Poll::new().expect("a poll");
-        let mut server = Server::new(10);
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let address = server.listen((), any_port, poll.registry()).expect("listens");
         let test_server = TestServer {
@@ -39,6 +45,8 @@
             buffer: Box::new([0; READ_CHUNK]),
             waiting: Vec::new(),
             disconnected: Vec::new(),
+            dropped_requests: 0,
+            dropped_answers: 0,
             expects_disconnects: false,
             now: BootTime::default(),
         };
@@ -97,6 +105,11 @@
                 ServerEvent::Disconnected { connection } if self.expects_disconnects => {
                     self.disconnected.push(connection);
                 }
+                ServerEvent::RequestDropped { connection } => {
+                    self.dropped_requests += 1;
+                    self.waiting.push(connection);
+                }
+                ServerEvent::AnswerDropped { .. } => self.dropped_answers += 1,
                 other => panic!("not expected: {other:?}"),
             }
         }
