Session tier: replace connections to peers that have gone silent

What callers saw: requests for the searchers of a peer were lost for as long as there was traffic to it, because the connection to that peer was dead although its bytes were acknowledged and new connections worked.

Change: a connection that is written to is pinged when nothing was heard of the peer for 1.5 s, behind messages that go out anyway; if the ping isn't answered within 2 s the connection is replaced. The answer is one byte, since the peer writes nothing else on it. A node announces in its challenge that it answers; a peer that doesn't is not pinged, and an older connector passes over the field, so releases can be mixed. The core isn't told that replies won't come: a peer that is merely slow still replies to what it has read, and the requests have times of their own.

Tried against slow but honest peers: one that answers each ping after 1.2 s, and one of the earlier release without pings, keep their connection for the 5 s of the test. Weighed: connections of at most some seconds, 53 handshakes a second at each of 530 nodes even with an age of ten seconds.

--- a/crates/session/staircross-node/src/core/requests.rs
+++ b/crates/session/staircross-node/src/core/requests.rs
@@ -102,6 +102,8 @@
                 }
             }
             PeerMessage::Cancel { from, attempt } => self.handle_leaf_event(now, LeafEvent::Cancel { from, attempt }),
+            // Only connections carry pings, and answer them.
+            PeerMessage::Ping => {}
         }
     }
 
--- a/crates/session/staircross-node/src/peers.rs
+++ b/crates/session/staircross-node/src/peers.rs
@@ -5,23 +5,26 @@
 //! peer are dropped instead of filling this node's memory. A malformed frame closes only the connection on which it
 //! arrived.
 
+mod connection;
+
 use crate::event::CoreEvent;
 use crate::logs::Logs;
 use crate::metrics::Metrics;
-use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use connection::{Connection, ConnectionFault};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
 use spdlog::{debug, info, warn};
 use staircross_cluster::ClusterMessage;
 use staircross_cluster::document_relay::DocumentMessage;
 use staircross_cluster::session_copies::SessionCopyMessage;
 use staircross_types::NodeId;
 use staircross_wire::frame::MAX_FRAME;
-use staircross_wire::{ClusterKey, PeerMessage, datagram, read_frame, write_frame};
+use staircross_wire::{ClusterKey, PONG, PeerMessage, datagram, read_frame};
 use std::collections::{HashMap, VecDeque};
-use std::io::{BufReader, BufWriter, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Largest number of messages that may wait to be sent to one peer.
 const MAX_QUEUED_MESSAGES: usize = 8192;
@@ -207,6 +210,12 @@
         let mut reader = BufReader::new(stream);
         loop {
             match read_frame::<PeerMessage>(&mut reader, MAX_FRAME) {
+                Ok(PeerMessage::Ping) => {
+                    if let Err(error) = reader.get_mut().write_all(&[PONG]) {
+                        // The peer may have given the connection up. What it wrote before is read nevertheless.
+                        debug!(logger: self.logs.peers, "event=pong_failed peer={peer} error={error:?}");
+                    }
+                }
                 Ok(message) => self.notify_core(CoreEvent::Peer(message)),
                 Err(staircross_wire::WireError::Io(error)) => {
                     debug!(logger: self.logs.peers, "event=closed peer={peer} error={error:?}");
@@ -234,12 +243,28 @@
     /// fails.
     fn run_writer(&self, to: SocketAddr, queued_messages: &Receiver<PeerMessage>) {
         let mut connection = None;
-        while let Ok(message) = queued_messages.recv_timeout(CONNECTION_IDLE_TIMEOUT) {
+        let mut idle_end = Instant::now() + CONNECTION_IDLE_TIMEOUT;
+        loop {
+            let pong_due = connection.as_ref().and_then(Connection::pong_due);
+            let wake = pong_due.map_or(idle_end, |due| due.min(idle_end));
+            let message = match queued_messages.recv_deadline(wake) {
+                Ok(message) => message,
+                Err(RecvTimeoutError::Timeout) if wake < idle_end => {
+                    // A connection that was closed is kept: it is replaced with the next message.
+                    if connection.as_mut().is_some_and(|open| open.check() == Err(ConnectionFault::Silent)) {
+                        self.log_silent(to);
+                        connection = None;
+                    }
+                    continue;
+                }
+                Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return,
+            };
+            idle_end = Instant::now() + CONNECTION_IDLE_TIMEOUT;
             let mut messages = VecDeque::from([message]);
             messages.extend(queued_messages.try_iter());
             let outcome = self.open_connection(to, connection.take(), &mut messages);
-            let mut stream = match outcome {
-                Ok(stream) => stream,
+            let mut open = match outcome {
+                Ok(open) => open,
                 Err(error) => {
                     info!(logger: self.logs.peers, "event=unreachable peer={to} error={error:?}");
                     // None of these messages was written.
@@ -248,7 +273,7 @@
                     return;
                 }
             };
-            if let Err(error) = self.write_messages(&mut stream, &mut messages) {
+            if let Err(error) = open.write(&mut messages, &self.metrics) {
                 debug!(logger: self.logs.peers, "event=write_failed peer={to} error={error:?}");
                 let partly_written = messages.pop_front();
                 messages.extend(queued_messages.try_iter());
@@ -257,60 +282,50 @@
                 self.notify_core(CoreEvent::PeerBroken(to));
                 return;
             }
-            connection = Some(stream);
+            connection = Some(open);
         }
     }
 
-    /// Returns `current` if the peer hasn't closed it, or else opens a connection.
+    /// Returns `current` if it is open, or else opens a connection.
     ///
     /// A message that is written to a connection whose peer has ended is lost without an error. If the peer has closed
     /// the connection, the sub-requests among `messages` are taken out and reported as not delivered, because the peer
-    /// that they are meant for may be gone, and the core is told that the replies to earlier ones won't come.
+    /// that they are meant for may be gone, and the core is told that the replies to earlier ones won't come. A peer that
+    /// is silent may still reply to what it has read, so only the connection is replaced.
     fn open_connection(
         &self,
         to: SocketAddr,
-        current: Option<BufWriter<TcpStream>>,
+        current: Option<Connection>,
         messages: &mut VecDeque<PeerMessage>,
-    ) -> Result<BufWriter<TcpStream>, staircross_wire::WireError> {
-        if let Some(stream) = current {
-            if is_open(stream.get_ref()) {
-                return Ok(stream);
+    ) -> Result<Connection, staircross_wire::WireError> {
+        if let Some(mut connection) = current {
+            match connection.check() {
+                Ok(()) => return Ok(connection),
+                Err(ConnectionFault::Silent) => self.log_silent(to),
+                Err(ConnectionFault::Closed) => {
+                    debug!(logger: self.logs.peers, "event=closed_by_peer peer={to}");
+                    let (requests, others): (VecDeque<_>, VecDeque<_>) =
+                        messages.drain(..).partition(|message| matches!(message, PeerMessage::Request { .. }));
+                    requests.into_iter().for_each(|request| self.report_undelivered(request, false));
+                    self.notify_core(CoreEvent::PeerBroken(to));
+                    *messages = others;
+                }
             }
-            debug!(logger: self.logs.peers, "event=closed_by_peer peer={to}");
-            let (requests, others): (VecDeque<_>, VecDeque<_>) =
-                messages.drain(..).partition(|message| matches!(message, PeerMessage::Request { .. }));
-            requests.into_iter().for_each(|request| self.report_undelivered(request, false));
-            self.notify_core(CoreEvent::PeerBroken(to));
-            *messages = others;
         }
-        self.connect(to).map(BufWriter::new)
+        self.connect(to)
     }
 
-    /// Writes all messages. If that fails, `messages` keeps the one that may be partly written, and those behind it.
-    fn write_messages(
-        &self,
-        stream: &mut BufWriter<TcpStream>,
-        messages: &mut VecDeque<PeerMessage>,
-    ) -> Result<(), staircross_wire::WireError> {
-        while let Some(message) = messages.front() {
-            let count = write_frame(stream, message)?;
-            self.metrics.peer_bytes.with_label_values(&["tcp"]).inc_by(count as u64);
-            if messages.len() == 1 {
-                // The buffer is flushed after the last message only.
-                stream.flush()?;
-            }
-            messages.pop_front();
-        }
-        Ok(())
+    fn log_silent(&self, to: SocketAddr) {
+        info!(logger: self.logs.peers, "event=peer_silent peer={to}");
     }
 
-    fn connect(&self, to: SocketAddr) -> Result<TcpStream, staircross_wire::WireError> {
+    fn connect(&self, to: SocketAddr) -> Result<Connection, staircross_wire::WireError> {
         let mut stream = TcpStream::connect_timeout(&to, CONNECT_TIMEOUT)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(IO_TIMEOUT))?;
         stream.set_write_timeout(Some(IO_TIMEOUT))?;
-        staircross_wire::connect(&mut stream, &self.key, self.node, rand::random())?;
-        Ok(stream)
+        let acceptor = staircross_wire::connect(&mut stream, &self.key, self.node, rand::random())?;
+        Ok(Connection::new(stream, acceptor.answers_pings))
     }
 
     /// Counts a message whose delivery failed or is uncertain, and reports it to the core if it is a sub-request.
@@ -321,11 +336,3 @@
         }
     }
 }
-
-/// Returns whether the peer hasn't closed a connection that this node opened. The peer sends nothing on it after the
-/// handshake, so anything that can be read is its end.
-fn is_open(stream: &TcpStream) -> bool {
-    let peeked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
-    let nothing_to_read = peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
-    nothing_to_read && stream.set_nonblocking(false).is_ok()
-}
--- a/crates/session/staircross-node/tests/peers.rs
+++ b/crates/session/staircross-node/tests/peers.rs
@@ -4,13 +4,16 @@
 
 use common::free_address;
 use crossbeam::channel::{Receiver, unbounded};
+use serde::de::IgnoredAny;
+use serde::{Deserialize, Serialize};
 use staircross_node::event::CoreEvent;
 use staircross_node::logs::Logs;
 use staircross_node::metrics::Metrics;
 use staircross_node::peers::{PeerTransport, PeerTransportParts};
 use staircross_types::{AttemptId, NodeId, RequestId};
 use staircross_wire::frame::MAX_FRAME;
-use staircross_wire::{ClusterKey, PeerMessage, accept, read_frame};
+use staircross_wire::{ClusterKey, PONG, PeerMessage, accept, connect, read_frame, write_frame};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -25,17 +28,23 @@
 }
 
 fn start_transport() -> (PeerTransport, Receiver<CoreEvent>) {
+    let (transport, received, _) = start_listening_transport();
+    (transport, received)
+}
+
+fn start_listening_transport() -> (PeerTransport, Receiver<CoreEvent>, SocketAddr) {
     let (events, received) = unbounded();
+    let listen = free_address();
     let parts = PeerTransportParts {
         node: NODE,
-        listen: free_address(),
+        listen,
         key: key(),
         events,
         logs: Logs::from_filter("off").expect("a filter"),
         metrics: Metrics::new().expect("registers"),
         stop: Arc::new(AtomicBool::new(false)),
     };
-    (PeerTransport::start(parts).expect("starts"), received)
+    (PeerTransport::start(parts).expect("starts"), received, listen)
 }
 
 fn cancel(sequence: u64) -> PeerMessage {
@@ -116,3 +125,86 @@
     };
     assert!(is_replaced, "no new connection within {WAIT_TIMEOUT:?}");
 }
+
+/// Sends messages for [`WAIT_TIMEOUT`] while `peer` handles the connection, and returns whether a second one was opened.
+fn is_replaced(accept: fn(&mut TcpStream), peer: fn(TcpStream)) -> bool {
+    let (mut transport, _events) = start_transport();
+    let listener = TcpListener::bind(free_address()).expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    transport.send(address, cancel(1));
+    let (mut stream, _) = listener.accept().expect("a connection");
+    accept(&mut stream);
+    std::thread::spawn(move || peer(stream));
+    listener.set_nonblocking(true).expect("an open socket");
+    let started = Instant::now();
+    while started.elapsed() < WAIT_TIMEOUT {
+        transport.send(address, cancel(2));
+        if listener.accept().is_ok() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+/// Guards against new connections to a peer that is merely slow: it answers each ping after more than a second.
+#[test]
+fn a_connection_to_a_peer_that_answers_pings_late_is_kept() {
+    let accept_new = |stream: &mut TcpStream| {
+        accept(stream, &key(), 7).expect("the key is known");
+    };
+    let answer_late = |mut stream: TcpStream| {
+        while let Ok(message) = read_frame::<PeerMessage>(&mut stream, MAX_FRAME) {
+            if message == PeerMessage::Ping {
+                std::thread::sleep(Duration::from_millis(1200));
+                stream.write_all(&[PONG]).expect("an open connection");
+            }
+        }
+    };
+    assert!(!is_replaced(accept_new, answer_late));
+}
+
+/// Guards against a connection for every few seconds to a peer of a release that knows no pings, and against frames that
+/// it can't read.
+#[test]
+fn a_connection_to_a_peer_without_pings_is_kept() {
+    /// The first and the second frame of the handshake as that release has them.
+    #[derive(Deserialize)]
+    struct Hello {
+        node: NodeId,
+        nonce: u128,
+    }
+    #[derive(Serialize)]
+    struct Challenge {
+        nonce: u128,
+        proof: [u8; 32],
+    }
+    let accept_old = |stream: &mut TcpStream| {
+        let hello: Hello = read_frame(stream, MAX_FRAME).expect("a hello");
+        let parts: [&[u8]; 4] =
+            [b"acceptor", &hello.nonce.to_be_bytes(), &7_u128.to_be_bytes(), &hello.node.0.to_be_bytes()];
+        write_frame(stream, &Challenge { nonce: 7, proof: key().sign(&parts) }).expect("writes");
+        read_frame::<IgnoredAny>(stream, MAX_FRAME).expect("a response");
+    };
+    let read_on = |mut stream: TcpStream| loop {
+        match read_frame::<PeerMessage>(&mut stream, MAX_FRAME) {
+            Ok(message) => assert_ne!(message, PeerMessage::Ping),
+            Err(_) => return,
+        }
+    };
+    assert!(!is_replaced(accept_old, read_on));
+}
+
+#[test]
+fn a_node_answers_pings() {
+    let (_transport, _events, address) = start_listening_transport();
+    let mut stream = TcpStream::connect(address).expect("connects");
+    assert!(connect(&mut stream, &key(), NodeId(2), 8).expect("the key is known").answers_pings);
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
+    for _ in 0..2 {
+        write_frame(&mut stream, &PeerMessage::Ping).expect("writes");
+        let mut buf = [0];
+        stream.read_exact(&mut buf).expect("an answer");
+        assert_eq!(buf, [PONG]);
+    }
+}
--- a/crates/staircross-wire/src/handshake.rs
+++ b/crates/staircross-wire/src/handshake.rs
@@ -65,6 +65,10 @@
 struct Challenge {
     nonce: u128,
     proof: [u8; 32],
+    /// Whether the accepting node answers [`PeerMessage::Ping`](crate::PeerMessage::Ping). Nodes of releases without pings
+    /// don't send the field.
+    #[serde(default)]
+    answers_pings: bool,
 }
 
 /// Third frame of the handshake, sent by the connecting node.
@@ -73,13 +77,25 @@
     proof: [u8; 32],
 }
 
+/// What the connecting node learns about the accepting one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acceptor {
+    /// Whether it answers pings on this connection.
+    pub answers_pings: bool,
+}
+
 /// First part of the data that the accepting node signs.
 const ACCEPTOR: &[u8] = b"acceptor";
 /// First part of the data that the connecting node signs.
 const CONNECTOR: &[u8] = b"connector";
 
 /// Performs the handshake as the connecting node `node`. `nonce` must be fresh and random.
-pub fn connect(stream: &mut (impl Read + Write), key: &ClusterKey, node: NodeId, nonce: u128) -> Result<(), WireError> {
+pub fn connect(
+    stream: &mut (impl Read + Write),
+    key: &ClusterKey,
+    node: NodeId,
+    nonce: u128,
+) -> Result<Acceptor, WireError> {
     let hello = Hello { version: PROTOCOL_VERSION, cluster: key.cluster.clone(), node, nonce };
     write_frame(stream, &hello)?;
     stream.flush()?;
@@ -93,7 +109,7 @@
     let proof = key.sign(&[CONNECTOR, &peer_nonce, &own_nonce, &node_bytes]);
     write_frame(stream, &Response { proof })?;
     stream.flush()?;
-    Ok(())
+    Ok(Acceptor { answers_pings: challenge.answers_pings })
 }
 
 /// Performs the handshake as the accepting node. Returns the connecting node's id. `nonce` must be fresh and random.
@@ -109,7 +125,7 @@
     let peer_nonce = hello.nonce.to_be_bytes();
     let own_nonce = nonce.to_be_bytes();
     let proof = key.sign(&[ACCEPTOR, &peer_nonce, &own_nonce, &node_bytes]);
-    write_frame(stream, &Challenge { nonce, proof })?;
+    write_frame(stream, &Challenge { nonce, proof, answers_pings: true })?;
     stream.flush()?;
     let response: Response = read_frame(stream, MAX_HANDSHAKE)?;
     if !key.verify(&[CONNECTOR, &own_nonce, &peer_nonce, &node_bytes], &response.proof) {
--- a/crates/staircross-wire/src/lib.rs
+++ b/crates/staircross-wire/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod message;
 
 pub use frame::{WireError, read_frame, write_frame};
-pub use handshake::{ClusterKey, accept, connect};
-pub use message::PeerMessage;
+pub use handshake::{Acceptor, ClusterKey, accept, connect};
+pub use message::{PONG, PeerMessage};
--- a/crates/staircross-wire/src/message.rs
+++ b/crates/staircross-wire/src/message.rs
@@ -33,4 +33,10 @@
         /// Attempt that is cancelled.
         attempt: AttemptId,
     },
+    /// Asks the peer to write [`PONG`] on the connection on which this message arrives. It is sent only to peers that
+    /// announce in the handshake that they answer it.
+    Ping,
 }
+
+/// Byte that answers a [`PeerMessage::Ping`]. Nothing else is written on a connection by the node that accepted it.
+pub const PONG: u8 = 1;
--- a/crates/staircross-wire/tests/wire.rs
+++ b/crates/staircross-wire/tests/wire.rs
@@ -1,12 +1,15 @@
 //! Tests of frames, handshakes and datagrams, valid and invalid.
 
 use proptest::prelude::*;
+use serde::{Deserialize, Serialize};
 use staircross_types::{AttemptId, NodeId, RequestId};
 use staircross_wire::datagram::{open, seal};
 use staircross_wire::frame::{decode, encode};
+use staircross_wire::handshake::PROTOCOL_VERSION;
 use staircross_wire::{ClusterKey, PeerMessage, accept, connect, read_frame, write_frame};
 use std::io::Cursor;
 use std::net::{TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
 
 fn message() -> PeerMessage {
     let request = RequestId { node: NodeId(5), sequence: 6 };
@@ -58,6 +61,38 @@
     assert_eq!(handshake_result(wrong_fleet, key), (false, None));
 }
 
+/// Guards against a connection that a node of a release without pings can't open: it doesn't know the field of the
+/// challenge that announces them.
+#[test]
+fn a_connector_without_pings_is_let_in() {
+    #[derive(Serialize)]
+    struct Hello<'a> {
+        version: u32,
+        cluster: &'a str,
+        node: NodeId,
+        nonce: u128,
+    }
+    #[derive(Deserialize)]
+    struct Challenge {
+        nonce: u128,
+    }
+    #[derive(Serialize)]
+    struct Response {
+        proof: [u8; 32],
+    }
+    let (mut near, mut far) = UnixStream::pair().expect("a pair");
+    let key = ClusterKey::new("fleet", "a long shared secret");
+    let accepted = key.clone();
+    let accepting = std::thread::spawn(move || accept(&mut far, &accepted, 2));
+    let hello = Hello { version: PROTOCOL_VERSION, cluster: "fleet", node: NodeId(42), nonce: 1 };
+    write_frame(&mut near, &hello).expect("writes");
+    let challenge: Challenge = read_frame(&mut near, 1024).expect("a challenge");
+    let nonces = (challenge.nonce.to_be_bytes(), 1_u128.to_be_bytes());
+    let proof = key.sign(&[b"connector", &nonces.0, &nonces.1, &NodeId(42).0.to_be_bytes()]);
+    write_frame(&mut near, &Response { proof }).expect("writes");
+    assert_eq!(accepting.join().expect("ends").expect("accepts"), NodeId(42));
+}
+
 #[test]
 fn datagram_with_another_key_or_a_flipped_bit_is_dropped() {
     let key = ClusterKey::new("fleet", "a long shared secret");
