Split the server of accepted connections into files of one job

Its events and timeouts move to server/event.rs, listening, accepting and rejecting to server/accepting.rs, all unchanged.

--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -3,28 +3,28 @@
 //! [`Server`] owns both. It reads complete requests and writes the answers, one at a time on each connection. The node
 //! decides what a request means and when it is answered; it must answer each [`ServerEvent::Request`],
 //! [`ServerEvent::Fault`], [`ServerEvent::RequestTimedOut`] and [`ServerEvent::RequestDropped`] with
-//! [`Server::respond`]. [`ServerConnection`] finds the
-//! ends of messages in the byte stream.
+//! [`Server::respond`]. [`ServerConnection`](staircross_http::ServerConnection) finds the ends of messages in the byte
+//! stream.
 //!
+//! `accepting` has the listeners, `memory` bounds what connections hold together, `connection` holds the state of one.
 //! A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
 //! serves.
 
+mod accepting;
 mod connection;
+mod event;
 mod memory;
 
 pub use connection::ConnectionInfo;
+pub use event::{ServerEvent, ServerTimeouts};
 
 use crate::listener::Listener;
-use crate::round_trip::round_trip;
-use crate::socket::{IoContext, ReadOutcome, Readiness, Socket, SocketId, SocketKind, WriteOutcome};
+use crate::socket::{IoContext, ReadOutcome, Readiness, SocketId, SocketKind, WriteOutcome};
 use connection::{Connection, State};
-use mio::net::TcpListener;
-use mio::{Interest, Registry};
+use mio::Registry;
 use slab::Slab;
-use staircross_http::{Request, ServerConnection, ServerFault, ServerProgress};
+use staircross_http::ServerProgress;
 use staircross_types::BootTime;
-use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time for which a connection waits for the peer to close it after the last answer. Closing earlier could discard an
@@ -38,61 +38,6 @@
 /// Number of bytes after which a read stops while the connection's previous request is still being answered.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
-/// An event on a connection.
-#[derive(Debug)]
-pub enum ServerEvent<E> {
-    /// A complete request, which must be answered with [`Server::respond`].
-    Request {
-        /// The connection that the answer goes to.
-        connection: SocketId,
-        /// What the connection's listener serves.
-        endpoint: E,
-        /// The request.
-        request: Box<Request>,
-        /// Properties of the connection.
-        info: ConnectionInfo,
-    },
-    /// The peer sent bytes that aren't a valid request. The event must be answered, and the connection closed.
-    Fault {
-        /// The connection that the answer goes to.
-        connection: SocketId,
-        /// What is wrong with the bytes.
-        fault: ServerFault,
-    },
-    /// The peer began a request and then sent nothing for too long. The event must be answered, and the connection
-    /// closed.
-    RequestTimedOut {
-        /// The connection that the answer goes to.
-        connection: SocketId,
-    },
-    /// A request that wasn't complete yet was dropped, because connections together hold too much. The event must be
-    /// answered, and the connection closed.
-    RequestDropped {
-        /// The connection that the answer goes to.
-        connection: SocketId,
-    },
-    /// The connection was closed before its answer was written whole, because connections together hold too much.
-    AnswerDropped {
-        /// The connection, which no longer exists.
-        connection: SocketId,
-    },
-    /// The peer closed the connection, or it broke, before its request was answered. Where the close arrived together
-    /// with the request, [`Server::is_open`] says so already when the event of the request is handled.
-    Disconnected {
-        /// The connection, which no longer exists.
-        connection: SocketId,
-    },
-}
-
-/// Timeouts of accepted connections.
-#[derive(Clone, Copy, Debug)]
-pub struct ServerTimeouts {
-    /// Longest time from the first byte of a request to the end of its head, and longest silence within its body.
-    pub partial_request: Duration,
-    /// Longest time that a connection may be idle between requests.
-    pub idle: Duration,
-}
-
 /// All listeners and accepted connections.
 pub struct Server<E> {
     /// Listeners by slot; `None` once a listener is closed.
@@ -131,55 +76,6 @@
         Server { rejection: Some(rejection), ..self }
     }
 
-    /// Listens on an address. Returns the bound address, with the actual port if `address` has port 0.
-    pub fn listen(&mut self, endpoint: E, address: SocketAddr, registry: &Registry) -> io::Result<SocketAddr> {
-        let mut listener = TcpListener::bind(address)?;
-        let bound = listener.local_addr()?;
-        let slot = self.listeners.len() as u32;
-        let id = SocketId { kind: SocketKind::Listener, generation: 0, slot };
-        registry.register(&mut listener, id.token(), Interest::READABLE)?;
-        self.listeners.push(Some(Listener::new(endpoint, listener)));
-        Ok(bound)
-    }
-
-    /// Begins to close the listeners of an endpoint, so that new connections are refused soon. [`Server::sweep`] closes
-    /// them when the handshakes under way have ended, and accepts their connections before. Does nothing for listeners
-    /// that are closing or closed already.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the operating system can't keep off new connections meanwhile. The listeners close
-    /// nevertheless.
-    pub fn stop_listening(&mut self, now: BootTime, endpoint: E) -> io::Result<()> {
-        let mut outcome = Ok(());
-        for listener in self.listeners.iter_mut().flatten().filter(|listener| listener.endpoint == endpoint) {
-            outcome = outcome.and(listener.begin_closing(now));
-        }
-        outcome
-    }
-
-    /// Accepts connections that could not be accepted before, and closes the listeners whose time to close has come.
-    /// Connections that wait are accepted first.
-    fn sweep_listeners(&mut self, now: BootTime, registry: &Registry) {
-        for slot in 0..self.listeners.len() {
-            let listener = self.listeners[slot].as_ref();
-            let has_backlog = listener.is_some_and(|listener| listener.has_backlog);
-            let must_close = listener.is_some_and(|listener| listener.must_close(now));
-            if has_backlog || must_close {
-                let id = SocketId { kind: SocketKind::Listener, generation: 0, slot: slot as u32 };
-                self.accept_connections(now, id, registry);
-            }
-            if must_close {
-                self.listeners[slot] = None;
-            }
-        }
-    }
-
-    /// Returns whether an endpoint has a listener that is still open or about to close.
-    pub fn is_listening(&self, endpoint: E) -> bool {
-        self.listeners.iter().flatten().any(|listener| listener.endpoint == endpoint)
-    }
-
     /// Returns whether nobody uses an endpoint any more: its listeners have closed, no request is being received or
     /// answered, and its connections have been idle for [`FINAL_IDLE_TIME`]. Connections that are about to close don't
     /// count.
@@ -212,75 +108,6 @@
         })
     }
 
-    /// Accepts all connections that wait on a listener.
-    pub fn accept_connections(&mut self, now: BootTime, id: SocketId, registry: &Registry) {
-        loop {
-            let Some(Some(entry)) = self.listeners.get_mut(id.slot as usize) else {
-                return;
-            };
-            match entry.accept() {
-                Ok(stream) => {
-                    let endpoint = entry.endpoint;
-                    if self.connections.len() < self.max_connections {
-                        self.add_connection(now, endpoint, stream, registry);
-                    } else {
-                        self.reject(now, endpoint, stream, registry);
-                    }
-                }
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => {
-                    // Without a free descriptor, connections go on waiting, and no event tells of them again.
-                    entry.has_backlog = error.kind() != ErrorKind::WouldBlock;
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Answers a connection beyond the maximum, if there is an answer and room for it. Otherwise the stream is dropped,
-    /// which closes it at once; the caller sees that and can use another node.
-    fn reject(&mut self, now: BootTime, endpoint: E, stream: mio::net::TcpStream, registry: &Registry) {
-        let Some(rejection) = self.rejection.clone() else {
-            return;
-        };
-        if self.connections.len() >= self.max_connections + self.max_connections.div_ceil(8) {
-            return;
-        }
-        if let Some(connection) = self.add_connection(now, endpoint, stream, registry) {
-            connection.state = State::Closing;
-            if connection.socket.write(rejection, registry) == WriteOutcome::Done {
-                connection.socket.shutdown_write();
-            }
-        }
-    }
-
-    fn add_connection(
-        &mut self,
-        now: BootTime,
-        endpoint: E,
-        stream: mio::net::TcpStream,
-        registry: &Registry,
-    ) -> Option<&mut Connection<E>> {
-        let generation = self.next_generation;
-        self.next_generation = self.next_generation.wrapping_add(1).max(1);
-        let entry = self.connections.vacant_entry();
-        let id = SocketId { kind: SocketKind::Inbound, generation, slot: entry.key() as u32 };
-        let info = ConnectionInfo { round_trip: round_trip(&stream), is_new: true };
-        let socket = Socket::accepted(stream, id.token(), registry).ok()?;
-        let connection = Connection {
-            socket,
-            http: ServerConnection::default(),
-            endpoint,
-            state: State::Reading,
-            generation,
-            last_progress: now,
-            head_began: None,
-            info,
-            has_unread: false,
-        };
-        Some(entry.insert(connection))
-    }
-
     /// Returns a connection, or `None` if it no longer exists.
     fn get(&mut self, id: SocketId) -> Option<&mut Connection<E>> {
         self.connections.get_mut(id.slot as usize).filter(|connection| connection.generation == id.generation)
