Session tier: leave room for unread responses beside small limits on requests

Found on reading the change: what callers' connections may hold together was all connections times a request. An operator with few connections and short requests would have had responses cut although their callers read them: ten connections of 4 KB gave 40 KB for all unread responses.

--- a/crates/session/staircross-node/src/front.rs
+++ b/crates/session/staircross-node/src/front.rs
@@ -70,8 +70,9 @@
 /// Returns an error if the address can't be bound or the thread can't be started.
 pub fn start(parts: FrontParts<'_>) -> io::Result<()> {
     let limits = &parts.settings.limits;
-    // Requests are bounded to this by themselves; with the bound, so are responses that callers don't read.
-    let max_held = limits.caller_connections * limits.request_bytes;
+    // Requests keep to the product by themselves. The rest is room for responses that callers haven't read yet, which a
+    // small limit on requests must not take.
+    let max_held = limits.caller_connections * limits.request_bytes + limits.reply_bytes;
     let mut server =
         Server::new(limits.caller_connections).with_rejection(connection_rejection()).with_max_held(max_held);
     server.listen(CallerEndpoint, parts.settings.node.listen, parts.receiver.poll.registry())?;
