Keep the times of calls to the store in one place

The store reader keeps the time of each lane's last call since it decides on the renewal of watches; the gateway kept the same times beside it. They were set in the same turn, so the gateway asks the reader now.

--- a/crates/staircross-gateway/src/node/store_calls.rs
+++ b/crates/staircross-gateway/src/node/store_calls.rs
@@ -21,8 +21,6 @@
     pub clients: [HttpClient; LANE_COUNT],
     /// The call in flight in each lane.
     pub pending: [Option<StoreCall>; LANE_COUNT],
-    /// Time of the last call in each lane.
-    pub called_at: [BootTime; LANE_COUNT],
 }
 
 impl StoreCalls {
@@ -30,7 +28,6 @@
         StoreCalls {
             clients: Lane::ALL.map(|lane| HttpClient::new(SocketKind::Store, lane as u32, address)),
             pending: [const { None }; LANE_COUNT],
-            called_at: [BootTime::default(); LANE_COUNT],
         }
     }
 
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -60,7 +60,6 @@
                     let target = self.dialect.store_target(&call);
                     self.metrics.store_calls.count(&call);
                     self.store.pending[index] = Some(call);
-                    self.store.called_at[index] = self.now;
                     let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
                     if let Some(outcome) = self.store.clients[index].get(&target, timeout, &mut io) {
                         self.on_store_outcome(lane, outcome);
@@ -74,7 +73,7 @@
                 ReaderAction::Learned { lane, update } => {
                     self.apply_update(update, lane.name());
                     if lane == Lane::Configuration {
-                        self.fleet.confirm(self.store.called_at[lane as usize]);
+                        self.fleet.confirm(self.store_reader.called_at(lane));
                     }
                 }
                 ReaderAction::Reachable { lane, is_reachable } => self.log.line(
@@ -165,7 +164,7 @@
     /// sends its followers a heartbeat if the store serves both watches.
     fn on_probe_answered(&mut self) {
         self.store_role.record_probe_answered(self.now);
-        let [watched_at, _, probed_at] = self.store.called_at;
+        let [watched_at, probed_at] = [Lane::Configuration, Lane::Probe].map(|lane| self.store_reader.called_at(lane));
         let is_up_to_date = self.store_reader.watches_configuration() && self.store_reader.knows_probed_revision();
         if is_up_to_date && watched_at <= probed_at {
             self.fleet.confirm(probed_at);
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -147,6 +147,11 @@
         self.lane(lane).answered_at.map(|at| now.since(at))
     }
 
+    /// Returns the time of the last call of a lane.
+    pub fn called_at(&self, lane: Lane) -> BootTime {
+        self.lane(lane).called_at
+    }
+
     /// Returns whether a watch of the configuration is open. A store that answers then sends changes at once.
     pub fn watches_configuration(&self) -> bool {
         let lane = self.lane(Lane::Configuration);
