--- a/crates/session/staircross-node/src/peers/connection.rs
+++ b/crates/session/staircross-node/src/peers/connection.rs
@@ -26,7 +26,7 @@
     Silent,
 }
 
-/// Decides when a connection is pinged, and when a ping is late.
+/// When the peer was last heard of, and which ping it has yet to answer.
 struct Heartbeat {
     heard_at: Instant,
     /// Time of the ping that hasn't been answered yet.
--- a/crates/session/staircross-node/tests/peers.rs
+++ b/crates/session/staircross-node/tests/peers.rs
@@ -114,19 +114,24 @@
     transport.send(address, cancel(1));
     let mut silent = accept_peer(&listener);
     assert_eq!(receive(&mut silent), cancel(1));
-    let silent_since = Instant::now();
-    let is_replaced = loop {
+    assert!(opens_another_connection(&mut transport, &listener), "no new connection within {WAIT_TIMEOUT:?}");
+}
+
+/// Sends messages to the listener's address for [`WAIT_TIMEOUT`] at most, and returns whether a connection was opened.
+fn opens_another_connection(transport: &mut PeerTransport, listener: &TcpListener) -> bool {
+    let address = listener.local_addr().expect("has an address");
+    let started = Instant::now();
+    while started.elapsed() < WAIT_TIMEOUT {
         transport.send(address, cancel(2));
-        match listener.accept() {
-            Ok(_) => break true,
-            Err(_) if silent_since.elapsed() > WAIT_TIMEOUT => break false,
-            Err(_) => std::thread::sleep(Duration::from_millis(20)),
+        if listener.accept().is_ok() {
+            return true;
         }
-    };
-    assert!(is_replaced, "no new connection within {WAIT_TIMEOUT:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
 }
 
-/// Sends messages for [`WAIT_TIMEOUT`] while `peer` handles the connection, and returns whether a second one was opened.
+/// Returns whether another connection is opened while `peer` handles the first one.
 fn is_replaced(accept: fn(&mut TcpStream), peer: fn(TcpStream)) -> bool {
     let (mut transport, _events) = start_transport();
     let listener = TcpListener::bind(free_address()).expect("binds");
@@ -136,15 +141,7 @@
     accept(&mut stream);
     std::thread::spawn(move || peer(stream));
     listener.set_nonblocking(true).expect("an open socket");
-    let started = Instant::now();
-    while started.elapsed() < WAIT_TIMEOUT {
-        transport.send(address, cancel(2));
-        if listener.accept().is_ok() {
-            return true;
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    false
+    opens_another_connection(&mut transport, &listener)
 }
 
 /// Guards against new connections to a peer that is merely slow: it answers each ping after more than a second.
--- a/crates/staircross-gateway/src/pool.rs
+++ b/crates/staircross-gateway/src/pool.rs
@@ -7,8 +7,8 @@
 //! [`Pool`] owns the connections and reports how each attempt ended, in particular whether the searcher may have run
 //! it. The engine chooses the searcher of each attempt, and decides what the end of an attempt means for its request.
 //! `establish` opens connections and proves fresh ones, that is, it waits for a possible reset before anything is sent.
-//! `reading` reads connections and handles the answers. `endings` ends attempts and connections. `connection` holds the state of one connection, and `carried` remembers its
-//! requests. `reuse` remembers the services whose connections carry one attempt each.
+//! `reading` reads connections and handles the answers. `endings` ends attempts and connections. `connection` holds the
+//! state of one connection, and `carried` remembers its requests. `reuse` remembers the services whose connections carry one attempt each.
 
 mod carried;
 mod connection;
--- a/crates/staircross-gateway/src/pool/reading.rs
+++ b/crates/staircross-gateway/src/pool/reading.rs
@@ -39,15 +39,13 @@
                     self.traffic.count(connection.purpose, connection.reach, count);
                     self.advance(slot, generation, io.now, events);
                     read += count;
-                    if !may_have_more {
-                        return self.limit_buffered(slot, events);
+                    if may_have_more && read < MAX_READ_PER_TURN {
+                        continue;
                     }
-                    if read >= MAX_READ_PER_TURN {
-                        if !self.unread.contains(&(slot, generation)) {
-                            self.unread.push((slot, generation));
-                        }
-                        return self.limit_buffered(slot, events);
+                    if may_have_more && !self.unread.contains(&(slot, generation)) {
+                        self.unread.push((slot, generation));
                     }
+                    return self.limit_buffered(slot, events);
                 }
                 ReadOutcome::WouldBlock => return,
                 ReadOutcome::Closed => {
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -264,8 +264,9 @@
         }
     }
 
-    /// Looks after the listeners that have stopped listening or had no descriptor, and ends connections whose timeouts have passed. Where a request has
-    /// partly arrived, the connection isn't ended yet but reported by [`ServerEvent::RequestTimedOut`].
+    /// Looks after the listeners that have stopped listening or had no descriptor, and ends connections whose timeouts
+    /// have passed. Where a request has partly arrived, the connection isn't ended yet but reported by
+    /// [`ServerEvent::RequestTimedOut`].
     pub fn sweep(
         &mut self,
         now: BootTime,
--- a/crates/staircross-transport/src/server/event.rs
+++ b/crates/staircross-transport/src/server/event.rs
@@ -44,7 +44,8 @@
         connection: SocketId,
     },
     /// The peer closed the connection, or it broke, before its request was answered. Where the close arrived together
-    /// with the request, [`Server::is_open`](super::Server::is_open) says so already when the event of the request is handled.
+    /// with the request, [`Server::is_open`](super::Server::is_open) says so already when the event of the request is
+    /// handled.
     Disconnected {
         /// The connection, which no longer exists.
         connection: SocketId,
--- a/crates/staircross-transport/tests/common/mod.rs
+++ b/crates/staircross-transport/tests/common/mod.rs
@@ -14,7 +14,7 @@
 const QUIET_TIME: Duration = Duration::from_millis(100);
 
 /// A server whose requests wait until the test answers them. Any other event panics, but for a disconnect where the test
-/// expects one.
+/// expects one, and for requests and answers that are dropped, which only a server with a bound on what it holds reports.
 pub struct TestServer {
     pub server: Server<()>,
     poll: Poll,
--- a/crates/staircross-wire/src/handshake.rs
+++ b/crates/staircross-wire/src/handshake.rs
@@ -65,8 +65,8 @@
 struct Challenge {
     nonce: u128,
     proof: [u8; 32],
-    /// Whether the accepting node answers [`PeerMessage::Ping`](crate::PeerMessage::Ping). Nodes of releases without pings
-    /// don't send the field.
+    /// Whether the accepting node answers [`PeerMessage::Ping`](crate::PeerMessage::Ping). Nodes of releases without
+    /// pings don't send the field.
     #[serde(default)]
     answers_pings: bool,
 }
