Log searchers whose answers say that they leave, and how long listings take

The logs couldn't tell a request that was read late from one that a node sent because it didn't know of the leaving. So a node that doesn't know of a leaving can be told from its own log now:

- decision/departure: two closing answers in a row of a searcher that counts as serving and has kept connections before are evidence of a leaving. event=searcher_closing, staircross_searchers_closing_total.
- event=store_listing: pages and duration of a listing.

Routing, gateway, platform and command line tests pass.

--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -234,6 +234,7 @@
         line("attempts_retry_total", counters.retries);
         line("attempts_reroute_total", counters.reroutes);
         line("attempts_over_budget_total", counters.over_budget);
+        line("searchers_closing_total", counters.closing_searchers);
         line("requests_not_admitted_total", counters.not_admitted);
         line("requests_over_quota_total", counters.over_quota);
         line("quota_messages_total", counters.quota_messages);
--- a/crates/staircross-gateway/src/node/change_log.rs
+++ b/crates/staircross-gateway/src/node/change_log.rs
@@ -143,6 +143,13 @@
         self.log.line(self.now, LineKind::NodeEvent, format_args!("event=alarm route={route} raised={is_raised}"));
     }
 
+    /// Logs that the answers of a searcher say that it is leaving, of which this node hasn't heard.
+    pub(super) fn log_searcher_closing(&mut self, instance: &str, service: &str) {
+        let revision = self.mirror.newest_revision();
+        let line = format_args!("event=searcher_closing instance={instance} service={service} revision={revision}");
+        self.log.line(self.now, LineKind::NodeEvent, line);
+    }
+
     fn log_searcher_totals(&mut self, changes: &MirrorChanges, source: &str) {
         let draining = changes.searchers.iter().filter(|entry| entry.is_draining).count();
         let (changed, gone) = (changes.searchers.len(), changes.removed_searchers.len());
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -260,6 +260,7 @@
             }
             RoutingAction::Admission { group, change } => self.log_admission(&group, &change),
             RoutingAction::Quota(change) => self.log_quota(&change),
+            RoutingAction::SearcherClosing { instance, service } => self.log_searcher_closing(&instance, &service),
             RoutingAction::Alarm { route, is_raised } => self.log_alarm(&route, is_raised),
             RoutingAction::Probe { request, step } => self.trace_probe(request, step),
         }
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -76,6 +76,11 @@
                         self.fleet.confirm(self.store_reader.called_at(lane));
                     }
                 }
+                ReaderAction::Listed { lane, pages, took } => self.log.line(
+                    self.now,
+                    LineKind::NodeEvent,
+                    format_args!("event=store_listing lane={} pages={pages} ms={}", lane.name(), took.as_millis()),
+                ),
                 ReaderAction::Reachable { lane, is_reachable } => self.log.line(
                     self.now,
                     LineKind::NodeEvent,
--- a/crates/staircross-gateway/src/pool/endings.rs
+++ b/crates/staircross-gateway/src/pool/endings.rs
@@ -7,7 +7,7 @@
 use super::{AbandonCause, Assignment, ConnectionState, HTTP_MISDIRECTED_REQUEST, KEEP_ALIVE_MARGIN, Pool, PoolEvent};
 use staircross_http::{Answer, ClientFault};
 use staircross_routing::state::request::Unknown;
-use staircross_routing::{AttemptOutcome, NotRun, SearcherAnswer, SearcherKey};
+use staircross_routing::{AttemptOutcome, NotRun, SearcherAnswer, SearcherKey, SearcherReport};
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -63,7 +63,7 @@
             return AttemptOutcome::NotRun(NotRun::Shed);
         }
         let stamp = headers.first(self.names.stamp).map(<[u8]>::to_vec);
-        let report = (self.names.report)(headers);
+        let report = SearcherReport { closes: headers.asks_to_close(), ..(self.names.report)(headers) };
         AttemptOutcome::Answered(Box::new(SearcherAnswer {
             status: answer.head.status,
             stamp,
--- a/crates/staircross-routing/src/decision.rs
+++ b/crates/staircross-routing/src/decision.rs
@@ -10,6 +10,7 @@
 //! | --- | --- |
 //! | [`placement`] | which searcher of a service is asked |
 //! | [`allowed_regions`] | in which regions a request may be served |
+//! | [`departure`] | whether a searcher that is listed as serving is suspected of leaving |
 //! | [`cold`] | how much a node may send to a searcher that has just started |
 //! | [`weighted_round_robin`] | which service of a weighted route serves a request |
 //! | [`admission`] | which fraction of the offered requests is admitted while back ends are overloaded |
@@ -25,6 +26,7 @@
 pub mod admission;
 pub mod allowed_regions;
 pub mod cold;
+pub mod departure;
 pub mod extra_budget;
 pub mod fair_share;
 pub mod first_probe;
--- a/crates/staircross-routing/src/engine/counters.rs
+++ b/crates/staircross-routing/src/engine/counters.rs
@@ -19,6 +19,8 @@
     pub not_admitted: u64,
     /// Requests refused because their tenant's quota was used up.
     pub over_quota: u64,
+    /// Searchers whose answers have begun to say that they are leaving while their entries said that they serve.
+    pub closing_searchers: u64,
     /// Messages on tenants' quotas that were sent to peers.
     pub quota_messages: u64,
 }
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -179,6 +179,13 @@
         /// Whether the alarm is raised rather than over.
         is_raised: bool,
     },
+    /// The answers of a searcher that counts as serving say that it is leaving; only for the log and for metrics.
+    SearcherClosing {
+        /// Id of the searcher.
+        instance: Arc<str>,
+        /// Service of the searcher.
+        service: Arc<str>,
+    },
     /// A request has arrived while the alarm of its route is raised, or its first probe has advanced; only for the
     /// log.
     Probe {
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -292,6 +292,7 @@
             | RoutingAction::Suspicion { .. }
             | RoutingAction::SendQuotas { .. }
             | RoutingAction::Alarm { .. }
+            | RoutingAction::SearcherClosing { .. }
             | RoutingAction::Probe { .. }
             | RoutingAction::Quota(_) => None,
         }
--- a/crates/staircross-routing/src/state/report.rs
+++ b/crates/staircross-routing/src/state/report.rs
@@ -38,4 +38,11 @@
     /// Time for which the searcher stays cold from now on.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold: Option<Duration>,
+    /// Whether the answer says that its connection closes.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub closes: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !*value
 }
--- a/crates/staircross-routing/src/state/searcher.rs
+++ b/crates/staircross-routing/src/state/searcher.rs
@@ -6,6 +6,7 @@
 
 use crate::configuration::definition::ColdStart;
 use crate::decision::cold::ColdSends;
+use crate::decision::departure::Departure;
 use crate::keys::{AttemptKey, InstanceKey};
 use crate::state::decay::decay_factor;
 use crate::state::mirror::SearcherEntry;
@@ -122,6 +123,8 @@
     /// Time of the first slow answer since the last answer that wasn't slow.
     first_slow_answer_at: Option<BootTime>,
     rejections: RejectionRate,
+    /// Evidence that the searcher is leaving although its entry says that it serves.
+    departure: Departure,
     /// Number of failures in a row to reach the searcher.
     consecutive_failures: u32,
     /// Time until which the searcher is avoided after failures or rejections.
@@ -155,6 +158,7 @@
             slowness_estimated_at: now,
             first_slow_answer_at: None,
             rejections: RejectionRate::default(),
+            departure: Departure::default(),
             consecutive_failures: 0,
             avoided_until: BootTime::default(),
             needs_trial: false,
@@ -234,6 +238,16 @@
         &self.cold_sends
     }
 
+    /// Returns the evidence that the searcher is leaving.
+    pub fn departure(&self) -> &Departure {
+        &self.departure
+    }
+
+    /// Returns the evidence that the searcher is leaving, to be changed.
+    pub fn departure_mut(&mut self) -> &mut Departure {
+        &mut self.departure
+    }
+
     /// Stores the report of an answer.
     pub fn note_report(&mut self, now: BootTime, report: SearcherReport) {
         if let Some(load) = report.load {
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -40,6 +40,17 @@
     first_revision: u64,
     /// Key after which the next page starts.
     next_key: String,
+    /// Number of pages.
+    pages: u32,
+    /// Time of the call for the first page.
+    begun_at: BootTime,
+}
+
+impl PartialListing {
+    fn new(first_revision: u64, begun_at: BootTime) -> Self {
+        let next_key = String::new();
+        PartialListing { update: MirrorUpdate::default(), first_revision, next_key, pages: 0, begun_at }
+    }
 }
 
 #[derive(Debug)]
@@ -108,16 +119,16 @@
         actions: &mut Vec<ReaderAction>,
     ) {
         self.state = LaneState::Scheduled { at: now };
-        let (mut listing, first_revision) = match self.partial.take() {
-            Some(before) => (before.update, before.first_revision),
-            None => (MirrorUpdate::default(), revision),
-        };
+        let before = self.partial.take().unwrap_or_else(|| PartialListing::new(revision, self.called_at));
+        let PartialListing { update: mut listing, first_revision, pages, begun_at, .. } = before;
+        let pages = pages + 1;
         listing.items.extend(update.items);
         listing.unreadable.extend(update.unreadable);
-        if let Some(key) = next {
-            self.partial = Some(PartialListing { update: listing, first_revision, next_key: key });
+        if let Some(next_key) = next {
+            self.partial = Some(PartialListing { update: listing, first_revision, next_key, pages, begun_at });
             return;
         }
+        actions.push(ReaderAction::Listed { lane: self.lane, pages, took: now.since(begun_at) });
         // The pages aren't a snapshot, since items may have changed between them. The listing is complete only up to
         // the revision of the first page; the watch reports later changes.
         match self.lane {
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -151,6 +151,15 @@
         /// The update.
         update: MirrorUpdate,
     },
+    /// A listing is complete; only for the log.
+    Listed {
+        /// The lane.
+        lane: Lane,
+        /// Number of pages.
+        pages: u32,
+        /// Time from the call for the first page to the last page.
+        took: Duration,
+    },
     /// The store answers the lane's calls again, or has stopped answering them.
     Reachable {
         /// The lane.
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -57,6 +57,8 @@
     pub quota_changes: Vec<QuotaChange>,
     /// Alarms of routes in order: the route's name, and whether the alarm was raised (or ended).
     pub alarms: Vec<(String, bool)>,
+    /// Ids of the searchers whose answers say that they are leaving, in order.
+    pub closing: Vec<String>,
     /// Steps of first probes, which are taken by requests that arrive while their route is on alarm.
     pub probe_steps: Vec<(RequestKey, ProbeStep)>,
     /// All events and the decisions on them, as they are recorded.
@@ -182,6 +184,7 @@
             quota_messages: Vec::new(),
             quota_changes: Vec::new(),
             alarms: Vec::new(),
+            closing: Vec::new(),
             probe_steps: Vec::new(),
             turns: Vec::new(),
             paths: HashMap::new(),
@@ -236,6 +239,7 @@
                 RoutingAction::Quota(change) => self.quota_changes.push(change),
                 RoutingAction::Suspicion { change, .. } => self.suspicions.push(change),
                 RoutingAction::Alarm { route, is_raised } => self.alarms.push((route.to_string(), is_raised)),
+                RoutingAction::SearcherClosing { instance, .. } => self.closing.push(instance.to_string()),
                 RoutingAction::Probe { request, step } => self.probe_steps.push((request, step)),
                 RoutingAction::Finish { request, outcome } => {
                     self.finished.push((request, outcome));
--- a/crates/staircross-routing/tests/pinned/journal.rs
+++ b/crates/staircross-routing/tests/pinned/journal.rs
@@ -107,6 +107,7 @@
             ("quota sent".into(), format!("{} {}", to.0, messages.join(" ")))
         }
         RoutingAction::Quota(change) => ("quota changed".into(), quota_change(change)),
+        RoutingAction::SearcherClosing { instance, service } => ("closing".into(), format!("{instance} {service}")),
         RoutingAction::Alarm { route, is_raised } => ("alarm".into(), format!("{route} {is_raised}")),
         RoutingAction::Probe { request, step } => ("probe".into(), format!("{} {}", request.0, step.name())),
         RoutingAction::Finish { request, outcome } => {
--- a/crates/staircross-routing/tests/reported_host.rs
+++ b/crates/staircross-routing/tests/reported_host.rs
@@ -10,7 +10,7 @@
 /// Returns an answer that reports that the host's work takes `percent` of the usual time.
 fn answer_with_report(percent: u32) -> AttemptOutcome {
     let load = ReportedLoad { running: 1, waiting: 0, slots: 5, host_slowness: Some(percent) };
-    let report = SearcherReport { load: Some(load), cold: None };
+    let report = SearcherReport { load: Some(load), ..SearcherReport::default() };
     let AttemptOutcome::Answered(plain) = answer(200, "p", records(&[1])) else {
         unreachable!("`answer` returns an answer");
     };
--- a/crates/staircross-routing/tests/rule_placement.rs
+++ b/crates/staircross-routing/tests/rule_placement.rs
@@ -74,7 +74,9 @@
 /// Returns a searcher that has reported that its host's work takes `percent` of the usual time.
 fn with_reported_slowness(percent: u32) -> Searcher {
     let load = ReportedLoad { running: 0, waiting: 0, slots: 5, host_slowness: Some(percent) };
-    changed(searcher_in("a"), |searcher| searcher.note_report(now(), SearcherReport { load: Some(load), cold: None }))
+    changed(searcher_in("a"), |searcher| {
+        searcher.note_report(now(), SearcherReport { load: Some(load), ..SearcherReport::default() })
+    })
 }
 
 fn choice<'a>(route: &'a RouteDefinition, excluded: &'a [SearcherKey]) -> Choice<'a> {
