Believe a leaving searcher's answers where no watch reports its leaving

Cause: what a node knew of leavings came through one channel only, the watches of its region's readers, and nothing checked it end to end. Whatever makes a report go missing (a watch that loses a reply, a revision that passes a change, a dead connection) leaves every node that follows those readers ignorant until the entry goes, though each answer of the leaving searcher says that its connection closes.

Class: a belief that rests on the absence of reports.

Change: two closing answers in a row of a searcher that has kept connections before put it behind all others (soft: it stays a fallback, so a server that merely begins to close loses nothing). If its entry still says that it serves 1.5 s after the first of them, the node lists the entries anew, once in 5 s at most, whoever it is (reader or follower).

Weighed: avoiding a searcher after a single closing answer (servers end connections after many requests, too); asking its health path (each probe is priced, and health answers may lie); gossip of the evidence (each node that sends work gets it by itself).

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -243,6 +243,7 @@
         // instead.
         self.on_fleet_tick();
         self.decide_store_role();
+        self.check_doubted_entries();
         self.pull_if_behind();
         // The node's own status is derived from the updates above.
         self.log_configuration_view();
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -37,6 +37,15 @@
         self.apply_reader_actions(actions);
     }
 
+    /// Reads the searchers' entries again if the answers of a searcher contradict its entry.
+    pub(in crate::node) fn check_doubted_entries(&mut self) {
+        if self.engine.take_due_entry_check(self.now) {
+            let mut actions = Vec::new();
+            self.store_reader.read_searchers_again(self.now, &mut actions);
+            self.apply_reader_actions(actions);
+        }
+    }
+
     /// Ends the calls that have timed out, and makes those that are due.
     pub(in crate::node) fn handle_store_timers(&mut self) {
         for (index, lane) in Lane::ALL.into_iter().enumerate() {
--- a/crates/staircross-routing/src/decision/placement/expected_time.rs
+++ b/crates/staircross-routing/src/decision/placement/expected_time.rs
@@ -1,7 +1,7 @@
 //! Time after which a searcher is expected to answer, as a sum of terms. The searcher with the least sum is asked.
 //!
 //! Some terms are penalties rather than times: for distance, because traffic between zones is charged; for rejections,
-//! because the budget may not pay for the retry; and for a lapsed entry, so that such a searcher comes last.
+//! because the budget may not pay for the retry; and for a searcher that may have left, so that it comes last.
 
 use super::Choice;
 use super::context::{Distance, PlacementContext};
@@ -14,9 +14,9 @@
 /// Penalty of a searcher in another region. A higher one saves traffic between regions and serves callers slightly
 /// worse.
 const OTHER_REGION_PENALTY: Duration = Duration::from_millis(25);
-/// Penalty of a searcher whose entry has gone from the store. It exceeds any other sum, so that the searcher is asked
-/// after all others.
-const LAPSED_ENTRY_PENALTY: Duration = Duration::from_secs(60);
+/// Penalty of a searcher whose entry has gone from the store, or that is suspected of leaving. It exceeds any other sum,
+/// so that the searcher is asked after all others.
+const DEPARTURE_PENALTY: Duration = Duration::from_secs(60);
 /// Expected remaining time for which a searcher with an overdue attempt stays silent, as a multiple of the time for
 /// which the attempt is overdue.
 const PAUSE_FACTOR: u32 = 2;
@@ -29,7 +29,7 @@
         + work
         + queue_time(searcher, context, work)
         + expected_pause(now, searcher, context)
-        + lapsed_entry_penalty(searcher)
+        + departure_penalty(now, searcher)
         + rejection_penalty(now, searcher, context, choice)
 }
 
@@ -70,8 +70,9 @@
     }
 }
 
-fn lapsed_entry_penalty(searcher: &Searcher) -> Duration {
-    if searcher.is_serving() { Duration::ZERO } else { LAPSED_ENTRY_PENALTY }
+fn departure_penalty(now: BootTime, searcher: &Searcher) -> Duration {
+    let may_have_left = !searcher.is_serving() || searcher.departure().is_suspected(now);
+    if may_have_left { DEPARTURE_PENALTY } else { Duration::ZERO }
 }
 
 /// Returns the route's latency goal times the probability of a rejection: the budget for extra sends may not pay for a
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -15,6 +15,7 @@
 mod arrival;
 mod completion;
 mod counters;
+mod departures;
 mod dispatch;
 mod first_probe;
 mod outcome;
@@ -161,6 +162,8 @@
     quotas: FleetRateLimiter,
     /// Routes whose alarm was raised when alarms were logged last.
     logged_alarms: first_probe::LoggedAlarms,
+    /// Checks of the entries of searchers whose answers say that they are leaving.
+    entry_checks: departures::EntryChecks,
     /// Counters for metrics.
     pub counters: RoutingCounters,
 }
@@ -202,6 +205,7 @@
             wakes: BinaryHeap::new(),
             quarantine: Quarantine::default(),
             logged_alarms: Default::default(),
+            entry_checks: Default::default(),
             counters: RoutingCounters::default(),
         }
     }
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -88,27 +88,6 @@
         }
     }
 
-    /// Updates the evidence that a searcher is leaving. Only answers of searchers that count as serving are evidence.
-    fn update_departure(
-        &mut self,
-        now: BootTime,
-        sent: &SentAttempt,
-        outcome: &AttemptOutcome,
-        actions: &mut Vec<RoutingAction>,
-    ) {
-        let AttemptOutcome::Answered(answer) = outcome else {
-            return;
-        };
-        let searcher = &mut self.searchers[sent.searcher.0 as usize];
-        // A server may also close after an error of its own.
-        let is_evidence = searcher.is_serving() && answer.status < 500;
-        if is_evidence && searcher.departure_mut().note_answer(now, sent.begun_at, answer.report.closes) {
-            self.counters.closing_searchers += 1;
-            let (instance, service) = (searcher.entry.instance.clone(), searcher.entry.service.clone());
-            actions.push(RoutingAction::SearcherClosing { instance, service });
-        }
-    }
-
     /// Applies the outcome of an attempt to its shard, as [`retry::next_step`] decides, and moves a first probe on.
     fn apply_outcome(
         &mut self,
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -213,6 +213,27 @@
         }
     }
 
+    /// Lists the searchers anew, because what is known of them may be wrong. A prober, which the store may not answer,
+    /// lists them once it has another role.
+    pub fn read_searchers_again(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
+        if self.mode == ReadingMode::Probing {
+            return;
+        }
+        let is_following = self.mode == ReadingMode::Following;
+        let lane = self.lane_mut(Lane::Searchers);
+        lane.known_revision = None;
+        lane.partial = None;
+        if lane.state == LaneState::Calling {
+            actions.push(ReaderAction::Cancel { lane: Lane::Searchers, cause: CancelCause::EntriesDoubted });
+        }
+        if lane.failures == 0 && lane.state != LaneState::Suspended {
+            lane.state = LaneState::Scheduled { at: now };
+        }
+        if is_following {
+            self.set_mode(now, ReadingMode::Once, actions);
+        }
+    }
+
     /// Returns whether a lane has yet to complete its listing in the mode [`ReadingMode::Once`].
     pub fn is_reading_once(&self) -> bool {
         self.mode == ReadingMode::Once && self.lanes.iter().any(|lane| lane.is_used(self.mode, false))
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -111,6 +111,8 @@
     StoreAhead,
     /// A peer showed a change that the watch didn't report, so the watch's connection may be dead.
     PeerAhead,
+    /// The entries are to be listed anew, because the answers of a searcher contradict its entry.
+    EntriesDoubted,
 }
 
 impl CancelCause {
@@ -121,6 +123,7 @@
             CancelCause::ProbeMissed => "probe_missed",
             CancelCause::StoreAhead => "store_ahead",
             CancelCause::PeerAhead => "peer_ahead",
+            CancelCause::EntriesDoubted => "entries_doubted",
         }
     }
 }
