Doubt a searcher's entry that comes back after its removal

Cause: an entry that comes back made a lapsed searcher serve as if nothing had been. Class: a belief about a leaving that a later, weaker report undoes.

Change: a searcher whose entry comes back within the same incarnation is asked after all others for 5 s, longer than an entry stays that nobody renews (three heartbeats), or until it answers a request without closing the connection. It stays a fallback throughout, so a store that was away and forgot all leases costs nothing: all its searchers are doubted alike.

Before: a_searcher_whose_entry_came_back_is_asked_after_all_others_for_a_while (the near searcher is asked at once) and the process test in unheard_leavings.rs (the last request 3.53 s after the removal, bound 3 s, older entry put back after 3.2 s) failed. Tried against what it may refuse: a searcher that comes back and is the only one serves at once, one that comes back beside others is used again within 8 s, both tests.

Ruled out: the entry's sequence. It rises with each heartbeat, but watches report changes of other fields only, so the sequence last seen before a removal says nothing about that of a late write. Routing and unheard_leavings tests pass.

--- a/crates/staircross-routing/src/state/searcher.rs
+++ b/crates/staircross-routing/src/state/searcher.rs
@@ -174,8 +174,11 @@
     }
 
     /// Replaces the entry by a newer one of the same incarnation. A draining searcher stays so; a lapsed one serves
-    /// again.
+    /// again, but may have left: a write from before its removal may have reached the store late.
     pub fn update(&mut self, now: BootTime, entry: SearcherEntry) {
+        if matches!(self.availability, Availability::Lapsed { .. }) {
+            self.departure.note_return(now);
+        }
         let was_draining = self.availability == Availability::Draining;
         self.availability =
             if was_draining || entry.is_draining { Availability::Draining } else { Availability::Serving };
