Let a later start override the store for half of the bound on drains only

What callers saw: a searcher's drain was never believed, and requests reached it for as long as it lived, once an entry with a later start had stood under its id.

Cause: of several incarnations under one id the latest start counted before the revision, without an end. Another writer's start of 2^64-1, a searcher that starts again with a clock that is behind, and a draining entry without a start all put the searcher's own entries behind an older one for good. Class: a belief about a leaving that overrides what the store holds.

Change: the start overrides the store's order only for as long as a write can be late. A live searcher writes its entry again within a heartbeat (1.2 s) and ends the dispute; if the store still holds another entry after half of the bound on drains (1.5 s, 2.5 s, 3 s), that one counts and those written before it are taken as removed (state/disputes). The rule that a late drain of an earlier start doesn't close the later one stays; its tests are unchanged.

Weighed: bounding starts by a clock (clocks of hosts disagree, and an older forged start is as wrong as a future one); going by the revision alone (a late drain of an earlier start closes the later one, which routing/tests/incarnations.rs forbids).

--- a/crates/staircross-gateway/src/node/updates.rs
+++ b/crates/staircross-gateway/src/node/updates.rs
@@ -30,6 +30,7 @@
 use crate::event_log::LineKind;
 use staircross_routing::configuration::definition::RoutingDefinition;
 use staircross_routing::engine::RoutingEvent;
+use staircross_routing::state::mirror::MirrorChanges;
 use staircross_routing::{MirrorUpdate, RouteTable};
 use std::sync::Arc;
 
@@ -37,7 +38,20 @@
     /// Merges an update, applies the changes and publishes them. `source` is the store lane or `peer`, for the log.
     fn apply_update(&mut self, update: MirrorUpdate, source: &str) {
         self.log_unreadable(&update.unreadable, source);
-        let mut changes = self.mirror.merge(update);
+        let changes = self.mirror.merge(update);
+        self.apply_changes(changes, source);
+    }
+
+    /// Lets the store's entries count for searchers of which another entry has counted for long enough.
+    pub(super) fn settle_disputes(&mut self) {
+        let changes = self.mirror.settle_disputes(self.now, self.settings.max_dispute());
+        if changes != MirrorChanges::default() {
+            self.apply_changes(changes, "settled");
+        }
+    }
+
+    /// Applies changes to the engine and publishes them.
+    fn apply_changes(&mut self, mut changes: MirrorChanges, source: &str) {
         let configuration = changes.configuration.take();
         // Evacuations are applied first and the configuration last: requests that were held until the configuration
         // is known are sent as soon as it is applied.
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -15,6 +15,7 @@
 //! | `ReaderSettings::probe_with_followers` | time between two heartbeats of a reader: one goes out with each probe |
 //! | `ReaderSettings::probe_as_prober` | time between two probes of a prober |
 //! | `ReaderSettings::probe` | time between two confirmations of the configuration, where keys need them |
+//! | [`GatewaySettings::max_dispute`] | time for which the entry of a later start counts although the store holds another |
 //! | [`GatewaySettings::lapse_grace`] | time for which a searcher whose entry has ended is still a fallback |
 
 use super::{BoundSettings, GatewaySettings};
@@ -33,6 +34,10 @@
 /// Time for which a searcher whose entry has ended is still a fallback, as a fraction of the bound on drains. Together
 /// with the time between calls, a follower's pull and a late wake-up, it stays below the bound.
 const LAPSE_GRACE_FRACTION: f64 = 0.25;
+/// Time for which the entry of a later start counts although the store holds one of an earlier start, as a fraction of
+/// the bound on drains. A live searcher writes its entry again within a heartbeat, which is shorter, and a drain that the
+/// store holds is known to the node within the bound.
+const MAX_DISPUTE_FRACTION: f64 = 0.5;
 /// Time after which a watch that sends nothing has been given up, as a fraction of the time within which silent
 /// connections must be noticed. The new watch's call, a datagram and a follower's pull fit into the rest.
 const WATCH_TIMEOUT_FRACTION: f64 = 0.9;
@@ -111,6 +116,11 @@
         Duration::from_millis(self.bounds.drain_ms).mul_f64(LAPSE_GRACE_FRACTION)
     }
 
+    /// Returns how long the entry of a later start counts although the store holds one of an earlier start.
+    pub fn max_dispute(&self) -> Duration {
+        Duration::from_millis(self.bounds.drain_ms).mul_f64(MAX_DISPUTE_FRACTION)
+    }
+
     /// Returns the maximum number of callers' connections: half of the descriptors that aren't reserved. The other half
     /// is for searchers.
     pub fn max_caller_connections(&self) -> usize {
--- a/crates/staircross-routing/src/state.rs
+++ b/crates/staircross-routing/src/state.rs
@@ -7,6 +7,7 @@
 //! | --- | --- |
 //! | [`searcher_entry`] | the entry with which a searcher registers itself in the store |
 //! | `known_entries` | the entries known under one searcher's id |
+//! | `disputes` | the searchers of whose entries the store holds another than the one that counts |
 //! | [`known_configuration`] | the newest known configuration, and which part of it a peer is sent |
 //! | [`mirror`] | this node's copy of the platform's store, merged by revision |
 //! | `known_revisions` | the revision up to which all changes are known, and the newest known change |
@@ -19,6 +20,7 @@
 //! | [`request`] | one request in flight |
 
 pub mod decay;
+mod disputes;
 pub mod evacuations;
 pub mod known_configuration;
 mod known_entries;
--- a/crates/staircross-routing/src/state/known_entries.rs
+++ b/crates/staircross-routing/src/state/known_entries.rs
@@ -6,8 +6,9 @@
 //! A searcher may restart under the same id, and changes of its incarnations arrive in any order, from the store and
 //! from peers. The state doesn't depend on that order. It holds the revision of the newest removal and, of the entries
 //! written after it, those that no other entry supersedes in both start time and revision. Of these, the entry of the
-//! latest incarnation is current, so a change of an earlier incarnation never affects a later one. Start times are
-//! compared only with each other, never with a clock.
+//! latest incarnation is current, so a late write of an earlier incarnation doesn't affect a later one. If the store still
+//! holds another entry after some time, the mirror drops the others. Start times are compared only with each other, never
+//! with a clock.
 
 use crate::state::searcher_entry::SearcherEntry;
 
@@ -73,6 +74,19 @@
         self.current().is_some_and(|known| known.revision <= revision)
     }
 
+    /// Returns whether the store holds another entry than the current one.
+    pub fn is_disputed(&self) -> bool {
+        self.entries.len() > 1
+    }
+
+    /// Drops all entries except the one that the store holds.
+    pub fn keep_newest(&mut self) {
+        if let Some(newest) = self.entries.last() {
+            // The earlier entries were overwritten, which removed them from the store.
+            self.remove_up_to(newest.revision.saturating_sub(1));
+        }
+    }
+
     /// Returns the current entry and those that become current if the entries of later incarnations are removed.
     pub fn entries(&self) -> &[WrittenEntry] {
         &self.entries
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -9,6 +9,7 @@
 
 use crate::configuration::definition::RoutingDefinition;
 use crate::configuration::delta::DefinitionDelta;
+use crate::state::disputes::Disputes;
 use crate::state::evacuations::{Evacuations, ZoneChange};
 pub use crate::state::known_configuration::AcceptedConfiguration;
 use crate::state::known_configuration::{ConfigurationUpdate, KnownConfiguration};
@@ -17,8 +18,10 @@
 pub use crate::state::searcher_entry::SearcherEntry;
 use crate::state::unreadable::UnreadableItem;
 use serde::{Deserialize, Serialize};
+use staircross_types::BootTime;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Maximum number of removed searchers that are remembered. Beyond it the older half is forgotten, and peers that are
 /// further behind get a complete listing. Large fleets have some hundreds of searchers, which is well below this limit.
@@ -193,6 +196,7 @@
 pub struct Mirror {
     configuration: KnownConfiguration,
     searchers: BTreeMap<Arc<str>, KnownEntries>,
+    disputes: Disputes,
     evacuations: Evacuations,
     /// Revisions up to which changes of searchers are known; complete up to 0 until `has_listing` is set.
     searcher_revisions: KnownRevisions,
@@ -295,6 +299,20 @@
         MirrorChanges { evacuated, ..pending.into_changes(&self.searchers) }
     }
 
+    /// Lets the store's entry count for each searcher for which another has counted for `max_age`, and returns what that
+    /// changes. The caller calls this regularly, since time passes only by these calls.
+    pub fn settle_disputes(&mut self, now: BootTime, max_age: Duration) -> MirrorChanges {
+        let mut pending = PendingChanges::default();
+        for instance in self.disputes.take_overdue(now, max_age) {
+            if let Some(known) = self.searchers.get_mut(&instance) {
+                let before = known.current().map(|known| known.revision);
+                known.keep_newest();
+                pending.searcher_mut(instance, before);
+            }
+        }
+        pending.into_changes(&self.searchers)
+    }
+
     /// Returns whether the item is an entry of a searcher that has been removed since: the entry was written at or
     /// before `known_up_to`, up to which all changes are known here, but the searcher isn't known.
     fn was_removed(&self, revision: u64, item: &MirrorItem, known_up_to: u64) -> bool {
@@ -364,6 +382,10 @@
         if !known.insert(WrittenEntry { revision, entry }) {
             return;
         }
+        match known.is_disputed() {
+            true => self.disputes.begin(instance.clone()),
+            false => self.disputes.end(&instance),
+        }
         self.searcher_revisions.note_change(revision);
         let change = pending.searcher_mut(instance, before);
         if is_draining {
--- a/crates/staircross-routing/tests/incarnations.rs
+++ b/crates/staircross-routing/tests/incarnations.rs
@@ -7,8 +7,13 @@
 use proptest::prelude::*;
 use staircross_routing::state::mirror::MirrorChanges;
 use staircross_routing::{Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry};
+use staircross_types::BootTime;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which a later start counts although the store holds an entry of an earlier one.
+const MAX_DISPUTE: Duration = Duration::from_secs(2);
 
 fn searcher_item(revision: u64, entry: SearcherEntry) -> (u64, MirrorItem) {
     (revision, MirrorItem::Searcher { entry })
@@ -143,6 +148,62 @@
     assert!(known_searchers(&other).is_empty());
 }
 
+/// Returns what a mirror knows and reports when a dispute that the items have begun is over.
+fn settled(items: &[(u64, MirrorItem)]) -> (Mirror, MirrorChanges) {
+    let order: Vec<usize> = (0..items.len()).collect();
+    let (mut mirror, _) = merged_in_order(items, &order);
+    assert_eq!(mirror.settle_disputes(at(0), MAX_DISPUTE), MirrorChanges::default());
+    let before = known_searchers(&mirror);
+    assert_eq!(mirror.settle_disputes(at(1999), MAX_DISPUTE), MirrorChanges::default());
+    assert_eq!(known_searchers(&mirror), before, "the later start counts for the time being");
+    let changes = mirror.settle_disputes(at(2000), MAX_DISPUTE);
+    (mirror, changes)
+}
+
+fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+/// Guards against a drain that is never believed because another writer, a wrong clock or an entry without a start had
+/// given the id a later start.
+#[test]
+fn the_entry_that_the_store_holds_counts_once_a_later_start_has_not_been_written_again() {
+    for later in [u64::MAX, 200] {
+        for earlier in [0, 100] {
+            let items = [searcher_item(5, started("s", later)), searcher_item(6, draining("s", earlier))];
+            let (mirror, changes) = settled(&items);
+            assert_eq!(changes.searchers, [draining("s", earlier)], "{later} {earlier}");
+            assert_eq!(known_searchers(&mirror), [("s".to_owned(), earlier, true)]);
+        }
+    }
+}
+
+/// Guards against a late drain of an earlier start that closes a later one which lives: it writes its entry again.
+#[test]
+fn a_later_start_that_is_written_again_ends_the_dispute() {
+    let items = [
+        searcher_item(5, started("s", 200)),
+        searcher_item(6, draining("s", 100)),
+        searcher_item(7, started("s", 200)),
+    ];
+    let (mirror, changes) = settled(&items);
+    assert_eq!(changes, MirrorChanges::default());
+    assert_eq!(known_searchers(&mirror), one_serving("s", 200));
+}
+
+/// Guards against an entry that counts again because a peer, whose dispute isn't over yet, sends it.
+#[test]
+fn an_entry_that_lost_a_dispute_stays_lost() {
+    let items = [searcher_item(5, started("s", u64::MAX)), searcher_item(6, started("s", 100))];
+    let (mut mirror, _) = settled(&items);
+    let (peer, _) = merged_in_order(&items, &[0, 1]);
+    mirror.merge(peer.changes_for(NOTHING_KNOWN));
+    assert_eq!(known_searchers(&mirror), one_serving("s", 100));
+    let mut peer = peer;
+    peer.merge(mirror.changes_for(NOTHING_KNOWN));
+    assert_eq!(known_searchers(&peer), one_serving("s", 100), "the peer learns the outcome");
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Change {
     Write { id: u8, born_ms: u64, is_draining: bool },
