Keep no fallback of searchers that the store says have left

What callers saw: a searcher whose entry had gone was still asked, if no other could be, for a quarter of the bound on drains after the node had heard of it.

Cause: the fallback counted from the moment at which a node learned of the removal, not from the removal. Each stage before it has a bound of its own, but their sum with the fallback hasn't: both readers lost (0.4 of the bound), a probe, another 0.13, a call, and 0.25 more. Class: stages that each keep a share of a bound which their sum exceeds.

Change: the fallback exists for entries that lapse while the store is away. Removals count as lapses only if the store was unavailable to this node up to 2.5 s before, if eight or more come together, or if the process has just started (StoreReader::note_removals). Otherwise the searchers are leaving and are asked no more from that moment (event SearchersLeft).

Weighed: subtracting the age of a node's knowledge from the fallback (ages of watches, heartbeats and pulls would all have to be tracked and passed on).

--- a/crates/staircross-gateway/src/node/updates.rs
+++ b/crates/staircross-gateway/src/node/updates.rs
@@ -64,7 +64,12 @@
             self.process_routing_event(RoutingEvent::Searchers(changes.searchers));
         }
         if !changes.removed_searchers.is_empty() {
-            self.process_routing_event(RoutingEvent::SearchersGone(changes.removed_searchers));
+            let removed = changes.removed_searchers;
+            let may_have_lapsed = self.store_reader.note_removals(self.now, removed.len());
+            self.process_routing_event(match may_have_lapsed {
+                true => RoutingEvent::SearchersGone(removed),
+                false => RoutingEvent::SearchersLeft(removed),
+            });
         }
         if let Some(definition) = configuration {
             self.apply_configuration(definition, source);
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -16,7 +16,7 @@
 //! | `ReaderSettings::probe_as_prober` | time between two probes of a prober |
 //! | `ReaderSettings::probe` | time between two confirmations of the configuration, where keys need them |
 //! | [`GatewaySettings::max_dispute`] | time for which the entry of a later start counts although the store holds another |
-//! | [`GatewaySettings::lapse_grace`] | time for which a searcher whose entry has ended is still a fallback |
+//! | [`GatewaySettings::lapse_grace`] | time for which a searcher whose entry may have lapsed is still a fallback |
 
 use super::{BoundSettings, GatewaySettings};
 use staircross_routing::store_reader::{ProbeIntervals, ReaderSettings};
@@ -31,7 +31,7 @@
 /// Minimum time between calls for searchers, as a fraction of the bound on drains. Together with a datagram and a
 /// follower's pull, an update stays below the bound, and many updates at once cause few calls.
 const SEARCHER_PAUSE_FRACTION: f64 = 0.3;
-/// Time for which a searcher whose entry has ended is still a fallback, as a fraction of the bound on drains. Together
+/// Time for which a searcher whose entry may have lapsed is still a fallback, as a fraction of the bound on drains. Together
 /// with the time between calls, a follower's pull and a late wake-up, it stays below the bound.
 const LAPSE_GRACE_FRACTION: f64 = 0.25;
 /// Time for which the entry of a later start counts although the store holds one of an earlier start, as a fraction of
@@ -111,7 +111,7 @@
         strict_ms.map_or(Duration::MAX, Duration::from_millis)
     }
 
-    /// Returns how long a searcher whose entry has ended is still asked if no other can be.
+    /// Returns how long a searcher whose entry may have lapsed is still asked if no other can be.
     pub fn lapse_grace(&self) -> Duration {
         Duration::from_millis(self.bounds.drain_ms).mul_f64(LAPSE_GRACE_FRACTION)
     }
--- a/crates/staircross-gateway/tests/pinned_recordings.rs
+++ b/crates/staircross-gateway/tests/pinned_recordings.rs
@@ -87,6 +87,7 @@
         format!(r#"{{"Configuration":{DEFINITION}}}"#),
         format!(r#"{{"Searchers":[{ENTRY}]}}"#),
         r#"{"SearchersGone":["i-1"]}"#.to_owned(),
+        r#"{"SearchersLeft":["i-1"]}"#.to_owned(),
         r#"{"Evacuated":["hall"]}"#.to_owned(),
         r#"{"Fleet":{"nodes_by_zone":{"hall":2},"serving":2,"rank":1,"slack_part":0.5}}"#.to_owned(),
         r#"{"Fleet":{"nodes_by_zone":{},"serving":2,"rank":null,"slack_part":0.5,"nodes":["h'00000000000000000000000000000001'"]}}"#
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -69,7 +69,7 @@
     pub zone: Arc<str>,
     /// Region of each zone.
     pub regions: HashMap<Arc<str>, Arc<str>>,
-    /// Time for which a searcher is still asked, if no other can be, after its entry has gone from the store.
+    /// Time for which a searcher is still asked, if no other can be, after its entry may have lapsed.
     pub lapse_grace: Duration,
     /// Bound on requests to a cold searcher (one that has just started), for all nodes together.
     pub cold: ColdBound,
@@ -224,7 +224,11 @@
                 self.start_held(now, actions);
             }
             RoutingEvent::SearchersGone(instances) => {
-                instances.iter().for_each(|instance| self.mark_searcher_lapsed(now, instance))
+                let until = now + self.settings.lapse_grace;
+                instances.iter().for_each(|instance| self.mark_searcher_lapsed(now, instance, until))
+            }
+            RoutingEvent::SearchersLeft(instances) => {
+                instances.iter().for_each(|instance| self.mark_searcher_lapsed(now, instance, now))
             }
             RoutingEvent::Evacuated(zones) => self.set_evacuated(now, zones, actions),
             RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_share, nodes } => {
--- a/crates/staircross-routing/src/engine/searchers.rs
+++ b/crates/staircross-routing/src/engine/searchers.rs
@@ -92,13 +92,11 @@
         services.iter().for_each(|service| self.send_waiting_shards(now, service, actions));
     }
 
-    /// Marks a searcher whose entry has gone from the store. It is asked for `lapse_grace` longer if no other can
-    /// be.
-    pub(super) fn mark_searcher_lapsed(&mut self, now: BootTime, instance: &Arc<str>) {
+    /// Marks a searcher whose entry has gone from the store. It is asked until `until` if no other can be.
+    pub(super) fn mark_searcher_lapsed(&mut self, now: BootTime, instance: &Arc<str>, until: BootTime) {
         let Some(key) = self.by_instance.get(instance).copied() else {
             return;
         };
-        let until = now + self.settings.lapse_grace;
         let searcher = &mut self.searchers[key.0 as usize];
         searcher.mark_lapsed(until);
         let service = searcher.entry.service.clone();
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -24,8 +24,11 @@
     Configuration(Arc<RouteTable>),
     /// Searcher entries are new or have changed.
     Searchers(Vec<SearcherEntry>),
-    /// The entries of these searchers, named by their ids, have gone from the store.
+    /// The entries of these searchers, named by their ids, have gone from the store, and may have lapsed.
     SearchersGone(Vec<Arc<str>>),
+    /// The entries of these searchers, named by their ids, have gone from the store, which answered all the time: the
+    /// searchers are leaving.
+    SearchersLeft(Vec<Arc<str>>),
     /// The set of evacuated zones has changed. It lists all zones whose searchers are to get no new work.
     Evacuated(Vec<Arc<str>>),
     /// The live nodes have changed.
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -74,6 +74,7 @@
     Configuration(Arc<RoutingDefinition>),
     Searchers(Vec<SearcherEntry>),
     SearchersGone(Vec<Arc<str>>),
+    SearchersLeft(Vec<Arc<str>>),
     Evacuated(Vec<Arc<str>>),
     Fleet {
         nodes_by_zone: BTreeMap<Arc<str>, usize>,
@@ -213,6 +214,7 @@
             RoutingEvent::Configuration(table) => RecordedEvent::Configuration(table.definition().clone()),
             RoutingEvent::Searchers(entries) => RecordedEvent::Searchers(entries.clone()),
             RoutingEvent::SearchersGone(instances) => RecordedEvent::SearchersGone(instances.clone()),
+            RoutingEvent::SearchersLeft(instances) => RecordedEvent::SearchersLeft(instances.clone()),
             RoutingEvent::Evacuated(zones) => RecordedEvent::Evacuated(zones.clone()),
             RoutingEvent::Fleet { nodes_by_zone, serving, rank, slack_share, nodes } => RecordedEvent::Fleet {
                 nodes_by_zone: nodes_by_zone.iter().map(|(zone, count)| (zone.clone(), *count)).collect(),
@@ -397,6 +399,7 @@
             }
             RecordedEvent::Searchers(entries) => RoutingEvent::Searchers(entries),
             RecordedEvent::SearchersGone(instances) => RoutingEvent::SearchersGone(instances),
+            RecordedEvent::SearchersLeft(instances) => RoutingEvent::SearchersLeft(instances),
             RecordedEvent::Evacuated(zones) => RoutingEvent::Evacuated(zones),
             RecordedEvent::Fleet { nodes_by_zone, serving, rank, slack_share, nodes } => {
                 let nodes_by_zone = nodes_by_zone.into_iter().collect();
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -44,7 +44,7 @@
     Backoff, CancelCause, Lane, ProbeIntervals, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReply,
 };
 
-use lane::{LaneReader, LaneState};
+use lane::{LaneReader, LaneState, REREGISTRATION_TIME};
 use rand_chacha::ChaCha8Rng;
 use renewal::ProbedRevision;
 use staircross_types::BootTime;
@@ -73,6 +73,8 @@
     has_missed_probe: bool,
     /// Whether followers rely on this node's probes of the store.
     has_followers: bool,
+    /// Time until which entries may be missing because the store was unavailable.
+    disturbed_until: BootTime,
     /// Time until which the pauses after updates of searchers are short, because the process has just restarted.
     starting_until: BootTime,
 }
@@ -101,6 +103,7 @@
             unreported: None,
             has_missed_probe: false,
             has_followers: false,
+            disturbed_until: BootTime::default(),
             starting_until: BootTime::default(),
         }
     }
@@ -250,6 +253,15 @@
         now < self.starting_until || now < self.lane(Lane::Searchers).reregistration_until
     }
 
+    /// Records that the entries of `removals` searchers were removed together, and returns whether they may have lapsed: the
+    /// store was unavailable, they are many, or this process has just started. Otherwise the searchers are leaving.
+    pub fn note_removals(&mut self, now: BootTime, removals: usize) -> bool {
+        let lane = self.lane_mut(Lane::Searchers);
+        lane.note_removals(now, removals);
+        let is_failing = lane.failures > 0;
+        is_failing || self.has_missed_probe || now < self.disturbed_until || self.may_lack_searchers(now)
+    }
+
     /// Requests the calls that are due.
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         let (mode, has_failed_read) = (self.mode, self.has_failed_read());
@@ -306,10 +318,13 @@
             StoreReply::Items { update, at, next } => reader.handle_page(now, update, at, next, actions),
             StoreReply::Changes { update, at } => reader.handle_changes(now, update, at, &settings, actions),
         }
-        reader.failures = 0;
+        let was_failing = std::mem::take(&mut reader.failures) > 0;
         reader.is_refused = false;
         reader.answered_at = Some(now);
         reader.set_reachable(true, actions);
+        if was_failing {
+            self.disturbed_until = now + REREGISTRATION_TIME;
+        }
     }
 
     /// Handles the failure of the open call of a lane: its connection broke, or it timed out.
@@ -338,6 +353,7 @@
             return;
         }
         if is_back {
+            self.disturbed_until = now + REREGISTRATION_TIME;
             self.renew_watches(now, CancelCause::ProbeMissed, actions);
         } else if self.have_watches_missed_change(now) {
             self.renew_watches(now, CancelCause::StoreAhead, actions);
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -15,7 +15,7 @@
 const MIN_LAPSED_ENTRIES: usize = 8;
 /// Time within which live searchers have written their entries anew after an outage of the store. The platform states
 /// about two seconds; a quarter is added for the pause of the lane and a late wake-up.
-const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
+pub(super) const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
 /// Maximum number of doublings of the back-off. [`Backoff::longest`](super::Backoff) is reached before; the limit only
 /// prevents an overflow of the shift.
 const MAX_BACKOFF_DOUBLINGS: u32 = 6;
@@ -171,9 +171,7 @@
     fn pause_after(&mut self, now: BootTime, update: &MirrorUpdate, settings: &ReaderSettings) -> Duration {
         let is_removal = |item: &&(u64, MirrorItem)| matches!(item.1, MirrorItem::SearcherGone { .. });
         let removals = update.items.iter().filter(is_removal).count();
-        if removals >= MIN_LAPSED_ENTRIES {
-            self.reregistration_until = now + REREGISTRATION_TIME;
-        }
+        self.note_removals(now, removals);
         let is_short = removals > 0 || now < self.reregistration_until;
         match self.lane {
             Lane::Configuration => settings.configuration_pause,
@@ -182,6 +180,13 @@
         }
     }
 
+    /// Records that entries were removed together. Many entries have lapsed rather than been removed by leaving searchers.
+    pub fn note_removals(&mut self, now: BootTime, removals: usize) {
+        if removals >= MIN_LAPSED_ENTRIES {
+            self.reregistration_until = now + REREGISTRATION_TIME;
+        }
+    }
+
     /// Schedules a retry of a failed call, with exponential back-off and jitter, and marks the lane as unreachable.
     pub fn handle_failure(
         &mut self,
--- a/crates/staircross-routing/tests/departures.rs
+++ b/crates/staircross-routing/tests/departures.rs
@@ -101,6 +101,20 @@
     assert!(!heard.engine.take_due_entry_check(heard.now), "the node has heard of the leaving meanwhile");
 }
 
+/// Guards against new work for a searcher after its removal from a store that has answered all the time, whenever the node
+/// hears of it. Entries that may have lapsed leave a fallback for a moment.
+#[test]
+fn only_a_searcher_whose_entry_may_have_lapsed_is_a_fallback() {
+    let mut driver = driver_with_near_and_far();
+    let instances = || ["near", "far"].map(Arc::from).to_vec();
+    driver.event(RoutingEvent::SearchersGone(instances()));
+    ask(&mut driver, false);
+    let mut driver = driver_with_near_and_far();
+    driver.event(RoutingEvent::SearchersLeft(instances()));
+    let key = driver.request("/s/1");
+    assert!(driver.sent_for(key).is_empty());
+}
+
 /// Guards against new work for a searcher that has left, because a write of its own that was late brought its entry back.
 #[test]
 fn a_searcher_whose_entry_came_back_is_asked_after_all_others_for_a_while() {
--- a/crates/staircross-routing/tests/store_lapses.rs
+++ b/crates/staircross-routing/tests/store_lapses.rs
@@ -63,6 +63,38 @@
     assert_eq!(pause_of(restarted), Some(150));
 }
 
+/// Guards against a fallback for searchers that leave, and against the loss of searchers whose entries have only lapsed.
+#[test]
+fn a_removed_entry_may_have_lapsed_after_an_outage_of_the_store_or_together_with_others() {
+    let reader_after = |events: &dyn Fn(&mut ReaderDriver)| {
+        let mut driver = ReaderDriver::new();
+        driver.calls_within(0, Lane::Probe);
+        driver.reply(Lane::Probe, StoreReply::Alive { revision: 10 });
+        for lane in [Lane::Configuration, Lane::Searchers] {
+            driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+        }
+        driver.calls_within(0, Lane::Searchers);
+        events(&mut driver);
+        driver
+    };
+    let may_have_lapsed = |driver: &mut ReaderDriver, removals| driver.reader.note_removals(driver.now, removals);
+
+    let mut undisturbed = reader_after(&|_| {});
+    assert!(!may_have_lapsed(&mut undisturbed, 1));
+    assert!(may_have_lapsed(&mut undisturbed, 8), "so many don't leave at once");
+
+    let mut unanswered = reader_after(&|driver| driver.fail(Lane::Probe));
+    assert!(may_have_lapsed(&mut unanswered, 1), "the store is unavailable");
+    unanswered.calls_within(400, Lane::Probe);
+    unanswered.reply(Lane::Probe, StoreReply::Alive { revision: 10 });
+    assert!(may_have_lapsed(&mut unanswered, 1), "the store has just come back");
+    unanswered.calls_within(2500, Lane::Searchers);
+    assert!(!may_have_lapsed(&mut unanswered, 1));
+
+    let mut failed = reader_after(&|driver| driver.fail(Lane::Searchers));
+    assert!(may_have_lapsed(&mut failed, 1), "the last call has failed");
+}
+
 #[test]
 fn searchers_may_be_lacking_while_a_process_is_young_and_after_many_have_lapsed() {
     let now = BootTime::from_millis(1_000_000);
