Hear of leavings while the pages of a listing are being read

What callers saw: requests reached a searcher that had left while the nodes listed the store's entries anew, until the last page had come and the next watch was answered.

Cause: after the store has forgotten its history a reader lists page by page. Pages were kept back until the last, no watch was open meanwhile, and the reader's heartbeats went on, so its followers waited for it. Each call has a bound, the listing has none: nine pages at 0.6 s are 5.4 s. Class: stages that each keep a bound which their sum exceeds.

Change: the first page gives the revision from which the lane watches at once; a further lane reads the other pages (Lane::SearcherPages). What a page or the watch brings of searchers that may be in use is applied at once but makes nothing completely known. The reader announces its newest change beside the revision up to which it knows all, and followers pull what is newer of either. A single page, the usual case, costs the calls that it did.

Two existing tests name the lane of the second page now; what they check of completeness is unchanged, and three tests are new.

Weighed: a watch without waiting after each page (as many calls again, one after the other); heartbeats that stop during a listing (all followers would list a slow store too); pages in parallel at known ids (more load on a store that is slow already).

--- a/crates/staircross-gateway/src/fleet.rs
+++ b/crates/staircross-gateway/src/fleet.rs
@@ -28,6 +28,7 @@
 pub use announcement::Announcement;
 pub use confirmation::{Confirmation, ConfirmedVersion};
 pub use incarnation::new_incarnation_id;
+pub use readers::PullPeer;
 pub use shape::FleetShape;
 
 use crate::directory::Directory;
--- a/crates/staircross-gateway/src/fleet/announcement.rs
+++ b/crates/staircross-gateway/src/fleet/announcement.rs
@@ -18,6 +18,10 @@
     /// Newest store revision of a searcher's entry that the sender knows.
     #[serde(rename = "r")]
     pub revision: u64,
+    /// Newest store revision of a searcher's entry that the sender knows although it doesn't know all changes before; 0 if
+    /// there is none beyond `revision`.
+    #[serde(rename = "n", default, skip_serializing_if = "is_zero")]
+    pub latest: u64,
     /// Newest store revision of the start or end of an evacuation that the sender knows.
     #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
     pub evacuations: u64,
@@ -32,8 +36,8 @@
     pub confirmed_age_ms: Option<u32>,
 }
 
-/// Returns whether the revision is left out of the datagram. This saves bytes, since most fleets never evacuate
-/// anything and a datagram is sent every few milliseconds.
+/// Returns whether the revision is left out of the datagram. This saves bytes, since most datagrams have none of these
+/// revisions, and one is sent every few milliseconds.
 fn is_zero(revision: &u64) -> bool {
     *revision == 0
 }
@@ -41,7 +45,15 @@
 impl Announcement {
     /// Returns whether `other` announces a newer version or revision than this announcement.
     pub fn is_behind(&self, other: &Announcement) -> bool {
-        other.version > self.version || other.revision > self.revision || other.evacuations > self.evacuations
+        other.version > self.version
+            || other.revision > self.revision
+            || other.latest_revision() > self.latest_revision()
+            || other.evacuations > self.evacuations
+    }
+
+    /// Returns the newest store revision of a searcher's entry that the sender knows.
+    pub fn latest_revision(&self) -> u64 {
+        self.revision.max(self.latest)
     }
 }
 
--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -21,6 +21,15 @@
 /// updates.
 const PULL_DELAY: Duration = Duration::from_millis(400);
 
+/// A peer that is ahead of this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PullPeer {
+    /// Address for peers.
+    pub address: SocketAddr,
+    /// Newest store revision of a searcher's entry that the peer has announced.
+    pub revision: u64,
+}
+
 impl Fleet {
     /// Records the heartbeat in an announcement, that is, the time of the store's last answer to a reader of the
     /// region. Announcements from other regions, or from nodes that don't read the store, are ignored.
@@ -107,38 +116,44 @@
         let before = self.own_announcement;
         self.own_announcement.version = mirror.version();
         self.own_announcement.revision = mirror.newest_revision();
+        let is_ahead = mirror.latest_revision() > self.own_announcement.revision;
+        self.own_announcement.latest = if is_ahead { mirror.latest_revision() } else { 0 };
         self.own_announcement.evacuations = mirror.evacuations_revision();
         self.confirmation.set_version(self.own_announcement.version);
         before != self.own_announcement
     }
 
-    /// Returns the address of one of the nearest peers that are ahead of this node. If the node `is_reading` the store
-    /// itself and has a configuration, it returns a peer only after the node has been behind for `PULL_DELAY`.
-    pub fn choose_pull_peer(&mut self, now: BootTime, is_reading: bool) -> Option<SocketAddr> {
+    /// Returns one of the nearest peers that are ahead of this node. If the node `is_reading` the store itself and has a
+    /// configuration, it returns a peer only after the node has been behind for `PULL_DELAY`.
+    pub fn choose_pull_peer(&mut self, now: BootTime, is_reading: bool) -> Option<PullPeer> {
         let is_version_behind = self.is_version_behind();
         self.version_behind_since =
             is_version_behind.then(|| self.version_behind_since.map_or(now, |since| since.min(now)));
         let own = self.membership.own();
         let distance = |member: &Member| (member.region != own.region, member.zone != own.zone);
-        let ahead: Vec<&Member> = self
+        let announced = |member: &Member| self.peer_announcements.get(&member.node).copied();
+        let ahead: Vec<(&Member, Announcement)> = self
             .live_members()
-            .filter(|member| {
-                self.peer_announcements.get(&member.node).is_some_and(|known| self.own_announcement.is_behind(known))
-            })
+            .filter_map(|member| Some((member, announced(member)?)))
+            .filter(|(_, known)| self.own_announcement.is_behind(known))
             .collect();
         // The choice among the nearest is random, since otherwise all nodes that lack an update would ask the same
         // peer.
-        let nearest = ahead.iter().map(|member| distance(member)).min();
-        let is_nearest = |member: &&&Member| Some(distance(member)) == nearest;
-        let addresses: Vec<SocketAddr> = ahead.iter().filter(is_nearest).map(|member| member.peer_address).collect();
-        let Some(address) = addresses.choose(&mut self.rng).copied() else {
+        let nearest = ahead.iter().map(|(member, _)| distance(member)).min();
+        let is_nearest = |(member, _): &&(&Member, Announcement)| Some(distance(member)) == nearest;
+        let to_peer = |(member, known): &(&Member, Announcement)| PullPeer {
+            address: member.peer_address,
+            revision: known.latest_revision(),
+        };
+        let peers: Vec<PullPeer> = ahead.iter().filter(is_nearest).map(to_peer).collect();
+        let Some(peer) = peers.choose(&mut self.rng).copied() else {
             self.behind_since = None;
             return None;
         };
         let has_no_configuration = self.own_announcement.version == 0;
         let since = *self.behind_since.get_or_insert(now);
         let delay = if is_reading { PULL_DELAY } else { Duration::ZERO };
-        (has_no_configuration || now.since(since) >= delay).then_some(address)
+        (has_no_configuration || now.since(since) >= delay).then_some(peer)
     }
 
     /// Returns the newest version of the configuration that a peer announced; 0 if there is none.
--- a/crates/staircross-gateway/src/node/store_calls.rs
+++ b/crates/staircross-gateway/src/node/store_calls.rs
@@ -1,7 +1,7 @@
 //! The calls to the store that are in flight, at most one in each lane.
 //!
-//! A lane is a kind of call: for the configuration, for the searchers' entries, or a probe of whether the store
-//! answers.
+//! A lane is a kind of call: for the configuration, for the searchers' entries, for further pages of these, or a probe of
+//! whether the store answers.
 //!
 //! This module owns the connections and the pending call of each lane.
 //! [`StoreReader`](staircross_routing::store_reader::StoreReader) decides which calls are made and when, and the
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -37,11 +37,11 @@
             return;
         }
         let is_reading = self.store_role.role() == StoreRole::Reader || self.store_reader.is_reading_once();
-        let Some(address) = self.fleet.choose_pull_peer(self.now, is_reading) else {
+        let Some(peer) = self.fleet.choose_pull_peer(self.now, is_reading) else {
             return;
         };
         self.fleet.record_pull_start(self.now);
-        self.peer_client.set_address(address);
+        self.peer_client.set_address(peer.address);
         let (revision, version) = (self.mirror.known_revision(), self.mirror.version());
         let evacuations = self.mirror.evacuations_revision();
         let (is_served, behind_since) = (self.store_reader.is_reachable(), self.fleet.version_behind_since());
--- a/crates/staircross-routing/src/state/known_revisions.rs
+++ b/crates/staircross-routing/src/state/known_revisions.rs
@@ -28,6 +28,11 @@
         self.complete_up_to
     }
 
+    /// Returns the revision of the newest known change, whether or not all changes before it are known.
+    pub fn latest_change(&self) -> u64 {
+        self.newest_change
+    }
+
     /// Returns the revision of the newest known change, but at most [`Self::complete_up_to`]. Nodes compare it to find
     /// out which of them knows more, because unlike [`Self::complete_up_to`] it rises only with changes.
     pub fn newest_change(&self) -> u64 {
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -232,6 +232,12 @@
         self.searcher_revisions.newest_change()
     }
 
+    /// Returns the revision of the newest known change of a searcher's entry, whether or not all changes before it are known:
+    /// while a listing is being read, later pages and the watch tell of changes beyond [`Self::newest_revision`].
+    pub fn latest_revision(&self) -> u64 {
+        self.searcher_revisions.latest_change()
+    }
+
     /// Returns the revision up to which all changes of searchers are known; 0 before a complete listing was merged.
     /// Peers are asked for later changes, and a watch continues from there.
     pub fn known_revision(&self) -> u64 {
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -6,7 +6,9 @@
 //!
 //! A *lane* is one kind of call, of which at most one is open at a time. Two lanes read: one the configuration, the
 //! other the searchers. Each makes one listing, then watches from the revision that it has reached, and makes a listing
-//! again only if the store no longer has the history since that revision. Every call has a cost, so a lane pauses for a
+//! again only if the store no longer has the history since that revision. A listing of the searchers may have many pages.
+//! A further lane reads all but the first, while the lane of the searchers watches from the first on: a searcher on a page
+//! that has been read may leave before the last one is. Every call has a cost, so a lane pauses for a
 //! moment after updates, and many changes in a short time cause only a few calls. A lane whose call fails backs off and
 //! retries without limit.
 //!
@@ -63,7 +65,7 @@
     settings: ReaderSettings,
     mode: ReadingMode,
     /// The lanes, in the order of [`Lane::ALL`].
-    lanes: [LaneReader; 3],
+    lanes: [LaneReader; Lane::ALL.len()],
     /// The store's revision according to the last probe; `None` if that failed.
     probed_revision: Option<u64>,
     /// What the first probe returned that showed a change which no watch has reported since; `None` if there is no such
@@ -86,6 +88,7 @@
             lane,
             state: LaneState::Scheduled { at: BootTime::default() },
             known_revision: None,
+            was_known: false,
             partial: None,
             failures: 0,
             is_refused: false,
@@ -141,7 +144,9 @@
 
     /// Returns whether the store answers both reading lanes.
     pub fn is_reachable(&self) -> bool {
-        self.lanes.iter().all(|lane| lane.is_reachable || lane.lane == Lane::Probe)
+        let are_pages_served = !self.has_pages() || self.lane(Lane::SearcherPages).failures == 0;
+        let is_served = |lane| self.lane(lane).is_reachable;
+        is_served(Lane::Configuration) && is_served(Lane::Searchers) && are_pages_served
     }
 
     /// Returns how long the store has sent no reply to a lane's calls; `None` if the mode makes no calls of the lane. A
@@ -176,15 +181,17 @@
     /// revision that they or a peer's update have reached.
     pub fn set_mode(&mut self, now: BootTime, mode: ReadingMode, actions: &mut Vec<ReaderAction>) {
         self.mode = mode;
-        let has_failed_read = self.has_failed_read();
+        if matches!(mode, ReadingMode::Following | ReadingMode::Probing) {
+            self.lanes.iter_mut().for_each(|lane| lane.partial = None);
+        }
+        let (has_failed_read, has_pages) = (self.has_failed_read(), self.has_pages());
         for lane in &mut self.lanes {
-            let is_used = lane.is_used(mode, has_failed_read);
+            let is_used = lane.is_used(mode, has_failed_read, has_pages);
             if !is_used && lane.state == LaneState::Calling {
                 actions.push(ReaderAction::Cancel { lane: lane.lane, cause: CancelCause::Unused });
             }
             if !is_used {
                 lane.state = LaneState::Suspended;
-                lane.partial = None;
                 lane.answered_at = None;
             } else if lane.state == LaneState::Suspended {
                 lane.failures = 0;
@@ -223,9 +230,9 @@
             return;
         }
         let is_following = self.mode == ReadingMode::Following;
+        self.discard_pages(actions);
         let lane = self.lane_mut(Lane::Searchers);
         lane.known_revision = None;
-        lane.partial = None;
         if lane.state == LaneState::Calling {
             actions.push(ReaderAction::Cancel { lane: Lane::Searchers, cause: CancelCause::EntriesDoubted });
         }
@@ -239,12 +246,28 @@
 
     /// Returns whether a lane has yet to complete its listing in the mode [`ReadingMode::Once`].
     pub fn is_reading_once(&self) -> bool {
-        self.mode == ReadingMode::Once && self.lanes.iter().any(|lane| lane.is_used(self.mode, false))
+        let has_pages = self.has_pages();
+        self.mode == ReadingMode::Once && self.lanes.iter().any(|lane| lane.is_used(self.mode, false, has_pages))
     }
 
     /// Returns whether the last call of any lane that the mode uses has failed.
     fn has_failed_read(&self) -> bool {
-        self.lanes.iter().any(|lane| lane.is_used(self.mode, false) && lane.failures > 0)
+        let has_pages = self.has_pages();
+        self.lanes.iter().any(|lane| lane.is_used(self.mode, false, has_pages) && lane.failures > 0)
+    }
+
+    /// Returns whether further pages of a listing of the searchers are to be read.
+    fn has_pages(&self) -> bool {
+        self.lane(Lane::Searchers).partial.is_some()
+    }
+
+    /// Drops the pages that have been read of an incomplete listing of the searchers.
+    fn discard_pages(&mut self, actions: &mut Vec<ReaderAction>) {
+        self.lane_mut(Lane::Searchers).partial = None;
+        let pages = self.lane_mut(Lane::SearcherPages);
+        if std::mem::replace(&mut pages.state, LaneState::Suspended) == LaneState::Calling {
+            actions.push(ReaderAction::Cancel { lane: Lane::SearcherPages, cause: CancelCause::Unused });
+        }
     }
 
     /// Returns whether live searchers may be missing from the known entries. Entries lapse while the store is
@@ -265,8 +288,10 @@
     /// Requests the calls that are due.
     pub fn on_tick(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         let (mode, has_failed_read) = (self.mode, self.has_failed_read());
+        let mut next_page = self.lane(Lane::Searchers).partial.as_ref().map(|partial| partial.next_key.clone());
+        let has_pages = next_page.is_some();
         for lane in &mut self.lanes {
-            if !lane.is_used(mode, has_failed_read) {
+            if !lane.is_used(mode, has_failed_read, has_pages) {
                 lane.state = LaneState::Suspended;
                 lane.answered_at = None;
             } else if lane.state == LaneState::Suspended {
@@ -281,7 +306,8 @@
                 lane.answered_at.get_or_insert(now);
                 lane.called_at = now;
                 lane.is_receiving = false;
-                actions.push(lane.next_call(&self.settings));
+                let page = if lane.lane == Lane::SearcherPages { next_page.take() } else { None };
+                actions.push(lane.next_call(&self.settings, page));
             }
         }
     }
@@ -314,10 +340,18 @@
                 reader.known_revision = None;
                 reader.partial = None;
                 reader.state = LaneState::Scheduled { at: now };
+                if lane == Lane::Searchers {
+                    self.discard_pages(actions);
+                }
+            }
+            StoreReply::Items { update, at, next } => {
+                reader.state = LaneState::Scheduled { at: now };
+                let items_lane = if lane == Lane::SearcherPages { Lane::Searchers } else { lane };
+                self.lane_mut(items_lane).handle_page(now, update, at, next, actions);
             }
-            StoreReply::Items { update, at, next } => reader.handle_page(now, update, at, next, actions),
             StoreReply::Changes { update, at } => reader.handle_changes(now, update, at, &settings, actions),
         }
+        let reader = self.lane_mut(lane);
         let was_failing = std::mem::take(&mut reader.failures) > 0;
         reader.is_refused = false;
         reader.answered_at = Some(now);
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -38,8 +38,10 @@
     update: MirrorUpdate,
     /// The store's revision when the first page was read.
     first_revision: u64,
+    /// Revision up to which a watch has reported the changes since the first page.
+    watched_up_to: u64,
     /// Key after which the next page starts.
-    next_key: String,
+    pub next_key: String,
     /// Number of pages.
     pages: u32,
     /// Time of the call for the first page.
@@ -48,8 +50,14 @@
 
 impl PartialListing {
     fn new(first_revision: u64, begun_at: BootTime) -> Self {
-        let next_key = String::new();
-        PartialListing { update: MirrorUpdate::default(), first_revision, next_key, pages: 0, begun_at }
+        PartialListing {
+            update: MirrorUpdate::default(),
+            first_revision,
+            watched_up_to: first_revision,
+            next_key: String::new(),
+            pages: 0,
+            begun_at,
+        }
     }
 }
 
@@ -59,6 +67,8 @@
     pub state: LaneState,
     /// Revision up to which all changes are known; `None` before the first complete listing.
     pub known_revision: Option<u64>,
+    /// Whether the items were known before, so that a listing is made anew.
+    pub was_known: bool,
     /// The pages read so far of an incomplete listing.
     pub partial: Option<PartialListing>,
     /// Number of failed calls in a row.
@@ -80,33 +90,43 @@
 
 impl LaneReader {
     /// Returns whether the mode uses the lane. In [`ReadingMode::Once`] a failed read adds the probe until everything
-    /// is read, because a probe costs a tenth of a read.
-    pub fn is_used(&self, mode: ReadingMode, has_failed_read: bool) -> bool {
+    /// is read, because a probe costs a tenth of a read. `has_pages` says whether further pages of searchers are to be
+    /// read.
+    pub fn is_used(&self, mode: ReadingMode, has_failed_read: bool, has_pages: bool) -> bool {
         match (mode, self.lane) {
+            (ReadingMode::Watching | ReadingMode::Once, Lane::SearcherPages) => has_pages,
             (ReadingMode::Watching, _) => true,
             (ReadingMode::Once, Lane::Probe) => has_failed_read,
-            (ReadingMode::Once, Lane::Configuration | Lane::Searchers) => self.known_revision.is_none(),
+            (ReadingMode::Once, Lane::Configuration) => self.known_revision.is_none(),
+            (ReadingMode::Once, Lane::Searchers) => self.known_revision.is_none() && !has_pages,
             (ReadingMode::Probing, lane) => lane == Lane::Probe,
             (ReadingMode::Following, _) => false,
         }
     }
 
-    /// Returns the next call of the lane: a probe, a page of a listing, or a watch from the known revision.
-    pub fn next_call(&self, settings: &ReaderSettings) -> ReaderAction {
-        if self.lane == Lane::Probe {
-            return ReaderAction::Call { lane: self.lane, call: StoreCall::Probe, timeout: settings.probe_timeout };
-        }
-        let (call, timeout) = match (self.known_revision, &self.partial, self.lane) {
-            (Some(after), _, lane) => {
-                let call = StoreCall::Watch { lane, after, wait: settings.watch };
-                (call, settings.watch + settings.call_timeout)
+    /// Returns the next call of the lane: a probe, a page of a listing, or a watch from the known revision. `next_page` is
+    /// the key after which the next of the further pages of searchers starts.
+    pub fn next_call(&self, settings: &ReaderSettings, next_page: Option<String>) -> ReaderAction {
+        let lane = self.lane;
+        let watched_up_to = self.partial.as_ref().map(|partial| partial.watched_up_to);
+        let watch = |after| {
+            let call = StoreCall::Watch { lane, after, wait: settings.watch };
+            (call, settings.watch + settings.call_timeout)
+        };
+        let (call, timeout) = match (lane, self.known_revision, watched_up_to) {
+            (Lane::Probe, ..) => (StoreCall::Probe, settings.probe_timeout),
+            (Lane::SearcherPages, ..) => {
+                (StoreCall::List { lane: Lane::Searchers, after: next_page }, settings.call_timeout)
             }
-            (None, partial, lane) => {
-                let after = partial.as_ref().map(|partial| partial.next_key.clone());
+            (_, Some(after), _) => watch(after),
+            // Otherwise a change of an item on a page that was read before would stay unknown until the last page.
+            (Lane::Searchers, None, Some(after)) => watch(after),
+            _ => {
+                let after = self.partial.as_ref().map(|partial| partial.next_key.clone());
                 (StoreCall::List { lane, after }, settings.call_timeout)
             }
         };
-        ReaderAction::Call { lane: self.lane, call, timeout }
+        ReaderAction::Call { lane, call, timeout }
     }
 
     /// Adds a page to the listing in progress and, after the last page, emits the whole listing as an update.
@@ -118,14 +138,19 @@
         next: Option<String>,
         actions: &mut Vec<ReaderAction>,
     ) {
-        self.state = LaneState::Scheduled { at: now };
         let before = self.partial.take().unwrap_or_else(|| PartialListing::new(revision, self.called_at));
-        let PartialListing { update: mut listing, first_revision, pages, begun_at, .. } = before;
+        let PartialListing { update: mut listing, first_revision, watched_up_to, pages, begun_at, .. } = before;
         let pages = pages + 1;
-        listing.items.extend(update.items);
-        listing.unreadable.extend(update.unreadable);
+        listing.items.extend(update.items.iter().cloned());
+        listing.unreadable.extend(update.unreadable.iter().cloned());
         if let Some(next_key) = next {
-            self.partial = Some(PartialListing { update: listing, first_revision, next_key, pages, begun_at });
+            if self.lane == Lane::Searchers && self.was_known {
+                // What a page shows of searchers that may be in use is known at once. It makes nothing completely known.
+                listing.unreadable.clear();
+                actions.push(ReaderAction::Learned { lane: self.lane, update });
+            }
+            let update = listing;
+            self.partial = Some(PartialListing { update, first_revision, watched_up_to, next_key, pages, begun_at });
             return;
         }
         actions.push(ReaderAction::Listed { lane: self.lane, pages, took: now.since(begun_at) });
@@ -141,10 +166,16 @@
                 listing.all_evacuations_at = Some(first_revision);
                 listing.operator_up_to = first_revision;
             }
-            Lane::Probe => {}
+            Lane::Probe | Lane::SearcherPages => {}
         }
-        self.known_revision = Some(first_revision);
+        self.known_revision = Some(watched_up_to);
+        self.was_known = true;
         actions.push(ReaderAction::Learned { lane: self.lane, update: listing });
+        if watched_up_to > first_revision {
+            // The changes that the watch has reported meanwhile complete the listing up to there.
+            let update = MirrorUpdate { up_to: watched_up_to, ..MirrorUpdate::default() };
+            actions.push(ReaderAction::Learned { lane: self.lane, update });
+        }
     }
 
     /// Emits the changes that a watch has found and schedules the next watch.
@@ -156,13 +187,22 @@
         settings: &ReaderSettings,
         actions: &mut Vec<ReaderAction>,
     ) {
-        self.known_revision = Some(self.known_revision.map_or(revision, |known| known.max(revision)));
+        let is_complete = match &mut self.partial {
+            Some(partial) => {
+                partial.watched_up_to = partial.watched_up_to.max(revision);
+                false
+            }
+            None => {
+                self.known_revision = Some(self.known_revision.map_or(revision, |known| known.max(revision)));
+                true
+            }
+        };
         let pause = if update.items.is_empty() { Duration::ZERO } else { self.pause_after(now, &update, settings) };
         self.state = LaneState::Scheduled { at: now + pause };
         match self.lane {
-            Lane::Searchers => update.up_to = revision,
+            Lane::Searchers if is_complete => update.up_to = revision,
             Lane::Configuration => update.operator_up_to = revision,
-            Lane::Probe => {}
+            Lane::Searchers | Lane::Probe | Lane::SearcherPages => {}
         }
         actions.push(ReaderAction::Learned { lane: self.lane, update });
     }
@@ -175,8 +215,8 @@
         let is_short = removals > 0 || now < self.reregistration_until;
         match self.lane {
             Lane::Configuration => settings.configuration_pause,
-            Lane::Searchers | Lane::Probe if is_short => settings.removal_pause.min(settings.searcher_pause),
-            Lane::Searchers | Lane::Probe => settings.searcher_pause,
+            _ if is_short => settings.removal_pause.min(settings.searcher_pause),
+            Lane::Searchers | Lane::Probe | Lane::SearcherPages => settings.searcher_pause,
         }
     }
 
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -12,13 +12,15 @@
     Configuration,
     /// Reads the searchers' entries.
     Searchers,
+    /// Reads the further pages of a listing of the searchers, while [`Lane::Searchers`] watches for changes since the first.
+    SearcherPages,
     /// Reads nothing, but checks whether the store answers.
     Probe,
 }
 
 impl Lane {
     /// All lanes.
-    pub const ALL: [Lane; 3] = [Lane::Configuration, Lane::Searchers, Lane::Probe];
+    pub const ALL: [Lane; 4] = [Lane::Configuration, Lane::Searchers, Lane::SearcherPages, Lane::Probe];
 
     /// Returns the name used in logs.
     pub fn name(self) -> &'static str {
@@ -26,6 +28,7 @@
             Lane::Configuration => "configuration",
             Lane::Searchers => "searchers",
             Lane::Probe => "probe",
+            Lane::SearcherPages => "searcher_pages",
         }
     }
 }
@@ -103,7 +106,7 @@
 /// Why an open call is given up before it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CancelCause {
-    /// The mode makes no calls of the lane.
+    /// The mode makes no calls of the lane, or the listing is begun anew.
     Unused,
     /// The store missed a probe, so it may have dropped the watch.
     ProbeMissed,
--- a/crates/staircross-routing/src/store_reader/renewal.rs
+++ b/crates/staircross-routing/src/store_reader/renewal.rs
@@ -37,7 +37,7 @@
         let Some(missed) = self.unreported.filter(|probed| !self.is_known(probed.revision)) else {
             return false;
         };
-        let mut watches = self.lanes.iter().filter(|lane| lane.lane != Lane::Probe);
+        let mut watches = self.lanes.iter().filter(|lane| matches!(lane.lane, Lane::Configuration | Lane::Searchers));
         watches.all(|lane| {
             lane.state == LaneState::Calling
                 && !lane.is_receiving
@@ -90,6 +90,7 @@
             return;
         }
         reader.known_revision = Some(revision);
+        reader.was_known = true;
         if reader.state == LaneState::Calling && !reader.is_receiving {
             actions.push(ReaderAction::Cancel { lane, cause: CancelCause::PeerAhead });
             reader.state = LaneState::Scheduled { at: now };
--- a/crates/staircross-routing/tests/store_lanes.rs
+++ b/crates/staircross-routing/tests/store_lanes.rs
@@ -32,9 +32,11 @@
     let next = Some("servers/a".to_owned());
     driver.reply(Lane::Searchers, StoreReply::Items { update: first_page, at: 20, next: next.clone() });
     assert!(driver.learned.is_empty());
-    assert_eq!(driver.calls_within(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: next }]);
+    assert_eq!(driver.calls_within(0, Lane::SearcherPages), [StoreCall::List { lane: Lane::Searchers, after: next }]);
+    let calls = driver.calls_within(0, Lane::Searchers);
+    assert!(is_watch_after(&calls[0], 20), "changes since the first page are watched meanwhile: {calls:?}");
     let second_page = changes(vec![(22, searcher("b", false))]);
-    driver.reply(Lane::Searchers, StoreReply::Items { update: second_page, at: 25, next: None });
+    driver.reply(Lane::SearcherPages, StoreReply::Items { update: second_page, at: 25, next: None });
     let (_, whole_listing) = &driver.learned[0];
     assert!(whole_listing.is_complete_for_searchers);
     assert_eq!(
@@ -43,8 +45,62 @@
         "all changes are known only up to the first page's revision"
     );
     assert_eq!(whole_listing.newest, 20, "searchers that it leaves out may have been removed just before");
-    let calls = driver.calls_within(0, Lane::Searchers);
-    assert!(is_watch_after(&calls[0], 20), "{calls:?}");
+    assert_eq!(driver.learned.len(), 1);
+    assert_eq!(driver.calls_within(0, Lane::Searchers), [], "the watch stays open");
+}
+
+/// Guards against changes that count as completely known before the last page, and against asking for them again.
+#[test]
+fn changes_that_are_reported_between_pages_are_complete_with_the_last() {
+    let mut driver = ReaderDriver::new();
+    driver.calls_within(0, Lane::Searchers);
+    let next = Some("servers/a".to_owned());
+    let first_page = changes(vec![(3, searcher("a", false))]);
+    driver.reply(Lane::Searchers, StoreReply::Items { update: first_page, at: 20, next });
+    driver.calls_within(0, Lane::SearcherPages);
+    driver.calls_within(0, Lane::Searchers);
+    let drain = changes(vec![(23, searcher("a", true))]);
+    driver.reply(Lane::Searchers, StoreReply::Changes { update: drain.clone(), at: 24 });
+    assert_eq!(driver.learned, [(Lane::Searchers, drain)], "a change makes nothing completely known");
+    driver.learned.clear();
+    let second_page = changes(vec![(22, searcher("b", false))]);
+    driver.reply(Lane::SearcherPages, StoreReply::Items { update: second_page, at: 25, next: None });
+    let complete_up_to: Vec<u64> = driver.learned.iter().map(|(_, update)| update.up_to).collect();
+    assert_eq!(complete_up_to, [20, 24]);
+    let calls = driver.calls_within(1000, Lane::Searchers);
+    assert!(is_watch_after(&calls[0], 24), "{calls:?}");
+}
+
+/// Guards against a drain on a page that is believed only with the last page, where the searchers are in use.
+#[test]
+fn a_page_of_a_listing_that_is_made_anew_is_learned_at_once() {
+    let mut driver = ReaderDriver::new();
+    driver.calls_within(0, Lane::Searchers);
+    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+    driver.calls_within(0, Lane::Searchers);
+    driver.learned.clear();
+    driver.reply(Lane::Searchers, StoreReply::HistoryGone);
+    driver.calls_within(0, Lane::Searchers);
+    let first_page = changes(vec![(13, searcher("a", true))]);
+    let next = Some("servers/a".to_owned());
+    driver.reply(Lane::Searchers, StoreReply::Items { update: first_page.clone(), at: 20, next });
+    assert_eq!(driver.learned, [(Lane::Searchers, first_page)], "a page makes nothing completely known");
+}
+
+/// Guards against pages of a listing that is begun anew, because the store has forgotten its history again.
+#[test]
+fn pages_are_dropped_when_the_history_is_gone_again() {
+    let mut driver = ReaderDriver::new();
+    driver.calls_within(0, Lane::Searchers);
+    let next = Some("servers/a".to_owned());
+    let first_page = changes(vec![(3, searcher("a", false))]);
+    driver.reply(Lane::Searchers, StoreReply::Items { update: first_page, at: 20, next });
+    driver.calls_within(0, Lane::SearcherPages);
+    driver.calls_within(0, Lane::Searchers);
+    driver.reply(Lane::Searchers, StoreReply::HistoryGone);
+    assert_eq!(driver.cancelled, [Lane::SearcherPages]);
+    assert_eq!(driver.calls_within(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: None }]);
+    assert_eq!(driver.calls_within(1000, Lane::SearcherPages), []);
 }
 
 #[test]
--- a/crates/staircross-routing/tests/store_modes.rs
+++ b/crates/staircross-routing/tests/store_modes.rs
@@ -27,10 +27,11 @@
     let page = StoreReply::Items { update: MirrorUpdate::default(), at: 5, next: Some("k".into()) };
     driver.reply(Lane::Searchers, page);
     assert_eq!(
-        driver.calls_within(0, Lane::Searchers),
+        driver.calls_within(0, Lane::SearcherPages),
         [StoreCall::List { lane: Lane::Searchers, after: Some("k".into()) }]
     );
-    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 6, next: None });
+    assert_eq!(driver.calls_within(0, Lane::Searchers), [], "a process that reads once doesn't watch");
+    driver.reply(Lane::SearcherPages, StoreReply::Items { update: MirrorUpdate::default(), at: 6, next: None });
     for lane in Lane::ALL {
         assert_eq!(driver.calls_within(60_000, lane), []);
     }
--- a/crates/staircross-routing/tests/views.rs
+++ b/crates/staircross-routing/tests/views.rs
@@ -24,7 +24,7 @@
 const PAGE: usize = 2;
 const SEARCHERS: u8 = 5;
 const ZONES: [&str; 2] = ["a", "b"];
-const LANES: [Lane; 2] = [Lane::Configuration, Lane::Searchers];
+const LANES: [Lane; 3] = [Lane::Configuration, Lane::Searchers, Lane::SearcherPages];
 /// Rounds after which all open calls and exchanges with peers have ended.
 const SETTLE_ROUNDS: usize = 200;
 
@@ -255,6 +255,7 @@
     fn is_behind(&self, peer: &Node) -> bool {
         self.mirror.version() < peer.mirror.version()
             || self.mirror.newest_revision() < peer.mirror.newest_revision()
+            || self.mirror.latest_revision() < peer.mirror.latest_revision()
             || self.mirror.evacuations_revision() < peer.mirror.evacuations_revision()
     }
 
