Pull a missed change from a peer that knows it

What callers saw: requests reached a searcher that drained, from nodes beside a peer that knew of the drain.

Cause: a node pulls what came after the revision up to which it takes all changes to be known. Where a watch has lost a change, that revision lies beyond it, so the peer's answer leaves it out, and the node takes over the peer's newest revision besides: from then on nobody is ahead. Class: the newest known change taken for all before it.

Change: a peer that announces a change which this node lacks, at or before the revision up to which it takes itself to be complete, shows that it isn't. The node then asks for what came after the newest change that it knows.

Where watches lose nothing the condition never holds, and pulls are as before.

--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -5,6 +5,7 @@
 
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
+use crate::fleet::PullPeer;
 use crate::http_call::CallOutcome;
 use crate::node::GatewayNode;
 use crate::store_role::StoreRole;
@@ -42,7 +43,7 @@
         };
         self.fleet.record_pull_start(self.now);
         self.peer_client.set_address(peer.address);
-        let (revision, version) = (self.mirror.known_revision(), self.mirror.version());
+        let (revision, version) = (self.pull_revision(peer), self.mirror.version());
         let evacuations = self.mirror.evacuations_revision();
         let (is_served, behind_since) = (self.store_reader.is_reachable(), self.fleet.version_behind_since());
         let takes_any = is_reading && self.store_role.should_pull_any_size(self.now, is_served, behind_since);
@@ -55,6 +56,14 @@
         }
     }
 
+    /// Returns the revision after which changes of searchers are pulled. It is the one up to which this node takes all
+    /// changes to be known, unless the peer knows a change before it that this node has missed.
+    fn pull_revision(&self, peer: PullPeer) -> u64 {
+        let (known, latest) = (self.mirror.known_revision(), self.mirror.latest_revision());
+        let has_missed_change = latest < peer.revision && peer.revision <= known;
+        if has_missed_change { latest } else { known }
+    }
+
     pub(in crate::node) fn on_peer_socket(&mut self, id: SocketId, readiness: Readiness) {
         let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
         if let Some(outcome) = self.peer_client.on_ready(id, readiness, &mut io) {
