Session tier: read each entry of the machine list by itself

What callers saw (report of other operators, tried here): one odd entry in the platform's list of machines, with a port out of range, a number that is too large, deep nesting or another shape, and every node stopped following the list for as long as it stood: a machine listed as leaving beside it went on getting new work.

Cause: the list was parsed as a whole, and an entry with an unknown field counted as odd, too. No node ended; parsers don't recurse into what they skip. Class: one bad entry spoils its neighbours.

Change: entries are parsed one by one; those that can't be used are left out and named by their positions once (event=unusable_machines). Unknown fields are ignored. The service document stays one item with one writer and a revision, which is refused whole.

Before: an_odd_entry_leaves_the_other_machines_of_the_list, 20 kinds of entries, failed at the first (port 65536): no list arrived. Now all hold.

--- a/crates/session/staircross-config/src/document.rs
+++ b/crates/session/staircross-config/src/document.rs
@@ -3,6 +3,7 @@
 use crate::invalid::InvalidSetting;
 use crate::service::{SearcherDefinition, ServiceDefinition};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use staircross_types::SearcherId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -69,7 +70,6 @@
 
 /// One machine of the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct MachineEntry {
     /// Address at which the process of the machine listens.
     pub address: SocketAddr,
@@ -80,8 +80,41 @@
 /// The platform's list of machines. It may be out of date and is only a hint, except that a machine listed as leaving
 /// is treated as leaving.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct MachineList {
     /// All machines that the platform knows.
     pub machines: Vec<MachineEntry>,
 }
+
+/// A machine list as it was read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadMachineList {
+    /// The entries that can be used.
+    pub list: MachineList,
+    /// Positions in the list, from 0, of the entries that can't be used.
+    pub unusable: Vec<usize>,
+}
+
+/// A machine list whose entries haven't been parsed.
+#[derive(Deserialize)]
+struct RawMachineList<'a> {
+    #[serde(borrow)]
+    machines: Vec<&'a RawValue>,
+}
+
+impl ReadMachineList {
+    /// Parses a list from JSON. Entries are written by various programs, so each is parsed by itself: one that can't be
+    /// used doesn't affect the others. Unknown fields are ignored. `origin` names the source in errors.
+    pub fn from_json(origin: &str, text: &str) -> Result<Self, InvalidSetting> {
+        let raw: RawMachineList<'_> = serde_json::from_str(text)
+            .map_err(|error| InvalidSetting::Unreadable { origin: origin.to_owned(), reason: error.to_string() })?;
+        let mut read = ReadMachineList::default();
+        for (position, entry) in raw.machines.into_iter().enumerate() {
+            match serde_json::from_str(entry.get()) {
+                Ok(machine) => read.list.machines.push(machine),
+                // The error may quote what another program wrote, at any length, so only the position is kept.
+                Err(_) => read.unusable.push(position),
+            }
+        }
+        Ok(read)
+    }
+}
--- a/crates/session/staircross-config/src/lib.rs
+++ b/crates/session/staircross-config/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod service;
 pub mod settings;
 
-pub use document::{MachineEntry, MachineList, MachineState, PlatformDocument};
+pub use document::{MachineEntry, MachineList, MachineState, PlatformDocument, ReadMachineList};
 pub use edit::{EditError, ServiceEdit};
 pub use invalid::InvalidSetting;
 pub use service::{PolicyChange, Priority, SearcherDefinition, ServiceDefinition, ServicePolicy};
--- a/crates/session/staircross-node/src/platform.rs
+++ b/crates/session/staircross-node/src/platform.rs
@@ -1,12 +1,13 @@
 //! Reads the service document and the machine list from the platform.
 //!
-//! After a failed read or a malformed reply, the document and the machine list that were read last stay in force.
+//! After a failed read or a malformed reply, the document and the machine list that were read last stay in force. Entries
+//! of the machine list that can't be used are left out.
 
 use crate::event::CoreEvent;
 use crate::logs::Logs;
 use crossbeam::channel::Sender;
 use spdlog::warn;
-use staircross_config::{MachineList, PlatformDocument, PlatformSettings};
+use staircross_config::{PlatformDocument, PlatformSettings, ReadMachineList};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -34,6 +35,7 @@
         events,
         logs,
         stop,
+        unusable_machines: Vec::new(),
     };
     std::thread::Builder::new().name("platform".to_owned()).spawn(move || reader.run())
 }
@@ -58,10 +60,12 @@
     events: Sender<CoreEvent>,
     logs: Logs,
     stop: Arc<AtomicBool>,
+    /// Positions of the entries of the last machine list that can't be used.
+    unusable_machines: Vec<usize>,
 }
 
 impl PlatformReader {
-    fn run(self) {
+    fn run(mut self) {
         while !self.stop.load(Ordering::Relaxed) {
             self.read_once();
             self.wait_for_next_poll();
@@ -76,7 +80,7 @@
         }
     }
 
-    fn read_once(&self) {
+    fn read_once(&mut self) {
         match self.read(&self.document_url) {
             Ok(text) => match PlatformDocument::from_json("platform document", &text) {
                 Ok(document) => self.notify_core(CoreEvent::Platform(Arc::new(document))),
@@ -85,14 +89,26 @@
             Err(error) => warn!(logger: self.logs.platform, "event=unreadable what=document error={error:?}"),
         }
         match self.read(&self.machines_url) {
-            Ok(text) => match serde_json::from_str::<MachineList>(&text) {
-                Ok(machines) => self.notify_core(CoreEvent::Machines(machines)),
+            Ok(text) => match ReadMachineList::from_json("machine list", &text) {
+                Ok(ReadMachineList { list, unusable }) => {
+                    self.log_unusable_machines(unusable);
+                    self.notify_core(CoreEvent::Machines(list));
+                }
                 Err(error) => warn!(logger: self.logs.platform, "event=bad_machine_list error={error:?}"),
             },
             Err(error) => warn!(logger: self.logs.platform, "event=unreadable what=machines error={error:?}"),
         }
     }
 
+    /// Logs which entries of the machine list can't be used, if they aren't those of the list before.
+    fn log_unusable_machines(&mut self, unusable: Vec<usize>) {
+        if unusable != self.unusable_machines {
+            let (count, first) = (unusable.len(), unusable.first());
+            warn!(logger: self.logs.platform, "event=unusable_machines count={count} first={first:?}");
+            self.unusable_machines = unusable;
+        }
+    }
+
     fn notify_core(&self, event: CoreEvent) {
         // Sending fails only if the core has ended, at the end of a planned stop.
         let _ignored_while_stopping = self.events.send(event);
--- a/crates/session/staircross-node/tests/platform_reader.rs
+++ b/crates/session/staircross-node/tests/platform_reader.rs
@@ -7,7 +7,7 @@
 
 use crossbeam::channel::{Receiver, unbounded};
 use faulty_server::{Fault, Reply};
-use staircross_config::PlatformSettings;
+use staircross_config::{MachineEntry, MachineState, PlatformSettings};
 use staircross_node::event::CoreEvent;
 use staircross_node::logs::Logs;
 use staircross_node::platform;
@@ -18,9 +18,47 @@
 
 /// Maximum time for which a test waits for a document or a list.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
+/// A platform without faults: the beginning of another reply, of no bytes.
+const NO_FAULT: Fault = Fault::LateBeginning("");
 /// Number of documents and lists that a test reads.
 const READS: u32 = 8;
 
+/// Entries of another writer in a list of machines: nested, with numbers that are too large, with ports out of range, and
+/// of other shapes.
+fn odd_machine_entries() -> Vec<String> {
+    let address = |port: &str| format!(r#"{{"address":"127.0.0.1:{port}","state":"live"}}"#);
+    let nested = |depth: usize| "[".repeat(depth) + &"]".repeat(depth);
+    let mut entries: Vec<String> = ["65536", "70000", "-1", "99999999999999999999", ""].map(address).into();
+    entries.extend([100, 1500, 5500].map(nested));
+    entries.push(format!(r#"{{"address":{},"state":"live"}}"#, nested(5500)));
+    entries.push(format!(r#"{{"address":"127.0.0.1:1","state":{}}}"#, nested(5500)));
+    entries.push(format!(r#"{{"address":"127.0.0.1:1","state":"live","load":{}}}"#, "9".repeat(9000)));
+    let others = [
+        r#"{"address":1e400,"state":"live"}"#,
+        r#"{"address":"127.0.0.1:1","state":1e99999}"#,
+        r#"{"address":"127.0.0.1:1","state":"resting"}"#,
+        r#"{"address":"127.0.0.1:1"}"#,
+        r#"{"address":"nowhere","state":"live"}"#,
+        r#"{"address":"127.0.0.1:1\u0000","state":"live"}"#,
+        r#"{"address":"\ud800","state":"live"}"#,
+        "null",
+        "7",
+    ];
+    entries.extend(others.map(str::to_owned));
+    entries
+}
+
+/// Starts a platform whose list has the entry `odd` before that of a machine which is leaving.
+fn start_platform_with_machine(odd: String) -> SocketAddr {
+    faulty_server::start(NO_FAULT, move |target, _| {
+        let body = match target {
+            "/v1/document" => "{\"revision\":1,\"services\":[]}".to_owned(),
+            _ => format!(r#"{{"machines":[{odd},{{"address":"127.0.0.1:7","state":"leaving"}}],"at":{odd}}}"#),
+        };
+        Reply { fields: String::new(), body: body.into_bytes() }
+    })
+}
+
 /// Starts a platform that counts its calls; the count is the revision of the document.
 fn start_platform(fault: Fault) -> SocketAddr {
     start_counting_platform(fault, Arc::default())
@@ -115,3 +153,20 @@
         assert!(!is_believed, "after {length} bytes");
     }
 }
+
+/// Guards against new work for a leaving machine because another writer has left one odd entry beside its own: the whole
+/// list was refused, for as long as that entry stood.
+#[test]
+fn an_odd_entry_leaves_the_other_machines_of_the_list() {
+    let leaving = MachineEntry { address: "127.0.0.1:7".parse().expect("an address"), state: MachineState::Leaving };
+    for odd in odd_machine_entries() {
+        let (events, stop) = start_reader(start_platform_with_machine(odd.clone()));
+        let is_listed = |event: CoreEvent| match event {
+            CoreEvent::Machines(list) => Some(list.machines.contains(&leaving)),
+            _ => None,
+        };
+        let listed = (0..2).find_map(|_| is_listed(events.recv_timeout(WAIT_TIMEOUT).ok()?));
+        stop.store(true, Ordering::Relaxed);
+        assert_eq!(listed, Some(true), "{odd:.200}");
+    }
+}
