Keep a live searcher whose entry another program has overwritten

What callers saw (report of other operators, tried here): an odd entry under the id of a searcher in use, deeply nested, with a number too large or a port out of range, and requests were refused, though the searcher lived and wrote its entry again with its next heartbeat.

Cause: an entry that can't be used counted as the searcher's removal at once. Class: a weaker report that undoes what is known, here in the other direction than for leavings.

Change: the known entry holds for half of the bound on drains, as long as a later start may override the store (state/disputes). If the unusable entry still stands then, the searcher counts as removed at its revision, well within the bound. Peers are told of the outcome only. In a listing the id counts as listed, also if the item has no readable revision.

--- a/crates/staircross-routing/src/state/known_entries.rs
+++ b/crates/staircross-routing/src/state/known_entries.rs
@@ -38,6 +38,8 @@
     entries: Vec<WrittenEntry>,
     /// Revision of the newest known removal; entries written up to it are gone.
     removed_up_to: u64,
+    /// Revision of the newest known write of an entry that can't be used; 0 if there is none.
+    unusable_at: u64,
 }
 
 impl KnownEntries {
@@ -74,17 +76,26 @@
         self.current().is_some_and(|known| known.revision <= revision)
     }
 
+    /// Records that an entry was written that can't be used. Returns whether it has overwritten a known one.
+    pub fn note_unusable(&mut self, revision: u64) -> bool {
+        self.unusable_at = self.unusable_at.max(revision);
+        self.is_disputed()
+    }
+
     /// Returns whether the store holds another entry than the current one.
     pub fn is_disputed(&self) -> bool {
-        self.entries.len() > 1
+        self.entries.len() > 1 || self.entries.last().is_some_and(|newest| newest.revision < self.unusable_at)
     }
 
-    /// Drops all entries except the one that the store holds.
-    pub fn keep_newest(&mut self) {
-        if let Some(newest) = self.entries.last() {
-            // The earlier entries were overwritten, which removed them from the store.
-            self.remove_up_to(newest.revision.saturating_sub(1));
-        }
+    /// Drops all entries except the one that the store holds: the earlier ones were overwritten, which removed them.
+    pub fn settle(&mut self) {
+        let Some(newest) = self.entries.last() else {
+            return;
+        };
+        match newest.revision < self.unusable_at {
+            true => self.remove_up_to(self.unusable_at),
+            false => self.remove_up_to(newest.revision.saturating_sub(1)),
+        };
     }
 
     /// Returns the current entry and those that become current if the entries of later incarnations are removed.
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -50,6 +50,12 @@
         /// Id of the searcher.
         instance: Arc<str>,
     },
+    /// A searcher's entry was overwritten by one that can't be used. Only the node that reads it knows it; peers are told
+    /// of the searcher's entry, or of its removal once this has lasted.
+    SearcherUnusable {
+        /// Id of the searcher.
+        instance: Arc<str>,
+    },
     /// The evacuation of a zone started or ended: its searchers must get no new work, or may get it again.
     Evacuation {
         /// The zone.
@@ -182,6 +188,7 @@
     fn add(&mut self, item: &MirrorItem) {
         match item {
             MirrorItem::Searcher { entry } => self.searchers.push(entry.instance.clone()),
+            MirrorItem::SearcherUnusable { instance } => self.searchers.push(instance.clone()),
             MirrorItem::Evacuation { zone, is_active: true } => self.evacuated.push(zone.clone()),
             MirrorItem::Evacuation { .. }
             | MirrorItem::SearcherGone { .. }
@@ -312,7 +319,7 @@
         for instance in self.disputes.take_overdue(now, max_age) {
             if let Some(known) = self.searchers.get_mut(&instance) {
                 let before = known.current().map(|known| known.revision);
-                known.keep_newest();
+                known.settle();
                 pending.searcher_mut(instance, before);
             }
         }
@@ -340,6 +347,7 @@
             }
             MirrorItem::Searcher { entry } => self.merge_entry(revision, entry, pending),
             MirrorItem::SearcherGone { instance } => self.merge_removal(revision, instance, pending),
+            MirrorItem::SearcherUnusable { instance } => self.merge_unusable(revision, instance),
             MirrorItem::Evacuation { zone, is_active } => {
                 pending.has_evacuations |= self.evacuations.merge_change(revision, zone, is_active);
             }
@@ -399,6 +407,15 @@
         }
     }
 
+    /// Begins a dispute about a known searcher. A live one writes its entry again within a heartbeat.
+    fn merge_unusable(&mut self, revision: u64, instance: Arc<str>) {
+        if let Some(known) = self.searchers.get_mut(&instance)
+            && known.note_unusable(revision)
+        {
+            self.disputes.begin(instance);
+        }
+    }
+
     fn merge_removal(&mut self, revision: u64, instance: Arc<str>, pending: &mut PendingChanges) {
         let known = self.searchers.entry(instance.clone()).or_default();
         let before = known.current().map(|known| known.revision);
--- a/crates/staircross-routing/tests/views.rs
+++ b/crates/staircross-routing/tests/views.rs
@@ -109,7 +109,9 @@
         }
         MirrorItem::Evacuation { zone, .. } => format!("operator/evacuation/{zone}"),
         MirrorItem::Searcher { entry } => format!("servers/{}", entry.instance),
-        MirrorItem::SearcherGone { instance } => format!("servers/{instance}"),
+        MirrorItem::SearcherGone { instance } | MirrorItem::SearcherUnusable { instance } => {
+            format!("servers/{instance}")
+        }
     }
 }
 
