Review case 5: a stale seed gives a fleet another deployment's configuration

Tried: two deployments; a gateway of the one is killed and starts again with three seeds, of which one is stale and now a gateway of the other deployment.

--- a/review/standins-2/foreign.rs
+++ b/review/standins-2/foreign.rs
@@ -1,6 +1,6 @@
 //! Another program writes an entry with missing fields over that of a searcher.
 
-use crate::gateway::{Folder, Gateway};
+use crate::gateway::{Folder, Gateway, HOBART};
 use crate::record::Record;
 use crate::searcher::Searcher;
 use crate::store::Store;
@@ -23,7 +23,7 @@
         searchers.push(start(&format!("i-{index}a4c"), "records-keeper", zone));
         searchers.push(start(&format!("i-{index}f71"), "council-gateway", zone));
     }
-    let Some(gateways) = Gateway::start_all(&folder.0, 2, store.address) else {
+    let Some(gateways) = Gateway::start_all(&folder.0, &HOBART, 2, store.address) else {
         return Verdict::NotRun("the gateways didn't become ready");
     };
     let streams: Vec<Stream> = gateways
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,7 @@
 mod older_copy;
 mod record;
 mod searcher;
+mod stale_seed;
 mod store;
 mod traffic;
 mod unsigned;
@@ -37,6 +38,7 @@
         "unsigned" => unsigned::run(&record, has_trouble),
         "foreign" => foreign::run(&record, has_trouble),
         "older-copy" => older_copy::run(&record, has_trouble),
+        "stale-seed" => stale_seed::run(&record, has_trouble),
         _ => Verdict::NotRun("no such case"),
     };
     let (text, code) = match verdict {
--- a/review/standins-2/older_copy.rs
+++ b/review/standins-2/older_copy.rs
@@ -1,6 +1,6 @@
 //! In a drill, the store comes back from a copy some seconds old. Later a service is added.
 
-use crate::gateway::{Folder, Gateway};
+use crate::gateway::{Folder, Gateway, HOBART};
 use crate::record::Record;
 use crate::searcher::Searcher;
 use crate::store::Store;
@@ -38,7 +38,7 @@
     for (index, zone) in zones.iter().enumerate() {
         searchers.push(start(&format!("i-{index}a4c"), "records-keeper", zone));
     }
-    let Some(gateways) = Gateway::start_all(&folder.0, 3, store.address) else {
+    let Some(gateways) = Gateway::start_all(&folder.0, &HOBART, 3, store.address) else {
         return Verdict::NotRun("the gateways didn't become ready");
     };
     let streams = |path: &'static str| gateways.iter().map(move |gateway| Stream::new(gateway, path, 100, 4000));
--- a/review/standins-2/unsigned.rs
+++ b/review/standins-2/unsigned.rs
@@ -1,6 +1,6 @@
 //! A searcher spoils a byte in some of its answers, in the name of the field that holds its signature.
 
-use crate::gateway::{Folder, Gateway};
+use crate::gateway::{Folder, Gateway, HOBART};
 use crate::record::Record;
 use crate::searcher::Searcher;
 use crate::store::Store;
@@ -40,7 +40,7 @@
             Searcher::start(&store, &format!("i-{index}a4c"), "records-keeper", zone, Duration::from_millis(5))
         })
         .collect();
-    let Some(gateways) = Gateway::start_all(&folder.0, 2, store.address) else {
+    let Some(gateways) = Gateway::start_all(&folder.0, &HOBART, 2, store.address) else {
         return Verdict::NotRun("the gateways didn't become ready");
     };
     let streams: Vec<Stream> = gateways.iter().map(|gateway| Stream::new(gateway, "/archive/", 10, 4000)).collect();
