--- a/crates/staircross/tests/common/mod.rs
+++ b/crates/staircross/tests/common/mod.rs
@@ -63,6 +63,7 @@
     pub searchers: Vec<SearcherStandin>,
     settings: Vec<PathBuf>,
     pub callers: Vec<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
     pub nodes: Vec<Child>,
     pub platform: PlatformStandin,
     document: PlatformDocument,
@@ -105,7 +106,8 @@
         let settings = write_settings(folder, platform, &addresses, further);
         let nodes = settings.iter().map(|path| start_node(path)).collect();
         let callers = addresses.iter().map(|(callers, _)| *callers).collect();
-        let fleet = Fleet { searchers, settings, callers, nodes, platform: platform_standin, document };
+        let peers = addresses.iter().map(|(_, peers)| *peers).collect();
+        let fleet = Fleet { searchers, settings, callers, peers, nodes, platform: platform_standin, document };
         (0..NODES).for_each(|index| fleet.wait_ready(index));
         fleet
     }
