One budget for all that accepted connections cost, in the process and in the kernel

What callers saw: clients that sent many requests ahead and read no answers ended a process for its memory, and everybody connected to it was cut. Cause: the bound on what connections hold counted some of their states only. While a request was answered, each event of the socket read 64 KB more of those sent ahead (36 MB in 2,000 events); such connections weren't counted, nor were heads of up to 16 KB, nor what the kernel holds unread (up to 32 MB a connection) or unacknowledged (up to 4 MB), also for peers that had closed their side. Ruled out: the answers in the process itself; the next request was already taken only after the last answer was written. Change: each connection is charged in each state with itself, its receive buffer, what it holds, and what its peer hasn't acknowledged. Receive buffers are sized by the budget. Beyond it, connections without progress for longest end: incomplete requests get 503, unread answers are reset. When there may be no more connections, one without progress for a second makes room. Why it works: what the kernel takes unasked is bounded by the receive buffers, and everything else is written by this process.

--- a/crates/session/staircross-node/src/front.rs
+++ b/crates/session/staircross-node/src/front.rs
@@ -70,11 +70,12 @@
 /// Returns an error if the address can't be bound or the thread can't be started.
 pub fn start(parts: FrontParts<'_>) -> io::Result<()> {
     let limits = &parts.settings.limits;
-    // Requests keep to the product by themselves. The rest is room for responses that callers haven't read yet, which a
-    // small limit on requests must not take.
-    let max_held = limits.caller_connections * limits.request_bytes + limits.reply_bytes;
+    // Connections with their requests keep to the first part by themselves. The rest is room for responses that callers
+    // haven't read yet, which a small limit on requests must not take.
+    let max_bytes =
+        Server::<CallerEndpoint>::bytes_for(limits.caller_connections, limits.request_bytes) + limits.reply_bytes;
     let mut server =
-        Server::new(limits.caller_connections).with_rejection(connection_rejection()).with_max_held(max_held);
+        Server::new(limits.caller_connections).with_rejection(connection_rejection()).with_max_bytes(max_bytes);
     server.listen(CallerEndpoint, parts.settings.node.listen, parts.receiver.poll.registry())?;
     let end_notice = EndNotice(parts.events.clone());
     let front = Front {
@@ -218,6 +219,10 @@
         let timeouts = ServerTimeouts { partial_request, idle: caller_timeout };
         self.server.sweep(self.now, timeouts, self.poll.registry(), &mut self.server_events);
         self.handle_server_events();
+        let count = self.server.take_stalled_count();
+        if count > 0 {
+            warn!(logger: self.logs.front, "event=connections_ended cause=stalled count={count}");
+        }
     }
 
     fn handle_server_events(&mut self) {
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -37,6 +37,11 @@
     pub(super) fn sweep_server(&mut self) {
         let timeouts = self.server_timeouts();
         self.server.sweep(self.now, timeouts, self.poll.registry(), &mut self.server_events);
+        let count = self.server.take_stalled_count();
+        if count > 0 {
+            let line = format_args!("event=connections_ended cause=stalled count={count}");
+            self.log.line(self.now, LineKind::Drop, line);
+        }
     }
 
     /// Handles all events of the server, including those that the handling brings.
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -103,7 +103,7 @@
 }
 
 fn bind_server(settings: &GatewaySettings, registry: &Registry) -> Result<Server<Endpoint>, GatewayError> {
-    let mut server = Server::new(settings.max_caller_connections()).with_max_held(settings.max_held_by_callers());
+    let mut server = Server::new(settings.max_caller_connections()).with_max_bytes(settings.max_connection_bytes());
     for (endpoint, name, address) in listeners(settings) {
         server.listen(endpoint, address, registry).map_err(io_error(format!("{name} {address}")))?;
     }
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -62,7 +62,7 @@
 const MEMORY_PER_REQUEST: u64 = 64 * 1024;
 
 /// Number of shares into which the process's memory is divided: one each for incomplete answers of searchers, for what
-/// callers' connections hold, and for the bodies of requests in flight. The last is for everything else.
+/// accepted connections cost, and for the bodies of requests in flight. The last is for everything else.
 const BUFFER_SHARES: u64 = 4;
 
 impl BoundSettings {
@@ -137,9 +137,8 @@
         self.buffer_share()
     }
 
-    /// Returns the maximum number of bytes that callers' connections together hold of incomplete requests and of answers
-    /// that their callers haven't read.
-    pub fn max_held_by_callers(&self) -> usize {
+    /// Returns the maximum number of bytes that accepted connections cost together, in this process and in the kernel.
+    pub fn max_connection_bytes(&self) -> usize {
         self.buffer_share()
     }
 
--- a/crates/staircross-http/src/head.rs
+++ b/crates/staircross-http/src/head.rs
@@ -83,6 +83,11 @@
         !self.headers.asks_to_close()
     }
 
+    /// Returns the number of bytes that the head takes in memory.
+    pub fn held_bytes(&self) -> usize {
+        self.method.len() + self.target.len() + self.headers.held_bytes()
+    }
+
     /// Returns the path of the target, without the query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
--- a/crates/staircross-http/src/headers.rs
+++ b/crates/staircross-http/src/headers.rs
@@ -47,6 +47,11 @@
         self.fields.push(FieldSpan { name: name_span, value: value_span });
     }
 
+    /// Returns the number of bytes that the fields take in memory.
+    pub fn held_bytes(&self) -> usize {
+        self.text.len() + self.fields.len() * size_of::<FieldSpan>()
+    }
+
     fn append(&mut self, bytes: &[u8]) -> Range<u32> {
         let start = self.text.len() as u32;
         self.text.extend_from_slice(bytes);
--- a/crates/staircross-http/src/server.rs
+++ b/crates/staircross-http/src/server.rs
@@ -24,6 +24,13 @@
     pub body: Vec<u8>,
 }
 
+impl Request {
+    /// Returns the number of bytes that the request takes in memory.
+    pub fn held_bytes(&self) -> usize {
+        self.head.held_bytes() + self.body.len()
+    }
+}
+
 /// Why a request is refused. The connection must be closed after the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerFault {
@@ -82,7 +89,8 @@
 
     /// Returns the number of bytes that are held of incomplete requests and of those not yet asked for.
     pub fn buffered_bytes(&self) -> usize {
-        self.input.len() + self.pending.as_ref().map_or(0, |pending| pending.body.len())
+        let held = |pending: &PendingRequest| pending.head.held_bytes() + pending.body.len();
+        self.input.capacity() + self.pending.as_deref().map_or(0, held)
     }
 
     /// Reads the next request from the buffered bytes.
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -6,36 +6,37 @@
 //! [`Server::respond`]. [`ServerConnection`](staircross_http::ServerConnection) finds the ends of messages in the byte
 //! stream.
 //!
-//! `accepting` has the listeners, `memory` bounds what connections hold together, `connection` holds the state of one.
+//! `accepting` has the listeners, `connection` holds the state of one connection, `budget` says what all may cost
+//! together, and `room` ends connections when they cost more.
 //! A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
 //! serves.
 
 mod accepting;
+mod budget;
 mod connection;
 mod event;
-mod memory;
+mod room;
 
 pub use connection::ConnectionInfo;
 pub use event::{ServerEvent, ServerTimeouts};
 
 use crate::listener::Listener;
 use crate::socket::{IoContext, ReadOutcome, Readiness, SocketId, SocketKind, WriteOutcome};
-use connection::{Connection, State};
+use budget::Budget;
+use connection::{Connection, State, TimeoutOutcome};
 use mio::Registry;
 use slab::Slab;
 use staircross_http::ServerProgress;
 use staircross_types::BootTime;
 use std::time::Duration;
 
-/// Time for which a connection waits for the peer to close it after the last answer. Closing earlier could discard an
-/// answer that is still on its way.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interim response that permits the client to send its body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Time for which all connections of a closed listener must have been idle before it counts as drained. Peers that pause
 /// longer between requests see that the connection has ended before they send again.
 const FINAL_IDLE_TIME: Duration = Duration::from_millis(500);
-/// Number of bytes after which a read stops while the connection's previous request is still being answered.
+/// Maximum number of bytes that are read ahead while the connection's previous request is still being answered, and that
+/// are read in one go from a connection that is about to close. A close behind them is noticed.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
 /// All listeners and accepted connections.
@@ -44,10 +45,11 @@
     listeners: Vec<Option<Listener<E>>>,
     connections: Slab<Connection<E>>,
     next_generation: u32,
-    max_connections: usize,
-    /// Maximum number of bytes that all connections together hold.
-    max_held: usize,
-    /// Answer to a connection beyond `max_connections`; if there is none, such a connection is closed at once.
+    /// What all connections together may cost.
+    budget: Budget,
+    /// Number of connections that ended in favour of new ones and haven't been reported.
+    stalled_count: u64,
+    /// Answer to a connection beyond the maximum; if there is none, such a connection is closed at once.
     rejection: Option<Vec<u8>>,
 }
 
@@ -58,16 +60,32 @@
             listeners: Vec::new(),
             connections: Slab::new(),
             next_generation: 1,
-            max_connections,
-            max_held: usize::MAX,
+            budget: Budget::unbounded(max_connections),
+            stalled_count: 0,
             rejection: None,
         }
     }
 
-    /// Sets the maximum number of bytes that all connections together hold of incomplete requests and of unread answers.
-    /// If it is exceeded, connections end.
-    pub fn with_max_held(self, max_held: usize) -> Self {
-        Server { max_held, ..self }
+    /// Sets the maximum number of bytes that all connections together cost: their own state, what the kernel may hold for
+    /// them, requests that aren't complete or answered, and answers that peers haven't acknowledged. If it is exceeded,
+    /// connections end. If the connections alone could exceed it, their maximum number is lowered.
+    pub fn with_max_bytes(self, max_bytes: usize) -> Self {
+        Server { budget: Budget::new(self.budget.max_connections(), max_bytes), ..self }
+    }
+
+    /// Returns a budget for [`Server::with_max_bytes`] in which `max_connections` have room, each with `held` bytes.
+    pub const fn bytes_for(max_connections: usize, held: usize) -> usize {
+        Budget::for_connections(max_connections, held)
+    }
+
+    /// Returns the maximum number of connections.
+    pub fn max_connections(&self) -> usize {
+        self.budget.max_connections()
+    }
+
+    /// Returns the number of connections that ended in favour of new ones since this was last asked.
+    pub fn take_stalled_count(&mut self) -> u64 {
+        std::mem::take(&mut self.stalled_count)
     }
 
     /// Answers connections beyond the maximum with `rejection`, a complete response that refuses any request, before they
@@ -134,42 +152,54 @@
             self.parse_next_request(id, io, events);
         }
         self.read(id, io, events);
-        self.limit_held(id, events);
+        self.settle(id, events);
+    }
+
+    /// Takes the next request of a connection, and reads what was left unread.
+    fn continue_reading(&mut self, id: SocketId, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
+        self.parse_next_request(id, io, events);
+        if self.get(id).is_some_and(|connection| connection.has_unread && connection.can_take_request()) {
+            self.read(id, io, events);
+        }
+        self.settle(id, events);
+    }
+
+    /// Returns the number of bytes that are read ahead of an answer, which a receive buffer holds too.
+    fn max_read_ahead(&self) -> usize {
+        self.budget.receive_buffer().unwrap_or(MAX_READ_AHEAD).min(MAX_READ_AHEAD)
     }
 
     /// Reads until nothing waits, and emits the request that is complete. While a connection can't take its next request,
-    /// reading stops after [`MAX_READ_AHEAD`] bytes; what is left is read when it can, unless the peer has closed.
+    /// reading stops after [`Server::max_read_ahead`] bytes; what is left is read when it can, unless the peer has closed.
     fn read(&mut self, id: SocketId, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
-        let mut read_ahead = 0;
+        let max_read_ahead = self.max_read_ahead();
+        let mut discarded = 0;
         loop {
             let Some(connection) = self.get(id) else {
                 return;
             };
-            connection.has_unread = false;
+            connection.has_unread = !connection.may_read(max_read_ahead) || discarded > MAX_READ_AHEAD;
+            if connection.has_unread {
+                return self.stop_reading_ahead(id, events);
+            }
             match connection.socket.read(io.buffer) {
                 ReadOutcome::Bytes { count, may_have_more } => {
-                    if connection.state != State::Closing {
+                    if connection.state == State::Closing {
+                        discarded += count;
+                    } else {
                         connection.http.receive(&io.buffer[..count]);
                     }
                     if connection.can_take_request() {
                         connection.last_progress = io.now;
                         self.parse_next_request(id, io, events);
-                    } else {
-                        read_ahead += count;
-                        connection.has_unread = may_have_more && read_ahead > MAX_READ_AHEAD;
                     }
                     if !may_have_more {
                         return;
                     }
-                    if read_ahead > MAX_READ_AHEAD {
-                        return self.stop_reading_ahead(id, events);
-                    }
                 }
                 ReadOutcome::WouldBlock => return,
-                ReadOutcome::Closed | ReadOutcome::Broken => {
-                    self.on_peer_closed(id, events);
-                    return;
-                }
+                ReadOutcome::Closed => return self.on_peer_closed(id, events),
+                ReadOutcome::Broken => return self.on_broken(id, events),
             }
         }
     }
@@ -181,15 +211,27 @@
         }
     }
 
-    /// Removes a connection that the peer has closed or that is broken. Reports it if a request is unanswered.
+    /// Removes a connection that the peer has closed, and reports it if a request is unanswered. If the peer hasn't
+    /// acknowledged its answers yet, the connection is kept until it has.
     fn on_peer_closed(&mut self, id: SocketId, events: &mut Vec<ServerEvent<E>>) {
+        let Some(connection) = self.get(id) else {
+            return;
+        };
+        if connection.state != State::AwaitingAnswer && connection.socket.has_unacknowledged() {
+            return connection.begin_closing();
+        }
+        self.on_broken(id, events);
+    }
+
+    /// Removes a connection that is broken, and reports it if a request is unanswered.
+    fn on_broken(&mut self, id: SocketId, events: &mut Vec<ServerEvent<E>>) {
         let Some(connection) = self.get(id) else {
             return;
         };
         if connection.state == State::AwaitingAnswer {
             events.push(ServerEvent::Disconnected { connection: id });
         }
-        self.connections.remove(id.slot as usize);
+        self.discard(id.slot as usize);
     }
 
     /// Emits the next request of a connection that can take one if it is complete, or a fault if it isn't valid.
@@ -205,9 +247,14 @@
                 self.handle_write_outcome(id, outcome, events);
             }
             ServerProgress::Ready(request) => {
-                connection.state = State::AwaitingAnswer;
+                connection.begin_answer(&request);
                 let info = connection.info;
                 connection.info.is_new = false;
+                let is_long = connection.request_bytes > self.max_read_ahead();
+                self.settle(id, events);
+                if is_long && self.budget.is_exceeded() {
+                    return self.drop_request(id, events);
+                }
                 events.push(ServerEvent::Request { connection: id, endpoint, request, info });
             }
             ServerProgress::Fault(fault) => {
@@ -229,17 +276,12 @@
         let Some(connection) = self.get(id) else {
             return;
         };
-        connection.last_progress = io.now;
-        connection.state = if closes { State::Closing } else { State::Reading };
+        connection.end_answer(io.now, closes);
         let outcome = connection.socket.write(answer, io.registry);
         if !self.handle_write_outcome(id, outcome, events) {
             return;
         }
-        self.parse_next_request(id, io, events);
-        if self.get(id).is_some_and(|connection| connection.has_unread && connection.can_take_request()) {
-            self.read(id, io, events);
-        }
-        self.limit_held(id, events);
+        self.continue_reading(id, io, events);
     }
 
     /// Handles the outcome of a write. Returns whether the connection still exists.
@@ -258,7 +300,7 @@
                 true
             }
             WriteOutcome::Broken => {
-                self.on_peer_closed(id, events);
+                self.on_broken(id, events);
                 false
             }
         }
@@ -277,21 +319,18 @@
         self.sweep_listeners(now, registry);
         let mut expired = Vec::new();
         for (slot, connection) in &mut self.connections {
-            let age = now.since(connection.last_progress);
-            let id = SocketId { kind: SocketKind::Inbound, generation: connection.generation, slot: slot as u32 };
-            match connection.state {
-                State::AwaitingAnswer => {}
-                State::Closing if age >= CLOSE_TIMEOUT => expired.push(slot),
-                State::Reading if connection.is_request_late(now, timeouts.partial_request) => {
-                    connection.state = State::AwaitingAnswer;
+            match connection.check_timeouts(now, timeouts) {
+                TimeoutOutcome::Stays => {}
+                TimeoutOutcome::Expired => expired.push(slot),
+                TimeoutOutcome::RequestLate => {
+                    let generation = connection.generation;
+                    let id = SocketId { kind: SocketKind::Inbound, generation, slot: slot as u32 };
                     events.push(ServerEvent::RequestTimedOut { connection: id });
                 }
-                State::Reading if age >= timeouts.idle => expired.push(slot),
-                State::Closing | State::Reading => {}
             }
         }
         for slot in expired {
-            self.connections.remove(slot);
+            self.discard(slot);
         }
     }
 }
--- a/crates/staircross-transport/src/server/accepting.rs
+++ b/crates/staircross-transport/src/server/accepting.rs
@@ -7,15 +7,24 @@
 use crate::socket::{Socket, SocketId, SocketKind, WriteOutcome};
 use mio::net::TcpListener;
 use mio::{Interest, Registry};
+use socket2::SockRef;
 use staircross_http::ServerConnection;
 use staircross_types::BootTime;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
+/// Maximum number of connections that one listener accepts in one turn, so that peers that go on connecting don't keep the
+/// node from its other work.
+const MAX_ACCEPTED_PER_TURN: usize = 256;
+
 impl<E: Copy + PartialEq> Server<E> {
     /// Listens on an address. Returns the bound address, with the actual port if `address` has port 0.
     pub fn listen(&mut self, endpoint: E, address: SocketAddr, registry: &Registry) -> io::Result<SocketAddr> {
         let mut listener = TcpListener::bind(address)?;
+        if let Some(size) = self.budget.receive_buffer() {
+            // Accepted connections inherit the option. The kernel takes double the size for its own bookkeeping.
+            SockRef::from(&listener).set_recv_buffer_size(size / 2)?;
+        }
         let bound = listener.local_addr()?;
         let slot = self.listeners.len() as u32;
         let id = SocketId { kind: SocketKind::Listener, generation: 0, slot };
@@ -49,7 +58,9 @@
             let must_close = listener.is_some_and(|listener| listener.must_close(now));
             if has_backlog || must_close {
                 let id = SocketId { kind: SocketKind::Listener, generation: 0, slot: slot as u32 };
-                self.accept_connections(now, id, registry);
+                // The queue of a listener that is about to close is finite.
+                let limit = if must_close { usize::MAX } else { MAX_ACCEPTED_PER_TURN };
+                self.accept_some(now, id, registry, limit);
             }
             if must_close {
                 self.listeners[slot] = None;
@@ -62,16 +73,21 @@
         self.listeners.iter().flatten().any(|listener| listener.endpoint == endpoint)
     }
 
-    /// Accepts all connections that wait on a listener.
+    /// Accepts the connections that wait on a listener, some in this turn and others at the next sweep.
     pub fn accept_connections(&mut self, now: BootTime, id: SocketId, registry: &Registry) {
-        loop {
+        self.accept_some(now, id, registry, MAX_ACCEPTED_PER_TURN);
+    }
+
+    fn accept_some(&mut self, now: BootTime, id: SocketId, registry: &Registry, limit: usize) {
+        for _ in 0..limit {
             let Some(Some(entry)) = self.listeners.get_mut(id.slot as usize) else {
                 return;
             };
             match entry.accept() {
                 Ok(stream) => {
                     let endpoint = entry.endpoint;
-                    if self.connections.len() < self.max_connections {
+                    let has_room = self.connections.len() < self.budget.max_connections();
+                    if has_room || self.end_stalled(now) {
                         self.add_connection(now, endpoint, stream, registry);
                     } else {
                         self.reject(now, endpoint, stream, registry);
@@ -85,6 +101,9 @@
                 }
             }
         }
+        if let Some(Some(entry)) = self.listeners.get_mut(id.slot as usize) {
+            entry.has_backlog = true;
+        }
     }
 
     /// Answers a connection beyond the maximum, if there is an answer and room for it. Otherwise the stream is dropped,
@@ -93,7 +112,8 @@
         let Some(rejection) = self.rejection.clone() else {
             return;
         };
-        if self.connections.len() >= self.max_connections + self.max_connections.div_ceil(8) {
+        let max_connections = self.budget.max_connections();
+        if self.connections.len() >= max_connections + max_connections.div_ceil(8) {
             return;
         }
         if let Some(connection) = self.add_connection(now, endpoint, stream, registry) {
@@ -127,7 +147,11 @@
             head_began: None,
             info,
             has_unread: false,
+            request_bytes: 0,
+            charged: 0,
         };
-        Some(entry.insert(connection))
+        entry.insert(connection);
+        self.recharge(id.slot as usize);
+        self.connections.get_mut(id.slot as usize)
     }
 }
--- a/crates/staircross-transport/src/server/connection.rs
+++ b/crates/staircross-transport/src/server/connection.rs
@@ -1,10 +1,15 @@
 //! The state of one accepted connection.
 
+use super::ServerTimeouts;
 use crate::socket::{IoContext, Socket};
-use staircross_http::{ServerConnection, ServerProgress};
+use staircross_http::{Request, ServerConnection, ServerProgress};
 use staircross_types::BootTime;
 use std::time::Duration;
 
+/// Time for which a connection waits for the peer to close it after the last answer. Closing earlier could discard an
+/// answer that is still on its way.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Properties of an accepted connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionInfo {
@@ -25,6 +30,17 @@
     Closing,
 }
 
+/// What follows from the time for which a connection has been without progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TimeoutOutcome {
+    /// The connection stays.
+    Stays,
+    /// The connection must be closed.
+    Expired,
+    /// A request didn't arrive in time and must be refused.
+    RequestLate,
+}
+
 /// An accepted connection.
 pub(super) struct Connection<E> {
     pub socket: Socket,
@@ -41,6 +57,10 @@
     pub info: ConnectionInfo,
     /// Whether reading stopped before everything that had arrived was read. There is no further readiness event for it.
     pub has_unread: bool,
+    /// Number of bytes of the request that is being answered.
+    pub request_bytes: usize,
+    /// Number of bytes that the connection is charged with.
+    pub charged: usize,
 }
 
 impl<E> Connection<E> {
@@ -50,10 +70,69 @@
         self.state == State::Reading && self.socket.is_flushed()
     }
 
-    /// Returns the number of bytes that the connection holds: of a request that isn't complete, and of an answer that the
-    /// peer hasn't read.
+    /// Returns whether what arrives may be read: it belongs to the next request, or little was read ahead of that.
+    pub fn may_read(&self, max_read_ahead: usize) -> bool {
+        self.state == State::Closing || self.can_take_request() || self.http.buffered_bytes() < max_read_ahead
+    }
+
+    /// Begins to wait for the answer to a request.
+    pub fn begin_answer(&mut self, request: &Request) {
+        self.state = State::AwaitingAnswer;
+        self.request_bytes = request.held_bytes();
+    }
+
+    /// Ends the wait for an answer. If `closes` is set, what arrives from now on is discarded.
+    pub fn end_answer(&mut self, now: BootTime, closes: bool) {
+        self.last_progress = now;
+        self.request_bytes = 0;
+        if closes {
+            self.begin_closing();
+        } else {
+            self.state = State::Reading;
+        }
+    }
+
+    /// Takes no further requests, and drops what has arrived of them.
+    pub fn begin_closing(&mut self) {
+        self.state = State::Closing;
+        self.http = ServerConnection::default();
+    }
+
+    /// Checks how long the connection has been without progress.
+    pub fn check_timeouts(&mut self, now: BootTime, timeouts: ServerTimeouts) -> TimeoutOutcome {
+        let age = now.since(self.last_progress);
+        let may_close = match self.state {
+            State::AwaitingAnswer => return TimeoutOutcome::Stays,
+            State::Reading if self.is_request_late(now, timeouts.partial_request) => {
+                self.state = State::AwaitingAnswer;
+                return TimeoutOutcome::RequestLate;
+            }
+            State::Reading => false,
+            State::Closing => self.socket.is_read_closed() || age >= CLOSE_TIMEOUT,
+        };
+        let is_idle = age >= timeouts.idle;
+        if !may_close && !is_idle || self.is_draining(now) {
+            return TimeoutOutcome::Stays;
+        }
+        // A peer that acknowledges nothing more has the time of an idle one.
+        if is_idle || !self.socket.has_unacknowledged() { TimeoutOutcome::Expired } else { TimeoutOutcome::Stays }
+    }
+
+    /// Returns whether the peer has acknowledged bytes since this was last asked, but not all. This counts as progress.
+    fn is_draining(&mut self, now: BootTime) -> bool {
+        let before = self.socket.outgoing_bytes();
+        let after = self.socket.measure_outgoing();
+        let is_draining = after > 0 && after < before;
+        if is_draining {
+            self.last_progress = now;
+        }
+        is_draining
+    }
+
+    /// Returns the number of bytes that are held for the connection: of requests that aren't complete or answered, and of
+    /// answers that the peer hasn't acknowledged.
     pub fn held_bytes(&self) -> usize {
-        self.http.buffered_bytes() + self.socket.unwritten_bytes()
+        self.http.buffered_bytes() + self.request_bytes + self.socket.outgoing_bytes()
     }
 
     /// Looks for the next request in the received bytes, and records since when a head has been arriving.
--- a/crates/staircross-transport/src/socket.rs
+++ b/crates/staircross-transport/src/socket.rs
@@ -7,13 +7,16 @@
 //! component that gets an event of a socket must therefore pass it to [`Socket::note_readiness`] and then read for as
 //! long as [`ReadOutcome::Bytes`] says that there may be more.
 
+use crate::send_queue::unacknowledged_bytes;
 use mio::event::{Event, Source};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use socket2::SockRef;
 use staircross_http::ServerLimits;
 use staircross_types::BootTime;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::time::Duration;
 
 /// Size of the read buffer in bytes, so that one read usually holds a whole head or answer.
 pub const READ_CHUNK: usize = 16 * 1024;
@@ -88,6 +91,8 @@
     token: Token,
     outgoing: Vec<u8>,
     written: usize,
+    /// Maximum number of bytes that the kernel holds until the peer acknowledges them.
+    in_send_queue: usize,
     has_writable_interest: bool,
     is_read_closed: bool,
 }
@@ -116,6 +121,7 @@
             token,
             outgoing: Vec::new(),
             written: 0,
+            in_send_queue: 0,
             has_writable_interest: false,
             is_read_closed: false,
         })
@@ -131,6 +137,7 @@
             token,
             outgoing: Vec::new(),
             written: 0,
+            in_send_queue: 0,
             has_writable_interest: true,
             is_read_closed: false,
         })
@@ -198,7 +205,10 @@
         while self.written < self.outgoing.len() {
             match self.stream.write(&self.outgoing[self.written..]) {
                 Ok(0) => return WriteOutcome::Broken,
-                Ok(count) => self.written += count,
+                Ok(count) => {
+                    self.written += count;
+                    self.in_send_queue += count;
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     return self.set_writable_interest(true, registry, WriteOutcome::Blocked);
                 }
@@ -216,9 +226,27 @@
         self.outgoing.is_empty()
     }
 
-    /// Returns the number of bytes that wait to be written.
-    pub fn unwritten_bytes(&self) -> usize {
-        self.outgoing.len() - self.written
+    /// Returns the number of bytes that this process and the kernel hold until the peer acknowledges them, at most.
+    pub fn outgoing_bytes(&self) -> usize {
+        self.outgoing.len() + self.in_send_queue
+    }
+
+    /// Asks the kernel what it holds, and returns the number of bytes like [`Socket::outgoing_bytes`]. If the kernel
+    /// doesn't tell, it counts as holding nothing.
+    pub fn measure_outgoing(&mut self) -> usize {
+        self.in_send_queue = unacknowledged_bytes(&self.stream).unwrap_or(0);
+        self.outgoing_bytes()
+    }
+
+    /// Returns whether bytes wait to be written, or the peer hasn't acknowledged all that were.
+    pub fn has_unacknowledged(&mut self) -> bool {
+        !self.is_flushed() || (self.in_send_queue > 0 && self.measure_outgoing() > 0)
+    }
+
+    /// Makes the close of the stream discard what the peer hasn't acknowledged. Otherwise the kernel goes on holding it.
+    pub fn discard_at_close(&self) {
+        // Without this option, the kernel gives the bytes up after some minutes.
+        let _best_effort = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 
     /// Returns whether bytes wait to be written and none of them has been written yet.
