A peer that sends many requests ahead waits for its turns

Cause: the next request of a connection was taken as soon as the last was answered, and handled in the same turn of the loop. Ruled out: requests that searchers answer; their answers come in other turns. Change: 16 requests a connection and turn, in both tiers; the rest is taken in the next turn, which begins at once. Why it works: a turn's work is bounded by the number of connections, so timers, signals and other connections have theirs. Before: requests_sent_ahead_wait_for_their_turns, 2,000 requests in one turn where 100 are allowed. After: passes.

--- a/crates/session/staircross-node/src/front.rs
+++ b/crates/session/staircross-node/src/front.rs
@@ -159,7 +159,7 @@
     fn run(mut self) {
         let mut events = Events::with_capacity(EVENT_CAPACITY);
         while !self.server.is_drained(self.now, CallerEndpoint) {
-            match self.poll.poll(&mut events, Some(clock::now().until(self.next_tick))) {
+            match self.poll.poll(&mut events, Some(self.poll_timeout())) {
                 Ok(()) => {}
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => events.clear(),
                 Err(error) => {
@@ -171,6 +171,7 @@
             self.handle_messages();
             self.handle_server_events();
             self.handle_socket_events(&events);
+            self.resume_server();
             if self.now >= self.next_tick {
                 self.next_tick = self.now + TICK_INTERVAL;
                 self.sweep();
@@ -179,6 +180,18 @@
         info!(logger: self.logs.front, "event=callers_left");
     }
 
+    /// Returns the time until the next tick, or none if requests wait for the next turn.
+    fn poll_timeout(&self) -> Duration {
+        if self.server.has_deferred() { Duration::ZERO } else { clock::now().until(self.next_tick) }
+    }
+
+    /// Takes the requests that had to wait for the next turn.
+    fn resume_server(&mut self) {
+        let mut io = io_context(self.now, &self.poll, &mut self.buffer, &self.limits);
+        self.server.resume(&mut io, &mut self.server_events);
+        self.handle_server_events();
+    }
+
     fn handle_messages(&mut self) {
         while let Ok(message) = self.messages.try_recv() {
             match message {
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -157,6 +157,7 @@
             for kinds in TURN_ORDER {
                 self.handle_socket_events(kinds, &events);
             }
+            self.resume_server();
             self.handle_timers();
             self.load.end_turn(clock::now());
         }
@@ -172,6 +173,9 @@
 
     /// Returns the time until the next timer or tick is due.
     fn poll_timeout(&self) -> Duration {
+        if self.server.has_deferred() {
+            return Duration::ZERO;
+        }
         let wakes = [
             self.engine.next_wake(),
             self.store_reader.next_wake(),
--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -34,6 +34,13 @@
         self.server.on_ready(id, readiness, &mut io, &mut self.server_events);
     }
 
+    /// Takes the requests that had to wait for the next turn.
+    pub(super) fn resume_server(&mut self) {
+        let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
+        self.server.resume(&mut io, &mut self.server_events);
+        self.handle_server_events();
+    }
+
     pub(super) fn sweep_server(&mut self) {
         let timeouts = self.server_timeouts();
         self.server.sweep(self.now, timeouts, self.poll.registry(), &mut self.server_events);
--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -8,7 +8,8 @@
 //!
 //! `accepting` has the listeners, `connection` holds the state of one connection, `budget` says what all may cost
 //! together, and `room` ends connections when they cost more.
-//! A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
+//! Each turn of the node's loop ends with [`Server::resume`], so that a peer that sends many requests ahead waits for its
+//! turn like others. A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
 //! serves.
 
 mod accepting;
@@ -38,6 +39,9 @@
 /// Maximum number of bytes that are read ahead while the connection's previous request is still being answered, and that
 /// are read in one go from a connection that is about to close. A close behind them is noticed.
 const MAX_READ_AHEAD: usize = 64 * 1024;
+/// Number of requests after which a connection waits for the next turn. A peer that sends many requests ahead doesn't keep
+/// the node from its other work.
+const MAX_REQUESTS_PER_TURN: u32 = 16;
 
 /// All listeners and accepted connections.
 pub struct Server<E> {
@@ -47,6 +51,10 @@
     next_generation: u32,
     /// What all connections together may cost.
     budget: Budget,
+    /// Number of the present turn.
+    turn: u64,
+    /// Connections whose next request waits for the next turn.
+    deferred: Vec<SocketId>,
     /// Number of connections that ended in favour of new ones and haven't been reported.
     stalled_count: u64,
     /// Answer to a connection beyond the maximum; if there is none, such a connection is closed at once.
@@ -61,6 +69,8 @@
             connections: Slab::new(),
             next_generation: 1,
             budget: Budget::unbounded(max_connections),
+            turn: 1,
+            deferred: Vec::new(),
             stalled_count: 0,
             rejection: None,
         }
@@ -155,6 +165,23 @@
         self.settle(id, events);
     }
 
+    /// Begins the next turn: looks at the connections whose next request had to wait for it.
+    pub fn resume(&mut self, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
+        self.turn += 1;
+        for id in std::mem::take(&mut self.deferred) {
+            let Some(connection) = self.get(id) else {
+                continue;
+            };
+            connection.is_deferred = false;
+            self.continue_reading(id, io, events);
+        }
+    }
+
+    /// Returns whether a connection's next request waits for the next turn, which should begin at once.
+    pub fn has_deferred(&self) -> bool {
+        !self.deferred.is_empty()
+    }
+
     /// Takes the next request of a connection, and reads what was left unread.
     fn continue_reading(&mut self, id: SocketId, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
         self.parse_next_request(id, io, events);
@@ -236,9 +263,13 @@
 
     /// Emits the next request of a connection that can take one if it is complete, or a fault if it isn't valid.
     fn parse_next_request(&mut self, id: SocketId, io: &IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
+        let turn = self.turn;
         let Some(connection) = self.get(id).filter(|connection| connection.can_take_request()) else {
             return;
         };
+        if connection.is_deferred || !connection.may_take_request_in(turn) {
+            return self.defer(id);
+        }
         let endpoint = connection.endpoint;
         match connection.advance(io) {
             ServerProgress::NeedMore { continue_expected: false } => {}
@@ -247,7 +278,7 @@
                 self.handle_write_outcome(id, outcome, events);
             }
             ServerProgress::Ready(request) => {
-                connection.begin_answer(&request);
+                connection.begin_answer(&request, turn);
                 let info = connection.info;
                 connection.info.is_new = false;
                 let is_long = connection.request_bytes > self.max_read_ahead();
@@ -264,6 +295,14 @@
         }
     }
 
+    /// Leaves the next request of a connection for the next turn.
+    fn defer(&mut self, id: SocketId) {
+        if let Some(connection) = self.get(id).filter(|connection| !connection.is_deferred) {
+            connection.is_deferred = true;
+            self.deferred.push(id);
+        }
+    }
+
     /// Writes the answer to the connection's current request. If `closes` is set, the connection ends after the answer.
     pub fn respond(
         &mut self,
--- a/crates/staircross-transport/src/server/connection.rs
+++ b/crates/staircross-transport/src/server/connection.rs
@@ -1,6 +1,6 @@
 //! The state of one accepted connection.
 
-use super::ServerTimeouts;
+use super::{MAX_REQUESTS_PER_TURN, ServerTimeouts};
 use crate::socket::{IoContext, Socket};
 use staircross_http::{Request, ServerConnection, ServerProgress};
 use staircross_types::BootTime;
@@ -59,6 +59,12 @@
     pub has_unread: bool,
     /// Number of bytes of the request that is being answered.
     pub request_bytes: usize,
+    /// Number of requests that were taken in the turn `turn`.
+    pub requests_in_turn: u32,
+    /// The last turn in which a request was taken.
+    pub turn: u64,
+    /// Whether the next request has to wait for another turn.
+    pub is_deferred: bool,
     /// Number of bytes that the connection is charged with.
     pub charged: usize,
 }
@@ -72,11 +78,22 @@
 
     /// Returns whether what arrives may be read: it belongs to the next request, or little was read ahead of that.
     pub fn may_read(&self, max_read_ahead: usize) -> bool {
-        self.state == State::Closing || self.can_take_request() || self.http.buffered_bytes() < max_read_ahead
+        let is_expected = self.can_take_request() && !self.is_deferred;
+        self.state == State::Closing || is_expected || self.http.buffered_bytes() < max_read_ahead
     }
 
-    /// Begins to wait for the answer to a request.
-    pub fn begin_answer(&mut self, request: &Request) {
+    /// Returns whether the connection may take another request in a turn.
+    pub fn may_take_request_in(&self, turn: u64) -> bool {
+        self.turn != turn || self.requests_in_turn < MAX_REQUESTS_PER_TURN
+    }
+
+    /// Begins to wait for the answer to a request that is taken in a turn.
+    pub fn begin_answer(&mut self, request: &Request, turn: u64) {
+        if self.turn != turn {
+            self.turn = turn;
+            self.requests_in_turn = 0;
+        }
+        self.requests_in_turn += 1;
         self.state = State::AwaitingAnswer;
         self.request_bytes = request.held_bytes();
     }
--- a/crates/staircross-transport/tests/common/mod.rs
+++ b/crates/staircross-transport/tests/common/mod.rs
@@ -78,7 +78,11 @@
             self.server.on_ready(id, event.into(), &mut io, &mut events);
             self.record(events);
         }
-        !poll_events.is_empty()
+        let had_deferred = self.server.has_deferred();
+        let mut events = Vec::new();
+        self.server.resume(&mut io_context(self.now, &self.poll, &mut self.buffer), &mut events);
+        self.record(events);
+        had_deferred || !poll_events.is_empty()
     }
 
     /// Answers the first request that waits.
--- a/crates/staircross-transport/tests/pipelining.rs
+++ b/crates/staircross-transport/tests/pipelining.rs
@@ -90,3 +90,24 @@
     server.run_until_quiet();
     assert_eq!(server.waiting.len(), 1, "the second request is taken");
 }
+
+/// Guards against a peer that keeps the node from its other work: all requests that it had sent ahead were taken in one
+/// turn of the node's loop, and those that came meanwhile too.
+#[test]
+fn requests_sent_ahead_wait_for_their_turns() {
+    const REQUESTS: usize = 2000;
+    const MOST_IN_A_TURN: usize = 100;
+    let (mut server, address) = TestServer::listen();
+    let mut caller = TcpStream::connect(address).expect("connects");
+    caller.write_all(&REQUEST.repeat(REQUESTS)).expect("sent");
+    let mut answered = 0;
+    while answered < REQUESTS {
+        server.poll_once(Duration::from_millis(10));
+        let before = answered;
+        while !server.waiting.is_empty() {
+            server.answer(response(0));
+            answered += 1;
+        }
+        assert!(answered - before <= MOST_IN_A_TURN, "{} requests in one turn", answered - before);
+    }
+}
