Session tier: a bound on the handshakes of connections to the port for nodes

Cause: each accepted connection took a thread before its peer had proved the cluster's key, without a bound, and each byte began the time of the handshake anew. Without a free descriptor the accepting thread ran without a pause. Ruled out: memory; a frame of the handshake is at most 1,024 bytes. Change: 256 handshakes at a time, beyond which the oldest is shut down, and 2 s for a whole handshake.

--- a/crates/session/staircross-node/src/peers.rs
+++ b/crates/session/staircross-node/src/peers.rs
@@ -6,12 +6,14 @@
 //! arrived.
 
 mod connection;
+mod handshakes;
 
 use crate::event::CoreEvent;
 use crate::logs::Logs;
 use crate::metrics::Metrics;
 use connection::{Connection, ConnectionFault};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
+use handshakes::{HandshakeStream, Handshakes};
 use spdlog::{debug, info, warn};
 use staircross_cluster::ClusterMessage;
 use staircross_cluster::document_relay::DocumentMessage;
@@ -30,8 +32,10 @@
 const MAX_QUEUED_MESSAGES: usize = 8192;
 /// Longest wait for a connection to a peer to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest wait for a peer to accept written bytes, or for the next bytes of its handshake.
+/// Longest wait for a peer to accept written bytes, or for the next bytes of the handshake that this node began.
 const IO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a connection that couldn't be accepted, since the next attempt would fail at once too.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without messages after which this node closes a connection that it opened.
 const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time without bytes after which this node closes a connection that the peer opened.
@@ -51,6 +55,7 @@
     logs: Logs,
     metrics: Metrics,
     stop: Arc<AtomicBool>,
+    handshakes: Handshakes,
 }
 
 /// Arguments of [`PeerTransport::start`].
@@ -85,6 +90,7 @@
             logs: parts.logs,
             metrics: parts.metrics,
             stop: parts.stop,
+            handshakes: Handshakes::default(),
         });
         let acceptor = shared.clone();
         std::thread::Builder::new().name("peer accept".to_owned()).spawn(move || acceptor.run_acceptor(&listener))?;
@@ -188,26 +194,33 @@
             if self.stop.load(Ordering::Relaxed) {
                 return;
             }
-            let Ok(stream) = stream else {
-                continue;
+            let stream = match stream {
+                Ok(stream) => Arc::new(stream),
+                Err(error) => {
+                    warn!(logger: self.logs.peers, "event=accept_failed error={error:?}");
+                    std::thread::sleep(ACCEPT_RETRY_INTERVAL);
+                    continue;
+                }
             };
+            self.handshakes.begin(&stream);
             let reader = self.clone();
             let started =
-                std::thread::Builder::new().name("peer read".to_owned()).spawn(move || reader.run_reader(stream));
+                std::thread::Builder::new().name("peer read".to_owned()).spawn(move || reader.run_reader(&stream));
             if let Err(error) = started {
                 warn!(logger: self.logs.peers, "event=no_thread error={error:?}");
             }
         }
     }
 
-    fn run_reader(&self, mut stream: TcpStream) {
+    fn run_reader(&self, stream: &Arc<TcpStream>) {
         let peer = stream.peer_addr().map_or("unknown".to_owned(), |address| address.to_string());
-        if let Err(error) = self.accept_handshake(&mut stream) {
+        if let Err(error) = self.accept_handshake(stream) {
             self.count_dropped("connection");
             warn!(logger: self.logs.peers, "event=turned_away peer={peer} error={error:?}");
             return;
         }
-        let mut reader = BufReader::new(stream);
+        self.handshakes.end(stream);
+        let mut reader = BufReader::new(&**stream);
         loop {
             match read_frame::<PeerMessage>(&mut reader, MAX_FRAME) {
                 Ok(PeerMessage::Ping) => {
@@ -230,11 +243,10 @@
         }
     }
 
-    fn accept_handshake(&self, stream: &mut TcpStream) -> Result<(), staircross_wire::WireError> {
+    fn accept_handshake(&self, stream: &TcpStream) -> Result<(), staircross_wire::WireError> {
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(IO_TIMEOUT))?;
         stream.set_write_timeout(Some(IO_TIMEOUT))?;
-        staircross_wire::accept(stream, &self.key, rand::random())?;
+        staircross_wire::accept(&mut HandshakeStream::new(stream), &self.key, rand::random())?;
         stream.set_read_timeout(Some(READ_TIMEOUT))?;
         Ok(())
     }
--- a/crates/session/staircross-node/tests/peers.rs
+++ b/crates/session/staircross-node/tests/peers.rs
@@ -205,3 +205,40 @@
         assert_eq!(buf, [PONG]);
     }
 }
+
+/// Guards against strangers that hold a thread and a descriptor each for as long as they send a byte now and then.
+#[test]
+fn a_handshake_that_comes_byte_by_byte_has_the_time_of_one_handshake() {
+    let (_transport, _received, address) = start_listening_transport();
+    let mut stranger = TcpStream::connect(address).expect("connects");
+    stranger.set_read_timeout(Some(Duration::from_millis(300))).expect("a timeout");
+    let started = Instant::now();
+    // The length of a frame, and then its bytes.
+    let mut frame = [0, 0, 4, 0].into_iter().chain(std::iter::repeat(0));
+    loop {
+        assert!(started.elapsed() < WAIT_TIMEOUT, "the handshake goes on");
+        let is_closed = match stranger.read(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(error) => !matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut),
+        };
+        if is_closed || stranger.write_all(&[frame.next().expect("endless")]).is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against nodes that can't connect because strangers hold as many handshakes as there may be.
+#[test]
+fn a_node_that_connects_beside_many_strangers_is_heard() {
+    const STRANGERS: usize = 300;
+    let (_transport, received, address) = start_listening_transport();
+    let strangers: Vec<TcpStream> = (0..STRANGERS).map(|_| TcpStream::connect(address).expect("connects")).collect();
+    let mut peer = TcpStream::connect(address).expect("connects");
+    connect(&mut peer, &key(), NodeId(2), 3).expect("the key is known");
+    write_frame(&mut peer, &cancel(9)).expect("written");
+    let event = received.recv_timeout(WAIT_TIMEOUT).expect("the message");
+    assert!(matches!(event, CoreEvent::Peer(PeerMessage::Cancel { .. })));
+    let mut oldest = &strangers[0];
+    oldest.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
+    assert_eq!(oldest.read(&mut [0]).expect("closed"), 0, "the oldest handshake made room");
+}
