An answer whose status HTTP doesn't have is no answer

What callers saw: reported from other systems; here, a searcher's answer with a status of 600 to 999 was passed on with its stamp, in the session tier such results, states, documents and lists were believed, and 302 from a searcher. 000 to 099 counted as interim at the gateway and left the request to the next answer on the connection. Cause: httparse takes any three digits, the session tier's HTTP client 100 to 999. Ruled out: statuses that HTTP has and nobody knows, such as 299 and 599, are answers. Change: the range is checked where heads are parsed (gateway, soak, stand-ins), and in the session tier replies of searchers and of the platform must be successes. Why it works: every reader goes through one of the two places.

--- a/crates/session/staircross-node/src/client.rs
+++ b/crates/session/staircross-node/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client of a node for callers and operators, used by the command line and the lab.
 
 use crate::api::{SessionReply, StatementReply, StatusReply, TicketReply};
+use crate::http_status::require_final;
 use quick_error::quick_error;
 use serde::de::DeserializeOwned;
 use staircross_types::SessionToken;
@@ -63,7 +64,7 @@
     /// Closes a session.
     pub fn close_session(&self, session: SessionToken) -> Result<(), ClientError> {
         let url = self.url(&format!("/v1/sessions/{session}"));
-        self.agent.delete(url).call().map_err(|error| self.http_error(error))?;
+        self.agent.delete(url).call().and_then(require_final).map_err(|error| self.http_error(error))?;
         Ok(())
     }
 
@@ -112,7 +113,7 @@
         &self,
         response: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
     ) -> Result<String, ClientError> {
-        let mut response = response.map_err(|error| self.http_error(error))?;
+        let mut response = response.and_then(require_final).map_err(|error| self.http_error(error))?;
         let body = response.body_mut().with_config().limit(MAX_REPLY_BYTES).read_to_string();
         body.map_err(|error| self.http_error(error))
     }
--- a/crates/session/staircross-node/src/lib.rs
+++ b/crates/session/staircross-node/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`caller`] | commands of callers and operators, and the replies to them |
 //! | [`front`] | HTTP server for callers and operators |
 //! | [`front_message`] | messages that the core thread sends to the HTTP server |
+//! | `http_status` | which replies are believed, by their status |
 //! | [`searchers`] | connections to searchers |
 //! | [`peers`] | connections to other nodes |
 //! | [`platform`] | reader of the service document and the machine list |
@@ -22,6 +23,7 @@
 pub mod event;
 pub mod front;
 pub mod front_message;
+mod http_status;
 pub mod logs;
 pub mod metrics;
 pub mod node;
--- a/crates/session/staircross-node/src/platform.rs
+++ b/crates/session/staircross-node/src/platform.rs
@@ -4,6 +4,7 @@
 //! of the machine list that can't be used are left out.
 
 use crate::event::CoreEvent;
+use crate::http_status::require_success;
 use crate::logs::Logs;
 use crossbeam::channel::Sender;
 use spdlog::warn;
@@ -115,7 +116,7 @@
     }
 
     fn read(&self, url: &str) -> Result<String, ureq::Error> {
-        let mut response = self.agent.get(url).call()?;
+        let mut response = require_success(self.agent.get(url).call()?)?;
         response.body_mut().with_config().limit(MAX_REPLY_BYTES).read_to_string()
     }
 }
--- a/crates/session/staircross-node/src/searchers/call.rs
+++ b/crates/session/staircross-node/src/searchers/call.rs
@@ -1,5 +1,6 @@
 //! HTTP calls to a searcher, and the outcome that each way of failing implies.
 
+use crate::http_status::require_success;
 use crate::logs::Logs;
 use spdlog::{debug, warn};
 use staircross_search::leaf::not_run;
@@ -162,7 +163,8 @@
         serde_json::from_slice(&bytes).map_err(|error| CallFailure::Broken(error.to_string()))
     }
 
-    fn read_verified_body(&self, mut response: ureq::http::Response<ureq::Body>) -> Result<Vec<u8>, CallFailure> {
+    fn read_verified_body(&self, response: ureq::http::Response<ureq::Body>) -> Result<Vec<u8>, CallFailure> {
+        let mut response = require_success(response).map_err(classify_after_connecting)?;
         let digest = response.headers().get(DIGEST_HEADER).and_then(|value| value.to_str().ok()).map(str::to_owned);
         let body = response.body_mut().with_config().limit(self.max_reply_bytes);
         // The searcher has begun to reply, so it may have executed the call whatever fails from here on.
@@ -196,7 +198,7 @@
         };
         let request = self.unpooled_agent.post(format!("{}{CANCEL_PATH}", self.base_url));
         let sent = request.config().timeout_global(Some(CONTROL_TIMEOUT)).build().send(&body[..]);
-        match sent.and_then(|mut response| response.body_mut().read_to_vec()) {
+        match sent.and_then(require_success).and_then(|mut response| response.body_mut().read_to_vec()) {
             Ok(_) => {}
             Err(error) => debug!(logger: self.logs.searchers, "event=cancel_failed attempt={attempt} error={error:?}"),
         }
--- a/crates/session/staircross-node/tests/common/faulty_server.rs
+++ b/crates/session/staircross-node/tests/common/faulty_server.rs
@@ -1,4 +1,6 @@
-//! An HTTP server that sends more than its replies, or replies with unusual fields.
+//! An HTTP server that sends more than its replies, or replies with unusual fields or statuses.
+
+#![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -22,6 +24,8 @@
     LateBeginning(&'static str),
     /// Instead of each reply, this text and then the piece again and again, until the peer closes.
     Endless(&'static str, &'static str),
+    /// This status in each reply.
+    Status(&'static str),
     /// The first bytes of each reply's head or body, as many as given, and then a close.
     CutOff(usize),
 }
@@ -94,8 +98,12 @@
         Fault::StatusLineInField => "X-Upstream: HTTP/1.1 304 Not Modified\r\n",
         _ => "",
     };
+    let status = match fault {
+        Fault::Status(status) => status,
+        _ => "200",
+    };
     let Reply { fields, body } = reply;
-    let head = format!("HTTP/1.1 200 OK\r\n{field}{fields}Content-Length: {}\r\n\r\n", body.len());
+    let head = format!("HTTP/1.1 {status} OK\r\n{field}{fields}Content-Length: {}\r\n\r\n", body.len());
     [head.into_bytes(), body].concat()
 }
 
--- a/crates/session/staircross-node/tests/platform_reader.rs
+++ b/crates/session/staircross-node/tests/platform_reader.rs
@@ -170,3 +170,19 @@
         assert_eq!(listed, Some(true), "{odd:.200}");
     }
 }
+
+/// Guards against documents of a platform in trouble: its reply has a status that HTTP doesn't have, or no success.
+#[test]
+fn a_reply_whose_status_is_no_success_is_not_read() {
+    for status in ["000", "099", "199", "302", "404", "500", "600", "999"] {
+        let calls = Arc::new(AtomicU32::new(0));
+        let (events, stop) = start_reader(start_counting_platform(Fault::Status(status), calls.clone()));
+        let started = std::time::Instant::now();
+        while calls.load(Ordering::SeqCst) < 3 {
+            assert!(started.elapsed() < WAIT_TIMEOUT, "{status}: the platform isn't called");
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+        stop.store(true, Ordering::Relaxed);
+        assert!(events.try_recv().is_err(), "{status}: a document or a list");
+    }
+}
--- a/crates/session/staircross-node/tests/searcher_replies.rs
+++ b/crates/session/staircross-node/tests/searcher_replies.rs
@@ -157,6 +157,19 @@
     }
 }
 
+/// Guards against results of a searcher in trouble: its reply has a status that isn't a success, or that HTTP doesn't have.
+#[test]
+fn a_reply_whose_status_is_no_success_is_not_believed() {
+    for status in ["000", "099", "199", "204", "302", "404", "500", "600", "999"] {
+        let outcomes = search_times(Fault::Status(status), 1, Duration::from_secs(2));
+        assert!(!outcomes.iter().any(is_found), "{status}: {outcomes:?}");
+        let (searchers, events) = connect(Fault::Status(status));
+        searchers.probe(SEARCHER);
+        let event = events.recv_timeout(WAIT_TIMEOUT).expect("the end of the probe");
+        assert!(matches!(event, CoreEvent::Probed { report: None, .. }), "{status}: a state");
+    }
+}
+
 /// Guards against an empty or short result that is believed: a searcher stops in the middle of its head or its body and
 /// closes the connection cleanly.
 #[test]
--- a/crates/staircross-http/src/head.rs
+++ b/crates/staircross-http/src/head.rs
@@ -2,15 +2,19 @@
 
 use crate::headers::HeaderBlock;
 use quick_error::quick_error;
+use std::ops::RangeInclusive;
 
 /// Maximum number of header fields of one message.
 pub const MAX_FIELDS: usize = 96;
 
+/// Status codes that HTTP has. Others are three digits as well, but a response with one means nothing.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 quick_error! {
     /// Why a message is refused.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
     pub enum MessageError {
-        /// The bytes are no HTTP/1.0 or HTTP/1.1 message.
+        /// The bytes are no HTTP/1.0 or HTTP/1.1 message, or a response with a status that HTTP doesn't have.
         Malformed {
             display("the bytes are no HTTP/1.1 message")
         }
@@ -103,8 +107,12 @@
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete(length) => length,
         };
+        let status = response.code.unwrap_or_default();
+        if !STATUSES.contains(&status) {
+            return Err(MessageError::Malformed);
+        }
         let head = ResponseHead {
-            status: response.code.unwrap_or_default(),
+            status,
             minor_version: response.version.unwrap_or(1),
             headers: HeaderBlock::from_parsed(response.headers),
         };
--- a/crates/staircross-http/tests/framing.rs
+++ b/crates/staircross-http/tests/framing.rs
@@ -272,3 +272,26 @@
         }
     }
 }
+
+/// Guards against answers of servers in trouble that callers get as answers, or that hide the next one: their status is
+/// none that HTTP has.
+#[test]
+fn a_status_that_http_does_not_have_is_no_answer() {
+    for status in ["000", "001", "099", "600", "700", "999"] {
+        for length in [0, 5] {
+            let mut connection = waiting_for("b");
+            let body = &"wrong"[..length];
+            let head = format!("HTTP/1.1 {status} Odd\r\n{ID}: b\r\nContent-Length: {length}\r\n\r\n");
+            connection.receive(format!("{head}{body}{}", answer("b", "later")).as_bytes());
+            assert_eq!(connection.advance(), ClientProgress::Broken(ClientFault::Malformed), "{status}, {length}");
+        }
+    }
+    for status in [200, 299, 404, 499, 500, 599] {
+        let mut connection = waiting_for("b");
+        connection.receive(format!("HTTP/1.1 {status} Odd\r\n{ID}: b\r\nContent-Length: 0\r\n\r\n").as_bytes());
+        match connection.advance() {
+            ClientProgress::Answered(answer) => assert_eq!(answer.head.status, status),
+            other => panic!("{status}: {other:?}"),
+        }
+    }
+}
