--- a/crates/staircross-transport/src/server/room.rs
+++ b/crates/staircross-transport/src/server/room.rs
@@ -49,12 +49,12 @@
         let mut holders: Vec<(BootTime, usize)> =
             holders.map(|(slot, connection)| (connection.last_progress, slot)).collect();
         holders.sort_unstable();
-        // What the peer has acknowledged meanwhile is known only after asking the kernel.
-        while let [(_, slot), _, ..] = holders[..] {
-            holders.remove(0);
+        holders.pop();
+        for (_, slot) in holders {
             if !self.budget.is_exceeded() {
                 return;
             }
+            // What the peer has acknowledged meanwhile is known only after asking the kernel.
             self.connections[slot].socket.measure_outgoing();
             if self.connections[slot].held_bytes() > 0 {
                 self.end_for_room(slot, events);
