Budget of connections: blank lines

Cause: a constant had been moved and stood against the next item. Ruled out: any change of the code. Change: blank lines only. Measured: formatter clean; no test run, nothing compiles differently.

--- a/crates/staircross-transport/src/server/budget.rs
+++ b/crates/staircross-transport/src/server/budget.rs
@@ -6,16 +6,15 @@
 
 /// Minimum cost of an accepted connection in bytes.
 const MIN_CONNECTION_COST: usize = CONNECTION_BYTES + MIN_RECEIVE_BUFFER;
-
 /// Part of the budget that connections without bytes may take, as a divisor.
 const EMPTY_CONNECTIONS_DIVISOR: usize = 2;
-
 /// Memory of an accepted connection without its buffers, in bytes: its entry in the server and the kernel's socket.
 const CONNECTION_BYTES: usize = 3 * 1024;
 /// Minimum size of a receive buffer in bytes. A usual request fits, and a body isn't slowed down by many small windows.
 const MIN_RECEIVE_BUFFER: usize = 7 * 1024;
 /// Maximum size of a receive buffer in bytes. It lets a distant peer send a body in a few round trips.
 const MAX_RECEIVE_BUFFER: usize = 256 * 1024;
+
 /// What connections may cost together, and what they cost now.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Budget {
