Server: whether a request waits for its turn follows from the turn's count

Cause: read once more; each connection had a flag beside its count of requests in the turn, and both said the same. Change: a connection is noted for the next turn when it takes its last request of this one; the flag and the method that set it go. Ruled out: a request that is left lying; the connection is looked at in the next turn whether or not something waits, which costs a poll without a wait.

--- a/crates/staircross-transport/src/server.rs
+++ b/crates/staircross-transport/src/server.rs
@@ -7,10 +7,10 @@
 //! stream.
 //!
 //! `accepting` has the listeners, `connection` holds the state of one connection, `budget` says what all may cost
-//! together, and `room` ends connections when they cost more.
-//! Each turn of the node's loop ends with [`Server::resume`], so that a peer that sends many requests ahead waits for its
-//! turn like others. A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener
-//! serves.
+//! together, and `room` ends connections when they cost more. Each turn of the node's loop ends with [`Server::resume`],
+//! so that a peer that sends many requests ahead waits for its turn like others.
+//!
+//! A node has one server for all its listeners. The type parameter `E` tells them apart: it states what a listener serves.
 
 mod accepting;
 mod budget;
@@ -53,7 +53,7 @@
     budget: Budget,
     /// Number of the present turn.
     turn: u64,
-    /// Connections whose next request waits for the next turn.
+    /// Connections that took as many requests as they may in this turn; each further one waits for the next.
     deferred: Vec<SocketId>,
     /// Number of connections that ended in favour of new ones and haven't been reported.
     stalled_count: u64,
@@ -165,19 +165,15 @@
         self.settle(id, events);
     }
 
-    /// Begins the next turn: looks at the connections whose next request had to wait for it.
+    /// Begins the next turn: looks at the connections whose next request may have had to wait for it.
     pub fn resume(&mut self, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
         self.turn += 1;
         for id in std::mem::take(&mut self.deferred) {
-            let Some(connection) = self.get(id) else {
-                continue;
-            };
-            connection.is_deferred = false;
             self.continue_reading(id, io, events);
         }
     }
 
-    /// Returns whether a connection's next request waits for the next turn, which should begin at once.
+    /// Returns whether a connection's next request may wait for the next turn, which should begin at once.
     pub fn has_deferred(&self) -> bool {
         !self.deferred.is_empty()
     }
@@ -199,13 +195,13 @@
     /// Reads until nothing waits, and emits the request that is complete. While a connection can't take its next request,
     /// reading stops after [`Server::max_read_ahead`] bytes; what is left is read when it can, unless the peer has closed.
     fn read(&mut self, id: SocketId, io: &mut IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
-        let max_read_ahead = self.max_read_ahead();
+        let (max_read_ahead, turn) = (self.max_read_ahead(), self.turn);
         let mut discarded = 0;
         loop {
             let Some(connection) = self.get(id) else {
                 return;
             };
-            connection.has_unread = !connection.may_read(max_read_ahead) || discarded > MAX_READ_AHEAD;
+            connection.has_unread = !connection.may_read(max_read_ahead, turn) || discarded > MAX_READ_AHEAD;
             if connection.has_unread {
                 return self.stop_reading_ahead(id, events);
             }
@@ -264,12 +260,11 @@
     /// Emits the next request of a connection that can take one if it is complete, or a fault if it isn't valid.
     fn parse_next_request(&mut self, id: SocketId, io: &IoContext<'_>, events: &mut Vec<ServerEvent<E>>) {
         let turn = self.turn;
-        let Some(connection) = self.get(id).filter(|connection| connection.can_take_request()) else {
+        let may_take =
+            |connection: &&mut Connection<E>| connection.can_take_request() && connection.may_take_request_in(turn);
+        let Some(connection) = self.get(id).filter(may_take) else {
             return;
         };
-        if connection.is_deferred || !connection.may_take_request_in(turn) {
-            return self.defer(id);
-        }
         let endpoint = connection.endpoint;
         match connection.advance(io) {
             ServerProgress::NeedMore { continue_expected: false } => {}
@@ -281,7 +276,11 @@
                 connection.begin_answer(&request, turn);
                 let info = connection.info;
                 connection.info.is_new = false;
+                let is_last_in_turn = !connection.may_take_request_in(turn);
                 let is_long = connection.request_bytes > self.max_read_ahead();
+                if is_last_in_turn {
+                    self.deferred.push(id);
+                }
                 self.settle(id, events);
                 if is_long && self.budget.is_exceeded() {
                     return self.drop_request(id, events);
@@ -295,14 +294,6 @@
         }
     }
 
-    /// Leaves the next request of a connection for the next turn.
-    fn defer(&mut self, id: SocketId) {
-        if let Some(connection) = self.get(id).filter(|connection| !connection.is_deferred) {
-            connection.is_deferred = true;
-            self.deferred.push(id);
-        }
-    }
-
     /// Writes the answer to the connection's current request. If `closes` is set, the connection ends after the answer.
     pub fn respond(
         &mut self,
--- a/crates/staircross-transport/src/server/accepting.rs
+++ b/crates/staircross-transport/src/server/accepting.rs
@@ -150,7 +150,6 @@
             request_bytes: 0,
             requests_in_turn: 0,
             turn: 0,
-            is_deferred: false,
             charged: 0,
         };
         entry.insert(connection);
--- a/crates/staircross-transport/src/server/connection.rs
+++ b/crates/staircross-transport/src/server/connection.rs
@@ -63,8 +63,6 @@
     pub requests_in_turn: u32,
     /// The last turn in which a request was taken.
     pub turn: u64,
-    /// Whether the next request has to wait for another turn.
-    pub is_deferred: bool,
     /// Number of bytes that the connection is charged with.
     pub charged: usize,
 }
@@ -77,8 +75,8 @@
     }
 
     /// Returns whether what arrives may be read: it belongs to the next request, or little was read ahead of that.
-    pub fn may_read(&self, max_read_ahead: usize) -> bool {
-        let is_expected = self.can_take_request() && !self.is_deferred;
+    pub fn may_read(&self, max_read_ahead: usize, turn: u64) -> bool {
+        let is_expected = self.can_take_request() && self.may_take_request_in(turn);
         self.state == State::Closing || is_expected || self.http.buffered_bytes() < max_read_ahead
     }
 
