Crowds and meters: one thread that ends with its owner, one reading of the peak

Change: Background, peak_memory, CrowdPlan::once and ::ahead; a meter's first reading must succeed, and a status without a peak is an error. Crowds, bounds and assertions are as they were; the check is stricter by the first reading. Ruled out: one file of heads for both tiers; the platform's names stay in platform/.

--- a/crates/session/staircross-standin/src/crowd.rs
+++ b/crates/session/staircross-standin/src/crowd.rs
@@ -3,12 +3,13 @@
 //! One thread writes to all connections in turn, never reads, and replaces connections that the server closes. The
 //! number of connections, of their replacements and of the bytes on each is bounded.
 
+use crate::background::Background;
 use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::Duration;
 
 /// Size of a client's receive buffer in bytes, so that answers that it doesn't read stay at the server.
@@ -33,21 +34,30 @@
     pub max_repeated: usize,
 }
 
+impl CrowdPlan {
+    /// Plans a crowd that sends these bytes once on each connection.
+    pub fn once(connections: usize, opening: Vec<u8>) -> CrowdPlan {
+        CrowdPlan { connections, opening, repeated: Vec::new(), max_repeated: 0 }
+    }
+
+    /// Plans a crowd that sends these bytes again and again, at most `max_repeated` bytes on each connection.
+    pub fn ahead(connections: usize, repeated: Vec<u8>, max_repeated: usize) -> CrowdPlan {
+        CrowdPlan { connections, opening: Vec::new(), repeated, max_repeated }
+    }
+}
+
 /// A running crowd. Its connections close when this value is dropped.
 pub struct Crowd {
-    stop: Arc<AtomicBool>,
     opened: Arc<AtomicUsize>,
-    thread: Option<JoinHandle<()>>,
+    _thread: Background,
 }
 
 impl Crowd {
     /// Starts a crowd at a server.
     pub fn start(address: SocketAddr, plan: CrowdPlan) -> Crowd {
-        let stop = Arc::new(AtomicBool::new(false));
         let opened = Arc::new(AtomicUsize::new(0));
-        let (stopped, count) = (stop.clone(), opened.clone());
-        let thread = thread::spawn(move || run(address, &plan, &stopped, &count));
-        Crowd { stop, opened, thread: Some(thread) }
+        let count = opened.clone();
+        Crowd { opened, _thread: Background::spawn(move |stop| run(address, &plan, stop, &count)) }
     }
 
     /// Returns the number of connections that the crowd has opened.
@@ -56,16 +66,6 @@
     }
 }
 
-impl Drop for Crowd {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        if let Some(thread) = self.thread.take() {
-            // A panic of the crowd's thread has been printed, and doesn't concern the server.
-            let _printed = thread.join();
-        }
-    }
-}
-
 /// One connection and the number of bytes that it has sent.
 struct Client {
     stream: TcpStream,
--- a/crates/session/staircross-standin/src/lib.rs
+++ b/crates/session/staircross-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! | module | content |
 //! | --- | --- |
+//! | [`background`] | a thread that runs until its owner is dropped |
 //! | [`corpus`] | documents read from JSON lines |
 //! | [`crowd`] | clients that send without reading |
 //! | [`index`] | inverted index of each shard |
@@ -14,6 +15,7 @@
 //! | [`process_cost`] | memory, socket queues and descriptors of a process |
 //! | [`http`] | helper functions of both servers |
 
+pub mod background;
 pub mod corpus;
 pub mod crowd;
 pub mod faults;
--- a/crates/session/staircross-standin/src/process_cost.rs
+++ b/crates/session/staircross-standin/src/process_cost.rs
@@ -1,11 +1,12 @@
 //! What a process costs its machine: memory, bytes in the queues of its sockets, and descriptors.
 
+use crate::background::Background;
 use std::collections::HashSet;
 use std::fs;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::Duration;
 
 /// State of a listening socket in `/proc/net/tcp`, whose queue counts connections instead of bytes.
@@ -28,9 +29,7 @@
     /// Reads the cost of a process. `ports` are the ports that it listens on: they find the sockets that the system
     /// holds for it without a descriptor.
     pub fn read(pid: u32, ports: &[u16]) -> io::Result<ProcessCost> {
-        let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let peak_kb = peak.and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok()).unwrap_or(0);
+        let peak_memory = peak_memory(pid)?;
         let mut descriptors = 0;
         let mut inodes = HashSet::new();
         for entry in fs::read_dir(format!("/proc/{pid}/fd"))? {
@@ -43,10 +42,22 @@
         }
         let table = fs::read_to_string(format!("/proc/{pid}/net/tcp"))?;
         let queued = table.lines().skip(1).filter_map(|row| queued_bytes(row, &inodes, ports)).sum();
-        Ok(ProcessCost { peak_memory: peak_kb * 1024, queued, descriptors })
+        Ok(ProcessCost { peak_memory, queued, descriptors })
     }
 }
 
+/// Returns the peak of a process's resident memory since it began, in bytes.
+///
+/// # Errors
+///
+/// Returns an error if there is no such process, or if the system doesn't tell.
+pub fn peak_memory(pid: u32) -> io::Result<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak_kb = peak.and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok());
+    peak_kb.map(|peak_kb| peak_kb * 1024).ok_or_else(|| io::Error::other("the status has no peak of the memory"))
+}
+
 /// Returns the bytes in the queues of the socket in a row of `/proc/net/tcp`, or `None` if the process doesn't own it.
 fn queued_bytes(row: &str, inodes: &HashSet<String>, ports: &[u16]) -> Option<u64> {
     let columns: Vec<&str> = row.split_whitespace().collect();
@@ -67,30 +78,39 @@
     descriptors: AtomicU64,
 }
 
+impl Peaks {
+    fn add(&self, cost: ProcessCost) {
+        self.memory.fetch_max(cost.peak_memory + cost.queued, Ordering::Relaxed);
+        self.descriptors.fetch_max(cost.descriptors, Ordering::Relaxed);
+    }
+}
+
 /// Reads the cost of a process again and again and keeps the highest figures, until it is dropped.
 pub struct CostMeter {
     peaks: Arc<Peaks>,
-    stop: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
+    _thread: Background,
 }
 
 impl CostMeter {
-    /// Starts to read the cost of a process that listens on `ports`.
-    pub fn start(pid: u32, ports: Vec<u16>) -> CostMeter {
+    /// Reads the cost of a process that listens on `ports` once, and starts to read it again and again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the cost can't be read.
+    pub fn start(pid: u32, ports: Vec<u16>) -> io::Result<CostMeter> {
         let peaks = Arc::new(Peaks::default());
-        let stop = Arc::new(AtomicBool::new(false));
-        let (shared, stopped) = (peaks.clone(), stop.clone());
-        let thread = thread::spawn(move || {
-            while !stopped.load(Ordering::Relaxed) {
+        peaks.add(ProcessCost::read(pid, &ports)?);
+        let shared = peaks.clone();
+        let read_again = move |stop: &AtomicBool| {
+            while !stop.load(Ordering::Relaxed) {
                 // The process may have ended, which the test notices by itself.
                 if let Ok(cost) = ProcessCost::read(pid, &ports) {
-                    shared.memory.fetch_max(cost.peak_memory + cost.queued, Ordering::Relaxed);
-                    shared.descriptors.fetch_max(cost.descriptors, Ordering::Relaxed);
+                    shared.add(cost);
                 }
                 thread::sleep(INTERVAL);
             }
-        });
-        CostMeter { peaks, stop, thread: Some(thread) }
+        };
+        Ok(CostMeter { peaks, _thread: Background::spawn(read_again) })
     }
 
     /// Returns the highest sum of peak memory and queued bytes, in bytes.
@@ -103,13 +123,3 @@
         self.peaks.descriptors.load(Ordering::Relaxed)
     }
 }
-
-impl Drop for CostMeter {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread has been printed.
-            let _printed = thread.join();
-        }
-    }
-}
--- a/crates/staircross/tests/misbehaving_clients.rs
+++ b/crates/staircross/tests/misbehaving_clients.rs
@@ -107,24 +107,24 @@
         let line = |number: usize| if number.is_multiple_of(2) { "GET /v1/status" } else { "GET /metrics" };
         let request = |number: usize| head.request(line(number), number) + "\r\n";
         let repeated = (0..DIFFERENT_REQUESTS).flat_map(|number| request(number).into_bytes()).collect();
-        CrowdPlan { connections: 16, opening: vec![], repeated, max_repeated: 16_000_000 }
+        CrowdPlan::ahead(16, repeated, 16_000_000)
     }
 
     pub fn half_heads(head: Head) -> CrowdPlan {
         let begin = head.request("GET /v1/status", 0) + "X-Filler: ";
         let filler = "x".repeat(HALF_HEAD - begin.len());
-        CrowdPlan { connections: MANY, opening: (begin + &filler).into_bytes(), repeated: vec![], max_repeated: 0 }
+        CrowdPlan::once(MANY, (begin + &filler).into_bytes())
     }
 
     pub fn stopped_bodies(head: Head) -> CrowdPlan {
         let begin = format!("{}Content-Length: {BODY}\r\n\r\n", head.request("POST /v1/command", 0));
         let opening = [begin.as_bytes(), &vec![b'x'; BODY - 1]].concat();
-        CrowdPlan { connections: MANY, opening, repeated: vec![], max_repeated: 0 }
+        CrowdPlan::once(MANY, opening)
     }
 
     pub fn many_connections(head: Head) -> CrowdPlan {
         let opening = (head.request("GET /v1/status", 0) + "\r\n").into_bytes();
-        CrowdPlan { connections: MANY, opening, repeated: vec![], max_repeated: 0 }
+        CrowdPlan::once(MANY, opening)
     }
 }
 
@@ -133,22 +133,22 @@
     use super::{CrowdPlan, Head, MANY};
 
     pub fn answers_unread(head: Head) -> CrowdPlan {
-        CrowdPlan { connections: 16, opening: vec![], repeated: head.frame(), max_repeated: 16_000_000 }
+        CrowdPlan::ahead(16, head.frame(), 16_000_000)
     }
 
     pub fn half_heads(head: Head) -> CrowdPlan {
         let frame = head.frame();
         let opening = frame[..frame.len() / 2].to_vec();
-        CrowdPlan { connections: MANY, opening, repeated: vec![], max_repeated: 0 }
+        CrowdPlan::once(MANY, opening)
     }
 
     pub fn stopped_bodies(head: Head) -> CrowdPlan {
         let opening = [head.frame(), vec![0, 0, 4, 0], vec![0; 1000]].concat();
-        CrowdPlan { connections: MANY, opening, repeated: vec![], max_repeated: 0 }
+        CrowdPlan::once(MANY, opening)
     }
 
     pub fn many_connections(head: Head) -> CrowdPlan {
-        CrowdPlan { connections: MANY, opening: head.frame(), repeated: vec![], max_repeated: 0 }
+        CrowdPlan::once(MANY, head.frame())
     }
 }
 
@@ -169,7 +169,7 @@
     std::fs::create_dir_all(&folder).expect("a folder for settings");
     let mut fleet = Fleet::start_with(&folder, LIMITS);
     let ports = vec![fleet.callers[0].port(), fleet.peers[0].port()];
-    let meter = CostMeter::start(fleet.nodes[0].id(), ports);
+    let meter = CostMeter::start(fleet.nodes[0].id(), ports).expect("a live process");
     let mut findings = Vec::new();
     for head in HEADS {
         let crowd = Crowd::start(address(&fleet), plan(head));
