--- a/crates/staircross-gateway/src/fleet/readers.rs
+++ b/crates/staircross-gateway/src/fleet/readers.rs
@@ -11,7 +11,7 @@
 use crate::store_role::READERS_PER_REGION;
 use rand::seq::IndexedRandom;
 use staircross_cluster::{Member, MemberState};
-use staircross_routing::Mirror;
+use staircross_routing::{Mirror, StoreRevision};
 use staircross_types::{BootTime, NodeId};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,7 +27,7 @@
     /// Address for peers.
     pub address: SocketAddr,
     /// Newest store revision of a searcher's entry that the peer has announced.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 impl Fleet {
@@ -117,7 +117,7 @@
         self.own_announcement.version = mirror.version();
         self.own_announcement.revision = mirror.newest_revision();
         let is_ahead = mirror.latest_revision() > self.own_announcement.revision;
-        self.own_announcement.latest = if is_ahead { mirror.latest_revision() } else { 0 };
+        self.own_announcement.latest = if is_ahead { mirror.latest_revision() } else { StoreRevision::NONE };
         self.own_announcement.evacuations = mirror.evacuations_revision();
         self.confirmation.set_version(self.own_announcement.version);
         before != self.own_announcement
@@ -131,7 +131,11 @@
             is_version_behind.then(|| self.version_behind_since.map_or(now, |since| since.min(now)));
         let own = self.membership.own();
         let distance = |member: &Member| (member.region != own.region, member.zone != own.zone);
-        let announced = |member: &Member| self.peer_announcements.get(&member.node).copied();
+        let own_epoch = self.own_announcement.revision.epoch;
+        let announced = |member: &Member| {
+            let known = self.peer_announcements.get(&member.node)?;
+            Some(known.assuming_epoch(own_epoch))
+        };
         let ahead: Vec<(&Member, Announcement)> = self
             .live_members()
             .filter_map(|member| Some((member, announced(member)?)))
--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -139,9 +139,21 @@
 
     /// Starts a `GET` call; any earlier call must have ended. Returns the outcome if the call fails at once.
     pub fn get(&mut self, target: &str, timeout: Duration, io: &mut IoContext<'_>) -> Option<CallOutcome> {
+        self.get_with_fields(target, &[], timeout, io)
+    }
+
+    /// Starts a `GET` call like [`HttpClient::get`], with further header fields.
+    pub fn get_with_fields(
+        &mut self,
+        target: &str,
+        fields: &[(&str, &str)],
+        timeout: Duration,
+        io: &mut IoContext<'_>,
+    ) -> Option<CallOutcome> {
         let mut request = Vec::with_capacity(160);
         write::request_line(&mut request, "GET", target);
         write::field_display(&mut request, "Host", self.address);
+        fields.iter().for_each(|(name, value)| write::field(&mut request, name, value.as_bytes()));
         write::end_head(&mut request);
         let deadline = io.now + timeout;
         let connect_deadline = io.now + CONNECT_TIMEOUT;
--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`endpoint`] | what each listener serves |
 //! | [`pool`] | connections to searchers |
 //! | [`connection_reuse`] | whether connections to a server may carry more than one request |
+//! | [`pull_request`] | the request by which a node asks a peer for what it lacks |
 //! | [`peer_answers`] | sizes of the answers sent to peers within the last second |
 //! | [`case_pushes`] | rate limit of pushes of case records to peers |
 //! | [`http_call`] | one outgoing HTTP call at a time, to the store or a peer |
@@ -52,6 +53,7 @@
 pub mod outbound;
 pub mod peer_answers;
 pub mod pool;
+pub mod pull_request;
 pub mod recorder;
 pub mod settings;
 pub mod store_role;
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -4,11 +4,11 @@
 //! dialect for the format of the readiness and directory endpoints.
 
 use super::GatewayNode;
-use super::updates::{ANY_SIZE_SUFFIX, EVACUATIONS_PARAM, PULL_TARGET_PREFIX, VERSION_PARAM};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
 use crate::metrics::{ComponentMetrics, StoreSilence};
 use crate::outbound::AnswerContext;
+use crate::pull_request;
 use crate::store_role::StoreRole;
 use staircross_http::Request;
 use staircross_routing::store_reader::Lane;
@@ -62,7 +62,9 @@
 
     /// Answers a peer's pull with the updates that the peer lacks.
     fn answer_pull(&mut self, context: &AnswerContext<'_>, request: &Request) -> Vec<u8> {
-        let Some(peer) = parse_peer_knowledge(&request.head.target) else {
+        let epochs = request.head.headers.text(pull_request::EPOCHS_FIELD);
+        let assumed = self.mirror.known_revision().epoch;
+        let Some(peer) = pull_request::parse(&request.head.target, epochs, assumed) else {
             return context.plain(404, "text/plain", b"");
         };
         let peer = PeerKnowledge { accepts: self.limit_to_link_capacity(peer.accepts), ..peer };
@@ -101,7 +103,7 @@
             server_connections: self.server.connection_count(),
             searcher_connections: self.pool.connection_count(),
             config_version: self.mirror.version(),
-            store_revision: self.mirror.newest_revision(),
+            store_revision: self.mirror.newest_revision().count,
             store_silence_ms: StoreSilence {
                 configuration: self.store_silence_ms(Lane::Configuration),
                 searchers: self.store_silence_ms(Lane::Searchers),
@@ -122,19 +124,3 @@
         self.metrics.render(self.engine.counters, components, self.all_traffic())
     }
 }
-
-/// Parses the target of a pull; returns what the peer knows already, or `None` if the target is malformed.
-fn parse_peer_knowledge(target: &str) -> Option<PeerKnowledge> {
-    let (revision, rest) = target.strip_prefix(PULL_TARGET_PREFIX)?.split_once(VERSION_PARAM)?;
-    let (rest, accepts) = match rest.strip_suffix(ANY_SIZE_SUFFIX) {
-        Some(rest) => (rest, AcceptedConfiguration::Any),
-        None => (rest, AcceptedConfiguration::Small),
-    };
-    let (version, evacuations) = rest.split_once(EVACUATIONS_PARAM)?;
-    Some(PeerKnowledge {
-        revision: revision.parse().ok()?,
-        version: version.parse().ok()?,
-        evacuations: evacuations.parse().ok()?,
-        accepts,
-    })
-}
--- a/crates/staircross-gateway/src/node/updates.rs
+++ b/crates/staircross-gateway/src/node/updates.rs
@@ -23,8 +23,6 @@
 mod peers;
 mod store;
 
-pub(super) use peers::{ANY_SIZE_SUFFIX, EVACUATIONS_PARAM, PULL_TARGET_PREFIX, VERSION_PARAM};
-
 use super::GatewayNode;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -1,17 +1,18 @@
 //! Pulls: a node that is behind asks a peer that is ahead for the missing updates.
 //!
-//! This module owns the format of the request target; one pull at a time is in flight. The fleet says which peer is
-//! ahead, and the mirror what this node has already. `endpoints` answers the pulls of peers.
+//! One pull at a time is in flight. The fleet says which peer is ahead, the mirror what this node has already, and
+//! `pull_request` how that is written. `endpoints` answers the pulls of peers.
 
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::fleet::PullPeer;
 use crate::http_call::CallOutcome;
 use crate::node::GatewayNode;
+use crate::pull_request;
 use crate::store_role::StoreRole;
 use crate::traffic::Purpose;
-use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::Lane;
+use staircross_routing::{AcceptedConfiguration, MirrorUpdate, PeerKnowledge, StoreRevision};
 use staircross_transport::socket::{Readiness, SocketId};
 use staircross_wire::frame::decode;
 use std::time::Duration;
@@ -20,14 +21,6 @@
 /// plus the time that a peer's link needs for a configuration that is passed on, and shorter than the bounds on
 /// updates.
 const PULL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Prefix of the request target of a pull; the revision after which changes are wanted follows it.
-pub(in crate::node) const PULL_TARGET_PREFIX: &str = "/changes?after=";
-/// Parameter after the revision: the version of the configuration that the pulling node has.
-pub(in crate::node) const VERSION_PARAM: &str = "&version=";
-/// Parameter after the version: the revision up to which the pulling node knows evacuations.
-pub(in crate::node) const EVACUATIONS_PARAM: &str = "&evacuations=";
-/// Suffix of the target if the pulling node accepts a configuration of any size.
-pub(in crate::node) const ANY_SIZE_SUFFIX: &str = "&any-size";
 /// HTTP status of an answer that holds an update.
 const HTTP_OK: u16 = 200;
 
@@ -43,22 +36,26 @@
         };
         self.fleet.record_pull_start(self.now);
         self.peer_client.set_address(peer.address);
-        let (revision, version) = (self.pull_revision(peer), self.mirror.version());
-        let evacuations = self.mirror.evacuations_revision();
         let (is_served, behind_since) = (self.store_reader.is_reachable(), self.fleet.version_behind_since());
         let takes_any = is_reading && self.store_role.should_pull_any_size(self.now, is_served, behind_since);
-        let any_size = if takes_any { ANY_SIZE_SUFFIX } else { "" };
-        let target =
-            format!("{PULL_TARGET_PREFIX}{revision}{VERSION_PARAM}{version}{EVACUATIONS_PARAM}{evacuations}{any_size}");
+        let known = PeerKnowledge {
+            revision: self.pull_revision(peer),
+            version: self.mirror.version(),
+            evacuations: self.mirror.evacuations_revision(),
+            accepts: if takes_any { AcceptedConfiguration::Any } else { AcceptedConfiguration::Small },
+        };
+        let (target, epochs) = (pull_request::target(&known), pull_request::epochs(&known));
+        let fields: Vec<(&str, &str)> =
+            epochs.iter().map(|epochs| (pull_request::EPOCHS_FIELD, epochs.as_str())).collect();
         let mut io = Self::io_context(self.now, &self.poll, &mut self.buffer, &self.engine);
-        if let Some(outcome) = self.peer_client.get(&target, PULL_TIMEOUT, &mut io) {
+        if let Some(outcome) = self.peer_client.get_with_fields(&target, &fields, PULL_TIMEOUT, &mut io) {
             self.on_peer_outcome(outcome);
         }
     }
 
     /// Returns the revision after which changes of searchers are pulled. It is the one up to which this node takes all
     /// changes to be known, unless the peer knows a change before it that this node has missed.
-    fn pull_revision(&self, peer: PullPeer) -> u64 {
+    fn pull_revision(&self, peer: PullPeer) -> StoreRevision {
         let (known, latest) = (self.mirror.known_revision(), self.mirror.latest_revision());
         let has_missed_change = latest < peer.revision && peer.revision <= known;
         if has_missed_change { latest } else { known }
@@ -90,7 +87,7 @@
         let Some(update) = update else {
             return self.store_role.record_pull_failed(self.now);
         };
-        self.apply_update(update, "peer");
+        self.apply_update(update.assuming_epoch(self.mirror.known_revision().epoch), "peer");
         let mut actions = Vec::new();
         let (searchers, operator) = (self.mirror.known_revision(), self.mirror.operator_up_to());
         self.note_receiving();
--- a/crates/staircross-gateway/src/unreadable_log.rs
+++ b/crates/staircross-gateway/src/unreadable_log.rs
@@ -6,7 +6,7 @@
 //! [`UnreadableLog`] owns the logged revisions by store key; the node writes the lines.
 
 use hashbrown::HashMap;
-use staircross_routing::UnreadableItem;
+use staircross_routing::{StoreRevision, UnreadableItem};
 
 /// Maximum number of items remembered, at some 100 bytes each, which bounds the memory to some 100 KB. When it is
 /// exceeded, the list is cleared and all items are logged again.
@@ -15,7 +15,7 @@
 /// The logged revisions of unusable items, by store key.
 #[derive(Debug, Default)]
 pub struct UnreadableLog {
-    logged: HashMap<String, Option<u64>>,
+    logged: HashMap<String, Option<StoreRevision>>,
 }
 
 impl UnreadableLog {
--- a/crates/staircross-gateway/tests/unreadable_log.rs
+++ b/crates/staircross-gateway/tests/unreadable_log.rs
@@ -1,10 +1,15 @@
 //! Tests that an unusable item of the store is logged once for each of its revisions.
 
 use staircross_gateway::unreadable_log::UnreadableLog;
-use staircross_routing::{KeyKind, UnreadableItem, UnreadableReason};
+use staircross_routing::{KeyKind, StoreEpoch, StoreRevision, UnreadableItem, UnreadableReason};
 
 fn item(number: u64, revision: u64) -> UnreadableItem {
-    UnreadableItem::new(KeyKind::Searcher, &format!("k{number}"), Some(revision), UnreadableReason::Item)
+    UnreadableItem::new(
+        KeyKind::Searcher,
+        &format!("k{number}"),
+        Some(StoreRevision::new(StoreEpoch::UNTOLD, revision)),
+        UnreadableReason::Item,
+    )
 }
 
 #[test]
--- a/crates/staircross-routing/src/lib.rs
+++ b/crates/staircross-routing/src/lib.rs
@@ -42,4 +42,5 @@
 pub use state::request::{
     Arrival, AttemptOutcome, CallerLink, ConfigurationView, MergedAnswer, NotRun, RequestOutcome, SearcherAnswer,
 };
+pub use state::store_revision::{StoreEpoch, StoreRevision};
 pub use state::unreadable::{KeyKind, UnreadableItem, UnreadableReason};
--- a/crates/staircross-routing/src/state.rs
+++ b/crates/staircross-routing/src/state.rs
@@ -10,6 +10,9 @@
 //! | `disputes` | the searchers of whose entries the store holds another than the one that counts |
 //! | [`known_configuration`] | the newest known configuration, and which part of it a peer is sent |
 //! | [`mirror`] | this node's copy of the platform's store, merged by revision |
+//! | [`store_revision`] | points in the store's history, across its returns from older copies |
+//! | [`mirror_update`] | updates of the mirror, what a peer knows already, and the net effect of a merge |
+//! | `update_encoding` | how an update is encoded for a peer |
 //! | `known_revisions` | the revision up to which all changes are known, and the newest known change |
 //! | [`evacuations`] | the zones whose searchers must get no new work |
 //! | [`unreadable`] | items of the store that can't be used, and the reasons |
@@ -26,9 +29,12 @@
 mod known_entries;
 mod known_revisions;
 pub mod mirror;
+pub mod mirror_update;
 pub mod rejection;
 pub mod report;
 pub mod request;
 pub mod searcher;
 pub mod searcher_entry;
+pub mod store_revision;
 pub mod unreadable;
+mod update_encoding;
--- a/crates/staircross-routing/src/state/evacuations.rs
+++ b/crates/staircross-routing/src/state/evacuations.rs
@@ -1,17 +1,18 @@
 //! The zones that are evacuated, whose searchers must get no new work, by revision.
 //!
-//! This module holds the last change of each zone and the revision of the newest listing. It depends on no other
-//! module; the mirror merges updates into it.
+//! This module holds the last change of each zone and the revision of the newest listing; the mirror merges updates into
+//! it.
 //!
 //! The end of an evacuation is remembered with its revision, as its start is, so that updates may arrive in any order
 //! from the store or from peers. There is at most one entry for each zone.
 
+use crate::state::store_revision::StoreRevision;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 #[derive(Clone, Copy, Debug)]
 struct ZoneState {
-    revision: u64,
+    revision: StoreRevision,
     is_active: bool,
 }
 
@@ -19,7 +20,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneChange {
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The zone.
     pub zone: Arc<str>,
     /// Whether the zone is being evacuated: its searchers must get no new work.
@@ -30,13 +31,13 @@
 #[derive(Debug, Default)]
 pub struct Evacuations {
     zones: BTreeMap<Arc<str>, ZoneState>,
-    /// Revision of the newest listing of all evacuations; 0 before the first listing.
-    listed_revision: u64,
+    /// Revision of the newest listing of all evacuations, if there was one.
+    listed_revision: StoreRevision,
 }
 
 impl Evacuations {
     /// Merges the start or end of an evacuation. Returns whether the set of evacuated zones changed.
-    pub fn merge_change(&mut self, revision: u64, zone: Arc<str>, is_active: bool) -> bool {
+    pub fn merge_change(&mut self, revision: StoreRevision, zone: Arc<str>, is_active: bool) -> bool {
         let known = self.zones.get(&zone).copied();
         // An evacuation that the newest listing left out had ended by that listing, but a peer that doesn't know of the
         // end may still send the start. The end is inserted, so that this node counts as knowing more than that peer,
@@ -55,7 +56,7 @@
 
     /// Merges a complete listing at `revision`: evacuations that it leaves out had ended by then.
     /// Returns whether any known evacuation ended that way.
-    pub fn merge_listing(&mut self, revision: u64, listed: &[Arc<str>]) -> bool {
+    pub fn merge_listing(&mut self, revision: StoreRevision, listed: &[Arc<str>]) -> bool {
         self.listed_revision = self.listed_revision.max(revision);
         let mut has_ended = false;
         for (zone, state) in &mut self.zones {
@@ -73,16 +74,16 @@
         active.map(|(zone, _)| zone.clone()).collect()
     }
 
-    /// Returns the revision of the newest known change or listing; 0 while no evacuation is known. A listing counts,
+    /// Returns the revision of the newest known change or listing, or none while no evacuation is known. A listing counts,
     /// because any evacuation that it leaves out may have ended just before.
-    pub fn newest(&self) -> u64 {
+    pub fn newest(&self) -> StoreRevision {
         let newest_change = self.zones.values().map(|state| state.revision).max();
-        newest_change.map_or(0, |revision| revision.max(self.listed_revision))
+        newest_change.map_or(StoreRevision::NONE, |revision| revision.max(self.listed_revision))
     }
 
     /// Returns the revision of the newest listing of all evacuations, if there was one.
-    pub fn listed_revision(&self) -> Option<u64> {
-        (self.listed_revision > 0).then_some(self.listed_revision)
+    pub fn listed_revision(&self) -> Option<StoreRevision> {
+        (!self.listed_revision.is_none()).then_some(self.listed_revision)
     }
 
     /// Returns the changes that a peer lacks which knows all changes up to `revision`.
@@ -90,7 +91,7 @@
     /// Active evacuations are always sent, so the peer can tell that an evacuation that isn't sent had ended by
     /// [`Self::listed_revision`]. A node that has merged a peer's update watches the store only from the revision up to
     /// which that update was complete, and would never learn of earlier ends.
-    pub fn changes_after(&self, revision: u64) -> impl Iterator<Item = ZoneChange> {
+    pub fn changes_after(&self, revision: StoreRevision) -> impl Iterator<Item = ZoneChange> {
         let newer = self.zones.iter().filter(move |(_, state)| state.revision > revision || state.is_active);
         newer.map(|(zone, state)| ZoneChange {
             revision: state.revision,
--- a/crates/staircross-routing/src/state/known_configuration.rs
+++ b/crates/staircross-routing/src/state/known_configuration.rs
@@ -5,6 +5,7 @@
 
 use crate::configuration::definition::{RouteDefinition, RouteTarget, RoutingDefinition};
 use crate::configuration::delta::DefinitionDelta;
+use crate::state::store_revision::StoreRevision;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -48,7 +49,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct KnownConfiguration {
     /// The newest version and the store's revision at which it was written.
-    newest: Option<(u64, Arc<RoutingDefinition>)>,
+    newest: Option<(StoreRevision, Arc<RoutingDefinition>)>,
     /// The kept deltas, the newest last; each starts from the version to which the delta before it leads.
     deltas: VecDeque<DefinitionDelta>,
 }
@@ -67,7 +68,7 @@
     /// compared, not revisions, so the version never falls.
     pub fn replace_if_newer(
         &mut self,
-        revision: u64,
+        revision: StoreRevision,
         definition: Arc<RoutingDefinition>,
     ) -> Option<Arc<RoutingDefinition>> {
         if definition.version <= self.version() && self.newest.is_some() {
@@ -82,7 +83,11 @@
     ///
     /// Deltas that can't be applied to the known version, or whose result doesn't match their digest, are ignored. The
     /// node then stays at its version and reads the whole configuration later.
-    pub fn apply_deltas(&mut self, revision: u64, deltas: &[DefinitionDelta]) -> Option<Arc<RoutingDefinition>> {
+    pub fn apply_deltas(
+        &mut self,
+        revision: StoreRevision,
+        deltas: &[DefinitionDelta],
+    ) -> Option<Arc<RoutingDefinition>> {
         let known = self.definition()?.clone();
         let missing = deltas.iter().skip_while(|delta| delta.from != known.version);
         let result = missing.fold(None::<RoutingDefinition>, |definition, delta| {
@@ -105,7 +110,11 @@
 
     /// Returns what a peer at `version` is sent, with the revision at which the newest version was written: the deltas
     /// since its version if they are kept, otherwise the whole configuration if the peer accepts it.
-    pub fn update_for(&self, version: u64, accepts: AcceptedConfiguration) -> Option<(u64, ConfigurationUpdate)> {
+    pub fn update_for(
+        &self,
+        version: u64,
+        accepts: AcceptedConfiguration,
+    ) -> Option<(StoreRevision, ConfigurationUpdate)> {
         let (written_at, definition) = self.newest.as_ref().filter(|(_, definition)| definition.version > version)?;
         let deltas: Vec<DefinitionDelta> =
             self.deltas.iter().skip_while(|delta| delta.from != version).cloned().collect();
--- a/crates/staircross-routing/src/state/known_entries.rs
+++ b/crates/staircross-routing/src/state/known_entries.rs
@@ -11,6 +11,7 @@
 //! with a clock.
 
 use crate::state::searcher_entry::SearcherEntry;
+use crate::state::store_revision::StoreRevision;
 
 /// Maximum number of entries kept under one id. There is more than one only where an earlier incarnation wrote after a
 /// later one. A restart during which both incarnations write needs two.
@@ -19,7 +20,7 @@
 /// An entry and the revision at which it was written.
 #[derive(Clone, Debug)]
 pub(crate) struct WrittenEntry {
-    pub revision: u64,
+    pub revision: StoreRevision,
     pub entry: SearcherEntry,
 }
 
@@ -37,9 +38,9 @@
     /// The entries in ascending order of revision, and therefore in descending order of start time.
     entries: Vec<WrittenEntry>,
     /// Revision of the newest known removal; entries written up to it are gone.
-    removed_up_to: u64,
-    /// Revision of the newest known write of an entry that can't be used; 0 if there is none.
-    unusable_at: u64,
+    removed_up_to: StoreRevision,
+    /// Revision of the newest known write of an entry that can't be used, if there is one.
+    unusable_at: StoreRevision,
 }
 
 impl KnownEntries {
@@ -57,7 +58,7 @@
     }
 
     /// Removes the entries written up to `revision`. Returns whether this removal is newer than those already known.
-    pub fn remove_up_to(&mut self, revision: u64) -> bool {
+    pub fn remove_up_to(&mut self, revision: StoreRevision) -> bool {
         if revision <= self.removed_up_to {
             return false;
         }
@@ -72,12 +73,12 @@
     }
 
     /// Returns whether the current entry was written at or before `revision`.
-    pub fn has_current_entry_at(&self, revision: u64) -> bool {
+    pub fn has_current_entry_at(&self, revision: StoreRevision) -> bool {
         self.current().is_some_and(|known| known.revision <= revision)
     }
 
     /// Records that an entry was written that can't be used. Returns whether it has overwritten a known one.
-    pub fn note_unusable(&mut self, revision: u64) -> bool {
+    pub fn note_unusable(&mut self, revision: StoreRevision) -> bool {
         self.unusable_at = self.unusable_at.max(revision);
         self.is_disputed()
     }
@@ -94,7 +95,7 @@
         };
         match newest.revision < self.unusable_at {
             true => self.remove_up_to(self.unusable_at),
-            false => self.remove_up_to(newest.revision.saturating_sub(1)),
+            false => self.remove_up_to(newest.revision.before()),
         };
     }
 
@@ -103,8 +104,8 @@
         &self.entries
     }
 
-    /// Returns the revision of the newest known removal; 0 where none is known.
-    pub fn removed_up_to(&self) -> u64 {
+    /// Returns the revision of the newest known removal, if one is known.
+    pub fn removed_up_to(&self) -> StoreRevision {
         self.removed_up_to
     }
 }
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -8,16 +8,15 @@
 //! time too, but never by order of arrival. So it makes no difference whether they come from the store or from a peer.
 
 use crate::configuration::definition::RoutingDefinition;
-use crate::configuration::delta::DefinitionDelta;
 use crate::state::disputes::Disputes;
 use crate::state::evacuations::{Evacuations, ZoneChange};
 pub use crate::state::known_configuration::AcceptedConfiguration;
-use crate::state::known_configuration::{ConfigurationUpdate, KnownConfiguration};
+use crate::state::known_configuration::KnownConfiguration;
 use crate::state::known_entries::{KnownEntries, WrittenEntry};
 use crate::state::known_revisions::KnownRevisions;
+pub use crate::state::mirror_update::{MirrorChanges, MirrorItem, MirrorUpdate, PeerKnowledge};
 pub use crate::state::searcher_entry::SearcherEntry;
-use crate::state::unreadable::UnreadableItem;
-use serde::{Deserialize, Serialize};
+use crate::state::store_revision::StoreRevision;
 use staircross_types::BootTime;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -27,112 +26,6 @@
 /// further behind get a complete listing. Large fleets have some hundreds of searchers, which is well below this limit.
 const MAX_TOMBSTONES: usize = 4096;
 
-/// One item of the store, or a change of one.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum MirrorItem {
-    /// The whole configuration.
-    Configuration {
-        /// Content of the configuration.
-        definition: Arc<RoutingDefinition>,
-    },
-    /// The deltas of the configuration since the version of the asking node, in ascending order of version.
-    ConfigurationChanges {
-        /// The deltas.
-        deltas: Vec<DefinitionDelta>,
-    },
-    /// A searcher's entry, as it was last written.
-    Searcher {
-        /// The entry.
-        entry: SearcherEntry,
-    },
-    /// A searcher's entry was removed from the store.
-    SearcherGone {
-        /// Id of the searcher.
-        instance: Arc<str>,
-    },
-    /// A searcher's entry was overwritten by one that can't be used. Only the node that reads it knows it; peers are told
-    /// of the searcher's entry, or of its removal once this has lasted.
-    SearcherUnusable {
-        /// Id of the searcher.
-        instance: Arc<str>,
-    },
-    /// The evacuation of a zone started or ended: its searchers must get no new work, or may get it again.
-    Evacuation {
-        /// The zone.
-        zone: Arc<str>,
-        /// Whether the zone is being evacuated.
-        is_active: bool,
-    },
-}
-
-impl From<ConfigurationUpdate> for MirrorItem {
-    fn from(update: ConfigurationUpdate) -> Self {
-        match update {
-            ConfigurationUpdate::Whole(definition) => MirrorItem::Configuration { definition },
-            ConfigurationUpdate::Changes(deltas) => MirrorItem::ConfigurationChanges { deltas },
-        }
-    }
-}
-
-/// Items that changed, and the revisions up to which the update is complete.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct MirrorUpdate {
-    /// The items, each with the revision of its last change.
-    pub items: Vec<(u64, MirrorItem)>,
-    /// Whether the update lists all searchers, so that those it leaves out are gone.
-    pub is_complete_for_searchers: bool,
-    /// Revision up to which the receiver knows all changes of searchers after merging the update; 0 when the sender
-    /// doesn't know them all.
-    pub up_to: u64,
-    /// Revision of the sender's newest change of searchers before which it knows all changes. It is sent because a
-    /// listing doesn't show the newest change if that was the removal of a searcher. For the same reason, a listing of
-    /// the store has its own revision here: any searcher that it leaves out may have been removed just before.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub newest: u64,
-    /// Revision up to which the update holds all changes of the configuration and of evacuations, except for a
-    /// configuration that the asking node doesn't accept; 0 when the sender doesn't know them all.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub operator_up_to: u64,
-    /// Revision at which all evacuated zones were listed, so that those the update leaves out weren't evacuated;
-    /// `None` when the update doesn't list them all.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub all_evacuations_at: Option<u64>,
-    /// Items that can't be used. The node that read them logs them; they aren't sent to peers.
-    #[serde(skip)]
-    pub unreadable: Vec<UnreadableItem>,
-}
-
-fn is_zero(revision: &u64) -> bool {
-    *revision == 0
-}
-
-/// What an asking peer already knows, and which configurations it accepts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PeerKnowledge {
-    /// Revision up to which the peer knows all changes of searchers; 0 when it has no complete listing.
-    pub revision: u64,
-    /// Version of the peer's configuration.
-    pub version: u64,
-    /// Revision up to which the peer knows all changes of evacuations.
-    pub evacuations: u64,
-    /// Which newer configurations the peer accepts; it reads the others from the store.
-    pub accepts: AcceptedConfiguration,
-}
-
-/// The net effect of a merge. No id is both among the changed and among the removed searchers, even if the update holds
-/// several changes of it.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct MirrorChanges {
-    /// The newest configuration, if the merge brought a newer one.
-    pub configuration: Option<Arc<RoutingDefinition>>,
-    /// Entries of new or changed searchers.
-    pub searchers: Vec<SearcherEntry>,
-    /// Ids of the searchers whose entry is gone.
-    pub removed_searchers: Vec<Arc<str>>,
-    /// All zones that are being evacuated, if the set changed.
-    pub evacuated: Option<Vec<Arc<str>>>,
-}
-
 /// The changes collected during a merge. An update may hold several changes of one id. Only the state after the merge
 /// is reported, but an incarnation that was draining in any of its entries is reported as draining.
 #[derive(Default)]
@@ -145,7 +38,7 @@
 #[derive(Default)]
 struct PendingSearcherChange {
     /// Revision of the entry that was current before the merge.
-    before: Option<u64>,
+    before: Option<StoreRevision>,
     /// Start times, in Unix milliseconds, of the incarnations of which the merge brought a draining entry.
     draining_starts: Vec<u64>,
 }
@@ -153,7 +46,7 @@
 impl PendingChanges {
     /// Returns the record of a searcher that the merge changes; `before` is the revision of its entry before this
     /// change.
-    fn searcher_mut(&mut self, instance: Arc<str>, before: Option<u64>) -> &mut PendingSearcherChange {
+    fn searcher_mut(&mut self, instance: Arc<str>, before: Option<StoreRevision>) -> &mut PendingSearcherChange {
         self.searchers.entry(instance).or_insert(PendingSearcherChange { before, draining_starts: Vec::new() })
     }
 
@@ -205,13 +98,13 @@
     searchers: BTreeMap<Arc<str>, KnownEntries>,
     disputes: Disputes,
     evacuations: Evacuations,
-    /// Revisions up to which changes of searchers are known; complete up to 0 until `has_listing` is set.
+    /// Revisions up to which changes of searchers are known; complete up to none until `has_listing` is set.
     searcher_revisions: KnownRevisions,
     /// Revisions up to which changes of the configuration and of evacuations are known.
     operator_revisions: KnownRevisions,
     /// Revision after which all removals of entries are remembered; a peer that is further behind gets a complete
     /// listing.
-    tombstones_complete_after: u64,
+    tombstones_complete_after: StoreRevision,
     /// Whether a complete listing of the searchers has been merged.
     has_listing: bool,
 }
@@ -227,37 +120,37 @@
         self.configuration.version()
     }
 
-    /// Returns the revision up to which all changes of the configuration and of evacuations are known; 0 before the
-    /// first complete listing.
-    pub fn operator_up_to(&self) -> u64 {
+    /// Returns the revision up to which all changes of the configuration and of evacuations are known; none before
+    /// the first complete listing.
+    pub fn operator_up_to(&self) -> StoreRevision {
         self.operator_revisions.complete_up_to()
     }
 
     /// Returns the revision of the newest change of a searcher's entry before which all changes are known. A peer whose
     /// value is higher knows more.
-    pub fn newest_revision(&self) -> u64 {
+    pub fn newest_revision(&self) -> StoreRevision {
         self.searcher_revisions.newest_change()
     }
 
     /// Returns the revision of the newest known change of a searcher's entry, whether or not all changes before it are known:
     /// while a listing is being read, later pages and the watch tell of changes beyond [`Self::newest_revision`].
-    pub fn latest_revision(&self) -> u64 {
+    pub fn latest_revision(&self) -> StoreRevision {
         self.searcher_revisions.latest_change()
     }
 
-    /// Returns the revision up to which all changes of searchers are known; 0 before a complete listing was merged.
+    /// Returns the revision up to which all changes of searchers are known; none before a complete listing was merged.
     /// Peers are asked for later changes, and a watch continues from there.
-    pub fn known_revision(&self) -> u64 {
-        if self.has_listing { self.searcher_revisions.complete_up_to() } else { 0 }
+    pub fn known_revision(&self) -> StoreRevision {
+        if self.has_listing { self.searcher_revisions.complete_up_to() } else { StoreRevision::NONE }
     }
 
     /// Returns the revision of the newest start, end or listing of evacuations before which all are known; peers are
     /// asked for later ones. Peers of an earlier build don't send `operator_up_to`; without it this is the newest known
     /// change.
-    pub fn evacuations_revision(&self) -> u64 {
+    pub fn evacuations_revision(&self) -> StoreRevision {
         let newest = self.evacuations.newest();
         match self.operator_revisions.complete_up_to() {
-            0 => newest,
+            StoreRevision::NONE => newest,
             up_to => newest.min(up_to),
         }
     }
@@ -285,7 +178,7 @@
         // If the sender knows less than this node, a searcher that only the sender knows is gone: this node knew of its
         // removal and has forgotten it.
         let known = self.known_revision();
-        let known_up_to = if update.up_to < known { known } else { 0 };
+        let known_up_to = if update.up_to < known { known } else { StoreRevision::NONE };
         for (revision, item) in update.items {
             if is_listing {
                 listed.add(&item);
@@ -328,14 +221,14 @@
 
     /// Returns whether the item is an entry of a searcher that has been removed since: the entry was written at or
     /// before `known_up_to`, up to which all changes are known here, but the searcher isn't known.
-    fn was_removed(&self, revision: u64, item: &MirrorItem, known_up_to: u64) -> bool {
+    fn was_removed(&self, revision: StoreRevision, item: &MirrorItem, known_up_to: StoreRevision) -> bool {
         match item {
             MirrorItem::Searcher { entry } => revision <= known_up_to && !self.searchers.contains_key(&entry.instance),
             _ => false,
         }
     }
 
-    fn merge_item(&mut self, revision: u64, item: MirrorItem, pending: &mut PendingChanges) {
+    fn merge_item(&mut self, revision: StoreRevision, item: MirrorItem, pending: &mut PendingChanges) {
         match item {
             MirrorItem::Configuration { definition } => {
                 let newer = self.configuration.replace_if_newer(revision, definition);
@@ -357,7 +250,7 @@
     /// Returns everything that a peer lacks, except for a configuration that it doesn't accept.
     pub fn changes_for(&self, peer: PeerKnowledge) -> MirrorUpdate {
         let revision = peer.revision;
-        let is_complete = self.has_listing && (revision < self.tombstones_complete_after || revision == 0);
+        let is_complete = self.has_listing && (revision < self.tombstones_complete_after || revision.is_none());
         let mut items = Vec::new();
         if let Some((written_at, update)) = self.configuration.update_for(peer.version, peer.accepts) {
             items.push((written_at, update.into()));
@@ -389,7 +282,7 @@
         }
     }
 
-    fn merge_entry(&mut self, revision: u64, entry: SearcherEntry, pending: &mut PendingChanges) {
+    fn merge_entry(&mut self, revision: StoreRevision, entry: SearcherEntry, pending: &mut PendingChanges) {
         let known = self.searchers.entry(entry.instance.clone()).or_default();
         let before = known.current().map(|known| known.revision);
         let (instance, born_ms, is_draining) = (entry.instance.clone(), entry.born_ms, entry.is_draining);
@@ -408,7 +301,7 @@
     }
 
     /// Begins a dispute about a known searcher. A live one writes its entry again within a heartbeat.
-    fn merge_unusable(&mut self, revision: u64, instance: Arc<str>) {
+    fn merge_unusable(&mut self, revision: StoreRevision, instance: Arc<str>) {
         if let Some(known) = self.searchers.get_mut(&instance)
             && known.note_unusable(revision)
         {
@@ -416,7 +309,7 @@
         }
     }
 
-    fn merge_removal(&mut self, revision: u64, instance: Arc<str>, pending: &mut PendingChanges) {
+    fn merge_removal(&mut self, revision: StoreRevision, instance: Arc<str>, pending: &mut PendingChanges) {
         let known = self.searchers.entry(instance.clone()).or_default();
         let before = known.current().map(|known| known.revision);
         if known.remove_up_to(revision) {
@@ -426,7 +319,7 @@
     }
 
     /// Removes the entries that a complete listing at `revision` leaves out and that were written by then.
-    fn remove_unlisted(&mut self, revision: u64, listed: &[Arc<str>], pending: &mut PendingChanges) {
+    fn remove_unlisted(&mut self, revision: StoreRevision, listed: &[Arc<str>], pending: &mut PendingChanges) {
         for (instance, known) in &mut self.searchers {
             if listed.binary_search(instance).is_ok() || !known.has_current_entry_at(revision) {
                 continue;
@@ -442,7 +335,7 @@
     fn drop_old_tombstones(&mut self) {
         let is_tombstone = |known: &KnownEntries| known.entries().is_empty();
         let tombstones = self.searchers.values().filter(|known| is_tombstone(known));
-        let mut revisions: Vec<u64> = tombstones.map(KnownEntries::removed_up_to).collect();
+        let mut revisions: Vec<StoreRevision> = tombstones.map(KnownEntries::removed_up_to).collect();
         if revisions.len() <= MAX_TOMBSTONES {
             return;
         }
--- a/crates/staircross-routing/src/state/unreadable.rs
+++ b/crates/staircross-routing/src/state/unreadable.rs
@@ -4,6 +4,7 @@
 //! them. The log says where the item is and why it can't be used, but never quotes its content, because a document may
 //! hold callers' keys.
 
+use crate::state::store_revision::StoreRevision;
 use std::fmt;
 
 /// Number of characters of a key that are logged: few enough for a short line, enough to find the key by.
@@ -98,14 +99,14 @@
     /// Key of the item, shortened and with `?` for control characters and blanks; empty if it can't be read.
     pub key: String,
     /// Revision of the item's last change, if it can be read.
-    pub revision: Option<u64>,
+    pub revision: Option<StoreRevision>,
     /// Why the item can't be used.
     pub reason: UnreadableReason,
 }
 
 impl UnreadableItem {
     /// Creates the record of an item, with its key shortened and made printable.
-    pub fn new(kind: KeyKind, key: &str, revision: Option<u64>, reason: UnreadableReason) -> Self {
+    pub fn new(kind: KeyKind, key: &str, revision: Option<StoreRevision>, reason: UnreadableReason) -> Self {
         let printable = |c: char| if c.is_control() || c.is_whitespace() { '?' } else { c };
         let key = key.chars().take(MAX_KEY_CHARS).map(printable).collect();
         UnreadableItem { kind, key, revision, reason }
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -46,6 +46,7 @@
     Backoff, CancelCause, Lane, ProbeIntervals, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReply,
 };
 
+use crate::state::store_revision::StoreRevision;
 use lane::{LaneReader, LaneState, REREGISTRATION_TIME};
 use rand_chacha::ChaCha8Rng;
 use renewal::ProbedRevision;
@@ -67,7 +68,7 @@
     /// The lanes, in the order of [`Lane::ALL`].
     lanes: [LaneReader; Lane::ALL.len()],
     /// The store's revision according to the last probe; `None` if that failed.
-    probed_revision: Option<u64>,
+    probed_revision: Option<StoreRevision>,
     /// What the first probe returned that showed a change which no watch has reported since; `None` if there is no such
     /// change.
     unreported: Option<ProbedRevision>,
@@ -173,7 +174,7 @@
     }
 
     /// Returns whether a reading lane has reached the revision.
-    fn is_known(&self, revision: u64) -> bool {
+    fn is_known(&self, revision: StoreRevision) -> bool {
         self.lanes.iter().filter_map(|lane| lane.known_revision).any(|known| known >= revision)
     }
 
@@ -371,7 +372,7 @@
     }
 
     /// Handles the end of a probe; `revision` is the store's revision, or `None` if the store didn't answer.
-    fn on_probe_result(&mut self, now: BootTime, revision: Option<u64>, actions: &mut Vec<ReaderAction>) {
+    fn on_probe_result(&mut self, now: BootTime, revision: Option<StoreRevision>, actions: &mut Vec<ReaderAction>) {
         let is_alive = revision.is_some();
         let wait = self.probe_interval(is_alive);
         let is_back = is_alive && self.has_missed_probe;
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -5,6 +5,7 @@
 
 use super::message::{Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall};
 use crate::state::mirror::{MirrorItem, MirrorUpdate};
+use crate::state::store_revision::StoreRevision;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use staircross_types::BootTime;
@@ -37,9 +38,9 @@
 pub(super) struct PartialListing {
     update: MirrorUpdate,
     /// The store's revision when the first page was read.
-    first_revision: u64,
+    first_revision: StoreRevision,
     /// Revision up to which a watch has reported the changes since the first page.
-    watched_up_to: u64,
+    watched_up_to: StoreRevision,
     /// Key after which the next page starts.
     pub next_key: String,
     /// Number of pages.
@@ -49,7 +50,7 @@
 }
 
 impl PartialListing {
-    fn new(first_revision: u64, begun_at: BootTime) -> Self {
+    fn new(first_revision: StoreRevision, begun_at: BootTime) -> Self {
         PartialListing {
             update: MirrorUpdate::default(),
             first_revision,
@@ -66,7 +67,7 @@
     pub lane: Lane,
     pub state: LaneState,
     /// Revision up to which all changes are known; `None` before the first complete listing.
-    pub known_revision: Option<u64>,
+    pub known_revision: Option<StoreRevision>,
     /// Whether the items were known before, so that a listing is made anew.
     pub was_known: bool,
     /// The pages read so far of an incomplete listing.
@@ -134,7 +135,7 @@
         &mut self,
         now: BootTime,
         update: MirrorUpdate,
-        revision: u64,
+        revision: StoreRevision,
         next: Option<String>,
         actions: &mut Vec<ReaderAction>,
     ) {
@@ -183,7 +184,7 @@
         &mut self,
         now: BootTime,
         mut update: MirrorUpdate,
-        revision: u64,
+        revision: StoreRevision,
         settings: &ReaderSettings,
         actions: &mut Vec<ReaderAction>,
     ) {
@@ -209,7 +210,7 @@
 
     /// Returns the pause of the lane after changes. It is short after removals of searchers, which may be written anew.
     fn pause_after(&mut self, now: BootTime, update: &MirrorUpdate, settings: &ReaderSettings) -> Duration {
-        let is_removal = |item: &&(u64, MirrorItem)| matches!(item.1, MirrorItem::SearcherGone { .. });
+        let is_removal = |item: &&(StoreRevision, MirrorItem)| matches!(item.1, MirrorItem::SearcherGone { .. });
         let removals = update.items.iter().filter(is_removal).count();
         self.note_removals(now, removals);
         let is_short = removals > 0 || now < self.reregistration_until;
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -3,6 +3,7 @@
 //! The node makes the calls; nothing here makes decisions. The content of updates is defined by the mirror.
 
 use crate::state::mirror::MirrorUpdate;
+use crate::state::store_revision::StoreRevision;
 use std::time::Duration;
 
 /// A kind of call to the store, of which at most one is open at a time.
@@ -62,7 +63,7 @@
         /// The lane whose items are watched.
         lane: Lane,
         /// The revision after which changes are returned.
-        after: u64,
+        after: StoreRevision,
         /// Longest time for which the store may hold the call.
         wait: Duration,
     },
@@ -78,7 +79,7 @@
         /// The items of the page.
         update: MirrorUpdate,
         /// The store's revision when the page was read.
-        at: u64,
+        at: StoreRevision,
         /// Key after which the next page starts; `None` after the last page.
         next: Option<String>,
     },
@@ -87,12 +88,12 @@
         /// The changes.
         update: MirrorUpdate,
         /// Revision up to which the changes are complete.
-        at: u64,
+        at: StoreRevision,
     },
     /// The store answered a probe.
     Alive {
         /// The store's revision. The read may be seconds old.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// The store no longer has the history after the revision of the watch.
     HistoryGone,
--- a/crates/staircross-routing/src/store_reader/renewal.rs
+++ b/crates/staircross-routing/src/store_reader/renewal.rs
@@ -7,12 +7,13 @@
 use super::StoreReader;
 use super::lane::{LaneReader, LaneState};
 use super::message::{CancelCause, Lane, ReaderAction};
+use crate::state::store_revision::StoreRevision;
 use staircross_types::BootTime;
 
 /// A revision of the store that a probe returned.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ProbedRevision {
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Time of the reply.
     pub at: BootTime,
 }
@@ -76,17 +77,23 @@
         }
     }
 
-    /// Records that a peer's update made all changes up to `revision` known; 0 if it made nothing completely known. The
+    /// Records that a peer's update made all changes up to `revision` known; none if it made nothing completely known. The
     /// lane then watches from there, even if it has read nothing itself. A listing in progress continues, because its
     /// next page would otherwise be taken for the whole listing.
     ///
     /// An open watch that a peer has overtaken is renewed: it should have reported the change before the peer did, so
     /// its connection may be dead.
-    pub fn on_peer_report(&mut self, now: BootTime, lane: Lane, revision: u64, actions: &mut Vec<ReaderAction>) {
+    pub fn on_peer_report(
+        &mut self,
+        now: BootTime,
+        lane: Lane,
+        revision: StoreRevision,
+        actions: &mut Vec<ReaderAction>,
+    ) {
         let reader = self.lane_mut(lane);
         let is_listing =
             reader.known_revision.is_none() && (reader.state == LaneState::Calling || reader.partial.is_some());
-        if revision == 0 || is_listing || reader.known_revision.is_some_and(|known| known >= revision) {
+        if revision.is_none() || is_listing || reader.known_revision.is_some_and(|known| known >= revision) {
             return;
         }
         reader.known_revision = Some(revision);
--- a/crates/staircross-routing/tests/common/mirror.rs
+++ b/crates/staircross-routing/tests/common/mirror.rs
@@ -2,13 +2,22 @@
 
 use staircross_routing::{
     AcceptedConfiguration, CallerLimits, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, RouteDefinition, RouteTarget,
-    RoutingDefinition, SearcherEntry,
+    RoutingDefinition, SearcherEntry, StoreEpoch, StoreRevision,
 };
 use std::sync::Arc;
 
 /// Knowledge of a node that knows nothing and accepts a configuration of any size.
-pub const NOTHING_KNOWN: PeerKnowledge =
-    PeerKnowledge { revision: 0, version: 0, evacuations: 0, accepts: AcceptedConfiguration::Any };
+pub const NOTHING_KNOWN: PeerKnowledge = PeerKnowledge {
+    revision: StoreRevision::NONE,
+    version: 0,
+    evacuations: StoreRevision::NONE,
+    accepts: AcceptedConfiguration::Any,
+};
+
+/// Returns the revision of a store that tells no epoch.
+pub fn at(count: u64) -> StoreRevision {
+    StoreRevision::new(StoreEpoch::UNTOLD, count)
+}
 
 /// Returns the entry of a searcher of `books` in zone `a`.
 pub fn entry(instance: &str, is_draining: bool) -> SearcherEntry {
@@ -74,12 +83,14 @@
 
 /// Returns an update of these items, each with its revision.
 pub fn changes(items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
+    let items = items.into_iter().map(|(count, item)| (at(count), item)).collect();
     MirrorUpdate { items, ..MirrorUpdate::default() }
 }
 
-/// Returns an update that holds all searchers of the store as of revision `at`.
-pub fn listing(at: u64, items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
-    MirrorUpdate { items, is_complete_for_searchers: true, up_to: at, newest: at, ..MirrorUpdate::default() }
+/// Returns an update that holds all searchers of the store as of `revision`.
+pub fn listing(revision: u64, items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
+    let revision = at(revision);
+    MirrorUpdate { is_complete_for_searchers: true, up_to: revision, newest: revision, ..changes(items) }
 }
 
 /// Returns the knowledge that a node with this mirror sends when it asks a peer for changes.
--- a/crates/staircross-routing/tests/common/store.rs
+++ b/crates/staircross-routing/tests/common/store.rs
@@ -2,10 +2,10 @@
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::{
     Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReader, StoreReply,
 };
+use staircross_routing::{MirrorUpdate, StoreEpoch, StoreRevision};
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -74,7 +74,7 @@
     }
 
     /// Reports that a peer's update made all changes of a lane up to `revision` known.
-    pub fn peer_report(&mut self, lane: Lane, revision: u64) {
+    pub fn peer_report(&mut self, lane: Lane, revision: StoreRevision) {
         let mut actions = Vec::new();
         self.reader.on_peer_report(self.now, lane, revision, &mut actions);
         self.collect(actions);
@@ -90,7 +90,7 @@
 
 /// Returns whether a call watches for changes after this revision.
 pub fn is_watch_after(call: &StoreCall, revision: u64) -> bool {
-    matches!(call, StoreCall::Watch { after, .. } if *after == revision)
+    matches!(call, StoreCall::Watch { after, .. } if *after == StoreRevision::new(StoreEpoch::UNTOLD, revision))
 }
 
 /// Sets the mode of the reader and collects the actions that it requests.
--- a/crates/staircross-routing/tests/definition_delta.rs
+++ b/crates/staircross-routing/tests/definition_delta.rs
@@ -1,5 +1,8 @@
 //! Deltas of the configuration, which peers are sent instead of the whole.
 
+mod common;
+
+use common::mirror::{NOTHING_KNOWN, at, changes};
 use proptest::prelude::*;
 use staircross_routing::configuration::delta::DefinitionDelta;
 use staircross_routing::{
@@ -36,11 +39,11 @@
 
 fn configuration_update(revision: u64, definition: RoutingDefinition) -> MirrorUpdate {
     let items = vec![(revision, MirrorItem::Configuration { definition: Arc::new(definition) })];
-    MirrorUpdate { items, operator_up_to: revision, ..MirrorUpdate::default() }
+    MirrorUpdate { operator_up_to: at(revision), ..changes(items) }
 }
 
 fn knowledge_of_version(version: u64) -> PeerKnowledge {
-    PeerKnowledge { revision: 0, version, evacuations: 0, accepts: AcceptedConfiguration::Small }
+    PeerKnowledge { version, accepts: AcceptedConfiguration::Small, ..NOTHING_KNOWN }
 }
 
 fn sorted_by_name(mut definition: RoutingDefinition) -> RoutingDefinition {
@@ -55,10 +58,11 @@
     let mut asker = Mirror::default();
     asker.merge(configuration_update(20, large_definition(2)));
     let update = sender.changes_for(knowledge_of_version(2));
-    assert!(matches!(&update.items[..], [(40, MirrorItem::ConfigurationChanges { deltas })] if deltas.len() == 2));
+    assert_eq!(update.items[0].0, at(40));
+    assert!(matches!(&update.items[..], [(_, MirrorItem::ConfigurationChanges { deltas })] if deltas.len() == 2));
     let changes = asker.merge(update);
     assert_eq!(sorted_by_name((*changes.configuration.expect("news")).clone()), sorted_by_name(large_definition(4)));
-    assert_eq!(asker.operator_up_to(), 40);
+    assert_eq!(asker.operator_up_to(), at(40));
     // The asker can send the deltas to the next node.
     let mut next = Mirror::default();
     next.merge(configuration_update(20, large_definition(2)));
--- a/crates/staircross-routing/tests/evacuations.rs
+++ b/crates/staircross-routing/tests/evacuations.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::mirror::{NOTHING_KNOWN, changes, configuration, configuration_with_routes, knowledge, listing, searcher};
+use common::mirror::{
+    NOTHING_KNOWN, at, changes, configuration, configuration_with_routes, knowledge, listing, searcher,
+};
 use staircross_routing::state::mirror::MirrorChanges;
 use staircross_routing::{AcceptedConfiguration, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge};
 use std::sync::Arc;
@@ -31,7 +33,7 @@
     let mut mirror = Mirror::default();
     mirror.merge(changes(vec![(20, evacuation("a", true)), (21, evacuation("b", true)), (40, evacuation("c", true))]));
     let items = vec![(21, evacuation("b", true))];
-    let read = MirrorUpdate { items, all_evacuations_at: Some(30), ..MirrorUpdate::default() };
+    let read = MirrorUpdate { all_evacuations_at: Some(at(30)), ..changes(items) };
     let reported = mirror.merge(read);
     assert_eq!(
         zones(&reported),
@@ -47,7 +49,7 @@
     mirror.merge(changes(vec![(10, configuration(3)), (47, evacuation("a", true))]));
     let mut peer = Mirror::default();
     peer.merge(mirror.changes_for(NOTHING_KNOWN));
-    assert_eq!(peer.evacuations_revision(), 47);
+    assert_eq!(peer.evacuations_revision(), at(47));
     mirror.merge(changes(vec![(60, evacuation("a", false))]));
     let reported = peer.merge(mirror.changes_for(knowledge(&peer)));
     assert_eq!(zones(&reported), Some(Vec::new()));
@@ -59,17 +61,13 @@
     let mut mirror = Mirror::default();
     mirror.merge(changes(vec![(10, configuration_with_routes(1000)), (12, evacuation("a", true))]));
     let update = mirror.changes_for(PeerKnowledge { accepts: AcceptedConfiguration::Small, ..NOTHING_KNOWN });
-    assert_eq!(update.items, [(12, evacuation("a", true))]);
+    assert_eq!(update.items, [(at(12), evacuation("a", true))]);
 }
 
 #[test]
 fn an_evacuation_that_had_ended_by_a_whole_reading_is_not_begun_again_by_a_peers_older_word() {
     let mut mirror = Mirror::default();
-    mirror.merge(MirrorUpdate {
-        items: vec![(9, configuration(2))],
-        all_evacuations_at: Some(9),
-        ..MirrorUpdate::default()
-    });
+    mirror.merge(MirrorUpdate { all_evacuations_at: Some(at(9)), ..changes(vec![(9, configuration(2))]) });
     let changes = mirror.merge(changes(vec![(5, evacuation("a", true))]));
     assert_eq!(zones(&changes), None, "the evacuation had ended by the listing");
     assert_eq!(
@@ -82,11 +80,7 @@
 #[test]
 fn a_peer_that_has_read_all_tells_of_evacuations_that_had_ended_before_it_heard_of_them() {
     let mut reader = Mirror::default();
-    reader.merge(MirrorUpdate {
-        items: vec![(9, configuration(2))],
-        all_evacuations_at: Some(9),
-        ..MirrorUpdate::default()
-    });
+    reader.merge(MirrorUpdate { all_evacuations_at: Some(at(9)), ..changes(vec![(9, configuration(2))]) });
     let mut asker = Mirror::default();
     asker.merge(changes(vec![(3, configuration(1)), (5, evacuation("a", true)), (12, evacuation("b", true))]));
     let update = reader.changes_for(knowledge(&asker));
@@ -107,15 +101,14 @@
     // `b`, which begins at 22.
     let mut reader = Mirror::default();
     reader.merge(MirrorUpdate {
-        items: vec![(3, configuration(1)), (5, evacuation("a", true)), (22, evacuation("b", true))],
-        all_evacuations_at: Some(20),
-        operator_up_to: 20,
-        ..MirrorUpdate::default()
+        all_evacuations_at: Some(at(20)),
+        operator_up_to: at(20),
+        ..changes(vec![(3, configuration(1)), (5, evacuation("a", true)), (22, evacuation("b", true))])
     });
     let mut asker = Mirror::default();
     asker.merge(reader.changes_for(NOTHING_KNOWN));
-    assert_eq!(asker.operator_up_to(), 20, "its watch continues from the first page's revision");
-    let ended = MirrorUpdate { operator_up_to: 22, ..changes(vec![(21, evacuation("a", false))]) };
+    assert_eq!(asker.operator_up_to(), at(20), "its watch continues from the first page's revision");
+    let ended = MirrorUpdate { operator_up_to: at(22), ..changes(vec![(21, evacuation("a", false))]) };
     reader.merge(ended);
     assert!(asker.evacuations_revision() < reader.evacuations_revision(), "the asker must notice that it is behind");
     let reported = asker.merge(reader.changes_for(knowledge(&asker)));
@@ -129,18 +122,14 @@
     let mut informed = Mirror::default();
     informed.merge(changes(vec![(3, configuration(1)), (5, evacuation("a", true)), (8, evacuation("a", false))]));
     let mut newcomer = Mirror::default();
-    newcomer.merge(MirrorUpdate {
-        items: vec![(3, configuration(1))],
-        all_evacuations_at: Some(9),
-        ..MirrorUpdate::default()
-    });
+    newcomer.merge(MirrorUpdate { all_evacuations_at: Some(at(9)), ..changes(vec![(3, configuration(1))]) });
     newcomer.merge(informed.changes_for(knowledge(&newcomer)));
     assert!(newcomer.evacuations_revision() >= informed.evacuations_revision());
 }
 
-/// Returns a listing of the store's evacuations as of revision `at`.
-fn evacuation_listing(at: u64, items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
-    MirrorUpdate { all_evacuations_at: Some(at), operator_up_to: at, ..changes(items) }
+/// Returns a listing of the store's evacuations as of `revision`.
+fn evacuation_listing(revision: u64, items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
+    MirrorUpdate { all_evacuations_at: Some(at(revision)), operator_up_to: at(revision), ..changes(items) }
 }
 
 /// Guards against a zone that stays evacuated at nodes that read the store just before the end of the evacuation, while
--- a/crates/staircross-routing/tests/mirror_peers.rs
+++ b/crates/staircross-routing/tests/mirror_peers.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::mirror::{
-    NOTHING_KNOWN, changes, configuration, configuration_with_routes, knowledge, listing, searcher, searcher_gone,
+    NOTHING_KNOWN, at, changes, configuration, configuration_with_routes, knowledge, listing, searcher, searcher_gone,
     searcher_ids,
 };
-use staircross_routing::{AcceptedConfiguration, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge};
+use staircross_routing::{AcceptedConfiguration, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, StoreRevision};
 
 #[test]
 fn a_peer_that_has_the_configuration_is_not_sent_it_again() {
@@ -14,7 +14,8 @@
     mirror.merge(listing(10, vec![(3, searcher("a", false))]));
     mirror.merge(changes(vec![(11, configuration(4)), (12, searcher_gone("a"))]));
     let has_configuration = |version| {
-        let peer = PeerKnowledge { revision: 10, version, evacuations: 0, accepts: AcceptedConfiguration::Small };
+        let peer =
+            PeerKnowledge { revision: at(10), version, evacuations: at(0), accepts: AcceptedConfiguration::Small };
         let items = mirror.changes_for(peer).items;
         items.iter().any(|(_, item)| matches!(item, MirrorItem::Configuration { .. }))
     };
@@ -30,7 +31,7 @@
         mirror
     };
     let items_sent = |mirror: &Mirror, accepts| {
-        mirror.changes_for(PeerKnowledge { revision: 0, version: 1, evacuations: 0, accepts }).items.len()
+        mirror.changes_for(PeerKnowledge { revision: at(0), version: 1, evacuations: at(0), accepts }).items.len()
     };
     assert_eq!(items_sent(&with_routes(200), AcceptedConfiguration::Small), 2);
     assert_eq!(items_sent(&with_routes(1000), AcceptedConfiguration::Small), 1, "only the searcher is sent");
@@ -72,7 +73,8 @@
     follower.merge(reader.changes_for(NOTHING_KNOWN));
     reader.merge(changes(vec![(95, configuration(2))]));
     let update = reader.changes_for(knowledge(&follower));
-    assert!(matches!(update.items.as_slice(), [(95, MirrorItem::ConfigurationChanges { .. })]), "{:?}", update.items);
+    assert_eq!(update.items[0].0, at(95));
+    assert!(matches!(update.items.as_slice(), [(_, MirrorItem::ConfigurationChanges { .. })]), "{:?}", update.items);
     assert!(!update.is_complete_for_searchers);
     follower.merge(update);
     assert_eq!(follower.version(), 2);
@@ -84,8 +86,8 @@
 #[test]
 fn a_node_without_a_listing_asks_for_everything() {
     let mut partial = Mirror::default();
-    partial.merge(MirrorUpdate { items: vec![(9, searcher("b", false))], up_to: 60, ..MirrorUpdate::default() });
-    assert_eq!(partial.known_revision(), 0, "other items may have changed before the known one");
+    partial.merge(MirrorUpdate { up_to: at(60), ..changes(vec![(9, searcher("b", false))]) });
+    assert_eq!(partial.known_revision(), StoreRevision::NONE, "other items may have changed before the known one");
 }
 
 /// Returns a mirror that read a listing while items changed. The first page was read at 20 and holds `a`, which drains
@@ -101,7 +103,8 @@
     let mut reader = listed_while_it_changed();
     let mut asker = Mirror::default();
     asker.merge(reader.changes_for(NOTHING_KNOWN));
-    let watched = MirrorUpdate { up_to: 22, ..changes(vec![(21, searcher("a", true)), (22, searcher("b", false))]) };
+    let watched =
+        MirrorUpdate { up_to: at(22), ..changes(vec![(21, searcher("a", true)), (22, searcher("b", false))]) };
     reader.merge(watched);
     assert!(asker.newest_revision() < reader.newest_revision(), "the asker must notice that it is behind");
     asker.merge(reader.changes_for(knowledge(&asker)));
@@ -123,7 +126,7 @@
 fn a_node_that_read_after_the_last_searcher_had_gone_counts_as_knowing_it() {
     let mut informed = Mirror::default();
     informed.merge(listing(10, vec![(3, searcher("a", false)), (4, searcher("b", false))]));
-    informed.merge(MirrorUpdate { up_to: 20, ..changes(vec![(20, searcher_gone("b"))]) });
+    informed.merge(MirrorUpdate { up_to: at(20), ..changes(vec![(20, searcher_gone("b"))]) });
     let mut newcomer = Mirror::default();
     newcomer.merge(listing(25, vec![(3, searcher("a", false))]));
     newcomer.merge(informed.changes_for(knowledge(&newcomer)));
--- a/crates/staircross-routing/tests/store_lapses.rs
+++ b/crates/staircross-routing/tests/store_lapses.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::mirror::{changes, searcher, searcher_gone};
+use common::mirror::{at, changes, searcher, searcher_gone};
 use common::store::ReaderDriver;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -16,9 +16,9 @@
 fn after_ends_of_entries_a_lane_looks_again_sooner() {
     let mut driver = ReaderDriver::new();
     driver.calls_within(0, Lane::Searchers);
-    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: at(10), next: None });
     driver.calls_within(0, Lane::Searchers);
-    driver.reply(Lane::Searchers, StoreReply::Changes { update: changes(vec![(11, searcher_gone("s"))]), at: 11 });
+    driver.reply(Lane::Searchers, StoreReply::Changes { update: changes(vec![(11, searcher_gone("s"))]), at: at(11) });
     assert_eq!(driver.calls_within(100, Lane::Searchers), []);
     assert_eq!(driver.calls_within(100, Lane::Searchers).len(), 1, "entries that only lapsed are soon written anew");
 }
@@ -28,17 +28,17 @@
     let pauses_after = |count: usize| {
         let mut driver = ReaderDriver::new();
         driver.calls_within(0, Lane::Searchers);
-        driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+        driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: at(10), next: None });
         driver.calls_within(0, Lane::Searchers);
         let removals = (0..count).map(|number| (11 + number as u64, searcher_gone(&format!("s{number}")))).collect();
-        driver.reply(Lane::Searchers, StoreReply::Changes { update: changes(removals), at: 50 });
+        driver.reply(Lane::Searchers, StoreReply::Changes { update: changes(removals), at: at(50) });
         let mut pauses = Vec::new();
         for revision in 51..60 {
             let pause =
                 (1..20_u64).find(|_| !driver.calls_within(50, Lane::Searchers).is_empty()).map(|steps| steps * 50);
             pauses.extend(pause);
             let back = changes(vec![(revision, searcher("s0", false))]);
-            driver.reply(Lane::Searchers, StoreReply::Changes { update: back, at: revision });
+            driver.reply(Lane::Searchers, StoreReply::Changes { update: back, at: at(revision) });
         }
         pauses
     };
@@ -51,10 +51,10 @@
     let pause_of = |reader: StoreReader| {
         let mut driver = ReaderDriver { reader, ..ReaderDriver::new() };
         driver.calls_within(0, Lane::Searchers);
-        driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+        driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: at(10), next: None });
         driver.calls_within(0, Lane::Searchers);
         let updates = changes(vec![(11, searcher("s", false))]);
-        driver.reply(Lane::Searchers, StoreReply::Changes { update: updates, at: 11 });
+        driver.reply(Lane::Searchers, StoreReply::Changes { update: updates, at: at(11) });
         (1..20_u64).find(|_| !driver.calls_within(50, Lane::Searchers).is_empty()).map(|steps| steps * 50)
     };
     let usual = StoreReader::new(ReaderSettings::default());
@@ -69,9 +69,9 @@
     let reader_after = |events: &dyn Fn(&mut ReaderDriver)| {
         let mut driver = ReaderDriver::new();
         driver.calls_within(0, Lane::Probe);
-        driver.reply(Lane::Probe, StoreReply::Alive { revision: 10 });
+        driver.reply(Lane::Probe, StoreReply::Alive { revision: at(10) });
         for lane in [Lane::Configuration, Lane::Searchers] {
-            driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+            driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: at(10), next: None });
         }
         driver.calls_within(0, Lane::Searchers);
         events(&mut driver);
@@ -86,7 +86,7 @@
     let mut unanswered = reader_after(&|driver| driver.fail(Lane::Probe));
     assert!(may_have_lapsed(&mut unanswered, 1), "the store is unavailable");
     unanswered.calls_within(400, Lane::Probe);
-    unanswered.reply(Lane::Probe, StoreReply::Alive { revision: 10 });
+    unanswered.reply(Lane::Probe, StoreReply::Alive { revision: at(10) });
     assert!(may_have_lapsed(&mut unanswered, 1), "the store has just come back");
     unanswered.calls_within(2500, Lane::Searchers);
     assert!(!may_have_lapsed(&mut unanswered, 1));
@@ -104,7 +104,7 @@
     assert!(!restarted.may_lack_searchers(until));
     let remove_entries = |reader: &mut StoreReader, removals: usize| {
         let items = (0..removals).map(|number| (30 + number as u64, searcher_gone(&format!("s{number}")))).collect();
-        let reply = StoreReply::Changes { update: changes(items), at: 50 };
+        let reply = StoreReply::Changes { update: changes(items), at: at(50) };
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         reader.on_reply(until, Lane::Searchers, reply, &mut rng, &mut Vec::new());
     };
--- a/crates/staircross-routing/tests/store_modes.rs
+++ b/crates/staircross-routing/tests/store_modes.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::mirror::at;
 use common::store::{ReaderDriver, is_watch_after, set_mode};
 use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::{Lane, ReadingMode, StoreCall, StoreReply};
@@ -21,17 +22,17 @@
         "a failed read is repeated until it is answered"
     );
     assert_eq!(driver.calls_within(0, Lane::Probe), [StoreCall::Probe], "a failed read starts the probe");
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
-    driver.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
+    driver.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: at(4), next: None });
     assert_eq!(driver.calls_within(0, Lane::Searchers), [StoreCall::List { lane: Lane::Searchers, after: None }]);
-    let page = StoreReply::Items { update: MirrorUpdate::default(), at: 5, next: Some("k".into()) };
+    let page = StoreReply::Items { update: MirrorUpdate::default(), at: at(5), next: Some("k".into()) };
     driver.reply(Lane::Searchers, page);
     assert_eq!(
         driver.calls_within(0, Lane::SearcherPages),
         [StoreCall::List { lane: Lane::Searchers, after: Some("k".into()) }]
     );
     assert_eq!(driver.calls_within(0, Lane::Searchers), [], "a process that reads once doesn't watch");
-    driver.reply(Lane::SearcherPages, StoreReply::Items { update: MirrorUpdate::default(), at: 6, next: None });
+    driver.reply(Lane::SearcherPages, StoreReply::Items { update: MirrorUpdate::default(), at: at(6), next: None });
     for lane in Lane::ALL {
         assert_eq!(driver.calls_within(60_000, lane), []);
     }
@@ -62,14 +63,14 @@
     }
     assert!(probes >= 10, "{probes} probes in 20 s");
     driver.calls_within(1000, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
     for lane in lanes {
         assert_eq!(
             driver.calls_within(0, lane),
             [StoreCall::List { lane, after: None }],
             "the lane is read at once when the store answers again"
         );
-        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: at(4), next: None });
     }
     driver.calls_within(60_000, Lane::Probe);
     assert_eq!(driver.calls_within(60_000, Lane::Probe), [], "no probe is sent once everything is read");
@@ -79,7 +80,7 @@
 fn a_follower_reads_a_configuration_that_peers_do_not_pass_on_once_and_follows_on() {
     let mut driver = ReaderDriver::new();
     set_mode(&mut driver, ReadingMode::Following);
-    [Lane::Configuration, Lane::Searchers].into_iter().for_each(|lane| driver.peer_report(lane, 20));
+    [Lane::Configuration, Lane::Searchers].into_iter().for_each(|lane| driver.peer_report(lane, at(20)));
     let read_configuration = |driver: &mut ReaderDriver| {
         let mut actions = Vec::new();
         driver.reader.read_configuration(driver.now, &mut actions);
@@ -89,7 +90,7 @@
     assert_eq!(read_configuration(&mut driver), [StoreCall::List { lane: Lane::Configuration, after: None }]);
     assert!(driver.reader.is_reading_once());
     assert_eq!(read_configuration(&mut driver), [], "the configuration is being read already");
-    driver.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: 30, next: None });
+    driver.reply(Lane::Configuration, StoreReply::Items { update: MirrorUpdate::default(), at: at(30), next: None });
     assert!(!driver.reader.is_reading_once());
     for lane in Lane::ALL {
         assert_eq!(driver.calls_within(60_000, lane), []);
@@ -107,7 +108,7 @@
     set_mode(&mut driver, ReadingMode::Once);
     driver.calls_within(0, Lane::Searchers);
     driver.fail(Lane::Searchers);
-    driver.peer_report(Lane::Searchers, 7);
+    driver.peer_report(Lane::Searchers, at(7));
     assert_eq!(driver.calls_within(60_000, Lane::Searchers), []);
 }
 
@@ -115,7 +116,7 @@
 fn a_reader_that_watches_from_where_a_peer_has_led_counts_as_served_once_the_store_answers_its_probe() {
     let mut driver = ReaderDriver::new();
     set_mode(&mut driver, ReadingMode::Following);
-    [Lane::Configuration, Lane::Searchers].into_iter().for_each(|lane| driver.peer_report(lane, 20));
+    [Lane::Configuration, Lane::Searchers].into_iter().for_each(|lane| driver.peer_report(lane, at(20)));
     set_mode(&mut driver, ReadingMode::Watching);
     for lane in [Lane::Configuration, Lane::Searchers] {
         let calls = driver.calls_within(0, lane);
@@ -123,7 +124,7 @@
     }
     assert!(!driver.reader.is_reachable(), "the store hasn't answered yet");
     driver.calls_within(0, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
     assert!(driver.reader.is_reachable(), "the store has answered, so followers may rely on this reader");
     driver.fail(Lane::Searchers);
     assert!(!driver.reader.is_reachable());
@@ -133,7 +134,7 @@
 fn a_node_that_has_lost_its_readers_only_probes_until_it_must_read() {
     let mut driver = ReaderDriver::new();
     driver.calls_within(0, Lane::Searchers);
-    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: at(10), next: None });
     set_mode(&mut driver, ReadingMode::Following);
     set_mode(&mut driver, ReadingMode::Probing);
     driver.calls.clear();
@@ -147,7 +148,7 @@
     }
     assert!((10..=20).contains(&probes), "{probes} probes in 10 s");
     driver.calls_within(700, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
     assert_eq!(
         driver.calls_within(0, Lane::Searchers),
         [],
@@ -162,7 +163,7 @@
 fn a_follower_asks_nothing_and_goes_on_from_what_its_peer_told() {
     let mut driver = ReaderDriver::new();
     driver.calls_within(0, Lane::Searchers);
-    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 10, next: None });
+    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: at(10), next: None });
     assert_eq!(driver.calls_within(0, Lane::Searchers).len(), 1, "the reader watches");
     set_mode(&mut driver, ReadingMode::Following);
     driver.calls.clear();
@@ -170,7 +171,7 @@
     for lane in Lane::ALL {
         assert_eq!(driver.calls_within(60_000, lane), []);
     }
-    driver.peer_report(Lane::Searchers, 25);
+    driver.peer_report(Lane::Searchers, at(25));
     set_mode(&mut driver, ReadingMode::Watching);
     let calls = driver.calls_within(0, Lane::Searchers);
     assert!(matches!(calls.as_slice(), [call] if is_watch_after(call, 25)), "{calls:?}");
--- a/crates/staircross-routing/tests/store_probes.rs
+++ b/crates/staircross-routing/tests/store_probes.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::mirror::at;
 use common::store::{ReaderDriver, is_watch_after};
 use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::{Lane, StoreCall, StoreReply};
@@ -13,7 +14,7 @@
     let mut driver = ReaderDriver::new();
     for lane in [Lane::Configuration, Lane::Searchers] {
         driver.calls_within(0, lane);
-        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: at(4), next: None });
         let calls = driver.calls_within(0, lane);
         assert!(is_watch_after(&calls[0], 4), "{calls:?}");
     }
@@ -21,7 +22,7 @@
     assert_eq!(probes, [StoreCall::Probe], "at most one probe is open");
     driver.fail(Lane::Probe);
     assert!(driver.calls_within(600, Lane::Probe).contains(&StoreCall::Probe), "an unavailable store is probed often");
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
     for lane in [Lane::Configuration, Lane::Searchers] {
         let calls = driver.calls_within(0, lane);
         assert!(is_watch_after(&calls[0], 4), "{calls:?}");
@@ -35,7 +36,7 @@
     let lanes = [Lane::Configuration, Lane::Searchers];
     for lane in lanes {
         driver.calls_within(0, lane);
-        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: at(4), next: None });
         driver.calls_within(0, lane);
     }
     driver.calls_within(4000, Lane::Probe);
@@ -51,7 +52,7 @@
     }
     assert!((15..=30).contains(&probes), "{probes} probes in 10 s");
     driver.calls_within(500, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
     for lane in lanes {
         let calls = driver.calls_within(0, lane);
         assert!(is_watch_after(&calls[0], 4), "{calls:?}");
@@ -65,21 +66,21 @@
     driver.reader.set_has_followers(driver.now, true);
     for lane in lanes {
         driver.calls_within(0, lane);
-        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: at(4), next: None });
         driver.calls_within(0, lane);
     }
     driver.calls_within(0, Lane::Probe);
     driver.fail(Lane::Probe);
     lanes.iter().for_each(|lane| driver.fail(*lane));
     assert!(!driver.calls_within(2000, Lane::Probe).is_empty());
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
     assert!(!driver.reader.is_reachable(), "the store hasn't shown yet that it holds the watches");
     lanes.iter().for_each(|lane| assert_eq!(driver.calls_within(0, *lane).len(), 1));
     assert!(
         !driver.calls_within(200, Lane::Probe).is_empty(),
         "the probe must come soon, since followers that wait longer read the store themselves"
     );
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
     assert!(driver.reader.is_reachable(), "the watches are held, though they return nothing while nothing changes");
 }
 
@@ -87,13 +88,13 @@
 fn a_store_that_answers_is_probed_seldom_and_its_watches_are_left_alone() {
     let mut driver = ReaderDriver::new();
     driver.calls_within(0, Lane::Searchers);
-    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: at(4), next: None });
     driver.calls_within(0, Lane::Searchers);
     let mut probes = 0;
     for _ in 0..100 {
         for _ in driver.calls_within(100, Lane::Probe) {
             probes += 1;
-            driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+            driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
         }
     }
     assert!((3..=8).contains(&probes), "{probes} probes in 10 s");
@@ -109,7 +110,7 @@
         for _ in 0..200 {
             for _ in driver.calls_within(50, Lane::Probe) {
                 count += 1;
-                driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+                driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
             }
         }
         count
@@ -123,7 +124,7 @@
 fn the_first_sign_for_others_comes_at_once() {
     let mut driver = ReaderDriver::new();
     driver.calls_within(0, Lane::Probe);
-    driver.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
     assert_eq!(driver.calls_within(300, Lane::Probe), [], "the usual interval is longer");
     driver.reader.set_has_followers(driver.now, true);
     assert_eq!(driver.calls_within(0, Lane::Probe).len(), 1);
@@ -134,7 +135,7 @@
     let mut driver = ReaderDriver::new();
     for lane in [Lane::Configuration, Lane::Searchers] {
         driver.calls_within(0, lane);
-        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: 4, next: None });
+        driver.reply(lane, StoreReply::Items { update: MirrorUpdate::default(), at: at(4), next: None });
         assert!(is_watch_after(&driver.calls_within(0, lane)[0], 4));
     }
     driver
@@ -143,7 +144,7 @@
 /// Lets the store answer the next probe with a revision.
 fn probe(driver: &mut ReaderDriver, revision: u64) {
     assert_eq!(driver.calls_within(4000, Lane::Probe), [StoreCall::Probe]);
-    driver.reply(Lane::Probe, StoreReply::Alive { revision });
+    driver.reply(Lane::Probe, StoreReply::Alive { revision: at(revision) });
 }
 
 /// Guards against watches whose connections are dead while the store answers probes on another connection.
@@ -168,13 +169,13 @@
     let shown_at = driver.now;
     while driver.now.since(shown_at) < Duration::from_millis(1100) {
         for _ in driver.calls_within(50, Lane::Probe) {
-            driver.reply(Lane::Probe, StoreReply::Alive { revision: 5 });
+            driver.reply(Lane::Probe, StoreReply::Alive { revision: at(5) });
         }
     }
     assert_eq!(driver.cancelled, [], "a call may take 1.2 s");
     while driver.now.since(shown_at) < Duration::from_millis(2300) {
         for _ in driver.calls_within(50, Lane::Probe) {
-            driver.reply(Lane::Probe, StoreReply::Alive { revision: 5 });
+            driver.reply(Lane::Probe, StoreReply::Alive { revision: at(5) });
         }
     }
     assert_eq!(driver.cancelled, [Lane::Configuration, Lane::Searchers], "both are made anew once");
@@ -207,7 +208,7 @@
     assert!(is_watch_after(&driver.calls_within(200, Lane::Searchers)[0], 4));
     probe(&mut driver, 4);
     assert!(!driver.reader.is_reachable());
-    driver.reply(Lane::Searchers, StoreReply::Changes { update: MirrorUpdate::default(), at: 4 });
+    driver.reply(Lane::Searchers, StoreReply::Changes { update: MirrorUpdate::default(), at: at(4) });
     assert!(driver.reader.is_reachable());
 }
 
@@ -218,9 +219,9 @@
     let mut driver = watching();
     driver.reader.set_receiving(Lane::Configuration, true);
     (0..5).for_each(|_| probe(&mut driver, 5));
-    driver.peer_report(Lane::Configuration, 5);
+    driver.peer_report(Lane::Configuration, at(5));
     assert_eq!(driver.cancelled, []);
-    driver.reply(Lane::Configuration, StoreReply::Changes { update: MirrorUpdate::default(), at: 5 });
+    driver.reply(Lane::Configuration, StoreReply::Changes { update: MirrorUpdate::default(), at: at(5) });
     assert!(is_watch_after(&driver.calls_within(500, Lane::Configuration)[0], 5));
 }
 
@@ -233,7 +234,7 @@
     assert!(driver.reader.knows_probed_revision());
     probe(&mut driver, 5);
     assert!(!driver.reader.knows_probed_revision());
-    driver.reply(Lane::Configuration, StoreReply::Changes { update: MirrorUpdate::default(), at: 5 });
+    driver.reply(Lane::Configuration, StoreReply::Changes { update: MirrorUpdate::default(), at: at(5) });
     assert!(driver.reader.knows_probed_revision());
 }
 
@@ -242,7 +243,7 @@
     let mut driver = watching();
     probe(&mut driver, 4);
     probe(&mut driver, 5);
-    driver.reply(Lane::Searchers, StoreReply::Changes { update: MirrorUpdate::default(), at: 5 });
+    driver.reply(Lane::Searchers, StoreReply::Changes { update: MirrorUpdate::default(), at: at(5) });
     assert!(is_watch_after(&driver.calls_within(0, Lane::Searchers)[0], 5));
     (0..3).for_each(|_| probe(&mut driver, 5));
     assert_eq!(driver.cancelled, []);
--- a/crates/staircross-routing/tests/views.rs
+++ b/crates/staircross-routing/tests/views.rs
@@ -10,12 +10,14 @@
 
 mod common;
 
-use common::mirror::{configuration, entry};
+use common::mirror::{at, configuration, entry};
 use common::store::ReaderDriver;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use staircross_routing::store_reader::{Lane, ReadingMode, StoreCall, StoreReply};
-use staircross_routing::{AcceptedConfiguration, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry};
+use staircross_routing::{
+    AcceptedConfiguration, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, StoreRevision,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -94,12 +96,12 @@
 /// The simulated store: the item under each key, and all changes since the last compaction.
 #[derive(Default)]
 struct Store {
-    revision: u64,
+    revision: StoreRevision,
     version: u64,
     born_ms: u64,
-    items: BTreeMap<String, (u64, MirrorItem)>,
-    history: Vec<(u64, String, MirrorItem)>,
-    compacted_at: u64,
+    items: BTreeMap<String, (StoreRevision, MirrorItem)>,
+    history: Vec<(StoreRevision, String, MirrorItem)>,
+    compacted_at: StoreRevision,
 }
 
 fn key_of(item: &MirrorItem) -> String {
@@ -121,7 +123,7 @@
 
 impl Store {
     fn put(&mut self, item: MirrorItem) {
-        self.revision += 1;
+        self.revision.count += 1;
         let key = key_of(&item);
         self.items.insert(key.clone(), (self.revision, item.clone()));
         self.history.push((self.revision, key, item));
@@ -130,7 +132,7 @@
     fn remove(&mut self, item: MirrorItem) {
         let key = key_of(&item);
         if self.items.remove(&key).is_some() {
-            self.revision += 1;
+            self.revision.count += 1;
             self.history.push((self.revision, key, item));
         }
     }
@@ -158,7 +160,7 @@
                     Some(entry) => entry.born_ms,
                     None => self.born_ms,
                 };
-                let slots = (self.revision % 7) as u32;
+                let slots = (self.revision.count % 7) as u32;
                 self.put(MirrorItem::Searcher {
                     entry: SearcherEntry { born_ms, slots, ..entry(&format!("s{number}"), false) },
                 });
@@ -191,8 +193,9 @@
             }
             StoreCall::Watch { after, .. } if *after < self.compacted_at => Some(StoreReply::HistoryGone),
             StoreCall::Watch { lane, after, .. } => {
-                let is_new =
-                    |change: &&(u64, String, MirrorItem)| change.0 > *after && change.1.starts_with(key_prefix(*lane));
+                let is_new = |change: &&(StoreRevision, String, MirrorItem)| {
+                    change.0 > *after && change.1.starts_with(key_prefix(*lane))
+                };
                 let items: Vec<_> =
                     self.history.iter().filter(is_new).map(|(revision, _, item)| (*revision, item.clone())).collect();
                 let update = MirrorUpdate { items, ..MirrorUpdate::default() };
@@ -243,7 +246,7 @@
         let calls = self.reader.calls_within(millis, Lane::Probe);
         self.apply_actions();
         if !calls.is_empty() {
-            self.reader.reply(Lane::Probe, StoreReply::Alive { revision: 0 });
+            self.reader.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
             self.apply_actions();
         }
     }
