Order what is read after the store's return from an older copy as newer

Cause: revisions were compared as bare numbers. After the return the store gives out lower ones again, and the entries of the new searchers counted as removed since. Ruled out: a listing that wasn't made anew (the watch is answered with 410 and the listing follows); entries that can't be read (no such line). Change: the platform's adapter reads the epoch from each answer of the store, whatever its status; revisions are ordered by epoch first. An answer that doesn't tell it counts as of the epoch that is known, one log line for each reason, counted.

--- a/crates/staircross-gateway/src/dialect.rs
+++ b/crates/staircross-gateway/src/dialect.rs
@@ -7,8 +7,8 @@
 //! without state and without decisions.
 
 use staircross_http::HeaderBlock;
-use staircross_routing::SearcherReport;
 use staircross_routing::store_reader::{StoreCall, StoreReply};
+use staircross_routing::{SearcherReport, StoreEpoch};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -60,6 +60,31 @@
     pub bytes: Vec<u8>,
 }
 
+/// Why an answer of the store doesn't tell its epoch. It then counts as of the epoch that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EpochFault {
+    /// The answer has no such field.
+    Missing,
+    /// The answer has the field more than once.
+    Repeated,
+    /// The field is no whole number of at most 64 bits.
+    Malformed,
+}
+
+impl EpochFault {
+    /// All faults.
+    pub const ALL: [EpochFault; 3] = [EpochFault::Missing, EpochFault::Repeated, EpochFault::Malformed];
+
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            EpochFault::Missing => "missing",
+            EpochFault::Repeated => "repeated",
+            EpochFault::Malformed => "malformed",
+        }
+    }
+}
+
 /// Translation to and from the wire format of one platform.
 pub trait Dialect {
     /// Returns the names of the header fields.
@@ -77,6 +102,9 @@
     /// Returns the request target of a call to the store, which is always a `GET`.
     fn store_target(&self, call: &StoreCall) -> String;
 
-    /// Interprets the store's answer to a call.
-    fn store_reply(&self, call: &StoreCall, status: u16, body: &[u8]) -> StoreReply;
+    /// Reads the epoch in which the store gave an answer, whatever the answer's status.
+    fn store_epoch(&self, headers: &HeaderBlock) -> Result<StoreEpoch, EpochFault>;
+
+    /// Interprets the store's answer to a call, which it gave in `epoch`.
+    fn store_reply(&self, call: &StoreCall, epoch: StoreEpoch, status: u16, body: &[u8]) -> StoreReply;
 }
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub config_version: u64,
     /// Store revision up to which searchers are known.
     pub store_revision: u64,
+    /// Number of the store's epoch; 0 if the store tells none.
+    pub store_epoch: u64,
     /// Milliseconds since the store last replied to a call for the configuration, and to one for searchers; 0 if the
     /// node doesn't read the store.
     pub store_silence_ms: StoreSilence,
@@ -144,6 +146,7 @@
     line("searcher_connections", components.searcher_connections as u64);
     line("config_version", components.config_version);
     line("store_revision", components.store_revision);
+    line("store_epoch", components.store_epoch);
     line("store_reachable", u64::from(components.store_reachable));
     line("reads_store", u64::from(components.reads_store));
     line("serving", u64::from(components.serving));
@@ -179,6 +182,8 @@
     pub directory_questions: u64,
     /// Number of times that a store item changed to a content that can't be used.
     pub unreadable_items: u64,
+    /// Number of answers of the store that didn't tell the epoch although it is known, or told it in a wrong form.
+    pub unreadable_epochs: u64,
 }
 
 impl Metrics {
@@ -247,6 +252,7 @@
         line("peer_datagram_bytes_total", components.datagram_bytes);
         line("directory_questions_total", self.directory_questions);
         line("store_items_unreadable_total", self.unreadable_items);
+        line("store_epochs_unreadable_total", self.unreadable_epochs);
     }
 
     fn render_refusals(&self, text: &mut String) {
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -104,6 +104,7 @@
             searcher_connections: self.pool.connection_count(),
             config_version: self.mirror.version(),
             store_revision: self.mirror.newest_revision().count,
+            store_epoch: self.store_reader.epoch().number().unwrap_or_default(),
             store_silence_ms: StoreSilence {
                 configuration: self.store_silence_ms(Lane::Configuration),
                 searchers: self.store_silence_ms(Lane::Searchers),
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -114,20 +114,21 @@
         self.traffic.count(Purpose::Store, Reach::Unknown, self.store.clients[lane as usize].take_bytes());
         let reply = match (outcome, &call) {
             (CallOutcome::Answered(answer), Some(call)) => {
-                Some(self.dialect.store_reply(call, answer.head.status, &answer.body))
+                let epoch = self.read_store_epoch(&answer.head.headers);
+                Some((epoch, self.dialect.store_reply(call, epoch, answer.head.status, &answer.body)))
             }
             _ => None,
         };
         self.note_receiving();
-        let is_alive = matches!(reply, Some(StoreReply::Alive { .. }));
+        let is_alive = matches!(reply, Some((_, StoreReply::Alive { .. })));
         let mut actions = Vec::new();
         match reply {
-            Some(reply) => {
+            Some((epoch, reply)) => {
                 if let StoreReply::Refused { status } = reply {
                     let line = format_args!("event=store_refused lane={} status={status}", lane.name());
                     self.log.line(self.now, LineKind::Drop, line);
                 }
-                self.store_reader.on_reply(self.now, lane, reply, &mut self.random, &mut actions);
+                self.store_reader.on_reply(self.now, lane, epoch, reply, &mut self.random, &mut actions);
             }
             None => {
                 self.log_failed_watch(lane, call.as_ref());
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -46,7 +46,7 @@
     Backoff, CancelCause, Lane, ProbeIntervals, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReply,
 };
 
-use crate::state::store_revision::StoreRevision;
+use crate::state::store_revision::{StoreEpoch, StoreRevision};
 use lane::{LaneReader, LaneState, REREGISTRATION_TIME};
 use rand_chacha::ChaCha8Rng;
 use renewal::ProbedRevision;
@@ -67,6 +67,8 @@
     mode: ReadingMode,
     /// The lanes, in the order of [`Lane::ALL`].
     lanes: [LaneReader; Lane::ALL.len()],
+    /// The newest epoch that the store has told.
+    epoch: StoreEpoch,
     /// The store's revision according to the last probe; `None` if that failed.
     probed_revision: Option<StoreRevision>,
     /// What the first probe returned that showed a change which no watch has reported since; `None` if there is no such
@@ -103,6 +105,7 @@
             settings,
             mode: ReadingMode::Watching,
             lanes,
+            epoch: StoreEpoch::UNTOLD,
             probed_revision: None,
             unreported: None,
             has_missed_probe: false,
@@ -313,15 +316,22 @@
         }
     }
 
-    /// Handles the reply to the open call of a lane.
+    /// Returns the newest epoch that the store has told.
+    pub fn epoch(&self) -> StoreEpoch {
+        self.epoch
+    }
+
+    /// Handles the reply to the open call of a lane, which the store gave in `epoch`.
     pub fn on_reply(
         &mut self,
         now: BootTime,
         lane: Lane,
+        epoch: StoreEpoch,
         reply: StoreReply,
         random: &mut ChaCha8Rng,
         actions: &mut Vec<ReaderAction>,
     ) {
+        self.epoch = self.epoch.max(epoch);
         let mut settings = self.settings.clone();
         if now < self.starting_until {
             settings.searcher_pause = settings.searcher_pause.min(settings.removal_pause);
--- a/crates/staircross-routing/tests/common/store.rs
+++ b/crates/staircross-routing/tests/common/store.rs
@@ -66,10 +66,15 @@
         ours.into_iter().map(|(_, call)| call).collect()
     }
 
-    /// Answers the open call of a lane.
+    /// Answers the open call of a lane, as a store that tells no epoch.
     pub fn reply(&mut self, lane: Lane, reply: StoreReply) {
+        self.reply_in(StoreEpoch::UNTOLD, lane, reply);
+    }
+
+    /// Answers the open call of a lane in an epoch of the store.
+    pub fn reply_in(&mut self, epoch: StoreEpoch, lane: Lane, reply: StoreReply) {
         let mut actions = Vec::new();
-        self.reader.on_reply(self.now, lane, reply, &mut self.random, &mut actions);
+        self.reader.on_reply(self.now, lane, epoch, reply, &mut self.random, &mut actions);
         self.collect(actions);
     }
 
--- a/crates/staircross-routing/tests/store_lapses.rs
+++ b/crates/staircross-routing/tests/store_lapses.rs
@@ -7,8 +7,8 @@
 use common::store::ReaderDriver;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use staircross_routing::MirrorUpdate;
 use staircross_routing::store_reader::{Lane, ReaderSettings, StoreReader, StoreReply};
+use staircross_routing::{MirrorUpdate, StoreEpoch};
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -106,7 +106,7 @@
         let items = (0..removals).map(|number| (30 + number as u64, searcher_gone(&format!("s{number}")))).collect();
         let reply = StoreReply::Changes { update: changes(items), at: at(50) };
         let mut rng = ChaCha8Rng::seed_from_u64(1);
-        reader.on_reply(until, Lane::Searchers, reply, &mut rng, &mut Vec::new());
+        reader.on_reply(until, Lane::Searchers, StoreEpoch::UNTOLD, reply, &mut rng, &mut Vec::new());
     };
     remove_entries(&mut restarted, 2);
     assert!(!restarted.may_lack_searchers(until), "a few removed entries don't count as lapsed");
