Give up watches and list anew when the store has come back from an older copy

Cause: the reader's watch went on from its revision of before the return. The store had counted past it again, so it answered neither 410 nor the version, which lay before it. Ruled out: a listing that was merged wrongly (none was made); a peer that knew better (all nodes had read past the version). Change: the reader knows the store's epoch, by any reply of any lane or by a peer's update. In a new one each lane that has reached anything gives up its call and lists anew, and what a watch or a later page reports in it isn't merged. Replies and peers' reports of a former epoch change nothing; an epoch never falls. A listing whose first page is still to come goes on, so that a start costs no further calls.

--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -90,6 +90,16 @@
                     LineKind::NodeEvent,
                     format_args!("event=store_listing lane={} pages={pages} ms={}", lane.name(), took.as_millis()),
                 ),
+                ReaderAction::EpochBegan { epoch, former, source } => self.log.line(
+                    self.now,
+                    LineKind::NodeEvent,
+                    format_args!("event=store_epoch epoch={epoch} former={former} source={}", source.name()),
+                ),
+                ReaderAction::FormerEpoch { lane, epoch } => self.log.line(
+                    self.now,
+                    LineKind::Drop,
+                    format_args!("event=former_epoch lane={} epoch={epoch}", lane.name()),
+                ),
                 ReaderAction::Reachable { lane, is_reachable } => self.log.line(
                     self.now,
                     LineKind::NodeEvent,
--- a/crates/staircross-routing/src/state/store_revision.rs
+++ b/crates/staircross-routing/src/state/store_revision.rs
@@ -20,7 +20,7 @@
     pub const UNTOLD: StoreEpoch = StoreEpoch(None);
 
     /// Creates an epoch from the number that the store tells.
-    pub fn new(number: u64) -> Self {
+    pub const fn new(number: u64) -> Self {
         StoreEpoch(Some(number))
     }
 
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -38,12 +38,14 @@
 //! | to a probe | [`ReaderSettings::probe_timeout`] | the store counts as unavailable |
 //! | from a reader, at its followers | set by the gateway's `store_role` | the follower becomes a prober |
 
+mod epochs;
 mod lane;
 mod message;
 mod renewal;
 
 pub use message::{
-    Backoff, CancelCause, Lane, ProbeIntervals, ReaderAction, ReaderSettings, ReadingMode, StoreCall, StoreReply,
+    Backoff, CancelCause, EpochSource, Lane, ProbeIntervals, ReaderAction, ReaderSettings, ReadingMode, StoreCall,
+    StoreReply,
 };
 
 use crate::state::store_revision::{StoreEpoch, StoreRevision};
@@ -67,7 +69,7 @@
     mode: ReadingMode,
     /// The lanes, in the order of [`Lane::ALL`].
     lanes: [LaneReader; Lane::ALL.len()],
-    /// The newest epoch that the store has told.
+    /// The newest epoch of the store that is known.
     epoch: StoreEpoch,
     /// The store's revision according to the last probe; `None` if that failed.
     probed_revision: Option<StoreRevision>,
@@ -316,11 +318,6 @@
         }
     }
 
-    /// Returns the newest epoch that the store has told.
-    pub fn epoch(&self) -> StoreEpoch {
-        self.epoch
-    }
-
     /// Handles the reply to the open call of a lane, which the store gave in `epoch`.
     pub fn on_reply(
         &mut self,
@@ -331,7 +328,10 @@
         random: &mut ChaCha8Rng,
         actions: &mut Vec<ReaderAction>,
     ) {
-        self.epoch = self.epoch.max(epoch);
+        if self.begin_epoch_of_reply(now, lane, epoch, &reply, actions) {
+            return;
+        }
+        let is_former = epoch < self.epoch;
         let mut settings = self.settings.clone();
         if now < self.starting_until {
             settings.searcher_pause = settings.searcher_pause.min(settings.removal_pause);
@@ -340,8 +340,15 @@
             let revision = if let StoreReply::Alive { revision } = reply { Some(revision) } else { None };
             return self.on_probe_result(now, revision, actions);
         }
+        if is_former {
+            actions.push(ReaderAction::FormerEpoch { lane, epoch });
+        }
         let reader = self.lane_mut(lane);
         match reply {
+            _ if is_former => {
+                reader.is_refused = true;
+                return reader.handle_failure(now, &settings, random, actions);
+            }
             StoreReply::Alive { .. } => reader.state = LaneState::Scheduled { at: now },
             StoreReply::Refused { .. } => {
                 reader.is_refused = true;
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -3,7 +3,7 @@
 //! The node makes the calls; nothing here makes decisions. The content of updates is defined by the mirror.
 
 use crate::state::mirror::MirrorUpdate;
-use crate::state::store_revision::StoreRevision;
+use crate::state::store_revision::{StoreEpoch, StoreRevision};
 use std::time::Duration;
 
 /// A kind of call to the store, of which at most one is open at a time.
@@ -115,6 +115,8 @@
     StoreAhead,
     /// A peer showed a change that the watch didn't report, so the watch's connection may be dead.
     PeerAhead,
+    /// The store has come back from an older copy, so the call continues from something that it may not have.
+    EpochBegan,
     /// The entries are to be listed anew, because the answers of a searcher contradict its entry.
     EntriesDoubted,
 }
@@ -127,11 +129,31 @@
             CancelCause::ProbeMissed => "probe_missed",
             CancelCause::StoreAhead => "store_ahead",
             CancelCause::PeerAhead => "peer_ahead",
+            CancelCause::EpochBegan => "epoch_began",
             CancelCause::EntriesDoubted => "entries_doubted",
         }
     }
 }
 
+/// How the reader has learned of a new epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EpochSource {
+    /// By the reply to a lane's call.
+    Reply(Lane),
+    /// By a peer.
+    Peer,
+}
+
+impl EpochSource {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            EpochSource::Reply(lane) => lane.name(),
+            EpochSource::Peer => "peer",
+        }
+    }
+}
+
 /// An action that the reader requests from the node.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReaderAction {
@@ -167,6 +189,22 @@
         /// Time from the call for the first page to the last page.
         took: Duration,
     },
+    /// The store has come back from an older copy; only for the log.
+    EpochBegan {
+        /// The new epoch.
+        epoch: StoreEpoch,
+        /// The epoch before.
+        former: StoreEpoch,
+        /// How it was learned.
+        source: EpochSource,
+    },
+    /// A reply was given in a former epoch and counts as refused; only for the log.
+    FormerEpoch {
+        /// The lane whose call was answered.
+        lane: Lane,
+        /// The epoch of the reply.
+        epoch: StoreEpoch,
+    },
     /// The store answers the lane's calls again, or has stopped answering them.
     Reachable {
         /// The lane.
--- a/crates/staircross-routing/src/store_reader/renewal.rs
+++ b/crates/staircross-routing/src/store_reader/renewal.rs
@@ -90,6 +90,10 @@
         revision: StoreRevision,
         actions: &mut Vec<ReaderAction>,
     ) {
+        if revision.epoch < self.epoch {
+            return;
+        }
+        self.on_peer_epoch(now, revision.epoch, actions);
         let reader = self.lane_mut(lane);
         let is_listing =
             reader.known_revision.is_none() && (reader.state == LaneState::Calling || reader.partial.is_some());
--- a/crates/staircross-routing/tests/common/store.rs
+++ b/crates/staircross-routing/tests/common/store.rs
@@ -40,7 +40,7 @@
                 ReaderAction::Call { lane, call, .. } => self.calls.push((lane, call)),
                 ReaderAction::Learned { lane, update } => self.learned.push((lane, update)),
                 ReaderAction::Cancel { lane, .. } => self.cancelled.push(lane),
-                ReaderAction::Listed { .. } => {}
+                ReaderAction::Listed { .. } | ReaderAction::EpochBegan { .. } | ReaderAction::FormerEpoch { .. } => {}
                 ReaderAction::Reachable { is_reachable, .. } => self.reachable.push(is_reachable),
             }
         }
