--- a/crates/staircross-routing/src/state.rs
+++ b/crates/staircross-routing/src/state.rs
@@ -7,7 +7,7 @@
 //! | --- | --- |
 //! | [`searcher_entry`] | the entry with which a searcher registers itself in the store |
 //! | `known_entries` | the entries known under one searcher's id |
-//! | `disputes` | the searchers of whose entries the store holds another than the one that counts |
+//! | `timed_ids` | the searchers of which something has held for some time |
 //! | [`known_configuration`] | the newest known configuration, and which part of it a peer is sent |
 //! | [`mirror`] | this node's copy of the platform's store, merged by revision |
 //! | [`store_revision`] | points in the store's history, across its returns from older copies |
@@ -23,7 +23,6 @@
 //! | [`request`] | one request in flight |
 
 pub mod decay;
-mod disputes;
 pub mod evacuations;
 pub mod known_configuration;
 mod known_entries;
@@ -36,5 +35,6 @@
 pub mod searcher;
 pub mod searcher_entry;
 pub mod store_revision;
+mod timed_ids;
 pub mod unreadable;
 mod update_encoding;
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -8,7 +8,6 @@
 //! time too, but never by order of arrival. So it makes no difference whether they come from the store or from a peer.
 
 use crate::configuration::definition::RoutingDefinition;
-use crate::state::disputes::Disputes;
 use crate::state::evacuations::{Evacuations, ZoneChange};
 pub use crate::state::known_configuration::AcceptedConfiguration;
 use crate::state::known_configuration::KnownConfiguration;
@@ -17,6 +16,7 @@
 pub use crate::state::mirror_update::{MirrorChanges, MirrorItem, MirrorUpdate, PeerKnowledge};
 pub use crate::state::searcher_entry::SearcherEntry;
 use crate::state::store_revision::StoreRevision;
+use crate::state::timed_ids::TimedIds;
 use staircross_types::BootTime;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -96,7 +96,11 @@
 pub struct Mirror {
     configuration: KnownConfiguration,
     searchers: BTreeMap<Arc<str>, KnownEntries>,
-    disputes: Disputes,
+    /// The searchers of whose entries the store holds another than the one that counts. Of several incarnations under one
+    /// id, the one with the latest start counts (`known_entries`). But start times come from the searchers' clocks and from
+    /// other writers, and the latest may be wrong. A live incarnation writes its entry again within a heartbeat; if another
+    /// one still stands in the store after that, the store is right.
+    disputes: TimedIds,
     evacuations: Evacuations,
     /// Revisions up to which changes of searchers are known; complete up to none until `has_listing` is set.
     searcher_revisions: KnownRevisions,
@@ -290,8 +294,8 @@
             return;
         }
         match known.is_disputed() {
-            true => self.disputes.begin(instance.clone()),
-            false => self.disputes.end(&instance),
+            true => self.disputes.insert(instance.clone()),
+            false => self.disputes.remove(&instance),
         }
         self.searcher_revisions.note_change(revision);
         let change = pending.searcher_mut(instance, before);
@@ -305,7 +309,7 @@
         if let Some(known) = self.searchers.get_mut(&instance)
             && known.note_unusable(revision)
         {
-            self.disputes.begin(instance);
+            self.disputes.insert(instance);
         }
     }
 
