Keep searchers that the store's older copy lacks until they had time to write

Cause: the listing of the new epoch lacks the entries of searchers that registered after the copy was made, and what a listing leaves out counted as gone. Such a searcher writes its entry again at its next heartbeat only. Ruled out: the configuration (the operator had written it again before any reading). Change: an entry of a former epoch that the listing lacks counts for 2.5 s more; the platform states that entries are back about two seconds after the store's return. The time runs while the node hears of what the store holds, and begins anew with another return. Each node counts for itself, since its reader's listing contains such entries. An entry that is read again unchanged in the new epoch is no news to the engine; it would have begun each searcher's cold start anew. Three tests of routing/tests/restored_store.rs are new with the rule.

--- a/crates/staircross-gateway/src/node/updates.rs
+++ b/crates/staircross-gateway/src/node/updates.rs
@@ -26,6 +26,7 @@
 use super::GatewayNode;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
+use crate::store_role::StoreRole;
 use staircross_routing::configuration::definition::RoutingDefinition;
 use staircross_routing::engine::RoutingEvent;
 use staircross_routing::state::mirror::MirrorChanges;
@@ -48,6 +49,20 @@
         }
     }
 
+    /// Removes the searchers that haven't written their entries again since the store came back from an older copy. While
+    /// this node doesn't hear of what the store holds, it can't know whether they have.
+    pub(super) fn settle_unlisted(&mut self) {
+        let hears_of_store = match self.store_role.role() {
+            StoreRole::Reader => self.store_reader.is_reachable(),
+            StoreRole::Follower => true,
+            StoreRole::Prober => false,
+        };
+        let changes = self.mirror.settle_unlisted(self.now, hears_of_store);
+        if changes != MirrorChanges::default() {
+            self.apply_changes(changes, "unlisted");
+        }
+    }
+
     /// Applies changes to the engine and publishes them.
     fn apply_changes(&mut self, mut changes: MirrorChanges, source: &str) {
         let configuration = changes.configuration.take();
--- a/crates/staircross-routing/src/state/known_entries.rs
+++ b/crates/staircross-routing/src/state/known_entries.rs
@@ -11,7 +11,7 @@
 //! with a clock.
 
 use crate::state::searcher_entry::SearcherEntry;
-use crate::state::store_revision::StoreRevision;
+use crate::state::store_revision::{StoreEpoch, StoreRevision};
 
 /// Maximum number of entries kept under one id. There is more than one only where an earlier incarnation wrote after a
 /// later one. A restart during which both incarnations write needs two.
@@ -25,6 +25,13 @@
 }
 
 impl WrittenEntry {
+    /// Returns whether this entry says anything that `before` didn't. After the store's return from an older copy the same
+    /// entries are read again, in a new epoch.
+    pub fn has_news_since(&self, before: &WrittenEntry) -> bool {
+        let is_read_again = self.revision.epoch != before.revision.epoch && self.entry == before.entry;
+        self.revision != before.revision && !is_read_again
+    }
+
     /// Returns whether this entry can never become current once `other` is known, because every removal of `other`
     /// removes this entry too.
     fn is_superseded_by(&self, other: &WrittenEntry) -> bool {
@@ -72,6 +79,11 @@
         self.entries.first()
     }
 
+    /// Returns whether there are entries, and all are of an epoch before this one.
+    pub fn are_before_epoch(&self, epoch: StoreEpoch) -> bool {
+        self.entries.last().is_some_and(|newest| newest.revision.epoch < epoch)
+    }
+
     /// Returns whether the current entry was written at or before `revision`.
     pub fn has_current_entry_at(&self, revision: StoreRevision) -> bool {
         self.current().is_some_and(|known| known.revision <= revision)
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -26,6 +26,11 @@
 /// further behind get a complete listing. Large fleets have some hundreds of searchers, which is well below this limit.
 const MAX_TOMBSTONES: usize = 4096;
 
+/// Time for which a searcher counts although the listing of a new epoch lacks its entry. The platform states that live
+/// searchers have written their entries again about two seconds after the store's return; a quarter is added for the
+/// watch and a late wake-up.
+const REWRITE_TIME: Duration = Duration::from_millis(2500);
+
 /// The changes collected during a merge. An update may hold several changes of one id. Only the state after the merge
 /// is reported, but an incarnation that was draining in any of its entries is reported as draining.
 #[derive(Default)]
@@ -37,16 +42,15 @@
 
 #[derive(Default)]
 struct PendingSearcherChange {
-    /// Revision of the entry that was current before the merge.
-    before: Option<StoreRevision>,
+    /// The entry that was current before the merge.
+    before: Option<WrittenEntry>,
     /// Start times, in Unix milliseconds, of the incarnations of which the merge brought a draining entry.
     draining_starts: Vec<u64>,
 }
 
 impl PendingChanges {
-    /// Returns the record of a searcher that the merge changes; `before` is the revision of its entry before this
-    /// change.
-    fn searcher_mut(&mut self, instance: Arc<str>, before: Option<StoreRevision>) -> &mut PendingSearcherChange {
+    /// Returns the record of a searcher that the merge changes; `before` is its entry before this change.
+    fn searcher_mut(&mut self, instance: Arc<str>, before: Option<WrittenEntry>) -> &mut PendingSearcherChange {
         self.searchers.entry(instance).or_insert(PendingSearcherChange { before, draining_starts: Vec::new() })
     }
 
@@ -55,13 +59,15 @@
         for (instance, change) in self.searchers {
             let after = known.get(&instance).and_then(KnownEntries::current);
             match (change.before, after) {
-                (before, Some(after)) if before != Some(after.revision) => {
+                (before, Some(after)) => {
                     let has_drained = change.draining_starts.contains(&after.entry.born_ms);
-                    let is_draining = after.entry.is_draining || has_drained;
-                    changes.searchers.push(SearcherEntry { is_draining, ..after.entry.clone() });
+                    if has_drained || before.is_none_or(|before| after.has_news_since(&before)) {
+                        let is_draining = after.entry.is_draining || has_drained;
+                        changes.searchers.push(SearcherEntry { is_draining, ..after.entry.clone() });
+                    }
                 }
                 (Some(_), None) => changes.removed_searchers.push(instance),
-                (_, Some(_)) | (None, None) => {}
+                (None, None) => {}
             }
         }
         changes
@@ -101,6 +107,9 @@
     /// other writers, and the latest may be wrong. A live incarnation writes its entry again within a heartbeat; if another
     /// one still stands in the store after that, the store is right.
     disputes: TimedIds,
+    /// The searchers whose entries are of an epoch before that of the last complete listing: the copy from which the store
+    /// has come back lacks them.
+    unlisted: TimedIds,
     evacuations: Evacuations,
     /// Revisions up to which changes of searchers are known; complete up to none until `has_listing` is set.
     searcher_revisions: KnownRevisions,
@@ -196,6 +205,9 @@
         }
         if update.is_complete_for_searchers {
             listed.searchers.sort();
+            if update.up_to.epoch > known.epoch {
+                self.unlisted.restart();
+            }
             self.remove_unlisted(update.up_to, &listed.searchers, &mut pending);
             self.has_listing = true;
         }
@@ -209,13 +221,34 @@
         MirrorChanges { evacuated, ..pending.into_changes(&self.searchers) }
     }
 
+    /// Removes the searchers whose entries the copy lacked from which the store has come back, if they had time to write them
+    /// again, and returns what that changes. The caller calls this regularly, since time passes only by these calls.
+    /// `hears_of_store` says whether it hears of what the store holds; if not, the time begins anew.
+    pub fn settle_unlisted(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
+        if !hears_of_store {
+            self.unlisted.restart();
+            return MirrorChanges::default();
+        }
+        let mut pending = PendingChanges::default();
+        let epoch = self.known_revision().epoch;
+        for instance in self.unlisted.take_overdue(now, REWRITE_TIME) {
+            if let Some(known) = self.searchers.get_mut(&instance).filter(|known| known.are_before_epoch(epoch)) {
+                let before = known.current().cloned();
+                // Whatever is written in this epoch is newer than the removal.
+                known.remove_up_to(StoreRevision::new(epoch, 0));
+                pending.searcher_mut(instance, before);
+            }
+        }
+        pending.into_changes(&self.searchers)
+    }
+
     /// Lets the store's entry count for each searcher for which another has counted for `max_age`, and returns what that
     /// changes. The caller calls this regularly, since time passes only by these calls.
     pub fn settle_disputes(&mut self, now: BootTime, max_age: Duration) -> MirrorChanges {
         let mut pending = PendingChanges::default();
         for instance in self.disputes.take_overdue(now, max_age) {
             if let Some(known) = self.searchers.get_mut(&instance) {
-                let before = known.current().map(|known| known.revision);
+                let before = known.current().cloned();
                 known.settle();
                 pending.searcher_mut(instance, before);
             }
@@ -288,7 +321,7 @@
 
     fn merge_entry(&mut self, revision: StoreRevision, entry: SearcherEntry, pending: &mut PendingChanges) {
         let known = self.searchers.entry(entry.instance.clone()).or_default();
-        let before = known.current().map(|known| known.revision);
+        let before = known.current().cloned();
         let (instance, born_ms, is_draining) = (entry.instance.clone(), entry.born_ms, entry.is_draining);
         if !known.insert(WrittenEntry { revision, entry }) {
             return;
@@ -315,20 +348,25 @@
 
     fn merge_removal(&mut self, revision: StoreRevision, instance: Arc<str>, pending: &mut PendingChanges) {
         let known = self.searchers.entry(instance.clone()).or_default();
-        let before = known.current().map(|known| known.revision);
+        let before = known.current().cloned();
         if known.remove_up_to(revision) {
             self.searcher_revisions.note_change(revision);
             pending.searcher_mut(instance, before);
         }
     }
 
-    /// Removes the entries that a complete listing at `revision` leaves out and that were written by then.
+    /// Removes the entries that a complete listing at `revision` leaves out and that were written by then. Entries of a
+    /// former epoch stay until their searchers had time to write them again; a peer's listing may contain such entries.
     fn remove_unlisted(&mut self, revision: StoreRevision, listed: &[Arc<str>], pending: &mut PendingChanges) {
         for (instance, known) in &mut self.searchers {
+            if known.are_before_epoch(revision.epoch) {
+                self.unlisted.insert(instance.clone());
+                continue;
+            }
             if listed.binary_search(instance).is_ok() || !known.has_current_entry_at(revision) {
                 continue;
             }
-            let before = known.current().map(|known| known.revision);
+            let before = known.current().cloned();
             known.remove_up_to(revision);
             self.searcher_revisions.note_change(revision);
             pending.searcher_mut(instance.clone(), before);
--- a/crates/staircross-routing/tests/restored_store.rs
+++ b/crates/staircross-routing/tests/restored_store.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
-use common::mirror::{knowledge, listing, searcher, searcher_gone, searcher_ids};
+use common::mirror::{NOTHING_KNOWN, knowledge, listing, searcher, searcher_gone, searcher_ids};
+use staircross_routing::state::mirror::MirrorChanges;
 use staircross_routing::{Mirror, MirrorItem, MirrorUpdate, StoreEpoch, StoreRevision};
+use staircross_types::BootTime;
+use std::sync::Arc;
 
 fn revision(epoch: u64, count: u64) -> StoreRevision {
     StoreRevision::new(StoreEpoch::new(epoch), count)
@@ -75,6 +78,70 @@
     assert_eq!(behind.known_revision(), revision(2, 104));
 }
 
+fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+/// Guards against refusals for want of searchers that live: the copy lacks the entry of one that has registered since.
+#[test]
+fn a_searcher_that_the_copy_lacks_counts_until_it_had_time_to_write() {
+    let mut mirror = Mirror::default();
+    mirror.merge(listing_in(1, 116, vec![(5, searcher("old", false)), (110, searcher("new", false))]));
+    let changes = mirror.merge(listing_in(2, 104, vec![(5, searcher("old", false))]));
+    assert_eq!(changes, MirrorChanges::default(), "it isn't gone, and the other hasn't changed");
+    assert_eq!(mirror.settle_unlisted(at(0), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_unlisted(at(2400), true), MirrorChanges::default());
+    let mut written_again = mirror_like(&mirror);
+    written_again.merge(changes_in(2, vec![(106, searcher("new", false))]));
+    assert_eq!(written_again.settle_unlisted(at(9000), true), MirrorChanges::default());
+    assert_eq!(searcher_ids(&written_again), ["new", "old"]);
+    let changes = mirror.settle_unlisted(at(2500), true);
+    assert_eq!(changes.removed_searchers, [Arc::from("new")]);
+    let late = mirror.merge(changes_in(1, vec![(110, searcher("new", false))]));
+    assert_eq!(late, MirrorChanges::default(), "what was known before doesn't bring it back");
+    assert_eq!(mirror.merge(changes_in(2, vec![(105, searcher("new", false))])).searchers.len(), 1);
+}
+
+/// Returns a mirror that has been sent all that this one knows.
+fn mirror_like(mirror: &Mirror) -> Mirror {
+    let mut other = Mirror::default();
+    other.merge(mirror.changes_for(NOTHING_KNOWN));
+    assert_eq!(searcher_ids(&other), searcher_ids(mirror));
+    other
+}
+
+/// Guards against a follower that keeps for ever what its reader has removed: the reader had sent the entry before.
+#[test]
+fn a_follower_gives_up_what_the_copy_lacks_as_its_reader_does() {
+    let mut reader = Mirror::default();
+    reader.merge(listing_in(1, 116, vec![(110, searcher("new", false))]));
+    reader.merge(listing_in(2, 104, vec![]));
+    let mut follower = mirror_like(&reader);
+    for mirror in [&mut reader, &mut follower] {
+        mirror.settle_unlisted(at(0), true);
+        mirror.settle_unlisted(at(2500), true);
+        assert!(searcher_ids(mirror).is_empty());
+    }
+    assert_eq!(reader.newest_revision(), follower.newest_revision(), "neither asks the other");
+}
+
+/// Guards against searchers that are given up by a node that can't hear whether they have written again, and by one for
+/// which the store returns twice in a row.
+#[test]
+fn the_time_to_write_again_begins_anew_with_each_silence_and_each_return() {
+    let mut mirror = Mirror::default();
+    mirror.merge(listing_in(1, 116, vec![(110, searcher("new", false))]));
+    mirror.merge(listing_in(2, 104, vec![]));
+    mirror.settle_unlisted(at(0), true);
+    mirror.settle_unlisted(at(2000), false);
+    assert_eq!(mirror.settle_unlisted(at(9000), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_unlisted(at(11000), true), MirrorChanges::default());
+    mirror.merge(listing_in(3, 90, vec![]));
+    assert_eq!(mirror.settle_unlisted(at(12000), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_unlisted(at(14400), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_unlisted(at(14500), true).removed_searchers.len(), 1);
+}
+
 /// Guards against nodes of the build before, whose revisions carry no epoch, counting as behind for ever.
 #[test]
 fn an_update_without_epochs_counts_as_of_the_epoch_that_is_known() {
