Withhold entries of the store's older copy whose removal was known

Cause: the copy was made before the entry was removed. In the new epoch the entry counts as newer than the removal. Ruled out: searchers that have said draining; the engine never asks such an incarnation again, whatever the store says later. Change: an entry whose removal of a former epoch has a higher count is withheld, since the copy was made before that removal. It counts once it is written after the first listing of the epoch, or has stood for 5 s, longer than the entry of a searcher that is gone stands. Whoever is sent the entry is sent the removal too, in any order. Two tests of routing/tests/restored_store.rs are new with the rule.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -249,7 +249,7 @@
         self.decide_store_role();
         self.check_doubted_entries();
         self.settle_disputes();
-        self.settle_unlisted();
+        self.settle_return();
         self.pull_if_behind();
         // The node's own status is derived from the updates above.
         self.log_configuration_view();
--- a/crates/staircross-gateway/src/node/updates.rs
+++ b/crates/staircross-gateway/src/node/updates.rs
@@ -49,17 +49,17 @@
         }
     }
 
-    /// Removes the searchers that haven't written their entries again since the store came back from an older copy. While
+    /// Lets the store be right about searchers that have had time to write since it came back from an older copy. While
     /// this node doesn't hear of what the store holds, it can't know whether they have.
-    pub(super) fn settle_unlisted(&mut self) {
+    pub(super) fn settle_return(&mut self) {
         let hears_of_store = match self.store_role.role() {
             StoreRole::Reader => self.store_reader.is_reachable(),
             StoreRole::Follower => true,
             StoreRole::Prober => false,
         };
-        let changes = self.mirror.settle_unlisted(self.now, hears_of_store);
+        let changes = self.mirror.settle_return(self.now, hears_of_store);
         if changes != MirrorChanges::default() {
-            self.apply_changes(changes, "unlisted");
+            self.apply_changes(changes, "restored");
         }
     }
 
--- a/crates/staircross-routing/src/state/known_entries.rs
+++ b/crates/staircross-routing/src/state/known_entries.rs
@@ -46,6 +46,8 @@
     entries: Vec<WrittenEntry>,
     /// Revision of the newest known removal; entries written up to it are gone.
     removed_up_to: StoreRevision,
+    /// Revision of the newest removal that no longer withholds entries of a later epoch.
+    released_removal: StoreRevision,
     /// Revision of the newest known write of an entry that can't be used, if there is one.
     unusable_at: StoreRevision,
 }
@@ -74,9 +76,24 @@
         true
     }
 
-    /// Returns the current entry, which is that of the latest incarnation.
+    /// Returns the current entry, which is that of the latest incarnation, unless it is withheld.
     pub fn current(&self) -> Option<&WrittenEntry> {
-        self.entries.first()
+        self.entries.first().filter(|_| !self.is_withheld())
+    }
+
+    /// Returns whether the current entry is withheld: it was probably written before a removal that the store has lost,
+    /// because it comes from the older copy from which the store has come back. The copy was made before the removal, so
+    /// the copy's entries have lower counts; so may entries that were written soon after the return.
+    pub fn is_withheld(&self) -> bool {
+        let removal = self.removed_up_to;
+        let is_from_copy =
+            |entry: &WrittenEntry| removal.epoch < entry.revision.epoch && entry.revision.count < removal.count;
+        removal > self.released_removal && self.entries.first().is_some_and(is_from_copy)
+    }
+
+    /// Lets the entry count that is withheld, if there is one, and those that come later.
+    pub fn release(&mut self) {
+        self.released_removal = self.removed_up_to;
     }
 
     /// Returns whether there are entries, and all are of an epoch before this one.
@@ -84,9 +101,9 @@
         self.entries.last().is_some_and(|newest| newest.revision.epoch < epoch)
     }
 
-    /// Returns whether the current entry was written at or before `revision`.
+    /// Returns whether the current entry, withheld or not, was written at or before `revision`.
     pub fn has_current_entry_at(&self, revision: StoreRevision) -> bool {
-        self.current().is_some_and(|known| known.revision <= revision)
+        self.entries.first().is_some_and(|known| known.revision <= revision)
     }
 
     /// Records that an entry was written that can't be used. Returns whether it has overwritten a known one.
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -31,6 +31,11 @@
 /// watch and a late wake-up.
 const REWRITE_TIME: Duration = Duration::from_millis(2500);
 
+/// Time for which a searcher's entry is withheld although it stands in the store, because its removal was known before
+/// the store came back. The entry of a searcher that has left goes after three heartbeats of 1.2 s in which nobody renews
+/// it; the rest is for the time in which its end is heard of.
+const WITHHOLDING_TIME: Duration = Duration::from_secs(5);
+
 /// The changes collected during a merge. An update may hold several changes of one id. Only the state after the merge
 /// is reported, but an incarnation that was draining in any of its entries is reported as draining.
 #[derive(Default)]
@@ -110,6 +115,10 @@
     /// The searchers whose entries are of an epoch before that of the last complete listing: the copy from which the store
     /// has come back lacks them.
     unlisted: TimedIds,
+    /// The searchers whose entries are withheld.
+    withheld: TimedIds,
+    /// Revision of the first complete listing of the present epoch. What is written after it isn't from the copy.
+    first_listing: StoreRevision,
     evacuations: Evacuations,
     /// Revisions up to which changes of searchers are known; complete up to none until `has_listing` is set.
     searcher_revisions: KnownRevisions,
@@ -206,7 +215,9 @@
         if update.is_complete_for_searchers {
             listed.searchers.sort();
             if update.up_to.epoch > known.epoch {
+                self.first_listing = update.up_to;
                 self.unlisted.restart();
+                self.withheld.restart();
             }
             self.remove_unlisted(update.up_to, &listed.searchers, &mut pending);
             self.has_listing = true;
@@ -221,15 +232,24 @@
         MirrorChanges { evacuated, ..pending.into_changes(&self.searchers) }
     }
 
-    /// Removes the searchers whose entries the copy lacked from which the store has come back, if they had time to write them
-    /// again, and returns what that changes. The caller calls this regularly, since time passes only by these calls.
-    /// `hears_of_store` says whether it hears of what the store holds; if not, the time begins anew.
-    pub fn settle_unlisted(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
+    /// Lets the store be right about the searchers of which the copy from which it has come back said something else than
+    /// was known, if they had time to write, and returns what that changes. The caller calls this regularly, since time
+    /// passes only by these calls. `hears_of_store` says whether it hears of what the store holds; if not, the time begins
+    /// anew.
+    pub fn settle_return(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
         if !hears_of_store {
             self.unlisted.restart();
+            self.withheld.restart();
             return MirrorChanges::default();
         }
         let mut pending = PendingChanges::default();
+        for instance in self.withheld.take_overdue(now, WITHHOLDING_TIME) {
+            if let Some(known) = self.searchers.get_mut(&instance) {
+                let before = known.current().cloned();
+                known.release();
+                pending.searcher_mut(instance, before);
+            }
+        }
         let epoch = self.known_revision().epoch;
         for instance in self.unlisted.take_overdue(now, REWRITE_TIME) {
             if let Some(known) = self.searchers.get_mut(&instance).filter(|known| known.are_before_epoch(epoch)) {
@@ -326,6 +346,12 @@
         if !known.insert(WrittenEntry { revision, entry }) {
             return;
         }
+        if revision.epoch == self.first_listing.epoch && revision > self.first_listing {
+            known.release();
+        }
+        if known.is_withheld() {
+            self.withheld.insert(instance.clone());
+        }
         match known.is_disputed() {
             true => self.disputes.insert(instance.clone()),
             false => self.disputes.remove(&instance),
@@ -350,6 +376,9 @@
         let known = self.searchers.entry(instance.clone()).or_default();
         let before = known.current().cloned();
         if known.remove_up_to(revision) {
+            if known.is_withheld() {
+                self.withheld.insert(instance.clone());
+            }
             self.searcher_revisions.note_change(revision);
             pending.searcher_mut(instance, before);
         }
--- a/crates/staircross-routing/tests/restored_store.rs
+++ b/crates/staircross-routing/tests/restored_store.rs
@@ -89,13 +89,13 @@
     mirror.merge(listing_in(1, 116, vec![(5, searcher("old", false)), (110, searcher("new", false))]));
     let changes = mirror.merge(listing_in(2, 104, vec![(5, searcher("old", false))]));
     assert_eq!(changes, MirrorChanges::default(), "it isn't gone, and the other hasn't changed");
-    assert_eq!(mirror.settle_unlisted(at(0), true), MirrorChanges::default());
-    assert_eq!(mirror.settle_unlisted(at(2400), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_return(at(0), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_return(at(2400), true), MirrorChanges::default());
     let mut written_again = mirror_like(&mirror);
     written_again.merge(changes_in(2, vec![(106, searcher("new", false))]));
-    assert_eq!(written_again.settle_unlisted(at(9000), true), MirrorChanges::default());
+    assert_eq!(written_again.settle_return(at(9000), true), MirrorChanges::default());
     assert_eq!(searcher_ids(&written_again), ["new", "old"]);
-    let changes = mirror.settle_unlisted(at(2500), true);
+    let changes = mirror.settle_return(at(2500), true);
     assert_eq!(changes.removed_searchers, [Arc::from("new")]);
     let late = mirror.merge(changes_in(1, vec![(110, searcher("new", false))]));
     assert_eq!(late, MirrorChanges::default(), "what was known before doesn't bring it back");
@@ -118,8 +118,8 @@
     reader.merge(listing_in(2, 104, vec![]));
     let mut follower = mirror_like(&reader);
     for mirror in [&mut reader, &mut follower] {
-        mirror.settle_unlisted(at(0), true);
-        mirror.settle_unlisted(at(2500), true);
+        mirror.settle_return(at(0), true);
+        mirror.settle_return(at(2500), true);
         assert!(searcher_ids(mirror).is_empty());
     }
     assert_eq!(reader.newest_revision(), follower.newest_revision(), "neither asks the other");
@@ -132,14 +132,63 @@
     let mut mirror = Mirror::default();
     mirror.merge(listing_in(1, 116, vec![(110, searcher("new", false))]));
     mirror.merge(listing_in(2, 104, vec![]));
-    mirror.settle_unlisted(at(0), true);
-    mirror.settle_unlisted(at(2000), false);
-    assert_eq!(mirror.settle_unlisted(at(9000), true), MirrorChanges::default());
-    assert_eq!(mirror.settle_unlisted(at(11000), true), MirrorChanges::default());
+    mirror.settle_return(at(0), true);
+    mirror.settle_return(at(2000), false);
+    assert_eq!(mirror.settle_return(at(9000), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_return(at(11000), true), MirrorChanges::default());
     mirror.merge(listing_in(3, 90, vec![]));
-    assert_eq!(mirror.settle_unlisted(at(12000), true), MirrorChanges::default());
-    assert_eq!(mirror.settle_unlisted(at(14400), true), MirrorChanges::default());
-    assert_eq!(mirror.settle_unlisted(at(14500), true).removed_searchers.len(), 1);
+    assert_eq!(mirror.settle_return(at(12000), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_return(at(14400), true), MirrorChanges::default());
+    assert_eq!(mirror.settle_return(at(14500), true).removed_searchers.len(), 1);
+}
+
+/// Guards against new work for a searcher that has left: the copy was made before its entry was removed.
+#[test]
+fn an_entry_of_the_copy_is_withheld_if_its_removal_was_known() {
+    let removed = |mirror: &mut Mirror| {
+        mirror.merge(changes_in(1, vec![(110, searcher_gone("a"))]));
+    };
+    let restored = |mirror: &mut Mirror| {
+        mirror.merge(listing_in(2, 104, vec![(50, searcher("a", false)), (51, searcher("b", false))]));
+    };
+    for removed_first in [true, false] {
+        let mut mirror = Mirror::default();
+        mirror.merge(listing_in(1, 100, vec![(50, searcher("a", false))]));
+        let steps: [&dyn Fn(&mut Mirror); 2] =
+            if removed_first { [&removed, &restored] } else { [&restored, &removed] };
+        steps.into_iter().for_each(|step| step(&mut mirror));
+        assert_eq!(searcher_ids(&mirror), ["b"]);
+        let mut told_by_a_peer = Mirror::default();
+        told_by_a_peer.merge(mirror.changes_for(NOTHING_KNOWN));
+        assert_eq!(searcher_ids(&told_by_a_peer), ["b"]);
+        mirror.merge(changes_in(2, vec![(120, searcher_gone("a"))]));
+        mirror.settle_return(at(0), true);
+        assert_eq!(mirror.settle_return(at(9000), true), MirrorChanges::default(), "it is gone for good");
+    }
+}
+
+/// Guards against a searcher that lives and is never used again: its entry had lapsed before the return.
+#[test]
+fn a_withheld_entry_counts_once_it_is_written_again_or_has_stood_long_enough() {
+    let withheld = || {
+        let mut mirror = Mirror::default();
+        mirror.merge(listing_in(1, 100, vec![(50, searcher("a", false))]));
+        mirror.merge(changes_in(1, vec![(110, searcher_gone("a"))]));
+        mirror.merge(listing_in(2, 104, vec![(50, searcher("a", false))]));
+        assert!(searcher_ids(&mirror).is_empty());
+        mirror
+    };
+    let mut written_again = withheld();
+    assert_eq!(written_again.merge(changes_in(2, vec![(105, searcher("a", false))])).searchers.len(), 1);
+    let mut unchanged = withheld();
+    unchanged.settle_return(at(0), true);
+    assert_eq!(unchanged.settle_return(at(4900), true), MirrorChanges::default());
+    unchanged.settle_return(at(4950), false);
+    unchanged.settle_return(at(5000), true);
+    assert_eq!(unchanged.settle_return(at(9900), true), MirrorChanges::default(), "it was silent in between");
+    assert_eq!(unchanged.settle_return(at(10_000), true).searchers.len(), 1);
+    let again = unchanged.merge(changes_in(1, vec![(110, searcher_gone("a"))]));
+    assert_eq!(again, MirrorChanges::default(), "a peer that is behind doesn't withhold it again");
 }
 
 /// Guards against nodes of the build before, whose revisions carry no epoch, counting as behind for ever.
