Split the mirror's merge from what settles with time

What a merge collects and which searchers are unsettled, with the times after which the store is right, have files of their own; the time in which live searchers write again stands once. No change of behaviour: tests of routing, circles and pages pass.

--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -7,6 +7,9 @@
 //! Each item carries the revision of its last change. Items are merged by revision, and searchers' entries by start
 //! time too, but never by order of arrival. So it makes no difference whether they come from the store or from a peer.
 
+mod pending;
+mod settling;
+
 use crate::configuration::definition::RoutingDefinition;
 use crate::state::evacuations::{Evacuations, ZoneChange};
 pub use crate::state::known_configuration::AcceptedConfiguration;
@@ -16,107 +19,21 @@
 pub use crate::state::mirror_update::{MirrorChanges, MirrorItem, MirrorUpdate, PeerKnowledge};
 pub use crate::state::searcher_entry::SearcherEntry;
 use crate::state::store_revision::StoreRevision;
-use crate::state::timed_ids::TimedIds;
-use staircross_types::BootTime;
+use pending::{ListedNames, PendingChanges};
+use settling::UnsettledSearchers;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Maximum number of removed searchers that are remembered. Beyond it the older half is forgotten, and peers that are
 /// further behind get a complete listing. Large fleets have some hundreds of searchers, which is well below this limit.
 const MAX_TOMBSTONES: usize = 4096;
 
-/// Time for which a searcher counts although the listing of a new epoch lacks its entry. The platform states that live
-/// searchers have written their entries again about two seconds after the store's return; a quarter is added for the
-/// watch and a late wake-up.
-const REWRITE_TIME: Duration = Duration::from_millis(2500);
-
-/// Time for which a searcher's entry is withheld although it stands in the store, because its removal was known before
-/// the store came back. The entry of a searcher that has left goes after three heartbeats of 1.2 s in which nobody renews
-/// it; the rest is for the time in which its end is heard of.
-const WITHHOLDING_TIME: Duration = Duration::from_secs(5);
-
-/// The changes collected during a merge. An update may hold several changes of one id. Only the state after the merge
-/// is reported, but an incarnation that was draining in any of its entries is reported as draining.
-#[derive(Default)]
-struct PendingChanges {
-    configuration: Option<Arc<RoutingDefinition>>,
-    searchers: BTreeMap<Arc<str>, PendingSearcherChange>,
-    has_evacuations: bool,
-}
-
-#[derive(Default)]
-struct PendingSearcherChange {
-    /// The entry that was current before the merge.
-    before: Option<WrittenEntry>,
-    /// Start times, in Unix milliseconds, of the incarnations of which the merge brought a draining entry.
-    draining_starts: Vec<u64>,
-}
-
-impl PendingChanges {
-    /// Returns the record of a searcher that the merge changes; `before` is its entry before this change.
-    fn searcher_mut(&mut self, instance: Arc<str>, before: Option<WrittenEntry>) -> &mut PendingSearcherChange {
-        self.searchers.entry(instance).or_insert(PendingSearcherChange { before, draining_starts: Vec::new() })
-    }
-
-    fn into_changes(self, known: &BTreeMap<Arc<str>, KnownEntries>) -> MirrorChanges {
-        let mut changes = MirrorChanges { configuration: self.configuration, ..MirrorChanges::default() };
-        for (instance, change) in self.searchers {
-            let after = known.get(&instance).and_then(KnownEntries::current);
-            match (change.before, after) {
-                (before, Some(after)) => {
-                    let has_drained = change.draining_starts.contains(&after.entry.born_ms);
-                    if has_drained || before.is_none_or(|before| after.has_news_since(&before)) {
-                        let is_draining = after.entry.is_draining || has_drained;
-                        changes.searchers.push(SearcherEntry { is_draining, ..after.entry.clone() });
-                    }
-                }
-                (Some(_), None) => changes.removed_searchers.push(instance),
-                (None, None) => {}
-            }
-        }
-        changes
-    }
-}
-
-/// The ids and zones in a listing. Every other item of a kind that the listing covers is gone.
-#[derive(Default)]
-struct ListedNames {
-    /// Ids of searchers.
-    searchers: Vec<Arc<str>>,
-    /// Zones that are evacuated.
-    evacuated: Vec<Arc<str>>,
-}
-
-impl ListedNames {
-    fn add(&mut self, item: &MirrorItem) {
-        match item {
-            MirrorItem::Searcher { entry } => self.searchers.push(entry.instance.clone()),
-            MirrorItem::SearcherUnusable { instance } => self.searchers.push(instance.clone()),
-            MirrorItem::Evacuation { zone, is_active: true } => self.evacuated.push(zone.clone()),
-            MirrorItem::Evacuation { .. }
-            | MirrorItem::SearcherGone { .. }
-            | MirrorItem::Configuration { .. }
-            | MirrorItem::ConfigurationChanges { .. } => {}
-        }
-    }
-}
-
 /// The known items of the store, and the revisions up to which they are complete.
 #[derive(Debug, Default)]
 pub struct Mirror {
     configuration: KnownConfiguration,
     searchers: BTreeMap<Arc<str>, KnownEntries>,
-    /// The searchers of whose entries the store holds another than the one that counts. Of several incarnations under one
-    /// id, the one with the latest start counts (`known_entries`). But start times come from the searchers' clocks and from
-    /// other writers, and the latest may be wrong. A live incarnation writes its entry again within a heartbeat; if another
-    /// one still stands in the store after that, the store is right.
-    disputes: TimedIds,
-    /// The searchers whose entries are of an epoch before that of the last complete listing: the copy from which the store
-    /// has come back lacks them.
-    unlisted: TimedIds,
-    /// The searchers whose entries are withheld.
-    withheld: TimedIds,
+    unsettled: UnsettledSearchers,
     /// Revision of the first complete listing of the present epoch. What is written after it isn't from the copy.
     first_listing: StoreRevision,
     evacuations: Evacuations,
@@ -216,8 +133,7 @@
             listed.searchers.sort();
             if update.up_to.epoch > known.epoch {
                 self.first_listing = update.up_to;
-                self.unlisted.restart();
-                self.withheld.restart();
+                self.unsettled.restart_return();
             }
             self.remove_unlisted(update.up_to, &listed.searchers, &mut pending);
             self.has_listing = true;
@@ -232,50 +148,6 @@
         MirrorChanges { evacuated, ..pending.into_changes(&self.searchers) }
     }
 
-    /// Lets the store be right about the searchers of which the copy from which it has come back said something else than
-    /// was known, if they had time to write, and returns what that changes. The caller calls this regularly, since time
-    /// passes only by these calls. `hears_of_store` says whether it hears of what the store holds; if not, the time begins
-    /// anew.
-    pub fn settle_return(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
-        if !hears_of_store {
-            self.unlisted.restart();
-            self.withheld.restart();
-            return MirrorChanges::default();
-        }
-        let mut pending = PendingChanges::default();
-        for instance in self.withheld.take_overdue(now, WITHHOLDING_TIME) {
-            if let Some(known) = self.searchers.get_mut(&instance) {
-                let before = known.current().cloned();
-                known.release();
-                pending.searcher_mut(instance, before);
-            }
-        }
-        let epoch = self.known_revision().epoch;
-        for instance in self.unlisted.take_overdue(now, REWRITE_TIME) {
-            if let Some(known) = self.searchers.get_mut(&instance).filter(|known| known.are_before_epoch(epoch)) {
-                let before = known.current().cloned();
-                // Whatever is written in this epoch is newer than the removal.
-                known.remove_up_to(StoreRevision::new(epoch, 0));
-                pending.searcher_mut(instance, before);
-            }
-        }
-        pending.into_changes(&self.searchers)
-    }
-
-    /// Lets the store's entry count for each searcher for which another has counted for `max_age`, and returns what that
-    /// changes. The caller calls this regularly, since time passes only by these calls.
-    pub fn settle_disputes(&mut self, now: BootTime, max_age: Duration) -> MirrorChanges {
-        let mut pending = PendingChanges::default();
-        for instance in self.disputes.take_overdue(now, max_age) {
-            if let Some(known) = self.searchers.get_mut(&instance) {
-                let before = known.current().cloned();
-                known.settle();
-                pending.searcher_mut(instance, before);
-            }
-        }
-        pending.into_changes(&self.searchers)
-    }
-
     /// Returns whether the item is an entry of a searcher that has been removed since: the entry was written at or
     /// before `known_up_to`, up to which all changes are known here, but the searcher isn't known.
     fn was_removed(&self, revision: StoreRevision, item: &MirrorItem, known_up_to: StoreRevision) -> bool {
@@ -350,11 +222,11 @@
             known.release();
         }
         if known.is_withheld() {
-            self.withheld.insert(instance.clone());
+            self.unsettled.withheld.insert(instance.clone());
         }
         match known.is_disputed() {
-            true => self.disputes.insert(instance.clone()),
-            false => self.disputes.remove(&instance),
+            true => self.unsettled.disputes.insert(instance.clone()),
+            false => self.unsettled.disputes.remove(&instance),
         }
         self.searcher_revisions.note_change(revision);
         let change = pending.searcher_mut(instance, before);
@@ -368,7 +240,7 @@
         if let Some(known) = self.searchers.get_mut(&instance)
             && known.note_unusable(revision)
         {
-            self.disputes.insert(instance);
+            self.unsettled.disputes.insert(instance);
         }
     }
 
@@ -377,7 +249,7 @@
         let before = known.current().cloned();
         if known.remove_up_to(revision) {
             if known.is_withheld() {
-                self.withheld.insert(instance.clone());
+                self.unsettled.withheld.insert(instance.clone());
             }
             self.searcher_revisions.note_change(revision);
             pending.searcher_mut(instance, before);
@@ -389,7 +261,7 @@
     fn remove_unlisted(&mut self, revision: StoreRevision, listed: &[Arc<str>], pending: &mut PendingChanges) {
         for (instance, known) in &mut self.searchers {
             if known.are_before_epoch(revision.epoch) {
-                self.unlisted.insert(instance.clone());
+                self.unsettled.unlisted.insert(instance.clone());
                 continue;
             }
             if listed.binary_search(instance).is_ok() || !known.has_current_entry_at(revision) {
--- a/crates/staircross-routing/src/state/searcher_entry.rs
+++ b/crates/staircross-routing/src/state/searcher_entry.rs
@@ -6,6 +6,11 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time within which live searchers have written their entries anew after an outage of the store, or its return from an
+/// older copy. The platform states about two seconds; a quarter is added for the time in which a node hears of it.
+pub const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
 
 /// The entry of one incarnation of a searcher.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -48,8 +48,9 @@
     StoreReply,
 };
 
+use crate::state::searcher_entry::REREGISTRATION_TIME;
 use crate::state::store_revision::{StoreEpoch, StoreRevision};
-use lane::{LaneReader, LaneState, REREGISTRATION_TIME};
+use lane::{LaneReader, LaneState};
 use rand_chacha::ChaCha8Rng;
 use renewal::ProbedRevision;
 use staircross_types::BootTime;
--- a/crates/staircross-routing/src/store_reader/epochs.rs
+++ b/crates/staircross-routing/src/store_reader/epochs.rs
@@ -6,8 +6,9 @@
 //! come from a slow connection or from a store that is behind, and change nothing.
 
 use super::StoreReader;
-use super::lane::{LaneReader, LaneState, REREGISTRATION_TIME};
+use super::lane::{LaneReader, LaneState};
 use super::message::{CancelCause, EpochSource, Lane, ReaderAction, StoreReply};
+use crate::state::searcher_entry::REREGISTRATION_TIME;
 use crate::state::store_revision::StoreEpoch;
 use staircross_types::BootTime;
 
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -5,6 +5,7 @@
 
 use super::message::{Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall};
 use crate::state::mirror::{MirrorItem, MirrorUpdate};
+use crate::state::searcher_entry::REREGISTRATION_TIME;
 use crate::state::store_revision::StoreRevision;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -14,9 +15,6 @@
 /// Number of removed entries in one reply from which on they count as lapsed, to be written anew one by one, rather
 /// than as removed by leaving searchers. It is above the number of searchers that leave during one pause of the lane.
 const MIN_LAPSED_ENTRIES: usize = 8;
-/// Time within which live searchers have written their entries anew after an outage of the store. The platform states
-/// about two seconds; a quarter is added for the pause of the lane and a late wake-up.
-pub(super) const REREGISTRATION_TIME: Duration = Duration::from_millis(2500);
 /// Maximum number of doublings of the back-off. [`Backoff::longest`](super::Backoff) is reached before; the limit only
 /// prevents an overflow of the shift.
 const MAX_BACKOFF_DOUBLINGS: u32 = 6;
