Don't count a peer's update as complete if it leaves out the newest configuration

Callers could see: a version that never comes into force at a node until the next one. Change: an update names the sender's version; whoever doesn't have that version after the merge doesn't count the update as complete. Nodes of the build before don't say it, and their updates count as before.

--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -142,7 +142,10 @@
             self.searcher_revisions.note_complete(update.up_to);
         }
         self.searcher_revisions.note_change(update.newest);
-        self.operator_revisions.note_complete(update.operator_up_to);
+        // A configuration that wasn't sent, or couldn't be applied, is still to come.
+        if update.version <= self.version() {
+            self.operator_revisions.note_complete(update.operator_up_to);
+        }
         self.drop_old_tombstones();
         let evacuated = pending.has_evacuations.then(|| self.evacuations.active());
         MirrorChanges { evacuated, ..pending.into_changes(&self.searchers) }
@@ -206,6 +209,7 @@
             up_to: self.known_revision(),
             newest: self.newest_revision(),
             operator_up_to: self.operator_up_to(),
+            version: self.version(),
             all_evacuations_at: self.evacuations.listed_revision(),
             ..MirrorUpdate::default()
         }
--- a/crates/staircross-routing/src/state/mirror_update.rs
+++ b/crates/staircross-routing/src/state/mirror_update.rs
@@ -74,8 +74,11 @@
     /// the store has its own revision here: any searcher that it leaves out may have been removed just before.
     pub newest: StoreRevision,
     /// Revision up to which the update holds all changes of the configuration and of evacuations, except for a
-    /// configuration that the asking node doesn't accept; none when the sender doesn't know them all.
+    /// configuration that the asking node doesn't accept or can't apply (see `version`); none when the sender doesn't know them all.
     pub operator_up_to: StoreRevision,
+    /// Version of the sender's configuration, whether or not the update holds it; 0 in what is read from the store, and
+    /// from nodes of a build that doesn't say it.
+    pub version: u64,
     /// Revision at which all evacuated zones were listed, so that those the update leaves out weren't evacuated;
     /// `None` when the update doesn't list them all.
     pub all_evacuations_at: Option<StoreRevision>,
--- a/crates/staircross-routing/src/state/update_encoding.rs
+++ b/crates/staircross-routing/src/state/update_encoding.rs
@@ -20,12 +20,14 @@
     operator_up_to: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     all_evacuations_at: Option<u64>,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    version: u64,
     #[serde(default, skip_serializing_if = "UpdateEpochs::are_untold")]
     epochs: UpdateEpochs,
 }
 
-fn is_zero(count: &u64) -> bool {
-    *count == 0
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// The epochs of an update's revisions.
@@ -78,6 +80,7 @@
             newest: self.newest.count,
             operator_up_to: self.operator_up_to.count,
             all_evacuations_at: self.all_evacuations_at.map(|revision| revision.count),
+            version: self.version,
             epochs: UpdateEpochs::of(self),
         };
         encoded.serialize(serializer)
@@ -98,6 +101,7 @@
             newest: StoreRevision::new(epochs.newest, encoded.newest),
             operator_up_to: StoreRevision::new(epochs.operator_up_to, encoded.operator_up_to),
             all_evacuations_at: listed_at.map(|count| StoreRevision::new(epochs.all_evacuations_at, count)),
+            version: encoded.version,
             unreadable: Vec::new(),
         })
     }
--- a/crates/staircross-routing/tests/definition_delta.rs
+++ b/crates/staircross-routing/tests/definition_delta.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::mirror::{NOTHING_KNOWN, at, changes};
+use common::mirror::{NOTHING_KNOWN, at, changes, knowledge};
 use proptest::prelude::*;
 use staircross_routing::configuration::delta::DefinitionDelta;
 use staircross_routing::{
@@ -139,3 +139,18 @@
         prop_assert!(delta.apply(&new).is_none());
     }
 }
+
+/// Guards against a configuration that a node never hears of: a peer's update without it counted as complete, so the
+/// node's watch continued after it.
+#[test]
+fn an_update_that_leaves_the_newest_configuration_out_does_not_count_as_complete() {
+    let mut sender = Mirror::default();
+    sender.merge(configuration_update(30, large_definition(3)));
+    let mut asker = Mirror::default();
+    asker.merge(configuration_update(10, large_definition(1)));
+    let update = sender.changes_for(PeerKnowledge { accepts: AcceptedConfiguration::None, ..knowledge(&asker) });
+    asker.merge(update);
+    assert_eq!((asker.version(), asker.operator_up_to()), (1, at(10)));
+    asker.merge(sender.changes_for(knowledge(&asker)));
+    assert_eq!((asker.version(), asker.operator_up_to()), (3, at(30)));
+}
