Confirm no version by what an older copy of the store holds

Callers could see: a key that was withdrawn in the time which the store has lost lets them in for longer than a strict deployment allows, at a node that doesn't know the newest version. Change: the version that is known keeps the newest revision at which the store is known to have held it; peers send it with their updates. It confirms nothing in an epoch in which the store hasn't held it yet. The operator's writing of the same version again makes up for it, without bringing the version into force anew. Failed before: nothing said whether the store holds the version, so the new test a_version_is_not_held_by_the_store_before_it_is_written_again has no earlier form. Measured: tests of routing, tenants and pinned forms pass.

--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -81,7 +81,7 @@
                 }
                 ReaderAction::Learned { lane, update } => {
                     self.apply_update(update, lane.name());
-                    if lane == Lane::Configuration {
+                    if lane == Lane::Configuration && self.mirror.is_version_held() {
                         self.fleet.confirm(self.store_reader.called_at(lane));
                     }
                 }
@@ -185,13 +185,14 @@
     }
 
     /// Handles the store's answer to a probe. The configuration is confirmed as of the probe if a watch of it was
-    /// already in flight by then, and the probe shows no change that the watches haven't reported. A designated reader
+    /// already in flight by then, the probe shows no change that the watches haven't reported, and the store holds the
+    /// version that is in force. A designated reader
     /// sends its followers a heartbeat if the store serves both watches.
     fn on_probe_answered(&mut self) {
         self.store_role.record_probe_answered(self.now);
         let [watched_at, probed_at] = [Lane::Configuration, Lane::Probe].map(|lane| self.store_reader.called_at(lane));
         let is_up_to_date = self.store_reader.watches_configuration() && self.store_reader.knows_probed_revision();
-        if is_up_to_date && watched_at <= probed_at {
+        if is_up_to_date && watched_at <= probed_at && self.mirror.is_version_held() {
             self.fleet.confirm(probed_at);
         }
         if self.store_reader.is_reachable() && self.fleet.is_designated_reader() {
--- a/crates/staircross-gateway/tests/epochs_between_nodes.rs
+++ b/crates/staircross-gateway/tests/epochs_between_nodes.rs
@@ -19,13 +19,14 @@
     #[test]
     fn an_update_keeps_its_revisions(
         items in prop::collection::vec(any_revision(), 0..9),
-        [up_to, newest, operator_up_to] in [any_revision(), any_revision(), any_revision()],
+        [up_to, newest, operator_up_to, version_at] in
+            [any_revision(), any_revision(), any_revision(), any_revision()],
         all_evacuations_at in prop::option::of(any_revision()),
     ) {
         let gone = MirrorItem::SearcherGone { instance: Arc::from("a") };
         let items = items.into_iter().map(|revision| (revision, gone.clone())).collect();
         let update =
-            MirrorUpdate { items, up_to, newest, operator_up_to, all_evacuations_at, ..MirrorUpdate::default() };
+            MirrorUpdate { items, up_to, newest, operator_up_to, version: 3, version_at, all_evacuations_at, ..MirrorUpdate::default() };
         let received: MirrorUpdate = decode(&encode(&update).expect("the update is encoded")).expect("an update");
         prop_assert_eq!(received, update);
     }
--- a/crates/staircross-routing/src/state/known_configuration.rs
+++ b/crates/staircross-routing/src/state/known_configuration.rs
@@ -48,7 +48,7 @@
 /// The newest known version, and the deltas that led to it.
 #[derive(Debug, Default)]
 pub(crate) struct KnownConfiguration {
-    /// The newest version and the store's revision at which it was written.
+    /// The newest version, and the newest revision at which the store is known to have held it.
     newest: Option<(StoreRevision, Arc<RoutingDefinition>)>,
     /// The kept deltas, the newest last; each starts from the version to which the delta before it leads.
     deltas: VecDeque<DefinitionDelta>,
@@ -64,6 +64,19 @@
         self.definition().map_or(0, |definition| definition.version)
     }
 
+    /// Returns the newest revision at which the store is known to have held the newest version; none when no
+    /// configuration is known.
+    pub fn held_at(&self) -> StoreRevision {
+        self.newest.as_ref().map_or(StoreRevision::NONE, |(revision, _)| *revision)
+    }
+
+    /// Records that the store held a version at a revision.
+    pub fn note_held(&mut self, version: u64, at: StoreRevision) {
+        if let Some((revision, _)) = self.newest.as_mut().filter(|(_, definition)| definition.version == version) {
+            *revision = at.max(*revision);
+        }
+    }
+
     /// Replaces the known definition by one of a higher version, and returns the new one if it did. Only versions are
     /// compared, not revisions, so the version never falls.
     pub fn replace_if_newer(
@@ -71,6 +84,7 @@
         revision: StoreRevision,
         definition: Arc<RoutingDefinition>,
     ) -> Option<Arc<RoutingDefinition>> {
+        self.note_held(definition.version, revision);
         if definition.version <= self.version() && self.newest.is_some() {
             return None;
         }
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -59,6 +59,12 @@
         self.configuration.version()
     }
 
+    /// Returns whether the store holds the newest known version as far as this node knows. After its return from an older
+    /// copy, the store lacks a version that was written since, until the operator writes it again.
+    pub fn is_version_held(&self) -> bool {
+        self.configuration.held_at().epoch >= self.operator_up_to().epoch
+    }
+
     /// Returns the revision up to which all changes of the configuration and of evacuations are known; none before
     /// the first complete listing.
     pub fn operator_up_to(&self) -> StoreRevision {
@@ -142,6 +148,7 @@
             self.searcher_revisions.note_complete(update.up_to);
         }
         self.searcher_revisions.note_change(update.newest);
+        self.configuration.note_held(update.version, update.version_at);
         // A configuration that wasn't sent, or couldn't be applied, is still to come.
         if update.version <= self.version() {
             self.operator_revisions.note_complete(update.operator_up_to);
@@ -210,6 +217,7 @@
             newest: self.newest_revision(),
             operator_up_to: self.operator_up_to(),
             version: self.version(),
+            version_at: self.configuration.held_at(),
             all_evacuations_at: self.evacuations.listed_revision(),
             ..MirrorUpdate::default()
         }
--- a/crates/staircross-routing/src/state/mirror_update.rs
+++ b/crates/staircross-routing/src/state/mirror_update.rs
@@ -79,6 +79,8 @@
     /// Version of the sender's configuration, whether or not the update holds it; 0 in what is read from the store, and
     /// from nodes of a build that doesn't say it.
     pub version: u64,
+    /// Newest revision at which the sender knows that the store held this version.
+    pub version_at: StoreRevision,
     /// Revision at which all evacuated zones were listed, so that those the update leaves out weren't evacuated;
     /// `None` when the update doesn't list them all.
     pub all_evacuations_at: Option<StoreRevision>,
@@ -96,6 +98,7 @@
             up_to: self.up_to.assuming_epoch(epoch),
             newest: self.newest.assuming_epoch(epoch),
             operator_up_to: self.operator_up_to.assuming_epoch(epoch),
+            version_at: self.version_at.assuming_epoch(epoch),
             all_evacuations_at: self.all_evacuations_at.map(|revision| revision.assuming_epoch(epoch)),
             ..self
         }
--- a/crates/staircross-routing/src/state/update_encoding.rs
+++ b/crates/staircross-routing/src/state/update_encoding.rs
@@ -22,6 +22,8 @@
     all_evacuations_at: Option<u64>,
     #[serde(default, skip_serializing_if = "is_zero")]
     version: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    version_at: u64,
     #[serde(default, skip_serializing_if = "UpdateEpochs::are_untold")]
     epochs: UpdateEpochs,
 }
@@ -37,6 +39,7 @@
     newest: StoreEpoch,
     operator_up_to: StoreEpoch,
     all_evacuations_at: StoreEpoch,
+    version_at: StoreEpoch,
     /// Epochs of the items, each with the number of successive items that have it.
     items: Vec<(StoreEpoch, usize)>,
 }
@@ -55,12 +58,13 @@
             newest: update.newest.epoch,
             operator_up_to: update.operator_up_to.epoch,
             all_evacuations_at: update.all_evacuations_at.unwrap_or_default().epoch,
+            version_at: update.version_at.epoch,
             items,
         }
     }
 
     fn are_untold(&self) -> bool {
-        let fields = [self.up_to, self.newest, self.operator_up_to, self.all_evacuations_at];
+        let fields = [self.up_to, self.newest, self.operator_up_to, self.all_evacuations_at, self.version_at];
         fields.iter().chain(self.items.iter().map(|(epoch, _)| epoch)).all(StoreEpoch::is_untold)
     }
 
@@ -81,6 +85,7 @@
             operator_up_to: self.operator_up_to.count,
             all_evacuations_at: self.all_evacuations_at.map(|revision| revision.count),
             version: self.version,
+            version_at: self.version_at.count,
             epochs: UpdateEpochs::of(self),
         };
         encoded.serialize(serializer)
@@ -102,6 +107,7 @@
             operator_up_to: StoreRevision::new(epochs.operator_up_to, encoded.operator_up_to),
             all_evacuations_at: listed_at.map(|count| StoreRevision::new(epochs.all_evacuations_at, count)),
             version: encoded.version,
+            version_at: StoreRevision::new(epochs.version_at, encoded.version_at),
             unreadable: Vec::new(),
         })
     }
--- a/crates/staircross-routing/tests/restored_store.rs
+++ b/crates/staircross-routing/tests/restored_store.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::mirror::{NOTHING_KNOWN, knowledge, listing, searcher, searcher_gone, searcher_ids};
+use common::mirror::{NOTHING_KNOWN, configuration, knowledge, listing, searcher, searcher_gone, searcher_ids};
 use staircross_routing::state::mirror::MirrorChanges;
 use staircross_routing::{Mirror, MirrorItem, MirrorUpdate, StoreEpoch, StoreRevision};
 use staircross_types::BootTime;
@@ -191,6 +191,35 @@
     assert_eq!(again, MirrorChanges::default(), "a peer that is behind doesn't withhold it again");
 }
 
+/// Returns an update that holds all that the operator has written, as of a revision.
+fn operator_listing(epoch: u64, count: u64, version: u64) -> MirrorUpdate {
+    let at = revision(epoch, count);
+    let items = vec![(50, configuration(version))];
+    MirrorUpdate { operator_up_to: at, all_evacuations_at: Some(at), ..changes_in(epoch, items) }
+}
+
+/// Guards against an older version of the copy that counts as a confirmation of the newest one, so that a key that was
+/// withdrawn in the lost time lets callers in.
+#[test]
+fn a_version_is_not_held_by_the_store_before_it_is_written_again() {
+    let mut reader = Mirror::default();
+    reader.merge(operator_listing(1, 100, 3));
+    reader.merge(changes_in(1, vec![(110, configuration(5))]));
+    assert!(reader.is_version_held());
+    let mut follower = mirror_like(&reader);
+    reader.merge(operator_listing(2, 104, 3));
+    assert_eq!(reader.version(), 5, "a version never falls");
+    assert!(!reader.is_version_held());
+    follower.merge(reader.changes_for(knowledge(&follower)));
+    assert!(!follower.is_version_held());
+    let written_again =
+        MirrorUpdate { operator_up_to: revision(2, 106), ..changes_in(2, vec![(106, configuration(5))]) };
+    assert_eq!(reader.merge(written_again).configuration, None, "it is the same version");
+    assert!(reader.is_version_held());
+    follower.merge(reader.changes_for(knowledge(&follower)));
+    assert!(follower.is_version_held(), "a follower that comes to read the store doesn't list it");
+}
+
 /// Guards against nodes of the build before, whose revisions carry no epoch, counting as behind for ever.
 #[test]
 fn an_update_without_epochs_counts_as_of_the_epoch_that_is_known() {
