Let what was known of evacuations hold against an older copy of the store

Searchers could see: new work in a zone whose evacuation had been acknowledged, and a zone that gets none though its evacuation had ended, from the store's return from an older copy until the operator writes again. Change: a zone's last change of the former epoch holds while the copy contradicts it and was made before it, until the operator writes anything of the zone, or for 5 s in which the node hears of what the store holds. It is sent to peers with the rest. Failed before: both new tests, in which the copy counts at once.

--- a/crates/staircross-routing/src/state/evacuations.rs
+++ b/crates/staircross-routing/src/state/evacuations.rs
@@ -5,10 +5,19 @@
 //!
 //! The end of an evacuation is remembered with its revision, as its start is, so that updates may arrive in any order
 //! from the store or from peers. There is at most one entry for each zone.
+//!
+//! A store that has come back from an older copy shows each zone as it was before. Where that contradicts what was known,
+//! the latter holds until the operator writes again, or for [`HOLD_TIME`].
 
-use crate::state::store_revision::StoreRevision;
+use crate::state::store_revision::{StoreEpoch, StoreRevision};
+use staircross_types::BootTime;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for which what was known of a zone holds against the copy from which the store has come back. The operator writes
+/// again within a second or two.
+const HOLD_TIME: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug)]
 struct ZoneState {
@@ -16,6 +25,15 @@
     is_active: bool,
 }
 
+/// What is known of one zone.
+#[derive(Clone, Copy, Debug)]
+struct KnownZone {
+    /// The last change.
+    last: ZoneState,
+    /// The last change of a former epoch, unless it no longer matters.
+    former: Option<ZoneState>,
+}
+
 /// The last change of one zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneChange {
@@ -30,54 +48,103 @@
 /// The last known change of each zone, and the newest listing.
 #[derive(Debug, Default)]
 pub struct Evacuations {
-    zones: BTreeMap<Arc<str>, ZoneState>,
+    zones: BTreeMap<Arc<str>, KnownZone>,
     /// Revision of the newest listing of all evacuations, if there was one.
     listed_revision: StoreRevision,
+    /// Revision of the first listing of the present epoch. What is written after it isn't from the copy.
+    first_listing: StoreRevision,
+    /// Epoch up to which what was known before no longer holds against the store.
+    settled_epoch: StoreEpoch,
+    /// Time since which a zone is held; `None` if none is, or the time begins anew.
+    held_since: Option<BootTime>,
+}
+
+impl KnownZone {
+    /// Records a change, in any order of revisions.
+    fn note(&mut self, change: ZoneState) {
+        if change.revision <= self.last.revision {
+            if change.revision.epoch < self.last.revision.epoch {
+                self.note_former(change);
+            }
+            return;
+        }
+        if self.last.revision.epoch < change.revision.epoch {
+            self.note_former(self.last);
+        }
+        self.last = change;
+    }
+
+    fn note_former(&mut self, change: ZoneState) {
+        if self.former.is_none_or(|former| former.revision < change.revision) {
+            self.former = Some(change);
+        }
+    }
+
+    /// Returns the change of a former epoch that holds, because the last one comes from a copy that was made before it.
+    fn held(&self, first_listing: StoreRevision) -> Option<ZoneState> {
+        let last = self.last;
+        let is_written_since = last.revision.epoch == first_listing.epoch && last.revision > first_listing;
+        self.former.filter(|former| {
+            former.is_active != last.is_active && last.revision.count < former.revision.count && !is_written_since
+        })
+    }
 }
 
 impl Evacuations {
-    /// Merges the start or end of an evacuation. Returns whether the set of evacuated zones changed.
-    pub fn merge_change(&mut self, revision: StoreRevision, zone: Arc<str>, is_active: bool) -> bool {
-        let known = self.zones.get(&zone).copied();
+    /// Merges the start or end of an evacuation.
+    pub fn merge_change(&mut self, revision: StoreRevision, zone: Arc<str>, is_active: bool) {
+        let change = ZoneState { revision, is_active };
         // An evacuation that the newest listing left out had ended by that listing, but a peer that doesn't know of the
         // end may still send the start. The end is inserted, so that this node counts as knowing more than that peer,
         // which then asks for it.
-        let had_ended = known.is_none() && is_active && revision <= self.listed_revision;
-        if had_ended {
-            self.zones.insert(zone, ZoneState { revision: self.listed_revision, is_active: false });
-            return false;
-        }
-        if known.is_some_and(|known| known.revision >= revision) {
-            return false;
-        }
-        self.zones.insert(zone, ZoneState { revision, is_active });
-        known.is_some_and(|known| known.is_active) != is_active
+        let had_ended = is_active && revision <= self.listed_revision;
+        let first = if had_ended { ZoneState { revision: self.listed_revision, is_active: false } } else { change };
+        let is_settled = revision.epoch < self.settled_epoch;
+        let known = self.zones.entry(zone).or_insert(KnownZone { last: first, former: None });
+        known.note(change);
+        known.former = known.former.filter(|_| !is_settled);
     }
 
     /// Merges a complete listing at `revision`: evacuations that it leaves out had ended by then.
-    /// Returns whether any known evacuation ended that way.
-    pub fn merge_listing(&mut self, revision: StoreRevision, listed: &[Arc<str>]) -> bool {
+    pub fn merge_listing(&mut self, revision: StoreRevision, listed: &[Arc<str>]) {
+        if revision.epoch > self.listed_revision.epoch {
+            self.first_listing = revision;
+            self.held_since = None;
+        }
         self.listed_revision = self.listed_revision.max(revision);
-        let mut has_ended = false;
-        for (zone, state) in &mut self.zones {
-            if state.is_active && state.revision <= revision && !listed.contains(zone) {
-                *state = ZoneState { revision, is_active: false };
-                has_ended = true;
+        for (zone, known) in &mut self.zones {
+            if known.last.is_active && known.last.revision <= revision && !listed.contains(zone) {
+                known.note(ZoneState { revision, is_active: false });
             }
         }
-        has_ended
+    }
+
+    /// Lets the store be right about zones that have been held for [`HOLD_TIME`]. The caller calls this regularly, since
+    /// time passes only by these calls. `hears_of_store` says whether it hears of what the store holds; if not, the time
+    /// begins anew.
+    pub fn settle(&mut self, now: BootTime, hears_of_store: bool) {
+        let is_held = self.zones.values().any(|known| known.held(self.first_listing).is_some());
+        if !is_held || !hears_of_store {
+            self.held_since = None;
+            return;
+        }
+        if now.since(*self.held_since.get_or_insert(now)) >= HOLD_TIME {
+            self.settled_epoch = self.listed_revision.epoch;
+            self.zones.values_mut().for_each(|known| known.former = None);
+        }
     }
 
     /// Returns the zones that are being evacuated.
     pub fn active(&self) -> Vec<Arc<str>> {
-        let active = self.zones.iter().filter(|(_, state)| state.is_active);
+        let is_active = |known: &KnownZone| known.held(self.first_listing).unwrap_or(known.last).is_active;
+        let active = self.zones.iter().filter(|(_, known)| is_active(known));
         active.map(|(zone, _)| zone.clone()).collect()
     }
 
     /// Returns the revision of the newest known change or listing, or none while no evacuation is known. A listing counts,
     /// because any evacuation that it leaves out may have ended just before.
     pub fn newest(&self) -> StoreRevision {
-        let newest_change = self.zones.values().map(|state| state.revision).max();
+        let newest_change = self.zones.values().map(|known| known.last.revision).max();
         newest_change.map_or(StoreRevision::NONE, |revision| revision.max(self.listed_revision))
     }
 
@@ -90,13 +157,13 @@
     ///
     /// Active evacuations are always sent, so the peer can tell that an evacuation that isn't sent had ended by
     /// [`Self::listed_revision`]. A node that has merged a peer's update watches the store only from the revision up to
-    /// which that update was complete, and would never learn of earlier ends.
+    /// which that update was complete, and would never learn of earlier ends. A change of a former epoch that holds is
+    /// sent too, so that it holds at the peer.
     pub fn changes_after(&self, revision: StoreRevision) -> impl Iterator<Item = ZoneChange> {
-        let newer = self.zones.iter().filter(move |(_, state)| state.revision > revision || state.is_active);
-        newer.map(|(zone, state)| ZoneChange {
-            revision: state.revision,
-            zone: zone.clone(),
-            is_active: state.is_active,
+        let newer = self.zones.iter().filter(move |(_, known)| known.last.revision > revision || known.last.is_active);
+        newer.flat_map(|(zone, known)| {
+            let states = known.held(self.first_listing).into_iter().chain([known.last]);
+            states.map(|state| ZoneChange { revision: state.revision, zone: zone.clone(), is_active: state.is_active })
         })
     }
 }
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -119,6 +119,7 @@
     pub fn merge(&mut self, update: MirrorUpdate) -> MirrorChanges {
         let mut pending = PendingChanges::default();
         let mut listed = ListedNames::default();
+        let evacuated_before = self.evacuations.active();
         let is_listing = update.is_complete_for_searchers || update.all_evacuations_at.is_some();
         // If the sender knows less than this node, a searcher that only the sender knows is gone: this node knew of its
         // removal and has forgotten it.
@@ -133,7 +134,7 @@
             }
         }
         if let Some(revision) = update.all_evacuations_at {
-            pending.has_evacuations |= self.evacuations.merge_listing(revision, &listed.evacuated);
+            self.evacuations.merge_listing(revision, &listed.evacuated);
         }
         if update.is_complete_for_searchers {
             listed.searchers.sort();
@@ -154,7 +155,8 @@
             self.operator_revisions.note_complete(update.operator_up_to);
         }
         self.drop_old_tombstones();
-        let evacuated = pending.has_evacuations.then(|| self.evacuations.active());
+        let evacuated = self.evacuations.active();
+        let evacuated = (evacuated != evacuated_before).then_some(evacuated);
         MirrorChanges { evacuated, ..pending.into_changes(&self.searchers) }
     }
 
@@ -181,7 +183,7 @@
             MirrorItem::SearcherGone { instance } => self.merge_removal(revision, instance, pending),
             MirrorItem::SearcherUnusable { instance } => self.merge_unusable(revision, instance),
             MirrorItem::Evacuation { zone, is_active } => {
-                pending.has_evacuations |= self.evacuations.merge_change(revision, zone, is_active);
+                self.evacuations.merge_change(revision, zone, is_active);
             }
         }
     }
--- a/crates/staircross-routing/src/state/mirror/pending.rs
+++ b/crates/staircross-routing/src/state/mirror/pending.rs
@@ -12,7 +12,6 @@
 pub(super) struct PendingChanges {
     pub configuration: Option<Arc<RoutingDefinition>>,
     searchers: BTreeMap<Arc<str>, PendingSearcherChange>,
-    pub has_evacuations: bool,
 }
 
 /// What a merge has brought of one searcher.
--- a/crates/staircross-routing/src/state/mirror/settling.rs
+++ b/crates/staircross-routing/src/state/mirror/settling.rs
@@ -1,4 +1,5 @@
-//! Searchers of which the store holds something else than what counts, and when the store is right.
+//! Searchers of which the store holds something else than what counts, and when the store is right. Evacuations are
+//! settled together with them; `evacuations` says when.
 //!
 //! Of several incarnations under one id, the one with the latest start counts (`known_entries`). But start times come from
 //! the searchers' clocks and from other writers, and the latest may be wrong. And a store that has come back from an older
@@ -40,11 +41,19 @@
 }
 
 impl Mirror {
-    /// Lets the store be right about the searchers of which the copy from which it has come back said something else than
-    /// was known, if they had time to write, and returns what that changes. The caller calls this regularly, since time
+    /// Lets the store be right about the searchers and zones of which the copy from which it has come back said something
+    /// else than was known, if there was time to write them again, and returns what that changes. The caller calls this regularly, since time
     /// passes only by these calls. `hears_of_store` says whether it hears of what the store holds; if not, the time begins
     /// anew.
     pub fn settle_return(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
+        let evacuated_before = self.evacuations.active();
+        self.evacuations.settle(now, hears_of_store);
+        let evacuated = self.evacuations.active();
+        let evacuated = (evacuated != evacuated_before).then_some(evacuated);
+        MirrorChanges { evacuated, ..self.settle_returned_searchers(now, hears_of_store) }
+    }
+
+    fn settle_returned_searchers(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
         if !hears_of_store {
             self.unsettled.restart_return();
             return MirrorChanges::default();
--- a/crates/staircross-routing/tests/restored_store.rs
+++ b/crates/staircross-routing/tests/restored_store.rs
@@ -220,6 +220,57 @@
     assert!(follower.is_version_held(), "a follower that comes to read the store doesn't list it");
 }
 
+fn evacuation(zone: &str, is_active: bool) -> MirrorItem {
+    MirrorItem::Evacuation { zone: Arc::from(zone), is_active }
+}
+
+/// Returns a listing of the operator's items at count 104 of epoch 2, with these zones evacuated.
+fn restored_evacuations(items: Vec<(u64, MirrorItem)>) -> MirrorUpdate {
+    let at = revision(2, 104);
+    MirrorUpdate { operator_up_to: at, all_evacuations_at: Some(at), ..changes_in(2, items) }
+}
+
+fn zones(mirror: &Mirror) -> Vec<String> {
+    mirror.evacuated().iter().map(|zone| zone.to_string()).collect()
+}
+
+/// Guards against new work for a zone that is being evacuated, and for one that stays evacuated: the copy was made before
+/// the beginning of the one evacuation and before the end of the other.
+#[test]
+fn what_was_known_of_evacuations_holds_until_the_operator_had_time_to_write() {
+    let known =
+        changes_in(1, vec![(50, evacuation("b", true)), (110, evacuation("a", true)), (111, evacuation("b", false))]);
+    let copy = restored_evacuations(vec![(50, evacuation("b", true))]);
+    for updates in [[known.clone(), copy.clone()], [copy, known]] {
+        let mut mirror = Mirror::default();
+        updates.into_iter().for_each(|update| drop(mirror.merge(update)));
+        assert_eq!(zones(&mirror), ["a"]);
+        let told_by_a_peer = mirror_like(&mirror);
+        assert_eq!(zones(&told_by_a_peer), ["a"]);
+        mirror.settle_return(at(0), true);
+        mirror.settle_return(at(4000), false);
+        mirror.settle_return(at(5000), true);
+        assert_eq!(mirror.settle_return(at(9900), true), MirrorChanges::default());
+        assert_eq!(mirror.settle_return(at(10_000), true).evacuated, Some(vec![Arc::from("b")]), "the store is right");
+        mirror.merge(changes_in(1, vec![(110, evacuation("a", true))]));
+        assert_eq!(zones(&mirror), ["b"], "a peer that is behind doesn't change it");
+    }
+}
+
+#[test]
+fn what_the_operator_writes_after_the_return_counts_at_once() {
+    let mut mirror = Mirror::default();
+    mirror.merge(changes_in(1, vec![(110, evacuation("a", true)), (111, evacuation("b", false))]));
+    mirror.merge(restored_evacuations(vec![]));
+    assert_eq!(zones(&mirror), ["a"]);
+    let changes = mirror.merge(changes_in(2, vec![(105, evacuation("a", true)), (106, evacuation("b", true))]));
+    assert_eq!(changes.evacuated, Some(vec![Arc::from("a"), Arc::from("b")]));
+    mirror.merge(changes_in(2, vec![(107, evacuation("a", false))]));
+    assert_eq!(zones(&mirror), ["b"]);
+    mirror.settle_return(at(0), true);
+    assert_eq!(mirror.settle_return(at(9000), true), MirrorChanges::default());
+}
+
 /// Guards against nodes of the build before, whose revisions carry no epoch, counting as behind for ever.
 #[test]
 fn an_update_without_epochs_counts_as_of_the_epoch_that_is_known() {
