Let a later start outlast the entry of an earlier one in the store's older copy

Searchers could see: no requests though they live, after the store's return from an older copy that was made before they started again under their id. Cause: the store held the entry of the earlier start, and the later one gave way after half of the bound on drains, as where two starts write in turn; but a searcher writes again about two seconds after the return only. Change: where the two entries are of different epochs, the later start counts as long as an entry that the copy lacks. Failed before: a_later_start_that_the_copy_lacks_counts_until_it_had_time_to_write. The property fails if revisions are ordered without epochs, and if the reader's watches go on in a new epoch.

--- a/crates/staircross-routing/src/state/known_entries.rs
+++ b/crates/staircross-routing/src/state/known_entries.rs
@@ -96,11 +96,21 @@
         self.released_removal = self.removed_up_to;
     }
 
+    /// Returns whether any entry is of an epoch before this one.
+    pub fn has_entry_before_epoch(&self, epoch: StoreEpoch) -> bool {
+        self.entries.first().is_some_and(|oldest| oldest.revision.epoch < epoch)
+    }
+
     /// Returns whether there are entries, and all are of an epoch before this one.
     pub fn are_before_epoch(&self, epoch: StoreEpoch) -> bool {
         self.entries.last().is_some_and(|newest| newest.revision.epoch < epoch)
     }
 
+    /// Returns whether there are entries of several epochs.
+    pub fn span_epochs(&self) -> bool {
+        self.entries.last().is_some_and(|newest| self.has_entry_before_epoch(newest.revision.epoch))
+    }
+
     /// Returns whether the current entry, withheld or not, was written at or before `revision`.
     pub fn has_current_entry_at(&self, revision: StoreRevision) -> bool {
         self.entries.first().is_some_and(|known| known.revision <= revision)
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -239,6 +239,8 @@
             self.unsettled.withheld.insert(instance.clone());
         }
         match known.is_disputed() {
+            // The copy has an earlier incarnation; the later one has as long to write again as one that the copy lacks.
+            true if known.span_epochs() => self.unsettled.unlisted.insert(instance.clone()),
             true => self.unsettled.disputes.insert(instance.clone()),
             false => self.unsettled.disputes.remove(&instance),
         }
--- a/crates/staircross-routing/src/state/mirror/settling.rs
+++ b/crates/staircross-routing/src/state/mirror/settling.rs
@@ -25,8 +25,8 @@
 pub(super) struct UnsettledSearchers {
     /// The store holds another entry than the one of the latest start.
     pub disputes: TimedIds,
-    /// The entries are of an epoch before that of the last complete listing: the copy from which the store has come back
-    /// lacks them.
+    /// The entries that count are of an epoch before that of the last complete listing: the copy from which the store has
+    /// come back lacks them.
     pub unlisted: TimedIds,
     /// The entries are withheld: the copy has them, but their removal is known.
     pub withheld: TimedIds,
@@ -68,7 +68,7 @@
         }
         let epoch = self.known_revision().epoch;
         for instance in self.unsettled.unlisted.take_overdue(now, REREGISTRATION_TIME) {
-            if let Some(known) = self.searchers.get_mut(&instance).filter(|known| known.are_before_epoch(epoch)) {
+            if let Some(known) = self.searchers.get_mut(&instance).filter(|known| known.has_entry_before_epoch(epoch)) {
                 let before = known.current().cloned();
                 // Whatever is written in this epoch is newer than the removal.
                 known.remove_up_to(StoreRevision::new(epoch, 0));
--- a/crates/staircross-routing/tests/restored_store.rs
+++ b/crates/staircross-routing/tests/restored_store.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
+use common::incarnations;
 use common::mirror::{NOTHING_KNOWN, configuration, knowledge, listing, searcher, searcher_gone, searcher_ids};
 use staircross_routing::state::mirror::MirrorChanges;
 use staircross_routing::{Mirror, MirrorItem, MirrorUpdate, StoreEpoch, StoreRevision};
 use staircross_types::BootTime;
 use std::sync::Arc;
+use std::time::Duration;
 
 fn revision(epoch: u64, count: u64) -> StoreRevision {
     StoreRevision::new(StoreEpoch::new(epoch), count)
@@ -271,6 +273,30 @@
     assert_eq!(mirror.settle_return(at(9000), true), MirrorChanges::default());
 }
 
+fn started(instance: &str, born_ms: u64) -> MirrorItem {
+    MirrorItem::Searcher { entry: incarnations::started(instance, born_ms) }
+}
+
+/// Guards against a live incarnation that gives way to an earlier one: the copy was made before the restart under its id.
+#[test]
+fn a_later_start_that_the_copy_lacks_counts_until_it_had_time_to_write() {
+    let mut mirror = Mirror::default();
+    mirror.merge(listing_in(1, 116, vec![(110, started("a", 900))]));
+    mirror.merge(listing_in(2, 104, vec![(50, started("a", 700))]));
+    let starts = |mirror: &Mirror| -> Vec<u64> { mirror.searchers().map(|entry| entry.born_ms).collect() };
+    assert_eq!(starts(&mirror), [900]);
+    for now in [0, 2400] {
+        mirror.settle_disputes(at(now), Duration::from_millis(1500));
+        assert_eq!(mirror.settle_return(at(now), true), MirrorChanges::default());
+    }
+    let mut written_again = mirror_like(&mirror);
+    written_again.merge(changes_in(2, vec![(106, started("a", 900))]));
+    written_again.settle_return(at(9000), true);
+    assert_eq!(starts(&written_again), [900]);
+    assert_eq!(mirror.settle_return(at(2500), true).searchers.len(), 1);
+    assert_eq!(starts(&mirror), [700]);
+}
+
 /// Guards against nodes of the build before, whose revisions carry no epoch, counting as behind for ever.
 #[test]
 fn an_update_without_epochs_counts_as_of_the_epoch_that_is_known() {
--- a/crates/staircross-routing/tests/views.rs
+++ b/crates/staircross-routing/tests/views.rs
@@ -1,5 +1,5 @@
-//! Several nodes read the store and ask each other for changes, with calls, replies, failures and writes in any order.
-//! In the end each node must know what the store holds.
+//! Several nodes read the store and ask each other for changes, with calls, replies, failures, writes and returns of the
+//! store from an older copy in any order. In the end each node must know what the store holds.
 //!
 //! Guards against a node that permanently considers a drained searcher ready, a removed one live, or a zone evacuated.
 //! This happened because a node that knew a change was assumed to know all earlier ones. That is wrong if items change
@@ -10,16 +10,17 @@
 
 mod common;
 
-use common::mirror::{at, configuration, entry};
+use common::mirror::{configuration, entry};
 use common::store::ReaderDriver;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use staircross_routing::store_reader::{Lane, ReadingMode, StoreCall, StoreReply};
 use staircross_routing::{
-    AcceptedConfiguration, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, StoreRevision,
+    AcceptedConfiguration, Mirror, MirrorItem, MirrorUpdate, PeerKnowledge, SearcherEntry, StoreEpoch, StoreRevision,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 const NODES: usize = 3;
 /// Items on each page of a listing.
@@ -27,6 +28,7 @@
 const SEARCHERS: u8 = 5;
 const ZONES: [&str; 2] = ["a", "b"];
 const LANES: [Lane; 3] = [Lane::Configuration, Lane::Searchers, Lane::SearcherPages];
+const MAX_DISPUTE: Duration = Duration::from_millis(1500);
 /// Rounds after which all open calls and exchanges with peers have ended.
 const SETTLE_ROUNDS: usize = 200;
 
@@ -40,6 +42,10 @@
     Draining(u8),
     Gone(u8),
     Compact,
+    /// A copy of the store is made.
+    Copy,
+    /// The store comes back from the copy, if there is one: its counter goes back and a new epoch begins.
+    Restore,
 }
 
 /// One step of a history. Nodes, peers and lanes are given by their index.
@@ -74,6 +80,8 @@
         3 => (0..SEARCHERS).prop_map(Write::Draining),
         1 => (0..SEARCHERS).prop_map(Write::Gone),
         1 => Just(Write::Compact),
+        1 => Just(Write::Copy),
+        1 => Just(Write::Restore),
     ]
 }
 
@@ -93,15 +101,24 @@
     ]
 }
 
-/// The simulated store: the item under each key, and all changes since the last compaction.
+/// What the simulated store holds: the item under each key, and all changes since the last compaction.
+#[derive(Clone, Default)]
+struct Contents {
+    /// Number of changes counted.
+    count: u64,
+    items: BTreeMap<String, (u64, MirrorItem)>,
+    history: Vec<(u64, String, MirrorItem)>,
+    compacted_at: u64,
+}
+
+/// The simulated store, and the operator's version and the searchers' clock, which its returns don't undo.
 #[derive(Default)]
 struct Store {
-    revision: StoreRevision,
+    contents: Contents,
+    copy: Option<Contents>,
+    returns: u64,
     version: u64,
     born_ms: u64,
-    items: BTreeMap<String, (StoreRevision, MirrorItem)>,
-    history: Vec<(StoreRevision, String, MirrorItem)>,
-    compacted_at: StoreRevision,
 }
 
 fn key_of(item: &MirrorItem) -> String {
@@ -121,24 +138,43 @@
     if lane == Lane::Configuration { "operator/" } else { "servers/" }
 }
 
-impl Store {
+impl Contents {
     fn put(&mut self, item: MirrorItem) {
-        self.revision.count += 1;
+        self.count += 1;
         let key = key_of(&item);
-        self.items.insert(key.clone(), (self.revision, item.clone()));
-        self.history.push((self.revision, key, item));
+        self.items.insert(key.clone(), (self.count, item.clone()));
+        self.history.push((self.count, key, item));
     }
 
     fn remove(&mut self, item: MirrorItem) {
         let key = key_of(&item);
         if self.items.remove(&key).is_some() {
-            self.revision.count += 1;
-            self.history.push((self.revision, key, item));
+            self.count += 1;
+            self.history.push((self.count, key, item));
         }
     }
+}
+
+impl Store {
+    fn epoch(&self) -> StoreEpoch {
+        StoreEpoch::new(self.returns)
+    }
+
+    fn put(&mut self, item: MirrorItem) {
+        self.contents.put(item);
+    }
+
+    fn remove(&mut self, item: MirrorItem) {
+        self.contents.remove(item);
+    }
+
+    /// Returns the revision of a change that the store has counted.
+    fn revision(&self, count: u64) -> StoreRevision {
+        StoreRevision::new(self.epoch(), count)
+    }
 
     fn entry_of(&self, number: u8) -> Option<SearcherEntry> {
-        match self.items.get(&format!("servers/s{number}")) {
+        match self.contents.items.get(&format!("servers/s{number}")) {
             Some((_, MirrorItem::Searcher { entry })) => Some(entry.clone()),
             _ => None,
         }
@@ -160,7 +196,7 @@
                     Some(entry) => entry.born_ms,
                     None => self.born_ms,
                 };
-                let slots = (self.revision.count % 7) as u32;
+                let slots = (self.contents.count % 7) as u32;
                 self.put(MirrorItem::Searcher {
                     entry: SearcherEntry { born_ms, slots, ..entry(&format!("s{number}"), false) },
                 });
@@ -172,8 +208,15 @@
             }
             Write::Gone(number) => self.remove(MirrorItem::SearcherGone { instance: Arc::from(format!("s{number}")) }),
             Write::Compact => {
-                self.compacted_at = self.revision;
-                self.history.clear();
+                self.contents.compacted_at = self.contents.count;
+                self.contents.history.clear();
+            }
+            Write::Copy => self.copy = Some(self.contents.clone()),
+            Write::Restore => {
+                if let Some(copy) = self.copy.clone() {
+                    self.contents = copy;
+                    self.returns += 1;
+                }
             }
         }
     }
@@ -181,28 +224,38 @@
     /// Returns the reply to a call, or none while a watch has no changes to report.
     fn handle(&self, call: &StoreCall) -> Option<StoreReply> {
         match call {
-            StoreCall::Probe => Some(StoreReply::Alive { revision: self.revision }),
+            StoreCall::Probe => Some(StoreReply::Alive { revision: self.revision(self.contents.count) }),
             StoreCall::List { lane, after } => {
+                let items = &self.contents.items;
                 let is_later = |key: &&String| after.as_ref().is_none_or(|after| *key > after);
                 let keys: Vec<&String> =
-                    self.items.keys().filter(|key| key.starts_with(key_prefix(*lane))).filter(is_later).collect();
-                let items = keys.iter().take(PAGE).map(|key| self.items[*key].clone()).collect();
+                    items.keys().filter(|key| key.starts_with(key_prefix(*lane))).filter(is_later).collect();
+                let page = keys.iter().take(PAGE).map(|key| &items[*key]);
                 let next = (keys.len() > PAGE).then(|| keys[PAGE - 1].clone());
-                let update = MirrorUpdate { items, ..MirrorUpdate::default() };
-                Some(StoreReply::Items { update, at: self.revision, next })
+                let update = self.update(page.map(|(count, item)| (*count, item)));
+                Some(StoreReply::Items { update, at: self.revision(self.contents.count), next })
+            }
+            StoreCall::Watch { after, .. }
+                if after.count < self.contents.compacted_at || after.count > self.contents.count =>
+            {
+                Some(StoreReply::HistoryGone)
             }
-            StoreCall::Watch { after, .. } if *after < self.compacted_at => Some(StoreReply::HistoryGone),
             StoreCall::Watch { lane, after, .. } => {
-                let is_new = |change: &&(StoreRevision, String, MirrorItem)| {
-                    change.0 > *after && change.1.starts_with(key_prefix(*lane))
+                let is_new = |change: &&(u64, String, MirrorItem)| {
+                    change.0 > after.count && change.1.starts_with(key_prefix(*lane))
                 };
-                let items: Vec<_> =
-                    self.history.iter().filter(is_new).map(|(revision, _, item)| (*revision, item.clone())).collect();
-                let update = MirrorUpdate { items, ..MirrorUpdate::default() };
-                (!update.items.is_empty()).then_some(StoreReply::Changes { update, at: self.revision })
+                let changes = self.contents.history.iter().filter(is_new);
+                let update = self.update(changes.map(|(count, _, item)| (*count, item)));
+                let at = self.revision(self.contents.count);
+                (!update.items.is_empty()).then_some(StoreReply::Changes { update, at })
             }
         }
     }
+
+    fn update<'a>(&self, items: impl Iterator<Item = (u64, &'a MirrorItem)>) -> MirrorUpdate {
+        let items = items.map(|(count, item)| (self.revision(count), item.clone())).collect();
+        MirrorUpdate { items, ..MirrorUpdate::default() }
+    }
 }
 
 /// A node's request for changes to a peer, or the peer's answer that the node hasn't merged yet.
@@ -218,7 +271,7 @@
     reader: ReaderDriver,
     mirror: Mirror,
     open_calls: BTreeMap<usize, StoreCall>,
-    replies: BTreeMap<usize, StoreReply>,
+    replies: BTreeMap<usize, (StoreEpoch, StoreReply)>,
     exchange: PeerExchange,
 }
 
@@ -241,19 +294,22 @@
         }
     }
 
-    fn advance(&mut self, millis: u64) {
+    /// Advances the clock. Probes are answered at once, in `epoch`.
+    fn advance(&mut self, millis: u64, epoch: StoreEpoch) {
         // Only the calls on the probe lane are returned; the others are collected by `apply_actions`.
         let calls = self.reader.calls_within(millis, Lane::Probe);
         self.apply_actions();
         if !calls.is_empty() {
-            self.reader.reply(Lane::Probe, StoreReply::Alive { revision: at(0) });
+            self.reader.reply_in(epoch, Lane::Probe, StoreReply::Alive { revision: StoreRevision::new(epoch, 0) });
             self.apply_actions();
         }
+        self.mirror.settle_return(self.reader.now, true);
+        self.mirror.settle_disputes(self.reader.now, MAX_DISPUTE);
     }
 
-    fn reply(&mut self, lane: usize, reply: StoreReply) {
+    fn reply(&mut self, lane: usize, (epoch, reply): (StoreEpoch, StoreReply)) {
         self.open_calls.remove(&lane);
-        self.reader.reply(LANES[lane], reply);
+        self.reader.reply_in(epoch, LANES[lane], reply);
         self.apply_actions();
     }
 
@@ -310,11 +366,11 @@
     fn step(&mut self, step: Step) {
         match step {
             Step::Write(write) => self.store.write(write),
-            Step::Advance(node, millis) => self.nodes[node].advance(u64::from(millis)),
+            Step::Advance(node, millis) => self.nodes[node].advance(u64::from(millis), self.store.epoch()),
             Step::HandleCall(node, lane) => {
                 let reply = self.nodes[node].open_calls.get(&lane).and_then(|call| self.store.handle(call));
                 if let Some(reply) = reply.filter(|_| !self.nodes[node].replies.contains_key(&lane)) {
-                    self.nodes[node].replies.insert(lane, reply);
+                    self.nodes[node].replies.insert(lane, (self.store.epoch(), reply));
                 }
             }
             Step::DeliverReply(node, lane) => {
@@ -365,9 +421,14 @@
         node.apply_actions();
     }
 
-    /// Completes all open calls and exchanges with peers. The first node watches the store.
+    /// Completes all open calls and exchanges with peers. The first node watches the store, and the operator writes the
+    /// newest version again if the store has lost it.
     fn settle(&mut self) {
         self.step(Step::SetMode(0, ReadingMode::Watching));
+        let newest = configuration(self.store.version);
+        if self.store.contents.items.get(&key_of(&newest)).is_none_or(|(_, item)| *item != newest) {
+            self.store.put(newest);
+        }
         for round in 0..SETTLE_ROUNDS {
             for node in 0..NODES {
                 self.step(Step::Advance(node, 200));
@@ -383,7 +444,7 @@
     }
 
     fn view(&self) -> View {
-        let items = self.store.items.values();
+        let items = self.store.contents.items.values();
         let searchers = items.clone().filter_map(|(_, item)| match item {
             MirrorItem::Searcher { entry } => Some((entry.instance.to_string(), (entry.born_ms, entry.is_draining))),
             _ => None,
