Tell an older copy's words by the listing, not by their counts

One zone counted as evacuated because its end, of an epoch with low counts, seemed older than its beginning in the copy, while the other was being evacuated. Cause: an entry or an evacuation of a new epoch counted as written since if its count wasn't below that of the known removal. That holds only if no return lies between the copy and the removal; counts of different epochs say nothing about each other. Ruled out: entries of searchers (the logs show each zone's searchers as serving). Change: whatever stands in the first listing of an epoch may come from the copy, and what is written after it doesn't. Failed before: a_copy_that_is_older_than_an_earlier_return_undoes_nothing_either.

--- a/crates/staircross-routing/src/state/evacuations.rs
+++ b/crates/staircross-routing/src/state/evacuations.rs
@@ -16,8 +16,8 @@
 use std::time::Duration;
 
 /// Time for which what was known of a zone holds against the copy from which the store has come back. The operator writes
-/// again within a second or two.
-const HOLD_TIME: Duration = Duration::from_secs(5);
+/// again within a second or two. Zones that are held for longer than needed may leave no zone to serve in.
+const HOLD_TIME: Duration = Duration::from_millis(2500);
 
 #[derive(Clone, Copy, Debug)]
 struct ZoneState {
@@ -80,13 +80,11 @@
         }
     }
 
-    /// Returns the change of a former epoch that holds, because the last one comes from a copy that was made before it.
+    /// Returns the change of a former epoch that holds, because the last one probably comes from the copy.
     fn held(&self, first_listing: StoreRevision) -> Option<ZoneState> {
         let last = self.last;
         let is_written_since = last.revision.epoch == first_listing.epoch && last.revision > first_listing;
-        self.former.filter(|former| {
-            former.is_active != last.is_active && last.revision.count < former.revision.count && !is_written_since
-        })
+        self.former.filter(|former| former.is_active != last.is_active && !is_written_since)
     }
 }
 
--- a/crates/staircross-routing/src/state/known_entries.rs
+++ b/crates/staircross-routing/src/state/known_entries.rs
@@ -81,14 +81,13 @@
         self.entries.first().filter(|_| !self.is_withheld())
     }
 
-    /// Returns whether the current entry is withheld: it was probably written before a removal that the store has lost,
-    /// because it comes from the older copy from which the store has come back. The copy was made before the removal, so
-    /// the copy's entries have lower counts; so may entries that were written soon after the return.
+    /// Returns whether the current entry is withheld: its removal was known in a former epoch, so it probably comes from the
+    /// older copy from which the store has come back. Counts don't tell it from an entry that was written since: the copy
+    /// may be older than an earlier return.
     pub fn is_withheld(&self) -> bool {
         let removal = self.removed_up_to;
-        let is_from_copy =
-            |entry: &WrittenEntry| removal.epoch < entry.revision.epoch && entry.revision.count < removal.count;
-        removal > self.released_removal && self.entries.first().is_some_and(is_from_copy)
+        let is_later = |entry: &WrittenEntry| removal.epoch < entry.revision.epoch;
+        removal > self.released_removal && self.entries.first().is_some_and(is_later)
     }
 
     /// Lets the entry count that is withheld, if there is one, and those that come later.
