A zone that may be evacuated gets no work, unless nobody is left

Cause: what was known of a zone counted against the copy, although it may have ended, or begun anew, meanwhile. And a node that had listed the store after the end took the beginning from a peer that doubted it, since the peer's older word came first, and only for a zone that it knew nothing of did the node remember the end. Change: where copy and knowledge contradict each other, the zone gets no work, unless no searcher would be left; the operator's writing or 2.5 s settle it. An evacuation at or before the newest listing that isn't known there had ended, whatever else is known.

--- a/crates/staircross-routing/src/state/evacuations.rs
+++ b/crates/staircross-routing/src/state/evacuations.rs
@@ -7,7 +7,7 @@
 //! from the store or from peers. There is at most one entry for each zone.
 //!
 //! A store that has come back from an older copy shows each zone as it was before. Where that contradicts what was known,
-//! the latter holds until the operator writes again, or for [`HOLD_TIME`].
+//! it is doubtful whether the zone is being evacuated, until the operator writes again, or for [`DOUBT_TIME`].
 
 use crate::state::store_revision::{StoreEpoch, StoreRevision};
 use staircross_types::BootTime;
@@ -15,9 +15,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time for which what was known of a zone holds against the copy from which the store has come back. The operator writes
-/// again within a second or two. Zones that are held for longer than needed may leave no zone to serve in.
-const HOLD_TIME: Duration = Duration::from_millis(2500);
+/// Time for which the copy from which the store has come back is doubted. The operator writes again within a second or two.
+const DOUBT_TIME: Duration = Duration::from_millis(2500);
 
 #[derive(Clone, Copy, Debug)]
 struct ZoneState {
@@ -53,10 +52,10 @@
     listed_revision: StoreRevision,
     /// Revision of the first listing of the present epoch. What is written after it isn't from the copy.
     first_listing: StoreRevision,
-    /// Epoch up to which what was known before no longer holds against the store.
+    /// Epoch before which nothing is held against the store any more.
     settled_epoch: StoreEpoch,
-    /// Time since which a zone is held; `None` if none is, or the time begins anew.
-    held_since: Option<BootTime>,
+    /// Time since which a zone is doubtful; `None` if none is, or the time begins anew.
+    doubted_since: Option<BootTime>,
 }
 
 impl KnownZone {
@@ -80,8 +79,8 @@
         }
     }
 
-    /// Returns the change of a former epoch that holds, because the last one probably comes from the copy.
-    fn held(&self, first_listing: StoreRevision) -> Option<ZoneState> {
+    /// Returns the change of a former epoch that contradicts the last one, which probably comes from the copy.
+    fn contradicted(&self, first_listing: StoreRevision) -> Option<ZoneState> {
         let last = self.last;
         let is_written_since = last.revision.epoch == first_listing.epoch && last.revision > first_listing;
         self.former.filter(|former| former.is_active != last.is_active && !is_written_since)
@@ -95,10 +94,14 @@
         // An evacuation that the newest listing left out had ended by that listing, but a peer that doesn't know of the
         // end may still send the start. The end is inserted, so that this node counts as knowing more than that peer,
         // which then asks for it.
-        let had_ended = is_active && revision <= self.listed_revision;
-        let first = if had_ended { ZoneState { revision: self.listed_revision, is_active: false } } else { change };
+        let ended = ZoneState { revision: self.listed_revision, is_active: false };
+        let is_before_listing = is_active && revision <= self.listed_revision;
+        let first = if is_before_listing { ended } else { change };
         let is_settled = revision.epoch < self.settled_epoch;
         let known = self.zones.entry(zone).or_insert(KnownZone { last: first, former: None });
+        if is_before_listing && known.last.revision < revision {
+            known.note(ended);
+        }
         known.note(change);
         known.former = known.former.filter(|_| !is_settled);
     }
@@ -107,7 +110,7 @@
     pub fn merge_listing(&mut self, revision: StoreRevision, listed: &[Arc<str>]) {
         if revision.epoch > self.listed_revision.epoch {
             self.first_listing = revision;
-            self.held_since = None;
+            self.doubted_since = None;
         }
         self.listed_revision = self.listed_revision.max(revision);
         for (zone, known) in &mut self.zones {
@@ -117,26 +120,34 @@
         }
     }
 
-    /// Lets the store be right about zones that have been held for [`HOLD_TIME`]. The caller calls this regularly, since
+    /// Lets the store be right about zones that have been doubtful for [`DOUBT_TIME`]. The caller calls this regularly, since
     /// time passes only by these calls. `hears_of_store` says whether it hears of what the store holds; if not, the time
     /// begins anew.
     pub fn settle(&mut self, now: BootTime, hears_of_store: bool) {
-        let is_held = self.zones.values().any(|known| known.held(self.first_listing).is_some());
-        if !is_held || !hears_of_store {
-            self.held_since = None;
+        let is_doubtful = self.zones.values().any(|known| known.contradicted(self.first_listing).is_some());
+        if !is_doubtful || !hears_of_store {
+            self.doubted_since = None;
             return;
         }
-        if now.since(*self.held_since.get_or_insert(now)) >= HOLD_TIME {
+        if now.since(*self.doubted_since.get_or_insert(now)) >= DOUBT_TIME {
             self.settled_epoch = self.listed_revision.epoch;
             self.zones.values_mut().for_each(|known| known.former = None);
         }
     }
 
-    /// Returns the zones that are being evacuated.
+    /// Returns the zones that are being evacuated, and those that may be: the older copy of the store and what was known
+    /// before contradict each other.
+    pub fn active_or_doubtful(&self) -> Vec<Arc<str>> {
+        self.zones_where(|known| known.last.is_active || known.contradicted(self.first_listing).is_some())
+    }
+
+    /// Returns the zones that are certainly being evacuated.
     pub fn active(&self) -> Vec<Arc<str>> {
-        let is_active = |known: &KnownZone| known.held(self.first_listing).unwrap_or(known.last).is_active;
-        let active = self.zones.iter().filter(|(_, known)| is_active(known));
-        active.map(|(zone, _)| zone.clone()).collect()
+        self.zones_where(|known| known.last.is_active && known.contradicted(self.first_listing).is_none())
+    }
+
+    fn zones_where(&self, holds: impl Fn(&KnownZone) -> bool) -> Vec<Arc<str>> {
+        self.zones.iter().filter(|(_, known)| holds(known)).map(|(zone, _)| zone.clone()).collect()
     }
 
     /// Returns the revision of the newest known change or listing, or none while no evacuation is known. A listing counts,
@@ -155,12 +166,12 @@
     ///
     /// Active evacuations are always sent, so the peer can tell that an evacuation that isn't sent had ended by
     /// [`Self::listed_revision`]. A node that has merged a peer's update watches the store only from the revision up to
-    /// which that update was complete, and would never learn of earlier ends. A change of a former epoch that holds is
-    /// sent too, so that it holds at the peer.
+    /// which that update was complete, and would never learn of earlier ends. A change of a former epoch that
+    /// contradicts the copy is sent too, so that the peer doubts it as well.
     pub fn changes_after(&self, revision: StoreRevision) -> impl Iterator<Item = ZoneChange> {
         let newer = self.zones.iter().filter(move |(_, known)| known.last.revision > revision || known.last.is_active);
         newer.flat_map(|(zone, known)| {
-            let states = known.held(self.first_listing).into_iter().chain([known.last]);
+            let states = known.contradicted(self.first_listing).into_iter().chain([known.last]);
             states.map(|state| ZoneChange { revision: state.revision, zone: zone.clone(), is_active: state.is_active })
         })
     }
--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -100,9 +100,12 @@
         }
     }
 
-    /// Returns the zones that are being evacuated.
+    /// Returns the zones that get no new work: those that are being evacuated, and the doubtful ones, unless no searcher
+    /// would be left.
     pub fn evacuated(&self) -> Vec<Arc<str>> {
-        self.evacuations.active()
+        let (active, all) = (self.evacuations.active(), self.evacuations.active_or_doubtful());
+        let is_nobody_left = || self.searchers().all(|entry| all.contains(&entry.zone));
+        if active != all && self.searchers().next().is_some() && is_nobody_left() { active } else { all }
     }
 
     /// Returns whether a complete listing of the searchers was merged, from the store or from a peer.
@@ -119,7 +122,7 @@
     pub fn merge(&mut self, update: MirrorUpdate) -> MirrorChanges {
         let mut pending = PendingChanges::default();
         let mut listed = ListedNames::default();
-        let evacuated_before = self.evacuations.active();
+        let evacuated_before = self.evacuated();
         let is_listing = update.is_complete_for_searchers || update.all_evacuations_at.is_some();
         // If the sender knows less than this node, a searcher that only the sender knows is gone: this node knew of its
         // removal and has forgotten it.
@@ -155,7 +158,7 @@
             self.operator_revisions.note_complete(update.operator_up_to);
         }
         self.drop_old_tombstones();
-        let evacuated = self.evacuations.active();
+        let evacuated = self.evacuated();
         let evacuated = (evacuated != evacuated_before).then_some(evacuated);
         MirrorChanges { evacuated, ..pending.into_changes(&self.searchers) }
     }
--- a/crates/staircross-routing/src/state/mirror/settling.rs
+++ b/crates/staircross-routing/src/state/mirror/settling.rs
@@ -46,11 +46,12 @@
     /// passes only by these calls. `hears_of_store` says whether it hears of what the store holds; if not, the time begins
     /// anew.
     pub fn settle_return(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
-        let evacuated_before = self.evacuations.active();
+        let evacuated_before = self.evacuated();
         self.evacuations.settle(now, hears_of_store);
-        let evacuated = self.evacuations.active();
+        let changes = self.settle_returned_searchers(now, hears_of_store);
+        let evacuated = self.evacuated();
         let evacuated = (evacuated != evacuated_before).then_some(evacuated);
-        MirrorChanges { evacuated, ..self.settle_returned_searchers(now, hears_of_store) }
+        MirrorChanges { evacuated, ..changes }
     }
 
     fn settle_returned_searchers(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
