Drop an entry whose removal is implied, also where an earlier removal is known

Callers could see: failed attempts at a searcher that has left, until its entry would be written and removed again. Change: ids without entries count like unknown ones. Failed before: an_entry_from_a_peer_that_missed_its_removal_is_dropped_each_time.

--- a/crates/staircross-routing/src/state/mirror.rs
+++ b/crates/staircross-routing/src/state/mirror.rs
@@ -164,12 +164,13 @@
     }
 
     /// Returns whether the item is an entry of a searcher that has been removed since: the entry was written at or
-    /// before `known_up_to`, up to which all changes are known here, but the searcher isn't known.
+    /// before `known_up_to`, up to which all changes are known here, but no entry of the searcher is.
     fn was_removed(&self, revision: StoreRevision, item: &MirrorItem, known_up_to: StoreRevision) -> bool {
-        match item {
-            MirrorItem::Searcher { entry } => revision <= known_up_to && !self.searchers.contains_key(&entry.instance),
-            _ => false,
-        }
+        let MirrorItem::Searcher { entry } = item else {
+            return false;
+        };
+        let known = self.searchers.get(&entry.instance);
+        revision <= known_up_to && known.is_none_or(|known| known.entries().is_empty())
     }
 
     fn merge_item(&mut self, revision: StoreRevision, item: MirrorItem, pending: &mut PendingChanges) {
--- a/crates/staircross-routing/tests/mirror_peers.rs
+++ b/crates/staircross-routing/tests/mirror_peers.rs
@@ -162,3 +162,20 @@
     node.merge(listing(30, vec![(3, searcher("a", false)), (4, searcher("b", false))]));
     assert_eq!(searcher_ids(&node), ["a", "b"], "a newer listing of the store is effective");
 }
+
+/// Guards against a searcher that has left and comes back for ever: a peer that knew of an earlier removal, but not of the
+/// last one, was asked twice. The first answer left a record of the removal, and the second one's entry was taken for a
+/// later return.
+#[test]
+fn an_entry_from_a_peer_that_missed_its_removal_is_dropped_each_time() {
+    let mut behind = Mirror::default();
+    behind.merge(listing(15, vec![(3, searcher("a", false))]));
+    behind.merge(changes(vec![(5, searcher_gone("a")), (9, searcher("a", false))]));
+    let mut node = Mirror::default();
+    node.merge(listing(20, vec![]));
+    for _ in 0..2 {
+        node.merge(behind.changes_for(knowledge(&node)));
+        node.merge(behind.changes_for(NOTHING_KNOWN));
+        assert_eq!(searcher_ids(&node), [] as [&str; 0]);
+    }
+}
