Bound the answers to calls by the memory of the process

What callers saw: nothing yet here; another operator's machine ran out of memory because it kept all bytes of a server that sent without end, and the requests on it were lost.

Cause: each client of a call could hold 32 MB, one in each of the four lanes of the store and one for peers, whatever `limits.memory_mb` said. Three quarters of the memory have bounds of their own, so that 28 of 112 MB were left for these 160 MB.

Change: the answers to calls share half of the last quarter, a tenth of it each, at least 3 MB (a page of the store and one value more). A call whose answer is longer fails as such and is logged. A watch whose answer is too long is followed by a listing, which has pages; the same watch would have been made again and again.

--- a/crates/staircross-gateway/src/http_call.rs
+++ b/crates/staircross-gateway/src/http_call.rs
@@ -24,9 +24,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Maximum size of an answer in bytes; a longer one fails the call. A page of the store has about 1 MB, so this only
-/// bounds the memory.
-const MAX_CALL_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 /// Timeout after each part of an answer. Giving up an answer that has partly arrived and asking for it again would add
 /// load to a busy server.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -52,8 +49,17 @@
 pub enum CallOutcome {
     /// The server answered.
     Answered(Box<Answer>),
+    /// The call has no answer.
+    Failed(CallFailure),
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFailure {
     /// No connection could be established, the connection broke, or the call timed out.
-    Failed,
+    Unanswered,
+    /// The answer is longer than allowed.
+    TooLong,
 }
 
 struct Connection {
@@ -79,6 +85,8 @@
     slot: u32,
     generation: u32,
     address: SocketAddr,
+    /// Maximum size of an answer's body in bytes.
+    max_answer: usize,
     connection: Option<Connection>,
     reuse: ConnectionReuse,
     pending: Option<PendingCall>,
@@ -87,13 +95,15 @@
 }
 
 impl HttpClient {
-    /// Creates a client of the server at `address`. Its socket ids carry `socket_kind` and `slot`.
-    pub fn new(socket_kind: SocketKind, slot: u32, address: SocketAddr) -> Self {
+    /// Creates a client of the server at `address`. Its socket ids carry `socket_kind` and `slot`. An answer whose body
+    /// has more than `max_answer` bytes fails its call.
+    pub fn new(socket_kind: SocketKind, slot: u32, address: SocketAddr, max_answer: usize) -> Self {
         HttpClient {
             socket_kind,
             slot,
             generation: 0,
             address,
+            max_answer,
             connection: None,
             reuse: ConnectionReuse::default(),
             pending: None,
@@ -174,7 +184,7 @@
         };
         enable_dead_host_detection(&socket);
         self.connection =
-            Some(Connection { socket, http: ClientConnection::new(MAX_CALL_ANSWER_BYTES), is_established: false });
+            Some(Connection { socket, http: ClientConnection::new(self.max_answer), is_established: false });
         true
     }
 
@@ -200,7 +210,7 @@
 
     fn fail_call(&mut self) -> CallOutcome {
         self.cancel();
-        CallOutcome::Failed
+        CallOutcome::Failed(CallFailure::Unanswered)
     }
 
     /// Handles a readiness event of the connection. Returns the outcome if the call in flight ends.
@@ -280,6 +290,10 @@
                 self.reuse.note_ambiguous(Evidence::Doubtful, now);
                 self.close_broken()
             }
+            ClientProgress::Broken(ClientFault::TooLong) => {
+                self.cancel();
+                Some(CallOutcome::Failed(CallFailure::TooLong))
+            }
             ClientProgress::Broken(_) | ClientProgress::Skipped => self.close_broken(),
         }
     }
@@ -300,7 +314,7 @@
     fn close_broken(&mut self) -> Option<CallOutcome> {
         let was_calling = self.pending.is_some();
         self.cancel();
-        was_calling.then_some(CallOutcome::Failed)
+        was_calling.then_some(CallOutcome::Failed(CallFailure::Unanswered))
     }
 
     /// Fails the call in flight if it has timed out.
--- a/crates/staircross-gateway/src/node/store_calls.rs
+++ b/crates/staircross-gateway/src/node/store_calls.rs
@@ -24,9 +24,10 @@
 }
 
 impl StoreCalls {
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates the connections to the store at `address`. Answers of more than `max_answer` bytes fail their calls.
+    pub fn new(address: SocketAddr, max_answer: usize) -> Self {
         StoreCalls {
-            clients: Lane::ALL.map(|lane| HttpClient::new(SocketKind::Store, lane as u32, address)),
+            clients: Lane::ALL.map(|lane| HttpClient::new(SocketKind::Store, lane as u32, address, max_answer)),
             pending: [const { None }; LANE_COUNT],
         }
     }
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -76,7 +76,7 @@
         // An answer that can't be decoded holds no update; the line below logs it with `understood=false`.
         let update = match &outcome {
             CallOutcome::Answered(answer) if answer.head.status == HTTP_OK => decode::<MirrorUpdate>(&answer.body).ok(),
-            CallOutcome::Answered(_) | CallOutcome::Failed => None,
+            CallOutcome::Answered(_) | CallOutcome::Failed(_) => None,
         };
         let is_understood = update.is_some();
         self.log.line(
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -6,7 +6,7 @@
 
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
-use crate::http_call::CallOutcome;
+use crate::http_call::{CallFailure, CallOutcome};
 use crate::node::GatewayNode;
 use crate::traffic::{Purpose, Reach};
 use staircross_routing::store_reader::{CancelCause, Lane, ReaderAction, StoreCall, StoreReply};
@@ -121,6 +121,7 @@
     /// Passes a call's reply, or its failure, to the store reader.
     fn on_store_outcome(&mut self, lane: Lane, outcome: CallOutcome) {
         let call = self.store.pending[lane as usize].take();
+        let is_too_long = outcome == CallOutcome::Failed(CallFailure::TooLong);
         self.traffic.count(Purpose::Store, Reach::Unknown, self.store.clients[lane as usize].take_bytes());
         let reply = match (outcome, &call) {
             (CallOutcome::Answered(answer), Some(call)) => {
@@ -140,6 +141,11 @@
                 }
                 self.store_reader.on_reply(self.now, lane, epoch, reply, &mut self.random, &mut actions);
             }
+            None if is_too_long => {
+                let line = format_args!("event=store_answer_too_long lane={}", lane.name());
+                self.log.line(self.now, LineKind::Drop, line);
+                self.store_reader.on_answer_too_long(self.now, lane, &mut self.random, &mut actions);
+            }
             None => {
                 self.log_failed_watch(lane, call.as_ref());
                 self.store_reader.on_failed(self.now, lane, &mut self.random, &mut actions);
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -19,7 +19,7 @@
 //! | [`GatewaySettings::lapse_grace`] | time for which a searcher whose entry may have lapsed is still a fallback |
 
 use super::{BoundSettings, GatewaySettings};
-use staircross_routing::store_reader::{ProbeIntervals, ReaderSettings};
+use staircross_routing::store_reader::{Lane, ProbeIntervals, ReaderSettings};
 use std::time::Duration;
 
 /// Descriptors that are reserved for files, listeners, and calls to the store and to peers. They are about a quarter of
@@ -65,6 +65,12 @@
 /// accepted connections cost, and for the bodies of requests in flight. The last is for everything else.
 const BUFFER_SHARES: u64 = 4;
 
+/// Maximum number of calls to the store and to peers that are in flight: one in each lane of the store, and one pull.
+const MAX_CALLS: usize = Lane::ALL.len() + 1;
+/// Minimum of the largest answer to a call, in bytes. A page of the store has at most 1 MB and one more value, and a value
+/// of 1 MB, the largest that the store takes by default, has 1.4 MB when it is encoded.
+const MIN_CALL_ANSWER: usize = 3 * 1024 * 1024;
+
 impl BoundSettings {
     /// Returns the shorter of the bounds on operator updates (configurations and evacuations), in milliseconds.
     pub(super) fn operator_update_ms(&self) -> u64 {
@@ -147,6 +153,12 @@
         self.buffer_share()
     }
 
+    /// Returns the maximum size of the answer to a call to the store or to a peer, in bytes. All calls together hold half
+    /// of the share for everything else, or the minimum.
+    pub fn max_call_answer(&self) -> usize {
+        (self.buffer_share() / 2 / MAX_CALLS).max(MIN_CALL_ANSWER)
+    }
+
     fn buffer_share(&self) -> usize {
         (self.limits.memory_mb * 1024 * 1024 / BUFFER_SHARES) as usize
     }
--- a/crates/staircross-gateway/tests/http_call.rs
+++ b/crates/staircross-gateway/tests/http_call.rs
@@ -1,7 +1,7 @@
 //! Tests calls to the store and to peers over loopback sockets, with the time set by the test.
 
 use mio::{Events, Poll};
-use staircross_gateway::http_call::{CallOutcome, HttpClient};
+use staircross_gateway::http_call::{CallFailure, CallOutcome, HttpClient};
 use staircross_http::ServerLimits;
 use staircross_transport::socket::{IoContext, READ_CHUNK, SocketId, SocketKind};
 use staircross_types::BootTime;
@@ -10,6 +10,9 @@
 use std::time::{Duration, Instant};
 
 const KIND: SocketKind = SocketKind::Store;
+/// Maximum size of an answer in bytes.
+const MAX_ANSWER: usize = 64 * 1024;
+const UNANSWERED: CallOutcome = CallOutcome::Failed(CallFailure::Unanswered);
 const START: BootTime = BootTime(1_000_000);
 /// Timeout that the call is made with.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -39,7 +42,7 @@
     fn connecting() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let address = listener.local_addr().expect("its address");
-        let mut client = HttpClient::new(KIND, 0, address);
+        let mut client = HttpClient::new(KIND, 0, address, MAX_ANSWER);
         let poll = Poll::new().expect("a poll");
         let mut buf = Box::new([0; READ_CHUNK]);
         start_call(&mut client, START, &poll, &mut buf);
@@ -156,7 +159,7 @@
 fn a_call_that_is_not_answered_is_given_up_in_its_time() {
     let mut fixture = Fixture::new();
     assert_eq!(fixture.advance_time(CALL_TIMEOUT - Duration::from_millis(1)), None);
-    assert_eq!(fixture.advance_time(Duration::from_millis(1)), Some(CallOutcome::Failed));
+    assert_eq!(fixture.advance_time(Duration::from_millis(1)), Some(UNANSWERED));
 }
 
 #[test]
@@ -176,7 +179,7 @@
     assert_eq!(fixture.send_part(ANSWER_HEAD), None);
     assert_eq!(fixture.send_part(b"abc"), None);
     assert_eq!(fixture.advance_time(Duration::from_millis(999)), None);
-    assert_eq!(fixture.advance_time(Duration::from_millis(1)), Some(CallOutcome::Failed));
+    assert_eq!(fixture.advance_time(Duration::from_millis(1)), Some(UNANSWERED));
 }
 
 #[test]
@@ -191,7 +194,7 @@
         }
         ended
     });
-    assert_eq!(outcome, Some(CallOutcome::Failed));
+    assert_eq!(outcome, Some(UNANSWERED));
     assert_eq!(fixture.now.since(began), Duration::from_secs(10));
 }
 
@@ -267,7 +270,7 @@
         fixture.answer(b"abcdef");
         fixture.call_on_kept_connection();
         let outcome = fixture.send_and_close(&[&extra[..length], ANSWER_WITH_STATUS_LINE].concat());
-        assert_eq!(outcome, CallOutcome::Failed, "cut off after {length} bytes");
+        assert_eq!(outcome, UNANSWERED, "cut off after {length} bytes");
     }
 }
 
@@ -276,7 +279,7 @@
 fn no_call_is_sent_on_a_connection_whose_first_bytes_come_with_its_establishing() {
     let mut fixture = Fixture::connecting();
     fixture.server.write_all(b"HTTP/1.1 200 OK").expect("the connection is open");
-    assert_eq!(fixture.wait_for_outcome(), CallOutcome::Failed);
+    assert_eq!(fixture.wait_for_outcome(), UNANSWERED);
     fixture.server.set_read_timeout(Some(Duration::from_millis(20))).expect("a socket option");
     let mut received = Vec::new();
     let _ended_by_a_reset = fixture.server.read_to_end(&mut received);
@@ -289,7 +292,7 @@
     let mut fixture = Fixture::new();
     fixture.answer(b"abcdef");
     fixture.call_on_kept_connection();
-    assert_eq!(fixture.send_part(ANSWER_WITH_STATUS_LINE), Some(CallOutcome::Failed));
+    assert_eq!(fixture.send_part(ANSWER_WITH_STATUS_LINE), Some(UNANSWERED));
     fixture.call_on_new_connection();
     fixture.answer(b"abcdef");
     fixture.now = fixture.now + Duration::from_secs(30);
@@ -297,3 +300,20 @@
     fixture.answer(b"abcdef");
     fixture.call_on_kept_connection();
 }
+
+/// Guards against a process that is killed for its memory: whoever answers calls of the store or of peers sends without
+/// end. The call ends after the largest answer that is allowed, and the next one is answered.
+#[test]
+fn an_answer_that_is_longer_than_allowed_fails_the_call() {
+    let mut fixture = Fixture::new();
+    let mut sent = 0;
+    let mut outcome = fixture.send_part(b"HTTP/1.1 200 OK\r\n\r\n");
+    while outcome.is_none() {
+        assert!(sent <= MAX_ANSWER, "{sent} bytes are held");
+        outcome = fixture.send_part(&[b'x'; 4096]);
+        sent += 4096;
+    }
+    assert_eq!(outcome, Some(CallOutcome::Failed(CallFailure::TooLong)));
+    fixture.call_on_new_connection();
+    fixture.answer(b"second");
+}
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -356,12 +356,8 @@
                 return reader.handle_failure(now, &settings, random, actions);
             }
             StoreReply::HistoryGone => {
-                reader.known_revision = None;
-                reader.partial = None;
                 reader.state = LaneState::Scheduled { at: now };
-                if lane == Lane::Searchers {
-                    self.discard_pages(actions);
-                }
+                self.forget_history(lane, actions);
             }
             StoreReply::Items { update, at, next } => {
                 reader.state = LaneState::Scheduled { at: now };
@@ -389,6 +385,29 @@
         self.lane_mut(lane).handle_failure(now, &settings, random, actions);
     }
 
+    /// Handles an answer to the open call of a lane that is longer than allowed. Changes that don't fit into one answer
+    /// are read as a listing, which has pages.
+    pub fn on_answer_too_long(
+        &mut self,
+        now: BootTime,
+        lane: Lane,
+        random: &mut ChaCha8Rng,
+        actions: &mut Vec<ReaderAction>,
+    ) {
+        self.on_failed(now, lane, random, actions);
+        self.forget_history(lane, actions);
+    }
+
+    /// Makes the next call of a lane a listing from its beginning.
+    fn forget_history(&mut self, lane: Lane, actions: &mut Vec<ReaderAction>) {
+        let reader = self.lane_mut(lane);
+        reader.known_revision = None;
+        reader.partial = None;
+        if lane == Lane::Searchers {
+            self.discard_pages(actions);
+        }
+    }
+
     /// Handles the end of a probe; `revision` is the store's revision, or `None` if the store didn't answer.
     fn on_probe_result(&mut self, now: BootTime, revision: Option<StoreRevision>, actions: &mut Vec<ReaderAction>) {
         let is_alive = revision.is_some();
--- a/crates/staircross-routing/tests/common/store.rs
+++ b/crates/staircross-routing/tests/common/store.rs
@@ -91,6 +91,13 @@
         self.reader.on_failed(self.now, lane, &mut self.random, &mut actions);
         self.collect(actions);
     }
+
+    /// Answers the open call of a lane with more than a call may hold.
+    pub fn answer_too_long(&mut self, lane: Lane) {
+        let mut actions = Vec::new();
+        self.reader.on_answer_too_long(self.now, lane, &mut self.random, &mut actions);
+        self.collect(actions);
+    }
 }
 
 /// Returns whether a call watches for changes after this revision.
--- a/crates/staircross-routing/tests/store_lanes.rs
+++ b/crates/staircross-routing/tests/store_lanes.rs
@@ -103,6 +103,19 @@
     assert_eq!(driver.calls_within(1000, Lane::SearcherPages), []);
 }
 
+/// Guards against a watch that is made again and again because all changes since its revision are too long for one answer.
+#[test]
+fn a_watch_whose_answer_is_too_long_is_followed_by_a_listing() {
+    let mut driver = ReaderDriver::new();
+    driver.calls_within(0, Lane::Searchers);
+    driver.reply(Lane::Searchers, StoreReply::Items { update: MirrorUpdate::default(), at: at(10), next: None });
+    assert!(is_watch_after(&driver.calls_within(0, Lane::Searchers)[0], 10));
+    driver.answer_too_long(Lane::Searchers);
+    assert_eq!(driver.calls_within(0, Lane::Searchers), [], "the next call waits as after any failure");
+    let listing = StoreCall::List { lane: Lane::Searchers, after: None };
+    assert_eq!(driver.calls_within(1000, Lane::Searchers), [listing]);
+}
+
 #[test]
 fn after_news_a_lane_rests_so_that_a_storm_is_few_calls() {
     let mut driver = ReaderDriver::new();
