Bound the memory of all searchers' replies in the session tier

What callers saw: another operator's machine ran out of memory because it kept all bytes of searchers that sent without end, and the requests on it were lost.

Cause: a reply may have 8 MB, and nothing bounded all of them. Each is read by a thread of its own, and the allocator keeps for each thread what its longest reply took.

Heads without end are bounded by the HTTP client.

Change: replies are read into blocks that are shared, bounded together by `limits.all_replies_bytes` and kept for the next replies. While all are in use, a reply that has 128 KB already fails and short ones are read. Replies to probes and cancellations have a bound of their own.

--- a/crates/session/staircross-config/src/settings.rs
+++ b/crates/session/staircross-config/src/settings.rs
@@ -74,6 +74,8 @@
     pub request_bytes: usize,
     /// Longest searcher reply, in bytes.
     pub reply_bytes: usize,
+    /// Largest number of bytes that all searcher replies together may hold while they are read.
+    pub all_replies_bytes: usize,
     /// Time in which a caller must send a whole request, in milliseconds.
     pub caller_timeout_ms: u64,
 }
@@ -85,6 +87,7 @@
             caller_connections: 1024,
             request_bytes: 64 * 1024,
             reply_bytes: 8 * 1024 * 1024,
+            all_replies_bytes: 32 * 1024 * 1024,
             caller_timeout_ms: 30_000,
         }
     }
@@ -116,6 +119,7 @@
         check_range("limits.caller_connections", self.limits.caller_connections, 1..=65_535)?;
         check_range("limits.request_bytes", self.limits.request_bytes, 64..=16 * 1024 * 1024)?;
         check_range("limits.reply_bytes", self.limits.reply_bytes, 1024..=1024 * 1024 * 1024)?;
+        check_range("limits.all_replies_bytes", self.limits.all_replies_bytes, 1024..=64 * 1024 * 1024 * 1024)?;
         check_range("limits.caller_timeout_ms", self.limits.caller_timeout_ms, 10..=600_000)
     }
 }
--- a/crates/session/staircross-config/tests/pinned_settings.rs
+++ b/crates/session/staircross-config/tests/pinned_settings.rs
@@ -23,6 +23,7 @@
 caller_connections = 2
 request_bytes = 64
 reply_bytes = 1024
+all_replies_bytes = 2048
 caller_timeout_ms = 10
 "#;
 
@@ -94,6 +95,7 @@
         read_with("caller_connections = 2", "caller_connections = 65536"),
         read_with("request_bytes = 64", "request_bytes = 63"),
         read_with("reply_bytes = 1024", "reply_bytes = 1023"),
+        read_with("all_replies_bytes = 2048", "all_replies_bytes = 1023"),
         read_with("caller_timeout_ms = 10", "caller_timeout_ms = 9"),
     ];
     insta::assert_snapshot!(errors.join("\n"));
--- a/crates/session/staircross-node/src/node.rs
+++ b/crates/session/staircross-node/src/node.rs
@@ -69,7 +69,7 @@
             stop: stop.clone(),
         })
         .map_err(|error| io_error(format!("node.peer_listen {}", settings.node.peer_listen), error))?;
-        let searchers = SearcherConnections::new(events.clone(), logs.clone(), settings.limits.reply_bytes);
+        let searchers = SearcherConnections::new(events.clone(), logs.clone(), &settings.limits);
         let core = Core::new(CoreParts {
             node: id,
             settings: settings.clone(),
--- a/crates/session/staircross-node/src/searchers.rs
+++ b/crates/session/staircross-node/src/searchers.rs
@@ -14,11 +14,14 @@
 //!   searcher itself said so.
 
 mod call;
+pub mod reply_memory;
 
 use crate::event::CoreEvent;
 use crate::logs::Logs;
-use call::{CallResult, SearcherClient};
+use call::{CallResult, ReplyLimits, SearcherClient};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
+use reply_memory::ReplyMemory;
+use staircross_config::LimitSettings;
 use staircross_search::leaf::not_run;
 use staircross_search::{NotRunReason, SubRequest};
 use staircross_types::boot_clock as clock;
@@ -63,13 +66,15 @@
     pools: HashMap<SearcherId, WorkerPool>,
     events: Sender<CoreEvent>,
     logs: Logs,
-    max_reply_bytes: u64,
+    limits: ReplyLimits,
 }
 
 impl SearcherConnections {
-    /// Creates an empty set of connections. Replies longer than `max_reply_bytes` count as damaged.
-    pub fn new(events: Sender<CoreEvent>, logs: Logs, max_reply_bytes: usize) -> Self {
-        SearcherConnections { pools: HashMap::new(), events, logs, max_reply_bytes: max_reply_bytes as u64 }
+    /// Creates an empty set of connections. Replies beyond the limits count as damaged.
+    pub fn new(events: Sender<CoreEvent>, logs: Logs, limits: &LimitSettings) -> Self {
+        let limits =
+            ReplyLimits { reply_bytes: limits.reply_bytes as u64, memory: ReplyMemory::new(limits.all_replies_bytes) };
+        SearcherConnections { pools: HashMap::new(), events, logs, limits }
     }
 
     /// Sets which searchers this node owns. The threads for other searchers end when their queued work is done.
@@ -90,7 +95,7 @@
     }
 
     fn new_client(&self, searcher: SearcherId, address: SocketAddr) -> SearcherClient {
-        SearcherClient::new(searcher, address, self.max_reply_bytes, self.logs.clone())
+        SearcherClient::new(searcher, address, self.limits.clone(), self.logs.clone())
     }
 
     fn open_pool(&self, owned: &SearcherEndpoint) -> WorkerPool {
--- a/crates/session/staircross-node/src/searchers/call.rs
+++ b/crates/session/staircross-node/src/searchers/call.rs
@@ -1,5 +1,6 @@
 //! HTTP calls to a searcher, and the outcome that each way of failing implies.
 
+use super::reply_memory::{ReadReplyError, ReplyBuffer, ReplyMemory};
 use crate::http_status::require_success;
 use crate::logs::Logs;
 use spdlog::{debug, warn};
@@ -11,8 +12,9 @@
     ACT_PATH, ActCall, CANCEL_PATH, CallReply, CallStatus, CancelCall, DIGEST_HEADER, SEARCH_PATH, STATE_PATH,
     SearchCall, StateReply,
 };
-use staircross_types::{AttemptId, SearcherId, SearcherIncarnation, ShardId, body_digest};
+use staircross_types::{AttemptId, SearcherId, SearcherIncarnation, ShardId};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest wait for a connection to open.
@@ -22,6 +24,8 @@
 /// Time by which the wait for a reply exceeds the time until the deadline, so that a reply sent at the deadline still
 /// arrives.
 const REPLY_GRACE: Duration = Duration::from_millis(50);
+/// Longest reply to a probe or a cancellation, in bytes.
+const MAX_CONTROL_REPLY_BYTES: u64 = 256 * 1024;
 
 /// HTTP client of one searcher, with one keep-alive connection for searches.
 ///
@@ -32,10 +36,19 @@
     base_url: String,
     keep_alive_agent: ureq::Agent,
     unpooled_agent: ureq::Agent,
-    max_reply_bytes: u64,
+    limits: ReplyLimits,
     logs: Logs,
 }
 
+/// Limits on the replies of searchers.
+#[derive(Clone, Debug)]
+pub(super) struct ReplyLimits {
+    /// Longest reply to a search or an action, in bytes.
+    pub reply_bytes: u64,
+    /// Memory of all replies that are being read.
+    pub memory: Arc<ReplyMemory>,
+}
+
 /// Result of a call.
 pub(super) struct CallResult {
     /// The searcher's reply, or one made by this node that says how the call failed.
@@ -52,6 +65,7 @@
 }
 
 /// Reason why a call failed.
+#[derive(Debug)]
 enum CallFailure {
     /// No connection was made, so no byte was sent.
     NotConnected,
@@ -62,13 +76,13 @@
 }
 
 impl SearcherClient {
-    pub fn new(searcher: SearcherId, address: SocketAddr, max_reply_bytes: u64, logs: Logs) -> Self {
+    pub fn new(searcher: SearcherId, address: SocketAddr, limits: ReplyLimits, logs: Logs) -> Self {
         SearcherClient {
             searcher,
             base_url: format!("http://{address}"),
             keep_alive_agent: new_agent(1),
             unpooled_agent: new_agent(0),
-            max_reply_bytes,
+            limits,
             logs,
         }
     }
@@ -159,29 +173,49 @@
         let body = serde_json::to_vec(call).map_err(|error| CallFailure::Broken(error.to_string()))?;
         let request = agent.post(format!("{}{path}", self.base_url)).config().timeout_global(Some(timeout)).build();
         let response = request.header("content-type", "application/json").send(&body[..]).map_err(classify_error)?;
-        let bytes = self.read_verified_body(response)?;
-        serde_json::from_slice(&bytes).map_err(|error| CallFailure::Broken(error.to_string()))
+        let reply = self.read_verified_body(response, self.limits.reply_bytes)?;
+        reply.parse().map_err(|error| CallFailure::Broken(error.to_string()))
     }
 
-    fn read_verified_body(&self, response: ureq::http::Response<ureq::Body>) -> Result<Vec<u8>, CallFailure> {
-        let mut response = require_success(response).map_err(classify_after_connecting)?;
+    fn read_verified_body(
+        &self,
+        response: ureq::http::Response<ureq::Body>,
+        max_bytes: u64,
+    ) -> Result<ReplyBuffer, CallFailure> {
+        let response = require_success(response).map_err(classify_after_connecting)?;
         let digest = response.headers().get(DIGEST_HEADER).and_then(|value| value.to_str().ok()).map(str::to_owned);
-        let body = response.body_mut().with_config().limit(self.max_reply_bytes);
         // The searcher has begun to reply, so it may have executed the call whatever fails from here on.
-        let bytes = body.read_to_vec().map_err(classify_after_connecting)?;
+        let reply = self.read_body(response, max_bytes)?;
         match digest {
-            Some(digest) if digest == body_digest(&bytes) => Ok(bytes),
+            Some(digest) if digest == reply.digest() => Ok(reply),
             Some(_) => Err(CallFailure::Broken("the body doesn't match its digest".to_owned())),
             None => Err(CallFailure::Broken("the reply has no digest".to_owned())),
         }
     }
 
+    fn read_body(
+        &self,
+        response: ureq::http::Response<ureq::Body>,
+        max_bytes: u64,
+    ) -> Result<ReplyBuffer, CallFailure> {
+        let mut reply = ReplyBuffer::new(&self.limits.memory);
+        let mut reader = response.into_body().into_with_config().limit(max_bytes).reader();
+        match reply.read_to_end(&mut reader) {
+            Ok(()) => Ok(reply),
+            Err(ReadReplyError::Io(error)) => Err(classify_after_connecting(error.into())),
+            Err(error @ ReadReplyError::OutOfMemory { .. }) => {
+                warn!(logger: self.logs.searchers, "event=reply_too_long searcher={} error=\"{error}\"", self.searcher);
+                Err(CallFailure::Broken(error.to_string()))
+            }
+        }
+    }
+
     /// Requests the searcher's state. Returns `None` if the request fails or another searcher answers.
     pub fn probe(&self) -> Option<ProbeReport> {
         let request = self.unpooled_agent.get(format!("{}{STATE_PATH}", self.base_url));
         let response = request.config().timeout_global(Some(CONTROL_TIMEOUT)).build().call().ok()?;
-        let bytes = self.read_verified_body(response).ok()?;
-        let state: StateReply = serde_json::from_slice(&bytes).ok()?;
+        let reply = self.read_verified_body(response, MAX_CONTROL_REPLY_BYTES).ok()?;
+        let state: StateReply = reply.parse().ok()?;
         if state.searcher != self.searcher {
             warn!(logger: self.logs.searchers,
                 "event=wrong_searcher expected={} got={}", self.searcher, state.searcher);
@@ -198,7 +232,8 @@
         };
         let request = self.unpooled_agent.post(format!("{}{CANCEL_PATH}", self.base_url));
         let sent = request.config().timeout_global(Some(CONTROL_TIMEOUT)).build().send(&body[..]);
-        match sent.and_then(require_success).and_then(|mut response| response.body_mut().read_to_vec()) {
+        let received = sent.and_then(require_success).map_err(classify_after_connecting);
+        match received.and_then(|response| self.read_body(response, MAX_CONTROL_REPLY_BYTES)) {
             Ok(_) => {}
             Err(error) => debug!(logger: self.logs.searchers, "event=cancel_failed attempt={attempt} error={error:?}"),
         }
--- a/crates/session/staircross-node/tests/searcher_replies.rs
+++ b/crates/session/staircross-node/tests/searcher_replies.rs
@@ -8,6 +8,7 @@
 use crossbeam::channel::{Receiver, unbounded};
 use faulty_server::{Fault, Reply};
 use serde::Serialize;
+use staircross_config::LimitSettings;
 use staircross_node::event::CoreEvent;
 use staircross_node::logs::Logs;
 use staircross_node::searchers::{SearcherConnections, SearcherEndpoint};
@@ -56,7 +57,8 @@
 fn connect(fault: Fault) -> (SearcherConnections, Receiver<CoreEvent>) {
     let (sender, events) = unbounded();
     let logs = Logs::from_filter("off").expect("a filter");
-    let mut searchers = SearcherConnections::new(sender, logs, 1 << 20);
+    let mut searchers =
+        SearcherConnections::new(sender, logs, &LimitSettings { reply_bytes: 1 << 20, ..LimitSettings::default() });
     searchers.set_owned(&[SearcherEndpoint { searcher: SEARCHER, address: start_searcher(fault), connections: 1 }]);
     (searchers, events)
 }
--- a/crates/staircross-types/src/lib.rs
+++ b/crates/staircross-types/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod time;
 
 pub use coverage::{Coverage, MissingCause, MissingShard};
-pub use digest::body_digest;
+pub use digest::{body_digest, digest_of_parts};
 pub use errors::{ErrorKind, Executed};
 pub use ids::{
     AttemptId, GroupId, NodeId, RequestId, SearcherId, SearcherIncarnation, ServiceName, SessionToken, ShardId, Ticket,
--- a/crates/staircross/tests/common/mod.rs
+++ b/crates/staircross/tests/common/mod.rs
@@ -89,6 +89,12 @@
 
     /// Starts a fleet whose nodes have `further` lines at the end of their settings.
     pub fn start_with(folder: &Path, further: &str) -> Fleet {
+        Fleet::start_proxied(folder, further, |platform| platform)
+    }
+
+    /// Starts a fleet like [`Fleet::start_with`], whose nodes read the platform at the address that `proxy` returns for
+    /// the platform's own.
+    pub fn start_proxied(folder: &Path, further: &str, proxy: impl FnOnce(SocketAddr) -> SocketAddr) -> Fleet {
         let search = ServicePolicy { wait_ms: 3000, least_coverage_per_mille: 1, ..ServicePolicy::default() };
         let act = ServicePolicy {
             repeatable: false,
@@ -103,7 +109,7 @@
         let document = PlatformDocument::new(1, services);
         let platform_standin = PlatformStandin::start(platform, document.clone()).expect("the platform starts");
         let addresses: Vec<(SocketAddr, SocketAddr)> = (0..NODES).map(|_| (free_address(), free_address())).collect();
-        let settings = write_settings(folder, platform, &addresses, further);
+        let settings = write_settings(folder, proxy(platform), &addresses, further);
         let nodes = settings.iter().map(|path| start_node(path)).collect();
         let callers = addresses.iter().map(|(callers, _)| *callers).collect();
         let peers = addresses.iter().map(|(_, peers)| *peers).collect();
@@ -145,8 +151,13 @@
 
     /// Publishes the next revision with another `wait_ms` for the first service. Returns the revision.
     pub fn publish(&mut self, wait_ms: u64) -> u64 {
+        self.publish_edited(|document| document.services[0].policy.wait_ms = wait_ms)
+    }
+
+    /// Publishes the next revision with the changes that `edit` makes. Returns the revision.
+    pub fn publish_edited(&mut self, edit: impl FnOnce(&mut PlatformDocument)) -> u64 {
         self.document.revision += 1;
-        self.document.services[0].policy.wait_ms = wait_ms;
+        edit(&mut self.document);
         self.platform.publish(self.document.clone());
         self.document.revision
     }
