Lower the bound on the platform's replies in the session tier

Cause: a reply of the platform could have 64 MB. The reader makes one call at a time, and the buffer grows by doubling.

Ruled out: other parts of a reply without end (bounded by the HTTP client, and given up after 5 s).

Change: 16 MB. The size of the largest document in use isn't known here; a longer one is logged as unreadable, and the one before stays in force.

--- a/crates/session/staircross-node/src/platform.rs
+++ b/crates/session/staircross-node/src/platform.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// Longest reply of the platform, in bytes.
-const MAX_REPLY_BYTES: u64 = 64 * 1024 * 1024;
+const MAX_REPLY_BYTES: u64 = 16 * 1024 * 1024;
 /// Longest wait for a reply of the platform.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval at which the reader checks whether it should stop.
--- a/crates/staircross/tests/endless_replies.rs
+++ b/crates/staircross/tests/endless_replies.rs
@@ -1,10 +1,10 @@
-//! Tests of node processes of the session tier whose searchers reply without end.
+//! Tests of node processes of the session tier whose searchers or platform reply without end.
 //!
 //! The replies come from a proxy before the stand-ins, so that the nodes know the searchers as working before.
 
 mod common;
 
-use common::{Fleet, NODES};
+use common::{Fleet, NODES, WAIT_TIMEOUT};
 use staircross_node::api::ReplyBody;
 use staircross_standin::process_cost::peak_memory;
 use std::io::{Read, Write};
@@ -13,6 +13,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// Memory of the smallest machines, in megabytes.
 const MEMORY_MB: u64 = 112;
@@ -152,3 +153,25 @@
     }
     let _leftover = std::fs::remove_dir_all(&folder);
 }
+
+/// Guards against the same where the platform replies without end. Half of the memory is left for searchers and callers.
+#[test]
+fn a_platform_that_replies_without_end_stays_within_the_memory() {
+    let folder = temporary_folder("endless-platform");
+    let proxy = FaultyProxy::new("/v1/document");
+    let mut fleet = Fleet::start_proxied(&folder, "", |platform| proxy.listen(platform));
+    for (what, begin, piece) in ENDLESS_BODIES {
+        proxy.set_reply(Some((begin, piece)));
+        let (before, started) = (proxy.faulty_replies.load(Ordering::SeqCst), Instant::now());
+        // Each node has read two such replies to their end.
+        while proxy.faulty_replies.load(Ordering::SeqCst) < before + 3 * NODES as u32 {
+            assert!(started.elapsed() < WAIT_TIMEOUT, "{what}: the nodes read no more replies");
+            thread::sleep(Duration::from_millis(50));
+        }
+        check_memory(&fleet, what, MEMORY_MB / 2);
+        proxy.set_reply(None);
+        let revision = fleet.publish(3000);
+        fleet.wait_in_force(revision, 1);
+    }
+    let _leftover = std::fs::remove_dir_all(&folder);
+}
