A stopping node begins only what it can answer

What callers saw: with searchers of 3 s and callers that wait 15 s, twelve requests that may not be repeated, sent 2.5 s after the signal to stop, ran and got 504 when the node ended; their callers don't know whether they ran.

Cause: until 4 s after the signal a node took every request. The engine, which knows how long a route's answers take, didn't know of the stop. At the end, everything in flight was refused as timed out, also what had never been sent.

Change: the engine is told when the node stops. A request whose own time ends later is begun only if twice a late answer of its route still fits, or, of a route without measurements, if it may be repeated; others are refused at once as leaving, which is not run. Shortly before the deadline the engine ends what is in flight as at any deadline.

--- a/crates/staircross-gateway/src/node/requests.rs
+++ b/crates/staircross-gateway/src/node/requests.rs
@@ -213,14 +213,19 @@
         self.refuse_unread(connection, kind, ResponseOptions { closes: true, is_head: false });
     }
 
-    /// Refuses a request that arrives too late in a planned stop. Its connection stays open while callers can still
-    /// connect: otherwise a caller that goes on sending would make a new connection for each request, and one that is
-    /// made just as the listener closes is reset.
+    /// Refuses a request that arrives too late in a planned stop.
     fn refuse_while_stopping(&mut self, connection: SocketId, is_head: bool) {
-        let options = ResponseOptions { closes: !self.server.is_listening(Endpoint::Callers), is_head };
+        let options = ResponseOptions { closes: self.closes_after_leaving(), is_head };
         self.refuse_unread(connection, ErrorKind::Leaving, options);
     }
 
+    /// Returns whether the refusal of a request as leaving closes its connection. It stays open while callers can still
+    /// connect: otherwise a caller that goes on sending would make a new connection for each request, and one that is
+    /// made just as the listener closes is reset.
+    fn closes_after_leaving(&self) -> bool {
+        !self.server.is_listening(Endpoint::Callers)
+    }
+
     /// Refuses a request, or a connection without a valid one, without passing anything to the engine.
     fn refuse_unread(&mut self, connection: SocketId, kind: ErrorKind, options: ResponseOptions) {
         self.metrics.count_refusal(kind);
@@ -284,7 +289,9 @@
             return;
         };
         self.resolve_held_request(&mut pending);
-        let closes = !pending.keeps_alive || self.stop.is_some();
+        let is_leaving = matches!(outcome, RequestOutcome::Refused { kind: ErrorKind::Leaving, .. });
+        let closes_for_stop = self.stop.is_some() && (!is_leaving || self.closes_after_leaving());
+        let closes = !pending.keeps_alive || closes_for_stop;
         let context = AnswerContext {
             names: self.dialect.headers(),
             id: pending.outbound.id.as_deref(),
--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -2,14 +2,15 @@
 //!
 //! A stop passes through these phases:
 //!
-//! 1. Requests are still served, because callers may still hold this node's address from the directory.
+//! 1. Requests are still served, because callers may still hold this node's address from the directory. The engine knows
+//!    the deadline, and refuses those that it couldn't answer by then.
 //! 2. New requests are refused as not executed.
 //! 3. When no request is in flight, or the deadline is near, the listeners for callers and of the directory close, so
 //!    that new connections are refused. From then on, each refusal and each answer of the directory closes its
 //!    connection.
 //! 4. When no caller's connection has been used for a while either, the node ends.
-//! 5. At the deadline, shortly before the process would be killed, the requests still in flight are refused as timed
-//!    out.
+//! 5. Shortly before the deadline, which is before the process would be killed, the engine ends the requests still in
+//!    flight.
 //!
 //! So a caller that connects late or goes on using its connection gets an answer and is never cut off.
 //!
@@ -21,6 +22,7 @@
 use crate::endpoint::Endpoint;
 use crate::event_log::LineKind;
 use staircross_cluster::MemberState;
+use staircross_routing::decision::request_lifecycle::DEADLINE_GUARD;
 use staircross_routing::{RequestOutcome, RoutingEvent};
 use staircross_types::{BootTime, ErrorKind};
 use std::time::Duration;
@@ -73,6 +75,7 @@
         let accepts_until = callers_left_at.min(deadline - LAST_REQUESTS_MARGIN).max(self.now);
         let listeners_close_at = deadline - LISTENER_CLOSE_MARGIN;
         self.stop = Some(StopState { accepts_until, listeners_close_at, deadline, idle_ticks: 0, is_done: false });
+        self.process_routing_event(RoutingEvent::StopsAt(deadline - DEADLINE_GUARD));
         self.update_readiness();
         let mut events = Vec::new();
         self.fleet.leave(MemberState::Leaving, &mut events);
@@ -123,8 +126,8 @@
         }
     }
 
-    /// Refuses all requests in flight as timed out, since the node can't wait any longer. The refusal says that the
-    /// request may have run.
+    /// Refuses all requests that are in flight at the deadline as timed out, because the process was paused when the engine
+    /// would have ended them. The refusal says that the request may have run.
     fn time_out_requests_in_flight(&mut self) {
         for key in self.requests.keys() {
             let detail = "the node stops and can't wait any longer; the request may have run";
--- a/crates/staircross-latency/src/lib.rs
+++ b/crates/staircross-latency/src/lib.rs
@@ -46,15 +46,26 @@
         }
     }
 
-    fn update_quantiles(&mut self) {
+    /// Returns the window whose quantiles are used.
+    fn window(&self) -> &Histogram<u32> {
         // A new window has too few samples for a tail quantile; the previous window is full.
         let has_enough_samples = self.current.len() >= MIN_WINDOW_SAMPLES || self.previous.is_empty();
-        let histogram = if has_enough_samples { &self.current } else { &self.previous };
-        self.median = Duration::from_micros(histogram.value_at_quantile(0.5));
-        let tail = Duration::from_micros(histogram.value_at_quantile(HEDGE_QUANTILE));
+        if has_enough_samples { &self.current } else { &self.previous }
+    }
+
+    fn update_quantiles(&mut self) {
+        let value_at = |quantile| Duration::from_micros(self.window().value_at_quantile(quantile));
+        let (median, tail) = (value_at(0.5), value_at(HEDGE_QUANTILE));
         // If more than a few percent of sub-requests are slow, they make up the tail, and without the bound none of
         // them would count as late.
-        self.hedge_delay = tail.min(self.median * MAX_HEDGE_DELAY_IN_MEDIANS);
+        self.hedge_delay = tail.min(median * MAX_HEDGE_DELAY_IN_MEDIANS);
+        self.median = median;
+    }
+
+    /// Latency that few sub-requests exceed, up to now; of few samples the longest. `None` without any sample.
+    pub fn late(&self) -> Option<Duration> {
+        let window = self.window();
+        (!window.is_empty()).then(|| Duration::from_micros(window.value_at_quantile(HEDGE_QUANTILE)))
     }
 
     /// Median latency of sub-requests.
--- a/crates/staircross-routing/src/decision/request_lifecycle.rs
+++ b/crates/staircross-routing/src/decision/request_lifecycle.rs
@@ -238,6 +238,8 @@
     pub is_past_deadline: bool,
     /// Whether the request's API key was revoked.
     pub is_key_revoked: bool,
+    /// Whether the deadline is the time at which this node stops.
+    pub ends_with_node: bool,
 }
 
 /// Returns the refusal for a request that fails.
@@ -248,6 +250,9 @@
     match (failed.may_have_run, failed.is_past_deadline) {
         (true, true) => Refusal::new(ErrorKind::TimedOut, "the time was over before enough shards had answered"),
         (true, false) => Refusal::new(ErrorKind::BackEndsFailed, "too few shards are left to answer"),
+        (false, true) if failed.ends_with_node => {
+            Refusal::new(ErrorKind::Leaving, "the node stops and no searcher had room before")
+        }
         (false, true) => Refusal::new(ErrorKind::Overloaded, "no searcher had room in time"),
         (false, false) => Refusal::new(ErrorKind::NotDelivered, "every searcher asked turned the request away"),
     }
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -23,6 +23,7 @@
 mod quotas;
 mod revocation;
 mod searchers;
+mod stop;
 mod suspicion;
 mod waiting;
 
@@ -164,6 +165,8 @@
     logged_alarms: first_probe::LoggedAlarms,
     /// Checks of the entries of searchers whose answers say that they are leaving.
     entry_checks: departures::EntryChecks,
+    /// Time after which no request is in flight, once this node is about to stop.
+    stops_at: Option<BootTime>,
     /// Counters for metrics.
     pub counters: RoutingCounters,
 }
@@ -206,6 +209,7 @@
             quarantine: Quarantine::default(),
             logged_alarms: Default::default(),
             entry_checks: Default::default(),
+            stops_at: None,
             counters: RoutingCounters::default(),
         }
     }
@@ -251,6 +255,7 @@
             RoutingEvent::PeerCases(records) => self.merge_peer_cases(now, &records, actions),
             RoutingEvent::Isolated { is_isolated } => self.quotas.set_isolated(is_isolated),
             RoutingEvent::PeerQuota { from, messages } => self.handle_quota_messages(now, from, messages, actions),
+            RoutingEvent::StopsAt(stops_at) => self.on_stops_at(now, stops_at, actions),
             RoutingEvent::Tick => {
                 self.on_tick(now, actions);
                 self.send_due_quotas(now, actions);
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -166,7 +166,7 @@
         let tenant_name = definition.map(|tenant| &tenant.name);
         let content = arrival.content.of_tenant(tenant_name.map(|name| &**name));
         self.check_content(now, content)?;
-        let deadline = deadline_of(now, route, arrival)?;
+        let deadline = self.deadline_before_stop(now, route, deadline_of(now, route, arrival)?)?;
         let services = self.choose_services(route);
         self.check_reachable_shards(now, arrival, route, AllowedRegions::new(route, definition), &services, deadline)?;
         self.check_quota(now, tenant_name)?;
--- a/crates/staircross-routing/src/engine/completion.rs
+++ b/crates/staircross-routing/src/engine/completion.rs
@@ -85,7 +85,8 @@
         if is_answered && request.gather().is_some() && progress.parts < request.shards.len() {
             self.counters.partial_answers += 1;
         }
-        let outcome = if is_answered { success_outcome(&mut request) } else { failure_outcome(now, &request) };
+        let outcome =
+            if is_answered { success_outcome(&mut request) } else { failure_outcome(now, &request, self.stops_at) };
         actions.push(RoutingAction::Finish { request: key, outcome });
     }
 
@@ -151,13 +152,18 @@
     RequestOutcome::Merged(MergedAnswer { stamps, missing, body })
 }
 
-fn failure_outcome(now: BootTime, request: &Request) -> RequestOutcome {
+fn failure_outcome(now: BootTime, request: &Request, stops_at: Option<BootTime>) -> RequestOutcome {
     if let Some(ShardState::Failed(Some(answer))) = request.shards.first().map(|shard| &shard.state)
         && request_lifecycle::is_passed_on(answer, request.gather().is_some())
     {
         return RequestOutcome::Passed(answer.clone());
     }
     let may_have_run = request.may_have_run || !request.attempts.iter().all(|attempt| attempt.is_resolved);
-    let (is_past_deadline, is_key_revoked) = (now >= request.deadline, request.is_key_revoked);
-    request_lifecycle::refuse(FailedRequest { may_have_run, is_past_deadline, is_key_revoked }).into()
+    let failed = FailedRequest {
+        may_have_run,
+        is_past_deadline: now >= request.deadline,
+        is_key_revoked: request.is_key_revoked,
+        ends_with_node: stops_at == Some(request.deadline),
+    };
+    request_lifecycle::refuse(failed).into()
 }
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -82,6 +82,8 @@
         /// The peer's messages.
         messages: Vec<QuotaMessage>,
     },
+    /// This node stops: no request is in flight after this time.
+    StopsAt(BootTime),
     /// Time has passed. The engine handles the wakes that are due and its periodic work.
     Tick,
 }
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -107,6 +107,7 @@
         messages: Vec<QuotaMessage>,
     },
     QuotaBound(QuotaBound),
+    StopsAt(BootTime),
     Tick,
 }
 
@@ -225,6 +226,7 @@
             },
             RoutingEvent::Arrived(arrival) => RecordedEvent::Arrived(arrival.clone()),
             RoutingEvent::CallerGone(request) => RecordedEvent::CallerGone(*request),
+            RoutingEvent::StopsAt(stops_at) => RecordedEvent::StopsAt(*stops_at),
             RoutingEvent::Connected { searcher, took } => RecordedEvent::Connected { searcher: *searcher, took: *took },
             RoutingEvent::Begun { attempt } => RecordedEvent::Begun { attempt: *attempt },
             RoutingEvent::Ended { attempt, outcome } => {
@@ -407,6 +409,7 @@
             }
             RecordedEvent::Arrived(arrival) => RoutingEvent::Arrived(arrival),
             RecordedEvent::CallerGone(request) => RoutingEvent::CallerGone(request),
+            RecordedEvent::StopsAt(stops_at) => RoutingEvent::StopsAt(stops_at),
             RecordedEvent::Connected { searcher, took } => RoutingEvent::Connected { searcher, took },
             RecordedEvent::Begun { attempt } => RoutingEvent::Begun { attempt },
             RecordedEvent::Ended { attempt, outcome } => RoutingEvent::Ended { attempt, outcome: outcome.into() },
--- a/crates/staircross-routing/tests/rule_giving_up.rs
+++ b/crates/staircross-routing/tests/rule_giving_up.rs
@@ -172,19 +172,25 @@
 #[test]
 fn a_request_that_may_have_run_is_never_refused_as_not_run() {
     let rows = [
-        // Inputs: whether the request may have run, the deadline has passed, the key is revoked.
+        // Inputs: whether the request may have run, the deadline has passed, the key is revoked, the node stops then.
         // Expected: kind of the refusal.
-        (false, false, false, ErrorKind::NotDelivered),
-        (false, true, false, ErrorKind::Overloaded),
-        (true, false, false, ErrorKind::BackEndsFailed),
-        (true, true, false, ErrorKind::TimedOut),
-        (false, false, true, ErrorKind::Unauthorized),
-        (false, true, true, ErrorKind::Unauthorized),
-        (true, false, true, ErrorKind::BackEndsFailed),
-        (true, true, true, ErrorKind::TimedOut),
+        (false, false, false, false, ErrorKind::NotDelivered),
+        (false, true, false, false, ErrorKind::Overloaded),
+        (true, false, false, false, ErrorKind::BackEndsFailed),
+        (true, true, false, false, ErrorKind::TimedOut),
+        (false, false, true, false, ErrorKind::Unauthorized),
+        (false, true, true, false, ErrorKind::Unauthorized),
+        (true, false, true, false, ErrorKind::BackEndsFailed),
+        (true, true, true, false, ErrorKind::TimedOut),
+        (false, false, false, true, ErrorKind::NotDelivered),
+        (false, true, false, true, ErrorKind::Leaving),
+        (true, false, false, true, ErrorKind::BackEndsFailed),
+        (true, true, false, true, ErrorKind::TimedOut),
+        (false, true, true, true, ErrorKind::Unauthorized),
+        (true, true, true, true, ErrorKind::TimedOut),
     ];
-    for (may_have_run, is_past_deadline, is_key_revoked, kind) in rows {
-        let refusal = refuse(FailedRequest { may_have_run, is_past_deadline, is_key_revoked });
+    for (may_have_run, is_past_deadline, is_key_revoked, ends_with_node, kind) in rows {
+        let refusal = refuse(FailedRequest { may_have_run, is_past_deadline, is_key_revoked, ends_with_node });
         assert_eq!(refusal.kind, kind);
         assert_eq!(kind.executed() == Executed::Maybe, may_have_run, "{kind}");
     }
