--- a/crates/staircross-gateway/tests/pinned_messages.rs
+++ b/crates/staircross-gateway/tests/pinned_messages.rs
@@ -31,7 +31,12 @@
     r#"{"Compare":{"fingerprints":[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,18446744073709551615]}}"#,
 ];
 
-const ANNOUNCEMENTS: [&str; 2] = [r#"{"v":7,"r":90,"l":0}"#, r#"{"v":7,"r":90,"e":4,"l":55,"s":120,"c":340}"#];
+const ANNOUNCEMENTS: [&str; 4] = [
+    r#"{"v":7,"r":90,"l":0}"#,
+    r#"{"v":7,"r":90,"e":4,"l":55,"s":120,"c":340}"#,
+    r#"{"v":7,"r":90,"n":95,"e":4,"l":0,"i":2,"j":2,"k":1}"#,
+    r#"{"v":7,"r":90,"l":0,"i":2}"#,
+];
 
 const QUOTAS: [&str; 7] = [
     r#"{"r":{"t":5,"e":1,"c":{"o":12,"a":10},"k":{"o":6,"a":5}}}"#,
@@ -87,7 +92,13 @@
         [9,{"Evacuation":{"zone":"hall","is_active":true}}]"#;
     let complete_listing = r#"{"items":[],"is_complete_for_searchers":true,"up_to":12,"all_evacuations_at":3}"#;
     let with_newest = r#"{"items":[],"is_complete_for_searchers":false,"up_to":12,"newest":9,"operator_up_to":11}"#;
-    let others = [complete_listing.to_owned(), with_newest.to_owned()];
+    let with_version =
+        r#"{"items":[],"is_complete_for_searchers":false,"up_to":12,"operator_up_to":11,"version":7,"version_at":11}"#;
+    let with_epochs = r#"{"items":[[8,{"SearcherGone":{"instance":"i-3"}}],[9,{"SearcherGone":{"instance":"i-4"}}],
+        [3,{"SearcherGone":{"instance":"i-5"}}]],"is_complete_for_searchers":true,"up_to":12,"newest":14,"operator_up_to":11,
+        "all_evacuations_at":3,"version":7,"version_at":11,"epochs":{"up_to":2,"newest":2,"operator_up_to":2,
+        "all_evacuations_at":1,"version_at":null,"items":[[1,2],[2,1]]}}"#;
+    let others = [complete_listing, with_newest, with_version, with_epochs].map(str::to_owned);
     [update(&definition), update(&without_tenants), update(&delta), update(searchers)]
         .into_iter()
         .chain(others)
--- a/crates/staircross-gateway/tests/pinned_recordings.rs
+++ b/crates/staircross-gateway/tests/pinned_recordings.rs
@@ -93,6 +93,7 @@
         r#"{"Fleet":{"nodes_by_zone":{},"serving":2,"rank":null,"slack_part":0.5,"nodes":["h'00000000000000000000000000000001'"]}}"#
             .to_owned(),
         r#"{"CallerGone":3}"#.to_owned(),
+        r#"{"StopsAt":9000000}"#.to_owned(),
         r#"{"Connected":{"searcher":4,"took":{"secs":0,"nanos":2000}}}"#.to_owned(),
         r#"{"Begun":{"attempt":{"request":3,"number":1}}}"#.to_owned(),
         format!(r#"{{"PeerCases":[{CASE}]}}"#),
