--- a/crates/staircross-gateway/tests/epochs_between_nodes.rs
+++ b/crates/staircross-gateway/tests/epochs_between_nodes.rs
@@ -26,7 +26,16 @@
         let gone = MirrorItem::SearcherGone { instance: Arc::from("a") };
         let items = items.into_iter().map(|revision| (revision, gone.clone())).collect();
         let update =
-            MirrorUpdate { items, up_to, newest, operator_up_to, version: 3, version_at, all_evacuations_at, ..MirrorUpdate::default() };
+            MirrorUpdate {
+                items,
+                up_to,
+                newest,
+                operator_up_to,
+                version: 3,
+                version_at,
+                all_evacuations_at,
+                ..MirrorUpdate::default()
+            };
         let received: MirrorUpdate = decode(&encode(&update).expect("the update is encoded")).expect("an update");
         prop_assert_eq!(received, update);
     }
--- a/crates/staircross-routing/src/state/mirror/settling.rs
+++ b/crates/staircross-routing/src/state/mirror/settling.rs
@@ -41,10 +41,10 @@
 }
 
 impl Mirror {
-    /// Lets the store be right about the searchers and zones of which the copy from which it has come back said something
-    /// else than was known, if there was time to write them again, and returns what that changes. The caller calls this regularly, since time
-    /// passes only by these calls. `hears_of_store` says whether it hears of what the store holds; if not, the time begins
-    /// anew.
+    /// Lets the store be right about the searchers and zones of which its older copy said something else than was known,
+    /// if there was time to write them again, and returns what that changes. The caller calls this regularly, since time
+    /// passes only by these calls. `hears_of_store` says whether it hears of what the store holds; if not, the time
+    /// begins anew.
     pub fn settle_return(&mut self, now: BootTime, hears_of_store: bool) -> MirrorChanges {
         let evacuated_before = self.evacuated();
         self.evacuations.settle(now, hears_of_store);
--- a/crates/staircross-routing/src/state/mirror_update.rs
+++ b/crates/staircross-routing/src/state/mirror_update.rs
@@ -73,8 +73,9 @@
     /// listing doesn't show the newest change if that was the removal of a searcher. For the same reason, a listing of
     /// the store has its own revision here: any searcher that it leaves out may have been removed just before.
     pub newest: StoreRevision,
-    /// Revision up to which the update holds all changes of the configuration and of evacuations, except for a
-    /// configuration that the asking node doesn't accept or can't apply (see `version`); none when the sender doesn't know them all.
+    /// Revision up to which the update holds all changes of the configuration and of evacuations; none when the sender
+    /// doesn't know them all. A configuration that the asking node doesn't accept or can't apply may be missing; `version`
+    /// shows it.
     pub operator_up_to: StoreRevision,
     /// Version of the sender's configuration, whether or not the update holds it; 0 in what is read from the store, and
     /// from nodes of a build that doesn't say it.
--- a/crates/staircross-routing/tests/common/mod.rs
+++ b/crates/staircross-routing/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod backends;
 pub mod incarnations;
 pub mod mirror;
+pub mod model_store;
 pub mod quarantine;
 pub mod requests;
 pub mod store;
