--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -192,8 +192,7 @@
 
     /// Handles the store's answer to a probe. The configuration is confirmed as of the probe if a watch of it was
     /// already in flight by then, the probe shows no change that the watches haven't reported, and the store holds the
-    /// version that is in force. A designated reader
-    /// sends its followers a heartbeat if the store serves both watches.
+    /// version that is in force. A designated reader sends its followers a heartbeat if the store serves both watches.
     fn on_probe_answered(&mut self) {
         self.store_role.record_probe_answered(self.now);
         let [watched_at, probed_at] = [Lane::Configuration, Lane::Probe].map(|lane| self.store_reader.called_at(lane));
