Log what a node knew when its process had stood still, and count such gaps

Requests of users were handled by a version of the configuration that was no longer allowed. The log had the length of a gap, but neither the version nor the store revision that the node knew when it continued, so a request judged by an old view couldn't be told from one by a version that never arrived. Added: `version` and `revision` of `woke_late`, and the counter `staircross_process_gaps_total`. No decision is changed.

--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -180,6 +180,8 @@
     pub store_calls: StoreCallCounters,
     /// Questions to the directory.
     pub directory_questions: u64,
+    /// Number of times that this process stood still for a second or longer.
+    pub process_gaps: u64,
     /// Number of times that a store item changed to a content that can't be used.
     pub unreadable_items: u64,
     /// Number of answers of the store that didn't tell the epoch although it is known, or told it in a wrong form.
@@ -251,6 +253,7 @@
         line("peer_datagrams_total", components.datagrams);
         line("peer_datagram_bytes_total", components.datagram_bytes);
         line("directory_questions_total", self.directory_questions);
+        line("process_gaps_total", self.process_gaps);
         line("store_items_unreadable_total", self.unreadable_items);
         line("store_epochs_unreadable_total", self.unreadable_epochs);
     }
--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -187,15 +187,16 @@
         clock::now().until(due.map_or(self.next_tick, |due| due.min(self.next_tick)))
     }
 
-    /// Logs a long time between two turns. It means that this process was stalled, not its peers.
+    /// Logs and counts a long time between two turns. It means that this process was stalled, not its peers. The line
+    /// says what the node knew by then.
     fn log_stall(&mut self) {
         let interval = self.load.turn_interval();
         if interval >= STALL_INTERVAL {
-            self.log.line(
-                self.now,
-                LineKind::NodeEvent,
-                format_args!("event=woke_late gap_ms={}", interval.as_millis()),
-            );
+            self.metrics.process_gaps += 1;
+            let (version, revision) = (self.mirror.version(), self.mirror.newest_revision());
+            let gap_ms = interval.as_millis();
+            let line = format_args!("event=woke_late gap_ms={gap_ms} version={version} revision={revision}");
+            self.log.line(self.now, LineKind::NodeEvent, line);
         }
     }
 
--- a/crates/staircross-gateway/tests/pinned_metrics.rs
+++ b/crates/staircross-gateway/tests/pinned_metrics.rs
@@ -18,6 +18,7 @@
     metrics.store_calls = StoreCallCounters { reads: 1, lists: 2, watches: 3, probes: 4 };
     metrics.directory_questions = 5;
     metrics.unreadable_items = 6;
+    metrics.process_gaps = 7;
     let mut traffic = Traffic::default();
     for purpose in Purpose::ALL {
         Reach::ALL.iter().for_each(|reach| traffic.count(purpose, *reach, 1000));
