Handle no request by what a node knew before its process stood still

Callers had requests run by a service from which the route had been moved up to 4.26 s before, and would have had them sent to searchers that had begun to drain just as long ago.

Cause: while a process stands still, requests wait in its sockets. When it continues, its reader has one reply of the store, the first of the changes that came meanwhile; a follower has the datagrams of before. Both read the requests at once and handled them by what they knew. Nothing compared how long the process had stood still with the age that its view may have. Requests read in the first turn were refused as overloaded, which hid the fault in part: it shows in the turns after it.

Change: the node compares readings of the boot clock. After a gap of 0.4 of the shortest bound on updates it asks the store anew for changes of both kinds, whatever its role, with a watch that is answered at once, and begins and sends nothing until both replies are there; attempts that wait for a connection are taken back and sent by what is known then. A reply to a call from before the gap counts while it is younger than 0.9 of the bound, so that a process which runs for short moments only still serves. After 1.2 s without a reply the node serves by what it knows, as it does whenever the store is away.

Why it works: a version or an entry that is acknowledged before the call is in its reply, so what is handled by it was acknowledged at most the age of the call ago.

Ruled out on the way: nothing of it needs a fault of the store, its links or the network.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -16,6 +16,7 @@
 mod error;
 mod log_limits;
 mod operator;
+mod outdated_view;
 mod recording;
 mod reload;
 mod request_log;
@@ -54,6 +55,7 @@
 use rand_chacha::ChaCha8Rng;
 use staircross_http::ServerLimits;
 use staircross_routing::Mirror;
+use staircross_routing::decision::outdated_view::OutdatedView;
 use staircross_routing::engine::{RoutingEngine, RoutingEvent};
 use staircross_routing::store_reader::StoreReader;
 use staircross_transport::server::{Server, ServerEvent, ServerTimeouts};
@@ -107,6 +109,7 @@
     started: BootTime,
     next_tick: BootTime,
     load: LoadMeter,
+    outdated_view: OutdatedView,
     status: NodeStatus,
     random: ChaCha8Rng,
 
@@ -153,6 +156,7 @@
             self.now = clock::now();
             self.load.begin_turn(self.now);
             self.log_stall();
+            self.check_view();
             self.handle_signals();
             for kinds in TURN_ORDER {
                 self.handle_socket_events(kinds, &events);
@@ -206,7 +210,7 @@
         let ours = decoded.filter(|(id, _)| kinds.contains(&id.kind));
         for (count, (id, event)) in ours.enumerate() {
             if count % EVENTS_PER_CLOCK_READ == EVENTS_PER_CLOCK_READ - 1 {
-                self.now = clock::now();
+                self.read_clock();
             }
             self.on_socket(id, event);
         }
@@ -227,7 +231,7 @@
     /// Handles everything that is due by the clock. This follows the socket events because they may have made a timer
     /// obsolete.
     fn handle_timers(&mut self) {
-        self.now = clock::now();
+        self.read_clock();
         self.process_routing_event(RoutingEvent::Tick);
         self.handle_pool_timers();
         self.handle_store_timers();
--- /dev/null
+++ b/crates/staircross-gateway/src/node/outdated_view.rs
@@ -0,0 +1,52 @@
+//! Finds out that this process stood still, and has what it knows of the store confirmed before it handles requests by it.
+//!
+//! This module owns no state: [`OutdatedView`](staircross_routing::decision::outdated_view::OutdatedView) decides, the
+//! store reader asks the store, and the engine holds what must wait.
+
+use super::GatewayNode;
+use crate::dialect::Dialect;
+use crate::event_log::LineKind;
+use staircross_routing::engine::RoutingEvent;
+use staircross_types::boot_clock as clock;
+
+impl<D: Dialect> GatewayNode<D> {
+    /// Reads the clock within a turn. The process may have stood still since it was last read.
+    pub(super) fn read_clock(&mut self) {
+        self.now = clock::now();
+        self.check_view();
+    }
+
+    /// Asks the store for what has changed if this process stood still until now, and tells the engine whether the view
+    /// may be used.
+    pub(super) fn check_view(&mut self) {
+        if self.outdated_view.advance(self.now).is_some() {
+            let mut actions = Vec::new();
+            self.store_reader.confirm(self.now, &mut actions);
+            self.apply_reader_actions(actions);
+        }
+        let is_given_up = self.outdated_view.give_up_if_due(self.now);
+        if is_given_up {
+            let mut actions = Vec::new();
+            self.store_reader.end_confirmation(self.now, &mut actions);
+            self.apply_reader_actions(actions);
+        }
+        self.update_view(!is_given_up);
+    }
+
+    /// Passes a change of the view's state to the log and to the engine. `is_confirmed` says whether a view that may be
+    /// used was confirmed.
+    pub(super) fn update_view(&mut self, is_confirmed: bool) {
+        let is_outdated = self.outdated_view.is_outdated(self.now);
+        if is_outdated == self.status.is_view_outdated {
+            return;
+        }
+        self.status.is_view_outdated = is_outdated;
+        let (version, revision) = (self.mirror.version(), self.mirror.newest_revision());
+        let confirmed = is_confirmed && !is_outdated;
+        let line = format_args!(
+            "event=view outdated={is_outdated} confirmed={confirmed} version={version} revision={revision}"
+        );
+        self.log.line(self.now, LineKind::NodeEvent, line);
+        self.process_routing_event(RoutingEvent::View { is_outdated });
+    }
+}
--- a/crates/staircross-gateway/src/node/reload.rs
+++ b/crates/staircross-gateway/src/node/reload.rs
@@ -44,6 +44,7 @@
         self.engine.set_quota_bound(self.now, bound);
         self.record(RecordedEvent::QuotaBound(bound), &[]);
         self.store_role.set_heartbeat_timeout(self.now, settings.heartbeat_timeout());
+        self.outdated_view.set_settings(settings.outdated_view_settings());
         if settings.store == self.settings.store {
             self.store_reader.set_settings(self.now, settings.store_reader_settings());
         } else {
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -30,6 +30,7 @@
 use rand_chacha::rand_core::SeedableRng;
 use staircross_quota::QuotaBound;
 use staircross_routing::decision::extra_budget::ExtraBound;
+use staircross_routing::decision::outdated_view::OutdatedView;
 use staircross_routing::engine::{RoutingEngine, RoutingSettings};
 use staircross_routing::store_reader::{ReadingMode, StoreReader};
 use staircross_routing::{ColdBound, Mirror};
@@ -81,6 +82,7 @@
             requests: CallerRequests::new(),
             operator: Operator::new(now, signals, settings_file),
             load: LoadMeter::new(now),
+            outdated_view: OutdatedView::new(now, settings.outdated_view_settings()),
             status: NodeStatus::default(),
             stop: None,
             metrics: Metrics::default(),
--- a/crates/staircross-gateway/src/node/status.rs
+++ b/crates/staircross-gateway/src/node/status.rs
@@ -3,7 +3,7 @@
 //! A node is pressed if it is so busy that callers should be sent to other nodes, and serving if the directory sends
 //! callers to it. [`NodeStatus`] owns these values; each change is logged. This module decides whether the node is
 //! ready. `updates` evaluates whether it is pressed and serving, `configuration_view` whether its configuration is
-//! confirmed.
+//! confirmed, `outdated_view` whether what it knows of the store is too old.
 
 use super::GatewayNode;
 use crate::dialect::Dialect;
@@ -26,6 +26,8 @@
     pub is_serving: bool,
     /// Whether the configuration was last confirmed longer ago than the settings allow.
     pub is_confirmation_overdue: bool,
+    /// Whether what the node knows of the store is too old to handle requests by it.
+    pub is_view_outdated: bool,
 }
 
 impl<D: Dialect> GatewayNode<D> {
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -61,7 +61,7 @@
         self.apply_reader_actions(actions);
     }
 
-    pub(super) fn apply_reader_actions(&mut self, actions: Vec<ReaderAction>) {
+    pub(in crate::node) fn apply_reader_actions(&mut self, actions: Vec<ReaderAction>) {
         for action in actions {
             match action {
                 ReaderAction::Call { lane, call, timeout } => {
@@ -85,6 +85,10 @@
                         self.fleet.confirm(self.store_reader.called_at(lane));
                     }
                 }
+                ReaderAction::Confirmed { lane, asked_at } => {
+                    self.outdated_view.record_confirmation(lane, asked_at);
+                    self.update_view(true);
+                }
                 ReaderAction::Listed { lane, pages, took } => self.log.line(
                     self.now,
                     LineKind::NodeEvent,
--- a/crates/staircross-gateway/src/settings/derived.rs
+++ b/crates/staircross-gateway/src/settings/derived.rs
@@ -15,10 +15,12 @@
 //! | `ReaderSettings::probe_with_followers` | time between two heartbeats of a reader: one goes out with each probe |
 //! | `ReaderSettings::probe_as_prober` | time between two probes of a prober |
 //! | `ReaderSettings::probe` | time between two confirmations of the configuration, where keys need them |
+//! | [`GatewaySettings::outdated_view_settings`] | time for which the process may stand still before its view must be confirmed |
 //! | [`GatewaySettings::max_dispute`] | time for which the entry of a later start counts although the store holds another |
 //! | [`GatewaySettings::lapse_grace`] | time for which a searcher whose entry may have lapsed is still a fallback |
 
 use super::{BoundSettings, GatewaySettings};
+use staircross_routing::decision::outdated_view::OutdatedViewSettings;
 use staircross_routing::store_reader::{Lane, ProbeIntervals, ReaderSettings};
 use std::time::Duration;
 
@@ -52,6 +54,12 @@
 /// Time between two probes of a prober, as a fraction of the silence that followers tolerate. This time is longer than
 /// that of a reader, because many nodes may receive no heartbeats at once.
 const PROBER_PROBE_INTERVAL_FRACTION: f64 = 0.5;
+/// Time for which this process may stand still before its view must be confirmed, as a fraction of the shortest bound on
+/// updates. It equals the silence of its readers that a follower tolerates: both keep updates away for that long.
+const MAX_GAP_FRACTION: f64 = HEARTBEAT_TIMEOUT_FRACTION;
+/// Maximum age of a view that was confirmed after the process stood still, as a fraction of the shortest bound on updates.
+/// The rest is for a late wake-up.
+const MAX_VIEW_AGE_FRACTION: f64 = 0.9;
 /// Share of the link's time that answers to peers may use, in seconds per second. A request that waits behind these
 /// answers reaches its searcher that much later, with a deadline that is too late by the same time. With 195 nodes and
 /// a large configuration, limiting only the number of large answers let some days exceed the budget for extra sends;
@@ -110,6 +118,19 @@
         Duration::from_millis(shorter_ms).mul_f64(HEARTBEAT_TIMEOUT_FRACTION)
     }
 
+    /// Returns the time limits by which a process that stood still decides whether what it knows of the store is too old.
+    /// It waits for a confirmation for as long as a call to the store may take.
+    pub fn outdated_view_settings(&self) -> OutdatedViewSettings {
+        let update_ms = self.bounds.operator_update_ms().min(self.bounds.drain_ms);
+        let bound =
+            Duration::from_millis(self.bounds.revoke_ms.map_or(update_ms, |revoke_ms| revoke_ms.min(update_ms)));
+        OutdatedViewSettings {
+            max_gap: bound.mul_f64(MAX_GAP_FRACTION),
+            max_age: bound.mul_f64(MAX_VIEW_AGE_FRACTION),
+            max_wait: ReaderSettings::default().call_timeout,
+        }
+    }
+
     /// Returns the longest time without a confirmation of the configuration after which requests that need a key are
     /// still accepted. It is `Duration::MAX` unless `revoke_strict` is set.
     fn max_confirmation_age(&self) -> Duration {
--- a/crates/staircross-gateway/tests/pinned_log.rs
+++ b/crates/staircross-gateway/tests/pinned_log.rs
@@ -128,9 +128,11 @@
         KeyRevoked,
         Quarantined,
         Probing,
+        OutdatedView,
     ];
     let left_out = [LeftOutCause::Late, LeftOutCause::NoRoom, LeftOutCause::Failed, LeftOutCause::NoSearcher];
-    let held = [HoldCause::NoConfiguration, HoldCause::OldConfiguration, HoldCause::NoSearchers];
+    let held =
+        [HoldCause::NoConfiguration, HoldCause::OldConfiguration, HoldCause::NoSearchers, HoldCause::OutdatedView];
     let keys = [KeyRefusal::Missing, KeyRefusal::Unknown, KeyRefusal::Malformed, KeyRefusal::Revoked];
     [
         line_of_names("attempt that didn't run", not_run.map(NotRun::name)),
--- a/crates/staircross-routing/src/decision.rs
+++ b/crates/staircross-routing/src/decision.rs
@@ -20,6 +20,7 @@
 //! | [`retry`] | whether a request is sent again after an attempt ends, to whom, and when |
 //! | [`request_lifecycle`] | whether a request is begun, held or refused, and when and how it ends |
 //! | [`goal`] | by when this node must send an answer |
+//! | [`outdated_view`] | whether what is known of the store is too old to handle requests by it |
 //! | [`last_requests`] | which requests a node that is about to stop still begins |
 //! | [`quarantine`] | which requests crash the searchers that run them |
 //! | [`first_probe`] | which requests are sent to one shard first while a route's requests crash searchers |
@@ -34,6 +35,7 @@
 pub mod goal;
 pub mod hedging;
 pub mod last_requests;
+pub mod outdated_view;
 pub mod placement;
 pub mod quarantine;
 pub mod request_lifecycle;
--- a/crates/staircross-routing/src/decision/retry.rs
+++ b/crates/staircross-routing/src/decision/retry.rs
@@ -69,7 +69,7 @@
             NextStep::SendAgain(SendReason::Reroute)
         }
         AttemptOutcome::NotRun(NotRun::Shed | NotRun::OtherInstance) => NextStep::SendAgain(SendReason::Retry),
-        // An attempt is cancelled during its request only if the request's key was revoked.
+        // An attempt is cancelled for good during its request only if the request's key was revoked.
         AttemptOutcome::Cancelled => NextStep::GiveUp,
     }
 }
--- a/crates/staircross-routing/src/engine.rs
+++ b/crates/staircross-routing/src/engine.rs
@@ -25,6 +25,7 @@
 mod searchers;
 mod stop;
 mod suspicion;
+mod view;
 mod waiting;
 
 use crate::configuration::definition::{RouteTarget, ServiceEntry};
@@ -167,6 +168,8 @@
     entry_checks: departures::EntryChecks,
     /// Time after which no request is in flight, once this node is about to stop.
     stops_at: Option<BootTime>,
+    /// Whether what this node knows of the store is too old to handle requests by it.
+    is_view_outdated: bool,
     /// Counters for metrics.
     pub counters: RoutingCounters,
 }
@@ -210,6 +213,7 @@
             logged_alarms: Default::default(),
             entry_checks: Default::default(),
             stops_at: None,
+            is_view_outdated: false,
             counters: RoutingCounters::default(),
         }
     }
@@ -256,6 +260,7 @@
             RoutingEvent::Isolated { is_isolated } => self.quotas.set_isolated(is_isolated),
             RoutingEvent::PeerQuota { from, messages } => self.handle_quota_messages(now, from, messages, actions),
             RoutingEvent::StopsAt(stops_at) => self.on_stops_at(now, stops_at, actions),
+            RoutingEvent::View { is_outdated } => self.set_view_outdated(now, is_outdated, actions),
             RoutingEvent::Tick => {
                 self.on_tick(now, actions);
                 self.send_due_quotas(now, actions);
--- a/crates/staircross-routing/src/engine/arrival.rs
+++ b/crates/staircross-routing/src/engine/arrival.rs
@@ -158,6 +158,7 @@
         arrival: &Arrival,
         actions: &mut Vec<RoutingAction>,
     ) -> Result<AdmittedRequest, NotStarted> {
+        self.check_view(arrival)?;
         let (table, route_index) = self.find_route(arrival)?;
         self.check_load(arrival)?;
         let route = &table.definition().routes[route_index];
@@ -179,6 +180,17 @@
         Ok(AdmittedRequest { route_index, tenant, content, deadline, services, group, table: table.clone() })
     }
 
+    /// Checks that this node's view isn't outdated. An overloaded node refuses the request at once, rather than after a
+    /// hold.
+    fn check_view(&self, arrival: &Arrival) -> Result<(), NotStarted> {
+        if !self.is_view_outdated {
+            return Ok(());
+        }
+        self.check_load(arrival)?;
+        let detail = "the node stood still and has yet to learn what has changed meanwhile";
+        Err(NotStarted::node_not_ready(HoldCause::OutdatedView, ErrorKind::Unconfirmed, detail))
+    }
+
     fn check_load(&self, arrival: &Arrival) -> Result<(), Refusal> {
         let (requests, max_requests) = (self.requests.len(), self.settings.max_requests);
         let load = NodeLoad { is_overloaded: arrival.is_overloaded, requests, max_requests };
--- a/crates/staircross-routing/src/engine/dispatch.rs
+++ b/crates/staircross-routing/src/engine/dispatch.rs
@@ -66,8 +66,8 @@
         outcome.map(|_| ())
     }
 
-    /// Checks whether a shard may be sent to any searcher at present. Queues a shard that must wait for the trial of
-    /// a suspect content or for a first probe.
+    /// Checks whether a shard may be sent to any searcher at present. Queues a shard that must wait for a current view,
+    /// for the trial of a suspect content or for a first probe.
     fn check_sendable(
         &mut self,
         now: BootTime,
@@ -82,6 +82,9 @@
         if request.is_key_revoked {
             return Err(Self::log_unsent_revoked(key, request, shard_index, reason, actions));
         }
+        if self.is_view_outdated {
+            return Err(self.postpone_for_view(now, key, shard_index, reason, actions));
+        }
         if self.suspicion(now, request.content) == Suspicion::Quarantined {
             return Err(UnsentCause::Quarantined);
         }
--- a/crates/staircross-routing/src/engine/outcome.rs
+++ b/crates/staircross-routing/src/engine/outcome.rs
@@ -27,6 +27,7 @@
         let Some(sent) = self.sent_attempts.remove(&attempt) else {
             return;
         };
+        let outcome = self.outcome_of_recalled(attempt.request, outcome);
         self.searchers[sent.searcher.0 as usize].note_released(attempt);
         self.record_wait(now, &sent, &outcome, actions);
         self.update_searcher(now, &sent, &outcome);
--- a/crates/staircross-routing/src/engine/searchers.rs
+++ b/crates/staircross-routing/src/engine/searchers.rs
@@ -86,10 +86,7 @@
             let is_evacuated = self.evacuated_zones.contains(&searcher.entry.zone);
             searcher.set_evacuated(now, is_evacuated);
         }
-        let mut services: Vec<Arc<str>> = self.waiting_shards.keys().cloned().collect();
-        // A fixed order makes the replay of a recording deterministic.
-        services.sort_unstable();
-        services.iter().for_each(|service| self.send_waiting_shards(now, service, actions));
+        self.send_all_waiting_shards(now, actions);
     }
 
     /// Marks a searcher whose entry has gone from the store. It is asked until `until` if no other can be.
--- a/crates/staircross-routing/src/engine/waiting.rs
+++ b/crates/staircross-routing/src/engine/waiting.rs
@@ -150,8 +150,11 @@
     }
 
     /// Sends the waiting shards of a service, longest wait first, after a searcher has gained capacity or become
-    /// available. Stops at the first shard that blocks those behind it.
+    /// available. Stops at the first shard that blocks those behind it. Sends none while the view is outdated.
     pub(super) fn send_waiting_shards(&mut self, now: BootTime, service: &Arc<str>, actions: &mut Vec<RoutingAction>) {
+        if self.is_view_outdated {
+            return;
+        }
         let waiting = self.waiting_shards.get(service).map_or(0, VecDeque::len);
         for _ in 0..waiting {
             let Some(next) = self.waiting_shards.get_mut(service).and_then(VecDeque::pop_front) else {
@@ -169,6 +172,14 @@
         }
     }
 
+    /// Sends the waiting shards of all services, as far as searchers can be asked.
+    pub(super) fn send_all_waiting_shards(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
+        let mut services: Vec<Arc<str>> = self.waiting_shards.keys().cloned().collect();
+        // A fixed order makes the replay of a recording deterministic.
+        services.sort_unstable();
+        services.iter().for_each(|service| self.send_waiting_shards(now, service, actions));
+    }
+
     /// Sends the waiting shards of a request that are due to be tried again.
     pub(super) fn retry_due_shards(&mut self, now: BootTime, key: RequestKey, actions: &mut Vec<RoutingAction>) {
         let Some(request) = self.requests.get(&key) else {
--- a/crates/staircross-routing/src/engine_message.rs
+++ b/crates/staircross-routing/src/engine_message.rs
@@ -84,6 +84,11 @@
     },
     /// This node stops: no request is in flight after this time.
     StopsAt(BootTime),
+    /// What this node knows of the store has become too old to handle requests by it, or is current again.
+    View {
+        /// Whether it is too old.
+        is_outdated: bool,
+    },
     /// Time has passed. The engine handles the wakes that are due and its periodic work.
     Tick,
 }
@@ -294,6 +299,8 @@
     OldConfiguration,
     /// The list of searchers isn't complete yet, and too few of the known searchers can be asked.
     NoSearchers,
+    /// What this node knows of the store is too old, since its process stood still.
+    OutdatedView,
 }
 
 impl HoldCause {
@@ -303,6 +310,7 @@
             HoldCause::NoConfiguration => "no_configuration",
             HoldCause::OldConfiguration => "old_configuration",
             HoldCause::NoSearchers => "no_searchers",
+            HoldCause::OutdatedView => "outdated_view",
         }
     }
 }
@@ -335,6 +343,8 @@
     /// The request is probed on another shard first, since requests of its route have crashed searchers lately; the
     /// shard waits for an answer.
     Probing,
+    /// What this node knows of the store is too old, since its process stood still; the shard waits until it is current.
+    OutdatedView,
 }
 
 impl UnsentCause {
@@ -352,6 +362,7 @@
             UnsentCause::KeyRevoked => "key_withdrawn",
             UnsentCause::Quarantined => "quarantined",
             UnsentCause::Probing => "probing",
+            UnsentCause::OutdatedView => "outdated_view",
         }
     }
 }
--- a/crates/staircross-routing/src/recording.rs
+++ b/crates/staircross-routing/src/recording.rs
@@ -108,6 +108,9 @@
     },
     QuotaBound(QuotaBound),
     StopsAt(BootTime),
+    View {
+        is_outdated: bool,
+    },
     Tick,
 }
 
@@ -227,6 +230,7 @@
             RoutingEvent::Arrived(arrival) => RecordedEvent::Arrived(arrival.clone()),
             RoutingEvent::CallerGone(request) => RecordedEvent::CallerGone(*request),
             RoutingEvent::StopsAt(stops_at) => RecordedEvent::StopsAt(*stops_at),
+            RoutingEvent::View { is_outdated } => RecordedEvent::View { is_outdated: *is_outdated },
             RoutingEvent::Connected { searcher, took } => RecordedEvent::Connected { searcher: *searcher, took: *took },
             RoutingEvent::Begun { attempt } => RecordedEvent::Begun { attempt: *attempt },
             RoutingEvent::Ended { attempt, outcome } => {
@@ -410,6 +414,7 @@
             RecordedEvent::Arrived(arrival) => RoutingEvent::Arrived(arrival),
             RecordedEvent::CallerGone(request) => RoutingEvent::CallerGone(request),
             RecordedEvent::StopsAt(stops_at) => RoutingEvent::StopsAt(stops_at),
+            RecordedEvent::View { is_outdated } => RoutingEvent::View { is_outdated },
             RecordedEvent::Connected { searcher, took } => RoutingEvent::Connected { searcher, took },
             RecordedEvent::Begun { attempt } => RoutingEvent::Begun { attempt },
             RecordedEvent::Ended { attempt, outcome } => RoutingEvent::Ended { attempt, outcome: outcome.into() },
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -38,6 +38,7 @@
 //! | to a probe | [`ReaderSettings::probe_timeout`] | the store counts as unavailable |
 //! | from a reader, at its followers | set by the gateway's `store_role` | the follower becomes a prober |
 
+mod confirmation;
 mod epochs;
 mod lane;
 mod message;
@@ -95,6 +96,7 @@
             answered_at: None,
             called_at: BootTime::default(),
             is_receiving: false,
+            must_confirm: false,
         });
         StoreReader {
             settings,
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -18,6 +18,8 @@
 /// Maximum number of doublings of the back-off. [`Backoff::longest`](super::Backoff) is reached before; the limit only
 /// prevents an overflow of the shift.
 const MAX_BACKOFF_DOUBLINGS: u32 = 6;
+/// Time for which the store may hold a watch that confirms that nothing has changed. The store takes whole milliseconds.
+const CONFIRMING_WATCH: Duration = Duration::from_millis(1);
 
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum LaneState {
@@ -85,6 +87,8 @@
     pub called_at: BootTime,
     /// Whether a part of the reply to the open call has arrived.
     pub is_receiving: bool,
+    /// Whether the next complete reply is reported as a confirmation. Until then the lane is used in every mode.
+    pub must_confirm: bool,
 }
 
 impl LaneReader {
@@ -93,8 +97,9 @@
     /// read.
     pub fn is_used(&self, mode: ReadingMode, has_failed_read: bool, has_pages: bool) -> bool {
         match (mode, self.lane) {
-            (ReadingMode::Watching | ReadingMode::Once, Lane::SearcherPages) => has_pages,
+            (_, Lane::SearcherPages) => has_pages,
             (ReadingMode::Watching, _) => true,
+            (_, Lane::Configuration | Lane::Searchers) if self.must_confirm => true,
             (ReadingMode::Once, Lane::Probe) => has_failed_read,
             (ReadingMode::Once, Lane::Configuration) => self.known_revision.is_none(),
             (ReadingMode::Once, Lane::Searchers) => self.known_revision.is_none() && !has_pages,
@@ -108,10 +113,10 @@
     pub fn next_call(&self, settings: &ReaderSettings, next_page: Option<String>) -> ReaderAction {
         let lane = self.lane;
         let watched_up_to = self.partial.as_ref().map(|partial| partial.watched_up_to);
-        let watch = |after| {
-            let call = StoreCall::Watch { lane, after, wait: settings.watch };
-            (call, settings.watch + settings.call_timeout)
-        };
+        // During a listing, the watch runs beside it and would be repeated without a pause.
+        let is_confirming = self.must_confirm && self.partial.is_none();
+        let wait = if is_confirming { CONFIRMING_WATCH } else { settings.watch };
+        let watch = |after| (StoreCall::Watch { lane, after, wait }, wait + settings.call_timeout);
         let (call, timeout) = match (lane, self.known_revision, watched_up_to) {
             (Lane::Probe, ..) => (StoreCall::Probe, settings.probe_timeout),
             (Lane::SearcherPages, ..) => {
@@ -175,6 +180,7 @@
             let update = MirrorUpdate { up_to: watched_up_to, ..MirrorUpdate::default() };
             actions.push(ReaderAction::Learned { lane: self.lane, update });
         }
+        self.report_confirmation(begun_at, actions);
     }
 
     /// Emits the changes that a watch has found and schedules the next watch.
@@ -204,6 +210,9 @@
             Lane::Searchers | Lane::Probe | Lane::SearcherPages => {}
         }
         actions.push(ReaderAction::Learned { lane: self.lane, update });
+        if is_complete {
+            self.report_confirmation(self.called_at, actions);
+        }
     }
 
     /// Returns the pause of the lane after changes. It is short after removals of searchers, which may be written anew.
--- a/crates/staircross-routing/src/store_reader/message.rs
+++ b/crates/staircross-routing/src/store_reader/message.rs
@@ -4,6 +4,7 @@
 
 use crate::state::mirror::MirrorUpdate;
 use crate::state::store_revision::{StoreEpoch, StoreRevision};
+use staircross_types::BootTime;
 use std::time::Duration;
 
 /// A kind of call to the store, of which at most one is open at a time.
@@ -119,6 +120,8 @@
     EpochBegan,
     /// The entries are to be listed anew, because the answers of a searcher contradict its entry.
     EntriesDoubted,
+    /// This process stood still, so the reply may have been given long ago.
+    ProcessGap,
 }
 
 impl CancelCause {
@@ -131,6 +134,7 @@
             CancelCause::PeerAhead => "peer_ahead",
             CancelCause::EpochBegan => "epoch_began",
             CancelCause::EntriesDoubted => "entries_doubted",
+            CancelCause::ProcessGap => "process_gap",
         }
     }
 }
@@ -180,6 +184,14 @@
         /// The update.
         update: MirrorUpdate,
     },
+    /// All changes of a lane's items up to a time are known, as [`StoreReader::confirm`](super::StoreReader::confirm)
+    /// has asked for.
+    Confirmed {
+        /// The lane.
+        lane: Lane,
+        /// The time at which the store was asked.
+        asked_at: BootTime,
+    },
     /// A listing is complete; only for the log.
     Listed {
         /// The lane.
--- a/crates/staircross-routing/tests/common/store.rs
+++ b/crates/staircross-routing/tests/common/store.rs
@@ -18,6 +18,8 @@
     pub learned: Vec<(Lane, MirrorUpdate)>,
     pub reachable: Vec<bool>,
     pub cancelled: Vec<Lane>,
+    /// Lanes that were confirmed, each with the time as of which it was.
+    pub confirmed: Vec<(Lane, BootTime)>,
 }
 
 impl ReaderDriver {
@@ -30,6 +32,7 @@
             learned: Vec::new(),
             reachable: Vec::new(),
             cancelled: Vec::new(),
+            confirmed: Vec::new(),
         }
     }
 
@@ -40,6 +43,7 @@
                 ReaderAction::Call { lane, call, .. } => self.calls.push((lane, call)),
                 ReaderAction::Learned { lane, update } => self.learned.push((lane, update)),
                 ReaderAction::Cancel { lane, .. } => self.cancelled.push(lane),
+                ReaderAction::Confirmed { lane, asked_at } => self.confirmed.push((lane, asked_at)),
                 ReaderAction::Listed { .. } | ReaderAction::EpochBegan { .. } | ReaderAction::FormerEpoch { .. } => {}
                 ReaderAction::Reachable { is_reachable, .. } => self.reachable.push(is_reachable),
             }
--- a/crates/staircross-types/src/errors.rs
+++ b/crates/staircross-types/src/errors.rs
@@ -81,7 +81,7 @@
     NoSnapshot, "no_snapshot", 503, Never, Some(500), "No snapshot of the service can be served at the least coverage.";
     NoConfiguration, "no_configuration", 503, Never, Some(600), "The node has started and knows no configuration yet.";
     NoReplica, "no_replica", 503, Never, Some(300), "Too few shards have a back end that can be asked; nothing was sent.";
-    Unconfirmed, "configuration_unconfirmed", 503, Never, Some(1000), "The node has been cut off from the configuration for longer than keys may be taken by an old one; another node may not be.";
+    Unconfirmed, "configuration_unconfirmed", 503, Never, Some(1000), "The node can't confirm its configuration: it has been cut off for longer than keys may be taken by an old one, or its process stood still a moment ago. Another node may be able to.";
     NoReplicaYet, "no_replica_yet", 503, Never, Some(800), "Too few shards have a back end that is known yet: this node, or the list of back ends, has just come back.";
     NoAllowedReplica, "no_allowed_replica", 503, Never, Some(300), "Too few shards have a back end that can be asked in a region that the route and the tenant allow; nothing was sent.";
     Quarantined, "quarantined", 503, Never, Some(3_600_000), "Every back end that ran this request lately ended while it did; it isn't sent until an hour has passed.";
