Count a planned stop from the earliest time at which it may have been asked for

Callers of a node that stood still when its stop was asked for would have had requests cut by the kill: the platform kills a process a fixed time after the signal, and the node counted that time from the moment at which its process continued.

A time was read after the gap for an event that came within it. Change: the stop counts from the longest time ago that an event of this turn may have waited, which the load meter knows.

--- a/crates/staircross-gateway/src/node/stop.rs
+++ b/crates/staircross-gateway/src/node/stop.rs
@@ -69,8 +69,10 @@
         }
         let in_flight = self.engine.in_flight();
         self.log.line(self.now, LineKind::NodeEvent, format_args!("event=stop_begins in_flight={in_flight}"));
+        // The process is killed a fixed time after the signal, which may have come while it stood still.
+        let asked_at = self.now - self.load.max_event_delay(self.now);
         let grace = Duration::from_secs_f64(self.settings.bounds.stop_s);
-        let deadline = self.now + grace.saturating_sub(KILL_MARGIN);
+        let deadline = asked_at + grace.saturating_sub(KILL_MARGIN);
         let callers_left_at = self.now + self.directory_ttl() * DIRECTORY_TTL_FACTOR + KILL_MARGIN;
         let accepts_until = callers_left_at.min(deadline - LAST_REQUESTS_MARGIN).max(self.now);
         let listeners_close_at = deadline - LISTENER_CLOSE_MARGIN;
