Log which peer a configuration came from, and whether the store holds it

Callers whose node had the configuration of another fleet, learned through a seed that is another fleet's node by now, got that fleet's routes, and nothing in the logs or metrics told it: the version was higher, its source was "peer", and the node's own store was read without complaint.

Cause: the line on a configuration didn't name the peer, and a lower version that the store shows is dropped in the mirror without a word.

Change: `peer=` in `event=configuration`. Line `version_held` and metric `staircross_config_version_held`: a reply of the node's own store to a call made after the version came into force shows a lower one. It is told once for each pair of versions, and when it is over. Nothing is decided by it. A watch that reports nothing counts for the version that the store has shown, but only if it began where that was shown: one that begins at a peer's revision shows nothing.

Ruled out: judging by revisions (`Mirror::is_version_held` does, by epochs). A version of another store carries revisions of that store, which say nothing about this one. Comparing whenever versions differ: a peer is often ahead of the node's own watch by a moment.

--- a/crates/staircross-gateway/src/lib.rs
+++ b/crates/staircross-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 //! | [`fleet`] | members, announcements, and this node's share of the fleet's common limits |
 //! | [`directory`] | the choice of the nodes that callers are sent to |
 //! | [`store_role`] | whether this node reads the store or follows a peer that does |
+//! | [`store_version`] | whether this node's store holds the version of the configuration in force |
 //! | [`load`] | the busy fraction of this process, and the delay with which it handles its work |
 //! | [`node`] | the event loop that connects all of these |
 //! | [`recorder`] | writes the engine's decisions to a file, if the settings ask for it |
@@ -57,6 +58,7 @@
 pub mod recorder;
 pub mod settings;
 pub mod store_role;
+pub mod store_version;
 pub mod tenant_metrics;
 pub mod traffic;
 pub mod unreadable_log;
--- a/crates/staircross-gateway/src/metrics.rs
+++ b/crates/staircross-gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     pub searcher_connections: usize,
     /// Version of the configuration in force.
     pub config_version: u64,
+    /// Whether the store holds this version, as far as this node knows.
+    pub config_version_held: bool,
     /// Store revision up to which searchers are known.
     pub store_revision: u64,
     /// Number of the store's epoch; 0 if the store tells none.
@@ -145,6 +147,7 @@
     line("server_connections", components.server_connections as u64);
     line("searcher_connections", components.searcher_connections as u64);
     line("config_version", components.config_version);
+    line("config_version_held", u64::from(components.config_version_held));
     line("store_revision", components.store_revision);
     line("store_epoch", components.store_epoch);
     line("store_reachable", u64::from(components.store_reachable));
--- a/crates/staircross-gateway/src/node/endpoints.rs
+++ b/crates/staircross-gateway/src/node/endpoints.rs
@@ -103,6 +103,7 @@
             server_connections: self.server.connection_count(),
             searcher_connections: self.pool.connection_count(),
             config_version: self.mirror.version(),
+            config_version_held: self.mirror.is_version_held() && !self.store.version.is_not_held(),
             store_revision: self.mirror.newest_revision().count,
             store_epoch: self.store_reader.epoch().number().unwrap_or_default(),
             store_silence_ms: StoreSilence {
--- a/crates/staircross-gateway/src/node/updates.rs
+++ b/crates/staircross-gateway/src/node/updates.rs
@@ -21,12 +21,14 @@
 
 mod fleet;
 mod peers;
+mod source;
 mod store;
 
 use super::GatewayNode;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::store_role::StoreRole;
+use source::UpdateSource;
 use staircross_routing::configuration::definition::RoutingDefinition;
 use staircross_routing::engine::RoutingEvent;
 use staircross_routing::state::mirror::MirrorChanges;
@@ -34,9 +36,9 @@
 use std::sync::Arc;
 
 impl<D: Dialect> GatewayNode<D> {
-    /// Merges an update, applies the changes and publishes them. `source` is the store lane or `peer`, for the log.
-    fn apply_update(&mut self, update: MirrorUpdate, source: &str) {
-        self.log_unreadable(&update.unreadable, source);
+    /// Merges an update, applies the changes and publishes them.
+    fn apply_update(&mut self, update: MirrorUpdate, source: UpdateSource) {
+        self.log_unreadable(&update.unreadable, source.name());
         let changes = self.mirror.merge(update);
         self.apply_changes(changes, source);
     }
@@ -45,7 +47,7 @@
     pub(super) fn settle_disputes(&mut self) {
         let changes = self.mirror.settle_disputes(self.now, self.settings.max_dispute());
         if changes != MirrorChanges::default() {
-            self.apply_changes(changes, "settled");
+            self.apply_changes(changes, UpdateSource::Settled);
         }
     }
 
@@ -59,20 +61,20 @@
         };
         let changes = self.mirror.settle_return(self.now, hears_of_store);
         if changes != MirrorChanges::default() {
-            self.apply_changes(changes, "restored");
+            self.apply_changes(changes, UpdateSource::Restored);
         }
     }
 
     /// Applies changes to the engine and publishes them.
-    fn apply_changes(&mut self, mut changes: MirrorChanges, source: &str) {
+    fn apply_changes(&mut self, mut changes: MirrorChanges, source: UpdateSource) {
         let configuration = changes.configuration.take();
         // Evacuations are applied first and the configuration last: requests that were held until the configuration
         // is known are sent as soon as it is applied.
         if let Some(zones) = changes.evacuated.take() {
-            self.log_evacuated(&zones, source);
+            self.log_evacuated(&zones, source.name());
             self.process_routing_event(RoutingEvent::Evacuated(zones));
         }
-        self.log_searchers(&changes, source);
+        self.log_searchers(&changes, source.name());
         if !changes.searchers.is_empty() {
             self.process_routing_event(RoutingEvent::Searchers(changes.searchers));
         }
@@ -94,18 +96,21 @@
     }
 
     /// Logs a new configuration, passes it to the engine and updates everything that depends on it.
-    fn apply_configuration(&mut self, definition: Arc<RoutingDefinition>, source: &str) {
+    fn apply_configuration(&mut self, definition: Arc<RoutingDefinition>, source: UpdateSource) {
+        let peer = source.peer().map_or_else(|| "-".to_owned(), |peer| peer.to_string());
         self.log.line(
             self.now,
             LineKind::NodeEvent,
             format_args!(
-                "event=configuration version={} routes={} services={} tenants={} source={source}",
+                "event=configuration version={} routes={} services={} tenants={} source={} peer={peer}",
                 definition.version,
                 definition.routes.len(),
                 definition.services.len(),
-                definition.tenants.len()
+                definition.tenants.len(),
+                source.name()
             ),
         );
+        self.note_version_in_force(definition.version);
         self.fleet.set_announces_confirmation(!definition.tenants.is_empty());
         self.process_routing_event(RoutingEvent::Configuration(Arc::new(RouteTable::new(definition))));
         self.fleet.set_searcher_connections(self.engine.lowest_max_connections());
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -3,6 +3,7 @@
 //! One pull at a time is in flight. The fleet says which peer is ahead, the mirror what this node has already, and
 //! `pull_request` how that is written. `endpoints` answers the pulls of peers.
 
+use super::source::UpdateSource;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::fleet::PullPeer;
@@ -87,7 +88,7 @@
         let Some(update) = update else {
             return self.store_role.record_pull_failed(self.now);
         };
-        self.apply_update(update.assuming_epoch(self.mirror.known_revision().epoch), "peer");
+        self.apply_update(update.assuming_epoch(self.mirror.known_revision().epoch), UpdateSource::Peer(peer));
         let mut actions = Vec::new();
         let (searchers, operator) = (self.mirror.known_revision(), self.mirror.operator_up_to());
         self.note_receiving();
--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -4,10 +4,13 @@
 //! due, and the dialect how they are written. Each lane has its own HTTP client, so that a call that hangs doesn't
 //! block the other lanes.
 
+use super::source::UpdateSource;
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use crate::http_call::{CallFailure, CallOutcome};
 use crate::node::GatewayNode;
+use crate::store_role::StoreRole;
+use crate::store_version::HoldingChange;
 use crate::traffic::{Purpose, Reach};
 use staircross_routing::store_reader::{CancelCause, Lane, ReaderAction, StoreCall, StoreReply};
 use staircross_transport::socket::{Readiness, SocketId};
@@ -80,7 +83,7 @@
                     self.store.pending[lane as usize] = None;
                 }
                 ReaderAction::Learned { lane, update } => {
-                    self.apply_update(update, lane.name());
+                    self.apply_update(update, UpdateSource::Store(lane));
                     if lane == Lane::Configuration && self.mirror.is_version_held() {
                         self.fleet.confirm(self.store_reader.called_at(lane));
                     }
@@ -132,9 +135,13 @@
         };
         self.note_receiving();
         let is_alive = matches!(reply, Some((_, StoreReply::Alive { .. })));
+        let called_at = self.store_reader.called_at(lane);
         let mut actions = Vec::new();
         match reply {
             Some((epoch, reply)) => {
+                if let Some(call) = call.as_ref().filter(|_| epoch >= self.store_reader.epoch()) {
+                    self.store.version.record_reply(call, &reply);
+                }
                 if let StoreReply::Refused { status } = reply {
                     let line = format_args!("event=store_refused lane={} status={status}", lane.name());
                     self.log.line(self.now, LineKind::Drop, line);
@@ -155,6 +162,29 @@
             self.on_probe_answered();
         }
         self.apply_reader_actions(actions);
+        if lane == Lane::Configuration {
+            let change = self.store.version.compare(called_at, self.mirror.version());
+            self.log_version_holding(change);
+        }
+    }
+
+    /// Records that another version of the configuration has come into force.
+    pub(super) fn note_version_in_force(&mut self, version: u64) {
+        let reads_store = self.store_role.role() == StoreRole::Reader;
+        let change = self.store.version.record_in_force(self.now, version, reads_store);
+        self.log_version_holding(change);
+    }
+
+    /// Logs a change of whether the store holds the version in force.
+    fn log_version_holding(&mut self, change: Option<HoldingChange>) {
+        let Some(HoldingChange { holding, in_force, shown }) = change else {
+            return;
+        };
+        let (held, has_returned) = (holding.name(), !self.mirror.is_version_held());
+        let line = format_args!(
+            "event=version_held held={held} version={in_force} store_version={shown} store_returned={has_returned}"
+        );
+        self.log.line(self.now, LineKind::NodeEvent, line);
     }
 
     /// Tells the store reader which open calls have received a part of their reply.
--- a/crates/staircross-gateway/tests/pinned_log.rs
+++ b/crates/staircross-gateway/tests/pinned_log.rs
@@ -8,6 +8,7 @@
 use staircross_gateway::connection_reuse::Evidence;
 use staircross_gateway::recorder::RecordingEnd;
 use staircross_gateway::store_role::StoreRole;
+use staircross_gateway::store_version::VersionHolding;
 use staircross_gateway::traffic::{Purpose, Reach};
 use staircross_routing::decision::placement::Distance;
 use staircross_routing::engine::{HoldCause, LeftOutCause, SendReason, UnsentCause};
@@ -154,11 +155,13 @@
     // The log line on a member prints its state with `Debug`.
     let states = [MemberState::Alive, MemberState::Leaving, MemberState::Suspect, MemberState::Dead, MemberState::Left];
     let states = states.map(|state| format!("state of member: {state:?}\n")).concat();
+    let holdings = [VersionHolding::Unknown, VersionHolding::Held, VersionHolding::NotHeld];
     let ends = [RecordingEnd::Full, RecordingEnd::Failed];
     let reaches = [Distance::OwnZone, Distance::SameRegion, Distance::OtherRegion].map(Reach::Known);
     [
         line_of_names("level of suspicion", levels.map(Suspicion::name)),
         line_of_names("role", roles.map(StoreRole::name)),
+        line_of_names("held of version_held", holdings.map(VersionHolding::name)),
         line_of_names("lane", Lane::ALL.map(Lane::name)),
         line_of_names("kind of unreadable_item", kinds.map(KeyKind::name)),
         line_of_names("cause of recording_ended", ends.map(RecordingEnd::name)),
--- a/crates/staircross/src/explain.rs
+++ b/crates/staircross/src/explain.rs
@@ -14,6 +14,7 @@
 const STATE_EVENTS: &[&str] = &[
     "configuration",
     "configuration_view",
+    "version_held",
     "searchers",
     "members",
     "store",
--- a/crates/staircross/tests/explain.rs
+++ b/crates/staircross/tests/explain.rs
@@ -7,7 +7,8 @@
 t=900.500 node=front-1 event=pressed pressed=true busy_percent=80
    0.1 front-1 t=100.000 node=front-1 event=start run=abc zone=a
 t=100.200 node=front-1 event=store lane=searchers reachable=true
-t=100.300 node=front-1 event=configuration version=4 routes=3 services=2 source=configuration
+t=100.300 node=front-1 event=configuration version=4 routes=3 services=2 source=peer peer=127.0.0.1:7
+t=100.340 node=front-1 event=version_held held=false version=4 store_version=2 store_returned=false
 t=100.350 node=front-1 event=searchers changed=29 draining=0 gone=0 known=29 revision=70 source=searchers
 t=100.400 node=front-1 event=searcher instance=i-9 service=left address=127.0.0.1:1 draining=false cold_ms=0 source=searchers
 t=101.000 node=front-2 event=finish request=beef route=r version=4 outcome=merged status=200 parts=2 missing=0 extras=0 ms=9.0
@@ -51,7 +52,8 @@
     let order = [
         "request cafe at front-1",
         "what the node believed",
-        "configuration  version=4",
+        "configuration  version=4 routes=3 services=2 source=peer peer=127.0.0.1:7",
+        "version_held  held=false version=4 store_version=2",
         "what it decided",
         "+80.0 ms  send",
         "left_out  service=left asked=i-8,i-9 cause=late",
