Look for missed changes by listings, and for each watch by itself

Cause: a watch that hadn't reported what a probe showed in the time of a call (1.2 s) was taken for dead and made anew, and the store began anew to report. If that takes longer than the time between two renewals, each report is thrown away just before it comes.

Change: the change is looked for by a listing, which is answered whatever the watches do; a probe's revision is compared with each lane by itself. Where a listing shows no change, because the probe has shown one of another key, the lane asks for half a minute by watches that are answered at once, one in 1.2 s at most.

--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -18,11 +18,10 @@
 //! fails makes no further calls and waits for a successful probe.
 //!
 //! A probe that is answered doesn't show that the connections of the watches work: they may be dead while the store
-//! answers on others. So a probe returns the store's revision, and the watches are renewed if they haven't reported a
-//! change that a probe has shown in the time that a call may take. A watch is also renewed if a peer has shown a change
-//! that it missed.
-//! Neither shows every missed change: a probe's read may be seconds old, a change of one watch hides a missed change of
-//! the other, and peers may miss the same change. So the store may hold a watch only for a few seconds.
+//! answers on others. So a probe returns the store's revision, and a watch that hasn't reported a change up to there in the
+//! time that a call may take is given up for a listing. A watch is also renewed if a peer has shown a change that it missed.
+//! Neither shows every missed change: a probe's read may be seconds old, and peers may miss the same change. So the store may
+//! hold a watch only for a few seconds.
 //!
 //! | mode | lanes that make calls | nodes in this mode |
 //! | --- | --- | --- |
@@ -52,7 +51,6 @@
 
 use crate::state::store_revision::{StoreEpoch, StoreRevision};
 use lane::{LaneReader, LaneState};
-use renewal::ProbedRevision;
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -67,9 +65,6 @@
     epoch: StoreEpoch,
     /// The store's revision according to the last probe; `None` if that failed.
     probed_revision: Option<StoreRevision>,
-    /// What the first probe returned that showed a change which no watch has reported since; `None` if there is no such
-    /// change.
-    unreported: Option<ProbedRevision>,
     /// Whether the last probe failed, so that the watches must be renewed once the store answers again.
     has_missed_probe: bool,
     /// Whether followers rely on this node's probes of the store.
@@ -97,6 +92,9 @@
             called_at: BootTime::default(),
             is_receiving: false,
             must_confirm: false,
+            unreported: None,
+            listed_beyond: StoreRevision::NONE,
+            listing_paused_until: BootTime::default(),
         });
         StoreReader {
             settings,
@@ -104,7 +102,6 @@
             lanes,
             epoch: StoreEpoch::UNTOLD,
             probed_revision: None,
-            unreported: None,
             has_missed_probe: false,
             has_followers: false,
             disturbed_until: BootTime::default(),
--- a/crates/staircross-routing/src/store_reader/epochs.rs
+++ b/crates/staircross-routing/src/store_reader/epochs.rs
@@ -63,7 +63,7 @@
             self.disturbed_until = now + REREGISTRATION_TIME;
         }
         self.probed_revision = None;
-        self.unreported = None;
+        self.forget_unreported_changes();
         for lane in self.lanes.iter_mut().filter(|lane| lane.has_reached_anything()) {
             lane.known_revision = None;
             lane.partial = None;
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -4,6 +4,7 @@
 //! [`StoreReader`](super::StoreReader) decides whether the lane makes calls at all.
 
 use super::message::{Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall};
+use super::renewal::ProbedRevision;
 use crate::state::mirror::{MirrorItem, MirrorUpdate};
 use crate::state::searcher_entry::REREGISTRATION_TIME;
 use crate::state::store_revision::StoreRevision;
@@ -89,6 +90,12 @@
     pub is_receiving: bool,
     /// Whether the next complete reply is reported as a confirmation. Until then the lane is used in every mode.
     pub must_confirm: bool,
+    /// What the first probe returned that showed a change which the lane hasn't reported since; `None` if there is none.
+    pub unreported: Option<ProbedRevision>,
+    /// Newest revision that was known at the last listing for a missed change.
+    pub listed_beyond: StoreRevision,
+    /// Time until which missed changes are looked for by watches alone.
+    pub listing_paused_until: BootTime,
 }
 
 impl LaneReader {
--- a/crates/staircross-routing/src/store_reader/renewal.rs
+++ b/crates/staircross-routing/src/store_reader/renewal.rs
@@ -7,8 +7,14 @@
 use super::StoreReader;
 use super::lane::{LaneReader, LaneState};
 use super::message::{CancelCause, Lane, ReaderAction};
+use crate::state::mirror::MirrorUpdate;
 use crate::state::store_revision::StoreRevision;
 use staircross_types::BootTime;
+use std::time::Duration;
+
+/// Time for which missed changes are looked for by watches alone, after a listing that showed no change. Probes also show
+/// the changes of other keys, which may come all the time.
+const LISTING_PAUSE: Duration = Duration::from_secs(30);
 
 /// A revision of the store that a probe returned.
 #[derive(Clone, Copy, Debug)]
@@ -25,28 +31,6 @@
         self.lane_mut(lane).is_receiving = is_receiving;
     }
 
-    /// Remembers the first probe that showed a change which no watch has reported by now.
-    pub(super) fn note_unreported_change(&mut self, now: BootTime) {
-        let newest = self.probed_revision.map(|revision| ProbedRevision { revision, at: now });
-        let is_unreported = |probed: &ProbedRevision| !self.is_known(probed.revision);
-        self.unreported = self.unreported.filter(is_unreported).or(newest.filter(is_unreported));
-    }
-
-    /// Returns whether a probe has shown a change that no watch has reported, though each has been open for the time that
-    /// a call may take. The change may also be of a key that nobody watches.
-    pub(super) fn have_watches_missed_change(&self, now: BootTime) -> bool {
-        let Some(missed) = self.unreported.filter(|probed| !self.is_known(probed.revision)) else {
-            return false;
-        };
-        let mut watches = self.lanes.iter().filter(|lane| matches!(lane.lane, Lane::Configuration | Lane::Searchers));
-        watches.all(|lane| {
-            lane.state == LaneState::Calling
-                && !lane.is_receiving
-                && lane.known_revision.is_some()
-                && now.since(lane.called_at.max(missed.at)) >= self.settings.call_timeout
-        })
-    }
-
     /// Marks lanes with an open watch as reachable, since a store that answers the probe holds their watches. A watch
     /// that started from a revision that a peer had sent has had no reply yet, because it is answered only when
     /// something changes. The same holds for a watch that replaces one that got no reply, if it was sent before the
@@ -62,9 +46,28 @@
         self.lanes.iter_mut().filter(is_held).for_each(|lane| lane.set_reachable(true, actions));
     }
 
+    /// Asks anew on each lane whose watch has missed a change. Returns whether there is one.
+    pub(super) fn ask_for_missed_changes(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) -> bool {
+        let call_timeout = self.settings.call_timeout;
+        let missed = self.lanes.iter_mut().filter(|lane| lane.has_missed_change(now, call_timeout));
+        missed.map(|lane| lane.ask_for_missed_change(now, actions)).count() > 0
+    }
+
+    /// Remembers, for each lane, the first probe that showed a change which its watch has neither reported by now nor shown
+    /// to be of other keys.
+    pub(super) fn note_unreported_changes(&mut self, now: BootTime) {
+        let newest = self.probed_revision.map(|revision| ProbedRevision { revision, at: now });
+        self.lanes.iter_mut().for_each(|lane| lane.note_probed(newest));
+    }
+
+    /// Forgets the changes that probes have shown.
+    pub(super) fn forget_unreported_changes(&mut self) {
+        self.lanes.iter_mut().for_each(|lane| lane.unreported = None);
+    }
+
     /// Makes a new call due on the lanes whose watch the store may have dropped and on those that wait for a probe.
     pub(super) fn renew_watches(&mut self, now: BootTime, cause: CancelCause, actions: &mut Vec<ReaderAction>) {
-        self.unreported = None;
+        self.forget_unreported_changes();
         for lane in &mut self.lanes {
             if lane.lane != Lane::Probe && lane.state == LaneState::Calling {
                 actions.push(ReaderAction::Cancel { lane: lane.lane, cause });
@@ -108,3 +111,44 @@
         }
     }
 }
+
+impl LaneReader {
+    fn note_probed(&mut self, newest: Option<ProbedRevision>) {
+        let known = self.known_revision;
+        let is_unreported = |probed: &ProbedRevision| known.is_some_and(|known| known < probed.revision);
+        self.unreported = self.unreported.filter(is_unreported).or(newest.filter(is_unreported));
+    }
+
+    /// Returns whether a probe has shown a change that the open watch hasn't reported in the time that a call may take. A
+    /// watch that was made since then had the change to report at once. The change may also be of a key that the lane
+    /// doesn't watch; each reply of the lane, even without changes, then makes the revision known.
+    fn has_missed_change(&self, now: BootTime, call_timeout: Duration) -> bool {
+        let is_unreported = |probed: &ProbedRevision| self.known_revision.is_some_and(|known| known < probed.revision);
+        let missed = self.unreported.filter(is_unreported);
+        let is_watching = self.state == LaneState::Calling && !self.is_receiving;
+        is_watching && missed.is_some_and(|missed| now.since(missed.at) >= call_timeout)
+    }
+
+    /// Makes a call due for a change that the watch has missed: its connection is dead, or the store reports changes late.
+    /// In the second case a new watch would be answered just as late, and the reply to the old one is lost. So the call is
+    /// a listing, unless the last of these showed no change: then it is a watch that the store answers at once.
+    fn ask_for_missed_change(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
+        actions.push(ReaderAction::Cancel { lane: self.lane, cause: CancelCause::StoreAhead });
+        self.state = LaneState::Scheduled { at: now };
+        self.failures = 0;
+        self.unreported = None;
+        if now < self.listing_paused_until {
+            self.must_confirm = true;
+            return;
+        }
+        self.listing_paused_until = now + LISTING_PAUSE;
+        self.listed_beyond = self.known_revision.take().unwrap_or(StoreRevision::NONE);
+    }
+
+    /// Allows the next listing for a missed change at once if an update shows a change that wasn't known at the last one.
+    pub(super) fn note_update(&mut self, update: &MirrorUpdate) {
+        if update.items.iter().any(|(revision, _)| *revision > self.listed_beyond) {
+            self.listing_paused_until = BootTime::default();
+        }
+    }
+}
--- a/crates/staircross-routing/src/store_reader/replies.rs
+++ b/crates/staircross-routing/src/store_reader/replies.rs
@@ -43,6 +43,9 @@
             actions.push(ReaderAction::FormerEpoch { lane, epoch });
         }
         let reader = self.lane_mut(lane);
+        if let StoreReply::Items { update, .. } | StoreReply::Changes { update, .. } = &reply {
+            reader.note_update(update);
+        }
         match reply {
             _ if is_former => {
                 reader.is_refused = true;
@@ -119,18 +122,18 @@
         self.has_missed_probe = !is_alive;
         self.probed_revision = revision;
         if !is_alive {
-            self.unreported = None;
+            self.forget_unreported_changes();
             return;
         }
         if is_back {
             self.disturbed_until = now + REREGISTRATION_TIME;
             self.renew_watches(now, CancelCause::ProbeMissed, actions);
-        } else if self.have_watches_missed_change(now) {
-            self.renew_watches(now, CancelCause::StoreAhead, actions);
-        } else {
+            return;
+        }
+        if !self.ask_for_missed_changes(now, actions) {
             self.mark_held_watches_reachable(actions);
-            self.note_unreported_change(now);
         }
+        self.note_unreported_changes(now);
     }
 
     pub(super) fn probe_interval(&self, is_alive: bool) -> Duration {
