Read the platform before a node that stood still acts by what it knows

What callers saw: nodes that had stood still for 5.2 s handled the requests that waited in their sockets by the document that was in force before, sent work to a searcher that the new document no longer has, and gave new work to a searcher that had been drained or listed as leaving meanwhile.

Cause, by reading: the platform is read at an interval (a second where the settings name none). Nothing compared how long the process had stood still with how old its document and machine list might be. A searcher that is drained by the document or the list alone answers the probe after the pause as serving, so the age of reports didn't help.

A gap of a second between two readings of the core's clock makes the view outdated. The reader is told to read at once, commands of callers are held, and the leaf keeps its queues. Replies of the platform now carry the time at which they were asked for: only document and list asked for at most 2.7 s ago make the view current. It counts as current a second after the gap in any case. Copies of sessions are confirmed again by the same rule, which had a threshold of its own.

--- a/crates/session/staircross-node/src/core.rs
+++ b/crates/session/staircross-node/src/core.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod config;
+mod outdated_view;
 mod pending;
 mod readiness;
 mod requests;
@@ -18,16 +19,20 @@
 use crate::logs::Logs;
 use crate::metrics::Metrics;
 use crate::peers::PeerTransport;
+use crate::platform::ReadTrigger;
 use crate::searchers::SearcherConnections;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use hashbrown::HashMap;
+use outdated_view::HeldCommand;
 use pending::PendingRequest;
 use session_replication::SessionReplication;
 use sessions::{DelayedReply, SessionLookup};
 use staircross_cluster::{ClusterEngine, ClusterEvent, ClusterSettings, Member, MemberState};
 use staircross_config::{MachineList, MachineState, Settings};
 use staircross_search::root::RootCounters;
-use staircross_search::{LeafEngine, LeafEvent, LeafSettings, RootEngine, RootEvent, RootSettings};
+use staircross_search::{
+    Confirmation, LeafEngine, LeafEvent, LeafSettings, OutdatedView, RootEngine, RootEvent, RootSettings,
+};
 use staircross_types::boot_clock as clock;
 use staircross_types::{AttemptId, BootTime, NodeId, SessionToken};
 use std::collections::BTreeSet;
@@ -38,9 +43,6 @@
 
 /// Interval between ticks of the engines.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// Delay of a tick from which on the process counts as paused. Other nodes may have declared a paused node dead; the
-/// delay is shorter than the time that they take to do so.
-const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 /// Upper bound of the queued events that are handled before the timers are checked again.
 const MAX_EVENTS_PER_TURN: usize = 256;
 /// Time during which a stopping node still accepts requests of its sessions, so that callers learn from the
@@ -77,6 +79,11 @@
     /// Attempts sent to other nodes, each with the peer address of the node to which it was sent.
     remote_attempts: HashMap<AttemptId, SocketAddr>,
     machines: MachineList,
+    /// Whether this process has stood still and must read the platform first.
+    outdated_view: OutdatedView,
+    /// Commands that wait until what this node knows is current again.
+    held_commands: Vec<HeldCommand>,
+    platform: ReadTrigger,
     next_tick: BootTime,
     /// Time since which the node can serve requests.
     serves_since: Option<BootTime>,
@@ -110,6 +117,8 @@
     pub peers: PeerTransport,
     /// Connections to searchers.
     pub searchers: SearcherConnections,
+    /// Has the platform read at once.
+    pub platform: ReadTrigger,
     /// Sends messages to the HTTP server.
     pub front: FrontSender,
     /// Flag that the core sets when it has ended, so that the node's other threads end too.
@@ -153,6 +162,9 @@
             next_lookup_id: 1,
             remote_attempts: HashMap::new(),
             machines: MachineList::default(),
+            outdated_view: OutdatedView::new(clock::now()),
+            held_commands: Vec::new(),
+            platform: parts.platform,
             next_tick: BootTime::default(),
             serves_since: None,
             is_ready: false,
@@ -203,9 +215,9 @@
 
     fn on_event(&mut self, event: CoreEvent) {
         // The clock is read for each event because the process may have been paused since the previous one.
-        let now = clock::now();
+        let now = self.read_clock();
         match event {
-            CoreEvent::Caller { command, reply } => self.on_caller(now, command, reply),
+            CoreEvent::Caller { command, reply } => self.hold_or_execute(now, command, reply),
             CoreEvent::Peer(message) => self.on_peer_message(now, message),
             CoreEvent::PeerBroken(address) => self.on_peer_broken(now, address),
             CoreEvent::Undelivered { request, partly_written } => self.on_undelivered(now, &request, partly_written),
@@ -215,10 +227,14 @@
             CoreEvent::Probed { searcher, asked_at, report } => {
                 self.handle_leaf_event(now, LeafEvent::Probed { searcher, asked_at, report });
             }
-            CoreEvent::Platform(document) => self.handle_cluster_event(now, ClusterEvent::Platform(document)),
-            CoreEvent::Machines(machines) => {
-                self.machines = machines;
+            CoreEvent::Platform { document, asked_at } => {
+                self.handle_cluster_event(now, ClusterEvent::Platform(document));
+                self.record_confirmation(now, Confirmation::Document, asked_at);
+            }
+            CoreEvent::Machines { list, asked_at } => {
+                self.machines = list;
                 self.update_leaving_searchers(now);
+                self.record_confirmation(now, Confirmation::Machines, asked_at);
             }
             CoreEvent::Stop => self.begin_stop(now),
             CoreEvent::FrontEnded => self.has_front_ended = true,
@@ -227,14 +243,12 @@
 
     /// Runs the root engine's timers, and every [`TICK_INTERVAL`] those of the other engines and of this module.
     fn run_timers(&mut self) {
-        let now = clock::now();
+        let now = self.read_clock();
+        self.recover_view(now);
         self.handle_root_event(now, RootEvent::Tick);
         if now < self.next_tick {
             return;
         }
-        if self.next_tick != BootTime::default() && now.since(self.next_tick) >= PAUSE_THRESHOLD {
-            self.session_replication.clear_confirmations();
-        }
         self.next_tick = now + TICK_INTERVAL;
         self.handle_cluster_event(now, ClusterEvent::Tick);
         self.handle_leaf_event(now, LeafEvent::Tick);
@@ -294,6 +308,7 @@
         }
         let is_busy = self.root.in_flight() > 0
             || self.leaf.in_flight() > 0
+            || !self.held_commands.is_empty()
             || !self.delayed_replies.is_empty()
             || !self.session_lookups.is_empty();
         !is_busy && self.is_lingering_over(now) && self.has_handed_sessions_over(now)
--- a/crates/session/staircross-node/src/event.rs
+++ b/crates/session/staircross-node/src/event.rs
@@ -46,9 +46,19 @@
         report: Option<ProbeReport>,
     },
     /// The service document was read from the platform.
-    Platform(Arc<PlatformDocument>),
+    Platform {
+        /// The document.
+        document: Arc<PlatformDocument>,
+        /// Time at which the platform was asked.
+        asked_at: BootTime,
+    },
     /// The machine list was read from the platform.
-    Machines(MachineList),
+    Machines {
+        /// The list.
+        list: MachineList,
+        /// Time at which the platform was asked.
+        asked_at: BootTime,
+    },
     /// A planned stop was requested.
     Stop,
     /// The HTTP server has ended. It is the last event that the HTTP server sends.
--- a/crates/session/staircross-node/src/node.rs
+++ b/crates/session/staircross-node/src/node.rs
@@ -7,7 +7,7 @@
 use crate::logs::Logs;
 use crate::metrics::Metrics;
 use crate::peers::{PeerTransport, PeerTransportParts};
-use crate::platform;
+use crate::platform::{self, ReadTrigger};
 use crate::searchers::SearcherConnections;
 use crossbeam::channel::{Sender, unbounded};
 use quick_error::quick_error;
@@ -70,6 +70,7 @@
         })
         .map_err(|error| io_error(format!("node.peer_listen {}", settings.node.peer_listen), error))?;
         let searchers = SearcherConnections::new(events.clone(), logs.clone(), &settings.limits);
+        let (read_trigger, read_triggers) = ReadTrigger::new();
         let core = Core::new(CoreParts {
             node: id,
             settings: settings.clone(),
@@ -78,6 +79,7 @@
             events: event_receiver,
             peers,
             searchers,
+            platform: read_trigger,
             front: front_sender.clone(),
             stop: stop.clone(),
         });
@@ -85,7 +87,7 @@
             .name("core".to_owned())
             .spawn(move || core.run())
             .map_err(|error| io_error("can't start the core thread".to_owned(), error))?;
-        platform::start_reader(&settings.platform, events.clone(), logs.clone(), stop)
+        platform::start_reader(&settings.platform, events.clone(), read_triggers, logs.clone(), stop)
             .map_err(|error| io_error("can't start the platform reader thread".to_owned(), error))?;
         front::start(FrontParts {
             settings: &settings,
--- a/crates/session/staircross-node/src/platform.rs
+++ b/crates/session/staircross-node/src/platform.rs
@@ -1,14 +1,17 @@
 //! Reads the service document and the machine list from the platform.
 //!
+//! They are read at an interval, and at once when the core asks for it.
+//!
 //! After a failed read or a malformed reply, the document and the machine list that were read last stay in force. Entries
 //! of the machine list that can't be used are left out.
 
 use crate::event::CoreEvent;
 use crate::http_status::require_success;
 use crate::logs::Logs;
-use crossbeam::channel::Sender;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use spdlog::warn;
 use staircross_config::{PlatformDocument, PlatformSettings, ReadMachineList};
+use staircross_types::boot_clock as clock;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -21,10 +24,31 @@
 /// Interval at which the reader checks whether it should stop.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Starts the thread that reads the platform.
+/// Asks the reader to read the platform without waiting for the end of the interval.
+#[derive(Clone)]
+pub struct ReadTrigger {
+    requests: Sender<()>,
+}
+
+impl ReadTrigger {
+    /// Creates a trigger, and the receiver that the reader waits on.
+    pub fn new() -> (ReadTrigger, Receiver<()>) {
+        let (requests, receiver) = bounded(1);
+        (ReadTrigger { requests }, receiver)
+    }
+
+    /// Asks for a read after the one that may be under way.
+    pub fn read_now(&self) {
+        // If a request waits already, its read begins later than this call. Without a reader nothing is left to read.
+        let _waits_already = self.requests.try_send(());
+    }
+}
+
+/// Starts the thread that reads the platform, and also reads it when it receives a message on `triggers`.
 pub fn start_reader(
     settings: &PlatformSettings,
     events: Sender<CoreEvent>,
+    triggers: Receiver<()>,
     logs: Logs,
     stop: Arc<AtomicBool>,
 ) -> std::io::Result<JoinHandle<()>> {
@@ -34,6 +58,7 @@
         machines_url: format!("http://{}/v1/machines", settings.address),
         poll_interval: Duration::from_millis(settings.poll_ms),
         events,
+        triggers,
         logs,
         stop,
         unusable_machines: Vec::new(),
@@ -59,6 +84,7 @@
     machines_url: String,
     poll_interval: Duration,
     events: Sender<CoreEvent>,
+    triggers: Receiver<()>,
     logs: Logs,
     stop: Arc<AtomicBool>,
     /// Positions of the entries of the last machine list that can't be used.
@@ -76,24 +102,30 @@
     fn wait_for_next_poll(&self) {
         let mut waited = Duration::ZERO;
         while waited < self.poll_interval && !self.stop.load(Ordering::Relaxed) {
-            std::thread::sleep(STOP_CHECK_INTERVAL);
+            match self.triggers.recv_timeout(STOP_CHECK_INTERVAL) {
+                Ok(()) => return,
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => std::thread::sleep(STOP_CHECK_INTERVAL),
+            }
             waited += STOP_CHECK_INTERVAL;
         }
     }
 
     fn read_once(&mut self) {
+        let asked_at = clock::now();
         match self.read(&self.document_url) {
             Ok(text) => match PlatformDocument::from_json("platform document", &text) {
-                Ok(document) => self.notify_core(CoreEvent::Platform(Arc::new(document))),
+                Ok(document) => self.notify_core(CoreEvent::Platform { document: Arc::new(document), asked_at }),
                 Err(error) => warn!(logger: self.logs.platform, "event=bad_document error={error:?}"),
             },
             Err(error) => warn!(logger: self.logs.platform, "event=unreadable what=document error={error:?}"),
         }
+        let asked_at = clock::now();
         match self.read(&self.machines_url) {
             Ok(text) => match ReadMachineList::from_json("machine list", &text) {
                 Ok(ReadMachineList { list, unusable }) => {
                     self.log_unusable_machines(unusable);
-                    self.notify_core(CoreEvent::Machines(list));
+                    self.notify_core(CoreEvent::Machines { list, asked_at });
                 }
                 Err(error) => warn!(logger: self.logs.platform, "event=bad_machine_list error={error:?}"),
             },
--- a/crates/session/staircross-node/tests/platform_reader.rs
+++ b/crates/session/staircross-node/tests/platform_reader.rs
@@ -10,7 +10,8 @@
 use staircross_config::{MachineEntry, MachineState, PlatformSettings};
 use staircross_node::event::CoreEvent;
 use staircross_node::logs::Logs;
-use staircross_node::platform;
+use staircross_node::platform::{self, ReadTrigger};
+use staircross_types::boot_clock as clock;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -78,12 +79,18 @@
 
 /// Starts a reader of a platform. It ends when the flag is set.
 fn start_reader(address: SocketAddr) -> (Receiver<CoreEvent>, Arc<AtomicBool>) {
+    let (receiver, _trigger, stop) = start_polling_reader(PlatformSettings { address, poll_ms: 10 });
+    (receiver, stop)
+}
+
+/// Starts a reader with these settings, which can also be triggered.
+fn start_polling_reader(settings: PlatformSettings) -> (Receiver<CoreEvent>, ReadTrigger, Arc<AtomicBool>) {
     let (sender, receiver) = unbounded();
     let stop = Arc::new(AtomicBool::new(false));
-    let settings = PlatformSettings { address, poll_ms: 10 };
     let logs = Logs::from_filter("off").expect("a filter");
-    platform::start_reader(&settings, sender, logs, stop.clone()).expect("a thread");
-    (receiver, stop)
+    let (trigger, triggers) = ReadTrigger::new();
+    platform::start_reader(&settings, sender, triggers, logs, stop.clone()).expect("a thread");
+    (receiver, trigger, stop)
 }
 
 /// Reads [`READS`] documents and lists. Each call must have been answered by its own reply: document and list come in
@@ -93,8 +100,8 @@
     for turn in 0..READS {
         let event = events.recv_timeout(WAIT_TIMEOUT).expect("a document or a list");
         match event {
-            CoreEvent::Platform(document) if turn % 2 == 0 => assert_eq!(document.revision, u64::from(turn) + 1),
-            CoreEvent::Machines(_) if turn % 2 == 1 => {}
+            CoreEvent::Platform { document, .. } if turn % 2 == 0 => assert_eq!(document.revision, u64::from(turn) + 1),
+            CoreEvent::Machines { .. } if turn % 2 == 1 => {}
             _ => panic!("turn {turn}: the reply to another call"),
         }
     }
@@ -162,7 +169,7 @@
     for odd in odd_machine_entries() {
         let (events, stop) = start_reader(start_platform_with_machine(odd.clone()));
         let is_listed = |event: CoreEvent| match event {
-            CoreEvent::Machines(list) => Some(list.machines.contains(&leaving)),
+            CoreEvent::Machines { list, .. } => Some(list.machines.contains(&leaving)),
             _ => None,
         };
         let listed = (0..2).find_map(|_| is_listed(events.recv_timeout(WAIT_TIMEOUT).ok()?));
@@ -186,3 +193,17 @@
         assert!(events.try_recv().is_err(), "{status}: a document or a list");
     }
 }
+
+/// Guards against a node that waits for the end of the interval though it must know now what the platform says.
+#[test]
+fn a_triggered_reader_reads_at_once() {
+    let address = start_platform(NO_FAULT);
+    let (events, trigger, stop) = start_polling_reader(PlatformSettings { address, poll_ms: 3_600_000 });
+    let read_both = || (0..2).for_each(|_| drop(events.recv_timeout(WAIT_TIMEOUT).expect("a document or a list")));
+    read_both();
+    let triggered = clock::now();
+    trigger.read_now();
+    let event = events.recv_timeout(WAIT_TIMEOUT).expect("a document");
+    stop.store(true, Ordering::Relaxed);
+    assert!(matches!(event, CoreEvent::Platform { asked_at, .. } if asked_at >= triggered));
+}
--- a/crates/session/staircross-search/src/leaf.rs
+++ b/crates/session/staircross-search/src/leaf.rs
@@ -4,8 +4,8 @@
 //!
 //! Inputs: sub-requests from roots, replies and probe replies from searchers, and reports of any source that a searcher
 //! is leaving. Invariants: no more of a searcher's slots are in use than the owner's share; nothing is sent unless the
-//! searcher has answered a probe that was sent less than [`LeafSettings::max_report_age`] ago; an incarnation that is
-//! leaving stays leaving; a sub-request that was queued and never sent is answered `NotRun`, unless its root has
+//! searcher has answered a probe that was sent less than [`LeafSettings::max_report_age`] ago; nothing is sent while what
+//! the node knows of the platform is outdated; an incarnation that is leaving stays leaving; a sub-request that was queued and never sent is answered `NotRun`, unless its root has
 //! cancelled it.
 
 mod owned;
@@ -67,6 +67,8 @@
     /// The searchers that the platform lists as leaving or that operators drain. The list applies to every incarnation
     /// of a listed searcher.
     ListedAsLeaving(BTreeSet<SearcherId>),
+    /// What the node knows of the platform has become outdated, or is current again. See [`crate::outdated_view`].
+    View { is_outdated: bool },
     /// The leaf is stopping and accepts no new work.
     Stop,
     /// Timers may be due.
@@ -96,6 +98,8 @@
     /// A peer may report an incarnation before this leaf has probed it, or before the leaf owns the searcher.
     leaving_incarnations: BTreeMap<SearcherId, SearcherIncarnation>,
     first_owned_at: Option<BootTime>,
+    /// Whether sub-requests stay in their queues because what the node knows of the platform is outdated.
+    is_view_outdated: bool,
     stopping: bool,
 }
 
@@ -107,6 +111,7 @@
             searchers: BTreeMap::new(),
             leaving_incarnations: BTreeMap::new(),
             first_owned_at: None,
+            is_view_outdated: false,
             stopping: false,
         }
     }
@@ -123,6 +128,7 @@
             }
             LeafEvent::PeerView(view) => self.on_peer_view(view, actions),
             LeafEvent::ListedAsLeaving(listed) => self.set_listed(&listed, actions),
+            LeafEvent::View { is_outdated } => self.set_view_outdated(now, is_outdated, actions),
             LeafEvent::Stop => self.stopping = true,
             LeafEvent::Tick => self.on_tick(now, actions),
         }
@@ -163,12 +169,22 @@
         for (id, share) in shares {
             let searcher = self.searchers.entry(id).or_default();
             searcher.slot_share = share;
+            searcher.is_view_outdated = self.is_view_outdated;
             if searcher.report.is_none() {
                 searcher.request_probe(now, id, &self.settings, actions);
             }
         }
     }
 
+    /// Stops sending from the queues, or begins again.
+    fn set_view_outdated(&mut self, now: BootTime, is_outdated: bool, actions: &mut Vec<LeafAction>) {
+        self.is_view_outdated = is_outdated;
+        for (id, searcher) in &mut self.searchers {
+            searcher.is_view_outdated = is_outdated;
+            searcher.dispatch(now, *id, &self.settings, actions);
+        }
+    }
+
     /// Queues a sub-request, or refuses it if the leaf doesn't accept it or the queue is full.
     fn on_request(&mut self, now: BootTime, from: NodeId, request: SubRequest, actions: &mut Vec<LeafAction>) {
         let id = request.searcher;
--- a/crates/session/staircross-search/src/leaf/owned.rs
+++ b/crates/session/staircross-search/src/leaf/owned.rs
@@ -38,6 +38,8 @@
     pub(super) is_incarnation_leaving: bool,
     /// Whether the platform lists the searcher as leaving or an operator drains it.
     pub(super) listed_as_leaving: bool,
+    /// Whether nothing may be sent because what the node knows of the platform is outdated.
+    pub(super) is_view_outdated: bool,
     /// When the probe that has not ended was sent.
     pub(super) pending_probe_at: Option<BootTime>,
     pub(super) next_probe_at: BootTime,
@@ -146,7 +148,7 @@
         actions: &mut Vec<LeafAction>,
     ) {
         self.expire_queue(now, actions);
-        if self.queue.is_empty() || self.is_leaving() {
+        if self.queue.is_empty() || self.is_leaving() || self.is_view_outdated {
             return;
         }
         let fresh_until = self.report_probed_at.map(|asked| asked + settings.max_report_age);
--- a/crates/session/staircross-search/src/lib.rs
+++ b/crates/session/staircross-search/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`request`] | what is recorded of one request in flight |
 //! | [`message`] | the typed sub-requests, replies and outcomes |
 //! | [`view`] | what is known about a searcher |
+//! | [`outdated_view`] | whether the process has stood still for so long that the platform must be read first |
 //!
 //! [`RootEngine`] and [`LeafEngine`] take events through `on_event(now, event, &mut actions)` and append the actions
 //! to carry out. The node, the simulator and the fuzz tests run the same code.
@@ -26,6 +27,7 @@
 pub mod leaf;
 pub mod limiter;
 pub mod message;
+pub mod outdated_view;
 pub mod replica;
 pub mod replica_health;
 pub mod request;
@@ -38,6 +40,7 @@
 pub use message::{
     ActionReceipt, Answer, NotRunReason, Outcome, Refusal, SubOutcome, SubReply, SubRequest, UnknownReason, Work,
 };
+pub use outdated_view::{Confirmation, OutdatedView, Recovery};
 pub use root::{RootAction, RootEngine, RootEvent, RootSettings, Submission};
 pub use session::{SessionState, SessionTable, TicketState};
 pub use view::{ProbeReport, SearcherView};
--- a/crates/session/staircross-search/tests/leaf.rs
+++ b/crates/session/staircross-search/tests/leaf.rs
@@ -269,3 +269,31 @@
     assert_eq!(fixture.last_refusal(), Some(NotRunReason::LeafLeaving));
     assert_eq!(fixture.leaf.in_flight(), 1);
 }
+
+/// Guards against new work for a searcher that was drained while the process of its owner stood still: the leaf sent it
+/// as soon as the searcher had answered a probe.
+#[test]
+fn a_leaf_sends_nothing_while_what_the_node_knows_of_the_platform_is_outdated() {
+    let mut fixture = LeafFixture::new();
+    fixture.report_serving(FIRST_RUN);
+    fixture.send_event(LeafEvent::View { is_outdated: true });
+    fixture.send_request(1);
+    fixture.report_serving(FIRST_RUN);
+    fixture.send_event(LeafEvent::Tick);
+    assert_eq!(fixture.sent_count(), 0);
+    fixture.send_event(LeafEvent::View { is_outdated: false });
+    assert_eq!(fixture.sent_count(), 1);
+}
+
+/// Guards against the same where the searcher turns out to be drained: its queue is refused.
+#[test]
+fn a_leaf_refuses_what_it_queued_for_a_searcher_that_turns_out_to_be_drained() {
+    let mut fixture = LeafFixture::new();
+    fixture.report_serving(FIRST_RUN);
+    fixture.send_event(LeafEvent::View { is_outdated: true });
+    fixture.send_request(1);
+    fixture.send_event(LeafEvent::ListedAsLeaving([SEARCHER].into()));
+    fixture.send_event(LeafEvent::View { is_outdated: false });
+    assert_eq!(fixture.sent_count(), 0);
+    assert_eq!(fixture.last_refusal(), Some(NotRunReason::Draining));
+}
--- a/crates/staircross/tests/common/mod.rs
+++ b/crates/staircross/tests/common/mod.rs
@@ -20,6 +20,8 @@
 pub const DOCUMENTS: u64 = 64;
 pub const ZONES: [&str; 3] = ["z0", "z1", "z2"];
 pub const SNAPSHOT: Snapshot = Snapshot { version: 1, epoch: 1, build: 1 };
+/// Time between two reads of the platform, unless a test needs another.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a wait fails, so that a test that hangs ends. It is far longer than any step takes.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -95,6 +97,16 @@
     /// Starts a fleet like [`Fleet::start_with`], whose nodes read the platform at the address that `proxy` returns for
     /// the platform's own.
     pub fn start_proxied(folder: &Path, further: &str, proxy: impl FnOnce(SocketAddr) -> SocketAddr) -> Fleet {
+        Fleet::start_polling(folder, further, POLL_INTERVAL, proxy)
+    }
+
+    /// Starts a fleet like [`Fleet::start_proxied`], whose nodes read the platform at an interval.
+    pub fn start_polling(
+        folder: &Path,
+        further: &str,
+        poll_interval: Duration,
+        proxy: impl FnOnce(SocketAddr) -> SocketAddr,
+    ) -> Fleet {
         let search = ServicePolicy { wait_ms: 3000, least_coverage_per_mille: 1, ..ServicePolicy::default() };
         let act = ServicePolicy {
             repeatable: false,
@@ -109,7 +121,7 @@
         let document = PlatformDocument::new(1, services);
         let platform_standin = PlatformStandin::start(platform, document.clone()).expect("the platform starts");
         let addresses: Vec<(SocketAddr, SocketAddr)> = (0..NODES).map(|_| (free_address(), free_address())).collect();
-        let settings = write_settings(folder, proxy(platform), &addresses, further);
+        let settings = write_settings(folder, (proxy(platform), poll_interval), &addresses, further);
         let nodes = settings.iter().map(|path| start_node(path)).collect();
         let callers = addresses.iter().map(|(callers, _)| *callers).collect();
         let peers = addresses.iter().map(|(_, peers)| *peers).collect();
@@ -162,6 +174,12 @@
         self.document.revision
     }
 
+    /// Returns the address of a searcher.
+    pub fn searcher_address(&self, searcher: SearcherId) -> SocketAddr {
+        let mut searchers = self.document.services.iter().flat_map(|service| &service.searchers);
+        searchers.find(|definition| definition.id == searcher).expect("the searcher is defined").address
+    }
+
     pub fn revision(&self, index: usize) -> u64 {
         self.client(index).status().map_or(0, |status| status.revision)
     }
@@ -186,6 +204,11 @@
     }
 }
 
+fn held_shards(map: &ShardMap, searcher: SearcherId) -> Vec<ShardId> {
+    let held = map.shards.iter().filter(|placement| placement.replicas.contains(&searcher));
+    held.map(|placement| placement.shard).collect()
+}
+
 fn start_searchers(service: &ServiceDefinition) -> Vec<SearcherStandin> {
     let start = |definition: &SearcherDefinition| {
         let searcher = SearcherStandin::start(SearcherSettings {
@@ -199,9 +222,7 @@
         })
         .expect("a searcher starts");
         let map = &service.shard_maps[0];
-        let held = map.shards.iter().filter(|placement| placement.replicas.contains(&definition.id));
-        let held: Vec<ShardId> = held.map(|placement| placement.shard).collect();
-        searcher.publish(SNAPSHOT, &corpus(), &held, SHARDS as usize);
+        searcher.publish(SNAPSHOT, &corpus(), &held_shards(map, definition.id), SHARDS as usize);
         searcher
     };
     service.searchers.iter().map(start).collect()
@@ -209,7 +230,7 @@
 
 fn write_settings(
     folder: &Path,
-    platform: SocketAddr,
+    (platform, poll_interval): (SocketAddr, Duration),
     addresses: &[(SocketAddr, SocketAddr)],
     further: &str,
 ) -> Vec<PathBuf> {
@@ -218,9 +239,10 @@
         let text = format!(
             "[node]\nregion = \"home\"\nzone = \"{}\"\nlisten = \"{callers}\"\npeer_listen = \"{peers}\"\n\
              cluster = \"test\"\ncluster_key = \"a key for this test only\"\nlog = \"info,front=debug\"\nseeds = [{}]\n\
-             [platform]\naddress = \"{platform}\"\npoll_ms = 100\n{further}",
+             [platform]\naddress = \"{platform}\"\npoll_ms = {}\n{further}",
             ZONES[index % ZONES.len()],
-            seeds.join(", ")
+            seeds.join(", "),
+            poll_interval.as_millis()
         );
         let path = folder.join(format!("node{index}.toml"));
         std::fs::write(&path, text).expect("settings are written");
