--- a/crates/staircross/tests/common/mod.rs
+++ b/crates/staircross/tests/common/mod.rs
@@ -174,6 +174,18 @@
         self.document.revision
     }
 
+    /// Has the searchers of the first service serve one more snapshot, and publishes a document that lists it too.
+    pub fn publish_snapshot(&mut self, snapshot: Snapshot) {
+        let service = &self.document.services[0];
+        let map = ShardMap { snapshot, shards: service.shard_maps[0].shards.clone() };
+        let is_of_service =
+            |searcher: &&SearcherStandin| service.searchers.iter().any(|definition| definition.id == searcher.id());
+        for searcher in self.searchers.iter().filter(is_of_service) {
+            searcher.publish(snapshot, &corpus(), &held_shards(&map, searcher.id()), SHARDS as usize);
+        }
+        self.publish_edited(|document| document.services[0].shard_maps.push(map));
+    }
+
     /// Returns the address of a searcher.
     pub fn searcher_address(&self, searcher: SearcherId) -> SocketAddr {
         let mut searchers = self.document.services.iter().flat_map(|service| &service.searchers);
--- a/crates/staircross/tests/stalls.rs
+++ b/crates/staircross/tests/stalls.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Fleet, NODES, WAIT_TIMEOUT};
+use common::{Fleet, NODES, SNAPSHOT, WAIT_TIMEOUT};
 use rustix::process::Signal;
 use staircross_config::{MachineEntry, MachineList, MachineState};
 use staircross_node::api::{ReplyBody, StatementReply};
@@ -12,7 +12,7 @@
 use staircross_standin::faults::Fault;
 use staircross_standin::platform::PlatformMode;
 use staircross_standin::searcher::ControlCommand;
-use staircross_types::{ErrorKind, SearcherId, SessionToken};
+use staircross_types::{ErrorKind, SearcherId, SessionToken, Snapshot};
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::thread::{self, JoinHandle};
@@ -265,3 +265,45 @@
     assert_eq!(count_runs(&fleet), 1, "at first {first:?}, elsewhere {elsewhere:?}, again {again:?}");
     end_fleet(fleet, folder);
 }
+
+/// Searches until a node answers from a snapshot.
+fn search_until(client: &NodeClient, session: SessionToken, snapshot: &str) {
+    let started = Instant::now();
+    let is_seen =
+        |reply: StatementReply| matches!(reply.body, ReplyBody::Answer(answer) if answer.snapshot == snapshot);
+    while !is_seen(client.query(session, SEARCH).expect("a reply")) {
+        assert!(started.elapsed() < WAIT_TIMEOUT, "snapshot {snapshot} isn't served");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against an answer from an older snapshot than its session has seen: the node stood still while another one took
+/// the session over, and answers by the state that the session had before.
+#[test]
+fn a_node_that_stood_still_answers_from_no_older_snapshot_than_the_session_has_seen_elsewhere() {
+    let next = Snapshot { version: SNAPSHOT.version + 1, ..SNAPSHOT };
+    let (mut fleet, folder) = start_fleet("stall-floor");
+    let session = fleet.client(0).open_session().expect("a session opens");
+    search_until(&fleet.client(0), session, &SNAPSHOT.to_string());
+    fleet.signal(0, Signal::STOP);
+    fleet.publish_snapshot(next);
+    search_until(&fleet.client(1), session, &next.to_string());
+    let mut searches = Vec::new();
+    for number in 0..60 {
+        if number == 30 {
+            fleet.signal(0, Signal::CONT);
+        }
+        searches.push(send_search(0, fleet.client(0), session));
+        thread::sleep(Duration::from_millis(20));
+    }
+    let replies: Vec<ReplyBody> =
+        searches.into_iter().map(|search| search.join().expect("a caller ends").reply.body).collect();
+    let snapshots = replies.iter().filter_map(|reply| match reply {
+        ReplyBody::Answer(answer) => Some(answer.snapshot.clone()),
+        _ => None,
+    });
+    let (new, old): (Vec<String>, Vec<String>) = snapshots.partition(|snapshot| *snapshot == next.to_string());
+    assert!(old.is_empty(), "{} of {} answers from an older snapshot: {old:?}", old.len(), old.len() + new.len());
+    assert!(!new.is_empty(), "no answer: {:?}", replies.last());
+    end_fleet(fleet, folder);
+}
