Don't take a failed call to the store for one that has shown a version

Found on reading again, before anybody saw it: a peer's version comes into force, the node's next call to the store fails or is refused, and the line version_held said false, for what was compared was what the store had shown before that version, with the time of the call that failed.

Change: the time of the call stands with what it showed.

Evidence: a_call_without_a_usable_reply_shows_nothing; with the time of a refused call taken for that of the last reply, as before, it fails. Gateway's tests (121) and seven test files of the platform passed once, but for the known red one.

--- a/crates/staircross-gateway/src/node/updates/store.rs
+++ b/crates/staircross-gateway/src/node/updates/store.rs
@@ -140,7 +140,7 @@
         match reply {
             Some((epoch, reply)) => {
                 if let Some(call) = call.as_ref().filter(|_| epoch >= self.store_reader.epoch()) {
-                    self.store.version.record_reply(call, &reply);
+                    self.store.version.record_reply(call, called_at, &reply);
                 }
                 if let StoreReply::Refused { status } = reply {
                     let line = format_args!("event=store_refused lane={} status={status}", lane.name());
@@ -163,7 +163,7 @@
         }
         self.apply_reader_actions(actions);
         if lane == Lane::Configuration {
-            let change = self.store.version.compare(called_at, self.mirror.version());
+            let change = self.store.version.compare(self.mirror.version());
             self.log_version_holding(change);
         }
     }
--- a/crates/staircross-gateway/src/store_version.rs
+++ b/crates/staircross-gateway/src/store_version.rs
@@ -49,6 +49,8 @@
 struct ShownVersion {
     version: u64,
     at: StoreRevision,
+    /// Time of the call that showed it last.
+    called_at: BootTime,
 }
 
 /// Compares the version in force with what the store shows.
@@ -72,17 +74,17 @@
         self.shown = None;
     }
 
-    /// Records what a reply of the store shows. A watch that reports no new version confirms the one that was shown if it
+    /// Records what the reply to a call made at `called_at` shows. A watch that reports no new version confirms the one that was shown if it
     /// began where that was shown; it may also begin at a revision that a peer has sent.
-    pub fn record_reply(&mut self, call: &StoreCall, reply: &StoreReply) {
+    pub fn record_reply(&mut self, call: &StoreCall, called_at: BootTime, reply: &StoreReply) {
         self.shown = match (call, reply) {
             (StoreCall::List { lane: Lane::Configuration, after: None }, StoreReply::Items { update, at, .. }) => {
-                version_in(update).map(|version| ShownVersion { version, at: *at })
+                version_in(update).map(|version| ShownVersion { version, at: *at, called_at })
             }
             (StoreCall::Watch { lane: Lane::Configuration, after, .. }, StoreReply::Changes { update, at }) => {
                 let before = self.shown.filter(|shown| shown.at == *after && !has_unreadable_version(update));
                 let version = version_in(update).or(before.map(|shown| shown.version));
-                version.map(|version| ShownVersion { version, at: *at })
+                version.map(|version| ShownVersion { version, at: *at, called_at })
             }
             _ => return,
         };
@@ -96,10 +98,10 @@
         Some(HoldingChange { holding: VersionHolding::Unknown, in_force: version, ..before })
     }
 
-    /// Compares the version in force with the one that a reply to a call made at `called_at` has shown, and returns the
-    /// change to be logged. A reply to an earlier call may be older than the version in force.
-    pub fn compare(&mut self, called_at: BootTime, in_force: u64) -> Option<HoldingChange> {
-        let shown = self.shown?.version;
+    /// Compares the version in force with the one that the store has shown last, and returns the change to be logged. What
+    /// was shown by a call made before the version came into force may be older than that version.
+    pub fn compare(&mut self, in_force: u64) -> Option<HoldingChange> {
+        let ShownVersion { version: shown, called_at, .. } = self.shown?;
         if shown >= in_force {
             self.not_held.take()?;
             return Some(HoldingChange { holding: VersionHolding::Held, in_force, shown });
