Processes that stand still again and again, and listings that confirm

- Each further gap began the wait for the store anew and cancelled the call whose answer already waited in the socket, so a process that runs for short moments would have served nothing (*).
A call is now waited for over further gaps while its answer could be young enough; giving up counts from the store's last answer and comes after the sockets were read; a store that was silent a moment ago isn't waited for again.
- A change of role between the pages of a listing left the watch beside it open, whose reply then made the listing count as complete (*).
It is given up with the listing.
- A lane that its mode no longer used was suspended with its call open, so that a later call's reply could be that of the former (*).
It is cancelled.
- A paged listing of the configuration went on over the gap (*).
It begins anew.
- A shard that couldn't be sent kept those behind it waiting (*).
Each is tried.
- A new address of the store lost the confirmation.
It is asked for anew.
- A stop that counts as past ended requests in the order of a hash map (*).

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -232,6 +232,7 @@
     /// obsolete.
     fn handle_timers(&mut self) {
         self.read_clock();
+        self.give_up_view_if_due();
         self.process_routing_event(RoutingEvent::Tick);
         self.handle_pool_timers();
         self.handle_store_timers();
--- a/crates/staircross-gateway/src/node/outdated_view.rs
+++ b/crates/staircross-gateway/src/node/outdated_view.rs
@@ -19,18 +19,23 @@
     /// Asks the store for what has changed if this process stood still until now, and tells the engine whether the view
     /// may be used.
     pub(super) fn check_view(&mut self) {
-        if self.outdated_view.advance(self.now).is_some() {
+        self.outdated_view.advance(self.now);
+        if self.outdated_view.take_due_question(self.now) {
             let mut actions = Vec::new();
             self.store_reader.confirm(self.now, &mut actions);
             self.apply_reader_actions(actions);
         }
-        let is_given_up = self.outdated_view.give_up_if_due(self.now);
-        if is_given_up {
+        self.update_view(true);
+    }
+
+    /// Stops waiting for a store that doesn't answer. This comes after the sockets, in which its answers may wait.
+    pub(super) fn give_up_view_if_due(&mut self) {
+        if self.outdated_view.give_up_if_due(self.now) {
             let mut actions = Vec::new();
             self.store_reader.end_confirmation(self.now, &mut actions);
             self.apply_reader_actions(actions);
+            self.update_view(false);
         }
-        self.update_view(!is_given_up);
     }
 
     /// Passes a change of the view's state to the log and to the engine. `is_confirmed` says whether a view that may be
--- a/crates/staircross-gateway/src/node/reload.rs
+++ b/crates/staircross-gateway/src/node/reload.rs
@@ -58,5 +58,6 @@
         self.store.set_address(settings.store.address);
         self.store_reader =
             StoreReader::new(settings.store_reader_settings()).with_mode(self.now, self.store_role.role().mode());
+        self.outdated_view.forget_question();
     }
 }
--- a/crates/staircross-routing/src/decision/outdated_view.rs
+++ b/crates/staircross-routing/src/decision/outdated_view.rs
@@ -9,9 +9,10 @@
 //! the machine is suspended, and confirmations: answers of the store that leave no change unknown up to the time at which
 //! the store was asked. A gap of [`OutdatedViewSettings::max_gap`] between two readings makes the view outdated. It is
 //! current again once what the operator writes and the searchers' entries have both been confirmed as of a time that is at
-//! most [`OutdatedViewSettings::max_age`] ago. That time may lie before the gap: a process that gets a little processor
-//! time now and then asks in one turn and reads the answer in the next. It also counts as current from
-//! [`OutdatedViewSettings::max_wait`] after the gap on, since a node that can't reach the store serves by what it knows.
+//! most [`OutdatedViewSettings::max_age`] ago. That time may lie before the last gap: a process that gets a little processor
+//! time now and then asks in one turn and reads the answer in the next. So a call that is young enough is waited for over
+//! further gaps. The view also counts as current once the store hasn't answered for [`OutdatedViewSettings::max_wait`],
+//! since a node that can't reach the store serves by what it knows.
 //!
 //! The rule bounds the age of the view by which a request is handled. While the view is outdated, the engine holds new
 //! requests and refuses them if that takes too long; nothing of it runs, and another node may be asked. The rule doesn't
@@ -31,17 +32,45 @@
     pub max_gap: Duration,
     /// Maximum age of a confirmed view.
     pub max_age: Duration,
-    /// Time after a gap from which the view counts as current although nothing has confirmed it.
+    /// Time without an answer of the store from which the view counts as current although nothing has confirmed it.
     pub max_wait: Duration,
 }
 
-/// A gap in which the process stood still.
+/// Times as of which all changes of a kind are known.
+#[derive(Clone, Copy, Debug, Default)]
+struct Confirmed {
+    /// What the operator writes: the configuration and evacuations.
+    operator: Option<BootTime>,
+    /// The searchers' entries.
+    searchers: Option<BootTime>,
+}
+
+impl Confirmed {
+    /// Returns whether both kinds are confirmed as of `time` or later.
+    fn reaches(self, time: BootTime) -> bool {
+        [self.operator, self.searchers].iter().all(|at| at.is_some_and(|at| at >= time))
+    }
+}
+
+/// Gaps after which the view hasn't been confirmed yet.
 #[derive(Clone, Copy, Debug)]
 struct Gap {
-    /// Time at which the process continued.
+    /// End of the last gap.
     ended: BootTime,
-    /// Times as of which what the operator writes, and the searchers' entries, were confirmed.
-    confirmed: [Option<BootTime>; 2],
+    /// Time at which the store was asked, until it has answered for both kinds.
+    asked: Option<BootTime>,
+    /// Time since which the store hasn't answered.
+    unanswered_since: BootTime,
+    confirmed: Confirmed,
+}
+
+/// A store that didn't answer in time.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// Time since which it hasn't answered.
+    since: BootTime,
+    /// Time at which this was last noticed.
+    noticed: BootTime,
 }
 
 /// Watches the process's clock for gaps, and decides whether the view is outdated.
@@ -50,14 +79,14 @@
     settings: OutdatedViewSettings,
     /// Last reading of the clock.
     last: BootTime,
-    /// Last gap, until the view has been confirmed as of a time after it.
     gap: Option<Gap>,
+    silence: Option<Silence>,
 }
 
 impl OutdatedView {
     /// Creates the state of a process that starts now.
     pub fn new(now: BootTime, settings: OutdatedViewSettings) -> Self {
-        OutdatedView { settings, last: now, gap: None }
+        OutdatedView { settings, last: now, gap: None, silence: None }
     }
 
     /// Changes the time limits.
@@ -65,45 +94,75 @@
         self.settings = settings;
     }
 
-    /// Records a reading of the clock. Returns the length of the gap before it if the view must be confirmed now because
-    /// of it.
-    pub fn advance(&mut self, now: BootTime) -> Option<Duration> {
+    /// Records a reading of the clock.
+    pub fn advance(&mut self, now: BootTime) {
         let length = now.since(self.last);
         self.last = now;
         if length < self.settings.max_gap {
-            return None;
+            return;
         }
-        let confirmed = self.gap.map_or([None; 2], |gap| gap.confirmed);
-        self.gap = Some(Gap { ended: now, confirmed });
-        Some(length)
+        if let Some(gap) = &mut self.gap {
+            gap.ended = now;
+            return;
+        }
+        // A store that was silent a moment ago isn't waited for once more.
+        let silence = self.silence.filter(|silence| now.since(silence.noticed) <= self.settings.max_age);
+        let unanswered_since = silence.map_or(now, |silence| silence.since);
+        self.gap = Some(Gap { ended: now, asked: None, unanswered_since, confirmed: Confirmed::default() });
     }
 
-    /// Records that all changes of a lane's items up to the time `asked_at` are known.
-    pub fn record_confirmation(&mut self, lane: Lane, asked_at: BootTime) {
-        let index = match lane {
-            Lane::Configuration => 0,
-            Lane::Searchers => 1,
-            Lane::SearcherPages | Lane::Probe => return,
+    /// Returns whether the store must be asked now, and takes it as asked.
+    pub fn take_due_question(&mut self, now: BootTime) -> bool {
+        let max_age = self.settings.max_age;
+        let is_waited_for = |asked: BootTime| now.since(asked) <= max_age;
+        let Some(gap) = self.gap.as_mut().filter(|gap| !gap.asked.is_some_and(is_waited_for)) else {
+            return false;
         };
+        gap.asked = Some(now);
+        true
+    }
+
+    /// Records that the calls to the store were given up, so that it must be asked again.
+    pub fn forget_question(&mut self) {
+        if let Some(gap) = &mut self.gap {
+            gap.asked = None;
+        }
+    }
+
+    /// Records that all changes of a lane's items up to the time `asked_at` are known.
+    pub fn record_confirmation(&mut self, now: BootTime, lane: Lane, asked_at: BootTime) {
         let Some(gap) = &mut self.gap else {
             return;
         };
-        gap.confirmed[index] = gap.confirmed[index].max(Some(asked_at));
-        if gap.confirmed.iter().all(|at| at.is_some_and(|at| at >= gap.ended)) {
+        match lane {
+            Lane::Configuration => gap.confirmed.operator = gap.confirmed.operator.max(Some(asked_at)),
+            Lane::Searchers => gap.confirmed.searchers = gap.confirmed.searchers.max(Some(asked_at)),
+            Lane::SearcherPages | Lane::Probe => return,
+        }
+        if gap.asked.is_some_and(|asked| gap.confirmed.reaches(asked)) {
+            gap.asked = None;
+            gap.unanswered_since = now;
+            self.silence = None;
+        }
+        if gap.confirmed.reaches(gap.ended) {
             self.gap = None;
         }
     }
 
     /// Returns whether the view is too old.
     pub fn is_outdated(&self, now: BootTime) -> bool {
-        let is_recent = |at: &Option<BootTime>| at.is_some_and(|at| now.since(at) <= self.settings.max_age);
-        self.gap.is_some_and(|gap| !gap.confirmed.iter().all(is_recent))
+        let is_recent = |at: Option<BootTime>| at.is_some_and(|at| now.since(at) <= self.settings.max_age);
+        let is_confirmed = |confirmed: Confirmed| is_recent(confirmed.operator) && is_recent(confirmed.searchers);
+        self.gap.is_some_and(|gap| !is_confirmed(gap.confirmed))
     }
 
-    /// Lets the view count as current if nothing has confirmed it in time. Returns whether this is so.
+    /// Lets the view count as current if the store hasn't answered in time. Returns whether this is so. To be called after
+    /// everything that has arrived was read.
     pub fn give_up_if_due(&mut self, now: BootTime) -> bool {
-        let is_outdated = self.is_outdated(now);
-        let due = self.gap.take_if(|gap| now.since(gap.ended) >= self.settings.max_wait);
-        is_outdated && due.is_some()
+        let Some(gap) = self.gap.take_if(|gap| now.since(gap.unanswered_since) >= self.settings.max_wait) else {
+            return false;
+        };
+        self.silence = Some(Silence { since: gap.unanswered_since, noticed: now });
+        true
     }
 }
--- a/crates/staircross-routing/src/engine/stop.rs
+++ b/crates/staircross-routing/src/engine/stop.rs
@@ -12,7 +12,9 @@
     /// Ends the requests in flight at `stops_at` at the latest.
     pub(super) fn on_stops_at(&mut self, now: BootTime, stops_at: BootTime, actions: &mut Vec<RoutingAction>) {
         self.stops_at = Some(stops_at);
-        let keys: Vec<RequestKey> = self.requests.keys().copied().collect();
+        let mut keys: Vec<RequestKey> = self.requests.keys().copied().collect();
+        // The result must not depend on the order of the hash map.
+        keys.sort_unstable();
         for key in keys {
             if let Some(request) = self.requests.get_mut(&key) {
                 request.deadline = request.deadline.min(stops_at);
--- a/crates/staircross-routing/src/engine/view.rs
+++ b/crates/staircross-routing/src/engine/view.rs
@@ -4,10 +4,11 @@
 //! weren't are taken back, and shards that should be sent wait.
 
 use super::waiting::PostponedSend;
-use super::{RoutingAction, RoutingEngine, SendReason, UnsentCause};
+use super::{RoutingAction, RoutingEngine, SendReason, UnsentCause, WaitingShard};
 use crate::keys::{AttemptKey, RequestKey};
 use crate::state::request::{AttemptOutcome, NotRun};
 use staircross_types::BootTime;
+use std::sync::Arc;
 
 impl RoutingEngine {
     /// Sets whether the view is too old. Once it is current, everything that waited for it is sent.
@@ -16,10 +17,23 @@
         if is_outdated {
             return self.recall_unsent_attempts(actions);
         }
-        self.send_all_waiting_shards(now, actions);
+        self.send_postponed_shards(now, actions);
         self.start_held(now, actions);
     }
 
+    /// Sends the shards that wait, each by itself: one that can't be sent now doesn't block those behind it, which may have
+    /// no other time at which they are tried again.
+    fn send_postponed_shards(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
+        let mut services: Vec<Arc<str>> = self.waiting_shards.keys().cloned().collect();
+        // A fixed order makes the replay of a recording deterministic.
+        services.sort_unstable();
+        let queues = services.iter().filter_map(|service| self.waiting_shards.get(service));
+        let waiting: Vec<WaitingShard> = queues.flatten().copied().collect();
+        for shard in waiting {
+            self.send_waiting_shard(now, shard.request, shard.shard as usize, actions);
+        }
+    }
+
     /// Takes back the attempts that still wait for a connection: their searchers were chosen by the outdated view.
     fn recall_unsent_attempts(&self, actions: &mut Vec<RoutingAction>) {
         let open_attempts = self.requests.iter().flat_map(|(key, request)| {
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -180,7 +180,7 @@
     pub fn set_mode(&mut self, now: BootTime, mode: ReadingMode, actions: &mut Vec<ReaderAction>) {
         self.mode = mode;
         if matches!(mode, ReadingMode::Following | ReadingMode::Probing) {
-            self.lanes.iter_mut().for_each(|lane| lane.partial = None);
+            self.lanes.iter_mut().for_each(|lane| lane.drop_listing(now, actions));
         }
         let (has_failed_read, has_pages) = (self.has_failed_read(), self.has_pages());
         for lane in &mut self.lanes {
@@ -290,6 +290,9 @@
         let has_pages = next_page.is_some();
         for lane in &mut self.lanes {
             if !lane.is_used(mode, has_failed_read, has_pages) {
+                if lane.state == LaneState::Calling {
+                    actions.push(ReaderAction::Cancel { lane: lane.lane, cause: CancelCause::Unused });
+                }
                 lane.state = LaneState::Suspended;
                 lane.answered_at = None;
             } else if lane.state == LaneState::Suspended {
--- a/crates/staircross-routing/src/store_reader/confirmation.rs
+++ b/crates/staircross-routing/src/store_reader/confirmation.rs
@@ -13,10 +13,8 @@
 impl StoreReader {
     /// Asks for a confirmation of both reading lanes now. Their open calls are given up.
     pub fn confirm(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
-        if self.has_pages() {
-            // The pages that were read before may have changed.
-            self.discard_pages(actions);
-        }
+        // The pages that were read before may have changed.
+        self.discard_pages(actions);
         for lane in [Lane::Configuration, Lane::Searchers] {
             self.lane_mut(lane).begin_confirmation(now, actions);
         }
@@ -32,6 +30,7 @@
 impl LaneReader {
     fn begin_confirmation(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         self.must_confirm = true;
+        self.partial = None;
         if self.state == LaneState::Calling {
             actions.push(ReaderAction::Cancel { lane: self.lane, cause: CancelCause::ProcessGap });
         }
--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -3,7 +3,7 @@
 //! A lane holds the revision that it has reached, the pages of an incomplete listing, and the time of the next call.
 //! [`StoreReader`](super::StoreReader) decides whether the lane makes calls at all.
 
-use super::message::{Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall};
+use super::message::{CancelCause, Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall};
 use super::renewal::ProbedRevision;
 use crate::state::mirror::{MirrorItem, MirrorUpdate};
 use crate::state::searcher_entry::REREGISTRATION_TIME;
@@ -140,6 +140,15 @@
         ReaderAction::Call { lane, call, timeout }
     }
 
+    /// Drops the pages that have been read of an incomplete listing. A watch beside it would be taken for one that goes on
+    /// from a complete listing, so it is given up.
+    pub fn drop_listing(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
+        if self.partial.take().is_some() && self.state == LaneState::Calling {
+            actions.push(ReaderAction::Cancel { lane: self.lane, cause: CancelCause::Unused });
+            self.state = LaneState::Scheduled { at: now };
+        }
+    }
+
     /// Adds a page to the listing in progress and, after the last page, emits the whole listing as an update.
     pub fn handle_page(
         &mut self,
--- a/crates/staircross-routing/tests/outdated_view.rs
+++ b/crates/staircross-routing/tests/outdated_view.rs
@@ -4,9 +4,11 @@
 
 use common::{Driver, answer, definition, route, searcher};
 use staircross_routing::engine::{HoldCause, RoutingEvent, SendReason, UnsentCause};
+use staircross_routing::state::request::Unknown;
 use staircross_routing::{AttemptOutcome, NotRun, RouteTarget, RoutingDefinition, SearcherEntry};
 use staircross_types::ErrorKind;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Maximum time for which a request is held, in milliseconds.
 const HOLD_MS: u64 = 500;
@@ -58,6 +60,7 @@
     assert!(driver.sends.is_empty());
 }
 
+/// Guards against requests that wait for a node which would refuse them anyway.
 #[test]
 fn an_overloaded_node_refuses_at_once_instead_of_holding() {
     let mut driver = driver();
@@ -73,17 +76,21 @@
 #[test]
 fn a_retry_waits_until_it_is_known_which_searchers_have_left() {
     let mut driver = driver();
+    driver.event(RoutingEvent::Searchers(vec![searcher("s-4", "old", "a")]));
     let request = driver.request("/r/1");
     let first = driver.sends[0].clone();
-    let other = if &*first.instance == "s-1" { "s-2" } else { "s-1" };
+    let others = ["s-1", "s-2", "s-4"].into_iter().filter(|instance| **instance != *first.instance);
+    let [leaving, staying] = others.collect::<Vec<_>>()[..] else { panic!("three searchers") };
     set_outdated(&mut driver, true);
     driver.end(first.attempt, AttemptOutcome::NotRun(NotRun::Shed));
     assert_eq!(driver.unsent, [(request, UnsentCause::OutdatedView)]);
-    driver.event(RoutingEvent::Searchers(vec![draining(other)]));
+    driver.event(RoutingEvent::Searchers(vec![draining(leaving)]));
     set_outdated(&mut driver, false);
-    assert!(driver.sends.iter().all(|sent| &*sent.instance != other));
+    assert_eq!(driver.sends.len(), 2);
+    assert_eq!(&*driver.sends[1].instance, staying);
 }
 
+/// Guards against requests that fail because a retry was due while the view was outdated.
 #[test]
 fn a_retry_is_sent_once_the_view_is_current() {
     let mut driver = driver();
@@ -129,3 +136,32 @@
     driver.end(attempt, answer(200, "stamp", Vec::new()));
     assert_eq!(driver.finished.len(), 1);
 }
+
+/// Guards against shards that go on waiting behind one that can't be sent, though nothing else tries them again.
+#[test]
+fn a_shard_that_is_given_up_doesnt_block_those_behind_it() {
+    let mut driver = driver();
+    let (first, second) = (driver.request("/r/1"), driver.request("/r/2"));
+    let (one, two) = (driver.sent_for(first)[0].clone(), driver.sent_for(second)[0].clone());
+    let other = if &*one.instance == "s-1" { "s-2" } else { "s-1" };
+    set_outdated(&mut driver, true);
+    driver.end(one.attempt, AttemptOutcome::Unknown(Unknown::Broken));
+    driver.end(two.attempt, AttemptOutcome::Cancelled);
+    driver.event(RoutingEvent::Searchers(vec![draining(other)]));
+    set_outdated(&mut driver, false);
+    assert_eq!(driver.sent_for(second).len(), 2);
+}
+
+/// Guards against recordings that don't replay: requests that end together end in a fixed order.
+#[test]
+fn a_stop_that_is_over_already_ends_requests_in_the_order_of_their_keys() {
+    let mut driver = driver();
+    for number in 0..20 {
+        driver.request(&format!("/r/{number}"));
+    }
+    let stops_at = driver.now - Duration::from_millis(100);
+    driver.event(RoutingEvent::StopsAt(stops_at));
+    let keys: Vec<_> = driver.finished.iter().map(|(key, _)| *key).collect();
+    assert_eq!(keys.len(), 20);
+    assert!(keys.is_sorted(), "{keys:?}");
+}
--- a/crates/staircross-routing/tests/store_confirmation.rs
+++ b/crates/staircross-routing/tests/store_confirmation.rs
@@ -111,3 +111,56 @@
         assert!(driver.calls_within(10_000, lane).is_empty(), "a follower makes no calls");
     }
 }
+
+/// Returns a follower that confirms by a listing with further pages, beside which a watch is open.
+fn follower_in_a_listing() -> ReaderDriver {
+    let mut driver = watching_reader();
+    set_mode(&mut driver, ReadingMode::Following);
+    confirm(&mut driver);
+    driver.calls_within(0, Lane::Searchers);
+    driver.reply(Lane::Searchers, StoreReply::HistoryGone);
+    driver.calls_within(10, Lane::Searchers);
+    driver.reply(Lane::Searchers, listing(Some("m")));
+    let beside = driver.calls_within(10, Lane::Searchers);
+    assert!(matches!(beside[..], [StoreCall::Watch { wait, .. }] if wait > Duration::from_secs(1)), "{beside:?}");
+    driver.cancelled.clear();
+    driver
+}
+
+/// Guards against a call that is made while the one before is open, whose reply would be taken for its own: the watch beside
+/// a listing stayed open when a follower had no more use for the lane.
+#[test]
+fn the_watch_beside_a_listing_is_given_up_with_the_lane() {
+    let mut driver = follower_in_a_listing();
+    driver.reply(Lane::SearcherPages, listing(None));
+    driver.calls_within(1000, Lane::Searchers);
+    assert!(driver.cancelled.contains(&Lane::Searchers));
+}
+
+/// Guards against a listing that counts as complete although its further pages were never read, because the role changed
+/// between them.
+#[test]
+fn a_listing_that_a_change_of_role_drops_confirms_nothing() {
+    let mut driver = follower_in_a_listing();
+    set_mode(&mut driver, ReadingMode::Probing);
+    assert!(driver.cancelled.contains(&Lane::Searchers), "the watch goes on from pages that are dropped");
+    assert!(driver.confirmed.is_empty());
+    let calls = driver.calls_within(0, Lane::Searchers);
+    assert!(matches!(calls[..], [StoreCall::List { after: None, .. }]), "{calls:?}");
+}
+
+/// Guards against a listing that began before the process stood still and confirms what it knows afterwards.
+#[test]
+fn a_listing_in_progress_is_begun_anew() {
+    let mut driver = ReaderDriver::new();
+    driver.calls_within(0, Lane::Configuration);
+    driver.reply(Lane::Configuration, listing(Some("op/m")));
+    driver.calls_within(0, Lane::Configuration);
+    driver.now = driver.now + Duration::from_millis(5000);
+    confirm(&mut driver);
+    let asked_at = driver.now;
+    let calls = driver.calls_within(0, Lane::Configuration);
+    assert!(matches!(calls[..], [StoreCall::List { after: None, .. }]), "{calls:?}");
+    driver.reply(Lane::Configuration, listing(None));
+    assert_eq!(driver.confirmed, [(Lane::Configuration, asked_at)]);
+}
