Tell changes that a watch has missed from those of the other lane's items

The store counts its changes, so a revision that a lane has reported wasn't missed by the other. The reader keeps up to where every revision was reported; only beyond it a lane is asked.

--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -18,8 +18,8 @@
 //! fails makes no further calls and waits for a successful probe.
 //!
 //! A probe that is answered doesn't show that the connections of the watches work: they may be dead while the store
-//! answers on others. So a probe returns the store's revision, and a watch that hasn't reported a change up to there in the
-//! time that a call may take is given up for a listing. A watch is also renewed if a peer has shown a change that it missed.
+//! answers on others. So a probe returns the store's revision, and if no lane has reported a change up to there in the time
+//! that a call may take, the watches that don't reach it are given up for listings. A watch is also renewed if a peer has shown a change that it missed.
 //! Neither shows every missed change: a probe's read may be seconds old, and peers may miss the same change. So the store may
 //! hold a watch only for a few seconds.
 //!
@@ -43,6 +43,7 @@
 mod message;
 mod renewal;
 mod replies;
+mod reported;
 
 pub use message::{
     Backoff, CancelCause, EpochSource, Lane, ProbeIntervals, ReaderAction, ReaderSettings, ReadingMode, StoreCall,
@@ -51,6 +52,7 @@
 
 use crate::state::store_revision::{StoreEpoch, StoreRevision};
 use lane::{LaneReader, LaneState};
+use reported::ReportedRevisions;
 use staircross_types::BootTime;
 use std::time::Duration;
 
@@ -65,6 +67,8 @@
     epoch: StoreEpoch,
     /// The store's revision according to the last probe; `None` if that failed.
     probed_revision: Option<StoreRevision>,
+    /// The changes that the lanes have reported.
+    reported: ReportedRevisions,
     /// Whether the last probe failed, so that the watches must be renewed once the store answers again.
     has_missed_probe: bool,
     /// Whether followers rely on this node's probes of the store.
@@ -102,6 +106,7 @@
             lanes,
             epoch: StoreEpoch::UNTOLD,
             probed_revision: None,
+            reported: ReportedRevisions::default(),
             has_missed_probe: false,
             has_followers: false,
             disturbed_until: BootTime::default(),
--- a/crates/staircross-routing/src/store_reader/renewal.rs
+++ b/crates/staircross-routing/src/store_reader/renewal.rs
@@ -7,6 +7,7 @@
 use super::StoreReader;
 use super::lane::{LaneReader, LaneState};
 use super::message::{CancelCause, Lane, ReaderAction};
+use super::reported::ReportedRevisions;
 use crate::state::mirror::MirrorUpdate;
 use crate::state::store_revision::StoreRevision;
 use staircross_types::BootTime;
@@ -48,16 +49,18 @@
 
     /// Asks anew on each lane whose watch has missed a change. Returns whether there is one.
     pub(super) fn ask_for_missed_changes(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) -> bool {
-        let call_timeout = self.settings.call_timeout;
-        let missed = self.lanes.iter_mut().filter(|lane| lane.has_missed_change(now, call_timeout));
+        let (call_timeout, reported) = (self.settings.call_timeout, &self.reported);
+        let missed = self.lanes.iter_mut().filter(|lane| lane.has_missed_change(now, call_timeout, reported));
         missed.map(|lane| lane.ask_for_missed_change(now, actions)).count() > 0
     }
 
     /// Remembers, for each lane, the first probe that showed a change which its watch has neither reported by now nor shown
     /// to be of other keys.
     pub(super) fn note_unreported_changes(&mut self, now: BootTime) {
-        let newest = self.probed_revision.map(|revision| ProbedRevision { revision, at: now });
-        self.lanes.iter_mut().for_each(|lane| lane.note_probed(newest));
+        let unreported = self.probed_revision.filter(|revision| !self.reported.reach(*revision));
+        let newest = unreported.map(|revision| ProbedRevision { revision, at: now });
+        let reported = &self.reported;
+        self.lanes.iter_mut().for_each(|lane| lane.note_probed(newest, reported));
     }
 
     /// Forgets the changes that probes have shown.
@@ -113,18 +116,22 @@
 }
 
 impl LaneReader {
-    fn note_probed(&mut self, newest: Option<ProbedRevision>) {
-        let known = self.known_revision;
-        let is_unreported = |probed: &ProbedRevision| known.is_some_and(|known| known < probed.revision);
-        self.unreported = self.unreported.filter(is_unreported).or(newest.filter(is_unreported));
+    fn note_probed(&mut self, newest: Option<ProbedRevision>, reported: &ReportedRevisions) {
+        let earlier = self.unreported.filter(|probed| self.lacks(probed, reported));
+        self.unreported = earlier.or(newest.filter(|probed| self.lacks(probed, reported)));
+    }
+
+    /// Returns whether the lane may lack a change of its items up to what a probe has shown.
+    fn lacks(&self, probed: &ProbedRevision, reported: &ReportedRevisions) -> bool {
+        let is_beyond = self.known_revision.is_some_and(|known| known < probed.revision);
+        is_beyond && !reported.reach(probed.revision)
     }
 
     /// Returns whether a probe has shown a change that the open watch hasn't reported in the time that a call may take. A
     /// watch that was made since then had the change to report at once. The change may also be of a key that the lane
     /// doesn't watch; each reply of the lane, even without changes, then makes the revision known.
-    fn has_missed_change(&self, now: BootTime, call_timeout: Duration) -> bool {
-        let is_unreported = |probed: &ProbedRevision| self.known_revision.is_some_and(|known| known < probed.revision);
-        let missed = self.unreported.filter(is_unreported);
+    fn has_missed_change(&self, now: BootTime, call_timeout: Duration, reported: &ReportedRevisions) -> bool {
+        let missed = self.unreported.filter(|probed| self.lacks(probed, reported));
         let is_watching = self.state == LaneState::Calling && !self.is_receiving;
         is_watching && missed.is_some_and(|missed| now.since(missed.at) >= call_timeout)
     }
--- a/crates/staircross-routing/src/store_reader/replies.rs
+++ b/crates/staircross-routing/src/store_reader/replies.rs
@@ -42,10 +42,11 @@
         if is_former {
             actions.push(ReaderAction::FormerEpoch { lane, epoch });
         }
-        let reader = self.lane_mut(lane);
-        if let StoreReply::Items { update, .. } | StoreReply::Changes { update, .. } = &reply {
-            reader.note_update(update);
+        if let (false, StoreReply::Items { update, .. } | StoreReply::Changes { update, .. }) = (is_former, &reply) {
+            self.reported.add(update);
+            self.lane_mut(lane).note_update(update);
         }
+        let reader = self.lane_mut(lane);
         match reply {
             _ if is_former => {
                 reader.is_refused = true;
@@ -67,6 +68,7 @@
             }
             StoreReply::Changes { update, at } => reader.handle_changes(now, update, at, &settings, actions),
         }
+        self.note_known_by_all();
         let reader = self.lane_mut(lane);
         let was_failing = std::mem::take(&mut reader.failures) > 0;
         reader.is_refused = false;
@@ -99,6 +101,14 @@
         self.forget_history(lane, actions);
     }
 
+    /// Records up to where both reading lanes know all changes of their items.
+    fn note_known_by_all(&mut self) {
+        let known = [Lane::Configuration, Lane::Searchers].map(|lane| self.lane(lane).known_revision);
+        if let [Some(configuration), Some(searchers)] = known {
+            self.reported.complete_up_to(configuration.min(searchers));
+        }
+    }
+
     /// Makes the next call of a lane a listing from its beginning.
     fn forget_history(&mut self, lane: Lane, actions: &mut Vec<ReaderAction>) {
         let reader = self.lane_mut(lane);
--- a/crates/staircross-routing/tests/store_probes.rs
+++ b/crates/staircross-routing/tests/store_probes.rs
@@ -309,10 +309,29 @@
     assert_eq!(driver.cancelled, [Lane::Configuration], "both have reported it");
 }
 
-/// Guards against a listing of the configuration for each change of a searcher: after one without a change, the lane asks
-/// with watches that are answered at once.
+/// Guards against calls of one lane for the changes of the other's items: the store counts its changes, and one that a lane
+/// has reported wasn't missed by the other.
 #[test]
-fn changes_of_searchers_cost_the_other_lane_short_watches() {
+fn changes_that_one_lane_has_reported_cost_the_other_no_call() {
+    let mut driver = watching();
+    for revision in 5..15 {
+        let gone = MirrorItem::SearcherGone { instance: "s-1".into() };
+        let update = MirrorUpdate { items: vec![(at(revision), gone)], ..MirrorUpdate::default() };
+        driver.reply(Lane::Searchers, StoreReply::Changes { update, at: at(revision) });
+        driver.calls_within(1000, Lane::Searchers);
+        (0..2).for_each(|_| probe(&mut driver, revision));
+    }
+    assert_eq!(driver.cancelled, []);
+    driver.reply(Lane::Searchers, StoreReply::Changes { update: MirrorUpdate::default(), at: at(15) });
+    driver.calls_within(1000, Lane::Searchers);
+    (0..2).for_each(|_| probe(&mut driver, 15));
+    assert_eq!(driver.cancelled, [Lane::Configuration], "nobody has reported the change");
+}
+
+/// Guards against a listing of the configuration for each change that nobody has reported: after one without a change, the
+/// lane asks with watches that are answered at once.
+#[test]
+fn changes_that_nobody_reports_cost_a_lane_short_watches_after_one_listing() {
     let mut driver = watching();
     let mut calls = Vec::new();
     for revision in 5..9 {
