--- a/crates/staircross-routing/src/store_reader/lane.rs
+++ b/crates/staircross-routing/src/store_reader/lane.rs
@@ -4,7 +4,7 @@
 //! [`StoreReader`](super::StoreReader) decides whether the lane makes calls at all.
 
 use super::message::{CancelCause, Lane, ReaderAction, ReaderSettings, ReadingMode, StoreCall};
-use super::renewal::ProbedRevision;
+use super::reported::ProbedRevision;
 use crate::state::mirror::{MirrorItem, MirrorUpdate};
 use crate::state::searcher_entry::REREGISTRATION_TIME;
 use crate::state::store_revision::StoreRevision;
--- a/crates/staircross-routing/src/store_reader/renewal.rs
+++ b/crates/staircross-routing/src/store_reader/renewal.rs
@@ -7,7 +7,7 @@
 use super::StoreReader;
 use super::lane::{LaneReader, LaneState};
 use super::message::{CancelCause, Lane, ReaderAction};
-use super::reported::ReportedRevisions;
+use super::reported::{ProbedRevision, ReportedRevisions};
 use crate::state::mirror::MirrorUpdate;
 use crate::state::store_revision::StoreRevision;
 use staircross_types::BootTime;
@@ -17,14 +17,6 @@
 /// the changes of other keys, which may come all the time.
 const LISTING_PAUSE: Duration = Duration::from_secs(30);
 
-/// A revision of the store that a probe returned.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ProbedRevision {
-    pub revision: StoreRevision,
-    /// Time of the reply.
-    pub at: BootTime,
-}
-
 impl StoreReader {
     /// Sets whether a part of the reply to a lane's open call has arrived. The connection of such a call works, however
     /// long the reply takes, so the call isn't made anew for a change that it hasn't reported yet.
--- a/crates/staircross-routing/src/store_reader/reported.rs
+++ b/crates/staircross-routing/src/store_reader/reported.rs
@@ -1,16 +1,25 @@
-//! The changes of the store that replies of any lane have reported.
+//! The changes of the store that probes have shown, and those that replies of any lane have reported.
 //!
 //! The store counts its changes, so a change that a probe shows has been missed by a watch only if no lane has reported the
 //! revision. This tells the changes of one lane from those that the other lane's watch has missed.
 
 use crate::state::mirror::MirrorUpdate;
 use crate::state::store_revision::StoreRevision;
+use staircross_types::BootTime;
 use std::collections::BTreeSet;
 
 /// Maximum number of reported revisions beyond a gap. More are forgotten, which bounds memory; the lanes are then asked
 /// about changes that they may not have missed.
 const MAX_BEYOND: usize = 4096;
 
+/// A revision of the store that a probe returned.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ProbedRevision {
+    pub revision: StoreRevision,
+    /// Time of the reply.
+    pub at: BootTime,
+}
+
 /// Revisions whose changes were reported.
 #[derive(Debug, Default)]
 pub(super) struct ReportedRevisions {
