Let a peer's answer confirm the view of a node that the store turns away

Cause: only the store's answer made the view current again, so the request was held and refused although a peer had told the newer version 0.4 s after the wake. A pull that began after the gap now confirms the view if the store has failed or refused the calls for it. Otherwise the store is asked as before: where all nodes stood still, a peer may know as little.

--- a/crates/staircross-gateway/src/node.rs
+++ b/crates/staircross-gateway/src/node.rs
@@ -129,6 +129,8 @@
     fleet: Fleet,
     /// HTTP client for pulls from peers, one peer at a time.
     peer_client: HttpClient,
+    /// Time of the last pull.
+    pulled_at: BootTime,
     /// Sizes and times of the answers that were sent to peers within the last second.
     peer_answers: RecentPeerAnswers,
     /// Rate limit of the pushes of case records to peers.
--- a/crates/staircross-gateway/src/node/outdated_view.rs
+++ b/crates/staircross-gateway/src/node/outdated_view.rs
@@ -7,6 +7,8 @@
 use crate::dialect::Dialect;
 use crate::event_log::LineKind;
 use staircross_routing::engine::RoutingEvent;
+use staircross_routing::store_reader::Lane;
+use staircross_types::BootTime;
 use staircross_types::boot_clock as clock;
 
 impl<D: Dialect> GatewayNode<D> {
@@ -38,6 +40,23 @@
         }
     }
 
+    /// Takes a peer's answer to a pull of `pulled_at` for a confirmation if the store fails this node or refuses its calls.
+    /// Otherwise the store is asked, since the peer may have stood still as well.
+    pub(super) fn confirm_view_by_peer(&mut self, pulled_at: BootTime) {
+        if !self.store_reader.is_confirmation_failing() {
+            return;
+        }
+        for lane in [Lane::Configuration, Lane::Searchers] {
+            self.outdated_view.record_confirmation(self.now, lane, pulled_at);
+        }
+        if !self.outdated_view.is_outdated(self.now) {
+            let mut actions = Vec::new();
+            self.store_reader.end_confirmation(self.now, &mut actions);
+            self.apply_reader_actions(actions);
+        }
+        self.apply_view_state(true);
+    }
+
     /// Passes a change of the view's state to the log and to the engine. `is_confirmed` says whether a view that may be
     /// used was confirmed.
     pub(super) fn apply_view_state(&mut self, is_confirmed: bool) {
--- a/crates/staircross-gateway/src/node/setup.rs
+++ b/crates/staircross-gateway/src/node/setup.rs
@@ -74,6 +74,7 @@
             fleet: build_fleet(now, routing.node, &settings, datagrams),
             store: StoreCalls::new(settings.store.address, settings.max_call_answer()),
             peer_client: HttpClient::new(SocketKind::Peer, 0, settings.listen.peers, settings.max_call_answer()),
+            pulled_at: now,
             store_reader: build_store_reader(now, &settings),
             store_role: build_store_role(now, &settings),
             mirror: Mirror::default(),
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -36,6 +36,7 @@
             return;
         };
         self.fleet.record_pull_start(self.now);
+        self.pulled_at = self.now;
         self.peer_client.set_address(peer.address);
         let (is_served, behind_since) = (self.store_reader.is_reachable(), self.fleet.version_behind_since());
         let takes_any = is_reading && self.store_role.should_pull_any_size(self.now, is_served, behind_since);
@@ -99,5 +100,6 @@
             self.store_reader.on_peer_report(self.now, Lane::Configuration, operator, &mut actions);
         }
         self.apply_reader_actions(actions);
+        self.confirm_view_by_peer(self.pulled_at);
     }
 }
--- a/crates/staircross-routing/src/store_reader/confirmation.rs
+++ b/crates/staircross-routing/src/store_reader/confirmation.rs
@@ -20,6 +20,11 @@
         }
     }
 
+    /// Returns whether the store has failed or refused a call for a confirmation that is still wanted.
+    pub fn is_confirmation_failing(&self) -> bool {
+        self.lanes.iter().any(|lane| lane.must_confirm && lane.failures > 0)
+    }
+
     /// Gives up the confirmations that haven't arrived. Lanes that the mode doesn't use make no more calls.
     pub fn end_confirmation(&mut self, now: BootTime, actions: &mut Vec<ReaderAction>) {
         self.lanes.iter_mut().for_each(|lane| lane.must_confirm = false);
