One function queues and logs a postponed shard; one lists waiting services

Cause: shards that wait for a current view were queued and logged by a copy of the code for suspect contents, and the services with waiting shards were collected and sorted in two places. Change: postpone_and_log and services_with_waiting_shards serve both. confirm_view_by_pull reads the time of the pull from the node, which owns it, instead of a parameter. Two doc comments are wrapped. No behaviour changes.

Ruled out: one function for the first probe as well, which doesn't log.

--- a/crates/staircross-gateway/src/node/outdated_view.rs
+++ b/crates/staircross-gateway/src/node/outdated_view.rs
@@ -8,7 +8,6 @@
 use crate::event_log::LineKind;
 use staircross_routing::engine::RoutingEvent;
 use staircross_routing::store_reader::Lane;
-use staircross_types::BootTime;
 use staircross_types::boot_clock as clock;
 
 impl<D: Dialect> GatewayNode<D> {
@@ -40,14 +39,14 @@
         }
     }
 
-    /// Takes a peer's answer to a pull of `pulled_at` for a confirmation if the store fails this node or refuses its calls.
+    /// Takes a peer's answer to the last pull for a confirmation if the store fails this node or refuses its calls.
     /// Otherwise the store is asked, since the peer may have stood still as well.
-    pub(super) fn confirm_view_by_peer(&mut self, pulled_at: BootTime) {
+    pub(super) fn confirm_view_by_pull(&mut self) {
         if !self.store_reader.is_confirmation_failing() {
             return;
         }
         for lane in [Lane::Configuration, Lane::Searchers] {
-            self.outdated_view.record_confirmation(self.now, lane, pulled_at);
+            self.outdated_view.record_confirmation(self.now, lane, self.pulled_at);
         }
         if !self.outdated_view.is_outdated(self.now) {
             let mut actions = Vec::new();
--- a/crates/staircross-gateway/src/node/updates/peers.rs
+++ b/crates/staircross-gateway/src/node/updates/peers.rs
@@ -100,6 +100,6 @@
             self.store_reader.on_peer_report(self.now, Lane::Configuration, operator, &mut actions);
         }
         self.apply_reader_actions(actions);
-        self.confirm_view_by_peer(self.pulled_at);
+        self.confirm_view_by_pull();
     }
 }
--- a/crates/staircross-gateway/src/store_version.rs
+++ b/crates/staircross-gateway/src/store_version.rs
@@ -74,8 +74,8 @@
         self.shown = None;
     }
 
-    /// Records what the reply to a call made at `called_at` shows. A watch that reports no new version confirms the one that was shown if it
-    /// began where that was shown; it may also begin at a revision that a peer has sent.
+    /// Records what the reply to a call made at `called_at` shows. A watch that reports no new version confirms the one that
+    /// was shown if it began where that was shown; it may also begin at a revision that a peer has sent.
     pub fn record_reply(&mut self, call: &StoreCall, called_at: BootTime, reply: &StoreReply) {
         self.shown = match (call, reply) {
             (StoreCall::List { lane: Lane::Configuration, after: None }, StoreReply::Items { update, at, .. }) => {
--- a/crates/staircross-routing/src/engine/searchers.rs
+++ b/crates/staircross-routing/src/engine/searchers.rs
@@ -86,7 +86,8 @@
             let is_evacuated = self.evacuated_zones.contains(&searcher.entry.zone);
             searcher.set_evacuated(now, is_evacuated);
         }
-        self.send_all_waiting_shards(now, actions);
+        let services = self.services_with_waiting_shards();
+        services.iter().for_each(|service| self.send_waiting_shards(now, service, actions));
     }
 
     /// Marks a searcher whose entry has gone from the store. It is asked until `until` if no other can be.
--- a/crates/staircross-routing/src/engine/suspicion.rs
+++ b/crates/staircross-routing/src/engine/suspicion.rs
@@ -54,25 +54,9 @@
         reason: SendReason,
         actions: &mut Vec<RoutingAction>,
     ) -> UnsentCause {
-        let cause = UnsentCause::Suspect;
-        let Some(request) = self.requests.get(&key) else {
-            return cause;
-        };
-        let shard = &request.shards[shard_index];
-        let service = shard.service.clone();
-        if shard.is_open() && shard.open_attempts == 0 {
-            // The line is logged once, not with each retry.
-            if !shard.is_queued {
-                actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
-            }
-            self.begin_waiting(
-                now,
-                key,
-                shard_index,
-                PostponedSend { reason, cause, retry_at: Some(now + SUSPECT_RETRY_DELAY) },
-            );
-        }
-        cause
+        let retry_at = Some(now + SUSPECT_RETRY_DELAY);
+        let postponed = PostponedSend { reason, cause: UnsentCause::Suspect, retry_at };
+        self.postpone_and_log(now, key, shard_index, postponed, actions)
     }
 
     /// Updates the suspicions by the end of an attempt. An answer shows that the searcher is alive, and one after a
--- a/crates/staircross-routing/src/engine/view.rs
+++ b/crates/staircross-routing/src/engine/view.rs
@@ -8,7 +8,6 @@
 use crate::keys::{AttemptKey, RequestKey};
 use crate::state::request::{AttemptOutcome, NotRun};
 use staircross_types::BootTime;
-use std::sync::Arc;
 
 impl RoutingEngine {
     /// Sets whether the view is too old. Once it is current, everything that waited for it is sent.
@@ -24,9 +23,7 @@
     /// Sends the shards that wait, each by itself: one that can't be sent now doesn't block those behind it, which may have
     /// no other time at which they are tried again.
     fn send_postponed_shards(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
-        let mut services: Vec<Arc<str>> = self.waiting_shards.keys().cloned().collect();
-        // A fixed order makes the replay of a recording deterministic.
-        services.sort_unstable();
+        let services = self.services_with_waiting_shards();
         let queues = services.iter().filter_map(|service| self.waiting_shards.get(service));
         let waiting: Vec<WaitingShard> = queues.flatten().copied().collect();
         for shard in waiting {
@@ -67,18 +64,7 @@
         reason: SendReason,
         actions: &mut Vec<RoutingAction>,
     ) -> UnsentCause {
-        let cause = UnsentCause::OutdatedView;
-        let Some(shard) = self.requests.get(&key).map(|request| &request.shards[shard_index]) else {
-            return cause;
-        };
-        if shard.is_open() && shard.open_attempts == 0 {
-            // The line is logged once, not with each retry.
-            if !shard.is_queued {
-                let service = shard.service.clone();
-                actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
-            }
-            self.begin_waiting(now, key, shard_index, PostponedSend { reason, cause, retry_at: None });
-        }
-        cause
+        let postponed = PostponedSend { reason, cause: UnsentCause::OutdatedView, retry_at: None };
+        self.postpone_and_log(now, key, shard_index, postponed, actions)
     }
 }
--- a/crates/staircross-routing/src/engine/waiting.rs
+++ b/crates/staircross-routing/src/engine/waiting.rs
@@ -172,12 +172,36 @@
         }
     }
 
-    /// Sends the waiting shards of all services, as far as searchers can be asked.
-    pub(super) fn send_all_waiting_shards(&mut self, now: BootTime, actions: &mut Vec<RoutingAction>) {
+    /// Returns the services for which shards wait.
+    pub(super) fn services_with_waiting_shards(&self) -> Vec<Arc<str>> {
         let mut services: Vec<Arc<str>> = self.waiting_shards.keys().cloned().collect();
         // A fixed order makes the replay of a recording deterministic.
         services.sort_unstable();
-        services.iter().for_each(|service| self.send_waiting_shards(now, service, actions));
+        services
+    }
+
+    /// Queues a shard like [`Self::begin_waiting`] and logs it, unless the shard has an open attempt. Returns the cause.
+    pub(super) fn postpone_and_log(
+        &mut self,
+        now: BootTime,
+        key: RequestKey,
+        shard_index: usize,
+        postponed: PostponedSend,
+        actions: &mut Vec<RoutingAction>,
+    ) -> UnsentCause {
+        let (reason, cause) = (postponed.reason, postponed.cause);
+        let Some(shard) = self.requests.get(&key).map(|request| &request.shards[shard_index]) else {
+            return cause;
+        };
+        if shard.is_open() && shard.open_attempts == 0 {
+            // The line is logged once, not with each retry.
+            if !shard.is_queued {
+                let service = shard.service.clone();
+                actions.push(RoutingAction::Unsent { request: key, service, reason, cause });
+            }
+            self.begin_waiting(now, key, shard_index, postponed);
+        }
+        cause
     }
 
     /// Sends the waiting shards of a request that are due to be tried again.
--- a/crates/staircross-routing/src/store_reader.rs
+++ b/crates/staircross-routing/src/store_reader.rs
@@ -19,7 +19,8 @@
 //!
 //! A probe that is answered doesn't show that the connections of the watches work: they may be dead while the store
 //! answers on others. So a probe returns the store's revision, and if no lane has reported a change up to there in the time
-//! that a call may take, the watches that don't reach it are given up for listings. A watch is also renewed if a peer has shown a change that it missed.
+//! that a call may take, the watches that don't reach it are given up for listings. A watch is also renewed if a peer has
+//! shown a change that it missed.
 //! Neither shows every missed change: a probe's read may be seconds old, and peers may miss the same change. So the store may
 //! hold a watch only for a few seconds.
 //!
