--- a/crates/session/staircross-node/src/core/callers.rs
+++ b/crates/session/staircross-node/src/core/callers.rs
@@ -40,7 +40,7 @@
                 self.look_up_session_then(now, token, command, reply);
             }
             CallerCommand::CloseSession(token) => {
-                self.drop_session(token);
+                self.close_session(token);
                 self.handle_cluster_event(now, ClusterEvent::ForgetSession { token });
                 reply.send(CallerReply::Closed);
             }
--- a/crates/session/staircross-node/src/core/config.rs
+++ b/crates/session/staircross-node/src/core/config.rs
@@ -33,7 +33,7 @@
                 ClusterAction::SessionFetched { token, ask, keeper, copy } => {
                     self.on_session_fetched(now, token, ask, keeper, copy);
                 }
-                ClusterAction::SessionMoved { token } => self.drop_session(token),
+                ClusterAction::SessionMoved { token } => self.release_session(token),
                 ClusterAction::ReplicationAwaited { by } => self.on_replication_awaited(now, by),
             }
         }
--- a/crates/session/staircross-node/src/core/sessions.rs
+++ b/crates/session/staircross-node/src/core/sessions.rs
@@ -169,7 +169,7 @@
         self.session_replication.record_confirmation(token, version, keeper);
         if is_overtaken {
             info!(logger: self.logs.front, "event=session_overtaken session={}", session_tag(token));
-            self.drop_session(token);
+            self.release_session(token);
         }
         for delayed in &mut self.delayed_replies {
             delayed.record_confirmation(token, version, keeper);
@@ -310,12 +310,17 @@
         Ok(())
     }
 
-    /// Drops a session that is closed or that another node holds now. A later request with its token looks for it
-    /// at the other nodes.
-    pub(super) fn drop_session(&mut self, token: SessionToken) {
+    /// Drops a session that is closed.
+    pub(super) fn close_session(&mut self, token: SessionToken) {
         self.root.sessions.close(token);
         self.session_replication.remove(token);
     }
+
+    /// Drops a session that another node holds now. A later request with its token looks for it at the other nodes.
+    pub(super) fn release_session(&mut self, token: SessionToken) {
+        self.root.sessions.release(token, self.node);
+        self.session_replication.remove(token);
+    }
 }
 
 /// Returns the name of a session in logs. It is a digest because the token itself is a secret.
--- a/crates/session/staircross-search/src/root/reply.rs
+++ b/crates/session/staircross-search/src/root/reply.rs
@@ -235,9 +235,7 @@
         let Some(action) = self.finished_actions.remove(&reply.attempt) else {
             return;
         };
-        if let Some(session) = self.sessions.touch(now, action.session) {
-            session.end_ticket(action.ticket, &Outcome::Acted(receipt));
-        }
+        self.sessions.end_ticket(now, action.session, action.ticket, &Outcome::Acted(receipt));
     }
 }
 
--- a/crates/session/staircross-search/src/root/submit.rs
+++ b/crates/session/staircross-search/src/root/submit.rs
@@ -139,11 +139,8 @@
 
     /// Records the outcome of an action with its ticket.
     pub(super) fn record_ticket_outcome(&mut self, now: BootTime, request: &Request, outcome: &Outcome) {
-        let Some(ticket) = request.ticket else {
-            return;
-        };
-        if let Some(session) = self.sessions.touch(now, request.session) {
-            session.end_ticket(ticket, outcome);
+        if let Some(ticket) = request.ticket {
+            self.sessions.end_ticket(now, request.session, ticket, outcome);
         }
     }
 }
